--- /dev/null
+++ b/CMake/CompilerSettings.cmake
@@ -0,0 +1,18 @@
+# SPDX-FileCopyrightText: 2026 The drumpond developers
+# SPDX-License-Identifier: Apache-2.0
+
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+set(CMAKE_RUNTIME_OUTPUT_DIRECTORY "${CMAKE_BINARY_DIR}/bin")
+
+if(NOT CMAKE_BUILD_TYPE)
+  set(CMAKE_BUILD_TYPE RelWithDebInfo)
+endif()
+# Coroutines resume each other by tail calls, which GCC makes from -O2 on: without them a long
+# stream grows the stack.
+set(CMAKE_CXX_FLAGS_RELWITHDEBINFO "-O2 -g1")
+set(CMAKE_CXX_FLAGS_DEBUG "-Og -g -foptimize-sibling-calls")
+
+add_compile_options(-Wall -Wextra -Wno-missing-field-initializers -fno-strict-aliasing)
--- /dev/null
+++ b/Source/Core/BackendServers/HttpEngine.h
@@ -0,0 +1,45 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "BackendServers/Types.h"
+#include "Common/Json.h"
+#include "Http/Client.h"
+
+namespace BackendServers
+{
+/// Parses an engine's report. Fails with Protocol where it is not one.
+Common::Result<EngineReport> ParseReport(std::string_view text);
+
+/// Model engines over HTTP: JSON orders and reports, chat completions in the published form.
+class HttpEngine
+{
+public:
+  Common::Task<Common::Result<EngineReport>> Report(std::string address);
+  Common::Task<Common::Result<Common::Done>> Order(std::string address, EngineOrder order,
+                                                   Common::Milliseconds timeout);
+
+  /// A request of a caller on its way to a backend server.
+  struct Call
+  {
+    std::string method = "POST";
+    std::string address;
+    std::string path;
+    std::string body;
+    Http::Headers headers;
+    Common::RequestId request;
+    Common::Milliseconds timeout{0};
+    bool repeatable = true;
+  };
+
+  /// Forwards the call and gives the answer as it arrives.
+  Common::Task<Common::Result<std::unique_ptr<Http::ResponseStream>>> Forward(Call call);
+
+private:
+  Http::Client m_client;
+};
+} // namespace BackendServers
--- /dev/null
+++ b/Source/Core/Callers/PlainServices.cpp
@@ -0,0 +1,412 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Callers/PlainServices.h"
+
+#include <algorithm>
+
+#include <glib.h>
+
+#include "Common/Log.h"
+#include "Common/Random.h"
+#include "Decisions/Rendezvous.h"
+
+namespace Callers
+{
+namespace
+{
+using Common::Failure;
+using Common::FailureKind;
+using Common::GetOr;
+using Common::Json;
+using Common::LogEvent;
+using Common::LogLevel;
+using Common::Milliseconds;
+using Common::Now;
+using Common::Result;
+using Common::Task;
+using Daemons::HolderStatus;
+
+constexpr std::string_view PREFIX = "/services/";
+constexpr std::size_t MAX_KEY = 200;
+constexpr Milliseconds STORE_PATIENCE{3000};
+constexpr std::chrono::minutes SETTLE_PATIENCE{10};
+constexpr Milliseconds RETRY_AFTER{1000};
+constexpr int STATUS_UNAVAILABLE = 503;
+
+std::string Hash(const std::string& text)
+{
+  char* hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text.c_str(),
+                                             static_cast<gssize>(text.size()));
+  std::string copy = hash;
+  g_free(hash);
+  return copy;
+}
+
+CallFailure Fail(FailureKind kind, std::string detail, RunState ran, Milliseconds retry_after = {})
+{
+  return CallFailure{{kind, std::move(detail)}, ran, retry_after};
+}
+
+std::string_view ToString(OnceState state)
+{
+  switch (state)
+  {
+  case OnceState::Started:
+    return "started";
+  case OnceState::Done:
+    return "done";
+  case OnceState::NotRun:
+    return "not_run";
+  case OnceState::Unknown:
+    return "unknown";
+  }
+  return "unknown";
+}
+
+OnceState ParseState(const std::string& text)
+{
+  if (text == "started")
+    return OnceState::Started;
+  if (text == "done")
+    return OnceState::Done;
+  return text == "not_run" ? OnceState::NotRun : OnceState::Unknown;
+}
+
+std::string OnceKey(const Common::ServiceId& caller, const std::string& service,
+                    const std::string& key)
+{
+  return "once/" + caller.Get() + "/" + service + "/" + Hash(key);
+}
+
+std::string HeaderOf(const Http::Headers& headers, const std::string& name)
+{
+  const auto found = headers.find(name);
+  return found == headers.end() ? std::string() : found->second;
+}
+} // namespace
+
+std::string SerializeRecord(const OnceRecord& record)
+{
+  const Json json = {{"state", ToString(record.state)},
+                     {"body_hash", record.body_hash},
+                     {"holder", record.holder.Get()},
+                     {"holder_incarnation", record.holder_incarnation.Get()},
+                     {"status", record.status},
+                     {"content_type", record.content_type},
+                     {"body", record.body}};
+  return Common::DumpJson(json);
+}
+
+std::optional<OnceRecord> ParseRecord(const std::string& text)
+{
+  const auto json = Common::ParseJson(text);
+  if (!json || !json->is_object())
+    return std::nullopt;
+  OnceRecord record;
+  record.state = ParseState(GetOr(*json, "state", std::string()));
+  record.body_hash = GetOr(*json, "body_hash", std::string());
+  record.holder = Common::VmId(GetOr(*json, "holder", std::string()));
+  record.holder_incarnation =
+      Common::Incarnation(GetOr(*json, "holder_incarnation", std::string()));
+  record.status = GetOr(*json, "status", 0);
+  record.content_type = GetOr(*json, "content_type", std::string());
+  record.body = GetOr(*json, "body", std::string());
+  return record;
+}
+
+Result<PlainServices::Call> PlainServices::Parse(const Http::Exchange& exchange)
+{
+  const std::string rest = exchange.Path().substr(std::min(PREFIX.size(), exchange.Path().size()));
+  const auto slash = rest.find('/');
+  const std::string name = rest.substr(0, slash);
+  const Table::PlainService* service = m_gateway.environment.table.Current().FindPlainService(name);
+  auto context = Identify(m_gateway, exchange, service ? service->deadline : Milliseconds(0));
+  if (!context)
+    return context.Reason();
+  if (!service)
+    return {FailureKind::NotFound, "the table has no plain service \"" + name + "\""};
+  Call call;
+  call.context = *context;
+  call.service = *service;
+  call.method = exchange.Method();
+  call.path = slash == std::string::npos ? "/" : rest.substr(slash);
+  call.body = exchange.Body();
+  call.content_type = exchange.Header("content-type");
+  call.key = exchange.Header("idempotency-key");
+  const bool reads = call.method == "GET" || call.method == "HEAD";
+  call.repeatable = reads || m_gateway.environment.table.Current().IsRepeatable(name, call.path);
+  if (!call.repeatable && (call.key.empty() || call.key.size() > MAX_KEY))
+    return {FailureKind::InvalidInput,
+            "this call may not be repeated: expected Idempotency-Key of 1 to 200 characters"};
+  return call;
+}
+
+Task<void> PlainServices::Serve(Http::ExchangePtr exchange)
+{
+  const auto call = Parse(*exchange);
+  if (!call)
+  {
+    const CallFailure refusal{call.Reason(), RunState::NotRun};
+    m_gateway.metrics.CountRequest("service", std::string(ToString(call.Reason().kind)));
+    co_return Refuse(*exchange, refusal, {});
+  }
+  const OpenRequest open(m_gateway, call->context.service.id);
+  Outcome outcome = Fail(FailureKind::Unavailable, "", RunState::NotRun);
+  if (call->repeatable)
+    outcome = co_await RunRepeatable(*call);
+  else
+    outcome = co_await RunOnce(*call);
+  if (const auto* failure = std::get_if<CallFailure>(&outcome))
+  {
+    m_gateway.metrics.CountRequest("service", std::string(ToString(failure->failure.kind)));
+    co_return Refuse(*exchange, *failure, call->context.request);
+  }
+  m_gateway.metrics.CountRequest("service", "ok");
+  Answer& answer = std::get<Answer>(outcome);
+  const Http::Headers headers{{"X-Request-Id", call->context.request.Get()},
+                              {"X-Drumpond-Server", answer.server.Get()}};
+  exchange->Respond(answer.status, answer.content_type, std::move(answer.body), headers);
+}
+
+/// The servers of the pool that take work, this data centre's first, in an order of this request.
+std::vector<Table::BackendServer> PlainServices::ServersFor(const Call& call) const
+{
+  const auto& environment = m_gateway.environment;
+  std::vector<Table::BackendServer> servers;
+  for (const auto& [vm, server] : environment.table.Current().BackendServers())
+    if (server.pool == call.service.pool && !environment.board.IsLeaving(vm))
+      servers.push_back(server);
+  std::ranges::sort(
+      servers,
+      [&](const auto& left, const auto& right)
+      {
+        const bool left_local = left.data_centre == environment.DataCentre();
+        const bool right_local = right.data_centre == environment.DataCentre();
+        if (left_local != right_local)
+          return left_local;
+        return Decisions::RendezvousWeight(call.context.request.Get(), left.vm.Get()) >
+               Decisions::RendezvousWeight(call.context.request.Get(), right.vm.Get());
+      });
+  return servers;
+}
+
+Task<PlainServices::Outcome> PlainServices::Send(Call call, Table::BackendServer server)
+{
+  BackendServers::HttpEngine::Call forward;
+  forward.method = call.method;
+  forward.address = server.address;
+  forward.path = call.path;
+  forward.body = call.body;
+  forward.request = call.context.request;
+  forward.timeout = call.context.Left();
+  forward.repeatable = call.repeatable;
+  if (!call.key.empty())
+    forward.headers["Idempotency-Key"] = call.key;
+  auto opened = co_await m_gateway.environment.engine.Forward(std::move(forward));
+  if (!opened)
+  {
+    const bool unsent = opened.Reason().kind == FailureKind::NotSent;
+    m_gateway.metrics.CountAttempt(unsent ? "not_sent" : "broken");
+    co_return CallFailure{opened.Reason(), unsent ? RunState::NotRun : RunState::Unknown,
+                          RETRY_AFTER};
+  }
+  Http::ResponseStream& stream = **opened;
+  if (stream.Status() == STATUS_UNAVAILABLE && HeaderOf(stream.GetHeaders(), "x-ran") == "not_run")
+  {
+    m_gateway.metrics.CountAttempt("declined");
+    co_return Fail(FailureKind::Unavailable, "the service declined", RunState::NotRun, RETRY_AFTER);
+  }
+  if (HeaderOf(stream.GetHeaders(), "x-request-id") != call.context.request.Get())
+  {
+    m_gateway.metrics.CountAttempt("crossed");
+    co_return Fail(FailureKind::Protocol, "the service answered another request",
+                   RunState::Unknown);
+  }
+  Answer answer;
+  answer.status = stream.Status();
+  answer.content_type = HeaderOf(stream.GetHeaders(), "content-type");
+  answer.server = server.vm;
+  while (true)
+  {
+    auto chunk = co_await stream.Read(call.context.Left());
+    if (!chunk)
+    {
+      m_gateway.metrics.CountAttempt("broken");
+      co_return CallFailure{chunk.Reason(), RunState::Unknown};
+    }
+    if (chunk->empty())
+      break;
+    answer.body += *chunk;
+  }
+  m_gateway.metrics.CountAttempt("ok");
+  co_return answer;
+}
+
+Task<PlainServices::Outcome> PlainServices::RunRepeatable(Call call)
+{
+  m_gateway.retries.OnRequest();
+  Outcome last = Fail(FailureKind::Unavailable, "no server of the service takes work",
+                      RunState::NotRun, RETRY_AFTER);
+  for (const Table::BackendServer& server : ServersFor(call))
+  {
+    last = co_await Send(call, server);
+    if (std::holds_alternative<Answer>(last))
+      co_return last;
+    if (call.context.Left().count() <= 0 || !m_gateway.retries.TrySpend())
+      break;
+  }
+  co_return last;
+}
+
+/// Another server is tried only where the one before certainly did not run the call.
+Task<PlainServices::Outcome> PlainServices::SendOnce(Call call)
+{
+  Outcome last = Fail(FailureKind::Unavailable, "no server of the service takes work",
+                      RunState::NotRun, RETRY_AFTER);
+  for (const Table::BackendServer& server : ServersFor(call))
+  {
+    // After a freeze the deadline has passed: the caller has given up, so nothing is sent.
+    if (call.context.Left().count() <= 0)
+      co_return Fail(FailureKind::DeadlineUnmeetable, "the deadline passed before it was sent",
+                     RunState::NotRun, RETRY_AFTER);
+    last = co_await Send(call, server);
+    const auto* failure = std::get_if<CallFailure>(&last);
+    if (!failure || failure->ran != RunState::NotRun)
+      co_return last;
+  }
+  co_return last;
+}
+
+Task<PlainServices::Outcome> PlainServices::RunOnce(Call call)
+{
+  const std::string key = OnceKey(call.context.service.id, call.service.name, call.key);
+  if (!m_active.insert(key).second)
+    co_return Fail(FailureKind::Conflict, "a call with this key is under way", RunState::Unknown,
+                   RETRY_AFTER);
+  Beginning beginning = co_await Begin(call);
+  const auto* started = std::get_if<Started>(&beginning);
+  if (!started)
+    m_active.erase(key);
+  if (auto* answer = std::get_if<Answer>(&beginning))
+    co_return std::move(*answer);
+  if (const auto* failure = std::get_if<CallFailure>(&beginning))
+    co_return *failure;
+  Outcome outcome = co_await SendOnce(call);
+  const bool settled = co_await Settle(call, started->version, outcome);
+  if (settled)
+    m_active.erase(key);
+  co_return outcome;
+}
+
+Task<PlainServices::Beginning> PlainServices::WriteStarted(Call call, std::int64_t seen)
+{
+  const auto& self = m_gateway.environment.membership.Self();
+  OnceRecord record;
+  record.body_hash = Hash(call.method + call.path + "\n" + call.body);
+  record.holder = self.vm;
+  record.holder_incarnation = self.incarnation;
+  const std::string key = OnceKey(call.context.service.id, call.service.name, call.key);
+  Platform::Transaction transaction;
+  transaction.conditions.push_back({key, seen});
+  transaction.writes.push_back({key, SerializeRecord(record)});
+  const auto patience = std::min(STORE_PATIENCE, call.context.Left());
+  const auto outcome = co_await m_gateway.environment.store.Commit(transaction, Now() + patience);
+  // The record may stand although its answer was lost. Then nothing was sent, and nothing will be:
+  // this request has not run, whatever a repetition with the same key is told.
+  if (!outcome)
+    co_return Fail(FailureKind::Unavailable, "the platform does not answer", RunState::NotRun,
+                   RETRY_AFTER);
+  if (outcome->committed)
+    co_return Started{outcome->version};
+  if (outcome->conflicts.empty())
+    co_return Fail(FailureKind::Protocol, "the platform names no conflict", RunState::NotRun);
+  const Platform::StoredRow& row = outcome->conflicts.front();
+  const auto earlier = ParseRecord(row.value);
+  if (!earlier)
+    co_return Fail(FailureKind::Protocol, "the record of this key cannot be read",
+                   RunState::Unknown);
+  if (earlier->body_hash != record.body_hash)
+    co_return Fail(FailureKind::Conflict, "this key was used for another call", RunState::NotRun);
+  co_return co_await BeginAgain(call, *earlier, row.version);
+}
+
+Task<PlainServices::Beginning> PlainServices::Begin(Call call)
+{
+  if (m_gateway.environment.store.IsDown())
+    co_return Fail(FailureKind::Unavailable, "the platform does not answer", RunState::NotRun,
+                   RETRY_AFTER);
+  co_return co_await WriteStarted(call, 0);
+}
+
+Task<PlainServices::Beginning> PlainServices::BeginAgain(Call call, OnceRecord record,
+                                                         std::int64_t version)
+{
+  const auto& membership = m_gateway.environment.membership;
+  Common::TimePoint since;
+  switch (record.state)
+  {
+  case OnceState::Done:
+    co_return Answer{record.status, record.content_type, record.body, {}};
+  case OnceState::NotRun:
+    co_return co_await WriteStarted(call, version);
+  case OnceState::Unknown:
+    co_return Fail(FailureKind::OutcomeUnknown, "an earlier call with this key may have run",
+                   RunState::Unknown);
+  case OnceState::Started:
+    // This process wrote it and is not running it: the answer to its write was lost, so it gave up
+    // and sent nothing.
+    if (record.holder == membership.Self().vm &&
+        record.holder_incarnation == membership.Self().incarnation)
+      co_return co_await WriteStarted(call, version);
+    if (membership.StatusOf(record.holder, record.holder_incarnation, Now(), &since) ==
+        HolderStatus::Alive)
+      co_return Fail(FailureKind::Conflict, "a call with this key is under way", RunState::Unknown,
+                     RETRY_AFTER);
+    co_return Fail(FailureKind::OutcomeUnknown, "an earlier call with this key may have run",
+                   RunState::Unknown);
+  }
+  co_return Fail(FailureKind::OutcomeUnknown, "unknown state", RunState::Unknown);
+}
+
+/// Records what became of the call. Where the platform does not answer soon, the caller gets its
+/// answer all the same and the record follows; until then a repetition is told that it may have
+/// run, which is true.
+Task<bool> PlainServices::Settle(Call call, std::int64_t version, Outcome outcome)
+{
+  OnceRecord record;
+  record.body_hash = Hash(call.method + call.path + "\n" + call.body);
+  if (const auto* answer = std::get_if<Answer>(&outcome))
+  {
+    record.state = OnceState::Done;
+    record.status = answer->status;
+    record.content_type = answer->content_type;
+    record.body = answer->body;
+  }
+  else
+  {
+    const bool not_run = std::get<CallFailure>(outcome).ran == RunState::NotRun;
+    record.state = not_run ? OnceState::NotRun : OnceState::Unknown;
+  }
+  const std::string key = OnceKey(call.context.service.id, call.service.name, call.key);
+  Platform::Transaction transaction;
+  transaction.conditions.push_back({key, version});
+  transaction.writes.push_back({key, SerializeRecord(record)});
+  auto& store = m_gateway.environment.store;
+  const auto soon = co_await store.Commit(transaction, Now() + STORE_PATIENCE);
+  if (soon)
+    co_return true;
+  LogEvent(LogLevel::Warning, "once.settle_later",
+           {{"request", call.context.request}, {"reason", soon.Reason().detail}});
+  Common::Spawn(SettleLater(key, transaction));
+  co_return false;
+}
+
+Task<void> PlainServices::SettleLater(std::string key, Platform::Transaction transaction)
+{
+  const auto later =
+      co_await m_gateway.environment.store.Commit(transaction, Now() + SETTLE_PATIENCE);
+  if (later)
+    m_active.erase(key);
+}
+} // namespace Callers
--- /dev/null
+++ b/Source/Core/Daemon/Application.cpp
@@ -0,0 +1,403 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Daemon/Application.h"
+
+#include <csignal>
+
+#include <glib-unix.h>
+
+#include "Callers/ChatApi.h"
+#include "Callers/ChatRelay.h"
+#include "Callers/Jobs.h"
+#include "Callers/PlainServices.h"
+#include "Common/Log.h"
+#include "Common/Random.h"
+#include "Operators/OperatorsApi.h"
+#include "Serving/Keeper.h"
+#include "Serving/LoadPacer.h"
+#include "Serving/ModelHome.h"
+
+namespace Daemon
+{
+namespace
+{
+using Common::Done;
+using Common::Failure;
+using Common::FailureKind;
+using Common::LogEvent;
+using Common::LogLevel;
+using Common::Milliseconds;
+using Common::Now;
+using Common::Result;
+using Common::Task;
+
+constexpr Milliseconds PLATFORM_TIMEOUT{1000};
+constexpr Milliseconds VM_LIST_INTERVAL{500};
+constexpr Milliseconds REBALANCE_INTERVAL{100};
+constexpr Milliseconds STOP_POLL{20};
+constexpr Milliseconds STATUS_PULL_TIMEOUT{1000};
+constexpr double DEFAULT_EXCHANGE_RATE = 20;
+
+Daemons::Heartbeat SelfOf(const Settings& settings)
+{
+  Daemons::Heartbeat self;
+  self.vm = settings.vm;
+  self.data_centre = settings.data_centre;
+  self.incarnation = Common::Incarnation(Common::NewId("d-"));
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  self.started_ms = std::chrono::duration_cast<Milliseconds>(now).count();
+  return self;
+}
+
+Daemons::LinkSettings LinkSettingsOf(const Settings& settings)
+{
+  Daemons::LinkSettings link;
+  link.address = settings.peers.address;
+  link.port = settings.peers.port;
+  link.key = settings.peer_key;
+  link.heartbeat_interval = settings.heartbeat;
+  return link;
+}
+
+Serving::Policies PoliciesOf(const Settings& settings)
+{
+  Serving::Policies policies;
+  if (settings.placement == "first-fit")
+    policies.placement = Decisions::FirstFitPlacement();
+  if (settings.retention == "keep-alive")
+    policies.retention = Decisions::FixedKeepAlive(Milliseconds(settings.keep_alive_ms));
+  if (settings.routing == "round-robin")
+    policies.routing = Decisions::RoundRobinRouting();
+  if (settings.load_order == "fifo")
+    policies.load_order = Decisions::FifoOrder();
+  policies.fair_queue = settings.queue == "fair";
+  return policies;
+}
+
+Serving::Timing TimingOf(const Settings& settings)
+{
+  Serving::Timing timing;
+  timing.report_interval = settings.report_interval;
+  timing.order_settle = settings.order_settle;
+  timing.freeze_limit = settings.freeze_limit;
+  return timing;
+}
+
+Http::Server::Limits LimitsOf(const Settings& settings)
+{
+  Http::Server::Limits limits;
+  limits.max_body_bytes = static_cast<std::size_t>(settings.max_body_kb) * 1024;
+  return limits;
+}
+} // namespace
+
+struct Application::Impl
+{
+  explicit Impl(Settings all)
+      : settings(std::move(all)),
+        platform(settings.platform, settings.vm, PLATFORM_TIMEOUT),
+        membership(SelfOf(settings), {settings.dead_after, settings.list_lag}),
+        store(platform, settings.vm.Get()),
+        link(LinkSettingsOf(settings), membership),
+        table(store, link, membership, settings.table_poll),
+        policies(PoliciesOf(settings)),
+        environment{store,   engine,   membership,        link, table, board,
+                    explain, policies, TimingOf(settings)},
+        keeper(environment),
+        pacer(environment),
+        home(environment),
+        router(environment),
+        gateway{environment, router, metrics, {}, Decisions::RetryBudget()},
+        relay(gateway),
+        chat(gateway, relay),
+        jobs(gateway, relay, settings.job_scan),
+        services(gateway),
+        callers_server(LimitsOf(settings)),
+        operators_server(LimitsOf(settings))
+  {
+  }
+
+  Settings settings;
+  GMainLoop* loop = g_main_loop_new(nullptr, FALSE);
+  Platform::HttpPlatform platform;
+  BackendServers::HttpEngine engine;
+  Daemons::Membership membership;
+  Platform::Store store;
+  Daemons::Link link;
+  Serving::TableFollower table;
+  Serving::ServerBoard board;
+  Serving::ExplainRing explain;
+  Serving::Policies policies;
+  Serving::Metrics metrics;
+  Serving::Environment environment;
+  Serving::Keeper keeper;
+  Serving::LoadPacer pacer;
+  Serving::ModelHome home;
+  Serving::Router router;
+  Callers::Gateway gateway;
+  Callers::ChatRelay relay;
+  Callers::ChatApi chat;
+  Callers::Jobs jobs;
+  Callers::PlainServices services;
+  std::unique_ptr<Operators::OperatorsApi> operators;
+  Http::Server callers_server;
+  Http::Server operators_server;
+  std::map<Common::VmId, std::int64_t> known_state;
+  std::map<Common::VmId, Common::Incarnation> known_incarnation;
+  std::set<Common::VmId> pulling;
+
+  bool IsReady() const { return table.HasTable() && !gateway.stopping; }
+
+  Result<Done> Start()
+  {
+    auto tokens = Operators::Tokens::Load(settings.operator_tokens_file);
+    if (!tokens)
+      return tokens.Reason();
+    for (const auto& [vm, address] : settings.seeds)
+      membership.AddSeed(vm, address);
+    ConnectParts();
+    auto linked = link.Start();
+    if (!linked)
+      return linked;
+    RegisterOperators(*tokens);
+    RegisterCallers();
+    auto listening = callers_server.Listen(settings.listen.address, settings.listen.port);
+    if (!listening)
+      return listening;
+    listening = operators_server.Listen(settings.operators.address, settings.operators.port);
+    if (!listening)
+      return listening;
+    table.Start(
+        [this]
+        {
+          OnTableChange();
+        });
+    jobs.Start();
+    Common::Spawn(FollowVmList());
+    Common::Spawn(KeepRolesCurrent());
+    WatchSignals();
+    LogEvent(LogLevel::Info, "daemon.started",
+             {{"vm", settings.vm},
+              {"data_centre", settings.data_centre},
+              {"incarnation", membership.Self().incarnation}});
+    return Done{};
+  }
+
+  void ConnectParts()
+  {
+    link.OnCall(
+        [this](Daemons::Call call)
+        {
+          return Answer(std::move(call));
+        });
+    link.OnHeartbeat(
+        [this](const Daemons::Heartbeat& heartbeat)
+        {
+          OnHeartbeat(heartbeat);
+        });
+    board.OnChange(
+        [this](const std::set<Common::ArtifactId>& artifacts)
+        {
+          router.OnBoardChange(artifacts);
+          AnnounceStatuses();
+        });
+  }
+
+  void OnTableChange()
+  {
+    if (settings.retention == "cost")
+    {
+      const auto rate = table.Current().SettingNumber(
+          "cold_start_exchange_rate", static_cast<std::int64_t>(DEFAULT_EXCHANGE_RATE));
+      policies.retention = Decisions::CostRetention(static_cast<double>(rate));
+    }
+    keeper.Rebalance();
+  }
+
+  void AnnounceStatuses()
+  {
+    const std::int64_t version = keeper.Statuses().state_version;
+    if (std::exchange(membership.Self().state_version, version) != version)
+      link.Announce();
+  }
+
+  void OnHeartbeat(const Daemons::Heartbeat& heartbeat)
+  {
+    table.OnPeerRevision(heartbeat.vm, heartbeat.table_revision);
+    const bool news = known_state[heartbeat.vm] != heartbeat.state_version ||
+                      known_incarnation[heartbeat.vm] != heartbeat.incarnation;
+    if (news && pulling.insert(heartbeat.vm).second)
+      Common::Spawn(PullStatuses(heartbeat.vm, heartbeat.incarnation));
+  }
+
+  Task<void> PullStatuses(Common::VmId vm, Common::Incarnation incarnation)
+  {
+    const Daemons::Call call{Daemons::StatusPull{}};
+    const auto answer = co_await link.Ask(vm, call, STATUS_PULL_TIMEOUT);
+    pulling.erase(vm);
+    const auto* reply = answer ? std::get_if<Daemons::StatusReply>(&*answer) : nullptr;
+    if (!reply)
+      co_return;
+    known_state[vm] = reply->state_version;
+    known_incarnation[vm] = incarnation;
+    for (const Daemons::ServerStatus& status : reply->servers)
+      board.Update(status, Now());
+  }
+
+  Task<Daemons::Reply> Answer(Daemons::Call call)
+  {
+    if (auto* load = std::get_if<Daemons::LoadRequest>(&call))
+      co_return co_await home.EnsureLoaded(std::move(*load));
+    if (auto* place = std::get_if<Daemons::PlaceOrder>(&call))
+      co_return co_await keeper.Place(std::move(*place));
+    if (auto* permit = std::get_if<Daemons::PermitRequest>(&call))
+      co_return co_await pacer.Request(std::move(*permit));
+    if (const auto* pull = std::get_if<Daemons::TablePull>(&call))
+      co_return table.Answer(*pull);
+    if (const auto* returned = std::get_if<Daemons::PermitReturn>(&call))
+    {
+      pacer.Return(returned->claim);
+      co_return Daemons::PermitReply{};
+    }
+    co_return keeper.Statuses();
+  }
+
+  Task<void> FollowVmList()
+  {
+    while (true)
+    {
+      const auto entries = co_await store.ListVms();
+      if (entries)
+      {
+        membership.SetListed(*entries, Now());
+        std::set<Common::VmId> leaving;
+        for (const Platform::VmEntry& entry : *entries)
+          if (entry.role == "backend" && entry.state == Platform::VmState::Leaving)
+            leaving.insert(entry.vm);
+        board.SetLeaving(std::move(leaving));
+      }
+      co_await Common::Sleep{VM_LIST_INTERVAL};
+    }
+  }
+
+  Task<void> KeepRolesCurrent()
+  {
+    while (true)
+    {
+      keeper.Rebalance();
+      AnnounceStatuses();
+      co_await Common::Sleep{REBALANCE_INTERVAL};
+    }
+  }
+
+  void RegisterCallers()
+  {
+    callers_server.Handle("/v1/chat/completions",
+                          [this](Http::ExchangePtr exchange)
+                          {
+                            return chat.Complete(exchange);
+                          });
+    callers_server.Handle("/v1/models",
+                          [this](Http::ExchangePtr exchange)
+                          {
+                            return chat.ListModels(exchange);
+                          });
+    callers_server.Handle("/v1/jobs",
+                          [this](Http::ExchangePtr exchange)
+                          {
+                            return jobs.Serve(exchange);
+                          });
+    callers_server.Handle("/services",
+                          [this](Http::ExchangePtr exchange)
+                          {
+                            return services.Serve(exchange);
+                          });
+    callers_server.Handle(
+        "/",
+        [](Http::ExchangePtr exchange) -> Task<void>
+        {
+          const Callers::CallFailure failure{{FailureKind::NotFound, "no such path"}};
+          Callers::Refuse(*exchange, failure, {});
+          co_return;
+        });
+  }
+
+  void RegisterOperators(const Operators::Tokens& tokens)
+  {
+    const Operators::Inspected inspected{gateway,
+                                         keeper,
+                                         pacer,
+                                         [this]
+                                         {
+                                           return jobs.Running();
+                                         },
+                                         [this]
+                                         {
+                                           return callers_server.OpenExchanges();
+                                         },
+                                         [this]
+                                         {
+                                           return IsReady();
+                                         }};
+    operators = std::make_unique<Operators::OperatorsApi>(inspected, tokens);
+    operators->Register(operators_server);
+  }
+
+  void WatchSignals()
+  {
+    const auto stop = [](gpointer data) -> gboolean
+    {
+      auto* self = static_cast<Impl*>(data);
+      if (!std::exchange(self->gateway.stopping, true))
+        Common::Spawn(self->Stop());
+      return G_SOURCE_CONTINUE;
+    };
+    g_unix_signal_add(SIGTERM, stop, this);
+    g_unix_signal_add(SIGINT, stop, this);
+    g_unix_signal_add(
+        SIGUSR1,
+        [](gpointer data) -> gboolean
+        {
+          const auto* self = static_cast<Impl*>(data);
+          LogEvent(LogLevel::Info, "daemon.dump",
+                   {{"state", Common::DumpJson(self->operators->Dump())}});
+          return G_SOURCE_CONTINUE;
+        },
+        this);
+  }
+
+  /// A planned stop: the balancer and the peers learn of it, requests go on to their end, roles
+  /// move to the others, and the process exits.
+  Task<void> Stop()
+  {
+    LogEvent(LogLevel::Info, "daemon.stopping", {{"open", callers_server.OpenExchanges()}});
+    const auto began = Now();
+    membership.Self().leaving = true;
+    link.Announce();
+    co_await Common::Sleep{settings.stop_notice};
+    callers_server.StopListening();
+    while ((callers_server.OpenExchanges() > 0 || jobs.Running() > 0) &&
+           Now() - began < settings.stop_limit)
+      co_await Common::Sleep{STOP_POLL};
+    LogEvent(LogLevel::Info, "daemon.stopped",
+             {{"open", callers_server.OpenExchanges()}, {"jobs", jobs.Running()}});
+    g_main_loop_quit(loop);
+  }
+};
+
+Application::Application(Settings settings) : m_impl(std::make_unique<Impl>(std::move(settings))) {}
+
+Application::~Application() = default;
+
+Result<Done> Application::Start()
+{
+  return m_impl->Start();
+}
+
+int Application::Run()
+{
+  g_main_loop_run(m_impl->loop);
+  return 0;
+}
+} // namespace Daemon
--- /dev/null
+++ b/Source/Core/Daemons/Membership.cpp
@@ -0,0 +1,141 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Daemons/Membership.h"
+
+#include <algorithm>
+#include <set>
+
+namespace Daemons
+{
+using Common::TimePoint;
+using Common::VmId;
+
+Membership::Membership(Heartbeat self, MembershipSettings settings)
+    : m_self(std::move(self)), m_settings(settings)
+{
+}
+
+void Membership::SetListed(const std::vector<Platform::VmEntry>& entries, TimePoint now)
+{
+  if (!m_list_since)
+    m_list_since = now;
+  std::set<VmId> listed;
+  for (const Platform::VmEntry& entry : entries)
+  {
+    if (entry.role != "entry" || entry.vm == m_self.vm)
+      continue;
+    listed.insert(entry.vm);
+    Peer& peer = m_peers[entry.vm];
+    peer.vm = entry.vm;
+    peer.listed = true;
+    peer.retired = false;
+    if (!entry.address.empty())
+      peer.address = entry.address;
+  }
+  for (auto& [vm, peer] : m_peers)
+  {
+    if (listed.contains(vm) || peer.retired || IsAlive(vm, now))
+      continue;
+    peer.retired = true;
+    peer.changed_at = now;
+  }
+}
+
+void Membership::AddSeed(const VmId& vm, const std::string& address)
+{
+  if (vm == m_self.vm)
+    return;
+  Peer& peer = m_peers[vm];
+  peer.vm = vm;
+  peer.listed = true;
+  peer.address = address;
+}
+
+bool Membership::Accept(const Heartbeat& heartbeat, TimePoint now)
+{
+  const auto found = m_peers.find(heartbeat.vm);
+  if (found == m_peers.end())
+    return false;
+  Peer& peer = found->second;
+  if (peer.heard)
+  {
+    const bool same = peer.last.incarnation == heartbeat.incarnation;
+    if (same && heartbeat.sequence <= peer.last.sequence)
+      return false;
+    if (!same && heartbeat.started_ms <= peer.last.started_ms)
+      return false;
+    if (!same)
+      peer.changed_at = now;
+  }
+  else
+  {
+    peer.changed_at = now;
+  }
+  peer.last = heartbeat;
+  peer.heard = true;
+  peer.heard_at = now;
+  peer.retired = false;
+  return true;
+}
+
+const Membership::Peer* Membership::Find(const VmId& vm) const
+{
+  const auto found = m_peers.find(vm);
+  return found == m_peers.end() ? nullptr : &found->second;
+}
+
+bool Membership::IsAlive(const VmId& vm, TimePoint now) const
+{
+  if (vm == m_self.vm)
+    return true;
+  const Peer* peer = Find(vm);
+  return peer && peer->heard && now - peer->heard_at < m_settings.dead_after;
+}
+
+std::vector<VmId> Membership::LiveIn(const Common::DataCentreId& data_centre, TimePoint now) const
+{
+  std::vector<VmId> live;
+  if (data_centre == m_self.data_centre && !m_self.leaving)
+    live.push_back(m_self.vm);
+  for (const auto& [vm, peer] : m_peers)
+    if (IsAlive(vm, now) && !peer.last.leaving && peer.last.data_centre == data_centre)
+      live.push_back(vm);
+  return live;
+}
+
+std::vector<VmId> Membership::LiveEverywhere(TimePoint now) const
+{
+  std::vector<VmId> live;
+  if (!m_self.leaving)
+    live.push_back(m_self.vm);
+  for (const auto& [vm, peer] : m_peers)
+    if (IsAlive(vm, now) && !peer.last.leaving)
+      live.push_back(vm);
+  return live;
+}
+
+HolderStatus Membership::StatusOf(const VmId& vm, const Common::Incarnation& incarnation,
+                                  TimePoint now, TimePoint* since) const
+{
+  if (vm == m_self.vm)
+  {
+    // The address that this process holds could be bound only once its predecessor was dead.
+    *since = TimePoint{};
+    return incarnation == m_self.incarnation ? HolderStatus::Alive : HolderStatus::Gone;
+  }
+  const Peer* peer = Find(vm);
+  if (!peer)
+  {
+    // Never seen here: it left the list before this daemon came, or is too new to be listed.
+    *since = m_list_since.value_or(now) + m_settings.list_lag;
+    return m_list_since && now >= *since ? HolderStatus::Gone : HolderStatus::Silent;
+  }
+  *since = peer->changed_at;
+  if (peer->heard && peer->last.incarnation != incarnation)
+    return HolderStatus::Gone;
+  if (peer->retired && !IsAlive(vm, now))
+    return HolderStatus::Gone;
+  return IsAlive(vm, now) ? HolderStatus::Alive : HolderStatus::Silent;
+}
+} // namespace Daemons
--- /dev/null
+++ b/Source/Core/Decisions/Placement.cpp
@@ -0,0 +1,109 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Decisions/Placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+
+namespace Decisions
+{
+namespace
+{
+using Common::MegaBytes;
+
+struct EvictionPlan
+{
+  std::vector<Common::ClaimId> claims;
+  double loss = 0;
+};
+
+/// Evicts in the order of `loss` per megabyte until `memory` fits; then gives back what turned out
+/// not to be needed. Nothing where even all of them do not suffice.
+std::optional<EvictionPlan> PlanEviction(const PlacementCandidate& candidate, MegaBytes memory)
+{
+  std::vector<Evictable> order = candidate.evictable;
+  std::ranges::sort(order, {},
+                    [](const Evictable& item)
+                    {
+                      return item.loss /
+                             static_cast<double>(std::max<std::int64_t>(1, item.memory.Get()));
+                    });
+  MegaBytes free = candidate.free;
+  std::vector<Evictable> chosen;
+  for (const Evictable& item : order)
+  {
+    if (free >= memory)
+      break;
+    free += item.memory;
+    chosen.push_back(item);
+  }
+  if (free < memory)
+    return std::nullopt;
+  std::erase_if(chosen,
+                [&](const Evictable& item)
+                {
+                  if (free - item.memory < memory)
+                    return false;
+                  free = free - item.memory;
+                  return true;
+                });
+  EvictionPlan plan;
+  for (const Evictable& item : chosen)
+  {
+    plan.claims.push_back(item.claim);
+    plan.loss += item.loss;
+  }
+  return plan;
+}
+} // namespace
+
+std::optional<Placement>
+CacheAwarePlacement::Choose(const std::vector<PlacementCandidate>& candidates,
+                            MegaBytes memory) const
+{
+  std::optional<Placement> best;
+  double best_cost = std::numeric_limits<double>::max();
+  for (const PlacementCandidate& candidate : candidates)
+  {
+    const auto plan = PlanEviction(candidate, memory);
+    if (!plan)
+      continue;
+    const double load = candidate.cache == CacheLevel::Memory ? m_costs.memory_ms
+                        : candidate.cache == CacheLevel::Disk ? m_costs.disk_ms
+                                                              : m_costs.remote_ms;
+    const double cost = load + plan->loss + (candidate.local ? 0 : m_costs.other_data_centre_ms) +
+                        m_costs.per_running_ms * static_cast<double>(candidate.running) +
+                        m_costs.per_replica_ms * static_cast<double>(candidate.replicas);
+    if (cost >= best_cost)
+      continue;
+    best_cost = cost;
+    best = Placement{candidate.server, plan->claims,
+                     "load_ms=" + std::to_string(static_cast<int>(load)) +
+                         " eviction_loss_ms=" + std::to_string(static_cast<int>(plan->loss)) +
+                         " cost_ms=" + std::to_string(static_cast<int>(cost))};
+  }
+  return best;
+}
+
+std::optional<Placement>
+FirstFitPlacement::Choose(const std::vector<PlacementCandidate>& candidates, MegaBytes memory) const
+{
+  const auto roomy = std::ranges::find_if(candidates,
+                                          [memory](const PlacementCandidate& item)
+                                          {
+                                            return item.free >= memory;
+                                          });
+  if (roomy != candidates.end())
+    return Placement{roomy->server, {}, "first with room"};
+  for (PlacementCandidate candidate : candidates)
+  {
+    for (Evictable& item : candidate.evictable)
+      item.loss = -static_cast<double>(item.idle.count() * item.memory.Get());
+    if (const auto plan = PlanEviction(candidate, memory))
+      return Placement{candidate.server, plan->claims, "first where the longest idle make room"};
+  }
+  return std::nullopt;
+}
+} // namespace Decisions
--- /dev/null
+++ b/Source/Core/Decisions/Reconcile.cpp
@@ -0,0 +1,51 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Decisions/Reconcile.h"
+
+namespace Decisions
+{
+namespace
+{
+ReconcileAction ReconcileOrdered(const ReconcileInput& input)
+{
+  if (input.reported == ReportedState::Loaded && input.same_incarnation)
+    return ReconcileAction::MarkLoaded;
+  if (input.order == OrderKnowledge::NotSent)
+    return ReconcileAction::Free;
+  if (input.reported != ReportedState::Absent)
+    return ReconcileAction::Keep;
+  if (input.order == OrderKnowledge::HolderAlive)
+    return ReconcileAction::Keep;
+  if (input.engine_checks_fencing)
+    return input.fence_raised ? ReconcileAction::Free : ReconcileAction::RaiseFence;
+  // An engine that ignores fencing numbers would carry out a late order at any time: while the
+  // holder may still send it, the claim stays counted, however long that takes.
+  if (input.order == OrderKnowledge::HolderSilent)
+    return ReconcileAction::Keep;
+  // The connection of an order that was sent ended with the process that it was opened to.
+  if (input.order == OrderKnowledge::Unknown && !input.same_incarnation)
+    return ReconcileAction::Free;
+  return input.settled ? ReconcileAction::Free : ReconcileAction::Keep;
+}
+} // namespace
+
+ReconcileAction Reconcile(const ReconcileInput& input)
+{
+  if (input.order == OrderKnowledge::InProgress || input.reported == ReportedState::Unknown)
+    return ReconcileAction::Keep;
+  switch (input.claim)
+  {
+  case ClaimState::Ordered:
+    return ReconcileOrdered(input);
+  case ClaimState::Loaded:
+    return input.reported == ReportedState::Absent ? ReconcileAction::Free : ReconcileAction::Keep;
+  case ClaimState::Unloading:
+    if (input.reported == ReportedState::Absent)
+      return ReconcileAction::Free;
+    return input.order == OrderKnowledge::HolderAlive ? ReconcileAction::Keep
+                                                      : ReconcileAction::SendUnload;
+  }
+  return ReconcileAction::Keep;
+}
+} // namespace Decisions
--- /dev/null
+++ b/Source/Core/Http/Client.cpp
@@ -0,0 +1,230 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Http/Client.h"
+
+#include <libsoup/soup.h>
+
+#include "Common/Loop.h"
+#include "Http/GioAwait.h"
+
+namespace Http
+{
+namespace
+{
+using Common::Failure;
+using Common::FailureKind;
+using Common::Result;
+using Common::Task;
+
+constexpr guint MAX_CONNECTIONS = 20000;
+constexpr guint IDLE_SECONDS = 30;
+constexpr gsize READ_BYTES = 64 * 1024;
+constexpr std::size_t MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+
+Headers CopyHeaders(SoupMessageHeaders* source)
+{
+  Headers headers;
+  SoupMessageHeadersIter iter;
+  soup_message_headers_iter_init(&iter, source);
+  const char* name = nullptr;
+  const char* value = nullptr;
+  while (soup_message_headers_iter_next(&iter, &name, &value))
+  {
+    char* lower = g_ascii_strdown(name, -1);
+    headers[lower] = value;
+    g_free(lower);
+  }
+  return headers;
+}
+
+/// Cancels an operation after a time, and remembers that it was the timer.
+class Timer
+{
+public:
+  Timer(GCancellable* cancellable, Common::Milliseconds delay)
+  {
+    m_source = Common::CallAfter(std::max(delay, Common::Milliseconds(1)),
+                                 [this, cancellable]
+                                 {
+                                   m_source = 0;
+                                   m_expired = true;
+                                   g_cancellable_cancel(cancellable);
+                                 });
+  }
+  ~Timer()
+  {
+    if (m_source != 0)
+      Common::CancelCall(m_source);
+  }
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+  bool Expired() const { return m_expired; }
+
+private:
+  unsigned m_source = 0;
+  bool m_expired = false;
+};
+
+/// Whether any byte of the request can have left. libsoup emits "starting" once it has a
+/// connection and begins to write.
+struct SendState
+{
+  bool started = false;
+};
+
+GRef<SoupMessage> NewMessage(const Request& request, SendState* state)
+{
+  GRef<SoupMessage> message(soup_message_new(request.method.c_str(), request.url.c_str()));
+  if (!message)
+    return message;
+  for (const auto& [name, value] : request.headers)
+    soup_message_headers_replace(soup_message_get_request_headers(message.Get()), name.c_str(),
+                                 value.c_str());
+  if (!request.body.empty())
+  {
+    GBytes* bytes = g_bytes_new(request.body.data(), request.body.size());
+    soup_message_set_request_body_from_bytes(message.Get(), request.content_type.c_str(), bytes);
+    g_bytes_unref(bytes);
+  }
+  if (request.fresh_connection)
+    soup_message_add_flags(message.Get(), SOUP_MESSAGE_NEW_CONNECTION);
+  soup_message_add_flags(message.Get(), SOUP_MESSAGE_NO_REDIRECT);
+  g_signal_connect(message.Get(), "starting",
+                   G_CALLBACK(+[](SoupMessage*, gpointer data)
+                              {
+                                static_cast<SendState*>(data)->started = true;
+                              }),
+                   state);
+  return message;
+}
+
+Failure SendFailure(const GError* error, bool started, bool expired)
+{
+  const std::string detail = error ? error->message : "no answer";
+  if (!started)
+    return {FailureKind::NotSent, detail};
+  if (expired)
+    return {FailureKind::Timeout, "no answer in time"};
+  return {FailureKind::OutcomeUnknown, detail};
+}
+
+class SoupStream : public ResponseStream
+{
+public:
+  SoupStream(GRef<SoupMessage> message, GRef<GInputStream> stream)
+      : m_message(std::move(message)),
+        m_stream(std::move(stream)),
+        m_headers(CopyHeaders(soup_message_get_response_headers(m_message.Get())))
+  {
+  }
+
+  ~SoupStream() override
+  {
+    // An unread rest must not be waited for: the connection is dropped with the stream.
+    g_cancellable_cancel(m_cancellable.Get());
+    g_input_stream_close_async(m_stream.Get(), G_PRIORITY_DEFAULT, m_cancellable.Get(), nullptr,
+                               nullptr);
+  }
+
+  int Status() const override { return static_cast<int>(soup_message_get_status(m_message.Get())); }
+  const Headers& GetHeaders() const override { return m_headers; }
+
+  Task<Result<std::string>> Read(Common::Milliseconds patience) override
+  {
+    // The stream may be destroyed by its owner only between reads.
+    const Timer timer(m_cancellable.Get(), patience);
+    GioAwait await;
+    g_input_stream_read_bytes_async(m_stream.Get(), READ_BYTES, G_PRIORITY_DEFAULT,
+                                    m_cancellable.Get(), GioAwait::Ready, &await);
+    co_await await;
+    GError* error = nullptr;
+    GBytes* bytes = g_input_stream_read_bytes_finish(m_stream.Get(), await.Get(), &error);
+    if (!bytes)
+    {
+      Failure failure = SendFailure(error, true, timer.Expired());
+      g_clear_error(&error);
+      co_return failure;
+    }
+    gsize size = 0;
+    const auto* data = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+    std::string chunk(data ? data : "", size);
+    g_bytes_unref(bytes);
+    co_return chunk;
+  }
+
+  void Cancel() override { g_cancellable_cancel(m_cancellable.Get()); }
+
+private:
+  GRef<SoupMessage> m_message;
+  GRef<GInputStream> m_stream;
+  GRef<GCancellable> m_cancellable{g_cancellable_new()};
+  Headers m_headers;
+};
+} // namespace
+
+struct Client::Impl
+{
+  GRef<SoupSession> session{soup_session_new_with_options(
+      "max-conns", MAX_CONNECTIONS, "max-conns-per-host", MAX_CONNECTIONS, "idle-timeout",
+      IDLE_SECONDS, "timeout", 0U, nullptr)};
+};
+
+Client::Client() : m_impl(std::make_shared<Impl>())
+{
+  // Backend servers and the platform are reached by their address, never through a proxy.
+  soup_session_set_proxy_resolver(m_impl->session.Get(), nullptr);
+}
+
+Client::~Client() = default;
+
+Task<Result<std::unique_ptr<ResponseStream>>> Client::Open(Request request)
+{
+  const auto impl = m_impl;
+  SendState state;
+  GRef<SoupMessage> message = NewMessage(request, &state);
+  if (!message)
+    co_return Failure{FailureKind::InvalidInput, "not a URL: " + request.url};
+  const GRef<GCancellable> cancellable(g_cancellable_new());
+  const Timer timer(cancellable.Get(), request.timeout);
+  GioAwait await;
+  soup_session_send_async(impl->session.Get(), message.Get(), G_PRIORITY_DEFAULT, cancellable.Get(),
+                          GioAwait::Ready, &await);
+  co_await await;
+  g_signal_handlers_disconnect_by_data(message.Get(), &state);
+  GError* error = nullptr;
+  GRef<GInputStream> stream(soup_session_send_finish(impl->session.Get(), await.Get(), &error));
+  if (!stream)
+  {
+    Failure failure = SendFailure(error, state.started, timer.Expired());
+    g_clear_error(&error);
+    co_return failure;
+  }
+  std::unique_ptr<ResponseStream> opened =
+      std::make_unique<SoupStream>(std::move(message), std::move(stream));
+  co_return opened;
+}
+
+Task<Result<Response>> Client::Send(Request request)
+{
+  const auto deadline = Common::Now() + request.timeout;
+  auto opened = co_await Open(std::move(request));
+  if (!opened)
+    co_return opened.Reason();
+  ResponseStream& stream = **opened;
+  Response response{stream.Status(), stream.GetHeaders(), {}};
+  while (true)
+  {
+    const auto left = std::chrono::duration_cast<Common::Milliseconds>(deadline - Common::Now());
+    auto chunk = co_await stream.Read(left);
+    if (!chunk)
+      co_return chunk.Reason();
+    if (chunk->empty())
+      co_return response;
+    response.body += *chunk;
+    if (response.body.size() > MAX_RESPONSE_BYTES)
+      co_return Failure{FailureKind::Protocol, "the answer is too large"};
+  }
+}
+} // namespace Http
--- /dev/null
+++ b/Source/Core/Operators/OperatorsApi.h
@@ -0,0 +1,75 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "Callers/CallContext.h"
+#include "Http/Server.h"
+#include "Serving/Keeper.h"
+#include "Serving/LoadPacer.h"
+
+namespace Operators
+{
+enum class Role
+{
+  None,
+  Viewer, ///< May look.
+  Editor, ///< May change the table.
+};
+
+/// Tokens of operators by role. Without any, everybody who reaches the address is an editor.
+class Tokens
+{
+public:
+  /// Reads lines ROLE:TOKEN. Fails with InvalidInput where a line is not one.
+  static Common::Result<Tokens> Load(const std::string& path);
+
+  Role RoleOf(const Http::Exchange& exchange) const;
+
+private:
+  std::map<std::string, Role> m_roles;
+};
+
+/// The parts of the daemon that operators look at.
+struct Inspected
+{
+  Callers::Gateway& gateway;
+  Serving::Keeper& keeper;
+  Serving::LoadPacer& pacer;
+  std::function<std::size_t()> running_jobs;
+  std::function<std::size_t()> open_exchanges;
+  std::function<bool()> ready;
+};
+
+/// The HTTP interface for operators: table, status, dump, explanations, probes, metrics.
+class OperatorsApi
+{
+public:
+  OperatorsApi(Inspected inspected, Tokens tokens)
+      : m_inspected(std::move(inspected)), m_tokens(std::move(tokens))
+  {
+  }
+
+  void Register(Http::Server& server);
+
+  /// The whole state of this daemon.
+  Common::Json Dump();
+
+private:
+  using Action = std::function<Common::Task<void>(Http::ExchangePtr)>;
+
+  void Route(Http::Server& server, const std::string& path, Role needed, Action action);
+  Common::Task<void> ShowTable(Http::ExchangePtr exchange);
+  Common::Task<void> ApplyTable(Http::ExchangePtr exchange);
+  Common::Task<void> ShowHistory(Http::ExchangePtr exchange);
+  Common::Json DaemonsAsJson() const;
+  Common::Json ServersAsJson() const;
+
+  Inspected m_inspected;
+  Tokens m_tokens;
+};
+} // namespace Operators
--- /dev/null
+++ b/Source/Core/Platform/Store.h
@@ -0,0 +1,161 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Common/Log.h"
+#include "Common/Loop.h"
+#include "Common/Random.h"
+#include "Platform/HttpPlatform.h"
+#include "Platform/Types.h"
+
+namespace Platform
+{
+/// Settles every transaction: a write whose answer was lost is neither guessed nor blindly
+/// repeated. Each transaction also creates a receipt row under an id of its own, on the condition
+/// that it does not exist; so sending the same transaction again is safe, and a conflict on the
+/// receipt says that an earlier sending took effect. The receipt is removed by the sender's next
+/// transaction. Every transaction must carry one condition that its own success ends for good
+/// (it rewrites that row), so that a delayed copy can never match once the receipt is gone.
+template <PlatformClient Client>
+class BasicStore
+{
+public:
+  BasicStore(Client& client, std::string receipt_prefix)
+      : m_client(client), m_receipt_prefix("receipt/" + std::move(receipt_prefix) + "/")
+  {
+  }
+
+  /// Commits or finds out that it cannot. OutcomeUnknown only where the platform stays silent
+  /// until `deadline`; NotSent where certainly nothing reached it.
+  Common::Task<Common::Result<CommitOutcome>> Commit(Transaction transaction,
+                                                     Common::TimePoint deadline)
+  {
+    const std::string receipt = m_receipt_prefix + Common::NewId("");
+    const std::vector<std::string> settled = AddReceipt(transaction, receipt);
+    bool maybe_sent = false;
+    Common::Milliseconds pause = FIRST_PAUSE;
+    while (true)
+    {
+      const auto left = std::chrono::duration_cast<Common::Milliseconds>(deadline - Common::Now());
+      const auto timeout = std::clamp(left, MIN_TIMEOUT, MAX_TIMEOUT);
+      auto outcome = co_await m_client.Commit(transaction, timeout);
+      if (outcome)
+      {
+        NoteSuccess();
+        CommitOutcome result = Interpret(*outcome, receipt);
+        // Receipts that this attempt did not remove are removed by a later one.
+        if (!result.committed)
+          m_settled.insert(m_settled.end(), settled.begin(), settled.end());
+        else
+          m_settled.push_back(receipt);
+        co_return result;
+      }
+      NoteFailure();
+      maybe_sent = maybe_sent || outcome.Reason().kind != Common::FailureKind::NotSent;
+      if (Common::Now() + pause >= deadline)
+      {
+        m_settled.insert(m_settled.end(), settled.begin(), settled.end());
+        co_return Common::Failure{maybe_sent ? Common::FailureKind::OutcomeUnknown
+                                             : Common::FailureKind::NotSent,
+                                  outcome.Reason().detail};
+      }
+      Common::LogEvent(Common::LogLevel::Warning, "platform.commit_unsettled",
+                       {{"receipt", receipt}, {"reason", outcome.Reason().detail}});
+      co_await Common::Sleep{pause};
+      pause = std::min(pause * 2, MAX_PAUSE);
+    }
+  }
+
+  Common::Task<Common::Result<std::vector<StoredRow>>> Read(std::vector<std::string> keys)
+  {
+    auto rows = co_await m_client.Read(std::move(keys));
+    Note(static_cast<bool>(rows));
+    co_return rows;
+  }
+
+  Common::Task<Common::Result<StoredRow>> ReadOne(std::string key)
+  {
+    std::vector<std::string> keys;
+    keys.push_back(std::move(key));
+    auto rows = co_await Read(std::move(keys));
+    if (!rows)
+      co_return rows.Reason();
+    if (rows->size() != 1)
+      co_return Common::Failure{Common::FailureKind::Protocol, "not the row that was asked for"};
+    co_return rows->front();
+  }
+
+  Common::Task<Common::Result<std::vector<StoredRow>>> List(std::string prefix)
+  {
+    auto rows = co_await m_client.List(std::move(prefix));
+    Note(static_cast<bool>(rows));
+    co_return rows;
+  }
+
+  Common::Task<Common::Result<std::vector<VmEntry>>> ListVms()
+  {
+    auto entries = co_await m_client.ListVms();
+    Note(static_cast<bool>(entries));
+    co_return entries;
+  }
+
+  Common::Task<Common::Result<Common::Done>> PutObject(std::string key, std::string content)
+  {
+    return m_client.PutObject(std::move(key), std::move(content));
+  }
+
+  Common::Task<Common::Result<std::string>> GetObject(std::string key)
+  {
+    return m_client.GetObject(std::move(key));
+  }
+
+  /// True once several calls in a row failed: what needs a claim is then refused at once. The
+  /// table follower keeps calling and ends this state.
+  bool IsDown() const { return m_failures_in_a_row >= DOWN_AFTER; }
+
+private:
+  static constexpr int DOWN_AFTER = 2;
+  static constexpr Common::Milliseconds FIRST_PAUSE{20};
+  static constexpr Common::Milliseconds MAX_PAUSE{500};
+  static constexpr Common::Milliseconds MIN_TIMEOUT{50};
+  static constexpr Common::Milliseconds MAX_TIMEOUT{1000};
+
+  /// Adds the receipt, and the removal of those that are settled.
+  std::vector<std::string> AddReceipt(Transaction& transaction, const std::string& receipt)
+  {
+    transaction.conditions.push_back({receipt, 0});
+    transaction.writes.push_back({receipt, "1"});
+    std::vector<std::string> settled = std::exchange(m_settled, {});
+    for (const std::string& key : settled)
+      transaction.writes.push_back({key, std::nullopt});
+    return settled;
+  }
+
+  static CommitOutcome Interpret(const CommitOutcome& outcome, const std::string& receipt)
+  {
+    if (outcome.committed)
+      return outcome;
+    const auto found = std::ranges::find(outcome.conflicts, receipt, &StoredRow::key);
+    if (found == outcome.conflicts.end())
+      return outcome;
+    return {true, found->version, {}};
+  }
+
+  void Note(bool success) { success ? NoteSuccess() : NoteFailure(); }
+  void NoteSuccess() { m_failures_in_a_row = 0; }
+  void NoteFailure() { ++m_failures_in_a_row; }
+
+  Client& m_client;
+  std::string m_receipt_prefix;
+  std::vector<std::string> m_settled;
+  int m_failures_in_a_row = 0;
+};
+
+using Store = BasicStore<HttpPlatform>;
+} // namespace Platform
--- /dev/null
+++ b/Source/Core/Serving/ExplainRing.cpp
@@ -0,0 +1,38 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Serving/ExplainRing.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace Serving
+{
+namespace
+{
+constexpr std::size_t MAX_ENTRIES = 2000;
+}
+
+void ExplainRing::Add(std::string_view decision, const std::vector<std::string>& keys,
+                      Common::Json figures)
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  m_entries.push_back({std::string(decision), keys,
+                       std::chrono::duration_cast<std::chrono::milliseconds>(now).count(),
+                       std::move(figures)});
+  if (m_entries.size() > MAX_ENTRIES)
+    m_entries.pop_front();
+}
+
+Common::Json ExplainRing::Find(const std::string& key) const
+{
+  Common::Json found = Common::Json::array();
+  for (const Entry& entry : m_entries)
+    if (std::ranges::find(entry.keys, key) != entry.keys.end())
+      found.push_back({{"decision", entry.decision},
+                       {"at_ms", entry.at_ms},
+                       {"about", entry.keys},
+                       {"figures", entry.figures}});
+  return found;
+}
+} // namespace Serving
--- /dev/null
+++ b/Source/Core/Serving/Keeper.cpp
@@ -0,0 +1,129 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Serving/Keeper.h"
+
+#include <algorithm>
+
+#include "Common/Log.h"
+
+namespace Serving
+{
+namespace
+{
+using Common::Milliseconds;
+using Daemons::PlaceReply;
+using Daemons::ServerStatus;
+
+/// Load figures alone are told to the other daemons at most so often.
+constexpr Milliseconds LOAD_NEWS_INTERVAL{1000};
+
+/// Whether the difference decides where a request may go at all.
+bool DiffersInKind(const ServerStatus& left, const ServerStatus& right)
+{
+  const auto same_replica = [](const auto& a, const auto& b)
+  {
+    return a.claim == b.claim && a.state == b.state && a.surplus == b.surplus;
+  };
+  return left.ready != right.ready || left.incarnation != right.incarnation ||
+         left.row_version != right.row_version ||
+         !std::ranges::equal(left.replicas, right.replicas, same_replica);
+}
+
+bool DifferInKind(const std::vector<ServerStatus>& left, const std::vector<ServerStatus>& right)
+{
+  return !std::ranges::equal(left, right,
+                             [](const ServerStatus& a, const ServerStatus& b)
+                             {
+                               return a.vm == b.vm && !DiffersInKind(a, b);
+                             });
+}
+} // namespace
+
+Keeper::Keeper(Environment& environment) : m_environment(environment) {}
+
+std::shared_ptr<ServerWatch> Keeper::Watch(const Table::BackendServer& server)
+{
+  std::shared_ptr<ServerWatch>& watch = m_watches[server.vm];
+  if (watch && !watch->IsFinished())
+  {
+    watch->Resume();
+    return watch;
+  }
+  watch = std::make_shared<ServerWatch>(m_environment, server);
+  Common::Spawn(watch->Run());
+  return watch;
+}
+
+void Keeper::Rebalance()
+{
+  const auto catalog = m_environment.table.Share();
+  for (const auto& [vm, server] : catalog->BackendServers())
+  {
+    // Plain services have no engine to keep.
+    const bool has_models = std::ranges::any_of(catalog->Artifacts(),
+                                                [&](const auto& item)
+                                                {
+                                                  return item.second.pool == server.pool;
+                                                });
+    const auto keeper = KeeperOf(m_environment, server);
+    if (has_models && keeper == m_environment.Self() && !Keeps(vm))
+    {
+      Common::LogEvent(Common::LogLevel::Info, "keeper.took", {{"server", vm}});
+      Watch(server);
+    }
+    else if (keeper != m_environment.Self() && Keeps(vm))
+    {
+      Common::LogEvent(Common::LogLevel::Info, "keeper.gave", {{"server", vm}});
+      m_watches[vm]->Retire();
+    }
+  }
+  std::erase_if(m_watches,
+                [](const auto& item)
+                {
+                  return item.second->IsFinished();
+                });
+}
+
+bool Keeper::Keeps(const Common::VmId& server) const
+{
+  const auto found = m_watches.find(server);
+  return found != m_watches.end() && !found->second->IsRetired();
+}
+
+Common::Task<PlaceReply> Keeper::Place(Daemons::PlaceOrder order)
+{
+  const auto found = m_watches.find(order.server);
+  if (found != m_watches.end() && !found->second->IsRetired())
+  {
+    const auto watch = found->second;
+    PlaceReply reply = co_await watch->Place(std::move(order));
+    co_return reply;
+  }
+  PlaceReply reply;
+  reply.failure = Common::FailureKind::NotSent;
+  reply.detail = "this daemon does not keep " + order.server.Get();
+  co_return reply;
+}
+
+Daemons::StatusReply Keeper::Statuses()
+{
+  std::vector<ServerStatus> servers;
+  for (const auto& [vm, watch] : m_watches)
+  {
+    if (watch->IsRetired())
+      continue;
+    if (auto status = watch->Status())
+      servers.push_back(std::move(*status));
+  }
+  const auto now = Common::Now();
+  const bool urgent = DifferInKind(servers, m_last.servers);
+  if (urgent || (servers != m_last.servers && now - m_last_bump >= LOAD_NEWS_INTERVAL))
+  {
+    m_last.servers = std::move(servers);
+    ++m_last.state_version;
+    m_last_bump = now;
+  }
+  return m_last;
+}
+} // namespace Serving
--- /dev/null
+++ b/Source/Core/Serving/Metrics.h
@@ -0,0 +1,42 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "Common/Units.h"
+
+namespace Serving
+{
+/// The figures of this daemon for Prometheus.
+class Metrics
+{
+public:
+  Metrics();
+
+  /// A caller's request has ended; `outcome` is "ok" or the type of the error.
+  void CountRequest(const std::string& kind, const std::string& outcome);
+  /// A request went to a backend server; `result` is "ok", "declined", "not_sent", "broken" or
+  /// "crossed".
+  void CountAttempt(const std::string& result);
+  void ObserveFirstToken(Common::Milliseconds time, bool cold);
+  void SetGauge(const std::string& name, double value);
+  /// In the text format of Prometheus.
+  std::string Render() const;
+
+private:
+  prometheus::Registry m_registry;
+  prometheus::Family<prometheus::Counter>& m_requests;
+  prometheus::Family<prometheus::Counter>& m_attempts;
+  prometheus::Family<prometheus::Histogram>& m_first_token;
+  prometheus::Family<prometheus::Gauge>& m_state;
+};
+} // namespace Serving
--- /dev/null
+++ b/Source/Core/Serving/ModelHome.cpp
@@ -0,0 +1,282 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Serving/ModelHome.h"
+
+#include <algorithm>
+
+#include "Common/Log.h"
+
+namespace Serving
+{
+namespace
+{
+using Common::ArtifactId;
+using Common::FailureKind;
+using Common::MegaBytes;
+using Common::Milliseconds;
+using Common::Now;
+using Common::Task;
+using Common::TimePoint;
+using Common::VmId;
+using Daemons::LoadReply;
+using Daemons::LoadRequest;
+using Daemons::PlaceReply;
+using Daemons::ReplicaState;
+using Daemons::ReplicaStatus;
+using Daemons::ServerStatus;
+using Decisions::CacheLevel;
+
+constexpr Milliseconds BOARD_POLL{5};
+constexpr Milliseconds RETRY_PAUSE{50};
+constexpr std::int64_t RETRY_AFTER_PLATFORM_MS = 5000;
+constexpr std::int64_t RETRY_AFTER_MEMORY_MS = 1000;
+constexpr int MAX_PLACEMENTS = 8;
+
+LoadReply Refuse(FailureKind kind, std::string detail, std::int64_t retry_after_ms)
+{
+  LoadReply reply;
+  reply.failure = kind;
+  reply.detail = std::move(detail);
+  reply.retry_after_ms = retry_after_ms;
+  return reply;
+}
+
+LoadReply ServedBy(const VmId& server)
+{
+  LoadReply reply;
+  reply.server = server;
+  return reply;
+}
+
+bool Holds(const std::vector<ArtifactId>& ids, const ArtifactId& id)
+{
+  return std::ranges::find(ids, id) != ids.end();
+}
+
+CacheLevel LevelOf(const ServerStatus& status, const ArtifactId& id)
+{
+  if (Holds(status.in_memory, id))
+    return CacheLevel::Memory;
+  return Holds(status.on_disk, id) ? CacheLevel::Disk : CacheLevel::Remote;
+}
+} // namespace
+
+Task<LoadReply> ModelHome::EnsureLoaded(LoadRequest request)
+{
+  const TimePoint deadline = Now() + Milliseconds(request.patience_ms);
+  const auto catalog = m_environment.table.Share();
+  const Table::Artifact* artifact = catalog->FindArtifact(request.artifact);
+  if (!artifact)
+    co_return Refuse(FailureKind::NotFound, "the table has no " + request.artifact.Get(), 0);
+  if (const auto deciding = m_deciding.find(request.artifact); deciding != m_deciding.end())
+  {
+    const auto shared = deciding->second;
+    const auto reply = co_await shared->WaitUntil(deadline);
+    if (reply)
+      co_return *reply;
+    co_return Refuse(FailureKind::DeadlineUnmeetable, "the load does not end in time",
+                     RETRY_AFTER_MEMORY_MS);
+  }
+  const auto shared = std::make_shared<Shared>();
+  m_deciding[request.artifact] = shared;
+  const Table::Artifact copy = *artifact;
+  LoadReply reply = co_await Decide(copy, request);
+  m_deciding.erase(request.artifact);
+  shared->Set(reply);
+  co_return reply;
+}
+
+Task<LoadReply> ModelHome::Decide(Table::Artifact artifact, LoadRequest request)
+{
+  const TimePoint deadline = Now() + Milliseconds(request.patience_ms);
+  const auto loaded = m_environment.board.With(artifact.id, ReplicaState::Loaded);
+  const auto serving = std::ranges::find_if(loaded,
+                                            [&](const VmId& vm)
+                                            {
+                                              return m_environment.board.IsServing(vm, artifact.id);
+                                            });
+  if (serving != loaded.end() && !request.more)
+    co_return ServedBy(*serving);
+  const auto ordered = m_environment.board.With(artifact.id, ReplicaState::Ordered);
+  const bool full = static_cast<std::int64_t>(loaded.size() + ordered.size()) >= artifact.replicas;
+  if (!ordered.empty() && (full || serving == loaded.end()))
+    co_return co_await WaitForReplica(artifact.id, ordered, deadline);
+  if (full && serving != loaded.end())
+    co_return ServedBy(*serving);
+  co_return co_await LoadSomewhere(artifact, request);
+}
+
+MegaBytes ModelHome::MemoryNeeded(const Table::Artifact& artifact, const ServerStatus& status) const
+{
+  MegaBytes needed = artifact.memory;
+  const bool has_base = std::ranges::any_of(status.replicas,
+                                            [&](const ReplicaStatus& replica)
+                                            {
+                                              return replica.artifact == artifact.base &&
+                                                     replica.state == ReplicaState::Loaded;
+                                            });
+  const Table::Artifact* base = m_environment.table.Current().FindArtifact(artifact.base);
+  if (base && !has_base)
+    needed += base->memory;
+  return needed;
+}
+
+std::vector<Decisions::PlacementCandidate>
+ModelHome::Candidates(const Table::Artifact& artifact) const
+{
+  const Table::Catalog& catalog = m_environment.table.Current();
+  std::vector<Decisions::PlacementCandidate> candidates;
+  for (const auto& [vm, server] : catalog.BackendServers())
+  {
+    const ServerBoard::Entry* entry = m_environment.board.Find(vm);
+    if (server.pool != artifact.pool || !entry || !m_environment.board.TakesWork(vm))
+      continue;
+    if (!KeeperOf(m_environment, server))
+      continue;
+    const ServerStatus& status = entry->status;
+    Decisions::PlacementCandidate candidate;
+    candidate.server = vm;
+    candidate.local = server.data_centre == m_environment.DataCentre();
+    // The placement compares with the artifact's own memory; a missing base lessens the room.
+    candidate.free =
+        status.capacity - status.claimed - (MemoryNeeded(artifact, status) - artifact.memory);
+    candidate.cache = LevelOf(status, artifact.id);
+    candidate.replicas = static_cast<std::int64_t>(status.replicas.size());
+    candidate.running = status.running;
+    for (const ReplicaStatus& replica : status.replicas)
+    {
+      const bool needed_as_base =
+          replica.artifact == artifact.base ||
+          std::ranges::any_of(status.replicas,
+                              [&](const ReplicaStatus& other)
+                              {
+                                const Table::Artifact* above = catalog.FindArtifact(other.artifact);
+                                return above && above->base == replica.artifact;
+                              });
+      const bool idle =
+          replica.running == 0 && replica.idle_ms >= m_environment.timing.min_idle.count();
+      if (replica.state != ReplicaState::Loaded || needed_as_base || !idle)
+        continue;
+      const Table::Artifact* of = catalog.FindArtifact(replica.artifact);
+      const double weight = of ? static_cast<double>(std::max<std::int64_t>(1, of->weight)) : 1;
+      Decisions::Evictable evictable;
+      evictable.claim = replica.claim;
+      evictable.artifact = replica.artifact;
+      evictable.memory = replica.memory;
+      evictable.idle = Milliseconds(replica.idle_ms);
+      evictable.loss = weight * static_cast<double>(1 + replica.served) * 1000.0 /
+                       (1000.0 + static_cast<double>(replica.idle_ms));
+      candidate.evictable.push_back(evictable);
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+Task<LoadReply> ModelHome::LoadSomewhere(Table::Artifact artifact, LoadRequest request)
+{
+  const TimePoint deadline = Now() + Milliseconds(request.patience_ms);
+  if (artifact.replicas <= 0)
+    co_return Refuse(FailureKind::Refused, "the table allows no replica of " + artifact.id.Get(),
+                     0);
+  PlaceReply placed;
+  for (int attempt = 0; attempt < MAX_PLACEMENTS && Now() < deadline; ++attempt)
+  {
+    // Without the platform nothing can be claimed: say so at once instead of waiting for it.
+    if (m_environment.store.IsDown())
+      co_return Refuse(FailureKind::Unavailable, "the platform does not answer",
+                       RETRY_AFTER_PLATFORM_MS);
+    const auto candidates = Candidates(artifact);
+    const auto placement = std::visit(
+        [&](const auto& policy)
+        {
+          return policy.Choose(candidates, artifact.memory);
+        },
+        m_environment.policies.placement);
+    if (!placement)
+    {
+      placed.failure = FailureKind::Overloaded;
+      placed.detail = "no backend server has room for " + artifact.id.Get();
+      co_await Common::Sleep{RETRY_PAUSE};
+      continue;
+    }
+    m_environment.explain.Add("place",
+                              {request.request.Get(), artifact.id.Get(), placement->server.Get()},
+                              {{"server", placement->server.Get()},
+                               {"why", placement->why},
+                               {"evicted", placement->evict.size()},
+                               {"candidates", candidates.size()},
+                               {"waiting", request.waiting}});
+    Daemons::PlaceOrder order;
+    order.server = placement->server;
+    order.artifact = artifact.id;
+    order.evict = placement->evict;
+    order.request = request.request;
+    const auto left = std::chrono::duration_cast<Milliseconds>(deadline - Now());
+    order.patience_ms = left.count();
+    const auto* server = m_environment.table.Current().FindBackendServer(placement->server);
+    const auto keeper = server ? KeeperOf(m_environment, *server) : std::nullopt;
+    if (!keeper)
+      continue;
+    const auto answer = co_await m_environment.link.Ask(*keeper, Daemons::Call(order), left);
+    const auto* reply = answer ? std::get_if<PlaceReply>(&*answer) : nullptr;
+    if (!reply)
+    {
+      // The keeper may have claimed before it was lost; the board or a conflict will tell.
+      placed.failure = FailureKind::Unavailable;
+      placed.detail = "the keeper of " + placement->server.Get() + " does not answer";
+      co_await Common::Sleep{RETRY_PAUSE};
+      continue;
+    }
+    placed = *reply;
+    if (placed.failure == FailureKind::None)
+      co_return ServedBy(placement->server);
+    if (placed.failure == FailureKind::Conflict && !placed.holders.empty())
+      co_return co_await WaitForReplica(artifact.id, placed.holders, deadline);
+    if (placed.failure == FailureKind::DeadlineUnmeetable)
+      break;
+    co_await Common::Sleep{RETRY_PAUSE};
+  }
+  if (placed.failure == FailureKind::None)
+    placed.failure = FailureKind::DeadlineUnmeetable;
+  co_return Refuse(placed.failure, placed.detail, RETRY_AFTER_MEMORY_MS);
+}
+
+/// All slots are claimed: one of their holders will serve it, here or in another data centre.
+Task<LoadReply> ModelHome::WaitForReplica(ArtifactId artifact, std::vector<VmId> servers,
+                                          TimePoint deadline)
+{
+  while (Now() < deadline)
+  {
+    const auto serving = std::ranges::find_if(servers,
+                                              [&](const VmId& vm)
+                                              {
+                                                return m_environment.board.IsServing(vm, artifact);
+                                              });
+    if (serving != servers.end())
+      co_return ServedBy(*serving);
+    // The claims may be freed again: then there is nothing to wait for.
+    const bool claimed = !m_environment.board.With(artifact, ReplicaState::Ordered).empty() ||
+                         !m_environment.board.With(artifact, ReplicaState::Loaded).empty();
+    const bool reachable = std::ranges::any_of(servers,
+                                               [&](const VmId& vm)
+                                               {
+                                                 return m_environment.board.TakesWork(vm);
+                                               });
+    if (!reachable)
+      co_return Refuse(FailureKind::Unavailable,
+                       "all replicas are claimed on backend servers that cannot be reached",
+                       RETRY_AFTER_PLATFORM_MS);
+    if (!claimed)
+    {
+      co_await Common::Sleep{RETRY_PAUSE};
+      if (m_environment.board.With(artifact, ReplicaState::Ordered).empty())
+        co_return Refuse(FailureKind::Conflict, "the replicas are changing", RETRY_AFTER_MEMORY_MS);
+    }
+    co_await Common::Sleep{BOARD_POLL};
+  }
+  co_return Refuse(FailureKind::DeadlineUnmeetable, "no replica is loaded in time",
+                   RETRY_AFTER_MEMORY_MS);
+}
+} // namespace Serving
--- /dev/null
+++ b/Source/Core/Serving/Policies.h
@@ -0,0 +1,30 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <variant>
+
+#include "Decisions/Admission.h"
+#include "Decisions/LoadOrder.h"
+#include "Decisions/Placement.h"
+#include "Decisions/Retention.h"
+#include "Decisions/Routing.h"
+
+namespace Serving
+{
+using PlacementChoice = std::variant<Decisions::CacheAwarePlacement, Decisions::FirstFitPlacement>;
+using RetentionChoice = std::variant<Decisions::CostRetention, Decisions::FixedKeepAlive>;
+using RoutingChoice = std::variant<Decisions::AffinityRouting, Decisions::RoundRobinRouting>;
+using LoadOrderChoice = std::variant<Decisions::UrgencyOrder, Decisions::FifoOrder>;
+
+/// Which policy this daemon runs for each decision.
+struct Policies
+{
+  PlacementChoice placement;
+  RetentionChoice retention = Decisions::CostRetention(20);
+  RoutingChoice routing;
+  LoadOrderChoice load_order;
+  bool fair_queue = true; ///< Otherwise first come, first served.
+};
+} // namespace Serving
--- /dev/null
+++ b/Source/Core/Serving/ServerBoard.cpp
@@ -0,0 +1,121 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Serving/ServerBoard.h"
+
+#include <algorithm>
+
+namespace Serving
+{
+using Common::ArtifactId;
+using Common::TimePoint;
+using Common::VmId;
+using Daemons::ReplicaState;
+using Daemons::ReplicaStatus;
+using Daemons::ServerStatus;
+
+void ServerBoard::Index(const ServerStatus& status, bool add)
+{
+  for (const ReplicaStatus& replica : status.replicas)
+  {
+    std::set<VmId>& servers = m_by_artifact[replica.artifact];
+    if (add)
+      servers.insert(status.vm);
+    else
+      servers.erase(status.vm);
+  }
+}
+
+void ServerBoard::Update(const ServerStatus& status, TimePoint now)
+{
+  Entry& entry = m_entries[status.vm];
+  if (status.row_version < entry.status.row_version)
+    return;
+  const bool changed = entry.status != status;
+  entry.heard = now;
+  if (!changed)
+    return;
+  std::set<ArtifactId> touched;
+  const auto note = [&touched](const ServerStatus& of)
+  {
+    for (const ReplicaStatus& replica : of.replicas)
+      touched.insert(replica.artifact);
+  };
+  note(entry.status);
+  note(status);
+  Index(entry.status, false);
+  entry.status = status;
+  Index(entry.status, true);
+  if (m_on_change)
+    m_on_change(touched);
+}
+
+void ServerBoard::SetLeaving(std::set<VmId> leaving)
+{
+  m_leaving = std::move(leaving);
+}
+
+void ServerBoard::HintLoaded(const VmId& server, const ArtifactId& artifact, TimePoint now)
+{
+  const auto found = m_entries.find(server);
+  if (found == m_entries.end())
+    return;
+  ServerStatus status = found->second.status;
+  const auto replica = std::ranges::find(status.replicas, artifact, &ReplicaStatus::artifact);
+  if (replica == status.replicas.end())
+    status.replicas.push_back({artifact, {}, ReplicaState::Loaded});
+  else
+    replica->state = ReplicaState::Loaded;
+  Update(status, now);
+}
+
+const ServerBoard::Entry* ServerBoard::Find(const VmId& server) const
+{
+  const auto found = m_entries.find(server);
+  return found == m_entries.end() ? nullptr : &found->second;
+}
+
+bool ServerBoard::TakesWork(const VmId& server) const
+{
+  const Entry* entry = Find(server);
+  return entry && entry->status.ready && !m_leaving.contains(server);
+}
+
+std::vector<VmId> ServerBoard::With(const ArtifactId& artifact, ReplicaState state) const
+{
+  std::vector<VmId> servers;
+  const auto indexed = m_by_artifact.find(artifact);
+  if (indexed == m_by_artifact.end())
+    return servers;
+  std::ranges::copy_if(indexed->second, std::back_inserter(servers),
+                       [&](const VmId& vm)
+                       {
+                         const auto& replicas = m_entries.at(vm).status.replicas;
+                         return std::ranges::any_of(replicas,
+                                                    [&](const ReplicaStatus& replica)
+                                                    {
+                                                      return replica.artifact == artifact &&
+                                                             replica.state == state;
+                                                    });
+                       });
+  return servers;
+}
+
+bool ServerBoard::IsServing(const VmId& server, const ArtifactId& artifact) const
+{
+  const Entry* entry = Find(server);
+  if (!entry || !TakesWork(server))
+    return false;
+  return std::ranges::any_of(entry->status.replicas,
+                             [&](const ReplicaStatus& replica)
+                             {
+                               return replica.artifact == artifact &&
+                                      replica.state == ReplicaState::Loaded && !replica.surplus;
+                             });
+}
+
+void ServerBoard::OnChange(std::function<void(const std::set<ArtifactId>&)> callback)
+{
+  m_on_change = std::move(callback);
+}
+} // namespace Serving
--- /dev/null
+++ b/Source/Core/Serving/TableFollower.h
@@ -0,0 +1,79 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Common/Units.h"
+#include "Daemons/Link.h"
+#include "Platform/Store.h"
+#include "Table/Catalog.h"
+#include "Table/Change.h"
+
+namespace Serving
+{
+/// Holds the operators' table in this daemon and keeps it current: from peers, whose heartbeats
+/// tell of a newer revision, and by polling the platform. It only ever moves to a higher revision.
+class TableFollower
+{
+public:
+  TableFollower(Platform::Store& store, Daemons::Link& link, Daemons::Membership& membership,
+                Common::Milliseconds poll_interval);
+
+  /// Begins to follow; calls `on_change` after each step.
+  void Start(std::function<void()> on_change);
+
+  bool HasTable() const { return m_has_table; }
+  Common::Revision CurrentRevision() const { return m_revision; }
+  const Table::Catalog& Current() const { return *m_catalog; }
+  /// The shared catalog; callers that await keep it alive across a change.
+  std::shared_ptr<const Table::Catalog> Share() const { return m_catalog; }
+  const Table::RowMap& Rows() const { return m_rows; }
+  /// The platform's version of a table row, which a claim is conditioned on.
+  std::int64_t RowVersion(const std::string& row_key) const;
+
+  /// Looks at the platform now.
+  Common::Task<Common::Result<Common::Done>> Refresh();
+  /// A heartbeat said that `vm` holds `revision`.
+  void OnPeerRevision(const Common::VmId& vm, Common::Revision revision);
+  Daemons::TableReply Answer(const Daemons::TablePull& pull) const;
+
+  /// Makes `rows` the table, against the revision that the operator saw. Fails with Conflict where
+  /// another edit came first; the change id finds an edit whose answer was lost.
+  Common::Task<Common::Result<Table::Change>> Apply(Common::Revision seen, std::string change_id,
+                                                    std::string who, std::vector<Table::Row> rows);
+  /// Changes from the platform's history, newest first, at most `count`.
+  Common::Task<Common::Result<std::vector<Table::Change>>> History(std::int64_t count);
+
+private:
+  Common::Task<void> Poll();
+  Common::Task<void> PullFrom(Common::VmId vm);
+  Common::Task<Common::Result<Common::Done>> CatchUp(std::int64_t head);
+  Common::Task<Common::Result<Common::Done>> ReadWhole();
+  Common::Task<Common::Result<std::vector<Table::Change>>> ReadChanges(std::int64_t first,
+                                                                       std::int64_t last);
+  void Step(const Table::Change& change);
+  void Replace(Common::Revision revision, Table::RowMap rows);
+  void Rebuild();
+
+  Platform::Store& m_store;
+  Daemons::Link& m_link;
+  Daemons::Membership& m_membership;
+  Common::Milliseconds m_poll_interval;
+  std::function<void()> m_on_change;
+  bool m_has_table = false;
+  Common::Revision m_revision;
+  std::int64_t m_head_version = 0;
+  Table::RowMap m_rows;
+  std::shared_ptr<const Table::Catalog> m_catalog = std::make_shared<Table::Catalog>();
+  std::deque<Table::Change> m_recent;
+  std::set<Common::VmId> m_pulling;
+};
+} // namespace Serving
--- /dev/null
+++ b/Source/Daemon/Main.cpp
@@ -0,0 +1,56 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// drumpondd: the daemon on every entry VM.
+
+#include <csignal>
+#include <iostream>
+
+#include "Common/Log.h"
+#include "Daemon/Application.h"
+#include "Daemon/Settings.h"
+
+namespace
+{
+constexpr const char* VERSION = "drumpondd 0.1.0";
+constexpr int EXIT_BAD_SETTINGS = 2;
+
+void PrintSettings(const Daemon::ParsedSettings& parsed)
+{
+  for (const auto& [name, value] : parsed.effective)
+    std::cout << name << "=" << value << "\n";
+}
+} // namespace
+
+int main(int argc, char** argv)
+{
+  const Daemon::ParsedSettings parsed = Daemon::ReadSettings(argc, argv);
+  if (parsed.help || parsed.version)
+  {
+    std::cout << (parsed.help ? parsed.help_text : std::string(VERSION) + "\n");
+    return 0;
+  }
+  if (!parsed.errors.empty())
+  {
+    for (const std::string& error : parsed.errors)
+      std::cerr << "drumpondd: " << error << "\n";
+    return EXIT_BAD_SETTINGS;
+  }
+  if (parsed.print)
+  {
+    PrintSettings(parsed);
+    return 0;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  Common::InitLog(argv[0]);
+  Daemon::Application application(parsed.settings);
+  const auto started = application.Start();
+  if (!started)
+  {
+    std::cerr << "drumpondd: cannot start: " << started.Reason().detail << "\n";
+    return 1;
+  }
+  const int status = application.Run();
+  // The process ends here; tearing down what open coroutines refer to would serve nothing.
+  std::_Exit(status);
+}
--- /dev/null
+++ b/Source/StandIns/PlainService/Main.cpp
@@ -0,0 +1,94 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// A plain service's stand-in: it runs each call at once, counts the runs by idempotency key and by
+// request id, and can answer late, break off after the run, or refuse.
+
+#include <map>
+
+#include "Common/Loop.h"
+#include "StandIns/Kit/StandIn.h"
+
+namespace
+{
+using Common::GetOr;
+using Common::Json;
+using Common::Task;
+
+class PlainService
+{
+public:
+  Task<void> Call(Http::ExchangePtr exchange)
+  {
+    if (m_refuse)
+    {
+      exchange->RespondJson(503, {{"error", "refused before running"}}, {{"x-ran", "not_run"}});
+      co_return;
+    }
+    const std::string request = exchange->Header("x-request-id");
+    const std::string key = exchange->Header("idempotency-key");
+    const int number = ++m_calls;
+    ++m_runs_by_request[request];
+    if (!key.empty())
+      ++m_runs_by_key[key];
+    if (m_late_ms > 0)
+      co_await Common::Sleep{Common::Milliseconds(m_late_ms)};
+    if (m_cut > 0)
+    {
+      --m_cut;
+      exchange->Abort();
+      co_return;
+    }
+    const std::string answered = m_cross ? "someone-else" : request;
+    exchange->RespondJson(200,
+                          {{"number", number},
+                           {"path", exchange->Path()},
+                           {"tracking", "T" + std::to_string(number)},
+                           {"request", answered}},
+                          {{"x-request-id", answered}});
+  }
+
+  Task<void> Control(Http::ExchangePtr exchange)
+  {
+    const Json body = Common::ParseJson(exchange->Body()).value_or(Json::object());
+    m_late_ms = GetOr(body, "late_ms", m_late_ms);
+    m_cut = GetOr(body, "cut", m_cut);
+    m_refuse = GetOr(body, "refuse", m_refuse);
+    m_cross = GetOr(body, "cross", m_cross);
+    exchange->RespondJson(200, {{"calls", m_calls},
+                                {"runs_by_request", m_runs_by_request},
+                                {"runs_by_key", m_runs_by_key}});
+    co_return;
+  }
+
+private:
+  int m_calls = 0;
+  int m_late_ms = 0;
+  int m_cut = 0;
+  bool m_refuse = false;
+  bool m_cross = false;
+  std::map<std::string, int> m_runs_by_request;
+  std::map<std::string, int> m_runs_by_key;
+};
+} // namespace
+
+int main(int argc, char** argv)
+{
+  cxxopts::Options options("standin-plain-service", "Stand-in of a plain service");
+  StandIns::AddListenOptions(options);
+  const cxxopts::ParseResult parsed = StandIns::ParseOrExit(options, argc, argv);
+  Common::InitLog(argv[0]);
+  PlainService service;
+  Http::Server server({});
+  server.Handle("/",
+                [&service](Http::ExchangePtr exchange)
+                {
+                  return service.Call(exchange);
+                });
+  server.Handle("/control",
+                [&service](Http::ExchangePtr exchange)
+                {
+                  return service.Control(exchange);
+                });
+  return StandIns::Serve(server, parsed);
+}
--- /dev/null
+++ b/Source/StandIns/WeightStore/Main.cpp
@@ -0,0 +1,168 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// The weight store's stand-in: starts a limited number of loads a second, runs a limited number at
+// full speed, and shares that speed among more. It also keeps the ledger of which artifact lies in
+// which backend server's memory, from which the scenarios read peaks over all data centres.
+
+#include <algorithm>
+#include <deque>
+#include <list>
+#include <map>
+#include <set>
+
+#include "Common/Loop.h"
+#include "StandIns/Kit/StandIn.h"
+
+namespace
+{
+using Common::GetOr;
+using Common::Json;
+using Common::Milliseconds;
+using Common::Task;
+
+constexpr Milliseconds TICK{5};
+
+struct Transfer
+{
+  double left_ms;
+  Common::Completion<bool> done;
+};
+
+class WeightStore
+{
+public:
+  WeightStore(double starts_per_second, int full_speed, double load_ms)
+      : m_starts_per_second(starts_per_second), m_full_speed(full_speed), m_load_ms(load_ms)
+  {
+    ScheduleTick();
+  }
+
+  Task<void> Fetch(Http::ExchangePtr exchange)
+  {
+    ++m_fetches;
+    Transfer transfer{m_load_ms, {}};
+    m_waiting.push_back(transfer);
+    co_await transfer.done.WaitUntil(Common::Now() + std::chrono::minutes(10));
+    exchange->RespondJson(200, Json::object());
+  }
+
+  /// Body: vm, artifact, loaded (true or false); or vm, reset.
+  Task<void> Ledger(Http::ExchangePtr exchange)
+  {
+    const Json body = Common::ParseJson(exchange->Body()).value_or(Json::object());
+    const std::string vm = GetOr(body, "vm", std::string());
+    const std::string artifact = GetOr(body, "artifact", std::string());
+    if (GetOr(body, "reset", false))
+      std::for_each(m_holders.begin(), m_holders.end(),
+                    [&](auto& item)
+                    {
+                      item.second.erase(vm);
+                    });
+    else if (GetOr(body, "loaded", false))
+      m_holders[artifact].insert(vm);
+    else
+      m_holders[artifact].erase(vm);
+    if (!artifact.empty())
+      m_peaks[artifact] = std::max(m_peaks[artifact], m_holders[artifact].size());
+    exchange->RespondJson(200, Json::object());
+    co_return;
+  }
+
+  Task<void> Control(Http::ExchangePtr exchange)
+  {
+    if (exchange->Method() == "GET")
+    {
+      exchange->RespondJson(200,
+                            {{"peaks", m_peaks}, {"holders", m_holders}, {"fetches", m_fetches}});
+      co_return;
+    }
+    const Json body = Common::ParseJson(exchange->Body()).value_or(Json::object());
+    m_speed = GetOr(body, "speed", m_speed);
+    if (GetOr(body, "reset_peaks", false))
+      m_peaks.clear();
+    exchange->RespondJson(200, Json::object());
+  }
+
+private:
+  void ScheduleTick()
+  {
+    Common::CallAfter(TICK,
+                      [this]
+                      {
+                        Advance();
+                        ScheduleTick();
+                      });
+  }
+
+  void Advance()
+  {
+    const auto now = Common::Now();
+    const double passed_ms = std::chrono::duration<double, std::milli>(now - m_last).count();
+    m_last = now;
+    const double sharing = std::max(1.0, static_cast<double>(m_running.size()) / m_full_speed);
+    for (Transfer& transfer : m_running)
+    {
+      transfer.left_ms -= passed_ms * m_speed / sharing;
+      if (transfer.left_ms <= 0)
+        transfer.done.Set(true);
+    }
+    m_running.remove_if(
+        [](const Transfer& transfer)
+        {
+          return transfer.left_ms <= 0;
+        });
+    m_tokens = std::min(1.0, m_tokens + passed_ms / 1000 * m_starts_per_second * m_speed);
+    while (!m_waiting.empty() && m_tokens >= 1.0)
+    {
+      m_tokens -= 1.0;
+      m_running.push_back(m_waiting.front());
+      m_waiting.pop_front();
+    }
+  }
+
+  double m_starts_per_second;
+  int m_full_speed;
+  double m_load_ms;
+  double m_speed = 1.0;
+  double m_tokens = 1.0;
+  Common::TimePoint m_last = Common::Now();
+  std::deque<Transfer> m_waiting;
+  std::list<Transfer> m_running;
+  std::int64_t m_fetches = 0;
+  std::map<std::string, std::set<std::string>> m_holders;
+  std::map<std::string, std::size_t> m_peaks;
+};
+} // namespace
+
+int main(int argc, char** argv)
+{
+  cxxopts::Options options("standin-weight-store", "Stand-in of the weight store");
+  StandIns::AddListenOptions(options);
+  options.add_options()("starts-per-second", "loads started a second",
+                        cxxopts::value<double>()->default_value("3"))(
+      "full-speed", "loads that run at full speed at once",
+      cxxopts::value<int>()->default_value("4"))("load-ms", "duration of one load at full speed",
+                                                 cxxopts::value<double>()->default_value("600"));
+  const cxxopts::ParseResult parsed = StandIns::ParseOrExit(options, argc, argv);
+  Common::InitLog(argv[0]);
+  WeightStore store(parsed["starts-per-second"].as<double>(), parsed["full-speed"].as<int>(),
+                    parsed["load-ms"].as<double>());
+  Http::Server server({});
+  server.Handle("/fetch",
+                [&store](Http::ExchangePtr exchange)
+                {
+                  return store.Fetch(exchange);
+                });
+  server.Handle("/ledger",
+                [&store](Http::ExchangePtr exchange)
+                {
+                  return store.Ledger(exchange);
+                });
+  server.Handle("/control",
+                [&store](Http::ExchangePtr exchange)
+                {
+                  return store.Control(exchange);
+                });
+  return StandIns::Serve(server, parsed);
+}
--- /dev/null
+++ b/Tools/check-format.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# SPDX-FileCopyrightText: 2026 The drumpond developers
+# SPDX-License-Identifier: Apache-2.0
+#
+# Fails where a source file is not formatted; with --fix formats it.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+if [ "${1:-}" = --fix ]; then
+  git ls-files --cached --others --exclude-standard 'Source/*.cpp' 'Source/*.h' | xargs clang-format -i
+else
+  git ls-files --cached --others --exclude-standard 'Source/*.cpp' 'Source/*.h' | xargs clang-format --dry-run --Werror
+fi
