Serving: nothing is routed into a data centre of which nothing is heard

Cause: after a cut the board kept the servers of the other side, so a request was sent there and ended with 'unknown' instead of a truthful refusal or another replica. Ruled out: ageing entries by time; a quiet server's entry is old and good. Conclusion: a server takes work if its data centre is this one or has a daemon that is heard of.

--- a/Scenarios/30-table.lua
+++ b/Scenarios/30-table.lua
@@ -113,3 +113,18 @@
   wait_until(8000, "one replica", function() return #w:holders("m1") == 1 end)
   w:check_promises()
 end)
+
+-- A daemon that is cut off from its peers and does not poll has an old table; the platform answers.
+scenario("claim-with-an-old-table-in-a-cut-is-refused", function()
+  local w = World.new{data_centres = {"a", "b"}, daemons = 2, engines = 2, relays = true,
+    daemon_flags = {"--table-poll-ms", "60000"}, models = {m1 = {memory_mb = 20000, replicas = 2}}}
+  w:ok(w:chat(1, "m1"))
+  w:cut_off("b", true, false)
+  sleep(1000)
+  local rows = with_replicas(w, "m1", 1)
+  local got = w:post_table(w.daemons[1], {revision = w:table_of(w.daemons[1]).revision, change = "lower-in-cut", who = "x", rows = rows})
+  check(got.status == 200, "lowered: " .. got.body)
+  w:refused(w:chat(2, "m1", {deadline_ms = 3000}), 503)
+  check(#w:holders("m1") == 1, "no claim against the old table: " .. #w:holders("m1"))
+  w:check_promises()
+end)
--- a/Source/Core/Serving/Environment.cpp
+++ b/Source/Core/Serving/Environment.cpp
@@ -23,4 +23,19 @@
       "home/" + artifact.Get(),
       environment.membership.LiveIn(environment.DataCentre(), Common::Now()));
 }
+
+bool TakesWork(const Environment& environment, const Common::VmId& server)
+{
+  const Table::BackendServer* row = environment.table.Current().FindBackendServer(server);
+  if (!row || !environment.board.TakesWork(server))
+    return false;
+  return row->data_centre == environment.DataCentre() ||
+         !environment.membership.LiveIn(row->data_centre, Common::Now()).empty();
+}
+
+bool IsServing(const Environment& environment, const Common::VmId& server,
+               const Common::ArtifactId& artifact)
+{
+  return environment.board.IsServing(server, artifact) && TakesWork(environment, server);
+}
 } // namespace Serving
--- a/Source/Core/Serving/Environment.h
+++ b/Source/Core/Serving/Environment.h
@@ -56,4 +56,10 @@
 /// The daemon of this data centre that decides the loads of an artifact.
 std::optional<Common::VmId> HomeOf(const Environment& environment,
                                    const Common::ArtifactId& artifact);
+/// Whether the server may get new work: it is ready, not leaving, and its data centre is this one
+/// or has a daemon that is heard of. A data centre of which nothing is heard is cut off.
+bool TakesWork(const Environment& environment, const Common::VmId& server);
+/// Whether work for the artifact may be sent to the server.
+bool IsServing(const Environment& environment, const Common::VmId& server,
+               const Common::ArtifactId& artifact);
 } // namespace Serving
--- a/Source/Core/Serving/ModelHome.cpp
+++ b/Source/Core/Serving/ModelHome.cpp
@@ -92,7 +92,7 @@
   const TimePoint deadline = Now() + Milliseconds(request.patience_ms);
   const auto loaded = m_environment.board.With(artifact.id, ReplicaState::Loaded);
   const auto serving = std::ranges::find_if(loaded, [&](const VmId& vm) {
-    return m_environment.board.IsServing(vm, artifact.id);
+    return IsServing(m_environment, vm, artifact.id);
   });
   if (serving != loaded.end() && !request.more)
     co_return ServedBy(*serving);
@@ -125,7 +125,7 @@
   for (const auto& [vm, server] : catalog.BackendServers())
   {
     const ServerBoard::Entry* entry = m_environment.board.Find(vm);
-    if (server.pool != artifact.pool || !entry || !m_environment.board.TakesWork(vm))
+    if (server.pool != artifact.pool || !entry || !TakesWork(m_environment, vm))
       continue;
     if (!KeeperOf(m_environment, server))
       continue;
@@ -173,7 +173,7 @@
   return std::ranges::any_of(m_environment.board.Entries(), [&](const auto& item) {
     const ServerStatus& status = item.second.status;
     const Table::BackendServer* server = catalog.FindBackendServer(item.first);
-    if (!server || server->pool != artifact.pool || !m_environment.board.TakesWork(item.first))
+    if (!server || server->pool != artifact.pool || !TakesWork(m_environment, item.first))
       return false;
     MegaBytes room = status.capacity - status.claimed;
     for (const ReplicaStatus& replica : status.replicas)
@@ -265,7 +265,7 @@
   while (Now() < deadline)
   {
     const auto serving = std::ranges::find_if(servers, [&](const VmId& vm) {
-      return m_environment.board.IsServing(vm, artifact);
+      return IsServing(m_environment, vm, artifact);
     });
     if (serving != servers.end())
       co_return ServedBy(*serving);
@@ -273,7 +273,7 @@
     const bool claimed = !m_environment.board.With(artifact, ReplicaState::Ordered).empty() ||
                          !m_environment.board.With(artifact, ReplicaState::Loaded).empty();
     const bool reachable = std::ranges::any_of(servers, [&](const VmId& vm) {
-      return m_environment.board.TakesWork(vm);
+      return TakesWork(m_environment, vm);
     });
     if (!reachable)
       co_return Refuse(FailureKind::Unavailable,
--- a/Source/Core/Serving/Router.cpp
+++ b/Source/Core/Serving/Router.cpp
@@ -129,7 +129,7 @@
   for (const VmId& vm : m_environment.board.With(queue.artifact.id, Daemons::ReplicaState::Loaded))
   {
     const auto avoided = queue.avoided_until.find(vm);
-    if (!m_environment.board.IsServing(vm, queue.artifact.id) ||
+    if (!IsServing(m_environment, vm, queue.artifact.id) ||
         (avoided != queue.avoided_until.end() && now < avoided->second))
       continue;
     const auto* server = m_environment.table.Current().FindBackendServer(vm);
--- a/Tools/measure.sh
+++ b/Tools/measure.sh
@@ -6,6 +6,7 @@
 #   Tools/measure.sh cold-start [SEEDS...]  policies against their baselines, both houses' weights
 #   Tools/measure.sh overload               twice the load that the runners serve
 #   Tools/measure.sh relay                  added latency and tokens a second on one daemon
+#   Tools/measure.sh cold-path              platform round trips before a load order
 #   Tools/measure.sh control                bytes, messages, CPU and memory for control
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -124,6 +125,29 @@
   stop_stack
 }
 
+# From a cold request's arrival to its load order at the engine, with the platform slowed down: the
+# slope is the number of the platform's round trips on that path.
+measure_cold_path() {
+  local slow model began ordered number=10
+  for slow in 0 100 200; do
+    number=$((number + 1))
+    model=recipe-$number
+    start_backends
+    list_vms charguia-hall ariana-hall ben-arous-hall
+    start_daemons charguia-hall ariana-hall ben-arous-hall
+    "$BIN/drumpond" --address 127.0.0.1:7601 table apply examples/qasba.csv --who measure >/dev/null
+    sleep 1.5
+    curl -fs -o /dev/null -XPOST "http://127.0.0.1:$PLATFORM_PORT/control" -d "{\"slow_ms\":$slow}"
+    sleep 0.5
+    began=$(($(date +%s%N) / 1000))
+    curl -fs -o /dev/null http://127.0.0.1:7501/v1/chat/completions -d "{\"model\":\"$model\",\"messages\":[]}"
+    ordered=$(for index in 1 2 3 4 5 6 7 8 9; do curl -fs -XPOST "http://127.0.0.1:$((7300 + index))/control" -d '{}'; done |
+      jq -s 'map(.first_load_order_us) | max')
+    jq -nc --argjson slow "$slow" --argjson us $((ordered - began)) '{platform_slow_ms: $slow, arrival_to_order_ms: ($us / 1000)}'
+    stop_stack
+  done
+}
+
 # control_point DAEMONS RUNNERS MODELS: a quiet stack of that size; per daemon and second.
 control_point() {
   local daemons=$1 runners=$2 models=$3 index vms="" first
@@ -192,5 +216,6 @@
   overload) measure_overload ;;
   relay) measure_relay ;;
   control) measure_control ;;
-  *) sed -n '5,12p' "$0"; exit 2 ;;
+  cold-path) measure_cold_path ;;
+  *) sed -n '5,13p' "$0"; exit 2 ;;
 esac
