Serving: an adapter goes where its base is

The placement chose a server without the base although all of the base's replicas were claimed elsewhere; the claim lost, and the same choice was made again until the base was unloaded there. Ruled out: starvation at the weight store (both orders have the same waits there). Now such servers are no candidates, and a missing base costs its own load. Scenarios: order-of-a-restarted-daemon-settles-late (red without the settling time), and adapters-go-where-their-base-is, which passed before too and is kept as a guard.

--- a/Scenarios/10-serving.lua
+++ b/Scenarios/10-serving.lua
@@ -91,3 +91,20 @@
   check(#w:claims() == 0, "nothing was claimed")
   check(w:control(w.services[1], {}).calls == 0, "nothing was run")
 end)
+
+-- All bases are loaded, each on one server; every adapter must go beside its own, at once.
+scenario("adapters-go-where-their-base-is", function()
+  local adapters, models = {}, {}
+  for number = 1, 6 do
+    models["m" .. number] = {memory_mb = 10000, replicas = 1}
+    adapters["style" .. number] = {parent = "m" .. number, memory_mb = 500, replicas = 1}
+  end
+  local w = World.new{engines = 3, adapters = adapters, models = models}
+  for number = 1, 6 do w:ok(w:chat(number % 3 + 1, "m" .. number)) end
+  for number = 1, 6 do
+    local sent = w:chat(number % 3 + 1, "style" .. number)
+    w:ok(sent)
+    check(sent.answer.took_ms < 2000, "the adapter is not kept waiting: " .. sent.answer.took_ms)
+  end
+  w:check_promises()
+end)
--- a/Scenarios/20-failures.lua
+++ b/Scenarios/20-failures.lua
@@ -123,6 +123,29 @@
   w:check_promises()
 end)
 
+-- The sender died and runs again: its order may still be on its way for the settling time.
+scenario("order-of-a-restarted-daemon-settles-late", function()
+  local w = World.new{engines = 1, ignore_fencing = true, daemon_flags = {"--order-settle-ms", "4000"},
+    models = {m1 = {memory_mb = 50000, replicas = 1}, m2 = {memory_mb = 50000, replicas = 1}}}
+  w:control(w.engines[1], {order_delay_ms = 3000})
+  w:chat(1, "m1", {deadline_ms = 2500})
+  wait_until(5000, "the claim stands", function() return #w:claims() > 0 end)
+  sleep(150)
+  w:control(w.engines[1], {order_delay_ms = 0})
+  local holder = w:daemon_of(w:claims()[1].claim.holder)
+  w:kill(holder)
+  w:restart_daemon(holder)
+  local other = w.daemons[holder.index % 3 + 1]
+  for _ = 1, 6 do
+    w:chat(other.index, "m2", {deadline_ms = 1500})
+    sleep(400)
+  end
+  sleep(1000)
+  w:check_promises()
+  w:ok(w:chat(other.index, "m2", {deadline_ms = 15000}))
+  w:check_promises()
+end)
+
 scenario("lost-answers-of-the-platform", function()
   local w = World.new{engines = 3, services = 1}
   w:platform_control{lose_answers = 3}
--- a/Source/Core/Decisions/Placement.cpp
+++ b/Source/Core/Decisions/Placement.cpp
@@ -54,6 +54,20 @@
 }
 } // namespace
 
+double CacheAwarePlacement::LoadTime(CacheLevel level) const
+{
+  switch (level)
+  {
+  case CacheLevel::Memory:
+    return m_costs.memory_ms;
+  case CacheLevel::Disk:
+    return m_costs.disk_ms;
+  case CacheLevel::Remote:
+    return m_costs.remote_ms;
+  }
+  return m_costs.remote_ms;
+}
+
 std::optional<Placement>
 CacheAwarePlacement::Choose(const std::vector<PlacementCandidate>& candidates,
                             MegaBytes memory) const
@@ -65,9 +79,9 @@
     const auto plan = PlanEviction(candidate, memory);
     if (!plan)
       continue;
-    const double load = candidate.cache == CacheLevel::Memory ? m_costs.memory_ms
-                        : candidate.cache == CacheLevel::Disk ? m_costs.disk_ms
-                                                              : m_costs.remote_ms;
+    double load = LoadTime(candidate.cache);
+    if (candidate.base_cache)
+      load += LoadTime(*candidate.base_cache);
     const double cost = load + plan->loss + (candidate.local ? 0 : m_costs.other_data_centre_ms) +
                         m_costs.per_running_ms * static_cast<double>(candidate.running) +
                         m_costs.per_replica_ms * static_cast<double>(candidate.replicas);
--- a/Source/Core/Decisions/Placement.h
+++ b/Source/Core/Decisions/Placement.h
@@ -38,6 +38,8 @@
   bool local = true; ///< In the data centre of the demand.
   Common::MegaBytes free;
   CacheLevel cache = CacheLevel::Remote;
+  /// For an adapter whose base is not there: where the base's checkpoint lies.
+  std::optional<CacheLevel> base_cache;
   std::int64_t replicas = 0; ///< Claimed on it already.
   std::int64_t running = 0;
   std::vector<Evictable> evictable;
@@ -81,6 +83,8 @@
                                   Common::MegaBytes memory) const;
 
 private:
+  double LoadTime(CacheLevel level) const;
+
   Costs m_costs;
 };
 
--- a/Source/Core/Serving/ModelHome.cpp
+++ b/Source/Core/Serving/ModelHome.cpp
@@ -54,6 +54,13 @@
   return std::ranges::find(ids, id) != ids.end();
 }
 
+bool HasClaim(const ServerStatus& status, const ArtifactId& id)
+{
+  return std::ranges::any_of(status.replicas, [&id](const ReplicaStatus& replica) {
+    return replica.artifact == id && replica.state != ReplicaState::Unloading;
+  });
+}
+
 CacheLevel LevelOf(const ServerStatus& status, const ArtifactId& id)
 {
   if (Holds(status.in_memory, id))
@@ -108,15 +115,23 @@
 MegaBytes ModelHome::MemoryNeeded(const Table::Artifact& artifact, const ServerStatus& status) const
 {
   MegaBytes needed = artifact.memory;
-  const bool has_base = std::ranges::any_of(status.replicas, [&](const ReplicaStatus& replica) {
-    return replica.artifact == artifact.base && replica.state == ReplicaState::Loaded;
-  });
   const Table::Artifact* base = m_environment.table.Current().FindArtifact(artifact.base);
-  if (base && !has_base)
+  if (base && !HasClaim(status, artifact.base))
     needed += base->memory;
   return needed;
 }
 
+bool ModelHome::CanHold(const Table::Artifact& artifact, const ServerStatus& status) const
+{
+  const Table::Artifact* base = m_environment.table.Current().FindArtifact(artifact.base);
+  if (!base || HasClaim(status, artifact.base))
+    return true;
+  const auto claimed = std::ranges::count_if(m_environment.board.Entries(), [&](const auto& item) {
+    return HasClaim(item.second.status, artifact.base);
+  });
+  return claimed < base->replicas;
+}
+
 std::vector<Decisions::PlacementCandidate>
 ModelHome::Candidates(const Table::Artifact& artifact) const
 {
@@ -127,9 +142,9 @@
     const ServerBoard::Entry* entry = m_environment.board.Find(vm);
     if (server.pool != artifact.pool || !entry || !TakesWork(m_environment, vm))
       continue;
-    if (!KeeperOf(m_environment, server))
-      continue;
     const ServerStatus& status = entry->status;
+    if (!KeeperOf(m_environment, server) || !CanHold(artifact, status))
+      continue;
     Decisions::PlacementCandidate candidate;
     candidate.server = vm;
     candidate.local = server.data_centre == m_environment.DataCentre();
@@ -137,6 +152,8 @@
     candidate.free =
         status.capacity - status.claimed - (MemoryNeeded(artifact, status) - artifact.memory);
     candidate.cache = LevelOf(status, artifact.id);
+    if (!artifact.base.Empty() && !HasClaim(status, artifact.base))
+      candidate.base_cache = LevelOf(status, artifact.base);
     candidate.replicas = static_cast<std::int64_t>(status.replicas.size());
     candidate.running = status.running;
     for (const ReplicaStatus& replica : status.replicas)
@@ -173,7 +190,8 @@
   return std::ranges::any_of(m_environment.board.Entries(), [&](const auto& item) {
     const ServerStatus& status = item.second.status;
     const Table::BackendServer* server = catalog.FindBackendServer(item.first);
-    if (!server || server->pool != artifact.pool || !TakesWork(m_environment, item.first))
+    if (!server || server->pool != artifact.pool || !CanHold(artifact, status) ||
+        !TakesWork(m_environment, item.first))
       return false;
     MegaBytes room = status.capacity - status.claimed;
     for (const ReplicaStatus& replica : status.replicas)
--- a/Source/Core/Serving/ModelHome.h
+++ b/Source/Core/Serving/ModelHome.h
@@ -33,6 +33,9 @@
                                                   std::vector<Common::VmId> servers,
                                                   Common::TimePoint deadline);
   std::vector<Decisions::PlacementCandidate> Candidates(const Table::Artifact& artifact) const;
+  /// Where an adapter can go: its base may be loaded anew, or all of the base's replicas are
+  /// claimed, and then only beside one of them.
+  bool CanHold(const Table::Artifact& artifact, const Daemons::ServerStatus& status) const;
   /// Whether some server has room once its replicas have become idle.
   bool MayGetRoom(const Table::Artifact& artifact) const;
   Common::MegaBytes MemoryNeeded(const Table::Artifact& artifact,
--- a/Tools/stack.sh
+++ b/Tools/stack.sh
@@ -6,8 +6,8 @@
 BIN="${BIN:-build/bin}"
 STACK_LOGS="${STACK_LOGS:-$(mktemp -d)}"
 STACK_PIDS=()
-PLATFORM_PORT=7200
-WEIGHT_STORE_PORT=7210
+PLATFORM_PORT="${PLATFORM_PORT:-7200}"
+WEIGHT_STORE_PORT="${WEIGHT_STORE_PORT:-7210}"
 export DRUMPOND_PEER_KEY="${DRUMPOND_PEER_KEY:-a-key-for-the-demo-only}"
 
 # start NAME COMMAND...: runs a program in the background and remembers it.
