--- a/Source/Core/Callers/Answers.cpp
+++ b/Source/Core/Callers/Answers.cpp
@@ -23,6 +23,12 @@
   return "unknown";
 }
 
+CallFailure MakeFailure(FailureKind kind, std::string detail, RunState ran,
+                        Common::Milliseconds retry_after)
+{
+  return CallFailure{{kind, std::move(detail)}, ran, retry_after};
+}
+
 int StatusOf(const CallFailure& failure)
 {
   switch (failure.failure.kind)
--- a/Source/Core/Callers/Answers.h
+++ b/Source/Core/Callers/Answers.h
@@ -31,6 +31,9 @@
   Common::Milliseconds retry_after{0};
 };
 
+CallFailure MakeFailure(Common::FailureKind kind, std::string detail, RunState ran,
+                        Common::Milliseconds retry_after = Common::Milliseconds(0));
+
 /// The HTTP status for a failure.
 int StatusOf(const CallFailure& failure);
 
--- a/Source/Core/Callers/CallContext.cpp
+++ b/Source/Core/Callers/CallContext.cpp
@@ -6,8 +6,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include <glib.h>
-
+#include "Common/Digest.h"
 #include "Common/Random.h"
 
 namespace Callers
@@ -23,15 +22,6 @@
 constexpr std::size_t MAX_REQUEST_ID = 128;
 constexpr std::string_view BEARER = "Bearer ";
 
-std::string HashKey(const std::string& key)
-{
-  char* hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256, key.c_str(),
-                                             static_cast<gssize>(key.size()));
-  std::string copy = hash;
-  g_free(hash);
-  return copy;
-}
-
 Result<Table::Service> FindService(const Table::Catalog& catalog, const Http::Exchange& exchange)
 {
   if (!catalog.HasServiceKeys())
@@ -44,7 +34,7 @@
   if (!header.starts_with(BEARER))
     return {FailureKind::Unauthorized, "expected Authorization: Bearer KEY"};
   const Table::Service* service =
-      catalog.FindServiceByKeyHash(HashKey(header.substr(BEARER.size())));
+      catalog.FindServiceByKeyHash(Common::Sha256Hex(header.substr(BEARER.size())));
   if (!service)
     return {FailureKind::Unauthorized, "no service of the table has this key"};
   return *service;
--- a/Source/Core/Callers/ChatRelay.cpp
+++ b/Source/Core/Callers/ChatRelay.cpp
@@ -39,11 +39,6 @@
   return found != headers.end() && found->second == request.Get();
 }
 
-CallFailure Fail(FailureKind kind, std::string detail, RunState ran, Milliseconds retry_after = {})
-{
-  return CallFailure{{kind, std::move(detail)}, ran, retry_after};
-}
-
 /// Keeps the last bytes of a stream, to see whether it ended with the end mark.
 class EndMarkWatch
 {
@@ -140,7 +135,7 @@
     if (kind != FailureKind::Overloaded)
       history->failed.insert(grant.Server());
     if (!MayRetry(request.context, *history))
-      co_return Fail(kind, detail, ran, RETRY_AFTER);
+      co_return MakeFailure(kind, detail, ran, RETRY_AFTER);
   }
 }
 
@@ -152,7 +147,8 @@
   {
     auto chunk = co_await stream.Read(context.Left());
     if (!chunk)
-      co_return Fail(chunk.Reason().kind, chunk.Reason().detail, RunState::Unknown, RETRY_AFTER);
+      co_return MakeFailure(chunk.Reason().kind, chunk.Reason().detail, RunState::Unknown,
+                            RETRY_AFTER);
     if (chunk->empty())
       break;
     body += *chunk;
@@ -162,8 +158,9 @@
   if (id != context.request.Get())
   {
     m_gateway.metrics.CountAttempt("crossed");
-    co_return Fail(FailureKind::Protocol, "the engine's answer is not whole or not this request's",
-                   RunState::Unknown);
+    co_return MakeFailure(FailureKind::Protocol,
+                          "the engine's answer is not whole or not this request's",
+                          RunState::Unknown);
   }
   co_return body;
 }
@@ -215,8 +212,8 @@
     history.failed.insert(opened.grant.Server());
     if (MayRetry(request.context, history))
       continue;
-    CallFailure failure =
-        Fail(FailureKind::OutcomeUnknown, "the engine broke off", RunState::Unknown, RETRY_AFTER);
+    CallFailure failure = MakeFailure(FailureKind::OutcomeUnknown, "the engine broke off",
+                                      RunState::Unknown, RETRY_AFTER);
     if (!first)
       failure.failure = first.Reason();
     m_gateway.metrics.CountRequest("chat", std::string(ToString(failure.failure.kind)));
@@ -253,8 +250,8 @@
     m_gateway.metrics.CountRequest("chat", "ok");
     co_return exchange->EndStream();
   }
-  CallFailure failure =
-      Fail(FailureKind::OutcomeUnknown, "the engine's stream ended early", RunState::Unknown);
+  CallFailure failure = MakeFailure(FailureKind::OutcomeUnknown, "the engine's stream ended early",
+                                    RunState::Unknown);
   if (!chunk)
     failure.failure = chunk.Reason();
   LogEvent(LogLevel::Warning, "chat.stream_broken",
--- a/Source/Core/Callers/Jobs.cpp
+++ b/Source/Core/Callers/Jobs.cpp
@@ -5,9 +5,9 @@
 
 #include <algorithm>
 
-#include <glib.h>
 #include <xxhash.h>
 
+#include "Common/Digest.h"
 #include "Common/Log.h"
 #include "Common/Random.h"
 #include "Decisions/Rendezvous.h"
@@ -27,6 +27,7 @@
 using Common::Task;
 using Daemons::HolderStatus;
 
+constexpr std::size_t ID_DIGITS = 32;
 constexpr int SHARDS = 16;
 constexpr std::int64_t JOB_DEADLINE_MS = 600000;
 constexpr Milliseconds STORE_PATIENCE{5000};
@@ -87,11 +88,7 @@
   if (key.empty())
     return Common::NewId("j-");
   const std::string text = service.Get() + "\n" + key;
-  char* hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text.c_str(),
-                                             static_cast<gssize>(text.size()));
-  std::string id = "j-" + std::string(hash).substr(0, 32);
-  g_free(hash);
-  return id;
+  return "j-" + Common::Sha256Hex(text).substr(0, ID_DIGITS);
 }
 
 Json Describe(const Job& job)
--- a/Source/Core/Callers/PlainServices.cpp
+++ b/Source/Core/Callers/PlainServices.cpp
@@ -5,8 +5,7 @@
 
 #include <algorithm>
 
-#include <glib.h>
-
+#include "Common/Digest.h"
 #include "Common/Log.h"
 #include "Common/Random.h"
 #include "Decisions/Rendezvous.h"
@@ -33,20 +32,6 @@
 constexpr Milliseconds RETRY_AFTER{1000};
 constexpr int STATUS_UNAVAILABLE = 503;
 
-std::string Hash(const std::string& text)
-{
-  char* hash = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text.c_str(),
-                                             static_cast<gssize>(text.size()));
-  std::string copy = hash;
-  g_free(hash);
-  return copy;
-}
-
-CallFailure Fail(FailureKind kind, std::string detail, RunState ran, Milliseconds retry_after = {})
-{
-  return CallFailure{{kind, std::move(detail)}, ran, retry_after};
-}
-
 std::string_view ToString(OnceState state)
 {
   switch (state)
@@ -75,7 +60,7 @@
 std::string OnceKey(const Common::ServiceId& caller, const std::string& service,
                     const std::string& key)
 {
-  return "once/" + caller.Get() + "/" + service + "/" + Hash(key);
+  return "once/" + caller.Get() + "/" + service + "/" + Common::Sha256Hex(key);
 }
 
 std::string HeaderOf(const Http::Headers& headers, const std::string& name)
@@ -151,7 +136,7 @@
     co_return Refuse(*exchange, refusal, {});
   }
   const OpenRequest open(m_gateway, call->context.service.id);
-  Outcome outcome = Fail(FailureKind::Unavailable, "", RunState::NotRun);
+  Outcome outcome = MakeFailure(FailureKind::Unavailable, "", RunState::NotRun);
   if (call->repeatable)
     outcome = co_await RunRepeatable(*call);
   else
@@ -211,13 +196,14 @@
   if (stream.Status() == STATUS_UNAVAILABLE && HeaderOf(stream.GetHeaders(), "x-ran") == "not_run")
   {
     m_gateway.metrics.CountAttempt("declined");
-    co_return Fail(FailureKind::Unavailable, "the service declined", RunState::NotRun, RETRY_AFTER);
+    co_return MakeFailure(FailureKind::Unavailable, "the service declined", RunState::NotRun,
+                          RETRY_AFTER);
   }
   if (HeaderOf(stream.GetHeaders(), "x-request-id") != call.context.request.Get())
   {
     m_gateway.metrics.CountAttempt("crossed");
-    co_return Fail(FailureKind::Protocol, "the service answered another request",
-                   RunState::Unknown);
+    co_return MakeFailure(FailureKind::Protocol, "the service answered another request",
+                          RunState::Unknown);
   }
   Answer answer;
   answer.status = stream.Status();
@@ -242,8 +228,8 @@
 Task<PlainServices::Outcome> PlainServices::RunRepeatable(Call call)
 {
   m_gateway.retries.OnRequest();
-  Outcome last = Fail(FailureKind::Unavailable, "no server of the service takes work",
-                      RunState::NotRun, RETRY_AFTER);
+  Outcome last = MakeFailure(FailureKind::Unavailable, "no server of the service takes work",
+                             RunState::NotRun, RETRY_AFTER);
   for (const Table::BackendServer& server : ServersFor(call))
   {
     last = co_await Send(call, server);
@@ -258,14 +244,15 @@
 /// Another server is tried only where the one before certainly did not run the call.
 Task<PlainServices::Outcome> PlainServices::SendOnce(Call call)
 {
-  Outcome last = Fail(FailureKind::Unavailable, "no server of the service takes work",
-                      RunState::NotRun, RETRY_AFTER);
+  Outcome last = MakeFailure(FailureKind::Unavailable, "no server of the service takes work",
+                             RunState::NotRun, RETRY_AFTER);
   for (const Table::BackendServer& server : ServersFor(call))
   {
     // After a freeze the deadline has passed: the caller has given up, so nothing is sent.
     if (call.context.Left().count() <= 0)
-      co_return Fail(FailureKind::DeadlineUnmeetable, "the deadline passed before it was sent",
-                     RunState::NotRun, RETRY_AFTER);
+      co_return MakeFailure(FailureKind::DeadlineUnmeetable,
+                            "the deadline passed before it was sent", RunState::NotRun,
+                            RETRY_AFTER);
     last = co_await Send(call, server);
     const auto* failure = std::get_if<CallFailure>(&last);
     if (!failure || failure->ran != RunState::NotRun)
@@ -278,8 +265,8 @@
 {
   const std::string key = OnceKey(call.context.service.id, call.service.name, call.key);
   if (!m_active.insert(key).second)
-    co_return Fail(FailureKind::Conflict, "a call with this key is under way", RunState::Unknown,
-                   RETRY_AFTER);
+    co_return MakeFailure(FailureKind::Conflict, "a call with this key is under way",
+                          RunState::Unknown, RETRY_AFTER);
   Beginning beginning = co_await Begin(call);
   const auto* started = std::get_if<Started>(&beginning);
   if (!started)
@@ -299,7 +286,7 @@
 {
   const auto& self = m_gateway.environment.membership.Self();
   OnceRecord record;
-  record.body_hash = Hash(call.method + call.path + "\n" + call.body);
+  record.body_hash = Common::Sha256Hex(call.method + call.path + "\n" + call.body);
   record.holder = self.vm;
   record.holder_incarnation = self.incarnation;
   const std::string key = OnceKey(call.context.service.id, call.service.name, call.key);
@@ -311,27 +298,29 @@
   // The record may stand although its answer was lost. Then nothing was sent, and nothing will be:
   // this request has not run, whatever a repetition with the same key is told.
   if (!outcome)
-    co_return Fail(FailureKind::Unavailable, "the platform does not answer", RunState::NotRun,
-                   RETRY_AFTER);
+    co_return MakeFailure(FailureKind::Unavailable, "the platform does not answer",
+                          RunState::NotRun, RETRY_AFTER);
   if (outcome->committed)
     co_return Started{outcome->version};
   if (outcome->conflicts.empty())
-    co_return Fail(FailureKind::Protocol, "the platform names no conflict", RunState::NotRun);
+    co_return MakeFailure(FailureKind::Protocol, "the platform names no conflict",
+                          RunState::NotRun);
   const Platform::StoredRow& row = outcome->conflicts.front();
   const auto earlier = ParseRecord(row.value);
   if (!earlier)
-    co_return Fail(FailureKind::Protocol, "the record of this key cannot be read",
-                   RunState::Unknown);
+    co_return MakeFailure(FailureKind::Protocol, "the record of this key cannot be read",
+                          RunState::Unknown);
   if (earlier->body_hash != record.body_hash)
-    co_return Fail(FailureKind::Conflict, "this key was used for another call", RunState::NotRun);
+    co_return MakeFailure(FailureKind::Conflict, "this key was used for another call",
+                          RunState::NotRun);
   co_return co_await BeginAgain(call, *earlier, row.version);
 }
 
 Task<PlainServices::Beginning> PlainServices::Begin(Call call)
 {
   if (m_gateway.environment.store.IsDown())
-    co_return Fail(FailureKind::Unavailable, "the platform does not answer", RunState::NotRun,
-                   RETRY_AFTER);
+    co_return MakeFailure(FailureKind::Unavailable, "the platform does not answer",
+                          RunState::NotRun, RETRY_AFTER);
   co_return co_await WriteStarted(call, 0);
 }
 
@@ -347,8 +336,8 @@
   case OnceState::NotRun:
     co_return co_await WriteStarted(call, version);
   case OnceState::Unknown:
-    co_return Fail(FailureKind::OutcomeUnknown, "an earlier call with this key may have run",
-                   RunState::Unknown);
+    co_return MakeFailure(FailureKind::OutcomeUnknown, "an earlier call with this key may have run",
+                          RunState::Unknown);
   case OnceState::Started:
     // This process wrote it and is not running it: the answer to its write was lost, so it gave up
     // and sent nothing.
@@ -357,12 +346,12 @@
       co_return co_await WriteStarted(call, version);
     if (membership.StatusOf(record.holder, record.holder_incarnation, Now(), &since) ==
         HolderStatus::Alive)
-      co_return Fail(FailureKind::Conflict, "a call with this key is under way", RunState::Unknown,
-                     RETRY_AFTER);
-    co_return Fail(FailureKind::OutcomeUnknown, "an earlier call with this key may have run",
-                   RunState::Unknown);
+      co_return MakeFailure(FailureKind::Conflict, "a call with this key is under way",
+                            RunState::Unknown, RETRY_AFTER);
+    co_return MakeFailure(FailureKind::OutcomeUnknown, "an earlier call with this key may have run",
+                          RunState::Unknown);
   }
-  co_return Fail(FailureKind::OutcomeUnknown, "unknown state", RunState::Unknown);
+  co_return MakeFailure(FailureKind::OutcomeUnknown, "unknown state", RunState::Unknown);
 }
 
 /// Records what became of the call. Where the platform does not answer soon, the caller gets its
@@ -371,7 +360,7 @@
 Task<bool> PlainServices::Settle(Call call, std::int64_t version, Outcome outcome)
 {
   OnceRecord record;
-  record.body_hash = Hash(call.method + call.path + "\n" + call.body);
+  record.body_hash = Common::Sha256Hex(call.method + call.path + "\n" + call.body);
   if (const auto* answer = std::get_if<Answer>(&outcome))
   {
     record.state = OnceState::Done;
--- /dev/null
+++ b/Source/Core/Common/Digest.h
@@ -0,0 +1,12 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <string>
+
+namespace Common
+{
+/// SHA-256 of the text, as 64 hexadecimal digits.
+std::string Sha256Hex(const std::string& text);
+} // namespace Common
