Serving: roles are hashed anew only where the daemons or the table changed

Cause: every 100 ms each daemon hashed all backend servers over all daemons; at 2,900 servers and 47 daemons that is 1.4 million hashes a second. Ruled out: a longer interval (a keeper's death would be noticed later).

--- a/Source/Core/Serving/Keeper.cpp
+++ b/Source/Core/Serving/Keeper.cpp
@@ -54,7 +54,16 @@
 
 void Keeper::Rebalance()
 {
+  std::erase_if(m_watches, [](const auto& item) {
+    return item.second->IsFinished();
+  });
+  auto live = m_environment.membership.LiveEverywhere(Common::Now());
   const auto catalog = m_environment.table.Share();
+  // Hashing all servers over all daemons is worth it only where one of them has changed.
+  if (live == m_live && catalog == m_catalog)
+    return;
+  m_live = std::move(live);
+  m_catalog = catalog;
   for (const auto& [vm, server] : catalog->BackendServers())
   {
     // Plain services have no engine to keep.
--- a/Source/Core/Serving/Keeper.h
+++ b/Source/Core/Serving/Keeper.h
@@ -32,6 +32,9 @@
 
   Environment& m_environment;
   std::map<Common::VmId, std::shared_ptr<ServerWatch>> m_watches;
+  /// What the present roles were computed from.
+  std::vector<Common::VmId> m_live;
+  std::shared_ptr<const Table::Catalog> m_catalog;
   Daemons::StatusReply m_last;
   Common::TimePoint m_last_bump;
 };
