Serving: time spent idle is no news, and an eviction asks the engine's last report

Cause: a keeper with a loaded replica told a new status every second, since idle time counted as a change; at 330 daemons that is 329 pulls of some 2.7 KB a second at each keeper. Ruled out: leaving idle time out (evictions need it). Whoever knows a status now counts idle time on, news of load gets rarer with the number of daemons, and the keeper refuses to evict a replica that its engine reports as in use.

--- a/Source/Core/Serving/Keeper.cpp
+++ b/Source/Core/Serving/Keeper.cpp
@@ -15,8 +15,12 @@
 using Daemons::PlaceReply;
 using Daemons::ServerStatus;
 
-/// Load figures alone are told to the other daemons at most so often.
+/// Load figures alone are told to the other daemons at most so often, and the rarer the more of
+/// them would pull.
 constexpr Milliseconds LOAD_NEWS_INTERVAL{1000};
+constexpr Milliseconds LOAD_NEWS_SHARE{200};
+/// Below so many requests a change of a server's load is no news.
+constexpr std::int64_t LOAD_STEP = 4;
 
 /// Whether the difference decides where a request may go at all.
 bool DiffersInKind(const ServerStatus& left, const ServerStatus& right)
@@ -29,6 +33,25 @@
          !std::ranges::equal(left.replicas, right.replicas, same_replica);
 }
 
+/// Whether the load differs so that a decision might too. Time spent idle is no news: it goes on by
+/// itself, and whoever knows a status counts it on.
+bool DiffersInLoad(const ServerStatus& left, const ServerStatus& right)
+{
+  const auto same_use = [](const auto& a, const auto& b) {
+    return (a.running > 0) == (b.running > 0) && a.served == b.served;
+  };
+  const std::int64_t step = std::max(LOAD_STEP, left.running / 4);
+  return std::abs(left.running - right.running) >= step ||
+         !std::ranges::equal(left.replicas, right.replicas, same_use);
+}
+
+bool DifferInLoad(const std::vector<ServerStatus>& left, const std::vector<ServerStatus>& right)
+{
+  return !std::ranges::equal(left, right, [](const ServerStatus& a, const ServerStatus& b) {
+    return !DiffersInLoad(a, b);
+  });
+}
+
 bool DifferInKind(const std::vector<ServerStatus>& left, const std::vector<ServerStatus>& right)
 {
   return !std::ranges::equal(left, right, [](const ServerStatus& a, const ServerStatus& b) {
@@ -120,13 +143,16 @@
       servers.push_back(std::move(*status));
   }
   const auto now = Common::Now();
-  const bool urgent = DifferInKind(servers, m_last.servers);
-  if (urgent || (servers != m_last.servers && now - m_last_bump >= LOAD_NEWS_INTERVAL))
+  const auto peers = static_cast<std::int64_t>(m_live.size());
+  const auto interval = std::max(LOAD_NEWS_INTERVAL, LOAD_NEWS_SHARE * peers);
+  const bool urgent = DifferInKind(servers, m_announced);
+  if (urgent || (now - m_last_bump >= interval && DifferInLoad(servers, m_announced)))
   {
-    m_last.servers = std::move(servers);
+    m_announced = servers;
     ++m_last.state_version;
     m_last_bump = now;
   }
+  m_last.servers = std::move(servers);
   return m_last;
 }
 } // namespace Serving
--- a/Source/Core/Serving/Keeper.h
+++ b/Source/Core/Serving/Keeper.h
@@ -36,6 +36,8 @@
   std::vector<Common::VmId> m_live;
   std::shared_ptr<const Table::Catalog> m_catalog;
   Daemons::StatusReply m_last;
+  /// The statuses of the last version that the heartbeat told.
+  std::vector<Daemons::ServerStatus> m_announced;
   Common::TimePoint m_last_bump;
 };
 } // namespace Serving
--- a/Source/Core/Serving/ModelHome.cpp
+++ b/Source/Core/Serving/ModelHome.cpp
@@ -158,14 +158,14 @@
     candidate.running = status.running;
     for (const ReplicaStatus& replica : status.replicas)
     {
+      const Milliseconds idle_time = ServerBoard::IdleTime(*entry, replica, Now());
       const bool needed_as_base =
           replica.artifact == artifact.base ||
           std::ranges::any_of(status.replicas, [&](const ReplicaStatus& other) {
             const Table::Artifact* above = catalog.FindArtifact(other.artifact);
             return above && above->base == replica.artifact;
           });
-      const bool idle =
-          replica.running == 0 && replica.idle_ms >= m_environment.timing.min_idle.count();
+      const bool idle = replica.running == 0 && idle_time >= m_environment.timing.min_idle;
       if (replica.state != ReplicaState::Loaded || needed_as_base || !idle)
         continue;
       const Table::Artifact* of = catalog.FindArtifact(replica.artifact);
@@ -174,9 +174,9 @@
       evictable.claim = replica.claim;
       evictable.artifact = replica.artifact;
       evictable.memory = replica.memory;
-      evictable.idle = Milliseconds(replica.idle_ms);
+      evictable.idle = idle_time;
       evictable.loss = weight * static_cast<double>(1 + replica.served) * 1000.0 /
-                       (1000.0 + static_cast<double>(replica.idle_ms));
+                       (1000.0 + static_cast<double>(idle_time.count()));
       candidate.evictable.push_back(evictable);
     }
     candidates.push_back(std::move(candidate));
--- a/Source/Core/Serving/ServerBoard.cpp
+++ b/Source/Core/Serving/ServerBoard.cpp
@@ -93,6 +93,15 @@
   return found == m_entries.end() ? nullptr : &found->second;
 }
 
+Common::Milliseconds ServerBoard::IdleTime(const Entry& entry, const ReplicaStatus& replica,
+                                           TimePoint now)
+{
+  if (replica.running > 0)
+    return Common::Milliseconds(0);
+  return Common::Milliseconds(replica.idle_ms) +
+         std::chrono::duration_cast<Common::Milliseconds>(now - entry.heard);
+}
+
 bool ServerBoard::TakesWork(const VmId& server) const
 {
   const Entry* entry = Find(server);
--- a/Source/Core/Serving/ServerBoard.h
+++ b/Source/Core/Serving/ServerBoard.h
@@ -40,6 +40,9 @@
                   Common::TimePoint now);
 
   const Entry* Find(const Common::VmId& server) const;
+  /// For how long a replica has been idle: what its status said, counted on since then.
+  static Common::Milliseconds IdleTime(const Entry& entry, const Daemons::ReplicaStatus& replica,
+                                       Common::TimePoint now);
   const std::map<Common::VmId, Entry>& Entries() const { return m_entries; }
   bool IsLeaving(const Common::VmId& server) const { return m_leaving.contains(server); }
   /// Whether the server may get new work at all.
--- a/Source/Core/Serving/ServerWatch.h
+++ b/Source/Core/Serving/ServerWatch.h
@@ -77,6 +77,8 @@
   /// The server's VM was taken away by the platform.
   bool IsGone() const;
   bool IsCached(const Common::ArtifactId& id) const;
+  /// By the engine's last report, the replica of the claim is not idle.
+  bool IsInUse(const Common::ClaimId& id) const;
   bool HasUnsettledClaims() const;
   bool IsSurplus(const Claim& claim) const;
   bool HasLoadedAdapter(const Common::ArtifactId& base) const;
--- a/Source/Core/Serving/ServerWatchOrders.cpp
+++ b/Source/Core/Serving/ServerWatchOrders.cpp
@@ -56,6 +56,9 @@
     co_return Refuse({FailureKind::NotFound, "the table has no " + order.artifact.Get()});
   for (const ClaimId& id : order.evict)
   {
+    // The home decided by news that may be old; the engine's last report is newer.
+    if (IsInUse(id))
+      co_return Refuse({FailureKind::Overloaded, "a replica to evict is in use again"});
     const auto evicted = co_await Unload(id);
     if (!evicted)
       co_return Refuse(evicted.Reason());
@@ -386,6 +389,15 @@
                                                 m_environment.timing.order_timeout);
 }
 
+bool ServerWatch::IsInUse(const ClaimId& id) const
+{
+  const auto& claims = m_ledger.Row().claims;
+  const auto claim = std::ranges::find(claims, id, &Claim::id);
+  const BackendServers::LoadedArtifact* reported =
+      claim == claims.end() ? nullptr : Reported(claim->artifact);
+  return reported && (reported->running > 0 || reported->idle < m_environment.timing.min_idle);
+}
+
 bool ServerWatch::IsCached(const ArtifactId& id) const
 {
   const auto holds = [&id](const std::vector<ArtifactId>& ids) {
--- a/Source/LoadTool/Main.cpp
+++ b/Source/LoadTool/Main.cpp
@@ -27,6 +27,9 @@
 using Common::Task;
 using Common::TimePoint;
 
+/// Enough to see the end mark of a stream.
+constexpr std::size_t TAIL_BYTES = 16;
+
 struct Options
 {
   std::vector<std::string> targets;
@@ -206,7 +209,9 @@
       for (std::size_t at = chunk->find("data: "); at != std::string::npos;
            at = chunk->find("data: ", at + 1))
         ++m_measured.tokens;
-      tail = chunk->size() > 16 ? chunk->substr(chunk->size() - 16) : tail + *chunk;
+      tail += *chunk;
+      if (tail.size() > TAIL_BYTES)
+        tail.erase(0, tail.size() - TAIL_BYTES);
     }
     Count(tail.ends_with("[DONE]\n\n") ? "ok" : "broken");
   }
