--- /dev/null
+++ b/Tools/check-docs.sh
@@ -0,0 +1,37 @@
+#!/usr/bin/env bash
+# SPDX-FileCopyrightText: 2026 The drumpond developers
+# SPDX-License-Identifier: Apache-2.0
+#
+# Runs each command that a code block of the docs shows for `drumpond` or `drumpondd`, against a
+# daemon of its own, and checks that each tool that the docs name is there. Ends in "N passed, N failed".
+set -uo pipefail
+cd "$(dirname "$0")/.."
+source Tools/stack.sh
+trap stop_stack EXIT
+PLATFORM_PORT=7240
+export DRUMPOND_ADDRESS=127.0.0.1:7642 PATH="$PWD/$BIN:$PATH"
+WORK=$(mktemp -d)
+
+start platform "$BIN/standin-platform" --port "$PLATFORM_PORT"
+wait_for "http://127.0.0.1:$PLATFORM_PORT/control"
+start entry-1 "$BIN/drumpondd" --vm entry-1 --data-centre charguia-hall --listen 127.0.0.1:7542 \
+  --operators "$DRUMPOND_ADDRESS" --peers-listen 127.0.0.1:7742 --platform "http://127.0.0.1:$PLATFORM_PORT"
+wait_for "http://$DRUMPOND_ADDRESS/readyz"
+cp -r examples "$WORK/"
+cd "$WORK"
+
+passed=0
+failed=0
+judge() {
+  if [ "$1" -eq 0 ]; then passed=$((passed + 1)); else failed=$((failed + 1)); echo "FAIL doc command: $2"; fi
+}
+while read -r command; do
+  bash -c "$command" >"$WORK/out.txt" 2>&1
+  judge $? "$command"
+done < <(awk '/^```/ {inside = !inside} inside && /^drumpond/' "$OLDPWD"/docs/*.md "$OLDPWD"/README.md)
+while read -r tool; do
+  [ -x "$OLDPWD/$tool" ]
+  judge $? "$tool"
+done < <(grep -ohE 'Tools/[a-z-]+\.sh' "$OLDPWD"/docs/*.md "$OLDPWD"/*.md | sort -u)
+echo "$passed passed, $failed failed"
+[ "$failed" -eq 0 ]
