Serving: a keeper without room at this moment is waited for

Cause: since evictions ask the engine's last report, a keeper may answer 'in use again'; the home counted that as a failed placement and refused after 8 of them, 0.4 s, below the 0.5 s after which a replica may be evicted. Conclusion: it is treated like any lack of room: waited for within the deadline.

--- a/Source/Core/Serving/ModelHome.cpp
+++ b/Source/Core/Serving/ModelHome.cpp
@@ -269,6 +269,10 @@
       co_return co_await WaitForReplica(artifact.id, placed.holders, deadline);
     if (placed.failure == FailureKind::DeadlineUnmeetable)
       break;
+    // The server has no room at this moment, as the keeper knows better than the board: that is
+    // waited for like any lack of room, and is no failed placement.
+    if (placed.failure == FailureKind::Overloaded)
+      --attempts;
     co_await Common::Sleep{RETRY_PAUSE};
   }
   if (placed.failure == FailureKind::None)
