Serving: the history is read up to the newest edit

Cause: a daemon answered the history up to the revision that it had, so an edit accepted elsewhere a moment ago was missing. Ruled out: a lost edit; the head in the platform had moved. Conclusion: the daemon looks at the platform's head first, where the history lies anyway.

--- a/Source/Core/Serving/TableFollower.cpp
+++ b/Source/Core/Serving/TableFollower.cpp
@@ -321,6 +321,10 @@
 
 Task<Result<std::vector<Table::Change>>> TableFollower::History(std::int64_t count)
 {
+  // The history lies in the platform: what was accepted elsewhere a moment ago belongs to it too.
+  const auto refreshed = co_await Refresh();
+  if (!refreshed)
+    co_return refreshed.Reason();
   const std::int64_t last = m_revision.Get();
   const std::int64_t first = std::max<std::int64_t>(1, last - count + 1);
   auto changes = co_await ReadChanges(first, last);
