--- a/Scenarios/20-failures.lua
+++ b/Scenarios/20-failures.lua
@@ -5,20 +5,11 @@
 
 local World = require("world")
 
--- Chats for all models at all daemons, spread over `spread_ms`.
-local function storm(w, count, spread_ms, options)
-  for number = 1, count do
-    local index = (number - 1) % #w.daemons + 1
-    if not w.daemons[index].down then w:chat(index, "m" .. ((number - 1) // #w.daemons + number) % 6 + 1, options) end
-    if spread_ms then sleep(math.max(1, spread_ms // count)) end
-  end
-end
-
 scenario("engine-dies-in-the-middle-of-a-load", function()
   local w = World.new{engines = 3}
   w:control(w.engines[1], {die_in_load = true})
   w:control(w.engines[2], {die_in_load = true})
-  storm(w, 12)
+  w:storm(12)
   wait_until(8000, "an engine has died", function()
     return ended(w.engines[1].pid) or ended(w.engines[2].pid)
   end)
@@ -33,7 +24,7 @@
 
 scenario("daemon-dies-in-the-middle-of-a-load", function()
   local w = World.new{engines = 2, store_flags = {"--load-ms", "600"}}
-  storm(w, 6)
+  w:storm(6)
   wait_until(5000, "a load is under way", function() return w:ledger().fetches > 0 end)
   local keeper = w:keeper_of(w:claims()[1].server)
   w:kill(keeper)
@@ -64,12 +55,7 @@
 scenario("frozen-daemon-acts-late-on-an-engine-that-ignores", function()
   local w = World.new{engines = 1, ignore_fencing = true, models = {m1 = {memory_mb = 50000, replicas = 1},
     m2 = {memory_mb = 50000, replicas = 1}}}
-  w:control(w.engines[1], {order_delay_ms = 3000})
-  local doomed = w:chat(1, "m1", {deadline_ms = 5000})
-  wait_until(5000, "the claim stands", function() return #w:claims() > 0 end)
-  sleep(150)
-  w:control(w.engines[1], {order_delay_ms = 0})
-  local keeper = w:daemon_of(w:claims()[1].claim.holder)
+  local doomed, keeper = w:hold_first_order(5000)
   signal(keeper.pid, "STOP")
   local other = w.daemons[keeper.index % 3 + 1]
   for _ = 1, 6 do
@@ -106,14 +92,9 @@
 scenario("order-of-unknown-outcome-stays-counted-in-quarantine", function()
   local w = World.new{engines = 1, ignore_fencing = true, models = {m1 = {memory_mb = 50000, replicas = 1},
     m2 = {memory_mb = 50000, replicas = 1}}}
-  w:control(w.engines[1], {order_delay_ms = 3000})
-  w:chat(1, "m1", {deadline_ms = 2500})
-  wait_until(5000, "the claim stands", function() return #w:claims() > 0 end)
-  sleep(150)
-  local keeper = w:daemon_of(w:claims()[1].claim.holder)
+  local _, keeper = w:hold_first_order(2500)
   w:kill(keeper)
   local other = w.daemons[keeper.index % 3 + 1]
-  w:control(w.engines[1], {order_delay_ms = 0})
   for _ = 1, 5 do
     w:chat(other.index, "m2", {deadline_ms = 2000})
     sleep(400)
@@ -127,12 +108,7 @@
 scenario("order-of-a-restarted-daemon-settles-late", function()
   local w = World.new{engines = 1, ignore_fencing = true, daemon_flags = {"--order-settle-ms", "4000"},
     models = {m1 = {memory_mb = 50000, replicas = 1}, m2 = {memory_mb = 50000, replicas = 1}}}
-  w:control(w.engines[1], {order_delay_ms = 3000})
-  w:chat(1, "m1", {deadline_ms = 2500})
-  wait_until(5000, "the claim stands", function() return #w:claims() > 0 end)
-  sleep(150)
-  w:control(w.engines[1], {order_delay_ms = 0})
-  local holder = w:daemon_of(w:claims()[1].claim.holder)
+  local _, holder = w:hold_first_order(2500)
   w:kill(holder)
   w:restart_daemon(holder)
   local other = w.daemons[holder.index % 3 + 1]
@@ -149,7 +125,7 @@
 scenario("lost-answers-of-the-platform", function()
   local w = World.new{engines = 3, services = 1}
   w:platform_control{lose_answers = 3}
-  storm(w, 12)
+  w:storm(12)
   for _, sent in ipairs(w.sent) do w:ok(sent) end
   w:platform_control{lose_answers = 2}
   local label = w:label(1, "parcel-7")
@@ -185,7 +161,7 @@
 scenario("slow-platform", function()
   local w = World.new{engines = 3, services = 1}
   w:platform_control{slow_ms = 250}
-  storm(w, 9, nil, {deadline_ms = 15000})
+  w:storm(9, {deadline_ms = 15000})
   for _, sent in ipairs(w.sent) do w:ok(sent) end
   w:ok(w:label(1, "parcel-9"))
   w:platform_control{slow_ms = 0}
--- a/Scenarios/40-pairs.lua
+++ b/Scenarios/40-pairs.lua
@@ -5,13 +5,6 @@
 
 local World = require("world")
 
-local function storm(w, count, options)
-  for number = 1, count do
-    local index = (number - 1) % #w.daemons + 1
-    if not w.daemons[index].down then w:chat(index, "m" .. ((number - 1) // #w.daemons + number) % 6 + 1, options) end
-  end
-end
-
 local function three_halls(options)
   options.data_centres = {"a", "b", "c"}
   options.daemons = 6
@@ -52,7 +45,7 @@
   local w = three_halls{}
   w:cut_off("a", true, false)
   sleep(1000)
-  storm(w, 24, {deadline_ms = 6000})
+  w:storm(24, {deadline_ms = 6000})
   w:check_promises()
   w:cut_off("a", false, false)
   wait_until(8000, "joined", function()
@@ -81,21 +74,21 @@
 
 scenario("pair-freeze-and-engine-restart", function()
   local w = World.new{engines = 2, ignore_fencing = true}
-  storm(w, 6)
+  w:storm(6)
   sleep(60)
   signal(w.daemons[1].pid, "STOP")
   w:kill(w.engines[1])
   w:restart_engine(w.engines[1])
   sleep(1500)
   signal(w.daemons[1].pid, "CONT")
-  storm(w, 6)
+  w:storm(6)
   w:check_promises()
 end)
 
 scenario("pair-lost-answer-twice-and-freeze", function()
   local w = World.new{engines = 2, services = 1}
   w:platform_control{lose_answers = 2}
-  storm(w, 6)
+  w:storm(6)
   w:label(1, "parcel-21")
   sleep(30)
   signal(w.daemons[2].pid, "STOP")
@@ -110,7 +103,7 @@
 scenario("pair-daemon-dies-twice", function()
   local w = World.new{engines = 2}
   for round = 1, 2 do
-    storm(w, 6)
+    w:storm(6)
     sleep(50)
     w:kill(w.daemons[2])
     sleep(200)
@@ -124,7 +117,7 @@
 scenario("pair-slow-store-and-daemon-death", function()
   local w = World.new{engines = 2}
   call{method = "POST", url = w.store .. "/control", body = encode{speed = 0.2}}
-  storm(w, 9, {deadline_ms = 6000})
+  w:storm(9, {deadline_ms = 6000})
   sleep(100)
   w:kill(w.daemons[3])
   w:check_promises()
@@ -157,7 +150,7 @@
 scenario("pair-two-engines-die-while-the-platform-is-slow", function()
   local w = World.new{engines = 3}
   w:platform_control{slow_ms = 100}
-  storm(w, 12, {deadline_ms = 6000})
+  w:storm(12, {deadline_ms = 6000})
   sleep(300)
   w:kill(w.engines[1])
   w:kill(w.engines[2])
--- a/Scenarios/Library/world.lua
+++ b/Scenarios/Library/world.lua
@@ -320,6 +320,25 @@
   return sent
 end
 
+-- Chats for all models at all live daemons; each daemon asks for each model in turn.
+function World:storm(count, options)
+  for number = 1, count do
+    local index = (number - 1) % #self.daemons + 1
+    local model = "m" .. ((number - 1) // #self.daemons + number) % 6 + 1
+    if not self.daemons[index].down then self:chat(index, model, options) end
+  end
+end
+
+-- A first chat for m1 whose load order is held back for 3 s; gives the chat and the order's sender.
+function World:hold_first_order(deadline_ms)
+  self:control(self.engines[1], {order_delay_ms = 3000})
+  local sent = self:chat(1, "m1", {deadline_ms = deadline_ms})
+  wait_until(5000, "the claim stands", function() return #self:claims() > 0 end)
+  sleep(150)
+  self:control(self.engines[1], {order_delay_ms = 0})
+  return sent, self:daemon_of(self:claims()[1].claim.holder)
+end
+
 function World:label(index, key, options)
   options = options or {}
   local id = new_request_id()
--- a/Source/Core/Callers/PlainServices.cpp
+++ b/Source/Core/Callers/PlainServices.cpp
@@ -63,6 +63,12 @@
   return "once/" + caller.Get() + "/" + service + "/" + Common::Sha256Hex(key);
 }
 
+/// Tells two calls with the same key apart.
+std::string BodyHash(const std::string& method, const std::string& path, const std::string& body)
+{
+  return Common::Sha256Hex(method + path + "\n" + body);
+}
+
 std::string HeaderOf(const Http::Headers& headers, const std::string& name)
 {
   const auto found = headers.find(name);
@@ -286,7 +292,7 @@
 {
   const auto& self = m_gateway.environment.membership.Self();
   OnceRecord record;
-  record.body_hash = Common::Sha256Hex(call.method + call.path + "\n" + call.body);
+  record.body_hash = BodyHash(call.method, call.path, call.body);
   record.holder = self.vm;
   record.holder_incarnation = self.incarnation;
   const std::string key = OnceKey(call.context.service.id, call.service.name, call.key);
@@ -360,7 +366,7 @@
 Task<bool> PlainServices::Settle(Call call, std::int64_t version, Outcome outcome)
 {
   OnceRecord record;
-  record.body_hash = Common::Sha256Hex(call.method + call.path + "\n" + call.body);
+  record.body_hash = BodyHash(call.method, call.path, call.body);
   if (const auto* answer = std::get_if<Answer>(&outcome))
   {
     record.state = OnceState::Done;
