--- a/CMake/Dependencies.cmake
+++ b/CMake/Dependencies.cmake
@@ -14,6 +14,7 @@
 find_package(prometheus-cpp CONFIG REQUIRED COMPONENTS core)
 find_package(cxxopts REQUIRED)
 find_library(CSV_LIBRARY csv REQUIRED)
+find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
 
 # One static library for each package below Source/Core.
 function(drumpond_package name)
--- /dev/null
+++ b/Source/Core/Common/Reactor.h
@@ -0,0 +1,90 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+#include "Common/Units.h"
+
+namespace Common
+{
+/// Receives the readiness of one descriptor.
+class DescriptorHandler
+{
+public:
+  virtual ~DescriptorHandler() = default;
+  /// `events` are the bits of epoll(7).
+  virtual void OnDescriptorEvents(std::uint32_t events) = 0;
+};
+
+/// One source on the GLib main loop for all sockets and short timers of the data plane. GLib looks
+/// at each of its sources at every turn; with hundreds of sockets that is what a turn costs. Here
+/// the sockets stand in one epoll set and the timers in one ordered map, so a turn costs as much as
+/// there is to do.
+class Reactor
+{
+public:
+  using TimerId = std::uint64_t;
+
+  static Reactor& Get();
+
+  Reactor();
+  Reactor(const Reactor&) = delete;
+  Reactor& operator=(const Reactor&) = delete;
+
+  /// Watches `fd` until `Unwatch`. The id changes with every call, so an event that was already
+  /// collected never reaches the handler of a descriptor that was closed meanwhile.
+  std::uint64_t Watch(int fd, std::uint32_t events, DescriptorHandler* handler);
+  void Rearm(std::uint64_t watch, int fd, std::uint32_t events);
+  void Unwatch(std::uint64_t watch, int fd);
+
+  TimerId After(Milliseconds delay, std::function<void()> callback);
+  void Cancel(TimerId& timer);
+
+  /// Called by the GLib source.
+  bool Prepare(int* timeout_ms) const;
+  void Dispatch();
+
+  /// The longest time by which a timer fired late since the last call of this function.
+  Milliseconds TakeWorstDelay();
+
+private:
+  struct Timer
+  {
+    TimerId id;
+    std::function<void()> callback;
+  };
+
+  void RunTimers();
+  void RunDescriptors();
+
+  int m_epoll = -1;
+  std::uint64_t m_next_watch = 1;
+  TimerId m_next_timer = 1;
+  std::unordered_map<std::uint64_t, DescriptorHandler*> m_watches;
+  std::multimap<TimePoint, Timer> m_timers;
+  std::unordered_map<TimerId, std::multimap<TimePoint, Timer>::iterator> m_timer_index;
+  Milliseconds m_worst_delay{0};
+};
+
+/// A timer that is cancelled when its owner goes.
+class OwnedTimer
+{
+public:
+  OwnedTimer() = default;
+  ~OwnedTimer() { Stop(); }
+  OwnedTimer(const OwnedTimer&) = delete;
+  OwnedTimer& operator=(const OwnedTimer&) = delete;
+
+  void Start(Milliseconds delay, std::function<void()> callback);
+  void Stop() { Reactor::Get().Cancel(m_id); }
+  bool Running() const { return m_id != 0; }
+
+private:
+  Reactor::TimerId m_id = 0;
+};
+} // namespace Common
--- /dev/null
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -0,0 +1,224 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/Dispatcher.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "Common/Log.h"
+#include "Common/Random.h"
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// While requests wait, pauses of servers run out without an event: so often they are looked at.
+constexpr Milliseconds PUMP_INTERVAL{40};
+/// Requests at once on a server without a model engine, in its slots: a few wait there, so that a
+/// slot that frees itself is taken at once.
+constexpr int PLAIN_SLOTS_FACTOR = 2;
+} // namespace
+
+Dispatcher::Dispatcher(DispatcherSettings settings)
+{
+  Configure(std::move(settings));
+  m_servers.OnChange([this] {
+    WakeWaiting();
+  });
+}
+
+void Dispatcher::Configure(DispatcherSettings settings)
+{
+  m_settings = std::move(settings);
+  m_budget.Configure(m_settings.budget);
+}
+
+void Dispatcher::SetConfiguration(std::shared_ptr<const Configuration> configuration)
+{
+  if (m_configuration && configuration->version <= m_configuration->version)
+    return;
+  Common::LogEvent(Common::LogLevel::Info, "configuration",
+                   {{"version", configuration->version},
+                    {"before", m_configuration ? m_configuration->version : 0},
+                    {"routes", configuration->routes.size()}});
+  m_configuration = std::move(configuration);
+  m_limits = m_configuration->limits;
+  WakeWaiting();
+}
+
+void Dispatcher::Adopt(int fd)
+{
+  const auto connection = Http::ServerConnection::Adopt(fd, *this);
+  m_connections.emplace(connection.get(), connection);
+  connection->OnFinished([this](Http::ServerConnection* finished) {
+    m_connections.erase(finished);
+  });
+}
+
+void Dispatcher::OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
+                           Http::ReceivedRequest request)
+{
+  if (m_refusing)
+  {
+    connection->Respond(503, Http::ReasonPhrase(503), {{"Retry-After", "0.1"}}, "");
+    return;
+  }
+  auto relay = std::make_shared<Relay>(*this, connection, std::move(request));
+  m_relays.emplace(relay.get(), relay);
+  relay->Start();
+}
+
+void Dispatcher::Finished(Relay* relay)
+{
+  const bool any_waiting = std::ranges::any_of(m_relays, [](const auto& entry) {
+    return entry.second->IsWaiting();
+  });
+  m_relays.erase(relay);
+  if (any_waiting)
+    WakeWaiting();
+}
+
+void Dispatcher::NoteArrival(const Relay& relay)
+{
+  m_budget.NoteRequest(relay.WantedPool(), Common::Now());
+  if (!relay.Wanted().model.Empty())
+    ++m_arrivals[{relay.WantedPool(), relay.Wanted()}];
+}
+
+std::int64_t Dispatcher::LimitFor(const Server& server) const
+{
+  const auto pool = m_configuration->pools.find(server.Entry().pool);
+  const bool has_engine = pool != m_configuration->pools.end() && pool->second.engine;
+  const int factor = has_engine ? 1 : PLAIN_SLOTS_FACTOR;
+  return server.Entry().slots * factor - server.RemoteInFlight();
+}
+
+ServerPtr Dispatcher::ChooseServer(const Relay& relay)
+{
+  const auto now = Common::Now();
+  const auto& tried = relay.TriedServers();
+  const bool only_tried = static_cast<int>(tried.size()) >= relay.MatchedRoute().max_servers;
+  std::vector<ServerPtr> servers;
+  std::vector<Decisions::RouteCandidate> candidates;
+  for (const auto& [instance, server] : m_servers.All())
+  {
+    if (server->Entry().pool != relay.WantedPool() || !server->IsAvailable(now) ||
+        !server->Holds(relay.Wanted(), now) || tried.contains(instance) != only_tried)
+      continue;
+    Decisions::RouteCandidate candidate;
+    candidate.server = Common::VmId(instance.Get());
+    candidate.local = server->Entry().data_centre == m_settings.data_centre;
+    candidate.reported_running = server->Load();
+    candidate.own_running = server->InFlight();
+    candidate.limit = LimitFor(*server);
+    candidates.push_back(std::move(candidate));
+    servers.push_back(server);
+  }
+  const auto chosen = m_routing.Choose(candidates, relay.AffinityKey(), Common::SharedRandom());
+  return chosen ? servers[*chosen] : nullptr;
+}
+
+bool Dispatcher::IsHeldAnywhere(const PoolId& pool, const Artifact& artifact) const
+{
+  const auto now = Common::Now();
+  return std::ranges::any_of(m_servers.All(), [&](const auto& entry) {
+    const Server& server = *entry.second;
+    return server.Entry().pool == pool && !server.Entry().draining && server.Holds(artifact, now);
+  });
+}
+
+void Dispatcher::WakeWaiting()
+{
+  if (std::exchange(m_pump_asked, true))
+    return;
+  Common::Reactor::Get().After(Milliseconds(0), [this] {
+    m_pump_asked = false;
+    PumpWaiting();
+  });
+}
+
+void Dispatcher::PumpWaiting()
+{
+  std::vector<std::shared_ptr<Relay>> waiting;
+  for (const auto& [key, relay] : m_relays)
+    if (relay->IsWaiting())
+      waiting.push_back(relay);
+  std::ranges::sort(waiting, {}, [](const auto& relay) {
+    return std::pair(relay->Priority(), relay->ArrivedAt());
+  });
+  for (const auto& relay : waiting)
+    relay->TryDispatch();
+  const bool still_waiting = std::ranges::any_of(waiting, [](const auto& relay) {
+    return relay->IsWaiting();
+  });
+  if (still_waiting && !m_pump_asked)
+  {
+    m_pump_asked = true;
+    Common::Reactor::Get().After(PUMP_INTERVAL, [this] {
+      m_pump_asked = false;
+      PumpWaiting();
+    });
+  }
+}
+
+void Dispatcher::RequestDemand()
+{
+  WakeWaiting();
+  if (m_on_demand)
+    m_on_demand();
+}
+
+std::vector<ArtifactDemand> Dispatcher::TakeDemand()
+{
+  std::map<std::pair<PoolId, Artifact>, ArtifactDemand> demand;
+  const auto at = [&](const PoolId& pool, const Artifact& artifact) -> ArtifactDemand& {
+    ArtifactDemand& entry = demand[{pool, artifact}];
+    entry.pool = pool;
+    entry.artifact = artifact;
+    return entry;
+  };
+  const auto now = Common::Now();
+  for (const auto& [key, relay] : m_relays)
+  {
+    if (!relay->IsWaiting() || relay->Wanted().model.Empty())
+      continue;
+    ArtifactDemand& entry = at(relay->WantedPool(), relay->Wanted());
+    ++entry.waiting;
+    entry.priority = std::min(entry.priority, relay->Priority());
+    entry.oldest_wait = std::max(
+        entry.oldest_wait, std::chrono::duration_cast<Milliseconds>(now - relay->ArrivedAt()));
+  }
+  for (const auto& [key, count] : m_arrivals)
+    at(key.first, key.second).arrivals = count;
+  m_arrivals.clear();
+  std::vector<ArtifactDemand> result;
+  std::ranges::transform(demand, std::back_inserter(result), [](auto& entry) {
+    return std::move(entry.second);
+  });
+  return result;
+}
+
+void Dispatcher::BeginStop()
+{
+  m_stopping = true;
+}
+
+void Dispatcher::CloseIdleConnections()
+{
+  m_refusing = true;
+  const auto connections = m_connections;
+  for (const auto& [key, connection] : connections)
+    connection->CloseIfIdle();
+}
+
+void Dispatcher::GiveUpAll()
+{
+  const auto relays = m_relays;
+  for (const auto& [key, relay] : relays)
+    relay->GiveUpForStop();
+}
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -0,0 +1,114 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "Decisions/Routing.h"
+#include "Gateway/Relay.h"
+#include "Gateway/RetryBudget.h"
+#include "Gateway/ServerDirectory.h"
+#include "Gateway/Types.h"
+#include "Http/ServerConnection.h"
+
+namespace Gateway
+{
+/// Waiting and running requests for one artifact at this daemon.
+struct ArtifactDemand
+{
+  PoolId pool;
+  Artifact artifact;
+  int waiting = 0;
+  int priority = 9;                     ///< The most urgent of those that wait.
+  Common::Milliseconds oldest_wait{0};
+  int arrivals = 0;                     ///< Since the demand was last taken.
+};
+
+struct DispatcherSettings
+{
+  Common::DataCentreId data_centre; ///< Of this daemon.
+  HeaderNames names;
+  RetryBudgetSettings budget;
+};
+
+/// Counters of what became of requests.
+struct DispatcherCounters
+{
+  std::map<Outcome, std::int64_t> outcomes;
+  std::int64_t attempts = 0;
+  std::int64_t repeats = 0;
+  std::int64_t resumed = 0;
+};
+
+/// Takes callers' requests, matches them with backend servers, and holds those that wait.
+class Dispatcher : public Http::RequestHandler
+{
+public:
+  explicit Dispatcher(DispatcherSettings settings);
+
+  void Configure(DispatcherSettings settings);
+  void SetConfiguration(std::shared_ptr<const Configuration> configuration);
+  const std::shared_ptr<const Configuration>& CurrentConfiguration() const
+  {
+    return m_configuration;
+  }
+  ServerDirectory& Servers() { return m_servers; }
+  const ServerDirectory& Servers() const { return m_servers; }
+  RetryBudget& Budget() { return m_budget; }
+  const DispatcherSettings& Settings() const { return m_settings; }
+  DispatcherCounters& Counters() { return m_counters; }
+
+  /// Called when requests wait for an artifact that no server is known to hold.
+  void OnDemand(std::function<void()> callback) { m_on_demand = std::move(callback); }
+  /// What is wanted now; arrivals are counted anew afterwards.
+  std::vector<ArtifactDemand> TakeDemand();
+
+  void Adopt(int fd);
+  /// From now on answers announce the close of their connection.
+  void BeginStop();
+  /// Closes connections without an open request and refuses new requests.
+  void CloseIdleConnections();
+  /// Gives up all open requests.
+  void GiveUpAll();
+  std::size_t OpenRequests() const { return m_relays.size(); }
+
+  void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
+                 Http::ReceivedRequest request) override;
+  const Http::ServerLimits& Limits() const override { return m_limits; }
+  bool IsStopping() const override { return m_stopping; }
+
+  // For relays.
+  ServerPtr ChooseServer(const Relay& relay);
+  /// True where some server in the pool holds the artifact, whether or not it has room.
+  bool IsHeldAnywhere(const PoolId& pool, const Artifact& artifact) const;
+  void NoteArrival(const Relay& relay);
+  /// A waiting request may go on; runs once from the main loop, however often it is asked for.
+  void WakeWaiting();
+  void RequestDemand();
+  void Finished(Relay* relay);
+
+private:
+  void PumpWaiting();
+  std::int64_t LimitFor(const Server& server) const;
+
+  DispatcherSettings m_settings;
+  std::shared_ptr<const Configuration> m_configuration;
+  Http::ServerLimits m_limits;
+  ServerDirectory m_servers;
+  RetryBudget m_budget;
+  Decisions::AffinityRouting m_routing;
+  std::map<Relay*, std::shared_ptr<Relay>> m_relays;
+  std::map<Http::ServerConnection*, std::shared_ptr<Http::ServerConnection>> m_connections;
+  std::map<std::pair<PoolId, Artifact>, int> m_arrivals;
+  std::function<void()> m_on_demand;
+  DispatcherCounters m_counters;
+  bool m_pump_asked = false;
+  bool m_stopping = false;
+  bool m_refusing = false;
+};
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -0,0 +1,140 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/EntryPoint.h"
+
+#include <csignal>
+
+#include <glib-unix.h>
+#include <glib.h>
+
+#include "Common/Log.h"
+#include "Common/Loop.h"
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// The balancer asks every second and takes a daemon out after two misses: until then new
+/// connections come, and they are served.
+constexpr Milliseconds NOTICE{3000};
+/// How often a stopping process looks whether its last request is done.
+constexpr Milliseconds STOP_POLL{50};
+/// What is left of the grace time when open requests are given up, so that their callers still hear
+/// of it.
+constexpr Milliseconds STOP_MARGIN{400};
+
+GMainLoop* MainLoop()
+{
+  static GMainLoop* s_loop = g_main_loop_new(nullptr, FALSE);
+  return s_loop;
+}
+
+void OnSignal(int number, std::function<void()> callback)
+{
+  const auto run = [](gpointer data) -> gboolean {
+    (*static_cast<std::function<void()>*>(data))();
+    return G_SOURCE_CONTINUE;
+  };
+  // Lives as long as the process.
+  g_unix_signal_add(number, run, new std::function<void()>(std::move(callback)));
+}
+} // namespace
+
+void ProbeResponder::Adopt(int fd)
+{
+  const auto connection = Http::ServerConnection::Adopt(fd, *this);
+  m_connections.emplace(connection.get(), connection);
+  connection->OnFinished([this](Http::ServerConnection* finished) {
+    m_connections.erase(finished);
+  });
+}
+
+void ProbeResponder::OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
+                               Http::ReceivedRequest)
+{
+  const int status = m_is_ready() ? 200 : 503;
+  connection->Respond(status, Http::ReasonPhrase(status), {}, "");
+}
+
+EntryPoint::EntryPoint(EntryPointSettings settings)
+    : m_settings(std::move(settings)), m_dispatcher(m_settings.dispatcher), m_probes([this] {
+        return IsReady();
+      })
+{
+}
+
+void EntryPoint::Configure(EntryPointSettings settings)
+{
+  m_settings = std::move(settings);
+  m_dispatcher.Configure(m_settings.dispatcher);
+}
+
+bool EntryPoint::IsReady() const
+{
+  return !m_stopping && m_dispatcher.CurrentConfiguration() && !m_dispatcher.Servers().Empty();
+}
+
+Common::Result<Common::Done> EntryPoint::Start()
+{
+  const auto callers = m_callers.Listen(m_settings.callers, [this](int fd, const Http::Endpoint&) {
+    m_dispatcher.Adopt(fd);
+  });
+  if (!callers)
+    return callers;
+  return m_readiness.Listen(m_settings.readiness, [this](int fd, const Http::Endpoint&) {
+    m_probes.Adopt(fd);
+  });
+}
+
+int EntryPoint::Run()
+{
+  OnSignal(SIGTERM, [this] {
+    BeginStop();
+  });
+  OnSignal(SIGHUP, [this] {
+    if (m_on_reload)
+      m_on_reload();
+  });
+  Common::LogEvent(Common::LogLevel::Info, "started",
+                   {{"callers", m_settings.callers.ToString()},
+                    {"data_centre", m_settings.dispatcher.data_centre}});
+  g_main_loop_run(MainLoop());
+  Common::LogEvent(Common::LogLevel::Info, "stopped", {{"open", m_dispatcher.OpenRequests()}});
+  return 0;
+}
+
+void EntryPoint::BeginStop()
+{
+  if (m_stopping)
+    return;
+  m_stopping = true;
+  m_stop_began = Common::Now();
+  Common::LogEvent(Common::LogLevel::Info, "stopping", {{"open", m_dispatcher.OpenRequests()}});
+  m_dispatcher.BeginStop();
+  if (m_on_stop)
+    m_on_stop();
+  WaitForEnd();
+}
+
+void EntryPoint::WaitForEnd()
+{
+  const auto waited = Common::Now() - m_stop_began;
+  const bool notice_over = waited >= std::min(NOTICE, m_settings.stop_grace / 2);
+  if (notice_over)
+    m_dispatcher.CloseIdleConnections();
+  const bool overdue = waited >= m_settings.stop_grace - STOP_MARGIN;
+  if (overdue)
+    m_dispatcher.GiveUpAll();
+  if (notice_over && m_dispatcher.OpenRequests() == 0)
+  {
+    g_main_loop_quit(MainLoop());
+    return;
+  }
+  m_stop_timer.Start(STOP_POLL, [this] {
+    WaitForEnd();
+  });
+}
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/EntryPoint.h
@@ -0,0 +1,75 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "Gateway/Dispatcher.h"
+#include "Http/TcpStream.h"
+
+namespace Gateway
+{
+struct EntryPointSettings
+{
+  Http::Endpoint callers;
+  Http::Endpoint readiness;
+  Common::Milliseconds stop_grace{8000};
+  DispatcherSettings dispatcher;
+};
+
+/// Answers the platform's readiness probe and the reader of metrics.
+class ProbeResponder : public Http::RequestHandler
+{
+public:
+  using ReadyCheck = std::function<bool()>;
+
+  explicit ProbeResponder(ReadyCheck is_ready) : m_is_ready(std::move(is_ready)) {}
+
+  void Adopt(int fd);
+  void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
+                 Http::ReceivedRequest request) override;
+  const Http::ServerLimits& Limits() const override { return m_limits; }
+  bool IsStopping() const override { return false; }
+
+private:
+  ReadyCheck m_is_ready;
+  Http::ServerLimits m_limits;
+  std::map<Http::ServerConnection*, std::shared_ptr<Http::ServerConnection>> m_connections;
+};
+
+/// The process around the dispatcher: listeners, readiness, signals and the planned stop.
+class EntryPoint
+{
+public:
+  explicit EntryPoint(EntryPointSettings settings);
+
+  Common::Result<Common::Done> Start();
+  /// Runs the main loop until the planned stop is done; gives the exit status.
+  int Run();
+  void Configure(EntryPointSettings settings);
+  /// Called on the signal that the settings have changed.
+  void OnReload(std::function<void()> callback) { m_on_reload = std::move(callback); }
+  /// Called when the planned stop begins.
+  void OnStop(std::function<void()> callback) { m_on_stop = std::move(callback); }
+  Dispatcher& GetDispatcher() { return m_dispatcher; }
+
+private:
+  bool IsReady() const;
+  void BeginStop();
+  void WaitForEnd();
+
+  EntryPointSettings m_settings;
+  Dispatcher m_dispatcher;
+  ProbeResponder m_probes;
+  Http::TcpListener m_callers;
+  Http::TcpListener m_readiness;
+  std::function<void()> m_on_reload;
+  std::function<void()> m_on_stop;
+  bool m_stopping = false;
+  Common::TimePoint m_stop_began;
+  Common::OwnedTimer m_stop_timer;
+};
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/Relay.cpp
@@ -0,0 +1,680 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/Relay.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "Common/Log.h"
+#include "Common/Random.h"
+#include "Gateway/Dispatcher.h"
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// Headers that concern one connection only (RFC 9110, 7.6.1), and those that the relay sets anew.
+constexpr std::array<std::string_view, 10> CONNECTION_HEADERS = {
+    "Connection", "Keep-Alive", "Proxy-Connection", "TE",     "Trailer",
+    "Upgrade",    "Expect",     "Transfer-Encoding", "Content-Length", "Proxy-Authenticate"};
+
+/// A caller leaves a stream that is silent for the longest of these: fixed, times the latency
+/// target, times the gap target. The platform's page on requests gives the figures.
+constexpr Milliseconds CALLER_PATIENCE{2000};
+constexpr int CALLER_PATIENCE_TARGETS = 4;
+constexpr int CALLER_PATIENCE_GAPS = 8;
+/// The part of that patience that a request may wait for a server, so that the refusal still
+/// reaches somebody.
+constexpr double WAIT_SHARE_OF_PATIENCE = 0.7;
+/// The part of the time to its deadline that a request may wait: holding an unserved request for
+/// more than half of it costs the caller its chance elsewhere.
+constexpr double WAIT_SHARE_OF_DEADLINE = 0.45;
+/// Less time than this is not worth another attempt.
+constexpr Milliseconds MIN_ATTEMPT_TIME{40};
+/// A repeatable request without any answer for so many latency targets goes to another server.
+constexpr double SILENCE_TARGETS = 2.5;
+constexpr Milliseconds MIN_STREAM_SILENCE{1000};
+/// A stream that pauses for so many gap targets is continued elsewhere.
+constexpr int SILENCE_GAPS = 4;
+/// When a refused caller should come back: a disk load takes about a second.
+constexpr std::string_view RETRY_AFTER_LOAD_S = "0.5";
+constexpr std::string_view RETRY_AFTER_S = "0.1";
+
+bool IsConnectionHeader(std::string_view name)
+{
+  return std::ranges::any_of(CONNECTION_HEADERS, [&](std::string_view known) {
+    return Http::EqualIgnoringCase(known, name);
+  });
+}
+
+/// True where the message's Connection header names `name`.
+bool IsNamedByConnection(const Http::MessageHead& head, std::string_view name)
+{
+  const std::string* connection = head.Find("Connection");
+  if (connection == nullptr)
+    return false;
+  std::string_view rest = *connection;
+  while (!rest.empty())
+  {
+    const auto comma = std::min(rest.find(','), rest.size());
+    std::string_view token = rest.substr(0, comma);
+    rest.remove_prefix(std::min(comma + 1, rest.size()));
+    while (token.starts_with(' '))
+      token.remove_prefix(1);
+    while (token.ends_with(' '))
+      token.remove_suffix(1);
+    if (Http::EqualIgnoringCase(token, name))
+      return true;
+  }
+  return false;
+}
+
+std::optional<std::int64_t> ParseNumber(const std::string* text)
+{
+  if (text == nullptr)
+    return std::nullopt;
+  std::int64_t number = 0;
+  const auto read = std::from_chars(text->data(), text->data() + text->size(), number);
+  if (read.ec != std::errc())
+    return std::nullopt;
+  return number;
+}
+
+/// The prompt's parts without the last, which no other request shares.
+std::string SharedParts(const std::string& parts)
+{
+  const auto comma = parts.rfind(',');
+  return comma == std::string::npos ? parts : parts.substr(0, comma);
+}
+
+const PoolId& PickPool(const std::vector<WeightedPool>& pools)
+{
+  std::int64_t total = 0;
+  for (const WeightedPool& entry : pools)
+    total += std::max<std::int64_t>(entry.weight, 0);
+  if (total <= 0)
+    return pools.front().pool;
+  auto draw = static_cast<std::int64_t>(Common::SharedRandom()() % static_cast<std::uint64_t>(total));
+  for (const WeightedPool& entry : pools)
+  {
+    draw -= std::max<std::int64_t>(entry.weight, 0);
+    if (draw < 0)
+      return entry.pool;
+  }
+  return pools.back().pool;
+}
+
+Milliseconds CallerPatience(const Route& route)
+{
+  return std::max({CALLER_PATIENCE, route.latency_target * CALLER_PATIENCE_TARGETS,
+                   route.gap_target * CALLER_PATIENCE_GAPS});
+}
+} // namespace
+
+std::string_view ToString(Outcome outcome)
+{
+  switch (outcome)
+  {
+  case Outcome::Answered:
+    return "answered";
+  case Outcome::Refused:
+    return "refused";
+  case Outcome::Failed:
+    return "failed";
+  case Outcome::BrokenOff:
+    return "broken_off";
+  case Outcome::CallerGone:
+    return "caller_gone";
+  case Outcome::NoRoute:
+    return "no_route";
+  }
+  return "unknown";
+}
+
+Relay::Relay(Dispatcher& dispatcher, std::shared_ptr<Http::ServerConnection> caller,
+             Http::ReceivedRequest request)
+    : m_dispatcher(dispatcher), m_caller(std::move(caller)), m_request(std::move(request)),
+      m_arrived(Common::Now())
+{
+}
+
+Relay::~Relay()
+{
+  DropConnection();
+  ReleaseServer();
+}
+
+void Relay::Start()
+{
+  const auto guard = shared_from_this();
+  m_caller->OnPeerGone([this] {
+    EndWith(Outcome::CallerGone, 0, "the caller closed its connection");
+  });
+  const auto& configuration = m_dispatcher.CurrentConfiguration();
+  const std::string* id = m_request.head.Find(m_dispatcher.Settings().names.request_id);
+  m_id = id == nullptr ? "" : *id;
+  if (!configuration)
+  {
+    Refuse("no configuration is known yet");
+    return;
+  }
+  const std::string* host = m_request.head.Find("Host");
+  const std::string& target = m_request.head.target;
+  const Route* route = host == nullptr ? nullptr
+                                       : configuration->FindRoute(
+                                             *host, target.substr(0, target.find('?')));
+  if (route == nullptr)
+  {
+    EndWith(Outcome::NoRoute, 404, "no route");
+    return;
+  }
+  m_route = *route;
+  m_pool = PickPool(m_route.pools);
+  ReadHeaders();
+  StartTimers();
+  m_dispatcher.NoteArrival(*this);
+  TryDispatch();
+}
+
+void Relay::ReadHeaders()
+{
+  const HeaderNames& names = m_dispatcher.Settings().names;
+  const Http::MessageHead& head = m_request.head;
+  const auto left = ParseNumber(head.Find(names.time_left_ms));
+  const Milliseconds patience = left ? Milliseconds(std::max<std::int64_t>(*left, 0)) : m_route.timeout;
+  m_deadline = m_arrived + std::min(patience, m_route.timeout);
+  const std::string* model = m_route.uses_model ? head.Find(names.model) : nullptr;
+  if (model != nullptr)
+  {
+    const auto slash = model->find('/');
+    m_artifact.model = ModelId(model->substr(0, slash));
+    if (slash != std::string::npos)
+      m_artifact.adapter = AdapterId(model->substr(slash + 1));
+  }
+  const std::string* parts = head.Find(names.prompt_parts);
+  if (parts != nullptr)
+    m_affinity = m_artifact.ToString() + ":" + SharedParts(*parts);
+  if (const auto last_event = ParseNumber(head.Find(names.last_event_id)))
+    m_events.StartAfter(*last_event);
+}
+
+void Relay::StartTimers()
+{
+  m_deadline_timer.Start(TimeLeft(), [this] {
+    OnDeadline();
+  });
+}
+
+Milliseconds Relay::TimeLeft() const
+{
+  const auto left = std::chrono::floor<Milliseconds>(m_deadline - Common::Now());
+  return std::max(left, Milliseconds(0));
+}
+
+void Relay::TryDispatch()
+{
+  if (m_done || m_connection)
+    return;
+  const auto guard = shared_from_this();
+  const ServerPtr server = m_dispatcher.ChooseServer(*this);
+  if (!server)
+  {
+    Wait();
+    return;
+  }
+  const bool is_repeat = m_arrivals > 0;
+  if (is_repeat && !m_dispatcher.Budget().Take(m_pool, Common::Now()))
+  {
+    AttemptFailed("the retry budget is spent", m_may_have_run);
+    return;
+  }
+  Send(server);
+}
+
+void Relay::Wait()
+{
+  const bool new_server_allowed = static_cast<int>(m_tried.size()) < m_route.max_servers;
+  if (!new_server_allowed && !m_waiting)
+  {
+    // Only the servers that have seen the request may get it again, and they cannot serve it.
+    const auto now = Common::Now();
+    const bool hopeful = std::ranges::any_of(m_tried, [&](const InstanceId& instance) {
+      const ServerPtr server = m_dispatcher.Servers().Find(instance);
+      return server && !server->Entry().draining && server->Holds(m_artifact, now);
+    });
+    if (!hopeful)
+    {
+      AttemptFailed("no further server may be asked", m_may_have_run);
+      return;
+    }
+  }
+  if (m_waiting)
+    return;
+  m_waiting = true;
+  auto limit = std::chrono::duration_cast<Milliseconds>((m_deadline - m_arrived) *
+                                                        WAIT_SHARE_OF_DEADLINE);
+  if (m_route.repeatability == Repeatability::Streaming)
+    limit = std::min(limit, std::chrono::duration_cast<Milliseconds>(CallerPatience(m_route) *
+                                                                     WAIT_SHARE_OF_PATIENCE));
+  const auto left = m_arrived + limit - Common::Now();
+  m_wait_timer.Start(std::max(std::chrono::floor<Milliseconds>(left), Milliseconds(0)), [this] {
+    OnWaitExpired();
+  });
+  m_dispatcher.RequestDemand();
+}
+
+void Relay::OnWaitExpired()
+{
+  const auto guard = shared_from_this();
+  if (m_failed_head)
+  {
+    PassAnswerOn();
+    return;
+  }
+  if (m_stream_begun)
+    EndWith(Outcome::BrokenOff, 0, "no server could continue the stream");
+  else if (m_may_have_run)
+    Fail(502, "no other server in time: " + m_last_reason);
+  else
+    Refuse("no server could take it in time");
+}
+
+void Relay::Send(const ServerPtr& server)
+{
+  const auto now = Common::Now();
+  m_waiting = false;
+  m_wait_timer.Stop();
+  m_server = server;
+  m_server->NoteStart(m_artifact, now);
+  m_head_taken = false;
+  m_is_stream = false;
+  m_body.clear();
+  m_events.DropPartial();
+  m_connection = m_server->TakeConnection(now);
+  if (!m_connection)
+  {
+    AttemptFailed("no socket left", m_may_have_run);
+    return;
+  }
+  ++m_dispatcher.Counters().attempts;
+  if (m_arrivals > 0)
+    ++m_dispatcher.Counters().repeats;
+  if (m_stream_begun)
+    ++m_dispatcher.Counters().resumed;
+  ++m_arrivals;
+  m_tried.insert(m_server->Entry().instance);
+  m_connection->Send(RequestBytes(server), this, m_request.head.method == "HEAD");
+  const bool is_stream = m_route.repeatability == Repeatability::Streaming;
+  const auto target = std::chrono::duration_cast<Milliseconds>(m_route.latency_target * SILENCE_TARGETS);
+  ArmSilenceTimer(is_stream ? std::max(target, MIN_STREAM_SILENCE) : m_route.latency_target);
+}
+
+std::string Relay::RequestBytes(const ServerPtr& server) const
+{
+  const HeaderNames& names = m_dispatcher.Settings().names;
+  const Http::MessageHead& head = m_request.head;
+  std::string bytes = head.method + " " + head.target + " HTTP/1.1\r\n";
+  const auto is_replaced = [&](const std::string& name) {
+    return Http::EqualIgnoringCase(name, names.time_left_ms) ||
+           (m_stream_begun && Http::EqualIgnoringCase(name, names.last_event_id));
+  };
+  const auto is_reserved = [&](const std::string& name) {
+    return std::ranges::any_of(names.reserved, [&](const std::string& reserved) {
+      return Http::EqualIgnoringCase(reserved, name);
+    });
+  };
+  for (const Http::HeaderField& field : head.headers)
+  {
+    if (IsConnectionHeader(field.name) || IsNamedByConnection(head, field.name) ||
+        is_replaced(field.name) || is_reserved(field.name))
+      continue;
+    bytes += field.name + ": " + field.value + "\r\n";
+  }
+  bytes += names.time_left_ms + ": " + std::to_string(TimeLeft().count()) + "\r\n";
+  bytes += names.expected_instance + ": " + server->Entry().instance.Get() + "\r\n";
+  if (m_route.uses_model)
+    bytes += names.urgency + ": " + std::to_string(std::min(m_route.priority, 9)) + "\r\n";
+  if (m_stream_begun && m_events.LastId())
+    bytes += names.last_event_id + ": " + std::to_string(*m_events.LastId()) + "\r\n";
+  if (!m_request.body.empty() || head.content_length || head.chunked)
+    bytes += "Content-Length: " + std::to_string(m_request.body.size()) + "\r\n";
+  return bytes + "\r\n" + m_request.body;
+}
+
+Http::AnswerEvents::Verdict Relay::OnAnswerHead(Http::MessageHead& head)
+{
+  const std::string* id = head.Find(m_dispatcher.Settings().names.request_id);
+  if (!m_id.empty() && (id == nullptr || *id != m_id))
+  {
+    Common::LogEvent(Common::LogLevel::Warning, "answer-crossed",
+                     {{"id", m_id},
+                      {"answer_id", id == nullptr ? "" : *id},
+                      {"instance", m_server->Entry().instance}});
+    return Verdict::Skip;
+  }
+  m_head = head;
+  m_head_taken = true;
+  const std::string* type = m_head.Find("Content-Type");
+  m_is_stream = m_route.repeatability == Repeatability::Streaming && m_head.status == 200 &&
+                IsSound(m_head) &&
+                (type == nullptr || type->find("event-stream") != std::string::npos);
+  return Verdict::Take;
+}
+
+bool Relay::IsSound(const Http::MessageHead& head) const
+{
+  const bool success = head.status >= 200 && head.status < 300;
+  const bool signed_by_server = head.Find(m_dispatcher.Settings().names.signature) != nullptr;
+  return (!success || signed_by_server) && head.Find("Content-Encoding") == nullptr;
+}
+
+void Relay::OnAnswerBody(std::string_view bytes)
+{
+  if (!m_is_stream)
+  {
+    m_body.append(bytes);
+    return;
+  }
+  ForwardEvents(m_events.Feed(bytes));
+}
+
+void Relay::ForwardEvents(const std::string& events)
+{
+  if (events.empty())
+    return;
+  const auto gap = m_route.gap_target * SILENCE_GAPS;
+  ArmSilenceTimer(std::max(gap, MIN_STREAM_SILENCE));
+  if (!m_stream_begun)
+  {
+    m_stream_begun = true;
+    m_first_event_after = std::chrono::duration_cast<Milliseconds>(Common::Now() - m_arrived);
+    m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders());
+  }
+  m_caller->SendChunk(events);
+  if (m_caller->UnsentBytes() == 0 || !m_connection)
+    return;
+  // The caller reads slowly: the backend server is held up until it has caught up.
+  m_connection->SetReading(false);
+  m_caller->OnAllSent([this] {
+    if (m_connection)
+      m_connection->SetReading(true);
+  });
+}
+
+void Relay::OnAnswerEnd()
+{
+  const auto guard = shared_from_this();
+  m_silence_timer.Stop();
+  if (m_connection && m_server)
+    m_server->KeepConnection(std::exchange(m_connection, nullptr));
+  if (m_is_stream)
+    FinishStream();
+  else
+    HandleWholeAnswer();
+}
+
+void Relay::FinishStream()
+{
+  m_server->Health().NoteSuccess(Common::Now());
+  const std::string rest = m_events.Partial();
+  if (!m_stream_begun)
+    m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders());
+  m_caller->SendChunk(rest);
+  m_caller->EndChunked();
+  EndWith(Outcome::Answered, 0, "");
+}
+
+bool Relay::IsRejection() const
+{
+  const bool says_so = m_head.Find(m_dispatcher.Settings().names.not_run) != nullptr;
+  return says_so || m_head.status == 421;
+}
+
+void Relay::HandleWholeAnswer()
+{
+  if (IsRejection())
+  {
+    HandleRejection();
+    return;
+  }
+  if (!IsSound(m_head))
+  {
+    m_server->Health().NoteFailure(Common::Now());
+    AttemptFailed("an answer without the server's signature", true);
+    return;
+  }
+  const bool server_failed = m_head.status >= 500;
+  if (m_stream_begun)
+  {
+    // A continuation that is no stream cannot be joined to what the caller has.
+    AttemptFailed("the continuation was answered with " + std::to_string(m_head.status), true);
+    return;
+  }
+  if (!server_failed)
+    m_server->Health().NoteSuccess(Common::Now());
+  if (server_failed && m_route.IsRepeatable() && !m_failed_head)
+  {
+    m_failed_head = m_head;
+    m_failed_body = m_body;
+    AttemptFailed("the server failed with " + std::to_string(m_head.status), true);
+    return;
+  }
+  if (!m_failed_head || !server_failed)
+  {
+    m_failed_head = m_head;
+    m_failed_body = m_body;
+  }
+  PassAnswerOn();
+}
+
+void Relay::HandleRejection()
+{
+  const auto now = Common::Now();
+  const std::string* instance = m_head.Find(m_dispatcher.Settings().names.instance);
+  if (m_head.status == 421 && instance != nullptr && *instance != m_server->Entry().instance.Get())
+    m_server->NoteReplaced();
+  else if (m_head.status == 421)
+    m_server->NoteMissing(m_artifact, now);
+  else
+    m_server->NoteFull(now);
+  AttemptFailed("rejected with " + std::to_string(m_head.status), m_may_have_run);
+}
+
+void Relay::OnAnswerBroken(Http::Breakage breakage)
+{
+  const auto guard = shared_from_this();
+  m_connection = nullptr;
+  const auto now = Common::Now();
+  if (breakage == Http::Breakage::ConnectFailed)
+  {
+    m_server->Health().NoteUnreachable(now);
+    --m_arrivals;
+    m_tried.erase(m_server->Entry().instance);
+    AttemptFailed("no connection", m_may_have_run);
+    return;
+  }
+  m_server->Health().NoteFailure(now);
+  AttemptFailed(breakage == Http::Breakage::Malformed ? "malformed answer" : "broken answer", true);
+}
+
+void Relay::AttemptFailed(std::string_view why, bool may_have_run)
+{
+  const auto guard = shared_from_this();
+  m_last_reason = why;
+  m_may_have_run = m_may_have_run || may_have_run;
+  m_silence_timer.Stop();
+  if (m_server)
+    Common::LogEvent(Common::LogLevel::Warning, "attempt-failed",
+                     {{"id", m_id},
+                      {"route", m_route.name},
+                      {"artifact", m_artifact.ToString()},
+                      {"instance", m_server->Entry().instance},
+                      {"why", why},
+                      {"may_have_run", may_have_run},
+                      {"attempt", m_arrivals},
+                      {"budget", m_dispatcher.Budget().Left(m_pool, Common::Now())}});
+  const bool had_server = m_server != nullptr;
+  DropConnection();
+  ReleaseServer();
+  if (had_server && MayTryAgain(m_may_have_run))
+  {
+    TryDispatch();
+    return;
+  }
+  if (m_failed_head)
+    PassAnswerOn();
+  else if (m_stream_begun)
+    EndWith(Outcome::BrokenOff, 0, why);
+  else if (m_may_have_run)
+    Fail(502, why);
+  else
+    Refuse(why);
+}
+
+bool Relay::MayTryAgain(bool may_have_run) const
+{
+  if (TimeLeft() < MIN_ATTEMPT_TIME)
+    return false;
+  if (may_have_run && !m_route.IsRepeatable())
+    return false;
+  return !m_stream_begun || m_events.LastId().has_value();
+}
+
+void Relay::PassAnswerOn()
+{
+  m_head = *m_failed_head;
+  // Without the server's own word that it did not run, a status that promises so is not passed on.
+  const bool promises = m_head.status == 503 || m_head.status == 429 || m_head.status == 408;
+  if (promises)
+  {
+    Fail(502, "the server gave " + std::to_string(m_head.status) + " without its word");
+    return;
+  }
+  m_caller->Respond(m_head.status, m_head.reason, ForwardedHeaders(), m_failed_body);
+  EndWith(Outcome::Answered, 0, "");
+}
+
+std::vector<Http::HeaderField> Relay::ForwardedHeaders() const
+{
+  std::vector<Http::HeaderField> headers;
+  std::ranges::copy_if(m_head.headers, std::back_inserter(headers), [&](const auto& field) {
+    return !IsConnectionHeader(field.name) && !IsNamedByConnection(m_head, field.name);
+  });
+  return headers;
+}
+
+void Relay::ArmSilenceTimer(Milliseconds span)
+{
+  if (!m_route.IsRepeatable())
+    return;
+  m_silence_timer.Start(span, [this] {
+    OnSilence();
+  });
+}
+
+void Relay::OnSilence()
+{
+  const auto guard = shared_from_this();
+  const bool elsewhere = MayTryAgain(true) && m_dispatcher.ChooseServer(*this) != nullptr &&
+                         m_dispatcher.Budget().Left(m_pool, Common::Now()) >= 1;
+  if (!elsewhere || !m_connection)
+    return;
+  m_server->Health().NoteFailure(Common::Now());
+  AttemptFailed("no answer from the server", true);
+}
+
+void Relay::OnDeadline()
+{
+  const auto guard = shared_from_this();
+  if (m_stream_begun)
+    EndWith(Outcome::BrokenOff, 0, "the deadline passed");
+  else if (m_may_have_run || m_connection)
+    Fail(504, "the deadline passed");
+  else
+    Refuse("the deadline passed before it ran");
+}
+
+void Relay::GiveUpForStop()
+{
+  const auto guard = shared_from_this();
+  if (m_stream_begun)
+    EndWith(Outcome::BrokenOff, 0, "this process stops");
+  else if (m_may_have_run || m_connection)
+    Fail(502, "this process stops");
+  else
+    Refuse("this process stops");
+}
+
+void Relay::Refuse(std::string_view why)
+{
+  EndWith(Outcome::Refused, 503, why);
+}
+
+void Relay::Fail(int status, std::string_view why)
+{
+  EndWith(Outcome::Failed, status, why);
+}
+
+void Relay::EndWith(Outcome outcome, int status, std::string_view why)
+{
+  if (m_done)
+    return;
+  const auto guard = shared_from_this();
+  m_done = true;
+  m_waiting = false;
+  m_deadline_timer.Stop();
+  m_wait_timer.Stop();
+  m_silence_timer.Stop();
+  const auto took = std::chrono::duration_cast<Milliseconds>(Common::Now() - m_arrived);
+  Common::LogEvent(outcome == Outcome::Answered ? Common::LogLevel::Info : Common::LogLevel::Warning,
+                   "request",
+                   {{"id", m_id},
+                    {"route", m_route.name},
+                    {"artifact", m_artifact.ToString()},
+                    {"outcome", ToString(outcome)},
+                    {"status", status == 0 ? m_head.status : status},
+                    {"why", why},
+                    {"instance", m_server ? m_server->Entry().instance.Get() : ""},
+                    {"arrivals", m_arrivals},
+                    {"ms", took.count()},
+                    {"first_event_ms", m_first_event_after.value_or(Milliseconds(-1)).count()}});
+  ++m_dispatcher.Counters().outcomes[outcome];
+  DropConnection();
+  ReleaseServer();
+  if (outcome == Outcome::BrokenOff)
+    m_caller->BreakAnswer();
+  else if (status != 0)
+  {
+    std::vector<Http::HeaderField> headers;
+    if (status == 503)
+    {
+      const bool lacks_model = !m_artifact.model.Empty() &&
+                               !m_dispatcher.IsHeldAnywhere(m_pool, m_artifact);
+      headers.push_back({"Retry-After", std::string(lacks_model ? RETRY_AFTER_LOAD_S : RETRY_AFTER_S)});
+    }
+    m_caller->Respond(status, Http::ReasonPhrase(status), headers, "");
+  }
+  m_dispatcher.Finished(this);
+}
+
+void Relay::ReleaseServer()
+{
+  if (!m_server)
+    return;
+  m_server->NoteEnd(m_artifact);
+  m_server = nullptr;
+}
+
+void Relay::DropConnection()
+{
+  if (!m_connection)
+    return;
+  m_connection->Abandon();
+  m_connection = nullptr;
+}
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/Relay.h
@@ -0,0 +1,135 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "Common/Reactor.h"
+#include "Gateway/EventSplitter.h"
+#include "Gateway/ServerDirectory.h"
+#include "Gateway/Types.h"
+#include "Http/OriginConnection.h"
+#include "Http/ServerConnection.h"
+
+namespace Gateway
+{
+class Dispatcher;
+
+/// Why a request ended, for logs and counters.
+enum class Outcome
+{
+  Answered,      ///< A backend server's answer was passed on whole.
+  Refused,       ///< Given up before it ran; the caller may come back.
+  Failed,        ///< Given up after it may have run.
+  BrokenOff,     ///< The stream was cut after its beginning had gone out.
+  CallerGone,
+  NoRoute,
+};
+std::string_view ToString(Outcome outcome);
+
+/// Carries one request to a backend server and the answer back. Holds all state of the request;
+/// what is shared (servers, budget, configuration) belongs to the dispatcher.
+class Relay : public Http::AnswerEvents, public std::enable_shared_from_this<Relay>
+{
+public:
+  Relay(Dispatcher& dispatcher, std::shared_ptr<Http::ServerConnection> caller,
+        Http::ReceivedRequest request);
+  ~Relay() override;
+
+  /// Finds the route and sends the request, or lets it wait for a server.
+  void Start();
+  /// Tries to send a waiting request; called when servers or models have changed.
+  void TryDispatch();
+
+  bool IsWaiting() const { return m_waiting; }
+  bool IsDone() const { return m_done; }
+  const Artifact& Wanted() const { return m_artifact; }
+  const PoolId& WantedPool() const { return m_pool; }
+  int Priority() const { return m_route.priority; }
+  Common::TimePoint ArrivedAt() const { return m_arrived; }
+  Common::TimePoint Deadline() const { return m_deadline; }
+  const std::string& Id() const { return m_id; }
+  /// Tokens-independent key that keeps requests with the same prompt beginning together.
+  const std::string& AffinityKey() const { return m_affinity; }
+  const std::set<InstanceId>& TriedServers() const { return m_tried; }
+  const Route& MatchedRoute() const { return m_route; }
+
+  /// The process stops: what is not finished is given up now.
+  void GiveUpForStop();
+
+  Verdict OnAnswerHead(Http::MessageHead& head) override;
+  void OnAnswerBody(std::string_view bytes) override;
+  void OnAnswerEnd() override;
+  void OnAnswerBroken(Http::Breakage breakage) override;
+
+private:
+  void ReadHeaders();
+  void StartTimers();
+  void Send(const ServerPtr& server);
+  std::string RequestBytes(const ServerPtr& server) const;
+  Common::Milliseconds TimeLeft() const;
+
+  // What came back.
+  bool IsRejection() const;
+  void HandleRejection();
+  void HandleWholeAnswer();
+  bool IsSound(const Http::MessageHead& head) const;
+  void ForwardEvents(const std::string& events);
+  void FinishStream();
+  void PassAnswerOn();
+  std::vector<Http::HeaderField> ForwardedHeaders() const;
+
+  // What to do when an attempt has failed.
+  void AttemptFailed(std::string_view why, bool may_have_run);
+  bool MayTryAgain(bool may_have_run) const;
+  void Wait();
+  void OnWaitExpired();
+  void OnDeadline();
+  void OnSilence();
+  void ArmSilenceTimer(Common::Milliseconds span);
+
+  void Refuse(std::string_view why);
+  void Fail(int status, std::string_view why);
+  void EndWith(Outcome outcome, int status, std::string_view why);
+  void ReleaseServer();
+  void DropConnection();
+
+  Dispatcher& m_dispatcher;
+  std::shared_ptr<Http::ServerConnection> m_caller;
+  Http::ReceivedRequest m_request;
+  Route m_route;
+  PoolId m_pool;
+  Artifact m_artifact;
+  std::string m_id;
+  std::string m_affinity;
+  Common::TimePoint m_arrived;
+  Common::TimePoint m_deadline;
+  Common::OwnedTimer m_deadline_timer;
+  Common::OwnedTimer m_wait_timer;
+  Common::OwnedTimer m_silence_timer;
+
+  ServerPtr m_server;
+  std::shared_ptr<Http::OriginConnection> m_connection;
+  std::set<InstanceId> m_tried;
+  int m_arrivals = 0;         ///< Times the request has reached, or may have reached, a server.
+  bool m_may_have_run = false;
+  bool m_waiting = false;
+  bool m_done = false;
+  bool m_queued_once = false;
+
+  Http::MessageHead m_head;   ///< Of the answer at hand.
+  bool m_head_taken = false;
+  bool m_is_stream = false;
+  std::string m_body;
+  std::optional<Http::MessageHead> m_failed_head; ///< A server's own failure, kept if a repeat fails.
+  std::string m_failed_body;
+  EventSplitter m_events;
+  bool m_stream_begun = false; ///< Bytes of the stream have gone to the caller.
+  std::optional<Common::Milliseconds> m_first_event_after;
+  std::string m_last_reason;
+};
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/RetryBudget.cpp
@@ -0,0 +1,48 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/RetryBudget.h"
+
+#include <algorithm>
+
+namespace Gateway
+{
+namespace
+{
+/// The part of the bound that is used: arrivals are counted at the servers, whose windows lie a
+/// little elsewhere than ours, and a daemon that restarts forgets what it has spent.
+constexpr double USED_SHARE = 0.7;
+} // namespace
+
+RetryBudget::Counts& RetryBudget::Fresh(const PoolId& pool, Common::TimePoint now)
+{
+  Counts& counts = m_counts[pool];
+  const auto oldest = now - m_settings.window;
+  while (!counts.requests.empty() && counts.requests.front() < oldest)
+    counts.requests.pop_front();
+  while (!counts.repeats.empty() && counts.repeats.front() < oldest)
+    counts.repeats.pop_front();
+  return counts;
+}
+
+void RetryBudget::NoteRequest(const PoolId& pool, Common::TimePoint now)
+{
+  Fresh(pool, now).requests.push_back(now);
+}
+
+double RetryBudget::Left(const PoolId& pool, Common::TimePoint now)
+{
+  const Counts& counts = Fresh(pool, now);
+  const double allowed = m_settings.ratio * static_cast<double>(counts.requests.size()) +
+                         m_settings.slack / std::max(m_daemons, 1);
+  return USED_SHARE * allowed - static_cast<double>(counts.repeats.size());
+}
+
+bool RetryBudget::Take(const PoolId& pool, Common::TimePoint now)
+{
+  if (Left(pool, now) < 1)
+    return false;
+  m_counts[pool].repeats.push_back(now);
+  return true;
+}
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -0,0 +1,157 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/ServerDirectory.h"
+
+#include <algorithm>
+
+#include "Common/Log.h"
+
+namespace Gateway
+{
+namespace
+{
+/// Idle connections kept to one server.
+constexpr std::size_t MAX_IDLE_CONNECTIONS = 24;
+/// For so long an artifact that a server denied is not asked of it again, unless its entry changes.
+constexpr Common::Milliseconds MISSING_PAUSE{400};
+/// For so long a server that rejected a request for want of room gets none.
+constexpr Common::Milliseconds FULL_PAUSE{60};
+} // namespace
+
+Server::~Server()
+{
+  for (const auto& connection : m_idle)
+    connection->Abandon();
+}
+
+void Server::SetEntry(ServerEntry entry)
+{
+  if (entry.models != m_entry.models)
+    m_missing_until.clear();
+  m_entry = std::move(entry);
+}
+
+bool Server::IsAvailable(Common::TimePoint now) const
+{
+  if (m_entry.draining || m_replaced || m_health.IsEjected(now) || now < m_full_until)
+    return false;
+  return !m_health.IsOnTrial() || m_in_flight == 0;
+}
+
+bool Server::Holds(const Artifact& artifact, Common::TimePoint now) const
+{
+  if (artifact.model.Empty())
+    return true;
+  const auto missing = m_missing_until.find(artifact);
+  if (missing != m_missing_until.end() && now < missing->second)
+    return false;
+  const auto model = std::ranges::find(m_entry.models, artifact.model, &LoadedModel::model);
+  if (model == m_entry.models.end())
+    return false;
+  return !artifact.IsAdapter() || m_extra_adapters.contains(artifact) ||
+         std::ranges::find(model->adapters, artifact.adapter) != model->adapters.end();
+}
+
+void Server::NoteMissing(const Artifact& artifact, Common::TimePoint now)
+{
+  m_missing_until[artifact] = now + MISSING_PAUSE;
+}
+
+void Server::NoteFull(Common::TimePoint now)
+{
+  m_full_until = now + FULL_PAUSE;
+}
+
+std::shared_ptr<Http::OriginConnection> Server::TakeConnection(Common::TimePoint now)
+{
+  while (!m_idle.empty())
+  {
+    auto connection = std::move(m_idle.back());
+    m_idle.pop_back();
+    if (connection->IsReusable(now))
+      return connection;
+    connection->Abandon();
+  }
+  ++m_connections_opened;
+  return Http::OriginConnection::Connect(m_entry.endpoint);
+}
+
+void Server::KeepConnection(std::shared_ptr<Http::OriginConnection> connection)
+{
+  if (!connection->IsReusable(Common::Now()))
+    return;
+  m_idle.push_back(std::move(connection));
+  if (m_idle.size() <= MAX_IDLE_CONNECTIONS)
+    return;
+  m_idle.front()->Abandon();
+  m_idle.erase(m_idle.begin());
+}
+
+void Server::NoteStart(const Artifact& artifact, Common::TimePoint)
+{
+  ++m_in_flight;
+  ++m_in_flight_by_model[artifact.model];
+}
+
+void Server::NoteEnd(const Artifact& artifact)
+{
+  --m_in_flight;
+  const auto found = m_in_flight_by_model.find(artifact.model);
+  if (found != m_in_flight_by_model.end() && --found->second <= 0)
+    m_in_flight_by_model.erase(found);
+}
+
+int Server::InFlight(const ModelId& model) const
+{
+  const auto found = m_in_flight_by_model.find(model);
+  return found == m_in_flight_by_model.end() ? 0 : found->second;
+}
+
+void ServerDirectory::Put(ServerEntry entry)
+{
+  const auto found = m_servers.find(entry.instance);
+  if (found == m_servers.end())
+  {
+    Common::LogEvent(Common::LogLevel::Info, "server-added",
+                     {{"instance", entry.instance},
+                      {"pool", entry.pool},
+                      {"address", entry.endpoint.ToString()},
+                      {"data_centre", entry.data_centre}});
+    m_servers.emplace(entry.instance, std::make_shared<Server>(entry));
+  }
+  else
+  {
+    if (entry.draining && !found->second->Entry().draining)
+      Common::LogEvent(Common::LogLevel::Info, "server-draining", {{"instance", entry.instance}});
+    found->second->SetEntry(std::move(entry));
+  }
+  if (m_on_change)
+    m_on_change();
+}
+
+void ServerDirectory::Remove(const InstanceId& instance)
+{
+  const auto found = m_servers.find(instance);
+  if (found == m_servers.end())
+    return;
+  Common::LogEvent(Common::LogLevel::Info, "server-removed", {{"instance", instance}});
+  // Requests that run there hold the server and end by themselves.
+  m_servers.erase(found);
+}
+
+ServerPtr ServerDirectory::Find(const InstanceId& instance) const
+{
+  const auto found = m_servers.find(instance);
+  return found == m_servers.end() ? nullptr : found->second;
+}
+
+std::vector<ServerPtr> ServerDirectory::InPool(const PoolId& pool) const
+{
+  std::vector<ServerPtr> result;
+  for (const auto& [instance, server] : m_servers)
+    if (server->Entry().pool == pool)
+      result.push_back(server);
+  return result;
+}
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -0,0 +1,97 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Common/Loop.h"
+#include "Gateway/ServerHealth.h"
+#include "Gateway/Types.h"
+#include "Http/OriginConnection.h"
+
+namespace Gateway
+{
+/// A backend server as this daemon sees and uses it.
+class Server
+{
+public:
+  explicit Server(ServerEntry entry) : m_entry(std::move(entry)) {}
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  const ServerEntry& Entry() const { return m_entry; }
+  void SetEntry(ServerEntry entry);
+
+  /// True where the server takes new work.
+  bool IsAvailable(Common::TimePoint now) const;
+  bool Holds(const Artifact& artifact, Common::TimePoint now) const;
+  /// The server said that it does not hold the artifact: not tried for a while.
+  void NoteMissing(const Artifact& artifact, Common::TimePoint now);
+  /// Adapters that were loaded after the entry was written, as the order holder tells.
+  void SetExtraAdapters(std::set<Artifact> adapters) { m_extra_adapters = std::move(adapters); }
+  /// Another process has the address: this instance is gone.
+  void NoteReplaced() { m_replaced = true; }
+  /// The server takes no connection now.
+  void NoteFull(Common::TimePoint now);
+
+  /// A kept connection or a new one; nullptr where no socket is left.
+  std::shared_ptr<Http::OriginConnection> TakeConnection(Common::TimePoint now);
+  void KeepConnection(std::shared_ptr<Http::OriginConnection> connection);
+  std::uint64_t ConnectionsOpened() const { return m_connections_opened; }
+
+  void NoteStart(const Artifact& artifact, Common::TimePoint now);
+  void NoteEnd(const Artifact& artifact);
+  int InFlight() const { return m_in_flight; }
+  int InFlight(const ModelId& model) const;
+  const std::map<ModelId, int>& InFlightByModel() const { return m_in_flight_by_model; }
+  /// Requests of other daemons there, as they told the order holder.
+  int RemoteInFlight() const { return m_remote_in_flight; }
+  void SetRemoteInFlight(int count) { m_remote_in_flight = count; }
+  int Load() const { return m_in_flight + m_remote_in_flight; }
+
+  ServerHealth& Health() { return m_health; }
+  const ServerHealth& Health() const { return m_health; }
+
+private:
+  ServerEntry m_entry;
+  ServerHealth m_health;
+  bool m_replaced = false;
+  Common::TimePoint m_full_until;
+  std::vector<std::shared_ptr<Http::OriginConnection>> m_idle;
+  std::uint64_t m_connections_opened = 0;
+  std::set<Artifact> m_extra_adapters;
+  std::map<Artifact, Common::TimePoint> m_missing_until;
+  int m_in_flight = 0;
+  int m_remote_in_flight = 0;
+  std::map<ModelId, int> m_in_flight_by_model;
+};
+
+using ServerPtr = std::shared_ptr<Server>;
+
+/// All backend servers that are known.
+class ServerDirectory
+{
+public:
+  /// Called after any change that may let a waiting request go on.
+  void OnChange(std::function<void()> callback) { m_on_change = std::move(callback); }
+
+  void Put(ServerEntry entry);
+  void Remove(const InstanceId& instance);
+
+  ServerPtr Find(const InstanceId& instance) const;
+  const std::map<InstanceId, ServerPtr>& All() const { return m_servers; }
+  std::vector<ServerPtr> InPool(const PoolId& pool) const;
+  bool Empty() const { return m_servers.empty(); }
+
+private:
+  std::map<InstanceId, ServerPtr> m_servers;
+  std::function<void()> m_on_change;
+};
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Http/Channel.cpp
@@ -0,0 +1,152 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Http/Channel.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Http
+{
+namespace
+{
+/// Idle connections kept to one peer.
+constexpr std::size_t MAX_IDLE = 4;
+
+Common::FailureKind KindOf(Breakage breakage)
+{
+  switch (breakage)
+  {
+  case Breakage::ConnectFailed:
+    return Common::FailureKind::NotSent;
+  case Breakage::Malformed:
+    return Common::FailureKind::Protocol;
+  case Breakage::Closed:
+  case Breakage::Reset:
+    break;
+  }
+  return Common::FailureKind::OutcomeUnknown;
+}
+} // namespace
+
+const std::string* WholeAnswer::Find(std::string_view name) const
+{
+  const auto found = std::ranges::find_if(headers, [&](const HeaderField& field) {
+    return EqualIgnoringCase(field.name, name);
+  });
+  return found == headers.end() ? nullptr : &found->value;
+}
+
+std::string Serialise(const WholeRequest& request, const Endpoint& peer)
+{
+  std::string bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
+  bytes += "Host: " + peer.ToString() + "\r\n";
+  for (const HeaderField& field : request.headers)
+    bytes += field.name + ": " + field.value + "\r\n";
+  if (!request.body.empty())
+    bytes += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+  return bytes + "\r\n" + request.body;
+}
+
+class Channel::PendingCall : public AnswerEvents
+{
+public:
+  PendingCall(Channel& channel, Callback on_result)
+      : callback(std::move(on_result)), m_channel(channel)
+  {
+  }
+  ~PendingCall() override
+  {
+    if (connection)
+      connection->Abandon();
+  }
+
+  Verdict OnAnswerHead(MessageHead& head) override
+  {
+    m_answer.status = head.status;
+    m_answer.headers = head.headers;
+    return Verdict::Take;
+  }
+  void OnAnswerBody(std::string_view bytes) override { m_answer.body.append(bytes); }
+  void OnAnswerEnd() override
+  {
+    m_channel.m_idle.push_back(std::exchange(connection, nullptr));
+    m_channel.Finish(this, std::move(m_answer));
+  }
+  void OnAnswerBroken(Breakage breakage) override
+  {
+    connection = nullptr;
+    m_channel.Finish(this, Common::Failure{KindOf(breakage), "the connection broke"});
+  }
+  void OnTimeout()
+  {
+    const bool sent = connection->HasSent();
+    const auto kind = sent ? Common::FailureKind::Timeout : Common::FailureKind::NotSent;
+    m_channel.Finish(this, Common::Failure{kind, "no answer in time"});
+  }
+
+  Callback callback;
+  std::shared_ptr<OriginConnection> connection;
+  Common::OwnedTimer timer;
+
+private:
+  Channel& m_channel;
+  WholeAnswer m_answer;
+};
+
+Channel::Channel(const Endpoint& peer) : m_peer(peer)
+{
+}
+
+Channel::~Channel() = default;
+
+std::shared_ptr<OriginConnection> Channel::TakeConnection()
+{
+  const auto now = Common::Now();
+  while (!m_idle.empty())
+  {
+    auto connection = std::move(m_idle.back());
+    m_idle.pop_back();
+    if (connection->IsReusable(now))
+      return connection;
+    connection->Abandon();
+  }
+  return OriginConnection::Connect(m_peer);
+}
+
+void Channel::Call(const WholeRequest& request, Common::Milliseconds timeout, Callback callback)
+{
+  auto connection = TakeConnection();
+  if (!connection)
+  {
+    Common::Reactor::Get().After(Common::Milliseconds(1), [callback = std::move(callback)] {
+      callback(Common::Failure{Common::FailureKind::NotSent, "no socket left"});
+    });
+    return;
+  }
+  m_pending.push_back(std::make_unique<PendingCall>(*this, std::move(callback)));
+  PendingCall* call = m_pending.back().get();
+  call->connection = connection;
+  call->timer.Start(timeout, [call] {
+    call->OnTimeout();
+  });
+  connection->Send(Serialise(request, m_peer), call);
+}
+
+void Channel::Finish(PendingCall* call, Common::Result<WholeAnswer> result)
+{
+  const auto found = std::ranges::find_if(m_pending, [&](const auto& pending) {
+    return pending.get() == call;
+  });
+  const std::unique_ptr<PendingCall> owned = std::move(*found);
+  m_pending.erase(found);
+  if (m_idle.size() > MAX_IDLE)
+  {
+    m_idle.front()->Abandon();
+    m_idle.erase(m_idle.begin());
+  }
+  // The callback may destroy this channel: nothing of it is touched afterwards.
+  const Callback callback = std::move(owned->callback);
+  callback(std::move(result));
+}
+} // namespace Http
--- /dev/null
+++ b/Source/Core/Http/Channel.h
@@ -0,0 +1,64 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Common/Failure.h"
+#include "Http/OriginConnection.h"
+
+namespace Http
+{
+/// A whole answer in memory.
+struct WholeAnswer
+{
+  int status = 0;
+  std::vector<HeaderField> headers;
+  std::string body;
+
+  const std::string* Find(std::string_view name) const;
+};
+
+/// A whole request in memory.
+struct WholeRequest
+{
+  std::string method;
+  std::string target;
+  std::vector<HeaderField> headers;
+  std::string body;
+};
+
+/// The bytes of a request with its Host and Content-Length.
+std::string Serialise(const WholeRequest& request, const Endpoint& peer);
+
+/// Calls with whole answers to one peer, over connections that are kept. A call is never repeated:
+/// failures are NotSent where no byte went out, else Timeout, OutcomeUnknown or Protocol.
+class Channel
+{
+public:
+  using Callback = std::function<void(Common::Result<WholeAnswer>)>;
+
+  explicit Channel(const Endpoint& peer);
+  ~Channel();
+  Channel(const Channel&) = delete;
+  Channel& operator=(const Channel&) = delete;
+
+  const Endpoint& Peer() const { return m_peer; }
+  void Call(const WholeRequest& request, Common::Milliseconds timeout, Callback callback);
+
+private:
+  class PendingCall;
+
+  std::shared_ptr<OriginConnection> TakeConnection();
+  void Finish(PendingCall* call, Common::Result<WholeAnswer> result);
+
+  Endpoint m_peer;
+  std::vector<std::shared_ptr<OriginConnection>> m_idle;
+  std::list<std::unique_ptr<PendingCall>> m_pending;
+};
+} // namespace Http
--- /dev/null
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -0,0 +1,284 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Http/ServerConnection.h"
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace Http
+{
+namespace
+{
+/// Bytes of pipelined requests that are kept while one is answered; then reading stops.
+constexpr std::size_t MAX_UNREAD = 65536;
+
+std::string HexLength(std::size_t size)
+{
+  std::array<char, 2 * sizeof(size)> text{};
+  const auto written = std::to_chars(text.data(), text.data() + text.size(), size, 16);
+  return {text.data(), written.ptr};
+}
+} // namespace
+
+std::string_view ReasonPhrase(int status)
+{
+  switch (status)
+  {
+  case 200:
+    return "OK";
+  case 400:
+    return "Bad Request";
+  case 404:
+    return "Not Found";
+  case 408:
+    return "Request Timeout";
+  case 413:
+    return "Content Too Large";
+  case 429:
+    return "Too Many Requests";
+  case 431:
+    return "Request Header Fields Too Large";
+  case 502:
+    return "Bad Gateway";
+  case 503:
+    return "Service Unavailable";
+  case 504:
+    return "Gateway Timeout";
+  default:
+    return "Status";
+  }
+}
+
+ServerConnection::ServerConnection(RequestHandler& handler)
+    : m_handler(handler), m_parser(MessageParser::Kind::Request, this)
+{
+}
+
+std::shared_ptr<ServerConnection> ServerConnection::Adopt(int fd, RequestHandler& handler)
+{
+  std::shared_ptr<ServerConnection> connection(new ServerConnection(handler));
+  connection->m_stream = TcpStream::Adopt(fd, connection.get());
+  connection->StartIdleTimer();
+  return connection;
+}
+
+void ServerConnection::StartIdleTimer()
+{
+  m_timer.Start(m_handler.Limits().idle_timeout, [this] {
+    const auto guard = shared_from_this();
+    m_stream->Close();
+    Finish();
+  });
+}
+
+void ServerConnection::OnBytes(std::string_view bytes)
+{
+  const auto guard = shared_from_this();
+  m_unread.append(bytes);
+  if (m_request_open && m_unread.size() > MAX_UNREAD)
+    m_stream->SetReading(false);
+  Consume();
+}
+
+void ServerConnection::Consume()
+{
+  if (m_consuming)
+    return;
+  m_consuming = true;
+  while (!m_unread.empty() && !m_request_open && m_stream->IsOpen())
+  {
+    const std::string bytes = std::exchange(m_unread, {});
+    if (!m_parser.InMessage())
+    {
+      m_timer.Start(m_handler.Limits().header_timeout, [this] {
+        const auto guard = shared_from_this();
+        Reject(408, ReasonPhrase(408));
+      });
+    }
+    m_parser.SetHeaderLimit(m_handler.Limits().header_bytes);
+    std::size_t consumed = 0;
+    const auto status = m_parser.Feed(bytes, &consumed);
+    if (status == MessageParser::Status::NeedsMore && !m_body_too_large)
+      break;
+    if (m_body_too_large)
+      Reject(413, ReasonPhrase(413));
+    else if (status == MessageParser::Status::HeaderTooLarge)
+      Reject(431, ReasonPhrase(431));
+    else if (status == MessageParser::Status::Malformed)
+      Reject(400, ReasonPhrase(400));
+    else
+    {
+      m_unread = bytes.substr(consumed);
+      m_parser.Restart();
+      m_timer.Stop();
+      m_request_open = true;
+      m_head_only = m_request.head.method == "HEAD";
+      m_close_after_answer = !m_request.head.keep_alive;
+      m_handler.OnRequest(shared_from_this(), std::exchange(m_request, {}));
+    }
+  }
+  m_consuming = false;
+}
+
+void ServerConnection::OnHead(MessageHead& head)
+{
+  if (head.content_length.value_or(0) > m_handler.Limits().body_bytes)
+    m_body_too_large = true;
+  const std::string* expect = head.Find("Expect");
+  if (expect != nullptr && EqualIgnoringCase(*expect, "100-continue") && !m_body_too_large)
+    m_stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  // The time for the head is over; the body may take as long as the connection may rest.
+  StartIdleTimer();
+  m_request.head = std::move(head);
+}
+
+void ServerConnection::OnBody(std::string_view bytes)
+{
+  if (m_request.body.size() + bytes.size() > m_handler.Limits().body_bytes)
+  {
+    m_body_too_large = true;
+    return;
+  }
+  m_request.body.append(bytes);
+}
+
+void ServerConnection::OnMessageEnd()
+{
+}
+
+void ServerConnection::Reject(int status, std::string_view reason)
+{
+  m_close_after_answer = true;
+  m_request_open = true;
+  Respond(status, reason, {}, "");
+}
+
+void ServerConnection::WriteHead(int status, std::string_view reason,
+                                 const std::vector<HeaderField>& headers,
+                                 std::optional<std::size_t> length)
+{
+  if (m_handler.IsStopping())
+    m_close_after_answer = true;
+  std::string head = "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) + "\r\n";
+  for (const HeaderField& field : headers)
+    head += field.name + ": " + field.value + "\r\n";
+  if (length)
+    head += "Content-Length: " + std::to_string(*length) + "\r\n";
+  else
+    head += "Transfer-Encoding: chunked\r\n";
+  if (m_close_after_answer)
+    head += "Connection: close\r\n";
+  m_stream->Write(head + "\r\n");
+}
+
+void ServerConnection::Respond(int status, std::string_view reason,
+                               const std::vector<HeaderField>& headers, std::string_view body)
+{
+  if (!m_stream->IsOpen())
+    return;
+  WriteHead(status, reason, headers, body.size());
+  if (!m_head_only)
+    m_stream->Write(body);
+  EndAnswer();
+}
+
+void ServerConnection::BeginChunked(int status, std::string_view reason,
+                                    const std::vector<HeaderField>& headers)
+{
+  if (m_stream->IsOpen())
+    WriteHead(status, reason, headers, std::nullopt);
+}
+
+void ServerConnection::SendChunk(std::string_view bytes)
+{
+  if (!bytes.empty() && m_stream->IsOpen())
+    m_stream->Write(HexLength(bytes.size()) + "\r\n" + std::string(bytes) + "\r\n");
+}
+
+void ServerConnection::EndChunked()
+{
+  if (!m_stream->IsOpen())
+    return;
+  m_stream->Write("0\r\n\r\n");
+  EndAnswer();
+}
+
+void ServerConnection::EndAnswer()
+{
+  const auto guard = shared_from_this();
+  m_request_open = false;
+  m_on_peer_gone = nullptr;
+  m_on_all_sent = nullptr;
+  if (m_close_after_answer)
+  {
+    if (m_stream->Unsent() == 0)
+    {
+      m_stream->Close();
+      Finish();
+    }
+    return;
+  }
+  m_stream->SetReading(true);
+  StartIdleTimer();
+  if (!m_unread.empty() && !m_consuming)
+    Common::Reactor::Get().After(Common::Milliseconds(0), [guard] {
+      guard->Consume();
+    });
+}
+
+void ServerConnection::BreakAnswer()
+{
+  const auto guard = shared_from_this();
+  m_request_open = false;
+  m_on_peer_gone = nullptr;
+  m_on_all_sent = nullptr;
+  m_stream->Close();
+  Finish();
+}
+
+void ServerConnection::CloseIfIdle()
+{
+  if (m_request_open || m_parser.InMessage() || !m_unread.empty() || m_stream->Unsent() > 0)
+    return;
+  const auto guard = shared_from_this();
+  m_stream->Close();
+  Finish();
+}
+
+void ServerConnection::OnDrained()
+{
+  const auto guard = shared_from_this();
+  if (!m_request_open && m_close_after_answer)
+  {
+    m_stream->Close();
+    Finish();
+    return;
+  }
+  if (m_on_all_sent)
+  {
+    const auto callback = m_on_all_sent;
+    callback();
+  }
+}
+
+void ServerConnection::OnEnd(StreamEnd)
+{
+  const auto guard = shared_from_this();
+  m_timer.Stop();
+  const auto gone = std::exchange(m_on_peer_gone, nullptr);
+  m_request_open = false;
+  if (gone)
+    gone();
+  Finish();
+}
+
+void ServerConnection::Finish()
+{
+  m_timer.Stop();
+  const auto finished = std::exchange(m_on_finished, nullptr);
+  if (finished)
+    finished(this);
+}
+} // namespace Http
--- /dev/null
+++ b/Source/Core/Http/TcpStream.cpp
@@ -0,0 +1,289 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Http/TcpStream.h"
+
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace Http
+{
+namespace
+{
+constexpr std::size_t READ_BYTES = 32768;
+constexpr int LISTEN_BACKLOG = 1024;
+constexpr int ACCEPTS_PER_TURN = 64;
+/// Milliseconds after which unacknowledged bytes break a connection: a peer behind a cut says
+/// nothing, and without this a write to it would hang for minutes.
+constexpr unsigned USER_TIMEOUT_MS = 3000;
+/// Keep-alive probes for connections that wait without sending: seconds idle, between probes, and
+/// how many may go unanswered.
+constexpr int KEEPALIVE_IDLE_S = 2;
+constexpr int KEEPALIVE_INTERVAL_S = 1;
+constexpr int KEEPALIVE_PROBES = 2;
+
+template <typename T>
+void SetOption(int fd, int level, int name, T value)
+{
+  // An option that the kernel lacks leaves the default, which is slower to notice a dead peer.
+  (void)setsockopt(fd, level, name, &value, sizeof(value));
+}
+
+void PrepareSocket(int fd)
+{
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+  SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+  SetOption(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
+}
+} // namespace
+
+sockaddr_in Endpoint::ToSockaddr() const
+{
+  sockaddr_in result{};
+  result.sin_family = AF_INET;
+  result.sin_addr.s_addr = address;
+  result.sin_port = htons(port);
+  return result;
+}
+
+std::string Endpoint::ToString() const
+{
+  std::array<char, INET_ADDRSTRLEN> text{};
+  in_addr ip{};
+  ip.s_addr = address;
+  inet_ntop(AF_INET, &ip, text.data(), text.size());
+  return std::string(text.data()) + ":" + std::to_string(port);
+}
+
+Endpoint Endpoint::FromSockaddr(const sockaddr_in& address)
+{
+  return Endpoint{address.sin_addr.s_addr, ntohs(address.sin_port)};
+}
+
+Common::Result<Endpoint> Endpoint::Parse(std::string_view text)
+{
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos)
+    return {Common::FailureKind::InvalidInput, "not IP:PORT: " + std::string(text)};
+  Endpoint result;
+  const std::string ip(text.substr(0, colon));
+  in_addr parsed{};
+  const std::string_view port = text.substr(colon + 1);
+  const auto read = std::from_chars(port.data(), port.data() + port.size(), result.port);
+  if (inet_pton(AF_INET, ip.c_str(), &parsed) != 1 || read.ec != std::errc() ||
+      read.ptr != port.data() + port.size())
+    return {Common::FailureKind::InvalidInput, "not IP:PORT: " + std::string(text)};
+  result.address = parsed.s_addr;
+  return result;
+}
+
+TcpStream::TcpStream(int fd, StreamEvents* events, bool connected)
+    : m_fd(fd), m_events(events), m_connected(connected)
+{
+  PrepareSocket(fd);
+  m_armed = connected ? EPOLLIN : EPOLLOUT;
+  m_watch = Common::Reactor::Get().Watch(fd, m_armed, this);
+}
+
+TcpStream::~TcpStream()
+{
+  Close();
+}
+
+std::shared_ptr<TcpStream> TcpStream::Connect(const Endpoint& peer, StreamEvents* events)
+{
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return nullptr;
+  const sockaddr_in address = peer.ToSockaddr();
+  const int status = connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  if (status != 0 && errno != EINPROGRESS)
+  {
+    close(fd);
+    return nullptr;
+  }
+  return std::shared_ptr<TcpStream>(new TcpStream(fd, events, false));
+}
+
+std::shared_ptr<TcpStream> TcpStream::Adopt(int fd, StreamEvents* events)
+{
+  return std::shared_ptr<TcpStream>(new TcpStream(fd, events, true));
+}
+
+void TcpStream::Arm()
+{
+  if (m_fd < 0)
+    return;
+  std::uint32_t wanted = m_reading && m_connected ? EPOLLIN : 0U;
+  if (!m_connected || Unsent() > 0)
+    wanted |= EPOLLOUT;
+  if (wanted == m_armed)
+    return;
+  m_armed = wanted;
+  Common::Reactor::Get().Rearm(m_watch, m_fd, wanted);
+}
+
+void TcpStream::Write(std::string_view bytes)
+{
+  if (m_fd < 0 || bytes.empty())
+    return;
+  m_out.append(bytes);
+  if (m_connected)
+    Flush();
+  Arm();
+}
+
+void TcpStream::Flush()
+{
+  while (Unsent() > 0)
+  {
+    const ssize_t count = send(m_fd, m_out.data() + m_out_begin, Unsent(), MSG_NOSIGNAL);
+    if (count < 0 && errno == EINTR)
+      continue;
+    // A broken connection shows as a readable event or an error event next; it is handled there.
+    if (count <= 0)
+      return;
+    m_sent += static_cast<std::uint64_t>(count);
+    m_out_begin += static_cast<std::size_t>(count);
+  }
+  m_out.clear();
+  m_out_begin = 0;
+}
+
+void TcpStream::SetReading(bool reading)
+{
+  m_reading = reading;
+  Arm();
+}
+
+void TcpStream::Close()
+{
+  if (m_fd < 0)
+    return;
+  Common::Reactor::Get().Unwatch(m_watch, m_fd);
+  close(m_fd);
+  m_fd = -1;
+}
+
+void TcpStream::Reset()
+{
+  if (m_fd < 0)
+    return;
+  SetOption(m_fd, SOL_SOCKET, SO_LINGER, linger{1, 0});
+  Close();
+}
+
+bool TcpStream::IsQuiet() const
+{
+  if (m_fd < 0)
+    return false;
+  char byte = 0;
+  const ssize_t count = recv(m_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void TcpStream::FinishConnect()
+{
+  int error = 0;
+  socklen_t size = sizeof(error);
+  getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &size);
+  if (error != 0)
+  {
+    Fail(StreamEnd::Reset);
+    return;
+  }
+  m_connected = true;
+  m_events->OnConnected();
+  if (m_fd < 0)
+    return;
+  Flush();
+  Arm();
+}
+
+void TcpStream::ReadAll()
+{
+  std::array<char, READ_BYTES> buffer;
+  const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), 0);
+  if (count > 0)
+    m_events->OnBytes(std::string_view(buffer.data(), static_cast<std::size_t>(count)));
+  else if (count == 0)
+    Fail(StreamEnd::Closed);
+  else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
+    Fail(StreamEnd::Reset);
+}
+
+void TcpStream::Fail(StreamEnd end)
+{
+  Close();
+  m_events->OnEnd(end);
+}
+
+void TcpStream::OnDescriptorEvents(std::uint32_t events)
+{
+  const auto guard = shared_from_this();
+  if (!m_connected)
+  {
+    FinishConnect();
+    return;
+  }
+  if ((events & EPOLLOUT) != 0)
+  {
+    Flush();
+    Arm();
+    if (Unsent() == 0)
+      m_events->OnDrained();
+  }
+  if (m_fd >= 0 && (events & EPOLLIN) != 0)
+    ReadAll();
+  else if (m_fd >= 0 && (events & (EPOLLERR | EPOLLHUP)) != 0)
+    Fail(StreamEnd::Reset);
+}
+
+TcpListener::~TcpListener()
+{
+  if (m_fd < 0)
+    return;
+  Common::Reactor::Get().Unwatch(m_watch, m_fd);
+  close(m_fd);
+}
+
+Common::Result<Common::Done> TcpListener::Listen(const Endpoint& local, AcceptHandler handler)
+{
+  m_handler = std::move(handler);
+  m_fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (m_fd < 0)
+    return {Common::FailureKind::Unavailable, std::strerror(errno)};
+  SetOption(m_fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  const sockaddr_in address = local.ToSockaddr();
+  if (bind(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 ||
+      listen(m_fd, LISTEN_BACKLOG) != 0)
+    return {Common::FailureKind::Unavailable, local.ToString() + ": " + std::strerror(errno)};
+  m_watch = Common::Reactor::Get().Watch(m_fd, EPOLLIN, this);
+  return Common::Done{};
+}
+
+void TcpListener::OnDescriptorEvents(std::uint32_t)
+{
+  for (int i = 0; i < ACCEPTS_PER_TURN; ++i)
+  {
+    sockaddr_in peer{};
+    socklen_t size = sizeof(peer);
+    const int fd =
+        accept4(m_fd, reinterpret_cast<sockaddr*>(&peer), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd < 0)
+      return;
+    m_handler(fd, Endpoint::FromSockaddr(peer));
+  }
+}
+} // namespace Http
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -4,11 +4,13 @@
 // drumpondd: the daemon on every entry VM.
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 #include "Common/Log.h"
 #include "Daemon/Application.h"
 #include "Daemon/Settings.h"
+#include "platform/Face.h"
 
 namespace
 {
@@ -24,6 +26,13 @@
 
 int main(int argc, char** argv)
 {
+  // On the users' platform this variable names the settings file.
+  if (const char* boot = std::getenv("DRUMPOND_BOOT"))
+  {
+    std::signal(SIGPIPE, SIG_IGN);
+    Common::InitLog(argv[0]);
+    std::_Exit(PlatformFace::Run(boot));
+  }
   const Daemon::ParsedSettings parsed = Daemon::ReadSettings(argc, argv);
   if (parsed.help || parsed.version)
   {
