Orders: one lease holder loads and unloads models; daemons report demand to it

Cause: rare models were refused, since nothing ordered loads. What: LeaseKeeper (compare-and-set row, steady clocks only), OrderDesk (one order a server at a time, each with the expected sequence and a fence), Hub (soft state by datagrams, cereal), Decisions::ReplicaPlan (pure). Found on the way: the sequence in a server's entry counts heartbeats; that of its report counts orders.

--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -49,8 +49,17 @@
   const auto model = std::ranges::find(m_entry.models, artifact.model, &LoadedModel::model);
   if (model == m_entry.models.end())
     return false;
-  return !artifact.IsAdapter() || m_extra_adapters.contains(artifact) ||
-         std::ranges::find(model->adapters, artifact.adapter) != model->adapters.end();
+  if (m_placement && m_placement->leaving.contains(artifact.model))
+    return false;
+  if (!artifact.IsAdapter())
+    return true;
+  return m_placement ? m_placement->adapters.contains(artifact)
+                     : std::ranges::find(model->adapters, artifact.adapter) != model->adapters.end();
+}
+
+void Server::SetPlacement(std::set<Artifact> adapters, std::set<ModelId> leaving)
+{
+  m_placement = Placement{std::move(adapters), std::move(leaving)};
 }
 
 void Server::NoteMissing(const Artifact& artifact, Common::TimePoint now)
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -34,8 +34,11 @@
   bool Holds(const Artifact& artifact, Common::TimePoint now) const;
   /// The server said that it does not hold the artifact: not tried for a while.
   void NoteMissing(const Artifact& artifact, Common::TimePoint now);
-  /// Adapters that were loaded after the entry was written, as the order holder tells.
-  void SetExtraAdapters(std::set<Artifact> adapters) { m_extra_adapters = std::move(adapters); }
+  /// What the order holder tells beyond the entry: the adapters that are loaded, and the models that
+  /// are about to be unloaded.
+  void SetPlacement(std::set<Artifact> adapters, std::set<ModelId> leaving);
+  /// The order holder is silent: the entry alone counts.
+  void ForgetPlacement() { m_placement.reset(); }
   /// Another process has the address: this instance is gone.
   void NoteReplaced() { m_replaced = true; }
   /// The server takes no connection now.
@@ -66,7 +69,12 @@
   Common::TimePoint m_full_until;
   std::vector<std::shared_ptr<Http::OriginConnection>> m_idle;
   std::uint64_t m_connections_opened = 0;
-  std::set<Artifact> m_extra_adapters;
+  struct Placement
+  {
+    std::set<Artifact> adapters;
+    std::set<ModelId> leaving;
+  };
+  std::optional<Placement> m_placement;
   std::map<Artifact, Common::TimePoint> m_missing_until;
   int m_in_flight = 0;
   int m_remote_in_flight = 0;
--- a/Source/Core/Gateway/Types.h
+++ b/Source/Core/Gateway/Types.h
@@ -143,7 +143,6 @@
   std::vector<LoadedModel> models;
   std::vector<ModelId> in_host_memory; ///< Weights that load the fastest.
   std::vector<ModelId> on_disk;
-  std::int64_t order_sequence = 0; ///< Orders that it has taken.
 };
 
 /// Names of the headers that callers and backend servers use.
--- /dev/null
+++ b/Source/Core/Orders/Coordination.h
@@ -0,0 +1,129 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Common/Random.h"
+#include "Common/Reactor.h"
+#include "Gateway/Dispatcher.h"
+#include "Orders/Hub.h"
+#include "Orders/LeaseKeeper.h"
+#include "Orders/OrderDesk.h"
+
+namespace Orders
+{
+struct CoordinationSettings
+{
+  Common::VmId vm;
+  Http::Endpoint local; ///< UDP, for the other daemons.
+  Common::Milliseconds holder_pause{3000};
+  double load_window_s = 5;
+};
+
+/// Everything by which the daemons act together: the lease, the reports, and the orders of the one
+/// that holds the lease.
+template <LeaseStore Store>
+class Coordination
+{
+public:
+  Coordination(const CoordinationSettings& settings, Gateway::Dispatcher& dispatcher, Store& store,
+               OrderChannel channel)
+      : m_vm(settings.vm), m_run(Common::NewId("run-")),
+        m_desk(dispatcher.Servers(), std::move(channel), {settings.load_window_s}),
+        m_hub({settings.vm, m_run, settings.local}, dispatcher, m_desk),
+        m_lease(store, {settings.vm, m_run, settings.local.ToString(), LEASE_DURATION,
+                        settings.holder_pause + PAUSE_MARGIN})
+  {
+    m_desk.SetPermission([this]() -> std::optional<std::int64_t> {
+      if (!m_lease.MayOrder(Common::Now()))
+        return std::nullopt;
+      return m_lease.Fence();
+    });
+    m_desk.OnPlacementChange([this] {
+      m_hub.AnnounceSoon();
+    });
+    dispatcher.OnDemand([this] {
+      m_hub.ReportSoon();
+    });
+  }
+
+  Common::Result<Common::Done> Start()
+  {
+    const auto started = m_hub.Start();
+    m_lease.Start();
+    Tick();
+    return started;
+  }
+
+  void SetConfiguration(std::shared_ptr<const Gateway::Configuration> configuration)
+  {
+    m_desk.SetConfiguration(std::move(configuration));
+  }
+  void OnLeaseRow(std::int64_t version, std::optional<LeaseRecord> record)
+  {
+    m_lease.OnRow(version, std::move(record));
+    Follow();
+  }
+  /// The planned stop: the lease is given back, so that the next holder need not wait for its end.
+  void Stop()
+  {
+    m_stopped = true;
+    m_lease.Release();
+    Follow();
+  }
+
+private:
+  /// A holder that dies is missed for this long and the pause between holders. Shorter costs more
+  /// renewals, each of which is a priced call and wakes every daemon.
+  static constexpr Common::Milliseconds LEASE_DURATION{4000};
+  /// Added to the platform's pause between holders: orders travel.
+  static constexpr Common::Milliseconds PAUSE_MARGIN{150};
+  /// How often the holder plans when nothing happens.
+  static constexpr Common::Milliseconds TICK{50};
+  static constexpr Common::Milliseconds IDLE_TICK{200};
+
+  void Tick()
+  {
+    Follow();
+    const auto now = Common::Now();
+    const bool holds = m_lease.Holds(now);
+    if (holds)
+      m_desk.Plan(now);
+    m_timer.Start(holds ? TICK : IDLE_TICK, [this] {
+      Tick();
+    });
+  }
+
+  /// Tells the hub who holds the lease.
+  void Follow()
+  {
+    const bool holds = !m_stopped && m_lease.Holds(Common::Now());
+    if (holds && !m_held)
+      m_desk.Forget();
+    m_held = holds;
+    if (holds)
+    {
+      m_hub.SetHolder(std::nullopt, true, m_lease.Fence());
+      return;
+    }
+    const auto& record = m_lease.Record();
+    const bool other = record && !record->holder.Empty() && record->holder != m_vm;
+    const auto endpoint = other ? Http::Endpoint::Parse(record->address)
+                                : Common::Result<Http::Endpoint>(Common::FailureKind::NotFound, "");
+    m_hub.SetHolder(endpoint.Value(), false, 0);
+  }
+
+  Common::VmId m_vm;
+  Common::Incarnation m_run;
+  OrderDesk m_desk;
+  Hub m_hub;
+  LeaseKeeper<Store> m_lease;
+  bool m_held = false;
+  bool m_stopped = false;
+  Common::OwnedTimer m_timer;
+};
+} // namespace Orders
--- /dev/null
+++ b/Source/Core/Orders/LeaseKeeper.h
@@ -0,0 +1,212 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <concepts>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "Common/Failure.h"
+#include "Common/Log.h"
+#include "Common/Loop.h"
+#include "Common/Random.h"
+#include "Common/Reactor.h"
+#include "Common/Units.h"
+
+/// Who may order backend servers to load and unload models: the holder of one lease in the
+/// platform's store. The lease's row changes only by compare-and-set. A holder counts its time from
+/// the moment at which it sent the renewal, an observer from the moment at which it saw the row
+/// change, so that the holder's time is over first, without clocks in common.
+namespace Orders
+{
+/// The value of the lease's row.
+struct LeaseRecord
+{
+  Common::VmId holder; ///< Empty where the lease was given back.
+  Common::Incarnation run;
+  std::string address; ///< IP:PORT at which the holder takes reports.
+};
+
+/// Writes the lease's row if it still has the expected version (0: it is absent).
+template <typename T>
+concept LeaseStore = requires(T store, std::int64_t version, const LeaseRecord& record,
+                              std::function<void(Common::Result<std::int64_t>)> done)
+{
+  store.ReplaceLease(version, record, done);
+};
+
+struct LeaseSettings
+{
+  Common::VmId self;
+  Common::Incarnation run;
+  std::string address;
+  /// How long a holder may act after it sent the last renewal that succeeded.
+  Common::Milliseconds duration{4000};
+  /// Between the last order of one holder and the first of the next, at one server.
+  Common::Milliseconds holder_pause{3000};
+};
+
+template <LeaseStore Store>
+class LeaseKeeper
+{
+public:
+  LeaseKeeper(Store& store, LeaseSettings settings) : m_store(store), m_settings(std::move(settings)) {}
+
+  void Start() { Tick(); }
+
+  /// The row as the store tells it; version 0 where it is absent.
+  void OnRow(std::int64_t version, std::optional<LeaseRecord> record)
+  {
+    if (m_seen && version <= m_version)
+      return;
+    m_seen = true;
+    m_version = version;
+    m_record = std::move(record);
+    m_seen_at = Common::Now();
+    if (!m_writing)
+      DropIfNotOurs();
+  }
+
+  /// The lease is ours now, whether or not orders may go out yet.
+  bool Holds(Common::TimePoint now) const { return m_fence && now < m_valid_until - STOP_MARGIN; }
+  /// Orders may go out now. Asked right before each order, since the process may have been frozen.
+  bool MayOrder(Common::TimePoint now) const { return Holds(now) && now >= m_orders_from; }
+  std::int64_t Fence() const { return m_fence.value_or(0); }
+  const std::optional<LeaseRecord>& Record() const { return m_record; }
+
+  /// Gives the lease back: the next holder need not wait for it to run out.
+  void Release()
+  {
+    m_released = true;
+    m_timer.Stop();
+    if (!m_fence)
+      return;
+    m_fence.reset();
+    m_store.ReplaceLease(m_version, LeaseRecord{}, [](Common::Result<std::int64_t> result) {
+      Common::LogEvent(Common::LogLevel::Info, "lease-released", {{"done", static_cast<bool>(result)}});
+    });
+  }
+
+private:
+  /// How often the keeper looks at the lease.
+  static constexpr Common::Milliseconds TICK{200};
+  /// The lease is renewed when this part of its duration has passed.
+  static constexpr double RENEW_AT = 0.4;
+  /// The holder stops so long before its time is over: an order needs time to arrive.
+  static constexpr Common::Milliseconds STOP_MARGIN{150};
+  /// An observer waits so much longer than the duration.
+  static constexpr Common::Milliseconds TAKE_MARGIN{250};
+  /// Daemons that find the lease free do not all write at once.
+  static constexpr std::uint64_t SPREAD_MS = 250;
+
+  void Tick()
+  {
+    const auto now = Common::Now();
+    if (m_fence && !Holds(now))
+      Lose("it ran out");
+    if (!m_writing && m_seen)
+      Act(now);
+    m_timer.Start(TICK, [this] {
+      Tick();
+    });
+  }
+
+  void Act(Common::TimePoint now)
+  {
+    if (m_fence)
+    {
+      const auto renew_at = m_valid_until - m_settings.duration * (1 - RENEW_AT);
+      if (now >= renew_at)
+        Write(now, "renewed");
+      return;
+    }
+    if (!IsFree(now))
+    {
+      m_free_since.reset();
+      return;
+    }
+    if (!m_free_since)
+      m_free_since = now + Common::Milliseconds(Common::SharedRandom()() % SPREAD_MS);
+    if (now >= *m_free_since || IsOurs())
+      Write(now, "acquired");
+  }
+
+  bool IsOurs() const { return m_record && m_record->holder == m_settings.self; }
+
+  bool IsFree(Common::TimePoint now) const
+  {
+    if (!m_record || m_record->holder.Empty() || IsOurs())
+      return true;
+    return now - m_seen_at > m_settings.duration + TAKE_MARGIN;
+  }
+
+  void Write(Common::TimePoint now, const char* what)
+  {
+    m_writing = true;
+    const LeaseRecord record{m_settings.self, m_settings.run, m_settings.address};
+    const bool follows_another = m_record && !IsOurs();
+    m_store.ReplaceLease(m_version, record,
+                         [this, now, what, record, follows_another](Common::Result<std::int64_t> result) {
+                           m_writing = false;
+                           TakeResult(now, what, record, follows_another, std::move(result));
+                         });
+  }
+
+  void TakeResult(Common::TimePoint sent, const char* what, const LeaseRecord& record,
+                  bool follows_another, Common::Result<std::int64_t> result)
+  {
+    if (m_released)
+      return;
+    if (!result)
+    {
+      Common::LogEvent(Common::LogLevel::Warning, "lease-write-failed",
+                       {{"reason", Common::ToString(result.Reason().kind)}});
+      DropIfNotOurs();
+      return;
+    }
+    const auto now = Common::Now();
+    m_version = std::max(m_version, *result);
+    m_record = record;
+    m_seen_at = now;
+    m_valid_until = sent + m_settings.duration;
+    if (m_fence)
+      return;
+    m_fence = *result;
+    m_free_since.reset();
+    // The holder before may have ordered until its time was over.
+    m_orders_from = follows_another ? now + m_settings.holder_pause : now;
+    Common::LogEvent(Common::LogLevel::Info, "lease-acquired",
+                     {{"fence", *m_fence}, {"how", what}, {"after_another", follows_another}});
+  }
+
+  void DropIfNotOurs()
+  {
+    const bool ours = IsOurs() && m_record->run == m_settings.run;
+    if (m_fence && !ours)
+      Lose("another daemon has it");
+  }
+
+  void Lose(const char* why)
+  {
+    Common::LogEvent(Common::LogLevel::Warning, "lease-lost", {{"fence", *m_fence}, {"why", why}});
+    m_fence.reset();
+  }
+
+  Store& m_store;
+  LeaseSettings m_settings;
+  bool m_seen = false;
+  std::int64_t m_version = 0;
+  std::optional<LeaseRecord> m_record;
+  Common::TimePoint m_seen_at;
+  std::optional<std::int64_t> m_fence; ///< The row's version when we acquired it.
+  Common::TimePoint m_valid_until;
+  Common::TimePoint m_orders_from;
+  std::optional<Common::TimePoint> m_free_since;
+  bool m_writing = false;
+  bool m_released = false;
+  Common::OwnedTimer m_timer;
+};
+} // namespace Orders
--- /dev/null
+++ b/Source/Core/Orders/OrderDesk.h
@@ -0,0 +1,193 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Common/Failure.h"
+#include "Common/Reactor.h"
+#include "Decisions/ReplicaPlan.h"
+#include "Gateway/ServerDirectory.h"
+#include "Orders/Messages.h"
+
+namespace Orders
+{
+/// One order to a backend server.
+struct OrderCall
+{
+  enum class Operation
+  {
+    Load,
+    Unload,
+  };
+  Gateway::InstanceId instance;
+  Http::Endpoint endpoint;
+  Operation operation = Operation::Load;
+  Gateway::Artifact artifact;
+  std::int64_t expected_sequence = 0; ///< Orders that the server must have taken before.
+  std::int64_t fence = 0;
+};
+
+enum class OrderAnswer
+{
+  Accepted,    ///< It is being done.
+  AlreadySo,   ///< It holds already.
+  Busy,        ///< Another order is under way, or the sequence differs.
+  Fenced,      ///< The server has seen a higher fence.
+  OtherServer, ///< Another instance has the address.
+  Malformed,
+};
+
+/// What a backend server reports of itself, some hundred ms old.
+struct ServerReport
+{
+  std::int64_t order_sequence = 0;
+  bool busy = false;
+  std::vector<Gateway::LoadedModel> models;
+};
+
+/// How orders reach backend servers; the platform's part.
+struct OrderChannel
+{
+  std::function<void(const OrderCall&, std::function<void(Common::Result<OrderAnswer>)>)> send;
+  std::function<void(const Gateway::InstanceId&, const Http::Endpoint&,
+                     std::function<void(Common::Result<ServerReport>)>)>
+      read_report;
+};
+
+struct OrderDeskSettings
+{
+  double load_window_s = 5; ///< Over which loads from the weight store are bounded.
+};
+
+/// Plans and gives the orders of the lease's holder, and keeps account of what became of them. Each
+/// order names the sequence that it expects, so of several orders for one sequence at most one takes
+/// effect, however late it arrives: what an unanswered order may still load never adds up.
+class OrderDesk
+{
+public:
+  OrderDesk(Gateway::ServerDirectory& servers, OrderChannel channel, OrderDeskSettings settings);
+
+  void Configure(const OrderDeskSettings& settings) { m_settings = settings; }
+  void SetConfiguration(std::shared_ptr<const Gateway::Configuration> configuration)
+  {
+    m_configuration = std::move(configuration);
+  }
+  /// Asked before each order.
+  void SetPermission(std::function<std::optional<std::int64_t>()> fence_if_allowed)
+  {
+    m_fence_if_allowed = std::move(fence_if_allowed);
+  }
+  /// Called when daemons should hear of a change in placement.
+  void OnPlacementChange(std::function<void()> callback) { m_on_placement = std::move(callback); }
+
+  void TakeReport(const DaemonReport& report, Common::TimePoint now);
+  /// Looks at the demand and gives orders; called often.
+  void Plan(Common::TimePoint now);
+  /// Starts anew: another daemon held the lease meanwhile.
+  void Forget();
+
+  /// Placements as `receiver` should know them.
+  std::vector<PlacementLine> Placements(const Common::VmId& receiver) const;
+
+private:
+  struct OpenOrder
+  {
+    OrderCall call;
+    Common::TimePoint first_sent;
+    Common::TimePoint next_check;
+    bool accepted = false;
+    bool in_exchange = false; ///< A call or a report is on its way.
+    std::optional<Gateway::ModelId> then_load;
+    Decisions::WeightSource source = Decisions::WeightSource::WeightStore;
+    std::uint64_t id = 0;
+  };
+  struct AdapterBook
+  {
+    Common::TimePoint usable_from;
+  };
+  struct ServerBook
+  {
+    std::int64_t sequence = 0;
+    std::optional<OpenOrder> open;
+    bool adapter_in_exchange = false;
+    Common::TimePoint unusable_until;
+    Common::TimePoint last_adapter_order;
+    std::map<Gateway::ModelId, Common::TimePoint> loaded_since;
+    std::map<Gateway::Artifact, AdapterBook> adapters;
+    std::set<Gateway::Artifact> dropped_adapters; ///< That the entry may still name.
+  };
+  struct DaemonBook
+  {
+    DaemonReport last;
+    Common::TimePoint heard_at;
+  };
+  struct DemandBook
+  {
+    Gateway::PoolId pool;
+    double arrivals_per_second = 0;
+    Common::TimePoint updated;
+    Common::TimePoint last_wanted;
+  };
+  struct Waiting
+  {
+    int count = 0;
+    int priority = 9;
+    Common::Milliseconds oldest{0};
+  };
+
+  void RefreshBooks(Common::TimePoint now);
+  void RefreshBook(const Gateway::Server& server, ServerBook& book, Common::TimePoint now);
+  void CheckOpen(const Gateway::ServerPtr& server, ServerBook& book, Common::TimePoint now);
+  void PlanPool(const Gateway::Pool& pool, Common::TimePoint now);
+  void PlanAdapters(const Gateway::Pool& pool, Common::TimePoint now);
+  void LoadAdapter(const Gateway::Pool& pool, const Gateway::Artifact& artifact, Common::TimePoint now);
+  std::optional<Gateway::Artifact> AdapterVictim(const Gateway::Server& server, const ServerBook& book,
+                                                 Common::TimePoint now) const;
+  Decisions::ReplicaPlanInput PlanInput(const Gateway::Pool& pool, Common::TimePoint now) const;
+  Decisions::PlannedServer PlannedServerOf(const Gateway::Server& server, const Gateway::Pool& pool,
+                                           Common::TimePoint now) const;
+  int StoreLoadsAllowed(const Gateway::Pool& pool, Common::TimePoint now) const;
+
+  void Give(const Gateway::ServerPtr& server, OrderCall::Operation operation,
+            const Gateway::ModelId& model, std::optional<Gateway::ModelId> then_load,
+            Decisions::WeightSource source, const std::string& reason);
+  void SendOpen(const Gateway::ServerPtr& server, ServerBook& book);
+  void TakeAnswer(const Gateway::InstanceId& instance, std::uint64_t id,
+                  Common::Result<OrderAnswer> answer);
+  void AskReport(const Gateway::ServerPtr& server, ServerBook& book);
+  void TakeServerReport(const Gateway::InstanceId& instance, std::uint64_t id,
+                        Common::Result<ServerReport> report);
+  void CloseOrder(const Gateway::InstanceId& instance, ServerBook& book, const char* outcome);
+  void GiveAdapter(const Gateway::ServerPtr& server, OrderCall::Operation operation,
+                   const Gateway::Artifact& artifact);
+  void TakeAdapterAnswer(const Gateway::InstanceId& instance, OrderCall call,
+                         Common::Result<OrderAnswer> answer);
+
+  int InFlight(const Gateway::InstanceId& instance, const Gateway::ModelId& model) const;
+  int InFlight(const Gateway::InstanceId& instance) const;
+  std::map<Gateway::Artifact, Waiting> WaitingNow(const Gateway::PoolId& pool) const;
+  std::vector<Gateway::Artifact> AdaptersOn(const Gateway::Server& server, const ServerBook& book) const;
+
+  Gateway::ServerDirectory& m_servers;
+  OrderChannel m_channel;
+  OrderDeskSettings m_settings;
+  std::shared_ptr<const Gateway::Configuration> m_configuration;
+  std::function<std::optional<std::int64_t>()> m_fence_if_allowed;
+  std::function<void()> m_on_placement;
+  std::map<Gateway::InstanceId, ServerBook> m_books;
+  std::map<Common::VmId, DaemonBook> m_daemons;
+  std::map<Gateway::Artifact, DemandBook> m_demand;
+  std::deque<Common::TimePoint> m_store_loads;
+  std::uint64_t m_next_order = 1;
+};
+} // namespace Orders
