Orders: a holder learns each server's state before its first order

A new holder took the sequence for 0 and what the entry said for the whole truth; a load that the holder before had begun finished meanwhile, and the repeat of a refused order went out without a new look at the room. An adapter's slot was counted free before its unload was confirmed. Ruled out: two holders at once (the lease changed hands with the pause kept, fences rising). Now: sequence, models and adapters come from the server's own report first; a refused order is closed and planned anew, never repeated.

--- a/Source/Core/Common/Log.cpp
+++ b/Source/Core/Common/Log.cpp
@@ -13,7 +13,7 @@
 {
 namespace
 {
-constexpr int MAX_LINES_PER_SECOND = 10;
+constexpr int MAX_LINES_PER_SECOND = 40;
 
 struct EventRate
 {
--- a/Source/Core/Common/Log.h
+++ b/Source/Core/Common/Log.h
@@ -37,6 +37,6 @@
 void InitLog(const char* program);
 
 /// Writes one line for one event: its name, then `key=value` pairs. The same event is written at
-/// most ten times a second; what was left out is counted on the next line.
+/// most forty times a second; what was left out is counted on the next line.
 void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
 } // namespace Common
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -180,15 +180,20 @@
 {
   for (const Gateway::LoadedModel& loaded : server.Entry().models)
     book.loaded_since.try_emplace(loaded.model, now);
+  std::erase_if(book.reported_models, [&](const ModelId& model) {
+    return HoldsModel(server, model);
+  });
   std::erase_if(book.loaded_since, [&](const auto& entry) {
     return !HoldsModel(server, entry.first);
   });
   std::erase_if(book.adapters, [&](const auto& entry) {
     return !HoldsModel(server, entry.first.model);
   });
-  std::erase_if(book.dropped_adapters, [&](const Artifact& artifact) {
+  const auto base_is_gone = [&](const Artifact& artifact) {
     return !HoldsModel(server, artifact.model);
-  });
+  };
+  std::erase_if(book.dropped_adapters, base_is_gone);
+  std::erase_if(book.leaving_adapters, base_is_gone);
 }
 
 std::vector<Artifact> OrderDesk::AdaptersOn(const Server& server, const ServerBook& book) const
@@ -210,7 +215,10 @@
     return;
   RefreshBooks(now);
   for (const auto& [instance, server] : m_servers.All())
+  {
     CheckOpen(server, m_books[instance], now);
+    LearnState(server, m_books[instance], now);
+  }
   for (const auto& [id, pool] : m_configuration->pools)
   {
     if (!pool.engine)
@@ -220,6 +228,44 @@
   }
 }
 
+void OrderDesk::LearnState(const ServerPtr& server, ServerBook& book, TimePoint now)
+{
+  const auto pool = m_configuration->pools.find(server->Entry().pool);
+  const bool has_engine = pool != m_configuration->pools.end() && pool->second.engine;
+  if (!has_engine || book.state_known || book.report_asked || book.open || now < book.next_report)
+    return;
+  book.report_asked = true;
+  const InstanceId instance = server->Entry().instance;
+  m_channel.read_report(instance, server->Entry().endpoint,
+                        [this, instance](const Common::Result<ServerReport>& report) {
+                          TakeState(instance, report);
+                        });
+}
+
+void OrderDesk::TakeState(const InstanceId& instance, const Common::Result<ServerReport>& report)
+{
+  const auto found = m_books.find(instance);
+  if (found == m_books.end())
+    return;
+  ServerBook& book = found->second;
+  const auto now = Common::Now();
+  book.report_asked = false;
+  book.next_report = now + CHECK_PAUSE;
+  if (!report || report->busy)
+    return;
+  book.state_known = true;
+  book.sequence = std::max(book.sequence, report->order_sequence);
+  book.reported_models.clear();
+  for (const Gateway::LoadedModel& loaded : report->models)
+  {
+    book.reported_models.push_back(loaded.model);
+    for (const Gateway::AdapterId& adapter : loaded.adapters)
+      book.adapters.try_emplace({loaded.model, adapter}, AdapterBook{now});
+  }
+  for (const Artifact& artifact : report->coming)
+    book.adapters.try_emplace(artifact, AdapterBook{now + ADAPTER_LOAD_TIME});
+}
+
 void OrderDesk::CheckOpen(const ServerPtr& server, ServerBook& book, TimePoint now)
 {
   if (!book.open)
@@ -271,7 +317,8 @@
   planned.instance = instance.Get();
   planned.data_centre = server.Entry().data_centre.Get();
   planned.memory_mb = engine.memory_mb;
-  planned.usable = !server.Entry().draining && !server.Health().IsEjected(now) && now >= book.unusable_until;
+  planned.usable = !server.Entry().draining && !server.Health().IsEjected(now) &&
+                   now >= book.unusable_until && book.state_known;
   planned.order_open = book.open.has_value();
   if (book.open && book.open->then_load)
     planned.loading = book.open->then_load->Get();
@@ -281,6 +328,10 @@
   planned.batch = engine.batch;
   for (const auto& [model, since] : book.loaded_since)
     planned.replicas.push_back({model.Get(), InFlight(instance, model), since});
+  // What only the server's report names takes memory all the same; its entry follows.
+  for (const ModelId& model : book.reported_models)
+    if (!book.loaded_since.contains(model))
+      planned.replicas.push_back({model.Get(), InFlight(instance, model), now});
   // Every slot counts as taken, so that an adapter that comes never exceeds the memory.
   const auto largest = std::ranges::max_element(engine.models, {}, [](const auto& entry) {
     return entry.second.adapter_mb;
@@ -440,8 +491,8 @@
     open.next_check = now + ENTRY_SLACK;
     break;
   case OrderAnswer::Busy:
-    // The sequence may be older than we think, or an order that went unanswered is being done.
-    open.next_check = now + CHECK_PAUSE / 4;
+    // The sequence is not what we think, or an order that went unanswered is being done.
+    CloseOrder(instance, book, ToString(*answer));
     break;
   case OrderAnswer::OtherServer:
   case OrderAnswer::Fenced:
@@ -505,6 +556,8 @@
     m_on_placement();
   const ServerPtr server = m_servers.Find(instance);
   const bool done = std::string_view(outcome) == "done";
+  if (!done)
+    book.state_known = false;
   if (done && closed.then_load && server && !server->Entry().draining)
     Give(server, OrderCall::Operation::Load, *closed.then_load, std::nullopt, closed.source, "after unload");
 }
@@ -536,7 +589,7 @@
     const bool leaving = book.open && book.open->call.operation == OrderCall::Operation::Unload &&
                          book.open->call.artifact.model == artifact.model;
     if (server->Entry().draining || server->Health().IsEjected(now) || leaving ||
-        now < book.unusable_until || !HoldsModel(*server, artifact.model))
+        now < book.unusable_until || !book.state_known || !HoldsModel(*server, artifact.model))
       continue;
     const bool full =
         static_cast<int>(AdaptersOn(*server, book).size()) >= pool.engine->adapter_slots;
@@ -573,7 +626,8 @@
   {
     const auto demand = m_demand.find(artifact);
     const TimePoint wanted = demand == m_demand.end() ? TimePoint() : demand->second.last_wanted;
-    if (now - wanted < ADAPTER_MIN_IDLE || (best && wanted >= best_wanted))
+    if (now - wanted < ADAPTER_MIN_IDLE || (best && wanted >= best_wanted) ||
+        book.leaving_adapters.contains(artifact))
       continue;
     best = artifact;
     best_wanted = wanted;
@@ -597,9 +651,8 @@
   book.adapter_in_exchange = true;
   if (operation == OrderCall::Operation::Unload)
   {
-    // Daemons stop sending for it before it goes.
-    book.dropped_adapters.insert(artifact);
-    book.adapters.erase(artifact);
+    // Daemons stop sending for it before it goes. It takes its slot until the server has confirmed.
+    book.leaving_adapters.insert(artifact);
     if (m_on_placement)
       m_on_placement();
   }
@@ -627,21 +680,23 @@
   const bool taken = answer && (*answer == OrderAnswer::Accepted || *answer == OrderAnswer::AlreadySo);
   if (!taken)
   {
-    // The sequence is learned from the server's report when the next model order needs it; an
-    // adapter order that is refused for it asks at once.
-    if (answer && *answer == OrderAnswer::Busy)
-      m_channel.read_report(instance, call.endpoint, [this, instance](Common::Result<ServerReport> report) {
-        const auto book_of = m_books.find(instance);
-        if (report && book_of != m_books.end())
-          book_of->second.sequence = std::max(book_of->second.sequence, report->order_sequence);
-      });
-    book.unusable_until = std::max(book.unusable_until, now + CHECK_PAUSE);
+    book.leaving_adapters.erase(call.artifact);
+    book.state_known = false;
     return;
   }
   if (*answer == OrderAnswer::Accepted || !is_load)
     book.sequence = std::max(book.sequence, call.expected_sequence + 1);
   if (!is_load)
+  {
+    // An adapter in use goes when its last request has ended; then the server's entry shows it.
+    if (*answer == OrderAnswer::AlreadySo)
+    {
+      book.leaving_adapters.erase(call.artifact);
+      book.dropped_adapters.insert(call.artifact);
+      book.adapters.erase(call.artifact);
+    }
     return;
+  }
   book.dropped_adapters.erase(call.artifact);
   book.adapters[call.artifact] = {now + ADAPTER_LOAD_TIME};
   Common::Reactor::Get().After(ADAPTER_LOAD_TIME, [this] {
@@ -669,7 +724,8 @@
     for (const Artifact& artifact : AdaptersOn(*server, book->second))
     {
       const auto coming = book->second.adapters.find(artifact);
-      if (coming == book->second.adapters.end() || coming->second.usable_from <= now)
+      const bool arrived = coming == book->second.adapters.end() || coming->second.usable_from <= now;
+      if (arrived && !book->second.leaving_adapters.contains(artifact))
         line.adapters.push_back(artifact);
     }
     const auto& open = book->second.open;
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -51,8 +51,9 @@
 struct ServerReport
 {
   std::int64_t order_sequence = 0;
-  bool busy = false;
+  bool busy = false; ///< An order is being carried out.
   std::vector<Gateway::LoadedModel> models;
+  std::vector<Gateway::Artifact> coming; ///< Adapters that are on their way.
 };
 
 /// How orders reach backend servers; the platform's part.
@@ -118,13 +119,20 @@
   struct ServerBook
   {
     std::int64_t sequence = 0;
+    /// The server's own word on its sequence and state is needed before an order: at the beginning of
+    /// a tenure, and after anything that did not go as expected.
+    bool state_known = false;
+    bool report_asked = false;
+    Common::TimePoint next_report;
+    std::vector<Gateway::ModelId> reported_models;
     std::optional<OpenOrder> open;
     bool adapter_in_exchange = false;
     Common::TimePoint unusable_until;
     Common::TimePoint last_adapter_order;
     std::map<Gateway::ModelId, Common::TimePoint> loaded_since;
     std::map<Gateway::Artifact, AdapterBook> adapters;
-    std::set<Gateway::Artifact> dropped_adapters; ///< That the entry may still name.
+    std::set<Gateway::Artifact> dropped_adapters; ///< Unloaded, though the entry may still name them.
+    std::set<Gateway::Artifact> leaving_adapters; ///< About to be unloaded: no new requests.
   };
   struct DaemonBook
   {
@@ -164,6 +172,8 @@
   void SendOpen(const Gateway::ServerPtr& server, ServerBook& book);
   void TakeAnswer(const Gateway::InstanceId& instance, std::uint64_t id,
                   Common::Result<OrderAnswer> answer);
+  void LearnState(const Gateway::ServerPtr& server, ServerBook& book, Common::TimePoint now);
+  void TakeState(const Gateway::InstanceId& instance, const Common::Result<ServerReport>& report);
   void AskReport(const Gateway::ServerPtr& server, ServerBook& book);
   void TakeServerReport(const Gateway::InstanceId& instance, std::uint64_t id,
                         Common::Result<ServerReport> report);
