Orders: the holder passes on what it reads from the platform

Now: TableFollower (Core, over a TableSource concept) takes changes from the source or from the holder's datagrams; the holder's word counts while it is heard and the platform answered it within 0.9 s, else each daemon asks itself. The lease's table is followed only while no holder is heard; the holder's own word on its remaining time takes its place. Plans are coalesced, sums over reports made once a plan.

--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -3,9 +3,12 @@
 
 #pragma once
 
+#include <algorithm>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "Common/Random.h"
 #include "Common/Reactor.h"
@@ -13,6 +16,7 @@
 #include "Orders/Hub.h"
 #include "Orders/LeaseKeeper.h"
 #include "Orders/OrderDesk.h"
+#include "Orders/TableFollower.h"
 
 namespace Orders
 {
@@ -26,18 +30,31 @@
 
 /// Everything by which the daemons act together: the lease, the reports, and the orders of the one
 /// that holds the lease.
-template <LeaseStore Store>
+template <LeaseStore Store, TableSource Source>
 class Coordination
 {
 public:
+  using Follower = TableFollower<Source>;
+
+  /// `lease_table` is followed only while no holder is heard.
   Coordination(const CoordinationSettings& settings, Gateway::Dispatcher& dispatcher, Store& store,
-               OrderChannel channel)
+               OrderChannel channel, std::vector<Follower*> shared_tables, Follower& lease_table)
       : m_vm(settings.vm), m_run(Common::NewId("run-")),
         m_desk(dispatcher.Servers(), std::move(channel), {settings.load_window_s}),
         m_hub({settings.vm, m_run, settings.local}, dispatcher, m_desk),
         m_lease(store, {settings.vm, m_run, settings.local.ToString(), LEASE_DURATION,
-                        settings.holder_pause + PAUSE_MARGIN})
+                        settings.holder_pause + PAUSE_MARGIN}),
+        m_lease_table(lease_table)
   {
+    std::vector<TableAccess> tables;
+    std::ranges::transform(shared_tables, std::back_inserter(tables), [](Follower* follower) {
+      return AccessTo(*follower);
+    });
+    m_hub.SetTables(std::move(tables));
+    m_hub.OnLeaseWord([this](const LeaseWord& word, const Common::VmId& holder, const Http::Endpoint& from) {
+      m_lease.OnHolderWord(word.version, {holder, {}, from.ToString()}, word.left);
+      Follow();
+    });
     m_desk.SetPermission([this]() -> std::optional<std::int64_t> {
       if (!m_lease.MayOrder(Common::Now()))
         return std::nullopt;
@@ -68,6 +85,8 @@
     m_lease.OnRow(version, std::move(record));
     Follow();
   }
+  /// A shared table has changed here: the holder passes it on at once.
+  void OnTableChange() { m_hub.AnnounceSoon(); }
   /// The planned stop: the lease is given back, so that the next holder need not wait for its end.
   void Stop()
   {
@@ -86,9 +105,24 @@
   static constexpr Common::Milliseconds TICK{50};
   static constexpr Common::Milliseconds IDLE_TICK{200};
 
+  static TableAccess AccessTo(Follower& follower)
+  {
+    TableAccess access;
+    access.version = [&follower] { return follower.Version(); };
+    access.changes_since = [&follower](std::int64_t version) { return follower.ChangesSince(version); };
+    access.answer_age = [&follower] { return follower.AnswerAge(Common::Now()); };
+    access.take_relayed = [&follower](std::int64_t from, std::int64_t to, const std::vector<TableRow>& rows) {
+      return follower.TakeRelayed(from, to, rows);
+    };
+    access.set_relayed = [&follower](bool relayed) { follower.SetRelayed(relayed); };
+    access.set_wait = [&follower](Common::Milliseconds wait) { follower.SetWait(wait); };
+    return access;
+  }
+
   void Tick()
   {
     Follow();
+    m_lease_table.SetRelayed(m_held || m_hub.HearsHolder());
     const auto now = Common::Now();
     const bool holds = m_lease.Holds(now);
     if (holds)
@@ -107,14 +141,15 @@
     m_held = holds;
     if (holds)
     {
-      m_hub.SetHolder(std::nullopt, true, m_lease.Fence());
+      m_hub.SetHolder(std::nullopt,
+                      LeaseWord{m_lease.Fence(), m_lease.RowVersion(), m_lease.Left(Common::Now())});
       return;
     }
     const auto& record = m_lease.Record();
     const bool other = record && !record->holder.Empty() && record->holder != m_vm;
     const auto endpoint = other ? Http::Endpoint::Parse(record->address)
                                 : Common::Result<Http::Endpoint>(Common::FailureKind::NotFound, "");
-    m_hub.SetHolder(endpoint.Value(), false, 0);
+    m_hub.SetHolder(endpoint.Value(), std::nullopt);
   }
 
   Common::VmId m_vm;
@@ -122,6 +157,7 @@
   OrderDesk m_desk;
   Hub m_hub;
   LeaseKeeper<Store> m_lease;
+  Follower& m_lease_table;
   bool m_held = false;
   bool m_stopped = false;
   Common::OwnedTimer m_timer;
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -7,6 +7,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <iterator>
 
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -21,16 +22,33 @@
 {
 using Common::Milliseconds;
 
-/// Regular reports of a daemon, and answers of the holder.
-constexpr Milliseconds REGULAR_INTERVAL{250};
+/// Regular reports of a daemon, and announcements of the holder; with many daemons they are rarer, so
+/// that the holder's work stays within its share of a processor.
+constexpr Milliseconds MIN_INTERVAL{250};
+constexpr Milliseconds MAX_INTERVAL{500};
+constexpr Milliseconds INTERVAL_PER_DAEMON{3};
 /// News waits so long for more news.
 constexpr Milliseconds NEWS_DELAY{4};
 /// A datagram is at most so long; the kernel cuts it into packets.
 constexpr std::size_t MAX_DATAGRAM = 60000;
+/// Bytes of rows in one datagram; the rest follows with the next.
+constexpr std::size_t MAX_NEWS_BYTES = 30000;
+/// What was sent and not confirmed for so long is sent again.
+constexpr Milliseconds RESEND_AFTER{300};
 /// A daemon that is silent for so long gets no more announcements.
 constexpr Milliseconds PEER_SILENT_AFTER{2000};
+/// A holder is silent after so many intervals and this. Then each daemon asks the platform itself;
+/// both together stay well below the 2 s in which a change has to be in force.
+constexpr int SILENT_INTERVALS = 2;
+constexpr Milliseconds SILENCE_SLACK{300};
+/// The holder's copy of a table is relied on while the platform has answered it so lately.
+constexpr Milliseconds MAX_ANSWER_AGE{900};
+/// How long the platform may hold the holder's own waiting calls; below the age above.
+constexpr Milliseconds HOLDER_WAIT{500};
+constexpr Milliseconds FOLLOWER_WAIT{2500};
+constexpr Milliseconds CHECK_INTERVAL{100};
 /// Placements of a holder that is silent for so long are not relied on.
-constexpr Milliseconds HOLDER_SILENT_AFTER{2000};
+constexpr Milliseconds PLACEMENT_VALID{2000};
 constexpr int DATAGRAMS_PER_TURN = 64;
 } // namespace
 
@@ -56,20 +74,39 @@
   m_watch = Common::Reactor::Get().Watch(m_fd, EPOLLIN, this);
   m_dispatcher.Budget().SetDaemons(m_settings.assumed_daemons);
   ReportNow();
+  CheckHolder();
   return Common::Done{};
 }
 
-void Hub::SetHolder(std::optional<Http::Endpoint> endpoint, bool is_self, std::int64_t fence)
+void Hub::SetHolder(std::optional<Http::Endpoint> endpoint, std::optional<LeaseWord> own_lease)
 {
-  if (m_holder == endpoint && m_is_holder == is_self && m_fence == fence)
-    return;
+  const bool was_holder = m_own_lease.has_value();
+  const bool moved = m_holder != endpoint || was_holder != own_lease.has_value();
   m_holder = endpoint;
-  m_is_holder = is_self;
-  m_fence = fence;
+  m_own_lease = own_lease;
+  if (!moved)
+    return;
   m_peers.clear();
+  for (const TableAccess& table : m_tables)
+  {
+    table.set_wait(own_lease ? HOLDER_WAIT : FOLLOWER_WAIT);
+    if (own_lease)
+      table.set_relayed(false);
+  }
   ReportSoon();
 }
 
+Milliseconds Hub::RegularInterval() const
+{
+  return std::clamp(INTERVAL_PER_DAEMON * m_daemons, MIN_INTERVAL, MAX_INTERVAL);
+}
+
+bool Hub::HearsHolder() const
+{
+  const auto limit = RegularInterval() * SILENT_INTERVALS + SILENCE_SLACK;
+  return !m_own_lease && Common::Now() - m_holder_heard_at < limit;
+}
+
 void Hub::ReportSoon()
 {
   if (m_report_timer.Running())
@@ -81,7 +118,7 @@
 
 void Hub::AnnounceSoon()
 {
-  if (!m_is_holder || m_announce_timer.Running())
+  if (!m_own_lease || m_announce_timer.Running())
     return;
   m_announce_timer.Start(NEWS_DELAY, [this] {
     AnnounceNow();
@@ -108,23 +145,25 @@
       line.by_model[model] = count;
     report.loads.push_back(std::move(line));
   }
+  std::ranges::transform(m_tables, std::back_inserter(report.table_versions), [](const TableAccess& table) {
+    return table.version();
+  });
+  report.placement_version = m_placement_heard;
   return report;
 }
 
 void Hub::ReportNow()
 {
-  m_regular_timer.Start(REGULAR_INTERVAL, [this] {
+  m_regular_timer.Start(RegularInterval(), [this] {
     ReportNow();
   });
-  NoteHolderSilence();
-  if (!m_holder && !m_is_holder)
+  if (!m_holder && !m_own_lease)
     return;
   const DaemonReport report = MakeReport();
-  if (m_is_holder)
+  if (m_own_lease)
   {
-    const auto now = Common::Now();
-    m_desk.TakeReport(report, now);
-    m_desk.Plan(now);
+    m_desk.TakeReport(report, Common::Now());
+    m_desk.PlanSoon();
     AnnounceSoon();
     return;
   }
@@ -133,9 +172,17 @@
   SendTo(*m_holder, envelope);
 }
 
-void Hub::NoteHolderSilence()
+void Hub::CheckHolder()
 {
-  if (m_is_holder || Common::Now() - m_holder_heard_at < HOLDER_SILENT_AFTER)
+  m_check_timer.Start(CHECK_INTERVAL, [this] {
+    CheckHolder();
+  });
+  if (m_own_lease)
+    return;
+  if (!HearsHolder())
+    for (const TableAccess& table : m_tables)
+      table.set_relayed(false);
+  if (Common::Now() - m_holder_heard_at < PLACEMENT_VALID)
     return;
   m_dispatcher.Budget().SetDaemons(m_settings.assumed_daemons);
   for (const auto& [instance, server] : m_dispatcher.Servers().All())
@@ -145,26 +192,96 @@
   }
 }
 
+void Hub::UpdatePlacements()
+{
+  auto placements = m_desk.Placements();
+  if (placements == m_placements)
+    return;
+  m_placements = std::move(placements);
+  ++m_placement_version;
+}
+
+TableNews Hub::NewsOf(const TableAccess& table, std::int64_t since) const
+{
+  TableNews news;
+  news.to = table.version();
+  news.from = news.to;
+  news.answer_age_ms = table.answer_age().count();
+  auto rows = table.changes_since(since);
+  if (!rows)
+    return news;
+  news.from = since;
+  std::size_t bytes = 0;
+  for (TableRow& row : *rows)
+  {
+    bytes += row.key.size() + row.value.size();
+    if (bytes > MAX_NEWS_BYTES && !news.rows.empty())
+    {
+      // Rows of one version belong together.
+      std::erase_if(news.rows, [&](const TableRow& taken) {
+        return taken.version == row.version;
+      });
+      news.to = news.rows.empty() ? since : news.rows.back().version;
+      break;
+    }
+    news.rows.push_back(std::move(row));
+  }
+  return news;
+}
+
+std::vector<TableNews> Hub::NewsFor(Peer& peer, Common::TimePoint now) const
+{
+  std::vector<TableNews> news;
+  peer.sent.resize(m_tables.size());
+  peer.versions.resize(m_tables.size());
+  const bool resend = now - peer.sent_at > RESEND_AFTER;
+  for (std::size_t i = 0; i < m_tables.size(); ++i)
+  {
+    const std::int64_t known = peer.versions[i];
+    news.push_back(NewsOf(m_tables[i], resend ? known : std::max(known, peer.sent[i])));
+    peer.sent[i] = news.back().to;
+  }
+  const bool has_rows = std::ranges::any_of(news, [](const TableNews& table) {
+    return !table.rows.empty();
+  });
+  if (has_rows)
+    peer.sent_at = now;
+  return news;
+}
+
 void Hub::AnnounceNow()
 {
+  if (!m_own_lease)
+    return;
   const auto now = Common::Now();
   std::erase_if(m_peers, [&](const auto& entry) {
     return now - entry.second.heard_at > PEER_SILENT_AFTER;
   });
+  UpdatePlacements();
+  m_daemons = static_cast<int>(m_peers.size()) + 1;
   HolderReport report;
   report.vm = m_settings.self;
-  report.fence = m_fence;
+  report.fence = m_own_lease->fence;
+  report.lease_version = m_own_lease->version;
+  report.lease_left_ms = m_own_lease->left.count();
   report.sequence = ++m_sequence;
-  report.daemons = static_cast<std::int32_t>(m_peers.size()) + 1;
-  for (const auto& [vm, peer] : m_peers)
+  report.daemons = m_daemons;
+  report.in_flight = m_desk.InFlightByServer();
+  report.placement_version = m_placement_version;
+  for (auto& [vm, peer] : m_peers)
   {
-    report.placements = m_desk.Placements(vm);
+    report.placements.clear();
+    if (peer.placement_version != m_placement_version)
+      report.placements = m_placements;
+    report.news = NewsFor(peer, now);
     Envelope envelope;
     envelope.from_holder.push_back(report);
     SendTo(peer.endpoint, envelope);
   }
-  report.placements = m_desk.Placements(m_settings.self);
-  TakeHolderReport(report);
+  report.placements = m_placements;
+  report.news.clear();
+  m_placement_heard = 0;
+  TakeHolderReport(report, m_settings.local);
 }
 
 void Hub::SendTo(const Http::Endpoint& peer, const Envelope& envelope)
@@ -208,44 +325,71 @@
   const auto now = Common::Now();
   for (const DaemonReport& report : envelope->from_daemon)
   {
-    if (!m_is_holder)
+    if (!m_own_lease)
       continue;
     const bool is_new = !m_peers.contains(report.vm);
-    m_peers[report.vm] = {from, now};
+    Peer& peer = m_peers[report.vm];
+    peer.endpoint = from;
+    peer.heard_at = now;
+    peer.versions = report.table_versions;
+    peer.placement_version = report.placement_version;
     m_desk.TakeReport(report, now);
     const bool anyone_waits = std::ranges::any_of(report.demand, [](const DemandLine& line) {
       return line.waiting > 0;
     });
     if (anyone_waits)
-      m_desk.Plan(now);
+      m_desk.PlanSoon();
     if (is_new)
       AnnounceSoon();
   }
   for (const HolderReport& report : envelope->from_holder)
-    if (!m_is_holder)
-      TakeHolderReport(report);
+    if (!m_own_lease)
+      TakeHolderReport(report, from);
 }
 
-void Hub::TakeHolderReport(const HolderReport& report)
+void Hub::TakeHolderReport(const HolderReport& report, const Http::Endpoint& from)
 {
   const std::pair age(report.fence, report.sequence);
   if (age <= m_last_heard)
     return;
+  if (report.fence != m_last_heard.first)
+    m_placement_heard = 0;
   m_last_heard = age;
   m_holder_heard_at = Common::Now();
+  m_daemons = report.daemons;
   m_dispatcher.Budget().SetDaemons(report.daemons);
+  if (m_on_lease_word && !m_own_lease)
+    m_on_lease_word({report.fence, report.lease_version, Milliseconds(report.lease_left_ms)}, report.vm, from);
+  TakeNews(report.news);
+  const bool new_placements = report.placement_version != m_placement_heard && !report.placements.empty();
   std::map<Gateway::InstanceId, const PlacementLine*> lines;
   for (const PlacementLine& line : report.placements)
     lines.emplace(line.instance, &line);
   for (const auto& [instance, server] : m_dispatcher.Servers().All())
   {
+    const auto total = report.in_flight.find(instance);
+    const int elsewhere = total == report.in_flight.end() ? 0 : total->second - server->InFlight();
+    server->SetRemoteInFlight(std::max(elsewhere, 0));
+    if (!new_placements)
+      continue;
     const auto found = lines.find(instance);
     static const PlacementLine s_nothing;
     const PlacementLine& line = found == lines.end() ? s_nothing : *found->second;
-    server->SetRemoteInFlight(std::max(line.in_flight_elsewhere, 0));
     server->SetPlacement({line.adapters.begin(), line.adapters.end()},
                          {line.leaving.begin(), line.leaving.end()});
   }
+  if (new_placements)
+    m_placement_heard = report.placement_version;
   m_dispatcher.WakeWaiting();
 }
+
+void Hub::TakeNews(const std::vector<TableNews>& news)
+{
+  for (std::size_t i = 0; i < std::min(news.size(), m_tables.size()); ++i)
+  {
+    const bool current = news[i].answer_age_ms < MAX_ANSWER_AGE.count();
+    const bool whole = m_tables[i].take_relayed(news[i].from, news[i].to, news[i].rows);
+    m_tables[i].set_relayed(current && whole);
+  }
+}
 } // namespace Orders
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -3,8 +3,11 @@
 
 #pragma once
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "Common/Reactor.h"
 #include "Gateway/Dispatcher.h"
@@ -14,6 +17,17 @@
 
 namespace Orders
 {
+/// The daemon's own copy of one shared table, as the hub uses it.
+struct TableAccess
+{
+  std::function<std::int64_t()> version;
+  std::function<std::optional<std::vector<TableRow>>(std::int64_t)> changes_since;
+  std::function<Common::Milliseconds()> answer_age;
+  std::function<bool(std::int64_t, std::int64_t, const std::vector<TableRow>&)> take_relayed;
+  std::function<void(bool)> set_relayed;
+  std::function<void(Common::Milliseconds)> set_wait;
+};
+
 struct HubSettings
 {
   Common::VmId self;
@@ -22,19 +36,36 @@
   int assumed_daemons = 16; ///< For sharing the retry budget while no holder is heard.
 };
 
+/// What the holder tells about its lease.
+struct LeaseWord
+{
+  std::int64_t fence = 0;
+  std::int64_t version = 0;
+  Common::Milliseconds left{0};
+};
+
 /// Carries reports between the daemons and the holder of the order lease: every daemon talks to the
-/// holder only, so that the traffic grows with the number of daemons, not with its square.
+/// holder only, so that the traffic grows with the number of daemons, not with its square. The holder
+/// also passes on what it reads from the platform, which spares the others most of their calls.
 class Hub : public Common::DescriptorHandler
 {
 public:
+  using LeaseWordHandler =
+      std::function<void(const LeaseWord&, const Common::VmId&, const Http::Endpoint&)>;
+
   Hub(HubSettings settings, Gateway::Dispatcher& dispatcher, OrderDesk& desk);
   ~Hub() override;
   Hub(const Hub&) = delete;
   Hub& operator=(const Hub&) = delete;
 
   Common::Result<Common::Done> Start();
+  /// The tables in the order of `SharedTable`.
+  void SetTables(std::vector<TableAccess> tables) { m_tables = std::move(tables); }
+  void OnLeaseWord(LeaseWordHandler handler) { m_on_lease_word = std::move(handler); }
   /// Where the holder takes reports; nothing where none is known.
-  void SetHolder(std::optional<Http::Endpoint> endpoint, bool is_self, std::int64_t fence);
+  void SetHolder(std::optional<Http::Endpoint> endpoint, std::optional<LeaseWord> own_lease);
+  /// True where the holder has been heard lately.
+  bool HearsHolder() const;
   /// Sends this daemon's report soon: there is news.
   void ReportSoon();
   /// The holder tells all daemons soon.
@@ -47,14 +78,23 @@
   {
     Http::Endpoint endpoint;
     Common::TimePoint heard_at;
+    std::vector<std::int64_t> versions; ///< Of the shared tables, as it last told.
+    std::vector<std::int64_t> sent;     ///< Up to which its tables were last sent.
+    Common::TimePoint sent_at;
+    std::uint64_t placement_version = 0;
   };
 
   void ReportNow();
   void AnnounceNow();
   void SendTo(const Http::Endpoint& peer, const Envelope& envelope);
   void TakeDatagram(std::string_view bytes, const Http::Endpoint& from);
-  void TakeHolderReport(const HolderReport& report);
-  void NoteHolderSilence();
+  void TakeHolderReport(const HolderReport& report, const Http::Endpoint& from);
+  void CheckHolder();
+  void TakeNews(const std::vector<TableNews>& news);
+  void UpdatePlacements();
+  std::vector<TableNews> NewsFor(Peer& peer, Common::TimePoint now) const;
+  TableNews NewsOf(const TableAccess& table, std::int64_t since) const;
+  Common::Milliseconds RegularInterval() const;
   DaemonReport MakeReport();
 
   HubSettings m_settings;
@@ -63,8 +103,13 @@
   int m_fd = -1;
   std::uint64_t m_watch = 0;
   std::optional<Http::Endpoint> m_holder;
-  bool m_is_holder = false;
-  std::int64_t m_fence = 0;
+  std::optional<LeaseWord> m_own_lease; ///< Set while this daemon is the holder.
+  std::vector<TableAccess> m_tables;
+  LeaseWordHandler m_on_lease_word;
+  std::vector<PlacementLine> m_placements;
+  std::uint64_t m_placement_version = 1;
+  std::uint64_t m_placement_heard = 0; ///< Version of the placements that were last taken.
+  int m_daemons = 1;
   std::map<Common::VmId, Peer> m_peers; ///< Daemons that report to this holder.
   std::uint64_t m_sequence = 0;
   std::pair<std::int64_t, std::uint64_t> m_last_heard; ///< Fence and sequence of the newest report.
@@ -72,5 +117,6 @@
   Common::OwnedTimer m_report_timer;
   Common::OwnedTimer m_regular_timer;
   Common::OwnedTimer m_announce_timer;
+  Common::OwnedTimer m_check_timer;
 };
 } // namespace Orders
--- a/Source/Core/Orders/LeaseKeeper.h
+++ b/Source/Core/Orders/LeaseKeeper.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <concepts>
 #include <cstdint>
 #include <functional>
@@ -65,11 +66,30 @@
     m_seen = true;
     m_version = version;
     m_record = std::move(record);
-    m_seen_at = Common::Now();
+    m_free_at = Common::Now() + m_settings.duration + TAKE_MARGIN;
     if (!m_writing)
       DropIfNotOurs();
   }
 
+  /// The holder's own word: the row has this version, and it acts no longer than so without another
+  /// renewal. The word may be late, never early, so its time is an upper bound here too.
+  void OnHolderWord(std::int64_t version, const LeaseRecord& record, Common::Milliseconds left)
+  {
+    if (!m_seen || version < m_version || m_fence || m_writing)
+      return;
+    const auto free_at = Common::Now() + left + TAKE_MARGIN;
+    m_free_at = version > m_version ? free_at : std::min(m_free_at, free_at);
+    m_version = version;
+    m_record = record;
+  }
+
+  std::int64_t RowVersion() const { return m_version; }
+  /// How long this holder may still act without another renewal.
+  Common::Milliseconds Left(Common::TimePoint now) const
+  {
+    return std::max(std::chrono::ceil<Common::Milliseconds>(m_valid_until - now), Common::Milliseconds(0));
+  }
+
   /// The lease is ours now, whether or not orders may go out yet.
   bool Holds(Common::TimePoint now) const { return m_fence && now < m_valid_until - STOP_MARGIN; }
   /// Orders may go out now. Asked right before each order, since the process may have been frozen.
@@ -140,7 +160,7 @@
   {
     if (!m_record || m_record->holder.Empty() || IsOurs())
       return true;
-    return now - m_seen_at > m_settings.duration + TAKE_MARGIN;
+    return now > m_free_at;
   }
 
   void Write(Common::TimePoint now, const char* what)
@@ -170,7 +190,6 @@
     const auto now = Common::Now();
     m_version = std::max(m_version, *result);
     m_record = record;
-    m_seen_at = now;
     m_valid_until = sent + m_settings.duration;
     if (m_fence)
       return;
@@ -200,7 +219,7 @@
   bool m_seen = false;
   std::int64_t m_version = 0;
   std::optional<LeaseRecord> m_record;
-  Common::TimePoint m_seen_at;
+  Common::TimePoint m_free_at; ///< From then on its holder, if another, cannot act any more.
   std::optional<std::int64_t> m_fence; ///< The row's version when we acquired it.
   Common::TimePoint m_valid_until;
   Common::TimePoint m_orders_from;
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -15,6 +15,44 @@
 /// state: a lost datagram is made good by the next one.
 namespace Orders
 {
+/// The tables of the platform that every daemon keeps up with.
+enum class SharedTable : std::uint8_t
+{
+  Operator, ///< The operators' configuration.
+  Servers,  ///< The backend servers' entries.
+};
+constexpr std::size_t SHARED_TABLES = 2;
+
+/// A row of one of the platform's tables, its value as it lies there.
+struct TableRow
+{
+  std::string key;
+  std::string value;
+  std::int64_t version = 0;
+  bool removed = false;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(key, value, version, removed);
+  }
+};
+
+/// Changes of one table that the holder passes on.
+struct TableNews
+{
+  std::int64_t from = 0; ///< The rows that changed after this version,
+  std::int64_t to = 0;   ///< up to this one, are all here.
+  std::int64_t answer_age_ms = 0; ///< Since the platform's last answer to the holder.
+  std::vector<TableRow> rows;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(from, to, answer_age_ms, rows);
+  }
+};
+
 /// Requests that wait, or came lately, for one artifact at one daemon.
 struct DemandLine
 {
@@ -54,11 +92,13 @@
   std::uint64_t sequence = 0; ///< Rises within a run; older reports are dropped.
   std::vector<DemandLine> demand;
   std::vector<LoadLine> loads;
+  std::vector<std::int64_t> table_versions; ///< Of each shared table, as this daemon has it.
+  std::uint64_t placement_version = 0;      ///< Of the last placements that it has.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(vm, run, sequence, demand, loads);
+    archive(vm, run, sequence, demand, loads, table_versions, placement_version);
   }
 };
 
@@ -66,14 +106,15 @@
 struct PlacementLine
 {
   Gateway::InstanceId instance;
-  std::int32_t in_flight_elsewhere = 0; ///< Open requests of all daemons but the receiver.
   std::vector<Gateway::Artifact> adapters;  ///< Loaded.
   std::vector<Gateway::ModelId> leaving;    ///< About to be unloaded: no new requests.
 
+  bool operator==(const PlacementLine&) const = default;
+
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(instance, in_flight_elsewhere, adapters, leaving);
+    archive(instance, adapters, leaving);
   }
 };
 
@@ -84,12 +125,18 @@
   std::int64_t fence = 0; ///< Of the lease; a lower one is an older holder's.
   std::uint64_t sequence = 0;
   std::int32_t daemons = 1; ///< That report to the holder, itself included.
-  std::vector<PlacementLine> placements;
+  std::int64_t lease_version = 0; ///< Of the lease's row.
+  std::int64_t lease_left_ms = 0; ///< At most so long the holder may act without a renewal.
+  std::map<Gateway::InstanceId, std::int32_t> in_flight; ///< Open requests of all daemons.
+  std::uint64_t placement_version = 0;
+  std::vector<PlacementLine> placements; ///< Empty where the receiver has this version.
+  std::vector<TableNews> news;           ///< Of each shared table.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(vm, fence, sequence, daemons, placements);
+    archive(vm, fence, sequence, daemons, lease_version, lease_left_ms, in_flight,
+            placement_version, placements, news);
   }
 };
 
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -22,6 +22,8 @@
 using Gateway::Server;
 using Gateway::ServerPtr;
 
+/// News from daemons waits so long for more before a plan is made.
+constexpr Milliseconds PLAN_DELAY{6};
 /// A daemon that is silent for so long is not counted any more.
 constexpr Milliseconds DAEMON_SILENT_AFTER{1500};
 /// Time constant of the arrival rates: short against the minutes over which demand moves on.
@@ -127,25 +129,35 @@
   }
 }
 
-int OrderDesk::InFlight(const InstanceId& instance) const
+std::map<InstanceId, std::int32_t> OrderDesk::InFlightByServer() const
 {
-  int total = 0;
+  std::map<InstanceId, std::int32_t> sums;
   for (const auto& [vm, daemon] : m_daemons)
     for (const LoadLine& line : daemon.last.loads)
-      if (line.instance == instance)
-        total += line.in_flight;
-  return total;
+      sums[line.instance] += line.in_flight;
+  return sums;
 }
 
-int OrderDesk::InFlight(const InstanceId& instance, const ModelId& model) const
+void OrderDesk::SumLoads()
 {
-  int total = 0;
+  m_in_flight = InFlightByServer();
+  m_in_flight_by_model.clear();
   for (const auto& [vm, daemon] : m_daemons)
     for (const LoadLine& line : daemon.last.loads)
-      if (const auto found = line.by_model.find(model);
-          line.instance == instance && found != line.by_model.end())
-        total += found->second;
-  return total;
+      for (const auto& [model, count] : line.by_model)
+        m_in_flight_by_model[{line.instance, model}] += count;
+}
+
+int OrderDesk::InFlight(const InstanceId& instance) const
+{
+  const auto found = m_in_flight.find(instance);
+  return found == m_in_flight.end() ? 0 : found->second;
+}
+
+int OrderDesk::InFlight(const InstanceId& instance, const ModelId& model) const
+{
+  const auto found = m_in_flight_by_model.find({instance, model});
+  return found == m_in_flight_by_model.end() ? 0 : found->second;
 }
 
 std::map<Artifact, OrderDesk::Waiting> OrderDesk::WaitingNow(const Gateway::PoolId& pool) const
@@ -209,11 +221,21 @@
   return {adapters.begin(), adapters.end()};
 }
 
+void OrderDesk::PlanSoon()
+{
+  if (m_plan_timer.Running())
+    return;
+  m_plan_timer.Start(PLAN_DELAY, [this] {
+    Plan(Common::Now());
+  });
+}
+
 void OrderDesk::Plan(TimePoint now)
 {
   if (!m_configuration || !m_fence_if_allowed())
     return;
   RefreshBooks(now);
+  SumLoads();
   for (const auto& [instance, server] : m_servers.All())
   {
     CheckOpen(server, m_books[instance], now);
@@ -705,7 +727,7 @@
   });
 }
 
-std::vector<PlacementLine> OrderDesk::Placements(const Common::VmId& receiver) const
+std::vector<PlacementLine> OrderDesk::Placements() const
 {
   const auto now = Common::Now();
   std::vector<PlacementLine> lines;
@@ -716,11 +738,6 @@
       continue;
     PlacementLine line;
     line.instance = instance;
-    line.in_flight_elsewhere = InFlight(instance);
-    if (const auto daemon = m_daemons.find(receiver); daemon != m_daemons.end())
-      for (const LoadLine& load : daemon->second.last.loads)
-        if (load.instance == instance)
-          line.in_flight_elsewhere -= load.in_flight;
     for (const Artifact& artifact : AdaptersOn(*server, book->second))
     {
       const auto coming = book->second.adapters.find(artifact);
@@ -731,7 +748,7 @@
     const auto& open = book->second.open;
     if (open && open->call.operation == OrderCall::Operation::Unload)
       line.leaving.push_back(open->call.artifact.model);
-    if (line.in_flight_elsewhere != 0 || !line.adapters.empty() || !line.leaving.empty())
+    if (!line.adapters.empty() || !line.leaving.empty())
       lines.push_back(std::move(line));
   }
   return lines;
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -92,13 +92,17 @@
   void OnPlacementChange(std::function<void()> callback) { m_on_placement = std::move(callback); }
 
   void TakeReport(const DaemonReport& report, Common::TimePoint now);
-  /// Looks at the demand and gives orders; called often.
+  /// Looks at the demand and gives orders.
   void Plan(Common::TimePoint now);
+  /// Plans within some ms, however often it is asked for.
+  void PlanSoon();
   /// Starts anew: another daemon held the lease meanwhile.
   void Forget();
 
-  /// Placements as `receiver` should know them.
-  std::vector<PlacementLine> Placements(const Common::VmId& receiver) const;
+  /// What daemons should know of the servers beyond their entries.
+  std::vector<PlacementLine> Placements() const;
+  /// Open requests of all daemons.
+  std::map<Gateway::InstanceId, std::int32_t> InFlightByServer() const;
 
 private:
   struct OpenOrder
@@ -183,6 +187,7 @@
   void TakeAdapterAnswer(const Gateway::InstanceId& instance, OrderCall call,
                          Common::Result<OrderAnswer> answer);
 
+  void SumLoads();
   int InFlight(const Gateway::InstanceId& instance, const Gateway::ModelId& model) const;
   int InFlight(const Gateway::InstanceId& instance) const;
   std::map<Gateway::Artifact, Waiting> WaitingNow(const Gateway::PoolId& pool) const;
@@ -199,5 +204,9 @@
   std::map<Gateway::Artifact, DemandBook> m_demand;
   std::deque<Common::TimePoint> m_store_loads;
   std::uint64_t m_next_order = 1;
+  // Sums over the daemons' reports, made once for each plan.
+  std::map<Gateway::InstanceId, std::int32_t> m_in_flight;
+  std::map<std::pair<Gateway::InstanceId, Gateway::ModelId>, int> m_in_flight_by_model;
+  Common::OwnedTimer m_plan_timer;
 };
 } // namespace Orders
--- /dev/null
+++ b/Source/Core/Orders/TableFollower.h
@@ -0,0 +1,269 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <algorithm>
+#include <concepts>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Common/Failure.h"
+#include "Common/Log.h"
+#include "Common/Loop.h"
+#include "Common/Random.h"
+#include "Common/Reactor.h"
+#include "Orders/Messages.h"
+
+namespace Orders
+{
+/// Rows of a table, and the table's newest version at that moment.
+struct TableRows
+{
+  std::vector<TableRow> rows;
+  std::int64_t version = 0;
+  bool more = false; ///< A read was cut: go on from the last key.
+};
+
+/// Where tables are read: the platform's store.
+template <typename T>
+concept TableSource =
+    requires(T source, const std::string& text, std::int64_t version, Common::Milliseconds wait,
+             std::function<void(Common::Result<TableRows>)> done)
+{
+  /// The rows from a key on.
+  source.Read(text, text, done);
+  /// The rows that changed after a version; waits for some. NotFound: that history is gone.
+  source.Follow(text, version, wait, done);
+};
+
+/// What follows from a table's rows.
+struct TableEvents
+{
+  std::function<void(const std::vector<TableRow>&)> on_snapshot;
+  std::function<void(const TableRow&)> on_change;
+  std::function<void()> on_lost; ///< The source stopped answering.
+  std::function<void()> on_back;
+};
+
+/// Keeps up with one table: reads it whole, then takes changes. They come from the source, by calls
+/// that wait for some, or from the holder of the lease, which passes on what it reads, so that not
+/// every daemon has to ask. A daemon goes back to asking by itself as soon as the holder's word is
+/// old.
+template <TableSource Source>
+class TableFollower
+{
+public:
+  TableFollower(Source& source, std::string table, TableEvents events)
+      : m_source(source), m_table(std::move(table)), m_events(std::move(events))
+  {
+  }
+
+  void Start()
+  {
+    m_snapshot.clear();
+    m_snapshot_version.reset();
+    ReadPage("");
+  }
+
+  std::int64_t Version() const { return m_have_snapshot ? m_version : 0; }
+  bool HasSnapshot() const { return m_have_snapshot; }
+  /// Since the source's last answer.
+  Common::Milliseconds AnswerAge(Common::TimePoint now) const
+  {
+    return std::chrono::ceil<Common::Milliseconds>(now - m_answered_at);
+  }
+
+  /// How long the source may hold a call that waits for changes. A daemon whose word others rely on
+  /// asks more often, so that its word is never old.
+  void SetWait(Common::Milliseconds wait) { m_wait = wait; }
+
+  /// While relayed, no calls are made.
+  void SetRelayed(bool relayed)
+  {
+    if (m_relayed == relayed)
+      return;
+    m_relayed = relayed;
+    if (!relayed && m_have_snapshot && !m_calling)
+    {
+      m_retry_timer.Stop();
+      Follow();
+    }
+  }
+
+  /// Takes changes after `from`, up to `to`, from another daemon. False where some are missing.
+  bool TakeRelayed(std::int64_t from, std::int64_t to, const std::vector<TableRow>& rows)
+  {
+    if (!m_have_snapshot || m_version < from)
+      return false;
+    Apply(rows, to);
+    return true;
+  }
+
+  /// The changes after `version`; nothing where they are not kept any more.
+  std::optional<std::vector<TableRow>> ChangesSince(std::int64_t version) const
+  {
+    if (!m_have_snapshot || version < m_log_floor)
+      return std::nullopt;
+    std::vector<TableRow> rows;
+    std::ranges::copy_if(m_log, std::back_inserter(rows), [&](const TableRow& row) {
+      return row.version > version;
+    });
+    return rows;
+  }
+
+private:
+  /// Changes that are kept for passing on.
+  static constexpr std::size_t LOG_ROWS = 512;
+  /// Pause after the first failed call; it doubles up to the longest.
+  static constexpr Common::Milliseconds FIRST_PAUSE{60};
+  static constexpr int MAX_PAUSE_DOUBLINGS = 3;
+  /// Short enough that a call which the source has lost is made anew within the bound for taking up
+  /// a configuration after an outage.
+  static constexpr Common::Milliseconds DEFAULT_WAIT{2500};
+
+  void ReadPage(const std::string& first_key)
+  {
+    m_calling = true;
+    m_source.Read(m_table, first_key, [this, first_key](Common::Result<TableRows> page) {
+      m_calling = false;
+      TakePage(first_key, std::move(page));
+    });
+  }
+
+  void TakePage(const std::string& first_key, Common::Result<TableRows> page)
+  {
+    if (!page)
+    {
+      Failed(page.Reason());
+      return;
+    }
+    NoteAnswer();
+    if (!m_snapshot_version)
+      m_snapshot_version = page->version;
+    // A page begins with its first key, which the page before has ended with.
+    for (TableRow& row : page->rows)
+      if (first_key.empty() || row.key != first_key)
+        m_snapshot.push_back(std::move(row));
+    if (page->more && !m_snapshot.empty())
+    {
+      ReadPage(m_snapshot.back().key);
+      return;
+    }
+    m_version = *m_snapshot_version;
+    m_log.clear();
+    m_log_floor = m_version;
+    m_have_snapshot = true;
+    const auto rows = std::exchange(m_snapshot, {});
+    m_events.on_snapshot(rows);
+    Continue();
+  }
+
+  void Continue()
+  {
+    if (!m_relayed)
+      Follow();
+  }
+
+  void Follow()
+  {
+    m_calling = true;
+    m_source.Follow(m_table, m_version, m_wait, [this](Common::Result<TableRows> changes) {
+      m_calling = false;
+      TakeChanges(std::move(changes));
+    });
+  }
+
+  void TakeChanges(Common::Result<TableRows> changes)
+  {
+    if (!changes)
+    {
+      if (changes.Reason().kind == Common::FailureKind::NotFound)
+        m_have_snapshot = false;
+      Failed(changes.Reason());
+      return;
+    }
+    NoteAnswer();
+    Apply(changes->rows, changes->version);
+    Continue();
+  }
+
+  void Apply(const std::vector<TableRow>& rows, std::int64_t to)
+  {
+    const std::int64_t before = m_version;
+    m_version = std::max(m_version, to);
+    for (const TableRow& row : rows)
+    {
+      if (row.version <= before)
+        continue;
+      m_log.push_back(row);
+      m_events.on_change(row);
+    }
+    while (m_log.size() > LOG_ROWS)
+    {
+      m_log_floor = m_log.front().version;
+      m_log.pop_front();
+    }
+  }
+
+  void NoteAnswer()
+  {
+    m_answered_at = Common::Now();
+    m_failures = 0;
+    if (!std::exchange(m_lost, false))
+      return;
+    Common::LogEvent(Common::LogLevel::Info, "table-source-back", {{"table", m_table}});
+    m_events.on_back();
+  }
+
+  void Failed(const Common::Failure& reason)
+  {
+    const bool history_gone = reason.kind == Common::FailureKind::NotFound;
+    if (history_gone)
+      Common::LogEvent(Common::LogLevel::Warning, "table-history-gone", {{"table", m_table}});
+    else if (!std::exchange(m_lost, true))
+    {
+      Common::LogEvent(Common::LogLevel::Warning, "table-source-lost",
+                       {{"table", m_table},
+                        {"reason", Common::ToString(reason.kind)},
+                        {"detail", reason.detail}});
+      m_events.on_lost();
+    }
+    const auto pause = history_gone
+                           ? Common::Milliseconds(0)
+                           : FIRST_PAUSE * (1 << std::min(m_failures, MAX_PAUSE_DOUBLINGS));
+    ++m_failures;
+    // Spread, so that many daemons do not call in step after an outage.
+    const auto spread = static_cast<std::int64_t>(
+        Common::SharedRandom()() % static_cast<std::uint64_t>(FIRST_PAUSE.count()));
+    m_retry_timer.Start(pause + Common::Milliseconds(spread), [this] {
+      if (!m_have_snapshot)
+        Start();
+      else
+        Continue();
+    });
+  }
+
+  Source& m_source;
+  std::string m_table;
+  TableEvents m_events;
+  Common::Milliseconds m_wait = DEFAULT_WAIT;
+  std::vector<TableRow> m_snapshot;
+  std::optional<std::int64_t> m_snapshot_version; ///< Of the first page: changes since are followed.
+  std::int64_t m_version = 0;
+  bool m_have_snapshot = false;
+  bool m_relayed = false;
+  bool m_calling = false;
+  bool m_lost = false;
+  int m_failures = 0;
+  Common::TimePoint m_answered_at;
+  std::deque<TableRow> m_log;     ///< Changes after `m_log_floor`, oldest first.
+  std::int64_t m_log_floor = 0;
+  Common::OwnedTimer m_retry_timer;
+};
+} // namespace Orders
