--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -67,7 +67,8 @@
 class Planner
 {
 public:
-  explicit Planner(const ReplicaPlanInput& input) : m_input(input), m_store_left(input.store_loads_allowed)
+  explicit Planner(const ReplicaPlanInput& input)
+      : m_input(input), m_store_left(input.store_loads_allowed)
   {
     for (const PlannedServer& server : input.servers)
       for (const PlannedReplica& replica : server.replicas)
@@ -94,7 +95,8 @@
         lacking.push_back(&model);
     std::ranges::sort(lacking, {}, [&](const PlannedModel* model) {
       const bool unserved = Replicas(*model) == 0 && model->waiting > 0;
-      return std::tuple(!unserved, model->waiting == 0, model->priority, -model->oldest_wait.count());
+      return std::tuple(!unserved, model->waiting == 0, model->priority,
+                        -model->oldest_wait.count());
     });
     return lacking;
   }
@@ -130,7 +132,8 @@
     for (const PlannedServer& server : m_input.servers)
     {
       const auto candidate = CandidateOn(server, model);
-      if (!candidate || (candidate->source == WeightSource::WeightStore && (!unserved || m_store_left <= 0)))
+      if (!candidate ||
+          (candidate->source == WeightSource::WeightStore && (!unserved || m_store_left <= 0)))
         continue;
       // A spare replica must not push out a model that is about as much in demand.
       if (!unserved && candidate->victim_value * 2 >= model.arrivals_per_second)
@@ -158,14 +161,16 @@
     if (candidate.victim == nullptr)
       return std::nullopt;
     candidate.victim_value = Value(candidate.victim->model);
-    // A victim that is asked for often has to come back soon: half a load for each second's request.
+    // A victim that is asked for often has to come back soon: half a load for each second's
+    // request.
     candidate.cost_ms += static_cast<double>(UNLOAD_TIME.count()) + candidate.victim_value * 1000;
     return candidate;
   }
 
   static bool HasReplica(const PlannedServer& server, const std::string& model)
   {
-    return std::ranges::find(server.replicas, model, &PlannedReplica::model) != server.replicas.end();
+    return std::ranges::find(server.replicas, model, &PlannedReplica::model) !=
+           server.replicas.end();
   }
 
   double MemoryOf(const std::string& model) const
@@ -216,7 +221,8 @@
     const double free = FreeMemory(server);
     const auto key = [&](const PlannedReplica& replica) {
       const auto found = m_input.models.find(replica.model);
-      const auto last = found == m_input.models.end() ? Common::TimePoint() : found->second.last_wanted;
+      const auto last =
+          found == m_input.models.end() ? Common::TimePoint() : found->second.last_wanted;
       return std::pair(Value(replica.model), last);
     };
     for (const PlannedReplica& replica : server.replicas)
@@ -265,7 +271,8 @@
 
 int WantedReplicas(const PlannedModel& model, int batch)
 {
-  if (model.waiting == 0 && model.in_flight == 0 && model.arrivals_per_second < SPARE_REPLICA_ABOVE_PER_SECOND)
+  if (model.waiting == 0 && model.in_flight == 0 &&
+      model.arrivals_per_second < SPARE_REPLICA_ABOVE_PER_SECOND)
     return 0;
   const double load = model.in_flight + model.waiting;
   const int by_load = 1 + static_cast<int>(load / (COMFORTABLE_FILL * std::max(batch, 1)));
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -29,8 +29,8 @@
   Common::Milliseconds from_host_memory{0};
   Common::Milliseconds from_disk{0};
   Common::Milliseconds from_store{0};
-  int waiting = 0;               ///< Requests that wait for it, over all daemons.
-  int priority = 9;              ///< Of the most urgent that waits.
+  int waiting = 0;  ///< Requests that wait for it, over all daemons.
+  int priority = 9; ///< Of the most urgent that waits.
   Common::Milliseconds oldest_wait{0};
   double arrivals_per_second = 0;
   int in_flight = 0;             ///< Over all servers.
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -24,9 +24,9 @@
   PoolId pool;
   Artifact artifact;
   int waiting = 0;
-  int priority = 9;                     ///< The most urgent of those that wait.
+  int priority = 9; ///< The most urgent of those that wait.
   Common::Milliseconds oldest_wait{0};
-  int arrivals = 0;                     ///< Since the demand was last taken.
+  int arrivals = 0; ///< Since the demand was last taken.
 };
 
 struct DispatcherSettings
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -20,8 +20,9 @@
 
 /// Headers that concern one connection only (RFC 9110, 7.6.1), and those that the relay sets anew.
 constexpr std::array<std::string_view, 10> CONNECTION_HEADERS = {
-    "Connection", "Keep-Alive", "Proxy-Connection", "TE",     "Trailer",
-    "Upgrade",    "Expect",     "Transfer-Encoding", "Content-Length", "Proxy-Authenticate"};
+    "Connection",     "Keep-Alive",        "Proxy-Connection", "TE",
+    "Trailer",        "Upgrade",           "Expect",           "Transfer-Encoding",
+    "Content-Length", "Proxy-Authenticate"};
 
 /// A caller leaves a stream that is silent for the longest of these: fixed, times the latency
 /// target, times the gap target. The platform's page on requests gives the figures.
@@ -99,7 +100,8 @@
     total += std::max<std::int64_t>(entry.weight, 0);
   if (total <= 0)
     return pools.front().pool;
-  auto draw = static_cast<std::int64_t>(Common::SharedRandom()() % static_cast<std::uint64_t>(total));
+  auto draw =
+      static_cast<std::int64_t>(Common::SharedRandom()() % static_cast<std::uint64_t>(total));
   for (const WeightedPool& entry : pools)
   {
     draw -= std::max<std::int64_t>(entry.weight, 0);
@@ -138,7 +140,9 @@
 
 Relay::Relay(Dispatcher& dispatcher, std::shared_ptr<Http::ServerConnection> caller,
              Http::ReceivedRequest request)
-    : m_dispatcher(dispatcher), m_caller(std::move(caller)), m_request(std::move(request)),
+    : m_dispatcher(dispatcher),
+      m_caller(std::move(caller)),
+      m_request(std::move(request)),
       m_arrived(Common::Now())
 {
 }
@@ -165,9 +169,9 @@
   }
   const std::string* host = m_request.head.Find("Host");
   const std::string& target = m_request.head.target;
-  const Route* route = host == nullptr ? nullptr
-                                       : configuration->FindRoute(
-                                             *host, target.substr(0, target.find('?')));
+  const Route* route = host == nullptr
+                           ? nullptr
+                           : configuration->FindRoute(*host, target.substr(0, target.find('?')));
   if (route == nullptr)
   {
     EndWith(Outcome::NoRoute, 404, "no route");
@@ -186,7 +190,8 @@
   const HeaderNames& names = m_dispatcher.Settings().names;
   const Http::MessageHead& head = m_request.head;
   const auto left = ParseNumber(head.Find(names.time_left_ms));
-  const Milliseconds patience = left ? Milliseconds(std::max<std::int64_t>(*left, 0)) : m_route.timeout;
+  const Milliseconds patience =
+      left ? Milliseconds(std::max<std::int64_t>(*left, 0)) : m_route.timeout;
   m_deadline = m_arrived + std::min(patience, m_route.timeout);
   const std::string* model = m_route.uses_model ? head.Find(names.model) : nullptr;
   if (model != nullptr)
@@ -256,8 +261,8 @@
   if (m_waiting)
     return;
   m_waiting = true;
-  auto limit = std::chrono::duration_cast<Milliseconds>((m_deadline - m_arrived) *
-                                                        WAIT_SHARE_OF_DEADLINE);
+  auto limit =
+      std::chrono::duration_cast<Milliseconds>((m_deadline - m_arrived) * WAIT_SHARE_OF_DEADLINE);
   if (m_route.repeatability == Repeatability::Streaming)
     limit = std::min(limit, std::chrono::duration_cast<Milliseconds>(CallerPatience(m_route) *
                                                                      WAIT_SHARE_OF_PATIENCE));
@@ -310,7 +315,8 @@
   m_tried.insert(m_server->Entry().instance);
   m_connection->Send(RequestBytes(server), this, m_request.head.method == "HEAD");
   const bool is_stream = m_route.repeatability == Repeatability::Streaming;
-  const auto target = std::chrono::duration_cast<Milliseconds>(m_route.latency_target * SILENCE_TARGETS);
+  const auto target =
+      std::chrono::duration_cast<Milliseconds>(m_route.latency_target * SILENCE_TARGETS);
   ArmSilenceTimer(is_stream ? std::max(target, MIN_STREAM_SILENCE) : m_route.latency_target);
 }
 
@@ -631,18 +637,18 @@
   m_wait_timer.Stop();
   m_silence_timer.Stop();
   const auto took = std::chrono::duration_cast<Milliseconds>(Common::Now() - m_arrived);
-  Common::LogEvent(outcome == Outcome::Answered ? Common::LogLevel::Info : Common::LogLevel::Warning,
-                   "request",
-                   {{"id", m_id},
-                    {"route", m_route.name},
-                    {"artifact", m_artifact.ToString()},
-                    {"outcome", ToString(outcome)},
-                    {"status", status == 0 ? m_head.status : status},
-                    {"why", why},
-                    {"instance", m_server ? m_server->Entry().instance.Get() : ""},
-                    {"arrivals", m_arrivals},
-                    {"ms", took.count()},
-                    {"first_event_ms", m_first_event_after.value_or(Milliseconds(-1)).count()}});
+  Common::LogEvent(
+      outcome == Outcome::Answered ? Common::LogLevel::Info : Common::LogLevel::Warning, "request",
+      {{"id", m_id},
+       {"route", m_route.name},
+       {"artifact", m_artifact.ToString()},
+       {"outcome", ToString(outcome)},
+       {"status", status == 0 ? m_head.status : status},
+       {"why", why},
+       {"instance", m_server ? m_server->Entry().instance.Get() : ""},
+       {"arrivals", m_arrivals},
+       {"ms", took.count()},
+       {"first_event_ms", m_first_event_after.value_or(Milliseconds(-1)).count()}});
   ++m_dispatcher.Counters().outcomes[outcome];
   DropConnection();
   ReleaseServer();
@@ -653,9 +659,10 @@
     std::vector<Http::HeaderField> headers;
     if (status == 503)
     {
-      const bool lacks_model = !m_artifact.model.Empty() &&
-                               !m_dispatcher.IsHeldAnywhere(m_pool, m_artifact);
-      headers.push_back({"Retry-After", std::string(lacks_model ? RETRY_AFTER_LOAD_S : RETRY_AFTER_S)});
+      const bool lacks_model =
+          !m_artifact.model.Empty() && !m_dispatcher.IsHeldAnywhere(m_pool, m_artifact);
+      headers.push_back(
+          {"Retry-After", std::string(lacks_model ? RETRY_AFTER_LOAD_S : RETRY_AFTER_S)});
     }
     m_caller->Respond(status, Http::ReasonPhrase(status), headers, "");
   }
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -22,10 +22,10 @@
 /// Why a request ended, for logs and counters.
 enum class Outcome
 {
-  Answered,      ///< A backend server's answer was passed on whole.
-  Refused,       ///< Given up before it ran; the caller may come back.
-  Failed,        ///< Given up after it may have run.
-  BrokenOff,     ///< The stream was cut after its beginning had gone out.
+  Answered,  ///< A backend server's answer was passed on whole.
+  Refused,   ///< Given up before it ran; the caller may come back.
+  Failed,    ///< Given up after it may have run.
+  BrokenOff, ///< The stream was cut after its beginning had gone out.
   CallerGone,
   NoRoute,
 };
@@ -115,17 +115,18 @@
   ServerPtr m_server;
   std::shared_ptr<Http::OriginConnection> m_connection;
   std::set<InstanceId> m_tried;
-  int m_arrivals = 0;         ///< Times the request has reached, or may have reached, a server.
+  int m_arrivals = 0; ///< Times the request has reached, or may have reached, a server.
   bool m_may_have_run = false;
   bool m_waiting = false;
   bool m_done = false;
   bool m_queued_once = false;
 
-  Http::MessageHead m_head;   ///< Of the answer at hand.
+  Http::MessageHead m_head; ///< Of the answer at hand.
   bool m_head_taken = false;
   bool m_is_stream = false;
   std::string m_body;
-  std::optional<Http::MessageHead> m_failed_head; ///< A server's own failure, kept if a repeat fails.
+  std::optional<Http::MessageHead>
+      m_failed_head; ///< A server's own failure, kept if a repeat fails.
   std::string m_failed_body;
   EventSplitter m_events;
   bool m_stream_begun = false; ///< Bytes of the stream have gone to the caller.
--- a/Source/Core/Gateway/RetryBudget.h
+++ b/Source/Core/Gateway/RetryBudget.h
@@ -14,9 +14,9 @@
 /// The bound on repeats that all daemons keep together.
 struct RetryBudgetSettings
 {
-  double ratio = 0.2;                   ///< Repeats for each first request.
-  double slack = 10;                    ///< Repeats that are free, over all daemons.
-  Common::Milliseconds window{10000};   ///< Over which both are counted.
+  double ratio = 0.2;                 ///< Repeats for each first request.
+  double slack = 10;                  ///< Repeats that are free, over all daemons.
+  Common::Milliseconds window{10000}; ///< Over which both are counted.
 };
 
 /// This daemon's part of the retry budget of each pool. Daemons share the budget without talking:
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -53,8 +53,9 @@
     return false;
   if (!artifact.IsAdapter())
     return true;
-  return m_placement ? m_placement->adapters.contains(artifact)
-                     : std::ranges::find(model->adapters, artifact.adapter) != model->adapters.end();
+  return m_placement
+             ? m_placement->adapters.contains(artifact)
+             : std::ranges::find(model->adapters, artifact.adapter) != model->adapters.end();
 }
 
 void Server::SetPlacement(std::set<Artifact> adapters, std::set<ModelId> leaving)
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -34,8 +34,8 @@
   bool Holds(const Artifact& artifact, Common::TimePoint now) const;
   /// The server said that it does not hold the artifact: not tried for a while.
   void NoteMissing(const Artifact& artifact, Common::TimePoint now);
-  /// What the order holder tells beyond the entry: the adapters that are loaded, and the models that
-  /// are about to be unloaded.
+  /// What the order holder tells beyond the entry: the adapters that are loaded, and the models
+  /// that are about to be unloaded.
   void SetPlacement(std::set<Artifact> adapters, std::set<ModelId> leaving);
   /// The order holder is silent: the entry alone counts.
   void ForgetPlacement() { m_placement.reset(); }
--- a/Source/Core/Gateway/Types.h
+++ b/Source/Core/Gateway/Types.h
@@ -152,11 +152,11 @@
   std::string time_left_ms;
   std::string model;
   std::string last_event_id;
-  std::string prompt_parts;     ///< ID:TOKENS of the prompt's parts, in order.
-  std::string signature;        ///< By which an answer proves that a backend server made it.
+  std::string prompt_parts; ///< ID:TOKENS of the prompt's parts, in order.
+  std::string signature;    ///< By which an answer proves that a backend server made it.
   std::string expected_instance;
-  std::string instance;         ///< The instance that answered.
-  std::string not_run;          ///< Present where the request was rejected before it ran.
+  std::string instance; ///< The instance that answered.
+  std::string not_run;  ///< Present where the request was rejected before it ran.
   std::string urgency;
   std::vector<std::string> reserved; ///< Never taken from callers.
 };
--- a/Source/Core/Http/Channel.cpp
+++ b/Source/Core/Http/Channel.cpp
@@ -94,9 +94,7 @@
   WholeAnswer m_answer;
 };
 
-Channel::Channel(const Endpoint& peer) : m_peer(peer)
-{
-}
+Channel::Channel(const Endpoint& peer) : m_peer(peer) {}
 
 Channel::~Channel() = default;
 
--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -31,9 +31,7 @@
 }
 } // namespace
 
-OriginConnection::OriginConnection() : m_parser(MessageParser::Kind::Response, this)
-{
-}
+OriginConnection::OriginConnection() : m_parser(MessageParser::Kind::Response, this) {}
 
 std::shared_ptr<OriginConnection> OriginConnection::Connect(const Endpoint& peer)
 {
@@ -166,7 +164,5 @@
     m_events->OnAnswerBody(bytes);
 }
 
-void OriginConnection::OnMessageEnd()
-{
-}
+void OriginConnection::OnMessageEnd() {}
 } // namespace Http
--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -144,9 +144,7 @@
   m_request.body.append(bytes);
 }
 
-void ServerConnection::OnMessageEnd()
-{
-}
+void ServerConnection::OnMessageEnd() {}
 
 void ServerConnection::Reject(int status, std::string_view reason)
 {
--- a/Source/Core/Http/ServerConnection.h
+++ b/Source/Core/Http/ServerConnection.h
@@ -14,7 +14,8 @@
 
 namespace Http
 {
-/// What a peer may send and how long it may take; shared by all connections and changed at any time.
+/// What a peer may send and how long it may take; shared by all connections and changed at any
+/// time.
 struct ServerLimits
 {
   std::size_t header_bytes = 16384;
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -26,8 +26,24 @@
   Http::Endpoint local; ///< UDP, for the other daemons.
   Common::Milliseconds holder_pause{3000};
   double load_window_s = 5;
+  double cores = 1; ///< Of this VM.
+  double link_mbps = 1000;
 };
 
+/// How long a VM leaves a free lease to stronger ones. The holder of a system of 70 daemons was
+/// measured to use 0.1 cores and some Mbit/s.
+inline Common::Milliseconds LeaseHandicap(double cores, double link_mbps)
+{
+  constexpr double ENOUGH_CORES = 0.3;
+  constexpr double ENOUGH_MBPS = 100;
+  constexpr double MS_FOR_LACK_OF_CORES = 500;
+  constexpr double MS_FOR_LACK_OF_LINK = 500;
+  const double core_lack = std::clamp(1 - cores / ENOUGH_CORES, 0.0, 1.0);
+  const double link_lack = std::clamp(1 - link_mbps / ENOUGH_MBPS, 0.0, 1.0);
+  return Common::Milliseconds(static_cast<std::int64_t>(core_lack * MS_FOR_LACK_OF_CORES +
+                                                        link_lack * MS_FOR_LACK_OF_LINK));
+}
+
 /// Everything by which the daemons act together: the lease, the reports, and the orders of the one
 /// that holds the lease.
 template <LeaseStore Store, TableSource Source>
@@ -39,11 +55,13 @@
   /// `lease_table` is followed only while no holder is heard.
   Coordination(const CoordinationSettings& settings, Gateway::Dispatcher& dispatcher, Store& store,
                OrderChannel channel, std::vector<Follower*> shared_tables, Follower& lease_table)
-      : m_vm(settings.vm), m_run(Common::NewId("run-")),
+      : m_vm(settings.vm),
+        m_run(Common::NewId("run-")),
         m_desk(dispatcher.Servers(), std::move(channel), {settings.load_window_s}),
         m_hub({settings.vm, m_run, settings.local}, dispatcher, m_desk),
         m_lease(store, {settings.vm, m_run, settings.local.ToString(), LEASE_DURATION,
-                        settings.holder_pause + PAUSE_MARGIN}),
+                        settings.holder_pause + PAUSE_MARGIN,
+                        LeaseHandicap(settings.cores, settings.link_mbps)}),
         m_lease_table(lease_table)
   {
     std::vector<TableAccess> tables;
@@ -51,10 +69,11 @@
       return AccessTo(*follower);
     });
     m_hub.SetTables(std::move(tables));
-    m_hub.OnLeaseWord([this](const LeaseWord& word, const Common::VmId& holder, const Http::Endpoint& from) {
-      m_lease.OnHolderWord(word.version, {holder, {}, from.ToString()}, word.left);
-      Follow();
-    });
+    m_hub.OnLeaseWord(
+        [this](const LeaseWord& word, const Common::VmId& holder, const Http::Endpoint& from) {
+          m_lease.OnHolderWord(word.version, {holder, {}, from.ToString()}, word.left);
+          Follow();
+        });
     m_desk.SetPermission([this]() -> std::optional<std::int64_t> {
       if (!m_lease.MayOrder(Common::Now()))
         return std::nullopt;
@@ -108,20 +127,32 @@
   static TableAccess AccessTo(Follower& follower)
   {
     TableAccess access;
-    access.version = [&follower] { return follower.Version(); };
-    access.changes_since = [&follower](std::int64_t version) { return follower.ChangesSince(version); };
-    access.answer_age = [&follower] { return follower.AnswerAge(Common::Now()); };
-    access.take_relayed = [&follower](std::int64_t from, std::int64_t to, const std::vector<TableRow>& rows) {
+    access.version = [&follower] {
+      return follower.Version();
+    };
+    access.changes_since = [&follower](std::int64_t version) {
+      return follower.ChangesSince(version);
+    };
+    access.answer_age = [&follower] {
+      return follower.AnswerAge(Common::Now());
+    };
+    access.take_relayed = [&follower](std::int64_t from, std::int64_t to,
+                                      const std::vector<TableRow>& rows) {
       return follower.TakeRelayed(from, to, rows);
     };
-    access.set_relayed = [&follower](bool relayed) { follower.SetRelayed(relayed); };
-    access.set_wait = [&follower](Common::Milliseconds wait) { follower.SetWait(wait); };
+    access.set_relayed = [&follower](bool relayed) {
+      follower.SetRelayed(relayed);
+    };
+    access.set_wait = [&follower](Common::Milliseconds wait) {
+      follower.SetWait(wait);
+    };
     return access;
   }
 
   void Tick()
   {
     Follow();
+    m_lease.SetContenders(m_hub.Daemons());
     m_lease_table.SetRelayed(m_held || m_hub.HearsHolder());
     const auto now = Common::Now();
     const bool holds = m_lease.Holds(now);
@@ -141,8 +172,8 @@
     m_held = holds;
     if (holds)
     {
-      m_hub.SetHolder(std::nullopt,
-                      LeaseWord{m_lease.Fence(), m_lease.RowVersion(), m_lease.Left(Common::Now())});
+      m_hub.SetHolder(std::nullopt, LeaseWord{m_lease.Fence(), m_lease.RowVersion(),
+                                              m_lease.Left(Common::Now())});
       return;
     }
     const auto& record = m_lease.Record();
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <cstring>
 #include <iterator>
+#include <utility>
 
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -22,13 +23,18 @@
 {
 using Common::Milliseconds;
 
-/// Regular reports of a daemon, and announcements of the holder; with many daemons they are rarer, so
-/// that the holder's work stays within its share of a processor.
+/// Regular reports of a daemon, and announcements of the holder; with many daemons they are rarer,
+/// so that the holder's work stays within its share of a processor.
 constexpr Milliseconds MIN_INTERVAL{250};
-constexpr Milliseconds MAX_INTERVAL{500};
-constexpr Milliseconds INTERVAL_PER_DAEMON{3};
+constexpr Milliseconds MAX_INTERVAL{600};
+constexpr Milliseconds INTERVAL_PER_DAEMON{6};
 /// News waits so long for more news.
 constexpr Milliseconds NEWS_DELAY{4};
+/// The holder's news goes to every daemon: with many, more of it is gathered first.
+constexpr Milliseconds MAX_PUSH_DELAY{60};
+constexpr Milliseconds PUSH_DELAY_PER_DAEMON{1};
+/// Gaps in the holder's news are made good by the holder for so long; then the platform is asked.
+constexpr Milliseconds GAP_PATIENCE{700};
 /// A datagram is at most so long; the kernel cuts it into packets.
 constexpr std::size_t MAX_DATAGRAM = 60000;
 /// Bytes of rows in one datagram; the rest follows with the next.
@@ -70,7 +76,8 @@
   m_fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const sockaddr_in address = m_settings.local.ToSockaddr();
   if (m_fd < 0 || bind(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
-    return {Common::FailureKind::Unavailable, m_settings.local.ToString() + ": " + std::strerror(errno)};
+    return {Common::FailureKind::Unavailable,
+            m_settings.local.ToString() + ": " + std::strerror(errno)};
   m_watch = Common::Reactor::Get().Watch(m_fd, EPOLLIN, this);
   m_dispatcher.Budget().SetDaemons(m_settings.assumed_daemons);
   ReportNow();
@@ -120,11 +127,16 @@
 {
   if (!m_own_lease || m_announce_timer.Running())
     return;
-  m_announce_timer.Start(NEWS_DELAY, [this] {
-    AnnounceNow();
+  m_announce_timer.Start(PushDelay(), [this] {
+    AnnounceNow(false);
   });
 }
 
+Milliseconds Hub::PushDelay() const
+{
+  return std::clamp(PUSH_DELAY_PER_DAEMON * m_daemons, NEWS_DELAY, MAX_PUSH_DELAY);
+}
+
 DaemonReport Hub::MakeReport()
 {
   DaemonReport report;
@@ -145,10 +157,12 @@
       line.by_model[model] = count;
     report.loads.push_back(std::move(line));
   }
-  std::ranges::transform(m_tables, std::back_inserter(report.table_versions), [](const TableAccess& table) {
-    return table.version();
-  });
+  std::ranges::transform(m_tables, std::back_inserter(report.table_versions),
+                         [](const TableAccess& table) {
+                           return table.version();
+                         });
   report.placement_version = m_placement_heard;
+  report.missed_news = std::exchange(m_missed_news, false);
   return report;
 }
 
@@ -164,7 +178,7 @@
   {
     m_desk.TakeReport(report, Common::Now());
     m_desk.PlanSoon();
-    AnnounceSoon();
+    AnnounceNow(true);
     return;
   }
   Envelope envelope;
@@ -194,11 +208,30 @@
 
 void Hub::UpdatePlacements()
 {
-  auto placements = m_desk.Placements();
-  if (placements == m_placements)
-    return;
-  m_placements = std::move(placements);
-  ++m_placement_version;
+  std::map<Gateway::InstanceId, PlacementLine> lines;
+  for (PlacementLine& line : m_desk.Placements())
+    lines.emplace(line.instance, line);
+  for (const auto& [instance, known] : m_placements)
+    lines.try_emplace(instance, PlacementLine{instance, {}, {}});
+  const std::uint64_t next = m_placement_version + 1;
+  for (auto& [instance, line] : lines)
+  {
+    VersionedLine& known = m_placements[instance];
+    if (known.version != 0 && known.line == line)
+      continue;
+    known = {std::move(line), next};
+    m_placement_version = next;
+  }
+}
+
+void Hub::AddPlacements(HolderReport& report, std::uint64_t since) const
+{
+  report.placement_from = since;
+  report.placement_to = m_placement_version;
+  report.placements.clear();
+  for (const auto& [instance, known] : m_placements)
+    if (known.version > since)
+      report.placements.push_back(known.line);
 }
 
 TableNews Hub::NewsOf(const TableAccess& table, std::int64_t since) const
@@ -211,6 +244,15 @@
   if (!rows)
     return news;
   news.from = since;
+  // A row that fits no datagram is asked of the platform by each daemon.
+  const bool fits = std::ranges::none_of(*rows, [](const TableRow& row) {
+    return row.value.size() > MAX_NEWS_BYTES;
+  });
+  if (!fits)
+  {
+    news.from = news.to;
+    return news;
+  }
   std::size_t bytes = 0;
   for (TableRow& row : *rows)
   {
@@ -229,27 +271,41 @@
   return news;
 }
 
-std::vector<TableNews> Hub::NewsFor(Peer& peer, Common::TimePoint now) const
+std::vector<TableNews> Hub::NewsFor(Peer& peer) const
 {
   std::vector<TableNews> news;
   peer.sent.resize(m_tables.size());
   peer.versions.resize(m_tables.size());
-  const bool resend = now - peer.sent_at > RESEND_AFTER;
   for (std::size_t i = 0; i < m_tables.size(); ++i)
   {
-    const std::int64_t known = peer.versions[i];
-    news.push_back(NewsOf(m_tables[i], resend ? known : std::max(known, peer.sent[i])));
+    news.push_back(NewsOf(m_tables[i], std::max(peer.versions[i], peer.sent[i])));
     peer.sent[i] = news.back().to;
   }
-  const bool has_rows = std::ranges::any_of(news, [](const TableNews& table) {
+  return news;
+}
+
+bool Hub::FillReport(HolderReport& report, bool regular, Peer& peer, Common::TimePoint now) const
+{
+  if (now - peer.sent_at > RESEND_AFTER)
+  {
+    // What has not been confirmed by now is taken for lost.
+    peer.sent = peer.versions;
+    peer.placement_sent = peer.placement_version;
+    peer.sent_at = now;
+  }
+  AddPlacements(report, std::max(peer.placement_version, peer.placement_sent));
+  peer.placement_sent = m_placement_version;
+  report.news = NewsFor(peer);
+  const bool has_rows = std::ranges::any_of(report.news, [](const TableNews& table) {
     return !table.rows.empty();
   });
-  if (has_rows)
+  const bool has_news = has_rows || !report.placements.empty();
+  if (has_news)
     peer.sent_at = now;
-  return news;
+  return regular || has_news;
 }
 
-void Hub::AnnounceNow()
+void Hub::AnnounceNow(bool regular)
 {
   if (!m_own_lease)
     return;
@@ -259,28 +315,27 @@
   });
   UpdatePlacements();
   m_daemons = static_cast<int>(m_peers.size()) + 1;
-  HolderReport report;
-  report.vm = m_settings.self;
+  HolderState state;
+  state.vm = m_settings.self;
+  state.lease_version = m_own_lease->version;
+  state.lease_left_ms = m_own_lease->left.count();
+  state.daemons = m_daemons;
+  state.regular = regular;
+  if (regular)
+    state.in_flight = m_desk.InFlightByServer();
+  Envelope envelope;
+  HolderReport& report = envelope.from_holder.emplace_back();
   report.fence = m_own_lease->fence;
-  report.lease_version = m_own_lease->version;
-  report.lease_left_ms = m_own_lease->left.count();
-  report.sequence = ++m_sequence;
-  report.daemons = m_daemons;
-  report.in_flight = m_desk.InFlightByServer();
-  report.placement_version = m_placement_version;
+  report.state = Daemons::Encode(state);
   for (auto& [vm, peer] : m_peers)
   {
-    report.placements.clear();
-    if (peer.placement_version != m_placement_version)
-      report.placements = m_placements;
-    report.news = NewsFor(peer, now);
-    Envelope envelope;
-    envelope.from_holder.push_back(report);
-    SendTo(peer.endpoint, envelope);
+    report.sequence = ++m_sequence;
+    if (FillReport(report, regular, peer, now))
+      SendTo(peer.endpoint, envelope);
   }
-  report.placements = m_placements;
+  report.sequence = ++m_sequence;
   report.news.clear();
-  m_placement_heard = 0;
+  AddPlacements(report, m_placement_heard);
   TakeHolderReport(report, m_settings.local);
 }
 
@@ -309,7 +364,8 @@
         recvfrom(m_fd, buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr*>(&from), &size);
     if (count < 0)
       return;
-    TakeDatagram({buffer.data(), static_cast<std::size_t>(count)}, Http::Endpoint::FromSockaddr(from));
+    TakeDatagram({buffer.data(), static_cast<std::size_t>(count)},
+                 Http::Endpoint::FromSockaddr(from));
   }
 }
 
@@ -333,6 +389,12 @@
     peer.heard_at = now;
     peer.versions = report.table_versions;
     peer.placement_version = report.placement_version;
+    if (report.missed_news)
+    {
+      peer.sent = peer.versions;
+      peer.placement_sent = peer.placement_version;
+      AnnounceSoon();
+    }
     m_desk.TakeReport(report, now);
     const bool anyone_waits = std::ranges::any_of(report.demand, [](const DemandLine& line) {
       return line.waiting > 0;
@@ -352,44 +414,68 @@
   const std::pair age(report.fence, report.sequence);
   if (age <= m_last_heard)
     return;
+  const auto state = Daemons::Decode<HolderState>(report.state);
+  if (!state)
+  {
+    Common::LogEvent(Common::LogLevel::Warning, "datagram-malformed",
+                     {{"from", from.ToString()}, {"reason", state.Reason().detail}});
+    return;
+  }
   if (report.fence != m_last_heard.first)
     m_placement_heard = 0;
   m_last_heard = age;
   m_holder_heard_at = Common::Now();
-  m_daemons = report.daemons;
-  m_dispatcher.Budget().SetDaemons(report.daemons);
+  m_daemons = state->daemons;
+  m_dispatcher.Budget().SetDaemons(state->daemons);
   if (m_on_lease_word && !m_own_lease)
-    m_on_lease_word({report.fence, report.lease_version, Milliseconds(report.lease_left_ms)}, report.vm, from);
+    m_on_lease_word({report.fence, state->lease_version, Milliseconds(state->lease_left_ms)},
+                    state->vm, from);
   TakeNews(report.news);
-  const bool new_placements = report.placement_version != m_placement_heard && !report.placements.empty();
-  std::map<Gateway::InstanceId, const PlacementLine*> lines;
-  for (const PlacementLine& line : report.placements)
-    lines.emplace(line.instance, &line);
-  for (const auto& [instance, server] : m_dispatcher.Servers().All())
+  TakePlacements(report);
+  if (state->regular)
+    for (const auto& [instance, server] : m_dispatcher.Servers().All())
+    {
+      const auto total = state->in_flight.find(instance);
+      const int elsewhere =
+          total == state->in_flight.end() ? 0 : total->second - server->InFlight();
+      server->SetRemoteInFlight(std::max(elsewhere, 0));
+    }
+  m_dispatcher.WakeWaiting();
+}
+
+void Hub::TakePlacements(const HolderReport& report)
+{
+  if (m_placement_heard < report.placement_from)
   {
-    const auto total = report.in_flight.find(instance);
-    const int elsewhere = total == report.in_flight.end() ? 0 : total->second - server->InFlight();
-    server->SetRemoteInFlight(std::max(elsewhere, 0));
-    if (!new_placements)
-      continue;
-    const auto found = lines.find(instance);
-    static const PlacementLine s_nothing;
-    const PlacementLine& line = found == lines.end() ? s_nothing : *found->second;
-    server->SetPlacement({line.adapters.begin(), line.adapters.end()},
-                         {line.leaving.begin(), line.leaving.end()});
+    m_missed_news = true;
+    ReportSoon();
+    return;
   }
-  if (new_placements)
-    m_placement_heard = report.placement_version;
-  m_dispatcher.WakeWaiting();
+  for (const PlacementLine& line : report.placements)
+    if (const auto server = m_dispatcher.Servers().Find(line.instance))
+      server->SetPlacement({line.adapters.begin(), line.adapters.end()},
+                           {line.leaving.begin(), line.leaving.end()});
+  m_placement_heard = std::max(m_placement_heard, report.placement_to);
 }
 
 void Hub::TakeNews(const std::vector<TableNews>& news)
 {
+  const auto now = Common::Now();
+  m_news_states.resize(m_tables.size());
   for (std::size_t i = 0; i < std::min(news.size(), m_tables.size()); ++i)
   {
     const bool current = news[i].answer_age_ms < MAX_ANSWER_AGE.count();
     const bool whole = m_tables[i].take_relayed(news[i].from, news[i].to, news[i].rows);
-    m_tables[i].set_relayed(current && whole);
+    if (current && whole)
+    {
+      m_news_states[i].whole_at = now;
+      m_tables[i].set_relayed(true);
+      continue;
+    }
+    if (!whole && !std::exchange(m_missed_news, true))
+      ReportSoon();
+    if (!current || now - m_news_states[i].whole_at > GAP_PATIENCE)
+      m_tables[i].set_relayed(false);
   }
 }
 } // namespace Orders
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -45,8 +45,9 @@
 };
 
 /// Carries reports between the daemons and the holder of the order lease: every daemon talks to the
-/// holder only, so that the traffic grows with the number of daemons, not with its square. The holder
-/// also passes on what it reads from the platform, which spares the others most of their calls.
+/// holder only, so that the traffic grows with the number of daemons, not with its square. The
+/// holder also passes on what it reads from the platform, which spares the others most of their
+/// calls.
 class Hub : public Common::DescriptorHandler
 {
 public:
@@ -64,6 +65,8 @@
   void OnLeaseWord(LeaseWordHandler handler) { m_on_lease_word = std::move(handler); }
   /// Where the holder takes reports; nothing where none is known.
   void SetHolder(std::optional<Http::Endpoint> endpoint, std::optional<LeaseWord> own_lease);
+  /// Daemons that report to the holder, as last told.
+  int Daemons() const { return m_daemons; }
   /// True where the holder has been heard lately.
   bool HearsHolder() const;
   /// Sends this daemon's report soon: there is news.
@@ -82,17 +85,34 @@
     std::vector<std::int64_t> sent;     ///< Up to which its tables were last sent.
     Common::TimePoint sent_at;
     std::uint64_t placement_version = 0;
+    std::uint64_t placement_sent = 0;
+  };
+  /// A line of the placements with the version at which it changed last.
+  struct VersionedLine
+  {
+    PlacementLine line;
+    std::uint64_t version = 0;
+  };
+  /// What became of one shared table's news.
+  struct NewsState
+  {
+    Common::TimePoint whole_at; ///< When the holder's word was last current and without gaps.
   };
 
   void ReportNow();
-  void AnnounceNow();
+  void AnnounceNow(bool regular);
   void SendTo(const Http::Endpoint& peer, const Envelope& envelope);
   void TakeDatagram(std::string_view bytes, const Http::Endpoint& from);
   void TakeHolderReport(const HolderReport& report, const Http::Endpoint& from);
   void CheckHolder();
   void TakeNews(const std::vector<TableNews>& news);
   void UpdatePlacements();
-  std::vector<TableNews> NewsFor(Peer& peer, Common::TimePoint now) const;
+  void AddPlacements(HolderReport& report, std::uint64_t since) const;
+  void TakePlacements(const HolderReport& report);
+  /// False where there is nothing to send.
+  bool FillReport(HolderReport& report, bool regular, Peer& peer, Common::TimePoint now) const;
+  Common::Milliseconds PushDelay() const;
+  std::vector<TableNews> NewsFor(Peer& peer) const;
   TableNews NewsOf(const TableAccess& table, std::int64_t since) const;
   Common::Milliseconds RegularInterval() const;
   DaemonReport MakeReport();
@@ -106,7 +126,9 @@
   std::optional<LeaseWord> m_own_lease; ///< Set while this daemon is the holder.
   std::vector<TableAccess> m_tables;
   LeaseWordHandler m_on_lease_word;
-  std::vector<PlacementLine> m_placements;
+  std::map<Gateway::InstanceId, VersionedLine> m_placements;
+  std::vector<NewsState> m_news_states;
+  bool m_missed_news = false;
   std::uint64_t m_placement_version = 1;
   std::uint64_t m_placement_heard = 0; ///< Version of the placements that were last taken.
   int m_daemons = 1;
--- a/Source/Core/Orders/LeaseKeeper.h
+++ b/Source/Core/Orders/LeaseKeeper.h
@@ -48,13 +48,18 @@
   Common::Milliseconds duration{4000};
   /// Between the last order of one holder and the first of the next, at one server.
   Common::Milliseconds holder_pause{3000};
+  /// A free lease is left to others for so long: a weak VM serves the others badly as the holder.
+  Common::Milliseconds handicap{0};
 };
 
 template <LeaseStore Store>
 class LeaseKeeper
 {
 public:
-  LeaseKeeper(Store& store, LeaseSettings settings) : m_store(store), m_settings(std::move(settings)) {}
+  LeaseKeeper(Store& store, LeaseSettings settings)
+      : m_store(store), m_settings(std::move(settings))
+  {
+  }
 
   void Start() { Tick(); }
 
@@ -87,7 +92,8 @@
   /// How long this holder may still act without another renewal.
   Common::Milliseconds Left(Common::TimePoint now) const
   {
-    return std::max(std::chrono::ceil<Common::Milliseconds>(m_valid_until - now), Common::Milliseconds(0));
+    return std::max(std::chrono::ceil<Common::Milliseconds>(m_valid_until - now),
+                    Common::Milliseconds(0));
   }
 
   /// The lease is ours now, whether or not orders may go out yet.
@@ -97,6 +103,12 @@
   std::int64_t Fence() const { return m_fence.value_or(0); }
   const std::optional<LeaseRecord>& Record() const { return m_record; }
 
+  /// Daemons that may want the lease.
+  void SetContenders(int daemons)
+  {
+    m_contenders = static_cast<std::uint64_t>(std::max(daemons, 1));
+  }
+
   /// Gives the lease back: the next holder need not wait for it to run out.
   void Release()
   {
@@ -106,7 +118,8 @@
       return;
     m_fence.reset();
     m_store.ReplaceLease(m_version, LeaseRecord{}, [](Common::Result<std::int64_t> result) {
-      Common::LogEvent(Common::LogLevel::Info, "lease-released", {{"done", static_cast<bool>(result)}});
+      Common::LogEvent(Common::LogLevel::Info, "lease-released",
+                       {{"done", static_cast<bool>(result)}});
     });
   }
 
@@ -121,6 +134,7 @@
   static constexpr Common::Milliseconds TAKE_MARGIN{250};
   /// Daemons that find the lease free do not all write at once.
   static constexpr std::uint64_t SPREAD_MS = 250;
+  static constexpr std::uint64_t SPREAD_MS_PER_DAEMON = 10;
 
   void Tick()
   {
@@ -149,7 +163,9 @@
       return;
     }
     if (!m_free_since)
-      m_free_since = now + Common::Milliseconds(Common::SharedRandom()() % SPREAD_MS);
+      m_free_since = now + m_settings.handicap +
+                     Common::Milliseconds(Common::SharedRandom()() %
+                                          std::max(SPREAD_MS, SPREAD_MS_PER_DAEMON * m_contenders));
     if (now >= *m_free_since || IsOurs())
       Write(now, "acquired");
   }
@@ -168,11 +184,12 @@
     m_writing = true;
     const LeaseRecord record{m_settings.self, m_settings.run, m_settings.address};
     const bool follows_another = m_record && !IsOurs();
-    m_store.ReplaceLease(m_version, record,
-                         [this, now, what, record, follows_another](Common::Result<std::int64_t> result) {
-                           m_writing = false;
-                           TakeResult(now, what, record, follows_another, std::move(result));
-                         });
+    m_store.ReplaceLease(
+        m_version, record,
+        [this, now, what, record, follows_another](Common::Result<std::int64_t> result) {
+          m_writing = false;
+          TakeResult(now, what, record, follows_another, std::move(result));
+        });
   }
 
   void TakeResult(Common::TimePoint sent, const char* what, const LeaseRecord& record,
@@ -224,6 +241,7 @@
   Common::TimePoint m_valid_until;
   Common::TimePoint m_orders_from;
   std::optional<Common::TimePoint> m_free_since;
+  std::uint64_t m_contenders = 1;
   bool m_writing = false;
   bool m_released = false;
   Common::OwnedTimer m_timer;
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -41,8 +41,8 @@
 /// Changes of one table that the holder passes on.
 struct TableNews
 {
-  std::int64_t from = 0; ///< The rows that changed after this version,
-  std::int64_t to = 0;   ///< up to this one, are all here.
+  std::int64_t from = 0;          ///< The rows that changed after this version,
+  std::int64_t to = 0;            ///< up to this one, are all here.
   std::int64_t answer_age_ms = 0; ///< Since the platform's last answer to the holder.
   std::vector<TableRow> rows;
 
@@ -94,11 +94,12 @@
   std::vector<LoadLine> loads;
   std::vector<std::int64_t> table_versions; ///< Of each shared table, as this daemon has it.
   std::uint64_t placement_version = 0;      ///< Of the last placements that it has.
+  bool missed_news = false;                 ///< Changes were missing: they should be sent again.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(vm, run, sequence, demand, loads, table_versions, placement_version);
+    archive(vm, run, sequence, demand, loads, table_versions, placement_version, missed_news);
   }
 };
 
@@ -106,8 +107,8 @@
 struct PlacementLine
 {
   Gateway::InstanceId instance;
-  std::vector<Gateway::Artifact> adapters;  ///< Loaded.
-  std::vector<Gateway::ModelId> leaving;    ///< About to be unloaded: no new requests.
+  std::vector<Gateway::Artifact> adapters; ///< Loaded.
+  std::vector<Gateway::ModelId> leaving;   ///< About to be unloaded: no new requests.
 
   bool operator==(const PlacementLine&) const = default;
 
@@ -118,25 +119,38 @@
   }
 };
 
-/// From the holder to a daemon.
-struct HolderReport
+/// The part of a holder's report that is the same for all daemons; encoded once.
+struct HolderState
 {
   Common::VmId vm;
-  std::int64_t fence = 0; ///< Of the lease; a lower one is an older holder's.
-  std::uint64_t sequence = 0;
-  std::int32_t daemons = 1; ///< That report to the holder, itself included.
+  std::int32_t daemons = 1;       ///< That report to the holder, itself included.
   std::int64_t lease_version = 0; ///< Of the lease's row.
   std::int64_t lease_left_ms = 0; ///< At most so long the holder may act without a renewal.
+  bool regular = false;           ///< Holds `in_flight`; else there is only news.
   std::map<Gateway::InstanceId, std::int32_t> in_flight; ///< Open requests of all daemons.
-  std::uint64_t placement_version = 0;
-  std::vector<PlacementLine> placements; ///< Empty where the receiver has this version.
-  std::vector<TableNews> news;           ///< Of each shared table.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(vm, fence, sequence, daemons, lease_version, lease_left_ms, in_flight,
-            placement_version, placements, news);
+    archive(vm, daemons, lease_version, lease_left_ms, regular, in_flight);
+  }
+};
+
+/// From the holder to a daemon.
+struct HolderReport
+{
+  std::int64_t fence = 0; ///< Of the lease; a lower one is an older holder's.
+  std::uint64_t sequence = 0;
+  std::string state;                ///< A `HolderState`, encoded.
+  std::uint64_t placement_from = 0; ///< The lines that changed after this version,
+  std::uint64_t placement_to = 0;   ///< up to this one, are all here.
+  std::vector<PlacementLine> placements;
+  std::vector<TableNews> news; ///< Of each shared table.
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(fence, sequence, state, placement_from, placement_to, placements, news);
   }
 };
 
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -98,7 +98,8 @@
 }
 } // namespace
 
-OrderDesk::OrderDesk(Gateway::ServerDirectory& servers, OrderChannel channel, OrderDeskSettings settings)
+OrderDesk::OrderDesk(Gateway::ServerDirectory& servers, OrderChannel channel,
+                     OrderDeskSettings settings)
     : m_servers(servers), m_channel(std::move(channel)), m_settings(settings)
 {
 }
@@ -387,7 +388,8 @@
     if (found == input.models.end() || demand.pool != pool.id)
       continue;
     const double elapsed = std::chrono::duration<double>(now - demand.updated).count();
-    found->second.arrivals_per_second += demand.arrivals_per_second * std::exp(-elapsed / RATE_SECONDS);
+    found->second.arrivals_per_second +=
+        demand.arrivals_per_second * std::exp(-elapsed / RATE_SECONDS);
     found->second.last_wanted = std::max(found->second.last_wanted, demand.last_wanted);
   }
   for (const auto& [artifact, waiting] : WaitingNow(pool.id))
@@ -477,7 +479,8 @@
   });
 }
 
-void OrderDesk::TakeAnswer(const InstanceId& instance, std::uint64_t id, Common::Result<OrderAnswer> answer)
+void OrderDesk::TakeAnswer(const InstanceId& instance, std::uint64_t id,
+                           Common::Result<OrderAnswer> answer)
 {
   const auto found = m_books.find(instance);
   if (found == m_books.end() || !found->second.open || found->second.open->id != id)
@@ -486,10 +489,11 @@
   OpenOrder& open = *book.open;
   const auto now = Common::Now();
   open.in_exchange = false;
-  Common::LogEvent(answer ? Common::LogLevel::Info : Common::LogLevel::Warning, "order-answer",
-                   {{"order", id},
-                    {"instance", instance},
-                    {"answer", answer ? ToString(*answer) : Common::ToString(answer.Reason().kind)}});
+  Common::LogEvent(
+      answer ? Common::LogLevel::Info : Common::LogLevel::Warning, "order-answer",
+      {{"order", id},
+       {"instance", instance},
+       {"answer", answer ? ToString(*answer) : Common::ToString(answer.Reason().kind)}});
   if (!answer)
   {
     open.next_check = now + CHECK_PAUSE;
@@ -572,8 +576,9 @@
   const OpenOrder closed = std::move(*book.open);
   book.open.reset();
   const auto took = std::chrono::duration_cast<Milliseconds>(Common::Now() - closed.first_sent);
-  Common::LogEvent(Common::LogLevel::Info, "order-closed",
-                   {{"order", closed.id}, {"instance", instance}, {"outcome", outcome}, {"ms", took.count()}});
+  Common::LogEvent(
+      Common::LogLevel::Info, "order-closed",
+      {{"order", closed.id}, {"instance", instance}, {"outcome", outcome}, {"ms", took.count()}});
   if (m_on_placement)
     m_on_placement();
   const ServerPtr server = m_servers.Find(instance);
@@ -581,7 +586,8 @@
   if (!done)
     book.state_known = false;
   if (done && closed.then_load && server && !server->Entry().draining)
-    Give(server, OrderCall::Operation::Load, *closed.then_load, std::nullopt, closed.source, "after unload");
+    Give(server, OrderCall::Operation::Load, *closed.then_load, std::nullopt, closed.source,
+         "after unload");
 }
 
 void OrderDesk::PlanAdapters(const Gateway::Pool& pool, TimePoint now)
@@ -657,7 +663,8 @@
   return best;
 }
 
-void OrderDesk::GiveAdapter(const ServerPtr& server, OrderCall::Operation operation, const Artifact& artifact)
+void OrderDesk::GiveAdapter(const ServerPtr& server, OrderCall::Operation operation,
+                            const Artifact& artifact)
 {
   const auto fence = m_fence_if_allowed();
   if (!fence)
@@ -693,13 +700,15 @@
   const auto now = Common::Now();
   book.adapter_in_exchange = false;
   const bool is_load = call.operation == OrderCall::Operation::Load;
-  Common::LogEvent(answer ? Common::LogLevel::Info : Common::LogLevel::Warning, "adapter-order",
-                   {{"instance", instance},
-                    {"operation", is_load ? "load" : "unload"},
-                    {"artifact", call.artifact.ToString()},
-                    {"sequence", call.expected_sequence},
-                    {"answer", answer ? ToString(*answer) : Common::ToString(answer.Reason().kind)}});
-  const bool taken = answer && (*answer == OrderAnswer::Accepted || *answer == OrderAnswer::AlreadySo);
+  Common::LogEvent(
+      answer ? Common::LogLevel::Info : Common::LogLevel::Warning, "adapter-order",
+      {{"instance", instance},
+       {"operation", is_load ? "load" : "unload"},
+       {"artifact", call.artifact.ToString()},
+       {"sequence", call.expected_sequence},
+       {"answer", answer ? ToString(*answer) : Common::ToString(answer.Reason().kind)}});
+  const bool taken =
+      answer && (*answer == OrderAnswer::Accepted || *answer == OrderAnswer::AlreadySo);
   if (!taken)
   {
     book.leaving_adapters.erase(call.artifact);
@@ -741,7 +750,8 @@
     for (const Artifact& artifact : AdaptersOn(*server, book->second))
     {
       const auto coming = book->second.adapters.find(artifact);
-      const bool arrived = coming == book->second.adapters.end() || coming->second.usable_from <= now;
+      const bool arrived =
+          coming == book->second.adapters.end() || coming->second.usable_from <= now;
       if (arrived && !book->second.leaving_adapters.contains(artifact))
         line.adapters.push_back(artifact);
     }
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -71,8 +71,8 @@
 };
 
 /// Plans and gives the orders of the lease's holder, and keeps account of what became of them. Each
-/// order names the sequence that it expects, so of several orders for one sequence at most one takes
-/// effect, however late it arrives: what an unanswered order may still load never adds up.
+/// order names the sequence that it expects, so of several orders for one sequence at most one
+/// takes effect, however late it arrives: what an unanswered order may still load never adds up.
 class OrderDesk
 {
 public:
@@ -123,8 +123,8 @@
   struct ServerBook
   {
     std::int64_t sequence = 0;
-    /// The server's own word on its sequence and state is needed before an order: at the beginning of
-    /// a tenure, and after anything that did not go as expected.
+    /// The server's own word on its sequence and state is needed before an order: at the beginning
+    /// of a tenure, and after anything that did not go as expected.
     bool state_known = false;
     bool report_asked = false;
     Common::TimePoint next_report;
@@ -135,7 +135,8 @@
     Common::TimePoint last_adapter_order;
     std::map<Gateway::ModelId, Common::TimePoint> loaded_since;
     std::map<Gateway::Artifact, AdapterBook> adapters;
-    std::set<Gateway::Artifact> dropped_adapters; ///< Unloaded, though the entry may still name them.
+    std::set<Gateway::Artifact>
+        dropped_adapters; ///< Unloaded, though the entry may still name them.
     std::set<Gateway::Artifact> leaving_adapters; ///< About to be unloaded: no new requests.
   };
   struct DaemonBook
@@ -162,9 +163,10 @@
   void CheckOpen(const Gateway::ServerPtr& server, ServerBook& book, Common::TimePoint now);
   void PlanPool(const Gateway::Pool& pool, Common::TimePoint now);
   void PlanAdapters(const Gateway::Pool& pool, Common::TimePoint now);
-  void LoadAdapter(const Gateway::Pool& pool, const Gateway::Artifact& artifact, Common::TimePoint now);
-  std::optional<Gateway::Artifact> AdapterVictim(const Gateway::Server& server, const ServerBook& book,
-                                                 Common::TimePoint now) const;
+  void LoadAdapter(const Gateway::Pool& pool, const Gateway::Artifact& artifact,
+                   Common::TimePoint now);
+  std::optional<Gateway::Artifact>
+  AdapterVictim(const Gateway::Server& server, const ServerBook& book, Common::TimePoint now) const;
   Decisions::ReplicaPlanInput PlanInput(const Gateway::Pool& pool, Common::TimePoint now) const;
   Decisions::PlannedServer PlannedServerOf(const Gateway::Server& server, const Gateway::Pool& pool,
                                            Common::TimePoint now) const;
@@ -191,7 +193,8 @@
   int InFlight(const Gateway::InstanceId& instance, const Gateway::ModelId& model) const;
   int InFlight(const Gateway::InstanceId& instance) const;
   std::map<Gateway::Artifact, Waiting> WaitingNow(const Gateway::PoolId& pool) const;
-  std::vector<Gateway::Artifact> AdaptersOn(const Gateway::Server& server, const ServerBook& book) const;
+  std::vector<Gateway::Artifact> AdaptersOn(const Gateway::Server& server,
+                                            const ServerBook& book) const;
 
   Gateway::ServerDirectory& m_servers;
   OrderChannel m_channel;
--- a/Source/Core/Orders/TableFollower.h
+++ b/Source/Core/Orders/TableFollower.h
@@ -32,9 +32,9 @@
 
 /// Where tables are read: the platform's store.
 template <typename T>
-concept TableSource =
-    requires(T source, const std::string& text, std::int64_t version, Common::Milliseconds wait,
-             std::function<void(Common::Result<TableRows>)> done)
+concept TableSource = requires(T source, const std::string& text, std::int64_t version,
+                               Common::Milliseconds wait,
+                               std::function<void(Common::Result<TableRows>)> done)
 {
   /// The rows from a key on.
   source.Read(text, text, done);
@@ -89,6 +89,8 @@
     if (m_relayed == relayed)
       return;
     m_relayed = relayed;
+    Common::LogEvent(Common::LogLevel::Info, relayed ? "table-relayed" : "table-asked",
+                     {{"table", m_table}, {"version", m_version}});
     if (!relayed && m_have_snapshot && !m_calling)
     {
       m_retry_timer.Stop();
@@ -239,8 +241,8 @@
                            : FIRST_PAUSE * (1 << std::min(m_failures, MAX_PAUSE_DOUBLINGS));
     ++m_failures;
     // Spread, so that many daemons do not call in step after an outage.
-    const auto spread = static_cast<std::int64_t>(
-        Common::SharedRandom()() % static_cast<std::uint64_t>(FIRST_PAUSE.count()));
+    const auto spread = static_cast<std::int64_t>(Common::SharedRandom()() %
+                                                  static_cast<std::uint64_t>(FIRST_PAUSE.count()));
     m_retry_timer.Start(pause + Common::Milliseconds(spread), [this] {
       if (!m_have_snapshot)
         Start();
@@ -254,7 +256,8 @@
   TableEvents m_events;
   Common::Milliseconds m_wait = DEFAULT_WAIT;
   std::vector<TableRow> m_snapshot;
-  std::optional<std::int64_t> m_snapshot_version; ///< Of the first page: changes since are followed.
+  std::optional<std::int64_t>
+      m_snapshot_version; ///< Of the first page: changes since are followed.
   std::int64_t m_version = 0;
   bool m_have_snapshot = false;
   bool m_relayed = false;
@@ -262,7 +265,7 @@
   bool m_lost = false;
   int m_failures = 0;
   Common::TimePoint m_answered_at;
-  std::deque<TableRow> m_log;     ///< Changes after `m_log_floor`, oldest first.
+  std::deque<TableRow> m_log; ///< Changes after `m_log_floor`, oldest first.
   std::int64_t m_log_floor = 0;
   Common::OwnedTimer m_retry_timer;
 };
