--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -18,13 +18,13 @@
 using Common::Milliseconds;
 
 /// The balancer asks every second and takes a daemon out after two misses: until then new
-/// connections come, and they are served.
-constexpr Milliseconds NOTICE{3000};
+/// connections come, and they are served. Whatever came in this time may use the rest of the grace.
+constexpr Milliseconds NOTICE{2500};
 /// How often a stopping process looks whether its last request is done.
 constexpr Milliseconds STOP_POLL{50};
 /// What is left of the grace time when open requests are given up, so that their callers still hear
 /// of it.
-constexpr Milliseconds STOP_MARGIN{400};
+constexpr Milliseconds STOP_MARGIN{150};
 
 GMainLoop* MainLoop()
 {
