Common, Gateway: log lines on standard output without blocking; metrics and dump

Cause: glog wrote to standard error, one blocking write a line, and could not be bounded; the platform's face had no metrics. Lines wait at most 25 ms and 256 KB, are dropped and counted beyond. Metrics (prometheus-cpp) moved to Common, one class for both faces; /metrics and /dump on the metrics address.

--- a/Source/Core/Callers/CallContext.h
+++ b/Source/Core/Callers/CallContext.h
@@ -10,9 +10,9 @@
 
 #include "Callers/Answers.h"
 #include "Common/Loop.h"
+#include "Common/Metrics.h"
 #include "Http/Server.h"
 #include "Serving/Environment.h"
-#include "Serving/Metrics.h"
 #include "Serving/Router.h"
 
 namespace Callers
@@ -22,7 +22,7 @@
 {
   Serving::Environment& environment;
   Serving::Router& router;
-  Serving::Metrics& metrics;
+  Common::Metrics& metrics;
   /// Open requests of each calling service.
   std::map<Common::ServiceId, std::int64_t> open;
   Decisions::RetryBudget retries;
--- a/Source/Core/Common/Log.cpp
+++ b/Source/Core/Common/Log.cpp
@@ -3,9 +3,14 @@
 
 #include "Common/Log.h"
 
+#include <algorithm>
 #include <map>
+#include <memory>
+#include <utility>
 
-#include <glog/logging.h>
+#include <glib.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include "Common/Loop.h"
 
@@ -13,7 +18,16 @@
 {
 namespace
 {
-constexpr int MAX_LINES_PER_SECOND = 40;
+/// Lines a second for one event: enough for each request of a busy entry VM, and a bound on what a
+/// storm of one kind costs.
+constexpr int INFO_LINES_PER_SECOND = 40;
+constexpr int WARNING_LINES_PER_SECOND = 100;
+/// Lines wait so long for others, so that one write carries several.
+constexpr Milliseconds GATHER_TIME{25};
+/// A pipe that polls as writable takes this much without blocking (PIPE_BUF of Linux).
+constexpr std::size_t WRITE_BYTES = 4096;
+/// Beyond it lines are dropped.
+constexpr std::size_t MAX_WAITING_BYTES = 262144;
 
 struct EventRate
 {
@@ -22,8 +36,78 @@
   int suppressed = 0;
 };
 
+/// The lines on their way to standard output.
+class Output
+{
+public:
+  void Add(const std::string& line, bool urgent)
+  {
+    if (m_waiting.size() + line.size() > MAX_WAITING_BYTES)
+    {
+      ++counters.dropped;
+      return;
+    }
+    ++counters.written;
+    m_waiting += line;
+    if (urgent || m_waiting.size() >= WRITE_BYTES)
+      Write();
+    else
+      WriteSoon();
+  }
+
+  void Write()
+  {
+    std::size_t begin = 0;
+    while (begin < m_waiting.size() && IsWritable())
+    {
+      const auto size = std::min(m_waiting.size() - begin, WRITE_BYTES);
+      const ssize_t count = write(STDOUT_FILENO, m_waiting.data() + begin, size);
+      if (count <= 0)
+        break;
+      begin += static_cast<std::size_t>(count);
+    }
+    m_waiting.erase(0, begin);
+    if (!m_waiting.empty())
+      WriteSoon();
+  }
+
+  LogCounters counters;
+
+private:
+  static bool IsWritable()
+  {
+    pollfd out{STDOUT_FILENO, POLLOUT, 0};
+    return poll(&out, 1, 0) == 1 && (out.revents & POLLOUT) != 0;
+  }
+
+  void WriteSoon()
+  {
+    if (m_timer != 0)
+      return;
+    m_timer = CallAfter(GATHER_TIME, [this] {
+      m_timer = 0;
+      Write();
+    });
+  }
+
+  std::string m_waiting;
+  unsigned m_timer = 0;
+};
+
+Output& TheOutput()
+{
+  static Output s_output;
+  return s_output;
+}
+
+std::string& ProgramName()
+{
+  static std::string s_name = "drumpond";
+  return s_name;
+}
+
 /// Counts the event; true where the line may be written.
-bool Admit(std::string_view event, int& suppressed)
+bool Admit(LogLevel level, std::string_view event, int& suppressed)
 {
   static std::map<std::string, EventRate, std::less<>> s_rates;
   auto found = s_rates.find(event);
@@ -37,57 +121,120 @@
     rate.second = now;
     rate.written = 0;
   }
-  if (rate.written >= MAX_LINES_PER_SECOND)
+  if (rate.written >= (level == LogLevel::Info ? INFO_LINES_PER_SECOND : WARNING_LINES_PER_SECOND))
   {
     ++rate.suppressed;
+    ++TheOutput().counters.suppressed;
     return false;
   }
   ++rate.written;
   return true;
 }
 
-std::string Quote(const std::string& value)
+void AppendQuoted(std::string& line, std::string_view value)
 {
-  if (value.find_first_of(" \"=\n\r\t") == std::string::npos && !value.empty())
-    return value;
-  std::string quoted = "\"";
+  if (value.find_first_of(" \"=\n\r\t") == std::string_view::npos && !value.empty())
+  {
+    line += value;
+    return;
+  }
+  line += '"';
   for (const char c : value)
   {
     if (c == '"' || c == '\\')
-      quoted += '\\';
-    quoted += (c == '\n' || c == '\r') ? ' ' : c;
+      line += '\\';
+    line += (c == '\n' || c == '\r') ? ' ' : c;
   }
-  return quoted + '"';
+  line += '"';
 }
-} // namespace
 
-void InitLog(const char* program)
+const char* LevelName(LogLevel level)
 {
-  FLAGS_logtostderr = true;
-  google::InitGoogleLogging(program);
-}
-
-void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
-{
-  int suppressed = 0;
-  if (!Admit(event, suppressed))
-    return;
-  std::string line = "event=" + std::string(event);
-  for (const LogField& field : fields)
-    line += " " + std::string(field.key) + "=" + Quote(field.value);
-  if (suppressed > 0)
-    line += " suppressed=" + std::to_string(suppressed);
   switch (level)
   {
   case LogLevel::Info:
-    LOG(INFO) << line;
-    break;
+    return "info";
   case LogLevel::Warning:
-    LOG(WARNING) << line;
-    break;
+    return "warning";
   case LogLevel::Error:
-    LOG(ERROR) << line;
     break;
   }
+  return "error";
+}
+
+/// "2026-12-02T14:23:20.123Z"; the seconds' text is made once a second.
+std::string TimeText()
+{
+  static gint64 s_second = -1;
+  static std::string s_text;
+  const gint64 now = g_get_real_time();
+  if (now / G_USEC_PER_SEC != s_second)
+  {
+    s_second = now / G_USEC_PER_SEC;
+    const std::unique_ptr<GDateTime, void (*)(GDateTime*)> time(
+        g_date_time_new_from_unix_utc(s_second), g_date_time_unref);
+    const std::unique_ptr<char, void (*)(void*)> text(
+        g_date_time_format(time.get(), "%Y-%m-%dT%H:%M:%S"), g_free);
+    s_text = text.get();
+  }
+  const std::string millis = std::to_string(1000 + (now % G_USEC_PER_SEC) / 1000);
+  return s_text + "." + millis.substr(1) + "Z";
+}
+
+void WriteLine(LogLevel level, std::string_view event, std::initializer_list<LogField> fields,
+               int suppressed)
+{
+  std::string line = TimeText() + " " + LevelName(level) + " " + ProgramName() + " event=";
+  line += event;
+  for (const LogField& field : fields)
+  {
+    line += ' ';
+    line += field.key;
+    line += '=';
+    AppendQuoted(line, field.value);
+  }
+  if (suppressed > 0)
+    line += " suppressed=" + std::to_string(suppressed);
+  line += '\n';
+  TheOutput().Add(line, level == LogLevel::Error);
+}
+
+/// GLib's messages, and those of libraries that use it.
+GLogWriterOutput WriteGlibMessage(GLogLevelFlags level, const GLogField* fields, gsize count,
+                                  gpointer)
+{
+  std::string_view message;
+  for (gsize i = 0; i < count; ++i)
+    if (std::string_view(fields[i].key) == "MESSAGE")
+      message = static_cast<const char*>(fields[i].value);
+  const bool serious =
+      (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING)) != 0;
+  LogEvent(serious ? LogLevel::Warning : LogLevel::Info, "library-message", {{"text", message}});
+  return G_LOG_WRITER_HANDLED;
+}
+} // namespace
+
+void InitLog(const char* program)
+{
+  const std::string_view path = program;
+  ProgramName() = path.substr(path.rfind('/') + 1);
+  g_log_set_writer_func(WriteGlibMessage, nullptr, nullptr);
+}
+
+void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+  int suppressed = 0;
+  if (Admit(level, event, suppressed))
+    WriteLine(level, event, fields, suppressed);
+}
+
+void FlushLog()
+{
+  TheOutput().Write();
+}
+
+const LogCounters& CountLogLines()
+{
+  return TheOutput().counters;
 }
 } // namespace Common
--- a/Source/Core/Serving/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -1,17 +1,23 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-#include "Serving/Metrics.h"
+#include "Common/Metrics.h"
 
 #include <prometheus/text_serializer.h>
 
-namespace Serving
+namespace Common
 {
 namespace
 {
-const prometheus::Histogram::BucketBoundaries FIRST_TOKEN_BOUNDS{
+/// Seconds; 0.69 is the aim for a first token at the size to design for.
+const prometheus::Histogram::BucketBoundaries LATENCY_BOUNDS{
     0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.69, 1, 2.5, 5, 10, 30, 60};
+
+double InSeconds(Milliseconds time)
+{
+  return static_cast<double>(time.count()) / 1000;
 }
+} // namespace
 
 Metrics::Metrics()
     : m_requests(prometheus::BuildCounter()
@@ -26,6 +32,14 @@
                         .Name("drumpond_first_token_seconds")
                         .Help("From a request's arrival to its first token")
                         .Register(m_registry)),
+      m_latency(prometheus::BuildHistogram()
+                    .Name("drumpond_latency_seconds")
+                    .Help("From a request's arrival to its answer or first event, by route")
+                    .Register(m_registry)),
+      m_pauses(prometheus::BuildHistogram()
+                   .Name("drumpond_stream_pause_seconds")
+                   .Help("The longest pause between two events of a stream, by route")
+                   .Register(m_registry)),
       m_state(prometheus::BuildGauge()
                   .Name("drumpond_state")
                   .Help("Present sizes inside the daemon")
@@ -45,8 +59,17 @@
 
 void Metrics::ObserveFirstToken(Common::Milliseconds time, bool cold)
 {
-  m_first_token.Add({{"start", cold ? "cold" : "warm"}}, FIRST_TOKEN_BOUNDS)
-      .Observe(static_cast<double>(time.count()) / 1000);
+  m_first_token.Add({{"start", cold ? "cold" : "warm"}}, LATENCY_BOUNDS).Observe(InSeconds(time));
+}
+
+void Metrics::ObserveLatency(const std::string& route, Milliseconds time)
+{
+  m_latency.Add({{"route", route}}, LATENCY_BOUNDS).Observe(InSeconds(time));
+}
+
+void Metrics::ObserveLongestPause(const std::string& route, Milliseconds pause)
+{
+  m_pauses.Add({{"route", route}}, LATENCY_BOUNDS).Observe(InSeconds(pause));
 }
 
 void Metrics::SetGauge(const std::string& name, double value)
@@ -58,4 +81,4 @@
 {
   return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
-} // namespace Serving
+} // namespace Common
--- a/Source/Core/Serving/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -14,7 +14,7 @@
 
 #include "Common/Units.h"
 
-namespace Serving
+namespace Common
 {
 /// The figures of this daemon for Prometheus.
 class Metrics
@@ -27,7 +27,11 @@
   /// A request went to a backend server; `result` is "ok", "declined", "not_sent", "broken" or
   /// "crossed".
   void CountAttempt(const std::string& result);
-  void ObserveFirstToken(Common::Milliseconds time, bool cold);
+  void ObserveFirstToken(Milliseconds time, bool cold);
+  /// From a request's arrival to its answer, or to the first event of a stream.
+  void ObserveLatency(const std::string& route, Milliseconds time);
+  /// The longest pause between two events of a stream.
+  void ObserveLongestPause(const std::string& route, Milliseconds pause);
   void SetGauge(const std::string& name, double value);
   /// In the text format of Prometheus.
   std::string Render() const;
@@ -37,6 +41,8 @@
   prometheus::Family<prometheus::Counter>& m_requests;
   prometheus::Family<prometheus::Counter>& m_attempts;
   prometheus::Family<prometheus::Histogram>& m_first_token;
+  prometheus::Family<prometheus::Histogram>& m_latency;
+  prometheus::Family<prometheus::Histogram>& m_pauses;
   prometheus::Family<prometheus::Gauge>& m_state;
 };
-} // namespace Serving
+} // namespace Common
--- a/Source/Core/Daemon/Application.cpp
+++ b/Source/Core/Daemon/Application.cpp
@@ -132,7 +132,7 @@
   Serving::ServerBoard board;
   Serving::ExplainRing explain;
   Serving::Policies policies;
-  Serving::Metrics metrics;
+  Common::Metrics metrics;
   Serving::Environment environment;
   Serving::Keeper keeper;
   Serving::LoadPacer pacer;
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -47,6 +47,7 @@
                     {"routes", configuration->routes.size()}});
   m_configuration = std::move(configuration);
   m_limits = m_configuration->limits;
+  m_configured_at = Common::Now();
   WakeWaiting();
 }
 
@@ -202,6 +203,48 @@
   return result;
 }
 
+void Dispatcher::RefreshGauges()
+{
+  const auto now = Common::Now();
+  const auto count_servers = [&](auto matches) {
+    return static_cast<double>(std::ranges::count_if(m_servers.All(), [&](const auto& entry) {
+      return matches(*entry.second);
+    }));
+  };
+  const auto waiting = std::ranges::count_if(m_relays, [](const auto& entry) {
+    return entry.second->IsWaiting();
+  });
+  m_metrics.SetGauge("requests_open", static_cast<double>(m_relays.size()));
+  m_metrics.SetGauge("requests_waiting", static_cast<double>(waiting));
+  m_metrics.SetGauge("caller_connections", static_cast<double>(m_connections.size()));
+  m_metrics.SetGauge("attempts", static_cast<double>(m_counters.attempts));
+  m_metrics.SetGauge("repeats", static_cast<double>(m_counters.repeats));
+  m_metrics.SetGauge("streams_resumed", static_cast<double>(m_counters.resumed));
+  m_metrics.SetGauge("servers", static_cast<double>(m_servers.All().size()));
+  m_metrics.SetGauge("servers_ejected", count_servers([&](const Server& server) {
+                       return server.Health().IsEjected(now);
+                     }));
+  m_metrics.SetGauge("servers_draining", count_servers([](const Server& server) {
+                       return server.Entry().draining;
+                     }));
+  if (m_configuration)
+  {
+    m_metrics.SetGauge("configuration_version", static_cast<double>(m_configuration->version));
+    m_metrics.SetGauge("configuration_age_seconds",
+                       std::chrono::duration<double>(now - m_configured_at).count());
+    for (const auto& [id, pool] : m_configuration->pools)
+      m_metrics.SetGauge("retry_budget_left_" + id.Get(), m_budget.Left(id, now));
+  }
+  for (const auto& [instance, server] : m_servers.All())
+    m_metrics.SetGauge("in_flight_" + instance.Get(), server->InFlight());
+  const Common::LogCounters& log = Common::CountLogLines();
+  m_metrics.SetGauge("log_lines_written", static_cast<double>(log.written));
+  m_metrics.SetGauge("log_lines_suppressed", static_cast<double>(log.suppressed));
+  m_metrics.SetGauge("log_lines_dropped", static_cast<double>(log.dropped));
+  m_metrics.SetGauge("loop_delay_worst_ms",
+                     static_cast<double>(Common::Reactor::Get().TakeWorstDelay().count()));
+}
+
 void Dispatcher::BeginStop()
 {
   m_stopping = true;
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 
+#include "Common/Metrics.h"
 #include "Decisions/Routing.h"
 #include "Gateway/Relay.h"
 #include "Gateway/RetryBudget.h"
@@ -36,10 +37,9 @@
   RetryBudgetSettings budget;
 };
 
-/// Counters of what became of requests.
+/// Counters that the metrics show beside the outcomes of requests.
 struct DispatcherCounters
 {
-  std::map<Outcome, std::int64_t> outcomes;
   std::int64_t attempts = 0;
   std::int64_t repeats = 0;
   std::int64_t resumed = 0;
@@ -63,6 +63,10 @@
   const DispatcherSettings& Settings() const { return m_settings; }
   DispatcherCounters& Counters() { return m_counters; }
 
+  Common::Metrics& GetMetrics() { return m_metrics; }
+  /// Brings the gauges up to date; for whoever reads the metrics.
+  void RefreshGauges();
+
   /// Called when requests wait for an artifact that no server is known to hold.
   void OnDemand(std::function<void()> callback) { m_on_demand = std::move(callback); }
   /// What is wanted now; arrivals are counted anew afterwards.
@@ -107,6 +111,8 @@
   std::map<std::pair<PoolId, Artifact>, int> m_arrivals;
   std::function<void()> m_on_demand;
   DispatcherCounters m_counters;
+  Common::Metrics m_metrics;
+  Common::TimePoint m_configured_at;
   bool m_pump_asked = false;
   bool m_stopping = false;
   bool m_refusing = false;
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -8,6 +8,7 @@
 #include <glib-unix.h>
 #include <glib.h>
 
+#include "Common/Json.h"
 #include "Common/Log.h"
 #include "Common/Loop.h"
 
@@ -53,17 +54,75 @@
 }
 
 void ProbeResponder::OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
-                               Http::ReceivedRequest)
+                               Http::ReceivedRequest request)
 {
+  if (request.head.target == "/metrics")
+  {
+    connection->Respond(200, Http::ReasonPhrase(200),
+                        {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics());
+    return;
+  }
+  if (request.head.target == "/dump")
+  {
+    connection->Respond(200, Http::ReasonPhrase(200), {{"Content-Type", "application/json"}},
+                        m_dump());
+    return;
+  }
   const int status = m_is_ready() ? 200 : 503;
   connection->Respond(status, Http::ReasonPhrase(status), {}, "");
 }
 
 EntryPoint::EntryPoint(EntryPointSettings settings)
-    : m_settings(std::move(settings)), m_dispatcher(m_settings.dispatcher), m_probes([this] {
-        return IsReady();
-      })
+    : m_settings(std::move(settings)),
+      m_dispatcher(m_settings.dispatcher),
+      m_probes(
+          [this] {
+            return IsReady();
+          },
+          [this] {
+            return RenderMetrics();
+          },
+          [this] {
+            return RenderDump();
+          })
+{
+}
+
+std::string EntryPoint::RenderMetrics()
+{
+  m_dispatcher.RefreshGauges();
+  if (m_on_metrics)
+    m_on_metrics(m_dispatcher.GetMetrics());
+  return m_dispatcher.GetMetrics().Render();
+}
+
+std::string EntryPoint::RenderDump() const
 {
+  const auto now = Common::Now();
+  Common::Json servers = Common::Json::array();
+  for (const auto& [instance, server] : m_dispatcher.Servers().All())
+  {
+    Common::Json models = Common::Json::array();
+    for (const LoadedModel& loaded : server->Entry().models)
+      models.push_back(loaded.model.Get());
+    servers.push_back({{"instance", instance.Get()},
+                       {"pool", server->Entry().pool.Get()},
+                       {"address", server->Entry().endpoint.ToString()},
+                       {"data_centre", server->Entry().data_centre.Get()},
+                       {"draining", server->Entry().draining},
+                       {"available", server->IsAvailable(now)},
+                       {"ejected", server->Health().IsEjected(now)},
+                       {"failure_share", server->Health().FailureShare()},
+                       {"in_flight", server->InFlight()},
+                       {"in_flight_elsewhere", server->RemoteInFlight()},
+                       {"models", std::move(models)}});
+  }
+  const auto& configuration = m_dispatcher.CurrentConfiguration();
+  return Common::DumpJson({{"ready", IsReady()},
+                           {"stopping", m_stopping},
+                           {"open_requests", m_dispatcher.OpenRequests()},
+                           {"configuration_version", configuration ? configuration->version : -1},
+                           {"servers", std::move(servers)}});
 }
 
 void EntryPoint::Configure(EntryPointSettings settings)
@@ -84,9 +143,12 @@
   });
   if (!callers)
     return callers;
-  return m_readiness.Listen(m_settings.readiness, [this](int fd, const Http::Endpoint&) {
+  const auto probe = [this](int fd, const Http::Endpoint&) {
     m_probes.Adopt(fd);
-  });
+  };
+  if (const auto metrics = m_metrics.Listen(m_settings.metrics, probe); !metrics)
+    return metrics;
+  return m_readiness.Listen(m_settings.readiness, probe);
 }
 
 int EntryPoint::Run()
--- a/Source/Core/Gateway/EntryPoint.h
+++ b/Source/Core/Gateway/EntryPoint.h
@@ -16,17 +16,23 @@
 {
   Http::Endpoint callers;
   Http::Endpoint readiness;
+  Http::Endpoint metrics;
   Common::Milliseconds stop_grace{8000};
   DispatcherSettings dispatcher;
 };
 
-/// Answers the platform's readiness probe and the reader of metrics.
+/// Answers the platform's readiness probe (any path but the others), the reader of metrics
+/// (/metrics) and the operator who wants to see the state (/dump).
 class ProbeResponder : public Http::RequestHandler
 {
 public:
   using ReadyCheck = std::function<bool()>;
+  using Render = std::function<std::string()>;
 
-  explicit ProbeResponder(ReadyCheck is_ready) : m_is_ready(std::move(is_ready)) {}
+  ProbeResponder(ReadyCheck is_ready, Render metrics, Render dump)
+      : m_is_ready(std::move(is_ready)), m_metrics(std::move(metrics)), m_dump(std::move(dump))
+  {
+  }
 
   void Adopt(int fd);
   void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
@@ -36,6 +42,8 @@
 
 private:
   ReadyCheck m_is_ready;
+  Render m_metrics;
+  Render m_dump;
   Http::ServerLimits m_limits;
   std::map<Http::ServerConnection*, std::shared_ptr<Http::ServerConnection>> m_connections;
 };
@@ -54,10 +62,17 @@
   void OnReload(std::function<void()> callback) { m_on_reload = std::move(callback); }
   /// Called when the planned stop begins.
   void OnStop(std::function<void()> callback) { m_on_stop = std::move(callback); }
+  /// Called before the metrics are read, to bring gauges up to date.
+  void OnMetrics(std::function<void(Common::Metrics&)> callback)
+  {
+    m_on_metrics = std::move(callback);
+  }
   Dispatcher& GetDispatcher() { return m_dispatcher; }
 
 private:
   bool IsReady() const;
+  std::string RenderMetrics();
+  std::string RenderDump() const;
   void BeginStop();
   void WaitForEnd();
 
@@ -66,8 +81,10 @@
   ProbeResponder m_probes;
   Http::TcpListener m_callers;
   Http::TcpListener m_readiness;
+  Http::TcpListener m_metrics;
   std::function<void()> m_on_reload;
   std::function<void()> m_on_stop;
+  std::function<void(Common::Metrics&)> m_on_metrics;
   bool m_stopping = false;
   Common::TimePoint m_stop_began;
   Common::OwnedTimer m_stop_timer;
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -401,6 +401,10 @@
     m_first_event_after = std::chrono::duration_cast<Milliseconds>(Common::Now() - m_arrived);
     m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders());
   }
+  else
+    m_longest_pause = std::max(
+        m_longest_pause, std::chrono::duration_cast<Milliseconds>(Common::Now() - m_last_event_at));
+  m_last_event_at = Common::Now();
   m_caller->SendChunk(events);
   if (m_caller->UnsentBytes() == 0 || !m_connection)
     return;
@@ -649,7 +653,12 @@
        {"arrivals", m_arrivals},
        {"ms", took.count()},
        {"first_event_ms", m_first_event_after.value_or(Milliseconds(-1)).count()}});
-  ++m_dispatcher.Counters().outcomes[outcome];
+  Common::Metrics& metrics = m_dispatcher.GetMetrics();
+  metrics.CountRequest(m_route.name, std::string(ToString(outcome)));
+  if (outcome == Outcome::Answered)
+    metrics.ObserveLatency(m_route.name, m_first_event_after.value_or(took));
+  if (m_stream_begun)
+    metrics.ObserveLongestPause(m_route.name, m_longest_pause);
   DropConnection();
   ReleaseServer();
   if (outcome == Outcome::BrokenOff)
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -131,6 +131,8 @@
   EventSplitter m_events;
   bool m_stream_begun = false; ///< Bytes of the stream have gone to the caller.
   std::optional<Common::Milliseconds> m_first_event_after;
+  Common::TimePoint m_last_event_at;
+  Common::Milliseconds m_longest_pause{0};
   std::string m_last_reason;
 };
 } // namespace Gateway
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -104,6 +104,16 @@
     m_lease.OnRow(version, std::move(record));
     Follow();
   }
+  void FillMetrics(Common::Metrics& metrics) const
+  {
+    const auto now = Common::Now();
+    metrics.SetGauge("lease_held", m_lease.Holds(now) ? 1 : 0);
+    metrics.SetGauge("lease_fence", static_cast<double>(m_lease.Fence()));
+    metrics.SetGauge("holder_heard", m_hub.HearsHolder() ? 1 : 0);
+    metrics.SetGauge("daemons", m_hub.Daemons());
+    for (const auto& [name, count] : m_desk.Counters())
+      metrics.SetGauge("orders_" + name, static_cast<double>(count));
+  }
   /// A shared table has changed here: the holder passes it on at once.
   void OnTableChange() { m_hub.AnnounceSoon(); }
   /// The planned stop: the lease is given back, so that the next holder need not wait for its end.
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -66,6 +66,20 @@
   return "unknown";
 }
 
+const char* ToString(Decisions::WeightSource source)
+{
+  switch (source)
+  {
+  case Decisions::WeightSource::HostMemory:
+    return "host_memory";
+  case Decisions::WeightSource::Disk:
+    return "disk";
+  case Decisions::WeightSource::WeightStore:
+    break;
+  }
+  return "weight_store";
+}
+
 bool HoldsModel(const Server& server, const ModelId& model)
 {
   return std::ranges::find(server.Entry().models, model, &Gateway::LoadedModel::model) !=
@@ -440,6 +454,8 @@
   open.source = source;
   open.id = m_next_order++;
   const bool is_load = operation == OrderCall::Operation::Load;
+  if (is_load)
+    ++m_counters[std::string("load_from_") + ToString(source)];
   if (is_load && source == Decisions::WeightSource::WeightStore)
   {
     m_store_loads.push_back(now);
@@ -452,7 +468,7 @@
                     {"instance", server->Entry().instance},
                     {"operation", is_load ? "load" : "unload"},
                     {"model", model},
-                    {"source", static_cast<int>(source)},
+                    {"source", ToString(source)},
                     {"sequence", book.sequence},
                     {"reason", reason}});
   if (!is_load && m_on_placement)
@@ -575,6 +591,7 @@
 {
   const OpenOrder closed = std::move(*book.open);
   book.open.reset();
+  ++m_counters[outcome];
   const auto took = std::chrono::duration_cast<Milliseconds>(Common::Now() - closed.first_sent);
   Common::LogEvent(
       Common::LogLevel::Info, "order-closed",
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -104,6 +104,9 @@
   /// Open requests of all daemons.
   std::map<Gateway::InstanceId, std::int32_t> InFlightByServer() const;
 
+  /// Orders by what became of them, and loads by where the weights came from.
+  const std::map<std::string, std::int64_t>& Counters() const { return m_counters; }
+
 private:
   struct OpenOrder
   {
@@ -207,6 +210,7 @@
   std::map<Gateway::Artifact, DemandBook> m_demand;
   std::deque<Common::TimePoint> m_store_loads;
   std::uint64_t m_next_order = 1;
+  std::map<std::string, std::int64_t> m_counters;
   // Sums over the daemons' reports, made once for each plan.
   std::map<Gateway::InstanceId, std::int32_t> m_in_flight;
   std::map<std::pair<Gateway::InstanceId, Gateway::ModelId>, int> m_in_flight_by_model;
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -31,7 +31,9 @@
   {
     std::signal(SIGPIPE, SIG_IGN);
     Common::InitLog(argv[0]);
-    std::_Exit(PlatformFace::Run(boot));
+    const int status = PlatformFace::Run(boot);
+    Common::FlushLog();
+    std::_Exit(status);
   }
   const Daemon::ParsedSettings parsed = Daemon::ReadSettings(argc, argv);
   if (parsed.help || parsed.version)
@@ -61,5 +63,6 @@
   }
   const int status = application.Run();
   // The process ends here; tearing down what open coroutines refer to would serve nothing.
+  Common::FlushLog();
   std::_Exit(status);
 }
--- a/Tools/setup.sh
+++ b/Tools/setup.sh
@@ -9,7 +9,7 @@
   build-essential ca-certificates cmake curl git jq ninja-build pkg-config
   clang-format clang-tidy
   libsoup-3.0-dev glib-networking libglib2.0-dev
-  libcereal-dev libgoogle-glog-dev libcxxopts-dev prometheus-cpp-dev libcppunit-dev
+  libcereal-dev libcxxopts-dev prometheus-cpp-dev libcppunit-dev
   nlohmann-json3-dev libcsv-dev libhttp-parser-dev libxxhash-dev libpcg-cpp-dev libssl-dev
   liblua5.4-dev spin help2man
 )
