--- a/Source/Core/Common/Log.cpp
+++ b/Source/Core/Common/Log.cpp
@@ -42,6 +42,8 @@
 public:
   void Add(const std::string& line, bool urgent)
   {
+    if (muted)
+      return;
     if (m_waiting.size() + line.size() > MAX_WAITING_BYTES)
     {
       ++counters.dropped;
@@ -72,6 +74,7 @@
   }
 
   LogCounters counters;
+  bool muted = false;
 
 private:
   static bool IsWritable()
@@ -228,6 +231,11 @@
     WriteLine(level, event, fields, suppressed);
 }
 
+void MuteLog()
+{
+  TheOutput().muted = true;
+}
+
 void FlushLog()
 {
   TheOutput().Write();
--- a/Source/Core/Common/Log.h
+++ b/Source/Core/Common/Log.h
@@ -62,6 +62,9 @@
 /// and errors; what was left out is counted on the event's next line.
 void LogEvent(LogLevel level, std::string_view event, std::initializer_list<LogField> fields);
 
+/// No more lines are written; for tests.
+void MuteLog();
+
 /// Writes what still waits; for the end of the process.
 void FlushLog();
 
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -128,22 +128,22 @@
   const auto now = Common::Now();
   return std::ranges::any_of(m_servers.All(), [&](const auto& entry) {
     const Server& server = *entry.second;
-    return server.Entry().pool == pool && !server.Entry().draining && server.Holds(artifact, now);
+    return server.Entry().pool == pool && server.MayServe(artifact, now);
   });
 }
 
 void Dispatcher::WakeWaiting()
 {
-  if (std::exchange(m_pump_asked, true))
+  if (std::exchange(m_wake_asked, true))
     return;
-  Common::Reactor::Get().After(Milliseconds(0), [this] {
-    m_pump_asked = false;
+  m_pump_timer.Start(Milliseconds(0), [this] {
     PumpWaiting();
   });
 }
 
 void Dispatcher::PumpWaiting()
 {
+  m_wake_asked = false;
   std::vector<std::shared_ptr<Relay>> waiting;
   for (const auto& [key, relay] : m_relays)
     if (relay->IsWaiting())
@@ -156,14 +156,10 @@
   const bool still_waiting = std::ranges::any_of(waiting, [](const auto& relay) {
     return relay->IsWaiting();
   });
-  if (still_waiting && !m_pump_asked)
-  {
-    m_pump_asked = true;
-    Common::Reactor::Get().After(PUMP_INTERVAL, [this] {
-      m_pump_asked = false;
+  if (still_waiting && !m_wake_asked)
+    m_pump_timer.Start(PUMP_INTERVAL, [this] {
       PumpWaiting();
     });
-  }
 }
 
 void Dispatcher::RequestDemand()
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -113,7 +113,8 @@
   DispatcherCounters m_counters;
   Common::Metrics m_metrics;
   Common::TimePoint m_configured_at;
-  bool m_pump_asked = false;
+  bool m_wake_asked = false;
+  Common::OwnedTimer m_pump_timer;
   bool m_stopping = false;
   bool m_refusing = false;
 };
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -250,7 +250,7 @@
     const auto now = Common::Now();
     const bool hopeful = std::ranges::any_of(m_tried, [&](const InstanceId& instance) {
       const ServerPtr server = m_dispatcher.Servers().Find(instance);
-      return server && !server->Entry().draining && server->Holds(m_artifact, now);
+      return server && server->MayServe(m_artifact, now);
     });
     if (!hopeful)
     {
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -32,6 +32,11 @@
   /// True where the server takes new work.
   bool IsAvailable(Common::TimePoint now) const;
   bool Holds(const Artifact& artifact, Common::TimePoint now) const;
+  /// True where a request for the artifact may be served here, now or after a short pause.
+  bool MayServe(const Artifact& artifact, Common::TimePoint now) const
+  {
+    return !m_entry.draining && !m_replaced && Holds(artifact, now);
+  }
   /// The server said that it does not hold the artifact: not tried for a while.
   void NoteMissing(const Artifact& artifact, Common::TimePoint now);
   /// What the order holder tells beyond the entry: the adapters that are loaded, and the models
--- a/Source/Core/Http/TcpStream.cpp
+++ b/Source/Core/Http/TcpStream.cpp
@@ -273,6 +273,14 @@
   return Common::Done{};
 }
 
+Endpoint TcpListener::Local() const
+{
+  sockaddr_in address{};
+  socklen_t size = sizeof(address);
+  getsockname(m_fd, reinterpret_cast<sockaddr*>(&address), &size);
+  return Endpoint::FromSockaddr(address);
+}
+
 void TcpListener::OnDescriptorEvents(std::uint32_t)
 {
   for (int i = 0; i < ACCEPTS_PER_TURN; ++i)
--- a/Source/Core/Http/TcpStream.h
+++ b/Source/Core/Http/TcpStream.h
@@ -112,6 +112,8 @@
   TcpListener& operator=(const TcpListener&) = delete;
 
   Common::Result<Common::Done> Listen(const Endpoint& local, AcceptHandler handler);
+  /// The address in use; tells the port where port 0 was asked for.
+  Endpoint Local() const;
   void OnDescriptorEvents(std::uint32_t events) override;
 
 private:
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -747,9 +747,24 @@
   }
   book.dropped_adapters.erase(call.artifact);
   book.adapters[call.artifact] = {now + ADAPTER_LOAD_TIME};
-  Common::Reactor::Get().After(ADAPTER_LOAD_TIME, [this] {
+  AnnounceAdapters();
+}
+
+void OrderDesk::AnnounceAdapters()
+{
+  if (m_adapter_timer.Running())
+    return;
+  m_adapter_timer.Start(ADAPTER_LOAD_TIME, [this] {
     if (m_on_placement)
       m_on_placement();
+    const auto now = Common::Now();
+    const bool more = std::ranges::any_of(m_books, [&](const auto& entry) {
+      return std::ranges::any_of(entry.second.adapters, [&](const auto& adapter) {
+        return adapter.second.usable_from > now;
+      });
+    });
+    if (more)
+      AnnounceAdapters();
   });
 }
 
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -192,6 +192,8 @@
   void TakeAdapterAnswer(const Gateway::InstanceId& instance, OrderCall call,
                          Common::Result<OrderAnswer> answer);
 
+  /// Tells the daemons of adapters once they are usable.
+  void AnnounceAdapters();
   void SumLoads();
   int InFlight(const Gateway::InstanceId& instance, const Gateway::ModelId& model) const;
   int InFlight(const Gateway::InstanceId& instance) const;
@@ -215,5 +217,6 @@
   std::map<Gateway::InstanceId, std::int32_t> m_in_flight;
   std::map<std::pair<Gateway::InstanceId, Gateway::ModelId>, int> m_in_flight_by_model;
   Common::OwnedTimer m_plan_timer;
+  Common::OwnedTimer m_adapter_timer;
 };
 } // namespace Orders
--- /dev/null
+++ b/Source/UnitTests/Gateway/PartsTest.cpp
@@ -0,0 +1,157 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// The small parts of the gateway: events, retry budget, ejection, and the roster of servers.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Gateway/EventSplitter.h"
+#include "Gateway/RetryBudget.h"
+#include "Gateway/ServerHealth.h"
+#include "Gateway/ServerRoster.h"
+#include "UnitTests/Support/Loopback.h"
+
+namespace
+{
+using namespace Gateway;
+using Common::Milliseconds;
+
+class GatewayPartsTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(GatewayPartsTest);
+  CPPUNIT_TEST(EventsAreCutOnlyAtTheirEnd);
+  CPPUNIT_TEST(KnownEventsAreLeftOut);
+  CPPUNIT_TEST(TheBudgetFollowsOwnRequestsAndTheSharedSlack);
+  CPPUNIT_TEST(AFailingServerIsEjectedAndTriedWithOneRequest);
+  CPPUNIT_TEST(TheLongestPrefixOfTheHostWins);
+  CPPUNIT_TEST(ALapsedEntryWaitsOutTheGrace);
+  CPPUNIT_TEST(ARemovalInCalmTimesHoldsAtOnce);
+  CPPUNIT_TEST(ADrainingServerGoesWithoutGrace);
+  CPPUNIT_TEST_SUITE_END();
+
+  void EventsAreCutOnlyAtTheirEnd()
+  {
+    EventSplitter splitter;
+    CPPUNIT_ASSERT_EQUAL(std::string(""), splitter.Feed("id: 1\ndata: a\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\n"), splitter.Feed("\nid: 2\n"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(1), *splitter.LastId());
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 2\n"), splitter.Partial());
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 2\nx\r\n\r\n"), splitter.Feed("x\r\n\r\n"));
+  }
+
+  void KnownEventsAreLeftOut()
+  {
+    EventSplitter splitter;
+    splitter.StartAfter(5);
+    CPPUNIT_ASSERT_EQUAL(std::string("id: 6\n\n"), splitter.Feed("id: 5\n\nid: 6\n\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("data: x\n\n"), splitter.Feed("data: x\n\n"));
+  }
+
+  void TheBudgetFollowsOwnRequestsAndTheSharedSlack()
+  {
+    RetryBudget budget;
+    budget.Configure({0.2, 40, Milliseconds(10000)});
+    budget.SetDaemons(4);
+    const PoolId pool("p");
+    const auto now = Common::Now();
+    int taken = 0;
+    while (budget.Take(pool, now))
+      ++taken;
+    // 0.7 of a quarter of the slack.
+    CPPUNIT_ASSERT_EQUAL(7, taken);
+    for (int i = 0; i < 100; ++i)
+      budget.NoteRequest(pool, now);
+    while (budget.Take(pool, now))
+      ++taken;
+    CPPUNIT_ASSERT_EQUAL(21, taken);
+    CPPUNIT_ASSERT(budget.Take(pool, now + Milliseconds(10001)));
+  }
+
+  void AFailingServerIsEjectedAndTriedWithOneRequest()
+  {
+    ServerHealth health;
+    auto now = Common::Now();
+    health.NoteFailure(now);
+    health.NoteFailure(now);
+    CPPUNIT_ASSERT(!health.IsEjected(now));
+    health.NoteFailure(now);
+    CPPUNIT_ASSERT(health.IsEjected(now));
+    now += Milliseconds(800);
+    CPPUNIT_ASSERT(!health.IsEjected(now));
+    CPPUNIT_ASSERT(health.IsOnTrial());
+    health.NoteFailure(now);
+    now += Milliseconds(800);
+    CPPUNIT_ASSERT(health.IsEjected(now));
+    now += Milliseconds(800);
+    health.NoteSuccess(now);
+    CPPUNIT_ASSERT(!health.IsOnTrial());
+  }
+
+  void TheLongestPrefixOfTheHostWins()
+  {
+    Configuration configuration;
+    const auto add = [&](const char* name, const char* host, const char* prefix) {
+      Route route;
+      route.name = name;
+      route.host = host;
+      route.path_prefix = prefix;
+      configuration.routes.push_back(route);
+    };
+    add("short", "h", "/a/");
+    add("long", "h", "/a/b/");
+    add("other", "g", "/a/b/c/");
+    CPPUNIT_ASSERT_EQUAL(std::string("long"), configuration.FindRoute("H", "/a/b/c/")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), configuration.FindRoute("h", "/a/x")->name);
+    CPPUNIT_ASSERT(configuration.FindRoute("h", "/b/") == nullptr);
+  }
+
+  static ServerEntry Entry(const char* instance, bool draining = false)
+  {
+    ServerEntry entry;
+    entry.instance = InstanceId(instance);
+    entry.draining = draining;
+    return entry;
+  }
+
+  void ALapsedEntryWaitsOutTheGrace()
+  {
+    ServerDirectory directory;
+    ServerRoster roster(directory);
+    const auto now = Common::Now();
+    roster.ApplyEntry(Entry("i-1"));
+    roster.ApplyEntry(Entry("i-2"));
+    roster.NoteSourceLost();
+    roster.NoteSourceBack(now);
+    roster.ApplySnapshot({}, now);
+    CPPUNIT_ASSERT(directory.Find(InstanceId("i-1")) != nullptr);
+    roster.ApplyEntry(Entry("i-1"));
+    CPPUNIT_ASSERT(UnitTests::RunUntil([&] {
+      return directory.Find(InstanceId("i-2")) == nullptr;
+    }));
+    CPPUNIT_ASSERT(directory.Find(InstanceId("i-1")) != nullptr);
+  }
+
+  void ARemovalInCalmTimesHoldsAtOnce()
+  {
+    ServerDirectory directory;
+    ServerRoster roster(directory);
+    roster.ApplyEntry(Entry("i-1"));
+    roster.ApplyRemoval(InstanceId("i-1"), Common::Now());
+    CPPUNIT_ASSERT(directory.Empty());
+  }
+
+  void ADrainingServerGoesWithoutGrace()
+  {
+    ServerDirectory directory;
+    ServerRoster roster(directory);
+    const auto now = Common::Now();
+    roster.ApplyEntry(Entry("i-1", true));
+    roster.NoteSourceLost();
+    roster.NoteSourceBack(now);
+    roster.ApplyRemoval(InstanceId("i-1"), now);
+    CPPUNIT_ASSERT(directory.Empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayPartsTest);
+} // namespace
--- /dev/null
+++ b/Source/UnitTests/Gateway/RelayTest.cpp
@@ -0,0 +1,508 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// The relay between a caller and backend servers whose every byte the test decides: each test is a
+// hazard that backend servers showed on the users' platform.
+
+#include "Gateway/Dispatcher.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/Support/Loopback.h"
+
+namespace
+{
+using namespace Gateway;
+using Common::Milliseconds;
+using UnitTests::HeaderOf;
+using UnitTests::RunFor;
+using UnitTests::RunUntil;
+using UnitTests::TestPeer;
+using UnitTests::TestServer;
+
+constexpr const char* PLAIN_PATH = "/plain/";
+constexpr const char* ONCE_PATH = "/once/";
+constexpr const char* STREAM_PATH = "/stream/";
+constexpr const char* ONE_STREAM_PATH = "/one/";
+
+HeaderNames Names()
+{
+  HeaderNames names;
+  names.request_id = "Req-Id";
+  names.time_left_ms = "Left-Ms";
+  names.model = "Model";
+  names.last_event_id = "Last-Event-Id";
+  names.prompt_parts = "Parts";
+  names.signature = "Signed";
+  names.expected_instance = "Want-Instance";
+  names.instance = "Instance";
+  names.not_run = "Did-Not-Run";
+  names.urgency = "Urgency";
+  names.reserved = {"Want-Instance", "Urgency", "Secret"};
+  return names;
+}
+
+Route MakeRoute(const char* path, Repeatability repeatability, int max_servers, bool resumable)
+{
+  Route route;
+  route.name = path;
+  route.host = "shop.example";
+  route.path_prefix = path;
+  route.repeatability = repeatability;
+  route.timeout = Milliseconds(1500);
+  route.latency_target = Milliseconds(200);
+  route.gap_target = Milliseconds(100);
+  route.max_servers = max_servers;
+  route.resumable = resumable;
+  route.pools = {{PoolId("pool"), 1}};
+  return route;
+}
+
+std::string Answer(const std::string& head, const std::string& body)
+{
+  return "HTTP/1.1 200 OK\r\nReq-Id: " + HeaderOf(head, "Req-Id") +
+         "\r\nSigned: yes\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+std::string StreamHead(const std::string& head)
+{
+  return "HTTP/1.1 200 OK\r\nReq-Id: " + HeaderOf(head, "Req-Id") +
+         "\r\nSigned: yes\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string Chunk(const std::string& bytes)
+{
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx", bytes.size());
+  return std::string(size) + "\r\n" + bytes + "\r\n";
+}
+
+std::string Event(int id)
+{
+  return "id: " + std::to_string(id) + "\ndata: token\n\n";
+}
+
+/// A dispatcher behind a listener, with backend servers and one caller.
+class World
+{
+public:
+  World()
+      : dispatcher(DispatcherSettings{
+            Common::DataCentreId("here"), Names(), {0.2, 100, Milliseconds(10000)}})
+  {
+    auto configuration = std::make_shared<Configuration>();
+    configuration->version = 1;
+    configuration->routes = {MakeRoute(PLAIN_PATH, Repeatability::Idempotent, 2, false),
+                             MakeRoute(ONCE_PATH, Repeatability::NonIdempotent, 1, false),
+                             MakeRoute(STREAM_PATH, Repeatability::Streaming, 2, true),
+                             MakeRoute(ONE_STREAM_PATH, Repeatability::Streaming, 1, false)};
+    configuration->pools[PoolId("pool")] = Pool{PoolId("pool"), "/health", 100, std::nullopt};
+    configuration->limits.idle_timeout = Milliseconds(5000);
+    dispatcher.SetConfiguration(configuration);
+    const auto listening = m_listener.Listen(Http::Endpoint{htonl(INADDR_LOOPBACK), 0},
+                                             [this](int fd, const Http::Endpoint&) {
+                                               dispatcher.Adopt(fd);
+                                             });
+    CPPUNIT_ASSERT(static_cast<bool>(listening));
+    caller.stream = Http::TcpStream::Connect(m_listener.Local(), &caller);
+  }
+
+  void AddServer(const std::string& instance, const Http::Endpoint& endpoint)
+  {
+    ServerEntry entry;
+    entry.instance = InstanceId(instance);
+    entry.pool = PoolId("pool");
+    entry.endpoint = endpoint;
+    entry.data_centre = Common::DataCentreId("here");
+    entry.slots = 10;
+    dispatcher.Servers().Put(entry);
+  }
+
+  void Ask(const std::string& path, const std::string& id, const std::string& more = "",
+           const std::string& body = "")
+  {
+    std::string bytes =
+        "POST " + path + " HTTP/1.1\r\nHost: shop.example\r\nReq-Id: " + id + "\r\n" + more;
+    if (!body.empty())
+      bytes += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+    caller.stream->Write(bytes + "\r\n" + body);
+  }
+
+  bool CallerGot(const std::string& text)
+  {
+    return RunUntil([&] {
+      return caller.received.find(text) != std::string::npos;
+    });
+  }
+
+  Dispatcher dispatcher;
+  TestPeer caller;
+
+private:
+  Http::TcpListener m_listener;
+};
+
+class RelayTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(RelayTest);
+  CPPUNIT_TEST(PassesRequestAndAnswerUnchanged);
+  CPPUNIT_TEST(UnknownPathIs404);
+  CPPUNIT_TEST(RefusesWithoutConfiguration);
+  CPPUNIT_TEST(SkipsAnAnswerToAnotherRequest);
+  CPPUNIT_TEST(BytesBehindAnAnswerBelongToNobody);
+  CPPUNIT_TEST(ABrokenAnswerToARepeatableRequestIsTriedElsewhere);
+  CPPUNIT_TEST(ABrokenAnswerToAnUnrepeatableRequestIsNeverRepeated);
+  CPPUNIT_TEST(ARejectionOfAnUnrepeatableRequestIsRefusedTruthfully);
+  CPPUNIT_TEST(AnUnsignedSuccessIsNotPassedOn);
+  CPPUNIT_TEST(AServersOwn503IsNotPassedOnAsAPromise);
+  CPPUNIT_TEST(AnEarlyAnswerEndsTheConnectionToTheServer);
+  CPPUNIT_TEST(AStreamGoesOnAtAnotherServer);
+  CPPUNIT_TEST(AStreamThatMayNotBeResumedBreaksTheCallersConnection);
+  CPPUNIT_TEST(ACutEventIsNotPassedOn);
+  CPPUNIT_TEST(ACallerThatLeavesCancels);
+  CPPUNIT_TEST(HandsOnTheTimeThatIsLeft);
+  CPPUNIT_TEST(AnswersAtTheDeadline);
+  CPPUNIT_TEST(AnotherProcessAtTheAddressIsNoServer);
+  CPPUNIT_TEST(AnUnreachableServerCostsNoArrival);
+  CPPUNIT_TEST(StopAnnouncesTheClose);
+  CPPUNIT_TEST_SUITE_END();
+
+  void PassesRequestAndAnswerUnchanged()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write("HTTP/1.1 201 Fine\r\nReq-Id: " + HeaderOf(head, "Req-Id") +
+                         "\r\nSigned: s\r\nX-Own: a, b\r\nConnection: close\r\nContent-Length: "
+                         "4\r\n\r\n\x01\x02\x03\x04");
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask("/once/%2E%2e/x?q=%20&r", "id-1",
+              "X-Mine: 1\r\nSecret: no\r\nWant-Instance: i-9\r\nConnection: X-Hop\r\nX-Hop: "
+              "1\r\nLeft-Ms: 900\r\n");
+    CPPUNIT_ASSERT(world.CallerGot("\x01\x02\x03\x04"));
+    const std::string& head = server.requests.at(0);
+    CPPUNIT_ASSERT(head.starts_with("POST /once/%2E%2e/x?q=%20&r HTTP/1.1\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("1"), HeaderOf(head, "X-Mine"));
+    CPPUNIT_ASSERT_EQUAL(std::string("id-1"), HeaderOf(head, "Req-Id"));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-1"), HeaderOf(head, "Want-Instance"));
+    CPPUNIT_ASSERT_EQUAL(std::string(""), HeaderOf(head, "Secret"));
+    CPPUNIT_ASSERT_EQUAL(std::string(""), HeaderOf(head, "X-Hop"));
+    CPPUNIT_ASSERT(world.caller.received.starts_with("HTTP/1.1 201 Fine\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("a, b"), HeaderOf(world.caller.received, "X-Own"));
+    CPPUNIT_ASSERT_EQUAL(std::string(""), HeaderOf(world.caller.received, "Connection"));
+  }
+
+  void UnknownPathIs404()
+  {
+    World world;
+    world.Ask("/elsewhere/", "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 404 "));
+  }
+
+  void RefusesWithoutConfiguration()
+  {
+    Dispatcher dispatcher(DispatcherSettings{Common::DataCentreId("here"), Names(), {}});
+    Http::TcpListener listener;
+    CPPUNIT_ASSERT(static_cast<bool>(listener.Listen(Http::Endpoint{htonl(INADDR_LOOPBACK), 0},
+                                                     [&](int fd, const Http::Endpoint&) {
+                                                       dispatcher.Adopt(fd);
+                                                     })));
+    TestPeer caller;
+    caller.stream = Http::TcpStream::Connect(listener.Local(), &caller);
+    caller.stream->Write("GET /plain/ HTTP/1.1\r\nHost: shop.example\r\n\r\n");
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return caller.received.find("HTTP/1.1 503 ") == 0;
+    }));
+    CPPUNIT_ASSERT(!HeaderOf(caller.received, "Retry-After").empty());
+  }
+
+  void SkipsAnAnswerToAnotherRequest()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(
+          "HTTP/1.1 200 OK\r\nReq-Id: other\r\nSigned: s\r\nContent-Length: 5\r\n\r\nwrong");
+      peer.stream->Write(Answer(head, "right"));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONCE_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("right"));
+    CPPUNIT_ASSERT(world.caller.received.find("wrong") == std::string::npos);
+  }
+
+  void BytesBehindAnAnswerBelongToNobody()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(Answer(head, "one") + Answer(head, "two"));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONCE_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("one"));
+    world.caller.received.clear();
+    world.Ask(ONCE_PATH, "id-2");
+    CPPUNIT_ASSERT(world.CallerGot("Req-Id: id-2"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), server.peers.size());
+  }
+
+  void ABrokenAnswerToARepeatableRequestIsTriedElsewhere()
+  {
+    TestServer broken([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(Answer(head, "whole").substr(0, 60));
+      peer.stream->Close();
+    });
+    TestServer sound([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(Answer(head, "whole"));
+    });
+    World world;
+    world.AddServer("i-1", broken.Address());
+    world.AddServer("i-2", sound.Address());
+    for (int i = 0; i < 6; ++i)
+    {
+      world.caller.received.clear();
+      world.Ask(PLAIN_PATH, "id-" + std::to_string(i));
+      CPPUNIT_ASSERT(world.CallerGot("whole"));
+    }
+    CPPUNIT_ASSERT(!broken.requests.empty());
+  }
+
+  void ABrokenAnswerToAnUnrepeatableRequestIsNeverRepeated()
+  {
+    const auto cut = [](TestPeer& peer, const std::string&) {
+      peer.stream->Reset();
+    };
+    TestServer first(cut);
+    TestServer second(cut);
+    World world;
+    world.AddServer("i-1", first.Address());
+    world.AddServer("i-2", second.Address());
+    world.Ask(ONCE_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 502 "));
+    RunFor(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.requests.size() + second.requests.size());
+  }
+
+  void ARejectionOfAnUnrepeatableRequestIsRefusedTruthfully()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write("HTTP/1.1 503 Busy\r\nReq-Id: " + HeaderOf(head, "Req-Id") +
+                         "\r\nDid-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONCE_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(!HeaderOf(world.caller.received, "Retry-After").empty());
+  }
+
+  void AnUnsignedSuccessIsNotPassedOn()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write("HTTP/1.1 200 OK\r\nReq-Id: " + HeaderOf(head, "Req-Id") +
+                         "\r\nContent-Length: 4\r\n\r\nfake");
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONCE_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(world.caller.received.find("fake") == std::string::npos);
+  }
+
+  void AServersOwn503IsNotPassedOnAsAPromise()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write("HTTP/1.1 503 Oops\r\nReq-Id: " + HeaderOf(head, "Req-Id") +
+                         "\r\nSigned: s\r\nContent-Length: 0\r\n\r\n");
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONCE_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT_EQUAL(std::string(""), HeaderOf(world.caller.received, "Signed"));
+  }
+
+  void AnEarlyAnswerEndsTheConnectionToTheServer()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->SetReading(false);
+      peer.stream->Write("HTTP/1.1 413 Long\r\nReq-Id: " + HeaderOf(head, "Req-Id") +
+                         "\r\nSigned: s\r\nContent-Length: 0\r\n\r\n");
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONCE_PATH, "id-1", "", std::string(4000000, 'x'));
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 413 "));
+    world.caller.received.clear();
+    world.Ask(ONCE_PATH, "id-2");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 413 "));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), server.peers.size());
+  }
+
+  void AStreamGoesOnAtAnotherServer()
+  {
+    int calls = 0;
+    const auto serve = [&](TestPeer& peer, const std::string& head) {
+      if (calls++ == 0)
+      {
+        peer.stream->Write(StreamHead(head) + Chunk(Event(1) + Event(2) + "id: 3\nda"));
+        Common::Reactor::Get().After(Milliseconds(20), [&peer] {
+          peer.stream->Reset();
+        });
+        return;
+      }
+      CPPUNIT_ASSERT_EQUAL(std::string("2"), HeaderOf(head, "Last-Event-Id"));
+      peer.stream->Write(StreamHead(head) + Chunk(Event(3)) + Chunk(Event(4)) + "0\r\n\r\n");
+    };
+    TestServer first(serve);
+    TestServer second(serve);
+    World world;
+    world.AddServer("i-1", first.Address());
+    world.AddServer("i-2", second.Address());
+    world.Ask(STREAM_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("0\r\n\r\n"));
+    std::string ids;
+    for (auto at = world.caller.received.find("id: "); at != std::string::npos;
+         at = world.caller.received.find("id: ", at + 1))
+      ids += world.caller.received[at + 4];
+    CPPUNIT_ASSERT_EQUAL(std::string("1234"), ids);
+    CPPUNIT_ASSERT_EQUAL(2, calls);
+  }
+
+  void AStreamThatMayNotBeResumedBreaksTheCallersConnection()
+  {
+    const auto serve = [](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(StreamHead(head) + Chunk(Event(1)));
+      Common::Reactor::Get().After(Milliseconds(20), [&peer] {
+        peer.stream->Close();
+      });
+    };
+    TestServer first(serve);
+    TestServer second(serve);
+    World world;
+    world.AddServer("i-1", first.Address());
+    world.AddServer("i-2", second.Address());
+    world.Ask(ONE_STREAM_PATH, "id-1");
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.caller.ended;
+    }));
+    CPPUNIT_ASSERT(world.caller.received.find("\r\n0\r\n\r\n") == std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.requests.size() + second.requests.size());
+  }
+
+  void ACutEventIsNotPassedOn()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(StreamHead(head) + Chunk(Event(1) + "id: 2\ndata: ha"));
+      Common::Reactor::Get().After(Milliseconds(20), [&peer] {
+        peer.stream->Close();
+      });
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONE_STREAM_PATH, "id-1");
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.caller.ended;
+    }));
+    CPPUNIT_ASSERT(world.caller.received.find("id: 1") != std::string::npos);
+    CPPUNIT_ASSERT(world.caller.received.find("id: 2") == std::string::npos);
+  }
+
+  void ACallerThatLeavesCancels()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(StreamHead(head) + Chunk(Event(1)));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(STREAM_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("id: 1"));
+    world.caller.stream->Close();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return server.peers.at(0)->ended;
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), world.dispatcher.OpenRequests());
+  }
+
+  void HandsOnTheTimeThatIsLeft()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(Answer(head, "x"));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONCE_PATH, "id-1", "Left-Ms: 400\r\n");
+    CPPUNIT_ASSERT(world.CallerGot("\r\n\r\nx"));
+    world.caller.received.clear();
+    world.Ask(ONCE_PATH, "id-2", "Left-Ms: 99000\r\n");
+    CPPUNIT_ASSERT(world.CallerGot("\r\n\r\nx"));
+    CPPUNIT_ASSERT(std::stoi(HeaderOf(server.requests.at(0), "Left-Ms")) <= 400);
+    CPPUNIT_ASSERT(std::stoi(HeaderOf(server.requests.at(1), "Left-Ms")) <= 1500);
+  }
+
+  void AnswersAtTheDeadline()
+  {
+    TestServer server([](TestPeer&, const std::string&) {});
+    World world;
+    world.AddServer("i-1", server.Address());
+    const auto begun = Common::Now();
+    world.Ask(ONCE_PATH, "id-1", "Left-Ms: 200\r\n");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 504 "));
+    CPPUNIT_ASSERT(Common::Now() - begun < Milliseconds(600));
+  }
+
+  void AnotherProcessAtTheAddressIsNoServer()
+  {
+    TestServer stranger([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write("HTTP/1.1 421 No\r\nReq-Id: " + HeaderOf(head, "Req-Id") +
+                         "\r\nInstance: i-7\r\nContent-Length: 0\r\n\r\n");
+    });
+    World world;
+    world.AddServer("i-1", stranger.Address());
+    world.Ask(ONCE_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 503 "));
+    world.caller.received.clear();
+    world.Ask(ONCE_PATH, "id-2", "Left-Ms: 300\r\n");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), stranger.requests.size());
+  }
+
+  void AnUnreachableServerCostsNoArrival()
+  {
+    TestServer sound([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(Answer(head, "whole"));
+    });
+    Http::Endpoint nobody;
+    {
+      TestServer closed([](TestPeer&, const std::string&) {});
+      nobody = closed.Address();
+    }
+    World world;
+    world.AddServer("i-1", nobody);
+    world.AddServer("i-2", sound.Address());
+    for (int i = 0; i < 4; ++i)
+    {
+      world.caller.received.clear();
+      world.Ask(ONCE_PATH, "id-" + std::to_string(i));
+      CPPUNIT_ASSERT(world.CallerGot("whole"));
+    }
+  }
+
+  void StopAnnouncesTheClose()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(Answer(head, "x"));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.dispatcher.BeginStop();
+    world.Ask(ONCE_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("\r\n\r\nx"));
+    CPPUNIT_ASSERT_EQUAL(std::string("close"), HeaderOf(world.caller.received, "Connection"));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.caller.ended;
+    }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
+} // namespace
--- a/Source/UnitTests/Main.cpp
+++ b/Source/UnitTests/Main.cpp
@@ -12,12 +12,14 @@
 #include <cppunit/TestRunner.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
+#include "Common/Log.h"
 #include "UnitTests/Fuzz.h"
 
 int main(int argc, char** argv)
 {
   if (argc > 1 && std::string_view(argv[1]) == "--fuzz")
     return UnitTests::RunFuzz() == 0 ? 0 : 1;
+  Common::MuteLog();
   CppUnit::TestResult result;
   CppUnit::TestResultCollector collector;
   CppUnit::BriefTestProgressListener progress;
--- /dev/null
+++ b/Source/UnitTests/Orders/LeaseKeeperTest.cpp
@@ -0,0 +1,250 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Orders/LeaseKeeper.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/Support/Loopback.h"
+
+namespace
+{
+using namespace Orders;
+using Common::Milliseconds;
+using UnitTests::RunFor;
+using UnitTests::RunUntil;
+
+/// A store of one row, whose answers a test may lose or hold back.
+class FakeStore
+{
+public:
+  using Done = std::function<void(Common::Result<std::int64_t>)>;
+
+  void ReplaceLease(std::int64_t expected, const LeaseRecord& next, Done done)
+  {
+    ++calls;
+    if (down)
+    {
+      Later([done] {
+        done(Common::Failure{Common::FailureKind::Timeout, "down"});
+      });
+      return;
+    }
+    if (expected != version)
+    {
+      Later([done] {
+        done(Common::Failure{Common::FailureKind::Conflict, "moved"});
+      });
+      return;
+    }
+    record = next;
+    ++version;
+    if (lose_answers)
+      Later([done] {
+        done(Common::Failure{Common::FailureKind::OutcomeUnknown, "lost"});
+      });
+    else
+      Later([done, now = version] {
+        done(now);
+      });
+  }
+
+  void Later(std::function<void()> callback) const { m_soon.Call(std::move(callback)); }
+
+  LeaseRecord record;
+  std::int64_t version = 0;
+  bool down = false;
+  bool lose_answers = false;
+  int calls = 0;
+
+private:
+  UnitTests::SoonCaller m_soon;
+};
+
+using Keeper = LeaseKeeper<FakeStore>;
+
+LeaseSettings Settings(const char* vm)
+{
+  LeaseSettings settings;
+  settings.self = Common::VmId(vm);
+  settings.run = Common::Incarnation(std::string("run-") + vm);
+  settings.address = "127.0.0.1:1";
+  settings.duration = Milliseconds(900);
+  settings.holder_pause = Milliseconds(300);
+  return settings;
+}
+
+bool Holds(const Keeper& keeper)
+{
+  return keeper.Holds(Common::Now());
+}
+
+class LeaseKeeperTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(LeaseKeeperTest);
+  CPPUNIT_TEST(TakesAFreeLeaseAndRenewsIt);
+  CPPUNIT_TEST(OnlyOneOfTwoHolds);
+  CPPUNIT_TEST(StopsBeforeItsTimeIsOver);
+  CPPUNIT_TEST(TheNextWaitsOutTheTimeAndThePause);
+  CPPUNIT_TEST(ALostAnswerIsNotAnAcquisition);
+  CPPUNIT_TEST(AReleasedLeaseIsTakenAtOnceButOrdersWait);
+  CPPUNIT_TEST(TheHoldersWordShortensTheWaitNeverBelowItsTime);
+  CPPUNIT_TEST(ARestartedHolderTakesItsOwnLeaseAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+  void TakesAFreeLeaseAndRenewsIt()
+  {
+    FakeStore store;
+    Keeper keeper(store, Settings("a"));
+    keeper.OnRow(0, std::nullopt);
+    keeper.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(keeper);
+    }));
+    CPPUNIT_ASSERT(keeper.MayOrder(Common::Now()));
+    const auto fence = keeper.Fence();
+    RunFor(Milliseconds(1500));
+    CPPUNIT_ASSERT(Holds(keeper));
+    CPPUNIT_ASSERT_EQUAL(fence, keeper.Fence());
+    CPPUNIT_ASSERT(store.version >= 3);
+  }
+
+  void OnlyOneOfTwoHolds()
+  {
+    FakeStore store;
+    Keeper first(store, Settings("a"));
+    Keeper second(store, Settings("b"));
+    first.OnRow(0, std::nullopt);
+    second.OnRow(0, std::nullopt);
+    first.Start();
+    second.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(first) || Holds(second);
+    }));
+    for (int i = 0; i < 20; ++i)
+    {
+      RunFor(Milliseconds(50));
+      first.OnRow(store.version, store.record);
+      second.OnRow(store.version, store.record);
+      CPPUNIT_ASSERT(!(Holds(first) && Holds(second)));
+    }
+  }
+
+  void StopsBeforeItsTimeIsOver()
+  {
+    FakeStore store;
+    Keeper keeper(store, Settings("a"));
+    keeper.OnRow(0, std::nullopt);
+    keeper.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(keeper);
+    }));
+    store.down = true;
+    const auto begun = Common::Now();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return !Holds(keeper);
+    }));
+    CPPUNIT_ASSERT(Common::Now() - begun <= Milliseconds(900));
+  }
+
+  void TheNextWaitsOutTheTimeAndThePause()
+  {
+    FakeStore store;
+    store.version = 5;
+    store.record = {Common::VmId("dead"), Common::Incarnation("r"), "127.0.0.1:2"};
+    Keeper keeper(store, Settings("a"));
+    const auto begun = Common::Now();
+    keeper.OnRow(5, store.record);
+    keeper.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(keeper);
+    }));
+    CPPUNIT_ASSERT(Common::Now() - begun >= Milliseconds(900));
+    CPPUNIT_ASSERT(!keeper.MayOrder(Common::Now()));
+    const auto held = Common::Now();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return keeper.MayOrder(Common::Now());
+    }));
+    CPPUNIT_ASSERT(Common::Now() - held >= Milliseconds(250));
+  }
+
+  void ALostAnswerIsNotAnAcquisition()
+  {
+    FakeStore store;
+    store.lose_answers = true;
+    Keeper keeper(store, Settings("a"));
+    keeper.OnRow(0, std::nullopt);
+    keeper.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return store.version == 1;
+    }));
+    RunFor(Milliseconds(100));
+    CPPUNIT_ASSERT(!Holds(keeper));
+    store.lose_answers = false;
+    keeper.OnRow(store.version, store.record);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(keeper);
+    }));
+  }
+
+  void AReleasedLeaseIsTakenAtOnceButOrdersWait()
+  {
+    FakeStore store;
+    Keeper first(store, Settings("a"));
+    first.OnRow(0, std::nullopt);
+    first.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(first);
+    }));
+    first.Release();
+    CPPUNIT_ASSERT(!Holds(first));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return store.record.holder.Empty();
+    }));
+    Keeper second(store, Settings("b"));
+    const auto begun = Common::Now();
+    second.OnRow(store.version, store.record);
+    second.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(second);
+    }));
+    CPPUNIT_ASSERT(Common::Now() - begun < Milliseconds(700));
+    CPPUNIT_ASSERT(!second.MayOrder(Common::Now()));
+  }
+
+  void TheHoldersWordShortensTheWaitNeverBelowItsTime()
+  {
+    FakeStore store;
+    store.version = 5;
+    store.record = {Common::VmId("dead"), Common::Incarnation("r"), "127.0.0.1:2"};
+    Keeper keeper(store, Settings("a"));
+    keeper.OnRow(5, store.record);
+    const auto begun = Common::Now();
+    keeper.OnHolderWord(5, store.record, Milliseconds(300));
+    keeper.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(keeper);
+    }));
+    CPPUNIT_ASSERT(Common::Now() - begun >= Milliseconds(300));
+    CPPUNIT_ASSERT(Common::Now() - begun < Milliseconds(1100));
+  }
+
+  void ARestartedHolderTakesItsOwnLeaseAtOnce()
+  {
+    FakeStore store;
+    store.version = 5;
+    store.record = {Common::VmId("a"), Common::Incarnation("before"), "127.0.0.1:2"};
+    Keeper keeper(store, Settings("a"));
+    keeper.OnRow(5, store.record);
+    const auto begun = Common::Now();
+    keeper.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return keeper.MayOrder(Common::Now());
+    }));
+    CPPUNIT_ASSERT(Common::Now() - begun < Milliseconds(500));
+    CPPUNIT_ASSERT(keeper.Fence() > 5);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseKeeperTest);
+} // namespace
--- /dev/null
+++ b/Source/UnitTests/Orders/TableFollowerTest.cpp
@@ -0,0 +1,243 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Orders/TableFollower.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/Support/Loopback.h"
+
+namespace
+{
+using namespace Orders;
+using Common::Milliseconds;
+using UnitTests::RunFor;
+using UnitTests::RunUntil;
+
+TableRow Row(const char* key, std::int64_t version, bool removed = false)
+{
+  return {key, "v" + std::to_string(version), version, removed};
+}
+
+/// A table whose pages, feeds and failures a test sets.
+class FakeSource
+{
+public:
+  using Done = std::function<void(Common::Result<TableRows>)>;
+
+  void Read(const std::string&, const std::string& first_key, Done done)
+  {
+    ++reads;
+    if (down)
+    {
+      Answer(done, Common::Failure{Common::FailureKind::Overloaded, "down"});
+      return;
+    }
+    TableRows page;
+    page.version = version;
+    for (const TableRow& row : rows)
+      if (row.key >= first_key)
+        page.rows.push_back(row);
+    if (page.rows.size() > page_size)
+    {
+      page.rows.resize(page_size);
+      page.more = true;
+    }
+    Answer(done, page);
+  }
+
+  void Follow(const std::string&, std::int64_t after, Milliseconds, Done done)
+  {
+    ++follows;
+    if (down)
+      Answer(done, Common::Failure{Common::FailureKind::Overloaded, "down"});
+    else if (after < floor)
+      Answer(done, Common::Failure{Common::FailureKind::NotFound, "history"});
+    else
+      waiting = std::move(done);
+  }
+
+  /// Lets the waiting call return with changes.
+  void Change(std::vector<TableRow> changed)
+  {
+    version = std::max(version, changed.back().version);
+    TableRows answer;
+    answer.rows = std::move(changed);
+    answer.version = version;
+    Answer(std::exchange(waiting, nullptr), answer);
+  }
+
+  void Answer(Done done, Common::Result<TableRows> answer) const
+  {
+    m_soon.Call([done, answer] {
+      done(answer);
+    });
+  }
+
+  std::vector<TableRow> rows;
+  std::int64_t version = 0;
+  std::int64_t floor = 0;
+  std::size_t page_size = 100;
+  bool down = false;
+  Done waiting;
+  int reads = 0;
+  int follows = 0;
+
+private:
+  UnitTests::SoonCaller m_soon;
+};
+
+class TableFollowerTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(TableFollowerTest);
+  CPPUNIT_TEST(ReadsPagesWithoutDoubles);
+  CPPUNIT_TEST(ReadsAnewWhereTheHistoryIsGone);
+  CPPUNIT_TEST(TellsOfLossAndReturn);
+  CPPUNIT_TEST(TakesRelayedChangesAndAsksNoMore);
+  CPPUNIT_TEST(RefusesRelayedChangesWithAGap);
+  CPPUNIT_TEST(AChangeThatComesTwiceCountsOnce);
+  CPPUNIT_TEST(PassesOnWhatItStillKeeps);
+  CPPUNIT_TEST_SUITE_END();
+
+  struct World
+  {
+    explicit World(FakeSource& source)
+        : follower(source, "t",
+                   {[this](const std::vector<TableRow>& rows) {
+                      ++snapshots;
+                      snapshot = rows;
+                    },
+                    [this](const TableRow& row) {
+                      changes.push_back(row.key);
+                    },
+                    [this] {
+                      ++lost;
+                    },
+                    [this] {
+                      ++back;
+                    }})
+    {
+      follower.Start();
+    }
+
+    std::vector<TableRow> snapshot;
+    std::vector<std::string> changes;
+    int snapshots = 0;
+    int lost = 0;
+    int back = 0;
+    TableFollower<FakeSource> follower;
+  };
+
+  void ReadsPagesWithoutDoubles()
+  {
+    FakeSource source;
+    source.rows = {Row("a", 1), Row("b", 2), Row("c", 3), Row("d", 4), Row("e", 5)};
+    source.version = 5;
+    source.page_size = 2;
+    World world(source);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.snapshots == 1;
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), world.snapshot.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(5), world.follower.Version());
+  }
+
+  void ReadsAnewWhereTheHistoryIsGone()
+  {
+    FakeSource source;
+    source.version = 5;
+    World world(source);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return source.waiting != nullptr;
+    }));
+    source.floor = 50;
+    source.version = 60;
+    source.rows = {Row("a", 55)};
+    source.Answer(std::exchange(source.waiting, nullptr),
+                  Common::Failure{Common::FailureKind::NotFound, "history"});
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.snapshots == 2;
+    }));
+    CPPUNIT_ASSERT_EQUAL(0, world.lost);
+  }
+
+  void TellsOfLossAndReturn()
+  {
+    FakeSource source;
+    source.down = true;
+    World world(source);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.lost == 1;
+    }));
+    RunFor(Milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(1, world.lost);
+    source.down = false;
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.snapshots == 1;
+    }));
+    CPPUNIT_ASSERT_EQUAL(1, world.back);
+  }
+
+  void TakesRelayedChangesAndAsksNoMore()
+  {
+    FakeSource source;
+    source.version = 5;
+    World world(source);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return source.waiting != nullptr;
+    }));
+    world.follower.SetRelayed(true);
+    CPPUNIT_ASSERT(world.follower.TakeRelayed(5, 7, {Row("a", 6), Row("b", 7)}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.changes.size());
+    source.Change({Row("a", 6), Row("b", 7)});
+    RunFor(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.changes.size());
+    CPPUNIT_ASSERT_EQUAL(1, source.follows);
+    world.follower.SetRelayed(false);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return source.follows == 2;
+    }));
+  }
+
+  void RefusesRelayedChangesWithAGap()
+  {
+    FakeSource source;
+    source.version = 5;
+    World world(source);
+    CPPUNIT_ASSERT(!world.follower.TakeRelayed(0, 6, {Row("a", 6)}));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.snapshots == 1;
+    }));
+    CPPUNIT_ASSERT(!world.follower.TakeRelayed(8, 9, {Row("a", 9)}));
+    CPPUNIT_ASSERT(world.changes.empty());
+  }
+
+  void AChangeThatComesTwiceCountsOnce()
+  {
+    FakeSource source;
+    source.version = 5;
+    World world(source);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.snapshots == 1;
+    }));
+    CPPUNIT_ASSERT(world.follower.TakeRelayed(5, 7, {Row("a", 6), Row("b", 7)}));
+    CPPUNIT_ASSERT(world.follower.TakeRelayed(5, 8, {Row("a", 6), Row("b", 7), Row("c", 8)}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), world.changes.size());
+  }
+
+  void PassesOnWhatItStillKeeps()
+  {
+    FakeSource source;
+    source.version = 5;
+    World world(source);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.snapshots == 1;
+    }));
+    CPPUNIT_ASSERT(world.follower.TakeRelayed(5, 7, {Row("a", 6), Row("b", 7)}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.follower.ChangesSince(6)->size());
+    CPPUNIT_ASSERT(!world.follower.ChangesSince(4));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TableFollowerTest);
+} // namespace
--- /dev/null
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -0,0 +1,132 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// What the platform lays, as our types; and what is malformed, as typed failures.
+
+#include "platform/Decode.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace
+{
+using namespace PlatformFace;
+
+constexpr const char* SETTINGS =
+    R"({"nodeName":"front-1","zone":"hall","portRange":[7380,7395],"heartbeatMs":1200,
+  "listen":{"front":"10.1.0.38:8149","ready":"10.1.0.38:8141"},"limits":{"cpuShare":0.25,"linkMbps":1000.0},
+  "bounds":{"graceS":8,"leaseMs":3000,"retryBudgetRatio":0.2,"budgetWindowS":10,"budgetSlack":52,"ceilingWindowS":5},
+  "platform":{"address":"10.200.1.7:8142"},"something":"new"})";
+
+class DecodeTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(DecodeTest);
+  CPPUNIT_TEST(ReadsSettings);
+  CPPUNIT_TEST(RefusesIncompleteSettings);
+  CPPUNIT_TEST(ReadsAConfiguration);
+  CPPUNIT_TEST(RefusesAnUnknownKindOfRoute);
+  CPPUNIT_TEST(ReadsAServersEntry);
+  CPPUNIT_TEST(RefusesAnEntryWithoutAddress);
+  CPPUNIT_TEST(ReadsAReport);
+  CPPUNIT_TEST(NothingMalformedEndsTheProcess);
+  CPPUNIT_TEST_SUITE_END();
+
+  void ReadsSettings()
+  {
+    const auto settings = DecodeSettings(SETTINGS);
+    CPPUNIT_ASSERT(static_cast<bool>(settings));
+    CPPUNIT_ASSERT_EQUAL(std::string("10.1.0.38:7380"), settings->peers.ToString());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(8000),
+                         static_cast<std::int64_t>(settings->stop_grace.count()));
+    CPPUNIT_ASSERT_EQUAL(52.0, settings->retry_slack);
+    CPPUNIT_ASSERT_EQUAL(0.25, settings->cores);
+  }
+
+  void RefusesIncompleteSettings()
+  {
+    const auto settings = DecodeSettings(R"({"nodeName":"x"})");
+    CPPUNIT_ASSERT(!settings);
+    CPPUNIT_ASSERT(settings.Reason().detail.find("listen.front") != std::string::npos);
+    CPPUNIT_ASSERT(!DecodeSettings("not json"));
+  }
+
+  void ReadsAConfiguration()
+  {
+    const auto configuration = DecodeConfiguration(R"({"version":7,"routes":[
+      {"name":"r","host":"h","pathPrefix":"/p/","kind":"streaming","timeoutMs":25000,"targetLatencyMs":2500,
+       "priority":1,"trafficSplit":[{"service":"s","weight":90},{"service":"t","weight":10}],"maxAttempts":2,
+       "sticky":true,"resumable":true,"gapAimMs":300}],
+      "services":[{"name":"s","healthPath":"/health","maxConns":360,"engine":{"slots":64,"weightsMb":230000.0,
+       "adapterSlots":8,"loadsPerS":3.1,"models":[{"name":"m","weightsMb":72700.0,"loadS":6.0,"adapters":28,
+       "adapterMb":66.0,"warmS":0.47,"diskS":0.84}]}}],
+      "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400}})");
+    CPPUNIT_ASSERT(static_cast<bool>(configuration));
+    const Gateway::Configuration& value = **configuration;
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(7), value.version);
+    const Gateway::Route& route = value.routes.at(0);
+    CPPUNIT_ASSERT(route.repeatability == Gateway::Repeatability::Streaming);
+    CPPUNIT_ASSERT(route.IsRepeatable() && route.uses_model);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), route.pools.size());
+    const Gateway::EngineSpec& engine = *value.pools.at(Gateway::PoolId("s")).engine;
+    CPPUNIT_ASSERT_EQUAL(230000.0, engine.memory_mb);
+    const Gateway::ModelSpec& model = engine.models.at(Gateway::ModelId("m"));
+    CPPUNIT_ASSERT_EQUAL(72700.0, model.memory_mb);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(840),
+                         static_cast<std::int64_t>(model.load_from_disk.count()));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(200), value.limits.body_bytes);
+  }
+
+  void RefusesAnUnknownKindOfRoute()
+  {
+    CPPUNIT_ASSERT(!DecodeConfiguration(
+        R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":"odd"}],"services":[]})"));
+    CPPUNIT_ASSERT(!DecodeConfiguration(R"({"version":7})"));
+  }
+
+  void ReadsAServersEntry()
+  {
+    const auto entry =
+        DecodeServerEntry("i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":64,
+      "state":"draining","coldLeftMs":5,"models":[{"name":"m","version":1,"adapters":["a1"]}],
+      "atHand":{"inMemory":["k"],"onDisk":["m","k"]},"seq":4})");
+    CPPUNIT_ASSERT(static_cast<bool>(entry));
+    CPPUNIT_ASSERT(entry->draining);
+    CPPUNIT_ASSERT_EQUAL(std::string("a1"), entry->models.at(0).adapters.at(0).Get());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), entry->on_disk.size());
+  }
+
+  void RefusesAnEntryWithoutAddress()
+  {
+    CPPUNIT_ASSERT(!DecodeServerEntry("i-1", R"({"service":"s"})"));
+    CPPUNIT_ASSERT(!DecodeServerEntry("i-1", R"({"service":"s","address":"host:80"})"));
+    CPPUNIT_ASSERT(!DecodeServerEntry("i-1", "[]"));
+  }
+
+  void ReadsAReport()
+  {
+    const auto report =
+        DecodeReport(R"({"stage":"combined","models":[{"name":"m","version":1,"adapters":["a"]}],
+      "busy":true,"seq":2,"coming":["m/a7@1"]})");
+    CPPUNIT_ASSERT(static_cast<bool>(report));
+    CPPUNIT_ASSERT(report->busy);
+    CPPUNIT_ASSERT_EQUAL(std::string("m/a7"), report->coming.at(0).ToString());
+    CPPUNIT_ASSERT(!DecodeReport("{}"));
+  }
+
+  void NothingMalformedEndsTheProcess()
+  {
+    const std::string whole = SETTINGS;
+    for (std::size_t length = 0; length < whole.size(); ++length)
+      (void)DecodeSettings(whole.substr(0, length));
+    for (const char* text :
+         {"null", "[]", "3", "{\"version\":\"x\"}", "{\"version\":1,\"routes\":3,\"services\":{}}"})
+    {
+      (void)DecodeConfiguration(text);
+      (void)DecodeServerEntry("i", text);
+      (void)DecodeReport(text);
+      (void)DecodeSettings(text);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DecodeTest);
+} // namespace
--- /dev/null
+++ b/Source/UnitTests/Support/Loopback.h
@@ -0,0 +1,138 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <glib.h>
+
+#include "Common/Loop.h"
+#include "Http/TcpStream.h"
+
+/// Peers on the loopback whose every byte a test decides.
+namespace UnitTests
+{
+/// Runs the main loop until `done` or for `limit`; gives `done()`.
+inline bool RunUntil(const std::function<bool()>& done,
+                     Common::Milliseconds limit = Common::Milliseconds(3000))
+{
+  const auto end = Common::Now() + limit;
+  while (!done() && Common::Now() < end)
+  {
+    // Wakes the loop, so that a lost event ends in a failed check and not in a hang.
+    Common::Reactor::TimerId wake = Common::Reactor::Get().After(Common::Milliseconds(5), [] {});
+    g_main_context_iteration(nullptr, TRUE);
+    Common::Reactor::Get().Cancel(wake);
+  }
+  return done();
+}
+
+inline void RunFor(Common::Milliseconds span)
+{
+  RunUntil(
+      [] {
+        return false;
+      },
+      span);
+}
+
+/// Calls back soon, unless it is gone by then.
+class SoonCaller
+{
+public:
+  void Call(std::function<void()> callback) const
+  {
+    const std::weak_ptr<bool> alive = m_alive;
+    Common::Reactor::Get().After(Common::Milliseconds(1), [alive, callback = std::move(callback)] {
+      if (!alive.expired())
+        callback();
+    });
+  }
+
+private:
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
+};
+
+/// One connection of a test, its received bytes kept.
+class TestPeer : public Http::StreamEvents
+{
+public:
+  using BytesHandler = std::function<void(TestPeer&)>;
+
+  void OnBytes(std::string_view bytes) override
+  {
+    received.append(bytes);
+    if (on_bytes)
+      on_bytes(*this);
+  }
+  void OnEnd(Http::StreamEnd how) override
+  {
+    ended = true;
+    end = how;
+  }
+
+  std::shared_ptr<Http::TcpStream> stream;
+  std::string received;
+  bool ended = false;
+  Http::StreamEnd end = Http::StreamEnd::Closed;
+  BytesHandler on_bytes;
+};
+
+/// Accepts connections; for each whole request head (requests of tests have no body unless the
+/// handler reads it) the handler is called with the connection.
+class TestServer
+{
+public:
+  using RequestHandler = std::function<void(TestPeer& peer, const std::string& head)>;
+
+  explicit TestServer(RequestHandler handler) : m_handler(std::move(handler))
+  {
+    const auto listening = m_listener.Listen(Http::Endpoint{htonl(INADDR_LOOPBACK), 0},
+                                             [this](int fd, const Http::Endpoint&) {
+                                               Accept(fd);
+                                             });
+    g_assert(static_cast<bool>(listening));
+  }
+
+  Http::Endpoint Address() const { return m_listener.Local(); }
+
+  std::vector<std::string> requests; ///< Heads in the order of their arrival.
+  std::vector<std::unique_ptr<TestPeer>> peers;
+
+private:
+  void Accept(int fd)
+  {
+    auto peer = std::make_unique<TestPeer>();
+    peer->on_bytes = [this](TestPeer& from) {
+      for (auto end = from.received.find("\r\n\r\n"); end != std::string::npos;
+           end = from.received.find("\r\n\r\n"))
+      {
+        const std::string head = from.received.substr(0, end + 4);
+        from.received.erase(0, end + 4);
+        requests.push_back(head);
+        m_handler(from, head);
+      }
+    };
+    peer->stream = Http::TcpStream::Adopt(fd, peer.get());
+    peers.push_back(std::move(peer));
+  }
+
+  RequestHandler m_handler;
+  Http::TcpListener m_listener;
+};
+
+/// The value of a header in a raw head; empty where it is missing.
+inline std::string HeaderOf(const std::string& head, const std::string& name)
+{
+  const auto at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos)
+    return "";
+  const auto begin = at + name.size() + 4;
+  return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+} // namespace UnitTests
