Common: messages of other threads are logged on the main loop

Cause: the demo failed once of four (a daemon aborted: double free). GLib's messages come from GIO's worker threads too, and the new log writer took them in place, beside the main loop's lines. Ruled out: the wiring of the demo (the abort stands at the end of entry-1's log, behind such a message). Test: LogTest, red before (2 of 3), green after.

--- a/Source/Core/Common/Log.cpp
+++ b/Source/Core/Common/Log.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <thread>
 #include <utility>
 
 #include <glib.h>
@@ -42,14 +43,14 @@
 public:
   void Add(const std::string& line, bool urgent)
   {
-    if (muted)
-      return;
     if (m_waiting.size() + line.size() > MAX_WAITING_BYTES)
     {
       ++counters.dropped;
       return;
     }
     ++counters.written;
+    if (muted)
+      return;
     m_waiting += line;
     if (urgent || m_waiting.size() >= WRITE_BYTES)
       Write();
@@ -103,6 +104,13 @@
   return s_output;
 }
 
+/// The thread of the main loop: the one that set up the log.
+std::thread::id& MainThread()
+{
+  static std::thread::id s_thread = std::this_thread::get_id();
+  return s_thread;
+}
+
 std::string& ProgramName()
 {
   static std::string s_name = "drumpond";
@@ -206,13 +214,20 @@
 GLogWriterOutput WriteGlibMessage(GLogLevelFlags level, const GLogField* fields, gsize count,
                                   gpointer)
 {
-  std::string_view message;
+  if ((level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING)) == 0)
+    return G_LOG_WRITER_HANDLED;
+  std::string message;
   for (gsize i = 0; i < count; ++i)
     if (std::string_view(fields[i].key) == "MESSAGE")
       message = static_cast<const char*>(fields[i].value);
-  const bool serious =
-      (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL | G_LOG_LEVEL_WARNING)) != 0;
-  LogEvent(serious ? LogLevel::Warning : LogLevel::Info, "library-message", {{"text", message}});
+  // Libraries log from threads of their own; our lines are written on the main loop only.
+  const auto write = [message] {
+    LogEvent(LogLevel::Warning, "library-message", {{"text", message}});
+  };
+  if (std::this_thread::get_id() == MainThread())
+    write();
+  else
+    CallAfter(Milliseconds(0), write);
   return G_LOG_WRITER_HANDLED;
 }
 } // namespace
@@ -220,6 +235,7 @@
 void InitLog(const char* program)
 {
   const std::string_view path = program;
+  MainThread() = std::this_thread::get_id();
   ProgramName() = path.substr(path.rfind('/') + 1);
   g_log_set_writer_func(WriteGlibMessage, nullptr, nullptr);
 }
--- a/Source/UnitTests/Main.cpp
+++ b/Source/UnitTests/Main.cpp
@@ -19,6 +19,7 @@
 {
   if (argc > 1 && std::string_view(argv[1]) == "--fuzz")
     return UnitTests::RunFuzz() == 0 ? 0 : 1;
+  Common::InitLog(argv[0]);
   Common::MuteLog();
   CppUnit::TestResult result;
   CppUnit::TestResultCollector collector;
