Models: the order lease

Two daemons, frozen at any step, lost and late answers of the store: 14,454,915 states, no error. Each of five guards taken out (check right before an order, time counted from the send, pause between holders, compare-and-set, wait for the holder's time) gives a counterexample.

--- /dev/null
+++ b/Models/OrderLease.pml
@@ -0,0 +1,150 @@
+/* SPDX-FileCopyrightText: 2026 The drumpond developers
+ * SPDX-License-Identifier: Apache-2.0
+ *
+ * The lease of the daemon that orders backend servers (Source/Core/Orders/LeaseKeeper.h). Two daemons; time
+ * passes in ticks at any point, so a daemon may be frozen between any two of its steps. A write to the
+ * store may be answered late, or its answer lost. Claimed: the server never takes orders of two daemons
+ * within PAUSE ticks, and fences never go down.
+ *
+ * Each switch takes one guard out.
+ * guards: NO_CHECK_BEFORE_ORDER COUNT_FROM_ANSWER NO_PAUSE BLIND_WRITE NO_WAIT */
+
+#define DURATION 2
+#define PAUSE 2
+#define LAST_TICK 6
+#define MOST_WRITES 3
+#define NOBODY 2
+
+byte now = 0;
+byte writes = 0;
+
+/* The row in the store. */
+byte row_version = 0;
+byte row_holder = NOBODY;
+
+/* What the server has taken. */
+byte last_daemon = NOBODY;
+byte last_order_at = 0;
+byte last_fence = 0;
+
+proctype Clock()
+{
+  do
+  :: now < LAST_TICK -> now++
+  :: now == LAST_TICK -> break
+  od
+}
+
+proctype Daemon(byte me)
+{
+  byte seen_version = 0;
+  byte seen_holder = NOBODY;
+  byte seen_at = 0;
+  byte sent_at;
+  byte expected;
+  byte valid_until = 0;
+  byte orders_from = 0;
+  byte fence = 0;
+  bool answered;
+  bool written;
+  bool follows_another;
+
+  do
+  :: now == LAST_TICK -> break
+
+  /* Reads the row. */
+  :: atomic {
+       row_version != seen_version ->
+       seen_version = row_version;
+       seen_holder = row_holder;
+       seen_at = now
+     }
+
+  /* Acquires or renews. */
+  :: writes < MOST_WRITES && ((fence != 0 && now < valid_until) ||
+#ifdef NO_WAIT
+     true
+#else
+     seen_holder == NOBODY || seen_holder == me || now > seen_at + DURATION
+#endif
+     ) ->
+     atomic {
+       follows_another = (seen_holder != NOBODY && seen_holder != me);
+       expected = seen_version;
+       sent_at = now
+     };
+     atomic {
+       writes++;
+#ifdef BLIND_WRITE
+       written = true;
+#else
+       written = (row_version == expected);
+#endif
+       if
+       :: written -> row_version++; row_holder = me
+       :: else -> skip
+       fi;
+       /* The answer comes late, or never. */
+       if
+       :: answered = true
+       :: answered = false
+       fi
+     };
+     atomic {
+        if
+        :: written && answered ->
+          seen_version = expected + 1;
+          seen_holder = me;
+          seen_at = now;
+#ifdef COUNT_FROM_ANSWER
+          valid_until = now + DURATION;
+#else
+          valid_until = sent_at + DURATION;
+#endif
+          if
+          :: fence == 0 ->
+             fence = expected + 1;
+#ifdef NO_PAUSE
+             orders_from = now
+#else
+             orders_from = (follows_another -> now + PAUSE : now)
+#endif
+          :: else -> skip
+          fi
+        :: else -> skip
+        fi;
+        expected = 0;
+        sent_at = 0;
+        written = false;
+        answered = false;
+        follows_another = false
+     }
+
+  /* Its time is over, or the row is another's. */
+  :: atomic { fence != 0 && (now >= valid_until || (seen_holder != me && seen_holder != NOBODY)) -> fence = 0 }
+
+  /* Orders. */
+#ifdef NO_CHECK_BEFORE_ORDER
+  :: fence != 0 && now < valid_until && now >= orders_from ->
+     atomic {
+#else
+  :: atomic {
+       fence != 0 && now < valid_until && now >= orders_from ->
+#endif
+       assert(last_daemon == NOBODY || last_daemon == me || now >= last_order_at + PAUSE);
+       assert(fence >= last_fence);
+       last_daemon = me;
+       last_order_at = now;
+       last_fence = fence
+     }
+  od
+}
+
+init
+{
+  atomic {
+    run Clock();
+    run Daemon(0);
+    run Daemon(1)
+  }
+}
