--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -42,6 +42,9 @@
 constexpr Milliseconds MIN_STREAM_SILENCE{1000};
 /// A stream that pauses for so many gap targets is continued elsewhere.
 constexpr int SILENCE_GAPS = 4;
+/// A server that has left the platform's list may still finish its work; one that is silent for so
+/// long besides is taken for dead.
+constexpr Milliseconds GONE_SERVER_SILENCE{1900};
 /// When a refused caller should come back: a disk load takes about a second.
 constexpr std::string_view RETRY_AFTER_LOAD_S = "0.5";
 constexpr std::string_view RETRY_AFTER_S = "0.1";
@@ -580,22 +583,36 @@
 
 void Relay::ArmSilenceTimer(Milliseconds span)
 {
-  if (!m_route.IsRepeatable())
-    return;
-  m_silence_timer.Start(span, [this] {
-    OnSilence();
+  m_silence_since = Common::Now();
+  m_silence_timer.Start(span, [this, span] {
+    OnSilence(span);
   });
 }
 
-void Relay::OnSilence()
+void Relay::OnSilence(Milliseconds span)
 {
   const auto guard = shared_from_this();
-  const bool elsewhere = MayTryAgain(true) && m_dispatcher.ChooseServer(*this) != nullptr &&
-                         m_dispatcher.Budget().Left(m_pool, Common::Now()) >= 1;
-  if (!elsewhere || !m_connection)
+  if (!m_connection)
+    return;
+  const auto now = Common::Now();
+  const bool gone = m_dispatcher.Servers().Find(m_server->Entry().instance) == nullptr;
+  if (gone && now - m_silence_since >= GONE_SERVER_SILENCE)
+  {
+    AttemptFailed("the server is gone and silent", true);
     return;
-  m_server->Health().NoteFailure(Common::Now());
-  AttemptFailed("no answer from the server", true);
+  }
+  const bool elsewhere = m_route.IsRepeatable() && MayTryAgain(true) &&
+                         m_dispatcher.ChooseServer(*this) != nullptr &&
+                         m_dispatcher.Budget().Left(m_pool, now) >= 1;
+  if (elsewhere)
+  {
+    m_server->Health().NoteFailure(now);
+    AttemptFailed("no answer from the server", true);
+    return;
+  }
+  m_silence_timer.Start(span, [this, span] {
+    OnSilence(span);
+  });
 }
 
 void Relay::OnDeadline()
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -89,7 +89,7 @@
   void Wait();
   void OnWaitExpired();
   void OnDeadline();
-  void OnSilence();
+  void OnSilence(Common::Milliseconds span);
   void ArmSilenceTimer(Common::Milliseconds span);
 
   void Refuse(std::string_view why);
@@ -132,6 +132,7 @@
   bool m_stream_begun = false; ///< Bytes of the stream have gone to the caller.
   std::optional<Common::Milliseconds> m_first_event_after;
   Common::TimePoint m_last_event_at;
+  Common::TimePoint m_silence_since;
   Common::Milliseconds m_longest_pause{0};
   std::string m_last_reason;
 };
--- a/Source/Core/Serving/Environment.h
+++ b/Source/Core/Serving/Environment.h
@@ -15,7 +15,7 @@
 
 namespace Serving
 {
-/// Times that the serving parts go by; see docs/OPERATORS.md for their flags.
+/// Times that the serving parts go by; see docs/OPERATIONS.md for their flags.
 struct Timing
 {
   Common::Milliseconds report_interval{300};
--- a/Source/UnitTests/Common/LogTest.cpp
+++ b/Source/UnitTests/Common/LogTest.cpp
@@ -28,7 +28,9 @@
     });
     other.join();
     CPPUNIT_ASSERT_EQUAL(before, Common::CountLogLines().written);
-    CPPUNIT_ASSERT(UnitTests::RunUntil([&] { return Common::CountLogLines().written == before + 1; }));
+    CPPUNIT_ASSERT(UnitTests::RunUntil([&] {
+      return Common::CountLogLines().written == before + 1;
+    }));
   }
 
   void DebugMessagesOfLibrariesAreLeftOut()
@@ -46,7 +48,8 @@
       Common::LogEvent(Common::LogLevel::Info, "budget-test", {{"i", i}});
     const auto& after = Common::CountLogLines();
     CPPUNIT_ASSERT(after.written - before.written <= 80);
-    CPPUNIT_ASSERT_EQUAL(std::int64_t(500), (after.written - before.written) + (after.suppressed - before.suppressed));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(500),
+                         (after.written - before.written) + (after.suppressed - before.suppressed));
   }
 };
 
--- a/Source/UnitTests/Gateway/RelayTest.cpp
+++ b/Source/UnitTests/Gateway/RelayTest.cpp
@@ -96,6 +96,7 @@
                              MakeRoute(ONCE_PATH, Repeatability::NonIdempotent, 1, false),
                              MakeRoute(STREAM_PATH, Repeatability::Streaming, 2, true),
                              MakeRoute(ONE_STREAM_PATH, Repeatability::Streaming, 1, false)};
+    configuration->routes.back().timeout = Milliseconds(8000);
     configuration->pools[PoolId("pool")] = Pool{PoolId("pool"), "/health", 100, std::nullopt};
     configuration->limits.idle_timeout = Milliseconds(5000);
     dispatcher.SetConfiguration(configuration);
@@ -159,6 +160,8 @@
   CPPUNIT_TEST(AStreamGoesOnAtAnotherServer);
   CPPUNIT_TEST(AStreamThatMayNotBeResumedBreaksTheCallersConnection);
   CPPUNIT_TEST(ACutEventIsNotPassedOn);
+  CPPUNIT_TEST(AStreamOfAServerThatIsGoneEnds);
+  CPPUNIT_TEST(ASilentStreamOfAListedServerIsLeftAlone);
   CPPUNIT_TEST(ACallerThatLeavesCancels);
   CPPUNIT_TEST(HandsOnTheTimeThatIsLeft);
   CPPUNIT_TEST(AnswersAtTheDeadline);
@@ -407,6 +410,38 @@
     CPPUNIT_ASSERT(world.caller.received.find("id: 2") == std::string::npos);
   }
 
+  void AStreamOfAServerThatIsGoneEnds()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(StreamHead(head) + Chunk(Event(1)));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONE_STREAM_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("id: 1"));
+    world.dispatcher.Servers().Remove(InstanceId("i-1"));
+    const auto begun = Common::Now();
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return world.caller.ended;
+        },
+        Milliseconds(3500)));
+    CPPUNIT_ASSERT(Common::Now() - begun < Milliseconds(3200));
+  }
+
+  void ASilentStreamOfAListedServerIsLeftAlone()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(StreamHead(head) + Chunk(Event(1)));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONE_STREAM_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("id: 1"));
+    RunFor(Milliseconds(3200));
+    CPPUNIT_ASSERT(!world.caller.ended);
+  }
+
   void ACallerThatLeavesCancels()
   {
     TestServer server([](TestPeer& peer, const std::string& head) {
