Soak: real daemons under random faults, promises checked from outside

Separate processes, stand-ins for store, backend servers and callers, a loopback proxy before the store; kills, stops, pauses, restarts, reloads, store moods, lost history, late orders, replaced servers, all from one seed.

--- a/Source/Core/Http/Channel.cpp
+++ b/Source/Core/Http/Channel.cpp
@@ -40,7 +40,11 @@
 std::string Serialise(const WholeRequest& request, const Endpoint& peer)
 {
   std::string bytes = request.method + " " + request.target + " HTTP/1.1\r\n";
-  bytes += "Host: " + peer.ToString() + "\r\n";
+  const bool names_host = std::ranges::any_of(request.headers, [](const HeaderField& field) {
+    return EqualIgnoringCase(field.name, "Host");
+  });
+  if (!names_host)
+    bytes += "Host: " + peer.ToString() + "\r\n";
   for (const HeaderField& field : request.headers)
     bytes += field.name + ": " + field.value + "\r\n";
   if (!request.body.empty())
--- /dev/null
+++ b/Source/Soak/Ledger.cpp
@@ -0,0 +1,86 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Soak/Ledger.h"
+
+#include <iostream>
+
+namespace Soak
+{
+namespace
+{
+/// Between the orders of two holders to one server; the platform's bound, less what a datagram and
+/// this program's own loop take.
+constexpr Common::Milliseconds HOLDER_PAUSE{2900};
+
+/// True where the body is a whole stream for `id`: ids from 1 without a gap, then the end mark.
+bool IsWholeStream(const std::string& id, const std::string& body)
+{
+  std::string expected;
+  for (int event = 1; expected.size() < body.size(); ++event)
+    expected += "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+  return !body.empty() && expected == body;
+}
+} // namespace
+
+void Ledger::Break(const std::string& what)
+{
+  m_broken.push_back(what);
+  std::cout << "BROKEN " << what << std::endl;
+}
+
+void Ledger::NoteRun(const std::string& id)
+{
+  const auto found = m_requests.find(id);
+  if (found == m_requests.end())
+  {
+    Break("a server runs what nobody sent: " + id);
+    return;
+  }
+  Request& request = found->second;
+  ++request.runs;
+  const bool once = request.type == RequestType::Once || request.type == RequestType::OnceStream;
+  if (once && request.runs > 1)
+    Break("ran twice: " + id);
+  if (once && request.promised_not_run)
+    Break("ran after the word that it would not: " + id);
+}
+
+void Ledger::NoteAnswer(const std::string& id, int status, const std::string& body)
+{
+  Request& request = m_requests[id];
+  const bool once = request.type == RequestType::Once || request.type == RequestType::OnceStream;
+  if (status == 503 || status == 429)
+  {
+    ++m_refused;
+    request.promised_not_run = true;
+    if (once && request.runs > 0)
+      Break("told not to have run, but ran: " + id);
+    return;
+  }
+  if (status != 200)
+  {
+    ++m_failed;
+    return;
+  }
+  ++m_answered;
+  const bool stream = request.type == RequestType::Stream || request.type == RequestType::OnceStream;
+  const bool sound = stream ? IsWholeStream(id, body) : body == "answer to " + id;
+  if (!sound)
+    Break("a wrong answer to " + id + ": " + body.substr(0, 80));
+}
+
+void Ledger::NoteOrder(const std::string& server, const std::string& holder, std::int64_t fence,
+                       Common::TimePoint now)
+{
+  ++m_orders;
+  ServerOrders& last = m_servers[server];
+  if (!last.holder.empty() && last.holder != holder && now - last.at < HOLDER_PAUSE)
+    Break("two holders order " + server + " too soon: " + last.holder + ", " + holder);
+  if (fence < last.fence)
+    Break("a lower fence at " + server);
+  if (!last.holder.empty() && last.holder != holder && fence == last.fence)
+    Break("two holders with one fence at " + server);
+  last = {holder, fence, now};
+}
+} // namespace Soak
--- /dev/null
+++ b/Source/Soak/Ledger.h
@@ -0,0 +1,67 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Common/Loop.h"
+
+namespace Soak
+{
+/// What may be asked of the daemons.
+enum class RequestType
+{
+  Plain,       ///< May be repeated.
+  Once,        ///< Runs once at most.
+  Stream,      ///< May be resumed.
+  OnceStream,  ///< Runs once at most.
+};
+
+/// Keeps account of what callers and backend servers saw, and names each broken promise.
+class Ledger
+{
+public:
+  void NoteSent(const std::string& id, RequestType type) { m_requests[id].type = type; }
+  /// A backend server began to work on the request.
+  void NoteRun(const std::string& id);
+  /// The caller got a whole answer, or (status 0) none.
+  void NoteAnswer(const std::string& id, int status, const std::string& body);
+  /// A backend server took an order.
+  void NoteOrder(const std::string& server, const std::string& holder, std::int64_t fence, Common::TimePoint now);
+  void Break(const std::string& what);
+
+  const std::vector<std::string>& Broken() const { return m_broken; }
+  std::int64_t Answered() const { return m_answered; }
+  std::int64_t Refused() const { return m_refused; }
+  std::int64_t Failed() const { return m_failed; }
+  std::int64_t Orders() const { return m_orders; }
+  /// Forgets the counts, not the promises.
+  void ResetCounts() { m_answered = m_refused = m_failed = 0; }
+
+private:
+  struct Request
+  {
+    RequestType type = RequestType::Plain;
+    int runs = 0;
+    bool promised_not_run = false;
+  };
+  struct ServerOrders
+  {
+    std::string holder;
+    std::int64_t fence = 0;
+    Common::TimePoint at;
+  };
+
+  std::map<std::string, Request> m_requests;
+  std::map<std::string, ServerOrders> m_servers;
+  std::vector<std::string> m_broken;
+  std::int64_t m_answered = 0;
+  std::int64_t m_refused = 0;
+  std::int64_t m_failed = 0;
+  std::int64_t m_orders = 0;
+};
+} // namespace Soak
--- /dev/null
+++ b/Source/Soak/Main.cpp
@@ -0,0 +1,360 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// A randomized soak of the real daemons on the platform's face: separate processes on one machine, stand-ins for the
+// store, the backend servers and the callers in this one, and faults from outside the daemons. What callers
+// and backend servers see is checked while it runs. One seed gives one series of faults.
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <cxxopts.hpp>
+#include <glib.h>
+
+#include "Common/Json.h"
+#include "Common/Log.h"
+#include "Common/Loop.h"
+#include "Common/Random.h"
+#include "Http/Channel.h"
+#include "ScenarioRunner/Processes.h"
+#include "ScenarioRunner/Relay.h"
+#include "Soak/Ledger.h"
+#include "Soak/StandInServer.h"
+#include "Soak/StandInStore.h"
+
+namespace
+{
+using namespace Soak;
+using Common::Json;
+using Common::Milliseconds;
+
+constexpr int SERVERS = 4;
+constexpr int MODELS = 10;
+constexpr int FIRST_PORT = 8300;
+constexpr Milliseconds START_TIME{3000};
+constexpr Milliseconds CALM_BEFORE_CHECK{9000};
+constexpr Milliseconds CHECK_TIME{2500};
+constexpr Milliseconds REQUEST_GAP{12};
+/// After the faults, so many of 100 requests are served.
+constexpr std::int64_t SERVED_AFTER_FAULTS = 95;
+
+struct DaemonSlot
+{
+  std::string name;
+  std::string ip;
+  int pid = 0;
+  bool expected_to_run = true;
+  std::unique_ptr<ScenarioRunner::Relay> store_path;
+  std::unique_ptr<Http::Channel> callers;
+};
+
+class SoakRun
+{
+public:
+  SoakRun(std::string binary, std::uint64_t seed, int daemons, std::string net, std::string logs)
+      : m_random(seed), m_binary(std::move(binary)), m_net(std::move(net)), m_logs(std::move(logs)),
+        m_processes(m_logs)
+  {
+    std::filesystem::create_directories(m_logs);
+    m_daemons.resize(static_cast<std::size_t>(daemons));
+  }
+
+  int Run(Milliseconds faults_for)
+  {
+    Start();
+    After(START_TIME, [this] { SendRequests(); });
+    After(START_TIME, [this, faults_for] {
+      m_faults_until = Common::Now() + faults_for;
+      NextFault();
+    });
+    const auto calm = START_TIME + faults_for;
+    After(calm, [this] { CalmDown(); });
+    After(calm + CALM_BEFORE_CHECK, [this] { m_ledger.ResetCounts(); });
+    After(calm + CALM_BEFORE_CHECK + CHECK_TIME, [this] { Judge(); });
+    g_main_loop_run(m_loop);
+    m_processes.EndAll();
+    std::cout << m_ledger.Orders() << " orders, " << m_fault_count << " faults, " << m_ledger.Broken().size()
+              << " broken\n";
+    return m_ledger.Broken().empty() ? 0 : 1;
+  }
+
+private:
+  void After(Milliseconds delay, std::function<void()> callback)
+  {
+    Common::Reactor::Get().After(delay, std::move(callback));
+  }
+  std::uint64_t Draw(std::uint64_t bound) { return m_random() % bound; }
+  Milliseconds DrawMs(std::uint64_t least, std::uint64_t most) { return Milliseconds(least + Draw(most - least)); }
+  DaemonSlot& AnyDaemon() { return m_daemons[Draw(m_daemons.size())]; }
+  StandInServer& AnyServer() { return *m_servers[Draw(m_servers.size())]; }
+
+  Http::Endpoint At(const std::string& ip, int port)
+  {
+    return *Http::Endpoint::Parse(ip + ":" + std::to_string(port));
+  }
+
+  void Start()
+  {
+    const std::string store_ip = m_net + ".1";
+    Must(static_cast<bool>(m_store.Listen(At(store_ip, FIRST_PORT))), "store");
+    std::vector<std::string> models;
+    for (int i = 0; i < MODELS; ++i)
+      models.push_back("m" + std::to_string(i));
+    for (int i = 0; i < SERVERS; ++i)
+    {
+      m_servers.push_back(std::make_unique<StandInServer>("s" + std::to_string(i),
+                                                          At(m_net + ".2", FIRST_PORT + i), m_store, m_ledger, models));
+      Must(static_cast<bool>(m_servers.back()->Listen()), "server");
+    }
+    PutConfiguration();
+    for (std::size_t i = 0; i < m_daemons.size(); ++i)
+      StartDaemon(i, store_ip);
+  }
+
+  void StartDaemon(std::size_t index, const std::string& store_ip)
+  {
+    DaemonSlot& daemon = m_daemons[index];
+    daemon.name = "vm-" + std::to_string(index);
+    daemon.ip = m_net + "." + std::to_string(10 + index);
+    const std::string path_ip = m_net + "." + std::to_string(100 + index);
+    daemon.store_path = std::make_unique<ScenarioRunner::Relay>(path_ip + ":" + std::to_string(FIRST_PORT),
+                                                                store_ip + ":" + std::to_string(FIRST_PORT));
+    Must(static_cast<bool>(daemon.store_path->Open()), "relay");
+    daemon.callers = std::make_unique<Http::Channel>(At(daemon.ip, FIRST_PORT + 1));
+    const Json settings = {
+        {"nodeName", daemon.name}, {"zone", "z1"}, {"portRange", {FIRST_PORT + 4, FIRST_PORT + 9}},
+        {"listen", {{"front", daemon.ip + ":" + std::to_string(FIRST_PORT + 1)},
+                    {"ready", daemon.ip + ":" + std::to_string(FIRST_PORT + 2)}}},
+        {"bounds", {{"graceS", 3}, {"leaseMs", 3000}, {"budgetSlack", 100}}},
+        {"platform", {{"address", path_ip + ":" + std::to_string(FIRST_PORT)}}}};
+    std::ofstream(m_logs + "/" + daemon.name + ".json") << settings.dump();
+    Launch(daemon);
+  }
+
+  void Launch(DaemonSlot& daemon)
+  {
+    setenv("DRUMPOND_BOOT", (m_logs + "/" + daemon.name + ".json").c_str(), 1);
+    setenv("DRUMPOND_METRICS_PORT", std::to_string(FIRST_PORT + 3).c_str(), 1);
+    daemon.pid = m_processes.Start(daemon.name, {m_binary});
+    daemon.expected_to_run = true;
+  }
+
+  static void Must(bool done, const char* what)
+  {
+    if (done)
+      return;
+    std::cerr << "soak: cannot start the " << what << "\n";
+    std::exit(2);
+  }
+
+  void PutConfiguration()
+  {
+    const auto route = [&](const char* prefix, const char* kind, int attempts, bool model, bool resumable) {
+      return Json{{"name", prefix}, {"host", "h"}, {"pathPrefix", prefix}, {"kind", kind}, {"timeoutMs", 4000},
+                  {"targetLatencyMs", 300}, {"gapAimMs", 100}, {"priority", 1}, {"service", "pool"},
+                  {"maxAttempts", attempts}, {"sticky", model}, {"resumable", resumable}};
+    };
+    Json models = Json::array();
+    for (int i = 0; i < MODELS; ++i)
+      models.push_back({{"name", "m" + std::to_string(i)}, {"weightsMb", 70}, {"loadS", 2}, {"diskS", 0.2}, {"warmS", 0.1}});
+    m_store.Put("op", "config",
+                {{"version", ++m_configuration},
+                 {"routes", {route("/plain/", "idempotent", 2, false, false), route("/once/", "non_idempotent", 1, false, false),
+                             route("/stream/", "streaming", 2, true, true), route("/one/", "streaming", 1, true, false)}},
+                 {"services", {{{"name", "pool"}, {"maxConns", 200},
+                                {"engine", {{"slots", 16}, {"weightsMb", 150}, {"adapterSlots", 0}, {"loadsPerS", 3}, {"models", models}}}}}},
+                 {"limits", {{"idleTimeoutMs", 10000}}}});
+  }
+
+  void SendRequests()
+  {
+    if (m_stopped)
+      return;
+    SendOne();
+    After(REQUEST_GAP, [this] { SendRequests(); });
+  }
+
+  void SendOne()
+  {
+    DaemonSlot& daemon = AnyDaemon();
+    if (!daemon.expected_to_run)
+      return;
+    const auto type = static_cast<RequestType>(Draw(4));
+    static const char* const PATHS[] = {"/plain/x", "/once/x", "/stream/x", "/one/x"};
+    const std::string id = "r" + std::to_string(++m_request_count);
+    Http::WholeRequest request{"POST", PATHS[static_cast<int>(type)], {{"Host", "h"}, {"Attempt-Id", id}, {"Time-Left-Ms", "4000"}}, "body"};
+    if (type == RequestType::Stream || type == RequestType::OnceStream)
+      request.headers.push_back({"Model", "m" + std::to_string(Draw(MODELS))});
+    m_ledger.NoteSent(id, type);
+    daemon.callers->Call(request, Milliseconds(6000), [this, id](Common::Result<Http::WholeAnswer> answer) {
+      if (answer)
+        m_ledger.NoteAnswer(id, answer->status, answer->body);
+      else
+        m_ledger.NoteAnswer(id, 0, "");
+    });
+  }
+
+  void NextFault()
+  {
+    CheckProcesses();
+    if (Common::Now() >= m_faults_until)
+      return;
+    ++m_fault_count;
+    Strike();
+    After(DrawMs(150, 1200), [this] { NextFault(); });
+  }
+
+  void Strike()
+  {
+    switch (Draw(11))
+    {
+    case 0:
+      StopAndRestart(AnyDaemon(), SIGKILL);
+      break;
+    case 1:
+      StopAndRestart(AnyDaemon(), SIGTERM);
+      break;
+    case 2:
+      Pause(AnyDaemon());
+      break;
+    case 3:
+      m_processes.Signal(AnyDaemon().pid, SIGHUP);
+      PutConfiguration();
+      break;
+    case 4:
+      SetStoreFor(static_cast<StoreMood>(1 + Draw(3)), DrawMs(300, 5000));
+      break;
+    case 5:
+      m_store.DropHistory();
+      break;
+    case 6:
+      CutFromStore(AnyDaemon());
+      break;
+    case 7:
+      AnyServer().Restart();
+      break;
+    case 8:
+      DrainAndReplace(AnyServer());
+      break;
+    default:
+      SetServerFor(AnyServer(), static_cast<ServerMood>(1 + Draw(4)), DrawMs(300, 5000));
+    }
+  }
+
+  void StopAndRestart(DaemonSlot& daemon, int signal)
+  {
+    if (!daemon.expected_to_run)
+      return;
+    m_processes.Signal(daemon.pid, SIGCONT);
+    m_processes.Signal(daemon.pid, signal);
+    daemon.expected_to_run = false;
+    const auto away = signal == SIGTERM ? Milliseconds(3600) : DrawMs(100, 1500);
+    After(away, [this, &daemon] {
+      if (!m_processes.Ended(daemon.pid))
+        m_ledger.Break("did not stop in its grace time: " + daemon.name);
+      Launch(daemon);
+    });
+  }
+
+  void Pause(DaemonSlot& daemon)
+  {
+    m_processes.Signal(daemon.pid, SIGSTOP);
+    After(DrawMs(100, 6000), [this, pid = daemon.pid] { m_processes.Signal(pid, SIGCONT); });
+  }
+
+  void SetStoreFor(StoreMood mood, Milliseconds span)
+  {
+    m_store.SetMood(mood);
+    After(span, [this] { m_store.SetMood(StoreMood::Well); });
+  }
+
+  void CutFromStore(DaemonSlot& daemon)
+  {
+    daemon.store_path->SetCut(true);
+    After(DrawMs(300, 6000), [&daemon] { daemon.store_path->SetCut(false); });
+  }
+
+  void DrainAndReplace(StandInServer& server)
+  {
+    server.Drain();
+    After(DrawMs(1000, 3000), [&server] { server.Restart(); });
+  }
+
+  void SetServerFor(StandInServer& server, ServerMood mood, Milliseconds span)
+  {
+    server.SetMood(mood);
+    After(span, [&server] { server.SetMood(ServerMood::Well); });
+  }
+
+  void CheckProcesses()
+  {
+    for (const DaemonSlot& daemon : m_daemons)
+      if (daemon.expected_to_run && m_processes.Ended(daemon.pid))
+        m_ledger.Break("ended by itself: " + daemon.name);
+  }
+
+  void CalmDown()
+  {
+    m_store.SetMood(StoreMood::Well);
+    for (const auto& server : m_servers)
+      server->SetMood(ServerMood::Well);
+    for (DaemonSlot& daemon : m_daemons)
+    {
+      daemon.store_path->SetCut(false);
+      m_processes.Signal(daemon.pid, SIGCONT);
+    }
+  }
+
+  void Judge()
+  {
+    m_stopped = true;
+    CheckProcesses();
+    const auto all = m_ledger.Answered() + m_ledger.Refused() + m_ledger.Failed();
+    std::cout << "after the faults: " << m_ledger.Answered() << " of " << all << " served, " << m_ledger.Refused()
+              << " refused, " << m_ledger.Failed() << " failed\n";
+    if (m_ledger.Answered() * 100 < all * SERVED_AFTER_FAULTS || all == 0)
+      m_ledger.Break("too little is served after the faults");
+    g_main_loop_quit(m_loop);
+  }
+
+  Common::Random m_random;
+  std::string m_binary;
+  std::string m_net;
+  std::string m_logs;
+  ScenarioRunner::Processes m_processes;
+  Ledger m_ledger;
+  StandInStore m_store;
+  std::vector<std::unique_ptr<StandInServer>> m_servers;
+  std::vector<DaemonSlot> m_daemons;
+  GMainLoop* m_loop = g_main_loop_new(nullptr, FALSE);
+  Common::TimePoint m_faults_until;
+  std::int64_t m_configuration = 0;
+  std::int64_t m_request_count = 0;
+  int m_fault_count = 0;
+  bool m_stopped = false;
+};
+} // namespace
+
+int main(int argc, char** argv)
+{
+  cxxopts::Options options("soak", "A randomized soak of the daemons with faults from outside");
+  options.add_options()("seed", "of the series of faults", cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "seconds", "for which faults come", cxxopts::value<int>()->default_value("15"))(
+      "daemons", "at once", cxxopts::value<int>()->default_value("4"))(
+      "net", "first three numbers of the loopback addresses", cxxopts::value<std::string>()->default_value("127.40.1"))(
+      "logs", "folder for the daemons' logs", cxxopts::value<std::string>()->default_value("build/soak"))(
+      "binary", "of the daemon", cxxopts::value<std::string>()->default_value("build/bin/drumpondd"));
+  const auto parsed = options.parse(argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  Common::InitLog(argv[0]);
+  Common::MuteLog();
+  SoakRun run(std::filesystem::absolute(parsed["binary"].as<std::string>()), parsed["seed"].as<std::uint64_t>(),
+              parsed["daemons"].as<int>(), parsed["net"].as<std::string>(),
+              std::filesystem::absolute(parsed["logs"].as<std::string>()));
+  return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
+}
--- /dev/null
+++ b/Source/Soak/StandInServer.h
@@ -0,0 +1,75 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "Common/Json.h"
+#include "Common/Reactor.h"
+#include "Http/ServerConnection.h"
+#include "Soak/Ledger.h"
+#include "Soak/StandInStore.h"
+
+namespace Soak
+{
+/// How a backend server behaves at the moment.
+enum class ServerMood
+{
+  Well,
+  Resets,     ///< Breaks off answers.
+  Silent,     ///< Takes requests and says nothing.
+  Sheds,      ///< Rejects requests before they run.
+  LateOrders, ///< Leaves orders unanswered and carries them out seconds later.
+};
+
+/// A stand-in for a backend server with a model engine: requests, streams, orders, its entry.
+class StandInServer : public Http::RequestHandler
+{
+public:
+  StandInServer(std::string name, Http::Endpoint endpoint, StandInStore& store, Ledger& ledger,
+                std::vector<std::string> models);
+
+  Common::Result<Common::Done> Listen();
+  /// Ends every connection, forgets models and orders, and comes back as another instance.
+  void Restart();
+  void Drain();
+  void SetMood(ServerMood mood) { m_mood = mood; }
+
+  void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
+                 Http::ReceivedRequest request) override;
+  const Http::ServerLimits& Limits() const override { return m_limits; }
+  bool IsStopping() const override { return false; }
+
+private:
+  using Connection = std::shared_ptr<Http::ServerConnection>;
+
+  void WriteEntry();
+  void Serve(const Connection& connection, const Http::ReceivedRequest& request);
+  void Stream(const Connection& connection, const std::string& id, int event);
+  void TakeOrder(const Connection& connection, const Http::ReceivedRequest& request);
+  int Carry(const Common::Json& order);
+  void Reject(const Connection& connection, int status, const std::string& id);
+  void After(Common::Milliseconds delay, std::function<void()> callback);
+
+  std::string m_name;
+  std::string m_instance;
+  Http::Endpoint m_endpoint;
+  StandInStore& m_store;
+  Ledger& m_ledger;
+  Http::TcpListener m_listener;
+  Http::ServerLimits m_limits;
+  std::map<Http::ServerConnection*, Connection> m_connections;
+  std::vector<std::string> m_disk;
+  std::set<std::string> m_models;
+  std::int64_t m_sequence = 0;
+  bool m_busy = false;
+  bool m_draining = false;
+  int m_life = 0;
+  ServerMood m_mood = ServerMood::Well;
+};
+} // namespace Soak
--- /dev/null
+++ b/Source/Soak/StandInStore.cpp
@@ -0,0 +1,200 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Soak/StandInStore.h"
+
+#include <utility>
+
+#include <glib.h>
+
+#include "Common/Loop.h"
+#include "Common/Random.h"
+
+namespace Soak
+{
+namespace
+{
+using Common::Json;
+
+/// One in so many writes loses its answer while the store loses some.
+constexpr std::uint64_t LOSES_ONE_IN = 3;
+
+std::string QueryValue(const std::string& target, const std::string& name)
+{
+  const auto at = target.find(name + "=");
+  if (at == std::string::npos)
+    return "";
+  const auto begin = at + name.size() + 1;
+  char* text = g_uri_unescape_string(target.substr(begin, target.find('&', begin) - begin).c_str(), nullptr);
+  std::string value = text == nullptr ? "" : text;
+  g_free(text);
+  return value;
+}
+
+std::int64_t NowMs()
+{
+  return std::chrono::duration_cast<Common::Milliseconds>(Common::Now().time_since_epoch()).count();
+}
+} // namespace
+
+Common::Result<Common::Done> StandInStore::Listen(const Http::Endpoint& endpoint)
+{
+  return m_listener.Listen(endpoint, [this](int fd, const Http::Endpoint&) {
+    const auto connection = Http::ServerConnection::Adopt(fd, *this);
+    m_connections.emplace(connection.get(), connection);
+    connection->OnFinished([this](Http::ServerConnection* finished) { m_connections.erase(finished); });
+  });
+}
+
+void StandInStore::Write(const std::string& table, const std::string& key, Row row)
+{
+  row.version = ++m_version;
+  m_tables[table][key] = std::move(row);
+  std::list<Waiter> ready;
+  for (auto waiter = m_waiters.begin(); waiter != m_waiters.end();)
+  {
+    const auto next = std::next(waiter);
+    if (waiter->table == table)
+      ready.splice(ready.end(), m_waiters, waiter);
+    waiter = next;
+  }
+  for (const Waiter& waiter : ready)
+    AnswerFeed(waiter.connection, waiter.table, waiter.after);
+}
+
+void StandInStore::Put(const std::string& table, const std::string& key, const Json& value)
+{
+  const std::string text = Common::DumpJson(value);
+  char* encoded = g_base64_encode(reinterpret_cast<const guchar*>(text.data()), text.size());
+  Write(table, key, {encoded, 0, false});
+  g_free(encoded);
+}
+
+void StandInStore::Remove(const std::string& table, const std::string& key)
+{
+  if (m_tables[table].contains(key))
+    Write(table, key, {"", 0, true});
+}
+
+void StandInStore::DropHistory()
+{
+  m_history_floor = m_version;
+  for (const Waiter& waiter : std::exchange(m_waiters, {}))
+    waiter.connection->Respond(410, "Gone", {}, "");
+}
+
+void StandInStore::OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
+                             Http::ReceivedRequest request)
+{
+  if (m_mood == StoreMood::Silent)
+    return;
+  if (m_mood == StoreMood::Busy)
+  {
+    connection->Respond(503, Http::ReasonPhrase(503), {}, "");
+    return;
+  }
+  const std::string& target = request.head.target;
+  if (target.starts_with("/rows-get"))
+    Read(connection, QueryValue(target, "table"), QueryValue(target, "startRev"));
+  else if (target.starts_with("/rows-feed"))
+    Feed(connection, QueryValue(target, "table"), std::atoll(QueryValue(target, "after").c_str()),
+         Common::Milliseconds(std::atoi(QueryValue(target, "waitMs").c_str())));
+  else if (target == "/rows-tx")
+    Transact(connection, request.body);
+  else
+    connection->Respond(404, Http::ReasonPhrase(404), {}, "");
+}
+
+Json StandInStore::RowJson(const std::string& table, const std::string& key, const Row& row) const
+{
+  Json json = {{"table", table}, {"part", ""}, {"key", key}, {"value", row.value}, {"ver", row.version}};
+  if (row.removed)
+    json["deleted"] = true;
+  return json;
+}
+
+void StandInStore::Answer(const std::shared_ptr<Http::ServerConnection>& connection, int status, Json body)
+{
+  body["ver"] = m_version;
+  body["nowMs"] = NowMs();
+  connection->Respond(status, Http::ReasonPhrase(status), {{"Content-Type", "application/json"}},
+                      Common::DumpJson(body));
+}
+
+void StandInStore::Read(const std::shared_ptr<Http::ServerConnection>& connection,
+                        const std::string& table, const std::string& first_key)
+{
+  Json rows = Json::array();
+  for (const auto& [key, row] : m_tables[table])
+    if (key >= first_key && !row.removed)
+      rows.push_back(RowJson(table, key, row));
+  Answer(connection, 200, {{"rows", rows}, {"hasMore", false}});
+}
+
+bool StandInStore::AnswerFeed(const std::shared_ptr<Http::ServerConnection>& connection,
+                              const std::string& table, std::int64_t after)
+{
+  std::map<std::int64_t, Json> changed;
+  for (const auto& [key, row] : m_tables[table])
+    if (row.version > after)
+      changed[row.version] = RowJson(table, key, row);
+  if (changed.empty())
+    return false;
+  Json rows = Json::array();
+  for (auto& [version, row] : changed)
+    rows.push_back(std::move(row));
+  Answer(connection, 200, {{"rows", rows}});
+  return true;
+}
+
+void StandInStore::Feed(const std::shared_ptr<Http::ServerConnection>& connection,
+                        const std::string& table, std::int64_t after, Common::Milliseconds wait)
+{
+  if (after < m_history_floor)
+  {
+    connection->Respond(410, "Gone", {}, "");
+    return;
+  }
+  if (AnswerFeed(connection, table, after))
+    return;
+  m_waiters.emplace_back();
+  Waiter& waiter = m_waiters.back();
+  waiter.table = table;
+  waiter.after = after;
+  waiter.connection = connection;
+  waiter.timer.Start(wait, [this, target = &waiter] {
+    const auto held = target->connection;
+    m_waiters.remove_if([&](const Waiter& known) { return &known == target; });
+    Answer(held, 200, {{"rows", Json::array()}});
+  });
+}
+
+void StandInStore::Transact(const std::shared_ptr<Http::ServerConnection>& connection,
+                            const std::string& body)
+{
+  const auto json = Common::ParseJson(body);
+  Json conflicts = Json::array();
+  for (const Json& condition : Common::GetArray(*json, "expectedRev"))
+  {
+    const auto table = Common::GetOr<std::string>(condition, "table", "");
+    const auto key = Common::GetOr<std::string>(condition, "key", "");
+    const Row& row = m_tables[table][key];
+    const std::int64_t version = row.removed ? 0 : row.version;
+    if (version != Common::GetOr<std::int64_t>(condition, "ver", 0))
+      conflicts.push_back(RowJson(table, key, row));
+  }
+  if (!conflicts.empty())
+  {
+    Answer(connection, 412, {{"rows", conflicts}});
+    return;
+  }
+  for (const Json& row : Common::GetArray(*json, "setKeys"))
+    Write(Common::GetOr<std::string>(row, "table", ""), Common::GetOr<std::string>(row, "key", ""),
+          {Common::GetOr<std::string>(row, "value", ""), 0, false});
+  const bool lost = m_mood == StoreMood::LosesSome && Common::SharedRandom()() % LOSES_ONE_IN == 0;
+  if (lost)
+    connection->BreakAnswer();
+  else
+    Answer(connection, 200, Json::object());
+}
+} // namespace Soak
--- /dev/null
+++ b/Source/Soak/StandInStore.h
@@ -0,0 +1,79 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "Common/Json.h"
+#include "Common/Reactor.h"
+#include "Http/ServerConnection.h"
+
+namespace Soak
+{
+/// How the store behaves at the moment.
+enum class StoreMood
+{
+  Well,
+  Busy,       ///< Every call is answered with 503.
+  Silent,     ///< No call is answered.
+  LosesSome,  ///< Some writes take effect and are not answered.
+};
+
+/// A stand-in for the platform's store: rows with versions, feeds that wait, compare-and-set.
+class StandInStore : public Http::RequestHandler
+{
+public:
+  Common::Result<Common::Done> Listen(const Http::Endpoint& endpoint);
+
+  void Put(const std::string& table, const std::string& key, const Common::Json& value);
+  void Remove(const std::string& table, const std::string& key);
+  void SetMood(StoreMood mood) { m_mood = mood; }
+  /// Forgets its history: feeds that wait, and those that ask for older changes, are told so.
+  void DropHistory();
+
+  void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
+                 Http::ReceivedRequest request) override;
+  const Http::ServerLimits& Limits() const override { return m_limits; }
+  bool IsStopping() const override { return false; }
+
+private:
+  struct Row
+  {
+    std::string value;
+    std::int64_t version = 0;
+    bool removed = false;
+  };
+  struct Waiter
+  {
+    std::string table;
+    std::int64_t after = 0;
+    std::shared_ptr<Http::ServerConnection> connection;
+    Common::OwnedTimer timer;
+  };
+
+  void Write(const std::string& table, const std::string& key, Row row);
+  void Read(const std::shared_ptr<Http::ServerConnection>& connection, const std::string& table,
+            const std::string& first_key);
+  void Feed(const std::shared_ptr<Http::ServerConnection>& connection, const std::string& table,
+            std::int64_t after, Common::Milliseconds wait);
+  void Transact(const std::shared_ptr<Http::ServerConnection>& connection, const std::string& body);
+  bool AnswerFeed(const std::shared_ptr<Http::ServerConnection>& connection,
+                  const std::string& table, std::int64_t after);
+  Common::Json RowJson(const std::string& table, const std::string& key, const Row& row) const;
+  void Answer(const std::shared_ptr<Http::ServerConnection>& connection, int status, Common::Json body);
+
+  Http::TcpListener m_listener;
+  Http::ServerLimits m_limits;
+  std::map<Http::ServerConnection*, std::shared_ptr<Http::ServerConnection>> m_connections;
+  std::map<std::string, std::map<std::string, Row>> m_tables;
+  std::int64_t m_version = 1;
+  std::int64_t m_history_floor = 0;
+  std::list<Waiter> m_waiters;
+  StoreMood m_mood = StoreMood::Well;
+};
+} // namespace Soak
