Decisions: models take turns where more are in use than there are places

Now: a model that nobody holds and that is waited for 0.9 s may push out one that has had 1.5 s and is in no more demand; its runs end first.

--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <set>
 
 namespace Decisions
@@ -22,6 +23,14 @@
 constexpr Milliseconds MIN_IDLE{400};
 /// A replica is kept at least so long after it was loaded: whoever waited for it gets its turn.
 constexpr Milliseconds MIN_STAY{600};
+/// A model that nobody holds and that is waited for so long may push out one that is in use: an unload
+/// waits for the runs of its model, so nothing is cut, and models take turns where there are more of
+/// them in use than places.
+constexpr Milliseconds TURN_WAIT{900};
+/// A replica that is in use has its turn for at least so long.
+constexpr Milliseconds MIN_TURN{1500};
+/// What one running request of the victim adds to the cost: the unload waits for it.
+constexpr double VICTIM_RUN_COST_MS = 150;
 /// What an unload adds before the load can begin; measured on the users' bench.
 constexpr Milliseconds UNLOAD_TIME{120};
 /// What one running request adds to the cost of loading on its server: the load and the requests
@@ -157,9 +166,17 @@
                         COST_PER_RUNNING_MS * server.in_flight;
     if (FreeMemory(server) >= model.memory_mb)
       return candidate;
-    candidate.victim = VictimOn(server, model.memory_mb);
+    candidate.victim = VictimOn(server, model.memory_mb, [&](const PlannedReplica& replica) {
+      return MayGive(server, replica);
+    });
+    const bool takes_turns = Replicas(model) == 0 && model.oldest_wait >= TURN_WAIT;
+    if (candidate.victim == nullptr && takes_turns)
+      candidate.victim = VictimOn(server, model.memory_mb, [&](const PlannedReplica& replica) {
+        return MayGiveItsTurn(server, replica, model);
+      });
     if (candidate.victim == nullptr)
       return std::nullopt;
+    candidate.cost_ms += VICTIM_RUN_COST_MS * candidate.victim->in_flight;
     candidate.victim_value = Value(candidate.victim->model);
     // A victim that is asked for often has to come back soon: half a load for each second's
     // request.
@@ -215,7 +232,20 @@
     return Replicas(model) > Wanted(model) || Wanted(model) <= 1;
   }
 
-  const PlannedReplica* VictimOn(const PlannedServer& server, double memory_needed) const
+  /// True where a replica in use may make way for a model that waits: it has had its turn, and its model
+  /// is not in more demand.
+  bool MayGiveItsTurn(const PlannedServer& server, const PlannedReplica& replica,
+                      const PlannedModel& waiting) const
+  {
+    const auto found = m_input.models.find(replica.model);
+    if (found == m_input.models.end() || server.loading == replica.model ||
+        m_input.now - replica.since < MIN_TURN)
+      return false;
+    return found->second.in_flight <= waiting.waiting + 1;
+  }
+
+  const PlannedReplica* VictimOn(const PlannedServer& server, double memory_needed,
+                                 const std::function<bool(const PlannedReplica&)>& may_give) const
   {
     const PlannedReplica* best = nullptr;
     const double free = FreeMemory(server);
@@ -227,7 +257,7 @@
     };
     for (const PlannedReplica& replica : server.replicas)
     {
-      if (!MayGive(server, replica) || free + MemoryOf(replica.model) < memory_needed)
+      if (!may_give(replica) || free + MemoryOf(replica.model) < memory_needed)
         continue;
       if (best == nullptr || key(replica) < key(*best))
         best = &replica;
--- a/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
+++ b/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
@@ -57,6 +57,8 @@
   CPPUNIT_TEST(AFreePlaceIsTakenFirst);
   CPPUNIT_TEST(TheLeastWantedModelGivesWay);
   CPPUNIT_TEST(AModelInUseStays);
+  CPPUNIT_TEST(ModelsInUseTakeTurns);
+  CPPUNIT_TEST(ABusierModelKeepsItsPlace);
   CPPUNIT_TEST(AModelOnItsWayIsNotOrderedTwice);
   CPPUNIT_TEST(OneOrderAServer);
   CPPUNIT_TEST(LoadsFromTheWeightStoreAreBounded);
@@ -95,6 +97,37 @@
     CPPUNIT_ASSERT(PlanReplicas(Input({server}, {Model("a"), Model("b"), Model("c", 1)})).empty());
   }
 
+  static ReplicaPlanInput InputInUse(int in_flight)
+  {
+    PlannedServer server = Server("s", {"a", "b"});
+    server.replicas[0].in_flight = in_flight;
+    server.replicas[1].in_flight = in_flight;
+    PlannedModel waiting = Model("c", 1);
+    waiting.oldest_wait = Milliseconds(900);
+    waiting.priority = 1;
+    PlannedModel a = Model("a");
+    PlannedModel b = Model("b");
+    a.in_flight = b.in_flight = in_flight;
+    a.priority = b.priority = 1;
+    return Input({server}, {a, b, waiting});
+  }
+
+  void ModelsInUseTakeTurns()
+  {
+    auto input = InputInUse(1);
+    const auto orders = PlanReplicas(input);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
+    CPPUNIT_ASSERT(orders[0].kind == PlannedOrder::Kind::Unload);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), orders[0].for_model);
+    input.models["c"].oldest_wait = Milliseconds(100);
+    CPPUNIT_ASSERT(PlanReplicas(input).empty());
+  }
+
+  void ABusierModelKeepsItsPlace()
+  {
+    CPPUNIT_ASSERT(PlanReplicas(InputInUse(6)).empty());
+  }
+
   void AModelOnItsWayIsNotOrderedTwice()
   {
     PlannedServer loading = Server("s", {"a"});
