--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -104,12 +104,19 @@
         lacking.push_back(&model);
     std::ranges::sort(lacking, {}, [&](const PlannedModel* model) {
       const bool unserved = Replicas(*model) == 0 && model->waiting > 0;
-      return std::tuple(!unserved, model->waiting == 0, model->priority,
-                        -model->oldest_wait.count());
+      return std::tuple(!unserved, model->waiting == 0, -Urgency(*model));
     });
     return lacking;
   }
 
+  /// Many requests that wait for one load go before one; rank and age count beside the number, so that
+  /// nobody waits for ever.
+  static double Urgency(const PlannedModel& model)
+  {
+    const double rank = 1 + 1.0 / (1 + model.priority);
+    return model.waiting * rank + std::chrono::duration<double>(model.oldest_wait).count();
+  }
+
   int Replicas(const PlannedModel& model) const
   {
     const auto found = m_replicas.find(model.model);
--- a/Source/Soak/Main.cpp
+++ b/Source/Soak/Main.cpp
@@ -5,6 +5,7 @@
 // store, the backend servers and the callers in this one, and faults from outside the daemons. What callers
 // and backend servers see is checked while it runs. One seed gives one series of faults.
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -34,6 +35,7 @@
 using Common::Milliseconds;
 
 constexpr int SERVERS = 4;
+/// More than there are places; the first are asked for the most.
 constexpr int MODELS = 10;
 constexpr int FIRST_PORT = 8300;
 constexpr Milliseconds START_TIME{3000};
@@ -189,7 +191,7 @@
     const std::string id = "r" + std::to_string(++m_request_count);
     Http::WholeRequest request{"POST", PATHS[static_cast<int>(type)], {{"Host", "h"}, {"Attempt-Id", id}, {"Time-Left-Ms", "4000"}}, "body"};
     if (type == RequestType::Stream || type == RequestType::OnceStream)
-      request.headers.push_back({"Model", "m" + std::to_string(Draw(MODELS))});
+      request.headers.push_back({"Model", "m" + std::to_string(std::min(Draw(MODELS), Draw(MODELS)))});
     m_ledger.NoteSent(id, type);
     daemon.callers->Call(request, Milliseconds(6000), [this, id](Common::Result<Http::WholeAnswer> answer) {
       if (answer)
--- a/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
+++ b/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(ModelsInUseTakeTurns);
   CPPUNIT_TEST(ABusierModelKeepsItsPlace);
   CPPUNIT_TEST(AModelOnItsWayIsNotOrderedTwice);
+  CPPUNIT_TEST(ManyThatWaitGoBeforeOne);
   CPPUNIT_TEST(OneOrderAServer);
   CPPUNIT_TEST(LoadsFromTheWeightStoreAreBounded);
   CPPUNIT_TEST(ABusyModelGetsASpareReplicaFromDiskOnly);
@@ -137,6 +138,17 @@
         PlanReplicas(Input({loading, Server("t", {"a"})}, {Model("a"), Model("c", 1)})).empty());
   }
 
+  void ManyThatWaitGoBeforeOne()
+  {
+    PlannedModel one = Model("a", 1);
+    one.priority = 0;
+    PlannedModel many = Model("b", 12);
+    many.priority = 1;
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), PlanReplicas(Input({Server("s", {})}, {one, many})).at(0).model);
+    one.oldest_wait = Milliseconds(30000);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), PlanReplicas(Input({Server("s", {})}, {one, many})).at(0).model);
+  }
+
   void OneOrderAServer()
   {
     const auto orders = PlanReplicas(Input({Server("s", {})}, {Model("a", 1), Model("b", 1)}));
--- /dev/null
+++ b/Tools/soak.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# SPDX-FileCopyrightText: 2026 The drumpond developers
+# SPDX-License-Identifier: Apache-2.0
+#
+# Soaks the real daemons: Tools/soak.sh kept plays the seeds of Scenarios/soak-seeds.txt for some seconds each,
+# Tools/soak.sh FIRST COUNT [SECONDS [AT_ONCE]] a range of seeds. Logs of the daemons lie under build/soak/SEED.
+# Ends in "N passed, N failed".
+set -uo pipefail
+cd "$(dirname "$0")/.."
+if [ "${1:-kept}" = kept ]; then
+  SEEDS=$(sed -n 's/^\([0-9][0-9]*\) .*/\1/p' Scenarios/soak-seeds.txt)
+  SECONDS_EACH=6
+  AT_ONCE=4
+else
+  SEEDS=$(seq "$1" $(($1 + $2 - 1)))
+  SECONDS_EACH=${3:-10}
+  AT_ONCE=${4:-4}
+fi
+mkdir -p build/soak
+# one SEED: plays it on loopback addresses of its own.
+one() {
+  local seed=$1
+  build/bin/soak --seed "$seed" --seconds "$SECONDS_EACH" --net "127.$((50 + seed / 250 % 50)).$((seed % 250 + 1))" \
+    --logs "build/soak/$seed" >"build/soak/$seed.txt" 2>&1
+  if [ $? -eq 0 ]; then echo "pass soak-$seed"; else echo "FAIL soak-$seed : $(grep BROKEN "build/soak/$seed.txt" | head -n 3 | tr '\n' ';')"; fi
+}
+export -f one
+export SECONDS_EACH
+RESULTS=$(echo "$SEEDS" | xargs -P "$AT_ONCE" -I{} bash -c 'one {}')
+echo "$RESULTS"
+echo "$(grep -c '^pass' <<<"$RESULTS") passed, $(grep -c '^FAIL' <<<"$RESULTS") failed"
+! grep -q '^FAIL' <<<"$RESULTS"
