Orders: a holder that is cut off from the store says that it has stopped

Now: a holder that the store has not answered for 1.2 s stops for good under that version of the row and tells all daemons when its last order went out; the next counts the pause from there. It gives no orders once its view is 0.9 s old. The lease lasts 3 s. Ruled out: ordering on without the store (another holder may have it).

--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -23,9 +23,9 @@
 constexpr Milliseconds MIN_IDLE{400};
 /// A replica is kept at least so long after it was loaded: whoever waited for it gets its turn.
 constexpr Milliseconds MIN_STAY{600};
-/// A model that nobody holds and that is waited for so long may push out one that is in use: an unload
-/// waits for the runs of its model, so nothing is cut, and models take turns where there are more of
-/// them in use than places.
+/// A model that nobody holds and that is waited for so long may push out one that is in use: an
+/// unload waits for the runs of its model, so nothing is cut, and models take turns where there are
+/// more of them in use than places.
 constexpr Milliseconds TURN_WAIT{900};
 /// A replica that is in use has its turn for at least so long.
 constexpr Milliseconds MIN_TURN{1500};
@@ -109,8 +109,8 @@
     return lacking;
   }
 
-  /// Many requests that wait for one load go before one; rank and age count beside the number, so that
-  /// nobody waits for ever.
+  /// Many requests that wait for one load go before one; rank and age count beside the number, so
+  /// that nobody waits for ever.
   static double Urgency(const PlannedModel& model)
   {
     const double rank = 1 + 1.0 / (1 + model.priority);
@@ -239,8 +239,8 @@
     return Replicas(model) > Wanted(model) || Wanted(model) <= 1;
   }
 
-  /// True where a replica in use may make way for a model that waits: it has had its turn, and its model
-  /// is not in more demand.
+  /// True where a replica in use may make way for a model that waits: it has had its turn, and its
+  /// model is not in more demand.
   bool MayGiveItsTurn(const PlannedServer& server, const PlannedReplica& replica,
                       const PlannedModel& waiting) const
   {
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -7,6 +7,7 @@
 #include <iterator>
 #include <memory>
 #include <optional>
+#include <ranges>
 #include <string>
 #include <vector>
 
@@ -68,6 +69,7 @@
     std::ranges::transform(shared_tables, std::back_inserter(tables), [](Follower* follower) {
       return AccessTo(*follower);
     });
+    m_shared_tables = shared_tables;
     m_hub.SetTables(std::move(tables));
     m_hub.OnLeaseWord(
         [this](const LeaseWord& word, const Common::VmId& holder, const Http::Endpoint& from) {
@@ -75,7 +77,8 @@
           Follow();
         });
     m_desk.SetPermission([this]() -> std::optional<std::int64_t> {
-      if (!m_lease.MayOrder(Common::Now()))
+      const auto now = Common::Now();
+      if (!m_lease.MayOrder(now) || OldestAnswer(now) > MAX_AGE_FOR_ORDERS)
         return std::nullopt;
       return m_lease.Fence();
     });
@@ -127,7 +130,14 @@
 private:
   /// A holder that dies is missed for this long and the pause between holders. Shorter costs more
   /// renewals, each of which is a priced call and wakes every daemon.
-  static constexpr Common::Milliseconds LEASE_DURATION{4000};
+  static constexpr Common::Milliseconds LEASE_DURATION{3000};
+  /// The holder asks the store twice a second; this much silence means that it is cut off.
+  static constexpr Common::Milliseconds MAX_SILENCE{1200};
+  /// A holder whose view of the servers is older gives no orders; what lies between this and the
+  /// silence above is the time in which its last orders have arrived.
+  static constexpr Common::Milliseconds MAX_AGE_FOR_ORDERS{900};
+  /// At the beginning of a tenure a call may still be waiting with a follower's longer time.
+  static constexpr Common::Milliseconds FIRST_ANSWERS{3500};
   /// Added to the platform's pause between holders: orders travel.
   static constexpr Common::Milliseconds PAUSE_MARGIN{150};
   /// How often the holder plans when nothing happens.
@@ -159,8 +169,41 @@
     return access;
   }
 
+  Common::Milliseconds OldestAnswer(Common::TimePoint now) const
+  {
+    Common::Milliseconds oldest{0};
+    for (const Follower* table : m_shared_tables)
+      oldest = std::max(oldest, table->AnswerAge(now));
+    return now - m_held_since < FIRST_ANSWERS ? Common::Milliseconds(0) : oldest;
+  }
+
+  Common::Milliseconds NewestAnswer(Common::TimePoint now) const
+  {
+    const auto age_of = [&](const Follower* table) {
+      return table->AnswerAge(now);
+    };
+    return std::ranges::min(m_shared_tables | std::views::transform(age_of));
+  }
+
+  /// A holder that the store does not answer stops at once and says so, instead of letting its time
+  /// run out: another daemon may reach the store.
+  void AbdicateIfCutOff(Common::TimePoint now)
+  {
+    if (!m_held)
+      return;
+    const auto limit = now - m_held_since < FIRST_ANSWERS ? FIRST_ANSWERS : MAX_SILENCE;
+    if (NewestAnswer(now) <= limit)
+      return;
+    LeaseWord word{m_lease.Fence(), m_lease.RowVersion(), {}, true, {}};
+    const auto age = std::chrono::floor<Common::Milliseconds>(now - m_desk.LastOrderAt());
+    word.last_order_age = std::min(age, Common::Milliseconds(60000));
+    m_lease.Abdicate();
+    m_hub.AnnounceAbdication(word);
+  }
+
   void Tick()
   {
+    AbdicateIfCutOff(Common::Now());
     Follow();
     m_lease.SetContenders(m_hub.Daemons());
     m_lease_table.SetRelayed(m_held || m_hub.HearsHolder());
@@ -178,7 +221,10 @@
   {
     const bool holds = !m_stopped && m_lease.Holds(Common::Now());
     if (holds && !m_held)
+    {
       m_desk.Forget();
+      m_held_since = Common::Now();
+    }
     m_held = holds;
     if (holds)
     {
@@ -199,6 +245,8 @@
   Hub m_hub;
   LeaseKeeper<Store> m_lease;
   Follower& m_lease_table;
+  std::vector<Follower*> m_shared_tables;
+  Common::TimePoint m_held_since;
   bool m_held = false;
   bool m_stopped = false;
   Common::OwnedTimer m_timer;
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -56,6 +56,7 @@
 /// Placements of a holder that is silent for so long are not relied on.
 constexpr Milliseconds PLACEMENT_VALID{2000};
 constexpr int DATAGRAMS_PER_TURN = 64;
+constexpr int ABDICATION_COPIES = 3;
 } // namespace
 
 Hub::Hub(HubSettings settings, Gateway::Dispatcher& dispatcher, OrderDesk& desk)
@@ -339,6 +340,26 @@
   TakeHolderReport(report, m_settings.local);
 }
 
+void Hub::AnnounceAbdication(const LeaseWord& word)
+{
+  HolderState state;
+  state.vm = m_settings.self;
+  state.lease_version = word.version;
+  state.daemons = m_daemons;
+  state.abdicated = true;
+  state.last_order_age_ms = word.last_order_age.count();
+  Envelope envelope;
+  HolderReport& report = envelope.from_holder.emplace_back();
+  report.fence = word.fence;
+  report.state = Daemons::Encode(state);
+  for (int copy = 0; copy < ABDICATION_COPIES; ++copy)
+    for (const auto& [vm, peer] : m_peers)
+    {
+      report.sequence = ++m_sequence;
+      SendTo(peer.endpoint, envelope);
+    }
+}
+
 void Hub::SendTo(const Http::Endpoint& peer, const Envelope& envelope)
 {
   const std::string bytes = Daemons::Encode(envelope);
@@ -424,6 +445,16 @@
   if (report.fence != m_last_heard.first)
     m_placement_heard = 0;
   m_last_heard = age;
+  if (state->abdicated)
+  {
+    // From now on each daemon asks the platform itself, until another holder is heard.
+    m_holder_heard_at = {};
+    if (m_on_lease_word)
+      m_on_lease_word({report.fence, state->lease_version, Milliseconds(0), true,
+                       Milliseconds(state->last_order_age_ms)},
+                      state->vm, from);
+    return;
+  }
   m_holder_heard_at = Common::Now();
   m_daemons = state->daemons;
   m_dispatcher.Budget().SetDaemons(state->daemons);
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -42,6 +42,8 @@
   std::int64_t fence = 0;
   std::int64_t version = 0;
   Common::Milliseconds left{0};
+  bool abdicated = false;
+  Common::Milliseconds last_order_age{0};
 };
 
 /// Carries reports between the daemons and the holder of the order lease: every daemon talks to the
@@ -65,6 +67,9 @@
   void OnLeaseWord(LeaseWordHandler handler) { m_on_lease_word = std::move(handler); }
   /// Where the holder takes reports; nothing where none is known.
   void SetHolder(std::optional<Http::Endpoint> endpoint, std::optional<LeaseWord> own_lease);
+  /// Tells all daemons that this holder has stopped ordering; more than once, as datagrams get
+  /// lost.
+  void AnnounceAbdication(const LeaseWord& word);
   /// Daemons that report to the holder, as last told.
   int Daemons() const { return m_daemons; }
   /// True where the holder has been heard lately.
--- a/Source/Core/Orders/LeaseKeeper.h
+++ b/Source/Core/Orders/LeaseKeeper.h
@@ -88,6 +88,26 @@
     m_record = record;
   }
 
+  /// The holder's own word: it has stopped ordering and will not order again under this version of
+  /// the row; its last order went out `last_order_age` before. So nobody need wait for its time to
+  /// be over.
+  void OnAbdication(std::int64_t version, Common::Milliseconds last_order_age)
+  {
+    if (!m_seen || version != m_version || m_fence || m_writing)
+      return;
+    const auto now = Common::Now();
+    m_abdicated_version = version;
+    m_last_order_at = now - last_order_age;
+    m_free_at = std::min(m_free_at, now + ABDICATION_WAIT);
+  }
+
+  /// Stops ordering for good under the present row, without writing it: the store is out of reach.
+  void Abdicate()
+  {
+    if (m_fence)
+      Lose("the store does not answer");
+  }
+
   std::int64_t RowVersion() const { return m_version; }
   /// How long this holder may still act without another renewal.
   Common::Milliseconds Left(Common::TimePoint now) const
@@ -132,6 +152,8 @@
   static constexpr Common::Milliseconds STOP_MARGIN{150};
   /// An observer waits so much longer than the duration.
   static constexpr Common::Milliseconds TAKE_MARGIN{250};
+  /// After an abdication the holder before may come back first, which costs no pause.
+  static constexpr Common::Milliseconds ABDICATION_WAIT{350};
   /// Daemons that find the lease free do not all write at once.
   static constexpr std::uint64_t SPREAD_MS = 250;
   static constexpr std::uint64_t SPREAD_MS_PER_DAEMON = 10;
@@ -182,6 +204,7 @@
   void Write(Common::TimePoint now, const char* what)
   {
     m_writing = true;
+    m_replaced_version = m_version;
     const LeaseRecord record{m_settings.self, m_settings.run, m_settings.address};
     const bool follows_another = m_record && !IsOurs();
     m_store.ReplaceLease(
@@ -212,8 +235,10 @@
       return;
     m_fence = *result;
     m_free_since.reset();
-    // The holder before may have ordered until its time was over.
-    m_orders_from = follows_another ? now + m_settings.holder_pause : now;
+    // The holder before may have ordered until its time was over, or until the moment it named.
+    const bool named_its_last = m_abdicated_version && *m_abdicated_version == m_replaced_version;
+    const auto last_order = named_its_last ? m_last_order_at : now;
+    m_orders_from = follows_another ? std::max(now, last_order + m_settings.holder_pause) : now;
     Common::LogEvent(Common::LogLevel::Info, "lease-acquired",
                      {{"fence", *m_fence}, {"how", what}, {"after_another", follows_another}});
   }
@@ -241,6 +266,9 @@
   Common::TimePoint m_valid_until;
   Common::TimePoint m_orders_from;
   std::optional<Common::TimePoint> m_free_since;
+  std::int64_t m_replaced_version = 0;             ///< That the last write expected.
+  std::optional<std::int64_t> m_abdicated_version; ///< Under which its holder has stopped.
+  Common::TimePoint m_last_order_at;               ///< At the latest, of that holder.
   std::uint64_t m_contenders = 1;
   bool m_writing = false;
   bool m_released = false;
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -490,6 +490,7 @@
   open.call.expected_sequence = book.sequence;
   const InstanceId instance = server->Entry().instance;
   const std::uint64_t id = open.id;
+  m_last_order_at = Common::Now();
   m_channel.send(open.call, [this, instance, id](Common::Result<OrderAnswer> answer) {
     TakeAnswer(instance, id, std::move(answer));
   });
@@ -702,6 +703,7 @@
     if (m_on_placement)
       m_on_placement();
   }
+  m_last_order_at = Common::Now();
   m_channel.send(call, [this, instance = call.instance, call](Common::Result<OrderAnswer> answer) {
     TakeAdapterAnswer(instance, call, std::move(answer));
   });
--- a/Source/Soak/Ledger.cpp
+++ b/Source/Soak/Ledger.cpp
@@ -64,7 +64,8 @@
     return;
   }
   ++m_answered;
-  const bool stream = request.type == RequestType::Stream || request.type == RequestType::OnceStream;
+  const bool stream =
+      request.type == RequestType::Stream || request.type == RequestType::OnceStream;
   const bool sound = stream ? IsWholeStream(id, body) : body == "answer to " + id;
   if (!sound)
     Break("a wrong answer to " + id + ": " + body.substr(0, 80));
--- a/Source/Soak/Ledger.h
+++ b/Source/Soak/Ledger.h
@@ -15,10 +15,10 @@
 /// What may be asked of the daemons.
 enum class RequestType
 {
-  Plain,       ///< May be repeated.
-  Once,        ///< Runs once at most.
-  Stream,      ///< May be resumed.
-  OnceStream,  ///< Runs once at most.
+  Plain,      ///< May be repeated.
+  Once,       ///< Runs once at most.
+  Stream,     ///< May be resumed.
+  OnceStream, ///< Runs once at most.
 };
 
 /// Keeps account of what callers and backend servers saw, and names each broken promise.
@@ -31,7 +31,8 @@
   /// The caller got a whole answer, or (status 0) none.
   void NoteAnswer(const std::string& id, int status, const std::string& body);
   /// A backend server took an order.
-  void NoteOrder(const std::string& server, const std::string& holder, std::int64_t fence, Common::TimePoint now);
+  void NoteOrder(const std::string& server, const std::string& holder, std::int64_t fence,
+                 Common::TimePoint now);
   void Break(const std::string& what);
 
   const std::vector<std::string>& Broken() const { return m_broken; }
--- a/Source/Soak/Main.cpp
+++ b/Source/Soak/Main.cpp
@@ -1,9 +1,10 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-// A randomized soak of the real daemons on the platform's face: separate processes on one machine, stand-ins for the
-// store, the backend servers and the callers in this one, and faults from outside the daemons. What callers
-// and backend servers see is checked while it runs. One seed gives one series of faults.
+// A randomized soak of the real daemons on the platform's face: separate processes on one machine,
+// stand-ins for the store, the backend servers and the callers in this one, and faults from outside
+// the daemons. What callers and backend servers see is checked while it runs. One seed gives one
+// series of faults.
 
 #include <algorithm>
 #include <csignal>
@@ -59,7 +60,10 @@
 {
 public:
   SoakRun(std::string binary, std::uint64_t seed, int daemons, std::string net, std::string logs)
-      : m_random(seed), m_binary(std::move(binary)), m_net(std::move(net)), m_logs(std::move(logs)),
+      : m_random(seed),
+        m_binary(std::move(binary)),
+        m_net(std::move(net)),
+        m_logs(std::move(logs)),
         m_processes(m_logs)
   {
     std::filesystem::create_directories(m_logs);
@@ -69,19 +73,27 @@
   int Run(Milliseconds faults_for)
   {
     Start();
-    After(START_TIME, [this] { SendRequests(); });
+    After(START_TIME, [this] {
+      SendRequests();
+    });
     After(START_TIME, [this, faults_for] {
       m_faults_until = Common::Now() + faults_for;
       NextFault();
     });
     const auto calm = START_TIME + faults_for;
-    After(calm, [this] { CalmDown(); });
-    After(calm + CALM_BEFORE_CHECK, [this] { m_ledger.ResetCounts(); });
-    After(calm + CALM_BEFORE_CHECK + CHECK_TIME, [this] { Judge(); });
+    After(calm, [this] {
+      CalmDown();
+    });
+    After(calm + CALM_BEFORE_CHECK, [this] {
+      m_ledger.ResetCounts();
+    });
+    After(calm + CALM_BEFORE_CHECK + CHECK_TIME, [this] {
+      Judge();
+    });
     g_main_loop_run(m_loop);
     m_processes.EndAll();
-    std::cout << m_ledger.Orders() << " orders, " << m_fault_count << " faults, " << m_ledger.Broken().size()
-              << " broken\n";
+    std::cout << m_ledger.Orders() << " orders, " << m_fault_count << " faults, "
+              << m_ledger.Broken().size() << " broken\n";
     return m_ledger.Broken().empty() ? 0 : 1;
   }
 
@@ -91,7 +103,10 @@
     Common::Reactor::Get().After(delay, std::move(callback));
   }
   std::uint64_t Draw(std::uint64_t bound) { return m_random() % bound; }
-  Milliseconds DrawMs(std::uint64_t least, std::uint64_t most) { return Milliseconds(least + Draw(most - least)); }
+  Milliseconds DrawMs(std::uint64_t least, std::uint64_t most)
+  {
+    return Milliseconds(least + Draw(most - least));
+  }
   DaemonSlot& AnyDaemon() { return m_daemons[Draw(m_daemons.size())]; }
   StandInServer& AnyServer() { return *m_servers[Draw(m_servers.size())]; }
 
@@ -109,8 +124,8 @@
       models.push_back("m" + std::to_string(i));
     for (int i = 0; i < SERVERS; ++i)
     {
-      m_servers.push_back(std::make_unique<StandInServer>("s" + std::to_string(i),
-                                                          At(m_net + ".2", FIRST_PORT + i), m_store, m_ledger, models));
+      m_servers.push_back(std::make_unique<StandInServer>(
+          "s" + std::to_string(i), At(m_net + ".2", FIRST_PORT + i), m_store, m_ledger, models));
       Must(static_cast<bool>(m_servers.back()->Listen()), "server");
     }
     PutConfiguration();
@@ -124,16 +139,18 @@
     daemon.name = "vm-" + std::to_string(index);
     daemon.ip = m_net + "." + std::to_string(10 + index);
     const std::string path_ip = m_net + "." + std::to_string(100 + index);
-    daemon.store_path = std::make_unique<ScenarioRunner::Relay>(path_ip + ":" + std::to_string(FIRST_PORT),
-                                                                store_ip + ":" + std::to_string(FIRST_PORT));
+    daemon.store_path = std::make_unique<ScenarioRunner::Relay>(
+        path_ip + ":" + std::to_string(FIRST_PORT), store_ip + ":" + std::to_string(FIRST_PORT));
     Must(static_cast<bool>(daemon.store_path->Open()), "relay");
     daemon.callers = std::make_unique<Http::Channel>(At(daemon.ip, FIRST_PORT + 1));
-    const Json settings = {
-        {"nodeName", daemon.name}, {"zone", "z1"}, {"portRange", {FIRST_PORT + 4, FIRST_PORT + 9}},
-        {"listen", {{"front", daemon.ip + ":" + std::to_string(FIRST_PORT + 1)},
-                    {"ready", daemon.ip + ":" + std::to_string(FIRST_PORT + 2)}}},
-        {"bounds", {{"graceS", 3}, {"leaseMs", 3000}, {"budgetSlack", 100}}},
-        {"platform", {{"address", path_ip + ":" + std::to_string(FIRST_PORT)}}}};
+    const Json settings = {{"nodeName", daemon.name},
+                           {"zone", "z1"},
+                           {"portRange", {FIRST_PORT + 4, FIRST_PORT + 9}},
+                           {"listen",
+                            {{"front", daemon.ip + ":" + std::to_string(FIRST_PORT + 1)},
+                             {"ready", daemon.ip + ":" + std::to_string(FIRST_PORT + 2)}}},
+                           {"bounds", {{"graceS", 3}, {"leaseMs", 3000}, {"budgetSlack", 100}}},
+                           {"platform", {{"address", path_ip + ":" + std::to_string(FIRST_PORT)}}}};
     std::ofstream(m_logs + "/" + daemon.name + ".json") << settings.dump();
     Launch(daemon);
   }
@@ -156,20 +173,38 @@
 
   void PutConfiguration()
   {
-    const auto route = [&](const char* prefix, const char* kind, int attempts, bool model, bool resumable) {
-      return Json{{"name", prefix}, {"host", "h"}, {"pathPrefix", prefix}, {"kind", kind}, {"timeoutMs", 4000},
-                  {"targetLatencyMs", 300}, {"gapAimMs", 100}, {"priority", 1}, {"service", "pool"},
-                  {"maxAttempts", attempts}, {"sticky", model}, {"resumable", resumable}};
+    const auto route = [&](const char* prefix, const char* kind, int attempts, bool model,
+                           bool resumable) {
+      return Json{{"name", prefix},       {"host", "h"},
+                  {"pathPrefix", prefix}, {"kind", kind},
+                  {"timeoutMs", 4000},    {"targetLatencyMs", 300},
+                  {"gapAimMs", 100},      {"priority", 1},
+                  {"service", "pool"},    {"maxAttempts", attempts},
+                  {"sticky", model},      {"resumable", resumable}};
     };
     Json models = Json::array();
     for (int i = 0; i < MODELS; ++i)
-      models.push_back({{"name", "m" + std::to_string(i)}, {"weightsMb", 70}, {"loadS", 2}, {"diskS", 0.2}, {"warmS", 0.1}});
+      models.push_back({{"name", "m" + std::to_string(i)},
+                        {"weightsMb", 70},
+                        {"loadS", 2},
+                        {"diskS", 0.2},
+                        {"warmS", 0.1}});
     m_store.Put("op", "config",
                 {{"version", ++m_configuration},
-                 {"routes", {route("/plain/", "idempotent", 2, false, false), route("/once/", "non_idempotent", 1, false, false),
-                             route("/stream/", "streaming", 2, true, true), route("/one/", "streaming", 1, true, false)}},
-                 {"services", {{{"name", "pool"}, {"maxConns", 200},
-                                {"engine", {{"slots", 16}, {"weightsMb", 150}, {"adapterSlots", 0}, {"loadsPerS", 3}, {"models", models}}}}}},
+                 {"routes",
+                  {route("/plain/", "idempotent", 2, false, false),
+                   route("/once/", "non_idempotent", 1, false, false),
+                   route("/stream/", "streaming", 2, true, true),
+                   route("/one/", "streaming", 1, true, false)}},
+                 {"services",
+                  {{{"name", "pool"},
+                    {"maxConns", 200},
+                    {"engine",
+                     {{"slots", 16},
+                      {"weightsMb", 150},
+                      {"adapterSlots", 0},
+                      {"loadsPerS", 3},
+                      {"models", models}}}}}},
                  {"limits", {{"idleTimeoutMs", 10000}}}});
   }
 
@@ -178,7 +213,9 @@
     if (m_stopped)
       return;
     SendOne();
-    After(REQUEST_GAP, [this] { SendRequests(); });
+    After(REQUEST_GAP, [this] {
+      SendRequests();
+    });
   }
 
   void SendOne()
@@ -189,16 +226,21 @@
     const auto type = static_cast<RequestType>(Draw(4));
     static const char* const PATHS[] = {"/plain/x", "/once/x", "/stream/x", "/one/x"};
     const std::string id = "r" + std::to_string(++m_request_count);
-    Http::WholeRequest request{"POST", PATHS[static_cast<int>(type)], {{"Host", "h"}, {"Attempt-Id", id}, {"Time-Left-Ms", "4000"}}, "body"};
+    Http::WholeRequest request{"POST",
+                               PATHS[static_cast<int>(type)],
+                               {{"Host", "h"}, {"Attempt-Id", id}, {"Time-Left-Ms", "4000"}},
+                               "body"};
     if (type == RequestType::Stream || type == RequestType::OnceStream)
-      request.headers.push_back({"Model", "m" + std::to_string(std::min(Draw(MODELS), Draw(MODELS)))});
+      request.headers.push_back(
+          {"Model", "m" + std::to_string(std::min(Draw(MODELS), Draw(MODELS)))});
     m_ledger.NoteSent(id, type);
-    daemon.callers->Call(request, Milliseconds(6000), [this, id](Common::Result<Http::WholeAnswer> answer) {
-      if (answer)
-        m_ledger.NoteAnswer(id, answer->status, answer->body);
-      else
-        m_ledger.NoteAnswer(id, 0, "");
-    });
+    daemon.callers->Call(request, Milliseconds(6000),
+                         [this, id](Common::Result<Http::WholeAnswer> answer) {
+                           if (answer)
+                             m_ledger.NoteAnswer(id, answer->status, answer->body);
+                           else
+                             m_ledger.NoteAnswer(id, 0, "");
+                         });
   }
 
   void NextFault()
@@ -208,7 +250,9 @@
       return;
     ++m_fault_count;
     Strike();
-    After(DrawMs(150, 1200), [this] { NextFault(); });
+    After(DrawMs(150, 1200), [this] {
+      NextFault();
+    });
   }
 
   void Strike()
@@ -266,31 +310,41 @@
   void Pause(DaemonSlot& daemon)
   {
     m_processes.Signal(daemon.pid, SIGSTOP);
-    After(DrawMs(100, 6000), [this, pid = daemon.pid] { m_processes.Signal(pid, SIGCONT); });
+    After(DrawMs(100, 6000), [this, pid = daemon.pid] {
+      m_processes.Signal(pid, SIGCONT);
+    });
   }
 
   void SetStoreFor(StoreMood mood, Milliseconds span)
   {
     m_store.SetMood(mood);
-    After(span, [this] { m_store.SetMood(StoreMood::Well); });
+    After(span, [this] {
+      m_store.SetMood(StoreMood::Well);
+    });
   }
 
   void CutFromStore(DaemonSlot& daemon)
   {
     daemon.store_path->SetCut(true);
-    After(DrawMs(300, 6000), [&daemon] { daemon.store_path->SetCut(false); });
+    After(DrawMs(300, 6000), [&daemon] {
+      daemon.store_path->SetCut(false);
+    });
   }
 
   void DrainAndReplace(StandInServer& server)
   {
     server.Drain();
-    After(DrawMs(1000, 3000), [&server] { server.Restart(); });
+    After(DrawMs(1000, 3000), [&server] {
+      server.Restart();
+    });
   }
 
   void SetServerFor(StandInServer& server, ServerMood mood, Milliseconds span)
   {
     server.SetMood(mood);
-    After(span, [&server] { server.SetMood(ServerMood::Well); });
+    After(span, [&server] {
+      server.SetMood(ServerMood::Well);
+    });
   }
 
   void CheckProcesses()
@@ -317,8 +371,8 @@
     m_stopped = true;
     CheckProcesses();
     const auto all = m_ledger.Answered() + m_ledger.Refused() + m_ledger.Failed();
-    std::cout << "after the faults: " << m_ledger.Answered() << " of " << all << " served, " << m_ledger.Refused()
-              << " refused, " << m_ledger.Failed() << " failed\n";
+    std::cout << "after the faults: " << m_ledger.Answered() << " of " << all << " served, "
+              << m_ledger.Refused() << " refused, " << m_ledger.Failed() << " failed\n";
     if (m_ledger.Answered() * 100 < all * SERVED_AFTER_FAULTS || all == 0)
       m_ledger.Break("too little is served after the faults");
     g_main_loop_quit(m_loop);
@@ -345,18 +399,23 @@
 int main(int argc, char** argv)
 {
   cxxopts::Options options("soak", "A randomized soak of the daemons with faults from outside");
-  options.add_options()("seed", "of the series of faults", cxxopts::value<std::uint64_t>()->default_value("1"))(
+  options.add_options()("seed", "of the series of faults",
+                        cxxopts::value<std::uint64_t>()->default_value("1"))(
       "seconds", "for which faults come", cxxopts::value<int>()->default_value("15"))(
       "daemons", "at once", cxxopts::value<int>()->default_value("4"))(
-      "net", "first three numbers of the loopback addresses", cxxopts::value<std::string>()->default_value("127.40.1"))(
-      "logs", "folder for the daemons' logs", cxxopts::value<std::string>()->default_value("build/soak"))(
-      "binary", "of the daemon", cxxopts::value<std::string>()->default_value("build/bin/drumpondd"));
+      "net", "first three numbers of the loopback addresses",
+      cxxopts::value<std::string>()->default_value("127.40.1"))(
+      "logs", "folder for the daemons' logs",
+      cxxopts::value<std::string>()->default_value("build/soak"))(
+      "binary", "of the daemon",
+      cxxopts::value<std::string>()->default_value("build/bin/drumpondd"));
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   Common::InitLog(argv[0]);
   Common::MuteLog();
-  SoakRun run(std::filesystem::absolute(parsed["binary"].as<std::string>()), parsed["seed"].as<std::uint64_t>(),
-              parsed["daemons"].as<int>(), parsed["net"].as<std::string>(),
+  SoakRun run(std::filesystem::absolute(parsed["binary"].as<std::string>()),
+              parsed["seed"].as<std::uint64_t>(), parsed["daemons"].as<int>(),
+              parsed["net"].as<std::string>(),
               std::filesystem::absolute(parsed["logs"].as<std::string>()));
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
 }
--- a/Source/Soak/StandInServer.cpp
+++ b/Source/Soak/StandInServer.cpp
@@ -33,7 +33,10 @@
 
 StandInServer::StandInServer(std::string name, Http::Endpoint endpoint, StandInStore& store,
                              Ledger& ledger, std::vector<std::string> models)
-    : m_name(std::move(name)), m_endpoint(endpoint), m_store(store), m_ledger(ledger),
+    : m_name(std::move(name)),
+      m_endpoint(endpoint),
+      m_store(store),
+      m_ledger(ledger),
       m_disk(std::move(models))
 {
 }
@@ -43,7 +46,9 @@
   const auto listening = m_listener.Listen(m_endpoint, [this](int fd, const Http::Endpoint&) {
     const auto connection = Http::ServerConnection::Adopt(fd, *this);
     m_connections.emplace(connection.get(), connection);
-    connection->OnFinished([this](Http::ServerConnection* finished) { m_connections.erase(finished); });
+    connection->OnFinished([this](Http::ServerConnection* finished) {
+      m_connections.erase(finished);
+    });
   });
   Restart();
   return listening;
@@ -116,8 +121,9 @@
     Json models = Json::array();
     for (const std::string& model : m_models)
       models.push_back({{"name", model}, {"version", 1}, {"adapters", Json::array()}});
-    connection->Respond(200, "OK", {},
-                        Common::DumpJson({{"seq", m_sequence}, {"busy", m_busy}, {"models", models}}));
+    connection->Respond(
+        200, "OK", {},
+        Common::DumpJson({{"seq", m_sequence}, {"busy", m_busy}, {"models", models}}));
   }
   else if (m_mood == ServerMood::Sheds)
     Reject(connection, 503, id);
@@ -138,8 +144,9 @@
   if (!model.empty())
   {
     const std::string last = HeaderValue(request.head, "Last-Event-Id");
-    connection->BeginChunked(200, "OK",
-                             {{"Attempt-Id", id}, {"Server-Stamp", "s"}, {"Content-Type", "text/event-stream"}});
+    connection->BeginChunked(
+        200, "OK",
+        {{"Attempt-Id", id}, {"Server-Stamp", "s"}, {"Content-Type", "text/event-stream"}});
     Stream(connection, id, last.empty() ? 1 : std::atoi(last.c_str()) + 1);
     return;
   }
@@ -147,7 +154,8 @@
     if (m_mood == ServerMood::Resets && Common::SharedRandom()() % 3 == 0)
       connection->BreakAnswer();
     else
-      connection->Respond(200, "OK", {{"Attempt-Id", id}, {"Server-Stamp", "s"}}, "answer to " + id);
+      connection->Respond(200, "OK", {{"Attempt-Id", id}, {"Server-Stamp", "s"}},
+                          "answer to " + id);
   });
 }
 
@@ -168,7 +176,9 @@
     return;
   }
   connection->SendChunk(text);
-  After(EVENT_TIME, [this, connection, id, event] { Stream(connection, id, event + 1); });
+  After(EVENT_TIME, [this, connection, id, event] {
+    Stream(connection, id, event + 1);
+  });
 }
 
 void StandInServer::TakeOrder(const Connection& connection, const Http::ReceivedRequest& request)
@@ -179,7 +189,9 @@
   if (m_mood == ServerMood::LateOrders)
   {
     const auto delay = Milliseconds(1000 + Common::SharedRandom()() % LATEST_ORDER_MS);
-    After(delay, [this, late = *order] { Carry(late); });
+    After(delay, [this, late = *order] {
+      Carry(late);
+    });
     return;
   }
   const int status = Carry(*order);
--- a/Source/Soak/StandInStore.cpp
+++ b/Source/Soak/StandInStore.cpp
@@ -25,7 +25,8 @@
   if (at == std::string::npos)
     return "";
   const auto begin = at + name.size() + 1;
-  char* text = g_uri_unescape_string(target.substr(begin, target.find('&', begin) - begin).c_str(), nullptr);
+  char* text =
+      g_uri_unescape_string(target.substr(begin, target.find('&', begin) - begin).c_str(), nullptr);
   std::string value = text == nullptr ? "" : text;
   g_free(text);
   return value;
@@ -42,7 +43,9 @@
   return m_listener.Listen(endpoint, [this](int fd, const Http::Endpoint&) {
     const auto connection = Http::ServerConnection::Adopt(fd, *this);
     m_connections.emplace(connection.get(), connection);
-    connection->OnFinished([this](Http::ServerConnection* finished) { m_connections.erase(finished); });
+    connection->OnFinished([this](Http::ServerConnection* finished) {
+      m_connections.erase(finished);
+    });
   });
 }
 
@@ -107,13 +110,15 @@
 
 Json StandInStore::RowJson(const std::string& table, const std::string& key, const Row& row) const
 {
-  Json json = {{"table", table}, {"part", ""}, {"key", key}, {"value", row.value}, {"ver", row.version}};
+  Json json = {
+      {"table", table}, {"part", ""}, {"key", key}, {"value", row.value}, {"ver", row.version}};
   if (row.removed)
     json["deleted"] = true;
   return json;
 }
 
-void StandInStore::Answer(const std::shared_ptr<Http::ServerConnection>& connection, int status, Json body)
+void StandInStore::Answer(const std::shared_ptr<Http::ServerConnection>& connection, int status,
+                          Json body)
 {
   body["ver"] = m_version;
   body["nowMs"] = NowMs();
@@ -164,7 +169,9 @@
   waiter.connection = connection;
   waiter.timer.Start(wait, [this, target = &waiter] {
     const auto held = target->connection;
-    m_waiters.remove_if([&](const Waiter& known) { return &known == target; });
+    m_waiters.remove_if([&](const Waiter& known) {
+      return &known == target;
+    });
     Answer(held, 200, {{"rows", Json::array()}});
   });
 }
--- a/Source/Soak/StandInStore.h
+++ b/Source/Soak/StandInStore.h
@@ -19,9 +19,9 @@
 enum class StoreMood
 {
   Well,
-  Busy,       ///< Every call is answered with 503.
-  Silent,     ///< No call is answered.
-  LosesSome,  ///< Some writes take effect and are not answered.
+  Busy,      ///< Every call is answered with 503.
+  Silent,    ///< No call is answered.
+  LosesSome, ///< Some writes take effect and are not answered.
 };
 
 /// A stand-in for the platform's store: rows with versions, feeds that wait, compare-and-set.
@@ -65,7 +65,8 @@
   bool AnswerFeed(const std::shared_ptr<Http::ServerConnection>& connection,
                   const std::string& table, std::int64_t after);
   Common::Json RowJson(const std::string& table, const std::string& key, const Row& row) const;
-  void Answer(const std::shared_ptr<Http::ServerConnection>& connection, int status, Common::Json body);
+  void Answer(const std::shared_ptr<Http::ServerConnection>& connection, int status,
+              Common::Json body);
 
   Http::TcpListener m_listener;
   Http::ServerLimits m_limits;
--- a/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
+++ b/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
@@ -124,10 +124,7 @@
     CPPUNIT_ASSERT(PlanReplicas(input).empty());
   }
 
-  void ABusierModelKeepsItsPlace()
-  {
-    CPPUNIT_ASSERT(PlanReplicas(InputInUse(6)).empty());
-  }
+  void ABusierModelKeepsItsPlace() { CPPUNIT_ASSERT(PlanReplicas(InputInUse(6)).empty()); }
 
   void AModelOnItsWayIsNotOrderedTwice()
   {
@@ -144,9 +141,11 @@
     one.priority = 0;
     PlannedModel many = Model("b", 12);
     many.priority = 1;
-    CPPUNIT_ASSERT_EQUAL(std::string("b"), PlanReplicas(Input({Server("s", {})}, {one, many})).at(0).model);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         PlanReplicas(Input({Server("s", {})}, {one, many})).at(0).model);
     one.oldest_wait = Milliseconds(30000);
-    CPPUNIT_ASSERT_EQUAL(std::string("a"), PlanReplicas(Input({Server("s", {})}, {one, many})).at(0).model);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"),
+                         PlanReplicas(Input({Server("s", {})}, {one, many})).at(0).model);
   }
 
   void OneOrderAServer()
--- a/Source/UnitTests/Orders/LeaseKeeperTest.cpp
+++ b/Source/UnitTests/Orders/LeaseKeeperTest.cpp
@@ -89,6 +89,9 @@
   CPPUNIT_TEST(ALostAnswerIsNotAnAcquisition);
   CPPUNIT_TEST(AReleasedLeaseIsTakenAtOnceButOrdersWait);
   CPPUNIT_TEST(TheHoldersWordShortensTheWaitNeverBelowItsTime);
+  CPPUNIT_TEST(AnAbdicationFreesTheLeaseAndNamesTheLastOrder);
+  CPPUNIT_TEST(AnAbdicationUnderAnotherVersionIsIgnored);
+  CPPUNIT_TEST(AnAbdicatedHolderOrdersNoMore);
   CPPUNIT_TEST(ARestartedHolderTakesItsOwnLeaseAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -229,6 +232,64 @@
     CPPUNIT_ASSERT(Common::Now() - begun < Milliseconds(1100));
   }
 
+  void AnAbdicationFreesTheLeaseAndNamesTheLastOrder()
+  {
+    FakeStore store;
+    store.version = 5;
+    store.record = {Common::VmId("cut"), Common::Incarnation("r"), "127.0.0.1:2"};
+    LeaseSettings settings = Settings("a");
+    settings.duration = Milliseconds(5000);
+    settings.holder_pause = Milliseconds(1200);
+    Keeper keeper(store, settings);
+    keeper.OnRow(5, store.record);
+    const auto begun = Common::Now();
+    keeper.OnAbdication(5, Milliseconds(100));
+    keeper.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return keeper.MayOrder(Common::Now());
+    }));
+    const auto waited = Common::Now() - begun;
+    CPPUNIT_ASSERT(waited >= Milliseconds(1100));
+    CPPUNIT_ASSERT(waited < Milliseconds(1800));
+  }
+
+  void AnAbdicationUnderAnotherVersionIsIgnored()
+  {
+    FakeStore store;
+    store.version = 6;
+    store.record = {Common::VmId("other"), Common::Incarnation("r"), "127.0.0.1:2"};
+    LeaseSettings settings = Settings("a");
+    settings.duration = Milliseconds(5000);
+    Keeper keeper(store, settings);
+    keeper.OnRow(6, store.record);
+    keeper.OnAbdication(5, Milliseconds(100));
+    keeper.Start();
+    RunFor(Milliseconds(900));
+    CPPUNIT_ASSERT(!Holds(keeper));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(6), store.version);
+  }
+
+  void AnAbdicatedHolderOrdersNoMore()
+  {
+    FakeStore store;
+    Keeper keeper(store, Settings("a"));
+    keeper.OnRow(0, std::nullopt);
+    keeper.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return keeper.MayOrder(Common::Now());
+    }));
+    const auto fence = keeper.Fence();
+    store.down = true;
+    keeper.Abdicate();
+    RunFor(Milliseconds(300));
+    CPPUNIT_ASSERT(!keeper.MayOrder(Common::Now()));
+    store.down = false;
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return keeper.MayOrder(Common::Now());
+    }));
+    CPPUNIT_ASSERT(keeper.Fence() > fence);
+  }
+
   void ARestartedHolderTakesItsOwnLeaseAtOnce()
   {
     FakeStore store;
