Orders: the pause is owed until a holder has been through it

Now: the row says whether its holder has begun to order; only then its VM may go on without a pause. A holder that abdicates before its own pause is over names the last order that another may have given. Test: AfterALostAnswerThePauseIsStillOwed, red before, green after. The soak judges recovery with as many models as places, and runs a copy of the program.

--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -195,7 +195,9 @@
     if (NewestAnswer(now) <= limit)
       return;
     LeaseWord word{m_lease.Fence(), m_lease.RowVersion(), {}, true, {}};
-    const auto age = std::chrono::floor<Common::Milliseconds>(now - m_desk.LastOrderAt());
+    const auto last_order = std::max(m_desk.LastOrderAt(), m_lease.LastForeignOrderAt());
+    const auto age = std::max(std::chrono::floor<Common::Milliseconds>(now - last_order),
+                              Common::Milliseconds(0));
     word.last_order_age = std::min(age, Common::Milliseconds(60000));
     m_lease.Abdicate();
     m_hub.AnnounceAbdication(word);
--- a/Source/Core/Orders/LeaseKeeper.h
+++ b/Source/Core/Orders/LeaseKeeper.h
@@ -29,6 +29,9 @@
   Common::VmId holder; ///< Empty where the lease was given back.
   Common::Incarnation run;
   std::string address; ///< IP:PORT at which the holder takes reports.
+  /// The pause after the holder before is over. Without it the row may stem from a write whose
+  /// answer was lost, by a daemon that never knew it had the lease: the pause is still owed.
+  bool ordering = false;
 };
 
 /// Writes the lease's row if it still has the expected version (0: it is absent).
@@ -108,6 +111,8 @@
       Lose("the store does not answer");
   }
 
+  /// When another holder may have ordered last before this tenure.
+  Common::TimePoint LastForeignOrderAt() const { return m_orders_from - m_settings.holder_pause; }
   std::int64_t RowVersion() const { return m_version; }
   /// How long this holder may still act without another renewal.
   Common::Milliseconds Left(Common::TimePoint now) const
@@ -205,8 +210,9 @@
   {
     m_writing = true;
     m_replaced_version = m_version;
-    const LeaseRecord record{m_settings.self, m_settings.run, m_settings.address};
-    const bool follows_another = m_record && !IsOurs();
+    const bool ordering = m_fence && now >= m_orders_from;
+    const LeaseRecord record{m_settings.self, m_settings.run, m_settings.address, ordering};
+    const bool follows_another = m_record && !(IsOurs() && m_record->ordering);
     m_store.ReplaceLease(
         m_version, record,
         [this, now, what, record, follows_another](Common::Result<std::int64_t> result) {
--- a/Source/Soak/Main.cpp
+++ b/Source/Soak/Main.cpp
@@ -38,6 +38,8 @@
 constexpr int SERVERS = 4;
 /// More than there are places; the first are asked for the most.
 constexpr int MODELS = 10;
+/// Places for models on all servers; after the faults no more models are asked for.
+constexpr int PLACES_IN_ALL = 8;
 constexpr int FIRST_PORT = 8300;
 constexpr Milliseconds START_TIME{3000};
 constexpr Milliseconds CALM_BEFORE_CHECK{9000};
@@ -232,7 +234,7 @@
                                "body"};
     if (type == RequestType::Stream || type == RequestType::OnceStream)
       request.headers.push_back(
-          {"Model", "m" + std::to_string(std::min(Draw(MODELS), Draw(MODELS)))});
+          {"Model", "m" + std::to_string(std::min(Draw(m_models), Draw(m_models)))});
     m_ledger.NoteSent(id, type);
     daemon.callers->Call(request, Milliseconds(6000),
                          [this, id](Common::Result<Http::WholeAnswer> answer) {
@@ -356,6 +358,7 @@
 
   void CalmDown()
   {
+    m_models = PLACES_IN_ALL;
     m_store.SetMood(StoreMood::Well);
     for (const auto& server : m_servers)
       server->SetMood(ServerMood::Well);
@@ -393,6 +396,7 @@
   std::int64_t m_request_count = 0;
   int m_fault_count = 0;
   bool m_stopped = false;
+  std::uint64_t m_models = MODELS; ///< That are asked for.
 };
 } // namespace
 
--- a/Source/UnitTests/Orders/LeaseKeeperTest.cpp
+++ b/Source/UnitTests/Orders/LeaseKeeperTest.cpp
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(StopsBeforeItsTimeIsOver);
   CPPUNIT_TEST(TheNextWaitsOutTheTimeAndThePause);
   CPPUNIT_TEST(ALostAnswerIsNotAnAcquisition);
+  CPPUNIT_TEST(AfterALostAnswerThePauseIsStillOwed);
   CPPUNIT_TEST(AReleasedLeaseIsTakenAtOnceButOrdersWait);
   CPPUNIT_TEST(TheHoldersWordShortensTheWaitNeverBelowItsTime);
   CPPUNIT_TEST(AnAbdicationFreesTheLeaseAndNamesTheLastOrder);
@@ -190,6 +191,31 @@
     }));
   }
 
+  void AfterALostAnswerThePauseIsStillOwed()
+  {
+    // The holder before has just given the lease back; our write takes effect, its answer is lost.
+    FakeStore store;
+    store.version = 5;
+    store.record = {};
+    store.lose_answers = true;
+    Keeper keeper(store, Settings("a"));
+    keeper.OnRow(5, store.record);
+    keeper.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return store.version == 6;
+    }));
+    RunFor(Milliseconds(20));
+    store.lose_answers = false;
+    keeper.OnRow(store.version, store.record);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(keeper);
+    }));
+    CPPUNIT_ASSERT(!keeper.MayOrder(Common::Now()));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return keeper.MayOrder(Common::Now());
+    }));
+  }
+
   void AReleasedLeaseIsTakenAtOnceButOrdersWait()
   {
     FakeStore store;
@@ -294,7 +320,7 @@
   {
     FakeStore store;
     store.version = 5;
-    store.record = {Common::VmId("a"), Common::Incarnation("before"), "127.0.0.1:2"};
+    store.record = {Common::VmId("a"), Common::Incarnation("before"), "127.0.0.1:2", true};
     Keeper keeper(store, Settings("a"));
     keeper.OnRow(5, store.record);
     const auto begun = Common::Now();
--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -17,11 +17,13 @@
   AT_ONCE=${4:-4}
 fi
 mkdir -p build/soak
+# A copy, so that a build meanwhile does not change the program of a restarted daemon.
+cp build/bin/drumpondd build/soak/drumpondd
 # one SEED: plays it on loopback addresses of its own.
 one() {
   local seed=$1
   build/bin/soak --seed "$seed" --seconds "$SECONDS_EACH" --net "127.$((50 + seed / 250 % 50)).$((seed % 250 + 1))" \
-    --logs "build/soak/$seed" >"build/soak/$seed.txt" 2>&1
+    --logs "build/soak/$seed" --binary build/soak/drumpondd >"build/soak/$seed.txt" 2>&1
   if [ $? -eq 0 ]; then echo "pass soak-$seed"; else echo "FAIL soak-$seed : $(grep BROKEN "build/soak/$seed.txt" | head -n 3 | tr '\n' ';')"; fi
 }
 export -f one
