Models: the order lease with release, lost answers and the ordering mark

Now: 22,061,887 states, no error; each of six guards taken out, the ordering mark among them, gives a counterexample.

--- a/Models/OrderLease.pml
+++ b/Models/OrderLease.pml
@@ -7,13 +7,14 @@
  * within PAUSE ticks, and fences never go down.
  *
  * Each switch takes one guard out.
- * guards: NO_CHECK_BEFORE_ORDER COUNT_FROM_ANSWER NO_PAUSE BLIND_WRITE NO_WAIT */
+ * guards: NO_CHECK_BEFORE_ORDER COUNT_FROM_ANSWER NO_PAUSE BLIND_WRITE NO_WAIT NO_ORDERING_MARK */
 
-#define DURATION 2
+#define DURATION 1
 #define PAUSE 2
-#define LAST_TICK 6
-#define MOST_WRITES 3
+#define LAST_TICK 4
+#define MOST_WRITES 4
 #define NOBODY 2
+#define RELEASED 3
 
 byte now = 0;
 byte writes = 0;
@@ -21,6 +22,7 @@
 /* The row in the store. */
 byte row_version = 0;
 byte row_holder = NOBODY;
+bool row_ordering = false; /* its holder has been through the pause */
 
 /* What the server has taken. */
 byte last_daemon = NOBODY;
@@ -39,6 +41,7 @@
 {
   byte seen_version = 0;
   byte seen_holder = NOBODY;
+  bool seen_ordering = false;
   byte seen_at = 0;
   byte sent_at;
   byte expected;
@@ -48,6 +51,7 @@
   bool answered;
   bool written;
   bool follows_another;
+  bool begun;
 
   do
   :: now == LAST_TICK -> break
@@ -57,6 +61,7 @@
        row_version != seen_version ->
        seen_version = row_version;
        seen_holder = row_holder;
+       seen_ordering = row_ordering;
        seen_at = now
      }
 
@@ -65,11 +70,16 @@
 #ifdef NO_WAIT
      true
 #else
-     seen_holder == NOBODY || seen_holder == me || now > seen_at + DURATION
+     seen_holder >= NOBODY || seen_holder == me || now > seen_at + DURATION
 #endif
      ) ->
      atomic {
+#ifdef NO_ORDERING_MARK
        follows_another = (seen_holder != NOBODY && seen_holder != me);
+#else
+       follows_another = (seen_holder != NOBODY && !(seen_holder == me && seen_ordering));
+#endif
+       begun = (fence != 0 && now >= orders_from);
        expected = seen_version;
        sent_at = now
      };
@@ -81,7 +91,7 @@
        written = (row_version == expected);
 #endif
        if
-       :: written -> row_version++; row_holder = me
+       :: written -> row_version++; row_holder = me; row_ordering = begun
        :: else -> skip
        fi;
        /* The answer comes late, or never. */
@@ -95,6 +105,7 @@
         :: written && answered ->
           seen_version = expected + 1;
           seen_holder = me;
+          seen_ordering = begun;
           seen_at = now;
 #ifdef COUNT_FROM_ANSWER
           valid_until = now + DURATION;
@@ -117,11 +128,23 @@
         sent_at = 0;
         written = false;
         answered = false;
-        follows_another = false
+        follows_another = false;
+        begun = false
+     }
+
+  /* Gives it back. */
+  :: writes < MOST_WRITES && fence != 0 && seen_holder == me ->
+     atomic {
+       fence = 0;
+       writes++;
+       if
+       :: row_version == seen_version -> row_version++; row_holder = RELEASED; row_ordering = false
+       :: else -> skip
+       fi
      }
 
   /* Its time is over, or the row is another's. */
-  :: atomic { fence != 0 && (now >= valid_until || (seen_holder != me && seen_holder != NOBODY)) -> fence = 0 }
+  :: atomic { fence != 0 && (now >= valid_until || seen_holder != me) -> fence = 0 }
 
   /* Orders. */
 #ifdef NO_CHECK_BEFORE_ORDER
