--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -138,7 +138,7 @@
 
 Common::Result<Common::Done> EntryPoint::Start()
 {
-  const auto callers = m_callers.Listen(m_settings.callers, [this](int fd, const Http::Endpoint&) {
+  auto callers = m_callers.Listen(m_settings.callers, [this](int fd, const Http::Endpoint&) {
     m_dispatcher.Adopt(fd);
   });
   if (!callers)
@@ -146,7 +146,7 @@
   const auto probe = [this](int fd, const Http::Endpoint&) {
     m_probes.Adopt(fd);
   };
-  if (const auto metrics = m_metrics.Listen(m_settings.metrics, probe); !metrics)
+  if (auto metrics = m_metrics.Listen(m_settings.metrics, probe); !metrics)
     return metrics;
   return m_readiness.Listen(m_settings.readiness, probe);
 }
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -92,7 +92,7 @@
 
   Common::Result<Common::Done> Start()
   {
-    const auto started = m_hub.Start();
+    auto started = m_hub.Start();
     m_lease.Start();
     Tick();
     return started;
--- a/Source/Soak/Main.cpp
+++ b/Source/Soak/Main.cpp
@@ -122,6 +122,7 @@
     const std::string store_ip = m_net + ".1";
     Must(static_cast<bool>(m_store.Listen(At(store_ip, FIRST_PORT))), "store");
     std::vector<std::string> models;
+    models.reserve(MODELS);
     for (int i = 0; i < MODELS; ++i)
       models.push_back("m" + std::to_string(i));
     for (int i = 0; i < SERVERS; ++i)
--- a/Source/Soak/StandInServer.cpp
+++ b/Source/Soak/StandInServer.cpp
@@ -43,7 +43,7 @@
 
 Common::Result<Common::Done> StandInServer::Listen()
 {
-  const auto listening = m_listener.Listen(m_endpoint, [this](int fd, const Http::Endpoint&) {
+  auto listening = m_listener.Listen(m_endpoint, [this](int fd, const Http::Endpoint&) {
     const auto connection = Http::ServerConnection::Adopt(fd, *this);
     m_connections.emplace(connection.get(), connection);
     connection->OnFinished([this](Http::ServerConnection* finished) {
--- a/Tools/check-format.sh
+++ b/Tools/check-format.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 if [ "${1:-}" = --fix ]; then
-  git ls-files --cached --others --exclude-standard 'Source/*.cpp' 'Source/*.h' | xargs clang-format -i
+  git ls-files --cached --others --exclude-standard 'Source/*.cpp' 'Source/*.h' 'platform/*.cpp' 'platform/*.h' | xargs clang-format -i
 else
-  git ls-files --cached --others --exclude-standard 'Source/*.cpp' 'Source/*.h' | xargs clang-format --dry-run --Werror
+  git ls-files --cached --others --exclude-standard 'Source/*.cpp' 'Source/*.h' 'platform/*.cpp' 'platform/*.h' | xargs clang-format --dry-run --Werror
 fi
--- a/Tools/lint.sh
+++ b/Tools/lint.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 [ -f build/compile_commands.json ] || cmake -S . -B build -G Ninja >/dev/null || exit 1
 # By-value parameters are wanted: a coroutine must own what it uses after it was suspended.
-git ls-files --cached --others --exclude-standard 'Source/*.cpp' |
+git ls-files --cached --others --exclude-standard 'Source/*.cpp' 'platform/*.cpp' |
   xargs -P "$(nproc)" -n 3 clang-tidy -p build --quiet --extra-arg=-D__cpp_impl_coroutine=201902L \
     --extra-arg=-Wno-unknown-warning-option >build/lint.txt 2>build/lint.err
 # clang 14 cannot compile some of GCC 12's <ranges>; those diagnostics are about neither's sources.
