--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -11,20 +11,12 @@
 {
 namespace
 {
-/// Idle connections kept to one server.
-constexpr std::size_t MAX_IDLE_CONNECTIONS = 24;
 /// For so long an artifact that a server denied is not asked of it again, unless its entry changes.
 constexpr Common::Milliseconds MISSING_PAUSE{400};
 /// For so long a server that rejected a request for want of room gets none.
 constexpr Common::Milliseconds FULL_PAUSE{60};
 } // namespace
 
-Server::~Server()
-{
-  for (const auto& connection : m_idle)
-    connection->Abandon();
-}
-
 void Server::SetEntry(ServerEntry entry)
 {
   if (entry.models != m_entry.models)
@@ -75,27 +67,20 @@
 
 std::shared_ptr<Http::OriginConnection> Server::TakeConnection(Common::TimePoint now)
 {
-  while (!m_idle.empty())
-  {
-    auto connection = std::move(m_idle.back());
-    m_idle.pop_back();
-    if (connection->IsReusable(now))
-      return connection;
-    connection->Abandon();
-  }
+  if (auto kept = m_idle.Take(now))
+    return kept;
   ++m_connections_opened;
   return Http::OriginConnection::Connect(m_entry.endpoint);
 }
 
 void Server::KeepConnection(std::shared_ptr<Http::OriginConnection> connection)
 {
-  if (!connection->IsReusable(Common::Now()))
-    return;
-  m_idle.push_back(std::move(connection));
-  if (m_idle.size() <= MAX_IDLE_CONNECTIONS)
-    return;
-  m_idle.front()->Abandon();
-  m_idle.erase(m_idle.begin());
+  m_idle.Keep(std::move(connection), Common::Now());
+}
+
+bool Server::HoldsModel(const ModelId& model) const
+{
+  return std::ranges::find(m_entry.models, model, &LoadedModel::model) != m_entry.models.end();
 }
 
 void Server::NoteStart(const Artifact& artifact, Common::TimePoint)
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -13,7 +13,7 @@
 #include "Common/Loop.h"
 #include "Gateway/ServerHealth.h"
 #include "Gateway/Types.h"
-#include "Http/OriginConnection.h"
+#include "Http/IdleConnections.h"
 
 namespace Gateway
 {
@@ -21,8 +21,10 @@
 class Server
 {
 public:
+  /// Idle connections kept to one server.
+  static constexpr std::size_t MAX_IDLE_CONNECTIONS = 24;
+
   explicit Server(ServerEntry entry) : m_entry(std::move(entry)) {}
-  ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
@@ -31,6 +33,8 @@
 
   /// True where the server takes new work.
   bool IsAvailable(Common::TimePoint now) const;
+  /// True where the server's entry names the model.
+  bool HoldsModel(const ModelId& model) const;
   bool Holds(const Artifact& artifact, Common::TimePoint now) const;
   /// True where a request for the artifact may be served here, now or after a short pause.
   bool MayServe(const Artifact& artifact, Common::TimePoint now) const
@@ -72,7 +76,7 @@
   ServerHealth m_health;
   bool m_replaced = false;
   Common::TimePoint m_full_until;
-  std::vector<std::shared_ptr<Http::OriginConnection>> m_idle;
+  Http::IdleConnections m_idle{MAX_IDLE_CONNECTIONS};
   std::uint64_t m_connections_opened = 0;
   struct Placement
   {
--- a/Source/Core/Http/Channel.cpp
+++ b/Source/Core/Http/Channel.cpp
@@ -74,7 +74,7 @@
   void OnAnswerBody(std::string_view bytes) override { m_answer.body.append(bytes); }
   void OnAnswerEnd() override
   {
-    m_channel.m_idle.push_back(std::exchange(connection, nullptr));
+    m_channel.m_idle.Keep(std::exchange(connection, nullptr), Common::Now());
     m_channel.Finish(this, std::move(m_answer));
   }
   void OnAnswerBroken(Breakage breakage) override
@@ -98,27 +98,15 @@
   WholeAnswer m_answer;
 };
 
-Channel::Channel(const Endpoint& peer) : m_peer(peer) {}
+Channel::Channel(const Endpoint& peer) : m_peer(peer), m_idle(MAX_IDLE) {}
 
 Channel::~Channel() = default;
 
-std::shared_ptr<OriginConnection> Channel::TakeConnection()
-{
-  const auto now = Common::Now();
-  while (!m_idle.empty())
-  {
-    auto connection = std::move(m_idle.back());
-    m_idle.pop_back();
-    if (connection->IsReusable(now))
-      return connection;
-    connection->Abandon();
-  }
-  return OriginConnection::Connect(m_peer);
-}
-
 void Channel::Call(const WholeRequest& request, Common::Milliseconds timeout, Callback callback)
 {
-  auto connection = TakeConnection();
+  auto connection = m_idle.Take(Common::Now());
+  if (!connection)
+    connection = OriginConnection::Connect(m_peer);
   if (!connection)
   {
     Common::Reactor::Get().After(Common::Milliseconds(1), [callback = std::move(callback)] {
@@ -142,11 +130,6 @@
   });
   const std::unique_ptr<PendingCall> owned = std::move(*found);
   m_pending.erase(found);
-  if (m_idle.size() > MAX_IDLE)
-  {
-    m_idle.front()->Abandon();
-    m_idle.erase(m_idle.begin());
-  }
   // The callback may destroy this channel: nothing of it is touched afterwards.
   const Callback callback = std::move(owned->callback);
   callback(std::move(result));
--- a/Source/Core/Http/Channel.h
+++ b/Source/Core/Http/Channel.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "Common/Failure.h"
-#include "Http/OriginConnection.h"
+#include "Http/IdleConnections.h"
 
 namespace Http
 {
@@ -54,11 +54,10 @@
 private:
   class PendingCall;
 
-  std::shared_ptr<OriginConnection> TakeConnection();
   void Finish(PendingCall* call, Common::Result<WholeAnswer> result);
 
   Endpoint m_peer;
-  std::vector<std::shared_ptr<OriginConnection>> m_idle;
+  IdleConnections m_idle;
   std::list<std::unique_ptr<PendingCall>> m_pending;
 };
 } // namespace Http
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -46,6 +46,7 @@
   OtherServer, ///< Another instance has the address.
   Malformed,
 };
+const char* ToString(OrderAnswer answer);
 
 /// What a backend server reports of itself, some hundred ms old.
 struct ServerReport
@@ -110,6 +111,11 @@
   const std::map<std::string, std::int64_t>& Counters() const { return m_counters; }
 
 private:
+  /// Accepted adapters are usable after some ms; requests that come too early are rejected.
+  static constexpr Common::Milliseconds ADAPTER_LOAD_TIME{90};
+  /// Time constant of the arrival rates: short against the minutes over which demand moves on.
+  static constexpr double RATE_SECONDS = 8;
+
   struct OpenOrder
   {
     OrderCall call;
@@ -152,9 +158,11 @@
   struct DemandBook
   {
     Gateway::PoolId pool;
-    double arrivals_per_second = 0;
+    double arrivals_per_second = 0; ///< At `updated`.
     Common::TimePoint updated;
     Common::TimePoint last_wanted;
+
+    double RateAt(Common::TimePoint now) const;
   };
   struct Waiting
   {
