--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -4,13 +4,13 @@
 #include "Gateway/Relay.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <utility>
 
 #include "Common/Log.h"
 #include "Common/Random.h"
 #include "Gateway/Dispatcher.h"
+#include "Gateway/Forwarding.h"
 
 namespace Gateway
 {
@@ -18,12 +18,8 @@
 {
 using Common::Milliseconds;
 
-/// Headers that concern one connection only (RFC 9110, 7.6.1), and those that the relay sets anew.
-constexpr std::array<std::string_view, 10> CONNECTION_HEADERS = {
-    "Connection",     "Keep-Alive",        "Proxy-Connection", "TE",
-    "Trailer",        "Upgrade",           "Expect",           "Transfer-Encoding",
-    "Content-Length", "Proxy-Authenticate"};
-
+/// The least urgent rank that a backend server knows.
+constexpr int MAX_URGENCY = 9;
 /// A caller leaves a stream that is silent for the longest of these: fixed, times the latency
 /// target, times the gap target. The platform's page on requests gives the figures.
 constexpr Milliseconds CALLER_PATIENCE{2000};
@@ -49,35 +45,6 @@
 constexpr std::string_view RETRY_AFTER_LOAD_S = "0.5";
 constexpr std::string_view RETRY_AFTER_S = "0.1";
 
-bool IsConnectionHeader(std::string_view name)
-{
-  return std::ranges::any_of(CONNECTION_HEADERS, [&](std::string_view known) {
-    return Http::EqualIgnoringCase(known, name);
-  });
-}
-
-/// True where the message's Connection header names `name`.
-bool IsNamedByConnection(const Http::MessageHead& head, std::string_view name)
-{
-  const std::string* connection = head.Find("Connection");
-  if (connection == nullptr)
-    return false;
-  std::string_view rest = *connection;
-  while (!rest.empty())
-  {
-    const auto comma = std::min(rest.find(','), rest.size());
-    std::string_view token = rest.substr(0, comma);
-    rest.remove_prefix(std::min(comma + 1, rest.size()));
-    while (token.starts_with(' '))
-      token.remove_prefix(1);
-    while (token.ends_with(' '))
-      token.remove_suffix(1);
-    if (Http::EqualIgnoringCase(token, name))
-      return true;
-  }
-  return false;
-}
-
 std::optional<std::int64_t> ParseNumber(const std::string* text)
 {
   if (text == nullptr)
@@ -316,45 +283,22 @@
     ++m_dispatcher.Counters().resumed;
   ++m_arrivals;
   m_tried.insert(m_server->Entry().instance);
-  m_connection->Send(RequestBytes(server), this, m_request.head.method == "HEAD");
+  const HeaderNames& names = m_dispatcher.Settings().names;
+  ForwardedParts what;
+  what.time_left = TimeLeft();
+  what.instance = m_server->Entry().instance;
+  if (m_route.uses_model)
+    what.urgency = std::min(m_route.priority, MAX_URGENCY);
+  if (m_stream_begun)
+    what.last_event_id = m_events.LastId();
+  m_connection->Send(ForwardedRequest(m_request, names, what), this,
+                     m_request.head.method == "HEAD");
   const bool is_stream = m_route.repeatability == Repeatability::Streaming;
   const auto target =
       std::chrono::duration_cast<Milliseconds>(m_route.latency_target * SILENCE_TARGETS);
   ArmSilenceTimer(is_stream ? std::max(target, MIN_STREAM_SILENCE) : m_route.latency_target);
 }
 
-std::string Relay::RequestBytes(const ServerPtr& server) const
-{
-  const HeaderNames& names = m_dispatcher.Settings().names;
-  const Http::MessageHead& head = m_request.head;
-  std::string bytes = head.method + " " + head.target + " HTTP/1.1\r\n";
-  const auto is_replaced = [&](const std::string& name) {
-    return Http::EqualIgnoringCase(name, names.time_left_ms) ||
-           (m_stream_begun && Http::EqualIgnoringCase(name, names.last_event_id));
-  };
-  const auto is_reserved = [&](const std::string& name) {
-    return std::ranges::any_of(names.reserved, [&](const std::string& reserved) {
-      return Http::EqualIgnoringCase(reserved, name);
-    });
-  };
-  for (const Http::HeaderField& field : head.headers)
-  {
-    if (IsConnectionHeader(field.name) || IsNamedByConnection(head, field.name) ||
-        is_replaced(field.name) || is_reserved(field.name))
-      continue;
-    bytes += field.name + ": " + field.value + "\r\n";
-  }
-  bytes += names.time_left_ms + ": " + std::to_string(TimeLeft().count()) + "\r\n";
-  bytes += names.expected_instance + ": " + server->Entry().instance.Get() + "\r\n";
-  if (m_route.uses_model)
-    bytes += names.urgency + ": " + std::to_string(std::min(m_route.priority, 9)) + "\r\n";
-  if (m_stream_begun && m_events.LastId())
-    bytes += names.last_event_id + ": " + std::to_string(*m_events.LastId()) + "\r\n";
-  if (!m_request.body.empty() || head.content_length || head.chunked)
-    bytes += "Content-Length: " + std::to_string(m_request.body.size()) + "\r\n";
-  return bytes + "\r\n" + m_request.body;
-}
-
 Http::AnswerEvents::Verdict Relay::OnAnswerHead(Http::MessageHead& head)
 {
   const std::string* id = head.Find(m_dispatcher.Settings().names.request_id);
@@ -402,7 +346,7 @@
   {
     m_stream_begun = true;
     m_first_event_after = std::chrono::duration_cast<Milliseconds>(Common::Now() - m_arrived);
-    m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders());
+    m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders(m_head));
   }
   else
     m_longest_pause = std::max(
@@ -436,7 +380,7 @@
   m_server->Health().NoteSuccess(Common::Now());
   const std::string rest = m_events.Partial();
   if (!m_stream_begun)
-    m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders());
+    m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders(m_head));
   m_caller->SendChunk(rest);
   m_caller->EndChunked();
   EndWith(Outcome::Answered, 0, "");
@@ -568,19 +512,10 @@
     Fail(502, "the server gave " + std::to_string(m_head.status) + " without its word");
     return;
   }
-  m_caller->Respond(m_head.status, m_head.reason, ForwardedHeaders(), m_failed_body);
+  m_caller->Respond(m_head.status, m_head.reason, ForwardedHeaders(m_head), m_failed_body);
   EndWith(Outcome::Answered, 0, "");
 }
 
-std::vector<Http::HeaderField> Relay::ForwardedHeaders() const
-{
-  std::vector<Http::HeaderField> headers;
-  std::ranges::copy_if(m_head.headers, std::back_inserter(headers), [&](const auto& field) {
-    return !IsConnectionHeader(field.name) && !IsNamedByConnection(m_head, field.name);
-  });
-  return headers;
-}
-
 void Relay::ArmSilenceTimer(Milliseconds span)
 {
   m_silence_since = Common::Now();
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -70,7 +70,6 @@
   void ReadHeaders();
   void StartTimers();
   void Send(const ServerPtr& server);
-  std::string RequestBytes(const ServerPtr& server) const;
   Common::Milliseconds TimeLeft() const;
 
   // What came back.
@@ -81,7 +80,6 @@
   void ForwardEvents(const std::string& events);
   void FinishStream();
   void PassAnswerOn();
-  std::vector<Http::HeaderField> ForwardedHeaders() const;
 
   // What to do when an attempt has failed.
   void AttemptFailed(std::string_view why, bool may_have_run);
