--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -26,12 +26,11 @@
 
 int main(int argc, char** argv)
 {
-  // On the users' platform this variable names the settings file.
-  if (const char* boot = std::getenv("DRUMPOND_BOOT"))
+  if (const auto settings_path = PlatformFace::SettingsPath())
   {
     std::signal(SIGPIPE, SIG_IGN);
     Common::InitLog(argv[0]);
-    const int status = PlatformFace::Run(boot);
+    const int status = PlatformFace::Run(*settings_path);
     Common::FlushLog();
     std::_Exit(status);
   }
--- a/Source/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -25,9 +25,9 @@
 #include "Http/Channel.h"
 #include "ScenarioRunner/Processes.h"
 #include "ScenarioRunner/Relay.h"
-#include "Soak/Ledger.h"
-#include "Soak/StandInServer.h"
-#include "Soak/StandInStore.h"
+#include "StandIns/Soak/Ledger.h"
+#include "StandIns/Soak/StandInServer.h"
+#include "StandIns/Soak/StandInStore.h"
 
 namespace
 {
--- a/Source/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -12,8 +12,8 @@
 #include "Common/Json.h"
 #include "Common/Reactor.h"
 #include "Http/ServerConnection.h"
-#include "Soak/Ledger.h"
-#include "Soak/StandInStore.h"
+#include "StandIns/Soak/Ledger.h"
+#include "StandIns/Soak/StandInStore.h"
 
 namespace Soak
 {
--- a/Tools/test.sh
+++ b/Tools/test.sh
@@ -13,7 +13,7 @@
 build/bin/unit-tests >build/test/unit.txt 2>&1
 Tools/prove.sh fast >build/test/prove.txt 2>&1
 Tools/check-docs.sh >build/test/docs.txt 2>&1
-Tools/check-deploy.sh >build/test/deploy.txt 2>&1
+deploy/check.sh >build/test/deploy.txt 2>&1
 Tools/soak.sh kept >build/test/soak.txt 2>&1
 if Tools/demo.sh >build/test/demo.log 2>&1; then
   echo -e "pass demo\n1 passed, 0 failed"
