Http: what is given up is reset

A plain close leaves unsent bytes to the kernel, which goes on sending them. Ruled out: the lease (fences 984 and 1600, the old holder stopped in its time), the abdication (the row had run out). Now: a connection given up in the middle of an exchange, or with unsent bytes, is reset. Test: ACallThatTimesOutIsReset, red before, green after; 120 unit tests.

--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -51,9 +51,14 @@
 
 void OriginConnection::Abandon()
 {
-  m_events = nullptr;
+  const bool in_exchange = std::exchange(m_events, nullptr) != nullptr;
   m_keep_alive = false;
-  m_stream->Close();
+  // What is given up must not arrive later: behind a cut the kernel would go on sending after a
+  // plain close, and deliver the request when the cut heals.
+  if (in_exchange || m_stream->Unsent() > 0)
+    m_stream->Reset();
+  else
+    m_stream->Close();
 }
 
 bool OriginConnection::IsReusable(Common::TimePoint now) const
