Orders: a store that is out is asked for the lease less and less

Now: 100 ms after the first failure, twice as long each time, 800 ms at the most; a holder's renewals are not delayed.

--- a/Source/Core/Orders/LeaseKeeper.h
+++ b/Source/Core/Orders/LeaseKeeper.h
@@ -159,6 +159,10 @@
   static constexpr Common::Milliseconds TAKE_MARGIN{250};
   /// After an abdication the holder before may come back first, which costs no pause.
   static constexpr Common::Milliseconds ABDICATION_WAIT{350};
+  /// After a failed write a daemon without the lease waits, twice as long each time: while the
+  /// store is out, every daemon's attempts cost and none can succeed.
+  static constexpr Common::Milliseconds FIRST_RETRY{100};
+  static constexpr int MAX_RETRY_DOUBLINGS = 3;
   /// Daemons that find the lease free do not all write at once.
   static constexpr std::uint64_t SPREAD_MS = 250;
   static constexpr std::uint64_t SPREAD_MS_PER_DAEMON = 10;
@@ -189,6 +193,8 @@
       m_free_since.reset();
       return;
     }
+    if (now < m_retry_at)
+      return;
     if (!m_free_since)
       m_free_since = now + m_settings.handicap +
                      Common::Milliseconds(Common::SharedRandom()() %
@@ -228,11 +234,15 @@
       return;
     if (!result)
     {
+      m_retry_at =
+          Common::Now() + FIRST_RETRY * (1 << std::min(m_write_failures, MAX_RETRY_DOUBLINGS));
+      ++m_write_failures;
       Common::LogEvent(Common::LogLevel::Warning, "lease-write-failed",
                        {{"reason", Common::ToString(result.Reason().kind)}});
       DropIfNotOurs();
       return;
     }
+    m_write_failures = 0;
     const auto now = Common::Now();
     m_version = std::max(m_version, *result);
     m_record = record;
@@ -272,6 +282,8 @@
   Common::TimePoint m_valid_until;
   Common::TimePoint m_orders_from;
   std::optional<Common::TimePoint> m_free_since;
+  int m_write_failures = 0;
+  Common::TimePoint m_retry_at;
   std::int64_t m_replaced_version = 0;             ///< That the last write expected.
   std::optional<std::int64_t> m_abdicated_version; ///< Under which its holder has stopped.
   Common::TimePoint m_last_order_at;               ///< At the latest, of that holder.
--- a/Source/UnitTests/Orders/LeaseKeeperTest.cpp
+++ b/Source/UnitTests/Orders/LeaseKeeperTest.cpp
@@ -93,6 +93,7 @@
   CPPUNIT_TEST(AnAbdicationFreesTheLeaseAndNamesTheLastOrder);
   CPPUNIT_TEST(AnAbdicationUnderAnotherVersionIsIgnored);
   CPPUNIT_TEST(AnAbdicatedHolderOrdersNoMore);
+  CPPUNIT_TEST(AStoreThatIsOutIsAskedLessAndLess);
   CPPUNIT_TEST(ARestartedHolderTakesItsOwnLeaseAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
@@ -316,6 +317,22 @@
     CPPUNIT_ASSERT(keeper.Fence() > fence);
   }
 
+  void AStoreThatIsOutIsAskedLessAndLess()
+  {
+    FakeStore store;
+    store.down = true;
+    Keeper keeper(store, Settings("a"));
+    keeper.OnRow(0, std::nullopt);
+    keeper.Start();
+    RunFor(Milliseconds(3000));
+    CPPUNIT_ASSERT(store.calls >= 2);
+    CPPUNIT_ASSERT(store.calls <= 6);
+    store.down = false;
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(keeper);
+    }));
+  }
+
   void ARestartedHolderTakesItsOwnLeaseAtOnce()
   {
     FakeStore store;
