--- a/Source/UnitTests/Gateway/RelayTest.cpp
+++ b/Source/UnitTests/Gateway/RelayTest.cpp
@@ -452,9 +452,11 @@
     world.Ask(STREAM_PATH, "id-1");
     CPPUNIT_ASSERT(world.CallerGot("id: 1"));
     world.caller.stream->Close();
-    CPPUNIT_ASSERT(RunUntil([&] {
-      return server.peers.at(0)->ended;
-    }));
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return server.peers.at(0)->ended;
+        },
+        Milliseconds(400)));
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), world.dispatcher.OpenRequests());
   }
 
