--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -129,7 +129,7 @@
 
 private:
   /// A holder that dies is missed for this long and the pause between holders. Shorter costs more
-  /// renewals, each of which is a priced call and wakes every daemon.
+  /// renewals, each of which is a priced call.
   static constexpr Common::Milliseconds LEASE_DURATION{3000};
   /// The holder asks the store twice a second; this much silence means that it is cut off.
   static constexpr Common::Milliseconds MAX_SILENCE{1200};
