Gateway, Orders: dead members go, one place keeps the answer to pass on

Members and functions that nothing read (opened connections, in-flight by model of a server, two flags of the relay); the answer was kept by the same lines in two branches under a name that told half of it; two bare numbers in the order desk have names now.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -246,7 +246,7 @@
 void Relay::OnWaitExpired()
 {
   const auto guard = shared_from_this();
-  if (m_failed_head)
+  if (m_kept_head)
   {
     PassAnswerOn();
     return;
@@ -265,8 +265,7 @@
   m_waiting = false;
   m_wait_timer.Stop();
   m_server = server;
-  m_server->NoteStart(m_artifact, now);
-  m_head_taken = false;
+  m_server->NoteStart(m_artifact);
   m_is_stream = false;
   m_body.clear();
   m_events.DropPartial();
@@ -311,7 +310,6 @@
     return Verdict::Skip;
   }
   m_head = head;
-  m_head_taken = true;
   const std::string* type = m_head.Find("Content-Type");
   m_is_stream = m_route.repeatability == Repeatability::Streaming && m_head.status == 200 &&
                 IsSound(m_head) &&
@@ -414,19 +412,16 @@
   }
   if (!server_failed)
     m_server->Health().NoteSuccess(Common::Now());
-  if (server_failed && m_route.IsRepeatable() && !m_failed_head)
+  const bool is_first_failure = server_failed && !m_kept_head;
+  if (!server_failed || is_first_failure)
   {
-    m_failed_head = m_head;
-    m_failed_body = m_body;
-    AttemptFailed("the server failed with " + std::to_string(m_head.status), true);
-    return;
-  }
-  if (!m_failed_head || !server_failed)
-  {
-    m_failed_head = m_head;
-    m_failed_body = m_body;
+    m_kept_head = m_head;
+    m_kept_body = m_body;
   }
-  PassAnswerOn();
+  if (is_first_failure && m_route.IsRepeatable())
+    AttemptFailed("the server failed with " + std::to_string(m_head.status), true);
+  else
+    PassAnswerOn();
 }
 
 void Relay::HandleRejection()
@@ -483,7 +478,7 @@
     TryDispatch();
     return;
   }
-  if (m_failed_head)
+  if (m_kept_head)
     PassAnswerOn();
   else if (m_stream_begun)
     EndWith(Outcome::BrokenOff, 0, why);
@@ -504,7 +499,7 @@
 
 void Relay::PassAnswerOn()
 {
-  m_head = *m_failed_head;
+  m_head = *m_kept_head;
   // Without the server's own word that it did not run, a status that promises so is not passed on.
   const bool promises = m_head.status == 503 || m_head.status == 429 || m_head.status == 408;
   if (promises)
@@ -512,7 +507,7 @@
     Fail(502, "the server gave " + std::to_string(m_head.status) + " without its word");
     return;
   }
-  m_caller->Respond(m_head.status, m_head.reason, ForwardedHeaders(m_head), m_failed_body);
+  m_caller->Respond(m_head.status, m_head.reason, ForwardedHeaders(m_head), m_kept_body);
   EndWith(Outcome::Answered, 0, "");
 }
 
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -117,15 +117,14 @@
   bool m_may_have_run = false;
   bool m_waiting = false;
   bool m_done = false;
-  bool m_queued_once = false;
 
   Http::MessageHead m_head; ///< Of the answer at hand.
-  bool m_head_taken = false;
   bool m_is_stream = false;
   std::string m_body;
-  std::optional<Http::MessageHead>
-      m_failed_head; ///< A server's own failure, kept if a repeat fails.
-  std::string m_failed_body;
+  /// The answer to pass on: the last one, or a server's first failure while it is repeated
+  /// elsewhere.
+  std::optional<Http::MessageHead> m_kept_head;
+  std::string m_kept_body;
   EventSplitter m_events;
   bool m_stream_begun = false; ///< Bytes of the stream have gone to the caller.
   std::optional<Common::Milliseconds> m_first_event_after;
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -69,7 +69,6 @@
 {
   if (auto kept = m_idle.Take(now))
     return kept;
-  ++m_connections_opened;
   return Http::OriginConnection::Connect(m_entry.endpoint);
 }
 
@@ -83,7 +82,7 @@
   return std::ranges::find(m_entry.models, model, &LoadedModel::model) != m_entry.models.end();
 }
 
-void Server::NoteStart(const Artifact& artifact, Common::TimePoint)
+void Server::NoteStart(const Artifact& artifact)
 {
   ++m_in_flight;
   ++m_in_flight_by_model[artifact.model];
@@ -97,12 +96,6 @@
     m_in_flight_by_model.erase(found);
 }
 
-int Server::InFlight(const ModelId& model) const
-{
-  const auto found = m_in_flight_by_model.find(model);
-  return found == m_in_flight_by_model.end() ? 0 : found->second;
-}
-
 void ServerDirectory::Put(ServerEntry entry)
 {
   const auto found = m_servers.find(entry.instance);
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -56,12 +56,10 @@
   /// A kept connection or a new one; nullptr where no socket is left.
   std::shared_ptr<Http::OriginConnection> TakeConnection(Common::TimePoint now);
   void KeepConnection(std::shared_ptr<Http::OriginConnection> connection);
-  std::uint64_t ConnectionsOpened() const { return m_connections_opened; }
 
-  void NoteStart(const Artifact& artifact, Common::TimePoint now);
+  void NoteStart(const Artifact& artifact);
   void NoteEnd(const Artifact& artifact);
   int InFlight() const { return m_in_flight; }
-  int InFlight(const ModelId& model) const;
   const std::map<ModelId, int>& InFlightByModel() const { return m_in_flight_by_model; }
   /// Requests of other daemons there, as they told the order holder.
   int RemoteInFlight() const { return m_remote_in_flight; }
@@ -77,7 +75,6 @@
   bool m_replaced = false;
   Common::TimePoint m_full_until;
   Http::IdleConnections m_idle{MAX_IDLE_CONNECTIONS};
-  std::uint64_t m_connections_opened = 0;
   struct Placement
   {
     std::set<Artifact> adapters;
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -35,6 +35,11 @@
 constexpr Milliseconds GIVE_UP_AFTER{6000};
 /// A server that could not be reached or misdirected an order gets none for a while.
 constexpr Milliseconds UNREACHABLE_PAUSE{1000};
+/// A load takes longer to show than an unload: so much is added before the server is asked.
+constexpr Milliseconds LOAD_SLACK{1000};
+/// Beginnings of loads that are remembered; far more than the bounded window holds.
+constexpr std::size_t REMEMBERED_LOADS = 1000;
+
 const char* ToString(Decisions::WeightSource source)
 {
   switch (source)
@@ -117,6 +122,7 @@
       demand.last_wanted = now;
   }
 }
+
 int OrderDesk::InFlight(const InstanceId& instance) const
 {
   const auto found = m_in_flight.find(instance);
@@ -128,6 +134,7 @@
   const auto found = m_in_flight_by_model.find({instance, model});
   return found == m_in_flight_by_model.end() ? 0 : found->second;
 }
+
 void OrderDesk::RefreshBooks(TimePoint now)
 {
   std::erase_if(m_daemons, [&](const auto& entry) {
@@ -159,6 +166,7 @@
   std::erase_if(book.dropped_adapters, base_is_gone);
   std::erase_if(book.leaving_adapters, base_is_gone);
 }
+
 void OrderDesk::PlanSoon()
 {
   if (m_plan_timer.Running())
@@ -251,6 +259,7 @@
   }
   AskReport(server, book);
 }
+
 void OrderDesk::Give(const ServerPtr& server, OrderCall::Operation operation, const ModelId& model,
                      std::optional<ModelId> then_load, Decisions::WeightSource source,
                      const std::string& reason)
@@ -272,7 +281,7 @@
   if (is_load && source == Decisions::WeightSource::WeightStore)
   {
     m_store_loads.push_back(now);
-    while (m_store_loads.size() > 1000)
+    while (m_store_loads.size() > REMEMBERED_LOADS)
       m_store_loads.pop_front();
   }
   book.open = std::move(open);
@@ -339,7 +348,7 @@
     book.sequence = open.call.expected_sequence + 1;
     open.next_check = now + ENTRY_SLACK;
     if (open.call.operation == OrderCall::Operation::Load)
-      open.next_check += Milliseconds(1000);
+      open.next_check += LOAD_SLACK;
     break;
   case OrderAnswer::AlreadySo:
     open.accepted = true;
@@ -419,6 +428,7 @@
     Give(server, OrderCall::Operation::Load, *closed.then_load, std::nullopt, closed.source,
          "after unload");
 }
+
 std::vector<PlacementLine> OrderDesk::Placements() const
 {
   const auto now = Common::Now();
