Orders: strong VMs go first after an outage of the store; the budget's share outlives its holder

While no holder was heard, each of 79 daemons took 1/16 of the budget's slack, and a new holder that had heard of two daemons told all to take a half.

Ruled out: repeats beside the budget (every one takes from it); the share of 0.7 (853 to 951 repeats for 3,070 to 3,289 requests).

Now: a daemon whose store is lost does not write; the order of the candidates begins anew at the store's return, learned by a call without a wait; who loses the lease often goes last; the count of daemons rises at once and falls after 60 s. A holder that takes the lease back right after an outage no longer gives it up because its last answers are old.

--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -107,6 +107,9 @@
     m_lease.OnRow(version, std::move(record));
     Follow();
   }
+  /// The store stopped answering this daemon, or answers again.
+  void OnStoreLost() { m_lease.OnStoreLost(); }
+  void OnStoreBack() { m_lease.OnStoreBack(); }
   void FillMetrics(Common::Metrics& metrics) const
   {
     const auto now = Common::Now();
@@ -189,10 +192,8 @@
   /// run out: another daemon may reach the store.
   void AbdicateIfCutOff(Common::TimePoint now)
   {
-    if (!m_held)
-      return;
-    const auto limit = now - m_held_since < FIRST_ANSWERS ? FIRST_ANSWERS : MAX_SILENCE;
-    if (NewestAnswer(now) <= limit)
+    // Right after an outage the last answers are old, and the first new ones are on their way.
+    if (!m_held || now - m_held_since < FIRST_ANSWERS || NewestAnswer(now) <= MAX_SILENCE)
       return;
     const LeaseWord word{m_lease.Fence(), m_lease.RowVersion(), {}};
     m_lease.Abdicate();
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -80,7 +80,7 @@
     return {Common::FailureKind::Unavailable,
             m_settings.local.ToString() + ": " + std::strerror(errno)};
   m_watch = Common::Reactor::Get().Watch(m_fd, EPOLLIN, this);
-  m_dispatcher.Budget().SetDaemons(m_settings.assumed_daemons);
+  ShareBudget();
   ReportNow();
   CheckHolder();
   return Common::Done{};
@@ -106,7 +106,7 @@
 
 Milliseconds Hub::RegularInterval() const
 {
-  return std::clamp(INTERVAL_PER_DAEMON * m_daemons, MIN_INTERVAL, MAX_INTERVAL);
+  return std::clamp(INTERVAL_PER_DAEMON * m_daemons.Get(), MIN_INTERVAL, MAX_INTERVAL);
 }
 
 bool Hub::HearsHolder() const
@@ -135,7 +135,7 @@
 
 Milliseconds Hub::PushDelay() const
 {
-  return std::clamp(PUSH_DELAY_PER_DAEMON * m_daemons, NEWS_DELAY, MAX_PUSH_DELAY);
+  return std::clamp(PUSH_DELAY_PER_DAEMON * m_daemons.Get(), NEWS_DELAY, MAX_PUSH_DELAY);
 }
 
 DaemonReport Hub::MakeReport()
@@ -187,11 +187,17 @@
   SendTo(*m_holder, envelope);
 }
 
+void Hub::ShareBudget()
+{
+  m_dispatcher.Budget().SetDaemons(m_daemons.ForSharing(Common::Now()));
+}
+
 void Hub::CheckHolder()
 {
   m_check_timer.Start(CHECK_INTERVAL, [this] {
     CheckHolder();
   });
+  ShareBudget();
   if (m_own_lease)
     return;
   if (!HearsHolder())
@@ -199,7 +205,6 @@
       table.set_relayed(false);
   if (Common::Now() - m_holder_heard_at < PLACEMENT_VALID)
     return;
-  m_dispatcher.Budget().SetDaemons(m_settings.assumed_daemons);
   for (const auto& [instance, server] : m_dispatcher.Servers().All())
   {
     server->SetRemoteInFlight(0);
@@ -315,12 +320,12 @@
     return now - entry.second.heard_at > PEER_SILENT_AFTER;
   });
   UpdatePlacements();
-  m_daemons = static_cast<int>(m_peers.size()) + 1;
+  m_daemons.Tell(static_cast<int>(m_peers.size()) + 1, now);
   HolderState state;
   state.vm = m_settings.self;
   state.lease_version = m_own_lease->version;
   state.lease_left_ms = m_own_lease->left.count();
-  state.daemons = m_daemons;
+  state.daemons = m_daemons.Get();
   state.regular = regular;
   if (regular)
     state.in_flight = m_desk.InFlightByServer();
@@ -345,7 +350,7 @@
   HolderState state;
   state.vm = m_settings.self;
   state.lease_version = word.version;
-  state.daemons = m_daemons;
+  state.daemons = m_daemons.Get();
   state.abdicated = true;
   Envelope envelope;
   HolderReport& report = envelope.from_holder.emplace_back();
@@ -453,8 +458,7 @@
     return;
   }
   m_holder_heard_at = Common::Now();
-  m_daemons = state->daemons;
-  m_dispatcher.Budget().SetDaemons(state->daemons);
+  m_daemons.Tell(state->daemons, m_holder_heard_at);
   if (m_on_lease_word && !m_own_lease)
     m_on_lease_word({report.fence, state->lease_version, Milliseconds(state->lease_left_ms)},
                     state->vm, from);
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -12,6 +12,7 @@
 #include "Common/Reactor.h"
 #include "Gateway/Dispatcher.h"
 #include "Http/TcpStream.h"
+#include "Orders/DaemonCount.h"
 #include "Orders/Messages.h"
 #include "Orders/OrderDesk.h"
 
@@ -33,7 +34,6 @@
   Common::VmId self;
   Common::Incarnation run;
   Http::Endpoint local;
-  int assumed_daemons = 16; ///< For sharing the retry budget while no holder is heard.
 };
 
 /// What the holder tells about its lease.
@@ -69,7 +69,7 @@
   /// lost.
   void AnnounceAbdication(const LeaseWord& word);
   /// Daemons that report to the holder, as last told.
-  int Daemons() const { return m_daemons; }
+  int Daemons() const { return m_daemons.Get(); }
   /// True where the holder has been heard lately.
   bool HearsHolder() const;
   /// Sends this daemon's report soon: there is news.
@@ -107,6 +107,8 @@
   void SendTo(const Http::Endpoint& peer, const Envelope& envelope);
   void TakeDatagram(std::string_view bytes, const Http::Endpoint& from);
   void TakeHolderReport(const HolderReport& report, const Http::Endpoint& from);
+  /// This daemon's part of the retry budget follows from the number of daemons.
+  void ShareBudget();
   void CheckHolder();
   void TakeNews(const std::vector<TableNews>& news);
   void UpdatePlacements();
@@ -134,7 +136,7 @@
   bool m_missed_news = false;
   std::uint64_t m_placement_version = 1;
   std::uint64_t m_placement_heard = 0; ///< Version of the placements that were last taken.
-  int m_daemons = 1;
+  DaemonCount m_daemons;
   std::map<Common::VmId, Peer> m_peers; ///< Daemons that report to this holder.
   std::uint64_t m_sequence = 0;
   std::pair<std::int64_t, std::uint64_t> m_last_heard; ///< Fence and sequence of the newest report.
--- a/Source/Core/Orders/LeaseKeeper.h
+++ b/Source/Core/Orders/LeaseKeeper.h
@@ -91,6 +91,19 @@
     m_record = record;
   }
 
+  /// The store does not answer this daemon: taking the lease is not tried, since the write could
+  /// not succeed and is priced all the same.
+  void OnStoreLost() { m_store_lost = true; }
+  /// The store answers again. All daemons learn of it at about the same moment, so the order in
+  /// which they try begins anew: strong VMs first.
+  void OnStoreBack()
+  {
+    m_store_lost = false;
+    m_free_since.reset();
+    m_write_failures = 0;
+    m_retry_at = {};
+  }
+
   /// Stops ordering for good under the present row, without writing it: the store is out of reach.
   void Abdicate()
   {
@@ -149,6 +162,10 @@
   /// Daemons that find the lease free do not all write at once.
   static constexpr std::uint64_t SPREAD_MS = 250;
   static constexpr std::uint64_t SPREAD_MS_PER_DAEMON = 10;
+  /// A second loss within this time counts as one of several.
+  static constexpr Common::Milliseconds LOSS_MEMORY{15000};
+  /// The handicap of a VM that loses the lease often, in its usual one.
+  static constexpr int HANDICAP_AFTER_LOSSES = 3;
 
   void Tick()
   {
@@ -176,16 +193,27 @@
       m_free_since.reset();
       return;
     }
-    if (now < m_retry_at)
+    if (m_store_lost || now < m_retry_at)
       return;
     if (!m_free_since)
-      m_free_since = now + m_settings.handicap +
-                     Common::Milliseconds(Common::SharedRandom()() %
-                                          std::max(SPREAD_MS, SPREAD_MS_PER_DAEMON * m_contenders));
-    if (now >= *m_free_since || IsOurs())
+      m_free_since = now + WaitBeforeTaking(now);
+    if (now >= *m_free_since)
       Write(now, "acquired");
   }
 
+  /// How long a free lease is left to others. Who had it last need not wait out the pause between
+  /// holders and so goes first, unless its VM is weak. Who has lost it more than once of late goes
+  /// after its peers: its VM does not bear the work.
+  Common::Milliseconds WaitBeforeTaking(Common::TimePoint now) const
+  {
+    const bool loses_often = m_losses > 1 && now - m_lost_at < LOSS_MEMORY;
+    const auto handicap = m_settings.handicap * (loses_often ? HANDICAP_AFTER_LOSSES : 1);
+    if (IsOurs())
+      return handicap;
+    const auto spread = std::max(SPREAD_MS, SPREAD_MS_PER_DAEMON * m_contenders);
+    return handicap + Common::Milliseconds(Common::SharedRandom()() % spread);
+  }
+
   bool IsOurs() const { return m_record && m_record->holder == m_settings.self; }
 
   bool IsFree(Common::TimePoint now) const
@@ -250,6 +278,10 @@
   {
     Common::LogEvent(Common::LogLevel::Warning, "lease-lost", {{"fence", *m_fence}, {"why", why}});
     m_fence.reset();
+    m_free_since.reset();
+    const auto now = Common::Now();
+    m_losses = now - m_lost_at < LOSS_MEMORY ? m_losses + 1 : 1;
+    m_lost_at = now;
   }
 
   Store& m_store;
@@ -267,6 +299,9 @@
   std::uint64_t m_contenders = 1;
   bool m_writing = false;
   bool m_released = false;
+  bool m_store_lost = false;
+  int m_losses = 0; ///< Of the lease, each within the memory of the one before.
+  Common::TimePoint m_lost_at;
   Common::OwnedTimer m_timer;
 };
 } // namespace Orders
--- a/Source/Core/Orders/TableFollower.h
+++ b/Source/Core/Orders/TableFollower.h
@@ -122,9 +122,10 @@
 private:
   /// Changes that are kept for passing on.
   static constexpr std::size_t LOG_ROWS = 512;
-  /// Pause after the first failed call; it doubles up to the longest.
+  /// Pause after the first failed call; it doubles up to the longest, some 1 s: refused calls are
+  /// priced, and a daemon has 3 s after an outage before its view must be current.
   static constexpr Common::Milliseconds FIRST_PAUSE{60};
-  static constexpr int MAX_PAUSE_DOUBLINGS = 3;
+  static constexpr int MAX_PAUSE_DOUBLINGS = 4;
   /// Short enough that a call which the source has lost is made anew within the bound for taking up
   /// a configuration after an outage.
   static constexpr Common::Milliseconds DEFAULT_WAIT{2500};
@@ -175,7 +176,9 @@
   void Follow()
   {
     m_calling = true;
-    m_source.Follow(m_table, m_version, m_wait, [this](Common::Result<TableRows> changes) {
+    // A source that was lost is asked without a wait: its answer tells at once that it is back.
+    const auto wait = m_lost ? Common::Milliseconds(0) : m_wait;
+    m_source.Follow(m_table, m_version, wait, [this](Common::Result<TableRows> changes) {
       m_calling = false;
       TakeChanges(std::move(changes));
     });
--- a/Source/UnitTests/Orders/LeaseKeeperTest.cpp
+++ b/Source/UnitTests/Orders/LeaseKeeperTest.cpp
@@ -95,6 +95,9 @@
   CPPUNIT_TEST(AnAbdicatedHolderOrdersNoMore);
   CPPUNIT_TEST(AStoreThatIsOutIsAskedLessAndLess);
   CPPUNIT_TEST(ARestartedHolderTakesItsOwnLeaseAtOnce);
+  CPPUNIT_TEST(AStoreThatIsLostIsNotWrittenTo);
+  CPPUNIT_TEST(AWeakVmWaitsFromTheReturnOfTheStoreOn);
+  CPPUNIT_TEST(AWeakVmThatLosesItsLeaseLeavesItToOthers);
   CPPUNIT_TEST_SUITE_END();
 
   void TakesAFreeLeaseAndRenewsIt()
@@ -351,6 +354,66 @@
     CPPUNIT_ASSERT(Common::Now() - begun < Milliseconds(500));
     CPPUNIT_ASSERT(keeper.Fence() > 5);
   }
+
+  void AStoreThatIsLostIsNotWrittenTo()
+  {
+    FakeStore store;
+    store.down = true;
+    Keeper keeper(store, Settings("a"));
+    keeper.OnRow(0, std::nullopt);
+    keeper.OnStoreLost();
+    keeper.Start();
+    RunFor(Milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(0, store.calls);
+    store.down = false;
+    keeper.OnStoreBack();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(keeper);
+    }));
+    CPPUNIT_ASSERT_EQUAL(1, store.calls);
+  }
+
+  void AWeakVmWaitsFromTheReturnOfTheStoreOn()
+  {
+    // Long free, so the handicap as counted from then on is over when the store returns.
+    FakeStore store;
+    LeaseSettings settings = Settings("weak");
+    settings.handicap = Milliseconds(800);
+    Keeper keeper(store, settings);
+    keeper.OnRow(0, std::nullopt);
+    keeper.OnStoreLost();
+    keeper.Start();
+    RunFor(Milliseconds(1500));
+    keeper.OnStoreBack();
+    RunFor(Milliseconds(700));
+    CPPUNIT_ASSERT_EQUAL(0, store.calls);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(keeper);
+    }));
+  }
+
+  void AWeakVmThatLosesItsLeaseLeavesItToOthers()
+  {
+    FakeStore store;
+    LeaseSettings settings = Settings("weak");
+    settings.handicap = Milliseconds(600);
+    Keeper keeper(store, settings);
+    keeper.OnRow(0, std::nullopt);
+    keeper.Start();
+    const auto lose = [&] {
+      CPPUNIT_ASSERT(RunUntil([&] {
+        return Holds(keeper);
+      }));
+      keeper.Abdicate();
+      return store.calls;
+    };
+    const int calls = lose();
+    RunFor(Milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(calls, store.calls);
+    const int calls_after_second = lose();
+    RunFor(Milliseconds(1500));
+    CPPUNIT_ASSERT_EQUAL(calls_after_second, store.calls);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseKeeperTest);
--- a/Source/UnitTests/Orders/TableFollowerTest.cpp
+++ b/Source/UnitTests/Orders/TableFollowerTest.cpp
@@ -46,13 +46,16 @@
     Answer(done, page);
   }
 
-  void Follow(const std::string&, std::int64_t after, Milliseconds, Done done)
+  void Follow(const std::string&, std::int64_t after, Milliseconds wait, Done done)
   {
     ++follows;
+    last_wait = wait;
     if (down)
       Answer(done, Common::Failure{Common::FailureKind::Overloaded, "down"});
     else if (after < floor)
       Answer(done, Common::Failure{Common::FailureKind::NotFound, "history"});
+    else if (wait == Milliseconds(0))
+      Answer(done, TableRows{{}, version, false});
     else
       waiting = std::move(done);
   }
@@ -80,6 +83,7 @@
   std::size_t page_size = 100;
   bool down = false;
   Done waiting;
+  Milliseconds last_wait{0};
   int reads = 0;
   int follows = 0;
 
@@ -93,6 +97,7 @@
   CPPUNIT_TEST(ReadsPagesWithoutDoubles);
   CPPUNIT_TEST(ReadsAnewWhereTheHistoryIsGone);
   CPPUNIT_TEST(TellsOfLossAndReturn);
+  CPPUNIT_TEST(ALostSourceIsAskedWithoutAWait);
   CPPUNIT_TEST(TakesRelayedChangesAndAsksNoMore);
   CPPUNIT_TEST(RefusesRelayedChangesWithAGap);
   CPPUNIT_TEST(AChangeThatComesTwiceCountsOnce);
@@ -178,6 +183,32 @@
     CPPUNIT_ASSERT_EQUAL(1, world.back);
   }
 
+  void ALostSourceIsAskedWithoutAWait()
+  {
+    // The table is quiet: a call that waits for changes would tell of the return only at its end.
+    FakeSource source;
+    source.version = 5;
+    World world(source);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return source.waiting != nullptr;
+    }));
+    source.down = true;
+    source.Answer(std::exchange(source.waiting, nullptr),
+                  Common::Failure{Common::FailureKind::Overloaded, "down"});
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.lost == 1;
+    }));
+    RunFor(Milliseconds(200));
+    source.down = false;
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.back == 1;
+    }));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return source.waiting != nullptr;
+    }));
+    CPPUNIT_ASSERT(source.last_wait > Milliseconds(0));
+  }
+
   void TakesRelayedChangesAndAsksNoMore()
   {
     FakeSource source;
