Orders: weak VMs wait by what they lack against the fittest; a holder that stops says so

Now: reports carry each VM's handicap and the holder tells the least, so that the handicap can be long (up to 2 s) where stronger VMs live and counts nothing where all are alike; a holder that stops tells all daemons at once.

Test: LeaseKeeperTest, WhereAllVmsAreWeakNobodyWaits.

--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -31,14 +31,15 @@
   double link_mbps = 1000;
 };
 
-/// How long a VM leaves a free lease to stronger ones. The holder of a system of 70 daemons was
-/// measured to use 0.1 cores and some Mbit/s.
+/// How long a VM leaves a free lease to VMs that lack nothing. The holder of a system of 70 daemons
+/// was measured to use 0.1 cores and some Mbit/s. Candidates learn of a free lease within about a
+/// second of each other, so the longest handicap lies well above that.
 inline Common::Milliseconds LeaseHandicap(double cores, double link_mbps)
 {
   constexpr double ENOUGH_CORES = 0.3;
   constexpr double ENOUGH_MBPS = 100;
-  constexpr double MS_FOR_LACK_OF_CORES = 500;
-  constexpr double MS_FOR_LACK_OF_LINK = 500;
+  constexpr double MS_FOR_LACK_OF_CORES = 1000;
+  constexpr double MS_FOR_LACK_OF_LINK = 1000;
   const double core_lack = std::clamp(1 - cores / ENOUGH_CORES, 0.0, 1.0);
   const double link_lack = std::clamp(1 - link_mbps / ENOUGH_MBPS, 0.0, 1.0);
   return Common::Milliseconds(static_cast<std::int64_t>(core_lack * MS_FOR_LACK_OF_CORES +
@@ -59,7 +60,9 @@
       : m_vm(settings.vm),
         m_run(Common::NewId("run-")),
         m_desk(dispatcher.Servers(), std::move(channel), {settings.load_window_s}),
-        m_hub({settings.vm, m_run, settings.local}, dispatcher, m_desk),
+        m_hub(
+            {settings.vm, m_run, settings.local, LeaseHandicap(settings.cores, settings.link_mbps)},
+            dispatcher, m_desk),
         m_lease(store, {settings.vm, m_run, settings.local.ToString(), LEASE_DURATION,
                         settings.holder_pause + PAUSE_MARGIN,
                         LeaseHandicap(settings.cores, settings.link_mbps)}),
@@ -126,6 +129,8 @@
   void Stop()
   {
     m_stopped = true;
+    if (m_held)
+      m_hub.AnnounceAbdication(CurrentWord());
     m_lease.Release();
     Follow();
   }
@@ -188,6 +193,8 @@
     return std::ranges::min(m_shared_tables | std::views::transform(age_of));
   }
 
+  LeaseWord CurrentWord() const { return {m_lease.Fence(), m_lease.RowVersion(), {}}; }
+
   /// A holder that the store does not answer stops at once and says so, instead of letting its time
   /// run out: another daemon may reach the store.
   void AbdicateIfCutOff(Common::TimePoint now)
@@ -195,7 +202,7 @@
     // Right after an outage the last answers are old, and the first new ones are on their way.
     if (!m_held || now - m_held_since < FIRST_ANSWERS || NewestAnswer(now) <= MAX_SILENCE)
       return;
-    const LeaseWord word{m_lease.Fence(), m_lease.RowVersion(), {}};
+    const LeaseWord word = CurrentWord();
     m_lease.Abdicate();
     m_hub.AnnounceAbdication(word);
   }
@@ -204,7 +211,7 @@
   {
     AbdicateIfCutOff(Common::Now());
     Follow();
-    m_lease.SetContenders(m_hub.Daemons());
+    m_lease.SetContenders(m_hub.Daemons(), m_hub.LeastHandicap());
     m_lease_table.SetRelayed(m_held || m_hub.HearsHolder());
     const auto now = Common::Now();
     const bool holds = m_lease.Holds(now);
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -164,6 +164,7 @@
                          });
   report.placement_version = m_placement_heard;
   report.missed_news = std::exchange(m_missed_news, false);
+  report.handicap_ms = m_settings.handicap.count();
   return report;
 }
 
@@ -326,6 +327,7 @@
   state.lease_version = m_own_lease->version;
   state.lease_left_ms = m_own_lease->left.count();
   state.daemons = m_daemons.Get();
+  state.least_handicap_ms = LeastHandicapOfPeers().count();
   state.regular = regular;
   if (regular)
     state.in_flight = m_desk.InFlightByServer();
@@ -345,12 +347,21 @@
   TakeHolderReport(report, m_settings.local);
 }
 
+Milliseconds Hub::LeastHandicapOfPeers() const
+{
+  const auto fittest = std::ranges::min_element(m_peers, {}, [](const auto& entry) {
+    return entry.second.handicap;
+  });
+  return fittest == m_peers.end() ? Milliseconds(0) : fittest->second.handicap;
+}
+
 void Hub::AnnounceAbdication(const LeaseWord& word)
 {
   HolderState state;
   state.vm = m_settings.self;
   state.lease_version = word.version;
   state.daemons = m_daemons.Get();
+  state.least_handicap_ms = LeastHandicapOfPeers().count();
   state.abdicated = true;
   Envelope envelope;
   HolderReport& report = envelope.from_holder.emplace_back();
@@ -414,6 +425,7 @@
     peer.heard_at = now;
     peer.versions = report.table_versions;
     peer.placement_version = report.placement_version;
+    peer.handicap = Milliseconds(report.handicap_ms);
     if (report.missed_news)
     {
       peer.sent = peer.versions;
@@ -449,6 +461,7 @@
   if (report.fence != m_last_heard.first)
     m_placement_heard = 0;
   m_last_heard = age;
+  m_least_handicap = Milliseconds(state->least_handicap_ms);
   if (state->abdicated)
   {
     // From now on each daemon asks the platform itself, until another holder is heard.
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -34,6 +34,7 @@
   Common::VmId self;
   Common::Incarnation run;
   Http::Endpoint local;
+  Common::Milliseconds handicap{0}; ///< How ill this VM is fit to hold the lease.
 };
 
 /// What the holder tells about its lease.
@@ -70,6 +71,8 @@
   void AnnounceAbdication(const LeaseWord& word);
   /// Daemons that report to the holder, as last told.
   int Daemons() const { return m_daemons.Get(); }
+  /// The handicap of the daemon that is fittest to be the next holder, as last told.
+  Common::Milliseconds LeastHandicap() const { return m_least_handicap; }
   /// True where the holder has been heard lately.
   bool HearsHolder() const;
   /// Sends this daemon's report soon: there is news.
@@ -89,6 +92,7 @@
     Common::TimePoint sent_at;
     std::uint64_t placement_version = 0;
     std::uint64_t placement_sent = 0;
+    Common::Milliseconds handicap{0};
   };
   /// A line of the placements with the version at which it changed last.
   struct VersionedLine
@@ -114,6 +118,7 @@
   void UpdatePlacements();
   void AddPlacements(HolderReport& report, std::uint64_t since) const;
   void TakePlacements(const HolderReport& report);
+  Common::Milliseconds LeastHandicapOfPeers() const;
   /// False where there is nothing to send.
   bool FillReport(HolderReport& report, bool regular, Peer& peer, Common::TimePoint now) const;
   Common::Milliseconds PushDelay() const;
@@ -137,6 +142,7 @@
   std::uint64_t m_placement_version = 1;
   std::uint64_t m_placement_heard = 0; ///< Version of the placements that were last taken.
   DaemonCount m_daemons;
+  Common::Milliseconds m_least_handicap{0};
   std::map<Common::VmId, Peer> m_peers; ///< Daemons that report to this holder.
   std::uint64_t m_sequence = 0;
   std::pair<std::int64_t, std::uint64_t> m_last_heard; ///< Fence and sequence of the newest report.
--- a/Source/Core/Orders/LeaseKeeper.h
+++ b/Source/Core/Orders/LeaseKeeper.h
@@ -126,10 +126,11 @@
   std::int64_t Fence() const { return m_fence.value_or(0); }
   const std::optional<LeaseRecord>& Record() const { return m_record; }
 
-  /// Daemons that may want the lease.
-  void SetContenders(int daemons)
+  /// Daemons that may want the lease, and the handicap of the fittest of them.
+  void SetContenders(int daemons, Common::Milliseconds least_handicap)
   {
     m_contenders = static_cast<std::uint64_t>(std::max(daemons, 1));
+    m_least_handicap = least_handicap;
   }
 
   /// Gives the lease back: the next holder need not wait for it to run out.
@@ -165,7 +166,7 @@
   /// A second loss within this time counts as one of several.
   static constexpr Common::Milliseconds LOSS_MEMORY{15000};
   /// The handicap of a VM that loses the lease often, in its usual one.
-  static constexpr int HANDICAP_AFTER_LOSSES = 3;
+  static constexpr int HANDICAP_AFTER_LOSSES = 2;
 
   void Tick()
   {
@@ -207,7 +208,9 @@
   Common::Milliseconds WaitBeforeTaking(Common::TimePoint now) const
   {
     const bool loses_often = m_losses > 1 && now - m_lost_at < LOSS_MEMORY;
-    const auto handicap = m_settings.handicap * (loses_often ? HANDICAP_AFTER_LOSSES : 1);
+    // Where all VMs are alike weak, nobody need wait.
+    const auto beyond = std::max(m_settings.handicap - m_least_handicap, Common::Milliseconds(0));
+    const auto handicap = loses_often ? m_settings.handicap * HANDICAP_AFTER_LOSSES : beyond;
     if (IsOurs())
       return handicap;
     const auto spread = std::max(SPREAD_MS, SPREAD_MS_PER_DAEMON * m_contenders);
@@ -297,6 +300,7 @@
   int m_write_failures = 0;
   Common::TimePoint m_retry_at;
   std::uint64_t m_contenders = 1;
+  Common::Milliseconds m_least_handicap{0};
   bool m_writing = false;
   bool m_released = false;
   bool m_store_lost = false;
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -95,11 +95,13 @@
   std::vector<std::int64_t> table_versions; ///< Of each shared table, as this daemon has it.
   std::uint64_t placement_version = 0;      ///< Of the last placements that it has.
   bool missed_news = false;                 ///< Changes were missing: they should be sent again.
+  std::int64_t handicap_ms = 0;             ///< How ill its VM is fit to hold the lease.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(vm, run, sequence, demand, loads, table_versions, placement_version, missed_news);
+    archive(vm, run, sequence, demand, loads, table_versions, placement_version, missed_news,
+            handicap_ms);
   }
 };
 
@@ -123,7 +125,9 @@
 struct HolderState
 {
   Common::VmId vm;
-  std::int32_t daemons = 1;       ///< That report to the holder, itself included.
+  std::int32_t daemons = 1; ///< That report to the holder, itself included.
+  /// Of the daemon that is fittest to be the next holder.
+  std::int64_t least_handicap_ms = 0;
   std::int64_t lease_version = 0; ///< Of the lease's row.
   std::int64_t lease_left_ms = 0; ///< At most so long the holder may act without a renewal.
   bool abdicated = false; ///< It has stopped ordering under this version of the lease's row.
@@ -133,7 +137,8 @@
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(vm, daemons, lease_version, lease_left_ms, abdicated, regular, in_flight);
+    archive(vm, daemons, least_handicap_ms, lease_version, lease_left_ms, abdicated, regular,
+            in_flight);
   }
 };
 
--- a/Source/UnitTests/Orders/LeaseKeeperTest.cpp
+++ b/Source/UnitTests/Orders/LeaseKeeperTest.cpp
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(AStoreThatIsLostIsNotWrittenTo);
   CPPUNIT_TEST(AWeakVmWaitsFromTheReturnOfTheStoreOn);
   CPPUNIT_TEST(AWeakVmThatLosesItsLeaseLeavesItToOthers);
+  CPPUNIT_TEST(WhereAllVmsAreWeakNobodyWaits);
   CPPUNIT_TEST_SUITE_END();
 
   void TakesAFreeLeaseAndRenewsIt()
@@ -411,9 +412,25 @@
     RunFor(Milliseconds(500));
     CPPUNIT_ASSERT_EQUAL(calls, store.calls);
     const int calls_after_second = lose();
-    RunFor(Milliseconds(1500));
+    RunFor(Milliseconds(1000));
     CPPUNIT_ASSERT_EQUAL(calls_after_second, store.calls);
   }
+
+  void WhereAllVmsAreWeakNobodyWaits()
+  {
+    FakeStore store;
+    LeaseSettings settings = Settings("weak");
+    settings.handicap = Milliseconds(2000);
+    Keeper keeper(store, settings);
+    keeper.SetContenders(5, Milliseconds(2000));
+    keeper.OnRow(0, std::nullopt);
+    const auto begun = Common::Now();
+    keeper.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(keeper);
+    }));
+    CPPUNIT_ASSERT(Common::Now() - begun < Milliseconds(1000));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseKeeperTest);
