Orders: a version without changes is no gap; the load report names servers by hashes

Now the holder names the last version that had a change, so that only missed rows are a gap; the load report, sent to all daemons twice a second, names servers by 32 bits instead of 13 bytes; and a daemon that falls back asks first without a wait.

Test: TableFollowerTest, AVersionWithoutChangesIsNoGap.

--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -13,6 +13,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #include "Common/Log.h"
 #include "Common/Loop.h"
@@ -59,6 +60,11 @@
 constexpr int ABDICATION_COPIES = 3;
 } // namespace
 
+ServerHash HashOf(const Gateway::InstanceId& instance)
+{
+  return static_cast<ServerHash>(XXH3_64bits(instance.Get().data(), instance.Get().size()));
+}
+
 Hub::Hub(HubSettings settings, Gateway::Dispatcher& dispatcher, OrderDesk& desk)
     : m_settings(std::move(settings)), m_dispatcher(dispatcher), m_desk(desk)
 {
@@ -247,12 +253,12 @@
   news.to = table.version();
   news.from = news.to;
   news.answer_age_ms = table.answer_age().count();
-  auto rows = table.changes_since(since);
-  if (!rows)
+  auto changes = table.changes_since(since);
+  if (!changes)
     return news;
-  news.from = since;
+  news.from = changes->from;
   // A row that fits no datagram is asked of the platform by each daemon.
-  const bool fits = std::ranges::none_of(*rows, [](const RowChange& row) {
+  const bool fits = std::ranges::none_of(changes->rows, [](const RowChange& row) {
     return row.packed.size() > MAX_NEWS_BYTES;
   });
   if (!fits)
@@ -261,7 +267,7 @@
     return news;
   }
   std::size_t bytes = 0;
-  for (RowChange& row : *rows)
+  for (RowChange& row : changes->rows)
   {
     bytes += row.key.size() + row.packed.size();
     if (bytes > MAX_NEWS_BYTES && !news.rows.empty())
@@ -270,7 +276,7 @@
       std::erase_if(news.rows, [&](const RowChange& taken) {
         return taken.version == row.version;
       });
-      news.to = news.rows.empty() ? since : news.rows.back().version;
+      news.to = news.rows.empty() ? news.from : news.rows.back().version;
       break;
     }
     news.rows.push_back(std::move(row));
@@ -341,7 +347,8 @@
   state.least_handicap_ms = LeastHandicapOfPeers().count();
   state.regular = regular;
   if (regular)
-    state.in_flight = m_desk.InFlightByServer();
+    for (const auto& [instance, count] : m_desk.InFlightByServer())
+      state.in_flight[HashOf(instance)] += count;
   HolderReport report;
   report.fence = m_own_lease->fence;
   report.sequence = ++m_sequence;
@@ -497,7 +504,7 @@
   if (state->regular)
     for (const auto& [instance, server] : m_dispatcher.Servers().All())
     {
-      const auto total = state->in_flight.find(instance);
+      const auto total = state->in_flight.find(HashOf(instance));
       const int elsewhere =
           total == state->in_flight.end() ? 0 : total->second - server->InFlight();
       server->SetRemoteInFlight(std::max(elsewhere, 0));
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -22,7 +22,7 @@
 struct TableAccess
 {
   std::function<std::int64_t()> version;
-  std::function<std::optional<std::vector<RowChange>>(std::int64_t)> changes_since;
+  std::function<std::optional<RowChanges>(std::int64_t)> changes_since;
   std::function<Common::Milliseconds()> answer_age;
   std::function<bool(std::int64_t, std::int64_t, const std::vector<RowChange>&)> take_relayed;
   std::function<void(bool)> set_relayed;
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -107,6 +107,11 @@
   }
 };
 
+/// Stands for a backend server where its whole name would be most of the message. Two servers with
+/// one hash only blur each other's load.
+using ServerHash = std::uint32_t;
+ServerHash HashOf(const Gateway::InstanceId& instance);
+
 /// The part of a holder's report that is the same for all daemons; encoded once.
 struct HolderState
 {
@@ -118,7 +123,7 @@
   std::int64_t lease_left_ms = 0; ///< At most so long the holder may act without a renewal.
   bool abdicated = false; ///< It has stopped ordering under this version of the lease's row.
   bool regular = false;   ///< Holds `in_flight`; else there is only news.
-  std::map<Gateway::InstanceId, std::int32_t> in_flight; ///< Open requests of all daemons.
+  std::map<ServerHash, std::int32_t> in_flight; ///< Open requests of all daemons.
 
   template <typename Archive>
   void serialize(Archive& archive)
--- a/Source/Core/Orders/RowChange.h
+++ b/Source/Core/Orders/RowChange.h
@@ -38,6 +38,15 @@
   }
 };
 
+/// What has changed in a table since a version.
+struct RowChanges
+{
+  /// Nothing changed between this version and the one asked for: whoever has this one misses
+  /// nothing either.
+  std::int64_t from = 0;
+  std::vector<RowChange> rows; ///< Oldest first.
+};
+
 /// The rows of one table as this daemon knows them.
 class KnownRows
 {
--- a/Source/Core/Orders/TableFollower.h
+++ b/Source/Core/Orders/TableFollower.h
@@ -94,7 +94,8 @@
     if (!relayed && m_have_snapshot && !m_calling)
     {
       m_retry_timer.Stop();
-      Follow();
+      // Something was missed: what the source has already is wanted now.
+      Follow(Common::Milliseconds(0));
     }
   }
 
@@ -122,14 +123,14 @@
   }
 
   /// The changes after `version`; nothing where they are not kept any more.
-  std::optional<std::vector<RowChange>> ChangesSince(std::int64_t version) const
+  std::optional<RowChanges> ChangesSince(std::int64_t version) const
   {
     if (!m_have_snapshot || version < m_log_floor)
       return std::nullopt;
-    std::vector<RowChange> changes;
-    std::ranges::copy_if(m_log, std::back_inserter(changes), [&](const RowChange& change) {
-      return change.version > version;
-    });
+    const auto first = std::ranges::upper_bound(m_log, version, {}, &RowChange::version);
+    RowChanges changes;
+    changes.from = first == m_log.begin() ? m_log_floor : std::prev(first)->version;
+    changes.rows.assign(first, m_log.end());
     return changes;
   }
 
@@ -186,15 +187,14 @@
 
   void Continue()
   {
+    // A source that was lost is asked without a wait: its answer tells at once that it is back.
     if (!m_relayed)
-      Follow();
+      Follow(m_lost ? Common::Milliseconds(0) : m_wait);
   }
 
-  void Follow()
+  void Follow(Common::Milliseconds wait)
   {
     m_calling = true;
-    // A source that was lost is asked without a wait: its answer tells at once that it is back.
-    const auto wait = m_lost ? Common::Milliseconds(0) : m_wait;
     m_source.Follow(m_table, m_version, wait, [this](Common::Result<TableRows> changes) {
       m_calling = false;
       TakeChanges(std::move(changes));
--- a/Source/UnitTests/Orders/TableFollowerTest.cpp
+++ b/Source/UnitTests/Orders/TableFollowerTest.cpp
@@ -108,6 +108,7 @@
   CPPUNIT_TEST(RefusesRelayedChangesWithAGap);
   CPPUNIT_TEST(AChangeThatComesTwiceCountsOnce);
   CPPUNIT_TEST(PassesOnWhatItStillKeeps);
+  CPPUNIT_TEST(AVersionWithoutChangesIsNoGap);
   CPPUNIT_TEST_SUITE_END();
 
   struct World
@@ -272,9 +273,24 @@
       return world.snapshots == 1;
     }));
     CPPUNIT_ASSERT(world.follower.TakeRelayed(5, 7, {Change("a", 6), Change("b", 7)}));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.follower.ChangesSince(6)->size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.follower.ChangesSince(6)->rows.size());
     CPPUNIT_ASSERT(!world.follower.ChangesSince(4));
   }
+
+  void AVersionWithoutChangesIsNoGap()
+  {
+    FakeSource source;
+    source.version = 5;
+    World world(source);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.snapshots == 1;
+    }));
+    CPPUNIT_ASSERT(world.follower.TakeRelayed(5, 6, {Change("a", 6)}));
+    CPPUNIT_ASSERT(world.follower.TakeRelayed(6, 90, {}));
+    // A daemon that has heard of version 6 only has all there is.
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(6), world.follower.ChangesSince(90)->from);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(5), world.follower.ChangesSince(5)->from);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TableFollowerTest);
