Orders: a lease is given back behind a renewal on its way

Found by drumpond explain-log on a refused request. Ruled out: another daemon's write (the row named the stopping one). Now the release waits for the answer of the write on its way. Test: LeaseKeeperTest, ALeaseIsGivenBackBehindARenewalOnItsWay, red without.

Tool, platform: explain-log tells the story of a request from the logs of all daemons; check-settings names all that is wrong with a settings file, what was expected and in which unit (before: one sentence for four of its fields). DecodeTest, two cases.

--- a/Source/Core/Orders/LeaseKeeper.h
+++ b/Source/Core/Orders/LeaseKeeper.h
@@ -138,13 +138,11 @@
   {
     m_released = true;
     m_timer.Stop();
-    if (!m_fence)
-      return;
+    const bool held = m_fence.has_value();
     m_fence.reset();
-    m_store.ReplaceLease(m_version, LeaseRecord{}, [](Common::Result<std::int64_t> result) {
-      Common::LogEvent(Common::LogLevel::Info, "lease-released",
-                       {{"done", static_cast<bool>(result)}});
-    });
+    // A write on its way gives the row another version: the lease is given back behind it.
+    if (held && !m_writing)
+      GiveBack();
   }
 
 private:
@@ -244,7 +242,13 @@
                   bool follows_another, Common::Result<std::int64_t> result)
   {
     if (m_released)
+    {
+      if (!result)
+        return;
+      m_version = std::max(m_version, *result);
+      GiveBack();
       return;
+    }
     if (!result)
     {
       m_retry_at =
@@ -270,6 +274,14 @@
                      {{"fence", *m_fence}, {"how", what}, {"after_another", follows_another}});
   }
 
+  void GiveBack()
+  {
+    m_store.ReplaceLease(m_version, LeaseRecord{}, [](Common::Result<std::int64_t> result) {
+      Common::LogEvent(Common::LogLevel::Info, "lease-released",
+                       {{"done", static_cast<bool>(result)}});
+    });
+  }
+
   void DropIfNotOurs()
   {
     const bool ours = IsOurs() && m_record->run == m_settings.run;
--- a/Source/Tool/Commands.cpp
+++ b/Source/Tool/Commands.cpp
@@ -31,6 +31,12 @@
       {"dump", "", "print the whole state of one daemon as JSON", "drumpond dump", 0, ShowDump},
       {"explain", "KEY", "show why: decisions about a request, a model or a backend server",
        "drumpond explain recipe-01", 1, Explain},
+      {"explain-log", "ID LOG...",
+       "tell the story of a request from the logs of all daemons, with what befell its model and "
+       "its backend servers meanwhile",
+       "drumpond explain-log 1585937bd3f39537 examples/entry-1.log", 2, ExplainLog},
+      {"check-settings", "FILE", "check a settings file of the users' platform without a daemon",
+       "drumpond check-settings examples/platform-settings.json", 1, CheckSettings},
   };
   return s_commands;
 }
--- a/Source/Tool/Commands.h
+++ b/Source/Tool/Commands.h
@@ -33,7 +33,7 @@
   std::string arguments;
   std::string help;
   std::string example;
-  std::size_t argument_count;
+  std::size_t argument_count; ///< Or more, where the arguments end in "...".
   ExitStatus (*run)(const Invocation&);
 };
 
@@ -56,4 +56,6 @@
 ExitStatus ShowDaemons(const Invocation& invocation);
 ExitStatus ShowDump(const Invocation& invocation);
 ExitStatus Explain(const Invocation& invocation);
+ExitStatus ExplainLog(const Invocation& invocation);
+ExitStatus CheckSettings(const Invocation& invocation);
 } // namespace Tool
--- /dev/null
+++ b/Source/Tool/LogCommands.cpp
@@ -0,0 +1,167 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Commands that need no daemon: what the logs tell of a request, and whether a settings file is
+// sound.
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <set>
+#include <sstream>
+#include <string>
+
+#include "Tool/Commands.h"
+#include "platform/Decode.h"
+
+namespace Tool
+{
+namespace
+{
+/// Lines of other things are shown from so long before the request's first line on: a load from the
+/// weight store takes some seconds, and what kept a model away lies before the request.
+constexpr std::int64_t CONTEXT_BEFORE_MS = 10000;
+/// Length of "2026-12-02T16:00:00.000", by which lines sort.
+constexpr std::size_t TIME_LENGTH = 23;
+
+struct LogLine
+{
+  std::string file;
+  std::string text;
+
+  std::string Time() const { return text.substr(0, TIME_LENGTH); }
+};
+
+/// The value of `key=value` or `key="value"` in a line.
+std::string FieldOf(const std::string& line, const std::string& key)
+{
+  const auto at = line.find(" " + key + "=");
+  if (at == std::string::npos)
+    return "";
+  const auto begin = at + key.size() + 2;
+  if (begin < line.size() && line[begin] == '"')
+    return line.substr(begin + 1, line.find('"', begin + 1) - begin - 1);
+  return line.substr(begin, line.find(' ', begin) - begin);
+}
+
+std::optional<std::vector<LogLine>> ReadLogs(const std::vector<std::string>& files)
+{
+  std::vector<LogLine> lines;
+  for (const std::string& file : files)
+  {
+    std::ifstream in(file);
+    if (!in)
+    {
+      std::cerr << "drumpond: cannot read " << file << "\n";
+      return std::nullopt;
+    }
+    for (std::string line; std::getline(in, line);)
+      if (line.size() > TIME_LENGTH && line.find(" event=") != std::string::npos)
+        lines.push_back({file, std::move(line)});
+  }
+  std::ranges::stable_sort(lines, {}, &LogLine::Time);
+  return lines;
+}
+
+/// Milliseconds since midnight; logs that are read together begin on one day or the next.
+std::int64_t ClockMs(const std::string& time)
+{
+  int hours = 0;
+  int minutes = 0;
+  double seconds = 0;
+  char separator = 0;
+  std::istringstream in(time.substr(time.find('T') + 1));
+  in >> hours >> separator >> minutes >> separator >> seconds;
+  constexpr int MINUTES_PER_HOUR = 60;
+  constexpr int MS_PER_MINUTE = 60000;
+  constexpr double MS_PER_SECOND = 1000;
+  return static_cast<std::int64_t>(hours * MINUTES_PER_HOUR + minutes) * MS_PER_MINUTE +
+         static_cast<std::int64_t>(seconds * MS_PER_SECOND);
+}
+
+/// What a request's lines name, by which other lines belong to its story.
+struct Subjects
+{
+  std::set<std::string> models;
+  std::set<std::string> instances;
+  std::string first;
+  std::string last;
+};
+
+Subjects SubjectsOf(const std::vector<LogLine>& lines, const std::string& id)
+{
+  Subjects subjects;
+  for (const LogLine& line : lines)
+  {
+    if (FieldOf(line.text, "id") != id)
+      continue;
+    if (subjects.first.empty())
+      subjects.first = line.Time();
+    subjects.last = line.Time();
+    const std::string artifact = FieldOf(line.text, "artifact");
+    if (!artifact.empty())
+      subjects.models.insert(artifact.substr(0, artifact.find('/')));
+    if (const std::string instance = FieldOf(line.text, "instance"); !instance.empty())
+      subjects.instances.insert(instance);
+  }
+  return subjects;
+}
+
+/// True for lines on the request's servers and model, and on who gives orders and what is known.
+bool BelongsTo(const LogLine& line, const Subjects& subjects)
+{
+  const std::string event = FieldOf(line.text, "event");
+  const bool on_requests = event == "request" || event == "attempt-failed";
+  if (on_requests)
+    return false;
+  if (event.starts_with("lease-") || event.starts_with("table-source") || event == "configuration")
+    return true;
+  return subjects.instances.contains(FieldOf(line.text, "instance")) ||
+         subjects.models.contains(FieldOf(line.text, "model"));
+}
+} // namespace
+
+ExitStatus ExplainLog(const Invocation& invocation)
+{
+  const std::string& id = invocation.arguments.front();
+  const auto lines =
+      ReadLogs({std::next(invocation.arguments.begin()), invocation.arguments.end()});
+  if (!lines)
+    return ExitStatus::Usage;
+  const Subjects subjects = SubjectsOf(*lines, id);
+  if (subjects.first.empty())
+  {
+    std::cerr << "drumpond: no line names the request " << id << "\n";
+    return ExitStatus::Failed;
+  }
+  const std::int64_t from = ClockMs(subjects.first) - CONTEXT_BEFORE_MS;
+  const std::int64_t to = ClockMs(subjects.last);
+  for (const LogLine& line : *lines)
+  {
+    const bool own = FieldOf(line.text, "id") == id;
+    const std::int64_t at = ClockMs(line.Time());
+    if (own || (at >= from && at <= to && BelongsTo(line, subjects)))
+      std::cout << (own ? "* " : "  ") << line.file << " " << line.text << "\n";
+  }
+  return ExitStatus::Ok;
+}
+
+ExitStatus CheckSettings(const Invocation& invocation)
+{
+  std::ifstream in(invocation.arguments.front());
+  if (!in)
+  {
+    std::cerr << "drumpond: cannot read " << invocation.arguments.front() << "\n";
+    return ExitStatus::Usage;
+  }
+  const std::string text{std::istreambuf_iterator<char>(in), {}};
+  const auto settings = PlatformFace::DecodeSettings(text);
+  if (!settings)
+    return Report(settings.Reason());
+  std::cout << "sound: " << settings->vm.Get() << " in " << settings->data_centre.Get()
+            << ", callers at " << settings->callers.ToString() << "\n";
+  return ExitStatus::Ok;
+}
+} // namespace Tool
--- a/Source/Tool/Main.cpp
+++ b/Source/Tool/Main.cpp
@@ -106,7 +106,9 @@
   const Command* command = TakeCommand(words);
   if (!command)
     return UsageError("expected a command");
-  if (words.size() != command->argument_count)
+  const bool takes_more = command->arguments.ends_with("...");
+  if (words.size() < command->argument_count ||
+      (words.size() > command->argument_count && !takes_more))
     return UsageError("expected: drumpond " + command->words + " " + command->arguments);
   Tool::Invocation invocation;
   invocation.arguments = words;
--- a/Source/UnitTests/Orders/LeaseKeeperTest.cpp
+++ b/Source/UnitTests/Orders/LeaseKeeperTest.cpp
@@ -49,12 +49,20 @@
       });
   }
 
-  void Later(std::function<void()> callback) const { m_soon.Call(std::move(callback)); }
+  void Later(std::function<void()> callback)
+  {
+    if (hold_answers)
+      held.push_back(std::move(callback));
+    else
+      m_soon.Call(std::move(callback));
+  }
 
   LeaseRecord record;
   std::int64_t version = 0;
   bool down = false;
   bool lose_answers = false;
+  bool hold_answers = false; ///< Answers wait in `held`.
+  std::vector<std::function<void()>> held;
   int calls = 0;
 
 private:
@@ -89,6 +97,7 @@
   CPPUNIT_TEST(ALostAnswerIsNotAnAcquisition);
   CPPUNIT_TEST(AfterALostAnswerThePauseIsStillOwed);
   CPPUNIT_TEST(AReleasedLeaseIsTakenAtOnceButOrdersWait);
+  CPPUNIT_TEST(ALeaseIsGivenBackBehindARenewalOnItsWay);
   CPPUNIT_TEST(TheHoldersWordShortensTheWaitNeverBelowItsTime);
   CPPUNIT_TEST(AnAbdicationFreesTheLeaseAtOnceButThePauseIsOwed);
   CPPUNIT_TEST(AnOlderWordThanTheRowIsIgnored);
@@ -246,6 +255,28 @@
     CPPUNIT_ASSERT(!second.MayOrder(Common::Now()));
   }
 
+  void ALeaseIsGivenBackBehindARenewalOnItsWay()
+  {
+    FakeStore store;
+    Keeper keeper(store, Settings("a"));
+    keeper.OnRow(0, std::nullopt);
+    keeper.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(keeper);
+    }));
+    store.hold_answers = true;
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return store.held.size() == 1;
+    }));
+    keeper.Release();
+    CPPUNIT_ASSERT(!Holds(keeper));
+    store.hold_answers = false;
+    store.held.front()();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return store.record.holder.Empty();
+    }));
+  }
+
   void TheHoldersWordShortensTheWaitNeverBelowItsTime()
   {
     FakeStore store;
--- a/Source/UnitTests/Platform/DecodeTest.cpp
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -22,6 +22,8 @@
   CPPUNIT_TEST_SUITE(DecodeTest);
   CPPUNIT_TEST(ReadsSettings);
   CPPUNIT_TEST(RefusesIncompleteSettings);
+  CPPUNIT_TEST(NamesAllThatIsWrongWithSettings);
+  CPPUNIT_TEST(LeavesDefaultsWhereNothingIsSet);
   CPPUNIT_TEST(ReadsAConfiguration);
   CPPUNIT_TEST(RefusesAnUnknownKindOfRoute);
   CPPUNIT_TEST(ReadsAServersEntry);
@@ -49,6 +51,33 @@
     CPPUNIT_ASSERT(!DecodeSettings("not json"));
   }
 
+  void NamesAllThatIsWrongWithSettings()
+  {
+    const auto settings = DecodeSettings(
+        R"({"nodeName":"x","zone":7,"portRange":[70000],"listen":{"front":"here","ready":"1.2.3.4:5"},)"
+        R"("bounds":{"leaseMs":-1,"retryBudgetRatio":"much"},"limits":{"cpuShare":0}})");
+    CPPUNIT_ASSERT(!settings);
+    const std::string& problems = settings.Reason().detail;
+    for (const char* expected :
+         {"zone: expected a text, found 7", "listen.front: expected IP:PORT, found \"here\"",
+          "platform.address: expected IP:PORT, found nothing",
+          "portRange.0: expected port between 1.0 and 65535.0, found 70000",
+          "bounds.leaseMs: expected ms between 0.0", "bounds.retryBudgetRatio: expected number",
+          "limits.cpuShare: expected cores between 0.001"})
+      CPPUNIT_ASSERT_MESSAGE(expected, problems.find(expected) != std::string::npos);
+    CPPUNIT_ASSERT(problems.find("listen.ready") == std::string::npos);
+  }
+
+  void LeavesDefaultsWhereNothingIsSet()
+  {
+    const auto settings = DecodeSettings(
+        R"({"nodeName":"x","zone":"z","portRange":[7000],"listen":{"front":"1.2.3.4:5","ready":"1.2.3.4:6"},)"
+        R"("platform":{"address":"1.2.3.4:7"},"unknown":{"field":[]}})");
+    CPPUNIT_ASSERT(static_cast<bool>(settings));
+    CPPUNIT_ASSERT(settings->holder_pause == Common::Milliseconds(3000));
+    CPPUNIT_ASSERT_EQUAL(0.2, settings->retry_ratio);
+  }
+
   void ReadsAConfiguration()
   {
     const auto configuration = DecodeConfiguration(R"({"version":7,"routes":[
