--- a/Source/Tool/Commands.cpp
+++ b/Source/Tool/Commands.cpp
@@ -34,7 +34,7 @@
       {"explain-log", "ID LOG...",
        "tell the story of a request from the logs of all daemons, with what befell its model and "
        "its backend servers meanwhile",
-       "drumpond explain-log 1585937bd3f39537 examples/entry-1.log", 2, ExplainLog},
+       "drumpond explain-log 0a23108cfa8f9fa6 examples/logs/*.log", 2, ExplainLog},
       {"check-settings", "FILE", "check a settings file of the users' platform without a daemon",
        "drumpond check-settings examples/platform-settings.json", 1, CheckSettings},
   };
--- a/Tools/check-docs.sh
+++ b/Tools/check-docs.sh
@@ -3,7 +3,7 @@
 # SPDX-License-Identifier: Apache-2.0
 #
 # Runs each command that a code block of the docs shows for `drumpond` or `drumpondd`, against a
-# daemon of its own, and checks that each tool that the docs name is there. Ends in "N passed, N failed".
+# daemon of its own, checks that each tool that the docs name is there, and that the docs name each event of the log. Ends in "N passed, N failed".
 set -uo pipefail
 cd "$(dirname "$0")/.."
 source Tools/stack.sh
@@ -33,5 +33,11 @@
   [ -x "$OLDPWD/$tool" ]
   judge $? "$tool"
 done < <(grep -ohE 'Tools/[a-z-]+\.sh' "$OLDPWD"/docs/*.md "$OLDPWD"/*.md | sort -u)
+cd "$OLDPWD"
+# Every event that the code logs stands in the operators' page.
+while read -r event; do
+  grep -q "\`$event\`" docs/OPERATIONS.md
+  judge $? "event $event is not in docs/OPERATIONS.md"
+done < <(grep -Pzoh 'LogEvent\([^"]*?"\K[a-z_.-]+' $(git ls-files 'Source/Core/*.cpp' 'Source/Core/*.h' 'platform/*') | tr '\0' '\n' | sort -u)
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
