Decisions: a disk copy at a busy server is waited for, instead of a load from the weight store

Now a model whose weights lie at a usable server waits as long as the wait is shorter than what the load from there saves (the store's time less the disk's, from the configuration).

Test: ReplicaPlanTest, ADiskIsWaitedForAsLongAsThatSavesTime, red without.

--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -144,12 +144,12 @@
   {
     // A replica beyond the first is worth a load from disk, not one from the weight store.
     const bool unserved = Replicas(model) == 0;
+    const bool store_allowed = unserved && m_store_left > 0 && !MayWaitForDisk(model);
     std::optional<Candidate> best;
     for (const PlannedServer& server : m_input.servers)
     {
       const auto candidate = CandidateOn(server, model);
-      if (!candidate ||
-          (candidate->source == WeightSource::WeightStore && (!unserved || m_store_left <= 0)))
+      if (!candidate || (candidate->source == WeightSource::WeightStore && !store_allowed))
         continue;
       // A spare replica must not push out a model that is about as much in demand.
       if (!unserved && candidate->victim_value * 2 >= model.arrivals_per_second)
@@ -161,6 +161,17 @@
       Give(*best, model);
   }
 
+  /// True where the weights lie at a server that takes orders, though perhaps not at this moment,
+  /// and the wait so far is shorter than what a load from there saves. A load from the weight store
+  /// would keep another server from orders for its whole time.
+  bool MayWaitForDisk(const PlannedModel& model) const
+  {
+    const bool lies_near = std::ranges::any_of(m_input.servers, [&](const PlannedServer& server) {
+      return server.usable && SourceOn(server, model.model) != WeightSource::WeightStore;
+    });
+    return lies_near && model.oldest_wait < model.from_store - model.from_disk;
+  }
+
   std::optional<Candidate> CandidateOn(const PlannedServer& server, const PlannedModel& model)
   {
     if (!server.usable || server.order_open || m_ordered.contains(server.instance) ||
--- a/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
+++ b/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
@@ -63,10 +63,30 @@
   CPPUNIT_TEST(ManyThatWaitGoBeforeOne);
   CPPUNIT_TEST(OneOrderAServer);
   CPPUNIT_TEST(LoadsFromTheWeightStoreAreBounded);
+  CPPUNIT_TEST(ADiskIsWaitedForAsLongAsThatSavesTime);
   CPPUNIT_TEST(ABusyModelGetsASpareReplicaFromDiskOnly);
   CPPUNIT_TEST(UnusableServersGetNothing);
   CPPUNIT_TEST_SUITE_END();
 
+  void ADiskIsWaitedForAsLongAsThatSavesTime()
+  {
+    PlannedServer with_disk = Server("disk", {"a"});
+    PlannedServer without = Server("other", {"a"});
+    without.on_disk.clear();
+    with_disk.order_open = true;
+    PlannedModel wanted = Model("c", 1);
+    const auto orders = [&] {
+      return PlanReplicas(Input({with_disk, without}, {Model("a"), wanted}));
+    };
+    CPPUNIT_ASSERT(orders().empty());
+    wanted.oldest_wait = wanted.from_store - wanted.from_disk;
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), orders().at(0).instance);
+    CPPUNIT_ASSERT(orders()[0].source == WeightSource::WeightStore);
+    wanted.oldest_wait = Milliseconds(0);
+    with_disk.usable = false;
+    CPPUNIT_ASSERT_EQUAL(std::string("other"), orders().at(0).instance);
+  }
+
   void NothingIsOrderedWithoutDemand()
   {
     CPPUNIT_ASSERT(PlanReplicas(Input({Server("s", {})}, {Model("a")})).empty());
