--- a/Tools/make-days.py
+++ b/Tools/make-days.py
@@ -87,6 +87,11 @@
                               'kind = "clock_step", x = 5000, share = 0.6, for_s = 6.0, how = "back"']),
     "hup": ("plan", ['kind = "hup", share = 1.0, gap_s = 2.0']),
     "reset-conns": ("faults", ['kind = "reset_conns", share = 0.8, x = 0.8']),
+    # Only the grown sites know these.
+    "srv-flap": ("faults", ['kind = "srv_flap", share = 0.3, gap_s = 1.5, for_s = 8.0']),
+    "srv-lying-errors": ("faults", ['kind = "srv_lying_health", share = 0.3, for_s = 8.0, how = "errors"']),
+    "srv-lying-hang": ("faults", ['kind = "srv_lying_health", share = 0.3, for_s = 8.0, how = "hang"']),
+    "srv-lying-bad": ("faults", ['kind = "srv_lying_health", share = 0.5, for_s = 8.0, how = "bad"']),
 }
 STORE = ('kind = "platform_down", how = "nodes reset", share = 0.4, for_s = 5.0',
          'kind = "platform_lost", x = 0.5, for_s = 5.0, how = "late"')
