Http: an idle connection is looked at once more before it is closed

Cause: the idle timer closed a kept connection in the same turn of the loop in which a request had come to its socket; in a process that was busy for long (a new configuration on a VM with 0.12 cores) such a request is old and lost. A raised idle time did not hold for connections that were resting. Ruled out: the relay (it logs each end of a request; the lost one had no line). Tests: both red before (144 passed, 2 failed), green after (146 passed). Conclusion: the close comes one turn later.

--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -3,16 +3,22 @@
 
 #include "Http/ServerConnection.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <utility>
 
+#include "Common/Loop.h"
+
 namespace Http
 {
 namespace
 {
 /// Bytes of pipelined requests that are kept while one is answered; then reading stops.
 constexpr std::size_t MAX_UNREAD = 65536;
+/// Between the end of the idle time and the close the loop looks at all sockets once more: in a
+/// process that was busy a request may have come long before and would be lost with the connection.
+constexpr Common::Milliseconds LAST_LOOK{1};
 
 std::string HexLength(std::size_t size)
 {
@@ -66,7 +72,23 @@
 
 void ServerConnection::StartIdleTimer()
 {
+  m_idle_since = Common::Now();
   m_timer.Start(m_handler.Limits().idle_timeout, [this] {
+    OnIdle();
+  });
+}
+
+void ServerConnection::OnIdle()
+{
+  // The limit may have been raised while the connection rested.
+  const auto rested = std::chrono::floor<Common::Milliseconds>(Common::Now() - m_idle_since);
+  const Common::Milliseconds left = m_handler.Limits().idle_timeout - rested;
+  m_timer.Start(std::max(left, LAST_LOOK), [this, is_last = left <= LAST_LOOK] {
+    if (!is_last)
+    {
+      OnIdle();
+      return;
+    }
     const auto guard = shared_from_this();
     m_stream->Close();
     Finish();
--- a/Source/Core/Http/ServerConnection.h
+++ b/Source/Core/Http/ServerConnection.h
@@ -95,6 +95,7 @@
                  std::optional<std::size_t> length);
   void EndAnswer();
   void StartIdleTimer();
+  void OnIdle();
   void Finish();
 
   RequestHandler& m_handler;
@@ -108,6 +109,7 @@
   bool m_consuming = false;
   bool m_body_too_large = false;
   Common::OwnedTimer m_timer;
+  Common::TimePoint m_idle_since;
   std::function<void()> m_on_peer_gone;
   std::function<void()> m_on_all_sent;
   std::function<void(ServerConnection*)> m_on_finished;
--- /dev/null
+++ b/Source/UnitTests/Http/ServerConnectionTest.cpp
@@ -0,0 +1,110 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Http/ServerConnection.h"
+
+#include <array>
+#include <string_view>
+#include <thread>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "UnitTests/Support/Loopback.h"
+
+namespace
+{
+using Common::Milliseconds;
+
+constexpr std::string_view REQUEST = "GET /page/ HTTP/1.1\r\nHost: shop.test\r\n\r\n";
+
+class CountingHandler : public Http::RequestHandler
+{
+public:
+  void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
+                 Http::ReceivedRequest) override
+  {
+    ++requests;
+    connection->Respond(200, "OK", {}, "");
+  }
+  const Http::ServerLimits& Limits() const override { return limits; }
+  bool IsStopping() const override { return false; }
+
+  Http::ServerLimits limits;
+  int requests = 0;
+};
+
+class ServerConnectionTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ServerConnectionTest);
+  CPPUNIT_TEST(ARequestThatComesAsTheIdleTimeEndsIsAnswered);
+  CPPUNIT_TEST(ARaisedIdleTimeHoldsForConnectionsThatRest);
+  CPPUNIT_TEST(AnIdleConnectionIsClosed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  void setUp() override
+  {
+    m_handler = std::make_unique<CountingHandler>();
+    m_handler->limits.idle_timeout = Milliseconds(20);
+    std::array<int, 2> ends{};
+    CPPUNIT_ASSERT_EQUAL(0, socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()));
+    m_peer = ends[1];
+    m_connection = Http::ServerConnection::Adopt(ends[0], *m_handler);
+  }
+
+  void tearDown() override
+  {
+    m_connection->CloseIfIdle();
+    m_connection.reset();
+    close(m_peer);
+  }
+
+  /// The process was busy: the idle time is over, and so is the timer that stands for the bytes
+  /// that arrive after the sockets were last looked at.
+  void ARequestThatComesAsTheIdleTimeEndsIsAnswered()
+  {
+    Common::Reactor::Get().After(Milliseconds(10), [this] {
+      SendRequest();
+    });
+    std::this_thread::sleep_for(Milliseconds(40));
+    CPPUNIT_ASSERT(UnitTests::RunUntil(
+        [this] {
+          return m_handler->requests == 1;
+        },
+        Milliseconds(500)));
+  }
+
+  void ARaisedIdleTimeHoldsForConnectionsThatRest()
+  {
+    m_handler->limits.idle_timeout = Milliseconds(10000);
+    UnitTests::RunFor(Milliseconds(60));
+    CPPUNIT_ASSERT(m_connection->IsOpen());
+    SendRequest();
+    CPPUNIT_ASSERT(UnitTests::RunUntil([this] {
+      return m_handler->requests == 1;
+    }));
+  }
+
+  void AnIdleConnectionIsClosed()
+  {
+    CPPUNIT_ASSERT(UnitTests::RunUntil([this] {
+      return !m_connection->IsOpen();
+    }));
+  }
+
+private:
+  void SendRequest() const
+  {
+    const auto sent = static_cast<std::size_t>(write(m_peer, REQUEST.data(), REQUEST.size()));
+    CPPUNIT_ASSERT_EQUAL(REQUEST.size(), sent);
+  }
+
+  std::unique_ptr<CountingHandler> m_handler;
+  std::shared_ptr<Http::ServerConnection> m_connection;
+  int m_peer = -1;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerConnectionTest);
+} // namespace
