Gateway: a backend server that owes answers and is silent gets no new requests

The detector works by server, over all of a daemon's requests there: no byte for longer than is usual, by the estimator of RFC 6298 over the pauses seen, between 0.3 and 1.5 s. A server that is silent to the last of its requests is ejected, so that the next one does not follow at once. Ruled out: health calls (priced, and they may lie); shorter deadlines (the request may run). Tests: SilenceDetectorTest (six).

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -265,7 +265,7 @@
   m_waiting = false;
   m_wait_timer.Stop();
   m_server = server;
-  m_server->NoteStart(m_artifact);
+  m_server->NoteStart(m_artifact, now);
   m_is_stream = false;
   m_body.clear();
   m_events.DropPartial();
@@ -300,6 +300,7 @@
 
 Http::AnswerEvents::Verdict Relay::OnAnswerHead(Http::MessageHead& head)
 {
+  m_server->NoteHeard(Common::Now());
   const std::string* id = head.Find(m_dispatcher.Settings().names.request_id);
   if (!m_id.empty() && (id == nullptr || *id != m_id))
   {
@@ -326,6 +327,7 @@
 
 void Relay::OnAnswerBody(std::string_view bytes)
 {
+  m_server->NoteHeard(Common::Now());
   if (!m_is_stream)
   {
     m_body.append(bytes);
@@ -629,7 +631,7 @@
 {
   if (!m_server)
     return;
-  m_server->NoteEnd(m_artifact);
+  m_server->NoteEnd(m_artifact, Common::Now());
   m_server = nullptr;
 }
 
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -26,7 +26,8 @@
 
 bool Server::IsAvailable(Common::TimePoint now) const
 {
-  if (m_entry.draining || m_replaced || m_health.IsEjected(now) || now < m_full_until)
+  if (m_entry.draining || m_replaced || m_health.IsEjected(now) || now < m_full_until ||
+      m_silence.IsSilent(now))
     return false;
   return !m_health.IsOnTrial() || m_in_flight == 0;
 }
@@ -82,15 +83,19 @@
   return std::ranges::find(m_entry.models, model, &LoadedModel::model) != m_entry.models.end();
 }
 
-void Server::NoteStart(const Artifact& artifact)
+void Server::NoteStart(const Artifact& artifact, Common::TimePoint now)
 {
+  m_silence.NoteSent(now);
   ++m_in_flight;
   ++m_in_flight_by_model[artifact.model];
 }
 
-void Server::NoteEnd(const Artifact& artifact)
+void Server::NoteEnd(const Artifact& artifact, Common::TimePoint now)
 {
   --m_in_flight;
+  if (m_in_flight == 0 && m_silence.IsSilent(now))
+    m_health.NoteUnreachable(now);
+  m_silence.NoteEnded(m_in_flight);
   const auto found = m_in_flight_by_model.find(artifact.model);
   if (found != m_in_flight_by_model.end() && --found->second <= 0)
     m_in_flight_by_model.erase(found);
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -12,6 +12,7 @@
 
 #include "Common/Loop.h"
 #include "Gateway/ServerHealth.h"
+#include "Gateway/SilenceDetector.h"
 #include "Gateway/Types.h"
 #include "Http/IdleConnections.h"
 
@@ -57,8 +58,14 @@
   std::shared_ptr<Http::OriginConnection> TakeConnection(Common::TimePoint now);
   void KeepConnection(std::shared_ptr<Http::OriginConnection> connection);
 
-  void NoteStart(const Artifact& artifact);
-  void NoteEnd(const Artifact& artifact);
+  void NoteStart(const Artifact& artifact, Common::TimePoint now);
+  /// A server that is silent when its last request is given up is ejected: the next request that
+  /// tries it would be lost too.
+  void NoteEnd(const Artifact& artifact, Common::TimePoint now);
+  /// Bytes came from the server.
+  void NoteHeard(Common::TimePoint now) { m_silence.NoteHeard(now); }
+  /// It owes answers and sends nothing for longer than is usual.
+  bool IsSilent(Common::TimePoint now) const { return m_silence.IsSilent(now); }
   int InFlight() const { return m_in_flight; }
   const std::map<ModelId, int>& InFlightByModel() const { return m_in_flight_by_model; }
   /// Requests of other daemons there, as they told the order holder.
@@ -72,6 +79,7 @@
 private:
   ServerEntry m_entry;
   ServerHealth m_health;
+  SilenceDetector m_silence;
   bool m_replaced = false;
   Common::TimePoint m_full_until;
   Http::IdleConnections m_idle{MAX_IDLE_CONNECTIONS};
--- /dev/null
+++ b/Source/Core/Gateway/SilenceDetector.cpp
@@ -0,0 +1,65 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/SilenceDetector.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// Weights of the newest pause in the mean and in the mean deviation, and the deviations that are
+/// borne, as in RFC 6298.
+constexpr double MEAN_WEIGHT = 0.125;
+constexpr double DEVIATION_WEIGHT = 0.25;
+constexpr double DEVIATIONS = 4;
+/// A long prompt is read for some hundred ms, during which a server that works says nothing.
+constexpr Milliseconds SHORTEST_LIMIT{300};
+/// A server whose pauses are longer than this serves nobody in time.
+constexpr Milliseconds LONGEST_LIMIT{1500};
+} // namespace
+
+void SilenceDetector::NoteSent(Common::TimePoint now)
+{
+  if (!m_quiet_since)
+    m_quiet_since = now;
+}
+
+void SilenceDetector::NoteHeard(Common::TimePoint now)
+{
+  if (!m_quiet_since)
+    return;
+  const double pause = std::chrono::duration<double, std::milli>(now - *m_quiet_since).count();
+  m_quiet_since = now;
+  if (!m_has_sample)
+  {
+    m_mean_ms = pause;
+    m_deviation_ms = pause / 2;
+    m_has_sample = true;
+    return;
+  }
+  m_deviation_ms += DEVIATION_WEIGHT * (std::abs(m_mean_ms - pause) - m_deviation_ms);
+  m_mean_ms += MEAN_WEIGHT * (pause - m_mean_ms);
+}
+
+void SilenceDetector::NoteEnded(int open)
+{
+  if (open == 0)
+    m_quiet_since.reset();
+}
+
+bool SilenceDetector::IsSilent(Common::TimePoint now) const
+{
+  return m_quiet_since && now - *m_quiet_since > Limit();
+}
+
+Milliseconds SilenceDetector::Limit() const
+{
+  const auto usual = Milliseconds(std::llround(m_mean_ms + DEVIATIONS * m_deviation_ms));
+  return std::clamp(usual, SHORTEST_LIMIT, LONGEST_LIMIT);
+}
+} // namespace Gateway
--- /dev/null
+++ b/Source/UnitTests/Gateway/SilenceDetectorTest.cpp
@@ -0,0 +1,97 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/SilenceDetector.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Gateway/ServerDirectory.h"
+
+namespace
+{
+using namespace Gateway;
+using Common::Milliseconds;
+
+const auto NOW = Common::TimePoint() + std::chrono::hours(1);
+
+class SilenceDetectorTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(SilenceDetectorTest);
+  CPPUNIT_TEST(WhoOwesNothingIsNotSilent);
+  CPPUNIT_TEST(SilenceCountsFromTheOldestUnansweredRequest);
+  CPPUNIT_TEST(AnyByteEndsIt);
+  CPPUNIT_TEST(TheLimitFollowsThePausesSeen);
+  CPPUNIT_TEST(ASilentServerGetsNoNewRequests);
+  CPPUNIT_TEST(AServerThatWasSilentToItsLastRequestIsEjected);
+  CPPUNIT_TEST_SUITE_END();
+
+  void WhoOwesNothingIsNotSilent()
+  {
+    SilenceDetector detector;
+    CPPUNIT_ASSERT(!detector.IsSilent(NOW));
+    detector.NoteSent(NOW);
+    detector.NoteEnded(0);
+    CPPUNIT_ASSERT(!detector.IsSilent(NOW + Milliseconds(10000)));
+  }
+
+  void SilenceCountsFromTheOldestUnansweredRequest()
+  {
+    SilenceDetector detector;
+    detector.NoteSent(NOW);
+    detector.NoteSent(NOW + Milliseconds(250));
+    CPPUNIT_ASSERT(!detector.IsSilent(NOW + Milliseconds(300)));
+    CPPUNIT_ASSERT(detector.IsSilent(NOW + Milliseconds(301)));
+  }
+
+  void AnyByteEndsIt()
+  {
+    SilenceDetector detector;
+    detector.NoteSent(NOW);
+    detector.NoteHeard(NOW + Milliseconds(400));
+    CPPUNIT_ASSERT(!detector.IsSilent(NOW + Milliseconds(500)));
+  }
+
+  void TheLimitFollowsThePausesSeen()
+  {
+    SilenceDetector steady;
+    SilenceDetector slow;
+    steady.NoteSent(NOW);
+    slow.NoteSent(NOW);
+    for (int i = 1; i <= 40; ++i)
+    {
+      steady.NoteHeard(NOW + Milliseconds(30 * i));
+      slow.NoteHeard(NOW + Milliseconds(700 * i));
+    }
+    CPPUNIT_ASSERT_EQUAL(Milliseconds(300).count(), steady.Limit().count());
+    CPPUNIT_ASSERT(slow.Limit() >= Milliseconds(700));
+    slow.NoteHeard(NOW + std::chrono::minutes(2));
+    CPPUNIT_ASSERT_EQUAL(Milliseconds(1500).count(), slow.Limit().count());
+  }
+
+  void ASilentServerGetsNoNewRequests()
+  {
+    Server server(ServerEntry{});
+    server.NoteStart({}, NOW);
+    CPPUNIT_ASSERT(server.IsAvailable(NOW + Milliseconds(100)));
+    CPPUNIT_ASSERT(!server.IsAvailable(NOW + Milliseconds(400)));
+    server.NoteHeard(NOW + Milliseconds(450));
+    CPPUNIT_ASSERT(server.IsAvailable(NOW + Milliseconds(500)));
+  }
+
+  void AServerThatWasSilentToItsLastRequestIsEjected()
+  {
+    Server server(ServerEntry{});
+    server.NoteStart({}, NOW);
+    server.NoteEnd({}, NOW + Milliseconds(2000));
+    CPPUNIT_ASSERT(!server.IsAvailable(NOW + Milliseconds(2001)));
+    CPPUNIT_ASSERT(server.Health().IsOnTrial());
+    Server answered(ServerEntry{});
+    answered.NoteStart({}, NOW);
+    answered.NoteHeard(NOW + Milliseconds(50));
+    answered.NoteEnd({}, NOW + Milliseconds(60));
+    CPPUNIT_ASSERT(answered.IsAvailable(NOW + Milliseconds(61)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SilenceDetectorTest);
+} // namespace
