Http: a connection that is not taken in 0.4 s is given up, and its request goes elsewhere

Cause: a new connection to a server behind a cut, or one whose first packet was lost, held its request for the kernel's 1 to 3 s, though no byte had gone out and another server might have had it. A row of three ejects the server, one does not: a lost packet looks the same.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -444,9 +444,14 @@
   const auto guard = shared_from_this();
   m_connection = nullptr;
   const auto now = Common::Now();
-  if (breakage == Http::Breakage::ConnectFailed)
+  const bool timed_out = breakage == Http::Breakage::ConnectTimedOut;
+  if (timed_out || breakage == Http::Breakage::ConnectFailed)
   {
-    m_server->Health().NoteUnreachable(now);
+    // One lost packet delays a connection too: only a row of them ejects the server.
+    if (timed_out)
+      m_server->Health().NoteFailure(now);
+    else
+      m_server->Health().NoteUnreachable(now);
     --m_arrivals;
     m_tried.erase(m_server->Entry().instance);
     AttemptFailed("no connection", m_may_have_run);
--- a/Source/Core/Http/Channel.cpp
+++ b/Source/Core/Http/Channel.cpp
@@ -18,6 +18,7 @@
   switch (breakage)
   {
   case Breakage::ConnectFailed:
+  case Breakage::ConnectTimedOut:
     return Common::FailureKind::NotSent;
   case Breakage::Malformed:
     return Common::FailureKind::Protocol;
--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -16,6 +16,9 @@
 /// The part of an announced limit that is used: the announcement is in whole seconds and its clock
 /// runs at the other end.
 constexpr double IDLE_LIMIT_SHARE = 0.6;
+/// A connection takes a round trip, some ms between data centres; where it takes this long the peer
+/// is cut off, or a packet was lost, which the kernel would send again only after a second.
+constexpr Common::Milliseconds CONNECT_TIMEOUT{400};
 
 std::optional<Common::Milliseconds> ParseTimeoutParameter(const std::string& keep_alive)
 {
@@ -47,6 +50,13 @@
   m_parser.ExpectNoBody(no_body_expected);
   m_parser.Restart();
   m_stream->Write(request);
+  if (m_stream->IsConnected())
+    return;
+  m_connect_timer.Start(CONNECT_TIMEOUT, [this] {
+    const auto guard = shared_from_this();
+    if (m_events != nullptr && !m_stream->IsConnected())
+      Break(Breakage::ConnectTimedOut);
+  });
 }
 
 void OriginConnection::Abandon()
--- a/Source/Core/Http/OriginConnection.h
+++ b/Source/Core/Http/OriginConnection.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "Common/Loop.h"
+#include "Common/Reactor.h"
 #include "Http/MessageParser.h"
 #include "Http/TcpStream.h"
 
@@ -16,8 +17,9 @@
 /// Why an exchange with an origin server gave no whole answer.
 enum class Breakage
 {
-  ConnectFailed, ///< No byte went out: the request cannot have run.
-  Closed,        ///< The connection ended before the answer was whole.
+  ConnectFailed,   ///< No byte went out: the request cannot have run.
+  ConnectTimedOut, ///< The peer did not take the connection in time; no byte has gone out.
+  Closed,          ///< The connection ended before the answer was whole.
   Reset,
   Malformed, ///< Bytes that are no answer.
 };
@@ -81,5 +83,6 @@
   bool m_answered = false; ///< At least one answer has come whole over this connection.
   std::optional<Common::Milliseconds> m_idle_limit; ///< As the origin server announced it.
   Common::TimePoint m_idle_since;
+  Common::OwnedTimer m_connect_timer;
 };
 } // namespace Http
