Orders: after an outage of the store the lease is left to its last holder for 1.2 s

The last holder's VM owes no pause. Test: AfterAnOutageTheLastHolderGoesFirst, red before (156 passed, 1 failed), green after (157 passed).

--- a/Source/Core/Orders/LeaseKeeper.h
+++ b/Source/Core/Orders/LeaseKeeper.h
@@ -95,10 +95,12 @@
   /// not succeed and is priced all the same.
   void OnStoreLost() { m_store_lost = true; }
   /// The store answers again. All daemons learn of it at about the same moment, so the order in
-  /// which they try begins anew: strong VMs first.
+  /// which they try begins anew: the last holder first, which need not wait out the pause between
+  /// holders, then strong VMs.
   void OnStoreBack()
   {
     m_store_lost = false;
+    m_reclaimed_until = Common::Now() + RECLAIM_TIME;
     m_free_since.reset();
     m_write_failures = 0;
     m_retry_at = {};
@@ -161,6 +163,10 @@
   /// Daemons that find the lease free do not all write at once.
   static constexpr std::uint64_t SPREAD_MS = 250;
   static constexpr std::uint64_t SPREAD_MS_PER_DAEMON = 10;
+  /// After an outage of the store a lease that was not given back is left to its last holder for so
+  /// long: daemons learn up to a second apart that the store is back, and the pause between two
+  /// holders would cost three.
+  static constexpr Common::Milliseconds RECLAIM_TIME{1200};
   /// A second loss within this time counts as one of several.
   static constexpr Common::Milliseconds LOSS_MEMORY{15000};
   /// The handicap of a VM that loses the lease often, in its usual one.
@@ -212,7 +218,12 @@
     if (IsOurs())
       return handicap;
     const auto spread = std::max(SPREAD_MS, SPREAD_MS_PER_DAEMON * m_contenders);
-    return handicap + Common::Milliseconds(Common::SharedRandom()() % spread);
+    const bool has_last_holder = m_record && !m_record->holder.Empty();
+    const auto reclaim_left = has_last_holder
+                                  ? std::chrono::ceil<Common::Milliseconds>(m_reclaimed_until - now)
+                                  : Common::Milliseconds(0);
+    return std::max(reclaim_left, Common::Milliseconds(0)) + handicap +
+           Common::Milliseconds(Common::SharedRandom()() % spread);
   }
 
   bool IsOurs() const { return m_record && m_record->holder == m_settings.self; }
@@ -311,6 +322,7 @@
   std::optional<Common::TimePoint> m_free_since;
   int m_write_failures = 0;
   Common::TimePoint m_retry_at;
+  Common::TimePoint m_reclaimed_until; ///< The lease is left to its last holder.
   std::uint64_t m_contenders = 1;
   Common::Milliseconds m_least_handicap{0};
   bool m_writing = false;
--- a/Source/UnitTests/Orders/LeaseKeeperTest.cpp
+++ b/Source/UnitTests/Orders/LeaseKeeperTest.cpp
@@ -108,6 +108,7 @@
   CPPUNIT_TEST(AWeakVmWaitsFromTheReturnOfTheStoreOn);
   CPPUNIT_TEST(AWeakVmThatLosesItsLeaseLeavesItToOthers);
   CPPUNIT_TEST(WhereAllVmsAreWeakNobodyWaits);
+  CPPUNIT_TEST(AfterAnOutageTheLastHolderGoesFirst);
   CPPUNIT_TEST_SUITE_END();
 
   void TakesAFreeLeaseAndRenewsIt()
@@ -424,6 +425,33 @@
     }));
   }
 
+  void AfterAnOutageTheLastHolderGoesFirst()
+  {
+    // Both hear late that the store is back; the row names "a", whose time is long over.
+    FakeStore store;
+    Keeper last(store, Settings("a"));
+    Keeper other(store, Settings("b"));
+    for (Keeper* keeper : {&last, &other})
+    {
+      keeper->OnRow(7,
+                    LeaseRecord{Common::VmId("a"), Common::Incarnation("r"), "10.0.0.1:1", true});
+      keeper->OnStoreLost();
+    }
+    store.version = 7;
+    RunFor(Settings("a").duration + Milliseconds(500));
+    other.Start();
+    other.OnStoreBack();
+    RunFor(Milliseconds(900));
+    CPPUNIT_ASSERT(!Holds(other));
+    last.Start();
+    last.OnStoreBack();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(last);
+    }));
+    CPPUNIT_ASSERT(last.MayOrder(Common::Now()));
+    CPPUNIT_ASSERT(!Holds(other));
+  }
+
   void AWeakVmThatLosesItsLeaseLeavesItToOthers()
   {
     FakeStore store;
