Orders: changes of a followed table are gathered between two calls to the store

Cause: the store answers a waiting call at the first change. With 89 servers that change models the holder asked again some hundred times a second, each time for one row; a daemon that hears no holder did the same. The holder now waits 25 ms after an answer that held changes, other daemons 250 ms, well within the 2 s in which configurations and leaving servers must be known. Test: ChangesAreGatheredBetweenCalls.

--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -174,6 +174,9 @@
     access.set_wait = [&follower](Common::Milliseconds wait) {
       follower.SetWait(wait);
     };
+    access.set_gathering = [&follower](Common::Milliseconds span) {
+      follower.SetGathering(span);
+    };
     return access;
   }
 
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -53,6 +53,10 @@
 /// How long the platform may hold the holder's own waiting calls; below the age above.
 constexpr Milliseconds HOLDER_WAIT{500};
 constexpr Milliseconds FOLLOWER_WAIT{2500};
+/// How long changes are gathered between two calls: by the holder, whose orders follow each other
+/// as soon as it hears of the one before, and by daemons that ask because they hear no holder.
+constexpr Milliseconds HOLDER_GATHERING{25};
+constexpr Milliseconds FOLLOWER_GATHERING{250};
 constexpr Milliseconds CHECK_INTERVAL{100};
 /// Placements of a holder that is silent for so long are not relied on.
 constexpr Milliseconds PLACEMENT_VALID{2000};
@@ -104,6 +108,7 @@
   for (const TableAccess& table : m_tables)
   {
     table.set_wait(own_lease ? HOLDER_WAIT : FOLLOWER_WAIT);
+    table.set_gathering(own_lease ? HOLDER_GATHERING : FOLLOWER_GATHERING);
     if (own_lease)
       table.set_relayed(false);
   }
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -27,6 +27,7 @@
   std::function<bool(std::int64_t, std::int64_t, const std::vector<RowChange>&)> take_relayed;
   std::function<void(bool)> set_relayed;
   std::function<void(Common::Milliseconds)> set_wait;
+  std::function<void(Common::Milliseconds)> set_gathering;
 };
 
 struct HubSettings
--- a/Source/Core/Orders/TableFollower.h
+++ b/Source/Core/Orders/TableFollower.h
@@ -82,6 +82,9 @@
   /// How long the source may hold a call that waits for changes. A daemon whose word others rely on
   /// asks more often, so that its word is never old.
   void SetWait(Common::Milliseconds wait) { m_wait = wait; }
+  /// How long changes are gathered after an answer that held some. Each call is priced, and with
+  /// many backend servers the source would answer at once, with one change, again and again.
+  void SetGathering(Common::Milliseconds span) { m_gathering = span; }
 
   /// While relayed, no calls are made.
   void SetRelayed(bool relayed)
@@ -211,8 +214,16 @@
       return;
     }
     NoteAnswer();
+    const bool had_some = !changes->rows.empty();
     Apply(changes->rows, changes->version);
-    Continue();
+    if (!had_some || m_gathering <= Common::Milliseconds(0))
+    {
+      Continue();
+      return;
+    }
+    m_retry_timer.Start(m_gathering, [this] {
+      Continue();
+    });
   }
 
   void Apply(const std::vector<TableRow>& rows, std::int64_t to)
@@ -278,6 +289,7 @@
   std::string m_table;
   TableEvents m_events;
   Common::Milliseconds m_wait = DEFAULT_WAIT;
+  Common::Milliseconds m_gathering{0};
   std::vector<TableRow> m_snapshot;
   std::optional<std::int64_t>
       m_snapshot_version; ///< Of the first page: changes since are followed.
--- a/Source/UnitTests/Orders/TableFollowerTest.cpp
+++ b/Source/UnitTests/Orders/TableFollowerTest.cpp
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(AChangeThatComesTwiceCountsOnce);
   CPPUNIT_TEST(PassesOnWhatItStillKeeps);
   CPPUNIT_TEST(AVersionWithoutChangesIsNoGap);
+  CPPUNIT_TEST(ChangesAreGatheredBetweenCalls);
   CPPUNIT_TEST_SUITE_END();
 
   struct World
@@ -154,6 +155,30 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(5), world.follower.Version());
   }
 
+  void ChangesAreGatheredBetweenCalls()
+  {
+    FakeSource source;
+    source.version = 5;
+    World world(source);
+    world.follower.SetGathering(Milliseconds(100));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return source.waiting != nullptr;
+    }));
+    TableRows one;
+    one.version = 6;
+    one.rows = {Row("a", 6)};
+    source.Answer(std::exchange(source.waiting, nullptr), one);
+    const int follows = source.follows;
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.changes.size() == 1;
+    }));
+    RunFor(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(follows, source.follows);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return source.follows == follows + 1;
+    }));
+  }
+
   void ReadsAnewWhereTheHistoryIsGone()
   {
     FakeSource source;
