--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -94,7 +94,13 @@
 {
   --m_in_flight;
   if (m_in_flight == 0 && m_silence.IsSilent(now))
+  {
+    Common::LogEvent(Common::LogLevel::Warning, "server-silent",
+                     {{"instance", m_entry.instance},
+                      {"limit_ms", m_silence.Limit().count()},
+                      {"data_centre", m_entry.data_centre}});
     m_health.NoteUnreachable(now);
+  }
   m_silence.NoteEnded(m_in_flight);
   const auto found = m_in_flight_by_model.find(artifact.model);
   if (found != m_in_flight_by_model.end() && --found->second <= 0)
