--- /dev/null
+++ b/Source/UnitTests/Http/OriginConnectionTest.cpp
@@ -0,0 +1,103 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Http/OriginConnection.h"
+
+#include <optional>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "UnitTests/Support/Loopback.h"
+
+namespace
+{
+using Common::Milliseconds;
+
+/// Keeps how an exchange ended.
+class Listener : public Http::AnswerEvents
+{
+public:
+  Verdict OnAnswerHead(Http::MessageHead&) override { return Verdict::Take; }
+  void OnAnswerBody(std::string_view) override {}
+  void OnAnswerEnd() override { ended = true; }
+  void OnAnswerBroken(Http::Breakage how) override { breakage = how; }
+
+  bool ended = false;
+  std::optional<Http::Breakage> breakage;
+};
+
+/// A port whose queue of connections is full, so that the kernel drops what more is asked.
+class FullPort
+{
+public:
+  FullPort()
+  {
+    m_fds.push_back(socket(AF_INET, SOCK_STREAM, 0));
+    sockaddr_in address = Http::Endpoint{htonl(INADDR_LOOPBACK), 0}.ToSockaddr();
+    socklen_t size = sizeof(address);
+    auto* raw = reinterpret_cast<sockaddr*>(&address);
+    CPPUNIT_ASSERT_EQUAL(0, bind(m_fds[0], raw, size));
+    CPPUNIT_ASSERT_EQUAL(0, listen(m_fds[0], 0));
+    CPPUNIT_ASSERT_EQUAL(0, getsockname(m_fds[0], raw, &size));
+    m_endpoint = Http::Endpoint::FromSockaddr(address);
+    constexpr int MORE_THAN_IT_QUEUES = 4;
+    for (int i = 0; i < MORE_THAN_IT_QUEUES; ++i)
+    {
+      m_fds.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+      (void)connect(m_fds.back(), raw, size);
+    }
+  }
+  ~FullPort()
+  {
+    for (const int fd : m_fds)
+      close(fd);
+  }
+  FullPort(const FullPort&) = delete;
+  FullPort& operator=(const FullPort&) = delete;
+
+  const Http::Endpoint& Address() const { return m_endpoint; }
+
+private:
+  std::vector<int> m_fds;
+  Http::Endpoint m_endpoint;
+};
+
+class OriginConnectionTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(OriginConnectionTest);
+  CPPUNIT_TEST(AConnectionThatIsNotTakenIsGivenUp);
+  CPPUNIT_TEST(AnAnswerMayTakeLongerThanAConnection);
+  CPPUNIT_TEST_SUITE_END();
+
+  void AConnectionThatIsNotTakenIsGivenUp()
+  {
+    const FullPort port;
+    Listener events;
+    const auto connection = Http::OriginConnection::Connect(port.Address());
+    connection->Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", &events);
+    CPPUNIT_ASSERT(UnitTests::RunUntil(
+        [&] {
+          return events.breakage.has_value();
+        },
+        Milliseconds(800)));
+    CPPUNIT_ASSERT(*events.breakage == Http::Breakage::ConnectTimedOut);
+    CPPUNIT_ASSERT(!connection->HasSent());
+  }
+
+  void AnAnswerMayTakeLongerThanAConnection()
+  {
+    UnitTests::TestServer server([](UnitTests::TestPeer&, const std::string&) {});
+    Listener events;
+    const auto connection = Http::OriginConnection::Connect(server.Address());
+    connection->Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", &events);
+    UnitTests::RunFor(Milliseconds(600));
+    CPPUNIT_ASSERT(!events.breakage);
+    connection->Abandon();
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(OriginConnectionTest);
+} // namespace
