Gateway: two unheard requests make a server silent, not one

Test: OneUnansweredRequestIsNoSilence; the other cases send two (160 passed). Conclusion: in a cut a daemon loses one more request a server before it turns away.

--- a/Source/Core/Gateway/SilenceDetector.cpp
+++ b/Source/Core/Gateway/SilenceDetector.cpp
@@ -21,16 +21,21 @@
 constexpr Milliseconds SHORTEST_LIMIT{300};
 /// A server whose pauses are longer than this serves nobody in time.
 constexpr Milliseconds LONGEST_LIMIT{1500};
+/// So many requests have to go unheard before the server is suspected. With one, plain servers
+/// were ejected about once a second for requests that they leave without an answer.
+constexpr int UNHEARD_REQUESTS = 2;
 } // namespace
 
 void SilenceDetector::NoteSent(Common::TimePoint now)
 {
+  ++m_sent_since_heard;
   if (!m_quiet_since)
     m_quiet_since = now;
 }
 
 void SilenceDetector::NoteHeard(Common::TimePoint now)
 {
+  m_sent_since_heard = 0;
   if (!m_quiet_since)
     return;
   const double pause = std::chrono::duration<double, std::milli>(now - *m_quiet_since).count();
@@ -48,13 +53,15 @@
 
 void SilenceDetector::NoteEnded(int open)
 {
-  if (open == 0)
-    m_quiet_since.reset();
+  if (open > 0)
+    return;
+  m_quiet_since.reset();
+  m_sent_since_heard = 0;
 }
 
 bool SilenceDetector::IsSilent(Common::TimePoint now) const
 {
-  return m_quiet_since && now - *m_quiet_since > Limit();
+  return m_quiet_since && m_sent_since_heard >= UNHEARD_REQUESTS && now - *m_quiet_since > Limit();
 }
 
 Milliseconds SilenceDetector::Limit() const
--- a/Source/Core/Gateway/SilenceDetector.h
+++ b/Source/Core/Gateway/SilenceDetector.h
@@ -22,13 +22,15 @@
   /// A request ended; `open` are left.
   void NoteEnded(int open);
 
-  /// True where the server has owed answers and been silent for longer than is usual.
+  /// True where the server has been silent for longer than is usual, and to more than one request:
+  /// a single one may be answered late, or never, for reasons of its own.
   bool IsSilent(Common::TimePoint now) const;
   /// The pause beyond which the server is suspected.
   Common::Milliseconds Limit() const;
 
 private:
   std::optional<Common::TimePoint> m_quiet_since; ///< Since then answers are owed and none came.
+  int m_sent_since_heard = 0;
   double m_mean_ms = 0;
   double m_deviation_ms = 0;
   bool m_has_sample = false;
--- a/Source/UnitTests/Gateway/SilenceDetectorTest.cpp
+++ b/Source/UnitTests/Gateway/SilenceDetectorTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST_SUITE(SilenceDetectorTest);
   CPPUNIT_TEST(WhoOwesNothingIsNotSilent);
   CPPUNIT_TEST(SilenceCountsFromTheOldestUnansweredRequest);
+  CPPUNIT_TEST(OneUnansweredRequestIsNoSilence);
   CPPUNIT_TEST(AnyByteEndsIt);
   CPPUNIT_TEST(TheLimitFollowsThePausesSeen);
   CPPUNIT_TEST(ASilentServerGetsNoNewRequests);
@@ -43,10 +44,22 @@
     CPPUNIT_ASSERT(detector.IsSilent(NOW + Milliseconds(301)));
   }
 
+  void OneUnansweredRequestIsNoSilence()
+  {
+    SilenceDetector detector;
+    detector.NoteSent(NOW);
+    CPPUNIT_ASSERT(!detector.IsSilent(NOW + Milliseconds(5000)));
+    Server server(ServerEntry{});
+    server.NoteStart({}, NOW);
+    server.NoteEnd({}, NOW + Milliseconds(1100));
+    CPPUNIT_ASSERT(server.IsAvailable(NOW + Milliseconds(1101)));
+  }
+
   void AnyByteEndsIt()
   {
     SilenceDetector detector;
     detector.NoteSent(NOW);
+    detector.NoteSent(NOW);
     detector.NoteHeard(NOW + Milliseconds(400));
     CPPUNIT_ASSERT(!detector.IsSilent(NOW + Milliseconds(500)));
   }
@@ -72,6 +85,7 @@
   {
     Server server(ServerEntry{});
     server.NoteStart({}, NOW);
+    server.NoteStart({}, NOW);
     CPPUNIT_ASSERT(server.IsAvailable(NOW + Milliseconds(100)));
     CPPUNIT_ASSERT(!server.IsAvailable(NOW + Milliseconds(400)));
     server.NoteHeard(NOW + Milliseconds(450));
@@ -82,6 +96,8 @@
   {
     Server server(ServerEntry{});
     server.NoteStart({}, NOW);
+    server.NoteStart({}, NOW);
+    server.NoteEnd({}, NOW + Milliseconds(1900));
     server.NoteEnd({}, NOW + Milliseconds(2000));
     CPPUNIT_ASSERT(!server.IsAvailable(NOW + Milliseconds(2001)));
     CPPUNIT_ASSERT(server.Health().IsOnTrial());
