--- a/Tools/make-days.py
+++ b/Tools/make-days.py
@@ -92,6 +92,8 @@
     "srv-lying-errors": ("faults", ['kind = "srv_lying_health", share = 0.3, for_s = 8.0, how = "errors"']),
     "srv-lying-hang": ("faults", ['kind = "srv_lying_health", share = 0.3, for_s = 8.0, how = "hang"']),
     "srv-lying-bad": ("faults", ['kind = "srv_lying_health", share = 0.5, for_s = 8.0, how = "bad"']),
+    # The configuration outgrows what a link of 10 Mbit/s carries in a second.
+    "big-configs": ("plan", ['kind = "big_config", count = 1400'] * 2),
 }
 STORE = ('kind = "platform_down", how = "nodes reset", share = 0.4, for_s = 5.0',
          'kind = "platform_lost", x = 0.5, for_s = 5.0, how = "late"')
