--- a/Source/Core/Http/Channel.cpp
+++ b/Source/Core/Http/Channel.cpp
@@ -4,6 +4,8 @@
 #include "Http/Channel.h"
 
 #include <algorithm>
+#include <chrono>
+#include <optional>
 #include <utility>
 
 namespace Http
@@ -68,11 +70,16 @@
 
   Verdict OnAnswerHead(MessageHead& head) override
   {
+    m_heard_at = Common::Now();
     m_answer.status = head.status;
     m_answer.headers = head.headers;
     return Verdict::Take;
   }
-  void OnAnswerBody(std::string_view bytes) override { m_answer.body.append(bytes); }
+  void OnAnswerBody(std::string_view bytes) override
+  {
+    m_heard_at = Common::Now();
+    m_answer.body.append(bytes);
+  }
   void OnAnswerEnd() override
   {
     m_channel.m_idle.Keep(std::exchange(connection, nullptr), Common::Now());
@@ -87,7 +94,7 @@
   {
     const bool sent = connection->HasSent();
     const auto kind = sent ? Common::FailureKind::Timeout : Common::FailureKind::NotSent;
-    m_channel.Finish(this, Common::Failure{kind, "no answer in time"});
+    m_channel.Finish(this, Common::Failure{kind, "no answer in time" + Progress()});
   }
 
   Callback callback;
@@ -95,8 +102,19 @@
   Common::OwnedTimer timer;
 
 private:
+  /// How far the answer had come: tells a peer that is silent from one whose answer takes long.
+  std::string Progress() const
+  {
+    if (!m_heard_at)
+      return ", nothing came";
+    const auto silence = std::chrono::ceil<Common::Milliseconds>(Common::Now() - *m_heard_at);
+    return ", " + std::to_string(m_answer.body.size()) + " bytes came, the last " +
+           std::to_string(silence.count()) + " ms ago";
+  }
+
   Channel& m_channel;
   WholeAnswer m_answer;
+  std::optional<Common::TimePoint> m_heard_at; ///< When bytes of the answer came last.
 };
 
 Channel::Channel(const Endpoint& peer) : m_peer(peer), m_idle(MAX_IDLE) {}
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -168,8 +168,8 @@
                                       const std::vector<RowChange>& rows) {
       return follower.TakeRelayed(from, to, rows);
     };
-    access.set_relayed = [&follower](bool relayed) {
-      follower.SetRelayed(relayed);
+    access.set_relayed = [&follower](bool relayed, AskReason reason) {
+      follower.SetRelayed(relayed, reason);
     };
     access.set_wait = [&follower](Common::Milliseconds wait) {
       follower.SetWait(wait);
@@ -215,7 +215,7 @@
     AbdicateIfCutOff(Common::Now());
     Follow();
     m_lease.SetContenders(m_hub.Daemons(), m_hub.LeastHandicap());
-    m_lease_table.SetRelayed(m_held || m_hub.HearsHolder());
+    m_lease_table.SetRelayed(m_held || m_hub.HearsHolder(), AskReason::NoHolder);
     const auto now = Common::Now();
     const bool holds = m_lease.Holds(now);
     if (holds)
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -111,7 +111,7 @@
     table.set_wait(own_lease ? HOLDER_WAIT : FOLLOWER_WAIT);
     table.set_gathering(own_lease ? HOLDER_GATHERING : FOLLOWER_GATHERING);
     if (own_lease)
-      table.set_relayed(false);
+      table.set_relayed(false, AskReason::HoldsIt);
   }
   ReportSoon();
 }
@@ -215,7 +215,7 @@
     return;
   if (!HearsHolder())
     for (const TableAccess& table : m_tables)
-      table.set_relayed(false);
+      table.set_relayed(false, AskReason::NoHolder);
   if (Common::Now() - m_holder_heard_at < PLACEMENT_VALID)
     return;
   for (const auto& [instance, server] : m_dispatcher.Servers().All())
@@ -544,13 +544,13 @@
     if (current && whole)
     {
       m_news_states[i].whole_at = now;
-      m_tables[i].set_relayed(true);
+      m_tables[i].set_relayed(true, AskReason::NoHolder);
       continue;
     }
     if (!whole && !std::exchange(m_missed_news, true))
       ReportSoon();
     if (!current || now - m_news_states[i].whole_at > GAP_PATIENCE)
-      m_tables[i].set_relayed(false);
+      m_tables[i].set_relayed(false, current ? AskReason::RowsLeft : AskReason::OldCopy);
   }
 }
 } // namespace Orders
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -15,6 +15,7 @@
 #include "Orders/DaemonCount.h"
 #include "Orders/Messages.h"
 #include "Orders/OrderDesk.h"
+#include "Orders/TableFollower.h"
 
 namespace Orders
 {
@@ -25,7 +26,7 @@
   std::function<std::optional<RowChanges>(std::int64_t)> changes_since;
   std::function<Common::Milliseconds()> answer_age;
   std::function<bool(std::int64_t, std::int64_t, const std::vector<RowChange>&)> take_relayed;
-  std::function<void(bool)> set_relayed;
+  std::function<void(bool, AskReason)> set_relayed;
   std::function<void(Common::Milliseconds)> set_wait;
   std::function<void(Common::Milliseconds)> set_gathering;
 };
--- a/Source/Core/Orders/TableFollower.h
+++ b/Source/Core/Orders/TableFollower.h
@@ -51,6 +51,31 @@
   std::function<void()> on_back;
 };
 
+/// Why a daemon asks the platform for a table instead of taking the holder's copy.
+enum class AskReason : std::uint8_t
+{
+  NoHolder, ///< No holder of the lease is heard.
+  HoldsIt,  ///< This daemon is the holder.
+  OldCopy,  ///< The platform has not answered the holder lately.
+  RowsLeft, ///< The holder's news have left changes out.
+};
+
+constexpr const char* ToString(AskReason reason)
+{
+  switch (reason)
+  {
+  case AskReason::NoHolder:
+    return "no_holder";
+  case AskReason::HoldsIt:
+    return "holds_lease";
+  case AskReason::OldCopy:
+    return "old_copy";
+  case AskReason::RowsLeft:
+    return "rows_left_out";
+  }
+  return "";
+}
+
 /// Keeps up with one table: reads it whole, then takes changes. They come from the source, by calls
 /// that wait for some, or from the holder of the lease, which passes on what it reads, so that not
 /// every daemon has to ask. A daemon goes back to asking by itself as soon as the holder's word is
@@ -86,14 +111,15 @@
   /// many backend servers the source would answer at once, with one change, again and again.
   void SetGathering(Common::Milliseconds span) { m_gathering = span; }
 
-  /// While relayed, no calls are made.
-  void SetRelayed(bool relayed)
+  /// While relayed, no calls are made. `reason` says why it is not, or no longer.
+  void SetRelayed(bool relayed, AskReason reason = AskReason::NoHolder)
   {
     if (m_relayed == relayed)
       return;
     m_relayed = relayed;
-    Common::LogEvent(Common::LogLevel::Info, relayed ? "table-relayed" : "table-asked",
-                     {{"table", m_table}, {"version", m_version}});
+    Common::LogEvent(
+        Common::LogLevel::Info, relayed ? "table-relayed" : "table-asked",
+        {{"table", m_table}, {"version", m_version}, {"why", relayed ? "" : ToString(reason)}});
     if (!relayed && m_have_snapshot && !m_calling)
     {
       m_retry_timer.Stop();
--- a/Source/UnitTests/Main.cpp
+++ b/Source/UnitTests/Main.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 #include <iostream>
+#include <string>
 #include <string_view>
 
 #include <cppunit/BriefTestProgressListener.h>
@@ -15,6 +16,16 @@
 #include "Common/Log.h"
 #include "UnitTests/Fuzz.h"
 
+namespace
+{
+/// The name without the namespace that every test class lies in.
+std::string ShortName(const std::string& name)
+{
+  constexpr std::string_view PREFIX = "(anonymous namespace)::";
+  return name.starts_with(PREFIX) ? name.substr(PREFIX.size()) : name;
+}
+} // namespace
+
 int main(int argc, char** argv)
 {
   if (argc > 1 && std::string_view(argv[1]) == "--fuzz")
@@ -30,8 +41,9 @@
   runner.addTest(CppUnit::TestFactoryRegistry::getRegistry().makeTest());
   // The name of one test, as a run of all prints it, runs that alone.
   runner.run(result, argc > 1 ? argv[1] : "");
+  // One form for all suites: "FAIL NAME ...", by which KNOWN-RED.txt is matched.
   for (const CppUnit::TestFailure* failure : collector.failures())
-    std::cout << failure->failedTestName() << " at " << failure->sourceLine().fileName() << ":"
+    std::cout << "FAIL " << ShortName(failure->failedTestName()) << " at " << failure->sourceLine().fileName() << ":"
               << failure->sourceLine().lineNumber() << "\n";
   const int failed = collector.testFailuresTotal();
   std::cout << collector.runTests() - failed << " passed, " << failed << " failed\n";
--- a/Tools/test.sh
+++ b/Tools/test.sh
@@ -33,9 +33,10 @@
   failed=$((failed + $(echo "$verdict" | cut -d' ' -f3)))
 done
 if [ -f KNOWN-RED.txt ]; then
-  while IFS=: read -r name rest; do
-    if grep -q "^FAIL $name " build/test/*.txt; then
-      echo "known red: $name:$rest"
+  # A line is "NAME: ...", where NAME may hold colons itself.
+  while read -r line; do
+    if grep -q "^FAIL ${line%%: *} " build/test/*.txt; then
+      echo "known red: $line"
       failed=$((failed - 1))
     fi
   done < <(grep -v '^#' KNOWN-RED.txt)
