UnitTests: a call is given up whose answer has arrived, red

A daemon that is busy for longer than a call's patience (a new configuration on 0.12 cores) finds the timer and the answer in the same turn of the loop; the timer runs first.

--- a/Source/UnitTests/Http/ChannelTest.cpp
+++ b/Source/UnitTests/Http/ChannelTest.cpp
@@ -3,6 +3,8 @@
 
 #include "Http/Channel.h"
 
+#include <thread>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "UnitTests/Support/Loopback.h"
@@ -19,6 +21,7 @@
   CPPUNIT_TEST_SUITE(ChannelTest);
   CPPUNIT_TEST(ACallThatTimesOutIsReset);
   CPPUNIT_TEST(AConnectionIsUsedAgain);
+  CPPUNIT_TEST(AnAnswerThatHasArrivedIsReadBeforeTheCallIsGivenUp);
   CPPUNIT_TEST_SUITE_END();
 
   /// A plain close would let the kernel deliver the call's bytes later, behind a cut that has
@@ -61,6 +64,27 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), server.peers.size());
   }
+
+  /// Symptom: a VM with 0.12 cores gives a call up whose answer lies in its kernel.
+  /// Sequence: the daemon is busy with a new configuration for longer than the call's patience;
+  /// the answer comes meanwhile; in the next turn of the loop the timer is looked at first.
+  void AnAnswerThatHasArrivedIsReadBeforeTheCallIsGivenUp()
+  {
+    TestServer server([](TestPeer& peer, const std::string&) {
+      peer.stream->Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi");
+      std::this_thread::sleep_for(Milliseconds(100));
+    });
+    Http::Channel channel(server.Address());
+    std::optional<bool> answered;
+    channel.Call({"GET", "/x", {}, ""}, {Milliseconds(50), Milliseconds(50)},
+                 [&](Common::Result<Http::WholeAnswer> answer) {
+                   answered = static_cast<bool>(answer);
+                 });
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return answered.has_value();
+    }));
+    CPPUNIT_ASSERT(*answered);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ChannelTest);
