Common: timers that become due while descriptors are handled wait for the next turn

Cause: the loop read the descriptors once and then ran every timer that was due by the clock after that. A daemon that spent longer than a call's patience in one handler (decoding a configuration on 0.12 cores) gave up calls, connections and servers whose bytes lay in the kernel. Now the timers of a turn are those that were due at its begin; the next turn reads first. Weighed: looking at the call's connection once more before giving it up, as callers' idle connections have it; this mends all timers at once.

--- a/Source/Core/Common/Reactor.cpp
+++ b/Source/Core/Common/Reactor.cpp
@@ -122,13 +122,15 @@
 
 void Reactor::Dispatch()
 {
+  // A timer that becomes due while the descriptors are handled waits for the next turn: what it is
+  // to give up may have arrived meanwhile, and is read first there.
+  const TimePoint begin = Now();
   RunDescriptors();
-  RunTimers();
+  RunTimers(begin);
 }
 
-void Reactor::RunTimers()
+void Reactor::RunTimers(TimePoint now)
 {
-  const TimePoint now = Now();
   while (!m_timers.empty() && m_timers.begin()->first <= now)
   {
     const auto first = m_timers.begin();
--- a/Source/Core/Common/Reactor.h
+++ b/Source/Core/Common/Reactor.h
@@ -59,7 +59,8 @@
     std::function<void()> callback;
   };
 
-  void RunTimers();
+  /// Runs the timers that were due at `now`.
+  void RunTimers(TimePoint now);
   void RunDescriptors();
 
   int m_epoll = -1;
