UnitTests: changes of large rows between daemons, red

The same class elsewhere: a fixed size where the configuration has none. The change of one route among 2,850 takes more than the 30 KB that are passed on, so every daemon reads the whole row from the store; a row above 1 MB is refused by every daemon.

--- a/Source/UnitTests/Orders/RowChangeTest.cpp
+++ b/Source/UnitTests/Orders/RowChangeTest.cpp
@@ -20,10 +20,26 @@
   return text + R"("x"],"models":["m)" + std::to_string(model) + "\"]}";
 }
 
+/// A configuration with routes whose names do not repeat, some 200 bytes each.
+std::string Configuration(unsigned routes)
+{
+  std::string text = R"({"routes":[)";
+  for (unsigned i = 0; i < routes; ++i)
+  {
+    const std::string name = std::to_string(i * 2654435761U);
+    text += R"({"name":"r-)" + name + R"(","host":"shop.example","pathPrefix":"/)" + name +
+            R"(/","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":150,"priority":2,)" +
+            R"("maxAttempts":2,"trafficSplit":[{"service":"stock","weight":1}]},)";
+  }
+  return text + "{}]}";
+}
+
 class RowChangeTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(RowChangeTest);
   CPPUNIT_TEST(AChangedRowTakesFewBytes);
+  CPPUNIT_TEST(AChangeOfALargeRowTakesFewBytes);
+  CPPUNIT_TEST(ARowOfSomeMegabytesIsPassedOn);
   CPPUNIT_TEST(ChangesOfOneRowBuildOnEachOther);
   CPPUNIT_TEST(ARowThatCameBackNeedsNoBase);
   CPPUNIT_TEST(AnotherBaseIsRefused);
@@ -44,6 +60,33 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(6), (*rows)[0].version);
   }
 
+  /// Symptom: with 2,850 routes and more, each change of one route made every daemon read the whole
+  /// configuration, 744 KB and more, from the platform, over links of 10 Mbit/s.
+  /// Cause: the compression looked back 32 KB only, so that the change of one route took 75 KB,
+  /// more than the 30 KB that are passed on.
+  void AChangeOfALargeRowTakesFewBytes()
+  {
+    KnownRows known;
+    known.Put({"c", Configuration(2850), 5, false});
+    const RowChange one_more = known.Pack({"c", Configuration(2851), 6, false});
+    CPPUNIT_ASSERT(one_more.packed.size() < 500);
+    const RowChange many_more = known.Pack({"c", Configuration(4250), 6, false});
+    CPPUNIT_ASSERT(many_more.packed.size() < 30000);
+    const auto rows = known.UnpackAll({many_more});
+    CPPUNIT_ASSERT(rows);
+    CPPUNIT_ASSERT((*rows)[0].value == Configuration(4250));
+  }
+
+  /// A row above a fixed megabyte was refused by every daemon that it was passed on to.
+  void ARowOfSomeMegabytesIsPassedOn()
+  {
+    const TableRow row{"c", Configuration(20000), 5, false};
+    CPPUNIT_ASSERT(row.value.size() > 3'000'000);
+    const auto rows = KnownRows().UnpackAll({KnownRows().Pack(row)});
+    CPPUNIT_ASSERT(rows);
+    CPPUNIT_ASSERT((*rows)[0].value == row.value);
+  }
+
   void ChangesOfOneRowBuildOnEachOther()
   {
     KnownRows holder;
