UnitTests: the hub with many placements, and with a row that it leaves out, red

All placements stand in one announcement; beyond 60,000 bytes it is not sent, and the daemon never hears the holder. And a daemon waits 0.7 s for a row that the holder will never pass on.

--- /dev/null
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -0,0 +1,180 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Two hubs, a holder's and a daemon's, that talk over the loopback.
+
+#include "Orders/Hub.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "UnitTests/Support/Loopback.h"
+
+namespace
+{
+using namespace Orders;
+using namespace Gateway;
+using Common::Milliseconds;
+using UnitTests::RunFor;
+using UnitTests::RunUntil;
+
+constexpr int ADAPTERS = 8;
+
+/// A port of the loopback that is free now.
+Http::Endpoint FreeEndpoint()
+{
+  const int fd = socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in address = Http::Endpoint{htonl(INADDR_LOOPBACK), 0}.ToSockaddr();
+  socklen_t size = sizeof(address);
+  bind(fd, reinterpret_cast<const sockaddr*>(&address), size);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  close(fd);
+  return Http::Endpoint::FromSockaddr(address);
+}
+
+InstanceId InstanceOf(int server)
+{
+  return InstanceId(std::to_string(1000000000 + server));
+}
+
+Artifact AdapterOf(int server, int adapter)
+{
+  return {ModelId(std::to_string(server) + "-model"), AdapterId(std::to_string(adapter) + "a")};
+}
+
+/// One daemon's hub with one shared table that the test fills.
+class Daemon
+{
+public:
+  explicit Daemon(const char* name)
+      : endpoint(FreeEndpoint()),
+        desk(dispatcher.Servers(), {}, {}),
+        hub({Common::VmId(name), Common::Incarnation("run"), endpoint}, dispatcher, desk)
+  {
+    desk.SetPermission([] {
+      return std::optional<std::int64_t>(1);
+    });
+    TableAccess table;
+    table.version = [this] {
+      return version;
+    };
+    table.changes_since = [this](std::int64_t) {
+      return changes;
+    };
+    table.answer_age = [] {
+      return Milliseconds(0);
+    };
+    table.take_relayed = [this](std::int64_t from, std::int64_t to, const auto&) {
+      if (version < from)
+        return false;
+      version = std::max(version, to);
+      return true;
+    };
+    table.set_relayed = [this](bool now, AskReason why) {
+      relayed = now;
+      reason = why;
+    };
+    table.set_wait = [](Milliseconds) {};
+    table.set_gathering = [](Milliseconds) {};
+    hub.SetTables({table});
+    CPPUNIT_ASSERT(hub.Start());
+  }
+
+  /// Servers that hold one model each; the holder knows of all adapters, an entry of none.
+  void AddServers(int count, bool with_adapters)
+  {
+    for (int server = 0; server < count; ++server)
+    {
+      ServerEntry entry;
+      entry.instance = InstanceOf(server);
+      entry.pool = PoolId("p");
+      LoadedModel model{AdapterOf(server, 0).model, {}};
+      for (int adapter = 0; with_adapters && adapter < ADAPTERS; ++adapter)
+        model.adapters.push_back(AdapterOf(server, adapter).adapter);
+      entry.models.push_back(std::move(model));
+      dispatcher.Servers().Put(entry);
+    }
+    auto configuration = std::make_shared<Configuration>();
+    desk.SetConfiguration(configuration);
+    desk.Plan(Common::Now());
+  }
+
+  Http::Endpoint endpoint;
+  std::int64_t version = 5;
+  std::optional<RowChanges> changes = RowChanges{5, {}};
+  bool relayed = false;
+  AskReason reason = AskReason::NoHolder;
+  Dispatcher dispatcher{DispatcherSettings{}};
+  OrderDesk desk;
+  Hub hub;
+};
+
+class HubTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(HubTest);
+  CPPUNIT_TEST(PlacementsOfManyServersArrive);
+  CPPUNIT_TEST(ARowThatIsLeftOutIsAskedForAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+  static void Begin(Daemon& holder, Daemon& other)
+  {
+    holder.hub.SetHolder(std::nullopt, LeaseWord{1, 1, Milliseconds(3000)});
+    other.hub.SetHolder(holder.endpoint, std::nullopt);
+  }
+
+  /// Symptom: daemons hear nothing of a new holder and ask the platform for every table.
+  /// Sequence: 900 servers hold eight adapters each; all placements stand in the first
+  /// announcement, some 110 KB, which is not sent as it fits no datagram; nor is the next.
+  /// Cause: the placements of an announcement had no limit, while a datagram has one.
+  void PlacementsOfManyServersArrive()
+  {
+    constexpr int SERVERS = 900;
+    Daemon holder("a");
+    Daemon other("b");
+    holder.AddServers(SERVERS, true);
+    other.AddServers(SERVERS, false);
+    Begin(holder, other);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return other.hub.HearsHolder();
+    }));
+    const auto knows_all = [&] {
+      const auto now = Common::Now();
+      for (int server = 0; server < SERVERS; ++server)
+        for (int adapter = 0; adapter < ADAPTERS; ++adapter)
+          if (!other.dispatcher.Servers()
+                   .Find(InstanceOf(server))
+                   ->Holds(AdapterOf(server, adapter), now))
+            return false;
+      return true;
+    };
+    CPPUNIT_ASSERT(RunUntil(knows_all, Milliseconds(5000)));
+  }
+
+  /// Symptom: a large configuration is in force 0.7 s later than it could be.
+  /// Sequence: the holder's news leave the row out; the daemon waits for a repeat, as after a lost
+  /// datagram, before it asks the platform.
+  /// Cause: a row that will never come looked like one that is on its way. `table-asked` stood 0.7
+  /// s behind the write of each large configuration.
+  void ARowThatIsLeftOutIsAskedForAtOnce()
+  {
+    Daemon holder("a");
+    Daemon other("b");
+    Begin(holder, other);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return other.relayed;
+    }));
+    holder.version = 6;
+    holder.changes = RowChanges{5, {{"c", 6, false, 0, std::string(1 << 20, 'x')}}};
+    holder.hub.AnnounceSoon();
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return !other.relayed;
+        },
+        Milliseconds(200)));
+    CPPUNIT_ASSERT(other.reason == AskReason::RowsLeft);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HubTest);
+} // namespace
