--- /dev/null
+++ b/Source/UnitTests/Http/ClientTest.cpp
@@ -0,0 +1,72 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Http/Client.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Common/Task.h"
+#include "UnitTests/Support/Loopback.h"
+
+namespace
+{
+using Common::Milliseconds;
+using UnitTests::PacedServer;
+using UnitTests::RunUntil;
+using Outcome = std::optional<Common::Result<Http::Response>>;
+
+Common::Task<void> Fetch(Http::Client& client, Http::Request request, Outcome& outcome)
+{
+  outcome = co_await client.Send(std::move(request));
+}
+
+class ClientTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ClientTest);
+  CPPUNIT_TEST(ALongAnswerComesOverAWeakLink);
+  CPPUNIT_TEST(APeerThatFallsSilentWithinAnAnswerIsGivenUp);
+  CPPUNIT_TEST_SUITE_END();
+
+  static Http::Request RequestTo(const PacedServer& server)
+  {
+    Http::Request request;
+    request.url = "http://" + server.Address().ToString() + "/v1/list?prefix=claims";
+    request.timeout = Milliseconds(300);
+    return request;
+  }
+
+  /// Symptom: a daemon never reads the platform's table where its list takes longer than a call.
+  /// Sequence: 800 KB at 10 Mbit/s take 0.64 s, the call has 0.3 s; the next begins from nothing.
+  /// Cause: the time of a call was counted to the end of its answer.
+  void ALongAnswerComesOverAWeakLink()
+  {
+    PacedServer server(std::string(800'000, 'x'));
+    Http::Client client;
+    Outcome outcome;
+    Common::Spawn(Fetch(client, RequestTo(server), outcome));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return outcome.has_value();
+    }));
+    CPPUNIT_ASSERT(*outcome);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(800'000), (*outcome)->body.size());
+  }
+
+  void APeerThatFallsSilentWithinAnAnswerIsGivenUp()
+  {
+    PacedServer server(std::string(800'000, 'x'));
+    server.FallSilentAfter(100'000);
+    Http::Client client;
+    Outcome outcome;
+    Common::Spawn(Fetch(client, RequestTo(server), outcome));
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return outcome.has_value();
+        },
+        Milliseconds(1000)));
+    CPPUNIT_ASSERT(!*outcome);
+    CPPUNIT_ASSERT(outcome->Reason().kind == Common::FailureKind::Timeout);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClientTest);
+} // namespace
--- a/Source/UnitTests/Platform/StoreClientTest.cpp
+++ b/Source/UnitTests/Platform/StoreClientTest.cpp
@@ -19,62 +19,16 @@
 namespace
 {
 using Common::Milliseconds;
+using UnitTests::PacedServer;
 using UnitTests::RunUntil;
-using UnitTests::TestPeer;
-using UnitTests::TestServer;
 
-constexpr std::size_t WEAK_LINK_BYTES_PER_MS = 1250; ///< 10 Mbit/s.
-constexpr Milliseconds TICK{10};
-
-/// A store whose every answer is one row, sent at the speed of a weak link.
-class PacedStore
+/// The answer of a store with one row of so many bytes.
+std::string OneRow(std::size_t value_bytes)
 {
-public:
-  explicit PacedStore(std::size_t value_bytes)
-      : m_server([this](TestPeer& peer, const std::string&) {
-          Begin(peer);
-        })
-  {
-    const std::string row =
-        R"({"key":"config","ver":7,"value":")" + std::string(value_bytes, 'A') + R"("})";
-    const std::string body = R"({"ver":7,"nowMs":1,"rows":[)" + row + "]}";
-    m_answer =
-        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  }
-
-  Http::Endpoint Address() const { return m_server.Address(); }
-  std::size_t Calls() const { return m_server.requests.size(); }
-  /// From here on nothing more is sent of an answer.
-  void FallSilentAfter(std::size_t bytes) { m_limit = bytes; }
-
-private:
-  void Begin(TestPeer& peer)
-  {
-    m_peer = &peer;
-    m_sent = 0;
-    SendNext();
-  }
-
-  void SendNext()
-  {
-    const std::size_t end = std::min(m_answer.size(), m_limit);
-    const auto piece = std::min(WEAK_LINK_BYTES_PER_MS * TICK.count(), end - m_sent);
-    if (piece == 0 || m_peer->ended)
-      return;
-    m_peer->stream->Write(std::string_view(m_answer).substr(m_sent, piece));
-    m_sent += piece;
-    m_timer.Start(TICK, [this] {
-      SendNext();
-    });
-  }
-
-  std::string m_answer;
-  std::size_t m_limit = std::string::npos;
-  std::size_t m_sent = 0;
-  TestPeer* m_peer = nullptr;
-  Common::OwnedTimer m_timer;
-  TestServer m_server;
-};
+  const std::string row =
+      R"({"key":"config","ver":7,"value":")" + std::string(value_bytes, 'A') + R"("})";
+  return R"({"ver":7,"nowMs":1,"rows":[)" + row + "]}";
+}
 
 class StoreClientTest : public CppUnit::TestFixture
 {
@@ -86,7 +40,7 @@
 
   void ALargeChangeComesOverAWeakLink()
   {
-    PacedStore store(1073'000);
+    PacedServer store(OneRow(1073'000));
     PlatformFace::StoreClient client(store.Address());
     std::optional<Common::Result<Orders::TableRows>> changes;
     client.Follow("op", 6, Milliseconds(0), [&](Common::Result<Orders::TableRows> answer) {
@@ -102,7 +56,7 @@
 
   void ALargeTableComesOverAWeakLink()
   {
-    PacedStore store(2400'000);
+    PacedServer store(OneRow(2400'000));
     PlatformFace::StoreClient client(store.Address());
     std::optional<Common::Result<Orders::TableRows>> rows;
     client.Read("op", "", [&](Common::Result<Orders::TableRows> answer) {
@@ -118,7 +72,7 @@
   /// A cut must still show within the time that a daemon has for its view to be current.
   void AStoreThatFallsSilentWithinAnAnswerIsGivenUp()
   {
-    PacedStore store(1073'000);
+    PacedServer store(OneRow(1073'000));
     store.FallSilentAfter(100'000);
     PlatformFace::StoreClient client(store.Address());
     std::optional<Common::Result<Orders::TableRows>> changes;
--- a/Source/UnitTests/Support/Loopback.h
+++ b/Source/UnitTests/Support/Loopback.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <functional>
 #include <memory>
 #include <string>
@@ -126,6 +127,56 @@
   Http::TcpListener m_listener;
 };
 
+/// Answers every request with one body, sent at the speed of a link of 10 Mbit/s.
+class PacedServer
+{
+public:
+  explicit PacedServer(const std::string& body)
+      : m_answer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                 body),
+        m_server([this](TestPeer& peer, const std::string&) {
+          Begin(peer);
+        })
+  {
+  }
+
+  Http::Endpoint Address() const { return m_server.Address(); }
+  std::size_t Calls() const { return m_server.requests.size(); }
+  /// From here on nothing more is sent of an answer.
+  void FallSilentAfter(std::size_t bytes) { m_limit = bytes; }
+
+private:
+  static constexpr std::size_t BYTES_PER_MS = 1250;
+  static constexpr Common::Milliseconds TICK{10};
+
+  void Begin(TestPeer& peer)
+  {
+    m_peer = &peer;
+    m_sent = 0;
+    SendNext();
+  }
+
+  void SendNext()
+  {
+    const std::size_t end = std::min(m_answer.size(), m_limit);
+    const auto piece = std::min<std::size_t>(BYTES_PER_MS * TICK.count(), end - m_sent);
+    if (piece == 0 || m_peer->ended)
+      return;
+    m_peer->stream->Write(std::string_view(m_answer).substr(m_sent, piece));
+    m_sent += piece;
+    m_timer.Start(TICK, [this] {
+      SendNext();
+    });
+  }
+
+  std::string m_answer;
+  std::size_t m_limit = std::string::npos;
+  std::size_t m_sent = 0;
+  TestPeer* m_peer = nullptr;
+  Common::OwnedTimer m_timer;
+  TestServer m_server;
+};
+
 /// The value of a header in a raw head; empty where it is missing.
 inline std::string HeaderOf(const std::string& head, const std::string& name)
 {
