Http: the libsoup client, too, gives up for silence and not for length

The time now holds to the head and between two pieces; answers of writes are short, so the time in which a write may still take effect is as before. Looked at and left: Link::Ask gives a whole table 2 s in one frame; a daemon that fails there reads the platform instead, so it is late, not stuck.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -246,7 +246,7 @@
 
 Task<Result<Response>> Client::Send(Request request)
 {
-  const auto deadline = Common::Now() + request.timeout;
+  const auto patience = request.timeout;
   auto opened = co_await Open(std::move(request));
   if (!opened)
     co_return opened.Reason();
@@ -254,8 +254,7 @@
   Response response{stream.Status(), stream.GetHeaders(), {}};
   while (true)
   {
-    const auto left = std::chrono::duration_cast<Common::Milliseconds>(deadline - Common::Now());
-    auto chunk = co_await stream.Read(left);
+    auto chunk = co_await stream.Read(patience);
     if (!chunk)
       co_return chunk.Reason();
     if (chunk->empty())
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -26,7 +26,8 @@
   Headers headers;
   std::string body;
   std::string content_type = "application/json";
-  /// From the call to the head of the answer; for `Client::Send` to its end.
+  /// From the call to the head of the answer; for `Client::Send` also between two pieces of it. The
+  /// whole has no limit: a list that took longer than the call would never come.
   Common::Milliseconds timeout{10000};
   /// Never reuses a connection: what may not be repeated must not meet one that just closed.
   bool fresh_connection = false;
@@ -65,7 +66,7 @@
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
-  /// Sends and reads the whole answer, at most `max_body` bytes of it.
+  /// Sends and reads the whole answer. Fails with Protocol beyond 64 MB.
   Common::Task<Common::Result<Response>> Send(Request request);
   /// Sends and gives the answer once its head is here.
   Common::Task<Common::Result<std::unique_ptr<ResponseStream>>> Open(Request request);
