UnitTests: a daemon with requests at many servers, red

The same class in the other direction: a daemon's report beyond 60,000 bytes is not sent, and the holder never hears of it.

--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -115,6 +115,7 @@
   CPPUNIT_TEST_SUITE(HubTest);
   CPPUNIT_TEST(PlacementsOfManyServersArrive);
   CPPUNIT_TEST(ARowThatIsLeftOutIsAskedForAtOnce);
+  CPPUNIT_TEST(ADaemonWithRequestsAtManyServersIsHeard);
   CPPUNIT_TEST_SUITE_END();
 
   static void Begin(Daemon& holder, Daemon& other)
@@ -174,6 +175,31 @@
         Milliseconds(200)));
     CPPUNIT_ASSERT(other.reason == AskReason::RowsLeft);
   }
+
+  /// Symptom: the holder does not know of a daemon, whose requests for models then wait in vain.
+  /// Sequence: the daemon has a request open at each of 3,000 servers; its report, some 120 KB, is
+  /// not sent as it fits no datagram; nor is the next.
+  /// Cause: the lines of a report had no limit, while a datagram has one.
+  void ADaemonWithRequestsAtManyServersIsHeard()
+  {
+    constexpr int SERVERS = 3000;
+    Daemon holder("a");
+    Daemon other("b");
+    other.AddServers(SERVERS, false);
+    const auto now = Common::Now();
+    for (int server = 0; server < SERVERS; ++server)
+      other.dispatcher.Servers().Find(InstanceOf(server))->NoteStart(AdapterOf(server, 0), now);
+    const auto busiest = other.dispatcher.Servers().Find(InstanceOf(SERVERS - 1));
+    busiest->NoteStart(AdapterOf(SERVERS - 1, 0), now);
+    Begin(holder, other);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return holder.hub.Daemons() == 2;
+    }));
+    // What does not fit is what matters least.
+    const auto loads = holder.desk.InFlightByServer();
+    CPPUNIT_ASSERT(loads.size() > 500);
+    CPPUNIT_ASSERT_EQUAL(2, loads.at(InstanceOf(SERVERS - 1)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HubTest);
