Orders: a daemon's report fits its datagram

Cause: the lines of a report had no limit. With requests open at 3,000 servers it takes some 120 KB, was never sent, and the holder did not know of the daemon. Now the least loaded servers and the artifacts for which fewest wait are cut, and report-cut says so. The sizes of all lines stand in one place, MessageSize, which placements and news use too.

--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -17,6 +17,7 @@
 
 #include "Common/Log.h"
 #include "Common/Loop.h"
+#include "Orders/MessageSize.h"
 #include "Orders/NewsWriter.h"
 
 namespace Orders
@@ -37,8 +38,6 @@
 constexpr Milliseconds PUSH_DELAY_PER_DAEMON{1};
 /// Gaps in the holder's news are made good by the holder for so long; then the platform is asked.
 constexpr Milliseconds GAP_PATIENCE{700};
-/// A datagram is at most so long; the kernel cuts it into packets.
-constexpr std::size_t MAX_DATAGRAM = 60000;
 /// Fence, sequence, versions and lengths of an announcement.
 constexpr std::size_t ANNOUNCEMENT_HEAD_BYTES = 500;
 /// The placements' part of what an announcement has room for.
@@ -187,6 +186,7 @@
   report.placement_version = m_placement_heard;
   report.missed_news = std::exchange(m_missed_news, false);
   report.handicap_ms = m_settings.handicap.count();
+  FitDatagram(report);
   return report;
 }
 
--- /dev/null
+++ b/Source/Core/Orders/MessageSize.cpp
@@ -0,0 +1,89 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Orders/MessageSize.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/Log.h"
+
+namespace Orders
+{
+namespace
+{
+/// A text's length before it, of up to 16,383 bytes.
+constexpr std::size_t LENGTH_BYTES = 2;
+/// A number of up to 35 bits in groups of seven; the counts of these messages.
+constexpr std::size_t COUNT_BYTES = 5;
+/// A version or a time of any size.
+constexpr std::size_t NUMBER_BYTES = 10;
+/// Names, sequence, table versions and flags of a daemon's report.
+constexpr std::size_t REPORT_HEAD_BYTES = 1000;
+
+template <typename Id>
+std::size_t BytesOfText(const Id& id)
+{
+  return id.Get().size() + LENGTH_BYTES;
+}
+
+std::size_t BytesOf(const Gateway::Artifact& artifact)
+{
+  return BytesOfText(artifact.model) + BytesOfText(artifact.adapter);
+}
+
+/// Keeps the first lines that fit.
+template <typename Line>
+void CutTo(std::vector<Line>& lines, std::size_t max_bytes, const char* what)
+{
+  std::size_t bytes = 0;
+  const auto end = std::ranges::find_if(lines, [&](const Line& line) {
+    bytes += BytesOf(line);
+    return bytes > max_bytes;
+  });
+  if (end == lines.end())
+    return;
+  Common::LogEvent(
+      Common::LogLevel::Warning, "report-cut",
+      {{"lines", what}, {"kept", std::distance(lines.begin(), end)}, {"of", lines.size()}});
+  lines.erase(end, lines.end());
+}
+} // namespace
+
+std::size_t BytesOf(const RowChange& row)
+{
+  return row.key.size() + LENGTH_BYTES + 2 * NUMBER_BYTES + 1 + row.packed.size() + COUNT_BYTES;
+}
+
+std::size_t BytesOf(const PlacementLine& line)
+{
+  std::size_t bytes = BytesOfText(line.instance) + 2 * LENGTH_BYTES;
+  for (const Gateway::Artifact& adapter : line.adapters)
+    bytes += BytesOf(adapter);
+  for (const Gateway::ModelId& model : line.leaving)
+    bytes += BytesOfText(model);
+  return bytes;
+}
+
+std::size_t BytesOf(const DemandLine& line)
+{
+  return BytesOfText(line.pool) + BytesOf(line.artifact) + 3 * COUNT_BYTES + NUMBER_BYTES;
+}
+
+std::size_t BytesOf(const LoadLine& line)
+{
+  std::size_t bytes = BytesOfText(line.instance) + COUNT_BYTES + LENGTH_BYTES;
+  for (const auto& [model, count] : line.by_model)
+    bytes += BytesOfText(model) + COUNT_BYTES;
+  return bytes;
+}
+
+void FitDatagram(DaemonReport& report)
+{
+  constexpr std::size_t ROOM = MAX_DATAGRAM - REPORT_HEAD_BYTES;
+  std::ranges::stable_sort(report.demand, std::ranges::greater(), &DemandLine::waiting);
+  CutTo(report.demand, ROOM / 2, "demand");
+  std::ranges::stable_sort(report.loads, std::ranges::greater(), &LoadLine::in_flight);
+  CutTo(report.loads, ROOM / 2, "loads");
+}
+} // namespace Orders
--- a/Source/Core/Orders/NewsWriter.cpp
+++ b/Source/Core/Orders/NewsWriter.cpp
@@ -4,18 +4,16 @@
 #include "Orders/NewsWriter.h"
 
 #include <algorithm>
-#include <functional>
 #include <iterator>
 #include <map>
-#include <numeric>
 #include <utility>
 
+#include "Orders/MessageSize.h"
+
 namespace Orders
 {
 namespace
 {
-/// Versions, flags and lengths of one row.
-constexpr std::size_t ROW_HEAD_BYTES = 24;
 /// So long one change may keep the holder's link busy: less than the shortest interval of its
 /// announcements, on which the daemons rely. 21 KB for 68 daemons take 57 ms at 200 Mbit/s and
 /// 1.1 s at 10 Mbit/s, where each daemon reads the row from the platform sooner.
@@ -25,11 +23,6 @@
 constexpr double ALWAYS_PASSED_ON = 4000;
 constexpr double LONGEST = 1 << 20;
 
-std::size_t BytesOf(const RowChange& row)
-{
-  return row.key.size() + row.packed.size() + ROW_HEAD_BYTES;
-}
-
 std::map<std::int64_t, std::size_t> BytesByVersion(const std::vector<RowChange>& rows)
 {
   std::map<std::int64_t, std::size_t> bytes;
@@ -87,9 +80,8 @@
   for (std::size_t i = 0; i < tables.size(); ++i)
   {
     news.push_back(WriteNews(tables[i], since[i], room));
-    const auto& rows = news.back().rows;
-    room.bytes -=
-        std::transform_reduce(rows.begin(), rows.end(), std::size_t(0), std::plus<>(), BytesOf);
+    for (const RowChange& row : news.back().rows)
+      room.bytes -= BytesOf(row);
   }
   return news;
 }
--- a/Source/Core/Orders/PlacementLog.cpp
+++ b/Source/Core/Orders/PlacementLog.cpp
@@ -6,24 +6,10 @@
 #include <algorithm>
 #include <utility>
 
-namespace Orders
-{
-namespace
-{
-/// Bytes of a text's length, which precedes it.
-constexpr std::size_t LENGTH_BYTES = 2;
+#include "Orders/MessageSize.h"
 
-std::size_t BytesOf(const PlacementLine& line)
+namespace Orders
 {
-  std::size_t bytes = line.instance.Get().size() + 3 * LENGTH_BYTES;
-  for (const Gateway::Artifact& adapter : line.adapters)
-    bytes += adapter.model.Get().size() + adapter.adapter.Get().size() + 2 * LENGTH_BYTES;
-  for (const Gateway::ModelId& model : line.leaving)
-    bytes += model.Get().size() + LENGTH_BYTES;
-  return bytes;
-}
-} // namespace
-
 void PlacementLog::Update(std::vector<PlacementLine> lines)
 {
   std::map<Gateway::InstanceId, PlacementLine> now;
