--- a/Source/Core/Common/Compression.cpp
+++ b/Source/Core/Common/Compression.cpp
@@ -49,7 +49,7 @@
   const std::size_t reach = bytes.size() + dictionary.size();
   if (reach > LONG_TEXT)
   {
-    ZSTD_CCtx_setParameter(context, ZSTD_c_windowLog, std::bit_width(reach));
+    ZSTD_CCtx_setParameter(context, ZSTD_c_windowLog, static_cast<int>(std::bit_width(reach)));
     ZSTD_CCtx_setParameter(context, ZSTD_c_enableLongDistanceMatching, 1);
   }
   ZSTD_CCtx_refPrefix(context, dictionary.data(), dictionary.size());
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -16,7 +16,6 @@
 using namespace Orders;
 using namespace Gateway;
 using Common::Milliseconds;
-using UnitTests::RunFor;
 using UnitTests::RunUntil;
 
 constexpr int ADAPTERS = 8;
@@ -27,7 +26,7 @@
   const int fd = socket(AF_INET, SOCK_DGRAM, 0);
   sockaddr_in address = Http::Endpoint{htonl(INADDR_LOOPBACK), 0}.ToSockaddr();
   socklen_t size = sizeof(address);
-  bind(fd, reinterpret_cast<const sockaddr*>(&address), size);
+  CPPUNIT_ASSERT_EQUAL(0, bind(fd, reinterpret_cast<const sockaddr*>(&address), size));
   getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
   close(fd);
   return Http::Endpoint::FromSockaddr(address);
--- a/Source/UnitTests/Orders/NewsWriterTest.cpp
+++ b/Source/UnitTests/Orders/NewsWriterTest.cpp
@@ -96,6 +96,7 @@
   {
     PlacementLog log;
     std::vector<PlacementLine> lines;
+    lines.reserve(100);
     for (int i = 0; i < 100; ++i)
       lines.push_back({Gateway::InstanceId("server-" + std::to_string(i)),
                        {{Gateway::ModelId("m"), Gateway::AdapterId("a")}},
--- a/Source/UnitTests/Orders/RowChangeTest.cpp
+++ b/Source/UnitTests/Orders/RowChangeTest.cpp
@@ -27,9 +27,10 @@
   for (unsigned i = 0; i < routes; ++i)
   {
     const std::string name = std::to_string(i * 2654435761U);
-    text += R"({"name":"r-)" + name + R"(","host":"shop.example","pathPrefix":"/)" + name +
-            R"(/","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":150,"priority":2,)" +
-            R"("maxAttempts":2,"trafficSplit":[{"service":"stock","weight":1}]},)";
+    text.append(R"({"name":"r-)").append(name);
+    text.append(R"(","host":"shop.example","pathPrefix":"/)").append(name);
+    text.append(R"(/","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":150,"priority":2,)");
+    text.append(R"("maxAttempts":2,"trafficSplit":[{"service":"stock","weight":1}]},)");
   }
   return text + "{}]}";
 }
