--- a/Source/ScenarioRunner/Relay.cpp
+++ b/Source/ScenarioRunner/Relay.cpp
@@ -123,6 +123,8 @@
       co_await Common::Sleep{CUT_POLL};
     if (size <= 0)
       break;
+    if (m_bytes_per_ms > 0)
+      co_await Common::Sleep{Common::Milliseconds(size / m_bytes_per_ms)};
     Http::GioAwait writing;
     g_output_stream_write_all_async(g_io_stream_get_output_stream(G_IO_STREAM(to)), buffer.data(),
                                     static_cast<gsize>(size), G_PRIORITY_DEFAULT, nullptr,
--- a/Source/ScenarioRunner/Relay.h
+++ b/Source/ScenarioRunner/Relay.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <list>
 #include <memory>
 #include <string>
@@ -24,6 +25,8 @@
 
   Common::Result<Common::Done> Open();
   void SetCut(bool cut);
+  /// How many bytes of a connection pass in a ms, each way; as many as come where none is set.
+  void SetRate(std::int64_t bytes_per_ms) { m_bytes_per_ms = bytes_per_ms; }
 
 private:
   struct Pair
@@ -41,5 +44,6 @@
   Http::GRef<GSocketService> m_service;
   Http::GRef<GSocket> m_udp;
   bool m_cut = false;
+  std::int64_t m_bytes_per_ms = 0;
 };
 } // namespace ScenarioRunner
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -45,6 +45,14 @@
 constexpr Milliseconds CALM_BEFORE_CHECK{9000};
 constexpr Milliseconds CHECK_TIME{2500};
 constexpr Milliseconds REQUEST_GAP{12};
+/// A link of 10 Mbit/s, as the weaker VMs have it.
+constexpr std::int64_t WEAK_LINK_BYTES_PER_MS = 1250;
+/// Of the first configuration, and how many each change adds. Over a weak link the first takes 0.8
+/// s and each change 0.15 s more.
+constexpr int FIRST_ROUTES = 3500;
+constexpr int MORE_ROUTES = 700;
+constexpr int STATUS_OK = 200;
+constexpr Http::Patience CALLER_PATIENCE{Milliseconds(6000), Milliseconds(6000)};
 /// After the faults, so many of 100 requests are served.
 constexpr std::int64_t SERVED_AFTER_FAULTS = 95;
 
@@ -88,6 +96,7 @@
     });
     After(calm + CALM_BEFORE_CHECK, [this] {
       m_ledger.ResetCounts();
+      AskForNewestRoute();
     });
     After(calm + CALM_BEFORE_CHECK + CHECK_TIME, [this] {
       Judge();
@@ -145,6 +154,8 @@
     daemon.store_path = std::make_unique<ScenarioRunner::Relay>(
         path_ip + ":" + std::to_string(FIRST_PORT), store_ip + ":" + std::to_string(FIRST_PORT));
     Must(static_cast<bool>(daemon.store_path->Open()), "relay");
+    if (index % 2 == 1)
+      daemon.store_path->SetRate(WEAK_LINK_BYTES_PER_MS);
     daemon.callers = std::make_unique<Http::Channel>(At(daemon.ip, FIRST_PORT + 1));
     const Json settings = {{"nodeName", daemon.name},
                            {"zone", "z1"},
@@ -174,9 +185,19 @@
     std::exit(2);
   }
 
+  /// Names that do not follow from each other, so that changes stay long when they are compressed.
+  static std::string PrefixOf(int number)
+  {
+    constexpr std::uint64_t SPREADER = 0x9E3779B97F4A7C15; // 2^64 over the golden ratio.
+    std::string prefix(1, '/');
+    prefix.append(std::to_string(static_cast<std::uint64_t>(number) * SPREADER));
+    prefix.push_back('/');
+    return prefix;
+  }
+
   void PutConfiguration()
   {
-    const auto route = [&](const char* prefix, const char* kind, int attempts, bool model,
+    const auto route = [&](const std::string& prefix, const char* kind, int attempts, bool model,
                            bool resumable) {
       return Json{{"name", prefix},       {"host", "h"},
                   {"pathPrefix", prefix}, {"kind", kind},
@@ -192,13 +213,17 @@
                         {"loadS", 2},
                         {"diskS", 0.2},
                         {"warmS", 0.1}});
-    m_store.Put("op", "config",
-                {{"version", ++m_configuration},
-                 {"routes",
-                  {route("/plain/", "idempotent", 2, false, false),
+    Json routes = {route("/plain/", "idempotent", 2, false, false),
                    route("/once/", "non_idempotent", 1, false, false),
                    route("/stream/", "streaming", 2, true, true),
-                   route("/one/", "streaming", 1, true, false)}},
+                   route("/one/", "streaming", 1, true, false)};
+    const int more = FIRST_ROUTES + MORE_ROUTES * static_cast<int>(m_configuration);
+    for (int i = 0; i < more; ++i)
+      routes.push_back(route(PrefixOf(i), "idempotent", 2, false, false));
+    m_newest_path = PrefixOf(more - 1) + "x";
+    m_store.Put("op", "config",
+                {{"version", ++m_configuration},
+                 {"routes", routes},
                  {"services",
                   {{{"name", "pool"},
                     {"maxConns", 200},
@@ -237,7 +262,7 @@
       request.headers.push_back(
           {"Model", "m" + std::to_string(std::min(Draw(m_models), Draw(m_models)))});
     m_ledger.NoteSent(id, type);
-    daemon.callers->Call(request, Milliseconds(6000),
+    daemon.callers->Call(request, CALLER_PATIENCE,
                          [this, id](Common::Result<Http::WholeAnswer> answer) {
                            if (answer)
                              m_ledger.NoteAnswer(id, answer->status, answer->body);
@@ -295,10 +320,19 @@
     }
   }
 
+  /// One line a signal, so that a failed run shows what met what.
+  void Trace(const char* what, const DaemonSlot& daemon) const
+  {
+    const auto at = std::chrono::duration_cast<Milliseconds>(Common::Now() - m_started_at);
+    std::cout << at.count() << " ms " << what << " " << daemon.name << " pid " << daemon.pid
+              << "\n";
+  }
+
   void StopAndRestart(DaemonSlot& daemon, int signal)
   {
     if (!daemon.expected_to_run)
       return;
+    Trace(signal == SIGTERM ? "stop" : "kill", daemon);
     m_processes.Signal(daemon.pid, SIGCONT);
     m_processes.Signal(daemon.pid, signal);
     daemon.expected_to_run = false;
@@ -312,6 +346,7 @@
 
   void Pause(DaemonSlot& daemon)
   {
+    Trace("pause", daemon);
     m_processes.Signal(daemon.pid, SIGSTOP);
     After(DrawMs(100, 6000), [this, pid = daemon.pid] {
       m_processes.Signal(pid, SIGCONT);
@@ -357,8 +392,31 @@
         m_ledger.Break("ended by itself: " + daemon.name);
   }
 
+  /// The last change was made long ago: each daemon routes by it, over however weak a link.
+  void AskForNewestRoute()
+  {
+    for (DaemonSlot& daemon : m_daemons)
+    {
+      const std::string id = std::string("newest-").append(daemon.name);
+      const Http::WholeRequest request{
+          "POST",
+          m_newest_path,
+          {{"Host", "h"}, {"Attempt-Id", id}, {"Time-Left-Ms", "2000"}},
+          "body"};
+      m_ledger.NoteSent(id, RequestType::Plain);
+      daemon.callers->Call(request, CALLER_PATIENCE,
+                           [this, id](Common::Result<Http::WholeAnswer> answer) {
+                             const int status = answer ? answer->status : 0;
+                             m_ledger.NoteAnswer(id, status, answer ? answer->body : "");
+                             if (status != STATUS_OK)
+                               m_ledger.Break("does not know the newest route: " + id);
+                           });
+    }
+  }
+
   void CalmDown()
   {
+    PutConfiguration();
     m_models = PLACES_IN_ALL;
     m_store.SetMood(StoreMood::Well);
     for (const auto& server : m_servers)
@@ -392,8 +450,10 @@
   std::vector<std::unique_ptr<StandInServer>> m_servers;
   std::vector<DaemonSlot> m_daemons;
   GMainLoop* m_loop = g_main_loop_new(nullptr, FALSE);
+  Common::TimePoint m_started_at = Common::Now();
   Common::TimePoint m_faults_until;
   std::int64_t m_configuration = 0;
+  std::string m_newest_path; ///< Of the last route of the newest configuration.
   std::int64_t m_request_count = 0;
   int m_fault_count = 0;
   bool m_stopped = false;
