UnitTests: pages that hold one row each, red

The incident's class once more: pages overlap by a row, so a row as long as a page may be (1 MB, some 5,000 routes) with another row behind it is read for ever.

--- a/Source/UnitTests/Orders/TableFollowerTest.cpp
+++ b/Source/UnitTests/Orders/TableFollowerTest.cpp
@@ -101,6 +101,7 @@
 {
   CPPUNIT_TEST_SUITE(TableFollowerTest);
   CPPUNIT_TEST(ReadsPagesWithoutDoubles);
+  CPPUNIT_TEST(ReadsPagesThatHoldOneRowEach);
   CPPUNIT_TEST(ReadsAnewWhereTheHistoryIsGone);
   CPPUNIT_TEST(TellsOfLossAndReturn);
   CPPUNIT_TEST(ALostSourceIsAskedWithoutAWait);
@@ -155,6 +156,25 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(5), world.follower.Version());
   }
 
+  /// Symptom: a daemon that starts reads one page for ever and never has the table.
+  /// Sequence: a row is as long as a page may be; the page that begins with it holds nothing else,
+  /// and the next begins with it again.
+  /// Cause: pages overlap by a row, so that one of them brings nothing new.
+  void ReadsPagesThatHoldOneRowEach()
+  {
+    FakeSource source;
+    source.rows = {Row("a", 1), Row("b", 2), Row("c", 3)};
+    source.version = 3;
+    source.page_size = 1;
+    World world(source);
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return world.snapshots == 1;
+        },
+        Milliseconds(500)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(3), world.snapshot.size());
+  }
+
   void ChangesAreGatheredBetweenCalls()
   {
     FakeSource source;
