Orders: a table whose pages hold one row each is read to its end

Cause: pages overlap by a row. Where a row fills a page, the next page begins with the same row and brings nothing; the read never ended. Then the next page begins right behind it.

--- a/Source/Core/Orders/TableFollower.h
+++ b/Source/Core/Orders/TableFollower.h
@@ -175,7 +175,7 @@
         m_snapshot.push_back(std::move(row));
     if (page->more && !m_snapshot.empty())
     {
-      ReadPage(m_snapshot.back().key);
+      ReadPage(BeginOfNextPage(first_key));
       return;
     }
     m_version = *m_snapshot_version;
@@ -190,6 +190,14 @@
     Continue();
   }
 
+  /// A page begins at a key: the last one is named again and passed over. Where the page held but
+  /// that row, the first key behind it: a row may fill a page.
+  std::string BeginOfNextPage(const std::string& first_key) const
+  {
+    const std::string& last_key = m_snapshot.back().key;
+    return last_key == first_key ? last_key + '\x01' : last_key;
+  }
+
   void Continue()
   {
     // A source that was lost is asked without a wait: its answer tells at once that it is back.
