StandIns, Common: the soak kills what stands still in its stop; a failed compression is logged

The platform kills such a process after its grace time; so does the soak now, and only a process that was not paused meanwhile breaks the check.

--- a/Source/Core/Common/Compression.cpp
+++ b/Source/Core/Common/Compression.cpp
@@ -8,6 +8,8 @@
 
 #include <zstd.h>
 
+#include "Common/Log.h"
+
 namespace Common
 {
 namespace
@@ -54,10 +56,15 @@
   }
   ZSTD_CCtx_refPrefix(context, dictionary.data(), dictionary.size());
   std::string packed(ZSTD_compressBound(bytes.size()), '\0');
-  // With room for the bound this fails only where memory is out, and then gives no whole text.
   const std::size_t size =
       ZSTD_compress2(context, packed.data(), packed.size(), bytes.data(), bytes.size());
-  packed.resize(ZSTD_isError(size) != 0 ? 0 : size);
+  if (ZSTD_isError(size) != 0)
+  {
+    // With room for the bound only for want of memory. Whoever unpacks the empty text refuses it.
+    LogEvent(LogLevel::Error, "compression-failed", {{"reason", ZSTD_getErrorName(size)}});
+    return "";
+  }
+  packed.resize(size);
   return packed;
 }
 
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -45,6 +45,8 @@
 constexpr Milliseconds CALM_BEFORE_CHECK{9000};
 constexpr Milliseconds CHECK_TIME{2500};
 constexpr Milliseconds REQUEST_GAP{12};
+/// How often a killed process is looked for.
+constexpr Milliseconds END_POLL{20};
 /// A link of 10 Mbit/s, as the weaker VMs have it.
 constexpr std::int64_t WEAK_LINK_BYTES_PER_MS = 1250;
 /// Of the first configuration, and how many each change adds. Over a weak link the first takes 0.8
@@ -62,6 +64,7 @@
   std::string ip;
   int pid = 0;
   bool expected_to_run = true;
+  bool paused_in_stop = false;
   std::unique_ptr<ScenarioRunner::Relay> store_path;
   std::unique_ptr<Http::Channel> callers;
 };
@@ -336,17 +339,34 @@
     m_processes.Signal(daemon.pid, SIGCONT);
     m_processes.Signal(daemon.pid, signal);
     daemon.expected_to_run = false;
+    daemon.paused_in_stop = false;
     const auto away = signal == SIGTERM ? Milliseconds(3600) : DrawMs(100, 1500);
     After(away, [this, &daemon] {
-      if (!m_processes.Ended(daemon.pid))
-        m_ledger.Break("did not stop in its grace time: " + daemon.name);
+      EndAndLaunch(daemon);
+    });
+  }
+
+  /// As the platform does: who has not stopped in its grace time is killed. A process that stood
+  /// still meanwhile could not stop; any other breaks its promise.
+  void EndAndLaunch(DaemonSlot& daemon)
+  {
+    if (m_processes.Ended(daemon.pid))
+    {
       Launch(daemon);
+      return;
+    }
+    if (!daemon.paused_in_stop)
+      m_ledger.Break("did not stop in its grace time: " + daemon.name);
+    m_processes.Signal(daemon.pid, SIGKILL);
+    After(END_POLL, [this, &daemon] {
+      EndAndLaunch(daemon);
     });
   }
 
   void Pause(DaemonSlot& daemon)
   {
     Trace("pause", daemon);
+    daemon.paused_in_stop = !daemon.expected_to_run;
     m_processes.Signal(daemon.pid, SIGSTOP);
     After(DrawMs(100, 6000), [this, pid = daemon.pid] {
       m_processes.Signal(pid, SIGCONT);
