Decisions, Orders: a plan looks at the servers that have a copy, and its input follows events

Cause: the holder of the order lease made its plan by names. For each model that lacked a replica it looked at all servers, and at each of their disk lists; before that it built maps of all models and servers and summed the reports of all daemons. Asked for again after 6 ms, that was back to back on a half core.

Now names become positions where they come in (PlanBook, FlightBook), copies of weights are indexed by model (WeightCopies), and a plan weighs the servers with a copy. All servers are looked at only for a load from the weight store, for 16 models a plan at most.

A model's age of waiting is now counted up to the plan, not to its report. Demand for a model that the configuration lacks is counted and logged once.

--- a/CMake/Dependencies.cmake
+++ b/CMake/Dependencies.cmake
@@ -13,6 +13,8 @@
 find_package(nlohmann_json REQUIRED)
 find_package(prometheus-cpp CONFIG REQUIRED COMPONENTS core)
 find_package(cxxopts REQUIRED)
+# Only the benchmarks need it: where it is missing, the rest is built.
+find_package(benchmark CONFIG QUIET)
 find_library(CSV_LIBRARY csv REQUIRED)
 find_library(HTTP_PARSER_LIBRARY http_parser REQUIRED)
 
--- /dev/null
+++ b/Source/Benchmarks/PlanBenchmark.cpp
@@ -0,0 +1,174 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// What a plan of the order lease's holder costs, with the upkeep of its input.
+
+#include <benchmark/benchmark.h>
+#include <pcg_random.hpp>
+
+#include "Orders/PlanBook.h"
+#include "UnitTests/Decisions/RandomFleet.h"
+#include "UnitTests/Decisions/ReferencePlan.h"
+
+namespace
+{
+using namespace Orders;
+using Common::Milliseconds;
+using Decisions::ServerIndex;
+
+constexpr int DAEMONS = 300;
+constexpr std::size_t PLACES = 3;
+constexpr std::size_t ON_DISK = 18;
+/// Reports that come between two plans of a busy holder.
+constexpr int REPORTS_A_PLAN = 10;
+
+Gateway::ModelId ModelName(std::uint64_t number)
+{
+  return Gateway::ModelId("model" + std::to_string(number));
+}
+
+/// A pool with all places taken, whose daemons report requests that wait for models that nobody
+/// holds.
+class World
+{
+public:
+  World(std::size_t servers, std::size_t models, std::size_t waiting)
+      : m_models(models), m_waiting(waiting)
+  {
+    Gateway::Pool pool;
+    Gateway::EngineSpec engine;
+    engine.batch = 12;
+    engine.memory_mb = 230000;
+    for (std::size_t i = 0; i < models; ++i)
+      engine.models[ModelName(i)] = {
+          ModelName(i), 72700, Milliseconds(13200), Milliseconds(640), Milliseconds(470), 0, 66};
+    pool.engine = engine;
+    m_book.Configure(pool);
+    std::vector<Gateway::ServerPtr> all;
+    for (std::size_t i = 0; i < servers; ++i)
+      all.push_back(std::make_shared<Gateway::Server>(SomeEntry(i)));
+    m_book.SetServers(all, m_flights);
+    for (std::size_t i = 0; i < servers; ++i)
+    {
+      m_book.SetHeld(ServerIndex(i), HeldBy(*all[i]));
+      m_book.SetState(ServerIndex(i), {});
+    }
+    for (int daemon = 0; daemon < DAEMONS; ++daemon)
+      Report(daemon);
+  }
+
+  /// Some daemons report, one server's entry changes, and a plan is made.
+  std::size_t Round()
+  {
+    for (int i = 0; i < REPORTS_A_PLAN; ++i)
+      Report(m_next++ % DAEMONS);
+    const auto changed = static_cast<ServerIndex>(m_next % m_book.Servers().size());
+    m_book.SetHeld(changed, HeldBy(*m_book.ServerAt(changed)));
+    return Decisions::PlanReplicas(m_book.Input(Common::Now(), 2)).orders.size();
+  }
+
+private:
+  Gateway::ModelId AnyModel() { return ModelName(m_random() % m_models); }
+
+  Gateway::ServerEntry SomeEntry(std::size_t number)
+  {
+    Gateway::ServerEntry entry;
+    entry.instance = Gateway::InstanceId("i-" + std::to_string(number));
+    for (std::size_t i = 0; i < PLACES; ++i)
+      entry.models.push_back({AnyModel(), {}});
+    for (std::size_t i = 0; i < ON_DISK; ++i)
+      entry.on_disk.push_back(AnyModel());
+    return entry;
+  }
+
+  static std::vector<HeldModel> HeldBy(const Gateway::Server& server)
+  {
+    std::vector<HeldModel> held;
+    for (const Gateway::LoadedModel& loaded : server.Entry().models)
+      held.push_back({loaded.model, Common::TimePoint()});
+    return held;
+  }
+
+  void Report(int daemon)
+  {
+    const Common::VmId vm("vm-" + std::to_string(daemon));
+    std::vector<DemandLine> demand;
+    for (std::size_t i = 0; i < m_waiting / DAEMONS + 1; ++i)
+      demand.push_back({Gateway::PoolId("p"), {AnyModel(), {}}, 1, 2, 400, 1});
+    m_book.TakeDemand(vm, demand, Common::Now());
+    const auto& server = m_book.ServerAt(ServerIndex(m_random() % m_book.Servers().size()));
+    m_flights.Take(vm, {{server->Entry().instance, 1, {{server->Entry().models[0].model, 1}}}});
+  }
+
+  std::size_t m_models;
+  std::size_t m_waiting;
+  pcg64 m_random{1};
+  FlightBook m_flights;
+  PlanBook m_book;
+  int m_next = 0;
+};
+
+void PlanReplicas(benchmark::State& state)
+{
+  World world(state.range(0), state.range(1), state.range(2));
+  for (auto round : state)
+    benchmark::DoNotOptimize(world.Round());
+}
+
+/// The first form of the plan, without its input, over a fleet drawn at random.
+void PlanByNames(benchmark::State& state)
+{
+  pcg64 random(1);
+  const auto fleet = UnitTests::RandomFleet({static_cast<std::size_t>(state.range(0)),
+                                             static_cast<std::size_t>(state.range(1)),
+                                             static_cast<std::size_t>(state.range(2))},
+                                            random);
+  ReferencePlan::ReplicaPlanInput input;
+  input.now = fleet.now;
+  input.store_loads_allowed = 2;
+  for (std::size_t i = 0; i < fleet.models.size(); ++i)
+  {
+    const Decisions::PlannedModel& model = fleet.models[i];
+    ReferencePlan::PlannedModel& named = input.models[ModelName(i).Get()];
+    named.model = ModelName(i).Get();
+    named.memory_mb = model.memory_mb;
+    named.from_disk = model.from_disk;
+    named.from_store = model.from_store;
+    named.waiting = model.waiting;
+    named.oldest_wait = Milliseconds(400);
+  }
+  for (std::size_t i = 0; i < fleet.servers.size(); ++i)
+  {
+    ReferencePlan::PlannedServer& named = input.servers.emplace_back();
+    named.instance = "i-" + std::to_string(i);
+    named.memory_mb = fleet.servers[i].memory_mb;
+    for (const Decisions::PlannedReplica& replica : fleet.servers[i].replicas)
+      named.replicas.push_back(
+          {ModelName(Decisions::At(replica.model)).Get(), replica.in_flight, replica.since});
+    for (std::size_t model = 0; model < fleet.models.size(); ++model)
+      if (fleet.copies.SourceOn(ServerIndex(i), Decisions::ModelIndex(model)) ==
+          Decisions::WeightSource::Disk)
+        named.on_disk.push_back(ModelName(model).Get());
+  }
+  for (auto round : state)
+    benchmark::DoNotOptimize(ReferencePlan::PlanReplicas(input));
+}
+
+BENCHMARK(PlanByNames)
+    ->Args({10, 50, 20})
+    ->Args({77, 520, 150})
+    ->Args({256, 1375, 100})
+    ->Args({256, 1375, 600})
+    ->Unit(benchmark::kMillisecond);
+
+/// Servers, models, requests that wait.
+BENCHMARK(PlanReplicas)
+    ->Args({10, 50, 20})
+    ->Args({77, 520, 150})
+    ->Args({256, 1375, 100})
+    ->Args({256, 1375, 600})
+    ->Args({2900, 3140, 2000})
+    ->Unit(benchmark::kMillisecond);
+} // namespace
+
+BENCHMARK_MAIN();
--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -4,9 +4,9 @@
 #include "Decisions/ReplicaPlan.h"
 
 #include <algorithm>
-#include <cmath>
-#include <functional>
-#include <set>
+#include <ranges>
+#include <tuple>
+#include <utility>
 
 namespace Decisions
 {
@@ -37,27 +37,25 @@
 /// slow each other.
 constexpr double COST_PER_RUNNING_MS = 8;
 
+/// Plans look at all servers for so many models; beyond them only servers with a copy are weighed.
+/// A load from the weight store may go anywhere, but few may begin at once, and where there is no
+/// place for the most urgent models there is hardly one for the others.
+constexpr int MAX_FULL_SCANS = 16;
+
 /// A place for a model on a server, perhaps after another model is given up.
 struct Candidate
 {
-  const PlannedServer* server = nullptr;
+  ServerIndex server{};
   const PlannedReplica* victim = nullptr;
   WeightSource source = WeightSource::WeightStore;
   double cost_ms = 0;
   double victim_value = 0;
-};
-
-bool Contains(const std::vector<std::string>& names, const std::string& name)
-{
-  return std::ranges::find(names, name) != names.end();
-}
 
-WeightSource SourceOn(const PlannedServer& server, const std::string& model)
-{
-  if (Contains(server.in_host_memory, model))
-    return WeightSource::HostMemory;
-  return Contains(server.on_disk, model) ? WeightSource::Disk : WeightSource::WeightStore;
-}
+  bool IsBetterThan(const Candidate& other) const
+  {
+    return std::pair(cost_ms, server) < std::pair(other.cost_ms, other.server);
+  }
+};
 
 Milliseconds LoadTime(const PlannedModel& model, WeightSource source)
 {
@@ -77,34 +75,43 @@
 {
 public:
   explicit Planner(const ReplicaPlanInput& input)
-      : m_input(input), m_store_left(input.store_loads_allowed)
+      : m_input(input),
+        m_store_left(input.store_loads_allowed),
+        m_replicas(input.models.size()),
+        m_loading(input.models.size()),
+        m_ordered(input.servers.size())
   {
     for (const PlannedServer& server : input.servers)
+    {
       for (const PlannedReplica& replica : server.replicas)
-        ++m_replicas[replica.model];
-    for (const PlannedServer& server : input.servers)
+        ++m_replicas[At(replica.model)];
       if (server.loading)
-        ++m_loading[*server.loading];
+        ++m_loading[At(*server.loading)];
+    }
   }
 
-  std::vector<PlannedOrder> Run()
+  ReplicaPlan Run()
   {
-    for (const PlannedModel* model : ByUrgency())
-      PlaceModel(*model);
-    return std::move(m_orders);
+    for (const ModelIndex model : ByUrgency())
+      PlaceModel(model);
+    return std::move(m_plan);
   }
 
 private:
+  const PlannedModel& Model(ModelIndex model) const { return m_input.models[At(model)]; }
+  int Replicas(ModelIndex model) const { return m_replicas[At(model)]; }
+
   /// Models that lack a replica, the most urgent first.
-  std::vector<const PlannedModel*> ByUrgency() const
+  std::vector<ModelIndex> ByUrgency() const
   {
-    std::vector<const PlannedModel*> lacking;
-    for (const auto& [name, model] : m_input.models)
-      if (Lacks(model))
-        lacking.push_back(&model);
-    std::ranges::sort(lacking, {}, [&](const PlannedModel* model) {
-      const bool unserved = Replicas(*model) == 0 && model->waiting > 0;
-      return std::tuple(!unserved, model->waiting == 0, -Urgency(*model));
+    std::vector<ModelIndex> lacking;
+    for (std::size_t i = 0; i < m_input.models.size(); ++i)
+      if (m_input.models[i].listed && Lacks(ModelIndex(i)))
+        lacking.push_back(ModelIndex(i));
+    std::ranges::stable_sort(lacking, {}, [&](ModelIndex index) {
+      const PlannedModel& model = Model(index);
+      const bool unserved = Replicas(index) == 0 && model.waiting > 0;
+      return std::tuple(!unserved, model.waiting == 0, -Urgency(model));
     });
     return lacking;
   }
@@ -117,77 +124,84 @@
     return model.waiting * rank + std::chrono::duration<double>(model.oldest_wait).count();
   }
 
-  int Replicas(const PlannedModel& model) const
+  int Wanted(ModelIndex model) const { return WantedReplicas(Model(model), m_input.batch); }
+
+  bool Lacks(ModelIndex model) const
   {
-    const auto found = m_replicas.find(model.model);
-    return found == m_replicas.end() ? 0 : found->second;
+    return m_replicas[At(model)] + m_loading[At(model)] < Wanted(model);
   }
 
-  int Loading(const PlannedModel& model) const
+  void PlaceModel(ModelIndex model)
   {
-    const auto found = m_loading.find(model.model);
-    return found == m_loading.end() ? 0 : found->second;
+    // A replica beyond the first is worth a load from disk, not one from the weight store.
+    const bool unserved = Replicas(model) == 0;
+    const bool store_allowed = unserved && m_store_left > 0 && !MayWaitForDisk(model);
+    const auto best = store_allowed && m_full_scans++ < MAX_FULL_SCANS ? BestOfAll(model, unserved)
+                                                                       : BestNear(model, unserved);
+    if (best)
+      Give(*best, model);
   }
 
-  int Wanted(const PlannedModel& model) const
+  std::optional<Candidate> BestNear(ModelIndex model, bool unserved)
   {
-    const int batch = m_input.servers.empty() ? 1 : m_input.servers.front().batch;
-    return WantedReplicas(model, batch);
+    std::optional<Candidate> best;
+    for (const WeightCopy& copy : m_input.copies.Of(model))
+      Weigh(best, copy.server, copy.source, model, unserved);
+    return best;
   }
 
-  bool Lacks(const PlannedModel& model) const
+  std::optional<Candidate> BestOfAll(ModelIndex model, bool unserved)
   {
-    return Replicas(model) + Loading(model) < Wanted(model);
+    std::optional<Candidate> best;
+    for (std::size_t i = 0; i < m_input.servers.size(); ++i)
+      Weigh(best, ServerIndex(i), m_input.copies.SourceOn(ServerIndex(i), model), model, unserved);
+    return best;
   }
 
-  void PlaceModel(const PlannedModel& model)
+  void Weigh(std::optional<Candidate>& best, ServerIndex server, WeightSource source,
+             ModelIndex model, bool unserved)
   {
-    // A replica beyond the first is worth a load from disk, not one from the weight store.
-    const bool unserved = Replicas(model) == 0;
-    const bool store_allowed = unserved && m_store_left > 0 && !MayWaitForDisk(model);
-    std::optional<Candidate> best;
-    for (const PlannedServer& server : m_input.servers)
-    {
-      const auto candidate = CandidateOn(server, model);
-      if (!candidate || (candidate->source == WeightSource::WeightStore && !store_allowed))
-        continue;
-      // A spare replica must not push out a model that is about as much in demand.
-      if (!unserved && candidate->victim_value * 2 >= model.arrivals_per_second)
-        continue;
-      if (!best || candidate->cost_ms < best->cost_ms)
-        best = candidate;
-    }
-    if (best)
-      Give(*best, model);
+    ++m_plan.candidates;
+    const auto candidate = CandidateOn(server, source, model);
+    if (!candidate)
+      return;
+    // A spare replica must not push out a model that is about as much in demand.
+    if (!unserved && candidate->victim_value * 2 >= Model(model).arrivals_per_second)
+      return;
+    if (!best || candidate->IsBetterThan(*best))
+      best = candidate;
   }
 
   /// True where the weights lie at a server that takes orders, though perhaps not at this moment,
   /// and the wait so far is shorter than what a load from there saves. A load from the weight store
   /// would keep another server from orders for its whole time.
-  bool MayWaitForDisk(const PlannedModel& model) const
+  bool MayWaitForDisk(ModelIndex index) const
   {
-    const bool lies_near = std::ranges::any_of(m_input.servers, [&](const PlannedServer& server) {
-      return server.usable && SourceOn(server, model.model) != WeightSource::WeightStore;
+    const PlannedModel& model = Model(index);
+    if (model.oldest_wait >= model.from_store - model.from_disk)
+      return false;
+    return std::ranges::any_of(m_input.copies.Of(index), [&](const WeightCopy& copy) {
+      return m_input.servers[At(copy.server)].usable;
     });
-    return lies_near && model.oldest_wait < model.from_store - model.from_disk;
   }
 
-  std::optional<Candidate> CandidateOn(const PlannedServer& server, const PlannedModel& model)
+  std::optional<Candidate> CandidateOn(ServerIndex index, WeightSource source, ModelIndex wanted)
   {
-    if (!server.usable || server.order_open || m_ordered.contains(server.instance) ||
-        HasReplica(server, model.model))
+    const PlannedServer& server = m_input.servers[At(index)];
+    if (!server.usable || server.order_open || m_ordered[At(index)] || HasReplica(server, wanted))
       return std::nullopt;
+    const PlannedModel& model = Model(wanted);
     Candidate candidate;
-    candidate.server = &server;
-    candidate.source = SourceOn(server, model.model);
-    candidate.cost_ms = static_cast<double>(LoadTime(model, candidate.source).count()) +
+    candidate.server = index;
+    candidate.source = source;
+    candidate.cost_ms = static_cast<double>(LoadTime(model, source).count()) +
                         COST_PER_RUNNING_MS * server.in_flight;
     if (FreeMemory(server) >= model.memory_mb)
       return candidate;
     candidate.victim = VictimOn(server, model.memory_mb, [&](const PlannedReplica& replica) {
       return MayGive(server, replica);
     });
-    const bool takes_turns = Replicas(model) == 0 && model.oldest_wait >= TURN_WAIT;
+    const bool takes_turns = Replicas(wanted) == 0 && model.oldest_wait >= TURN_WAIT;
     if (candidate.victim == nullptr && takes_turns)
       candidate.victim = VictimOn(server, model.memory_mb, [&](const PlannedReplica& replica) {
         return MayGiveItsTurn(server, replica, model);
@@ -202,17 +216,13 @@
     return candidate;
   }
 
-  static bool HasReplica(const PlannedServer& server, const std::string& model)
+  static bool HasReplica(const PlannedServer& server, ModelIndex model)
   {
     return std::ranges::find(server.replicas, model, &PlannedReplica::model) !=
            server.replicas.end();
   }
 
-  double MemoryOf(const std::string& model) const
-  {
-    const auto found = m_input.models.find(model);
-    return found == m_input.models.end() ? 0 : found->second.memory_mb;
-  }
+  double MemoryOf(ModelIndex model) const { return Model(model).memory_mb; }
 
   double FreeMemory(const PlannedServer& server) const
   {
@@ -223,31 +233,28 @@
   }
 
   /// Arrivals a second that a replica of the model serves; the last replica serves them all.
-  double Value(const std::string& name) const
+  double Value(ModelIndex model) const
   {
-    const auto found = m_input.models.find(name);
-    if (found == m_input.models.end())
-      return 0;
-    const int replicas = std::max(Replicas(found->second), 1);
-    return found->second.arrivals_per_second / replicas;
+    return Model(model).arrivals_per_second / std::max(Replicas(model), 1);
   }
 
   bool MayGive(const PlannedServer& server, const PlannedReplica& replica) const
   {
-    const auto found = m_input.models.find(replica.model);
-    if (found == m_input.models.end())
+    const PlannedModel& model = Model(replica.model);
+    if (!model.listed)
       return replica.in_flight == 0;
-    const PlannedModel& model = found->second;
     if (replica.in_flight > 0 || server.loading == replica.model)
       return false;
     if (m_input.now - replica.since < MIN_STAY)
       return false;
-    const bool surplus = Replicas(model) > std::max(Wanted(model), 1);
+    const int replicas = Replicas(replica.model);
+    const int wanted = Wanted(replica.model);
+    const bool surplus = replicas > std::max(wanted, 1);
     if (surplus)
       return true;
     if (model.waiting > 0 || m_input.now - model.last_wanted < MIN_IDLE)
       return false;
-    return Replicas(model) > Wanted(model) || Wanted(model) <= 1;
+    return replicas > wanted || wanted <= 1;
   }
 
   /// True where a replica in use may make way for a model that waits: it has had its turn, and its
@@ -255,27 +262,24 @@
   bool MayGiveItsTurn(const PlannedServer& server, const PlannedReplica& replica,
                       const PlannedModel& waiting) const
   {
-    const auto found = m_input.models.find(replica.model);
-    if (found == m_input.models.end() || server.loading == replica.model ||
-        m_input.now - replica.since < MIN_TURN)
+    const PlannedModel& model = Model(replica.model);
+    if (!model.listed || server.loading == replica.model || m_input.now - replica.since < MIN_TURN)
       return false;
-    return found->second.in_flight <= waiting.waiting + 1;
+    return model.in_flight <= waiting.waiting + 1;
   }
 
+  template <typename MayGo>
   const PlannedReplica* VictimOn(const PlannedServer& server, double memory_needed,
-                                 const std::function<bool(const PlannedReplica&)>& may_give) const
+                                 const MayGo& may_go) const
   {
     const PlannedReplica* best = nullptr;
     const double free = FreeMemory(server);
     const auto key = [&](const PlannedReplica& replica) {
-      const auto found = m_input.models.find(replica.model);
-      const auto last =
-          found == m_input.models.end() ? Common::TimePoint() : found->second.last_wanted;
-      return std::pair(Value(replica.model), last);
+      return std::pair(Value(replica.model), Model(replica.model).last_wanted);
     };
     for (const PlannedReplica& replica : server.replicas)
     {
-      if (!may_give(replica) || free + MemoryOf(replica.model) < memory_needed)
+      if (!may_go(replica) || free + MemoryOf(replica.model) < memory_needed)
         continue;
       if (best == nullptr || key(replica) < key(*best))
         best = &replica;
@@ -283,37 +287,33 @@
     return best;
   }
 
-  void Give(const Candidate& candidate, const PlannedModel& model)
+  void Give(const Candidate& candidate, ModelIndex model)
   {
-    m_ordered.insert(candidate.server->instance);
+    m_ordered[At(candidate.server)] = true;
     PlannedOrder order;
-    order.instance = candidate.server->instance;
+    order.server = candidate.server;
     order.source = candidate.source;
+    order.model = model;
     if (candidate.victim != nullptr)
     {
       order.kind = PlannedOrder::Kind::Unload;
       order.model = candidate.victim->model;
-      order.for_model = model.model;
-      order.reason = "room for " + model.model;
-      --m_replicas[order.model];
-    }
-    else
-    {
-      order.model = model.model;
-      order.reason = std::to_string(model.waiting) + " waiting";
+      order.for_model = model;
+      --m_replicas[At(order.model)];
     }
     if (candidate.source == WeightSource::WeightStore)
       --m_store_left;
-    ++m_loading[model.model];
-    m_orders.push_back(std::move(order));
+    ++m_loading[At(model)];
+    m_plan.orders.push_back(order);
   }
 
   const ReplicaPlanInput& m_input;
   int m_store_left;
-  std::map<std::string, int> m_replicas;
-  std::map<std::string, int> m_loading;
-  std::set<std::string> m_ordered;
-  std::vector<PlannedOrder> m_orders;
+  int m_full_scans = 0;
+  std::vector<int> m_replicas;
+  std::vector<int> m_loading;
+  std::vector<bool> m_ordered;
+  ReplicaPlan m_plan;
 };
 } // namespace
 
@@ -328,7 +328,7 @@
   return std::max(by_load, spare);
 }
 
-std::vector<PlannedOrder> PlanReplicas(const ReplicaPlanInput& input)
+ReplicaPlan PlanReplicas(const ReplicaPlanInput& input)
 {
   return Planner(input).Run();
 }
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -3,34 +3,26 @@
 
 #pragma once
 
-#include <map>
+#include <cstddef>
 #include <optional>
-#include <string>
 #include <vector>
 
 #include "Common/Units.h"
+#include "Decisions/WeightCopies.h"
 
 /// Which model to load where, and which to give up for it: a pure decision over what is known of
 /// the backend servers and of the demand.
 namespace Decisions
 {
-/// Where the weights of a model lie, seen from one server; loading takes longer down the list.
-enum class WeightSource
-{
-  HostMemory,
-  Disk,
-  WeightStore,
-};
-
 struct PlannedModel
 {
-  std::string model;
   double memory_mb = 0;
   Common::Milliseconds from_host_memory{0};
   Common::Milliseconds from_disk{0};
   Common::Milliseconds from_store{0};
-  int waiting = 0;  ///< Requests that wait for it, over all daemons.
-  int priority = 9; ///< Of the most urgent that waits.
+  bool listed = true; ///< The operators' configuration names it; others are only given up.
+  int waiting = 0;    ///< Requests that wait for it, over all daemons.
+  int priority = 9;   ///< Of the most urgent that waits.
   Common::Milliseconds oldest_wait{0};
   double arrivals_per_second = 0;
   int in_flight = 0;             ///< Over all servers.
@@ -39,25 +31,20 @@
 
 struct PlannedReplica
 {
-  std::string model;
+  ModelIndex model{};
   int in_flight = 0;
   Common::TimePoint since; ///< When it was seen loaded first.
 };
 
 struct PlannedServer
 {
-  std::string instance;
-  std::string data_centre;
   double memory_mb = 0;
   double adapters_mb = 0; ///< Taken by adapters.
   bool usable = true;     ///< Takes work and orders.
   bool order_open = false;
-  std::optional<std::string> loading; ///< On its way, or next after an unload.
+  std::optional<ModelIndex> loading; ///< On its way, or next after an unload.
   int in_flight = 0;
-  int batch = 1;
   std::vector<PlannedReplica> replicas;
-  std::vector<std::string> in_host_memory;
-  std::vector<std::string> on_disk;
 };
 
 /// One order to one server.
@@ -69,23 +56,30 @@
     Unload,
   };
   Kind kind = Kind::Load;
-  std::string instance;
-  std::string model;
-  std::string for_model; ///< Of an unload: what is loaded next on that server.
+  ServerIndex server{};
+  ModelIndex model{};
+  std::optional<ModelIndex> for_model; ///< Of an unload: what is loaded next on that server.
   WeightSource source = WeightSource::WeightStore; ///< Of the load that is given or comes next.
-  std::string reason;
 };
 
 struct ReplicaPlanInput
 {
   Common::TimePoint now;
+  int batch = 1; ///< Requests at once on one server.
   std::vector<PlannedServer> servers;
-  std::map<std::string, PlannedModel> models;
+  std::vector<PlannedModel> models;
+  WeightCopies copies;
   int store_loads_allowed = 0; ///< Loads from the weight store that may begin now.
 };
 
-/// The orders to give now, at most one a server.
-std::vector<PlannedOrder> PlanReplicas(const ReplicaPlanInput& input);
+struct ReplicaPlan
+{
+  std::vector<PlannedOrder> orders; ///< To give now, at most one a server; the most urgent first.
+  /// Places that were weighed: what a plan costs, beside one look at each model and server.
+  std::size_t candidates = 0;
+};
+
+ReplicaPlan PlanReplicas(const ReplicaPlanInput& input);
 
 /// How many replicas of a model the demand asks for.
 int WantedReplicas(const PlannedModel& model, int batch);
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -22,6 +22,7 @@
   if (entry.models != m_entry.models)
     m_missing_until.clear();
   m_entry = std::move(entry);
+  ++m_entry_revision;
 }
 
 bool Server::IsAvailable(Common::TimePoint now) const
@@ -118,11 +119,14 @@
                       {"address", entry.endpoint.ToString()},
                       {"data_centre", entry.data_centre}});
     m_servers.emplace(entry.instance, std::make_shared<Server>(entry));
+    ++m_revision;
   }
   else
   {
     if (entry.draining && !found->second->Entry().draining)
       Common::LogEvent(Common::LogLevel::Info, "server-draining", {{"instance", entry.instance}});
+    if (entry.pool != found->second->Entry().pool)
+      ++m_revision;
     found->second->SetEntry(std::move(entry));
   }
   if (m_on_change)
@@ -137,6 +141,7 @@
   Common::LogEvent(Common::LogLevel::Info, "server-removed", {{"instance", instance}});
   // Requests that run there hold the server and end by themselves.
   m_servers.erase(found);
+  ++m_revision;
 }
 
 ServerPtr ServerDirectory::Find(const InstanceId& instance) const
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -31,6 +31,8 @@
 
   const ServerEntry& Entry() const { return m_entry; }
   void SetEntry(ServerEntry entry);
+  /// Rises with each new entry: who keeps something made from the entry need not look at it again.
+  std::uint64_t EntryRevision() const { return m_entry_revision; }
 
   /// True where the server takes new work.
   bool IsAvailable(Common::TimePoint now) const;
@@ -76,6 +78,7 @@
 
 private:
   ServerEntry m_entry;
+  std::uint64_t m_entry_revision = 1;
   ServerHealth m_health;
   SilenceDetector m_silence;
   bool m_replaced = false;
@@ -109,9 +112,12 @@
   const std::map<InstanceId, ServerPtr>& All() const { return m_servers; }
   std::vector<ServerPtr> InPool(const PoolId& pool) const;
   bool Empty() const { return m_servers.empty(); }
+  /// Rises when a server comes, goes or moves to another pool.
+  std::uint64_t Revision() const { return m_revision; }
 
 private:
   std::map<InstanceId, ServerPtr> m_servers;
+  std::uint64_t m_revision = 1;
   std::function<void()> m_on_change;
 };
 } // namespace Gateway
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -296,8 +296,9 @@
   state.least_handicap_ms = LeastHandicapOfPeers().count();
   state.regular = regular;
   if (regular)
-    for (const auto& [instance, count] : m_desk.InFlightByServer())
-      state.in_flight[HashOf(instance)] += count;
+    for (const auto& [instance, load] : m_desk.Flights().All())
+      if (load.in_flight > 0)
+        state.in_flight[HashOf(instance)] += load.in_flight;
   HolderReport report;
   report.fence = m_own_lease->fence;
   report.sequence = ++m_sequence;
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -102,9 +102,24 @@
 void OrderDesk::Forget()
 {
   m_books.clear();
+  m_slots.clear();
+  m_slots_revision = 0;
   m_store_loads.clear();
 }
 
+void OrderDesk::SetConfiguration(std::shared_ptr<const Gateway::Configuration> configuration)
+{
+  m_configuration = std::move(configuration);
+  std::erase_if(m_plans, [&](const auto& entry) {
+    return !m_configuration->pools.contains(entry.first);
+  });
+  for (const auto& [id, pool] : m_configuration->pools)
+    if (pool.engine)
+      m_plans[id].Configure(pool);
+  m_slots.clear();
+  m_slots_revision = 0;
+}
+
 void OrderDesk::TakeReport(const DaemonReport& report, TimePoint now)
 {
   DaemonBook& daemon = m_daemons[report.vm];
@@ -112,39 +127,73 @@
     return;
   daemon.last = report;
   daemon.heard_at = now;
-  for (const DemandLine& line : report.demand)
+  m_flights.Take(report.vm, report.loads);
+  for (auto& [pool, plan] : m_plans)
   {
-    DemandBook& demand = m_demand[line.artifact];
-    demand.pool = line.pool;
-    demand.arrivals_per_second = demand.RateAt(now) + line.arrivals / RATE_SECONDS;
-    demand.updated = now;
-    if (line.arrivals > 0 || line.waiting > 0)
-      demand.last_wanted = now;
+    const auto of_pool = [&](const DemandLine& line) {
+      return line.pool == pool;
+    };
+    std::vector<DemandLine> lines;
+    std::ranges::copy_if(report.demand, std::back_inserter(lines), of_pool);
+    if (plan.TakeDemand(report.vm, lines, now))
+      continue;
+    ++m_counters["demand_for_unknown_models"];
+    if (!std::exchange(m_unknown_logged, true))
+      Common::LogEvent(Common::LogLevel::Warning, "demand-unknown",
+                       {{"vm", report.vm}, {"pool", pool}});
   }
+  for (const DemandLine& line : report.demand)
+    if (line.artifact.IsAdapter() && (line.arrivals > 0 || line.waiting > 0))
+      m_adapter_wanted[line.artifact] = now;
 }
 
-int OrderDesk::InFlight(const InstanceId& instance) const
-{
-  const auto found = m_in_flight.find(instance);
-  return found == m_in_flight.end() ? 0 : found->second;
-}
-
-int OrderDesk::InFlight(const InstanceId& instance, const ModelId& model) const
+void OrderDesk::DropSilentDaemons(TimePoint now)
 {
-  const auto found = m_in_flight_by_model.find({instance, model});
-  return found == m_in_flight_by_model.end() ? 0 : found->second;
+  std::erase_if(m_daemons, [&](const auto& entry) {
+    if (now - entry.second.heard_at <= DAEMON_SILENT_AFTER)
+      return false;
+    m_flights.Drop(entry.first);
+    for (auto& [pool, plan] : m_plans)
+      plan.DropDaemon(entry.first);
+    return true;
+  });
 }
 
-void OrderDesk::RefreshBooks(TimePoint now)
+void OrderDesk::RefreshSlots()
 {
-  std::erase_if(m_daemons, [&](const auto& entry) {
-    return now - entry.second.heard_at > DAEMON_SILENT_AFTER;
-  });
+  if (m_slots_revision == m_servers.Revision())
+    return;
+  m_slots_revision = m_servers.Revision();
+  m_slots.clear();
   std::erase_if(m_books, [&](const auto& entry) {
     return m_servers.Find(entry.first) == nullptr;
   });
+  for (auto& [pool, plan] : m_plans)
+    plan.SetServers(m_servers.InPool(pool), m_flights);
+  std::map<const PlanBook*, std::uint32_t> next_index;
   for (const auto& [instance, server] : m_servers.All())
-    RefreshBook(*server, m_books[instance], now);
+  {
+    const auto plan = m_plans.find(server->Entry().pool);
+    Slot slot{server, &m_books[instance]};
+    if (plan != m_plans.end())
+    {
+      slot.plan = &plan->second;
+      slot.index = Decisions::ServerIndex(next_index[slot.plan]++);
+    }
+    m_slots.push_back(std::move(slot));
+  }
+}
+
+void OrderDesk::RefreshSlot(Slot& slot, TimePoint now)
+{
+  ServerBook& book = *slot.book;
+  const bool entry_changed = slot.entry_revision != slot.server->EntryRevision();
+  if (entry_changed)
+    RefreshBook(*slot.server, book, now);
+  if (slot.plan != nullptr && (entry_changed || book.held_changed))
+    slot.plan->SetHeld(slot.index, HeldModels(book, now));
+  slot.entry_revision = slot.server->EntryRevision();
+  book.held_changed = false;
 }
 
 void OrderDesk::RefreshBook(const Server& server, ServerBook& book, TimePoint now)
@@ -167,6 +216,18 @@
   std::erase_if(book.leaving_adapters, base_is_gone);
 }
 
+std::vector<HeldModel> OrderDesk::HeldModels(const ServerBook& book, TimePoint now)
+{
+  std::vector<HeldModel> held;
+  for (const auto& [model, since] : book.loaded_since)
+    held.push_back({model, since});
+  // What only the server's report names takes memory all the same; its entry follows.
+  for (const ModelId& model : book.reported_models)
+    if (!book.loaded_since.contains(model))
+      held.push_back({model, now});
+  return held;
+}
+
 void OrderDesk::PlanSoon()
 {
   if (m_plan_timer.Running())
@@ -180,27 +241,28 @@
 {
   if (!m_configuration || !m_fence_if_allowed())
     return;
-  RefreshBooks(now);
-  SumLoads();
-  for (const auto& [instance, server] : m_servers.All())
+  DropSilentDaemons(now);
+  RefreshSlots();
+  for (Slot& slot : m_slots)
   {
-    CheckOpen(server, m_books[instance], now);
-    LearnState(server, m_books[instance], now);
+    RefreshSlot(slot, now);
+    CheckOpen(slot.server, *slot.book, now);
+    LearnState(slot.server, *slot.book, now);
   }
-  for (const auto& [id, pool] : m_configuration->pools)
+  for (auto& [id, plan] : m_plans)
   {
-    if (!pool.engine)
-      continue;
-    PlanPool(pool, now);
+    const Gateway::Pool& pool = m_configuration->pools.at(id);
+    PlanPool(pool, plan, now);
     PlanAdapters(pool, now);
   }
 }
 
 void OrderDesk::LearnState(const ServerPtr& server, ServerBook& book, TimePoint now)
 {
+  if (book.state_known || book.report_asked || book.open || now < book.next_report)
+    return;
   const auto pool = m_configuration->pools.find(server->Entry().pool);
-  const bool has_engine = pool != m_configuration->pools.end() && pool->second.engine;
-  if (!has_engine || book.state_known || book.report_asked || book.open || now < book.next_report)
+  if (pool == m_configuration->pools.end() || !pool->second.engine)
     return;
   book.report_asked = true;
   const InstanceId instance = server->Entry().instance;
@@ -224,6 +286,7 @@
   book.state_known = true;
   book.sequence = std::max(book.sequence, report->order_sequence);
   book.reported_models.clear();
+  book.held_changed = true;
   for (const Gateway::LoadedModel& loaded : report->models)
   {
     book.reported_models.push_back(loaded.model);
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -17,7 +17,9 @@
 #include "Common/Reactor.h"
 #include "Decisions/ReplicaPlan.h"
 #include "Gateway/ServerDirectory.h"
+#include "Orders/FlightBook.h"
 #include "Orders/Messages.h"
+#include "Orders/PlanBook.h"
 
 namespace Orders
 {
@@ -80,10 +82,7 @@
   OrderDesk(Gateway::ServerDirectory& servers, OrderChannel channel, OrderDeskSettings settings);
 
   void Configure(const OrderDeskSettings& settings) { m_settings = settings; }
-  void SetConfiguration(std::shared_ptr<const Gateway::Configuration> configuration)
-  {
-    m_configuration = std::move(configuration);
-  }
+  void SetConfiguration(std::shared_ptr<const Gateway::Configuration> configuration);
   /// Asked before each order.
   void SetPermission(std::function<std::optional<std::int64_t>()> fence_if_allowed)
   {
@@ -103,7 +102,7 @@
   /// What daemons should know of the servers beyond their entries.
   std::vector<PlacementLine> Placements() const;
   /// Open requests of all daemons.
-  std::map<Gateway::InstanceId, std::int32_t> InFlightByServer() const;
+  const FlightBook& Flights() const { return m_flights; }
 
   /// Orders by what became of them, and loads by where the weights came from.
   const std::map<std::string, std::int64_t>& Counters() const { return m_counters; }
@@ -111,9 +110,6 @@
 private:
   /// Accepted adapters are usable after some ms; requests that come too early are rejected.
   static constexpr Common::Milliseconds ADAPTER_LOAD_TIME{90};
-  /// Time constant of the arrival rates: short against the minutes over which demand moves on.
-  static constexpr double RATE_SECONDS = 8;
-
   struct OpenOrder
   {
     OrderCall call;
@@ -138,6 +134,7 @@
     bool report_asked = false;
     Common::TimePoint next_report;
     std::vector<Gateway::ModelId> reported_models;
+    bool held_changed = true; ///< What it holds is to be told to the plan's book.
     std::optional<OpenOrder> open;
     bool adapter_in_exchange = false;
     Common::TimePoint unusable_until;
@@ -153,34 +150,30 @@
     DaemonReport last;
     Common::TimePoint heard_at;
   };
-  struct DemandBook
-  {
-    Gateway::PoolId pool;
-    double arrivals_per_second = 0; ///< At `updated`.
-    Common::TimePoint updated;
-    Common::TimePoint last_wanted;
-
-    double RateAt(Common::TimePoint now) const;
-  };
-  struct Waiting
+  /// One server with all that is kept of it, so that a plan looks nothing up by name.
+  struct Slot
   {
-    int count = 0;
-    int priority = 9;
-    Common::Milliseconds oldest{0};
+    Gateway::ServerPtr server;
+    ServerBook* book = nullptr;
+    PlanBook* plan = nullptr; ///< Of its pool; nullptr where that has no model engines.
+    Decisions::ServerIndex index{};
+    std::uint64_t entry_revision = 0; ///< Of the entry that was last looked at.
   };
 
-  void RefreshBooks(Common::TimePoint now);
-  void RefreshBook(const Gateway::Server& server, ServerBook& book, Common::TimePoint now);
+  void DropSilentDaemons(Common::TimePoint now);
+  /// Makes the slots and the plans' books anew where servers or the configuration have changed.
+  void RefreshSlots();
+  void RefreshSlot(Slot& slot, Common::TimePoint now);
+  static void RefreshBook(const Gateway::Server& server, ServerBook& book, Common::TimePoint now);
+  static std::vector<HeldModel> HeldModels(const ServerBook& book, Common::TimePoint now);
+  ServerState StateOf(const Slot& slot, Common::TimePoint now) const;
   void CheckOpen(const Gateway::ServerPtr& server, ServerBook& book, Common::TimePoint now);
-  void PlanPool(const Gateway::Pool& pool, Common::TimePoint now);
+  void PlanPool(const Gateway::Pool& pool, PlanBook& plan, Common::TimePoint now);
   void PlanAdapters(const Gateway::Pool& pool, Common::TimePoint now);
   void LoadAdapter(const Gateway::Pool& pool, const Gateway::Artifact& artifact,
-                   Common::TimePoint now);
+                   const std::vector<const Slot*>& holders, Common::TimePoint now);
   std::optional<Gateway::Artifact>
   AdapterVictim(const Gateway::Server& server, const ServerBook& book, Common::TimePoint now) const;
-  Decisions::ReplicaPlanInput PlanInput(const Gateway::Pool& pool, Common::TimePoint now) const;
-  Decisions::PlannedServer PlannedServerOf(const Gateway::Server& server, const Gateway::Pool& pool,
-                                           Common::TimePoint now) const;
   int StoreLoadsAllowed(const Gateway::Pool& pool, Common::TimePoint now) const;
 
   void Give(const Gateway::ServerPtr& server, OrderCall::Operation operation,
@@ -202,10 +195,11 @@
 
   /// Tells the daemons of adapters once they are usable.
   void AnnounceAdapters();
-  void SumLoads();
-  int InFlight(const Gateway::InstanceId& instance, const Gateway::ModelId& model) const;
-  int InFlight(const Gateway::InstanceId& instance) const;
-  std::map<Gateway::Artifact, Waiting> WaitingNow(const Gateway::PoolId& pool) const;
+  /// Adapters that requests wait for.
+  std::set<Gateway::Artifact> WaitingAdapters(const Gateway::PoolId& pool) const;
+  /// The pool's servers that hold the model.
+  std::vector<const Slot*> Holders(const Gateway::PoolId& pool,
+                                   const Gateway::ModelId& model) const;
   std::vector<Gateway::Artifact> AdaptersOn(const Gateway::Server& server,
                                             const ServerBook& book) const;
 
@@ -217,13 +211,15 @@
   std::function<void()> m_on_placement;
   std::map<Gateway::InstanceId, ServerBook> m_books;
   std::map<Common::VmId, DaemonBook> m_daemons;
-  std::map<Gateway::Artifact, DemandBook> m_demand;
+  FlightBook m_flights;
+  std::map<Gateway::PoolId, PlanBook> m_plans;
+  std::vector<Slot> m_slots;
+  std::uint64_t m_slots_revision = 0; ///< Of the servers that the slots were made from; 0: none.
+  std::map<Gateway::Artifact, Common::TimePoint> m_adapter_wanted;
+  bool m_unknown_logged = false; ///< Demand for a model that the configuration lacks.
   std::deque<Common::TimePoint> m_store_loads;
   std::uint64_t m_next_order = 1;
   std::map<std::string, std::int64_t> m_counters;
-  // Sums over the daemons' reports, made once for each plan.
-  std::map<Gateway::InstanceId, std::int32_t> m_in_flight;
-  std::map<std::pair<Gateway::InstanceId, Gateway::ModelId>, int> m_in_flight_by_model;
   Common::OwnedTimer m_plan_timer;
   Common::OwnedTimer m_adapter_timer;
 };
--- a/Source/Core/Orders/OrderDeskAdapters.cpp
+++ b/Source/Core/Orders/OrderDeskAdapters.cpp
@@ -30,38 +30,38 @@
 
 void OrderDesk::PlanAdapters(const Gateway::Pool& pool, TimePoint now)
 {
-  for (const auto& [artifact, waiting] : WaitingNow(pool.id))
+  for (const Artifact& artifact : WaitingAdapters(pool.id))
   {
-    if (!artifact.IsAdapter())
-      continue;
-    const bool held = std::ranges::any_of(m_servers.InPool(pool.id), [&](const ServerPtr& server) {
-      const ServerBook& book = m_books[server->Entry().instance];
-      const auto adapters = AdaptersOn(*server, book);
-      return !server->Entry().draining && !server->Health().IsEjected(now) &&
+    const auto holders = Holders(pool.id, artifact.model);
+    const bool held = std::ranges::any_of(holders, [&](const Slot* slot) {
+      const auto adapters = AdaptersOn(*slot->server, *slot->book);
+      return !slot->server->Entry().draining && !slot->server->Health().IsEjected(now) &&
              std::ranges::find(adapters, artifact) != adapters.end();
     });
     if (!held)
-      LoadAdapter(pool, artifact, now);
+      LoadAdapter(pool, artifact, holders, now);
   }
 }
 
-void OrderDesk::LoadAdapter(const Gateway::Pool& pool, const Artifact& artifact, TimePoint now)
+void OrderDesk::LoadAdapter(const Gateway::Pool& pool, const Artifact& artifact,
+                            const std::vector<const Slot*>& holders, TimePoint now)
 {
   ServerPtr best;
   std::pair<bool, int> best_key;
-  for (const ServerPtr& server : m_servers.InPool(pool.id))
+  for (const Slot* slot : holders)
   {
-    const ServerBook& book = m_books[server->Entry().instance];
+    const ServerPtr& server = slot->server;
+    const ServerBook& book = *slot->book;
     const bool leaving = book.open && book.open->call.operation == OrderCall::Operation::Unload &&
                          book.open->call.artifact.model == artifact.model;
     if (server->Entry().draining || server->Health().IsEjected(now) || leaving ||
-        now < book.unusable_until || !book.state_known || !server->HoldsModel(artifact.model))
+        now < book.unusable_until || !book.state_known)
       continue;
     const bool full =
         static_cast<int>(AdaptersOn(*server, book).size()) >= pool.engine->adapter_slots;
     if (full && !AdapterVictim(*server, book, now))
       continue;
-    const std::pair key(full, InFlight(server->Entry().instance));
+    const std::pair key(full, m_flights.Of(server->Entry().instance).in_flight);
     if (!best || key < best_key)
     {
       best = server;
@@ -90,8 +90,8 @@
   TimePoint best_wanted;
   for (const Artifact& artifact : AdaptersOn(server, book))
   {
-    const auto demand = m_demand.find(artifact);
-    const TimePoint wanted = demand == m_demand.end() ? TimePoint() : demand->second.last_wanted;
+    const auto found = m_adapter_wanted.find(artifact);
+    const TimePoint wanted = found == m_adapter_wanted.end() ? TimePoint() : found->second;
     if (now - wanted < ADAPTER_MIN_IDLE || (best && wanted >= best_wanted) ||
         book.leaving_adapters.contains(artifact))
       continue;
--- a/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
+++ b/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
@@ -3,6 +3,13 @@
 
 #include "Decisions/ReplicaPlan.h"
 
+#include <algorithm>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Common/Loop.h"
@@ -14,10 +21,50 @@
 
 const auto NOW = Common::TimePoint() + std::chrono::hours(1);
 
-PlannedModel Model(const char* name, int waiting = 0, double arrivals = 0)
+/// A model or a server under the name that the tests give it.
+template <typename T>
+struct Named : T
+{
+  std::string name;
+};
+
+using NamedModel = Named<PlannedModel>;
+
+struct NamedReplica
+{
+  std::string model;
+  int in_flight = 0;
+  Common::TimePoint since;
+};
+
+struct NamedServer : Named<PlannedServer>
+{
+  std::vector<NamedReplica> replicas; ///< In place of the positions.
+  std::optional<std::string> loading;
+  std::vector<std::string> on_disk;
+};
+
+/// An order by names.
+struct NamedOrder
+{
+  PlannedOrder::Kind kind = PlannedOrder::Kind::Load;
+  std::string instance;
+  std::string model;
+  std::string for_model;
+  WeightSource source = WeightSource::WeightStore;
+};
+
+struct NamedInput
 {
-  PlannedModel model;
-  model.model = name;
+  std::vector<NamedServer> servers;
+  std::map<std::string, NamedModel> models;
+  int store_loads_allowed = 1;
+};
+
+NamedModel Model(const char* name, int waiting = 0, double arrivals = 0)
+{
+  NamedModel model;
+  model.name = name;
   model.memory_mb = 70;
   model.from_host_memory = Milliseconds(400);
   model.from_disk = Milliseconds(800);
@@ -27,29 +74,66 @@
   return model;
 }
 
-PlannedServer Server(const char* name, std::vector<const char*> models)
+NamedServer Server(const char* name, std::vector<const char*> models)
 {
-  PlannedServer server;
-  server.instance = name;
+  NamedServer server;
+  server.name = name;
   server.memory_mb = 150;
-  server.batch = 8;
   for (const char* model : models)
     server.replicas.push_back({model, 0, Common::TimePoint()});
   server.on_disk = {"a", "b", "c", "d"};
   return server;
 }
 
-ReplicaPlanInput Input(std::vector<PlannedServer> servers, std::vector<PlannedModel> models)
+NamedInput Input(std::vector<NamedServer> servers, std::vector<NamedModel> models)
 {
-  ReplicaPlanInput input;
-  input.now = NOW;
+  NamedInput input;
   input.servers = std::move(servers);
-  for (const PlannedModel& model : models)
-    input.models[model.model] = model;
-  input.store_loads_allowed = 1;
+  for (const NamedModel& model : models)
+    input.models[model.name] = model;
   return input;
 }
 
+/// The plan by names; a model that only a server names is not listed.
+std::vector<NamedOrder> PlanReplicas(const NamedInput& named)
+{
+  ReplicaPlanInput input;
+  input.now = NOW;
+  input.batch = 8;
+  input.store_loads_allowed = named.store_loads_allowed;
+  std::vector<std::string> names;
+  for (const auto& [name, model] : named.models)
+  {
+    names.push_back(name);
+    input.models.push_back(model);
+  }
+  const auto position = [&](const std::string& name) {
+    const auto found = std::ranges::find(names, name);
+    if (found != names.end())
+      return ModelIndex(found - names.begin());
+    names.push_back(name);
+    input.models.emplace_back().listed = false;
+    return ModelIndex(names.size() - 1);
+  };
+  for (const NamedServer& server : named.servers)
+  {
+    PlannedServer planned = server;
+    for (const NamedReplica& replica : server.replicas)
+      planned.replicas.push_back({position(replica.model), replica.in_flight, replica.since});
+    if (server.loading)
+      planned.loading = position(*server.loading);
+    std::vector<ModelIndex> on_disk;
+    std::ranges::transform(server.on_disk, std::back_inserter(on_disk), position);
+    input.copies.Set(ServerIndex(input.servers.size()), {}, on_disk);
+    input.servers.push_back(std::move(planned));
+  }
+  std::vector<NamedOrder> orders;
+  for (const PlannedOrder& order : Decisions::PlanReplicas(input).orders)
+    orders.push_back({order.kind, named.servers[At(order.server)].name, names[At(order.model)],
+                      order.for_model ? names[At(*order.for_model)] : "", order.source});
+  return orders;
+}
+
 class ReplicaPlanTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ReplicaPlanTest);
@@ -70,11 +154,11 @@
 
   void ADiskIsWaitedForAsLongAsThatSavesTime()
   {
-    PlannedServer with_disk = Server("disk", {"a"});
-    PlannedServer without = Server("other", {"a"});
+    NamedServer with_disk = Server("disk", {"a"});
+    NamedServer without = Server("other", {"a"});
     without.on_disk.clear();
     with_disk.order_open = true;
-    PlannedModel wanted = Model("c", 1);
+    NamedModel wanted = Model("c", 1);
     const auto orders = [&] {
       return PlanReplicas(Input({with_disk, without}, {Model("a"), wanted}));
     };
@@ -112,22 +196,22 @@
 
   void AModelInUseStays()
   {
-    PlannedServer server = Server("s", {"a", "b"});
+    NamedServer server = Server("s", {"a", "b"});
     server.replicas[0].in_flight = 1;
     server.replicas[1].in_flight = 1;
     CPPUNIT_ASSERT(PlanReplicas(Input({server}, {Model("a"), Model("b"), Model("c", 1)})).empty());
   }
 
-  static ReplicaPlanInput InputInUse(int in_flight)
+  static NamedInput InputInUse(int in_flight)
   {
-    PlannedServer server = Server("s", {"a", "b"});
+    NamedServer server = Server("s", {"a", "b"});
     server.replicas[0].in_flight = in_flight;
     server.replicas[1].in_flight = in_flight;
-    PlannedModel waiting = Model("c", 1);
+    NamedModel waiting = Model("c", 1);
     waiting.oldest_wait = Milliseconds(900);
     waiting.priority = 1;
-    PlannedModel a = Model("a");
-    PlannedModel b = Model("b");
+    NamedModel a = Model("a");
+    NamedModel b = Model("b");
     a.in_flight = b.in_flight = in_flight;
     a.priority = b.priority = 1;
     return Input({server}, {a, b, waiting});
@@ -148,7 +232,7 @@
 
   void AModelOnItsWayIsNotOrderedTwice()
   {
-    PlannedServer loading = Server("s", {"a"});
+    NamedServer loading = Server("s", {"a"});
     loading.order_open = true;
     loading.loading = "c";
     CPPUNIT_ASSERT(
@@ -157,9 +241,9 @@
 
   void ManyThatWaitGoBeforeOne()
   {
-    PlannedModel one = Model("a", 1);
+    NamedModel one = Model("a", 1);
     one.priority = 0;
-    PlannedModel many = Model("b", 12);
+    NamedModel many = Model("b", 12);
     many.priority = 1;
     CPPUNIT_ASSERT_EQUAL(std::string("b"),
                          PlanReplicas(Input({Server("s", {})}, {one, many})).at(0).model);
@@ -192,7 +276,7 @@
 
   void UnusableServersGetNothing()
   {
-    PlannedServer server = Server("s", {});
+    NamedServer server = Server("s", {});
     server.usable = false;
     CPPUNIT_ASSERT(PlanReplicas(Input({server}, {Model("a", 1)})).empty());
   }
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -195,9 +195,9 @@
       return holder.hub.Daemons() == 2;
     }));
     // What does not fit is what matters least.
-    const auto loads = holder.desk.InFlightByServer();
+    const auto& loads = holder.desk.Flights().All();
     CPPUNIT_ASSERT(loads.size() > 500);
-    CPPUNIT_ASSERT_EQUAL(2, loads.at(InstanceOf(SERVERS - 1)));
+    CPPUNIT_ASSERT_EQUAL(2, loads.at(InstanceOf(SERVERS - 1)).in_flight);
   }
 };
 
--- a/Tools/setup.sh
+++ b/Tools/setup.sh
@@ -11,7 +11,7 @@
   libsoup-3.0-dev glib-networking libglib2.0-dev
   libcereal-dev libcxxopts-dev prometheus-cpp-dev libcppunit-dev
   nlohmann-json3-dev libcsv-dev libhttp-parser-dev libxxhash-dev libpcg-cpp-dev libssl-dev
-  liblua5.4-dev libzstd-dev spin help2man
+  liblua5.4-dev libzstd-dev libbenchmark-dev spin help2man
 )
 
 missing=()
