Orders, Http, platform: an order leaves only while its holder holds the lease

The lease was looked at when an order was made. Where its connection had to be made first, the bytes were written when the kernel said that it stands, after any freeze. After the lease's loss, too, nothing took back what lay in a socket; the kernel sent it again for up to 3 s, also after the end of the process.

--- a/Models/OrderLease.pml
+++ b/Models/OrderLease.pml
@@ -6,8 +6,11 @@
  * store may be answered late, or its answer lost. Claimed: the server never takes orders of two daemons
  * within PAUSE ticks, and fences never go down.
  *
+ * An order leaves after it was decided on: its connection has to come first. What was decided on is
+ * dropped where the lease is over when it would leave.
+ *
  * Each switch takes one guard out.
- * guards: NO_CHECK_BEFORE_ORDER COUNT_FROM_ANSWER NO_PAUSE BLIND_WRITE NO_WAIT NO_ORDERING_MARK */
+ * guards: NO_CHECK_WHEN_LEAVING COUNT_FROM_ANSWER NO_PAUSE BLIND_WRITE NO_WAIT NO_ORDERING_MARK */
 
 #define DURATION 1
 #define PAUSE 2
@@ -19,6 +22,13 @@
 byte now = 0;
 byte writes = 0;
 
+/* The connections of orders that have not left are reset with the lease's loss. */
+#ifdef NO_CHECK_WHEN_LEAVING
+#define LOSE_ORDERS skip
+#else
+#define LOSE_ORDERS pending = false
+#endif
+
 /* The row in the store. */
 byte row_version = 0;
 byte row_holder = NOBODY;
@@ -48,6 +58,7 @@
   byte valid_until = 0;
   byte orders_from = 0;
   byte fence = 0;
+  bool pending = false; /* an order was decided on */
   bool answered;
   bool written;
   bool follows_another;
@@ -136,6 +147,7 @@
   :: writes < MOST_WRITES && fence != 0 && seen_holder == me ->
      atomic {
        fence = 0;
+       LOSE_ORDERS;
        writes++;
        if
        :: row_version == seen_version -> row_version++; row_holder = RELEASED; row_ordering = false
@@ -144,21 +156,24 @@
      }
 
   /* Its time is over, or the row is another's. */
-  :: atomic { fence != 0 && (now >= valid_until || seen_holder != me) -> fence = 0 }
+  :: atomic { fence != 0 && (now >= valid_until || seen_holder != me) -> fence = 0; LOSE_ORDERS }
 
-  /* Orders. */
-#ifdef NO_CHECK_BEFORE_ORDER
-  :: fence != 0 && now < valid_until && now >= orders_from ->
-     atomic {
-#else
+  /* Decides on an order. */
+  :: atomic { !pending && fence != 0 && now < valid_until && now >= orders_from -> pending = true }
+
+  /* The order leaves, and arrives. */
   :: atomic {
-       fence != 0 && now < valid_until && now >= orders_from ->
+#ifdef NO_CHECK_WHEN_LEAVING
+       pending ->
+#else
+       pending && now < valid_until ->
 #endif
        assert(last_daemon == NOBODY || last_daemon == me || now >= last_order_at + PAUSE);
-       assert(fence >= last_fence);
+       assert(fence == 0 || fence >= last_fence);
        last_daemon = me;
        last_order_at = now;
-       last_fence = fence
+       last_fence = (fence > last_fence -> fence : last_fence);
+       pending = false
      }
   od
 }
--- a/Source/Core/Http/Channel.cpp
+++ b/Source/Core/Http/Channel.cpp
@@ -21,6 +21,7 @@
   {
   case Breakage::ConnectFailed:
   case Breakage::ConnectTimedOut:
+  case Breakage::TooLate:
     return Common::FailureKind::NotSent;
   case Breakage::Malformed:
     return Common::FailureKind::Protocol;
@@ -146,15 +147,19 @@
   std::optional<Common::TimePoint> m_heard_at; ///< When bytes of the answer came last.
 };
 
-Channel::Channel(const Endpoint& peer) : m_peer(peer), m_idle(MAX_IDLE) {}
+Channel::Channel(const Endpoint& peer, const KernelLimits& limits)
+    : m_peer(peer), m_limits(limits), m_idle(MAX_IDLE)
+{
+}
 
 Channel::~Channel() = default;
 
-void Channel::Call(const WholeRequest& request, const Patience& patience, Callback callback)
+void Channel::Call(const WholeRequest& request, const Patience& patience, Callback callback,
+                   Common::TimePoint before)
 {
   auto connection = m_idle.Take(Common::Now());
   if (!connection)
-    connection = OriginConnection::Connect(m_peer);
+    connection = OriginConnection::Connect(m_peer, m_limits);
   if (!connection)
   {
     Common::Reactor::Get().After(Common::Milliseconds(1), [callback = std::move(callback)] {
@@ -165,7 +170,12 @@
   m_pending.push_back(std::make_unique<PendingCall>(*this, patience, std::move(callback)));
   PendingCall* call = m_pending.back().get();
   call->connection = connection;
-  connection->Send(Serialise(request, m_peer), call);
+  connection->Send(Serialise(request, m_peer), call, false, before);
+}
+
+void Channel::Abandon()
+{
+  m_pending.clear();
 }
 
 void Channel::Finish(PendingCall* call, Common::Result<WholeAnswer> result)
--- a/Source/Core/Http/Channel.h
+++ b/Source/Core/Http/Channel.h
@@ -52,13 +52,17 @@
 public:
   using Callback = std::function<void(Common::Result<WholeAnswer>)>;
 
-  explicit Channel(const Endpoint& peer);
+  explicit Channel(const Endpoint& peer, const KernelLimits& limits = {});
   ~Channel();
   Channel(const Channel&) = delete;
   Channel& operator=(const Channel&) = delete;
 
   const Endpoint& Peer() const { return m_peer; }
-  void Call(const WholeRequest& request, const Patience& patience, Callback callback);
+  /// Nothing of the request goes out at `before` or later; it then fails with NotSent.
+  void Call(const WholeRequest& request, const Patience& patience, Callback callback,
+            Common::TimePoint before = ANY_TIME);
+  /// Resets all calls on their way, without an answer to their callers.
+  void Abandon();
 
 private:
   class PendingCall;
@@ -66,6 +70,7 @@
   void Finish(PendingCall* call, Common::Result<WholeAnswer> result);
 
   Endpoint m_peer;
+  KernelLimits m_limits;
   IdleConnections m_idle;
   std::list<std::unique_ptr<PendingCall>> m_pending;
 };
--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -36,20 +36,22 @@
 
 OriginConnection::OriginConnection() : m_parser(MessageParser::Kind::Response, this) {}
 
-std::shared_ptr<OriginConnection> OriginConnection::Connect(const Endpoint& peer)
+std::shared_ptr<OriginConnection> OriginConnection::Connect(const Endpoint& peer,
+                                                            const KernelLimits& limits)
 {
   std::shared_ptr<OriginConnection> connection(new OriginConnection());
-  connection->m_stream = TcpStream::Connect(peer, connection.get());
+  connection->m_stream = TcpStream::Connect(peer, connection.get(), limits);
   return connection->m_stream ? connection : nullptr;
 }
 
-void OriginConnection::Send(std::string request, AnswerEvents* events, bool no_body_expected)
+void OriginConnection::Send(const std::string& request, AnswerEvents* events, bool no_body_expected,
+                            Common::TimePoint before)
 {
   m_events = events;
   m_skipping = false;
   m_parser.ExpectNoBody(no_body_expected);
   m_parser.Restart();
-  m_stream->Write(request);
+  m_stream->Write(request, before);
   if (m_stream->IsConnected())
     return;
   m_connect_timer.Start(CONNECT_TIMEOUT, [this] {
@@ -132,6 +134,11 @@
   const auto guard = shared_from_this();
   if (m_events == nullptr)
     return;
+  if (end == StreamEnd::TooLate)
+  {
+    Break(Breakage::TooLate);
+    return;
+  }
   if (!m_stream->IsConnected())
   {
     Break(Breakage::ConnectFailed);
--- a/Source/Core/Http/OriginConnection.h
+++ b/Source/Core/Http/OriginConnection.h
@@ -21,6 +21,7 @@
   ConnectTimedOut, ///< The peer did not take the connection in time; no byte has gone out.
   Closed,          ///< The connection ended before the answer was whole.
   Reset,
+  TooLate,   ///< The request had not gone out by its time: no byte of it ever will.
   Malformed, ///< Bytes that are no answer.
 };
 
@@ -48,10 +49,13 @@
 {
 public:
   /// Begins to connect; nullptr where the system has no socket left.
-  static std::shared_ptr<OriginConnection> Connect(const Endpoint& peer);
+  static std::shared_ptr<OriginConnection> Connect(const Endpoint& peer,
+                                                   const KernelLimits& limits = {});
 
-  /// Sends a whole request. `events` must stay until the exchange has ended or `Abandon`.
-  void Send(std::string request, AnswerEvents* events, bool no_body_expected = false);
+  /// Sends a whole request, or nothing of it at `before` and later. `events` must stay until the
+  /// exchange has ended or `Abandon`.
+  void Send(const std::string& request, AnswerEvents* events, bool no_body_expected = false,
+            Common::TimePoint before = ANY_TIME);
   /// Ends the exchange and the connection; no event comes any more. The peer sees a close.
   void Abandon();
 
--- a/Source/Core/Http/TcpStream.cpp
+++ b/Source/Core/Http/TcpStream.cpp
@@ -14,6 +14,8 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "Common/Loop.h"
+
 namespace Http
 {
 namespace
@@ -21,9 +23,6 @@
 constexpr std::size_t READ_BYTES = 32768;
 constexpr int LISTEN_BACKLOG = 1024;
 constexpr int ACCEPTS_PER_TURN = 64;
-/// Milliseconds after which unacknowledged bytes break a connection: a peer behind a cut says
-/// nothing, and without this a write to it would hang for minutes.
-constexpr unsigned USER_TIMEOUT_MS = 3000;
 /// Keep-alive probes for connections that wait without sending: seconds idle, between probes, and
 /// how many may go unanswered.
 constexpr int KEEPALIVE_IDLE_S = 2;
@@ -37,10 +36,13 @@
   (void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
-void PrepareSocket(int fd)
+void PrepareSocket(int fd, const KernelLimits& limits)
 {
   SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT,
+            static_cast<unsigned>(limits.unacknowledged.count()));
+  if (limits.dropped_at_end)
+    SetOption(fd, SOL_SOCKET, SO_LINGER, linger{1, 0});
   SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
   SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
@@ -88,10 +90,10 @@
   return result;
 }
 
-TcpStream::TcpStream(int fd, StreamEvents* events, bool connected)
+TcpStream::TcpStream(int fd, StreamEvents* events, bool connected, const KernelLimits& limits)
     : m_fd(fd), m_events(events), m_connected(connected)
 {
-  PrepareSocket(fd);
+  PrepareSocket(fd, limits);
   m_armed = connected ? EPOLLIN : EPOLLOUT;
   m_watch = Common::Reactor::Get().Watch(fd, m_armed, this);
 }
@@ -101,7 +103,8 @@
   Close();
 }
 
-std::shared_ptr<TcpStream> TcpStream::Connect(const Endpoint& peer, StreamEvents* events)
+std::shared_ptr<TcpStream> TcpStream::Connect(const Endpoint& peer, StreamEvents* events,
+                                              const KernelLimits& limits)
 {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
@@ -113,12 +116,12 @@
     close(fd);
     return nullptr;
   }
-  return std::shared_ptr<TcpStream>(new TcpStream(fd, events, false));
+  return std::shared_ptr<TcpStream>(new TcpStream(fd, events, false, limits));
 }
 
 std::shared_ptr<TcpStream> TcpStream::Adopt(int fd, StreamEvents* events)
 {
-  return std::shared_ptr<TcpStream>(new TcpStream(fd, events, true));
+  return std::shared_ptr<TcpStream>(new TcpStream(fd, events, true, {}));
 }
 
 void TcpStream::Arm()
@@ -134,31 +137,37 @@
   Common::Reactor::Get().Rearm(m_watch, m_fd, wanted);
 }
 
-void TcpStream::Write(std::string_view bytes)
+void TcpStream::Write(std::string_view bytes, Common::TimePoint before)
 {
   if (m_fd < 0 || bytes.empty())
     return;
   m_out.append(bytes);
+  m_write_before = before;
+  // What is too late is seen again in the next turn of the loop, and ends the connection there.
   if (m_connected)
-    Flush();
+    (void)Flush();
   Arm();
 }
 
-void TcpStream::Flush()
+bool TcpStream::Flush()
 {
   while (Unsent() > 0)
   {
+    // Looked at right before the bytes leave: a freeze can lie between any two steps.
+    if (Common::Now() >= m_write_before)
+      return false;
     const ssize_t count = send(m_fd, m_out.data() + m_out_begin, Unsent(), MSG_NOSIGNAL);
     if (count < 0 && errno == EINTR)
       continue;
     // A broken connection shows as a readable event or an error event next; it is handled there.
     if (count <= 0)
-      return;
+      return true;
     m_sent += static_cast<std::uint64_t>(count);
     m_out_begin += static_cast<std::size_t>(count);
   }
   m_out.clear();
   m_out_begin = 0;
+  return true;
 }
 
 void TcpStream::SetReading(bool reading)
@@ -207,7 +216,11 @@
   m_events->OnConnected();
   if (m_fd < 0)
     return;
-  Flush();
+  if (!Flush())
+  {
+    Fail(StreamEnd::TooLate);
+    return;
+  }
   Arm();
 }
 
@@ -225,7 +238,10 @@
 
 void TcpStream::Fail(StreamEnd end)
 {
-  Close();
+  if (end == StreamEnd::TooLate)
+    Reset();
+  else
+    Close();
   m_events->OnEnd(end);
 }
 
@@ -239,7 +255,11 @@
   }
   if ((events & EPOLLOUT) != 0)
   {
-    Flush();
+    if (!Flush())
+    {
+      Fail(StreamEnd::TooLate);
+      return;
+    }
     Arm();
     if (Unsent() == 0)
       m_events->OnDrained();
--- a/Source/Core/Http/TcpStream.h
+++ b/Source/Core/Http/TcpStream.h
@@ -32,10 +32,25 @@
 /// How a connection ended.
 enum class StreamEnd
 {
-  Closed, ///< The peer closed in order.
-  Reset,  ///< The peer or the network broke it.
+  Closed,  ///< The peer closed in order.
+  Reset,   ///< The peer or the network broke it.
+  TooLate, ///< What was to be written had not gone out by its time; it never will.
 };
 
+/// What the kernel does with bytes that it has taken and the peer has not acknowledged.
+struct KernelLimits
+{
+  /// So long it sends them again; then the connection is broken. A peer behind a cut says nothing,
+  /// and without a limit a write to it would hang for minutes.
+  Common::Milliseconds unacknowledged{3000};
+  /// They are dropped when the connection ends, also by the end of the process. Else the kernel
+  /// goes on sending after a plain close.
+  bool dropped_at_end = false;
+};
+
+/// No limit: bytes may go out whenever the connection takes them.
+inline constexpr Common::TimePoint ANY_TIME = Common::TimePoint::max();
+
 /// Told what happens on a `TcpStream`. A call may destroy the stream's owner.
 class StreamEvents
 {
@@ -53,7 +68,8 @@
 {
 public:
   /// Begins to connect; `OnConnected` or `OnEnd` follows.
-  static std::shared_ptr<TcpStream> Connect(const Endpoint& peer, StreamEvents* events);
+  static std::shared_ptr<TcpStream> Connect(const Endpoint& peer, StreamEvents* events,
+                                            const KernelLimits& limits = {});
   /// Takes over an accepted descriptor.
   static std::shared_ptr<TcpStream> Adopt(int fd, StreamEvents* events);
 
@@ -61,7 +77,9 @@
   TcpStream(const TcpStream&) = delete;
   TcpStream& operator=(const TcpStream&) = delete;
 
-  void Write(std::string_view bytes);
+  /// What has not gone to the kernel at `before` is dropped, and the connection ends with
+  /// `TooLate`: the process may have been frozen since, and what the bytes ask for no longer holds.
+  void Write(std::string_view bytes, Common::TimePoint before = ANY_TIME);
   /// Stops or resumes reading: the peer is then held up by its window.
   void SetReading(bool reading);
   /// Ends the connection; bytes that were written still go out where the kernel has taken them.
@@ -81,12 +99,13 @@
   void OnDescriptorEvents(std::uint32_t events) override;
 
 private:
-  TcpStream(int fd, StreamEvents* events, bool connected);
+  TcpStream(int fd, StreamEvents* events, bool connected, const KernelLimits& limits);
 
   void Arm();
   void FinishConnect();
   void ReadAll();
-  void Flush();
+  /// Gives what the kernel takes to it. False where it is too late for that.
+  bool Flush();
   void Fail(StreamEnd end);
 
   int m_fd = -1;
@@ -98,6 +117,7 @@
   std::string m_out;
   std::size_t m_out_begin = 0;
   std::uint64_t m_sent = 0;
+  Common::TimePoint m_write_before = ANY_TIME;
 };
 
 /// Listens for connections.
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -79,11 +79,8 @@
           m_lease.OnHolderWord(word.version, {holder, {}, from.ToString()}, word.left);
           Follow();
         });
-    m_desk.SetPermission([this]() -> std::optional<std::int64_t> {
-      const auto now = Common::Now();
-      if (!m_lease.MayOrder(now) || OldestAnswer(now) > MAX_AGE_FOR_ORDERS)
-        return std::nullopt;
-      return m_lease.Fence();
+    m_desk.SetPermission([this] {
+      return Permit(Common::Now());
     });
     m_desk.OnPlacementChange([this] {
       m_hub.AnnounceSoon();
@@ -196,6 +193,14 @@
     return std::ranges::min(m_shared_tables | std::views::transform(age_of));
   }
 
+  std::optional<OrderPermit> Permit(Common::TimePoint now) const
+  {
+    const auto view_left = MAX_AGE_FOR_ORDERS - OldestAnswer(now);
+    if (!m_lease.MayOrder(now) || view_left < Common::Milliseconds(0))
+      return std::nullopt;
+    return OrderPermit{m_lease.Fence(), std::min(m_lease.OrdersUntil(), now + view_left)};
+  }
+
   LeaseWord CurrentWord() const { return {m_lease.Fence(), m_lease.RowVersion(), {}}; }
 
   /// A holder that the store does not answer stops at once and says so, instead of letting its time
@@ -234,6 +239,8 @@
       m_desk.Forget();
       m_held_since = Common::Now();
     }
+    if (!holds && m_held)
+      m_desk.Abandon();
     m_held = holds;
     if (holds)
     {
--- a/Source/Core/Orders/LeaseKeeper.h
+++ b/Source/Core/Orders/LeaseKeeper.h
@@ -125,6 +125,8 @@
   bool Holds(Common::TimePoint now) const { return m_fence && now < m_valid_until - STOP_MARGIN; }
   /// Orders may go out now. Asked right before each order, since the process may have been frozen.
   bool MayOrder(Common::TimePoint now) const { return Holds(now) && now >= m_orders_from; }
+  /// Without another renewal no order goes out from then on.
+  Common::TimePoint OrdersUntil() const { return m_valid_until - STOP_MARGIN; }
   std::int64_t Fence() const { return m_fence.value_or(0); }
   const std::optional<LeaseRecord>& Record() const { return m_record; }
 
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -239,7 +239,7 @@
 
 void OrderDesk::Plan(TimePoint now)
 {
-  if (!m_configuration || !m_fence_if_allowed())
+  if (!m_configuration || !m_permit())
     return;
   DropSilentDaemons(now);
   RefreshSlots();
@@ -364,14 +364,15 @@
 void OrderDesk::SendOpen(const ServerPtr& server, ServerBook& book)
 {
   OpenOrder& open = *book.open;
-  const auto fence = m_fence_if_allowed();
-  if (!fence || book.adapter_in_exchange)
+  const auto permit = m_permit();
+  if (!permit || book.adapter_in_exchange)
   {
     open.next_check = Common::Now();
     return;
   }
   open.in_exchange = true;
-  open.call.fence = *fence;
+  open.call.fence = permit->fence;
+  open.call.send_before = permit->until;
   open.call.expected_sequence = book.sequence;
   const InstanceId instance = server->Entry().instance;
   const std::uint64_t id = open.id;
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -37,6 +37,14 @@
   Gateway::Artifact artifact;
   std::int64_t expected_sequence = 0; ///< Orders that the server must have taken before.
   std::int64_t fence = 0;
+  Common::TimePoint send_before; ///< The holder may not act from then on: nothing goes out.
+};
+
+/// What the lease allows at this moment.
+struct OrderPermit
+{
+  std::int64_t fence = 0;
+  Common::TimePoint until; ///< Without another renewal.
 };
 
 enum class OrderAnswer
@@ -66,6 +74,8 @@
   std::function<void(const Gateway::InstanceId&, const Http::Endpoint&,
                      std::function<void(Common::Result<ServerReport>)>)>
       read_report;
+  /// Resets all calls on their way; their callbacks are not called any more.
+  std::function<void()> abandon;
 };
 
 struct OrderDeskSettings
@@ -84,9 +94,9 @@
   void Configure(const OrderDeskSettings& settings) { m_settings = settings; }
   void SetConfiguration(std::shared_ptr<const Gateway::Configuration> configuration);
   /// Asked before each order.
-  void SetPermission(std::function<std::optional<std::int64_t>()> fence_if_allowed)
+  void SetPermission(std::function<std::optional<OrderPermit>()> permit)
   {
-    m_fence_if_allowed = std::move(fence_if_allowed);
+    m_permit = std::move(permit);
   }
   /// Called when daemons should hear of a change in placement.
   void OnPlacementChange(std::function<void()> callback) { m_on_placement = std::move(callback); }
@@ -98,6 +108,8 @@
   void PlanSoon();
   /// Starts anew: another daemon held the lease meanwhile.
   void Forget();
+  /// The lease is lost: an order on its way must not arrive while the next holder acts.
+  void Abandon() { m_channel.abandon(); }
 
   /// What daemons should know of the servers beyond their entries.
   std::vector<PlacementLine> Placements() const;
@@ -207,7 +219,7 @@
   OrderChannel m_channel;
   OrderDeskSettings m_settings;
   std::shared_ptr<const Gateway::Configuration> m_configuration;
-  std::function<std::optional<std::int64_t>()> m_fence_if_allowed;
+  std::function<std::optional<OrderPermit>()> m_permit;
   std::function<void()> m_on_placement;
   std::map<Gateway::InstanceId, ServerBook> m_books;
   std::map<Common::VmId, DaemonBook> m_daemons;
--- a/Source/Core/Orders/OrderDeskAdapters.cpp
+++ b/Source/Core/Orders/OrderDeskAdapters.cpp
@@ -104,8 +104,8 @@
 void OrderDesk::GiveAdapter(const ServerPtr& server, OrderCall::Operation operation,
                             const Artifact& artifact)
 {
-  const auto fence = m_fence_if_allowed();
-  if (!fence)
+  const auto permit = m_permit();
+  if (!permit)
     return;
   ServerBook& book = m_books[server->Entry().instance];
   OrderCall call;
@@ -114,7 +114,8 @@
   call.operation = operation;
   call.artifact = artifact;
   call.expected_sequence = book.sequence;
-  call.fence = *fence;
+  call.fence = permit->fence;
+  call.send_before = permit->until;
   book.adapter_in_exchange = true;
   if (operation == OrderCall::Operation::Unload)
   {
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -52,7 +52,7 @@
         hub({Common::VmId(name), Common::Incarnation("run"), endpoint}, dispatcher, desk)
   {
     desk.SetPermission([] {
-      return std::optional<std::int64_t>(1);
+      return std::optional(OrderPermit{1, Common::TimePoint::max()});
     });
     TableAccess table;
     table.version = [this] {
--- a/Source/UnitTests/Orders/OrderDeskTest.cpp
+++ b/Source/UnitTests/Orders/OrderDeskTest.cpp
@@ -36,6 +36,9 @@
                 Later([done, answer = report] {
                   done(answer);
                 });
+              },
+              [this] {
+                ++abandoned;
               }},
              {})
   {
@@ -53,8 +56,10 @@
     pool.engine = engine;
     configuration->pools[pool.id] = pool;
     desk.SetConfiguration(configuration);
-    desk.SetPermission([this] {
-      return fence;
+    desk.SetPermission([this]() -> std::optional<OrderPermit> {
+      if (!fence)
+        return std::nullopt;
+      return OrderPermit{*fence, permitted_until};
     });
     SetModels({"a", "b"});
   }
@@ -96,6 +101,8 @@
   ServerDirectory servers;
   std::vector<OrderCall> calls;
   int reports = 0;
+  int abandoned = 0;
+  Common::TimePoint permitted_until = Common::Now() + std::chrono::hours(1);
   Answer next_answer{OrderAnswer::Accepted};
   Common::Result<ServerReport> report{ServerReport{4, false, {}, {}}};
   std::optional<std::int64_t> fence = 9;
@@ -112,6 +119,7 @@
   CPPUNIT_TEST(AsksTheServersStateBeforeTheFirstOrder);
   CPPUNIT_TEST(UnloadsThenLoadsWithRisingSequences);
   CPPUNIT_TEST(OrdersNothingWithoutTheLease);
+  CPPUNIT_TEST(OrdersNameTheMomentFromWhichTheyMayNotLeave);
   CPPUNIT_TEST(ABusyServerGetsNoOrder);
   CPPUNIT_TEST(ARefusedOrderIsPlannedAnewAfterANewReport);
   CPPUNIT_TEST(AnUnansweredOrderIsRepeatedOnlyWithItsSequence);
@@ -165,6 +173,19 @@
     CPPUNIT_ASSERT(world.calls.empty());
   }
 
+  void OrdersNameTheMomentFromWhichTheyMayNotLeave()
+  {
+    World world;
+    world.Demand("c");
+    CPPUNIT_ASSERT(world.PlanUntil([&] {
+      return !world.calls.empty();
+    }));
+    CPPUNIT_ASSERT(world.permitted_until == world.calls[0].send_before);
+    CPPUNIT_ASSERT_EQUAL(0, world.abandoned);
+    world.desk.Abandon();
+    CPPUNIT_ASSERT_EQUAL(1, world.abandoned);
+  }
+
   void ABusyServerGetsNoOrder()
   {
     World world;
