Common and others: mechanisms can be switched off one by one

The decisions stay pure: the plan takes its rules with its input. 'Adapters beside the base' has no switch: without it requests for adapters are not served at all.

--- a/Source/Core/Daemon/Settings.cpp
+++ b/Source/Core/Daemon/Settings.cpp
@@ -13,6 +13,8 @@
 #include <cxxopts.hpp>
 #include <gio/gio.h>
 
+#include "Common/Mechanisms.h"
+
 namespace Daemon
 {
 namespace
@@ -26,7 +28,7 @@
   const char* help;
 };
 
-constexpr std::array<Definition, 26> DEFINITIONS{{
+constexpr std::array<Definition, 27> DEFINITIONS{{
     {"vm", nullptr, "name of this entry VM in the platform's list"},
     {"data-centre", nullptr, "data centre of this VM"},
     {"listen", nullptr, "IP:port for callers"},
@@ -53,6 +55,7 @@
     {"routing", "affinity", "routing policy: affinity or round-robin"},
     {"queue", "fair", "queue policy: fair or fifo"},
     {"load-order", "urgency", "order of loads: urgency or fifo"},
+    {"without", "", "mechanisms to switch off, to measure what they are worth: NAME,..."},
 }};
 
 std::string EnvironmentName(const std::string& name)
@@ -134,6 +137,13 @@
     return seeds;
   }
 
+  void Without(const std::string& name)
+  {
+    const auto switched = Common::SwitchOff(Text(name));
+    if (!switched)
+      Fail(name, switched.Reason().detail);
+  }
+
   /// From the variable DRUMPOND_PEER_KEY or from the file.
   std::string PeerKey()
   {
@@ -221,6 +231,7 @@
   settings.routing = reader.Choice("routing", "affinity", "round-robin");
   settings.queue = reader.Choice("queue", "fair", "fifo");
   settings.load_order = reader.Choice("load-order", "urgency", "fifo");
+  reader.Without("without");
 }
 } // namespace
 
--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -128,7 +128,10 @@
     return model.waiting * rank + std::chrono::duration<double>(model.oldest_wait).count();
   }
 
-  int Wanted(ModelIndex model) const { return WantedReplicas(Model(model), m_input.batch); }
+  int Wanted(ModelIndex model) const
+  {
+    return WantedReplicas(Model(model), m_input.batch, m_input.rules.spare_replicas);
+  }
 
   bool Lacks(ModelIndex model) const
   {
@@ -182,7 +185,7 @@
   bool MayWaitForDisk(ModelIndex index) const
   {
     const PlannedModel& model = Model(index);
-    if (model.oldest_wait >= model.from_store - model.from_disk)
+    if (!m_input.rules.disk_wait || model.oldest_wait >= model.from_store - model.from_disk)
       return false;
     return std::ranges::any_of(m_input.copies.Of(index), [&](const WeightCopy& copy) {
       return m_input.servers[At(copy.server)].usable;
@@ -205,7 +208,8 @@
     candidate.victim = VictimOn(server, model.memory_mb, [&](const PlannedReplica& replica) {
       return MayGive(server, replica);
     });
-    const bool takes_turns = IsUnserved(wanted) && model.oldest_wait >= TURN_WAIT;
+    const bool takes_turns =
+        m_input.rules.turns && IsUnserved(wanted) && model.oldest_wait >= TURN_WAIT;
     if (candidate.victim == nullptr && takes_turns)
       candidate.victim = VictimOn(server, model.memory_mb, [&](const PlannedReplica& replica) {
         return MayGiveItsTurn(server, replica, model);
@@ -321,14 +325,15 @@
 };
 } // namespace
 
-int WantedReplicas(const PlannedModel& model, int batch)
+int WantedReplicas(const PlannedModel& model, int batch, bool spare_replicas)
 {
-  if (model.waiting == 0 && model.in_flight == 0 &&
-      model.arrivals_per_second < SPARE_REPLICA_ABOVE_PER_SECOND)
+  const bool asked_often =
+      spare_replicas && model.arrivals_per_second >= SPARE_REPLICA_ABOVE_PER_SECOND;
+  if (model.waiting == 0 && model.in_flight == 0 && !asked_often)
     return 0;
   const double load = model.in_flight + model.waiting;
   const int by_load = 1 + static_cast<int>(load / (COMFORTABLE_FILL * std::max(batch, 1)));
-  const int spare = model.arrivals_per_second >= SPARE_REPLICA_ABOVE_PER_SECOND ? 2 : 1;
+  const int spare = asked_often ? 2 : 1;
   return std::max(by_load, spare);
 }
 
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -62,8 +62,17 @@
   WeightSource source = WeightSource::WeightStore; ///< Of the load that is given or comes next.
 };
 
+/// What the plan may do beyond loads for models that nobody holds.
+struct PlanRules
+{
+  bool spare_replicas = true; ///< A model that is asked for often keeps a second replica.
+  bool turns = true;          ///< A model that waits long pushes out one in use.
+  bool disk_wait = true;      ///< A busy server with a disk copy is waited for.
+};
+
 struct ReplicaPlanInput
 {
+  PlanRules rules;
   Common::TimePoint now;
   int batch = 1; ///< Requests at once on one server.
   std::vector<PlannedServer> servers;
@@ -82,5 +91,5 @@
 ReplicaPlan PlanReplicas(const ReplicaPlanInput& input);
 
 /// How many replicas of a model the demand asks for.
-int WantedReplicas(const PlannedModel& model, int batch);
+int WantedReplicas(const PlannedModel& model, int batch, bool spare_replicas = true);
 } // namespace Decisions
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Common/Log.h"
+#include "Common/Mechanisms.h"
 #include "Common/Random.h"
 
 namespace Gateway
@@ -119,7 +120,9 @@
     candidates.push_back(std::move(candidate));
     servers.push_back(server);
   }
-  const auto chosen = m_routing.Choose(candidates, relay.AffinityKey(), Common::SharedRandom());
+  const std::string_view affinity =
+      Common::IsOn(Common::Mechanism::Affinity) ? relay.AffinityKey() : std::string_view();
+  const auto chosen = m_routing.Choose(candidates, affinity, Common::SharedRandom());
   return chosen ? servers[*chosen] : nullptr;
 }
 
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Common/Log.h"
+#include "Common/Mechanisms.h"
 #include "Common/Random.h"
 #include "Gateway/Dispatcher.h"
 #include "Gateway/Forwarding.h"
@@ -501,7 +502,8 @@
     return false;
   if (may_have_run && !m_route.IsRepeatable())
     return false;
-  return !m_stream_begun || m_events.LastId().has_value();
+  const bool resumes = Common::IsOn(Common::Mechanism::Resumption) && m_events.LastId();
+  return !m_stream_begun || resumes;
 }
 
 void Relay::PassAnswerOn()
--- a/Source/Core/Gateway/RetryBudget.cpp
+++ b/Source/Core/Gateway/RetryBudget.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "Common/Mechanisms.h"
+
 namespace Gateway
 {
 namespace
@@ -33,8 +35,9 @@
 double RetryBudget::Left(const PoolId& pool, Common::TimePoint now)
 {
   const Counts& counts = Fresh(pool, now);
+  const double slack = Common::IsOn(Common::Mechanism::BudgetSlack) ? m_settings.slack : 0;
   const double allowed = m_settings.ratio * static_cast<double>(counts.requests.size()) +
-                         m_settings.slack / std::max(m_daemons, 1);
+                         slack / std::max(m_daemons, 1);
   return USED_SHARE * allowed - static_cast<double>(counts.repeats.size());
 }
 
--- a/Source/Core/Gateway/ServerHealth.cpp
+++ b/Source/Core/Gateway/ServerHealth.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "Common/Mechanisms.h"
+
 namespace Gateway
 {
 namespace
@@ -46,7 +48,7 @@
 
 void ServerHealth::Eject(Common::TimePoint now)
 {
-  if (IsEjected(now))
+  if (IsEjected(now) || !Common::IsOn(Common::Mechanism::Ejection))
     return;
   const int doublings = std::min(m_ejections, MAX_DOUBLINGS);
   const auto span = std::min(FIRST_EJECTION * (1 << doublings), LONGEST_EJECTION);
--- a/Source/Core/Gateway/SilenceDetector.cpp
+++ b/Source/Core/Gateway/SilenceDetector.cpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "Common/Mechanisms.h"
+
 namespace Gateway
 {
 namespace
@@ -61,7 +63,8 @@
 
 bool SilenceDetector::IsSilent(Common::TimePoint now) const
 {
-  return m_quiet_since && m_sent_since_heard >= UNHEARD_REQUESTS && now - *m_quiet_since > Limit();
+  return Common::IsOn(Common::Mechanism::SilenceDetector) && m_quiet_since &&
+         m_sent_since_heard >= UNHEARD_REQUESTS && now - *m_quiet_since > Limit();
 }
 
 Milliseconds SilenceDetector::Limit() const
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "Common/Mechanisms.h"
 #include "Common/Random.h"
 #include "Common/Reactor.h"
 #include "Gateway/Dispatcher.h"
@@ -40,6 +41,8 @@
   constexpr double ENOUGH_MBPS = 100;
   constexpr double MS_FOR_LACK_OF_CORES = 1000;
   constexpr double MS_FOR_LACK_OF_LINK = 1000;
+  if (!Common::IsOn(Common::Mechanism::StrongFirst))
+    return Common::Milliseconds(0);
   const double core_lack = std::clamp(1 - cores / ENOUGH_CORES, 0.0, 1.0);
   const double link_lack = std::clamp(1 - link_mbps / ENOUGH_MBPS, 0.0, 1.0);
   return Common::Milliseconds(static_cast<std::int64_t>(core_lack * MS_FOR_LACK_OF_CORES +
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -17,6 +17,7 @@
 
 #include "Common/Log.h"
 #include "Common/Loop.h"
+#include "Common/Mechanisms.h"
 #include "Orders/MessageSize.h"
 #include "Orders/NewsWriter.h"
 
@@ -118,7 +119,8 @@
   for (const TableAccess& table : m_tables)
   {
     table.set_wait(own_lease ? HOLDER_WAIT : FOLLOWER_WAIT);
-    table.set_gathering(own_lease ? HOLDER_GATHERING : FOLLOWER_GATHERING);
+    if (Common::IsOn(Common::Mechanism::GatheredChanges))
+      table.set_gathering(own_lease ? HOLDER_GATHERING : FOLLOWER_GATHERING);
     if (own_lease)
       table.set_relayed(false, AskReason::HoldsIt);
   }
@@ -457,7 +459,8 @@
       const auto total = state->in_flight.find(HashOf(instance));
       const int elsewhere =
           total == state->in_flight.end() ? 0 : total->second - server->InFlight();
-      server->SetRemoteInFlight(std::max(elsewhere, 0));
+      if (Common::IsOn(Common::Mechanism::RemoteLoad))
+        server->SetRemoteInFlight(std::max(elsewhere, 0));
     }
   m_dispatcher.WakeWaiting();
 }
@@ -485,7 +488,7 @@
   {
     const bool current = news[i].answer_age_ms < MAX_ANSWER_AGE.count();
     const bool whole = m_tables[i].take_relayed(news[i].from, news[i].to, news[i].rows);
-    if (current && whole)
+    if (current && whole && Common::IsOn(Common::Mechanism::RelayedTables))
     {
       m_news_states[i].whole_at = now;
       m_tables[i].set_relayed(true, AskReason::NoHolder);
--- a/Source/Core/Orders/PlanBook.cpp
+++ b/Source/Core/Orders/PlanBook.cpp
@@ -8,6 +8,8 @@
 #include <iterator>
 #include <utility>
 
+#include "Common/Mechanisms.h"
+
 namespace Orders
 {
 using Common::Milliseconds;
@@ -40,6 +42,9 @@
   const Gateway::EngineSpec& engine = *pool.engine;
   m_memory_mb = engine.memory_mb;
   m_input.batch = engine.batch;
+  m_input.rules = {Common::IsOn(Common::Mechanism::SpareReplicas),
+                   Common::IsOn(Common::Mechanism::Turns),
+                   Common::IsOn(Common::Mechanism::DiskWait)};
   for (Decisions::PlannedModel& model : m_input.models)
   {
     model.listed = false;
