Orders: a model that is unloaded leaves the server's report behind

Cause, from the orders in the logs: since books are refreshed only when an entry changes, what a report named and the entry named too was never handed over to the entry. When the model was unloaded it still counted as held: nobody loaded it again, and its place counted as taken. Red first: OrderDeskTest AModelThatIsUnloadedLeavesTheReportBehind.

--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -187,10 +187,12 @@
 void OrderDesk::RefreshSlot(Slot& slot, TimePoint now)
 {
   ServerBook& book = *slot.book;
-  const bool entry_changed = slot.entry_revision != slot.server->EntryRevision();
-  if (entry_changed)
-    RefreshBook(*slot.server, book, now);
-  if (slot.plan != nullptr && (entry_changed || book.held_changed))
+  if (slot.entry_revision == slot.server->EntryRevision() && !book.held_changed)
+    return;
+  // Also after a report: what the entry names is the entry's from now on. Where the report's word
+  // stayed beside it, a model that was unloaded later counted as held for ever.
+  RefreshBook(*slot.server, book, now);
+  if (slot.plan != nullptr)
     slot.plan->SetHeld(slot.index, HeldModels(book, now));
   slot.entry_revision = slot.server->EntryRevision();
   book.held_changed = false;
--- a/Source/UnitTests/Orders/OrderDeskTest.cpp
+++ b/Source/UnitTests/Orders/OrderDeskTest.cpp
@@ -125,6 +125,7 @@
   CPPUNIT_TEST(AnUnansweredOrderIsRepeatedOnlyWithItsSequence);
   CPPUNIT_TEST(AnUnansweredOrderThatWasTakenIsNotRepeated);
   CPPUNIT_TEST(AModelOnlyTheReportNamesTakesItsRoom);
+  CPPUNIT_TEST(AModelThatIsUnloadedLeavesTheReportBehind);
   CPPUNIT_TEST(AnAdapterKeepsItsSlotUntilItsUnloadIsConfirmed);
   CPPUNIT_TEST(ALeavingModelIsAnnouncedBeforeItsUnload);
   CPPUNIT_TEST_SUITE_END();
@@ -261,6 +262,31 @@
       CPPUNIT_ASSERT(call.operation == OrderCall::Operation::Unload);
   }
 
+  /// Symptom: after a change of the holder 45 of 256 servers got orders; requests for models that
+  /// nobody held were refused for the rest of the day (683 of 5,740).
+  /// Sequence: the new holder reads a server's report, which names the models of its entry; it
+  /// unloads one; the entry drops it, but what the report named still counted as held.
+  void AModelThatIsUnloadedLeavesTheReportBehind()
+  {
+    World world;
+    world.report = ServerReport{4, false, {{ModelId("a"), {}}, {ModelId("b"), {}}}, {}};
+    world.Demand("c");
+    CPPUNIT_ASSERT(world.PlanUntil([&] {
+      return world.calls.size() == 1;
+    }));
+    CPPUNIT_ASSERT(world.calls[0].operation == OrderCall::Operation::Unload);
+    const std::string victim = world.calls[0].artifact.model.Get();
+    RunFor(Milliseconds(20));
+    world.SetModels({victim == "a" ? "b" : "a", "c"});
+    // What was unloaded is wanted again: it has to be loaded, since nobody holds it.
+    world.next_answer = OrderAnswer::AlreadySo;
+    CPPUNIT_ASSERT(world.PlanUntil([&] {
+      world.Demand(victim.c_str());
+      return !world.calls.empty() && world.calls.back().operation == OrderCall::Operation::Unload &&
+             world.calls.back().artifact.model.Get() != victim;
+    }));
+  }
+
   void AnAdapterKeepsItsSlotUntilItsUnloadIsConfirmed()
   {
     World world;
