--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -66,6 +66,8 @@
 constexpr Milliseconds PLACEMENT_VALID{2000};
 constexpr int DATAGRAMS_PER_TURN = 64;
 constexpr int ABDICATION_COPIES = 3;
+/// Full servers that a daemon names in one report; the others follow in the next.
+constexpr std::size_t MAX_FULL_SERVERS = 64;
 
 void SetPlacements(HolderReport& report, PlacementNews news)
 {
@@ -172,6 +174,10 @@
                              demand.oldest_wait.count(), demand.arrivals});
   for (const auto& [instance, server] : m_dispatcher.Servers().All())
   {
+    // Plain servers free a slot within some ms: by the time of the news theirs is over.
+    const bool is_full = server->TakeFullNews() && !server->Entry().models.empty();
+    if (is_full && report.full.size() < MAX_FULL_SERVERS)
+      report.full.push_back(HashOf(instance));
     if (server->InFlight() == 0)
       continue;
     LoadLine line;
@@ -204,6 +210,7 @@
   {
     m_desk.TakeReport(report, Common::Now());
     m_desk.PlanSoon();
+    m_full.insert(report.full.begin(), report.full.end());
     AnnounceNow(true);
     return;
   }
@@ -297,6 +304,8 @@
   state.daemons = m_daemons.Get();
   state.least_handicap_ms = LeastHandicapOfPeers().count();
   state.regular = regular;
+  state.full.assign(m_full.begin(), m_full.end());
+  m_full.clear();
   if (regular)
     for (const auto& [instance, load] : m_desk.Flights().All())
       if (load.in_flight > 0)
@@ -317,7 +326,7 @@
     peer.sent = announcement.position_after.tables;
     if (announcement.has_news)
       peer.sent_at = now;
-    if (announcement.has_news || regular)
+    if (announcement.has_news || regular || !state.full.empty())
       SendTo(peer.endpoint, announcement.bytes);
   }
   SetPlacements(report, m_placements.Since(m_placement_heard));
@@ -409,6 +418,11 @@
       AnnounceSoon();
     }
     m_desk.TakeReport(report, now);
+    if (!report.full.empty())
+    {
+      m_full.insert(report.full.begin(), report.full.end());
+      AnnounceSoon();
+    }
     const bool anyone_waits = std::ranges::any_of(report.demand, [](const DemandLine& line) {
       return line.waiting > 0;
     });
@@ -453,6 +467,7 @@
                     state->vm, from);
   TakeNews(report.news);
   TakePlacements(report);
+  TakeFull(state->full);
   if (state->regular)
     for (const auto& [instance, server] : m_dispatcher.Servers().All())
     {
@@ -465,6 +480,16 @@
   m_dispatcher.WakeWaiting();
 }
 
+void Hub::TakeFull(const std::vector<ServerHash>& full)
+{
+  if (full.empty())
+    return;
+  const auto now = Common::Now();
+  for (const auto& [instance, server] : m_dispatcher.Servers().All())
+    if (std::ranges::find(full, HashOf(instance)) != full.end())
+      server->NoteFullElsewhere(now);
+}
+
 void Hub::TakePlacements(const HolderReport& report)
 {
   if (m_placement_heard < report.placement_from)
