--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -320,8 +320,6 @@
     return Verdict::Skip;
   }
   m_head = head;
-  if (!IsRejection())
-    m_server->NoteServing();
   const std::string* type = m_head.Find("Content-Type");
   m_is_stream = m_route.repeatability == Repeatability::Streaming && m_head.status == 200 &&
                 IsSound(m_head) &&
@@ -446,10 +444,7 @@
   else if (m_head.status == 421)
     m_server->NoteMissing(m_artifact, now);
   else
-  {
     m_server->NoteFull(now);
-    m_dispatcher.RequestDemand();
-  }
   AttemptFailed("rejected with " + std::to_string(m_head.status), m_may_have_run);
 }
 
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -6,7 +6,6 @@
 #include <algorithm>
 
 #include "Common/Log.h"
-#include "Common/Random.h"
 
 namespace Gateway
 {
@@ -14,19 +13,8 @@
 {
 /// For so long an artifact that a server denied is not asked of it again, unless its entry changes.
 constexpr Common::Milliseconds MISSING_PAUSE{400};
-/// For so long a server that rejected a request for want of room gets none, twice as long after
-/// each rejection that follows: each costs a repeat of the budget that all requests share.
-constexpr Common::Milliseconds FIRST_FULL_PAUSE{60};
-constexpr int MAX_FULL_DOUBLINGS = 2;
-/// The same where another daemon was rejected: between these two, drawn at random, so that daemons
-/// that heard it together do not try together.
-constexpr int SHORTEST_PAUSE_ELSEWHERE_MS = 60;
-constexpr int LONGEST_PAUSE_ELSEWHERE_MS = 240;
-
-Common::Milliseconds FullPause(int rejections)
-{
-  return FIRST_FULL_PAUSE * (1 << std::min(rejections - 1, MAX_FULL_DOUBLINGS));
-}
+/// For so long a server that rejected a request for want of room gets none.
+constexpr Common::Milliseconds FULL_PAUSE{60};
 } // namespace
 
 void Server::SetEntry(ServerEntry entry)
@@ -88,23 +76,7 @@
 
 void Server::NoteFull(Common::TimePoint now)
 {
-  ++m_rejections;
-  m_full_until = now + FullPause(m_rejections);
-  m_full_is_news = true;
-}
-
-void Server::NoteFullElsewhere(Common::TimePoint now)
-{
-  constexpr std::uint64_t SPREAD = LONGEST_PAUSE_ELSEWHERE_MS - SHORTEST_PAUSE_ELSEWHERE_MS;
-  const auto extra = static_cast<std::int64_t>(Common::SharedRandom()() % SPREAD);
-  m_full_until =
-      std::max(m_full_until, now + Common::Milliseconds(SHORTEST_PAUSE_ELSEWHERE_MS + extra));
-}
-
-void Server::NoteServing()
-{
-  if (std::exchange(m_rejections, 0) > 0)
-    m_full_until = {};
+  m_full_until = now + FULL_PAUSE;
 }
 
 std::shared_ptr<Http::OriginConnection> Server::TakeConnection(Common::TimePoint now)
@@ -127,8 +99,6 @@
 void Server::NoteStart(const Artifact& artifact, Common::TimePoint now)
 {
   m_silence.NoteSent(now);
-  if (m_rejections > 0)
-    m_full_until = now + FullPause(m_rejections);
   ++m_in_flight;
   ++m_in_flight_by_model[artifact.model];
 }
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -8,7 +8,6 @@
 #include <memory>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "Common/Loop.h"
@@ -63,15 +62,8 @@
   void ForgetPlacement() { m_placement.reset(); }
   /// Another process has the address: this instance is gone.
   void NoteReplaced() { m_replaced = true; }
-  /// The server rejected a request for want of room: it gets none for a pause that doubles with
-  /// each rejection in a row, and then one in each pause until it serves again.
+  /// The server takes no connection now.
   void NoteFull(Common::TimePoint now);
-  /// Another daemon was rejected so: the server gets nothing from here for a while either.
-  void NoteFullElsewhere(Common::TimePoint now);
-  /// The server works on a request: it has room.
-  void NoteServing();
-  /// True once after each rejection, for whoever tells the other daemons.
-  bool TakeFullNews() { return std::exchange(m_full_is_news, false); }
 
   /// A kept connection or a new one; nullptr where no socket is left.
   std::shared_ptr<Http::OriginConnection> TakeConnection(Common::TimePoint now);
@@ -100,8 +92,6 @@
   SilenceDetector m_silence;
   bool m_replaced = false;
   Common::TimePoint m_full_until;
-  int m_rejections = 0; ///< For want of room, in a row.
-  bool m_full_is_news = false;
   Http::IdleConnections m_idle{MAX_IDLE_CONNECTIONS};
   struct Placement
   {
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -66,8 +66,6 @@
 constexpr Milliseconds PLACEMENT_VALID{2000};
 constexpr int DATAGRAMS_PER_TURN = 64;
 constexpr int ABDICATION_COPIES = 3;
-/// Full servers that a daemon names in one report; the others follow in the next.
-constexpr std::size_t MAX_FULL_SERVERS = 64;
 
 void SetPlacements(HolderReport& report, PlacementNews news)
 {
@@ -174,10 +172,6 @@
                              demand.oldest_wait.count(), demand.arrivals});
   for (const auto& [instance, server] : m_dispatcher.Servers().All())
   {
-    // Plain servers free a slot within some ms: by the time of the news theirs is over.
-    const bool is_full = server->TakeFullNews() && !server->Entry().models.empty();
-    if (is_full && report.full.size() < MAX_FULL_SERVERS)
-      report.full.push_back(HashOf(instance));
     if (server->InFlight() == 0)
       continue;
     LoadLine line;
@@ -210,7 +204,6 @@
   {
     m_desk.TakeReport(report, Common::Now());
     m_desk.PlanSoon();
-    m_full.insert(report.full.begin(), report.full.end());
     AnnounceNow(true);
     return;
   }
@@ -304,8 +297,6 @@
   state.daemons = m_daemons.Get();
   state.least_handicap_ms = LeastHandicapOfPeers().count();
   state.regular = regular;
-  state.full.assign(m_full.begin(), m_full.end());
-  m_full.clear();
   if (regular)
     for (const auto& [instance, load] : m_desk.Flights().All())
       if (load.in_flight > 0)
@@ -326,7 +317,7 @@
     peer.sent = announcement.position_after.tables;
     if (announcement.has_news)
       peer.sent_at = now;
-    if (announcement.has_news || regular || !state.full.empty())
+    if (announcement.has_news || regular)
       SendTo(peer.endpoint, announcement.bytes);
   }
   SetPlacements(report, m_placements.Since(m_placement_heard));
@@ -418,11 +409,6 @@
       AnnounceSoon();
     }
     m_desk.TakeReport(report, now);
-    if (!report.full.empty())
-    {
-      m_full.insert(report.full.begin(), report.full.end());
-      AnnounceSoon();
-    }
     const bool anyone_waits = std::ranges::any_of(report.demand, [](const DemandLine& line) {
       return line.waiting > 0;
     });
@@ -467,7 +453,6 @@
                     state->vm, from);
   TakeNews(report.news);
   TakePlacements(report);
-  TakeFull(state->full);
   if (state->regular)
     for (const auto& [instance, server] : m_dispatcher.Servers().All())
     {
@@ -480,16 +465,6 @@
   m_dispatcher.WakeWaiting();
 }
 
-void Hub::TakeFull(const std::vector<ServerHash>& full)
-{
-  if (full.empty())
-    return;
-  const auto now = Common::Now();
-  for (const auto& [instance, server] : m_dispatcher.Servers().All())
-    if (std::ranges::find(full, HashOf(instance)) != full.end())
-      server->NoteFullElsewhere(now);
-}
-
 void Hub::TakePlacements(const HolderReport& report)
 {
   if (m_placement_heard < report.placement_from)
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -103,8 +102,6 @@
   void CheckHolder();
   void TakeNews(const std::vector<TableNews>& news);
   void TakePlacements(const HolderReport& report);
-  /// Servers that have no room, by what another daemon met.
-  void TakeFull(const std::vector<ServerHash>& full);
   Common::Milliseconds LeastHandicapOfPeers() const;
   /// Up to where a daemon has, or will have when what is on its way arrives, the holder's news.
   /// Daemons with the same position get the same bytes.
@@ -138,7 +135,6 @@
   std::vector<TableAccess> m_tables;
   LeaseWordHandler m_on_lease_word;
   PlacementLog m_placements;
-  std::set<ServerHash> m_full; ///< Rejected some daemon's request since the last announcement.
   std::vector<NewsState> m_news_states;
   bool m_missed_news = false;
   std::uint64_t m_placement_heard = 0; ///< Version of the placements that were last taken.
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -71,11 +71,6 @@
   }
 };
 
-/// Stands for a backend server where its whole name would be most of the message. Two servers with
-/// one hash only blur each other's load.
-using ServerHash = std::uint32_t;
-ServerHash HashOf(const Gateway::InstanceId& instance);
-
 /// From a daemon to the holder.
 struct DaemonReport
 {
@@ -88,14 +83,12 @@
   std::uint64_t placement_version = 0;      ///< Of the last placements that it has.
   bool missed_news = false;                 ///< Changes were missing: they should be sent again.
   std::int64_t handicap_ms = 0;             ///< How ill its VM is fit to hold the lease.
-  /// Servers that rejected a request for want of room since the report before.
-  std::vector<ServerHash> full;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
     archive(vm, run, sequence, demand, loads, table_versions, placement_version, missed_news,
-            handicap_ms, full);
+            handicap_ms);
   }
 };
 
@@ -116,6 +109,11 @@
   }
 };
 
+/// Stands for a backend server where its whole name would be most of the message. Two servers with
+/// one hash only blur each other's load.
+using ServerHash = std::uint32_t;
+ServerHash HashOf(const Gateway::InstanceId& instance);
+
 /// The part of a holder's report that is the same for all daemons; encoded once.
 struct HolderState
 {
@@ -128,13 +126,12 @@
   bool abdicated = false; ///< It has stopped ordering under this version of the lease's row.
   bool regular = false;   ///< Holds `in_flight`; else there is only news.
   std::map<ServerHash, std::int32_t> in_flight; ///< Open requests of all daemons.
-  std::vector<ServerHash> full; ///< Servers that rejected some daemon's request just now.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
     archive(vm, daemons, least_handicap_ms, lease_version, lease_left_ms, abdicated, regular,
-            in_flight, full);
+            in_flight);
   }
 };
 
--- a/Source/UnitTests/Gateway/PartsTest.cpp
+++ b/Source/UnitTests/Gateway/PartsTest.cpp
@@ -23,47 +23,12 @@
   CPPUNIT_TEST(KnownEventsAreLeftOut);
   CPPUNIT_TEST(TheBudgetFollowsOwnRequestsAndTheSharedSlack);
   CPPUNIT_TEST(AFailingServerIsEjectedAndTriedWithOneRequest);
-  CPPUNIT_TEST(AFullServerIsTriedWithOneRequestAPause);
   CPPUNIT_TEST(TheLongestPrefixOfTheHostWins);
   CPPUNIT_TEST(ALapsedEntryWaitsOutTheGrace);
   CPPUNIT_TEST(ARemovalInCalmTimesHoldsAtOnce);
   CPPUNIT_TEST(ADrainingServerGoesWithoutGrace);
   CPPUNIT_TEST_SUITE_END();
 
-  /// Symptom: servers rejected 10,253 of 51,096 arrivals, one request four times within 0.25 s, and
-  /// the repeats that others needed were spent.
-  /// Cause: a full server was asked again every 60 ms, by all that waited for it at once.
-  void AFullServerIsTriedWithOneRequestAPause()
-  {
-    const Artifact artifact{ModelId("m"), {}};
-    Server server(ServerEntry{});
-    const auto start = Common::Now();
-    const auto at = [&](int ms) {
-      return start + Milliseconds(ms);
-    };
-    const auto reject = [&](Common::TimePoint when) {
-      server.NoteHeard(when);
-      server.NoteFull(when);
-      server.NoteEnd(artifact, when);
-    };
-    server.NoteStart(artifact, start);
-    reject(start);
-    CPPUNIT_ASSERT(!server.IsAvailable(at(59)));
-    CPPUNIT_ASSERT(server.IsAvailable(at(60)));
-    server.NoteStart(artifact, at(60));
-    CPPUNIT_ASSERT(!server.IsAvailable(at(61)));
-    reject(at(65));
-    CPPUNIT_ASSERT(!server.IsAvailable(at(184)));
-    CPPUNIT_ASSERT(server.IsAvailable(at(185)));
-    server.NoteServing();
-    CPPUNIT_ASSERT(server.IsAvailable(at(66)));
-    CPPUNIT_ASSERT(server.TakeFullNews());
-    CPPUNIT_ASSERT(!server.TakeFullNews());
-    server.NoteFullElsewhere(at(200));
-    CPPUNIT_ASSERT(!server.IsAvailable(at(259)));
-    CPPUNIT_ASSERT(server.IsAvailable(at(440)));
-  }
-
   void EventsAreCutOnlyAtTheirEnd()
   {
     EventSplitter splitter;
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -115,7 +115,6 @@
   CPPUNIT_TEST(PlacementsOfManyServersArrive);
   CPPUNIT_TEST(ARowThatIsLeftOutIsAskedForAtOnce);
   CPPUNIT_TEST(ADaemonWithRequestsAtManyServersIsHeard);
-  CPPUNIT_TEST(AFullServerIsNewsForAllDaemons);
   CPPUNIT_TEST_SUITE_END();
 
   static void Begin(Daemon& holder, Daemon& other)
@@ -124,34 +123,6 @@
     other.hub.SetHolder(holder.endpoint, std::nullopt);
   }
 
-  /// Load pattern: demand jumps to a model with few replicas, and hundreds of daemons ask for it,
-  /// each rarely: what one has met at a full server, the others met again one by one.
-  void AFullServerIsNewsForAllDaemons()
-  {
-    Daemon holder("a");
-    Daemon other("b");
-    Daemon third("c");
-    for (Daemon* daemon : {&holder, &other, &third})
-      daemon->AddServers(1, false);
-    Begin(holder, other);
-    third.hub.SetHolder(holder.endpoint, std::nullopt);
-    CPPUNIT_ASSERT(RunUntil([&] {
-      return holder.hub.Daemons() == 3;
-    }));
-    const auto server_at = [](Daemon& daemon) {
-      return daemon.dispatcher.Servers().Find(InstanceOf(0));
-    };
-    CPPUNIT_ASSERT(server_at(third)->IsAvailable(Common::Now()));
-    server_at(other)->NoteFull(Common::Now());
-    other.hub.ReportSoon();
-    CPPUNIT_ASSERT(RunUntil([&] {
-      return !server_at(third)->IsAvailable(Common::Now());
-    }));
-    CPPUNIT_ASSERT(RunUntil([&] {
-      return server_at(third)->IsAvailable(Common::Now());
-    }));
-  }
-
   /// Symptom: daemons never learn which adapters are loaded.
   /// Sequence: 900 servers hold eight adapters each; all placements stand in one announcement, some
   /// 110 KB, which is not sent as it fits no datagram. Those between its repeats are heard.
