Gateway: only a stream's caller leaves for want of a word

Found on reading the refusal at once again: the caller's patience was taken for streams and whole answers alike, so a request for a whole answer with 8 s left would have been refused where the weight store needs 5 s. The patience is now read once with the route, and for whole answers the deadline alone counts. Red first: RelayTest OnlyStreamsHaveAnImpatientCaller.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -82,8 +82,11 @@
   return pools.back().pool;
 }
 
+/// How long a caller stays without a word; for a whole answer until its deadline.
 Milliseconds CallerPatience(const Route& route)
 {
+  if (route.repeatability != Repeatability::Streaming)
+    return Milliseconds::max();
   return std::max({CALLER_PATIENCE, route.latency_target * CALLER_PATIENCE_TARGETS,
                    route.gap_target * CALLER_PATIENCE_GAPS});
 }
@@ -150,6 +153,7 @@
   }
   m_route = *route;
   m_pool = PickPool(m_route.pools);
+  m_patience = CallerPatience(m_route);
   ReadHeaders();
   StartTimers();
   m_dispatcher.NoteArrival(*this);
@@ -232,7 +236,7 @@
   if (m_waiting)
     return;
   if (m_arrivals == 0 && !m_may_have_run)
-    m_come_back_after = m_dispatcher.CannotServeFor(*this, CallerPatience(m_route));
+    m_come_back_after = m_dispatcher.CannotServeFor(*this, m_patience);
   if (m_come_back_after)
   {
     m_dispatcher.ExpectReturn(*this, *m_come_back_after);
@@ -242,9 +246,8 @@
   m_waiting = true;
   auto limit =
       std::chrono::duration_cast<Milliseconds>((m_deadline - m_arrived) * WAIT_SHARE_OF_DEADLINE);
-  if (m_route.repeatability == Repeatability::Streaming)
-    limit = std::min(limit, std::chrono::duration_cast<Milliseconds>(CallerPatience(m_route) *
-                                                                     WAIT_SHARE_OF_PATIENCE));
+  limit = std::min(limit,
+                   std::chrono::duration_cast<Milliseconds>(m_patience * WAIT_SHARE_OF_PATIENCE));
   const auto left = m_arrived + limit - Common::Now();
   m_wait_timer.Start(std::max(std::chrono::floor<Milliseconds>(left), Milliseconds(0)), [this] {
     OnWaitExpired();
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -108,6 +108,7 @@
   std::string m_affinity;
   Common::TimePoint m_arrived;
   Common::TimePoint m_deadline;
+  Common::Milliseconds m_patience{0}; ///< So long the caller stays without a word.
   Common::OwnedTimer m_deadline_timer;
   Common::OwnedTimer m_wait_timer;
   Common::OwnedTimer m_silence_timer;
--- a/Source/UnitTests/Gateway/RelayTest.cpp
+++ b/Source/UnitTests/Gateway/RelayTest.cpp
@@ -115,6 +115,8 @@
     auto configuration = std::make_shared<Configuration>(*dispatcher.CurrentConfiguration());
     ++configuration->version;
     configuration->routes.back().uses_model = true;
+    configuration->routes[1].uses_model = true;
+    configuration->routes[1].timeout = Milliseconds(8000);
     EngineSpec engine;
     engine.models[ModelId("m")].load_from_store = from_store;
     configuration->pools[PoolId("pool")].engine = engine;
@@ -184,6 +186,7 @@
   CPPUNIT_TEST(AnUnreachableServerCostsNoArrival);
   CPPUNIT_TEST(WhatTheWeightStoreBringsTooLateIsRefusedAtOnce);
   CPPUNIT_TEST(WhatLiesOnADiskIsWaitedFor);
+  CPPUNIT_TEST(OnlyStreamsHaveAnImpatientCaller);
   CPPUNIT_TEST(StopAnnouncesTheClose);
   CPPUNIT_TEST_SUITE_END();
 
@@ -220,6 +223,18 @@
     CPPUNIT_ASSERT_EQUAL(1, world.dispatcher.TakeDemand().at(0).waiting);
   }
 
+  /// A caller leaves a silent stream; for a whole answer it waits until its deadline. A load of 5 s
+  /// fits into 8 s, though not into the 2 s of a stream's caller.
+  void OnlyStreamsHaveAnImpatientCaller()
+  {
+    World world;
+    world.ServeModel(Milliseconds(5000));
+    world.AddServer("i-1", TestServer({}).Address(), {ModelId("other")});
+    world.Ask(ONCE_PATH, "id-1", "Model: m\r\n");
+    RunFor(Milliseconds(100));
+    CPPUNIT_ASSERT(world.caller.received.empty());
+  }
+
   void PassesRequestAndAnswerUnchanged()
   {
     TestServer server([](TestPeer& peer, const std::string& head) {
