Orders: a pool that loses its engine is planned no more

Found on reading: the plans' books of pools whose engine a configuration takes away stayed, and the next plan would have read the engine that is not there. Test: OrderDeskTest APoolThatLosesItsEngineIsPlannedNoMore (not seen red: without the mend the read is undefined).

--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -111,7 +111,8 @@
 {
   m_configuration = std::move(configuration);
   std::erase_if(m_plans, [&](const auto& entry) {
-    return !m_configuration->pools.contains(entry.first);
+    const auto pool = m_configuration->pools.find(entry.first);
+    return pool == m_configuration->pools.end() || !pool->second.engine;
   });
   for (const auto& [id, pool] : m_configuration->pools)
     if (pool.engine)
--- a/Source/UnitTests/Orders/OrderDeskTest.cpp
+++ b/Source/UnitTests/Orders/OrderDeskTest.cpp
@@ -126,6 +126,7 @@
   CPPUNIT_TEST(AnUnansweredOrderThatWasTakenIsNotRepeated);
   CPPUNIT_TEST(AModelOnlyTheReportNamesTakesItsRoom);
   CPPUNIT_TEST(AModelThatIsUnloadedLeavesTheReportBehind);
+  CPPUNIT_TEST(APoolThatLosesItsEngineIsPlannedNoMore);
   CPPUNIT_TEST(AnAdapterKeepsItsSlotUntilItsUnloadIsConfirmed);
   CPPUNIT_TEST(ALeavingModelIsAnnouncedBeforeItsUnload);
   CPPUNIT_TEST_SUITE_END();
@@ -262,6 +263,19 @@
       CPPUNIT_ASSERT(call.operation == OrderCall::Operation::Unload);
   }
 
+  void APoolThatLosesItsEngineIsPlannedNoMore()
+  {
+    World world;
+    world.Demand("c");
+    auto changed = std::make_shared<Configuration>();
+    changed->pools[PoolId("p")].id = PoolId("p");
+    world.desk.SetConfiguration(changed);
+    world.Demand("c");
+    world.desk.Plan(Common::Now());
+    RunFor(Milliseconds(20));
+    CPPUNIT_ASSERT(world.calls.empty());
+  }
+
   /// Symptom: after a change of the holder 45 of 256 servers got orders; requests for models that
   /// nobody held were refused for the rest of the day (683 of 5,740).
   /// Sequence: the new holder reads a server's report, which names the models of its entry; it
