--- a/Source/UnitTests/Decisions/PlanEquivalenceTest.cpp
+++ b/Source/UnitTests/Decisions/PlanEquivalenceTest.cpp
@@ -84,6 +84,7 @@
 std::vector<OrderText> Texts(const std::vector<PlannedOrder>& orders)
 {
   std::vector<OrderText> texts;
+  texts.reserve(orders.size());
   for (const PlannedOrder& order : orders)
     texts.emplace_back(order.kind == PlannedOrder::Kind::Load, Name("s", At(order.server)),
                        ModelName(order.model), order.for_model ? ModelName(*order.for_model) : "",
@@ -94,6 +95,7 @@
 std::vector<OrderText> Texts(const std::vector<ReferencePlan::PlannedOrder>& orders)
 {
   std::vector<OrderText> texts;
+  texts.reserve(orders.size());
   for (const ReferencePlan::PlannedOrder& order : orders)
     texts.emplace_back(order.kind == ReferencePlan::PlannedOrder::Kind::Load, order.instance,
                        order.model, order.for_model, static_cast<int>(order.source));
