Http: writes without a time limit ask no clock

Found on reading the change again: since orders are bound to the lease, each write to any socket read the clock right before its bytes left, also the pieces of all streams, which have no limit. Only a write with a limit reads it now; behaviour is the same (ChannelTest). No figure was measured.

--- a/Source/Core/Http/TcpStream.cpp
+++ b/Source/Core/Http/TcpStream.cpp
@@ -154,7 +154,7 @@
   while (Unsent() > 0)
   {
     // Looked at right before the bytes leave: a freeze can lie between any two steps.
-    if (Common::Now() >= m_write_before)
+    if (m_write_before != ANY_TIME && Common::Now() >= m_write_before)
       return false;
     const ssize_t count = send(m_fd, m_out.data() + m_out_begin, Unsent(), MSG_NOSIGNAL);
     if (count < 0 && errno == EINTR)
