--- a/Source/UnitTests/Gateway/RelayTest.cpp
+++ b/Source/UnitTests/Gateway/RelayTest.cpp
@@ -193,7 +193,8 @@
   /// Symptom: 352 of 438 bulk requests were refused after 5.6 s, and again when they came back.
   /// Cause: they waited for models whose weights only the weight store has; a load of 13.2 s
   /// outlasts a caller that leaves after 2 to 8 s without a word. Refused at once, the
-  /// share of what callers are owed rose by 0.096 +- 0.010 (twelve pairs, 22 servers, 1,375 models).
+  /// share of what callers are owed rose by 0.096 +- 0.010 (twelve pairs, 22 servers, 1,375
+  /// models).
   void WhatTheWeightStoreBringsTooLateIsRefusedAtOnce()
   {
     World world;
