--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -147,6 +147,35 @@
                                                                        : BestNear(model, unserved);
     if (best)
       Give(*best, model);
+    else if (unserved && Model(model).waiting > 0)
+      m_plan.passed_over.push_back(WhyPassedOver(model, store_allowed));
+  }
+
+  /// Costs by the servers with a copy alone.
+  PassedOver WhyPassedOver(ModelIndex model, bool store_allowed) const
+  {
+    const auto copies = m_input.copies.Of(model);
+    PassedOver result;
+    result.model = model;
+    result.copies = copies.size();
+    result.store_allowed = store_allowed;
+    bool any_idle = false;
+    for (const WeightCopy& copy : copies)
+    {
+      const PlannedServer& server = m_input.servers[At(copy.server)];
+      if (!server.usable)
+        continue;
+      any_idle = any_idle || !(server.order_open || m_ordered[At(copy.server)]);
+      if (result.nearest && FreeMemory(server) <= result.free_mb)
+        continue;
+      result.nearest = copy.server;
+      result.free_mb = FreeMemory(server);
+    }
+    if (any_idle || store_allowed)
+      result.obstacle = PlanObstacle::NoRoom;
+    else if (result.nearest)
+      result.obstacle = PlanObstacle::ServersAtOrders;
+    return result;
   }
 
   std::optional<Candidate> BestNear(ModelIndex model, bool unserved)
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "Common/Units.h"
@@ -81,9 +83,42 @@
   int store_loads_allowed = 0; ///< Loads from the weight store that may begin now.
 };
 
+/// Why a model that requests wait for, and that nobody holds, gets no load in this plan.
+enum class PlanObstacle : std::uint8_t
+{
+  NoUsableServer,  ///< No server takes orders.
+  ServersAtOrders, ///< Those that may load it carry out other orders.
+  NoRoom,          ///< On none of those that may load it is there room, or a model that may go.
+};
+constexpr std::string_view ToString(PlanObstacle obstacle)
+{
+  switch (obstacle)
+  {
+  case PlanObstacle::NoUsableServer:
+    return "no_usable_server";
+  case PlanObstacle::ServersAtOrders:
+    return "servers_at_orders";
+  case PlanObstacle::NoRoom:
+    break;
+  }
+  return "no_room";
+}
+
+/// A model that is passed over, with what decided it.
+struct PassedOver
+{
+  ModelIndex model{};
+  PlanObstacle obstacle = PlanObstacle::NoUsableServer;
+  std::size_t copies = 0; ///< Servers with a copy of the weights.
+  bool store_allowed = false; ///< It might have come from the weight store to any server.
+  std::optional<ServerIndex> nearest; ///< Of the servers with a copy that take orders, the emptiest.
+  double free_mb = 0;                 ///< Of the nearest.
+};
+
 struct ReplicaPlan
 {
   std::vector<PlannedOrder> orders; ///< To give now, at most one a server; the most urgent first.
+  std::vector<PassedOver> passed_over; ///< Models that requests wait for and that nobody gets.
   /// Places that were weighed: what a plan costs, beside one look at each model and server.
   std::size_t candidates = 0;
 };
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -181,6 +181,8 @@
   ServerState StateOf(const Slot& slot, Common::TimePoint now) const;
   void CheckOpen(const Gateway::ServerPtr& server, ServerBook& book, Common::TimePoint now);
   void PlanPool(const Gateway::Pool& pool, PlanBook& plan, Common::TimePoint now);
+  void LogPassedOver(const PlanBook& plan, const Decisions::ReplicaPlanInput& input,
+                     const std::vector<Decisions::PassedOver>& passed_over);
   void PlanAdapters(const Gateway::Pool& pool, Common::TimePoint now);
   void LoadAdapter(const Gateway::Pool& pool, const Gateway::Artifact& artifact,
                    const std::vector<const Slot*>& holders, Common::TimePoint now);
@@ -229,6 +231,8 @@
   std::uint64_t m_slots_revision = 0; ///< Of the servers that the slots were made from; 0: none.
   std::map<Gateway::Artifact, Common::TimePoint> m_adapter_wanted;
   bool m_unknown_logged = false; ///< Demand for a model that the configuration lacks.
+  /// When each model that is passed over was last logged.
+  std::map<Gateway::ModelId, Common::TimePoint> m_passed_over_logged;
   std::deque<Common::TimePoint> m_store_loads;
   std::uint64_t m_next_order = 1;
   std::map<std::string, std::int64_t> m_counters;
--- a/Source/Core/Orders/OrderDeskPlan.cpp
+++ b/Source/Core/Orders/OrderDeskPlan.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "Common/Log.h"
 #include "Common/Loop.h"
 
 namespace Orders
@@ -22,6 +23,9 @@
 /// Loads from the weight store at once: beyond it each takes longer in proportion.
 constexpr int STORE_LOADS_AT_ONCE = 4;
 
+/// A model that is passed over by plan after plan is logged so often.
+constexpr Common::Milliseconds PASSED_OVER_LOG_PAUSE{1000};
+
 /// What the order is for, for the log.
 std::string ReasonOf(const PlanBook& plan, const Decisions::PlannedOrder& order, int waiting)
 {
@@ -67,7 +71,9 @@
     if (slot.plan == &plan)
       plan.SetState(slot.index, StateOf(slot, now));
   const Decisions::ReplicaPlanInput& input = plan.Input(now, StoreLoadsAllowed(pool, now));
-  for (const Decisions::PlannedOrder& order : Decisions::PlanReplicas(input).orders)
+  const Decisions::ReplicaPlan decided = Decisions::PlanReplicas(input);
+  LogPassedOver(plan, input, decided.passed_over);
+  for (const Decisions::PlannedOrder& order : decided.orders)
   {
     const bool is_load = order.kind == Decisions::PlannedOrder::Kind::Load;
     std::optional<ModelId> then_load;
@@ -80,6 +86,34 @@
   }
 }
 
+void OrderDesk::LogPassedOver(const PlanBook& plan, const Decisions::ReplicaPlanInput& input,
+                              const std::vector<Decisions::PassedOver>& passed_over)
+{
+  std::erase_if(m_passed_over_logged, [&](const auto& entry) {
+    return input.now - entry.second >= PASSED_OVER_LOG_PAUSE;
+  });
+  for (const Decisions::PassedOver& entry : passed_over)
+  {
+    const ModelId& name = plan.NameOf(entry.model);
+    if (!m_passed_over_logged.try_emplace(name, input.now).second)
+      continue;
+    ++m_counters["passed_over_" + std::string(ToString(entry.obstacle))];
+    const Decisions::PlannedModel& model = input.models[Decisions::At(entry.model)];
+    Common::LogEvent(
+        Common::LogLevel::Info, "model-passed-over",
+        {{"model", name},
+         {"obstacle", ToString(entry.obstacle)},
+         {"waiting", model.waiting},
+         {"oldest_wait_ms", model.oldest_wait.count()},
+         {"copies", entry.copies},
+         {"store_allowed", entry.store_allowed},
+         {"instance",
+          entry.nearest ? plan.ServerAt(*entry.nearest)->Entry().instance.Get() : std::string()},
+         {"free_mb", static_cast<std::int64_t>(entry.free_mb)},
+         {"needed_mb", static_cast<std::int64_t>(model.memory_mb)}});
+  }
+}
+
 std::set<Artifact> OrderDesk::WaitingAdapters(const Gateway::PoolId& pool) const
 {
   std::set<Artifact> waiting;
