UnitTests: a large model among smaller ones is never served, red

Cause shown by the log of the plays: an order gives up one model, and on a server whose memory is full of smaller ones none makes room alone. Failed assertions print their message, so that a replay's figures can be read.

--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -109,10 +109,11 @@
 {
   ModelIndex model{};
   PlanObstacle obstacle = PlanObstacle::NoUsableServer;
-  std::size_t copies = 0; ///< Servers with a copy of the weights.
+  std::size_t copies = 0;     ///< Servers with a copy of the weights.
   bool store_allowed = false; ///< It might have come from the weight store to any server.
-  std::optional<ServerIndex> nearest; ///< Of the servers with a copy that take orders, the emptiest.
-  double free_mb = 0;                 ///< Of the nearest.
+  std::optional<ServerIndex>
+      nearest;        ///< Of the servers with a copy that take orders, the emptiest.
+  double free_mb = 0; ///< Of the nearest.
 };
 
 struct ReplicaPlan
--- a/Source/UnitTests/Decisions/Replays/Fleet.cpp
+++ b/Source/UnitTests/Decisions/Replays/Fleet.cpp
@@ -28,25 +28,58 @@
       m_rates(settings.models),
       m_last_wanted(settings.models, Milliseconds(-60000))
 {
-  // Models stand on one server each, in turn, until the places are taken.
-  for (std::size_t i = 0; i < std::min(settings.models, settings.servers * settings.places); ++i)
-    m_servers[i % settings.servers].holds.emplace_back(i, Milliseconds(-60000));
+  PlaceAtStart();
   m_input.batch = settings.batch;
   m_input.models.resize(settings.models);
-  for (Decisions::PlannedModel& model : m_input.models)
+  for (std::size_t i = 0; i < settings.models; ++i)
   {
-    model.memory_mb = MODEL_MB;
+    Decisions::PlannedModel& model = m_input.models[i];
+    model.memory_mb = MemoryOf(i);
     model.from_host_memory = settings.from_disk;
     model.from_disk = settings.from_disk;
     model.from_store = settings.from_store;
   }
   m_input.servers.resize(settings.servers);
-  for (std::size_t i = 0; i < settings.servers; ++i)
+  FillDisks();
+}
+
+double Fleet::MemoryOf(std::size_t model) const
+{
+  return m_settings.models_mb.empty() ? MODEL_MB : m_settings.models_mb[model];
+}
+
+double Fleet::ServerMemory() const
+{
+  return m_settings.server_mb > 0 ? m_settings.server_mb
+                                  : MODEL_MB * static_cast<double>(m_settings.places);
+}
+
+/// Models stand on one server each, in turn, as far as there is room.
+void Fleet::PlaceAtStart()
+{
+  std::vector<double> free(m_servers.size(), ServerMemory());
+  for (std::size_t i = 0; i < m_settings.models; ++i)
+  {
+    const std::size_t server = i % m_servers.size();
+    if (free[server] < MemoryOf(i))
+      continue;
+    free[server] -= MemoryOf(i);
+    m_servers[server].holds.emplace_back(i, Milliseconds(-60000));
+  }
+}
+
+void Fleet::FillDisks()
+{
+  for (std::size_t i = 0; i < m_servers.size(); ++i)
   {
     std::vector<ModelIndex> on_disk;
-    for (std::size_t copy = 0; copy < settings.on_disk; ++copy)
-      on_disk.push_back(ModelIndex(
-          static_cast<std::uint32_t>(static_cast<std::uint64_t>(m_random()) % settings.models)));
+    if (!m_settings.disks.empty())
+      for (const std::size_t model : m_settings.disks[i])
+        on_disk.push_back(ModelIndex(static_cast<std::uint32_t>(model)));
+    else
+      for (std::size_t copy = 0; copy < m_settings.on_disk; ++copy)
+        on_disk.push_back(ModelIndex(static_cast<std::uint32_t>(
+            static_cast<std::uint64_t>(m_random()) % m_settings.models)));
     m_input.copies.Set(ServerIndex(static_cast<std::uint32_t>(i)), {}, on_disk);
   }
 }
@@ -191,7 +224,7 @@
   {
     const Server& server = m_servers[i];
     Decisions::PlannedServer& planned = m_input.servers[i];
-    planned.memory_mb = MODEL_MB * static_cast<double>(m_settings.places);
+    planned.memory_mb = ServerMemory();
     planned.order_open = server.order.has_value();
     planned.loading.reset();
     if (server.order)
--- a/Source/UnitTests/Decisions/Replays/Fleet.h
+++ b/Source/UnitTests/Decisions/Replays/Fleet.h
@@ -36,6 +36,8 @@
   int late = 0;     ///< Started after the target.
   int unserved = 0; ///< Still waiting at the end, or given up.
 
+  int Served() const { return in_target + late; }
+
   double ShareInTarget() const { return asked == 0 ? 1 : static_cast<double>(in_target) / asked; }
 };
 
@@ -45,6 +47,10 @@
   std::size_t models = 100;
   std::size_t places = 3; ///< Models that a server holds at once.
   std::size_t on_disk = 18;
+  double server_mb = 0;          ///< For models; 0: as many as there are places.
+  std::vector<double> models_mb; ///< Of each model; empty: all alike.
+  /// Models on the disk of each server; empty: drawn.
+  std::vector<std::vector<std::size_t>> disks;
   int batch = 12;
   Common::Milliseconds run_time{1500}; ///< Of one request.
   Common::Milliseconds unload{120};
@@ -96,6 +102,10 @@
   void Start(const std::vector<Stream>& streams, std::vector<StreamResult>& results);
   void GiveUp(std::vector<StreamResult>& results);
   void Plan(const std::vector<Stream>& streams);
+  double MemoryOf(std::size_t model) const;
+  double ServerMemory() const;
+  void PlaceAtStart();
+  void FillDisks();
   Server* ServerFor(std::size_t model);
   bool IsRunning(const Server& server, std::size_t model) const;
 
--- a/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
+++ b/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
@@ -151,6 +151,7 @@
   CPPUNIT_TEST(ADiskIsWaitedForAsLongAsThatSavesTime);
   CPPUNIT_TEST(ABusyModelGetsASpareReplicaFromDiskOnly);
   CPPUNIT_TEST(UnusableServersGetNothing);
+  CPPUNIT_TEST(SeveralModelsMakeRoomForALargeOne);
   CPPUNIT_TEST_SUITE_END();
 
   void ADiskIsWaitedForAsLongAsThatSavesTime()
@@ -295,6 +296,30 @@
     CPPUNIT_ASSERT(PlanReplicas(input).empty());
   }
 
+  /// Symptom: a model of 72,700 MB was never loaded, though requests waited for it all day and the
+  /// one server with its weights was free for orders again and again.
+  /// Cause: one order gave up one model. On a server of 200 GB with 65,100, 65,500, 34,300 and
+  /// 34,300 MB in use, "free_mb=272 needed_mb=72700", no single one makes room.
+  void SeveralModelsMakeRoomForALargeOne()
+  {
+    NamedServer server = Server("s", {"a", "b", "c", "d"});
+    server.memory_mb = 199472;
+    server.on_disk.push_back("large");
+    NamedModel a = Model("a", 0, 0.4);
+    NamedModel b = Model("b", 0, 0.3);
+    NamedModel c = Model("c", 0, 0.1);
+    NamedModel d = Model("d", 0, 0.2);
+    a.memory_mb = 65100;
+    b.memory_mb = 65500;
+    c.memory_mb = d.memory_mb = 34300;
+    NamedModel large = Model("large", 30);
+    large.memory_mb = 72700;
+    const auto orders = PlanReplicas(Input({server}, {a, b, c, d, large}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
+    CPPUNIT_ASSERT(orders[0].kind == PlannedOrder::Kind::Unload);
+    CPPUNIT_ASSERT_EQUAL(std::string("large"), orders[0].for_model);
+  }
+
   void UnusableServersGetNothing()
   {
     NamedServer server = Server("s", {});
--- a/Source/UnitTests/Main.cpp
+++ b/Source/UnitTests/Main.cpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/Exception.h>
 #include <cppunit/SourceLine.h>
 #include <cppunit/TestFailure.h>
 #include <cppunit/TestResult.h>
@@ -45,7 +46,8 @@
   for (const CppUnit::TestFailure* failure : collector.failures())
     std::cout << "FAIL " << ShortName(failure->failedTestName()) << " at "
               << failure->sourceLine().fileName() << ":" << failure->sourceLine().lineNumber()
-              << "\n";
+              << "\n"
+              << failure->thrownException()->message().details();
   const int failed = collector.testFailuresTotal();
   std::cout << collector.runTests() - failed << " passed, " << failed << " failed\n";
   return failed == 0 ? 0 : 1;
--- a/Source/UnitTests/Orders/OrderDeskTest.cpp
+++ b/Source/UnitTests/Orders/OrderDeskTest.cpp
@@ -18,6 +18,8 @@
 
 constexpr double MODEL_MB = 70;
 constexpr double SERVER_MB = 150;
+/// Of the model "large", for which both others must go.
+constexpr double LARGE_MB = 140;
 
 /// A desk over one backend server with room for two models, whose answers the test gives.
 class World
@@ -53,6 +55,8 @@
     for (const char* name : {"a", "b", "c", "d"})
       engine.models[ModelId(name)] = {
           ModelId(name), MODEL_MB, Milliseconds(6000), Milliseconds(500), Milliseconds(300), 3, 1};
+    engine.models[ModelId("large")] = {
+        ModelId("large"), LARGE_MB, Milliseconds(6000), Milliseconds(500), Milliseconds(300), 0, 1};
     pool.engine = engine;
     configuration->pools[pool.id] = pool;
     desk.SetConfiguration(configuration);
@@ -75,7 +79,7 @@
     entry.slots = 8;
     for (const char* name : names)
       entry.models.push_back({ModelId(name), {}});
-    entry.on_disk = {ModelId("a"), ModelId("b"), ModelId("c"), ModelId("d")};
+    entry.on_disk = {ModelId("a"), ModelId("b"), ModelId("c"), ModelId("d"), ModelId("large")};
     servers.Put(entry);
   }
 
@@ -118,6 +122,7 @@
   CPPUNIT_TEST_SUITE(OrderDeskTest);
   CPPUNIT_TEST(AsksTheServersStateBeforeTheFirstOrder);
   CPPUNIT_TEST(UnloadsThenLoadsWithRisingSequences);
+  CPPUNIT_TEST(SeveralUnloadsGoBeforeALargeLoad);
   CPPUNIT_TEST(OrdersNothingWithoutTheLease);
   CPPUNIT_TEST(OrdersNameTheMomentFromWhichTheyMayNotLeave);
   CPPUNIT_TEST(ABusyServerGetsNoOrder);
@@ -164,6 +169,34 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(5), world.calls[1].expected_sequence);
   }
 
+  /// Symptom: a large model was never loaded on a server full of smaller ones.
+  /// Cause: an order gave up one model, and none of them made room alone.
+  void SeveralUnloadsGoBeforeALargeLoad()
+  {
+    World world;
+    world.Demand("large");
+    const auto next_call = [&](std::size_t count) {
+      return world.PlanUntil([&] {
+        return world.calls.size() == count;
+      });
+    };
+    CPPUNIT_ASSERT(next_call(1));
+    CPPUNIT_ASSERT(world.calls[0].operation == OrderCall::Operation::Unload);
+    const std::string first = world.calls[0].artifact.model.Get();
+    RunFor(Milliseconds(20));
+    world.SetModels({first == "a" ? "b" : "a"});
+    CPPUNIT_ASSERT(next_call(2));
+    CPPUNIT_ASSERT(world.calls[1].operation == OrderCall::Operation::Unload);
+    CPPUNIT_ASSERT_EQUAL(std::string(first == "a" ? "b" : "a"),
+                         world.calls[1].artifact.model.Get());
+    RunFor(Milliseconds(20));
+    world.SetModels({});
+    CPPUNIT_ASSERT(next_call(3));
+    CPPUNIT_ASSERT(world.calls[2].operation == OrderCall::Operation::Load);
+    CPPUNIT_ASSERT_EQUAL(std::string("large"), world.calls[2].artifact.model.Get());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(6), world.calls[2].expected_sequence);
+  }
+
   void OrdersNothingWithoutTheLease()
   {
     World world;
