Decisions, Orders: several models make room for a large one

Cause: an order gave up one model for another. On a server whose memory is full of smaller models none makes room alone, so a large one was passed over plan after plan (obstacle=no_room, free_mb=272, needed_mb=72700) while small ones changed places. Now a plan gives up the cheapest set, one order after the other, and announces all of it as leaving at once. The choice of the set is the one that our own face's placement had; both use Decisions::ChooseEvictions.

Ruled out before: a belief that the model is there (the log says that nobody holds it), too few occasions (24 orders to that server).

--- a/Source/Core/Decisions/Placement.cpp
+++ b/Source/Core/Decisions/Placement.cpp
@@ -4,8 +4,10 @@
 #include "Decisions/Placement.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
-#include <numeric>
+
+#include "Decisions/Eviction.h"
 
 namespace Decisions
 {
@@ -19,36 +21,22 @@
   double loss = 0;
 };
 
-/// Evicts in the order of `loss` per megabyte until `memory` fits; then gives back what turned out
-/// not to be needed. Nothing where even all of them do not suffice.
+/// Nothing where even all that may go does not make room.
 std::optional<EvictionPlan> PlanEviction(const PlacementCandidate& candidate, MegaBytes memory)
 {
-  std::vector<Evictable> order = candidate.evictable;
-  std::ranges::sort(order, {}, [](const Evictable& item) {
-    return item.loss / static_cast<double>(std::max<std::int64_t>(1, item.memory.Get()));
+  std::vector<EvictionItem> items;
+  std::ranges::transform(candidate.evictable, std::back_inserter(items), [](const auto& item) {
+    return EvictionItem{static_cast<double>(item.memory.Get()), item.loss};
   });
-  MegaBytes free = candidate.free;
-  std::vector<Evictable> chosen;
-  for (const Evictable& item : order)
-  {
-    if (free >= memory)
-      break;
-    free += item.memory;
-    chosen.push_back(item);
-  }
-  if (free < memory)
+  const auto chosen = ChooseEvictions(items, static_cast<double>(candidate.free.Get()),
+                                      static_cast<double>(memory.Get()));
+  if (!chosen)
     return std::nullopt;
-  std::erase_if(chosen, [&](const Evictable& item) {
-    if (free - item.memory < memory)
-      return false;
-    free = free - item.memory;
-    return true;
-  });
   EvictionPlan plan;
-  for (const Evictable& item : chosen)
+  for (const std::size_t index : *chosen)
   {
-    plan.claims.push_back(item.claim);
-    plan.loss += item.loss;
+    plan.claims.push_back(candidate.evictable[index].claim);
+    plan.loss += candidate.evictable[index].loss;
   }
   return plan;
 }
--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -4,10 +4,13 @@
 #include "Decisions/ReplicaPlan.h"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
 #include <tuple>
 #include <utility>
 
+#include "Decisions/Eviction.h"
+
 namespace Decisions
 {
 namespace
@@ -42,11 +45,13 @@
 /// place for the most urgent models there is hardly one for the others.
 constexpr int MAX_FULL_SCANS = 16;
 
-/// A place for a model on a server, perhaps after another model is given up.
+using Victims = std::vector<const PlannedReplica*>;
+
+/// A place for a model on a server, perhaps after other models are given up.
 struct Candidate
 {
   ServerIndex server{};
-  const PlannedReplica* victim = nullptr;
+  Victims victims;
   WeightSource source = WeightSource::WeightStore;
   double cost_ms = 0;
   double victim_value = 0;
@@ -234,22 +239,26 @@
                         COST_PER_RUNNING_MS * server.in_flight;
     if (FreeMemory(server) >= model.memory_mb)
       return candidate;
-    candidate.victim = VictimOn(server, model.memory_mb, [&](const PlannedReplica& replica) {
+    candidate.victims = VictimsOn(server, model.memory_mb, [&](const PlannedReplica& replica) {
       return MayGive(server, replica);
     });
     const bool takes_turns =
         m_input.rules.turns && IsUnserved(wanted) && model.oldest_wait >= TURN_WAIT;
-    if (candidate.victim == nullptr && takes_turns)
-      candidate.victim = VictimOn(server, model.memory_mb, [&](const PlannedReplica& replica) {
-        return MayGiveItsTurn(server, replica, model);
+    if (candidate.victims.empty() && takes_turns)
+      candidate.victims = VictimsOn(server, model.memory_mb, [&](const PlannedReplica& replica) {
+        return MayGive(server, replica) || MayGiveItsTurn(server, replica, model);
       });
-    if (candidate.victim == nullptr)
+    if (candidate.victims.empty())
       return std::nullopt;
-    candidate.cost_ms += VICTIM_RUN_COST_MS * candidate.victim->in_flight;
-    candidate.victim_value = Value(candidate.victim->model);
-    // A victim that is asked for often has to come back soon: half a load for each second's
-    // request.
-    candidate.cost_ms += static_cast<double>(UNLOAD_TIME.count()) + candidate.victim_value * 1000;
+    for (const PlannedReplica* victim : candidate.victims)
+    {
+      const double value = Value(victim->model);
+      candidate.victim_value += value;
+      // A victim that is asked for often has to come back soon: half a load for each second's
+      // request.
+      candidate.cost_ms += VICTIM_RUN_COST_MS * victim->in_flight +
+                           static_cast<double>(UNLOAD_TIME.count()) + value * 1000;
+    }
     return candidate;
   }
 
@@ -305,23 +314,34 @@
     return model.in_flight <= waiting.waiting + 1;
   }
 
+  /// The replicas to give up so that a model has room; none where those that may go do not suffice.
+  /// A single one goes before several: each unload is an order of its own. Where no single one made
+  /// room for a model, it was never loaded: 0 of 608 requests of a replay were served.
   template <typename MayGo>
-  const PlannedReplica* VictimOn(const PlannedServer& server, double memory_needed,
-                                 const MayGo& may_go) const
+  Victims VictimsOn(const PlannedServer& server, double memory_needed, const MayGo& may_go) const
   {
-    const PlannedReplica* best = nullptr;
     const double free = FreeMemory(server);
-    const auto key = [&](const PlannedReplica& replica) {
-      return std::pair(Value(replica.model), Model(replica.model).last_wanted);
-    };
+    Victims may_leave;
     for (const PlannedReplica& replica : server.replicas)
-    {
-      if (!may_go(replica) || free + MemoryOf(replica.model) < memory_needed)
-        continue;
-      if (best == nullptr || key(replica) < key(*best))
-        best = &replica;
-    }
-    return best;
+      if (may_go(replica))
+        may_leave.push_back(&replica);
+    std::ranges::stable_sort(may_leave, {}, [&](const PlannedReplica* replica) {
+      return std::pair(Value(replica->model), Model(replica->model).last_wanted);
+    });
+    const auto single = std::ranges::find_if(may_leave, [&](const PlannedReplica* replica) {
+      return free + MemoryOf(replica->model) >= memory_needed;
+    });
+    if (single != may_leave.end())
+      return {*single};
+    std::vector<EvictionItem> items;
+    std::ranges::transform(may_leave, std::back_inserter(items), [&](const auto* replica) {
+      return EvictionItem{MemoryOf(replica->model), Value(replica->model)};
+    });
+    Victims victims;
+    const auto chosen = ChooseEvictions(items, free, memory_needed);
+    for (const std::size_t index : chosen.value_or(std::vector<std::size_t>()))
+      victims.push_back(may_leave[index]);
+    return victims;
   }
 
   void Give(const Candidate& candidate, ModelIndex model)
@@ -331,12 +351,17 @@
     order.server = candidate.server;
     order.source = candidate.source;
     order.model = model;
-    if (candidate.victim != nullptr)
+    for (const PlannedReplica* victim : candidate.victims)
+    {
+      --m_replicas[At(victim->model)];
+      order.also_unload.push_back(victim->model);
+    }
+    if (!candidate.victims.empty())
     {
       order.kind = PlannedOrder::Kind::Unload;
-      order.model = candidate.victim->model;
+      order.model = order.also_unload.front();
+      order.also_unload.erase(order.also_unload.begin());
       order.for_model = model;
-      --m_replicas[At(order.model)];
     }
     if (candidate.source == WeightSource::WeightStore)
       --m_store_left;
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -60,7 +60,8 @@
   Kind kind = Kind::Load;
   ServerIndex server{};
   ModelIndex model{};
-  std::optional<ModelIndex> for_model; ///< Of an unload: what is loaded next on that server.
+  std::vector<ModelIndex> also_unload; ///< Of an unload: given up next, before anything is loaded.
+  std::optional<ModelIndex> for_model; ///< Of an unload: what is loaded on that server at last.
   WeightSource source = WeightSource::WeightStore; ///< Of the load that is given or comes next.
 };
 
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -327,8 +327,7 @@
 }
 
 void OrderDesk::Give(const ServerPtr& server, OrderCall::Operation operation, const ModelId& model,
-                     std::optional<ModelId> then_load, Decisions::WeightSource source,
-                     const std::string& reason)
+                     NextOrders next, Decisions::WeightSource source, const std::string& reason)
 {
   const auto now = Common::Now();
   ServerBook& book = m_books[server->Entry().instance];
@@ -338,7 +337,7 @@
   open.call.operation = operation;
   open.call.artifact.model = model;
   open.first_sent = now;
-  open.then_load = std::move(then_load);
+  open.next = std::move(next);
   open.source = source;
   open.id = m_next_order++;
   const bool is_load = operation == OrderCall::Operation::Load;
@@ -492,9 +491,22 @@
   const bool done = std::string_view(outcome) == "done";
   if (!done)
     book.state_known = false;
-  if (done && closed.then_load && server && !server->Entry().draining)
-    Give(server, OrderCall::Operation::Load, *closed.then_load, std::nullopt, closed.source,
-         "after unload");
+  if (done && server && !server->Entry().draining)
+    GiveNext(server, closed);
+}
+
+void OrderDesk::GiveNext(const ServerPtr& server, const OpenOrder& done)
+{
+  if (!done.next.unloads.empty())
+  {
+    NextOrders next = done.next;
+    const ModelId model = next.unloads.front();
+    next.unloads.erase(next.unloads.begin());
+    Give(server, OrderCall::Operation::Unload, model, std::move(next), done.source, "after unload");
+    return;
+  }
+  if (done.next.load)
+    Give(server, OrderCall::Operation::Load, *done.next.load, {}, done.source, "after unload");
 }
 
 std::vector<PlacementLine> OrderDesk::Placements() const
@@ -518,9 +530,12 @@
     }
     const auto& open = book->second.open;
     if (open && open->call.operation == OrderCall::Operation::Unload)
+    {
+      line.leaving = open->next.unloads;
       line.leaving.push_back(open->call.artifact.model);
+    }
     if (open && open->source == Decisions::WeightSource::WeightStore)
-      line.coming.push_back(open->then_load.value_or(open->call.artifact.model));
+      line.coming.push_back(open->next.load.value_or(open->call.artifact.model));
     if (!line.adapters.empty() || !line.leaving.empty() || !line.coming.empty())
       lines.push_back(std::move(line));
   }
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -122,6 +122,12 @@
 private:
   /// Accepted adapters are usable after some ms; requests that come too early are rejected.
   static constexpr Common::Milliseconds ADAPTER_LOAD_TIME{90};
+  /// What follows an unload on its server: more unloads, then the load that they make room for.
+  struct NextOrders
+  {
+    std::vector<Gateway::ModelId> unloads;
+    std::optional<Gateway::ModelId> load;
+  };
   struct OpenOrder
   {
     OrderCall call;
@@ -129,7 +135,7 @@
     Common::TimePoint next_check;
     bool accepted = false;
     bool in_exchange = false; ///< A call or a report is on its way.
-    std::optional<Gateway::ModelId> then_load;
+    NextOrders next;
     Decisions::WeightSource source = Decisions::WeightSource::WeightStore;
     std::uint64_t id = 0;
   };
@@ -191,8 +197,10 @@
   int StoreLoadsAllowed(const Gateway::Pool& pool, Common::TimePoint now) const;
 
   void Give(const Gateway::ServerPtr& server, OrderCall::Operation operation,
-            const Gateway::ModelId& model, std::optional<Gateway::ModelId> then_load,
-            Decisions::WeightSource source, const std::string& reason);
+            const Gateway::ModelId& model, NextOrders next, Decisions::WeightSource source,
+            const std::string& reason);
+  /// The order that follows one that is done.
+  void GiveNext(const Gateway::ServerPtr& server, const OpenOrder& done);
   void SendOpen(const Gateway::ServerPtr& server, ServerBook& book);
   void TakeAnswer(const Gateway::InstanceId& instance, std::uint64_t id,
                   Common::Result<OrderAnswer> answer);
--- a/Source/Core/Orders/OrderDeskPlan.cpp
+++ b/Source/Core/Orders/OrderDeskPlan.cpp
@@ -6,6 +6,7 @@
 #include "Orders/OrderDesk.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "Common/Log.h"
@@ -58,8 +59,8 @@
   state.usable = !server.Entry().draining && !server.Health().IsEjected(now) &&
                  now >= book.unusable_until && book.state_known;
   state.order_open = book.open.has_value();
-  if (book.open && book.open->then_load)
-    state.loading = *book.open->then_load;
+  if (book.open && book.open->next.load)
+    state.loading = *book.open->next.load;
   else if (book.open && book.open->call.operation == OrderCall::Operation::Load)
     state.loading = book.open->call.artifact.model;
   return state;
@@ -76,13 +77,17 @@
   for (const Decisions::PlannedOrder& order : decided.orders)
   {
     const bool is_load = order.kind == Decisions::PlannedOrder::Kind::Load;
-    std::optional<ModelId> then_load;
+    NextOrders next;
     if (order.for_model)
-      then_load = plan.NameOf(*order.for_model);
+      next.load = plan.NameOf(*order.for_model);
+    std::ranges::transform(order.also_unload, std::back_inserter(next.unloads),
+                           [&](Decisions::ModelIndex model) {
+                             return plan.NameOf(model);
+                           });
     const int waiting = input.models[Decisions::At(order.model)].waiting;
     Give(plan.ServerAt(order.server),
          is_load ? OrderCall::Operation::Load : OrderCall::Operation::Unload,
-         plan.NameOf(order.model), then_load, order.source, ReasonOf(plan, order, waiting));
+         plan.NameOf(order.model), std::move(next), order.source, ReasonOf(plan, order, waiting));
   }
 }
 
--- a/Source/UnitTests/Decisions/Replays/Fleet.cpp
+++ b/Source/UnitTests/Decisions/Replays/Fleet.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 namespace UnitTests
@@ -140,16 +141,19 @@
     if (!server.order)
       continue;
     Order& order = *server.order;
-    if (order.unloads)
+    if (!order.unloads.empty())
     {
       // An unload waits for the model's runs.
-      if (IsRunning(server, *order.unloads))
+      const std::size_t leaving = order.unloads.front();
+      if (IsRunning(server, leaving) || order.done_at > m_now)
         continue;
       std::erase_if(server.holds, [&](const auto& held) {
-        return held.first == *order.unloads;
+        return held.first == leaving;
       });
-      order.unloads.reset();
-      order.done_at = m_now + m_settings.unload + order.load_time;
+      order.unloads.erase(order.unloads.begin());
+      order.done_at = m_now + m_settings.unload;
+      if (order.unloads.empty())
+        order.done_at += order.load_time;
     }
     if (order.done_at > m_now)
       continue;
@@ -166,7 +170,8 @@
     const bool holds = std::ranges::any_of(server.holds, [&](const auto& held) {
       return held.first == model;
     });
-    const bool leaving = server.order && server.order->unloads == model;
+    const bool leaving = server.order && std::ranges::find(server.order->unloads, model) !=
+                                             server.order->unloads.end();
     if (!holds || leaving || server.runs.size() >= static_cast<std::size_t>(m_settings.batch))
       continue;
     if (best == nullptr || server.runs.size() < best->runs.size())
@@ -246,10 +251,16 @@
     Order order;
     order.from_store = given.source == Decisions::WeightSource::WeightStore;
     order.load_time = order.from_store ? m_settings.from_store : m_settings.from_disk;
-    order.done_at = m_now + order.load_time;
     order.loads = At(given.for_model.value_or(given.model));
-    if (given.for_model)
-      order.unloads = At(given.model);
+    order.done_at = m_now;
+    if (!given.for_model)
+      order.done_at += order.load_time;
+    else
+      order.unloads.push_back(At(given.model));
+    std::ranges::transform(given.also_unload, std::back_inserter(order.unloads),
+                           [](ModelIndex model) {
+                             return At(model);
+                           });
     m_servers[At(given.server)].order = order;
   }
 }
--- a/Source/UnitTests/Decisions/Replays/Fleet.h
+++ b/Source/UnitTests/Decisions/Replays/Fleet.h
@@ -80,7 +80,7 @@
   struct Order
   {
     Common::Milliseconds done_at{0};
-    std::optional<std::size_t> unloads; ///< Waits for the model's runs first.
+    std::vector<std::size_t> unloads; ///< Each waits for its model's runs first.
     std::size_t loads = 0;
     Common::Milliseconds load_time{0};
     bool from_store = false;
--- a/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
+++ b/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
@@ -51,6 +51,7 @@
   std::string instance;
   std::string model;
   std::string for_model;
+  std::vector<std::string> also_unload;
   WeightSource source = WeightSource::WeightStore;
 };
 
@@ -129,8 +130,16 @@
   }
   std::vector<NamedOrder> orders;
   for (const PlannedOrder& order : Decisions::PlanReplicas(input).orders)
-    orders.push_back({order.kind, named.servers[At(order.server)].name, names[At(order.model)],
-                      order.for_model ? names[At(*order.for_model)] : "", order.source});
+  {
+    NamedOrder& result = orders.emplace_back();
+    result.kind = order.kind;
+    result.instance = named.servers[At(order.server)].name;
+    result.model = names[At(order.model)];
+    result.for_model = order.for_model ? names[At(*order.for_model)] : "";
+    for (const ModelIndex model : order.also_unload)
+      result.also_unload.push_back(names[At(model)]);
+    result.source = order.source;
+  }
   return orders;
 }
 
@@ -318,6 +327,10 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
     CPPUNIT_ASSERT(orders[0].kind == PlannedOrder::Kind::Unload);
     CPPUNIT_ASSERT_EQUAL(std::string("large"), orders[0].for_model);
+    // The least wanted for their memory; a and d stay.
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), orders[0].model);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders[0].also_unload.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), orders[0].also_unload[0]);
   }
 
   void UnusableServersGetNothing()
