--- a/Source/UnitTests/Decisions/Replays/NeverServedTest.cpp
+++ b/Source/UnitTests/Decisions/Replays/NeverServedTest.cpp
@@ -52,6 +52,7 @@
 {
   CPPUNIT_TEST_SUITE(NeverServedTest);
   CPPUNIT_TEST(ALargeModelAmongSmallerOnes);
+  CPPUNIT_TEST(ADiskCopyWhoseServerIsNeverFree);
   CPPUNIT_TEST_SUITE_END();
 
   /// Load: eight models of 34 to 66 GB are asked for in turn and fill the one server with copies of
@@ -76,6 +77,27 @@
                              results[0].Served() > results[0].asked / 4);
     }
   }
+
+  /// Load: the server with the only copy holds three models that are in use without a pause; a
+  /// second server is idle, without a copy. From 5 s on a fourth model
+  /// is asked for.
+  void ADiskCopyWhoseServerIsNeverFree()
+  {
+    FleetSettings settings = ImpatientFleet();
+    settings.servers = 2;
+    settings.batch = 128;
+    settings.models_mb = {65100, 72700, 65500, 72700, 65500, 72700, 65100};
+    settings.models = settings.models_mb.size();
+    settings.disks = {{0, 2, 4, 6}, {}};
+    std::vector<Stream> streams = {
+        {6, 1, 3, Milliseconds(5000), Milliseconds(35000), Milliseconds(2000), 0}};
+    for (const std::size_t in_use : {0, 2, 4})
+      streams.push_back(
+          {in_use, 1, 100, Milliseconds(0), Milliseconds(35000), Milliseconds(2000), 0});
+    const auto results = Fleet(settings, 1).Play(streams, Milliseconds(37000));
+    // Some 5.5 s in vain and 6.1 s of loading go before.
+    CPPUNIT_ASSERT_MESSAGE(Text(results[0]), results[0].Served() > results[0].asked / 2);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(NeverServedTest);
--- /dev/null
+++ b/Source/UnitTests/Orders/PlanBookTest.cpp
@@ -0,0 +1,118 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Orders/PlanBook.h"
+
+#include <memory>
+#include <string>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Common/Loop.h"
+
+namespace
+{
+using namespace Orders;
+using Common::Milliseconds;
+using Gateway::ModelId;
+
+const auto START = Common::TimePoint() + std::chrono::hours(1);
+constexpr Milliseconds FROM_STORE{6000};
+constexpr Milliseconds FROM_DISK{500};
+
+/// The book of a pool with two servers: the first carries out orders all the time and has the
+/// weights of "wanted" on its disk, the second is idle.
+class World
+{
+public:
+  World()
+  {
+    Gateway::Pool pool;
+    pool.id = Gateway::PoolId("p");
+    Gateway::EngineSpec engine;
+    engine.batch = 8;
+    engine.memory_mb = 200;
+    for (const char* name : {"wanted", "other"})
+      engine.models[ModelId(name)] = {ModelId(name), 70, FROM_STORE, FROM_DISK, FROM_DISK, 0, 1};
+    pool.engine = engine;
+    book.Configure(pool);
+    book.SetServers({MakeServer("busy", true), MakeServer("idle", false)}, m_flights);
+    for (const auto server : {BUSY, IDLE})
+      book.SetHeld(server, {});
+    book.SetState(BUSY, {true, true, std::nullopt});
+  }
+
+  /// One request that has waited for `waited` at some daemon, each time another.
+  void Ask(Milliseconds waited, Common::TimePoint now)
+  {
+    const Common::VmId daemon("vm-" + std::to_string(m_daemons++));
+    book.TakeDemand(
+        daemon, {{Gateway::PoolId("p"), {ModelId("wanted"), {}}, 1, 0, waited.count(), 1}}, now);
+    if (m_daemons > 1)
+      book.DropDaemon(Common::VmId("vm-" + std::to_string(m_daemons - 2)));
+  }
+
+  Decisions::ReplicaPlan Plan(Common::TimePoint now)
+  {
+    return Decisions::PlanReplicas(book.Input(now, 1));
+  }
+
+  static constexpr Decisions::ServerIndex BUSY{0};
+  static constexpr Decisions::ServerIndex IDLE{1};
+  PlanBook book;
+
+private:
+  static Gateway::ServerPtr MakeServer(const char* name, bool has_copy)
+  {
+    Gateway::ServerEntry entry;
+    entry.instance = Gateway::InstanceId(name);
+    entry.pool = Gateway::PoolId("p");
+    if (has_copy)
+      entry.on_disk = {ModelId("wanted")};
+    return std::make_shared<Gateway::Server>(entry);
+  }
+
+  FlightBook m_flights;
+  int m_daemons = 0;
+};
+
+class PlanBookTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PlanBookTest);
+  CPPUNIT_TEST(AModelWaitsAsLongAsItsCallersAskInVain);
+  CPPUNIT_TEST(AModelThatNobodyAsksForAnyMoreWaitsAnew);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// Symptom: a model was never served, with 30 to 72 requests waiting for it at any moment.
+  /// Sequence: the server with a copy of its weights is always at other orders; callers leave after
+  /// 1.7 s, others come at other daemons. The load from the weight store that ends such a wait was
+  /// released by the age of the oldest request, which starts anew with each: 1.7 of 5.5 s.
+  void AModelWaitsAsLongAsItsCallersAskInVain()
+  {
+    World world;
+    const Milliseconds limit = FROM_STORE - FROM_DISK;
+    for (Milliseconds at(0); at < limit; at += Milliseconds(250))
+    {
+      world.Ask(Milliseconds(at.count() % 1700), START + at);
+      CPPUNIT_ASSERT(world.Plan(START + at).orders.empty());
+    }
+    world.Ask(Milliseconds(100), START + limit);
+    const auto orders = world.Plan(START + limit).orders;
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
+    CPPUNIT_ASSERT(orders[0].server == World::IDLE);
+    CPPUNIT_ASSERT(orders[0].source == Decisions::WeightSource::WeightStore);
+  }
+
+  void AModelThatNobodyAsksForAnyMoreWaitsAnew()
+  {
+    World world;
+    world.Ask(Milliseconds(100), START);
+    world.Plan(START);
+    const auto later = START + std::chrono::minutes(1);
+    world.Ask(Milliseconds(100), later);
+    CPPUNIT_ASSERT(world.Plan(later).orders.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlanBookTest);
+} // namespace
