Decisions, Orders: a model is waited for over all its requests, not by the age of one

Cause: a load from the weight store instead of a copy on a busy server's disk, a turn, and the urgency went by the age of the oldest waiting request. Callers leave after 1.7 s, so a rule that wants 5.5 s never held, whatever was asked for how often, and each refusal, departure and return set it back. Now the plan's book keeps since when nobody holds a model that is asked for.

So beyond the wait a load from the weight store goes only where it holds up no disk load that is waited for, and a turn by seconds in vain counts from the time of the slowest load on.

--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -84,7 +84,8 @@
         m_store_left(input.store_loads_allowed),
         m_replicas(input.models.size()),
         m_loading(input.models.size()),
-        m_ordered(input.servers.size())
+        m_ordered(input.servers.size()),
+        m_disk_wanted(input.servers.size())
   {
     for (const PlannedServer& server : input.servers)
     {
@@ -97,7 +98,9 @@
 
   ReplicaPlan Run()
   {
-    for (const ModelIndex model : ByUrgency())
+    const std::vector<ModelIndex> lacking = ByUrgency();
+    MarkDiskWanted(lacking);
+    for (const ModelIndex model : lacking)
       PlaceModel(model);
     return std::move(m_plan);
   }
@@ -125,12 +128,18 @@
     return lacking;
   }
 
+  /// How long the model has been waited for. Callers that leave or are refused do not set it back.
+  static Milliseconds WaitFor(const PlannedModel& model)
+  {
+    return std::max(model.oldest_wait, model.unserved_for);
+  }
+
   /// Many requests that wait for one load go before one; rank and age count beside the number, so
   /// that nobody waits for ever.
   static double Urgency(const PlannedModel& model)
   {
     const double rank = 1 + 1.0 / (1 + model.priority);
-    return model.waiting * rank + std::chrono::duration<double>(model.oldest_wait).count();
+    return model.waiting * rank + std::chrono::duration<double>(WaitFor(model)).count();
   }
 
   int Wanted(ModelIndex model) const
@@ -148,8 +157,11 @@
     // A replica beyond the first is worth a load from disk, not one from the weight store.
     const bool unserved = IsUnserved(model);
     const bool store_allowed = unserved && m_store_left > 0 && !MayWaitForDisk(model);
-    const auto best = store_allowed && m_full_scans++ < MAX_FULL_SCANS ? BestOfAll(model, unserved)
-                                                                       : BestNear(model, unserved);
+    auto best = store_allowed && m_full_scans++ < MAX_FULL_SCANS ? BestOfAll(model, unserved)
+                                                                 : BestNear(model, unserved);
+    if (!best && unserved && !store_allowed && m_store_left > 0 &&
+        Outlasts(Model(model), Model(model).unserved_for) && m_full_scans++ < MAX_FULL_SCANS)
+      best = BestUnwanted(model);
     if (best)
       Give(*best, model);
     else if (unserved && Model(model).waiting > 0)
@@ -199,6 +211,26 @@
     return best;
   }
 
+  /// A place for a load from the weight store where it holds up no load from disk for a model that
+  /// is waited for too.
+  std::optional<Candidate> BestUnwanted(ModelIndex model)
+  {
+    std::optional<Candidate> best;
+    for (std::size_t i = 0; i < m_input.servers.size(); ++i)
+      if (!m_disk_wanted[i])
+        Weigh(best, ServerIndex(i), WeightSource::WeightStore, model, true);
+    return best;
+  }
+
+  /// Servers with a copy of a model that is waited for and that nobody holds.
+  void MarkDiskWanted(const std::vector<ModelIndex>& lacking)
+  {
+    for (const ModelIndex model : lacking)
+      if (IsUnserved(model) && Model(model).waiting > 0)
+        for (const WeightCopy& copy : m_input.copies.Of(model))
+          m_disk_wanted[At(copy.server)] = true;
+  }
+
   void Weigh(std::optional<Candidate>& best, ServerIndex server, WeightSource source,
              ModelIndex model, bool unserved)
   {
@@ -213,13 +245,19 @@
       best = candidate;
   }
 
+  /// True where a wait is longer than what a load from disk saves.
+  static bool Outlasts(const PlannedModel& model, Milliseconds wait)
+  {
+    return wait >= model.from_store - model.from_disk;
+  }
+
   /// True where the weights lie at a server that takes orders, though perhaps not at this moment,
   /// and the wait so far is shorter than what a load from there saves. A load from the weight store
   /// would keep another server from orders for its whole time.
   bool MayWaitForDisk(ModelIndex index) const
   {
     const PlannedModel& model = Model(index);
-    if (!m_input.rules.disk_wait || model.oldest_wait >= model.from_store - model.from_disk)
+    if (!m_input.rules.disk_wait || Outlasts(model, model.oldest_wait))
       return false;
     return std::ranges::any_of(m_input.copies.Of(index), [&](const WeightCopy& copy) {
       return m_input.servers[At(copy.server)].usable;
@@ -243,7 +281,7 @@
       return MayGive(server, replica);
     });
     const bool takes_turns =
-        m_input.rules.turns && IsUnserved(wanted) && model.oldest_wait >= TURN_WAIT;
+        m_input.rules.turns && IsUnserved(wanted) && WaitFor(model) >= TURN_WAIT;
     if (candidate.victims.empty() && takes_turns)
       candidate.victims = VictimsOn(server, model.memory_mb, [&](const PlannedReplica& replica) {
         return MayGive(server, replica) || MayGiveItsTurn(server, replica, model);
@@ -311,7 +349,11 @@
     const PlannedModel& model = Model(replica.model);
     if (!model.listed || server.loading == replica.model || m_input.now - replica.since < MIN_TURN)
       return false;
-    return model.in_flight <= waiting.waiting + 1;
+    // Beyond the time of the slowest load each second in vain counts like one more request, so that
+    // a rare model has its turn at last.
+    const auto in_vain =
+        std::chrono::floor<std::chrono::seconds>(waiting.unserved_for - waiting.from_store).count();
+    return model.in_flight <= waiting.waiting + 1 + std::max<std::int64_t>(in_vain, 0);
   }
 
   /// The replicas to give up so that a model has room; none where those that may go do not suffice.
@@ -375,6 +417,7 @@
   std::vector<int> m_replicas;
   std::vector<int> m_loading;
   std::vector<bool> m_ordered;
+  std::vector<bool> m_disk_wanted; ///< Servers to which other models should come from disk.
   ReplicaPlan m_plan;
 };
 } // namespace
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -25,7 +25,8 @@
   bool listed = true; ///< The operators' configuration names it; others are only given up.
   int waiting = 0;    ///< Requests that wait for it, over all daemons.
   int priority = 9;   ///< Of the most urgent that waits.
-  Common::Milliseconds oldest_wait{0};
+  Common::Milliseconds oldest_wait{0};  ///< Of one request.
+  Common::Milliseconds unserved_for{0}; ///< Over all requests, while nobody holds it.
   double arrivals_per_second = 0;
   int in_flight = 0;             ///< Over all servers.
   Common::TimePoint last_wanted; ///< By any request.
--- a/Source/Core/Orders/OrderDeskPlan.cpp
+++ b/Source/Core/Orders/OrderDeskPlan.cpp
@@ -110,6 +110,7 @@
          {"obstacle", ToString(entry.obstacle)},
          {"waiting", model.waiting},
          {"oldest_wait_ms", model.oldest_wait.count()},
+         {"unserved_ms", model.unserved_for.count()},
          {"copies", entry.copies},
          {"store_allowed", entry.store_allowed},
          {"instance",
--- a/Source/Core/Orders/PlanBook.cpp
+++ b/Source/Core/Orders/PlanBook.cpp
@@ -32,6 +32,7 @@
   {
     m_names.push_back(model);
     m_rates.emplace_back();
+    m_unserved.emplace_back();
     m_input.models.emplace_back().listed = false;
   }
   return found->second;
@@ -138,6 +139,7 @@
   m_input.store_loads_allowed = store_loads_allowed;
   SumDemand(now);
   SumFlights();
+  AgeUnserved(now);
   return m_input;
 }
 
@@ -158,11 +160,25 @@
       Decisions::PlannedModel& model = m_input.models[At(line.model)];
       const auto wait = std::chrono::duration_cast<Milliseconds>(now - line.oldest_since);
       model.waiting += line.count;
+      model.last_wanted = now;
       model.priority = std::min(model.priority, line.priority);
       model.oldest_wait = std::max(model.oldest_wait, wait);
     }
 }
 
+void PlanBook::AgeUnserved(TimePoint now)
+{
+  std::vector<bool> held(m_input.models.size());
+  for (const Decisions::PlannedServer& server : m_input.servers)
+    for (const Decisions::PlannedReplica& replica : server.replicas)
+      held[At(replica.model)] = true;
+  for (std::size_t i = 0; i < m_input.models.size(); ++i)
+  {
+    Decisions::PlannedModel& model = m_input.models[i];
+    model.unserved_for = m_unserved[i].Update(held[i], model.last_wanted, now);
+  }
+}
+
 void PlanBook::SumFlights()
 {
   for (std::size_t i = 0; i < m_servers.size(); ++i)
--- a/Source/Core/Orders/PlanBook.h
+++ b/Source/Core/Orders/PlanBook.h
@@ -10,6 +10,7 @@
 
 #include "Common/Units.h"
 #include "Decisions/ReplicaPlan.h"
+#include "Decisions/UnservedDemand.h"
 #include "Gateway/ServerDirectory.h"
 #include "Gateway/Types.h"
 #include "Orders/FlightBook.h"
@@ -89,10 +90,12 @@
   Decisions::ModelIndex Intern(const Gateway::ModelId& model);
   void SumDemand(Common::TimePoint now);
   void SumFlights();
+  void AgeUnserved(Common::TimePoint now);
 
   Decisions::ReplicaPlanInput m_input;
   std::vector<Gateway::ModelId> m_names;
   std::vector<Rate> m_rates;
+  std::vector<Decisions::UnservedDemand> m_unserved; ///< Of each model.
   std::unordered_map<Gateway::ModelId, Decisions::ModelIndex> m_models;
   std::vector<Gateway::ServerPtr> m_servers;
   std::vector<const ServerLoad*> m_loads; ///< Of each server.
--- a/Source/UnitTests/Decisions/Replays/Fleet.cpp
+++ b/Source/UnitTests/Decisions/Replays/Fleet.cpp
@@ -27,7 +27,8 @@
       m_random(seed),
       m_servers(settings.servers),
       m_rates(settings.models),
-      m_last_wanted(settings.models, Milliseconds(-60000))
+      m_last_wanted(settings.models, Milliseconds(-60000)),
+      m_unserved(settings.models)
 {
   PlaceAtStart();
   m_input.batch = settings.batch;
@@ -204,6 +205,19 @@
   });
 }
 
+void Fleet::AgeUnserved()
+{
+  std::vector<bool> held(m_settings.models);
+  for (const Server& server : m_servers)
+    for (const auto& [model, since] : server.holds)
+      held[model] = true;
+  for (std::size_t i = 0; i < m_settings.models; ++i)
+  {
+    Decisions::PlannedModel& model = m_input.models[i];
+    model.unserved_for = m_unserved[i].Update(held[i], model.last_wanted, m_input.now);
+  }
+}
+
 void Fleet::Plan(const std::vector<Stream>& streams)
 {
   m_input.now = EPOCH + m_now;
@@ -224,6 +238,7 @@
     ++model.waiting;
     model.priority = std::min(model.priority, streams[request.stream].priority);
     model.oldest_wait = std::max(model.oldest_wait, m_now - request.arrived);
+    model.last_wanted = m_input.now;
   }
   for (std::size_t i = 0; i < m_servers.size(); ++i)
   {
@@ -245,6 +260,7 @@
       m_input.models[model].in_flight += static_cast<int>(runs);
     }
   }
+  AgeUnserved();
   m_input.store_loads_allowed = std::max(m_settings.store_loads_at_once - store_loads, 0);
   for (const Decisions::PlannedOrder& given : Decisions::PlanReplicas(m_input).orders)
   {
--- a/Source/UnitTests/Decisions/Replays/Fleet.h
+++ b/Source/UnitTests/Decisions/Replays/Fleet.h
@@ -11,6 +11,7 @@
 #include <pcg_random.hpp>
 
 #include "Decisions/ReplicaPlan.h"
+#include "Decisions/UnservedDemand.h"
 
 /// Loads replayed in virtual time against the decisions: a simple model of backend servers, without
 /// sockets, clocks or daemons.
@@ -107,6 +108,7 @@
   void PlaceAtStart();
   void FillDisks();
   Server* ServerFor(std::size_t model);
+  void AgeUnserved();
   bool IsRunning(const Server& server, std::size_t model) const;
 
   FleetSettings m_settings;
@@ -116,6 +118,7 @@
   std::deque<Request> m_waiting;
   std::vector<double> m_rates; ///< Arrivals a second by model, smoothed.
   std::vector<Common::Milliseconds> m_last_wanted;
+  std::vector<Decisions::UnservedDemand> m_unserved;
   Decisions::ReplicaPlanInput m_input;
 };
 } // namespace UnitTests
