Gateway, Orders, platform: a backend server's life is its id and its start

A server may start again under the id that it had; it then holds and knows nothing of before, and its counts begin anew. Until now a new life was known by its id alone: after a restart within a heartbeat the directory kept health, missing models and remote load, the desk kept its open order and sequence, and an entry or report of the life before overwrote the new one's.

InstanceId now is the id and the start (decoded once in platform/, 0 where a server tells none), so directory, order desk, placements, loads, silence and 'asked already' all forget by themselves. Of two lives the later start wins, whatever comes last; a report of a later life stops orders and requests until its entry; a load that the life before never answered keeps its room for 12 s, as it may still take effect where the new count meets the one it expects.

--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -310,7 +310,7 @@
 
   double FreeMemory(const PlannedServer& server) const
   {
-    double used = server.adapters_mb;
+    double used = server.adapters_mb + server.reserved_mb;
     for (const PlannedReplica& replica : server.replicas)
       used += MemoryOf(replica.model);
     return server.memory_mb - used;
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -43,6 +43,7 @@
 {
   double memory_mb = 0;
   double adapters_mb = 0; ///< Taken by adapters.
+  double reserved_mb = 0; ///< To be left free.
   bool usable = true;     ///< Takes work and orders.
   bool order_open = false;
   std::optional<ModelIndex> loading; ///< On its way, or next after an unload.
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -122,17 +122,26 @@
 
 void ServerDirectory::Put(ServerEntry entry)
 {
-  const auto found = m_servers.find(entry.instance);
-  if (found == m_servers.end())
+  const ServerPtr known = FindLatest(entry.instance);
+  if (known && entry.instance.Started() < known->Entry().instance.Started())
+  {
+    Common::LogEvent(Common::LogLevel::Warning, "server-entry-outdated",
+                     {{"instance", entry.instance},
+                      {"started", entry.instance.Started()},
+                      {"known", known->Entry().instance.Started()}});
+    return;
+  }
+  if (known && known->Entry().instance != entry.instance)
   {
-    Common::LogEvent(Common::LogLevel::Info, "server-added",
+    Common::LogEvent(Common::LogLevel::Info, "server-restarted",
                      {{"instance", entry.instance},
-                      {"pool", entry.pool},
-                      {"address", entry.endpoint.ToString()},
-                      {"data_centre", entry.data_centre}});
-    m_servers.emplace(entry.instance, std::make_shared<Server>(entry));
-    ++m_revision;
+                      {"started", entry.instance.Started()},
+                      {"before", known->Entry().instance.Started()}});
+    Remove(known->Entry().instance);
   }
+  const auto found = m_servers.find(entry.instance);
+  if (found == m_servers.end())
+    Add(std::move(entry));
   else
   {
     if (entry.draining && !found->second->Entry().draining)
@@ -145,6 +154,18 @@
     m_on_change();
 }
 
+void ServerDirectory::Add(ServerEntry entry)
+{
+  Common::LogEvent(Common::LogLevel::Info, "server-added",
+                   {{"instance", entry.instance},
+                    {"pool", entry.pool},
+                    {"address", entry.endpoint.ToString()},
+                    {"data_centre", entry.data_centre}});
+  const InstanceId instance = entry.instance;
+  m_servers.emplace(instance, std::make_shared<Server>(std::move(entry)));
+  ++m_revision;
+}
+
 void ServerDirectory::Remove(const InstanceId& instance)
 {
   const auto found = m_servers.find(instance);
@@ -162,6 +183,14 @@
   return found == m_servers.end() ? nullptr : found->second;
 }
 
+ServerPtr ServerDirectory::FindLatest(const InstanceId& instance) const
+{
+  // At most one life of a server is kept.
+  const auto found = m_servers.lower_bound(InstanceId(instance.Get()));
+  const bool is_known = found != m_servers.end() && found->first.HasIdOf(instance);
+  return is_known ? found->second : nullptr;
+}
+
 std::vector<ServerPtr> ServerDirectory::InPool(const PoolId& pool) const
 {
   std::vector<ServerPtr> result;
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -60,8 +60,9 @@
   Decisions::WeightSource SourceOf(const ModelId& model) const;
   /// The order holder is silent: the entry alone counts.
   void ForgetPlacement() { m_placement.reset(); }
-  /// Another process has the address: this instance is gone.
+  /// Another process has the address, or this one has started again: this life is over.
   void NoteReplaced() { m_replaced = true; }
+  bool IsReplaced() const { return m_replaced; }
   /// The server takes no connection now.
   void NoteFull(Common::TimePoint now);
 
@@ -108,17 +109,21 @@
 
 using ServerPtr = std::shared_ptr<Server>;
 
-/// All backend servers that are known.
+/// All backend servers that are known, each in its latest life.
 class ServerDirectory
 {
 public:
   /// Called after any change that may let a waiting request go on.
   void OnChange(std::function<void()> callback) { m_on_change = std::move(callback); }
 
+  /// An entry of a later life takes the place of the server with all that was known of it; one of
+  /// an earlier life changes nothing, however late it comes.
   void Put(ServerEntry entry);
   void Remove(const InstanceId& instance);
 
   ServerPtr Find(const InstanceId& instance) const;
+  /// The latest life under the id of `instance`, whatever the start that it names.
+  ServerPtr FindLatest(const InstanceId& instance) const;
   const std::map<InstanceId, ServerPtr>& All() const { return m_servers; }
   std::vector<ServerPtr> InPool(const PoolId& pool) const;
   bool Empty() const { return m_servers.empty(); }
@@ -126,6 +131,8 @@
   std::uint64_t Revision() const { return m_revision; }
 
 private:
+  void Add(ServerEntry entry);
+
   std::map<InstanceId, ServerPtr> m_servers;
   std::uint64_t m_revision = 1;
   std::function<void()> m_on_change;
--- a/Source/Core/Gateway/ServerRoster.cpp
+++ b/Source/Core/Gateway/ServerRoster.cpp
@@ -18,15 +18,15 @@
 
 void ServerRoster::ApplySnapshot(std::vector<ServerEntry> entries, Common::TimePoint now)
 {
-  std::set<InstanceId> named;
+  std::set<std::string> named;
   for (ServerEntry& entry : entries)
   {
-    named.insert(entry.instance);
+    named.insert(entry.instance.Get());
     ApplyEntry(std::move(entry));
   }
   std::vector<InstanceId> missing;
   for (const auto& [instance, server] : m_directory.All())
-    if (!named.contains(instance))
+    if (!named.contains(instance.Get()))
       missing.push_back(instance);
   for (const InstanceId& instance : missing)
     ApplyRemoval(instance, now);
@@ -34,22 +34,24 @@
 
 void ServerRoster::ApplyEntry(ServerEntry entry)
 {
-  m_lapsed.erase(entry.instance);
+  std::erase_if(m_lapsed, [&](const InstanceId& instance) {
+    return instance.HasIdOf(entry.instance);
+  });
   m_directory.Put(std::move(entry));
 }
 
 void ServerRoster::ApplyRemoval(const InstanceId& instance, Common::TimePoint now)
 {
-  const ServerPtr server = m_directory.Find(instance);
+  const ServerPtr server = m_directory.FindLatest(instance);
   if (!server)
     return;
   if (server->Entry().draining || now >= m_grace_until)
   {
-    m_directory.Remove(instance);
+    m_directory.Remove(server->Entry().instance);
     return;
   }
   Common::LogEvent(Common::LogLevel::Warning, "server-entry-lapsed", {{"instance", instance}});
-  m_lapsed.insert(instance);
+  m_lapsed.insert(server->Entry().instance);
   m_timer.Start(std::chrono::ceil<Common::Milliseconds>(m_grace_until - now), [this] {
     RemoveOverdue();
   });
--- a/Source/Core/Gateway/ServerRoster.h
+++ b/Source/Core/Gateway/ServerRoster.h
@@ -23,6 +23,7 @@
   /// All entries as of one moment; what is missing is removed.
   void ApplySnapshot(std::vector<ServerEntry> entries, Common::TimePoint now);
   void ApplyEntry(ServerEntry entry);
+  /// The entry under the id of `instance` is gone, whichever life it told of.
   void ApplyRemoval(const InstanceId& instance, Common::TimePoint now);
   void NoteSourceLost();
   void NoteSourceBack(Common::TimePoint now);
--- a/Source/Core/Gateway/Types.h
+++ b/Source/Core/Gateway/Types.h
@@ -4,10 +4,14 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
+#include <ostream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/Units.h"
@@ -20,8 +24,44 @@
 {
 /// A group of backend servers that serve the same requests.
 using PoolId = Common::StrongId<struct PoolIdTag>;
-/// One life of one backend server's process; a restart gives another.
-using InstanceId = Common::StrongId<struct InstanceIdTag>;
+/// When a backend server's process started: Unix milliseconds of its own clock; 0 where it does not
+/// tell. Only compared with other starts of the same server.
+using ServerStart = Common::Quantity<struct ServerStartTag>;
+
+/// One life of one backend server's process: its id on the platform, and its start, since it may
+/// start again under its id. All that is kept of a server is kept under this, so that nothing of
+/// the life before is taken for the present one's.
+class InstanceId
+{
+public:
+  InstanceId() = default;
+  explicit InstanceId(std::string id, ServerStart started = {})
+      : m_id(std::move(id)), m_started(started)
+  {
+  }
+
+  /// The id alone, as the platform and the server itself know it.
+  const std::string& Get() const { return m_id; }
+  ServerStart Started() const { return m_started; }
+  bool HasIdOf(const InstanceId& other) const { return m_id == other.m_id; }
+  auto operator<=>(const InstanceId&) const = default;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(m_id, m_started);
+  }
+
+  friend std::ostream& operator<<(std::ostream& out, const InstanceId& instance)
+  {
+    return out << instance.m_id;
+  }
+
+private:
+  std::string m_id;
+  ServerStart m_started;
+};
+
 using ModelId = Common::StrongId<struct ModelIdTag>;
 /// An adapter's name within its model; empty for the model itself.
 using AdapterId = Common::StrongId<struct AdapterIdTag>;
@@ -161,3 +201,13 @@
   std::vector<std::string> reserved; ///< Never taken from callers.
 };
 } // namespace Gateway
+
+template <>
+struct std::hash<Gateway::InstanceId>
+{
+  std::size_t operator()(const Gateway::InstanceId& instance) const noexcept
+  {
+    return std::hash<std::string>{}(instance.Get()) ^
+           std::hash<std::int64_t>{}(instance.Started().Get());
+  }
+};
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -77,7 +77,10 @@
 
 ServerHash HashOf(const Gateway::InstanceId& instance)
 {
-  return static_cast<ServerHash>(XXH3_64bits(instance.Get().data(), instance.Get().size()));
+  // The start is the seed: a server's lives differ.
+  return static_cast<ServerHash>(
+      XXH3_64bits_withSeed(instance.Get().data(), instance.Get().size(),
+                           static_cast<XXH64_hash_t>(instance.Started().Get())));
 }
 
 Hub::Hub(HubSettings settings, Gateway::Dispatcher& dispatcher, OrderDesk& desk)
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -37,6 +37,9 @@
 constexpr Milliseconds UNREACHABLE_PAUSE{1000};
 /// A load takes longer to show than an unload: so much is added before the server is asked.
 constexpr Milliseconds LOAD_SLACK{1000};
+/// A server may carry out an order that it never answered so much later: beyond the longest pause
+/// that stand-ins and plays have shown, 12 s.
+constexpr Milliseconds LATE_ORDER_LIMIT{12000};
 /// Beginnings of loads that are remembered; far more than the bounded window holds.
 constexpr std::size_t REMEMBERED_LOADS = 1000;
 
@@ -166,9 +169,7 @@
     return;
   m_slots_revision = m_servers.Revision();
   m_slots.clear();
-  std::erase_if(m_books, [&](const auto& entry) {
-    return m_servers.Find(entry.first) == nullptr;
-  });
+  DropBooks();
   for (auto& [pool, plan] : m_plans)
     plan.SetServers(m_servers.InPool(pool), m_flights);
   std::map<const PlanBook*, std::uint32_t> next_index;
@@ -185,6 +186,30 @@
   }
 }
 
+void OrderDesk::DropBooks()
+{
+  std::vector<std::pair<InstanceId, LateLoad>> late;
+  for (const auto& [instance, book] : m_books)
+  {
+    const ServerPtr latest = m_servers.FindLatest(instance);
+    if (!latest || latest->Entry().instance == instance)
+      continue;
+    for (const LateLoad& load : book.late_loads)
+      late.emplace_back(latest->Entry().instance, load);
+    const bool unanswered_load = book.open && !book.open->accepted &&
+                                 book.open->call.operation == OrderCall::Operation::Load;
+    if (unanswered_load)
+      late.emplace_back(latest->Entry().instance,
+                        LateLoad{book.open->call.artifact.model, book.open->call.expected_sequence,
+                                 book.open->first_sent + LATE_ORDER_LIMIT});
+  }
+  std::erase_if(m_books, [&](const auto& entry) {
+    return m_servers.Find(entry.first) == nullptr;
+  });
+  for (auto& [instance, load] : late)
+    m_books[instance].late_loads.push_back(std::move(load));
+}
+
 void OrderDesk::RefreshSlot(Slot& slot, TimePoint now)
 {
   ServerBook& book = *slot.book;
@@ -284,7 +309,7 @@
   const auto now = Common::Now();
   book.report_asked = false;
   book.next_report = now + CHECK_PAUSE;
-  if (!report || report->busy)
+  if (!report || !IsOfThisLife(instance, *report) || report->busy)
     return;
   book.state_known = true;
   book.sequence = std::max(book.sequence, report->order_sequence);
@@ -300,6 +325,19 @@
     book.adapters.try_emplace(artifact, AdapterBook{now + ADAPTER_LOAD_TIME});
 }
 
+bool OrderDesk::IsOfThisLife(const InstanceId& instance, const ServerReport& report)
+{
+  const Gateway::ServerStart known = instance.Started();
+  if (report.started == known || report.started == Gateway::ServerStart())
+    return true;
+  const ServerPtr server = m_servers.Find(instance);
+  Common::LogEvent(Common::LogLevel::Info, "report-of-another-life",
+                   {{"instance", instance}, {"started", report.started}, {"known", known}});
+  if (report.started > known && server)
+    server->NoteReplaced();
+  return false;
+}
+
 void OrderDesk::CheckOpen(const ServerPtr& server, ServerBook& book, TimePoint now)
 {
   if (!book.open)
@@ -457,7 +495,7 @@
   const auto now = Common::Now();
   open.in_exchange = false;
   open.next_check = now + CHECK_PAUSE;
-  if (!report)
+  if (!report || !IsOfThisLife(instance, *report))
     return;
   const bool holds = std::ranges::find(report->models, open.call.artifact.model,
                                        &Gateway::LoadedModel::model) != report->models.end();
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -65,6 +65,7 @@
   bool busy = false; ///< An order is being carried out.
   std::vector<Gateway::LoadedModel> models;
   std::vector<Gateway::Artifact> coming; ///< Adapters that are on their way.
+  Gateway::ServerStart started{};        ///< Of the life that reports; 0 where it does not tell.
 };
 
 /// How orders reach backend servers; the platform's part.
@@ -139,6 +140,14 @@
     Decisions::WeightSource source = Decisions::WeightSource::WeightStore;
     std::uint64_t id = 0;
   };
+  /// A load of the life before that was never answered. It may still take effect, once the server
+  /// has taken as many orders as it expects.
+  struct LateLoad
+  {
+    Gateway::ModelId model;
+    std::int64_t expected_sequence = 0;
+    Common::TimePoint until;
+  };
   struct AdapterBook
   {
     Common::TimePoint usable_from;
@@ -154,6 +163,7 @@
     std::vector<Gateway::ModelId> reported_models;
     bool held_changed = true; ///< What it holds is to be told to the plan's book.
     std::optional<OpenOrder> open;
+    std::vector<LateLoad> late_loads;
     bool adapter_in_exchange = false;
     Common::TimePoint unusable_until;
     Common::TimePoint last_adapter_order;
@@ -182,9 +192,16 @@
   /// Makes the slots and the plans' books anew where servers or the configuration have changed.
   void RefreshSlots();
   void RefreshSlot(Slot& slot, Common::TimePoint now);
+  /// Drops the books of servers that are gone or live anew.
+  void DropBooks();
+  double LateLoadsMb(const Gateway::Pool& pool, const ServerBook& book,
+                     Common::TimePoint now) const;
+  /// True where a report is the word of the life that is meant. One of a later life ends this one:
+  /// nothing goes there until its entry tells what it is.
+  bool IsOfThisLife(const Gateway::InstanceId& instance, const ServerReport& report);
   static void RefreshBook(const Gateway::Server& server, ServerBook& book, Common::TimePoint now);
   static std::vector<HeldModel> HeldModels(const ServerBook& book, Common::TimePoint now);
-  ServerState StateOf(const Slot& slot, Common::TimePoint now) const;
+  ServerState StateOf(const Gateway::Pool& pool, const Slot& slot, Common::TimePoint now) const;
   void CheckOpen(const Gateway::ServerPtr& server, ServerBook& book, Common::TimePoint now);
   void PlanPool(const Gateway::Pool& pool, PlanBook& plan, Common::TimePoint now);
   void LogPassedOver(const PlanBook& plan, const Decisions::ReplicaPlanInput& input,
--- a/Source/Core/Orders/OrderDeskPlan.cpp
+++ b/Source/Core/Orders/OrderDeskPlan.cpp
@@ -51,14 +51,29 @@
   return std::min(by_rate, STORE_LOADS_AT_ONCE - running);
 }
 
-ServerState OrderDesk::StateOf(const Slot& slot, TimePoint now) const
+double OrderDesk::LateLoadsMb(const Gateway::Pool& pool, const ServerBook& book,
+                              TimePoint now) const
+{
+  double memory_mb = 0;
+  for (const LateLoad& load : book.late_loads)
+  {
+    const auto model = pool.engine->models.find(load.model);
+    const bool possible = now < load.until && load.expected_sequence >= book.sequence;
+    if (possible && model != pool.engine->models.end())
+      memory_mb += model->second.memory_mb;
+  }
+  return memory_mb;
+}
+
+ServerState OrderDesk::StateOf(const Gateway::Pool& pool, const Slot& slot, TimePoint now) const
 {
   const Server& server = *slot.server;
   const ServerBook& book = *slot.book;
   ServerState state;
-  state.usable = !server.Entry().draining && !server.Health().IsEjected(now) &&
-                 now >= book.unusable_until && book.state_known;
+  state.usable = !server.Entry().draining && !server.IsReplaced() &&
+                 !server.Health().IsEjected(now) && now >= book.unusable_until && book.state_known;
   state.order_open = book.open.has_value();
+  state.reserved_mb = LateLoadsMb(pool, book, now);
   if (book.open && book.open->next.load)
     state.loading = *book.open->next.load;
   else if (book.open && book.open->call.operation == OrderCall::Operation::Load)
@@ -70,7 +85,7 @@
 {
   for (const Slot& slot : m_slots)
     if (slot.plan == &plan)
-      plan.SetState(slot.index, StateOf(slot, now));
+      plan.SetState(slot.index, StateOf(pool, slot, now));
   const Decisions::ReplicaPlanInput& input = plan.Input(now, StoreLoadsAllowed(pool, now));
   const Decisions::ReplicaPlan decided = Decisions::PlanReplicas(input);
   LogPassedOver(plan, input, decided.passed_over);
--- a/Source/Core/Orders/PlanBook.h
+++ b/Source/Core/Orders/PlanBook.h
@@ -24,6 +24,7 @@
   bool usable = true;
   bool order_open = false;
   std::optional<Gateway::ModelId> loading; ///< On its way, or next after an unload.
+  double reserved_mb = 0;                  ///< That late orders may still take.
 };
 
 /// A model that a server holds, since when.
--- /dev/null
+++ b/Source/UnitTests/Gateway/ServerLivesTest.cpp
@@ -0,0 +1,106 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// A backend server may start again under the id that it had, within a heartbeat: its entry never
+// lapses. Whatever was believed of the life before is void from then on, and which of two lives
+// is later is told by their starts, not by the order in which word of them comes.
+
+#include <string>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Common/Loop.h"
+#include "Gateway/ServerDirectory.h"
+#include "Gateway/ServerRoster.h"
+#include "platform/Decode.h"
+
+namespace
+{
+using namespace Gateway;
+
+/// The entry of server i-1 in the life that began at `born`.
+ServerEntry EntryOf(std::int64_t born, const std::string& models)
+{
+  const auto entry = PlatformFace::DecodeServerEntry(
+      "i-1",
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":8,"state":"ready","born":)" +
+          std::to_string(born) + R"(,"models":[)" + models + R"(],"seq":1})");
+  CPPUNIT_ASSERT(static_cast<bool>(entry));
+  return *entry;
+}
+
+constexpr const char* HOLDS_M = R"({"name":"m","version":1,"adapters":[]})";
+const Artifact MODEL{ModelId("m"), AdapterId()};
+
+class ServerLivesTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ServerLivesTest);
+  CPPUNIT_TEST(ANewStartVoidsWhatWasBelieved);
+  CPPUNIT_TEST(AnEntryOfTheLifeBeforeChangesNothing);
+  CPPUNIT_TEST(TwoRestartsBetweenTwoLooks);
+  CPPUNIT_TEST(TheServerOfARequestIsGoneWithItsLife);
+  CPPUNIT_TEST_SUITE_END();
+
+  static const Server& TheServer(const ServerDirectory& directory)
+  {
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), directory.All().size());
+    return *directory.All().begin()->second;
+  }
+
+  void ANewStartVoidsWhatWasBelieved()
+  {
+    ServerDirectory directory;
+    ServerRoster roster(directory);
+    roster.ApplyEntry(EntryOf(1000, HOLDS_M));
+    const ServerPtr before = directory.All().begin()->second;
+    const auto now = Common::Now();
+    before->NoteStart(MODEL, now);
+    before->SetRemoteInFlight(7);
+    before->NoteFull(now);
+    before->NoteMissing(MODEL, now);
+    before->Health().NoteUnreachable(now);
+    const std::uint64_t revision = directory.Revision();
+
+    roster.ApplyEntry(EntryOf(2000, HOLDS_M));
+    const Server& after = TheServer(directory);
+    CPPUNIT_ASSERT(after.IsAvailable(now));
+    CPPUNIT_ASSERT(after.Holds(MODEL, now));
+    CPPUNIT_ASSERT_EQUAL(0, after.Load());
+    CPPUNIT_ASSERT(directory.Revision() > revision);
+  }
+
+  void AnEntryOfTheLifeBeforeChangesNothing()
+  {
+    ServerDirectory directory;
+    ServerRoster roster(directory);
+    roster.ApplyEntry(EntryOf(2000, ""));
+    roster.ApplyEntry(EntryOf(1000, HOLDS_M));
+    CPPUNIT_ASSERT(!TheServer(directory).HoldsModel(ModelId("m")));
+  }
+
+  void TwoRestartsBetweenTwoLooks()
+  {
+    ServerDirectory directory;
+    ServerRoster roster(directory);
+    roster.ApplyEntry(EntryOf(1000, ""));
+    roster.ApplyEntry(EntryOf(3000, HOLDS_M));
+    roster.ApplyEntry(EntryOf(2000, ""));
+    CPPUNIT_ASSERT(TheServer(directory).HoldsModel(ModelId("m")));
+    roster.ApplyRemoval(InstanceId("i-1"), Common::Now());
+    CPPUNIT_ASSERT(directory.Empty());
+  }
+
+  /// A stream that runs there counts as lost as soon as its server's life is over.
+  void TheServerOfARequestIsGoneWithItsLife()
+  {
+    ServerDirectory directory;
+    ServerRoster roster(directory);
+    roster.ApplyEntry(EntryOf(1000, HOLDS_M));
+    const InstanceId asked = directory.All().begin()->first;
+    roster.ApplyEntry(EntryOf(2000, HOLDS_M));
+    CPPUNIT_ASSERT(directory.Find(asked) == nullptr);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerLivesTest);
+} // namespace
