platform, Gateway: an entry by another writer names no server

Cause, by reading: a missing state counted as ready, a missing service as one without a name, slots of another type as 1, and a changed entry that could not be read left the one before in use. Numbers beyond 64 bits were cast without a check.

One strict decoder now says for each field whether it is needed (address, service, zone, slots, state) and what type it has; the first field that is wrong refuses the entry, at once also where a good one stood and right after the store's return. Reports need whole numbers too.

Tests: 28 damaged entries by field, defaults, reports, an unreadable entry in the roster (new types, so not run red).

--- a/Source/Core/Common/Json.h
+++ b/Source/Core/Common/Json.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -38,6 +39,9 @@
     return found->is_number() ? found->template get<T>() : fallback;
 }
 
+/// The member `key` where it is a whole number that 64 bits hold; nothing otherwise.
+std::optional<std::int64_t> WholeNumber(const Json& object, const char* key);
+
 /// The member `key` where it is an array, otherwise an empty array.
 const Json& GetArray(const Json& object, const char* key);
 } // namespace Common
--- a/Source/Core/Gateway/ServerRoster.cpp
+++ b/Source/Core/Gateway/ServerRoster.cpp
@@ -57,6 +57,12 @@
   });
 }
 
+void ServerRoster::ApplyUnreadable(const InstanceId& instance)
+{
+  if (const ServerPtr server = m_directory.FindLatest(instance))
+    m_directory.Remove(server->Entry().instance);
+}
+
 void ServerRoster::RemoveOverdue()
 {
   for (const InstanceId& instance : std::exchange(m_lapsed, {}))
--- a/Source/Core/Gateway/ServerRoster.h
+++ b/Source/Core/Gateway/ServerRoster.h
@@ -25,6 +25,8 @@
   void ApplyEntry(ServerEntry entry);
   /// The entry under the id of `instance` is gone, whichever life it told of.
   void ApplyRemoval(const InstanceId& instance, Common::TimePoint now);
+  /// What stands under the id of `instance` is no server's entry: nothing is sent there, at once.
+  void ApplyUnreadable(const InstanceId& instance);
   void NoteSourceLost();
   void NoteSourceBack(Common::TimePoint now);
 
--- a/Source/UnitTests/Fuzz.cpp
+++ b/Source/UnitTests/Fuzz.cpp
@@ -17,12 +17,12 @@
 #include "Serving/ServerRow.h"
 #include "Table/Change.h"
 #include "Table/CsvFile.h"
+#include "platform/Decode.h"
 
 namespace UnitTests
 {
 namespace
 {
-constexpr int ROUNDS = 20000;
 constexpr std::uint64_t SEED = 20261202;
 constexpr std::size_t MAX_CHANGES = 8;
 
@@ -101,6 +101,18 @@
        [](const std::string& text) {
          (void)Callers::ParseRecord(text);
        }},
+      {"server entry",
+       R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":64,"state":"ready","coldLeftMs":5,)"
+       R"("models":[{"name":"m","version":1,"adapters":["a1"]}],"seq":4,"born":1700000000000,)"
+       R"("atHand":{"inMemory":["k"],"onDisk":["m","k"]}})",
+       [](const std::string& text) {
+         (void)PlatformFace::DecodeServerEntry("i-1", text);
+       }},
+      {"server report",
+       R"({"models":[{"name":"m","version":1,"adapters":["a"]}],"busy":true,"seq":2,"born":3,"coming":["m/a@1"]})",
+       [](const std::string& text) {
+         (void)PlatformFace::DecodeReport(text);
+       }},
       {"engine report",
        R"({"vm":"r","incarnation":"e","capacity_mb":9,"artifacts":[{"id":"m","state":"loaded"}]})",
        [](const std::string& text) {
@@ -110,13 +122,13 @@
 }
 
 /// A crash ends the program; an exception is a decoder that lets hostile bytes through.
-bool Survives(const Target& target)
+bool Survives(const Target& target, int rounds)
 {
   Common::Random random(SEED);
   try
   {
     target.decode(target.sample);
-    for (int round = 0; round < ROUNDS; ++round)
+    for (int round = 0; round < rounds; ++round)
     {
       std::string bytes = target.sample;
       if (round % 4 == 0)
@@ -133,15 +145,15 @@
 }
 } // namespace
 
-int RunFuzz()
+int RunFuzz(int rounds)
 {
   int failed = 0;
   int passed = 0;
   for (const Target& target : Targets())
   {
-    const bool survived = Survives(target);
+    const bool survived = Survives(target, rounds);
     ++(survived ? passed : failed);
-    std::cout << (survived ? "pass" : "FAIL") << " fuzz " << target.name << ": " << ROUNDS
+    std::cout << (survived ? "pass" : "FAIL") << " fuzz " << target.name << ": " << rounds
               << " inputs\n";
   }
   std::cout << passed << " passed, " << failed << " failed\n";
--- a/Source/UnitTests/Fuzz.h
+++ b/Source/UnitTests/Fuzz.h
@@ -7,5 +7,5 @@
 {
 /// Feeds the decoders of messages, table files, claims, records and reports with seeded random
 /// bytes and with damaged copies of real ones. Gives the number of decoders that failed.
-int RunFuzz();
+int RunFuzz(int rounds);
 } // namespace UnitTests
--- a/Source/UnitTests/Gateway/ServerLivesTest.cpp
+++ b/Source/UnitTests/Gateway/ServerLivesTest.cpp
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(AnEntryOfTheLifeBeforeChangesNothing);
   CPPUNIT_TEST(TwoRestartsBetweenTwoLooks);
   CPPUNIT_TEST(TheServerOfARequestIsGoneWithItsLife);
+  CPPUNIT_TEST(AnEntryThatCannotBeReadNamesNoServer);
   CPPUNIT_TEST_SUITE_END();
 
   static const Server& TheServer(const ServerDirectory& directory)
@@ -100,6 +101,19 @@
     roster.ApplyEntry(EntryOf(2000, HOLDS_M));
     CPPUNIT_ASSERT(directory.Find(asked) == nullptr);
   }
+
+  /// Symptom: a changed entry that could not be read left the one before in use. Also right after
+  /// the store's return, when entries that are missing are waited for.
+  void AnEntryThatCannotBeReadNamesNoServer()
+  {
+    ServerDirectory directory;
+    ServerRoster roster(directory);
+    roster.ApplyEntry(EntryOf(1000, HOLDS_M));
+    roster.NoteSourceLost();
+    roster.NoteSourceBack(Common::Now());
+    roster.ApplyUnreadable(InstanceId("i-1"));
+    CPPUNIT_ASSERT(directory.Empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerLivesTest);
--- a/Source/UnitTests/Main.cpp
+++ b/Source/UnitTests/Main.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <string_view>
@@ -19,6 +20,9 @@
 
 namespace
 {
+/// Inputs for each decoder, unless `--fuzz ROUNDS` says otherwise.
+constexpr int FUZZ_ROUNDS = 20000;
+
 /// The name without the namespace that every test class lies in.
 std::string ShortName(const std::string& name)
 {
@@ -30,7 +34,7 @@
 int main(int argc, char** argv)
 {
   if (argc > 1 && std::string_view(argv[1]) == "--fuzz")
-    return UnitTests::RunFuzz() == 0 ? 0 : 1;
+    return UnitTests::RunFuzz(argc > 2 ? std::atoi(argv[2]) : FUZZ_ROUNDS) == 0 ? 0 : 1;
   Common::InitLog(argv[0]);
   Common::MuteLog();
   CppUnit::TestResult result;
--- a/Source/UnitTests/Platform/DecodeTest.cpp
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -28,6 +28,9 @@
   CPPUNIT_TEST(RefusesAnUnknownKindOfRoute);
   CPPUNIT_TEST(ReadsAServersEntry);
   CPPUNIT_TEST(RefusesAnEntryWithoutAddress);
+  CPPUNIT_TEST(AnEntryByAnotherWriterNamesNoServer);
+  CPPUNIT_TEST(FieldsThatMayBeMissingHaveTheirDefaults);
+  CPPUNIT_TEST(AReportWithoutWholeNumbersIsRefused);
   CPPUNIT_TEST(ReadsAReport);
   CPPUNIT_TEST(NothingMalformedEndsTheProcess);
   CPPUNIT_TEST_SUITE_END();
@@ -130,6 +133,83 @@
     CPPUNIT_ASSERT(!DecodeServerEntry("i-1", "[]"));
   }
 
+  /// Symptom: requests were sent to addresses that no server had laid there. A missing state
+  /// counted as ready, a missing service as one without a name, slots of another type as 1.
+  void AnEntryByAnotherWriterNamesNoServer()
+  {
+    const std::string sound =
+        R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":64,"state":"ready",)"
+        R"("coldLeftMs":0,"models":[{"name":"m","version":1,"adapters":["a1"]}],)"
+        R"("atHand":{"inMemory":["k"],"onDisk":["m"]},"seq":4,"born":1700000000000})";
+    CPPUNIT_ASSERT(static_cast<bool>(DecodeServerEntry("i-1", sound)));
+    struct Case
+    {
+      const char* part;
+      const char* instead;
+      EntryField wrong;
+    };
+    const Case cases[] = {
+        {R"("service":"s",)", "", EntryField::Service},
+        {R"("service":"s")", R"("service":7)", EntryField::Service},
+        {R"("service":"s")", R"("service":"")", EntryField::Service},
+        {R"("address":"10.0.0.9:80",)", "", EntryField::Address},
+        {R"("10.0.0.9:80")", R"(["10.0.0.9:80"])", EntryField::Address},
+        {R"("10.0.0.9:80")", R"("10.0.0.9:99999")", EntryField::Address},
+        {R"("zone":"z",)", "", EntryField::Zone},
+        {R"("slots":64,)", "", EntryField::Slots},
+        {R"("slots":64)", R"("slots":"64")", EntryField::Slots},
+        {R"("slots":64)", R"("slots":0)", EntryField::Slots},
+        {R"("slots":64)", R"("slots":6.5)", EntryField::Slots},
+        {R"("slots":64)", R"("slots":1e300)", EntryField::Slots},
+        {R"("state":"ready",)", "", EntryField::State},
+        {R"("state":"ready")", R"("state":"asleep")", EntryField::State},
+        {R"("state":"ready")", R"("state":true)", EntryField::State},
+        {R"("born":1700000000000)", R"("born":"1700000000000")", EntryField::Start},
+        {R"("born":1700000000000)", R"("born":1.5)", EntryField::Start},
+        {R"("born":1700000000000)", R"("born":-1)", EntryField::Start},
+        {R"("born":1700000000000)", R"("born":18446744073709551615)", EntryField::Start},
+        {R"("seq":4)", R"("seq":"4")", EntryField::Sequence},
+        {R"("version":"v1")", R"("version":{})", EntryField::Version},
+        {R"("coldLeftMs":0)", R"("coldLeftMs":"soon")", EntryField::WarmingUp},
+        {R"("coldLeftMs":0)", R"("coldLeftMs":-1)", EntryField::WarmingUp},
+        {R"([{"name":"m","version":1,"adapters":["a1"]}])", R"({"name":"m"})", EntryField::Models},
+        {R"("name":"m")", R"("name":3)", EntryField::Models},
+        {R"(["a1"])", R"([1])", EntryField::Models},
+        {R"({"inMemory":["k"],"onDisk":["m"]})", R"(["k"])", EntryField::Copies},
+        {R"(["k"])", R"("k")", EntryField::Copies},
+    };
+    for (const Case& item : cases)
+    {
+      std::string text = sound;
+      text.replace(text.find(item.part), std::string(item.part).size(), item.instead);
+      const auto entry = DecodeServerEntry("i-1", text);
+      CPPUNIT_ASSERT_MESSAGE(text, !entry);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::string(ToString(item.wrong)),
+                                   std::string(ToString(entry.Wrong())));
+    }
+    for (const char* text : {"", "null", "3", "[]", "\xff\xfe", "{\"service\":\"s\""})
+      CPPUNIT_ASSERT(DecodeServerEntry("i-1", text).Wrong() == EntryField::Body);
+  }
+
+  void FieldsThatMayBeMissingHaveTheirDefaults()
+  {
+    const auto entry = DecodeServerEntry(
+        "i-1", R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":6,"state":"ready"})");
+    CPPUNIT_ASSERT(static_cast<bool>(entry));
+    CPPUNIT_ASSERT(entry->models.empty() && entry->on_disk.empty() && !entry->draining);
+    CPPUNIT_ASSERT(entry->warming_up == Common::Milliseconds(0));
+    CPPUNIT_ASSERT(entry->instance.Started() == Gateway::ServerStart());
+  }
+
+  void AReportWithoutWholeNumbersIsRefused()
+  {
+    CPPUNIT_ASSERT(static_cast<bool>(DecodeReport(R"({"seq":2,"born":5})")));
+    for (const char* text :
+         {R"({"seq":1e300})", R"({"seq":"2"})", R"({"seq":18446744073709551615})",
+          R"({"seq":2,"born":"5"})", R"({"seq":2,"born":0.5})", "[2]"})
+      CPPUNIT_ASSERT_MESSAGE(text, !DecodeReport(text));
+  }
+
   void ReadsAReport()
   {
     const auto report =
