--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -83,6 +83,8 @@
     m_daemons.resize(static_cast<std::size_t>(daemons));
   }
 
+  void RestartServersUnderTheirId() { m_restarts_under_id = true; }
+
   int Run(Milliseconds faults_for)
   {
     Start();
@@ -313,7 +315,7 @@
       CutFromStore(AnyDaemon());
       break;
     case 7:
-      AnyServer().Restart();
+      RestartServer(AnyServer());
       break;
     case 8:
       DrainAndReplace(AnyServer());
@@ -373,6 +375,14 @@
     });
   }
 
+  void RestartServer(StandInServer& server)
+  {
+    if (m_restarts_under_id && Draw(2) == 0)
+      server.RestartUnderItsId(DrawMs(0, 1000));
+    else
+      server.Restart();
+  }
+
   void SetStoreFor(StoreMood mood, Milliseconds span)
   {
     m_store.SetMood(mood);
@@ -477,6 +487,7 @@
   std::int64_t m_request_count = 0;
   int m_fault_count = 0;
   bool m_stopped = false;
+  bool m_restarts_under_id = false;
   std::uint64_t m_models = MODELS; ///< That are asked for.
 };
 } // namespace
@@ -493,7 +504,8 @@
       "logs", "folder for the daemons' logs",
       cxxopts::value<std::string>()->default_value("build/soak"))(
       "binary", "of the daemon",
-      cxxopts::value<std::string>()->default_value("build/bin/drumpondd"));
+      cxxopts::value<std::string>()->default_value("build/bin/drumpondd"))(
+      "restarts-under-id", "half of the restarted servers keep their id");
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   Common::InitLog(argv[0]);
@@ -502,5 +514,7 @@
               parsed["seed"].as<std::uint64_t>(), parsed["daemons"].as<int>(),
               parsed["net"].as<std::string>(),
               std::filesystem::absolute(parsed["logs"].as<std::string>()));
+  if (parsed.count("restarts-under-id") > 0)
+    run.RestartServersUnderTheirId();
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
 }
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -58,8 +58,24 @@
 {
   if (!m_instance.empty())
     m_store.Remove("servers", m_instance);
-  ++m_life;
+  BeginLife();
   m_instance = m_name + "-" + std::to_string(m_life);
+  WriteEntry();
+}
+
+void StandInServer::RestartUnderItsId(Milliseconds until_entry)
+{
+  BeginLife();
+  After(until_entry, [this] {
+    WriteEntry();
+  });
+}
+
+void StandInServer::BeginLife()
+{
+  ++m_life;
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  m_born = std::max(m_born + 1, std::chrono::floor<Milliseconds>(now).count());
   m_models.clear();
   m_sequence = 0;
   m_busy = false;
@@ -67,7 +83,6 @@
   const auto connections = m_connections;
   for (const auto& [key, connection] : connections)
     connection->BreakAnswer();
-  WriteEntry();
 }
 
 void StandInServer::Drain()
@@ -97,7 +112,8 @@
                {"state", m_draining ? "draining" : "ready"},
                {"models", models},
                {"atHand", {{"inMemory", Json::array()}, {"onDisk", m_disk}}},
-               {"seq", 1}});
+               {"seq", 1},
+               {"born", m_born}});
 }
 
 void StandInServer::Reject(const Connection& connection, int status, const std::string& id)
@@ -123,7 +139,8 @@
       models.push_back({{"name", model}, {"version", 1}, {"adapters", Json::array()}});
     connection->Respond(
         200, "OK", {},
-        Common::DumpJson({{"seq", m_sequence}, {"busy", m_busy}, {"models", models}}));
+        Common::DumpJson(
+            {{"seq", m_sequence}, {"busy", m_busy}, {"models", models}, {"born", m_born}}));
   }
   else if (m_mood == ServerMood::Sheds)
     Reject(connection, 503, id);
@@ -189,8 +206,9 @@
   if (m_mood == ServerMood::LateOrders)
   {
     const auto delay = Milliseconds(1000 + Common::SharedRandom()() % LATEST_ORDER_MS);
-    After(delay, [this, late = *order] {
-      Carry(late);
+    Common::Reactor::Get().After(delay, [this, late = *order, instance = m_instance] {
+      if (instance == m_instance)
+        Carry(late);
     });
     return;
   }
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -37,6 +37,9 @@
   Common::Result<Common::Done> Listen();
   /// Ends every connection, forgets models and orders, and comes back as another instance.
   void Restart();
+  /// The same, but it comes back under its id with a later start, and its entry tells of that only
+  /// after `until_entry`. Orders of before that it carries out late reach the new life.
+  void RestartUnderItsId(Common::Milliseconds until_entry);
   void Drain();
   void SetMood(ServerMood mood) { m_mood = mood; }
 
@@ -48,6 +51,7 @@
 private:
   using Connection = std::shared_ptr<Http::ServerConnection>;
 
+  void BeginLife();
   void WriteEntry();
   void Serve(const Connection& connection, const Http::ReceivedRequest& request);
   void Stream(const Connection& connection, const std::string& id, int event);
@@ -67,6 +71,7 @@
   std::vector<std::string> m_disk;
   std::set<std::string> m_models;
   std::int64_t m_sequence = 0;
+  std::int64_t m_born = 0; ///< Unix milliseconds of this life's start.
   bool m_busy = false;
   bool m_draining = false;
   int m_life = 0;
