--- a/Tools/make-days.py
+++ b/Tools/make-days.py
@@ -1,11 +1,14 @@
 #!/usr/bin/env python3
 # SPDX-FileCopyrightText: 2026 The drumpond developers
 # SPDX-License-Identifier: Apache-2.0
-"""Writes Scenarios/Days: one day for the users' bench for each kind of trouble, alone, and one for each
-kind together with trouble at the platform's store. Each file is named after what it strikes."""
+"""Writes days for the users' bench. deploy/days: few, which every hunt varies on every site. Scenarios/Days: one
+for each kind of trouble, alone, and one together with trouble at the platform's store, to be run by hand. Each file is
+named after what it strikes."""
 import pathlib
 
-OUT = pathlib.Path(__file__).resolve().parent.parent / "Scenarios" / "Days"
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+OUT = ROOT / "Scenarios" / "Days"
+HUNTED = ROOT / "deploy" / "days"
 
 # name: (section, entries without "at")
 KINDS = {
@@ -95,15 +98,60 @@
     # The configuration outgrows what a link of 10 Mbit/s carries in a second.
     "big-configs": ("plan", ['kind = "big_config", count = 1400'] * 2),
 }
+# name: (what it is for, plan, faults); @s0 and @c0 stand for a site's first service and kind of request.
+VARIED = {
+    "servers-start-again": (
+        "Servers start again under their id, behind cuts and by crashes, while demand moves.",
+        ['at = 1.0, kind = "model_shift", count = 1, for_s = 6.0', 'at = 13.0, kind = "model_shift", count = 2, for_s = 5.0',
+         'at = 24.0, kind = "model_shift", count = 1, for_s = 5.0'],
+        ['at = 4.0, kind = "node_cut", how = "servers reborn", share = 0.3, for_s = 1.5',
+         'at = 10.0, kind = "node_cut", how = "servers reborn", share = 0.3, for_s = 4.0',
+         'at = 17.0, kind = "srv_crash", share = 0.3, for_s = 1.0',
+         'at = 20.0, kind = "node_cut", how = "servers reborn", share = 0.4, for_s = 2.0',
+         'at = 26.0, kind = "applied_late", how = "orders", x = 0.5, for_s = 6.0',
+         'at = 26.0, kind = "node_cut", how = "servers reborn", share = 0.3, for_s = 3.0']),
+    "servers-lost": (
+        "A third of the model servers is lost with the disks: what only the weight store has is wanted.",
+        ['at = 1.0, kind = "model_shift", count = 1, for_s = 6.0', 'at = 20.1, kind = "model_shift", count = 1, for_s = 4.0'],
+        ['at = 3.0, kind = "srv_crash", service = "@s0", share = 0.34, how = "gone"',
+         'at = 9.0, kind = "platform_slow", for_s = 3.0']),
+    "servers-replaced": (
+        "All model servers are replaced in turn: every copy of weights on a disk goes.",
+        ['at = 4.0, kind = "release", service = "@s0", share = 1.0, x = 2.0, gap_s = 1.5',
+         'at = 13.0, kind = "model_shift", count = 2, for_s = 5.0'],
+        ['at = 18.0, kind = "platform_slow", for_s = 4.0']),
+    "demand-returns": (
+        "Demand moves on every few seconds, to models that were given up just before, with many requests at once.",
+        [f'at = {at}, kind = "model_shift", count = 2, for_s = 1.0' for at in (2.0, 7.0, 12.0, 17.0, 22.0, 27.0)],
+        ['at = 9.0, kind = "burst", class = "@c0", x = 2.0, for_s = 6.0', 'at = 14.0, kind = "give_up", share = 0.5, for_s = 8.0']),
+    "configurations-grow": (
+        "The configuration outgrows what a weak link carries in a second.",
+        [f'at = {at}, kind = "big_config", count = 1400' for at in (4.0, 8.0, 17.0, 21.0)], []),
+    "cuts-and-slow-store": (
+        "Data centres and machines are cut off while the store is slow.",
+        [],
+        ['at = 3.0, kind = "platform_slow", x = 100.0, for_s = 8.0', 'at = 4.0, kind = "zone_cut", for_s = 5.0, how = "meet"',
+         'at = 16.0, kind = "platform_slow", x = 100.0, for_s = 8.0', 'at = 17.0, kind = "node_cut", share = 0.4, how = "all meet", for_s = 4.0']),
+    "holder-frozen": (
+        "The holder of the order lease freezes, short and long, as demand moves; the next one too.",
+        [f'at = {at}, kind = "model_shift", count = 1, for_s = 3.0' for at in (3.0, 12.0, 21.0)],
+        ['at = 4.0, kind = "node_freeze", count = 1, how = "giver", for_s = 4.3', 'at = 9.0, kind = "node_freeze", count = 1, how = "giver", for_s = 1.5',
+         'at = 13.0, kind = "node_kill", count = 1, how = "giver"', 'at = 22.0, kind = "node_freeze", count = 1, how = "giver", for_s = 6.0']),
+    "signals-in-series": (
+        "Stops, kills and new settings follow each other and overlap.",
+        ['at = 3.0, kind = "roll_term", share = 1.0, gap_s = 0.7', 'at = 16.0, kind = "roll_term", share = 1.0, how = "busy", gap_s = 0.5'],
+        ['at = 5.0, kind = "node_kill", share = 0.3', 'at = 18.0, kind = "node_kill", share = 0.3', 'at = 24.0, kind = "herd_kill", share = 0.6']),
+}
 STORE = ('kind = "platform_down", how = "nodes reset", share = 0.4, for_s = 5.0',
          'kind = "platform_lost", x = 0.5, for_s = 5.0, how = "late"')
 
 
-def write(name, seed, plan, faults):
+def write(path, seed, plan, faults, purpose=""):
     def lines(entries):
         return "".join(f"  {{ {entry} }},\n" for entry in entries)
-    OUT.joinpath(name + ".toml").write_text(
-        f'[[day]]\nname = "{name}"\nslot = "trouble"\nseed = {seed}\nlength_s = 36.0\none = 0.6\nzero = 0.0\n'
+    head = f"# {purpose}\n" if purpose else ""
+    path.write_text(
+        f'{head}[[day]]\nname = "{path.stem}"\nslot = "trouble"\nseed = {seed}\nlength_s = 36.0\none = 0.6\nzero = 0.0\n'
         f'goal = {{ floor = 0.0 }}\nplan = [\n{lines(plan)}]\nfaults = [\n{lines(faults)}]\n')
 
 
@@ -113,8 +161,11 @@
         twice = [f"at = {at}, {entry}" for at in (4.0, 17.0) for entry in entries]
         storm = [f"at = {at}, {entry}" for at, entry in zip((3.0, 16.0), STORE)]
         plan, faults = (twice, []) if section == "plan" else ([], twice)
-        write(name, 1000 + number, plan, faults)
-        write(name + "-and-store", 2000 + number, plan, faults + storm)
+        write(OUT / f"{name}.toml", 1000 + number, plan, faults)
+        write(OUT / f"{name}-and-store.toml", 2000 + number, plan, faults + storm)
+    HUNTED.mkdir(exist_ok=True)
+    for number, (name, (purpose, plan, faults)) in enumerate(VARIED.items()):
+        write(HUNTED / f"{name}.toml", 3000 + number, plan, faults, purpose)
 
 
 main()
