--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -186,6 +186,26 @@
   }
 }
 
+OrderDesk::LateLoad OrderDesk::LateLoadOf(const OpenOrder& order)
+{
+  return {order.call.artifact.model, order.call.expected_sequence,
+          Common::Now() + LATE_ORDER_LIMIT};
+}
+
+bool OrderDesk::IsLoadUnderWay(const OpenOrder& order)
+{
+  return order.in_exchange && !order.accepted && order.call.operation == OrderCall::Operation::Load;
+}
+
+void OrderDesk::NoteUnanswered(ServerBook& book, const OpenOrder& order, TimePoint now)
+{
+  std::erase_if(book.unanswered_loads, [&](const LateLoad& load) {
+    return load.until <= now;
+  });
+  if (order.call.operation == OrderCall::Operation::Load)
+    book.unanswered_loads.push_back(LateLoadOf(order));
+}
+
 void OrderDesk::DropBooks()
 {
   std::vector<std::pair<InstanceId, LateLoad>> late;
@@ -194,14 +214,13 @@
     const ServerPtr latest = m_servers.FindLatest(instance);
     if (!latest || latest->Entry().instance == instance)
       continue;
+    const InstanceId& next_life = latest->Entry().instance;
     for (const LateLoad& load : book.late_loads)
-      late.emplace_back(latest->Entry().instance, load);
-    const bool unanswered_load = book.open && !book.open->accepted &&
-                                 book.open->call.operation == OrderCall::Operation::Load;
-    if (unanswered_load)
-      late.emplace_back(latest->Entry().instance,
-                        LateLoad{book.open->call.artifact.model, book.open->call.expected_sequence,
-                                 book.open->first_sent + LATE_ORDER_LIMIT});
+      late.emplace_back(next_life, load);
+    for (const LateLoad& load : book.unanswered_loads)
+      late.emplace_back(next_life, load);
+    if (book.open && IsLoadUnderWay(*book.open))
+      late.emplace_back(next_life, LateLoadOf(*book.open));
   }
   std::erase_if(m_books, [&](const auto& entry) {
     return m_servers.Find(entry.first) == nullptr;
@@ -441,7 +460,10 @@
   {
     open.next_check = now + CHECK_PAUSE;
     if (answer.Reason().kind != Common::FailureKind::NotSent)
+    {
+      NoteUnanswered(book, open, now);
       return;
+    }
     book.unusable_until = now + UNREACHABLE_PAUSE;
     CloseOrder(instance, book, "not_sent");
     return;
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -140,8 +140,8 @@
     Decisions::WeightSource source = Decisions::WeightSource::WeightStore;
     std::uint64_t id = 0;
   };
-  /// A load of the life before that was never answered. It may still take effect, once the server
-  /// has taken as many orders as it expects.
+  /// A load that was never answered. It may still take effect, and in a later life of its server
+  /// too, once that has taken as many orders as it expects.
   struct LateLoad
   {
     Gateway::ModelId model;
@@ -163,7 +163,8 @@
     std::vector<Gateway::ModelId> reported_models;
     bool held_changed = true; ///< What it holds is to be told to the plan's book.
     std::optional<OpenOrder> open;
-    std::vector<LateLoad> late_loads;
+    std::vector<LateLoad> unanswered_loads; ///< Of this life, where at most one takes effect.
+    std::vector<LateLoad> late_loads;       ///< Of earlier lives.
     bool adapter_in_exchange = false;
     Common::TimePoint unusable_until;
     Common::TimePoint last_adapter_order;
@@ -192,6 +193,9 @@
   /// Makes the slots and the plans' books anew where servers or the configuration have changed.
   void RefreshSlots();
   void RefreshSlot(Slot& slot, Common::TimePoint now);
+  static LateLoad LateLoadOf(const OpenOrder& order);
+  static bool IsLoadUnderWay(const OpenOrder& order);
+  static void NoteUnanswered(ServerBook& book, const OpenOrder& order, Common::TimePoint now);
   /// Drops the books of servers that are gone or live anew.
   void DropBooks();
   double LateLoadsMb(const Gateway::Pool& pool, const ServerBook& book,
--- a/Source/UnitTests/Orders/ServerLivesOrdersTest.cpp
+++ b/Source/UnitTests/Orders/ServerLivesOrdersTest.cpp
@@ -128,6 +128,7 @@
   CPPUNIT_TEST(AReportOfTheLifeBeforeIsPassedOver);
   CPPUNIT_TEST(AReportOfALaterLifeStopsOrdersUntilItsEntry);
   CPPUNIT_TEST(ALateOrderOfTheLifeBeforeKeepsItsRoom);
+  CPPUNIT_TEST(AnOrderThatWasClosedUnansweredKeepsItsRoomInALaterLife);
   CPPUNIT_TEST_SUITE_END();
 
   /// The order was accepted, then the server died within a heartbeat.
@@ -197,6 +198,32 @@
     for (std::size_t i = 1; i < world.calls.size(); ++i)
       CPPUNIT_ASSERT(world.calls[i].operation == OrderCall::Operation::Unload);
   }
+
+  /// Found by the model of server lives: the sequence had moved past an unanswered load, so it
+  /// could not take effect any more and was forgotten; in the next life the count began anew.
+  void AnOrderThatWasClosedUnansweredKeepsItsRoomInALaterLife()
+  {
+    World world;
+    world.Enter(1000);
+    world.SetReport(1000, 1);
+    world.next_answer = Common::Failure{Common::FailureKind::Timeout, "no answer"};
+    world.Demand({"a"});
+    CPPUNIT_ASSERT(world.OrderGiven(1));
+    RunFor(Milliseconds(20));
+    // Repeated with the sequence that the server has meanwhile, and refused.
+    world.SetReport(1000, 3);
+    world.next_answer = OrderAnswer::Busy;
+    CPPUNIT_ASSERT(world.OrderGiven(2));
+    RunFor(Milliseconds(20));
+    world.next_answer = OrderAnswer::Accepted;
+    world.Enter(2000, R"({"name":"b","version":1,"adapters":[]})");
+    world.SetReport(2000, 1);
+    world.Demand({"c"});
+    const std::size_t before = world.calls.size();
+    world.PlanFor(Milliseconds(100));
+    for (std::size_t i = before; i < world.calls.size(); ++i)
+      CPPUNIT_ASSERT(world.calls[i].operation == OrderCall::Operation::Unload);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerLivesOrdersTest);
