--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -123,6 +123,8 @@
 private:
   /// Accepted adapters are usable after some ms; requests that come too early are rejected.
   static constexpr Common::Milliseconds ADAPTER_LOAD_TIME{90};
+  /// A server whose state is not clear is asked so often.
+  static constexpr Common::Milliseconds CHECK_PAUSE{350};
   /// What follows an unload on its server: more unloads, then the load that they make room for.
   struct NextOrders
   {
