UnitTests: a stream of an earlier life ends; a holder that takes over goes by the new life

Two cases of servers that start again under their id that had no test yet. A case by reading is listed open: a new holder does not know the unanswered loads of the one before.

--- a/Source/UnitTests/Gateway/RelayTest.cpp
+++ b/Source/UnitTests/Gateway/RelayTest.cpp
@@ -178,6 +178,7 @@
   CPPUNIT_TEST(AStreamThatMayNotBeResumedBreaksTheCallersConnection);
   CPPUNIT_TEST(ACutEventIsNotPassedOn);
   CPPUNIT_TEST(AStreamOfAServerThatIsGoneEnds);
+  CPPUNIT_TEST(AStreamOfAnEarlierLifeEndsAndIsNotRunAgain);
   CPPUNIT_TEST(ASilentStreamOfAListedServerIsLeftAlone);
   CPPUNIT_TEST(ACallerThatLeavesCancels);
   CPPUNIT_TEST(HandsOnTheTimeThatIsLeft);
@@ -499,6 +500,31 @@
     CPPUNIT_ASSERT(Common::Now() - begun < Milliseconds(3200));
   }
 
+  /// The server starts again under its id, behind a cut, so that the stream's connection hangs.
+  void AStreamOfAnEarlierLifeEndsAndIsNotRunAgain()
+  {
+    int requests = 0;
+    TestServer server([&](TestPeer& peer, const std::string& head) {
+      ++requests;
+      peer.stream->Write(StreamHead(head) + Chunk(Event(1)));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONE_STREAM_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("id: 1"));
+    ServerEntry entry = world.dispatcher.Servers().All().begin()->second->Entry();
+    entry.instance = InstanceId("i-1", ServerStart(2000));
+    world.dispatcher.Servers().Put(entry);
+    const auto begun = Common::Now();
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return world.caller.ended;
+        },
+        Milliseconds(3500)));
+    CPPUNIT_ASSERT(Common::Now() - begun < Milliseconds(3200));
+    CPPUNIT_ASSERT_EQUAL(1, requests);
+  }
+
   void ASilentStreamOfAListedServerIsLeftAlone()
   {
     TestServer server([](TestPeer& peer, const std::string& head) {
--- a/Source/UnitTests/Orders/ServerLivesOrdersTest.cpp
+++ b/Source/UnitTests/Orders/ServerLivesOrdersTest.cpp
@@ -125,6 +125,7 @@
 {
   CPPUNIT_TEST_SUITE(ServerLivesOrdersTest);
   CPPUNIT_TEST(ALoadUnderWayWhenItDiedIsGivenAnewWithTheNewSequence);
+  CPPUNIT_TEST(AHolderThatTakesOverAfterTheRestartGoesByTheNewLife);
   CPPUNIT_TEST(AReportOfTheLifeBeforeIsPassedOver);
   CPPUNIT_TEST(AReportOfALaterLifeStopsOrdersUntilItsEntry);
   CPPUNIT_TEST(ALateOrderOfTheLifeBeforeKeepsItsRoom);
@@ -148,6 +149,25 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t(0), world.calls[1].expected_sequence);
   }
 
+  /// The lease changes hands after an order was accepted; the server starts again meanwhile, and a
+  /// report of before is the first that the new holder gets.
+  void AHolderThatTakesOverAfterTheRestartGoesByTheNewLife()
+  {
+    World world;
+    world.Enter(1000);
+    world.SetReport(1000, 4);
+    world.Demand({"a"});
+    CPPUNIT_ASSERT(world.OrderGiven(1));
+    RunFor(Milliseconds(20));
+    world.desk.Forget();
+    world.Enter(2000);
+    world.PlanFor(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.calls.size());
+    world.SetReport(2000, 0);
+    CPPUNIT_ASSERT(world.OrderGiven(2));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), world.calls[1].expected_sequence);
+  }
+
   /// The entry tells the new life; the answer to a question of before comes after it.
   void AReportOfTheLifeBeforeIsPassedOver()
   {
