--- a/Source/Core/Accounts/AllowanceKeeper.cpp
+++ b/Source/Core/Accounts/AllowanceKeeper.cpp
@@ -14,14 +14,14 @@
 
 /// The part of the stock that the keeper hands out or holds. The rest covers what flows in at the
 /// daemons by itself while no keeper is heard, also at those that are cut off from a new one.
-constexpr double KEPT_SHARE = 0.65;
+constexpr double KEPT_SHARE = 0.68;
 /// Of that, the part that daemons hold for usual demand; the rest stays for whoever asks.
-constexpr double AHEAD_SHARE = 0.8;
+constexpr double AHEAD_SHARE = 0.85;
 /// Units are handed out ahead for so long of a daemon's demand at most: a keeper that is replaced
 /// is missed for up to 4.5 s, of which the first second is its silence.
 constexpr double AHEAD_SECONDS = 3;
 /// How far a daemon's demand is drawn towards the mean of all that have some.
-constexpr double DRAWN_TO_MEAN = 0.4;
+constexpr double DRAWN_TO_MEAN = 0.6;
 /// From this part of the rate on an account counts as asking for more than it may have.
 constexpr double BUSY_SHARE = 0.9;
 /// The units of a daemon that is silent for so long are void there too.
--- a/Source/UnitTests/Accounts/AllowanceReplayTest.cpp
+++ b/Source/UnitTests/Accounts/AllowanceReplayTest.cpp
@@ -32,10 +32,18 @@
 
 struct Counts
 {
-  double asked = 0;
-  double ran = 0;
-  double refused = 0;
-  double RefusedShare() const { return refused / std::max(asked, 1.0); }
+  int asked = 0;
+  int refused = 0;
+  double units_run = 0;
+
+  double RefusedShare() const { return static_cast<double>(refused) / std::max(asked, 1); }
+  Counts& operator+=(const Counts& other)
+  {
+    asked += other.asked;
+    refused += other.refused;
+    units_run += other.units_run;
+    return *this;
+  }
 };
 
 /// Daemons and their keeper, with one account. Requests arrive at a few daemons, as callers keep
@@ -43,8 +51,9 @@
 class Fleet
 {
 public:
-  explicit Fleet(int daemons, int daemons_with_callers, double rate = RATE)
-      : m_callers(daemons_with_callers)
+  explicit Fleet(int daemons, int daemons_with_callers, double rate = RATE,
+                 std::uint32_t seed = 20261203)
+      : m_random(seed), m_callers(daemons_with_callers)
   {
     SetRate(rate);
     m_daemons.resize(static_cast<std::size_t>(daemons));
@@ -144,7 +153,7 @@
 
   void Arrive(Daemon& daemon, double cost)
   {
-    m_counts.asked += cost;
+    ++m_counts.asked;
     switch (daemon.local.Take(Account(), cost, m_now, true))
     {
     case UsageVerdict::Taken:
@@ -155,7 +164,7 @@
       daemon.waiting.push_back({m_now, cost});
       return;
     default:
-      m_counts.refused += cost;
+      ++m_counts.refused;
     }
   }
 
@@ -163,7 +172,7 @@
 
   void Ran(double cost)
   {
-    m_counts.ran += cost;
+    m_counts.units_run += cost;
     m_ran.emplace_back(m_now, cost);
   }
 
@@ -205,12 +214,12 @@
       if (taken)
         Ran(request.cost);
       else
-        m_counts.refused += request.cost;
+        ++m_counts.refused;
       return true;
     });
   }
 
-  std::mt19937 m_random{20261203};
+  std::mt19937 m_random;
   int m_callers;
   std::shared_ptr<const Directory> m_accounts;
   std::vector<Daemon> m_daemons;
@@ -269,7 +278,7 @@
     fleet.Run(Milliseconds(10000), RATE / 1.8);
     fleet.TakeCounts();
     fleet.Run(Milliseconds(30000), 20 * RATE / 1.8);
-    CPPUNIT_ASSERT(fleet.TakeCounts().ran >= 0.9 * RATE * 30);
+    CPPUNIT_ASSERT(fleet.TakeCounts().units_run >= 0.9 * RATE * 30);
     CPPUNIT_ASSERT(fleet.WorstWindow(RATE) <= 1);
   }
 
@@ -279,24 +288,29 @@
     fleet.Run(Milliseconds(10000), RATE / 1.8);
     fleet.TakeCounts();
     fleet.Run(Milliseconds(30000), 8 * RATE / 1.8);
-    CPPUNIT_ASSERT(fleet.TakeCounts().ran >= 0.9 * RATE * 30);
+    CPPUNIT_ASSERT(fleet.TakeCounts().units_run >= 0.9 * RATE * 30);
     CPPUNIT_ASSERT(fleet.WorstWindow(RATE) <= 1);
   }
 
   /// The keeper is killed; the next one is there after 4.5 s, the longest that was seen. Aim: under
-  /// 1 in 50 refused.
+  /// 1 in 50 requests refused, over ten such gaps.
   void AKeeperThatIsMissedForSecondsIsNotNoticed()
   {
-    Fleet fleet(71, 20);
-    fleet.Run(Milliseconds(12000), RATE / 1.8);
-    fleet.TakeCounts();
-    fleet.keeper_up = false;
-    fleet.Run(Milliseconds(4500), RATE / 1.8);
-    fleet.keeper_up = true;
-    fleet.ChangeKeeper();
-    fleet.Run(Milliseconds(3000), RATE / 1.8);
-    CPPUNIT_ASSERT(fleet.TakeCounts().RefusedShare() < 1.0 / 50);
-    CPPUNIT_ASSERT(fleet.WorstWindow(RATE) <= 1);
+    Counts counts;
+    for (std::uint32_t seed = 1; seed <= 10; ++seed)
+    {
+      Fleet fleet(71, 20, RATE, seed);
+      fleet.Run(Milliseconds(12000), RATE / 1.8);
+      fleet.TakeCounts();
+      fleet.keeper_up = false;
+      fleet.Run(Milliseconds(4500), RATE / 1.8);
+      fleet.keeper_up = true;
+      fleet.ChangeKeeper();
+      fleet.Run(Milliseconds(2000), RATE / 1.8);
+      counts += fleet.TakeCounts();
+      CPPUNIT_ASSERT(fleet.WorstWindow(RATE) <= 1);
+    }
+    CPPUNIT_ASSERT(counts.RefusedShare() < 1.0 / 50);
   }
 
   /// Each new keeper begins with an empty bucket, whatever the one before has granted.
@@ -382,7 +396,7 @@
     fleet.TakeCounts();
     fleet.Run(BOUND.window, RATE / 1.8);
     const double bound = (RATE / 10 * 9) * 1.1 + BOUND.slack;
-    CPPUNIT_ASSERT(fleet.TakeCounts().ran <= bound);
+    CPPUNIT_ASSERT(fleet.TakeCounts().units_run <= bound);
   }
 
   /// The keeper forgets a daemon that was silent for 10 s, and with it how much it has granted; the
