Accounts, Orders: a new keeper counts only its own grants

Cause: daemons told a new holder of the lease what they had seen of the grants of the one before; it took them for its own, so that each seemed to hold hundreds of thousands of units and no bucket had room to fill. The replay asked for the new tenure's count and so could not show it. Ruled out: processor time (the holder used .065 cores at most), lost replies (requests waited their 1.5 s out). The report names the tenure now; a test replays the hand-over, another an account that falls idle.

--- a/Source/Core/Accounts/AllowanceKeeper.cpp
+++ b/Source/Core/Accounts/AllowanceKeeper.cpp
@@ -44,29 +44,35 @@
   told_at = now;
 }
 
-void AllowanceKeeper::Begin()
+void AllowanceKeeper::Begin(std::int64_t tenure)
 {
+  m_tenure = tenure;
   m_runs.clear();
   m_buckets.clear();
 }
 
-void AllowanceKeeper::TakeReport(const Common::VmId& vm, std::uint32_t run,
-                                 std::span<const AllowanceLine> lines, Common::TimePoint now)
+void AllowanceKeeper::TakeReport(const Reporter& reporter, std::span<const AllowanceLine> lines,
+                                 Common::TimePoint now)
 {
+  const Common::VmId& vm = reporter.vm;
   const auto known = m_runs.find(vm);
-  if (known == m_runs.end() || known->second != run)
+  if (known == m_runs.end() || known->second != reporter.run)
   {
     // What a run before held has ended with its process.
     for (auto& [account, bucket] : m_buckets)
       bucket.shares.erase(vm);
-    m_runs[vm] = run;
+    m_runs[vm] = reporter.run;
   }
   // Of accounts without a line the daemon holds nothing and asks for nothing.
   for (auto& [account, bucket] : m_buckets)
     if (const auto share = bucket.shares.find(vm); share != bucket.shares.end())
-      share->second.TakeLine({account, 0, share->second.told.granted_seen, 0, 0, 0}, now);
-  for (const AllowanceLine& line : lines)
+      share->second.TakeLine({account, 0, share->second.granted, 0, 0, 0}, now);
+  for (AllowanceLine line : lines)
+  {
+    if (reporter.tenure_seen != m_tenure)
+      line.granted_seen = 0;
     m_buckets[line.account].shares[vm].TakeLine(line, now);
+  }
 }
 
 void AllowanceKeeper::Fill(Bucket& bucket, const UsageLimit& limit, Common::TimePoint now) const
--- a/Source/Core/Accounts/AllowanceKeeper.h
+++ b/Source/Core/Accounts/AllowanceKeeper.h
@@ -24,10 +24,16 @@
 public:
   void Configure(const UsageBound& bound) { m_bound = bound; }
   /// A new tenure: the buckets are empty, since what the keeper before has granted is not known.
-  void Begin();
+  void Begin(std::int64_t tenure);
 
-  /// What the run `run` of a daemon has and wants.
-  void TakeReport(const Common::VmId& vm, std::uint32_t run, std::span<const AllowanceLine> lines,
+  struct Reporter
+  {
+    Common::VmId vm;
+    std::uint32_t run = 0;        ///< Of its process.
+    std::int64_t tenure_seen = 0; ///< Of the keeper whose grants it counts.
+  };
+  /// What a daemon has and wants.
+  void TakeReport(const Reporter& reporter, std::span<const AllowanceLine> lines,
                   Common::TimePoint now);
   /// Fills the buckets and hands out units of all accounts.
   void Allocate(const Directory& accounts, Common::TimePoint now);
@@ -64,6 +70,7 @@
   static void Grant(Bucket& bucket, Share& share, double units);
 
   UsageBound m_bound;
+  std::int64_t m_tenure = 0;
   std::map<Common::VmId, std::uint32_t> m_runs;
   std::map<AccountName, Bucket> m_buckets;
 };
--- a/Source/Core/Accounts/LocalAllowances.cpp
+++ b/Source/Core/Accounts/LocalAllowances.cpp
@@ -167,7 +167,7 @@
   return std::chrono::ceil<Milliseconds>(local.next_return - now);
 }
 
-std::vector<AllowanceLine> LocalAllowances::Report(std::int64_t tenure, Common::TimePoint now)
+std::vector<AllowanceLine> LocalAllowances::Report(Common::TimePoint now)
 {
   std::vector<AllowanceLine> lines;
   for (auto& [name, local] : m_locals)
@@ -183,8 +183,8 @@
     if (demand < IDLE_DEMAND && local.available < 1 && local.wanted <= 0)
       continue;
     lines.push_back(
-        {name, static_cast<std::int64_t>(local.available),
-         tenure == m_tenure ? local.granted_seen : 0, static_cast<std::int64_t>(std::ceil(demand)),
+        {name, static_cast<std::int64_t>(local.available), local.granted_seen,
+         static_cast<std::int64_t>(std::ceil(demand)),
          static_cast<std::int64_t>(std::ceil(local.wanted)),
          static_cast<std::int64_t>(std::ceil(demand / std::max(local.requests.At(now), 1e-9)))});
   }
--- a/Source/Core/Accounts/LocalAllowances.h
+++ b/Source/Core/Accounts/LocalAllowances.h
@@ -49,8 +49,9 @@
   /// comes later than the one before, so that they do not return together.
   Common::Milliseconds ComeBackAfter(const Account& account, double cost, Common::TimePoint now);
 
-  /// For the keeper whose tenure is `tenure`.
-  std::vector<AllowanceLine> Report(std::int64_t tenure, Common::TimePoint now);
+  /// The tenure whose grants the report counts; a keeper of another has granted none of them.
+  std::int64_t Tenure() const { return m_tenure; }
+  std::vector<AllowanceLine> Report(Common::TimePoint now);
   /// Grants of a keeper; older tenures and repeated words give nothing.
   void TakeGrants(std::int64_t tenure, std::span<const GrantLine> grants, Common::TimePoint now);
 
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -135,7 +135,7 @@
   if (!moved)
     return;
   m_peers.clear();
-  m_allowances.Begin();
+  m_allowances.Begin(own_lease ? own_lease->fence : 0);
   SetWaits();
   for (const TableAccess& table : m_tables)
   {
@@ -218,8 +218,8 @@
   report.placement_version = m_placement_heard;
   report.missed_news = std::exchange(m_missed_news, false);
   report.handicap_ms = m_settings.handicap.count();
-  const std::int64_t tenure = m_own_lease ? m_own_lease->fence : m_last_heard.first;
-  report.allowances = m_dispatcher.Allowances().Report(tenure, Common::Now());
+  report.grants_fence = m_dispatcher.Allowances().Tenure();
+  report.allowances = m_dispatcher.Allowances().Report(Common::Now());
   FitDatagram(report);
   return report;
 }
@@ -237,7 +237,8 @@
     const auto now = Common::Now();
     m_desk.TakeReport(report, now);
     m_desk.PlanSoon();
-    m_allowances.TakeReport(m_settings.self, HashOf(m_settings.run), report.allowances, now);
+    m_allowances.TakeReport({m_settings.self, HashOf(m_settings.run), report.grants_fence},
+                            report.allowances, now);
     AnnounceNow(true);
     return;
   }
@@ -378,7 +379,7 @@
   const Accounts::Directory* accounts = AccountsToDivide(now);
   if (accounts == nullptr)
     return;
-  m_allowances.TakeReport(report.vm, peer.run, report.allowances, now);
+  m_allowances.TakeReport({report.vm, peer.run, report.grants_fence}, report.allowances, now);
   const bool any_waits = std::ranges::any_of(report.allowances, [](const auto& line) {
     return line.wanted > 0;
   });
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -87,6 +87,7 @@
   std::uint64_t placement_version = 0;      ///< Of the last placements that it has.
   bool missed_news = false;                 ///< Changes were missing: they should be sent again.
   std::int64_t handicap_ms = 0;             ///< How ill its VM is fit to hold the lease.
+  std::int64_t grants_fence = 0; ///< Of the lease whose holder's grants the allowances count.
   /// What it may still spend of the accounts' limits, and wants.
   std::vector<Accounts::AllowanceLine> allowances;
 
@@ -94,7 +95,7 @@
   void serialize(Archive& archive)
   {
     archive(vm, run, sequence, demand, loads, table_versions, placement_version, missed_news,
-            handicap_ms, allowances);
+            handicap_ms, grants_fence, allowances);
   }
 };
 
--- a/Source/UnitTests/Accounts/AllowanceReplayTest.cpp
+++ b/Source/UnitTests/Accounts/AllowanceReplayTest.cpp
@@ -60,7 +60,7 @@
     for (std::size_t i = 0; i < m_daemons.size(); ++i)
       Restart(i);
     m_keeper.Configure(BOUND);
-    m_keeper.Begin();
+    m_keeper.Begin(m_tenure);
   }
 
   /// The account's rate; its burst is one second of it.
@@ -90,7 +90,7 @@
   void ChangeKeeper()
   {
     ++m_tenure;
-    m_keeper.Begin();
+    m_keeper.Begin(m_tenure);
   }
 
   void Run(Milliseconds span, double units_per_second)
@@ -184,7 +184,8 @@
     if (reaches && (asks || m_now - daemon.reported_at >= REPORT_INTERVAL))
     {
       const Common::VmId vm(std::to_string(index));
-      m_keeper.TakeReport(vm, daemon.run, daemon.local.Report(m_tenure, m_now), m_now);
+      m_keeper.TakeReport({vm, daemon.run, daemon.local.Tenure()}, daemon.local.Report(m_now),
+                          m_now);
       if (asks)
         m_keeper.AllocateWanted(*m_accounts, vm, m_now);
       else
@@ -244,6 +245,8 @@
   CPPUNIT_TEST(ADaemonThatWakesSpendsNothingTwice);
   CPPUNIT_TEST(ALowerLimitBindsAfterOneWindow);
   CPPUNIT_TEST(ADaemonThatWasSilentForLongIsGrantedUnitsAgain);
+  CPPUNIT_TEST(ANewKeeperTakesNoGrantsOfTheOneBeforeForItsOwn);
+  CPPUNIT_TEST(AnAccountThatFallsIdleLeavesNothingHeld);
   CPPUNIT_TEST(NoCountIsFreeAndNoneGetsStuck);
   CPPUNIT_TEST_SUITE_END();
 
@@ -414,6 +417,50 @@
     CPPUNIT_ASSERT(fleet.TakeCounts().RefusedShare() < 1.0 / 500);
   }
 
+  /// Symptom: after the lease changed its holder, 100 to 250 requests a second of all accounts were
+  /// refused for their limits, for 17 s.
+  /// Sequence: daemons report to the new keeper, before they have heard of it, what they have seen
+  /// of the grants of the one before. Cause: the new keeper took these for its own, so that each
+  /// daemon seemed to hold hundreds of thousands of units, and no bucket had room to fill.
+  void ANewKeeperTakesNoGrantsOfTheOneBeforeForItsOwn()
+  {
+    const AccountName name("a");
+    AccountSpec spec;
+    spec.account.name = name;
+    spec.account.limit = {RATE, RATE, UsageUnit::Tokens, 200};
+    const auto accounts = *Directory::Build({spec});
+    AllowanceKeeper keeper;
+    keeper.Configure(BOUND);
+    keeper.Begin(2);
+    const Common::VmId vm("1");
+    const AllowanceLine before{name, 100, 500000, 1000, 0, 1000};
+    const TimePoint begin = TimePoint() + Milliseconds(1000000);
+    keeper.TakeReport({vm, 1, 1}, std::vector{before}, begin);
+    keeper.Allocate(*accounts, begin);
+    const AllowanceLine after{name, 100, 0, 1000, 1000, 1000};
+    for (int ms = 0; ms <= 2000; ms += 400)
+    {
+      keeper.TakeReport({vm, 1, 2}, std::vector{after}, begin + Milliseconds(ms));
+      keeper.Allocate(*accounts, begin + Milliseconds(ms));
+    }
+    const auto grants = keeper.GrantsFor(vm);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), grants.size());
+    CPPUNIT_ASSERT(grants[0].granted >= 900);
+    CPPUNIT_ASSERT(grants[0].granted < 100000);
+  }
+
+  /// Where a daemon tells nothing of an account, nothing there may count as held for ever: the
+  /// units would be lost to all others.
+  void AnAccountThatFallsIdleLeavesNothingHeld()
+  {
+    Fleet fleet(71, 71, 4200);
+    fleet.Run(Milliseconds(20000), 4200 / 1.8);
+    fleet.Run(Milliseconds(90000), 0);
+    fleet.TakeCounts();
+    fleet.Run(Milliseconds(10000), 4200 / 1.8);
+    CPPUNIT_ASSERT(fleet.TakeCounts().RefusedShare() < 1.0 / 500);
+  }
+
   void NoCountIsFreeAndNoneGetsStuck()
   {
     const UsageLimit limit{1000, 1000, UsageUnit::Tokens, 200};
