--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -125,6 +125,7 @@
   CPPUNIT_TEST(ADaemonWithRequestsAtManyServersIsHeard);
   CPPUNIT_TEST(TheHoldersProofIsNoNewerThanItsWord);
   CPPUNIT_TEST(AWordThatLayInTheSocketProvesNothingNew);
+  CPPUNIT_TEST(ANewHolderGrantsUnitsToo);
   CPPUNIT_TEST_SUITE_END();
 
   /// The holder has proven its copy at a moment; the other daemon learns that moment, never a later
@@ -174,6 +175,64 @@
     CPPUNIT_ASSERT(*other.proven_at <= written);
   }
 
+  static void SetAccounts(Daemon& daemon)
+  {
+    Accounts::AccountSpec spec;
+    spec.account.name = Accounts::AccountName("a");
+    spec.account.limit = {10000, 10000, Accounts::UsageUnit::Tokens, 200};
+    auto configuration = std::make_shared<Configuration>();
+    configuration->version = 1;
+    configuration->accounts = *Accounts::Directory::Build({spec});
+    daemon.dispatcher.SetConfiguration(configuration);
+  }
+
+  /// Asks for units until there are some, as a request does.
+  static bool GetsUnits(Daemon& daemon, double cost)
+  {
+    const Accounts::Account& account =
+        daemon.dispatcher.CurrentConfiguration()->accounts->All().front();
+    auto& allowances = daemon.dispatcher.Allowances();
+    if (allowances.Take(account, cost, Common::Now(), true) == Accounts::UsageVerdict::Taken)
+      return true;
+    allowances.BeginWait(account.name, cost);
+    daemon.hub.ReportSoon();
+    bool got = false;
+    RunUntil(
+        [&] {
+          got = got || allowances.Take(account, cost, Common::Now(), false) ==
+                           Accounts::UsageVerdict::Taken;
+          return got;
+        },
+        Milliseconds(1500));
+    allowances.EndWait(account.name, cost);
+    return got;
+  }
+
+  /// Symptom: after the lease changed its holder, requests of all accounts were refused for their
+  /// limits.
+  /// Sequence: one daemon holds the lease and grants units; another takes it over with a higher
+  /// fence.
+  void ANewHolderGrantsUnitsToo()
+  {
+    Daemon first("a");
+    Daemon second("b");
+    Daemon other("c");
+    for (Daemon* daemon : {&first, &second, &other})
+      SetAccounts(*daemon);
+    first.hub.SetHolder(std::nullopt, LeaseWord{1, 1, Milliseconds(60000)});
+    second.hub.SetHolder(first.endpoint, std::nullopt);
+    other.hub.SetHolder(first.endpoint, std::nullopt);
+    RunFor(Milliseconds(1500));
+    for (int i = 0; i < 5; ++i)
+      CPPUNIT_ASSERT(GetsUnits(other, 1000));
+    first.hub.SetHolder(second.endpoint, std::nullopt);
+    second.hub.SetHolder(std::nullopt, LeaseWord{3352, 2, Milliseconds(60000)});
+    other.hub.SetHolder(second.endpoint, std::nullopt);
+    RunFor(Milliseconds(1500));
+    for (int i = 0; i < 8; ++i)
+      CPPUNIT_ASSERT(GetsUnits(other, 1000));
+  }
+
   static void Begin(Daemon& holder, Daemon& other)
   {
     holder.hub.SetHolder(std::nullopt, LeaseWord{1, 1, Milliseconds(3000)});
