--- a/Models/KeyTrust.pml
+++ b/Models/KeyTrust.pml
@@ -13,9 +13,9 @@
  * Proved: no request that comes later than LIMIT after the key was taken away runs with it.
  * guards: AGE_FROM_ARRIVAL PROOF_FROM_ANSWER START_TRUSTS */
 
-#define LIMIT 2
-#define END_OF_TIME 7
-#define REPORTS 3
+#define LIMIT 1
+#define END_OF_TIME 4
+#define REPORTS 2
 #define NEVER 255
 
 byte now = 1;
