Orders: the holder knows the bound on accounts' limits

Cause: the hub never told the keeper of the accounts' buckets by how much a limit may be exceeded, so that its stock was one second of the rate. Before the lease changed its holder full buckets hid it; afterwards they begin below empty, and small accounts had units for two requests. Ruled out: processor time, lost replies, tenures mixed up.

--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -135,6 +135,7 @@
   if (!moved)
     return;
   m_peers.clear();
+  m_allowances.Configure(m_dispatcher.Settings().usage_bound);
   m_allowances.Begin(own_lease ? own_lease->fence : 0);
   SetWaits();
   for (const TableAccess& table : m_tables)
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -126,6 +126,7 @@
   CPPUNIT_TEST(TheHoldersProofIsNoNewerThanItsWord);
   CPPUNIT_TEST(AWordThatLayInTheSocketProvesNothingNew);
   CPPUNIT_TEST(ANewHolderGrantsUnitsToo);
+  CPPUNIT_TEST(TheHolderHandsOutWhatTheBoundAllows);
   CPPUNIT_TEST_SUITE_END();
 
   /// The holder has proven its copy at a moment; the other daemon learns that moment, never a later
@@ -208,10 +209,27 @@
     return got;
   }
 
-  /// Symptom: after the lease changed its holder, requests of all accounts were refused for their
-  /// limits.
-  /// Sequence: one daemon holds the lease and grants units; another takes it over with a higher
-  /// fence.
+  /// Symptom: after the lease changed its holder, 100 to 200 requests a second of all accounts, the
+  /// small ones most, were refused for their limits.
+  /// Sequence: a new holder's buckets begin below empty and fill up to the stock, and daemons ask.
+  /// Cause: the hub never told the keeper the bound, so that a stock was one second of the rate: for
+  /// a small account two requests, where the bound allows twenty.
+  void TheHolderHandsOutWhatTheBoundAllows()
+  {
+    Daemon holder("a");
+    Daemon other("b");
+    for (Daemon* daemon : {&holder, &other})
+    {
+      SetAccounts(*daemon);
+      DispatcherSettings settings;
+      settings.usage_bound = {Milliseconds(8000), 0.1, 17000};
+      daemon->dispatcher.Configure(settings);
+    }
+    Begin(holder, other);
+    RunFor(Milliseconds(2500));
+    CPPUNIT_ASSERT(GetsUnits(other, 15000));
+  }
+
   void ANewHolderGrantsUnitsToo()
   {
     Daemon first("a");
