--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -21,6 +21,8 @@
 
 /// While requests wait, pauses of servers run out without an event: so often they are looked at.
 constexpr Milliseconds PUMP_INTERVAL{40};
+/// Accounts with figures of their own in the metrics; those of the rest are added up.
+constexpr std::size_t MAX_ACCOUNT_SERIES = 20;
 /// So often requests that wait for units of their account's limit are looked at.
 constexpr Milliseconds ALLOWANCE_INTERVAL{50};
 /// Requests at once on a server without a model engine, in its slots: a few wait there, so that a
@@ -292,8 +294,34 @@
   return result;
 }
 
+void Dispatcher::RefreshAccountGauges()
+{
+  using Entry = std::pair<Accounts::AccountName, Accounts::LocalAllowances::Usage>;
+  const auto totals = m_allowances.Totals();
+  std::vector<Entry> largest(totals.begin(), totals.end());
+  std::ranges::sort(largest, std::ranges::greater(), [](const Entry& entry) {
+    return entry.second.asked;
+  });
+  Accounts::LocalAllowances::Usage others;
+  for (std::size_t i = 0; i < largest.size(); ++i)
+  {
+    const auto& [account, usage] = largest[i];
+    if (i >= MAX_ACCOUNT_SERIES)
+    {
+      others.asked += usage.asked;
+      others.refused += usage.refused;
+      continue;
+    }
+    m_metrics.SetGauge("account_asked_" + account.Get(), static_cast<double>(usage.asked));
+    m_metrics.SetGauge("account_refused_" + account.Get(), static_cast<double>(usage.refused));
+  }
+  m_metrics.SetGauge("accounts_asked_others", static_cast<double>(others.asked));
+  m_metrics.SetGauge("accounts_refused_others", static_cast<double>(others.refused));
+}
+
 void Dispatcher::RefreshGauges()
 {
+  RefreshAccountGauges();
   const auto now = Common::Now();
   const auto count_servers = [&](auto matches) {
     return static_cast<double>(std::ranges::count_if(m_servers.All(), [&](const auto& entry) {
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -121,6 +121,8 @@
 
 private:
   void PumpWaiting();
+  /// Units that the accounts asked for, and that were refused.
+  void RefreshAccountGauges();
   /// Requests that wait for units, oldest first, look whether there are some.
   void TryAllowances();
   std::int64_t LimitFor(const Server& server) const;
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -212,8 +212,8 @@
   /// Symptom: after the lease changed its holder, 100 to 200 requests a second of all accounts, the
   /// small ones most, were refused for their limits.
   /// Sequence: a new holder's buckets begin below empty and fill up to the stock, and daemons ask.
-  /// Cause: the hub never told the keeper the bound, so that a stock was one second of the rate: for
-  /// a small account two requests, where the bound allows twenty.
+  /// Cause: the hub never told the keeper the bound, so that a stock was one second of the rate:
+  /// for a small account two requests, where the bound allows twenty.
   void TheHolderHandsOutWhatTheBoundAllows()
   {
     Daemon holder("a");
