Crashes, Gateway: failed requests are logged with a fingerprint of what they ask

Of a request that comes again no line told that it was the same: each attempt has an id of its own. Bodies are in no log. No decision uses it.

--- /dev/null
+++ b/Source/Core/Crashes/Fingerprint.cpp
@@ -0,0 +1,82 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Crashes/Fingerprint.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <cstring>
+#include <memory>
+
+#include <glib.h>
+
+namespace Crashes
+{
+namespace
+{
+constexpr std::size_t DIGITS = 16; ///< Of one half.
+
+struct ChecksumDeleter
+{
+  void operator()(GChecksum* checksum) const { g_checksum_free(checksum); }
+};
+using Checksum = std::unique_ptr<GChecksum, ChecksumDeleter>;
+
+/// The length goes first, so that no part can run into the next.
+void Add(GChecksum* checksum, std::string_view part)
+{
+  const std::uint64_t size = part.size();
+  g_checksum_update(checksum, reinterpret_cast<const guchar*>(&size), sizeof(size));
+  g_checksum_update(checksum, reinterpret_cast<const guchar*>(part.data()),
+                    static_cast<gssize>(part.size()));
+}
+
+std::optional<std::uint64_t> ParseHalf(std::string_view text)
+{
+  constexpr int BASE = 16;
+  std::uint64_t half = 0;
+  const auto read = std::from_chars(text.data(), text.data() + text.size(), half, BASE);
+  if (read.ec != std::errc() || read.ptr != text.data() + text.size())
+    return std::nullopt;
+  return half;
+}
+} // namespace
+
+std::string Fingerprint::ToString() const
+{
+  std::array<char, 2 * DIGITS + 1> text{};
+  std::snprintf(text.data(), text.size(), "%016llx%016llx", static_cast<unsigned long long>(high),
+                static_cast<unsigned long long>(low));
+  return text.data();
+}
+
+std::optional<Fingerprint> Fingerprint::Parse(std::string_view text)
+{
+  if (text.size() != 2 * DIGITS)
+    return std::nullopt;
+  const auto high = ParseHalf(text.substr(0, DIGITS));
+  const auto low = ParseHalf(text.substr(DIGITS));
+  if (!high || !low)
+    return std::nullopt;
+  return Fingerprint{*high, *low};
+}
+
+Fingerprint FingerprintOf(const RequestIdentity& identity)
+{
+  const Checksum checksum(g_checksum_new(G_CHECKSUM_SHA256));
+  Add(checksum.get(), identity.account);
+  Add(checksum.get(), identity.method);
+  Add(checksum.get(), identity.host);
+  Add(checksum.get(), identity.target);
+  Add(checksum.get(), identity.body);
+  constexpr std::size_t SHA256_BYTES = 32;
+  std::array<guint8, SHA256_BYTES> digest{};
+  gsize size = digest.size();
+  g_checksum_get_digest(checksum.get(), digest.data(), &size);
+  Fingerprint result;
+  std::memcpy(&result.high, digest.data(), sizeof(result.high));
+  std::memcpy(&result.low, digest.data() + sizeof(result.high), sizeof(result.low));
+  return result;
+}
+} // namespace Crashes
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -179,6 +179,20 @@
   TakeAllowance();
 }
 
+const Crashes::Fingerprint& Relay::Fingerprint()
+{
+  if (!m_fingerprint)
+  {
+    const Http::MessageHead& head = m_request.head;
+    const std::string* host = head.Find("Host");
+    m_fingerprint =
+        Crashes::FingerprintOf({m_account.Get(), head.method,
+                                host == nullptr ? std::string_view() : std::string_view(*host),
+                                head.target, m_request.body});
+  }
+  return *m_fingerprint;
+}
+
 void Relay::Begin()
 {
   m_dispatcher.NoteArrival(*this);
@@ -647,6 +661,7 @@
     Common::LogEvent(Common::LogLevel::Warning, "attempt-failed",
                      {{"id", m_id},
                       {"route", m_route.name},
+                      {"fingerprint", Fingerprint().ToString()},
                       {"artifact", m_artifact.ToString()},
                       {"instance", m_server->Entry().instance},
                       {"why", why},
@@ -779,6 +794,7 @@
       {{"id", m_id},
        {"route", m_route.name},
        {"account", m_account},
+       {"fingerprint", m_fingerprint ? m_fingerprint->ToString() : ""},
        {"artifact", m_artifact.ToString()},
        {"outcome", ToString(outcome)},
        {"status", status == 0 ? m_head.status : status},
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -12,6 +12,7 @@
 
 #include "Accounts/LocalAllowances.h"
 #include "Common/Reactor.h"
+#include "Crashes/Fingerprint.h"
 #include "Gateway/EventSplitter.h"
 #include "Gateway/ServerDirectory.h"
 #include "Gateway/Types.h"
@@ -67,6 +68,8 @@
   const std::string& AffinityKey() const { return m_affinity; }
   const std::set<InstanceId>& TriedServers() const { return m_tried; }
   const Route& MatchedRoute() const { return m_route; }
+  /// By which the request is recognised when it comes again. Made when it is first asked for.
+  const Crashes::Fingerprint& Fingerprint();
 
   /// The process stops: what is not finished is given up now.
   void GiveUpForStop();
@@ -138,6 +141,7 @@
   Artifact m_artifact;
   std::string m_id;
   std::string m_affinity;
+  std::optional<Crashes::Fingerprint> m_fingerprint;
   Common::TimePoint m_arrived;
   Common::TimePoint m_deadline;
   Common::Milliseconds m_patience{0}; ///< So long the caller stays without a word.
