--- a/Source/StandIns/Soak/Ledger.cpp
+++ b/Source/StandIns/Soak/Ledger.cpp
@@ -3,6 +3,7 @@
 
 #include "StandIns/Soak/Ledger.h"
 
+#include <algorithm>
 #include <iostream>
 
 namespace Soak
@@ -13,6 +14,13 @@
 /// this program's own loop take.
 constexpr Common::Milliseconds HOLDER_PAUSE{2900};
 
+/// A request that ends servers is known for it after so many.
+constexpr int KNOWN_AFTER_ENDS = 3;
+/// So long all daemons that are in touch may take to learn of it.
+constexpr Common::Milliseconds CONTACT_TIME{3000};
+/// Later it reaches servers so often at most, for all time.
+constexpr int LATE_ARRIVALS_ALLOWED = 3;
+
 /// True where the body is a whole stream for `id`: ids from 1 without a gap, then the end mark.
 bool IsWholeStream(const std::string& id, const std::string& body)
 {
@@ -84,4 +92,38 @@
     Break("two holders with one fence at " + server);
   last = {holder, fence, now};
 }
+
+void Ledger::NoteDisturbance(Common::TimePoint until)
+{
+  m_disturbed_until = std::max(m_disturbed_until, until);
+}
+
+void Ledger::NoteCrash(const std::string& crasher, Common::TimePoint now)
+{
+  Crasher& known = m_crashers[crasher];
+  if (++known.ends == KNOWN_AFTER_ENDS)
+    known.third_end_at = now;
+}
+
+void Ledger::NoteCrasherArrival(const std::string& crasher, Common::TimePoint now)
+{
+  Crasher& known = m_crashers[crasher];
+  ++known.arrivals;
+  if (known.ends < KNOWN_AFTER_ENDS || now - known.third_end_at < CONTACT_TIME ||
+      now - m_disturbed_until < CONTACT_TIME)
+    return;
+  if (++known.too_late == LATE_ARRIVALS_ALLOWED + 1)
+    Break("sent again and again: " + crasher + ", " + std::to_string(known.ends) +
+          " servers have ended under it");
+}
+
+std::string Ledger::DescribeCrashers() const
+{
+  std::string text;
+  for (const auto& [name, crasher] : m_crashers)
+    text += name + ": " + std::to_string(crasher.arrivals) + " arrivals, " +
+            std::to_string(crasher.ends) + " servers ended, " + std::to_string(crasher.too_late) +
+            " too late\n";
+  return text;
+}
 } // namespace Soak
--- a/Source/StandIns/Soak/Ledger.h
+++ b/Source/StandIns/Soak/Ledger.h
@@ -33,6 +33,12 @@
   /// A backend server took an order.
   void NoteOrder(const std::string& server, const std::string& holder, std::int64_t fence,
                  Common::TimePoint now);
+  /// A request that ends the servers that run it has reached a server.
+  void NoteCrasherArrival(const std::string& crasher, Common::TimePoint now);
+  /// A server has ended under it.
+  void NoteCrash(const std::string& crasher, Common::TimePoint now);
+  /// Until then some daemon is not in touch with the others or the store.
+  void NoteDisturbance(Common::TimePoint until);
   void Break(const std::string& what);
 
   const std::vector<std::string>& Broken() const { return m_broken; }
@@ -40,6 +46,8 @@
   std::int64_t Refused() const { return m_refused; }
   std::int64_t Failed() const { return m_failed; }
   std::int64_t Orders() const { return m_orders; }
+  /// A line a request that ends servers: how often it arrived, and how many ended.
+  std::string DescribeCrashers() const;
   /// Forgets the counts, not the promises.
   void ResetCounts() { m_answered = m_refused = m_failed = 0; }
 
@@ -57,8 +65,18 @@
     Common::TimePoint at;
   };
 
+  struct Crasher
+  {
+    int ends = 0;     ///< Of servers, under it.
+    int arrivals = 0; ///< At servers.
+    int too_late = 0; ///< Arrivals when all daemons had to know of the third end.
+    Common::TimePoint third_end_at;
+  };
+
   std::map<std::string, Request> m_requests;
   std::map<std::string, ServerOrders> m_servers;
+  std::map<std::string, Crasher> m_crashers;
+  Common::TimePoint m_disturbed_until;
   std::vector<std::string> m_broken;
   std::int64_t m_answered = 0;
   std::int64_t m_refused = 0;
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -45,6 +45,9 @@
 constexpr Milliseconds CALM_BEFORE_CHECK{9000};
 constexpr Milliseconds CHECK_TIME{2500};
 constexpr Milliseconds REQUEST_GAP{12};
+/// Different requests that end the servers that run them, and the time between two of them.
+constexpr int CRASHERS = 3;
+constexpr Milliseconds CRASHER_GAP{170};
 /// How often a killed process is looked for.
 constexpr Milliseconds END_POLL{20};
 /// A link of 10 Mbit/s, as the weaker VMs have it.
@@ -84,6 +87,7 @@
   }
 
   void RestartServersUnderTheirId() { m_restarts_under_id = true; }
+  void SendCrashingRequests() { m_crashers = CRASHERS; }
 
   int Run(Milliseconds faults_for)
   {
@@ -91,6 +95,9 @@
     After(START_TIME, [this] {
       SendRequests();
     });
+    After(START_TIME, [this] {
+      SendCrasher();
+    });
     After(START_TIME, [this, faults_for] {
       m_faults_until = Common::Now() + faults_for;
       NextFault();
@@ -108,6 +115,7 @@
     });
     g_main_loop_run(m_loop);
     m_processes.EndAll();
+    std::cout << m_ledger.DescribeCrashers();
     std::cout << m_ledger.Orders() << " orders, " << m_fault_count << " faults, "
               << m_ledger.Broken().size() << " broken\n";
     return m_ledger.Broken().empty() ? 0 : 1;
@@ -276,6 +284,31 @@
                          });
   }
 
+  /// The same requests again and again, at any daemon, each time under a fresh id. They are no part
+  /// of what has to be served.
+  void SendCrasher()
+  {
+    if (m_stopped || m_crashers == 0)
+      return;
+    DaemonSlot& daemon = AnyDaemon();
+    const auto number = Draw(static_cast<std::uint64_t>(m_crashers));
+    const std::string id = "c" + std::to_string(++m_request_count);
+    const bool is_plain = number == 0;
+    Http::WholeRequest request{
+        "POST",
+        is_plain ? "/plain/x" : "/stream/x",
+        {{"Host", "h"}, {"Attempt-Id", id}, {"Time-Left-Ms", "4000"}},
+        std::string(StandInServer::CRASHER_PREFIX).append(std::to_string(number))};
+    if (!is_plain)
+      request.headers.push_back({"Model", "m" + std::to_string(number - 1)});
+    m_ledger.NoteSent(id, is_plain ? RequestType::Plain : RequestType::Stream);
+    if (daemon.expected_to_run)
+      daemon.callers->Call(request, CALLER_PATIENCE, [](const auto&) {});
+    After(CRASHER_GAP, [this] {
+      SendCrasher();
+    });
+  }
+
   void NextFault()
   {
     CheckProcesses();
@@ -283,7 +316,9 @@
       return;
     ++m_fault_count;
     Strike();
-    After(DrawMs(150, 1200), [this] {
+    // Between faults all daemons get in touch again, so that what must hold then is seen.
+    const auto pause = m_crashers == 0 ? DrawMs(150, 1200) : DrawMs(150, 6000);
+    After(pause, [this] {
       NextFault();
     });
   }
@@ -338,6 +373,7 @@
     if (!daemon.expected_to_run)
       return;
     Trace(signal == SIGTERM ? "stop" : "kill", daemon);
+    m_ledger.NoteDisturbance(Common::Now() + Milliseconds(3600) + START_TIME);
     m_processes.Signal(daemon.pid, SIGCONT);
     m_processes.Signal(daemon.pid, signal);
     daemon.expected_to_run = false;
@@ -370,7 +406,9 @@
     Trace("pause", daemon);
     daemon.paused_in_stop = !daemon.expected_to_run;
     m_processes.Signal(daemon.pid, SIGSTOP);
-    After(DrawMs(100, 6000), [this, pid = daemon.pid] {
+    const auto span = DrawMs(100, 6000);
+    m_ledger.NoteDisturbance(Common::Now() + span);
+    After(span, [this, pid = daemon.pid] {
       m_processes.Signal(pid, SIGCONT);
     });
   }
@@ -386,6 +424,7 @@
   void SetStoreFor(StoreMood mood, Milliseconds span)
   {
     m_store.SetMood(mood);
+    m_ledger.NoteDisturbance(Common::Now() + span);
     After(span, [this] {
       m_store.SetMood(StoreMood::Well);
     });
@@ -394,7 +433,9 @@
   void CutFromStore(DaemonSlot& daemon)
   {
     daemon.store_path->SetCut(true);
-    After(DrawMs(300, 6000), [&daemon] {
+    const auto span = DrawMs(300, 6000);
+    m_ledger.NoteDisturbance(Common::Now() + span);
+    After(span, [&daemon] {
       daemon.store_path->SetCut(false);
     });
   }
@@ -488,6 +529,7 @@
   int m_fault_count = 0;
   bool m_stopped = false;
   bool m_restarts_under_id = false;
+  int m_crashers = 0;              ///< Requests that end servers.
   std::uint64_t m_models = MODELS; ///< That are asked for.
 };
 } // namespace
@@ -505,7 +547,8 @@
       cxxopts::value<std::string>()->default_value("build/soak"))(
       "binary", "of the daemon",
       cxxopts::value<std::string>()->default_value("build/bin/drumpondd"))(
-      "restarts-under-id", "half of the restarted servers keep their id");
+      "restarts-under-id", "half of the restarted servers keep their id")(
+      "crashing-requests", "requests that end the servers that run them come again and again");
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   Common::InitLog(argv[0]);
@@ -516,5 +559,7 @@
               std::filesystem::absolute(parsed["logs"].as<std::string>()));
   if (parsed.count("restarts-under-id") > 0)
     run.RestartServersUnderTheirId();
+  if (parsed.count("crashing-requests") > 0)
+    run.SendCrashingRequests();
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
 }
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -23,6 +23,9 @@
 constexpr int EVENTS = 25;
 constexpr std::uint64_t BREAKS_ONE_IN = 40; ///< Events at which a server that resets breaks off.
 constexpr std::uint64_t LATEST_ORDER_MS = 4000;
+/// From the begin of its run to the end of the server.
+constexpr Milliseconds CRASH_AFTER{5};
+constexpr Milliseconds DOWN_TIME{1500};
 
 std::string HeaderValue(const Http::MessageHead& head, const char* name)
 {
@@ -41,19 +44,36 @@
 {
 }
 
-Common::Result<Common::Done> StandInServer::Listen()
+Common::Result<Common::Done> StandInServer::Open()
 {
-  auto listening = m_listener.Listen(m_endpoint, [this](int fd, const Http::Endpoint&) {
+  m_listener.emplace();
+  return m_listener->Listen(m_endpoint, [this](int fd, const Http::Endpoint&) {
     const auto connection = Http::ServerConnection::Adopt(fd, *this);
     m_connections.emplace(connection.get(), connection);
     connection->OnFinished([this](Http::ServerConnection* finished) {
       m_connections.erase(finished);
     });
   });
+}
+
+Common::Result<Common::Done> StandInServer::Listen()
+{
+  auto listening = Open();
   Restart();
   return listening;
 }
 
+void StandInServer::Crash(Milliseconds until_gone)
+{
+  m_listener.reset();
+  BeginLife();
+  After(until_gone, [this] {
+    if (!Open())
+      m_ledger.Break("the stand-in server cannot listen again: " + m_name);
+    Restart();
+  });
+}
+
 void StandInServer::Restart()
 {
   if (!m_instance.empty())
@@ -126,6 +146,9 @@
 {
   const std::string id = HeaderValue(request.head, "Attempt-Id");
   const std::string wanted = HeaderValue(request.head, "Expect-Instance");
+  const bool is_crasher = request.body.starts_with(CRASHER_PREFIX);
+  if (is_crasher)
+    m_ledger.NoteCrasherArrival(request.body, Common::Now());
   if (m_mood == ServerMood::Silent)
     return;
   if (!wanted.empty() && wanted != m_instance)
@@ -158,6 +181,14 @@
     return;
   }
   m_ledger.NoteRun(id);
+  if (request.body.starts_with(CRASHER_PREFIX))
+  {
+    After(CRASH_AFTER, [this, crasher = request.body] {
+      m_ledger.NoteCrash(crasher, Common::Now());
+      Crash(DOWN_TIME);
+    });
+    return;
+  }
   if (!model.empty())
   {
     const std::string last = HeaderValue(request.head, "Last-Event-Id");
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -6,8 +6,10 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 #include "Common/Json.h"
 #include "Common/Reactor.h"
@@ -41,6 +43,11 @@
   /// after `until_entry`. Orders of before that it carries out late reach the new life.
   void RestartUnderItsId(Common::Milliseconds until_entry);
   void Drain();
+  /// The process ends: connections break and new ones are refused. Its entry stays for
+  /// `until_gone`; then it comes back as another instance.
+  void Crash(Common::Milliseconds until_gone);
+  /// Bodies that begin so belong to requests that end every server that begins to run them.
+  static constexpr std::string_view CRASHER_PREFIX = "crash ";
   void SetMood(ServerMood mood) { m_mood = mood; }
 
   void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
@@ -52,6 +59,7 @@
   using Connection = std::shared_ptr<Http::ServerConnection>;
 
   void BeginLife();
+  Common::Result<Common::Done> Open();
   void WriteEntry();
   void Serve(const Connection& connection, const Http::ReceivedRequest& request);
   void Stream(const Connection& connection, const std::string& id, int event);
@@ -65,7 +73,7 @@
   Http::Endpoint m_endpoint;
   StandInStore& m_store;
   Ledger& m_ledger;
-  Http::TcpListener m_listener;
+  std::optional<Http::TcpListener> m_listener; ///< None while the process is down.
   Http::ServerLimits m_limits;
   std::map<Http::ServerConnection*, Connection> m_connections;
   std::vector<std::string> m_disk;
