Common, Http: all ages, deadlines and timers count the time in which a VM is suspended

Callers and servers saw a VM that had been suspended act on what was over: a lease, keys that were taken away, granted units, a request's deadline, since the steady clock leaves that time out. One clock for all, CLOCK_BOOTTIME; the loop's waits, which the kernel counts without it, last 100 ms at most; GLib's own timeouts are no longer used. Ruled out by reading: log stamps (time of day), metrics (made from ages when asked), the lease's word of the holder (an upper bound). The kernel's own limits on silent connections still count running time only.

--- a/Source/Core/Common/Log.cpp
+++ b/Source/Core/Common/Log.cpp
@@ -95,7 +95,7 @@
   }
 
   std::string m_waiting;
-  unsigned m_timer = 0;
+  CallId m_timer = 0;
 };
 
 Output& TheOutput()
@@ -227,7 +227,7 @@
   if (std::this_thread::get_id() == MainThread())
     write();
   else
-    CallAfter(Milliseconds(0), write);
+    CallSoon(write);
   return G_LOG_WRITER_HANDLED;
 }
 } // namespace
--- a/Source/Core/Common/Loop.cpp
+++ b/Source/Core/Common/Loop.cpp
@@ -3,16 +3,28 @@
 
 #include "Common/Loop.h"
 
+#include <ctime>
+#include <utility>
+
 #include <glib.h>
 
+#include "Common/Reactor.h"
+
 namespace Common
 {
+BootClock::time_point BootClock::now() noexcept
+{
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
 TimePoint Now()
 {
-  return std::chrono::steady_clock::now();
+  return BootClock::now();
 }
 
-unsigned CallAfter(Milliseconds delay, std::function<void()> callback)
+void CallSoon(std::function<void()> callback)
 {
   auto* owned = new std::function<void()>(std::move(callback));
   const auto run = [](gpointer data) -> gboolean {
@@ -22,14 +34,16 @@
   const auto release = [](gpointer data) {
     delete static_cast<std::function<void()>*>(data);
   };
-  if (delay.count() <= 0)
-    return g_idle_add_full(G_PRIORITY_DEFAULT, run, owned, release);
-  return g_timeout_add_full(G_PRIORITY_DEFAULT, static_cast<guint>(delay.count()), run, owned,
-                            release);
+  g_idle_add_full(G_PRIORITY_DEFAULT, run, owned, release);
+}
+
+CallId CallAfter(Milliseconds delay, std::function<void()> callback)
+{
+  return Reactor::Get().After(delay, std::move(callback));
 }
 
-void CancelCall(unsigned id)
+void CancelCall(CallId id)
 {
-  g_source_remove(id);
+  Reactor::Get().Cancel(id);
 }
 } // namespace Common
--- a/Source/Core/Common/Loop.h
+++ b/Source/Core/Common/Loop.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <coroutine>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -16,12 +17,16 @@
 
 namespace Common
 {
-/// The monotonic time of the main loop.
+/// The time of the main loop: it never goes back, and counts suspensions of the VM.
 TimePoint Now();
 
+/// Runs `callback` once from the main loop, soon; may be called from any thread.
+void CallSoon(std::function<void()> callback);
+
+using CallId = std::uint64_t;
 /// Runs `callback` once from the main loop after `delay`. The returned id cancels it.
-unsigned CallAfter(Milliseconds delay, std::function<void()> callback);
-void CancelCall(unsigned id);
+CallId CallAfter(Milliseconds delay, std::function<void()> callback);
+void CancelCall(CallId id);
 
 /// Awaitable pause of the calling coroutine.
 struct Sleep
@@ -81,7 +86,7 @@
   struct Waiter
   {
     std::coroutine_handle<> handle;
-    unsigned timer = 0;
+    CallId timer = 0;
   };
   struct State
   {
@@ -105,7 +110,7 @@
   }
   static void WakeFromLoop(std::shared_ptr<Waiter> waiter)
   {
-    CallAfter(Milliseconds(0), [waiter] {
+    CallSoon([waiter] {
       Wake(*waiter);
     });
   }
--- a/Source/Core/Common/Mutex.h
+++ b/Source/Core/Common/Mutex.h
@@ -56,7 +56,7 @@
     }
     const auto next = m_waiters.front();
     m_waiters.pop_front();
-    CallAfter(Milliseconds(0), [next] {
+    CallSoon([next] {
       next.resume();
     });
   }
--- a/Source/Core/Common/Reactor.cpp
+++ b/Source/Core/Common/Reactor.cpp
@@ -17,6 +17,9 @@
 namespace
 {
 constexpr int EVENTS_PER_TURN = 128;
+/// The kernel's waits do not count a suspension of the VM: a timer that became due meanwhile is
+/// seen at the latest after so long.
+constexpr Milliseconds LONGEST_WAIT{100};
 
 struct ReactorSource
 {
@@ -116,7 +119,7 @@
   if (m_timers.empty())
     return false;
   const auto left = std::chrono::ceil<Milliseconds>(m_timers.begin()->first - Now());
-  *timeout_ms = static_cast<int>(std::max<std::int64_t>(left.count(), 0));
+  *timeout_ms = static_cast<int>(std::clamp(left, Milliseconds(0), LONGEST_WAIT).count());
   return left.count() <= 0;
 }
 
--- a/Source/Core/Common/Units.h
+++ b/Source/Core/Common/Units.h
@@ -14,7 +14,20 @@
 namespace Common
 {
 using Milliseconds = std::chrono::milliseconds;
-using TimePoint = std::chrono::steady_clock::time_point;
+
+/// Counts also the time in which the VM is suspended, which the steady clock leaves out: a lease, a
+/// proof or a deadline of before would be believed for as long again.
+struct BootClock
+{
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept;
+};
+using TimePoint = BootClock::time_point;
 
 /// A text identifier that cannot be mixed up with one of another kind.
 template <typename Tag>
--- a/Source/Core/Daemons/Link.cpp
+++ b/Source/Core/Daemons/Link.cpp
@@ -293,7 +293,7 @@
       co_return false;
     const GRef<GSocketClient> client(g_socket_client_new());
     const GRef<GCancellable> cancellable(g_cancellable_new());
-    const unsigned guard = Common::CallAfter(CONNECT_TIMEOUT, [cancellable] {
+    const Common::CallId guard = Common::CallAfter(CONNECT_TIMEOUT, [cancellable] {
       g_cancellable_cancel(cancellable.Get());
     });
     Http::GioAwait await;
@@ -307,7 +307,7 @@
       co_return false;
     auto connection = std::make_shared<PeerConnection>(std::move(raw), settings.key,
                                                        PeerConnection::Side::Connecting);
-    const unsigned patience = Common::CallAfter(CONNECT_TIMEOUT, [connection] {
+    const Common::CallId patience = Common::CallAfter(CONNECT_TIMEOUT, [connection] {
       connection->Close();
     });
     const bool ready = co_await connection->Handshake();
--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -54,6 +54,7 @@
   m_stream->Write(request, before);
   if (m_stream->IsConnected())
     return;
+  m_connect_by = Common::Now() + CONNECT_TIMEOUT;
   m_connect_timer.Start(CONNECT_TIMEOUT, [this] {
     const auto guard = shared_from_this();
     if (m_events != nullptr && !m_stream->IsConnected())
@@ -61,6 +62,13 @@
   });
 }
 
+void OriginConnection::OnConnected()
+{
+  // The VM was suspended meanwhile: the request names the time that its caller had before.
+  if (m_events != nullptr && Common::Now() >= m_connect_by)
+    Break(Breakage::ConnectTimedOut);
+}
+
 void OriginConnection::Abandon()
 {
   const bool in_exchange = std::exchange(m_events, nullptr) != nullptr;
--- a/Source/Core/Http/OriginConnection.h
+++ b/Source/Core/Http/OriginConnection.h
@@ -66,6 +66,7 @@
   bool IsReusable(Common::TimePoint now) const;
   void SetReading(bool reading) { m_stream->SetReading(reading); }
 
+  void OnConnected() override;
   void OnBytes(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
   void OnHead(MessageHead& head) override;
@@ -87,6 +88,7 @@
   bool m_answered = false; ///< At least one answer has come whole over this connection.
   std::optional<Common::Milliseconds> m_idle_limit; ///< As the origin server announced it.
   Common::TimePoint m_idle_since;
+  Common::TimePoint m_connect_by;
   Common::OwnedTimer m_connect_timer;
 };
 } // namespace Http
--- a/Source/Tool/TableCommands.cpp
+++ b/Source/Tool/TableCommands.cpp
@@ -11,6 +11,7 @@
 
 #include <unistd.h>
 
+#include "Common/Loop.h"
 #include "Common/Random.h"
 #include "Table/Catalog.h"
 #include "Table/Change.h"
@@ -126,14 +127,14 @@
 ExitStatus WaitInForce(const Invocation& invocation, std::int64_t revision)
 {
   const bool terminal = isatty(STDERR_FILENO) != 0;
-  const auto began = std::chrono::steady_clock::now();
-  while (std::chrono::steady_clock::now() - began < WAIT_LIMIT)
+  const auto began = Common::Now();
+  while (Common::Now() - began < WAIT_LIMIT)
   {
     const auto lowest = LowestRevision(invocation);
     if (lowest && *lowest >= revision)
     {
-      const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
-          std::chrono::steady_clock::now() - began);
+      const auto took =
+          std::chrono::duration_cast<std::chrono::milliseconds>(Common::Now() - began);
       std::cout << "revision " << revision << " is in force at every connected daemon after "
                 << took.count() << " ms\n";
       return ExitStatus::Ok;
--- a/Source/UnitTests/Common/SuspendedVmTest.cpp
+++ b/Source/UnitTests/Common/SuspendedVmTest.cpp
@@ -6,10 +6,14 @@
 // run out for the others went on ordering, and a request was handed on with time that its caller no
 // longer had.
 
+#include <optional>
+#include <string_view>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Accounts/KeyTrust.h"
 #include "Common/Loop.h"
+#include "Http/OriginConnection.h"
 #include "UnitTests/Support/Loopback.h"
 #include "UnitTests/Support/SuspendedVm.h"
 
@@ -21,12 +25,38 @@
 
 constexpr Milliseconds SUSPENDED{5000};
 
+/// How an exchange ended.
+class Breakages : public Http::AnswerEvents
+{
+public:
+  Verdict OnAnswerHead(Http::MessageHead&) override { return Verdict::Take; }
+  void OnAnswerBody(std::string_view) override {}
+  void OnAnswerEnd() override {}
+  void OnAnswerBroken(Http::Breakage breakage) override { last = breakage; }
+
+  std::optional<Http::Breakage> last;
+};
+
 class SuspendedVmTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(SuspendedVmTest);
   CPPUNIT_TEST(AgesAndTimersCountTheTime);
+  CPPUNIT_TEST(ARequestDoesNotGoOutWithTheTimeOfBefore);
   CPPUNIT_TEST_SUITE_END();
 
+  /// The connection is made while the VM is suspended, and known to be made before any timer runs.
+  void ARequestDoesNotGoOutWithTheTimeOfBefore()
+  {
+    UnitTests::TestServer server([](auto&, const auto&) {});
+    Breakages breakages;
+    const auto connection = Http::OriginConnection::Connect(server.Address());
+    connection->Send("GET / HTTP/1.1\r\nLeft-Ms: 1500\r\n\r\n", &breakages);
+    SuspendVm(SUSPENDED);
+    RunFor(Milliseconds(50));
+    CPPUNIT_ASSERT(breakages.last == Http::Breakage::ConnectTimedOut);
+    CPPUNIT_ASSERT(server.requests.empty());
+  }
+
   void AgesAndTimersCountTheTime()
   {
     Accounts::KeyTrust keys;
