--- /dev/null
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -0,0 +1,362 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Crashes/CrashLedger.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace Crashes
+{
+namespace
+{
+using Common::Milliseconds;
+using Common::TimePoint;
+
+/// Witnesses that are kept of one ending.
+constexpr std::size_t MAX_WITNESSES = 4;
+/// Endings that are kept of one request: three block it, and a few more come meanwhile.
+constexpr std::size_t MAX_ENDINGS = 16;
+/// Doublings after which the longest block is reached.
+constexpr int MAX_DOUBLINGS = 6;
+/// How often what is old is looked for.
+constexpr Milliseconds PRUNE_INTERVAL{60000};
+/// Bytes of a case in a message besides its endings, and of an ending, at most.
+constexpr std::size_t CASE_BYTES = 64;
+constexpr std::size_t ENDING_BYTES = 20;
+
+std::int64_t AgeOf(TimePoint moment, TimePoint now)
+{
+  return std::max<std::int64_t>(std::chrono::floor<Milliseconds>(now - moment).count(), 0);
+}
+
+std::size_t BytesOf(const CaseLine& line)
+{
+  std::size_t bytes = CASE_BYTES;
+  for (const EndingLine& ending : line.endings)
+  {
+    bytes += ENDING_BYTES + ending.server.Get().size();
+    for (const Common::VmId& vm : ending.seen_by)
+      bytes += vm.Get().size() + 2;
+  }
+  return bytes;
+}
+} // namespace
+
+std::string Describe(const std::vector<EndingLine>& endings)
+{
+  std::string text;
+  for (const EndingLine& ending : endings)
+  {
+    text += text.empty() ? "" : "; ";
+    text += ending.server.Get() + " " + std::to_string(ending.age_ms) + " ms ago, seen by";
+    for (const Common::VmId& vm : ending.seen_by)
+      text += " " + vm.Get();
+  }
+  return text;
+}
+
+CrashLedger::Case& CrashLedger::Open(const Fingerprint& request)
+{
+  const auto [found, is_new] = m_cases.try_emplace(request);
+  if (is_new)
+    m_sizes.insert(request.bytes);
+  return found->second;
+}
+
+void CrashLedger::Touch(Case& entry, TimePoint now)
+{
+  entry.changed_at = now;
+  entry.revision = ++m_revision;
+}
+
+bool CrashLedger::AddEnding(const Fingerprint& request, Case& entry, const ServerLife& server,
+                            TimePoint at)
+{
+  if (entry.survived_at && at <= *entry.survived_at)
+    return false;
+  if (entry.endings.size() >= MAX_ENDINGS && !entry.endings.contains(server))
+    return false;
+  const auto [found, is_new] = entry.endings.try_emplace(server, Ending{at, {}});
+  found->second.at = std::min(found->second.at, at);
+  m_by_server[server].insert(request);
+  return is_new;
+}
+
+void CrashLedger::NoteEnding(const Fingerprint& request, const ServerLife& server,
+                             const Common::VmId& seen_by, TimePoint now)
+{
+  Prune(now);
+  Case& entry = Open(request);
+  AddEnding(request, entry, server, now);
+  const auto ending = entry.endings.find(server);
+  if (ending != entry.endings.end() && ending->second.seen_by.size() < MAX_WITNESSES)
+    ending->second.seen_by.insert(seen_by);
+  Touch(entry, now);
+  entry.own_revision = entry.revision;
+  m_own_revision = entry.revision;
+  BlockIfDue(request, now);
+}
+
+void CrashLedger::NoteSurvival(const Fingerprint& request, TimePoint now)
+{
+  const auto found = m_cases.find(request);
+  if (found == m_cases.end() || (found->second.endings.empty() && found->second.survived_at))
+    return;
+  Clear(request, found->second, now);
+  Touch(found->second, now);
+  found->second.own_revision = found->second.revision;
+  m_own_revision = found->second.revision;
+}
+
+void CrashLedger::Clear(const Fingerprint& request, Case& entry, TimePoint survived_at)
+{
+  entry.survived_at = std::max(entry.survived_at.value_or(survived_at), survived_at);
+  std::vector<ServerLife> freed;
+  std::erase_if(entry.endings, [&](const auto& ending) {
+    const bool before = ending.second.at <= *entry.survived_at;
+    if (before)
+      freed.push_back(ending.first);
+    return before;
+  });
+  for (const ServerLife& server : freed)
+    m_by_server.at(server).erase(request);
+  if (entry.blocked_at <= *entry.survived_at)
+    entry.blocked_until = {};
+  BlockSharersIfDue(freed, survived_at);
+  std::erase_if(m_by_server, [](const auto& server) {
+    return server.second.empty();
+  });
+}
+
+void CrashLedger::Merge(const CaseLine& line, TimePoint now)
+{
+  Prune(now);
+  Case& entry = Open(line.request);
+  bool changed = false;
+  if (line.survived_age_ms >= 0)
+  {
+    const TimePoint survived_at = now - Milliseconds(line.survived_age_ms);
+    // A repeat of the same word dates it a little later.
+    constexpr Milliseconds SAME{2000};
+    if (!entry.survived_at || survived_at > *entry.survived_at + SAME)
+    {
+      Clear(line.request, entry, survived_at);
+      changed = true;
+    }
+  }
+  for (const EndingLine& ending : line.endings)
+  {
+    changed |= AddEnding(line.request, entry, ending.server, now - Milliseconds(ending.age_ms));
+    const auto known = entry.endings.find(ending.server);
+    for (const Common::VmId& vm : ending.seen_by)
+      if (known != entry.endings.end() && known->second.seen_by.size() < MAX_WITNESSES)
+        changed |= known->second.seen_by.insert(vm).second;
+  }
+  if (line.blocks > entry.blocks)
+  {
+    if (!entry.IsBlocked(now) && line.blocked_for_ms > 0)
+      m_newly_blocked.push_back(line.request);
+    entry.blocks = line.blocks;
+    entry.blocked_at = now;
+    entry.blocked_until = now + Milliseconds(line.blocked_for_ms);
+    changed = true;
+  }
+  if (changed)
+    Touch(entry, now);
+  BlockIfDue(line.request, now);
+}
+
+bool CrashLedger::IsExplainedByOther(const Fingerprint& request, std::size_t endings,
+                                     const ServerLife& server) const
+{
+  return std::ranges::any_of(m_by_server.at(server), [&](const Fingerprint& other) {
+    return other != request && m_cases.at(other).endings.size() > endings;
+  });
+}
+
+int CrashLedger::UnexplainedEndings(const Fingerprint& request, const Case& entry) const
+{
+  int before_last_block = 0;
+  int since = 0;
+  for (const auto& [server, ending] : entry.endings)
+  {
+    if (IsExplainedByOther(request, entry.endings.size(), server))
+      continue;
+    const bool is_old = entry.blocks > 0 && ending.at <= entry.blocked_until;
+    ++(is_old ? before_last_block : since);
+  }
+  // After a block one more ending is enough for the next.
+  return std::min(before_last_block, ENDINGS_TO_BLOCK - 1) + since;
+}
+
+void CrashLedger::BlockIfDue(const Fingerprint& request, TimePoint now)
+{
+  Case& entry = m_cases.at(request);
+  if (entry.IsBlocked(now) || UnexplainedEndings(request, entry) < ENDINGS_TO_BLOCK)
+    return;
+  const auto span =
+      std::min(FIRST_BLOCK * (1 << std::min(entry.blocks, MAX_DOUBLINGS)), LONGEST_BLOCK);
+  ++entry.blocks;
+  entry.blocked_at = now;
+  entry.blocked_until = now + span;
+  Touch(entry, now);
+  m_newly_blocked.push_back(request);
+}
+
+void CrashLedger::BlockSharersIfDue(const std::vector<ServerLife>& servers, TimePoint now)
+{
+  std::set<Fingerprint> sharers;
+  for (const ServerLife& server : servers)
+    sharers.insert(m_by_server.at(server).begin(), m_by_server.at(server).end());
+  for (const Fingerprint& sharer : sharers)
+    BlockIfDue(sharer, now);
+}
+
+Judgement CrashLedger::Judge(const Fingerprint& request, TimePoint now) const
+{
+  const auto found = m_cases.find(request);
+  if (found == m_cases.end())
+    return {};
+  Judgement judgement;
+  judgement.blocked = found->second.IsBlocked(now);
+  if (judgement.blocked)
+    judgement.blocked_for = std::chrono::ceil<Milliseconds>(found->second.blocked_until - now);
+  judgement.endings = UnexplainedEndings(request, found->second);
+  return judgement;
+}
+
+CaseLine CrashLedger::LineOf(const Fingerprint& request, const Case& entry, TimePoint now)
+{
+  CaseLine line;
+  line.request = request;
+  for (const auto& [server, ending] : entry.endings)
+    line.endings.push_back(
+        {server, AgeOf(ending.at, now), {ending.seen_by.begin(), ending.seen_by.end()}});
+  if (entry.survived_at)
+    line.survived_age_ms = AgeOf(*entry.survived_at, now);
+  if (entry.IsBlocked(now))
+    line.blocked_for_ms = std::chrono::ceil<Milliseconds>(entry.blocked_until - now).count();
+  line.blocks = entry.blocks;
+  return line;
+}
+
+std::optional<CaseLine> CrashLedger::Find(const Fingerprint& request, TimePoint now) const
+{
+  const auto found = m_cases.find(request);
+  if (found == m_cases.end())
+    return std::nullopt;
+  return LineOf(request, found->second, now);
+}
+
+void CrashLedger::Fill(CaseNews& news, const ByRevision& changed, std::size_t max_bytes,
+                       TimePoint now)
+{
+  std::size_t bytes = 0;
+  for (const auto& [revision, found] : changed)
+  {
+    CaseLine line = LineOf(*found.first, *found.second, now);
+    bytes += BytesOf(line);
+    if (bytes > max_bytes)
+    {
+      news.to = revision - 1;
+      return;
+    }
+    news.lines.push_back(std::move(line));
+  }
+}
+
+CaseNews CrashLedger::SeenHereSince(std::uint64_t revision, std::size_t max_bytes,
+                                    TimePoint now) const
+{
+  CaseNews news{revision, std::max(revision, m_own_revision), {}};
+  if (news.to == revision)
+    return news;
+  ByRevision changed;
+  for (const auto& [request, entry] : m_cases)
+    if (entry.own_revision > revision)
+      changed.emplace(entry.own_revision, std::pair(&request, &entry));
+  Fill(news, changed, max_bytes, now);
+  return news;
+}
+
+/// One ending under a request is the holder's to remember: most are never seen again.
+bool CrashLedger::ConcernsAll(const Case& entry)
+{
+  return entry.endings.size() > 1 || entry.blocks > 0 || entry.survived_at;
+}
+
+CaseNews CrashLedger::NewsSince(std::uint64_t revision, std::size_t max_bytes, TimePoint now) const
+{
+  CaseNews news{revision, std::max(revision, m_revision), {}};
+  if (news.to == revision)
+    return news;
+  ByRevision changed;
+  for (const auto& [request, entry] : m_cases)
+    if (entry.revision > revision && ConcernsAll(entry))
+      changed.emplace(entry.revision, std::pair(&request, &entry));
+  Fill(news, changed, max_bytes, now);
+  return news;
+}
+
+std::vector<CaseLine> CrashLedger::Worst(std::size_t least_endings, TimePoint now) const
+{
+  std::vector<CaseLine> lines;
+  for (const auto& [request, entry] : m_cases)
+    if (entry.endings.size() >= least_endings || entry.blocks > 0)
+      lines.push_back(LineOf(request, entry, now));
+  std::ranges::stable_sort(lines, std::ranges::greater(), [](const CaseLine& line) {
+    return std::pair(line.blocked_for_ms, line.endings.size());
+  });
+  return lines;
+}
+
+std::size_t CrashLedger::Blocked(TimePoint now) const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(m_cases, [&](const auto& entry) {
+    return entry.second.IsBlocked(now);
+  }));
+}
+
+void CrashLedger::Forget(const Fingerprint& request)
+{
+  const auto found = m_cases.find(request);
+  for (const auto& [server, ending] : found->second.endings)
+  {
+    const auto requests = m_by_server.find(server);
+    requests->second.erase(request);
+    if (requests->second.empty())
+      m_by_server.erase(requests);
+  }
+  m_sizes.erase(m_sizes.find(request.bytes));
+  m_cases.erase(found);
+}
+
+void CrashLedger::Prune(TimePoint now)
+{
+  if (m_cases.size() < MAX_CASES && now - m_pruned_at < PRUNE_INTERVAL)
+    return;
+  m_pruned_at = now;
+  using Rank = std::tuple<bool, std::size_t, TimePoint>;
+  std::vector<std::pair<Rank, Fingerprint>> kept;
+  std::vector<Fingerprint> old;
+  for (const auto& [request, entry] : m_cases)
+    if (!entry.IsBlocked(now) && now - std::max(entry.changed_at, entry.blocked_until) > MEMORY)
+      old.push_back(request);
+    else
+      kept.push_back({{entry.IsBlocked(now), entry.endings.size(), entry.changed_at}, request});
+  std::ranges::for_each(old, [this](const Fingerprint& request) {
+    Forget(request);
+  });
+  if (kept.size() < MAX_CASES)
+    return;
+  // A quarter at once, so that this is rare.
+  const auto end = kept.begin() + static_cast<std::ptrdiff_t>(MAX_CASES / 4);
+  std::ranges::nth_element(kept, end);
+  std::for_each(kept.begin(), end, [this](const auto& entry) {
+    Forget(entry.second);
+  });
+}
+} // namespace Crashes
--- a/Source/Core/Crashes/Fingerprint.cpp
+++ b/Source/Core/Crashes/Fingerprint.cpp
@@ -4,7 +4,6 @@
 #include "Crashes/Fingerprint.h"
 
 #include <array>
-#include <charconv>
 #include <cstdio>
 #include <cstring>
 #include <memory>
@@ -31,16 +30,6 @@
   g_checksum_update(checksum, reinterpret_cast<const guchar*>(part.data()),
                     static_cast<gssize>(part.size()));
 }
-
-std::optional<std::uint64_t> ParseHalf(std::string_view text)
-{
-  constexpr int BASE = 16;
-  std::uint64_t half = 0;
-  const auto read = std::from_chars(text.data(), text.data() + text.size(), half, BASE);
-  if (read.ec != std::errc() || read.ptr != text.data() + text.size())
-    return std::nullopt;
-  return half;
-}
 } // namespace
 
 std::string Fingerprint::ToString() const
@@ -51,17 +40,6 @@
   return text.data();
 }
 
-std::optional<Fingerprint> Fingerprint::Parse(std::string_view text)
-{
-  if (text.size() != 2 * DIGITS)
-    return std::nullopt;
-  const auto high = ParseHalf(text.substr(0, DIGITS));
-  const auto low = ParseHalf(text.substr(DIGITS));
-  if (!high || !low)
-    return std::nullopt;
-  return Fingerprint{*high, *low};
-}
-
 Fingerprint FingerprintOf(const RequestIdentity& identity)
 {
   const Checksum checksum(g_checksum_new(G_CHECKSUM_SHA256));
@@ -75,6 +53,7 @@
   gsize size = digest.size();
   g_checksum_get_digest(checksum.get(), digest.data(), &size);
   Fingerprint result;
+  result.bytes = SizeOf(identity);
   std::memcpy(&result.high, digest.data(), sizeof(result.high));
   std::memcpy(&result.low, digest.data() + sizeof(result.high), sizeof(result.low));
   return result;
--- a/Source/Core/Crashes/Fingerprint.h
+++ b/Source/Core/Crashes/Fingerprint.h
@@ -5,7 +5,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,20 +28,23 @@
 {
   std::uint64_t high = 0;
   std::uint64_t low = 0;
+  std::uint64_t bytes = 0; ///< Of target and body.
 
   auto operator<=>(const Fingerprint&) const = default;
 
-  /// 32 hexadecimal digits.
+  /// 32 hexadecimal digits; the size is not in it.
   std::string ToString() const;
-  /// Reads what `ToString` gives.
-  static std::optional<Fingerprint> Parse(std::string_view text);
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(high, low);
+    archive(high, low, bytes);
   }
 };
 
+inline std::uint64_t SizeOf(const RequestIdentity& identity)
+{
+  return identity.target.size() + identity.body.size();
+}
 Fingerprint FingerprintOf(const RequestIdentity& identity);
 } // namespace Crashes
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -36,6 +36,12 @@
   m_servers.OnChange([this] {
     WakeWaiting();
   });
+  m_ends.OnEnded([this](const InstanceId& instance, const auto& suspects) {
+    TakeEnd(instance, suspects);
+  });
+  m_ends.OnSettled([this] {
+    WakeWaiting();
+  });
 }
 
 void Dispatcher::Configure(DispatcherSettings settings)
@@ -183,6 +189,69 @@
     m_on_demand();
 }
 
+void Dispatcher::TakeEnd(const InstanceId& instance,
+                         const std::vector<Crashes::Fingerprint>& suspects)
+{
+  const Crashes::ServerLife life(instance.Started().Get() == 0
+                                     ? instance.Get()
+                                     : instance.Get() + "@" +
+                                           std::to_string(instance.Started().Get()));
+  for (const Crashes::Fingerprint& suspect : suspects)
+    m_crashes.NoteEnding(suspect, life, m_settings.self, Common::Now());
+  EndBlocked();
+  if (m_on_demand)
+    m_on_demand();
+}
+
+void Dispatcher::TakeCrashCases(const std::vector<Crashes::CaseLine>& cases)
+{
+  for (const Crashes::CaseLine& line : cases)
+    m_crashes.Merge(line, Common::Now());
+  EndBlocked();
+}
+
+void Dispatcher::EndBlocked()
+{
+  const auto blocked = m_crashes.TakeNewlyBlocked();
+  const auto now = Common::Now();
+  for (const Crashes::Fingerprint& request : blocked)
+    if (const auto known = m_crashes.Find(request, now))
+      Common::LogEvent(Common::LogLevel::Warning, "request-blocked",
+                       {{"fingerprint", request.ToString()},
+                        {"for_ms", known->blocked_for_ms},
+                        {"blocks", known->blocks},
+                        {"ended", Crashes::Describe(known->endings)}});
+  if (blocked.empty())
+    return;
+  const auto relays = m_relays;
+  for (const auto& [key, relay] : relays)
+    relay->EndIfBlocked();
+}
+
+Crashes::Judgement Dispatcher::JudgeCrashes(Relay& relay) const
+{
+  if (m_crashes.Empty() || !m_crashes.KnowsSize(relay.IdentityBytes()))
+    return {};
+  return m_crashes.Judge(relay.Fingerprint(), Common::Now());
+}
+
+bool Dispatcher::IsHeldBack(Relay& relay) const
+{
+  return JudgeCrashes(relay).endings >= Crashes::CrashLedger::ENDINGS_TO_BLOCK - 1 &&
+         m_ends.IsInDoubt(relay.Fingerprint());
+}
+
+void Dispatcher::NoteSurvival(Relay& relay)
+{
+  if (m_crashes.Empty() || !m_crashes.KnowsSize(relay.IdentityBytes()))
+    return;
+  const std::uint64_t before = m_crashes.OwnRevision();
+  m_crashes.NoteSurvival(relay.Fingerprint(), Common::Now());
+  EndBlocked();
+  if (m_crashes.OwnRevision() != before && m_on_demand)
+    m_on_demand();
+}
+
 void Dispatcher::WakeWaiting()
 {
   if (std::exchange(m_wake_asked, true))
@@ -328,6 +397,8 @@
       return matches(*entry.second);
     }));
   };
+  m_metrics.SetGauge("crash_cases", static_cast<double>(m_crashes.Cases()));
+  m_metrics.SetGauge("requests_blocked", static_cast<double>(m_crashes.Blocked(now)));
   const auto waiting = std::ranges::count_if(m_relays, [](const auto& entry) {
     return entry.second->IsWaiting();
   });
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -12,7 +12,9 @@
 #include "Accounts/KeyTrust.h"
 #include "Accounts/LocalAllowances.h"
 #include "Common/Metrics.h"
+#include "Crashes/CrashLedger.h"
 #include "Decisions/Routing.h"
+#include "Gateway/EndDetector.h"
 #include "Gateway/Relay.h"
 #include "Gateway/RetryBudget.h"
 #include "Gateway/ServerDirectory.h"
@@ -40,6 +42,7 @@
   /// How long a key that was taken away may still be used; nothing where that is not bounded.
   std::optional<Common::Milliseconds> key_limit;
   Accounts::UsageBound usage_bound;
+  Common::VmId self; ///< Named to others as the witness of what it saw.
 };
 
 /// Counters that the metrics show beside the outcomes of requests.
@@ -74,6 +77,10 @@
   /// The holder of the order lease grants units of the accounts' limits; requests that wait for
   /// some go on.
   void TakeGrants(std::int64_t tenure, const std::vector<Accounts::GrantLine>& grants);
+  /// Requests that end the servers that run them.
+  const Crashes::CrashLedger& CrashCases() const { return m_crashes; }
+  /// What other daemons know of such requests.
+  void TakeCrashCases(const std::vector<Crashes::CaseLine>& cases);
   const DispatcherSettings& Settings() const { return m_settings; }
   DispatcherCounters& Counters() { return m_counters; }
 
@@ -112,6 +119,13 @@
   /// that its model may be loaded.
   void ExpectReturn(const Relay& relay, Common::Milliseconds span);
   void NoteArrival(const Relay& relay);
+  EndDetector& Ends() { return m_ends; }
+  /// Whether the request may be sent to a server.
+  Crashes::Judgement JudgeCrashes(Relay& relay) const;
+  /// It is not settled whether the request has just ended the last server that it may end.
+  bool IsHeldBack(Relay& relay) const;
+  /// A server has run the request to a good end.
+  void NoteSurvival(Relay& relay);
   /// A waiting request may go on; runs once from the main loop, however often it is asked for.
   void WakeWaiting();
   void RequestDemand();
@@ -121,6 +135,9 @@
 
 private:
   void PumpWaiting();
+  void TakeEnd(const InstanceId& instance, const std::vector<Crashes::Fingerprint>& suspects);
+  /// Requests that are blocked now: those that are open end.
+  void EndBlocked();
   /// Units that the accounts asked for, and that were refused.
   void RefreshAccountGauges();
   /// Requests that wait for units, oldest first, look whether there are some.
@@ -135,6 +152,8 @@
   RetryBudget m_budget;
   Accounts::KeyTrust m_keys;
   Accounts::LocalAllowances m_allowances;
+  Crashes::CrashLedger m_crashes;
+  EndDetector m_ends{m_servers};
   Decisions::AffinityRouting m_routing;
   std::map<Relay*, std::shared_ptr<Relay>> m_relays;
   std::map<Http::ServerConnection*, std::shared_ptr<Http::ServerConnection>> m_connections;
--- /dev/null
+++ b/Source/Core/Gateway/EndDetector.cpp
@@ -0,0 +1,156 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/EndDetector.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "Common/Log.h"
+#include "Common/Loop.h"
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// So long other requests may tell for nothing whether the server lives; then it is asked.
+constexpr Milliseconds WORD_OF_OTHERS{100};
+/// A connection that takes longer tells nothing: the server may be behind a cut.
+constexpr Milliseconds PROBE_LIMIT{400};
+/// What ends a server does so as it begins to run: a request that had run for longer is suspected
+/// only where none was newer.
+constexpr Milliseconds SOON{1000};
+
+/// The requests that a server may have ended for.
+std::vector<Crashes::Fingerprint> LikelyOf(const std::vector<EndDetector::Suspect>& suspects)
+{
+  const auto is_new = [](const EndDetector::Suspect& suspect) {
+    return suspect.ran_for.value_or(Milliseconds(0)) <= SOON;
+  };
+  const bool any_new = std::ranges::any_of(suspects, is_new);
+  std::vector<Crashes::Fingerprint> likely;
+  for (const EndDetector::Suspect& suspect : suspects)
+    if (!any_new || is_new(suspect))
+      likely.push_back(suspect.request);
+  std::ranges::sort(likely);
+  likely.erase(std::unique(likely.begin(), likely.end()), likely.end());
+  return likely;
+}
+} // namespace
+
+class EndDetector::Probe : public Http::StreamEvents
+{
+public:
+  enum class Answer
+  {
+    Taken,
+    Refused,
+    None,
+  };
+
+  Probe(const Http::Endpoint& server, std::function<void(Answer)> on_answer)
+      : m_on_answer(std::move(on_answer)), m_stream(Http::TcpStream::Connect(server, this))
+  {
+    m_limit.Start(m_stream ? PROBE_LIMIT : Milliseconds(0), [this] {
+      m_on_answer(Answer::None);
+    });
+  }
+
+  void OnConnected() override { AnswerSoon(Answer::Taken); }
+  void OnBytes(std::string_view) override {}
+  void OnEnd(Http::StreamEnd) override
+  {
+    if (!m_answered)
+      AnswerSoon(Answer::Refused);
+  }
+
+private:
+  /// The answer ends this probe, whose stream is still at work.
+  void AnswerSoon(Answer answer)
+  {
+    m_answered = true;
+    m_limit.Start(Milliseconds(0), [this, answer] {
+      m_on_answer(answer);
+    });
+  }
+
+  std::function<void(Answer)> m_on_answer;
+  bool m_answered = false;
+  Common::OwnedTimer m_limit;
+  std::shared_ptr<Http::TcpStream> m_stream;
+};
+
+void EndDetector::NoteBroken(const ServerPtr& server, const Suspect& suspect)
+{
+  const InstanceId& instance = server->Entry().instance;
+  // Whoever leaves as planned may break what it still has.
+  const bool leaves =
+      server->Entry().draining || server->IsReplaced() || m_servers.Find(instance) != server;
+  if (leaves)
+    return;
+  const auto [found, is_new] = m_doubts.try_emplace(instance);
+  Doubt& doubt = found->second;
+  doubt.suspects.push_back(suspect);
+  if (!is_new)
+    return;
+  doubt.server = server;
+  doubt.since = Common::Now();
+  doubt.timer.Start(WORD_OF_OTHERS, [this, instance] {
+    Ask(instance);
+  });
+}
+
+void EndDetector::NoteRefused(const ServerPtr& server)
+{
+  Settle(server->Entry().instance, true, "refused a request's connection");
+}
+
+void EndDetector::Ask(const InstanceId& instance)
+{
+  Doubt& doubt = m_doubts.at(instance);
+  if (doubt.server->HeardAt() > doubt.since)
+  {
+    Settle(instance, false, "answered another request");
+    return;
+  }
+  doubt.probe = std::make_shared<Probe>(
+      doubt.server->Entry().endpoint, [this, instance](Probe::Answer answer) {
+        if (answer == Probe::Answer::Refused)
+          Settle(instance, true, "refused a connection");
+        else
+          Settle(instance, false, answer == Probe::Answer::Taken ? "takes connections" : "silent");
+      });
+}
+
+void EndDetector::Settle(const InstanceId& instance, bool ended, const char* how)
+{
+  const auto found = m_doubts.find(instance);
+  if (found == m_doubts.end())
+    return;
+  // The timer or the probe that calls this belongs to the doubt: it goes at the end.
+  const auto doubt = m_doubts.extract(found);
+  const auto likely = LikelyOf(doubt.mapped().suspects);
+  const auto took = std::chrono::duration_cast<Milliseconds>(Common::Now() - doubt.mapped().since);
+  Common::LogEvent(ended ? Common::LogLevel::Warning : Common::LogLevel::Info,
+                   ended ? "server-ended" : "server-not-ended",
+                   {{"instance", instance},
+                    {"how", how},
+                    {"broken", doubt.mapped().suspects.size()},
+                    {"suspects", likely.size()},
+                    {"after_ms", took.count()}});
+  if (ended)
+    m_on_ended(instance, likely);
+  m_on_settled();
+}
+
+bool EndDetector::IsInDoubt(const Crashes::Fingerprint& request) const
+{
+  return std::ranges::any_of(m_doubts, [&](const auto& doubt) {
+    return std::ranges::find(doubt.second.suspects, request, &Suspect::request) !=
+           doubt.second.suspects.end();
+  });
+}
+} // namespace Gateway
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -125,6 +125,8 @@
     return "denied";
   case Outcome::OverLimit:
     return "over_limit";
+  case Outcome::Blocked:
+    return "blocked";
   }
   return "unknown";
 }
@@ -175,6 +177,8 @@
   m_pool = PickPool(m_route.pools);
   m_patience = CallerPatience(m_route);
   ReadHeaders();
+  if (AnswerIfBlocked())
+    return;
   StartTimers();
   TakeAllowance();
 }
@@ -182,17 +186,43 @@
 const Crashes::Fingerprint& Relay::Fingerprint()
 {
   if (!m_fingerprint)
-  {
-    const Http::MessageHead& head = m_request.head;
-    const std::string* host = head.Find("Host");
-    m_fingerprint =
-        Crashes::FingerprintOf({m_account.Get(), head.method,
-                                host == nullptr ? std::string_view() : std::string_view(*host),
-                                head.target, m_request.body});
-  }
+    m_fingerprint = Crashes::FingerprintOf(Identity());
   return *m_fingerprint;
 }
 
+Crashes::RequestIdentity Relay::Identity() const
+{
+  const Http::MessageHead& head = m_request.head;
+  const std::string* host = head.Find("Host");
+  return {m_account.Get(), head.method,
+          host == nullptr ? std::string_view() : std::string_view(*host), head.target,
+          m_request.body};
+}
+
+bool Relay::AnswerIfBlocked()
+{
+  const Crashes::Judgement judgement = m_dispatcher.JudgeCrashes(*this);
+  if (!judgement.blocked)
+    return false;
+  m_come_back_after = judgement.blocked_for;
+  const std::string why =
+      std::to_string(judgement.endings) + " servers ended that had this request";
+  if (m_stream_begun)
+    EndWith(Outcome::BrokenOff, 0, why);
+  else
+    // It may have run in this attempt, and then there is no word that it did not.
+    EndWith(Outcome::Blocked, m_may_have_run || m_connection ? 502 : 503, why);
+  return true;
+}
+
+void Relay::EndIfBlocked()
+{
+  const auto guard = shared_from_this();
+  // A server that has begun to answer is left to go on: what it makes may clear the request.
+  if (!m_done && !m_server_spoke_at)
+    AnswerIfBlocked();
+}
+
 void Relay::Begin()
 {
   m_dispatcher.NoteArrival(*this);
@@ -376,7 +406,10 @@
   if (m_done || m_connection)
     return;
   const auto guard = shared_from_this();
-  const ServerPtr server = m_dispatcher.ChooseServer(*this);
+  if (AnswerIfBlocked())
+    return;
+  const ServerPtr server =
+      m_dispatcher.IsHeldBack(*this) ? nullptr : m_dispatcher.ChooseServer(*this);
   if (!server)
   {
     Wait();
@@ -454,6 +487,7 @@
   m_waiting = false;
   m_wait_timer.Stop();
   m_server = server;
+  m_server_spoke_at.reset();
   m_server->NoteStart(m_artifact, now);
   m_is_stream = false;
   m_body.clear();
@@ -501,6 +535,7 @@
     return Verdict::Skip;
   }
   m_head = head;
+  m_server_spoke_at = Common::Now();
   const std::string* type = m_head.Find("Content-Type");
   m_is_stream = m_route.repeatability == Repeatability::Streaming && m_head.status == 200 &&
                 IsSound(m_head) &&
@@ -568,6 +603,7 @@
 void Relay::FinishStream()
 {
   m_server->Health().NoteSuccess(Common::Now());
+  m_dispatcher.NoteSurvival(*this);
   const std::string rest = m_events.Partial();
   if (!m_stream_begun)
     m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders(m_head));
@@ -604,6 +640,9 @@
   }
   if (!server_failed)
     m_server->Health().NoteSuccess(Common::Now());
+  // A failure may come without a run.
+  if (m_head.status >= 200 && m_head.status < 300)
+    m_dispatcher.NoteSurvival(*this);
   const bool is_first_failure = server_failed && !m_kept_head;
   if (!server_failed || is_first_failure)
   {
@@ -641,14 +680,26 @@
     if (timed_out)
       m_server->Health().NoteFailure(now);
     else
+    {
       m_server->Health().NoteUnreachable(now);
+      m_dispatcher.Ends().NoteRefused(m_server);
+    }
     --m_arrivals;
     m_tried.erase(m_server->Entry().instance);
     AttemptFailed("no connection", m_may_have_run);
     return;
   }
   m_server->Health().NoteFailure(now);
-  AttemptFailed(breakage == Http::Breakage::Malformed ? "malformed answer" : "broken answer", true);
+  if (breakage == Http::Breakage::Malformed)
+  {
+    AttemptFailed("malformed answer", true);
+    return;
+  }
+  std::optional<Milliseconds> ran_for;
+  if (m_server_spoke_at)
+    ran_for = std::chrono::duration_cast<Milliseconds>(now - *m_server_spoke_at);
+  m_dispatcher.Ends().NoteBroken(m_server, {Fingerprint(), ran_for});
+  AttemptFailed("broken answer", true);
 }
 
 void Relay::AttemptFailed(std::string_view why, bool may_have_run)
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -34,6 +34,7 @@
   NoRoute,
   Denied,    ///< The caller has no key that allows it.
   OverLimit, ///< The caller's account has used up its limit.
+  Blocked,   ///< Servers that ran it have ended.
 };
 std::string_view ToString(Outcome outcome);
 
@@ -70,6 +71,13 @@
   const Route& MatchedRoute() const { return m_route; }
   /// By which the request is recognised when it comes again. Made when it is first asked for.
   const Crashes::Fingerprint& Fingerprint();
+  /// Of what the fingerprint is made of.
+  std::uint64_t IdentityBytes() const
+  {
+    return m_request.head.target.size() + m_request.body.size();
+  }
+  /// Servers have ended under the request: it is not sent again, nor waited for.
+  void EndIfBlocked();
 
   /// The process stops: what is not finished is given up now.
   void GiveUpForStop();
@@ -91,6 +99,9 @@
   void RefuseAllowance(Accounts::UsageVerdict verdict);
   /// The request has not run: others may have its units.
   void ReturnAllowance();
+  /// True where the request is blocked; it has been answered then.
+  bool AnswerIfBlocked();
+  Crashes::RequestIdentity Identity() const;
   /// Accepted by all limits: finds a server.
   void Begin();
   /// The values of the key headers, in their order.
@@ -152,6 +163,8 @@
   ServerPtr m_server;
   std::shared_ptr<Http::OriginConnection> m_connection;
   std::set<InstanceId> m_tried;
+  /// The first word of the server that has the request now.
+  std::optional<Common::TimePoint> m_server_spoke_at;
   int m_arrivals = 0; ///< Times the request has reached, or may have reached, a server.
   bool m_may_have_run = false;
   bool m_waiting = false;
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -15,6 +15,7 @@
 #include "Common/Random.h"
 #include "Common/Reactor.h"
 #include "Gateway/Dispatcher.h"
+#include "Orders/CrashArchive.h"
 #include "Orders/Hub.h"
 #include "Orders/LeaseKeeper.h"
 #include "Orders/OrderDesk.h"
@@ -59,7 +60,8 @@
 
   /// `lease_table` is followed only while no holder is heard.
   Coordination(const CoordinationSettings& settings, Gateway::Dispatcher& dispatcher, Store& store,
-               OrderChannel channel, std::vector<Follower*> shared_tables, Follower& lease_table)
+               OrderChannel channel, ArchiveAccess archive, std::vector<Follower*> shared_tables,
+               Follower& lease_table)
       : m_vm(settings.vm),
         m_run(Common::NewId("run-")),
         m_desk(dispatcher.Servers(), std::move(channel), {settings.load_window_s}),
@@ -69,6 +71,7 @@
         m_lease(store, {settings.vm, m_run, settings.local.ToString(), LEASE_DURATION,
                         settings.holder_pause + PAUSE_MARGIN,
                         LeaseHandicap(settings.cores, settings.link_mbps)}),
+        m_archive(dispatcher, std::move(archive)),
         m_lease_table(lease_table)
   {
     std::vector<TableAccess> tables;
@@ -110,9 +113,19 @@
     m_lease.OnRow(version, std::move(record));
     Follow();
   }
+  /// Requests that end servers, as the store keeps them.
+  void OnCrashRow(const ArchiveRow& row) { m_archive.OnRow(row); }
   /// The store stopped answering this daemon, or answers again.
-  void OnStoreLost() { m_lease.OnStoreLost(); }
-  void OnStoreBack() { m_lease.OnStoreBack(); }
+  void OnStoreLost()
+  {
+    m_store_lost = true;
+    m_lease.OnStoreLost();
+  }
+  void OnStoreBack()
+  {
+    m_store_lost = false;
+    m_lease.OnStoreBack();
+  }
   void FillMetrics(Common::Metrics& metrics) const
   {
     const auto now = Common::Now();
@@ -234,11 +247,20 @@
     const bool holds = m_lease.Holds(now);
     if (holds)
       m_desk.Plan(now);
+    m_archive.Tick(RoleAtArchive(holds), now);
     m_timer.Start(holds ? TICK : IDLE_TICK, [this] {
       Tick();
     });
   }
 
+  ArchiveRole RoleAtArchive(bool holds) const
+  {
+    if (holds)
+      return ArchiveRole::Holder;
+    const bool is_orphan = !m_hub.HearsHolder() && !m_store_lost && m_lease_table.HasSnapshot();
+    return is_orphan ? ArchiveRole::Orphan : ArchiveRole::Reader;
+  }
+
   /// Tells the hub who holds the lease.
   void Follow()
   {
@@ -269,6 +291,8 @@
   OrderDesk m_desk;
   Hub m_hub;
   LeaseKeeper<Store> m_lease;
+  CrashArchive m_archive;
+  bool m_store_lost = false;
   Follower& m_lease_table;
   std::vector<Follower*> m_shared_tables;
   Common::TimePoint m_held_since;
--- /dev/null
+++ b/Source/Core/Orders/CrashArchive.cpp
@@ -0,0 +1,148 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Orders/CrashArchive.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "Common/Log.h"
+#include "Common/Loop.h"
+#include "Common/Random.h"
+#include "Daemons/Codec.h"
+
+namespace Orders
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// The platform takes rows of 64 KB.
+constexpr std::size_t MAX_ROW_BYTES = 48000;
+/// After a write that failed, or met another's, twice as long each time; and spread, as all daemons
+/// that had requests at a server may write at once.
+constexpr std::int64_t FIRST_PAUSE_MS = 150;
+constexpr int MAX_DOUBLINGS = 4;
+
+/// The time of day: of all daemons that ever wrote or will read the row, they have no other clock
+/// in common. It may be wrong by seconds, which is little against the time of a block.
+std::int64_t UnixMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::floor<Milliseconds>(now).count();
+}
+
+void MakeOlder(Crashes::CaseLine& line, std::int64_t by_ms)
+{
+  for (Crashes::EndingLine& ending : line.endings)
+    ending.age_ms += by_ms;
+  if (line.survived_age_ms >= 0)
+    line.survived_age_ms += by_ms;
+  line.blocked_for_ms = std::max<std::int64_t>(line.blocked_for_ms - by_ms, 0);
+}
+} // namespace
+
+void CrashArchive::OnRow(const ArchiveRow& row)
+{
+  if (row.version <= m_version)
+    return;
+  m_version = row.version;
+  auto archived = Daemons::Decode<ArchivedCases>(row.value);
+  if (!archived)
+  {
+    Common::LogEvent(Common::LogLevel::Error, "crash-row-malformed",
+                     {{"version", row.version}, {"reason", archived.Reason().detail}});
+    return;
+  }
+  const std::int64_t age = std::max<std::int64_t>(UnixMs() - archived->written_at, 0);
+  m_row = std::move(archived->cases);
+  for (Crashes::CaseLine& line : m_row)
+    MakeOlder(line, age);
+  m_dispatcher.TakeCrashCases(m_row);
+}
+
+CrashArchive::Essence CrashArchive::EssenceOf(const std::vector<Crashes::CaseLine>& cases,
+                                              ArchiveRole role)
+{
+  Essence essence;
+  for (const Crashes::CaseLine& line : cases)
+    if (role == ArchiveRole::Orphan)
+      essence.emplace(line.request, line.blocks, line.endings.size());
+    else if (line.blocked_for_ms > 0)
+      essence.emplace(line.request, line.blocks, 0);
+  return essence;
+}
+
+void CrashArchive::Tick(ArchiveRole role, Common::TimePoint now)
+{
+  const Crashes::CrashLedger& ledger = m_dispatcher.CrashCases();
+  const bool is_new = ledger.Revision() != m_seen_revision || role != m_seen_as;
+  if (role == ArchiveRole::Reader || m_calling || now < m_not_before || !is_new)
+    return;
+  const std::size_t least_endings = role == ArchiveRole::Orphan ? 1 : 2;
+  std::vector<Crashes::CaseLine> cases = ledger.Worst(least_endings, now);
+  m_seen_revision = ledger.Revision();
+  m_seen_as = role;
+  if (EssenceOf(cases, role) != EssenceOf(m_row, role))
+    Write(std::move(cases));
+}
+
+void CrashArchive::Write(std::vector<Crashes::CaseLine> cases)
+{
+  ArchivedCases archived{UnixMs(), std::move(cases)};
+  std::string value = Daemons::Encode(archived);
+  while (value.size() > MAX_ROW_BYTES)
+  {
+    // The least come last.
+    archived.cases.resize(archived.cases.size() / 2);
+    value = Daemons::Encode(archived);
+  }
+  m_on_its_way = std::move(archived.cases);
+  m_calling = true;
+  m_access.replace(m_version, value, [this](Common::Result<std::int64_t> version) {
+    m_calling = false;
+    TakeResult(std::move(version));
+  });
+}
+
+void CrashArchive::TakeResult(Common::Result<std::int64_t> version)
+{
+  if (version)
+  {
+    m_failures = 0;
+    m_version = std::max(m_version, *version);
+    m_row = std::move(m_on_its_way);
+    Common::LogEvent(Common::LogLevel::Info, "crash-row-written",
+                     {{"version", *version}, {"cases", m_row.size()}});
+    return;
+  }
+  Common::LogEvent(Common::LogLevel::Warning, "crash-row-write-failed",
+                   {{"reason", Common::ToString(version.Reason().kind)}});
+  m_seen_revision = 0;
+  Pause();
+  if (version.Reason().kind == Common::FailureKind::Conflict)
+    ReadAgain();
+}
+
+void CrashArchive::Pause()
+{
+  const std::int64_t pause = FIRST_PAUSE_MS << std::min(m_failures++, MAX_DOUBLINGS);
+  const auto spread =
+      static_cast<std::int64_t>(Common::SharedRandom()() % static_cast<std::uint64_t>(pause));
+  m_not_before = Common::Now() + Milliseconds(pause + spread);
+}
+
+void CrashArchive::ReadAgain()
+{
+  m_calling = true;
+  m_access.read([this](Common::Result<ArchiveRow> row) {
+    m_calling = false;
+    if (row)
+      OnRow(*row);
+    else
+      Common::LogEvent(Common::LogLevel::Warning, "crash-row-unread",
+                       {{"reason", Common::ToString(row.Reason().kind)}});
+  });
+}
+} // namespace Orders
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -135,6 +135,9 @@
   if (!moved)
     return;
   m_peers.clear();
+  // Another holder knows nothing of what this daemon saw.
+  m_own_crashes_confirmed = 0;
+  m_holder_since = Common::Now();
   m_allowances.Configure(m_dispatcher.Settings().usage_bound);
   m_allowances.Begin(own_lease ? own_lease->fence : 0);
   SetWaits();
@@ -221,6 +224,11 @@
   report.handicap_ms = m_settings.handicap.count();
   report.grants_fence = m_dispatcher.Allowances().Tenure();
   report.allowances = m_dispatcher.Allowances().Report(Common::Now());
+  auto seen =
+      m_dispatcher.CrashCases().SeenHereSince(m_own_crashes_confirmed, CRASH_BYTES, Common::Now());
+  report.crashes = std::move(seen.lines);
+  m_own_crashes_told = seen.to;
+  report.crash_revision = m_crash_heard;
   FitDatagram(report);
   return report;
 }
@@ -245,7 +253,7 @@
   }
   Envelope envelope;
   envelope.from_daemon.push_back(report);
-  m_sent_reports.emplace_back(report.sequence, Common::Now());
+  m_sent_reports.push_back({report.sequence, Common::Now(), m_own_crashes_told});
   if (m_sent_reports.size() > REPORTS_REMEMBERED)
     m_sent_reports.pop_front();
   SendTo(*m_holder, Daemons::Encode(envelope));
@@ -287,9 +295,12 @@
     // What has not been confirmed by now is taken for lost.
     peer.sent = peer.versions;
     peer.placement_sent = peer.placement_version;
+    peer.crash_sent = peer.crash_revision;
     peer.sent_at = now;
   }
-  NewsPosition position{std::max(peer.placement_version, peer.placement_sent), {}};
+  NewsPosition position{std::max(peer.placement_version, peer.placement_sent),
+                        {},
+                        std::max(peer.crash_revision, peer.crash_sent)};
   std::ranges::transform(peer.versions, peer.sent, std::back_inserter(position.tables),
                          [](std::int64_t confirmed, std::int64_t sent) {
                            return std::max(confirmed, sent);
@@ -304,17 +315,23 @@
   const std::size_t placement_room = room.bytes / PLACEMENT_PARTS;
   SetPlacements(report, m_placements.Since(position.placements, placement_room));
   room.bytes -= placement_room;
+  auto cases = m_dispatcher.CrashCases().NewsSince(position.crashes, CRASH_BYTES, Common::Now());
+  report.crash_from = cases.from;
+  report.crash_to = cases.to;
+  report.crashes = std::move(cases.lines);
+  room.bytes -= std::min(room.bytes, CRASH_BYTES);
   room.change_bytes =
       std::min(room.bytes, LongestChangeToPassOn(m_settings.link_mbps, m_peers.size()));
   report.news = WriteNews(m_tables, position.tables, room);
   Announcement announcement;
   announcement.position_after.placements = report.placement_to;
+  announcement.position_after.crashes = report.crash_to;
   std::ranges::transform(report.news, std::back_inserter(announcement.position_after.tables),
                          &TableNews::to);
-  announcement.has_news =
-      !report.placements.empty() || std::ranges::any_of(report.news, [](const TableNews& table) {
-        return !table.rows.empty() || table.left_out;
-      });
+  announcement.has_news = !report.placements.empty() || !report.crashes.empty() ||
+                          std::ranges::any_of(report.news, [](const TableNews& table) {
+                            return !table.rows.empty() || table.left_out;
+                          });
   Envelope envelope;
   envelope.from_holder.push_back(std::move(report));
   announcement.bytes = Daemons::Encode(envelope);
@@ -332,6 +349,7 @@
   if (const auto* accounts = AccountsToDivide(now); accounts != nullptr && regular)
     m_allowances.Allocate(*accounts, now);
   m_placements.Update(m_desk.Placements());
+  m_crashes_announced = m_dispatcher.CrashCases().Revision();
   m_daemons.Tell(static_cast<int>(m_peers.size()) + 1, now);
   HolderState state;
   state.vm = m_settings.self;
@@ -361,7 +379,10 @@
     if (announcement.has_news)
       peer.sent_at = now;
     if (announcement.has_news || regular)
+    {
+      peer.crash_sent = announcement.position_after.crashes;
       SendTo(peer.endpoint, WithReply(announcement.bytes, ReplyTo(vm, peer, now)));
+    }
   }
   SetPlacements(report, m_placements.Since(m_placement_heard));
   TakeHolderReport(report, m_settings.local, std::nullopt);
@@ -397,7 +418,17 @@
   const RunHash own_run = HashOf(m_settings.run);
   for (const HolderReply& reply : replies)
     if (!m_own_lease && reply.run == own_run && reply.fence >= m_last_heard.first)
+    {
+      ConfirmReport(reply.sequence);
       m_dispatcher.TakeGrants(reply.fence, reply.grants);
+    }
+}
+
+void Hub::ConfirmReport(std::uint64_t sequence)
+{
+  const auto sent = std::ranges::find(m_sent_reports, sequence, &SentReport::sequence);
+  if (sent != m_sent_reports.end() && sent->at > m_holder_since)
+    m_own_crashes_confirmed = std::max(m_own_crashes_confirmed, sent->own_crash_revision);
 }
 
 HolderReply Hub::ReplyTo(const Common::VmId& vm, const Peer& peer, Common::TimePoint now) const
@@ -416,10 +447,9 @@
   const RunHash own_run = HashOf(m_settings.run);
   for (const HolderReply& reply : replies)
   {
-    const auto sent = std::ranges::find(m_sent_reports, reply.sequence,
-                                        &std::pair<std::uint64_t, Common::TimePoint>::first);
+    const auto sent = std::ranges::find(m_sent_reports, reply.sequence, &SentReport::sequence);
     if (reply.run == own_run && reply.held_ms >= 0 && sent != m_sent_reports.end())
-      return sent->second + Milliseconds(reply.held_ms);
+      return sent->at + Milliseconds(reply.held_ms);
   }
   return std::nullopt;
 }
@@ -503,13 +533,18 @@
     peer.sequence = report.sequence;
     peer.versions = report.table_versions;
     peer.placement_version = report.placement_version;
+    peer.crash_revision = report.crash_revision;
     peer.handicap = Milliseconds(report.handicap_ms);
     if (report.missed_news)
     {
       peer.sent = peer.versions;
       peer.placement_sent = peer.placement_version;
+      peer.crash_sent = peer.crash_revision;
       AnnounceSoon();
     }
+    m_dispatcher.TakeCrashCases(report.crashes);
+    if (m_dispatcher.CrashCases().Revision() != m_crashes_announced)
+      AnnounceSoon();
     m_desk.TakeReport(report, now);
     TakeAllowances(report, peer, now);
     const bool anyone_waits = std::ranges::any_of(report.demand, [](const DemandLine& line) {
@@ -540,7 +575,10 @@
     return;
   }
   if (report.fence != m_last_heard.first)
+  {
     m_placement_heard = 0;
+    m_crash_heard = 0;
+  }
   m_last_heard = age;
   m_least_handicap = Milliseconds(state->least_handicap_ms);
   if (state->abdicated)
@@ -558,6 +596,8 @@
                     state->vm, from);
   TakeNews(report.news, written_after);
   TakePlacements(report);
+  if (!m_own_lease)
+    TakeCrashes(report);
   if (state->regular)
     for (const auto& [instance, server] : m_dispatcher.Servers().All())
     {
@@ -586,6 +626,18 @@
   m_placement_heard = std::max(m_placement_heard, report.placement_to);
 }
 
+void Hub::TakeCrashes(const HolderReport& report)
+{
+  if (m_crash_heard < report.crash_from)
+  {
+    m_missed_news = true;
+    ReportSoon();
+    return;
+  }
+  m_dispatcher.TakeCrashCases(report.crashes);
+  m_crash_heard = std::max(m_crash_heard, report.crash_to);
+}
+
 void Hub::TakeNews(const std::vector<TableNews>& news,
                    std::optional<Common::TimePoint> written_after)
 {
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -88,6 +88,8 @@
     Common::TimePoint sent_at;
     std::uint64_t placement_version = 0;
     std::uint64_t placement_sent = 0;
+    std::uint64_t crash_revision = 0;
+    std::uint64_t crash_sent = 0;
     Common::Milliseconds handicap{0};
   };
   /// What became of one shared table's news.
@@ -119,6 +121,9 @@
   void CheckHolder();
   void TakeNews(const std::vector<TableNews>& news, std::optional<Common::TimePoint> written_after);
   void TakePlacements(const HolderReport& report);
+  void TakeCrashes(const HolderReport& report);
+  /// The holder has read what this daemon saw, up to one of its reports.
+  void ConfirmReport(std::uint64_t sequence);
   Common::Milliseconds LeastHandicapOfPeers() const;
   /// Up to where a daemon has, or will have when what is on its way arrives, the holder's news.
   /// Daemons with the same position get the same bytes.
@@ -126,6 +131,7 @@
   {
     std::uint64_t placements = 0;
     std::vector<std::int64_t> tables;
+    std::uint64_t crashes = 0;
 
     auto operator<=>(const NewsPosition&) const = default;
   };
@@ -154,11 +160,22 @@
   std::vector<TableAccess> m_tables;
   LeaseWordHandler m_on_lease_word;
   PlacementLog m_placements;
-  /// Sequences of this daemon's last reports, and a moment before each was sent.
-  std::deque<std::pair<std::uint64_t, Common::TimePoint>> m_sent_reports;
+  struct SentReport
+  {
+    std::uint64_t sequence = 0;
+    Common::TimePoint at; ///< A moment before it was sent.
+    /// What this daemon itself saw of requests that end servers stood in it up to here.
+    std::uint64_t own_crash_revision = 0;
+  };
+  std::deque<SentReport> m_sent_reports; ///< The last ones.
   std::vector<NewsState> m_news_states;
   bool m_missed_news = false;
   std::uint64_t m_placement_heard = 0; ///< Version of the placements that were last taken.
+  std::uint64_t m_crash_heard = 0;     ///< Of the holder's cases.
+  std::uint64_t m_own_crashes_confirmed = 0;
+  std::uint64_t m_own_crashes_told = 0;  ///< Up to here they stand in the last report.
+  Common::TimePoint m_holder_since;      ///< When the holder was last another.
+  std::uint64_t m_crashes_announced = 0; ///< As the holder.
   DaemonCount m_daemons;
   Common::Milliseconds m_least_handicap{0};
   std::map<Common::VmId, Peer> m_peers; ///< Daemons that report to this holder.
--- a/Source/Core/Orders/MessageSize.cpp
+++ b/Source/Core/Orders/MessageSize.cpp
@@ -96,6 +96,8 @@
   CutTo(report.allowances, room / ALLOWANCE_PARTS, "allowances");
   room -= room / ALLOWANCE_PARTS;
   std::ranges::stable_sort(report.demand, std::ranges::greater(), &DemandLine::waiting);
+  // Made to fit when the report was.
+  room -= CRASH_BYTES;
   CutTo(report.demand, room / 2, "demand");
   std::ranges::stable_sort(report.loads, std::ranges::greater(), &LoadLine::in_flight);
   CutTo(report.loads, room / 2, "loads");
--- a/Source/Core/Orders/MessageSize.h
+++ b/Source/Core/Orders/MessageSize.h
@@ -14,6 +14,8 @@
 {
 /// A datagram is at most so long; the kernel cuts it into packets.
 constexpr std::size_t MAX_DATAGRAM = 60000;
+/// What requests that end servers may take of it: some 30 of them.
+constexpr std::size_t CRASH_BYTES = 7500;
 
 std::size_t BytesOf(const RowChange& row);
 std::size_t BytesOf(const PlacementLine& line);
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Accounts/Allowance.h"
+#include "Crashes/CrashCase.h"
 #include "Daemons/Codec.h"
 #include "Gateway/Types.h"
 #include "Orders/RowChange.h"
@@ -90,12 +91,15 @@
   std::int64_t grants_fence = 0; ///< Of the lease whose holder's grants the allowances count.
   /// What it may still spend of the accounts' limits, and wants.
   std::vector<Accounts::AllowanceLine> allowances;
+  /// Requests that end servers: what this daemon saw and the holder has not confirmed.
+  std::vector<Crashes::CaseLine> crashes;
+  std::uint64_t crash_revision = 0; ///< Of the holder's cases, as this daemon has them.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
     archive(vm, run, sequence, demand, loads, table_versions, placement_version, missed_news,
-            handicap_ms, grants_fence, allowances);
+            handicap_ms, grants_fence, allowances, crashes, crash_revision);
   }
 };
 
@@ -151,12 +155,16 @@
   std::uint64_t placement_from = 0; ///< The lines that changed after this version,
   std::uint64_t placement_to = 0;   ///< up to this one, are all here.
   std::vector<PlacementLine> placements;
-  std::vector<TableNews> news; ///< Of each shared table.
+  std::vector<TableNews> news;  ///< Of each shared table.
+  std::uint64_t crash_from = 0; ///< The cases that changed after this revision,
+  std::uint64_t crash_to = 0;   ///< up to this one, are all here.
+  std::vector<Crashes::CaseLine> crashes;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(fence, sequence, state, placement_from, placement_to, placements, news);
+    archive(fence, sequence, state, placement_from, placement_to, placements, news, crash_from,
+            crash_to, crashes);
   }
 };
 
--- a/Source/UnitTests/Crashes/FingerprintTest.cpp
+++ b/Source/UnitTests/Crashes/FingerprintTest.cpp
@@ -19,7 +19,7 @@
   CPPUNIT_TEST_SUITE(FingerprintTest);
   CPPUNIT_TEST(EachPartCounts);
   CPPUNIT_TEST(NoPartRunsIntoTheNext);
-  CPPUNIT_TEST(ReadsItsOwnText);
+  CPPUNIT_TEST(TextHasAllDigits);
   CPPUNIT_TEST_SUITE_END();
 
   void EachPartCounts()
@@ -42,13 +42,10 @@
     CPPUNIT_ASSERT(FingerprintOf({"ab", "", "", "", ""}) != FingerprintOf({"a", "b", "", "", ""}));
   }
 
-  void ReadsItsOwnText()
+  void TextHasAllDigits()
   {
-    const Fingerprint fingerprint = FingerprintOf(IDENTITY);
-    const auto read = Fingerprint::Parse(fingerprint.ToString());
-    CPPUNIT_ASSERT(read && *read == fingerprint);
-    CPPUNIT_ASSERT(!Fingerprint::Parse("12"));
-    CPPUNIT_ASSERT(!Fingerprint::Parse(std::string(32, 'x')));
+    CPPUNIT_ASSERT_EQUAL(std::string("000000000000000f0000000000000001"),
+                         (Fingerprint{15, 1, 7}.ToString()));
   }
 };
 
