Gateway, Crashes, UnitTests: what settles that a server has ended, and who is to blame

What is still read from a server after a connection broke may have been written before its end, and counted as a sign of life: 54 connections of one server break within 25 ms, some with bytes that had not been read. A living server now shows only by taking a connection.

--- a/Source/Core/Gateway/EndDetector.cpp
+++ b/Source/Core/Gateway/EndDetector.cpp
@@ -16,7 +16,9 @@
 {
 using Common::Milliseconds;
 
-/// So long other requests may tell for nothing whether the server lives; then it is asked.
+/// So long the refused connection of another request may tell for nothing that the server has
+/// ended; then it is asked. What is still read from it tells nothing: it may have been written
+/// before.
 constexpr Milliseconds WORD_OF_OTHERS{100};
 /// A connection that takes longer tells nothing: the server may be behind a cut.
 constexpr Milliseconds PROBE_LIMIT{400};
@@ -111,11 +113,6 @@
 void EndDetector::Ask(const InstanceId& instance)
 {
   Doubt& doubt = m_doubts.at(instance);
-  if (doubt.server->HeardAt() > doubt.since)
-  {
-    Settle(instance, false, "answered another request");
-    return;
-  }
   doubt.probe = std::make_shared<Probe>(
       doubt.server->Entry().endpoint, [this, instance](Probe::Answer answer) {
         if (answer == Probe::Answer::Refused)
--- a/Source/Core/Gateway/EndDetector.h
+++ b/Source/Core/Gateway/EndDetector.h
@@ -18,9 +18,8 @@
 {
 /// Finds out whether a backend server's process has ended when a connection to it breaks. A reset
 /// connection, a broken answer, a cut and a planned end look alike at first. What settles it is a
-/// connection that is refused: the address is reached, and nobody listens. Where the server is
-/// heard again, or takes a connection, it lives; where nothing comes back it stays open, and counts
-/// as no end.
+/// connection that is refused: the address is reached, and nobody listens. Where the server takes
+/// one it lives; where nothing comes back it stays open, and counts as no end.
 class EndDetector
 {
 public:
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -75,12 +75,7 @@
   /// tries it would be lost too.
   void NoteEnd(const Artifact& artifact, Common::TimePoint now);
   /// Bytes came from the server.
-  void NoteHeard(Common::TimePoint now)
-  {
-    m_silence.NoteHeard(now);
-    m_heard_at = now;
-  }
-  Common::TimePoint HeardAt() const { return m_heard_at; }
+  void NoteHeard(Common::TimePoint now) { m_silence.NoteHeard(now); }
   int InFlight() const { return m_in_flight; }
   const std::map<ModelId, int>& InFlightByModel() const { return m_in_flight_by_model; }
   /// Requests of other daemons there, as they told the order holder.
@@ -96,7 +91,6 @@
   std::uint64_t m_entry_revision = 1;
   ServerHealth m_health;
   SilenceDetector m_silence;
-  Common::TimePoint m_heard_at;
   bool m_replaced = false;
   Common::TimePoint m_full_until;
   Http::IdleConnections m_idle{MAX_IDLE_CONNECTIONS};
--- /dev/null
+++ b/Source/UnitTests/Gateway/EndDetectorTest.cpp
@@ -0,0 +1,174 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// When a backend server counts as ended under the requests that it had.
+
+#include "Gateway/EndDetector.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "UnitTests/Support/Loopback.h"
+
+namespace
+{
+using namespace Gateway;
+using Common::Milliseconds;
+using Crashes::Fingerprint;
+using UnitTests::RunUntil;
+using UnitTests::TestServer;
+
+constexpr Fingerprint NEW{1, 1, 1};
+constexpr Fingerprint OLD{2, 2, 2};
+constexpr Milliseconds LONG_RUN{5000};
+
+/// One server at a loopback address, and what is found out about it.
+class World
+{
+public:
+  World()
+  {
+    detector.OnEnded([this](const InstanceId&, const std::vector<Fingerprint>& suspects) {
+      ended = suspects;
+    });
+    detector.OnSettled([this] {
+      settled = true;
+    });
+    entry.instance = InstanceId("i-1");
+    entry.endpoint = process->Address();
+    directory.Put(entry);
+  }
+
+  ServerPtr Server() { return directory.All().begin()->second; }
+  void Break(const Fingerprint& request, std::optional<Milliseconds> ran_for = std::nullopt)
+  {
+    detector.NoteBroken(Server(), {request, ran_for});
+  }
+  bool Settles()
+  {
+    return RunUntil([&] {
+      return settled;
+    });
+  }
+
+  ServerDirectory directory;
+  ServerEntry entry;
+  std::unique_ptr<TestServer> process = std::make_unique<TestServer>([](auto&, const auto&) {});
+  EndDetector detector{directory};
+  std::vector<Fingerprint> ended;
+  bool settled = false;
+};
+
+class EndDetectorTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(EndDetectorTest);
+  CPPUNIT_TEST(ARefusedConnectionSettlesIt);
+  CPPUNIT_TEST(AnotherRequestsRefusalSettlesItAtOnce);
+  CPPUNIT_TEST(AResetConnectionOfALivingServerIsNoEnd);
+  CPPUNIT_TEST(ASilentServerIsNoEnd);
+  CPPUNIT_TEST(APlannedEndIsNobodysFault);
+  CPPUNIT_TEST(AnEarlierLifesEndIsNobodysFault);
+  CPPUNIT_TEST(WhatHadRunForLongIsSuspectedLast);
+  CPPUNIT_TEST_SUITE_END();
+
+  void ARefusedConnectionSettlesIt()
+  {
+    World world;
+    world.process.reset();
+    world.Break(NEW);
+    CPPUNIT_ASSERT(world.detector.IsInDoubt(NEW));
+    CPPUNIT_ASSERT(world.Settles());
+    CPPUNIT_ASSERT(world.ended == std::vector{NEW});
+    CPPUNIT_ASSERT(!world.detector.IsInDoubt(NEW));
+  }
+
+  void AnotherRequestsRefusalSettlesItAtOnce()
+  {
+    World world;
+    world.Break(NEW);
+    world.detector.NoteRefused(world.Server());
+    CPPUNIT_ASSERT(world.settled);
+    CPPUNIT_ASSERT(world.ended == std::vector{NEW});
+  }
+
+  void AResetConnectionOfALivingServerIsNoEnd()
+  {
+    World world;
+    world.Break(NEW);
+    CPPUNIT_ASSERT(world.Settles());
+    CPPUNIT_ASSERT(world.ended.empty());
+  }
+
+  /// Behind a cut nothing comes back, not even a refusal. A listener whose queue is full stands for
+  /// it: it drops what asks for a connection.
+  void ASilentServerIsNoEnd()
+  {
+    World world;
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address = Http::Endpoint{htonl(INADDR_LOOPBACK), 0}.ToSockaddr();
+    socklen_t size = sizeof(address);
+    CPPUNIT_ASSERT_EQUAL(0, bind(fd, reinterpret_cast<const sockaddr*>(&address), size));
+    CPPUNIT_ASSERT_EQUAL(0, listen(fd, 0));
+    getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+    world.entry.endpoint = Http::Endpoint::FromSockaddr(address);
+    std::vector<std::shared_ptr<Http::TcpStream>> fillers;
+    UnitTests::TestPeer filler;
+    for (int i = 0; i < 3; ++i)
+      fillers.push_back(Http::TcpStream::Connect(world.entry.endpoint, &filler));
+    UnitTests::RunFor(Milliseconds(20));
+    world.directory.Put(world.entry);
+    world.Break(NEW);
+    CPPUNIT_ASSERT(world.Settles());
+    CPPUNIT_ASSERT(world.ended.empty());
+    close(fd);
+  }
+
+  void APlannedEndIsNobodysFault()
+  {
+    World world;
+    world.process.reset();
+    const ServerPtr listed = world.Server();
+    world.entry.draining = true;
+    world.directory.Put(world.entry);
+    world.Break(NEW);
+    // Some never say that they leave: their entry goes while they still serve.
+    world.directory.Remove(world.entry.instance);
+    world.detector.NoteBroken(listed, {NEW, std::nullopt});
+    CPPUNIT_ASSERT(!world.detector.IsInDoubt(NEW));
+  }
+
+  void AnEarlierLifesEndIsNobodysFault()
+  {
+    World world;
+    const ServerPtr before = world.Server();
+    world.entry.instance = InstanceId("i-1", ServerStart(5));
+    world.directory.Put(world.entry);
+    world.detector.NoteBroken(before, {NEW, std::nullopt});
+    CPPUNIT_ASSERT(!world.detector.IsInDoubt(NEW));
+  }
+
+  void WhatHadRunForLongIsSuspectedLast()
+  {
+    World world;
+    world.process.reset();
+    world.Break(OLD, LONG_RUN);
+    world.Break(NEW, Milliseconds(20));
+    CPPUNIT_ASSERT(world.Settles());
+    CPPUNIT_ASSERT(world.ended == std::vector{NEW});
+
+    World alone;
+    alone.process.reset();
+    alone.Break(OLD, LONG_RUN);
+    CPPUNIT_ASSERT(alone.Settles());
+    CPPUNIT_ASSERT(alone.ended == std::vector{OLD});
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EndDetectorTest);
+} // namespace
