Crashes, Gateway: servers that end together count once against a request

A rack ends with all its servers, and a request that many callers send the same was at three of them: it would have been refused for ten minutes, with no run left that could clear it. An ending now counts only where the request was sent there after the one before had ended; the end is dated by the first connection that broke, not by when it was settled. By reasoning, with a test of eight servers that end within 8 ms; the sequence of one request alone still ends three.

--- a/Source/Core/Crashes/CrashCase.h
+++ b/Source/Core/Crashes/CrashCase.h
@@ -22,12 +22,13 @@
 {
   ServerLife server;
   std::int64_t age_ms = 0;
+  std::int64_t sent_age_ms = 0;      ///< Since the request had been sent there.
   std::vector<Common::VmId> seen_by; ///< Some of the VMs whose requests were there.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(server, age_ms, seen_by);
+    archive(server, age_ms, sent_age_ms, seen_by);
   }
 };
 
--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -25,7 +25,7 @@
 constexpr Milliseconds PRUNE_INTERVAL{60000};
 /// Bytes of a case in a message besides its endings, and of an ending, at most.
 constexpr std::size_t CASE_BYTES = 64;
-constexpr std::size_t ENDING_BYTES = 20;
+constexpr std::size_t ENDING_BYTES = 30;
 
 std::int64_t AgeOf(TimePoint moment, TimePoint now)
 {
@@ -73,31 +73,32 @@
 }
 
 bool CrashLedger::AddEnding(const Fingerprint& request, Case& entry, const ServerLife& server,
-                            TimePoint at)
+                            const Ending& ending)
 {
-  if (entry.survived_at && at <= *entry.survived_at)
+  if (entry.survived_at && ending.at <= *entry.survived_at)
     return false;
   if (entry.endings.size() >= MAX_ENDINGS && !entry.endings.contains(server))
     return false;
-  const auto [found, is_new] = entry.endings.try_emplace(server, Ending{at, {}});
-  found->second.at = std::min(found->second.at, at);
+  const auto [found, is_new] = entry.endings.try_emplace(server, ending);
+  found->second.at = std::min(found->second.at, ending.at);
+  found->second.sent_at = std::min(found->second.sent_at, ending.sent_at);
   m_by_server[server].insert(request);
   return is_new;
 }
 
 void CrashLedger::NoteEnding(const Fingerprint& request, const ServerLife& server,
-                             const Common::VmId& seen_by, TimePoint now)
+                             const Common::VmId& seen_by, TimePoint sent_at, TimePoint ended_at)
 {
-  Prune(now);
+  Prune(ended_at);
   Case& entry = Open(request);
-  AddEnding(request, entry, server, now);
+  AddEnding(request, entry, server, {ended_at, sent_at, {}});
   const auto ending = entry.endings.find(server);
   if (ending != entry.endings.end() && ending->second.seen_by.size() < MAX_WITNESSES)
     ending->second.seen_by.insert(seen_by);
-  Touch(entry, now);
+  Touch(entry, ended_at);
   entry.own_revision = entry.revision;
   m_own_revision = entry.revision;
-  BlockIfDue(request, now);
+  BlockIfDue(request, ended_at);
 }
 
 void CrashLedger::NoteSurvival(const Fingerprint& request, TimePoint now)
@@ -149,7 +150,9 @@
   }
   for (const EndingLine& ending : line.endings)
   {
-    changed |= AddEnding(line.request, entry, ending.server, now - Milliseconds(ending.age_ms));
+    changed |=
+        AddEnding(line.request, entry, ending.server,
+                  {now - Milliseconds(ending.age_ms), now - Milliseconds(ending.sent_age_ms), {}});
     const auto known = entry.endings.find(ending.server);
     for (const Common::VmId& vm : ending.seen_by)
       if (known != entry.endings.end() && known->second.seen_by.size() < MAX_WITNESSES)
@@ -177,25 +180,34 @@
   });
 }
 
-int CrashLedger::UnexplainedEndings(const Fingerprint& request, const Case& entry) const
+int CrashLedger::EndingsThatCount(const Fingerprint& request, const Case& entry) const
 {
+  std::vector<const Ending*> own;
+  for (const auto& [server, ending] : entry.endings)
+    if (!IsExplainedByOther(request, entry.endings.size(), server))
+      own.push_back(&ending);
+  std::ranges::sort(own, {}, [](const Ending* ending) {
+    return ending->at;
+  });
   int before_last_block = 0;
   int since = 0;
-  for (const auto& [server, ending] : entry.endings)
+  TimePoint last_counted;
+  for (const Ending* ending : own)
   {
-    if (IsExplainedByOther(request, entry.endings.size(), server))
+    if (ending->sent_at < last_counted)
       continue;
-    const bool is_old = entry.blocks > 0 && ending.at <= entry.blocked_until;
+    last_counted = ending->at;
+    const bool is_old = entry.blocks > 0 && ending->at <= entry.blocked_until;
     ++(is_old ? before_last_block : since);
   }
   // After a block one more ending is enough for the next.
-  return std::min(before_last_block, ENDINGS_TO_BLOCK - 1) + since;
+  return std::min(before_last_block, m_endings_to_block - 1) + since;
 }
 
 void CrashLedger::BlockIfDue(const Fingerprint& request, TimePoint now)
 {
   Case& entry = m_cases.at(request);
-  if (entry.IsBlocked(now) || UnexplainedEndings(request, entry) < ENDINGS_TO_BLOCK)
+  if (entry.IsBlocked(now) || EndingsThatCount(request, entry) < m_endings_to_block)
     return;
   const auto span =
       std::min(FIRST_BLOCK * (1 << std::min(entry.blocks, MAX_DOUBLINGS)), LONGEST_BLOCK);
@@ -224,7 +236,7 @@
   judgement.blocked = found->second.IsBlocked(now);
   if (judgement.blocked)
     judgement.blocked_for = std::chrono::ceil<Milliseconds>(found->second.blocked_until - now);
-  judgement.endings = UnexplainedEndings(request, found->second);
+  judgement.endings = EndingsThatCount(request, found->second);
   return judgement;
 }
 
@@ -233,8 +245,10 @@
   CaseLine line;
   line.request = request;
   for (const auto& [server, ending] : entry.endings)
-    line.endings.push_back(
-        {server, AgeOf(ending.at, now), {ending.seen_by.begin(), ending.seen_by.end()}});
+    line.endings.push_back({server,
+                            AgeOf(ending.at, now),
+                            AgeOf(ending.sent_at, now),
+                            {ending.seen_by.begin(), ending.seen_by.end()}});
   if (entry.survived_at)
     line.survived_age_ms = AgeOf(*entry.survived_at, now);
   if (entry.IsBlocked(now))
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -28,7 +28,7 @@
 {
   bool blocked = false;
   Common::Milliseconds blocked_for{0};
-  int endings = 0; ///< Server lives that no other request accounts for.
+  int endings = 0; ///< Servers' lives that count against the request.
 };
 
 /// Which requests had servers end under them, and which of those no server gets any more. Pure:
@@ -36,9 +36,10 @@
 ///
 /// Who is to blame: all requests that a server had when it ended are suspected. Others' lives tell
 /// them apart. A request that has run to a good end anywhere is cleared. An ending is another
-/// request's where that one has had more servers end under it. Three endings that are nobody
-/// else's block a request, for a time; then it is tried again, and one more ending blocks it for
-/// twice as long.
+/// request's where that one has had more servers end under it. Servers that end together, as those
+/// of one rack do, count once: an ending counts only where the request was sent there after the
+/// one before. Three endings that count block a request, for a time; then it is tried again, and
+/// one more ending blocks it for twice as long.
 class CrashLedger
 {
 public:
@@ -55,7 +56,7 @@
 
   /// A server ended while it had the request.
   void NoteEnding(const Fingerprint& request, const ServerLife& server, const Common::VmId& seen_by,
-                  Common::TimePoint now);
+                  Common::TimePoint sent_at, Common::TimePoint ended_at);
   /// A server has run the request to a good end.
   void NoteSurvival(const Fingerprint& request, Common::TimePoint now);
   /// What another daemon knows.
@@ -69,6 +70,11 @@
   bool Knows(const Fingerprint& request) const { return m_cases.contains(request); }
   Judgement Judge(const Fingerprint& request, Common::TimePoint now) const;
 
+  explicit CrashLedger(int endings_to_block = ENDINGS_TO_BLOCK)
+      : m_endings_to_block(endings_to_block)
+  {
+  }
+
   /// Changes whenever a case does.
   std::uint64_t Revision() const { return m_revision; }
   /// Changes whenever what this daemon itself saw does.
@@ -88,6 +94,7 @@
   struct Ending
   {
     Common::TimePoint at;
+    Common::TimePoint sent_at; ///< Of the first sending that was there.
     std::set<Common::VmId> seen_by;
   };
   struct Case
@@ -107,9 +114,9 @@
   Case& Open(const Fingerprint& request);
   void Touch(Case& entry, Common::TimePoint now);
   bool AddEnding(const Fingerprint& request, Case& entry, const ServerLife& server,
-                 Common::TimePoint at);
+                 const Ending& ending);
   void Clear(const Fingerprint& request, Case& entry, Common::TimePoint survived_at);
-  int UnexplainedEndings(const Fingerprint& request, const Case& entry) const;
+  int EndingsThatCount(const Fingerprint& request, const Case& entry) const;
   bool IsExplainedByOther(const Fingerprint& request, std::size_t endings,
                           const ServerLife& server) const;
   /// Blocks the request where its endings suffice.
@@ -125,6 +132,7 @@
   static void Fill(CaseNews& news, const ByRevision& changed, std::size_t max_bytes,
                    Common::TimePoint now);
 
+  int m_endings_to_block;
   std::map<Fingerprint, Case> m_cases;
   std::map<ServerLife, std::set<Fingerprint>> m_by_server;
   std::multiset<std::uint64_t> m_sizes;
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -36,8 +36,8 @@
   m_servers.OnChange([this] {
     WakeWaiting();
   });
-  m_ends.OnEnded([this](const InstanceId& instance, const auto& suspects) {
-    TakeEnd(instance, suspects);
+  m_ends.OnEnded([this](const InstanceId& instance, Common::TimePoint at, const auto& suspects) {
+    TakeEnd(instance, at, suspects);
   });
   m_ends.OnSettled([this] {
     WakeWaiting();
@@ -189,15 +189,15 @@
     m_on_demand();
 }
 
-void Dispatcher::TakeEnd(const InstanceId& instance,
-                         const std::vector<Crashes::Fingerprint>& suspects)
+void Dispatcher::TakeEnd(const InstanceId& instance, Common::TimePoint ended_at,
+                         const std::vector<EndDetector::Suspect>& suspects)
 {
   const Crashes::ServerLife life(instance.Started().Get() == 0
                                      ? instance.Get()
                                      : instance.Get() + "@" +
                                            std::to_string(instance.Started().Get()));
-  for (const Crashes::Fingerprint& suspect : suspects)
-    m_crashes.NoteEnding(suspect, life, m_settings.self, Common::Now());
+  for (const EndDetector::Suspect& suspect : suspects)
+    m_crashes.NoteEnding(suspect.request, life, m_settings.self, suspect.sent_at, ended_at);
   EndBlocked();
   if (m_on_demand)
     m_on_demand();
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -135,7 +135,8 @@
 
 private:
   void PumpWaiting();
-  void TakeEnd(const InstanceId& instance, const std::vector<Crashes::Fingerprint>& suspects);
+  void TakeEnd(const InstanceId& instance, Common::TimePoint ended_at,
+               const std::vector<EndDetector::Suspect>& suspects);
   /// Requests that are blocked now: those that are open end.
   void EndBlocked();
   /// Units that the accounts asked for, and that were refused.
--- a/Source/Core/Gateway/EndDetector.cpp
+++ b/Source/Core/Gateway/EndDetector.cpp
@@ -27,18 +27,16 @@
 constexpr Milliseconds SOON{1000};
 
 /// The requests that a server may have ended for.
-std::vector<Crashes::Fingerprint> LikelyOf(const std::vector<EndDetector::Suspect>& suspects)
+std::vector<EndDetector::Suspect> LikelyOf(const std::vector<EndDetector::Suspect>& suspects)
 {
   const auto is_new = [](const EndDetector::Suspect& suspect) {
     return suspect.ran_for.value_or(Milliseconds(0)) <= SOON;
   };
   const bool any_new = std::ranges::any_of(suspects, is_new);
-  std::vector<Crashes::Fingerprint> likely;
-  for (const EndDetector::Suspect& suspect : suspects)
-    if (!any_new || is_new(suspect))
-      likely.push_back(suspect.request);
-  std::ranges::sort(likely);
-  likely.erase(std::unique(likely.begin(), likely.end()), likely.end());
+  std::vector<EndDetector::Suspect> likely;
+  std::ranges::copy_if(suspects, std::back_inserter(likely), [&](const auto& suspect) {
+    return !any_new || is_new(suspect);
+  });
   return likely;
 }
 } // namespace
@@ -139,7 +137,7 @@
                     {"suspects", likely.size()},
                     {"after_ms", took.count()}});
   if (ended)
-    m_on_ended(instance, likely);
+    m_on_ended(instance, doubt.mapped().since, likely);
   m_on_settled();
 }
 
--- a/Source/Core/Gateway/EndDetector.h
+++ b/Source/Core/Gateway/EndDetector.h
@@ -27,11 +27,13 @@
   struct Suspect
   {
     Crashes::Fingerprint request;
+    Common::TimePoint sent_at;
     /// Since the server's first word on it; nothing where there was none.
     std::optional<Common::Milliseconds> ran_for;
   };
+  /// Which server, when its first connection broke, and the requests that it may have ended for.
   using EndedHandler =
-      std::function<void(const InstanceId&, const std::vector<Crashes::Fingerprint>&)>;
+      std::function<void(const InstanceId&, Common::TimePoint, const std::vector<Suspect>&)>;
 
   explicit EndDetector(const ServerDirectory& servers) : m_servers(servers) {}
 
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -487,6 +487,7 @@
   m_waiting = false;
   m_wait_timer.Stop();
   m_server = server;
+  m_sent_at = now;
   m_server_spoke_at.reset();
   m_server->NoteStart(m_artifact, now);
   m_is_stream = false;
@@ -698,7 +699,7 @@
   std::optional<Milliseconds> ran_for;
   if (m_server_spoke_at)
     ran_for = std::chrono::duration_cast<Milliseconds>(now - *m_server_spoke_at);
-  m_dispatcher.Ends().NoteBroken(m_server, {Fingerprint(), ran_for});
+  m_dispatcher.Ends().NoteBroken(m_server, {Fingerprint(), m_sent_at, ran_for});
   AttemptFailed("broken answer", true);
 }
 
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -163,7 +163,8 @@
   ServerPtr m_server;
   std::shared_ptr<Http::OriginConnection> m_connection;
   std::set<InstanceId> m_tried;
-  /// The first word of the server that has the request now.
+  Common::TimePoint m_sent_at; ///< To the server that has the request now.
+  /// The first word of that server.
   std::optional<Common::TimePoint> m_server_spoke_at;
   int m_arrivals = 0; ///< Times the request has reached, or may have reached, a server.
   bool m_may_have_run = false;
--- a/Source/Core/Orders/CrashArchive.cpp
+++ b/Source/Core/Orders/CrashArchive.cpp
@@ -36,7 +36,10 @@
 void MakeOlder(Crashes::CaseLine& line, std::int64_t by_ms)
 {
   for (Crashes::EndingLine& ending : line.endings)
+  {
     ending.age_ms += by_ms;
+    ending.sent_age_ms += by_ms;
+  }
   if (line.survived_age_ms >= 0)
     line.survived_age_ms += by_ms;
   line.blocked_for_ms = std::max<std::int64_t>(line.blocked_for_ms - by_ms, 0);
--- a/Source/UnitTests/Crashes/CrashLedgerTest.cpp
+++ b/Source/UnitTests/Crashes/CrashLedgerTest.cpp
@@ -21,6 +21,8 @@
 
 constexpr Fingerprint CRASHER{1, 1, 10};
 constexpr Fingerprint BESIDE{2, 2, 20};
+/// From its sending to the end of the server.
+constexpr Milliseconds RUN{300};
 constexpr std::size_t ALL_BYTES = 1 << 20;
 
 class CrashLedgerTest : public CppUnit::TestFixture
@@ -33,6 +35,7 @@
   CPPUNIT_TEST(AGoodEndClears);
   CPPUNIT_TEST(AGoodEndClearsAlsoForLaterWordOfOldEndings);
   CPPUNIT_TEST(WhoWasOnlyBesideIsNotBlocked);
+  CPPUNIT_TEST(ServersThatEndTogetherCountOnce);
   CPPUNIT_TEST(TwoCrashersAtOnceAreBothBlocked);
   CPPUNIT_TEST(ABlockEndsAndOneMoreEndingDoublesIt);
   CPPUNIT_TEST(ManyCrashersAreBounded);
@@ -42,7 +45,7 @@
   static ServerLife Life(int number) { return ServerLife("i-" + std::to_string(number)); }
   void End(CrashLedger& ledger, const Fingerprint& request, int life, const char* vm = "vm-1")
   {
-    ledger.NoteEnding(request, Life(life), VmId(vm), m_now);
+    ledger.NoteEnding(request, Life(life), VmId(vm), m_now - RUN, m_now);
     m_now += Milliseconds(1000);
   }
   bool IsBlocked(const CrashLedger& ledger, const Fingerprint& request) const
@@ -152,6 +155,17 @@
     CPPUNIT_ASSERT(!IsBlocked(ledger, BESIDE));
   }
 
+  /// The servers of one rack end within some ms, and a request that many callers send was at each.
+  void ServersThatEndTogetherCountOnce()
+  {
+    CrashLedger ledger;
+    for (int life = 1; life <= 8; ++life)
+      ledger.NoteEnding(BESIDE, Life(life), VmId("vm-1"), m_now - RUN, m_now + Milliseconds(life));
+    CPPUNIT_ASSERT_EQUAL(1, ledger.Judge(BESIDE, m_now).endings);
+    End(ledger, BESIDE, 9);
+    CPPUNIT_ASSERT(!IsBlocked(ledger, BESIDE));
+  }
+
   void TwoCrashersAtOnceAreBothBlocked()
   {
     CrashLedger ledger;
@@ -187,7 +201,7 @@
     for (int life = 1; life <= 3; ++life)
       End(ledger, CRASHER, life);
     for (std::uint64_t i = 100; i < 10100; ++i)
-      ledger.NoteEnding({i, i, i}, Life(static_cast<int>(i)), VmId("vm-1"), m_now);
+      ledger.NoteEnding({i, i, i}, Life(static_cast<int>(i)), VmId("vm-1"), m_now - RUN, m_now);
     CPPUNIT_ASSERT(ledger.Cases() <= CrashLedger::MAX_CASES);
     CPPUNIT_ASSERT(IsBlocked(ledger, CRASHER));
     CPPUNIT_ASSERT(!ledger.KnowsSize(100));
@@ -199,7 +213,7 @@
     CrashLedger ledger;
     for (std::uint64_t i = 0; i < CRASHERS; ++i)
       for (int life = 0; life < 2; ++life)
-        ledger.NoteEnding({i, i, i}, Life(life), VmId("vm-1"), m_now);
+        ledger.NoteEnding({i, i, i}, Life(life), VmId("vm-1"), m_now - RUN, m_now);
     std::size_t told = 0;
     std::uint64_t position = 0;
     for (int part = 0; position < ledger.Revision(); ++part)
--- a/Source/UnitTests/Gateway/EndDetectorTest.cpp
+++ b/Source/UnitTests/Gateway/EndDetectorTest.cpp
@@ -34,8 +34,9 @@
 public:
   World()
   {
-    detector.OnEnded([this](const InstanceId&, const std::vector<Fingerprint>& suspects) {
-      ended = suspects;
+    detector.OnEnded([this](const InstanceId&, Common::TimePoint, const auto& suspects) {
+      for (const EndDetector::Suspect& suspect : suspects)
+        ended.push_back(suspect.request);
     });
     detector.OnSettled([this] {
       settled = true;
@@ -48,7 +49,7 @@
   ServerPtr Server() { return directory.All().begin()->second; }
   void Break(const Fingerprint& request, std::optional<Milliseconds> ran_for = std::nullopt)
   {
-    detector.NoteBroken(Server(), {request, ran_for});
+    detector.NoteBroken(Server(), {request, Common::Now(), ran_for});
   }
   bool Settles()
   {
@@ -139,7 +140,7 @@
     world.Break(NEW);
     // Some never say that they leave: their entry goes while they still serve.
     world.directory.Remove(world.entry.instance);
-    world.detector.NoteBroken(listed, {NEW, std::nullopt});
+    world.detector.NoteBroken(listed, {NEW, Common::Now(), std::nullopt});
     CPPUNIT_ASSERT(!world.detector.IsInDoubt(NEW));
   }
 
@@ -149,7 +150,7 @@
     const ServerPtr before = world.Server();
     world.entry.instance = InstanceId("i-1", ServerStart(5));
     world.directory.Put(world.entry);
-    world.detector.NoteBroken(before, {NEW, std::nullopt});
+    world.detector.NoteBroken(before, {NEW, Common::Now(), std::nullopt});
     CPPUNIT_ASSERT(!world.detector.IsInDoubt(NEW));
   }
 
