--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -62,7 +62,7 @@
 {
   const auto [found, is_new] = m_cases.try_emplace(request);
   if (is_new)
-    m_sizes.insert(request.bytes);
+    m_keys.insert(request.quick);
   return found->second;
 }
 
@@ -75,7 +75,7 @@
 bool CrashLedger::AddEnding(const Fingerprint& request, Case& entry, const ServerLife& server,
                             const Ending& ending)
 {
-  if (entry.survived_at && ending.at <= *entry.survived_at)
+  if (entry.survived_at && ending.at <= *entry.survived_at + TRUSTED_FOR)
     return false;
   if (entry.endings.size() >= MAX_ENDINGS && !entry.endings.contains(server))
     return false;
@@ -87,10 +87,15 @@
 }
 
 void CrashLedger::NoteEnding(const Fingerprint& request, const ServerLife& server,
-                             const Common::VmId& seen_by, TimePoint sent_at, TimePoint ended_at)
+                             const Common::VmId& seen_by, TimePoint sent_at, TimePoint ended_at,
+                             std::optional<TimePoint> survived_at)
 {
+  if (survived_at && ended_at - *survived_at <= TRUSTED_FOR)
+    return;
   Prune(ended_at);
   Case& entry = Open(request);
+  if (survived_at)
+    entry.survived_at = std::max(entry.survived_at.value_or(*survived_at), *survived_at);
   AddEnding(request, entry, server, {ended_at, sent_at, {}});
   const auto ending = entry.endings.find(server);
   if (ending != entry.endings.end() && ending->second.seen_by.size() < MAX_WITNESSES)
@@ -103,8 +108,13 @@
 
 void CrashLedger::NoteSurvival(const Fingerprint& request, TimePoint now)
 {
+  // Told to others; more often than this tells them nothing.
+  constexpr Milliseconds REPEAT_AFTER = CrashLedger::TRUSTED_FOR / 3;
   const auto found = m_cases.find(request);
-  if (found == m_cases.end() || (found->second.endings.empty() && found->second.survived_at))
+  if (found == m_cases.end())
+    return;
+  const Case& known = found->second;
+  if (known.endings.empty() && known.survived_at && now - *known.survived_at < REPEAT_AFTER)
     return;
   Clear(request, found->second, now);
   Touch(found->second, now);
@@ -112,6 +122,21 @@
   m_own_revision = found->second.revision;
 }
 
+void CrashLedger::NoteEarlierSurvival(const Fingerprint& request, TimePoint survived_at,
+                                      TimePoint now)
+{
+  const auto found = m_cases.find(request);
+  if (found == m_cases.end())
+    return;
+  Case& entry = found->second;
+  if (entry.survived_at && survived_at <= *entry.survived_at + TRUSTED_FOR / 3)
+    return;
+  Clear(request, entry, survived_at);
+  Touch(entry, now);
+  entry.own_revision = entry.revision;
+  m_own_revision = entry.revision;
+}
+
 void CrashLedger::Clear(const Fingerprint& request, Case& entry, TimePoint survived_at)
 {
   entry.survived_at = std::max(entry.survived_at.value_or(survived_at), survived_at);
@@ -124,7 +149,7 @@
   });
   for (const ServerLife& server : freed)
     m_by_server.at(server).erase(request);
-  if (entry.blocked_at <= *entry.survived_at)
+  if (entry.blocked_at <= *entry.survived_at || IsBlockedTooEarly(entry))
     entry.blocked_until = {};
   BlockSharersIfDue(freed, survived_at);
   std::erase_if(m_by_server, [](const auto& server) {
@@ -160,11 +185,15 @@
   }
   if (line.blocks > entry.blocks)
   {
-    if (!entry.IsBlocked(now) && line.blocked_for_ms > 0)
-      m_newly_blocked.push_back(line.request);
+    const bool was_blocked = entry.IsBlocked(now);
     entry.blocks = line.blocks;
-    entry.blocked_at = now;
-    entry.blocked_until = now + Milliseconds(line.blocked_for_ms);
+    if (!IsBlockedTooEarly(entry))
+    {
+      entry.blocked_at = now;
+      entry.blocked_until = now + Milliseconds(line.blocked_for_ms);
+    }
+    if (!was_blocked && entry.IsBlocked(now))
+      m_newly_blocked.push_back(line.request);
     changed = true;
   }
   if (changed)
@@ -176,38 +205,63 @@
                                      const ServerLife& server) const
 {
   return std::ranges::any_of(m_by_server.at(server), [&](const Fingerprint& other) {
-    return other != request && m_cases.at(other).endings.size() > endings;
+    const Case& its = m_cases.at(other);
+    return other != request && its.endings.size() > endings && !its.survived_at;
   });
 }
 
-int CrashLedger::EndingsThatCount(const Fingerprint& request, const Case& entry) const
+int CrashLedger::InTurn(std::vector<const Ending*> endings, int at_most_before, TimePoint before)
 {
-  std::vector<const Ending*> own;
-  for (const auto& [server, ending] : entry.endings)
-    if (!IsExplainedByOther(request, entry.endings.size(), server))
-      own.push_back(&ending);
-  std::ranges::sort(own, {}, [](const Ending* ending) {
+  std::ranges::sort(endings, {}, [](const Ending* ending) {
     return ending->at;
   });
-  int before_last_block = 0;
+  int old = 0;
   int since = 0;
   TimePoint last_counted;
-  for (const Ending* ending : own)
+  for (const Ending* ending : endings)
   {
     if (ending->sent_at < last_counted)
       continue;
     last_counted = ending->at;
-    const bool is_old = entry.blocks > 0 && ending->at <= entry.blocked_until;
-    ++(is_old ? before_last_block : since);
+    ++(ending->at <= before ? old : since);
   }
+  return std::min(old, at_most_before) + since;
+}
+
+int CrashLedger::EndingsThatCount(const Fingerprint& request, const Case& entry) const
+{
+  std::vector<const Ending*> own;
+  for (const auto& [server, ending] : entry.endings)
+    if (!IsExplainedByOther(request, entry.endings.size(), server))
+      own.push_back(&ending);
   // After a block one more ending is enough for the next.
-  return std::min(before_last_block, m_endings_to_block - 1) + since;
+  const TimePoint last_block = entry.blocks > 0 ? entry.blocked_until : TimePoint();
+  return InTurn(std::move(own), m_endings_to_block - 1, last_block);
+}
+
+/// It was blocked by a daemon that did not know of its good end.
+bool CrashLedger::IsBlockedTooEarly(const Case& entry)
+{
+  return entry.survived_at && entry.blocks <= 1 && entry.endings.size() < ENDINGS_OF_SURVIVOR;
+}
+
+bool CrashLedger::IsDue(const Fingerprint& request, const Case& entry) const
+{
+  if (entry.survived_at)
+    return EndingsThatCount(request, entry) >= ENDINGS_OF_SURVIVOR;
+  if (EndingsThatCount(request, entry) >= m_endings_to_block)
+    return true;
+  std::vector<const Ending*> all;
+  for (const auto& [server, ending] : entry.endings)
+    all.push_back(&ending);
+  const TimePoint last_block = entry.blocks > 0 ? entry.blocked_until : TimePoint();
+  return InTurn(std::move(all), 0, last_block) >= ENDINGS_IN_ANY_CASE;
 }
 
 void CrashLedger::BlockIfDue(const Fingerprint& request, TimePoint now)
 {
   Case& entry = m_cases.at(request);
-  if (entry.IsBlocked(now) || EndingsThatCount(request, entry) < m_endings_to_block)
+  if (entry.IsBlocked(now) || !IsDue(request, entry))
     return;
   const auto span =
       std::min(FIRST_BLOCK * (1 << std::min(entry.blocks, MAX_DOUBLINGS)), LONGEST_BLOCK);
@@ -344,7 +398,7 @@
     if (requests->second.empty())
       m_by_server.erase(requests);
   }
-  m_sizes.erase(m_sizes.find(request.bytes));
+  m_keys.erase(m_keys.find(request.quick));
   m_cases.erase(found);
 }
 
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -35,16 +35,24 @@
 /// time is a parameter. What is learned from others is merged in any order, also twice.
 ///
 /// Who is to blame: all requests that a server had when it ended are suspected. Others' lives tell
-/// them apart. A request that has run to a good end anywhere is cleared. An ending is another
-/// request's where that one has had more servers end under it. Servers that end together, as those
-/// of one rack do, count once: an ending counts only where the request was sent there after the
-/// one before. Three endings that count block a request, for a time; then it is tried again, and
-/// one more ending blocks it for twice as long.
+/// them apart. A request that has run to a good end anywhere is cleared, also of the next seconds.
+/// An ending is another request's where that one has had more servers end under it and never
+/// survived. Servers that end together, as those of one rack do, count once: an ending counts only
+/// where the request was sent there after the one before. Three endings that count block a request,
+/// for a time; then it is tried again, and one more ending blocks it for twice as long.
 class CrashLedger
 {
 public:
   /// Endings after which a request is blocked: the platform's bound.
   static constexpr int ENDINGS_TO_BLOCK = 3;
+  /// A request that has run to a good end before must have had so many: it is sent often, and has
+  /// been at many servers.
+  static constexpr int ENDINGS_OF_SURVIVOR = 5;
+  /// One that never has is blocked after so many also where others had more.
+  static constexpr int ENDINGS_IN_ANY_CASE = 5;
+  /// For so long after a good end no ending counts: of a request that begins to end servers, after
+  /// a release, as many seconds pass.
+  static constexpr Common::Milliseconds TRUSTED_FOR{15000};
   /// The first block; each later one is twice as long, up to the longest. A mended engine serves
   /// the request again after that time.
   static constexpr Common::Milliseconds FIRST_BLOCK{std::chrono::minutes(10)};
@@ -54,19 +62,24 @@
   /// Cases that are kept; beyond, those with the fewest endings go first. Some 2 MB.
   static constexpr std::size_t MAX_CASES = 4096;
 
-  /// A server ended while it had the request.
+  /// A server ended while it had the request. `survived_at`: when a server last ran the request to
+  /// a good end, as far as this daemon knows.
   void NoteEnding(const Fingerprint& request, const ServerLife& server, const Common::VmId& seen_by,
-                  Common::TimePoint sent_at, Common::TimePoint ended_at);
+                  Common::TimePoint sent_at, Common::TimePoint ended_at,
+                  std::optional<Common::TimePoint> survived_at = std::nullopt);
   /// A server has run the request to a good end.
   void NoteSurvival(const Fingerprint& request, Common::TimePoint now);
+  /// A server ran the request to a good end before it became known here.
+  void NoteEarlierSurvival(const Fingerprint& request, Common::TimePoint survived_at,
+                           Common::TimePoint now);
   /// What another daemon knows.
   void Merge(const CaseLine& line, Common::TimePoint now);
   /// Requests that have been blocked since the last call.
   std::vector<Fingerprint> TakeNewlyBlocked() { return std::exchange(m_newly_blocked, {}); }
 
   bool Empty() const { return m_cases.empty(); }
-  /// False where no known request has this size: then its fingerprint need not be made.
-  bool KnowsSize(std::uint64_t bytes) const { return m_sizes.contains(bytes); }
+  /// False where no known request has this key: then its fingerprint need not be made.
+  bool MayKnow(QuickKey key) const { return m_keys.contains(key); }
   bool Knows(const Fingerprint& request) const { return m_cases.contains(request); }
   Judgement Judge(const Fingerprint& request, Common::TimePoint now) const;
 
@@ -117,6 +130,11 @@
                  const Ending& ending);
   void Clear(const Fingerprint& request, Case& entry, Common::TimePoint survived_at);
   int EndingsThatCount(const Fingerprint& request, const Case& entry) const;
+  /// Endings, each of which the request was sent to after the one before.
+  static int InTurn(std::vector<const Ending*> endings, int at_most_before,
+                    Common::TimePoint before);
+  bool IsDue(const Fingerprint& request, const Case& entry) const;
+  static bool IsBlockedTooEarly(const Case& entry);
   bool IsExplainedByOther(const Fingerprint& request, std::size_t endings,
                           const ServerLife& server) const;
   /// Blocks the request where its endings suffice.
@@ -135,7 +153,7 @@
   int m_endings_to_block;
   std::map<Fingerprint, Case> m_cases;
   std::map<ServerLife, std::set<Fingerprint>> m_by_server;
-  std::multiset<std::uint64_t> m_sizes;
+  std::multiset<QuickKey> m_keys;
   std::vector<Fingerprint> m_newly_blocked;
   std::uint64_t m_revision = 0;
   std::uint64_t m_own_revision = 0;
--- a/Source/Core/Crashes/Fingerprint.cpp
+++ b/Source/Core/Crashes/Fingerprint.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include <glib.h>
+#include <xxhash.h>
 
 namespace Crashes
 {
@@ -40,6 +41,15 @@
   return text.data();
 }
 
+QuickKey QuickKeyOf(const RequestIdentity& identity)
+{
+  QuickKey key = 0;
+  for (const std::string_view part :
+       {identity.account, identity.method, identity.host, identity.target, identity.body})
+    key = XXH3_64bits_withSeed(part.data(), part.size(), key + part.size());
+  return key;
+}
+
 Fingerprint FingerprintOf(const RequestIdentity& identity)
 {
   const Checksum checksum(g_checksum_new(G_CHECKSUM_SHA256));
@@ -53,7 +63,7 @@
   gsize size = digest.size();
   g_checksum_get_digest(checksum.get(), digest.data(), &size);
   Fingerprint result;
-  result.bytes = SizeOf(identity);
+  result.quick = QuickKeyOf(identity);
   std::memcpy(&result.high, digest.data(), sizeof(result.high));
   std::memcpy(&result.low, digest.data() + sizeof(result.high), sizeof(result.low));
   return result;
--- a/Source/Core/Crashes/Fingerprint.h
+++ b/Source/Core/Crashes/Fingerprint.h
@@ -22,29 +22,31 @@
   std::string_view body;
 };
 
+/// The same for all requests with one identity; others may have it too. Some hundred times quicker
+/// to make than a fingerprint.
+using QuickKey = std::uint64_t;
+
 /// Stands for all requests with one identity, in logs and messages too, which must not hold a
 /// request's body. Cryptographic, so that nobody makes a request that is taken for another's.
 struct Fingerprint
 {
   std::uint64_t high = 0;
   std::uint64_t low = 0;
-  std::uint64_t bytes = 0; ///< Of target and body.
+  QuickKey quick = 0;
 
   auto operator<=>(const Fingerprint&) const = default;
 
-  /// 32 hexadecimal digits; the size is not in it.
+  /// 32 hexadecimal digits, without the quick key.
   std::string ToString() const;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(high, low, bytes);
+    archive(high, low, quick);
   }
 };
 
-inline std::uint64_t SizeOf(const RequestIdentity& identity)
-{
-  return identity.target.size() + identity.body.size();
-}
+/// Alone no proof: by it most requests are told not to be a known one.
+QuickKey QuickKeyOf(const RequestIdentity& identity);
 Fingerprint FingerprintOf(const RequestIdentity& identity);
 } // namespace Crashes
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -197,7 +197,8 @@
                                      : instance.Get() + "@" +
                                            std::to_string(instance.Started().Get()));
   for (const EndDetector::Suspect& suspect : suspects)
-    m_crashes.NoteEnding(suspect.request, life, m_settings.self, suspect.sent_at, ended_at);
+    m_crashes.NoteEnding(suspect.request, life, m_settings.self, suspect.sent_at, ended_at,
+                         suspect.survived_at);
   EndBlocked();
   if (m_on_demand)
     m_on_demand();
@@ -205,9 +206,17 @@
 
 void Dispatcher::TakeCrashCases(const std::vector<Crashes::CaseLine>& cases)
 {
+  const auto now = Common::Now();
+  const std::uint64_t before = m_crashes.OwnRevision();
   for (const Crashes::CaseLine& line : cases)
-    m_crashes.Merge(line, Common::Now());
+  {
+    m_crashes.Merge(line, now);
+    if (const auto survived_at = m_successes.LastOf(line.request.quick, now))
+      m_crashes.NoteEarlierSurvival(line.request, *survived_at, now);
+  }
   EndBlocked();
+  if (m_crashes.OwnRevision() != before && m_on_demand)
+    m_on_demand();
 }
 
 void Dispatcher::EndBlocked()
@@ -230,7 +239,7 @@
 
 Crashes::Judgement Dispatcher::JudgeCrashes(Relay& relay) const
 {
-  if (m_crashes.Empty() || !m_crashes.KnowsSize(relay.IdentityBytes()))
+  if (m_crashes.Empty() || !m_crashes.MayKnow(Crashes::QuickKeyOf(relay.Identity())))
     return {};
   return m_crashes.Judge(relay.Fingerprint(), Common::Now());
 }
@@ -241,9 +250,17 @@
          m_ends.IsInDoubt(relay.Fingerprint());
 }
 
+void Dispatcher::NoteBroken(const ServerPtr& server, Relay& relay, Common::TimePoint sent_at,
+                            std::optional<Milliseconds> ran_for)
+{
+  const auto survived_at = m_successes.LastOf(Crashes::QuickKeyOf(relay.Identity()), Common::Now());
+  m_ends.NoteBroken(server, {relay.Fingerprint(), sent_at, survived_at, ran_for});
+}
+
 void Dispatcher::NoteSurvival(Relay& relay)
 {
-  if (m_crashes.Empty() || !m_crashes.KnowsSize(relay.IdentityBytes()))
+  m_successes.Note(Crashes::QuickKeyOf(relay.Identity()), Common::Now());
+  if (m_crashes.Empty() || !m_crashes.MayKnow(Crashes::QuickKeyOf(relay.Identity())))
     return;
   const std::uint64_t before = m_crashes.OwnRevision();
   m_crashes.NoteSurvival(relay.Fingerprint(), Common::Now());
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -13,6 +13,7 @@
 #include "Accounts/LocalAllowances.h"
 #include "Common/Metrics.h"
 #include "Crashes/CrashLedger.h"
+#include "Crashes/RecentSuccesses.h"
 #include "Decisions/Routing.h"
 #include "Gateway/EndDetector.h"
 #include "Gateway/Relay.h"
@@ -120,6 +121,9 @@
   void ExpectReturn(const Relay& relay, Common::Milliseconds span);
   void NoteArrival(const Relay& relay);
   EndDetector& Ends() { return m_ends; }
+  /// The server's connection broke while it had the request.
+  void NoteBroken(const ServerPtr& server, Relay& relay, Common::TimePoint sent_at,
+                  std::optional<Common::Milliseconds> ran_for);
   /// Whether the request may be sent to a server.
   Crashes::Judgement JudgeCrashes(Relay& relay) const;
   /// It is not settled whether the request has just ended the last server that it may end.
@@ -154,6 +158,7 @@
   Accounts::KeyTrust m_keys;
   Accounts::LocalAllowances m_allowances;
   Crashes::CrashLedger m_crashes;
+  Crashes::RecentSuccesses m_successes;
   EndDetector m_ends{m_servers};
   Decisions::AffinityRouting m_routing;
   std::map<Relay*, std::shared_ptr<Relay>> m_relays;
--- a/Source/Core/Gateway/EndDetector.h
+++ b/Source/Core/Gateway/EndDetector.h
@@ -28,6 +28,8 @@
   {
     Crashes::Fingerprint request;
     Common::TimePoint sent_at;
+    /// When a server last ran it to a good end; nothing where none is known to have.
+    std::optional<Common::TimePoint> survived_at;
     /// Since the server's first word on it; nothing where there was none.
     std::optional<Common::Milliseconds> ran_for;
   };
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -699,7 +699,7 @@
   std::optional<Milliseconds> ran_for;
   if (m_server_spoke_at)
     ran_for = std::chrono::duration_cast<Milliseconds>(now - *m_server_spoke_at);
-  m_dispatcher.Ends().NoteBroken(m_server, {Fingerprint(), m_sent_at, ran_for});
+  m_dispatcher.NoteBroken(m_server, *this, m_sent_at, ran_for);
   AttemptFailed("broken answer", true);
 }
 
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -71,11 +71,8 @@
   const Route& MatchedRoute() const { return m_route; }
   /// By which the request is recognised when it comes again. Made when it is first asked for.
   const Crashes::Fingerprint& Fingerprint();
-  /// Of what the fingerprint is made of.
-  std::uint64_t IdentityBytes() const
-  {
-    return m_request.head.target.size() + m_request.body.size();
-  }
+  Crashes::RequestIdentity Identity() const;
+
   /// Servers have ended under the request: it is not sent again, nor waited for.
   void EndIfBlocked();
 
@@ -101,7 +98,6 @@
   void ReturnAllowance();
   /// True where the request is blocked; it has been answered then.
   bool AnswerIfBlocked();
-  Crashes::RequestIdentity Identity() const;
   /// Accepted by all limits: finds a server.
   void Begin();
   /// The values of the key headers, in their order.
--- a/Source/UnitTests/Crashes/CrashLedgerTest.cpp
+++ b/Source/UnitTests/Crashes/CrashLedgerTest.cpp
@@ -204,7 +204,7 @@
       ledger.NoteEnding({i, i, i}, Life(static_cast<int>(i)), VmId("vm-1"), m_now - RUN, m_now);
     CPPUNIT_ASSERT(ledger.Cases() <= CrashLedger::MAX_CASES);
     CPPUNIT_ASSERT(IsBlocked(ledger, CRASHER));
-    CPPUNIT_ASSERT(!ledger.KnowsSize(100));
+    CPPUNIT_ASSERT(!ledger.MayKnow(100));
   }
 
   void NewsComesInPartsThatFit()
--- a/Source/UnitTests/Gateway/EndDetectorTest.cpp
+++ b/Source/UnitTests/Gateway/EndDetectorTest.cpp
@@ -49,7 +49,7 @@
   ServerPtr Server() { return directory.All().begin()->second; }
   void Break(const Fingerprint& request, std::optional<Milliseconds> ran_for = std::nullopt)
   {
-    detector.NoteBroken(Server(), {request, Common::Now(), ran_for});
+    detector.NoteBroken(Server(), {request, Common::Now(), std::nullopt, ran_for});
   }
   bool Settles()
   {
@@ -140,7 +140,7 @@
     world.Break(NEW);
     // Some never say that they leave: their entry goes while they still serve.
     world.directory.Remove(world.entry.instance);
-    world.detector.NoteBroken(listed, {NEW, Common::Now(), std::nullopt});
+    world.detector.NoteBroken(listed, {NEW, Common::Now(), std::nullopt, std::nullopt});
     CPPUNIT_ASSERT(!world.detector.IsInDoubt(NEW));
   }
 
@@ -150,7 +150,7 @@
     const ServerPtr before = world.Server();
     world.entry.instance = InstanceId("i-1", ServerStart(5));
     world.directory.Put(world.entry);
-    world.detector.NoteBroken(before, {NEW, Common::Now(), std::nullopt});
+    world.detector.NoteBroken(before, {NEW, Common::Now(), std::nullopt, std::nullopt});
     CPPUNIT_ASSERT(!world.detector.IsInDoubt(NEW));
   }
 
