--- a/Source/UnitTests/Gateway/CrashingRequestsTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestsTest.cpp
@@ -9,6 +9,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -27,6 +28,8 @@
 using UnitTests::TestServer;
 
 constexpr const char* CRASHER = "/plain/crash";
+/// It may not be repeated: each attempt reaches one server.
+constexpr const char* ONCE_CRASHER = "/once/crash";
 constexpr const char* HONEST = "/plain/honest";
 
 /// Servers that end as soon as they run the crashing request. A process that has ended refuses
@@ -52,7 +55,7 @@
 private:
   void Serve(int index, TestPeer& peer, const std::string& head)
   {
-    if (head.find(CRASHER) == std::string::npos)
+    if (head.find("/crash ") == std::string::npos)
     {
       peer.stream->Write(Answer(head, "whole"));
       return;
@@ -82,8 +85,86 @@
 {
   CPPUNIT_TEST_SUITE(CrashingRequestsTest);
   CPPUNIT_TEST(ComesAgainAndEndsThreeServersAtMost);
+  CPPUNIT_TEST(ARefusalSaysWhetherItMayHaveRun);
+  CPPUNIT_TEST(AnotherBodyIsAnotherRequest);
+  CPPUNIT_TEST(WhatOthersKnowEndsWhatWaits);
+  CPPUNIT_TEST(AServerThatLivesOnIsNoReason);
   CPPUNIT_TEST_SUITE_END();
 
+  /// Blocked by what other daemons saw.
+  static void Block(RelayWorld& world, const char* path, const std::string& body = "")
+  {
+    Crashes::CaseLine line;
+    line.request = Crashes::FingerprintOf({"", "POST", "shop.example", path, body});
+    line.blocks = 1;
+    line.blocked_for_ms = 600000;
+    world.dispatcher.TakeCrashCases({line});
+  }
+
+  /// Nothing that makes callers hurry back; and no word that it has not run where it may have.
+  void ARefusalSaysWhetherItMayHaveRun()
+  {
+    RelayWorld world;
+    Fleet fleet(world, 10);
+    for (int i = 0; i < 3; ++i)
+      CPPUNIT_ASSERT_EQUAL(
+          std::string("502"),
+          AskAndWait(world, ONCE_CRASHER, "crash-" + std::to_string(i)).substr(9, 3));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.dispatcher.CrashCases().Blocked(Common::Now()) == 1;
+    }));
+    const auto begin = Common::Now();
+    const std::string answer = AskAndWait(world, ONCE_CRASHER, "crash-4");
+    CPPUNIT_ASSERT_EQUAL(std::string("503"), answer.substr(9, 3));
+    CPPUNIT_ASSERT(Common::Now() - begin < Milliseconds(200));
+    CPPUNIT_ASSERT(std::stod(HeaderOf(answer, "Retry-After")) > 500);
+  }
+
+  void AnotherBodyIsAnotherRequest()
+  {
+    RelayWorld world;
+    Fleet fleet(world, 1);
+    Block(world, HONEST, "blocked");
+    world.Ask(HONEST, "id-1", "", "blocked");
+    CPPUNIT_ASSERT(world.CallerGot("503"));
+    world.caller.received.clear();
+    world.Ask(HONEST, "id-2", "", "another");
+    CPPUNIT_ASSERT(world.CallerGot("whole"));
+  }
+
+  void WhatOthersKnowEndsWhatWaits()
+  {
+    RelayWorld world;
+    world.Ask(HONEST, "id-1");
+    RunFor(Milliseconds(50));
+    CPPUNIT_ASSERT(world.caller.received.empty());
+    Block(world, HONEST);
+    CPPUNIT_ASSERT(world.CallerGot("503"));
+  }
+
+  /// Answers are broken off again and again by servers that go on to serve others.
+  void AServerThatLivesOnIsNoReason()
+  {
+    RelayWorld world;
+    bool breaks = true;
+    std::deque<TestServer> servers;
+    for (int i = 0; i < 8; ++i)
+    {
+      servers.emplace_back([&](TestPeer& peer, const std::string& head) {
+        if (breaks)
+          peer.stream->Reset();
+        else
+          peer.stream->Write(Answer(head, "whole"));
+      });
+      world.AddServer("i-" + std::to_string(i), servers.back().Address());
+    }
+    for (int i = 0; i < 4; ++i)
+      AskAndWait(world, HONEST, "id-" + std::to_string(i));
+    RunFor(Milliseconds(1500));
+    breaks = false;
+    CPPUNIT_ASSERT(AskAndWait(world, HONEST, "last").find("whole") != std::string::npos);
+  }
+
   void ComesAgainAndEndsThreeServersAtMost()
   {
     RelayWorld world;
--- /dev/null
+++ b/Source/UnitTests/Orders/CrashArchiveTest.cpp
@@ -0,0 +1,152 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// What is known of requests that end servers outlasts all daemons in one row of the store, and
+// takes the holder's place where none is heard.
+
+#include "Orders/CrashArchive.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Common/Loop.h"
+#include "UnitTests/Support/Loopback.h"
+
+namespace
+{
+using namespace Orders;
+using Common::Milliseconds;
+using Crashes::Fingerprint;
+
+constexpr Fingerprint CRASHER{7, 7, 7};
+
+/// The row, which daemons read and write.
+struct FakeRow
+{
+  ArchiveAccess Access()
+  {
+    return {[this](auto callback) {
+              callback(row);
+            },
+            [this](std::int64_t expected, const std::string& value, auto callback) {
+              ++writes;
+              if (is_down)
+                callback(Common::Failure{Common::FailureKind::Timeout, "down"});
+              else if (expected != row.version)
+                callback(Common::Failure{Common::FailureKind::Conflict, "moved"});
+              else
+              {
+                row = {row.version + 1, value};
+                callback(row.version);
+              }
+            }};
+  }
+
+  ArchiveRow row;
+  int writes = 0;
+  bool is_down = false;
+};
+
+struct Daemon
+{
+  explicit Daemon(FakeRow& row) : archive(dispatcher, row.Access()) {}
+
+  void EndUnder(int server)
+  {
+    Crashes::CaseLine line;
+    line.request = CRASHER;
+    line.endings = {{Crashes::ServerLife("i-" + std::to_string(server)),
+                     (9 - server) * 1000,
+                     (9 - server) * 1000 + 300,
+                     {Common::VmId("vm")}}};
+    dispatcher.TakeCrashCases({line});
+  }
+  bool IsBlocked() { return dispatcher.CrashCases().Judge(CRASHER, Common::Now()).blocked; }
+
+  Gateway::Dispatcher dispatcher{Gateway::DispatcherSettings{}};
+  CrashArchive archive;
+};
+
+class CrashArchiveTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(CrashArchiveTest);
+  CPPUNIT_TEST(ADaemonThatStartsKnowsWhatIsBlocked);
+  CPPUNIT_TEST(TheHolderWritesOnlyWhatIsBlocked);
+  CPPUNIT_TEST(WithoutAHolderEndingsAddUpThroughTheRow);
+  CPPUNIT_TEST(WritesAgainWhereTheStoreWasDown);
+  CPPUNIT_TEST(ARowThatCannotBeReadChangesNothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// All daemons are killed at once; the request comes again to the new ones.
+  void ADaemonThatStartsKnowsWhatIsBlocked()
+  {
+    FakeRow row;
+    Daemon holder(row);
+    for (int server = 1; server <= 3; ++server)
+      holder.EndUnder(server);
+    holder.archive.Tick(ArchiveRole::Holder, Common::Now());
+    Daemon started(row);
+    started.archive.OnRow(row.row);
+    CPPUNIT_ASSERT(started.IsBlocked());
+  }
+
+  void TheHolderWritesOnlyWhatIsBlocked()
+  {
+    FakeRow row;
+    Daemon holder(row);
+    holder.EndUnder(1);
+    holder.EndUnder(2);
+    holder.archive.Tick(ArchiveRole::Holder, Common::Now());
+    CPPUNIT_ASSERT_EQUAL(0, row.writes);
+    holder.EndUnder(3);
+    for (int i = 0; i < 3; ++i)
+      holder.archive.Tick(ArchiveRole::Holder, Common::Now());
+    CPPUNIT_ASSERT_EQUAL(1, row.writes);
+    holder.archive.Tick(ArchiveRole::Reader, Common::Now());
+    CPPUNIT_ASSERT_EQUAL(1, row.writes);
+  }
+
+  void WithoutAHolderEndingsAddUpThroughTheRow()
+  {
+    FakeRow row;
+    Daemon first(row);
+    Daemon second(row);
+    first.EndUnder(1);
+    first.EndUnder(2);
+    second.EndUnder(3);
+    first.archive.Tick(ArchiveRole::Orphan, Common::Now());
+    // It has not read the row yet: its write meets the other's, and it reads it then.
+    second.archive.Tick(ArchiveRole::Orphan, Common::Now());
+    CPPUNIT_ASSERT(second.IsBlocked());
+    UnitTests::RunFor(Milliseconds(400));
+    second.archive.Tick(ArchiveRole::Orphan, Common::Now());
+    first.archive.OnRow(row.row);
+    CPPUNIT_ASSERT(first.IsBlocked());
+  }
+
+  void WritesAgainWhereTheStoreWasDown()
+  {
+    FakeRow row;
+    Daemon holder(row);
+    for (int server = 1; server <= 3; ++server)
+      holder.EndUnder(server);
+    row.is_down = true;
+    holder.archive.Tick(ArchiveRole::Holder, Common::Now());
+    holder.archive.Tick(ArchiveRole::Holder, Common::Now());
+    CPPUNIT_ASSERT_EQUAL(1, row.writes);
+    row.is_down = false;
+    UnitTests::RunFor(Milliseconds(400));
+    holder.archive.Tick(ArchiveRole::Holder, Common::Now());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(1), row.row.version);
+  }
+
+  void ARowThatCannotBeReadChangesNothing()
+  {
+    FakeRow row;
+    Daemon daemon(row);
+    daemon.archive.OnRow({4, "\xff\xff\xff\xff\xff"});
+    CPPUNIT_ASSERT(daemon.dispatcher.CrashCases().Empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashArchiveTest);
+} // namespace
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -127,6 +127,8 @@
   CPPUNIT_TEST(AWordThatLayInTheSocketProvesNothingNew);
   CPPUNIT_TEST(ANewHolderGrantsUnitsToo);
   CPPUNIT_TEST(TheHolderHandsOutWhatTheBoundAllows);
+  CPPUNIT_TEST(EndingsThatTwoDaemonsSawBlockARequestAtAll);
+  CPPUNIT_TEST(ANewHolderLearnsWhatTheOneBeforeKnew);
   CPPUNIT_TEST_SUITE_END();
 
   /// The holder has proven its copy at a moment; the other daemon learns that moment, never a later
@@ -251,6 +253,60 @@
       CPPUNIT_ASSERT(GetsUnits(other, 1000));
   }
 
+  static constexpr Crashes::Fingerprint CRASHER{7, 7, 7};
+
+  /// A server that the daemon knew ends under the crashing request, sent there just now.
+  static void EndUnder(Daemon& daemon, int server)
+  {
+    daemon.AddServers(server + 1, false);
+    const auto found = daemon.dispatcher.Servers().Find(InstanceOf(server));
+    daemon.dispatcher.Ends().NoteBroken(found,
+                                        {CRASHER, Common::Now(), std::nullopt, std::nullopt});
+    daemon.dispatcher.Ends().NoteRefused(found);
+    RunFor(Milliseconds(5));
+  }
+  static bool IsBlocked(Daemon& daemon)
+  {
+    return daemon.dispatcher.CrashCases().Judge(CRASHER, Common::Now()).blocked;
+  }
+
+  /// A request ended servers at several VMs, at most two by what each of them saw, and was sent on.
+  void EndingsThatTwoDaemonsSawBlockARequestAtAll()
+  {
+    Daemon holder("a");
+    Daemon first("b");
+    Daemon second("c");
+    Begin(holder, first);
+    second.hub.SetHolder(holder.endpoint, std::nullopt);
+    EndUnder(first, 0);
+    EndUnder(second, 1);
+    EndUnder(first, 2);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return IsBlocked(holder) && IsBlocked(first) && IsBlocked(second);
+    }));
+  }
+
+  /// The holder is gone before it told anybody; each daemon tells the next one what it saw itself.
+  void ANewHolderLearnsWhatTheOneBeforeKnew()
+  {
+    Daemon first("a");
+    Daemon second("b");
+    Daemon other("c");
+    first.hub.SetHolder(std::nullopt, LeaseWord{1, 1, Milliseconds(60000)});
+    second.hub.SetHolder(first.endpoint, std::nullopt);
+    other.hub.SetHolder(first.endpoint, std::nullopt);
+    EndUnder(other, 0);
+    EndUnder(second, 1);
+    RunFor(Milliseconds(600));
+    first.hub.SetHolder(second.endpoint, std::nullopt);
+    second.hub.SetHolder(std::nullopt, LeaseWord{3352, 2, Milliseconds(60000)});
+    other.hub.SetHolder(second.endpoint, std::nullopt);
+    EndUnder(other, 2);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return IsBlocked(second) && IsBlocked(other) && IsBlocked(first);
+    }));
+  }
+
   static void Begin(Daemon& holder, Daemon& other)
   {
     holder.hub.SetHolder(std::nullopt, LeaseWord{1, 1, Milliseconds(3000)});
