--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -72,8 +72,7 @@
   entry.revision = ++m_revision;
 }
 
-bool CrashLedger::AddEnding(const Fingerprint& request, Case& entry, const ServerLife& server,
-                            const Ending& ending)
+bool CrashLedger::AddEnding(Case& entry, const ServerLife& server, const Ending& ending)
 {
   if (entry.survived_at && ending.at <= *entry.survived_at + TRUSTED_FOR)
     return false;
@@ -82,7 +81,6 @@
   const auto [found, is_new] = entry.endings.try_emplace(server, ending);
   found->second.at = std::min(found->second.at, ending.at);
   found->second.sent_at = std::min(found->second.sent_at, ending.sent_at);
-  m_by_server[server].insert(request);
   return is_new;
 }
 
@@ -96,7 +94,7 @@
   Case& entry = Open(request);
   if (survived_at)
     entry.survived_at = std::max(entry.survived_at.value_or(*survived_at), *survived_at);
-  AddEnding(request, entry, server, {ended_at, sent_at, {}});
+  AddEnding(entry, server, {ended_at, sent_at, {}});
   const auto ending = entry.endings.find(server);
   if (ending != entry.endings.end() && ending->second.seen_by.size() < MAX_WITNESSES)
     ending->second.seen_by.insert(seen_by);
@@ -116,7 +114,7 @@
   const Case& known = found->second;
   if (known.endings.empty() && known.survived_at && now - *known.survived_at < REPEAT_AFTER)
     return;
-  Clear(request, found->second, now);
+  Clear(found->second, now);
   Touch(found->second, now);
   found->second.own_revision = found->second.revision;
   m_own_revision = found->second.revision;
@@ -131,30 +129,20 @@
   Case& entry = found->second;
   if (entry.survived_at && survived_at <= *entry.survived_at + TRUSTED_FOR / 3)
     return;
-  Clear(request, entry, survived_at);
+  Clear(entry, survived_at);
   Touch(entry, now);
   entry.own_revision = entry.revision;
   m_own_revision = entry.revision;
 }
 
-void CrashLedger::Clear(const Fingerprint& request, Case& entry, TimePoint survived_at)
+void CrashLedger::Clear(Case& entry, TimePoint survived_at)
 {
   entry.survived_at = std::max(entry.survived_at.value_or(survived_at), survived_at);
-  std::vector<ServerLife> freed;
   std::erase_if(entry.endings, [&](const auto& ending) {
-    const bool before = ending.second.at <= *entry.survived_at;
-    if (before)
-      freed.push_back(ending.first);
-    return before;
+    return ending.second.at <= *entry.survived_at;
   });
-  for (const ServerLife& server : freed)
-    m_by_server.at(server).erase(request);
   if (entry.blocked_at <= *entry.survived_at || IsBlockedTooEarly(entry))
     entry.blocked_until = {};
-  BlockSharersIfDue(freed, survived_at);
-  std::erase_if(m_by_server, [](const auto& server) {
-    return server.second.empty();
-  });
 }
 
 void CrashLedger::Merge(const CaseLine& line, TimePoint now)
@@ -169,14 +157,14 @@
     constexpr Milliseconds SAME{2000};
     if (!entry.survived_at || survived_at > *entry.survived_at + SAME)
     {
-      Clear(line.request, entry, survived_at);
+      Clear(entry, survived_at);
       changed = true;
     }
   }
   for (const EndingLine& ending : line.endings)
   {
     changed |=
-        AddEnding(line.request, entry, ending.server,
+        AddEnding(entry, ending.server,
                   {now - Milliseconds(ending.age_ms), now - Milliseconds(ending.sent_age_ms), {}});
     const auto known = entry.endings.find(ending.server);
     for (const Common::VmId& vm : ending.seen_by)
@@ -201,21 +189,15 @@
   BlockIfDue(line.request, now);
 }
 
-bool CrashLedger::IsExplainedByOther(const Fingerprint& request, std::size_t endings,
-                                     const ServerLife& server) const
-{
-  return std::ranges::any_of(m_by_server.at(server), [&](const Fingerprint& other) {
-    const Case& its = m_cases.at(other);
-    return other != request && its.endings.size() > endings && !its.survived_at;
-  });
-}
-
-int CrashLedger::InTurn(std::vector<const Ending*> endings, int at_most_before, TimePoint before)
+int CrashLedger::EndingsThatCount(const Case& entry) const
 {
+  std::vector<const Ending*> endings;
+  for (const auto& [server, ending] : entry.endings)
+    endings.push_back(&ending);
   std::ranges::sort(endings, {}, [](const Ending* ending) {
     return ending->at;
   });
-  int old = 0;
+  int before_last_block = 0;
   int since = 0;
   TimePoint last_counted;
   for (const Ending* ending : endings)
@@ -223,20 +205,11 @@
     if (ending->sent_at < last_counted)
       continue;
     last_counted = ending->at;
-    ++(ending->at <= before ? old : since);
+    const bool is_old = entry.blocks > 0 && ending->at <= entry.blocked_until;
+    ++(is_old ? before_last_block : since);
   }
-  return std::min(old, at_most_before) + since;
-}
-
-int CrashLedger::EndingsThatCount(const Fingerprint& request, const Case& entry) const
-{
-  std::vector<const Ending*> own;
-  for (const auto& [server, ending] : entry.endings)
-    if (!IsExplainedByOther(request, entry.endings.size(), server))
-      own.push_back(&ending);
   // After a block one more ending is enough for the next.
-  const TimePoint last_block = entry.blocks > 0 ? entry.blocked_until : TimePoint();
-  return InTurn(std::move(own), m_endings_to_block - 1, last_block);
+  return std::min(before_last_block, EndingsToBlock(entry) - 1) + since;
 }
 
 /// It was blocked by a daemon that did not know of its good end.
@@ -245,23 +218,10 @@
   return entry.survived_at && entry.blocks <= 1 && entry.endings.size() < ENDINGS_OF_SURVIVOR;
 }
 
-bool CrashLedger::IsDue(const Fingerprint& request, const Case& entry) const
-{
-  if (entry.survived_at)
-    return EndingsThatCount(request, entry) >= ENDINGS_OF_SURVIVOR;
-  if (EndingsThatCount(request, entry) >= m_endings_to_block)
-    return true;
-  std::vector<const Ending*> all;
-  for (const auto& [server, ending] : entry.endings)
-    all.push_back(&ending);
-  const TimePoint last_block = entry.blocks > 0 ? entry.blocked_until : TimePoint();
-  return InTurn(std::move(all), 0, last_block) >= ENDINGS_IN_ANY_CASE;
-}
-
 void CrashLedger::BlockIfDue(const Fingerprint& request, TimePoint now)
 {
   Case& entry = m_cases.at(request);
-  if (entry.IsBlocked(now) || !IsDue(request, entry))
+  if (entry.IsBlocked(now) || EndingsThatCount(entry) < EndingsToBlock(entry))
     return;
   const auto span =
       std::min(FIRST_BLOCK * (1 << std::min(entry.blocks, MAX_DOUBLINGS)), LONGEST_BLOCK);
@@ -272,15 +232,6 @@
   m_newly_blocked.push_back(request);
 }
 
-void CrashLedger::BlockSharersIfDue(const std::vector<ServerLife>& servers, TimePoint now)
-{
-  std::set<Fingerprint> sharers;
-  for (const ServerLife& server : servers)
-    sharers.insert(m_by_server.at(server).begin(), m_by_server.at(server).end());
-  for (const Fingerprint& sharer : sharers)
-    BlockIfDue(sharer, now);
-}
-
 Judgement CrashLedger::Judge(const Fingerprint& request, TimePoint now) const
 {
   const auto found = m_cases.find(request);
@@ -290,7 +241,7 @@
   judgement.blocked = found->second.IsBlocked(now);
   if (judgement.blocked)
     judgement.blocked_for = std::chrono::ceil<Milliseconds>(found->second.blocked_until - now);
-  judgement.endings = EndingsThatCount(request, found->second);
+  judgement.endings = EndingsThatCount(found->second);
   return judgement;
 }
 
@@ -390,16 +341,8 @@
 
 void CrashLedger::Forget(const Fingerprint& request)
 {
-  const auto found = m_cases.find(request);
-  for (const auto& [server, ending] : found->second.endings)
-  {
-    const auto requests = m_by_server.find(server);
-    requests->second.erase(request);
-    if (requests->second.empty())
-      m_by_server.erase(requests);
-  }
   m_keys.erase(m_keys.find(request.quick));
-  m_cases.erase(found);
+  m_cases.erase(request);
 }
 
 void CrashLedger::Prune(TimePoint now)
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -35,11 +35,11 @@
 /// time is a parameter. What is learned from others is merged in any order, also twice.
 ///
 /// Who is to blame: all requests that a server had when it ended are suspected. Others' lives tell
-/// them apart. A request that has run to a good end anywhere is cleared, also of the next seconds.
-/// An ending is another request's where that one has had more servers end under it and never
-/// survived. Servers that end together, as those of one rack do, count once: an ending counts only
-/// where the request was sent there after the one before. Three endings that count block a request,
-/// for a time; then it is tried again, and one more ending blocks it for twice as long.
+/// them apart. A request that has run to a good end anywhere is cleared, also of the next seconds,
+/// and needs more endings from then on. Servers that end together, as those of one rack do, count
+/// once: an ending counts only where the request was sent there after the one before. Three that
+/// count block a request, for a time; then it is tried again, and one more blocks it for twice as
+/// long.
 class CrashLedger
 {
 public:
@@ -48,8 +48,6 @@
   /// A request that has run to a good end before must have had so many: it is sent often, and has
   /// been at many servers.
   static constexpr int ENDINGS_OF_SURVIVOR = 5;
-  /// One that never has is blocked after so many also where others had more.
-  static constexpr int ENDINGS_IN_ANY_CASE = 5;
   /// For so long after a good end no ending counts: of a request that begins to end servers, after
   /// a release, as many seconds pass.
   static constexpr Common::Milliseconds TRUSTED_FOR{15000};
@@ -126,21 +124,18 @@
 
   Case& Open(const Fingerprint& request);
   void Touch(Case& entry, Common::TimePoint now);
-  bool AddEnding(const Fingerprint& request, Case& entry, const ServerLife& server,
-                 const Ending& ending);
-  void Clear(const Fingerprint& request, Case& entry, Common::TimePoint survived_at);
-  int EndingsThatCount(const Fingerprint& request, const Case& entry) const;
-  /// Endings, each of which the request was sent to after the one before.
-  static int InTurn(std::vector<const Ending*> endings, int at_most_before,
-                    Common::TimePoint before);
-  bool IsDue(const Fingerprint& request, const Case& entry) const;
+  static bool AddEnding(Case& entry, const ServerLife& server, const Ending& ending);
+  static void Clear(Case& entry, Common::TimePoint survived_at);
+  int EndingsThatCount(const Case& entry) const;
+  int EndingsToBlock(const Case& entry) const
+  {
+    return entry.survived_at ? ENDINGS_OF_SURVIVOR : m_endings_to_block;
+  }
   static bool IsBlockedTooEarly(const Case& entry);
   bool IsExplainedByOther(const Fingerprint& request, std::size_t endings,
                           const ServerLife& server) const;
   /// Blocks the request where its endings suffice.
   void BlockIfDue(const Fingerprint& request, Common::TimePoint now);
-  /// Requests that were on one of these servers are judged anew.
-  void BlockSharersIfDue(const std::vector<ServerLife>& servers, Common::TimePoint now);
   void Forget(const Fingerprint& request);
   void Prune(Common::TimePoint now);
   static CaseLine LineOf(const Fingerprint& request, const Case& entry, Common::TimePoint now);
@@ -152,7 +147,6 @@
 
   int m_endings_to_block;
   std::map<Fingerprint, Case> m_cases;
-  std::map<ServerLife, std::set<Fingerprint>> m_by_server;
   std::multiset<QuickKey> m_keys;
   std::vector<Fingerprint> m_newly_blocked;
   std::uint64_t m_revision = 0;
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -26,6 +26,8 @@
 /// What is left of the grace time when open requests are given up, so that their callers still hear
 /// of it.
 constexpr Milliseconds STOP_MARGIN{150};
+/// Requests under which so many servers have ended stand in the dump.
+constexpr std::size_t DUMPED_ENDINGS = 2;
 
 GMainLoop* MainLoop()
 {
@@ -117,8 +119,16 @@
                        {"in_flight_elsewhere", server->RemoteInFlight()},
                        {"models", std::move(models)}});
   }
+  Common::Json crashes = Common::Json::array();
+  for (const Crashes::CaseLine& line : m_dispatcher.CrashCases().Worst(DUMPED_ENDINGS, now))
+    crashes.push_back({{"fingerprint", line.request.ToString()},
+                       {"ended", Crashes::Describe(line.endings)},
+                       {"blocked_for_ms", line.blocked_for_ms},
+                       {"blocks", line.blocks},
+                       {"survived_ms_ago", line.survived_age_ms}});
   const auto& configuration = m_dispatcher.CurrentConfiguration();
   return Common::DumpJson({{"ready", IsReady()},
+                           {"crashes", std::move(crashes)},
                            {"stopping", m_stopping},
                            {"open_requests", m_dispatcher.OpenRequests()},
                            {"configuration_version", configuration ? configuration->version : -1},
--- a/Source/Tool/LogCommands.cpp
+++ b/Source/Tool/LogCommands.cpp
@@ -86,6 +86,7 @@
 {
   std::set<std::string> models;
   std::set<std::string> instances;
+  std::set<std::string> fingerprints;
   std::string first;
   std::string last;
 };
@@ -105,10 +106,19 @@
       subjects.models.insert(artifact.substr(0, artifact.find('/')));
     if (const std::string instance = FieldOf(line.text, "instance"); !instance.empty())
       subjects.instances.insert(instance);
+    if (const std::string print = FieldOf(line.text, "fingerprint"); !print.empty())
+      subjects.fingerprints.insert(print);
   }
   return subjects;
 }
 
+/// True for the lines that tell why such requests are refused, which may be minutes older.
+bool TellsOfBlock(const LogLine& line, const Subjects& subjects)
+{
+  return FieldOf(line.text, "event") == "request-blocked" &&
+         subjects.fingerprints.contains(FieldOf(line.text, "fingerprint"));
+}
+
 /// True for lines on the request's servers and model, and on who gives orders and what is known.
 bool BelongsTo(const LogLine& line, const Subjects& subjects)
 {
@@ -142,7 +152,8 @@
   {
     const bool own = FieldOf(line.text, "id") == id;
     const std::int64_t at = ClockMs(line.Time());
-    if (own || (at >= from && at <= to && BelongsTo(line, subjects)))
+    const bool in_time = at >= from && at <= to;
+    if (own || TellsOfBlock(line, subjects) || (in_time && BelongsTo(line, subjects)))
       std::cout << (own ? "* " : "  ") << line.file << " " << line.text << "\n";
   }
   return ExitStatus::Ok;
--- a/Source/UnitTests/Crashes/CrashLedgerTest.cpp
+++ b/Source/UnitTests/Crashes/CrashLedgerTest.cpp
@@ -35,6 +35,7 @@
   CPPUNIT_TEST(AGoodEndClears);
   CPPUNIT_TEST(AGoodEndClearsAlsoForLaterWordOfOldEndings);
   CPPUNIT_TEST(WhoWasOnlyBesideIsNotBlocked);
+  CPPUNIT_TEST(AnEarlierGoodEndTakesTheBlockBack);
   CPPUNIT_TEST(ServersThatEndTogetherCountOnce);
   CPPUNIT_TEST(TwoCrashersAtOnceAreBothBlocked);
   CPPUNIT_TEST(ABlockEndsAndOneMoreEndingDoublesIt);
@@ -139,22 +140,44 @@
     CPPUNIT_ASSERT_EQUAL(0, daemon.Judge(CRASHER, m_now).endings);
   }
 
-  /// An honest request met the crashing one at three servers, which had ended under that one
-  /// before.
+  /// An honest request met the crashing one at servers again and again, between runs to a good end.
   void WhoWasOnlyBesideIsNotBlocked()
   {
     CrashLedger ledger;
-    for (int life = 1; life <= 2; ++life)
-      End(ledger, CRASHER, life);
-    for (int life = 3; life <= 5; ++life)
+    for (int life = 1; life <= 8; ++life)
     {
       End(ledger, CRASHER, life);
-      End(ledger, BESIDE, life);
+      ledger.NoteEnding(BESIDE, Life(life), VmId("vm-1"), m_now - RUN, m_now);
+      if (life % 2 == 0)
+        ledger.NoteSurvival(BESIDE, m_now);
+      m_now += CrashLedger::TRUSTED_FOR;
     }
     CPPUNIT_ASSERT(IsBlocked(ledger, CRASHER));
     CPPUNIT_ASSERT(!IsBlocked(ledger, BESIDE));
   }
 
+  /// Another daemon knows that it has run to a good end, and says so when it hears of the block.
+  void AnEarlierGoodEndTakesTheBlockBack()
+  {
+    CrashLedger ledger;
+    const TimePoint survived_at = m_now;
+    m_now += CrashLedger::TRUSTED_FOR * 2;
+    for (int life = 1; life <= 3; ++life)
+      End(ledger, BESIDE, life);
+    CPPUNIT_ASSERT(IsBlocked(ledger, BESIDE));
+    CrashLedger other;
+    Tell(ledger, other);
+    other.NoteEarlierSurvival(BESIDE, survived_at, m_now);
+    CPPUNIT_ASSERT(!IsBlocked(other, BESIDE));
+    Tell(other, ledger);
+    CPPUNIT_ASSERT(!IsBlocked(ledger, BESIDE));
+    // Old word of the block changes nothing, and five endings do.
+    End(ledger, BESIDE, 4);
+    CPPUNIT_ASSERT(!IsBlocked(ledger, BESIDE));
+    End(ledger, BESIDE, 5);
+    CPPUNIT_ASSERT(IsBlocked(ledger, BESIDE));
+  }
+
   /// The servers of one rack end within some ms, and a request that many callers send was at each.
   void ServersThatEndTogetherCountOnce()
   {
