--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -192,6 +192,7 @@
 int CrashLedger::EndingsThatCount(const Case& entry) const
 {
   std::vector<const Ending*> endings;
+  endings.reserve(entry.endings.size());
   for (const auto& [server, ending] : entry.endings)
     endings.push_back(&ending);
   std::ranges::sort(endings, {}, [](const Ending* ending) {
@@ -249,6 +250,7 @@
 {
   CaseLine line;
   line.request = request;
+  line.endings.reserve(entry.endings.size());
   for (const auto& [server, ending] : entry.endings)
     line.endings.push_back({server,
                             AgeOf(ending.at, now),
--- a/Source/UnitTests/Crashes/CrashReplayTest.cpp
+++ b/Source/UnitTests/Crashes/CrashReplayTest.cpp
@@ -102,7 +102,8 @@
     for (const auto& [crasher, late] : m_late)
       m_outcome.late_sends = std::max(m_outcome.late_sends, late);
     for (const auto& [crasher, ended] : m_ended_by)
-      m_outcome.most_by_one = std::max<std::int64_t>(m_outcome.most_by_one, ended.size());
+      m_outcome.most_by_one =
+          std::max(m_outcome.most_by_one, static_cast<std::int64_t>(ended.size()));
     return m_outcome;
   }
 
--- a/Source/UnitTests/Gateway/CrashingRequestsTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestsTest.cpp
@@ -20,7 +20,6 @@
 using Common::Milliseconds;
 using UnitTests::Answer;
 using UnitTests::HeaderOf;
-using UnitTests::PLAIN_PATH;
 using UnitTests::RelayWorld;
 using UnitTests::RunFor;
 using UnitTests::RunUntil;
--- a/Source/UnitTests/Gateway/EndDetectorTest.cpp
+++ b/Source/UnitTests/Gateway/EndDetectorTest.cpp
@@ -5,6 +5,7 @@
 
 #include "Gateway/EndDetector.h"
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -118,10 +119,10 @@
     CPPUNIT_ASSERT_EQUAL(0, listen(fd, 0));
     getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
     world.entry.endpoint = Http::Endpoint::FromSockaddr(address);
-    std::vector<std::shared_ptr<Http::TcpStream>> fillers;
     UnitTests::TestPeer filler;
-    for (int i = 0; i < 3; ++i)
-      fillers.push_back(Http::TcpStream::Connect(world.entry.endpoint, &filler));
+    std::array<std::shared_ptr<Http::TcpStream>, 3> fillers;
+    for (auto& stream : fillers)
+      stream = Http::TcpStream::Connect(world.entry.endpoint, &filler);
     UnitTests::RunFor(Milliseconds(20));
     world.directory.Put(world.entry);
     world.Break(NEW);
