Crashes: endings from before a VM's boot count too

A daemon on a new VM, whose clock begins at its boot, did not count what others had seen before that: a request under which two servers had ended could end three more there. The first ending was compared with the clock's beginning. Test first red: 0 endings of 2.

--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -200,7 +200,7 @@
   });
   int before_last_block = 0;
   int since = 0;
-  TimePoint last_counted;
+  TimePoint last_counted = TimePoint::min();
   for (const Ending* ending : endings)
   {
     if (ending->sent_at < last_counted)
--- a/Source/UnitTests/Crashes/CrashLedgerTest.cpp
+++ b/Source/UnitTests/Crashes/CrashLedgerTest.cpp
@@ -40,6 +40,7 @@
   CPPUNIT_TEST(TwoCrashersAtOnceAreBothBlocked);
   CPPUNIT_TEST(ABlockEndsAndOneMoreEndingDoublesIt);
   CPPUNIT_TEST(ManyCrashersAreBounded);
+  CPPUNIT_TEST(EndingsFromBeforeTheBootCount);
   CPPUNIT_TEST(NewsComesInPartsThatFit);
   CPPUNIT_TEST_SUITE_END();
 
@@ -230,6 +231,21 @@
     CPPUNIT_ASSERT(!ledger.MayKnow(100));
   }
 
+  /// A new VM's clock begins at its boot, and what others saw before that lies before its
+  /// beginning.
+  void EndingsFromBeforeTheBootCount()
+  {
+    CrashLedger others;
+    End(others, CRASHER, 1);
+    End(others, CRASHER, 2);
+    m_now += Milliseconds(60000);
+    const CaseLine line = others.SeenHereSince(0, ALL_BYTES, m_now).lines.front();
+    m_now = TimePoint(std::chrono::seconds(5));
+    CrashLedger started;
+    started.Merge(line, m_now);
+    CPPUNIT_ASSERT_EQUAL(2, started.Judge(CRASHER, m_now).endings);
+  }
+
   void NewsComesInPartsThatFit()
   {
     constexpr std::uint64_t CRASHERS = 200;
