--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -60,6 +60,11 @@
   /// Cases that are kept; beyond, those with the fewest endings go first. Some 2 MB.
   static constexpr std::size_t MAX_CASES = 4096;
 
+  explicit CrashLedger(int endings_to_block = ENDINGS_TO_BLOCK)
+      : m_endings_to_block(endings_to_block)
+  {
+  }
+
   /// A server ended while it had the request. `survived_at`: when a server last ran the request to
   /// a good end, as far as this daemon knows.
   void NoteEnding(const Fingerprint& request, const ServerLife& server, const Common::VmId& seen_by,
@@ -78,14 +83,8 @@
   bool Empty() const { return m_cases.empty(); }
   /// False where no known request has this key: then its fingerprint need not be made.
   bool MayKnow(QuickKey key) const { return m_keys.contains(key); }
-  bool Knows(const Fingerprint& request) const { return m_cases.contains(request); }
   Judgement Judge(const Fingerprint& request, Common::TimePoint now) const;
 
-  explicit CrashLedger(int endings_to_block = ENDINGS_TO_BLOCK)
-      : m_endings_to_block(endings_to_block)
-  {
-  }
-
   /// Changes whenever a case does.
   std::uint64_t Revision() const { return m_revision; }
   /// Changes whenever what this daemon itself saw does.
@@ -132,8 +131,6 @@
     return entry.survived_at ? ENDINGS_OF_SURVIVOR : m_endings_to_block;
   }
   static bool IsBlockedTooEarly(const Case& entry);
-  bool IsExplainedByOther(const Fingerprint& request, std::size_t endings,
-                          const ServerLife& server) const;
   /// Blocks the request where its endings suffice.
   void BlockIfDue(const Fingerprint& request, Common::TimePoint now);
   void Forget(const Fingerprint& request);
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -259,8 +259,9 @@
 
 void Dispatcher::NoteSurvival(Relay& relay)
 {
-  m_successes.Note(Crashes::QuickKeyOf(relay.Identity()), Common::Now());
-  if (m_crashes.Empty() || !m_crashes.MayKnow(Crashes::QuickKeyOf(relay.Identity())))
+  const Crashes::QuickKey key = Crashes::QuickKeyOf(relay.Identity());
+  m_successes.Note(key, Common::Now());
+  if (!m_crashes.MayKnow(key))
     return;
   const std::uint64_t before = m_crashes.OwnRevision();
   m_crashes.NoteSurvival(relay.Fingerprint(), Common::Now());
