RateLimits, Gateway, platform: the limits that servers name are read and logged

Nothing in the logs told what limit a daemon knew of a server when it sent to it, so that hypothesis 1 of docs/incidents/server-limits.md (nobody reads it) and 2 (each daemon keeps it for itself) looked alike.

`server-limit` tells when a limit begins, changes or ends, with the one before and where the daemon learned it; `server-limit-unreadable` names a value that is no decimal number. No decision looks at a limit yet.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -270,6 +270,40 @@
     m_on_demand();
 }
 
+void Dispatcher::NoteLimit(const Server& server, const Http::MessageHead& answer,
+                           Common::TimePoint sent_at)
+{
+  std::vector<std::string_view> values;
+  for (const Http::HeaderField& field : answer.headers)
+    if (Http::EqualIgnoringCase(field.name, m_settings.names.request_limit))
+      values.push_back(field.value);
+  const RateLimits::LimitReading reading = RateLimits::ReadLimit(values);
+  if (!reading.readable)
+  {
+    ++m_counters.unreadable_limits;
+    Common::LogEvent(Common::LogLevel::Warning, "server-limit-unreadable",
+                     {{"instance", server.Entry().instance},
+                      {"value", values.front()},
+                      {"values", values.size()},
+                      {"in_force", RateLimits::Describe(m_rate_limits.InForce(server.Key()))}});
+  }
+  if (const auto change = m_rate_limits.NoteAnswer(server.Key(), reading, sent_at, Common::Now()))
+    LogLimitChange(*change, "an answer");
+}
+
+void Dispatcher::LogLimitChange(const RateLimits::LimitChange& change,
+                                std::string_view source) const
+{
+  const auto server = std::ranges::find_if(m_servers.All(), [&](const auto& entry) {
+    return entry.second->Key() == change.server;
+  });
+  Common::LogEvent(Common::LogLevel::Info, "server-limit",
+                   {{"instance", server == m_servers.All().end() ? "" : server->first.Get()},
+                    {"per_second", RateLimits::Describe(change.rate)},
+                    {"before", RateLimits::Describe(change.before)},
+                    {"source", source}});
+}
+
 void Dispatcher::WakeWaiting()
 {
   if (std::exchange(m_wake_asked, true))
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -21,6 +21,7 @@
 #include "Gateway/ServerDirectory.h"
 #include "Gateway/Types.h"
 #include "Http/ServerConnection.h"
+#include "RateLimits/LimitBook.h"
 
 namespace Gateway
 {
@@ -52,6 +53,7 @@
   std::int64_t attempts = 0;
   std::int64_t repeats = 0;
   std::int64_t resumed = 0;
+  std::int64_t unreadable_limits = 0; ///< Answers whose limit is no decimal number.
 };
 
 /// Takes callers' requests, matches them with backend servers, and holds those that wait.
@@ -121,6 +123,8 @@
   void ExpectReturn(const Relay& relay, Common::Milliseconds span);
   void NoteArrival(const Relay& relay);
   EndDetector& Ends() { return m_ends; }
+  /// A server has answered a request that was sent to it at `sent_at`.
+  void NoteLimit(const Server& server, const Http::MessageHead& answer, Common::TimePoint sent_at);
   /// The server's connection broke while it had the request.
   void NoteBroken(const ServerPtr& server, Relay& relay, Common::TimePoint sent_at,
                   std::optional<Common::Milliseconds> ran_for);
@@ -139,6 +143,7 @@
 
 private:
   void PumpWaiting();
+  void LogLimitChange(const RateLimits::LimitChange& change, std::string_view source) const;
   void TakeEnd(const InstanceId& instance, Common::TimePoint ended_at,
                const std::vector<EndDetector::Suspect>& suspects);
   /// Requests that are blocked now: those that are open end.
@@ -160,6 +165,7 @@
   Crashes::CrashLedger m_crashes;
   Crashes::RecentSuccesses m_successes;
   EndDetector m_ends{m_servers};
+  RateLimits::LimitBook m_rate_limits;
   Decisions::AffinityRouting m_routing;
   std::map<Relay*, std::shared_ptr<Relay>> m_relays;
   std::map<Http::ServerConnection*, std::shared_ptr<Http::ServerConnection>> m_connections;
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -537,6 +537,8 @@
   }
   m_head = head;
   m_server_spoke_at = Common::Now();
+  if (IsSound(m_head))
+    m_dispatcher.NoteLimit(*m_server, m_head, m_sent_at);
   const std::string* type = m_head.Find("Content-Type");
   m_is_stream = m_route.repeatability == Repeatability::Streaming && m_head.status == 200 &&
                 IsSound(m_head) &&
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -26,11 +26,12 @@
   /// Idle connections kept to one server.
   static constexpr std::size_t MAX_IDLE_CONNECTIONS = 24;
 
-  explicit Server(ServerEntry entry) : m_entry(std::move(entry)) {}
+  explicit Server(ServerEntry entry) : m_entry(std::move(entry)), m_key(KeyOf(m_entry.instance)) {}
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
   const ServerEntry& Entry() const { return m_entry; }
+  RateLimits::ServerKey Key() const { return m_key; }
   void SetEntry(ServerEntry entry);
   /// Rises with each new entry: who keeps something made from the entry need not look at it again.
   std::uint64_t EntryRevision() const { return m_entry_revision; }
@@ -88,6 +89,7 @@
 
 private:
   ServerEntry m_entry;
+  RateLimits::ServerKey m_key;
   std::uint64_t m_entry_revision = 1;
   ServerHealth m_health;
   SilenceDetector m_silence;
--- a/Source/Core/Gateway/Types.cpp
+++ b/Source/Core/Gateway/Types.cpp
@@ -3,8 +3,21 @@
 
 #include "Gateway/Types.h"
 
+#include <bit>
+
+#include <xxhash.h>
+
 namespace Gateway
 {
+RateLimits::ServerKey KeyOf(const InstanceId& instance)
+{
+  // The start is the seed: a server's lives differ.
+  const std::uint64_t hash =
+      XXH3_64bits_withSeed(instance.Get().data(), instance.Get().size(),
+                           static_cast<XXH64_hash_t>(instance.Started().Get()));
+  return RateLimits::ServerKey(std::bit_cast<std::int64_t>(hash));
+}
+
 const Route* Configuration::FindRoute(std::string_view host, std::string_view path) const
 {
   const Route* best = nullptr;
--- a/Source/Core/Gateway/Types.h
+++ b/Source/Core/Gateway/Types.h
@@ -19,6 +19,7 @@
 #include "Common/Units.h"
 #include "Http/ServerConnection.h"
 #include "Http/TcpStream.h"
+#include "RateLimits/Messages.h"
 
 /// What the relay is told by its surroundings: the operators' configuration, the backend servers
 /// that exist, and the names of the headers that it reads and sets.
@@ -64,6 +65,9 @@
   ServerStart m_started;
 };
 
+/// Stands for the life of the server in messages about its limit.
+RateLimits::ServerKey KeyOf(const InstanceId& instance);
+
 using ModelId = Common::StrongId<struct ModelIdTag>;
 /// An adapter's name within its model; empty for the model itself.
 using AdapterId = Common::StrongId<struct AdapterIdTag>;
@@ -203,6 +207,8 @@
   std::string expected_instance;
   std::string instance; ///< The instance that answered.
   std::string not_run;  ///< Present where the request was rejected before it ran.
+  /// Requests a second that the server takes from all daemons together.
+  std::string request_limit;
   std::string urgency;
   std::string key;                   ///< The caller's secret; never passed on.
   std::string account;               ///< The caller's account, set by us; never taken from callers.
--- a/Source/UnitTests/Support/RelayWorld.h
+++ b/Source/UnitTests/Support/RelayWorld.h
@@ -36,6 +36,7 @@
   names.expected_instance = "Want-Instance";
   names.instance = "Instance";
   names.not_run = "Did-Not-Run";
+  names.request_limit = "Limit";
   names.urgency = "Urgency";
   names.key = "Api-Key";
   names.account = "Account";
