--- a/Source/StandIns/Soak/Ledger.cpp
+++ b/Source/StandIns/Soak/Ledger.cpp
@@ -21,6 +21,11 @@
 /// Later it reaches servers so often at most, for all time.
 constexpr int LATE_ARRIVALS_ALLOWED = 3;
 
+/// A server with a limit gets at most so many times what it allows in a window, and some on top.
+constexpr Common::Milliseconds LIMIT_WINDOW{4000};
+constexpr double LIMIT_FACTOR = 1.5;
+constexpr double LIMIT_SLACK = 5;
+
 /// True where the body is a whole stream for `id`: ids from 1 without a gap, then the end mark.
 bool IsWholeStream(const std::string& id, const std::string& body)
 {
@@ -93,6 +98,44 @@
   last = {holder, fence, now};
 }
 
+void Ledger::NoteLimit(const std::string& server, std::optional<double> per_second,
+                       Common::TimePoint now)
+{
+  if (!per_second)
+    m_limited.erase(server);
+  else if (LimitedServer& limited = m_limited[server];
+           limited.named_at == Common::TimePoint() || limited.per_second != *per_second)
+    limited = {*per_second, now, {}, false};
+}
+
+void Ledger::NoteArrival(const std::string& server, const std::string& id, Common::TimePoint now)
+{
+  const auto found = m_limited.find(server);
+  if (found == m_limited.end() || now - found->second.named_at < CONTACT_TIME)
+    return;
+  const auto disturbed = m_daemons_disturbed_until.find(m_requests[id].daemon);
+  if (disturbed != m_daemons_disturbed_until.end() && now - disturbed->second < CONTACT_TIME)
+    return;
+  LimitedServer& limited = found->second;
+  ++m_limited_arrivals;
+  limited.arrivals.push_back(now);
+  while (now - limited.arrivals.front() > LIMIT_WINDOW)
+    limited.arrivals.pop_front();
+  const double window_s = std::chrono::duration<double>(LIMIT_WINDOW).count();
+  const double allowed = LIMIT_FACTOR * limited.per_second * window_s + LIMIT_SLACK;
+  if (static_cast<double>(limited.arrivals.size()) <= allowed || limited.broken)
+    return;
+  limited.broken = true;
+  Break("more than the limit at " + server + ": " + std::to_string(limited.arrivals.size()) +
+        " in a window, allowed " + std::to_string(allowed));
+}
+
+void Ledger::NoteDaemonDisturbance(const std::string& daemon, Common::TimePoint until)
+{
+  Common::TimePoint& known = m_daemons_disturbed_until[daemon];
+  known = std::max(known, until);
+}
+
 void Ledger::NoteDisturbance(Common::TimePoint until)
 {
   m_disturbed_until = std::max(m_disturbed_until, until);
--- a/Source/StandIns/Soak/Ledger.h
+++ b/Source/StandIns/Soak/Ledger.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,7 +27,11 @@
 class Ledger
 {
 public:
-  void NoteSent(const std::string& id, RequestType type) { m_requests[id].type = type; }
+  void NoteSent(const std::string& id, RequestType type, const std::string& daemon)
+  {
+    m_requests[id].type = type;
+    m_requests[id].daemon = daemon;
+  }
   /// A backend server began to work on the request.
   void NoteRun(const std::string& id);
   /// The caller got a whole answer, or (status 0) none.
@@ -37,6 +43,13 @@
   void NoteCrasherArrival(const std::string& crasher, Common::TimePoint now);
   /// A server has ended under it.
   void NoteCrash(const std::string& crasher, Common::TimePoint now);
+  /// A backend server names a limit from now on, in requests a second, or none.
+  void NoteLimit(const std::string& server, std::optional<double> per_second,
+                 Common::TimePoint now);
+  /// A request has reached a backend server.
+  void NoteArrival(const std::string& server, const std::string& id, Common::TimePoint now);
+  /// Until then the daemon is restarted, stands still or is cut off.
+  void NoteDaemonDisturbance(const std::string& daemon, Common::TimePoint until);
   /// Until then some daemon is not in touch with the others or the store.
   void NoteDisturbance(Common::TimePoint until);
   void Break(const std::string& what);
@@ -46,6 +59,9 @@
   std::int64_t Refused() const { return m_refused; }
   std::int64_t Failed() const { return m_failed; }
   std::int64_t Orders() const { return m_orders; }
+  /// Requests that servers got whose limit all daemons had to know, and the most that they would
+  /// have taken.
+  std::int64_t LimitedArrivals() const { return m_limited_arrivals; }
   /// A line a request that ends servers: how often it arrived, and how many ended.
   std::string DescribeCrashers() const;
   /// Forgets the counts, not the promises.
@@ -55,6 +71,7 @@
   struct Request
   {
     RequestType type = RequestType::Plain;
+    std::string daemon; ///< That was asked.
     int runs = 0;
     bool promised_not_run = false;
   };
@@ -73,6 +90,16 @@
     Common::TimePoint third_end_at;
   };
 
+  struct LimitedServer
+  {
+    double per_second = 0;
+    Common::TimePoint named_at;
+    std::deque<Common::TimePoint> arrivals; ///< Of the last window.
+    bool broken = false;
+  };
+
+  std::map<std::string, LimitedServer> m_limited;
+  std::map<std::string, Common::TimePoint> m_daemons_disturbed_until;
   std::map<std::string, Request> m_requests;
   std::map<std::string, ServerOrders> m_servers;
   std::map<std::string, Crasher> m_crashers;
@@ -82,5 +109,6 @@
   std::int64_t m_refused = 0;
   std::int64_t m_failed = 0;
   std::int64_t m_orders = 0;
+  std::int64_t m_limited_arrivals = 0;
 };
 } // namespace Soak
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -7,6 +7,7 @@
 // series of faults.
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -48,6 +49,8 @@
 /// Different requests that end the servers that run them, and the time between two of them.
 constexpr int CRASHERS = 3;
 constexpr Milliseconds CRASHER_GAP{170};
+/// Requests a second that servers name, some of them near or at nothing.
+constexpr std::array LIMITS{0.0, 0.5, 1.0, 1.1, 3.0};
 /// How often a killed process is looked for.
 constexpr Milliseconds END_POLL{20};
 /// A link of 10 Mbit/s, as the weaker VMs have it.
@@ -88,6 +91,7 @@
 
   void RestartServersUnderTheirId() { m_restarts_under_id = true; }
   void SendCrashingRequests() { m_crashers = CRASHERS; }
+  void LimitServers() { m_limits_servers = true; }
 
   int Run(Milliseconds faults_for)
   {
@@ -101,6 +105,8 @@
     After(START_TIME, [this, faults_for] {
       m_faults_until = Common::Now() + faults_for;
       NextFault();
+      if (m_limits_servers)
+        LimitAServer();
     });
     const auto calm = START_TIME + faults_for;
     After(calm, [this] {
@@ -116,6 +122,8 @@
     g_main_loop_run(m_loop);
     m_processes.EndAll();
     std::cout << m_ledger.DescribeCrashers();
+    if (m_limits_servers)
+      std::cout << m_ledger.LimitedArrivals() << " requests at servers whose limit was known\n";
     std::cout << m_ledger.Orders() << " orders, " << m_fault_count << " faults, "
               << m_ledger.Broken().size() << " broken\n";
     return m_ledger.Broken().empty() ? 0 : 1;
@@ -274,7 +282,7 @@
     if (type == RequestType::Stream || type == RequestType::OnceStream)
       request.headers.push_back(
           {"Model", "m" + std::to_string(std::min(Draw(m_models), Draw(m_models)))});
-    m_ledger.NoteSent(id, type);
+    m_ledger.NoteSent(id, type, daemon.name);
     daemon.callers->Call(request, CALLER_PATIENCE,
                          [this, id](Common::Result<Http::WholeAnswer> answer) {
                            if (answer)
@@ -301,7 +309,7 @@
         std::string(StandInServer::CRASHER_PREFIX).append(std::to_string(number))};
     if (!is_plain)
       request.headers.push_back({"Model", "m" + std::to_string(number - 1)});
-    m_ledger.NoteSent(id, is_plain ? RequestType::Plain : RequestType::Stream);
+    m_ledger.NoteSent(id, is_plain ? RequestType::Plain : RequestType::Stream, daemon.name);
     if (daemon.expected_to_run)
       daemon.callers->Call(request, CALLER_PATIENCE, [](const auto&) {});
     After(CRASHER_GAP, [this] {
@@ -360,6 +368,21 @@
     }
   }
 
+  /// Now this, now that server takes only so many requests a second; it is asked for more.
+  void LimitAServer()
+  {
+    if (m_stopped || Common::Now() >= m_faults_until)
+      return;
+    StandInServer& server = AnyServer();
+    server.SetLimit(LIMITS[Draw(LIMITS.size())]);
+    After(DrawMs(5000, 12000), [&server] {
+      server.SetLimit(std::nullopt);
+    });
+    After(DrawMs(1500, 4000), [this] {
+      LimitAServer();
+    });
+  }
+
   /// One line a signal, so that a failed run shows what met what.
   void Trace(const char* what, const DaemonSlot& daemon) const
   {
@@ -374,6 +397,7 @@
       return;
     Trace(signal == SIGTERM ? "stop" : "kill", daemon);
     m_ledger.NoteDisturbance(Common::Now() + Milliseconds(3600) + START_TIME);
+    m_ledger.NoteDaemonDisturbance(daemon.name, Common::Now() + Milliseconds(3600) + START_TIME);
     m_processes.Signal(daemon.pid, SIGCONT);
     m_processes.Signal(daemon.pid, signal);
     daemon.expected_to_run = false;
@@ -408,6 +432,7 @@
     m_processes.Signal(daemon.pid, SIGSTOP);
     const auto span = DrawMs(100, 6000);
     m_ledger.NoteDisturbance(Common::Now() + span);
+    m_ledger.NoteDaemonDisturbance(daemon.name, Common::Now() + span);
     After(span, [this, pid = daemon.pid] {
       m_processes.Signal(pid, SIGCONT);
     });
@@ -435,6 +460,7 @@
     daemon.store_path->SetCut(true);
     const auto span = DrawMs(300, 6000);
     m_ledger.NoteDisturbance(Common::Now() + span);
+    m_ledger.NoteDaemonDisturbance(daemon.name, Common::Now() + span);
     After(span, [&daemon] {
       daemon.store_path->SetCut(false);
     });
@@ -474,7 +500,7 @@
           m_newest_path,
           {{"Host", "h"}, {"Attempt-Id", id}, {"Time-Left-Ms", "2000"}},
           "body"};
-      m_ledger.NoteSent(id, RequestType::Plain);
+      m_ledger.NoteSent(id, RequestType::Plain, daemon.name);
       daemon.callers->Call(request, CALLER_PATIENCE,
                            [this, id](Common::Result<Http::WholeAnswer> answer) {
                              const int status = answer ? answer->status : 0;
@@ -491,7 +517,10 @@
     m_models = PLACES_IN_ALL;
     m_store.SetMood(StoreMood::Well);
     for (const auto& server : m_servers)
+    {
       server->SetMood(ServerMood::Well);
+      server->SetLimit(std::nullopt);
+    }
     for (DaemonSlot& daemon : m_daemons)
     {
       daemon.store_path->SetCut(false);
@@ -529,6 +558,7 @@
   int m_fault_count = 0;
   bool m_stopped = false;
   bool m_restarts_under_id = false;
+  bool m_limits_servers = false;
   int m_crashers = 0;              ///< Requests that end servers.
   std::uint64_t m_models = MODELS; ///< That are asked for.
 };
@@ -548,7 +578,8 @@
       "binary", "of the daemon",
       cxxopts::value<std::string>()->default_value("build/bin/drumpondd"))(
       "restarts-under-id", "half of the restarted servers keep their id")(
-      "crashing-requests", "requests that end the servers that run them come again and again");
+      "crashing-requests", "requests that end the servers that run them come again and again")(
+      "limited-servers", "servers name how many requests a second they take");
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   Common::InitLog(argv[0]);
@@ -561,5 +592,7 @@
     run.RestartServersUnderTheirId();
   if (parsed.count("crashing-requests") > 0)
     run.SendCrashingRequests();
+  if (parsed.count("limited-servers") > 0)
+    run.LimitServers();
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
 }
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -100,6 +100,7 @@
   m_sequence = 0;
   m_busy = false;
   m_draining = false;
+  SetLimit(std::nullopt);
   const auto connections = m_connections;
   for (const auto& [key, connection] : connections)
     connection->BreakAnswer();
@@ -119,6 +120,20 @@
   });
 }
 
+void StandInServer::SetLimit(std::optional<double> per_second)
+{
+  m_limit = per_second;
+  m_ledger.NoteLimit(m_name, per_second, Common::Now());
+}
+
+std::vector<Http::HeaderField>
+StandInServer::AnswerHeaders(std::vector<Http::HeaderField> headers) const
+{
+  if (m_limit)
+    headers.push_back({"Server-Limit", Common::DumpJson(*m_limit)});
+  return headers;
+}
+
 void StandInServer::WriteEntry()
 {
   Json models = Json::array();
@@ -138,14 +153,18 @@
 
 void StandInServer::Reject(const Connection& connection, int status, const std::string& id)
 {
-  connection->Respond(status, Http::ReasonPhrase(status),
-                      {{"Attempt-Id", id}, {"Not-Run", "1"}, {"Instance", m_instance}}, "");
+  connection->Respond(
+      status, Http::ReasonPhrase(status),
+      AnswerHeaders({{"Attempt-Id", id}, {"Not-Run", "1"}, {"Instance", m_instance}}), "");
 }
 
 void StandInServer::OnRequest(const Connection& connection, Http::ReceivedRequest request)
 {
   const std::string id = HeaderValue(request.head, "Attempt-Id");
   const std::string wanted = HeaderValue(request.head, "Expect-Instance");
+  const bool is_request = request.head.target != "/order" && request.head.target != "/report";
+  if (is_request)
+    m_ledger.NoteArrival(m_name, id, Common::Now());
   const bool is_crasher = request.body.starts_with(CRASHER_PREFIX);
   if (is_crasher)
     m_ledger.NoteCrasherArrival(request.body, Common::Now());
@@ -194,7 +213,8 @@
     const std::string last = HeaderValue(request.head, "Last-Event-Id");
     connection->BeginChunked(
         200, "OK",
-        {{"Attempt-Id", id}, {"Server-Stamp", "s"}, {"Content-Type", "text/event-stream"}});
+        AnswerHeaders(
+            {{"Attempt-Id", id}, {"Server-Stamp", "s"}, {"Content-Type", "text/event-stream"}}));
     Stream(connection, id, last.empty() ? 1 : std::atoi(last.c_str()) + 1);
     return;
   }
@@ -202,7 +222,7 @@
     if (m_mood == ServerMood::Resets && Common::SharedRandom()() % 3 == 0)
       connection->BreakAnswer();
     else
-      connection->Respond(200, "OK", {{"Attempt-Id", id}, {"Server-Stamp", "s"}},
+      connection->Respond(200, "OK", AnswerHeaders({{"Attempt-Id", id}, {"Server-Stamp", "s"}}),
                           "answer to " + id);
   });
 }
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -49,6 +49,8 @@
   /// Bodies that begin so belong to requests that end every server that begins to run them.
   static constexpr std::string_view CRASHER_PREFIX = "crash ";
   void SetMood(ServerMood mood) { m_mood = mood; }
+  /// Names in its answers from now on how many requests a second it takes; nothing: no limit.
+  void SetLimit(std::optional<double> per_second);
 
   void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
                  Http::ReceivedRequest request) override;
@@ -67,6 +69,8 @@
   int Carry(const Common::Json& order);
   void Reject(const Connection& connection, int status, const std::string& id);
   void After(Common::Milliseconds delay, std::function<void()> callback);
+  /// `headers` with those that all answers to requests have.
+  std::vector<Http::HeaderField> AnswerHeaders(std::vector<Http::HeaderField> headers) const;
 
   std::string m_name;
   std::string m_instance;
@@ -84,5 +88,6 @@
   bool m_draining = false;
   int m_life = 0;
   ServerMood m_mood = ServerMood::Well;
+  std::optional<double> m_limit; ///< Requests a second.
 };
 } // namespace Soak
--- /dev/null
+++ b/Source/UnitTests/Support/LimitedFleet.cpp
@@ -0,0 +1,148 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "UnitTests/Support/LimitedFleet.h"
+
+#include <algorithm>
+
+#include <cppunit/TestAssert.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace UnitTests
+{
+namespace
+{
+constexpr Http::Patience CALLER_PATIENCE{Milliseconds(3000), Milliseconds(3000)};
+
+Http::Endpoint FreeDatagramEndpoint()
+{
+  const int fd = socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in address = Http::Endpoint{htonl(INADDR_LOOPBACK), 0}.ToSockaddr();
+  socklen_t size = sizeof(address);
+  CPPUNIT_ASSERT_EQUAL(0, bind(fd, reinterpret_cast<const sockaddr*>(&address), size));
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  close(fd);
+  return Http::Endpoint::FromSockaddr(address);
+}
+
+std::shared_ptr<const Configuration> OnePlainRoute()
+{
+  auto configuration = std::make_shared<Configuration>();
+  configuration->version = 1;
+  configuration->routes = {MakeRoute(PLAIN_PATH, Repeatability::Idempotent, 2, false)};
+  configuration->pools[PoolId("pool")] = Pool{PoolId("pool"), "/health", 100, std::nullopt};
+  configuration->limits.idle_timeout = Milliseconds(5000);
+  return configuration;
+}
+} // namespace
+
+LimitedServer::LimitedServer()
+    : m_server(std::make_unique<TestServer>([this](TestPeer& peer, const std::string& head) {
+        m_arrivals.push_back(Common::Now());
+        const std::string limit = m_limit.empty() ? "" : "Limit: " + m_limit + "\r\n";
+        peer.stream->Write("HTTP/1.1 200 OK\r\nReq-Id: " + HeaderOf(head, "Req-Id") + "\r\n" +
+                           limit + "Signed: yes\r\nContent-Length: 2\r\n\r\nok");
+      }))
+{
+}
+
+std::size_t LimitedServer::ArrivalsSince(Common::TimePoint moment) const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(m_arrivals, [moment](Common::TimePoint at) {
+    return at >= moment;
+  }));
+}
+
+std::size_t LimitedServer::WorstWindow(Milliseconds span, Common::TimePoint from) const
+{
+  std::size_t worst = 0;
+  for (auto first = std::ranges::lower_bound(m_arrivals, from); first != m_arrivals.end(); ++first)
+  {
+    const auto last = std::ranges::upper_bound(m_arrivals, *first + span);
+    worst = std::max(worst, static_cast<std::size_t>(last - first));
+  }
+  return worst;
+}
+
+LimitedVm::LimitedVm(const std::string& name)
+    : hub_endpoint(FreeDatagramEndpoint()),
+      dispatcher(DispatcherSettings{
+          Common::DataCentreId("here"), Names(), {0.2, 100, Milliseconds(10000)}}),
+      desk(dispatcher.Servers(), {}, {}),
+      hub({Common::VmId(name), Common::Incarnation("run"), hub_endpoint}, dispatcher, desk)
+{
+  dispatcher.SetConfiguration(OnePlainRoute());
+  const auto listening = m_listener.Listen(Http::Endpoint{htonl(INADDR_LOOPBACK), 0},
+                                           [this](int fd, const Http::Endpoint&) {
+                                             dispatcher.Adopt(fd);
+                                           });
+  CPPUNIT_ASSERT(static_cast<bool>(listening));
+  CPPUNIT_ASSERT(static_cast<bool>(hub.Start()));
+  m_callers = std::make_unique<Http::Channel>(m_listener.Local());
+}
+
+void LimitedVm::AddServer(const std::string& instance, const Http::Endpoint& endpoint)
+{
+  ServerEntry entry;
+  entry.instance = InstanceId(instance);
+  entry.pool = PoolId("pool");
+  entry.endpoint = endpoint;
+  entry.data_centre = Common::DataCentreId("here");
+  entry.slots = 10;
+  dispatcher.Servers().Put(entry);
+}
+
+void LimitedVm::Ask(const std::string& id, std::function<void(int status)> on_answer)
+{
+  const Http::WholeRequest request{
+      "POST", std::string(PLAIN_PATH) + "x", {{"Host", "shop.example"}, {"Req-Id", id}}, ""};
+  m_callers->Call(request, CALLER_PATIENCE, [on_answer](Common::Result<Http::WholeAnswer> answer) {
+    on_answer(answer ? answer->status : 0);
+  });
+}
+
+LimitedFleet::LimitedFleet(int vm_count, int server_count)
+{
+  for (int i = 0; i < server_count; ++i)
+    servers.push_back(std::make_unique<LimitedServer>());
+  for (int i = 0; i < vm_count; ++i)
+  {
+    vms.push_back(std::make_unique<LimitedVm>("vm-" + std::to_string(i)));
+    for (int server = 0; server < server_count; ++server)
+      vms.back()->AddServer("i-" + std::to_string(server), servers[server]->Address());
+  }
+}
+
+void LimitedFleet::SetHolder(std::size_t holder, std::int64_t fence)
+{
+  for (std::size_t i = 0; i < vms.size(); ++i)
+    if (i == holder)
+      vms[i]->hub.SetHolder(std::nullopt, Orders::LeaseWord{fence, 1, Milliseconds(60000)});
+    else
+      vms[i]->hub.SetHolder(vms[holder]->hub_endpoint, std::nullopt);
+}
+
+void LimitedFleet::StartLoad(double per_second)
+{
+  m_gap = Milliseconds(static_cast<std::int64_t>(1000 / per_second));
+  SendNext();
+}
+
+void LimitedFleet::SendNext()
+{
+  m_load_timer.Start(m_gap, [this] {
+    SendNext();
+  });
+  ++asked;
+  LimitedVm& vm = *vms[static_cast<std::size_t>(asked) % vms.size()];
+  vm.Ask("r" + std::to_string(asked), [this](int status) {
+    if (status == 200)
+      ++served;
+    else if (status == 503 || status == 429)
+      ++refused;
+    else
+      ++failed;
+  });
+}
+} // namespace UnitTests
--- /dev/null
+++ b/Source/UnitTests/Support/LimitedFleet.h
@@ -0,0 +1,87 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Gateway/Dispatcher.h"
+#include "Http/Channel.h"
+#include "Orders/Hub.h"
+#include "Orders/OrderDesk.h"
+#include "UnitTests/Support/Loopback.h"
+#include "UnitTests/Support/RelayWorld.h"
+
+/// Several daemons, one of them the holder of the order lease, before backend servers of which some
+/// name a limit.
+namespace UnitTests
+{
+/// A backend server that answers at once and counts what arrives.
+class LimitedServer
+{
+public:
+  LimitedServer();
+
+  Http::Endpoint Address() const { return m_server->Address(); }
+  /// Named in all answers from now on; empty: none.
+  void SetLimit(std::string limit) { m_limit = std::move(limit); }
+  std::size_t Arrivals() const { return m_arrivals.size(); }
+  std::size_t ArrivalsSince(Common::TimePoint moment) const;
+  /// The most arrivals within `span`, of those since `from`.
+  std::size_t WorstWindow(Common::Milliseconds span, Common::TimePoint from) const;
+
+private:
+  std::string m_limit;
+  std::deque<Common::TimePoint> m_arrivals;
+  std::unique_ptr<TestServer> m_server;
+};
+
+/// One daemon with its callers.
+class LimitedVm
+{
+public:
+  explicit LimitedVm(const std::string& name);
+
+  void AddServer(const std::string& instance, const Http::Endpoint& endpoint);
+  /// Sends a request that may be repeated.
+  void Ask(const std::string& id, std::function<void(int status)> on_answer);
+
+  Http::Endpoint hub_endpoint;
+  Gateway::Dispatcher dispatcher;
+  Orders::OrderDesk desk;
+  Orders::Hub hub;
+
+private:
+  Http::TcpListener m_listener;
+  std::unique_ptr<Http::Channel> m_callers;
+};
+
+class LimitedFleet
+{
+public:
+  LimitedFleet(int vms, int servers);
+
+  /// Makes one daemon the holder and tells all others.
+  void SetHolder(std::size_t vm, std::int64_t fence);
+  /// So many requests a second, at the daemons in turn.
+  void StartLoad(double per_second);
+  void StopLoad() { m_load_timer.Stop(); }
+
+  std::vector<std::unique_ptr<LimitedVm>> vms;
+  std::vector<std::unique_ptr<LimitedServer>> servers;
+  int asked = 0;
+  int served = 0;
+  int refused = 0;
+  int failed = 0;
+
+private:
+  void SendNext();
+
+  Common::Milliseconds m_gap{0};
+  Common::OwnedTimer m_load_timer;
+};
+} // namespace UnitTests
