--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -90,7 +90,8 @@
     for (const PlannedServer& server : input.servers)
     {
       for (const PlannedReplica& replica : server.replicas)
-        ++m_replicas[At(replica.model)];
+        if (CarriesDemand(server, Model(replica.model)))
+          ++m_replicas[At(replica.model)];
       if (server.loading)
         ++m_loading[At(*server.loading)];
     }
@@ -107,6 +108,12 @@
 
 private:
   const PlannedModel& Model(ModelIndex model) const { return m_input.models[At(model)]; }
+  /// A server that takes fewer requests than come for the model does not count as one that holds
+  /// it.
+  static bool CarriesDemand(const PlannedServer& server, const PlannedModel& model)
+  {
+    return !server.requests_per_second || model.arrivals_per_second <= *server.requests_per_second;
+  }
   int Replicas(ModelIndex model) const { return m_replicas[At(model)]; }
   /// Nobody holds the model, and no replica is on its way. Where one on its way did not count, a
   /// second was ordered 3 ms later and pushed out a model in use, again and again: 13 of 206
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -46,6 +46,8 @@
   double reserved_mb = 0; ///< To be left free.
   bool usable = true;     ///< Takes work and orders.
   bool order_open = false;
+  /// It takes no more from all daemons together, and has for a while.
+  std::optional<double> requests_per_second;
   std::optional<ModelIndex> loading; ///< On its way, or next after an unload.
   int in_flight = 0;
   std::vector<PlannedReplica> replicas;
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -4,6 +4,7 @@
 #include "Gateway/Dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -25,6 +26,10 @@
 constexpr std::size_t MAX_ACCOUNT_SERIES = 20;
 /// So often requests that wait for units of their account's limit are looked at.
 constexpr Milliseconds ALLOWANCE_INTERVAL{50};
+/// A server with a limit may be probed where a request could have gone there so lately.
+constexpr Milliseconds PASSED_BY_LATELY{1000};
+/// Servers that one daemon offers to probe at once.
+constexpr int MAX_PROBES = 8;
 /// Requests at once on a server without a model engine, in its slots: a few wait there, so that a
 /// slot that frees itself is taken at once.
 constexpr int PLAIN_SLOTS_FACTOR = 2;
@@ -34,8 +39,12 @@
 {
   Configure(std::move(settings));
   m_servers.OnChange([this] {
+    m_limited.Refresh();
     WakeWaiting();
   });
+  m_limited.OnChange([this] {
+    OnLimitChange();
+  });
   m_ends.OnEnded([this](const InstanceId& instance, Common::TimePoint at, const auto& suspects) {
     TakeEnd(instance, at, suspects);
   });
@@ -115,33 +124,54 @@
   return server.Entry().slots * factor - server.RemoteInFlight();
 }
 
-ServerPtr Dispatcher::ChooseServer(const Relay& relay)
+bool Dispatcher::IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const
 {
-  const auto now = Common::Now();
   const auto& tried = relay.TriedServers();
   const bool only_tried = static_cast<int>(tried.size()) >= relay.MatchedRoute().max_servers;
-  std::vector<ServerPtr> servers;
+  return server.Entry().pool == relay.WantedPool() && server.IsAvailable(now) &&
+         server.Holds(relay.Wanted(), now) && tried.contains(server.Entry().instance) == only_tried;
+}
+
+ServerPtr Dispatcher::ChooseAmong(const std::vector<ServerPtr>& servers, const Relay& relay)
+{
   std::vector<Decisions::RouteCandidate> candidates;
-  for (const auto& [instance, server] : m_servers.All())
-  {
-    if (server->Entry().pool != relay.WantedPool() || !server->IsAvailable(now) ||
-        !server->Holds(relay.Wanted(), now) || tried.contains(instance) != only_tried)
-      continue;
+  std::ranges::transform(servers, std::back_inserter(candidates), [this](const ServerPtr& server) {
     Decisions::RouteCandidate candidate;
-    candidate.server = Common::VmId(instance.Get());
+    candidate.server = Common::VmId(server->Entry().instance.Get());
     candidate.local = server->Entry().data_centre == m_settings.data_centre;
     candidate.reported_running = server->Load();
     candidate.own_running = server->InFlight();
     candidate.limit = LimitFor(*server);
-    candidates.push_back(std::move(candidate));
-    servers.push_back(server);
-  }
+    return candidate;
+  });
   const std::string_view affinity =
       Common::IsOn(Common::Mechanism::Affinity) ? relay.AffinityKey() : std::string_view();
   const auto chosen = m_routing.Choose(candidates, affinity, Common::SharedRandom());
   return chosen ? servers[*chosen] : nullptr;
 }
 
+ServerPtr Dispatcher::ChooseServer(const Relay& relay)
+{
+  const auto now = Common::Now();
+  std::vector<ServerPtr> unlimited;
+  std::vector<ServerPtr> limited;
+  for (const auto& [instance, server] : m_servers.All())
+    if (IsEligible(relay, *server, now))
+      (server->Limit() ? limited : unlimited).push_back(server);
+  // A permit that is not used soon is lost, and only an answer tells that a limit has ended.
+  std::vector<ServerPtr> permitted;
+  std::ranges::copy_if(limited, std::back_inserter(permitted), [&](const ServerPtr& server) {
+    return m_limited.MaySend(*server, now);
+  });
+  if (const ServerPtr chosen = ChooseAmong(permitted, relay))
+    return chosen;
+  const ServerPtr chosen = ChooseAmong(unlimited, relay);
+  for (const ServerPtr& server : limited)
+    if (chosen)
+      m_passed_by[server->Key()] = now;
+  return chosen;
+}
+
 bool Dispatcher::IsHeldAnywhere(const PoolId& pool, const Artifact& artifact) const
 {
   const auto now = Common::Now();
@@ -151,33 +181,63 @@
   });
 }
 
-std::optional<Milliseconds> Dispatcher::CannotServeFor(const Relay& relay,
-                                                       Milliseconds patience) const
+std::optional<Dispatcher::EarlyRefusal>
+Dispatcher::WhyRefuse(const Relay& relay, Milliseconds patience, Milliseconds longest_wait)
 {
   const ModelId& model = relay.Wanted().model;
   const auto pool = m_configuration->pools.find(relay.WantedPool());
-  if (model.Empty() || pool == m_configuration->pools.end() || !pool->second.engine)
+  if (pool == m_configuration->pools.end())
     return std::nullopt;
-  const auto spec = pool->second.engine->models.find(model);
-  if (spec == pool->second.engine->models.end())
+  const ModelSpec* spec = pool->second.FindModel(model);
+  if (!model.Empty() && spec == nullptr)
     return std::nullopt;
   const auto now = Common::Now();
-  Decisions::WaitForLoadInput input;
-  input.until_deadline = std::chrono::floor<Milliseconds>(relay.Deadline() - now);
-  input.patience = patience;
-  input.from_store = spec->second.load_from_store;
+  Decisions::WaitForLoadInput load;
+  load.until_deadline = std::chrono::floor<Milliseconds>(relay.Deadline() - now);
+  load.patience = patience;
+  load.from_store = spec == nullptr ? Milliseconds(0) : spec->load_from_store;
+  ServerPtr limited_holder;
+  std::optional<Decisions::WeightSource> nearest_unlimited;
   for (const auto& [instance, server] : m_servers.All())
   {
     if (server->Entry().pool != relay.WantedPool() || server->Entry().draining)
       continue;
+    const bool holds = model.Empty() || server->HoldsModel(model);
     // Who holds it serves it sooner or later, also where it is full now.
-    if (server->HoldsModel(model))
+    if (holds && !server->Limit())
       return std::nullopt;
-    input.is_coming = input.is_coming || server->IsComing(model);
+    if (holds && (!limited_holder ||
+                  m_limited.ExpectedWait(*server) < m_limited.ExpectedWait(*limited_holder)))
+      limited_holder = server;
+    if (holds || spec == nullptr)
+      continue;
+    load.is_coming = load.is_coming || server->IsComing(model);
     const auto source = server->SourceOf(model);
-    input.nearest = std::min(input.nearest.value_or(source), source);
+    load.nearest = std::min(load.nearest.value_or(source), source);
+    if (!server->Limit())
+      nearest_unlimited = std::min(nearest_unlimited.value_or(source), source);
   }
-  return Decisions::RefusedUntil(input);
+  if (limited_holder)
+    return WhyRefuse(*limited_holder, load.is_coming, nearest_unlimited, longest_wait);
+  if (spec == nullptr)
+    return std::nullopt;
+  const auto until = Decisions::RefusedUntil(load);
+  return until ? std::optional(EarlyRefusal{*until, "its weights would come too late"})
+               : std::nullopt;
+}
+
+std::optional<Dispatcher::EarlyRefusal>
+Dispatcher::WhyRefuse(const Server& limited_holder, bool is_coming,
+                      std::optional<Decisions::WeightSource> nearest, Milliseconds longest_wait)
+{
+  const auto now = Common::Now();
+  const bool loads_elsewhere =
+      is_coming || (nearest && *nearest != Decisions::WeightSource::WeightStore &&
+                    limited_holder.HasSettledLimit(now));
+  if (loads_elsewhere || m_limited.ExpectedWait(limited_holder) <= longest_wait)
+    return std::nullopt;
+  return EarlyRefusal{m_limited.ComeBackAfter(limited_holder, now),
+                      "its servers take too few requests"};
 }
 
 void Dispatcher::ExpectReturn(const Relay& relay, Milliseconds span)
@@ -270,40 +330,6 @@
     m_on_demand();
 }
 
-void Dispatcher::NoteLimit(const Server& server, const Http::MessageHead& answer,
-                           Common::TimePoint sent_at)
-{
-  std::vector<std::string_view> values;
-  for (const Http::HeaderField& field : answer.headers)
-    if (Http::EqualIgnoringCase(field.name, m_settings.names.request_limit))
-      values.push_back(field.value);
-  const RateLimits::LimitReading reading = RateLimits::ReadLimit(values);
-  if (!reading.readable)
-  {
-    ++m_counters.unreadable_limits;
-    Common::LogEvent(Common::LogLevel::Warning, "server-limit-unreadable",
-                     {{"instance", server.Entry().instance},
-                      {"value", values.front()},
-                      {"values", values.size()},
-                      {"in_force", RateLimits::Describe(m_rate_limits.InForce(server.Key()))}});
-  }
-  if (const auto change = m_rate_limits.NoteAnswer(server.Key(), reading, sent_at, Common::Now()))
-    LogLimitChange(*change, "an answer");
-}
-
-void Dispatcher::LogLimitChange(const RateLimits::LimitChange& change,
-                                std::string_view source) const
-{
-  const auto server = std::ranges::find_if(m_servers.All(), [&](const auto& entry) {
-    return entry.second->Key() == change.server;
-  });
-  Common::LogEvent(Common::LogLevel::Info, "server-limit",
-                   {{"instance", server == m_servers.All().end() ? "" : server->first.Get()},
-                    {"per_second", RateLimits::Describe(change.rate)},
-                    {"before", RateLimits::Describe(change.before)},
-                    {"source", source}});
-}
-
 void Dispatcher::WakeWaiting()
 {
   if (std::exchange(m_wake_asked, true))
@@ -313,9 +339,8 @@
   });
 }
 
-void Dispatcher::PumpWaiting()
+std::vector<std::shared_ptr<Relay>> Dispatcher::WaitingInOrder() const
 {
-  m_wake_asked = false;
   std::vector<std::shared_ptr<Relay>> waiting;
   for (const auto& [key, relay] : m_relays)
     if (relay->IsWaiting())
@@ -323,17 +348,104 @@
   std::ranges::sort(waiting, {}, [](const auto& relay) {
     return std::tuple(relay->Priority(), relay->MatchedRoute().priority, relay->ArrivedAt());
   });
+  return waiting;
+}
+
+void Dispatcher::PumpWaiting()
+{
+  m_wake_asked = false;
+  const auto waiting = WaitingInOrder();
   for (const auto& relay : waiting)
     relay->TryDispatch();
   const bool still_waiting = std::ranges::any_of(waiting, [](const auto& relay) {
     return relay->IsWaiting();
   });
+  if (still_waiting && !m_limited.All().empty() && m_on_permit_demand)
+    m_on_permit_demand();
   if (still_waiting && !m_wake_asked)
     m_pump_timer.Start(PUMP_INTERVAL, [this] {
       PumpWaiting();
     });
 }
 
+std::vector<Dispatcher::AwaitedPermit> Dispatcher::AwaitedPermits(Common::TimePoint now) const
+{
+  std::vector<AwaitedPermit> awaited;
+  std::map<RateLimits::ServerKey, int> assigned;
+  for (const auto& relay : WaitingInOrder())
+  {
+    ServerPtr soonest;
+    Milliseconds shortest_wait{0};
+    for (const ServerPtr& server : m_limited.All())
+    {
+      if (!IsEligible(*relay, *server, now) || server->InFlight() >= LimitFor(*server))
+        continue;
+      const Milliseconds wait = m_limited.WaitBehind(*server, assigned[server->Key()]);
+      if (soonest && wait >= shortest_wait)
+        continue;
+      soonest = server;
+      shortest_wait = wait;
+    }
+    if (!soonest)
+      continue;
+    ++assigned[soonest->Key()];
+    awaited.push_back({relay, soonest, shortest_wait});
+  }
+  return awaited;
+}
+
+std::vector<RateLimits::PermitWant> Dispatcher::PermitWants()
+{
+  const auto now = Common::Now();
+  std::map<RateLimits::ServerKey, RateLimits::PermitWant> wants;
+  std::map<RateLimits::ServerKey, std::uint32_t> waiting;
+  for (const AwaitedPermit& awaited : AwaitedPermits(now))
+  {
+    const RateLimits::ServerKey key = awaited.server->Key();
+    RateLimits::PermitWant& want = wants[key];
+    const auto left = awaited.relay->WaitLeft(now).count();
+    want.gives_up_ms = want.count == 0 ? left : std::min(want.gives_up_ms, left);
+    want.priority = std::min(want.priority, awaited.relay->Priority());
+    waiting[key] = ++want.count;
+  }
+  m_limited.SetOwnWaiting(std::move(waiting));
+  std::erase_if(m_passed_by, [now](const auto& entry) {
+    return now - entry.second > PASSED_BY_LATELY;
+  });
+  int probes = 0;
+  for (const ServerPtr& server : m_limited.All())
+  {
+    const RateLimits::ServerKey key = server->Key();
+    if (m_passed_by.contains(key) && !wants.contains(key) && probes++ < MAX_PROBES)
+      wants[key].may_probe = true;
+    if (const auto unused = m_limited.Permits().TakeUnused(key, now))
+      wants[key].unused = unused;
+  }
+  std::vector<RateLimits::PermitWant> result;
+  for (auto& [key, want] : wants)
+  {
+    want.server = key;
+    result.push_back(want);
+  }
+  return result;
+}
+
+void Dispatcher::ReviewWaiting()
+{
+  const auto now = Common::Now();
+  for (const AwaitedPermit& awaited : AwaitedPermits(now))
+    if (awaited.expected_wait > awaited.relay->WaitLeft(now))
+      awaited.relay->ReviewWait();
+}
+
+void Dispatcher::OnLimitChange()
+{
+  WakeWaiting();
+  ReviewWaiting();
+  if (m_on_permit_demand)
+    m_on_permit_demand();
+}
+
 void Dispatcher::TakeGrants(std::int64_t tenure, const std::vector<Accounts::GrantLine>& grants)
 {
   m_allowances.TakeGrants(tenure, grants, Common::Now());
@@ -449,6 +561,14 @@
       return matches(*entry.second);
     }));
   };
+  const auto& permits = m_limited.Permits().Totals();
+  m_metrics.SetGauge("servers_limited", static_cast<double>(m_limited.All().size()));
+  m_metrics.SetGauge("server_limits_unreadable",
+                     static_cast<double>(m_limited.UnreadableAnswers()));
+  m_metrics.SetGauge("permits_granted", static_cast<double>(permits.granted));
+  m_metrics.SetGauge("permits_used", static_cast<double>(permits.used));
+  m_metrics.SetGauge("permits_unused", static_cast<double>(permits.unused));
+  m_metrics.SetGauge("permits_without_holder", static_cast<double>(permits.without_holder));
   m_metrics.SetGauge("crash_cases", static_cast<double>(m_crashes.Cases()));
   m_metrics.SetGauge("requests_blocked", static_cast<double>(m_crashes.Blocked(now)));
   const auto waiting = std::ranges::count_if(m_relays, [](const auto& entry) {
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -16,12 +16,12 @@
 #include "Crashes/RecentSuccesses.h"
 #include "Decisions/Routing.h"
 #include "Gateway/EndDetector.h"
+#include "Gateway/LimitedServers.h"
 #include "Gateway/Relay.h"
 #include "Gateway/RetryBudget.h"
 #include "Gateway/ServerDirectory.h"
 #include "Gateway/Types.h"
 #include "Http/ServerConnection.h"
-#include "RateLimits/LimitBook.h"
 
 namespace Gateway
 {
@@ -53,7 +53,6 @@
   std::int64_t attempts = 0;
   std::int64_t repeats = 0;
   std::int64_t resumed = 0;
-  std::int64_t unreadable_limits = 0; ///< Answers whose limit is no decimal number.
 };
 
 /// Takes callers' requests, matches them with backend servers, and holds those that wait.
@@ -80,6 +79,13 @@
   /// The holder of the order lease grants units of the accounts' limits; requests that wait for
   /// some go on.
   void TakeGrants(std::int64_t tenure, const std::vector<Accounts::GrantLine>& grants);
+  /// Servers that take only so many requests a second.
+  LimitedServers& Limited() { return m_limited; }
+  const LimitedServers& Limited() const { return m_limited; }
+  /// Called when permits for servers with a limit are wanted, or a limit is news.
+  void OnPermitDemand(std::function<void()> callback) { m_on_permit_demand = std::move(callback); }
+  /// What the waiting requests want of servers with a limit.
+  std::vector<RateLimits::PermitWant> PermitWants();
   /// Requests that end the servers that run them.
   const Crashes::CrashLedger& CrashCases() const { return m_crashes; }
   /// What other daemons know of such requests.
@@ -114,17 +120,22 @@
   ServerPtr ChooseServer(const Relay& relay);
   /// True where some server in the pool holds the artifact, whether or not it has room.
   bool IsHeldAnywhere(const PoolId& pool, const Artifact& artifact) const;
-  /// How long a request cannot be served, where that outlasts its caller: nobody holds its model,
-  /// and the weights would come too late. Nothing where it may wait.
-  std::optional<Common::Milliseconds> CannotServeFor(const Relay& relay,
-                                                     Common::Milliseconds patience) const;
+  /// A request that is refused at once.
+  struct EarlyRefusal
+  {
+    Common::Milliseconds come_back_after{0};
+    std::string_view why;
+  };
+  /// Where a request cannot be served before its caller leaves: nobody holds its model and the
+  /// weights would come too late, or all who hold it have a limit and too many wait for them.
+  /// Nothing where it may wait, for `longest_wait` at most.
+  std::optional<EarlyRefusal> WhyRefuse(const Relay& relay, Common::Milliseconds patience,
+                                        Common::Milliseconds longest_wait);
   /// A refused request should come back after `span`; until then it counts as one that waits, so
   /// that its model may be loaded.
   void ExpectReturn(const Relay& relay, Common::Milliseconds span);
   void NoteArrival(const Relay& relay);
   EndDetector& Ends() { return m_ends; }
-  /// A server has answered a request that was sent to it at `sent_at`.
-  void NoteLimit(const Server& server, const Http::MessageHead& answer, Common::TimePoint sent_at);
   /// The server's connection broke while it had the request.
   void NoteBroken(const ServerPtr& server, Relay& relay, Common::TimePoint sent_at,
                   std::optional<Common::Milliseconds> ran_for);
@@ -143,7 +154,6 @@
 
 private:
   void PumpWaiting();
-  void LogLimitChange(const RateLimits::LimitChange& change, std::string_view source) const;
   void TakeEnd(const InstanceId& instance, Common::TimePoint ended_at,
                const std::vector<EndDetector::Suspect>& suspects);
   /// Requests that are blocked now: those that are open end.
@@ -153,6 +163,26 @@
   /// Requests that wait for units, oldest first, look whether there are some.
   void TryAllowances();
   std::int64_t LimitFor(const Server& server) const;
+  /// True where the request may be sent to the server now, but for the server's own limit.
+  bool IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const;
+  std::optional<EarlyRefusal> WhyRefuse(const Server& limited_holder, bool is_coming,
+                                        std::optional<Decisions::WeightSource> nearest,
+                                        Common::Milliseconds longest_wait);
+  /// The best of these servers; nothing where all are full.
+  ServerPtr ChooseAmong(const std::vector<ServerPtr>& servers, const Relay& relay);
+  /// Waiting requests, the first to be served first.
+  std::vector<std::shared_ptr<Relay>> WaitingInOrder() const;
+  /// A waiting request, and the server with a limit whose permit it waits for.
+  struct AwaitedPermit
+  {
+    std::shared_ptr<Relay> relay;
+    ServerPtr server;
+    Common::Milliseconds expected_wait{0};
+  };
+  std::vector<AwaitedPermit> AwaitedPermits(Common::TimePoint now) const;
+  /// A limit has begun or changed: requests that wait in vain now are refused.
+  void ReviewWaiting();
+  void OnLimitChange();
 
   DispatcherSettings m_settings;
   std::shared_ptr<const Configuration> m_configuration;
@@ -165,7 +195,7 @@
   Crashes::CrashLedger m_crashes;
   Crashes::RecentSuccesses m_successes;
   EndDetector m_ends{m_servers};
-  RateLimits::LimitBook m_rate_limits;
+  LimitedServers m_limited{m_servers};
   Decisions::AffinityRouting m_routing;
   std::map<Relay*, std::shared_ptr<Relay>> m_relays;
   std::map<Http::ServerConnection*, std::shared_ptr<Http::ServerConnection>> m_connections;
@@ -177,6 +207,9 @@
   };
   std::map<std::pair<PoolId, Artifact>, ExpectedReturn> m_returns;
   std::function<void()> m_on_demand;
+  std::function<void()> m_on_permit_demand;
+  /// When a request last went elsewhere that a server with a limit could have served.
+  std::map<RateLimits::ServerKey, Common::TimePoint> m_passed_by;
   DispatcherCounters m_counters;
   Common::Metrics m_metrics;
   Common::TimePoint m_configured_at;
--- /dev/null
+++ b/Source/Core/Gateway/LimitedServers.cpp
@@ -0,0 +1,166 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/LimitedServers.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "Common/Log.h"
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+using RateLimits::ServerKey;
+using Seconds = std::chrono::duration<double>;
+
+/// The longest span after which a refused request is told to come back.
+constexpr Milliseconds LONGEST_RETURN{10000};
+
+std::uint32_t CountOf(const std::map<ServerKey, std::uint32_t>& counts, ServerKey server)
+{
+  const auto found = counts.find(server);
+  return found == counts.end() ? 0 : found->second;
+}
+} // namespace
+
+void LimitedServers::NoteAnswer(const Server& server, const Http::MessageHead& answer,
+                                const std::string& limit_header, Common::TimePoint sent_at)
+{
+  std::vector<std::string_view> values;
+  for (const Http::HeaderField& field : answer.headers)
+    if (Http::EqualIgnoringCase(field.name, limit_header))
+      values.push_back(field.value);
+  const RateLimits::LimitReading reading = RateLimits::ReadLimit(values);
+  if (!reading.readable)
+  {
+    ++m_unreadable;
+    Common::LogEvent(Common::LogLevel::Warning, "server-limit-unreadable",
+                     {{"instance", server.Entry().instance},
+                      {"value", values.front()},
+                      {"values", values.size()},
+                      {"in_force", RateLimits::Describe(m_book.InForce(server.Key()))}});
+  }
+  if (const auto change = m_book.NoteAnswer(server.Key(), reading, sent_at, Common::Now()))
+    Report({*change}, "an answer");
+}
+
+void LimitedServers::TakeNews(std::int64_t tenure, const RateLimits::LimitNews& news)
+{
+  std::erase_if(m_waiting, [&](const auto& entry) {
+    return news.Covers(entry.first);
+  });
+  for (const RateLimits::LimitLine& line : news.lines)
+    m_waiting[line.server] = line.waiting;
+  Report(m_book.TakeNews(tenure, news, Common::Now()), "the holder");
+}
+
+void LimitedServers::TakeObservations(std::int64_t tenure, const Common::VmId& from,
+                                      std::span<const RateLimits::LimitObservation> observations)
+{
+  Report(m_book.TakeObservations(tenure, observations, Common::Now()), from.Get());
+}
+
+void LimitedServers::Report(const std::vector<RateLimits::LimitChange>& changes,
+                            std::string_view source)
+{
+  if (changes.empty())
+    return;
+  for (const RateLimits::LimitChange& change : changes)
+  {
+    const auto server = std::ranges::find_if(m_servers.All(), [&](const auto& entry) {
+      return entry.second->Key() == change.server;
+    });
+    Common::LogEvent(Common::LogLevel::Info, "server-limit",
+                     {{"instance", server == m_servers.All().end() ? "" : server->first.Get()},
+                      {"per_second", RateLimits::Describe(change.rate)},
+                      {"before", RateLimits::Describe(change.before)},
+                      {"source", source}});
+  }
+  Refresh();
+  if (m_on_change)
+    m_on_change();
+}
+
+void LimitedServers::Refresh()
+{
+  if (m_book.Empty() && m_limited.empty())
+    return;
+  m_limited.clear();
+  std::vector<ServerKey> keys;
+  for (const auto& [instance, server] : m_servers.All())
+  {
+    const auto rate = m_book.InForce(server->Key());
+    const auto since = m_book.LimitedSince(server->Key());
+    server->SetLimit(rate ? std::optional(ServerLimit{*rate, *since}) : std::nullopt);
+    if (!rate)
+      continue;
+    m_limited.push_back(server);
+    keys.push_back(server->Key());
+  }
+  m_permits.Retain(keys);
+  std::erase_if(m_next_return, [&](const auto& entry) {
+    return std::ranges::find(keys, entry.first) == keys.end();
+  });
+}
+
+std::vector<RateLimits::PermitKeeper::KnownLimit> LimitedServers::KnownLimits() const
+{
+  std::vector<RateLimits::PermitKeeper::KnownLimit> limits;
+  std::ranges::transform(m_limited, std::back_inserter(limits), [](const ServerPtr& server) {
+    return RateLimits::PermitKeeper::KnownLimit{server->Key(), server->Limit()->rate,
+                                                server->Entry().data_centre};
+  });
+  return limits;
+}
+
+bool LimitedServers::MaySend(const Server& server, Common::TimePoint now)
+{
+  const auto& limit = server.Limit();
+  return !limit || m_permits.MaySend(server.Key(), limit->rate, now);
+}
+
+void LimitedServers::NoteSend(const Server& server, Common::TimePoint now)
+{
+  if (const auto& limit = server.Limit())
+    m_permits.Take(server.Key(), limit->rate, now);
+}
+
+void LimitedServers::ReturnPermit(const Server& server, Common::TimePoint now)
+{
+  if (server.Limit())
+    m_permits.Add(server.Key(), 1, now + RateLimits::PERMIT_VALID);
+}
+
+Milliseconds LimitedServers::ExpectedWait(const Server& server) const
+{
+  return WaitBehind(server, static_cast<int>(CountOf(m_own_waiting, server.Key())));
+}
+
+Milliseconds LimitedServers::WaitBehind(const Server& server, int own) const
+{
+  const auto& limit = server.Limit();
+  if (!limit)
+    return Milliseconds(0);
+  const std::uint32_t in_all = CountOf(m_waiting, server.Key());
+  const std::uint32_t here = CountOf(m_own_waiting, server.Key());
+  const std::uint32_t elsewhere = in_all > here ? in_all - here : 0;
+  const double ahead = static_cast<double>(elsewhere) + own;
+  return std::chrono::ceil<Milliseconds>(
+      Seconds((ahead + 1) / RateLimits::FlowPerSecond(limit->rate)));
+}
+
+Milliseconds LimitedServers::ComeBackAfter(const Server& server, Common::TimePoint now)
+{
+  const auto& limit = server.Limit();
+  if (!limit)
+    return Milliseconds(0);
+  Common::TimePoint& next = m_next_return[server.Key()];
+  const auto after_others =
+      next + std::chrono::ceil<Milliseconds>(Seconds(1 / RateLimits::FlowPerSecond(limit->rate)));
+  next = std::min(std::max(now + ExpectedWait(server), after_others), now + LONGEST_RETURN);
+  return std::chrono::ceil<Milliseconds>(next - now);
+}
+} // namespace Gateway
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -445,24 +445,42 @@
   }
   if (m_waiting)
     return;
-  if (m_arrivals == 0 && !m_may_have_run)
-    m_come_back_after = m_dispatcher.CannotServeFor(*this, m_patience);
-  if (m_come_back_after)
-  {
-    m_dispatcher.ExpectReturn(*this, *m_come_back_after);
-    Refuse("its weights would come too late");
+  if (RefuseEarly())
     return;
-  }
   m_waiting = true;
+  m_wait_timer.Start(WaitLeft(Common::Now()), [this] {
+    OnWaitExpired();
+  });
+  m_dispatcher.RequestDemand();
+}
+
+Milliseconds Relay::WaitLeft(Common::TimePoint now) const
+{
   auto limit =
       std::chrono::duration_cast<Milliseconds>((m_deadline - m_arrived) * WAIT_SHARE_OF_DEADLINE);
   limit = std::min(limit,
                    std::chrono::duration_cast<Milliseconds>(m_patience * WAIT_SHARE_OF_PATIENCE));
-  const auto left = m_arrived + limit - Common::Now();
-  m_wait_timer.Start(std::max(std::chrono::floor<Milliseconds>(left), Milliseconds(0)), [this] {
-    OnWaitExpired();
-  });
-  m_dispatcher.RequestDemand();
+  return std::max(std::chrono::floor<Milliseconds>(m_arrived + limit - now), Milliseconds(0));
+}
+
+bool Relay::RefuseEarly()
+{
+  if (m_arrivals > 0 || m_may_have_run)
+    return false;
+  const auto refusal = m_dispatcher.WhyRefuse(*this, m_patience, WaitLeft(Common::Now()));
+  if (!refusal)
+    return false;
+  m_come_back_after = refusal->come_back_after;
+  m_dispatcher.ExpectReturn(*this, refusal->come_back_after);
+  Refuse(refusal->why);
+  return true;
+}
+
+void Relay::ReviewWait()
+{
+  const auto guard = shared_from_this();
+  if (m_waiting && !m_done)
+    RefuseEarly();
 }
 
 void Relay::OnWaitExpired()
@@ -499,6 +517,7 @@
     AttemptFailed("no socket left", m_may_have_run);
     return;
   }
+  m_dispatcher.Limited().NoteSend(*m_server, now);
   ++m_dispatcher.Counters().attempts;
   if (m_arrivals > 0)
     ++m_dispatcher.Counters().repeats;
@@ -538,7 +557,8 @@
   m_head = head;
   m_server_spoke_at = Common::Now();
   if (IsSound(m_head))
-    m_dispatcher.NoteLimit(*m_server, m_head, m_sent_at);
+    m_dispatcher.Limited().NoteAnswer(*m_server, m_head,
+                                      m_dispatcher.Settings().names.request_limit, m_sent_at);
   const std::string* type = m_head.Find("Content-Type");
   m_is_stream = m_route.repeatability == Repeatability::Streaming && m_head.status == 200 &&
                 IsSound(m_head) &&
@@ -687,6 +707,7 @@
       m_server->Health().NoteUnreachable(now);
       m_dispatcher.Ends().NoteRefused(m_server);
     }
+    m_dispatcher.Limited().ReturnPermit(*m_server, now);
     --m_arrivals;
     m_tried.erase(m_server->Entry().instance);
     AttemptFailed("no connection", m_may_have_run);
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -71,6 +71,11 @@
   const Route& MatchedRoute() const { return m_route; }
   /// By which the request is recognised when it comes again. Made when it is first asked for.
   const Crashes::Fingerprint& Fingerprint();
+  /// How much longer it waits for a server.
+  Common::Milliseconds WaitLeft(Common::TimePoint now) const;
+  /// It waits for a server with a limit that will have no time for it: refused where it cannot be
+  /// served elsewhere either.
+  void ReviewWait();
   Crashes::RequestIdentity Identity() const;
 
   /// Servers have ended under the request: it is not sent again, nor waited for.
@@ -120,6 +125,8 @@
   void AttemptFailed(std::string_view why, bool may_have_run);
   bool MayTryAgain(bool may_have_run) const;
   void Wait();
+  /// True where the request has been refused, as it cannot be served before its caller leaves.
+  bool RefuseEarly();
   void OnWaitExpired();
   void OnDeadline();
   void OnSilence(Common::Milliseconds span);
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -15,6 +15,7 @@
 constexpr Common::Milliseconds MISSING_PAUSE{400};
 /// For so long a server that rejected a request for want of room gets none.
 constexpr Common::Milliseconds FULL_PAUSE{60};
+constexpr Common::Milliseconds LIMIT_SETTLES_AFTER{2500};
 } // namespace
 
 void Server::SetEntry(ServerEntry entry)
@@ -33,6 +34,11 @@
   return !m_health.IsOnTrial() || m_in_flight == 0;
 }
 
+bool Server::HasSettledLimit(Common::TimePoint now) const
+{
+  return m_limit && now - m_limit->since >= LIMIT_SETTLES_AFTER;
+}
+
 bool Server::Holds(const Artifact& artifact, Common::TimePoint now) const
 {
   if (artifact.model.Empty())
@@ -191,6 +197,13 @@
   return is_known ? found->second : nullptr;
 }
 
+bool ServerDirectory::Knows(RateLimits::ServerKey key) const
+{
+  return std::ranges::any_of(m_servers, [key](const auto& entry) {
+    return entry.second->Key() == key;
+  });
+}
+
 std::vector<ServerPtr> ServerDirectory::InPool(const PoolId& pool) const
 {
   std::vector<ServerPtr> result;
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -19,6 +19,13 @@
 
 namespace Gateway
 {
+/// So many requests a second the server takes from all daemons together.
+struct ServerLimit
+{
+  RateLimits::RequestRate rate;
+  Common::TimePoint since; ///< When it first had some limit, without a pause.
+};
+
 /// A backend server as this daemon sees and uses it.
 class Server
 {
@@ -77,6 +84,11 @@
   void NoteEnd(const Artifact& artifact, Common::TimePoint now);
   /// Bytes came from the server.
   void NoteHeard(Common::TimePoint now) { m_silence.NoteHeard(now); }
+  const std::optional<ServerLimit>& Limit() const { return m_limit; }
+  void SetLimit(const std::optional<ServerLimit>& limit) { m_limit = limit; }
+  /// The server has had a limit for so long that its models should be held elsewhere too; a need
+  /// that passes at once moves none.
+  bool HasSettledLimit(Common::TimePoint now) const;
   int InFlight() const { return m_in_flight; }
   const std::map<ModelId, int>& InFlightByModel() const { return m_in_flight_by_model; }
   /// Requests of other daemons there, as they told the order holder.
@@ -93,6 +105,7 @@
   std::uint64_t m_entry_revision = 1;
   ServerHealth m_health;
   SilenceDetector m_silence;
+  std::optional<ServerLimit> m_limit;
   bool m_replaced = false;
   Common::TimePoint m_full_until;
   Http::IdleConnections m_idle{MAX_IDLE_CONNECTIONS};
@@ -127,6 +140,7 @@
   /// The latest life under the id of `instance`, whatever the start that it names.
   ServerPtr FindLatest(const InstanceId& instance) const;
   const std::map<InstanceId, ServerPtr>& All() const { return m_servers; }
+  bool Knows(RateLimits::ServerKey key) const;
   std::vector<ServerPtr> InPool(const PoolId& pool) const;
   bool Empty() const { return m_servers.empty(); }
   /// Rises when a server comes, goes or moves to another pool.
--- a/Source/Core/Gateway/Types.cpp
+++ b/Source/Core/Gateway/Types.cpp
@@ -18,6 +18,14 @@
   return RateLimits::ServerKey(std::bit_cast<std::int64_t>(hash));
 }
 
+const ModelSpec* Pool::FindModel(const ModelId& model) const
+{
+  if (!engine)
+    return nullptr;
+  const auto found = engine->models.find(model);
+  return found == engine->models.end() ? nullptr : &found->second;
+}
+
 const Route* Configuration::FindRoute(std::string_view host, std::string_view path) const
 {
   const Route* best = nullptr;
--- a/Source/Core/Gateway/Types.h
+++ b/Source/Core/Gateway/Types.h
@@ -154,6 +154,9 @@
   std::string health_path;
   int max_connections = 0; ///< That one server accepts from all callers together.
   std::optional<EngineSpec> engine;
+
+  /// nullptr where the pool has no engine, or one that does not know the model.
+  const ModelSpec* FindModel(const ModelId& model) const;
 };
 
 /// One version of the operators' configuration.
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -97,8 +97,22 @@
 }
 
 Hub::Hub(HubSettings settings, Gateway::Dispatcher& dispatcher, OrderDesk& desk)
-    : m_settings(std::move(settings)), m_dispatcher(dispatcher), m_desk(desk)
-{
+    : m_settings(std::move(settings)),
+      m_dispatcher(dispatcher),
+      m_desk(desk),
+      m_permits({m_settings.self, HashOf(m_settings.run)}, dispatcher,
+                [this](const Http::Endpoint& peer, const Envelope& envelope) {
+                  SendTo(peer, Daemons::Encode(envelope));
+                })
+{
+  m_permits.SetPermission([this] {
+    return m_own_lease && Common::Now() < m_own_lease_until;
+  });
+  m_dispatcher.OnPermitDemand([this] {
+    m_permits.AskSoon();
+    if (m_dispatcher.Limited().Book().Revision() != m_limits_announced)
+      AnnounceSoon();
+  });
 }
 
 Hub::~Hub()
@@ -127,7 +141,8 @@
 void Hub::SetHolder(std::optional<Http::Endpoint> endpoint, std::optional<LeaseWord> own_lease)
 {
   const bool was_holder = m_own_lease.has_value();
-  const bool moved = m_holder != endpoint || was_holder != own_lease.has_value();
+  const bool new_tenure = m_own_lease && own_lease && m_own_lease->fence != own_lease->fence;
+  const bool moved = m_holder != endpoint || was_holder != own_lease.has_value() || new_tenure;
   m_holder = endpoint;
   m_own_lease = own_lease;
   if (own_lease)
@@ -138,6 +153,7 @@
   // Another holder knows nothing of what this daemon saw.
   m_own_crashes_confirmed = 0;
   m_holder_since = Common::Now();
+  m_permits.SetHolder(endpoint, own_lease ? std::optional(own_lease->fence) : std::nullopt);
   m_allowances.Configure(m_dispatcher.Settings().usage_bound);
   m_allowances.Begin(own_lease ? own_lease->fence : 0);
   SetWaits();
@@ -264,6 +280,7 @@
   const int daemons = m_daemons.ForSharing(Common::Now());
   m_dispatcher.Budget().SetDaemons(daemons);
   m_dispatcher.Allowances().SetDaemons(daemons);
+  m_dispatcher.Limited().Permits().SetDaemons(daemons);
 }
 
 void Hub::CheckHolder()
@@ -357,6 +374,9 @@
   state.lease_left_ms = m_own_lease->left.count();
   state.daemons = m_daemons.Get();
   state.least_handicap_ms = LeastHandicapOfPeers().count();
+  const std::uint64_t limits_revision = m_dispatcher.Limited().Book().Revision();
+  if (regular || std::exchange(m_limits_announced, limits_revision) != limits_revision)
+    state.limits.push_back(m_permits.News(now));
   state.regular = regular;
   if (regular)
     for (const auto& [instance, load] : m_desk.Flights().All())
@@ -555,6 +575,10 @@
     if (is_new)
       AnnounceSoon();
   }
+  for (const PermitAsk& ask : envelope->permit_asks)
+    m_permits.TakeAsk(ask, from);
+  for (const PermitReply& reply : envelope->permit_replies)
+    m_permits.TakeReply(reply);
   for (const HolderReport& report : envelope->from_holder)
     if (!m_own_lease)
       TakeHolderReport(report, from, WrittenAfter(envelope->to_one));
@@ -591,6 +615,9 @@
   }
   m_holder_heard_at = Common::Now();
   m_daemons.Tell(state->daemons, m_holder_heard_at);
+  m_dispatcher.Limited().Permits().NoteHolderHeard(m_holder_heard_at);
+  for (const RateLimits::LimitNews& news : state->limits)
+    m_permits.TakeNews(report.fence, news);
   if (m_on_lease_word && !m_own_lease)
     m_on_lease_word({report.fence, state->lease_version, Milliseconds(state->lease_left_ms)},
                     state->vm, from);
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -17,6 +17,7 @@
 #include "Orders/DaemonCount.h"
 #include "Orders/Messages.h"
 #include "Orders/OrderDesk.h"
+#include "Orders/PermitExchange.h"
 #include "Orders/PlacementLog.h"
 #include "Orders/SharedTables.h"
 
@@ -73,6 +74,8 @@
   void ReportSoon();
   /// The holder tells all daemons soon.
   void AnnounceSoon();
+  /// Permits for requests to servers with a limit.
+  const PermitExchange& Permits() const { return m_permits; }
 
   void OnDescriptorEvents(std::uint32_t events) override;
 
@@ -157,6 +160,7 @@
   std::optional<LeaseWord> m_own_lease;
   Common::TimePoint m_own_lease_until;    ///< Where the lease is ours.
   Accounts::AllowanceKeeper m_allowances; ///< Set while this daemon is the holder.
+  PermitExchange m_permits;
   std::vector<TableAccess> m_tables;
   LeaseWordHandler m_on_lease_word;
   PlacementLog m_placements;
@@ -176,6 +180,7 @@
   std::uint64_t m_own_crashes_told = 0;  ///< Up to here they stand in the last report.
   Common::TimePoint m_holder_since;      ///< When the holder was last another.
   std::uint64_t m_crashes_announced = 0; ///< As the holder.
+  std::uint64_t m_limits_announced = 0;  ///< As the holder; a revision of the book of limits.
   DaemonCount m_daemons;
   Common::Milliseconds m_least_handicap{0};
   std::map<Common::VmId, Peer> m_peers; ///< Daemons that report to this holder.
--- a/Source/Core/Orders/MessageSize.cpp
+++ b/Source/Core/Orders/MessageSize.cpp
@@ -40,6 +40,16 @@
   return BytesOfText(line.account) + 2 * NUMBER_BYTES + 2 * COUNT_BYTES;
 }
 
+std::size_t BytesOf(const RateLimits::LimitObservation&)
+{
+  return 2 * NUMBER_BYTES + 2 * COUNT_BYTES;
+}
+
+std::size_t BytesOf(const RateLimits::PermitWant&)
+{
+  return NUMBER_BYTES + 4 * COUNT_BYTES + 1;
+}
+
 /// Keeps the first lines that fit.
 template <typename Line>
 void CutTo(std::vector<Line>& lines, std::size_t max_bytes, const char* what)
@@ -102,4 +112,13 @@
   std::ranges::stable_sort(report.loads, std::ranges::greater(), &LoadLine::in_flight);
   CutTo(report.loads, room / 2, "loads");
 }
+
+void FitDatagram(PermitAsk& ask)
+{
+  const std::size_t room = (MAX_DATAGRAM - REPORT_HEAD_BYTES) / 2;
+  std::ranges::stable_sort(ask.observations, {}, &RateLimits::LimitObservation::age_ms);
+  CutTo(ask.observations, room, "limits");
+  std::ranges::stable_sort(ask.wants, std::ranges::greater(), &RateLimits::PermitWant::count);
+  CutTo(ask.wants, room, "wants");
+}
 } // namespace Orders
--- a/Source/Core/Orders/MessageSize.h
+++ b/Source/Core/Orders/MessageSize.h
@@ -25,4 +25,6 @@
 /// Cuts a report to what a datagram holds: of the servers the least loaded go, of the artifacts
 /// those for which fewest wait. What is cut would otherwise take the whole report with it.
 void FitDatagram(DaemonReport& report);
+/// What is cut is asked for later: of the limits the newest news stay, of the wants the largest.
+void FitDatagram(PermitAsk& ask);
 } // namespace Orders
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -13,6 +13,7 @@
 #include "Daemons/Codec.h"
 #include "Gateway/Types.h"
 #include "Orders/RowChange.h"
+#include "RateLimits/Messages.h"
 
 /// What daemons and the holder of the order lease tell each other, by datagrams. All of it is soft
 /// state: a lost datagram is made good by the next one.
@@ -137,12 +138,13 @@
   bool abdicated = false; ///< It has stopped ordering under this version of the lease's row.
   bool regular = false;   ///< Holds `in_flight`; else there is only news.
   std::map<ServerHash, std::int32_t> in_flight; ///< Open requests of all daemons.
+  std::vector<RateLimits::LimitNews> limits;    ///< One, or none: no news.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
     archive(vm, daemons, least_handicap_ms, lease_version, lease_left_ms, abdicated, regular,
-            in_flight);
+            in_flight, limits);
   }
 };
 
@@ -190,18 +192,56 @@
   }
 };
 
+/// From a daemon to the holder: what it read of servers' limits, and the permits that it wants.
+struct PermitAsk
+{
+  Common::VmId vm;
+  RunHash run = 0;
+  std::uint64_t sequence = 0; ///< Rises within a run.
+  Common::DataCentreId data_centre;
+  std::int64_t tenure = 0; ///< Of the holder by whose words it knows the limits.
+  std::vector<RateLimits::LimitObservation> observations;
+  std::vector<RateLimits::PermitWant> wants; ///< All that it wants now.
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(vm, run, sequence, data_centre, tenure, observations, wants);
+  }
+};
+
+/// From the holder to one daemon.
+struct PermitReply
+{
+  RunHash run = 0; ///< Of the daemon.
+  std::int64_t tenure = 0;
+  std::uint64_t number = 0;   ///< Rises within a tenure; what comes twice or late is void.
+  std::uint64_t sequence = 0; ///< Of the daemon's ask that the holder has read last.
+  std::int64_t held_ms = 0;   ///< Since the holder has read it.
+  std::vector<RateLimits::PermitLine> permits;
+  std::vector<RateLimits::StandbyLine> standbys; ///< All for which the daemon is a standby.
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(run, tenure, number, sequence, held_ms, permits, standbys);
+  }
+};
+
 /// A datagram holds one of these.
 struct Envelope
 {
   std::vector<DaemonReport> from_daemon; ///< One, or none.
   std::vector<HolderReport> from_holder;
+  std::vector<PermitAsk> permit_asks;
+  std::vector<PermitReply> permit_replies;
   /// One, or none; also without a report for all. Last: see `WithReply`.
   std::vector<HolderReply> to_one;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(from_daemon, from_holder, to_one);
+    archive(from_daemon, from_holder, permit_asks, permit_replies, to_one);
   }
 };
 
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -207,7 +207,11 @@
   bool IsOfThisLife(const Gateway::InstanceId& instance, const ServerReport& report);
   static void RefreshBook(const Gateway::Server& server, ServerBook& book, Common::TimePoint now);
   static std::vector<HeldModel> HeldModels(const ServerBook& book, Common::TimePoint now);
-  ServerState StateOf(const Gateway::Pool& pool, const Slot& slot, Common::TimePoint now) const;
+  /// Models of servers with a limit are held elsewhere too, unless most servers have one: then
+  /// there is no elsewhere.
+  static bool MayPlanAround(const PlanBook& plan, Common::TimePoint now);
+  ServerState StateOf(const Gateway::Pool& pool, const Slot& slot, bool plan_around_limits,
+                      Common::TimePoint now) const;
   void CheckOpen(const Gateway::ServerPtr& server, ServerBook& book, Common::TimePoint now);
   void PlanPool(const Gateway::Pool& pool, PlanBook& plan, Common::TimePoint now);
   void LogPassedOver(const PlanBook& plan, const Decisions::ReplicaPlanInput& input,
--- a/Source/Core/Orders/OrderDeskPlan.cpp
+++ b/Source/Core/Orders/OrderDeskPlan.cpp
@@ -65,12 +65,24 @@
   return memory_mb;
 }
 
-ServerState OrderDesk::StateOf(const Gateway::Pool& pool, const Slot& slot, TimePoint now) const
+bool OrderDesk::MayPlanAround(const PlanBook& plan, TimePoint now)
+{
+  const auto limited = std::ranges::count_if(plan.Servers(), [now](const auto& server) {
+    return server->HasSettledLimit(now);
+  });
+  return limited * 2 <= static_cast<std::ptrdiff_t>(plan.Servers().size());
+}
+
+ServerState OrderDesk::StateOf(const Gateway::Pool& pool, const Slot& slot, bool plan_around_limits,
+                               TimePoint now) const
 {
   const Server& server = *slot.server;
   const ServerBook& book = *slot.book;
   ServerState state;
-  state.usable = !server.Entry().draining && !server.IsReplaced() &&
+  const bool has_limit = plan_around_limits && server.HasSettledLimit(now);
+  if (has_limit)
+    state.requests_per_second = RateLimits::PerSecond(server.Limit()->rate);
+  state.usable = !has_limit && !server.Entry().draining && !server.IsReplaced() &&
                  !server.Health().IsEjected(now) && now >= book.unusable_until && book.state_known;
   state.order_open = book.open.has_value();
   state.reserved_mb = LateLoadsMb(pool, book, now);
@@ -83,9 +95,10 @@
 
 void OrderDesk::PlanPool(const Gateway::Pool& pool, PlanBook& plan, TimePoint now)
 {
+  const bool plan_around_limits = MayPlanAround(plan, now);
   for (const Slot& slot : m_slots)
     if (slot.plan == &plan)
-      plan.SetState(slot.index, StateOf(pool, slot, now));
+      plan.SetState(slot.index, StateOf(pool, slot, plan_around_limits, now));
   const Decisions::ReplicaPlanInput& input = plan.Input(now, StoreLoadsAllowed(pool, now));
   const Decisions::ReplicaPlan decided = Decisions::PlanReplicas(input);
   LogPassedOver(plan, input, decided.passed_over);
--- a/Source/Core/Orders/PlanBook.cpp
+++ b/Source/Core/Orders/PlanBook.cpp
@@ -128,6 +128,7 @@
   Decisions::PlannedServer& planned = m_input.servers[At(server)];
   planned.usable = state.usable;
   planned.order_open = state.order_open;
+  planned.requests_per_second = state.requests_per_second;
   planned.reserved_mb = state.reserved_mb;
   planned.loading.reset();
   if (state.loading)
--- a/Source/Core/Orders/PlanBook.h
+++ b/Source/Core/Orders/PlanBook.h
@@ -23,6 +23,8 @@
 {
   bool usable = true;
   bool order_open = false;
+  /// It takes no more from all daemons together, and has for a while.
+  std::optional<double> requests_per_second;
   std::optional<Gateway::ModelId> loading; ///< On its way, or next after an unload.
   double reserved_mb = 0;                  ///< That late orders may still take.
 };
--- a/Source/Core/RateLimits/LimitBook.cpp
+++ b/Source/Core/RateLimits/LimitBook.cpp
@@ -40,8 +40,9 @@
 }
 
 LimitChange LimitBook::Set(ServerKey server, Entry& entry, std::optional<RequestRate> rate,
-                           Common::TimePoint now) const
+                           Common::TimePoint now)
 {
+  ++m_revision;
   const LimitChange change{server, entry.rate, rate};
   if (!entry.rate)
     entry.limited_since = now;
@@ -80,8 +81,8 @@
   return observations;
 }
 
-std::vector<LimitChange> LimitBook::TakeLines(std::int64_t tenure, std::span<const LimitLine> lines,
-                                              Common::TimePoint now)
+std::vector<LimitChange> LimitBook::TakeNews(std::int64_t tenure, const LimitNews& news,
+                                             Common::TimePoint now)
 {
   std::vector<LimitChange> changes;
   if (tenure < m_tenure)
@@ -94,7 +95,7 @@
       entry.confirmed = !entry.rate;
     }
   m_tenure = tenure;
-  for (const LimitLine& line : lines)
+  for (const LimitLine& line : news.lines)
   {
     Entry& entry = m_entries[line.server];
     const bool waits_for_holder = !entry.confirmed && now - entry.learned_at < ANSWERED_WITHIN;
@@ -107,14 +108,15 @@
     if (rate != entry.rate)
       changes.push_back(Set(line.server, entry, rate, now));
   }
-  const auto is_told = [&](ServerKey server) {
-    return std::ranges::find(lines, server, &LimitLine::server) != lines.end();
+  const auto is_over = [&](ServerKey server, const Entry& entry) {
+    return entry.confirmed && news.Covers(server) &&
+           !std::ranges::binary_search(news.lines, server, {}, &LimitLine::server);
   };
   for (auto& [server, entry] : m_entries)
-    if (entry.confirmed && entry.rate && !is_told(server))
+    if (entry.rate && is_over(server, entry))
       changes.push_back(Set(server, entry, std::nullopt, now));
   std::erase_if(m_entries, [&](const auto& item) {
-    return item.second.confirmed && !item.second.rate && !is_told(item.first);
+    return !item.second.rate && is_over(item.first, item.second);
   });
   return changes;
 }
@@ -152,15 +154,20 @@
   return changes;
 }
 
-std::vector<LimitLine> LimitBook::Lines(Common::TimePoint now)
+LimitNews LimitBook::NextNews(std::size_t max_lines, Common::TimePoint now)
 {
   std::erase_if(m_entries, [&](const auto& item) {
     return !item.second.rate && now - item.second.learned_at > TELL_ENDED_FOR;
   });
-  std::vector<LimitLine> lines;
-  for (const auto& [server, entry] : m_entries)
-    lines.push_back({server, ToWire(entry.rate), entry.version});
-  return lines;
+  LimitNews news;
+  news.after = m_told_up_to;
+  auto next = m_entries.upper_bound(m_told_up_to);
+  for (; next != m_entries.end() && news.lines.size() < max_lines; ++next)
+    news.lines.push_back({next->first, ToWire(next->second.rate), next->second.version});
+  const bool is_last = next == m_entries.end();
+  news.up_to = is_last ? LAST_KEY : news.lines.back().server;
+  m_told_up_to = is_last ? FIRST_KEY : news.up_to;
+  return news;
 }
 
 void LimitBook::Retain(const std::function<bool(ServerKey)>& is_known)
--- a/Source/Core/RateLimits/LimitBook.h
+++ b/Source/Core/RateLimits/LimitBook.h
@@ -37,15 +37,17 @@
   /// Since when the server has had some limit, without a pause.
   std::optional<Common::TimePoint> LimitedSince(ServerKey server) const;
   bool Empty() const { return m_entries.empty(); }
+  /// Rises with each change of a limit.
+  std::uint64_t Revision() const { return m_revision; }
 
   /// An answer to a request that this daemon sent at `sent_at`.
   std::optional<LimitChange> NoteAnswer(ServerKey server, const LimitReading& reading,
                                         Common::TimePoint sent_at, Common::TimePoint now);
   /// What the holder does not know yet.
   std::vector<LimitObservation> Unconfirmed(Common::TimePoint now) const;
-  /// The holder's word of all limits.
-  std::vector<LimitChange> TakeLines(std::int64_t tenure, std::span<const LimitLine> lines,
-                                     Common::TimePoint now);
+  /// The holder's word.
+  std::vector<LimitChange> TakeNews(std::int64_t tenure, const LimitNews& news,
+                                    Common::TimePoint now);
 
   /// This daemon is the holder from now on; what it knows is what it tells.
   void BeginTenure(std::int64_t tenure);
@@ -54,8 +56,9 @@
   std::vector<LimitChange> TakeObservations(std::int64_t tenure,
                                             std::span<const LimitObservation> observations,
                                             Common::TimePoint now);
-  /// For all daemons; limits that ended are told for a while.
-  std::vector<LimitLine> Lines(Common::TimePoint now);
+  /// The next part of all limits for all daemons, and from the beginning again; limits that ended
+  /// are told for a while.
+  LimitNews NextNews(std::size_t max_lines, Common::TimePoint now);
 
   /// Forgets servers that are gone.
   void Retain(const std::function<bool(ServerKey)>& is_known);
@@ -71,9 +74,11 @@
   };
 
   LimitChange Set(ServerKey server, Entry& entry, std::optional<RequestRate> rate,
-                  Common::TimePoint now) const;
+                  Common::TimePoint now);
 
   std::map<ServerKey, Entry> m_entries;
+  std::uint64_t m_revision = 0;
+  ServerKey m_told_up_to = FIRST_KEY; ///< By the news before.
   std::int64_t m_tenure = 0;
   bool m_is_holder = false;
 };
--- a/Source/Core/RateLimits/Messages.h
+++ b/Source/Core/RateLimits/Messages.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <optional>
+#include <vector>
 
 #include "Common/Units.h"
 #include "RateLimits/RequestRate.h"
@@ -14,6 +16,10 @@
 /// Stands for one life of one backend server in books and messages.
 using ServerKey = Common::Quantity<struct ServerKeyTag>;
 
+/// Before all keys and behind them.
+constexpr ServerKey FIRST_KEY{std::numeric_limits<std::int64_t>::min()};
+constexpr ServerKey LAST_KEY{std::numeric_limits<std::int64_t>::max()};
+
 /// A rate in messages; NO_LIMIT where there is none.
 constexpr RequestRate NO_LIMIT{-1};
 
@@ -56,4 +62,84 @@
     archive(server, rate, version, waiting);
   }
 };
+/// The limits of all servers whose keys lie behind `after`, up to `up_to`. Servers in between
+/// without a line have no limit.
+struct LimitNews
+{
+  ServerKey after;
+  ServerKey up_to;
+  std::vector<LimitLine> lines; ///< By rising keys.
+
+  bool Covers(ServerKey server) const { return after < server && server <= up_to; }
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(after, up_to, lines);
+  }
+};
+
+/// What a daemon wants of one server with a limit: one permit for each request that waits for it.
+struct PermitWant
+{
+  ServerKey server;
+  std::uint32_t count = 0;
+  std::int32_t priority = 9;    ///< Of the most urgent request.
+  std::int64_t gives_up_ms = 0; ///< Until the first request gives up.
+  std::uint32_t unused = 0;     ///< Permits that were not used in time, since it was told last.
+  /// Requests went elsewhere that could have gone there: one may go to see whether the limit holds.
+  bool may_probe = false;
+
+  bool operator==(const PermitWant&) const = default;
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(server, count, priority, gives_up_ms, unused, may_probe);
+  }
+};
+
+/// Permits of one server for one daemon.
+struct PermitLine
+{
+  ServerKey server;
+  std::uint32_t count = 0;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(server, count);
+  }
+};
+
+/// What a daemon may send to one server while it hears no holder.
+struct StandbyLine
+{
+  ServerKey server;
+  RequestRate rate;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(server, rate);
+  }
+};
+
+/// So long after the daemon asked, or the holder granted it without being asked anew, a permit may
+/// be used.
+constexpr Common::Milliseconds PERMIT_VALID{500};
+
+/// Of a server's requests a second, what daemons may send together while they hear no holder. With
+/// the next holder's permits, that others hear already, it stays within one and a half times the
+/// limit.
+constexpr double UNHEARD_SHARE = 0.4;
+
+/// A server tells only in an answer that its limit has ended, so that some request must reach it
+/// even where it takes none: so many a second.
+constexpr double LEAST_FLOW = 0.5;
+
+/// The requests a second that are sent to a server with this limit.
+constexpr double FlowPerSecond(RequestRate rate)
+{
+  return PerSecond(rate) > LEAST_FLOW ? PerSecond(rate) : LEAST_FLOW;
+}
 } // namespace RateLimits
--- /dev/null
+++ b/Source/Core/RateLimits/PermitKeeper.cpp
@@ -0,0 +1,205 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "RateLimits/PermitKeeper.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <ranges>
+#include <tuple>
+#include <utility>
+
+namespace RateLimits
+{
+namespace
+{
+using Common::Milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+/// A bucket gathers one request, and what flows in for so long.
+constexpr double GATHERED_S = 0.25;
+/// Where nobody waits, one request in so long shows whether the limit still holds.
+constexpr Milliseconds PROBE_INTERVAL{1000};
+/// Daemons repeat what they want in a quarter of this.
+constexpr Milliseconds WANT_VALID{1500};
+/// No request waits longer.
+constexpr Milliseconds LONGEST_WAIT{600000};
+/// A daemon that has asked for no permit for so long is no standby any more.
+constexpr Milliseconds STANDBY_ASKED_WITHIN{10000};
+/// Requests a second of a standby: fewer would hardly be of use before a new holder is heard.
+constexpr double LEAST_STANDBY_FLOW = 0.25;
+/// After a pause of this process the bucket fills by no more than so.
+constexpr Milliseconds LONGEST_FILL{1000};
+} // namespace
+
+bool PermitKeeper::Want::Waits(Common::TimePoint now) const
+{
+  return told.count > 0 && now - told_at <= WANT_VALID;
+}
+
+bool PermitKeeper::Want::MayProbe(Common::TimePoint now) const
+{
+  return told.may_probe && now - told_at <= WANT_VALID;
+}
+
+Common::TimePoint PermitKeeper::Bucket::ProbeDueAt() const
+{
+  return granted_at ? *granted_at + PROBE_INTERVAL : Common::TimePoint::min();
+}
+
+double PermitKeeper::Bucket::Capacity() const
+{
+  return 1 + Flow() * GATHERED_S;
+}
+
+void PermitKeeper::Bucket::Fill(Common::TimePoint now)
+{
+  const Seconds since = std::min<Seconds>(now - filled_at, LONGEST_FILL);
+  filled_at = now;
+  level = std::min(level + since.count() * Flow(), Capacity());
+}
+
+std::map<Common::VmId, PermitKeeper::Want>::iterator
+PermitKeeper::Bucket::MostUrgent(Common::TimePoint now)
+{
+  const bool probe_due = now >= ProbeDueAt();
+  const auto may_have = [&](const Want& want) {
+    return want.Waits(now) || (probe_due && want.MayProbe(now));
+  };
+  const auto rank = [&](const auto& entry) {
+    const Want& want = entry.second;
+    return std::tuple(!want.Waits(now), !may_have(want), want.told.priority, want.GivesUpAt());
+  };
+  const auto first = std::ranges::min_element(wants, {}, rank);
+  return first != wants.end() && may_have(first->second) ? first : wants.end();
+}
+
+void PermitKeeper::Bucket::ChooseStandbys()
+{
+  const auto most = static_cast<std::size_t>(
+      std::max(std::floor(Flow() * UNHEARD_SHARE / LEAST_STANDBY_FLOW), 1.0));
+  // Who is one already stays one: two that take turns might both believe that they are.
+  const auto rank = [this](const Common::VmId& vm) {
+    const bool is_near = wants.at(vm).data_centre == data_centre;
+    return std::pair(!is_near, std::ranges::find(standbys, vm) == standbys.end());
+  };
+  std::vector<Common::VmId> candidates;
+  std::ranges::copy(std::views::keys(wants), std::back_inserter(candidates));
+  std::ranges::stable_sort(candidates, {}, rank);
+  candidates.resize(std::min(candidates.size(), most));
+  standbys = std::move(candidates);
+}
+
+void PermitKeeper::SetLimits(std::span<const KnownLimit> limits, Common::TimePoint now)
+{
+  std::erase_if(m_buckets, [&](const auto& entry) {
+    return std::ranges::find(limits, entry.first, &KnownLimit::server) == limits.end();
+  });
+  for (const KnownLimit& limit : limits)
+  {
+    const auto [found, is_new] = m_buckets.try_emplace(limit.server);
+    Bucket& bucket = found->second;
+    if (is_new)
+      bucket.filled_at = now;
+    bucket.Fill(now);
+    bucket.rate = limit.rate;
+    bucket.data_centre = limit.data_centre;
+    bucket.level = std::min(bucket.level, bucket.Capacity());
+  }
+}
+
+void PermitKeeper::TakeWants(const Asker& asker, std::span<const PermitWant> wants,
+                             Common::TimePoint now)
+{
+  for (auto& [server, bucket] : m_buckets)
+  {
+    const auto told = std::ranges::find(wants, server, &PermitWant::server);
+    if (told == wants.end())
+    {
+      if (const auto known = bucket.wants.find(asker.vm); known != bucket.wants.end())
+        known->second.told = {server};
+      continue;
+    }
+    Want& want = bucket.wants[asker.vm];
+    want = {*told, asker.data_centre, now};
+    want.told.gives_up_ms = std::clamp<std::int64_t>(told->gives_up_ms, 0, LONGEST_WAIT.count());
+    bucket.Fill(now);
+    bucket.level = std::min(bucket.level + told->unused, bucket.Capacity());
+    m_totals.unused += told->unused;
+    bucket.ChooseStandbys();
+  }
+}
+
+std::vector<Grant> PermitKeeper::HandOut(Common::TimePoint now)
+{
+  std::vector<Grant> grants;
+  for (auto& [server, bucket] : m_buckets)
+  {
+    std::erase_if(bucket.wants, [now](const auto& entry) {
+      return now - entry.second.told_at > STANDBY_ASKED_WITHIN;
+    });
+    std::erase_if(bucket.standbys, [&](const Common::VmId& vm) {
+      return !bucket.wants.contains(vm);
+    });
+    bucket.Fill(now);
+    for (auto want = bucket.MostUrgent(now); bucket.level >= 1 && want != bucket.wants.end();
+         want = bucket.MostUrgent(now))
+    {
+      bucket.level -= 1;
+      bucket.granted_at = now;
+      want->second.told.count -= want->second.told.count > 0 ? 1 : 0;
+      ++m_totals.granted;
+      const auto same = std::ranges::find_if(grants, [&](const Grant& grant) {
+        return grant.vm == want->first && grant.server == server;
+      });
+      if (same == grants.end())
+        grants.push_back({want->first, server, 1});
+      else
+        ++same->count;
+    }
+  }
+  return grants;
+}
+
+std::optional<Common::TimePoint> PermitKeeper::NextAt(Common::TimePoint now) const
+{
+  std::optional<Common::TimePoint> next;
+  for (const auto& [server, bucket] : m_buckets)
+  {
+    const bool anyone_waits = Waiting(server, now) > 0;
+    const bool anyone_probes = std::ranges::any_of(bucket.wants, [now](const auto& entry) {
+      return entry.second.MayProbe(now);
+    });
+    if (!anyone_waits && !anyone_probes)
+      continue;
+    const Seconds until_full(std::max((1 - bucket.level) / bucket.Flow(), 0.0));
+    const auto full_at = bucket.filled_at + std::chrono::ceil<Milliseconds>(until_full);
+    const auto at = anyone_waits ? full_at : std::max(full_at, bucket.ProbeDueAt());
+    next = std::min(next.value_or(at), at);
+  }
+  return next;
+}
+
+std::uint32_t PermitKeeper::Waiting(ServerKey server, Common::TimePoint now) const
+{
+  std::uint32_t waiting = 0;
+  if (const auto bucket = m_buckets.find(server); bucket != m_buckets.end())
+    for (const auto& [vm, want] : bucket->second.wants)
+      waiting += want.Waits(now) ? want.told.count : 0;
+  return waiting;
+}
+
+std::vector<StandbyLine> PermitKeeper::StandbysOf(const Common::VmId& vm) const
+{
+  std::vector<StandbyLine> lines;
+  for (const auto& [server, bucket] : m_buckets)
+  {
+    if (std::ranges::find(bucket.standbys, vm) == bucket.standbys.end())
+      continue;
+    const double part = bucket.Flow() * UNHEARD_SHARE / static_cast<double>(bucket.standbys.size());
+    lines.push_back({server, RequestRate(static_cast<std::int64_t>(part * THOUSANDTHS))});
+  }
+  return lines;
+}
+} // namespace RateLimits
--- a/Source/UnitTests/Fuzz.cpp
+++ b/Source/UnitTests/Fuzz.cpp
@@ -181,7 +181,11 @@
          (void)PlatformFace::DecodeConfiguration(text);
        }},
       {"holder's datagram",
-       Daemons::Encode(Orders::Envelope{{}, {Orders::HolderReport{}}, {Orders::HolderReply{}}}),
+       Daemons::Encode(Orders::Envelope{{},
+                                        {Orders::HolderReport{}},
+                                        {Orders::PermitAsk{}},
+                                        {Orders::PermitReply{}},
+                                        {Orders::HolderReply{}}}),
        [](const std::string& bytes) {
          (void)Daemons::Decode<Orders::Envelope>(bytes);
        }},
