RateLimits, Orders, Gateway, UnitTests: what tests of servers with limits found before the landing

Three faults of the new code, each red first:

- Of 330 daemons a server that takes 0.5 a second got 0.35 (PermitReplayTest): a want whose end was lost on the way stayed for 1.5 s and, as the oldest, got the permits first: 6 of 20 were of use to nobody.
Wants last 0.4 s now, two repeats, and no longer than their requests.
- 41 of 207 requests were refused after a wait (ServerLimitTest, three servers of 3 a second, 60 asked): four daemons each took the same place for free.
The holder answers each ask with the number of requests that come first.
- Servers that take nothing were never asked again: where each request is refused on arrival nobody wants a permit, so that the end of the limit was never learned.
A refusal for a limit counts as an offer to probe.

PermitReplayTest plays 6, 77 and 330 daemons in virtual time, with messages lost, late and doubled, holders lost, daemons suspended and restarted: no window beyond the bound. Equal shares exceed it with 330 daemons, a sender a side of a cut does with 5 a second.

Sight: `refused-for-limit` by request id; limits in the state dump with age and source; permits handed out, used, unused.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -166,12 +166,19 @@
   if (const ServerPtr chosen = ChooseAmong(permitted, relay))
     return chosen;
   const ServerPtr chosen = ChooseAmong(unlimited, relay);
-  for (const ServerPtr& server : limited)
-    if (chosen)
-      m_passed_by[server->Key()] = now;
+  if (chosen)
+    for (const ServerPtr& server : limited)
+      NotePassedBy(*server, now);
   return chosen;
 }
 
+void Dispatcher::NotePassedBy(const Server& server, Common::TimePoint now)
+{
+  const auto before = std::exchange(m_passed_by[server.Key()], now);
+  if (now - before > PASSED_BY_LATELY && m_on_permit_demand)
+    m_on_permit_demand();
+}
+
 bool Dispatcher::IsHeldAnywhere(const PoolId& pool, const Artifact& artifact) const
 {
   const auto now = Common::Now();
@@ -197,6 +204,7 @@
   load.patience = patience;
   load.from_store = spec == nullptr ? Milliseconds(0) : spec->load_from_store;
   ServerPtr limited_holder;
+  std::vector<ServerPtr> limited_holders;
   std::optional<Decisions::WeightSource> nearest_unlimited;
   for (const auto& [instance, server] : m_servers.All())
   {
@@ -206,6 +214,8 @@
     // Who holds it serves it sooner or later, also where it is full now.
     if (holds && !server->Limit())
       return std::nullopt;
+    if (holds)
+      limited_holders.push_back(server);
     if (holds && (!limited_holder ||
                   m_limited.ExpectedWait(*server) < m_limited.ExpectedWait(*limited_holder)))
       limited_holder = server;
@@ -218,7 +228,15 @@
       nearest_unlimited = std::min(nearest_unlimited.value_or(source), source);
   }
   if (limited_holder)
-    return WhyRefuse(*limited_holder, load.is_coming, nearest_unlimited, longest_wait);
+  {
+    auto refusal = WhyRefuse(*limited_holder, load.is_coming, nearest_unlimited, longest_wait);
+    if (!refusal)
+      return std::nullopt;
+    for (const ServerPtr& server : limited_holders)
+      NotePassedBy(*server, now);
+    refusal->limited_holder = limited_holder;
+    return refusal;
+  }
   if (spec == nullptr)
     return std::nullopt;
   const auto until = Decisions::RefusedUntil(load);
@@ -438,6 +456,13 @@
       awaited.relay->ReviewWait();
 }
 
+void Dispatcher::TakePlaces(const std::vector<RateLimits::PermitLine>& ahead)
+{
+  m_limited.SetAhead(ahead, Common::Now());
+  WakeWaiting();
+  ReviewWaiting();
+}
+
 void Dispatcher::OnLimitChange()
 {
   WakeWaiting();
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -86,6 +86,8 @@
   void OnPermitDemand(std::function<void()> callback) { m_on_permit_demand = std::move(callback); }
   /// What the waiting requests want of servers with a limit.
   std::vector<RateLimits::PermitWant> PermitWants();
+  /// Permits may have come; the holder tells how many requests of other daemons come first.
+  void TakePlaces(const std::vector<RateLimits::PermitLine>& ahead);
   /// Requests that end the servers that run them.
   const Crashes::CrashLedger& CrashCases() const { return m_crashes; }
   /// What other daemons know of such requests.
@@ -125,6 +127,7 @@
   {
     Common::Milliseconds come_back_after{0};
     std::string_view why;
+    ServerPtr limited_holder; ///< With the shortest wait, where a limit is the reason.
   };
   /// Where a request cannot be served before its caller leaves: nobody holds its model and the
   /// weights would come too late, or all who hold it have a limit and too many wait for them.
@@ -168,6 +171,8 @@
   std::optional<EarlyRefusal> WhyRefuse(const Server& limited_holder, bool is_coming,
                                         std::optional<Decisions::WeightSource> nearest,
                                         Common::Milliseconds longest_wait);
+  /// A request could have gone to the server but for its limit.
+  void NotePassedBy(const Server& server, Common::TimePoint now);
   /// The best of these servers; nothing where all are full.
   ServerPtr ChooseAmong(const std::vector<ServerPtr>& servers, const Relay& relay);
   /// Waiting requests, the first to be served first.
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -44,6 +44,17 @@
   // Lives as long as the process.
   g_unix_signal_add(number, run, new std::function<void()>(std::move(callback)));
 }
+/// Null where the server has none.
+Common::Json DumpLimit(const Server& server, Common::TimePoint now)
+{
+  const auto& limit = server.Limit();
+  if (!limit)
+    return nullptr;
+  const auto age = std::chrono::floor<Common::Milliseconds>(now - limit->since);
+  return {{"per_second", RateLimits::PerSecond(limit->rate)},
+          {"age_ms", age.count()},
+          {"learned_from", limit->learned_from}};
+}
 } // namespace
 
 void ProbeResponder::Adopt(int fd)
@@ -115,6 +126,7 @@
                        {"available", server->IsAvailable(now)},
                        {"ejected", server->Health().IsEjected(now)},
                        {"failure_share", server->Health().FailureShare()},
+                       {"limit", DumpLimit(*server, now)},
                        {"in_flight", server->InFlight()},
                        {"in_flight_elsewhere", server->RemoteInFlight()},
                        {"models", std::move(models)}});
--- a/Source/Core/Gateway/LimitedServers.cpp
+++ b/Source/Core/Gateway/LimitedServers.cpp
@@ -19,6 +19,9 @@
 /// The longest span after which a refused request is told to come back.
 constexpr Milliseconds LONGEST_RETURN{10000};
 
+/// The holder answers each time that this daemon repeats what it waits for.
+constexpr Milliseconds AHEAD_VALID{300};
+
 std::uint32_t CountOf(const std::map<ServerKey, std::uint32_t>& counts, ServerKey server)
 {
   const auto found = counts.find(server);
@@ -78,6 +81,10 @@
                       {"per_second", RateLimits::Describe(change.rate)},
                       {"before", RateLimits::Describe(change.before)},
                       {"source", source}});
+    if (change.rate)
+      m_learned_from[change.server] = source;
+    else
+      m_learned_from.erase(change.server);
   }
   Refresh();
   if (m_on_change)
@@ -94,16 +101,21 @@
   {
     const auto rate = m_book.InForce(server->Key());
     const auto since = m_book.LimitedSince(server->Key());
-    server->SetLimit(rate ? std::optional(ServerLimit{*rate, *since}) : std::nullopt);
     if (!rate)
+    {
+      server->SetLimit(std::nullopt);
       continue;
+    }
+    server->SetLimit(ServerLimit{*rate, *since, m_learned_from[server->Key()]});
     m_limited.push_back(server);
     keys.push_back(server->Key());
   }
   m_permits.Retain(keys);
-  std::erase_if(m_next_return, [&](const auto& entry) {
+  const auto is_over = [&](const auto& entry) {
     return std::ranges::find(keys, entry.first) == keys.end();
-  });
+  };
+  std::erase_if(m_next_return, is_over);
+  std::erase_if(m_ahead, is_over);
 }
 
 std::vector<RateLimits::PermitKeeper::KnownLimit> LimitedServers::KnownLimits() const
@@ -134,6 +146,13 @@
     m_permits.Add(server.Key(), 1, now + RateLimits::PERMIT_VALID);
 }
 
+void LimitedServers::SetAhead(const std::vector<RateLimits::PermitLine>& lines,
+                              Common::TimePoint now)
+{
+  for (const RateLimits::PermitLine& line : lines)
+    m_ahead[line.server] = {line.count, now};
+}
+
 Milliseconds LimitedServers::ExpectedWait(const Server& server) const
 {
   return WaitBehind(server, static_cast<int>(CountOf(m_own_waiting, server.Key())));
@@ -146,7 +165,10 @@
     return Milliseconds(0);
   const std::uint32_t in_all = CountOf(m_waiting, server.Key());
   const std::uint32_t here = CountOf(m_own_waiting, server.Key());
-  const std::uint32_t elsewhere = in_all > here ? in_all - here : 0;
+  std::uint32_t elsewhere = in_all > here ? in_all - here : 0;
+  const auto told = m_ahead.find(server.Key());
+  if (told != m_ahead.end() && Common::Now() - told->second.told_at <= AHEAD_VALID)
+    elsewhere = told->second.count;
   const double ahead = static_cast<double>(elsewhere) + own;
   return std::chrono::ceil<Milliseconds>(
       Seconds((ahead + 1) / RateLimits::FlowPerSecond(limit->rate)));
--- a/Source/Core/Gateway/LimitedServers.h
+++ b/Source/Core/Gateway/LimitedServers.h
@@ -60,6 +60,8 @@
   /// When a request that was refused now should come back: each one that is told so comes later
   /// than the one before, so that they do not return together.
   Common::Milliseconds ComeBackAfter(const Server& server, Common::TimePoint now);
+  /// The holder's word of the requests of other daemons that come before this daemon's.
+  void SetAhead(const std::vector<RateLimits::PermitLine>& lines, Common::TimePoint now);
   /// Requests of this daemon that wait for the server's permits.
   void SetOwnWaiting(std::map<RateLimits::ServerKey, std::uint32_t> waiting)
   {
@@ -78,7 +80,14 @@
   /// Of all daemons, as the holder last told.
   std::map<RateLimits::ServerKey, std::uint32_t> m_waiting;
   std::map<RateLimits::ServerKey, std::uint32_t> m_own_waiting;
+  struct Ahead
+  {
+    std::uint32_t count = 0;
+    Common::TimePoint told_at;
+  };
+  std::map<RateLimits::ServerKey, Ahead> m_ahead;
   std::map<RateLimits::ServerKey, Common::TimePoint> m_next_return;
+  std::map<RateLimits::ServerKey, std::string> m_learned_from;
   std::function<void()> m_on_change;
   std::int64_t m_unreadable = 0;
 };
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -471,6 +471,18 @@
   if (!refusal)
     return false;
   m_come_back_after = refusal->come_back_after;
+  if (const ServerPtr& holder = refusal->limited_holder)
+    Common::LogEvent(
+        Common::LogLevel::Info, "refused-for-limit",
+        {{"id", m_id},
+         {"artifact", m_artifact.ToString()},
+         {"instance", holder->Entry().instance},
+         {"per_second", RateLimits::Describe(holder->Limit()->rate)},
+         {"limit_age_ms",
+          std::chrono::floor<Milliseconds>(Common::Now() - holder->Limit()->since).count()},
+         {"expected_wait_ms", m_dispatcher.Limited().ExpectedWait(*holder).count()},
+         {"patience_ms", WaitLeft(Common::Now()).count()},
+         {"come_back_ms", refusal->come_back_after.count()}});
   m_dispatcher.ExpectReturn(*this, refusal->come_back_after);
   Refuse(refusal->why);
   return true;
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -23,7 +23,8 @@
 struct ServerLimit
 {
   RateLimits::RequestRate rate;
-  Common::TimePoint since; ///< When it first had some limit, without a pause.
+  Common::TimePoint since;  ///< When it first had some limit, without a pause.
+  std::string learned_from; ///< Where this daemon has the present rate from.
 };
 
 /// A backend server as this daemon sees and uses it.
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -133,6 +133,9 @@
     metrics.SetGauge("lease_fence", static_cast<double>(m_lease.Fence()));
     metrics.SetGauge("holder_heard", m_hub.HearsHolder() ? 1 : 0);
     metrics.SetGauge("daemons", m_hub.Daemons());
+    const auto& permits = m_hub.Permits().Granted();
+    metrics.SetGauge("permits_handed_out", static_cast<double>(permits.granted));
+    metrics.SetGauge("permits_handed_back", static_cast<double>(permits.unused));
     for (const auto& [name, count] : m_desk.Counters())
       metrics.SetGauge("orders_" + name, static_cast<double>(count));
   }
--- a/Source/Core/Orders/PermitExchange.cpp
+++ b/Source/Core/Orders/PermitExchange.cpp
@@ -123,6 +123,30 @@
   m_keeper.SetLimits(m_dispatcher.Limited().KnownLimits(), now);
   m_keeper.TakeWants({ask.vm, ask.data_centre}, ask.wants, now);
   HandOut();
+  TellPlace(ask);
+}
+
+void PermitExchange::TellPlace(const PermitAsk& ask)
+{
+  const auto now = Common::Now();
+  PermitReply reply = ReplyTo(ask.vm, m_peers.at(ask.vm));
+  for (const RateLimits::PermitWant& want : ask.wants)
+    if (want.count > 0)
+      reply.ahead.push_back({want.server, m_keeper.Ahead(ask.vm, want.server, now)});
+  if (!reply.ahead.empty())
+    Deliver(ask.vm, reply);
+}
+
+void PermitExchange::Deliver(const Common::VmId& vm, const PermitReply& reply)
+{
+  if (vm == m_settings.self)
+  {
+    TakeReply(reply);
+    return;
+  }
+  Envelope envelope;
+  envelope.permit_replies.push_back(reply);
+  m_send(m_peers.at(vm).endpoint, envelope);
 }
 
 PermitReply PermitExchange::ReplyTo(const Common::VmId& vm, const Peer& peer)
@@ -157,16 +181,7 @@
     reply->second.permits.push_back({grant.server, grant.count});
   }
   for (const auto& [vm, reply] : replies)
-  {
-    if (vm == m_settings.self)
-    {
-      TakeReply(reply);
-      continue;
-    }
-    Envelope envelope;
-    envelope.permit_replies.push_back(reply);
-    m_send(m_peers.at(vm).endpoint, envelope);
-  }
+    Deliver(vm, reply);
   if (const auto next = m_keeper.NextAt(now))
     m_hand_out_timer.Start(std::max(std::chrono::ceil<Milliseconds>(*next - now), Milliseconds(1)),
                            [this] {
@@ -211,6 +226,6 @@
   const auto until = sent->at + Milliseconds(reply.held_ms) + RateLimits::PERMIT_VALID;
   for (const RateLimits::PermitLine& line : reply.permits)
     m_dispatcher.Limited().Permits().Add(line.server, line.count, until);
-  m_dispatcher.WakeWaiting();
+  m_dispatcher.TakePlaces(reply.ahead);
 }
 } // namespace Orders
--- a/Source/Core/Orders/PermitExchange.h
+++ b/Source/Core/Orders/PermitExchange.h
@@ -69,6 +69,9 @@
   PermitAsk MakeAsk();
   void AskNow();
   void HandOut();
+  /// Tells the daemon at which place its waiting requests are.
+  void TellPlace(const PermitAsk& ask);
+  void Deliver(const Common::VmId& vm, const PermitReply& reply);
   PermitReply ReplyTo(const Common::VmId& vm, const Peer& peer);
 
   Settings m_settings;
--- a/Source/Core/RateLimits/Messages.h
+++ b/Source/Core/RateLimits/Messages.h
@@ -98,7 +98,7 @@
   }
 };
 
-/// Permits of one server for one daemon.
+/// Of one server for one daemon: permits, or other daemons' requests that come first.
 struct PermitLine
 {
   ServerKey server;
--- a/Source/Core/RateLimits/PermitKeeper.cpp
+++ b/Source/Core/RateLimits/PermitKeeper.cpp
@@ -21,8 +21,11 @@
 constexpr double GATHERED_S = 0.25;
 /// Where nobody waits, one request in so long shows whether the limit still holds.
 constexpr Milliseconds PROBE_INTERVAL{1000};
-/// Daemons repeat what they want in a quarter of this.
-constexpr Milliseconds WANT_VALID{1500};
+/// Daemons repeat what they wait for twice in this. What is kept for longer is mostly over: the
+/// message that said so was lost.
+constexpr Milliseconds WANT_VALID{400};
+/// Offers to probe are repeated twice in this.
+constexpr Milliseconds PROBE_OFFER_VALID{2500};
 /// No request waits longer.
 constexpr Milliseconds LONGEST_WAIT{600000};
 /// A daemon that has asked for no permit for so long is no standby any more.
@@ -35,12 +38,12 @@
 
 bool PermitKeeper::Want::Waits(Common::TimePoint now) const
 {
-  return told.count > 0 && now - told_at <= WANT_VALID;
+  return told.count > 0 && now - told_at <= WANT_VALID && now < GivesUpAt();
 }
 
 bool PermitKeeper::Want::MayProbe(Common::TimePoint now) const
 {
-  return told.may_probe && now - told_at <= WANT_VALID;
+  return told.may_probe && now - told_at <= PROBE_OFFER_VALID;
 }
 
 Common::TimePoint PermitKeeper::Bucket::ProbeDueAt() const
@@ -190,6 +193,23 @@
   return waiting;
 }
 
+std::uint32_t PermitKeeper::Ahead(const Common::VmId& vm, ServerKey server,
+                                  Common::TimePoint now) const
+{
+  const auto bucket = m_buckets.find(server);
+  if (bucket == m_buckets.end() || !bucket->second.wants.contains(vm))
+    return 0;
+  const auto rank = [](const Want& want) {
+    return std::pair(want.told.priority, want.GivesUpAt());
+  };
+  const Want& own = bucket->second.wants.at(vm);
+  std::uint32_t ahead = 0;
+  for (const auto& [other, want] : bucket->second.wants)
+    if (other != vm && want.Waits(now) && rank(want) < rank(own))
+      ahead += want.told.count;
+  return ahead;
+}
+
 std::vector<StandbyLine> PermitKeeper::StandbysOf(const Common::VmId& vm) const
 {
   std::vector<StandbyLine> lines;
--- a/Source/UnitTests/Orders/ServerLimitTest.cpp
+++ b/Source/UnitTests/Orders/ServerLimitTest.cpp
@@ -29,8 +29,146 @@
 {
   CPPUNIT_TEST_SUITE(ServerLimitTest);
   CPPUNIT_TEST(AllDaemonsTogetherKeepAServersLimit);
+  CPPUNIT_TEST(ALimitThatEndsIsKnownToAllWithinTwoSeconds);
+  CPPUNIT_TEST(WhereAllServersNameALimitTheyGetThatMuch);
+  CPPUNIT_TEST(ServersThatTakeNothingAreProbedAndComeBack);
+  CPPUNIT_TEST(ANewHolderKeepsTheLimitToo);
+  CPPUNIT_TEST(WithoutAHolderTheLimitIsKept);
+  CPPUNIT_TEST(ALimitThatCannotBeReadStopsNothing);
+  CPPUNIT_TEST(ARestartedServerBeginsWithoutALimit);
   CPPUNIT_TEST_SUITE_END();
 
+  void ALimitThatEndsIsKnownToAllWithinTwoSeconds()
+  {
+    LimitedFleet fleet(3, 2);
+    fleet.servers[0]->SetLimit("0.5");
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(40);
+    RunFor(Milliseconds(2500));
+    fleet.servers[0]->SetLimit("");
+    RunFor(Milliseconds(2300));
+    const auto known = Common::Now();
+    RunFor(Milliseconds(1000));
+    // Half of the load, less what chance takes.
+    CPPUNIT_ASSERT(fleet.servers[0]->ArrivalsSince(known) >= 10);
+    for (const auto& vm : fleet.vms)
+      CPPUNIT_ASSERT(vm->dispatcher.Limited().All().empty());
+  }
+
+  void WhereAllServersNameALimitTheyGetThatMuch()
+  {
+    LimitedFleet fleet(4, 3);
+    fleet.SetLimits("3");
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(60);
+    RunFor(CONTACT_TIME);
+    const auto known = Common::Now();
+    const int refused_before = fleet.refused;
+    const int late_before = fleet.refused_late;
+    RunFor(WINDOW);
+    const auto arrivals = fleet.ArrivalsSince(known);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(arrivals), arrivals >= 3 * 3 * 4 * 80 / 100);
+    for (const auto& server : fleet.servers)
+      CPPUNIT_ASSERT(server->WorstWindow(WINDOW, known) <= Allowed(3));
+    // What cannot be served is told so on arrival.
+    const int refused = fleet.refused - refused_before;
+    const int late = fleet.refused_late - late_before;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(late) + " of " + std::to_string(refused),
+                           late * 10 <= refused);
+    CPPUNIT_ASSERT_EQUAL(0, fleet.failed);
+  }
+
+  void ServersThatTakeNothingAreProbedAndComeBack()
+  {
+    LimitedFleet fleet(3, 2);
+    fleet.SetLimits("0");
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(40);
+    RunFor(CONTACT_TIME);
+    const auto known = Common::Now();
+    RunFor(WINDOW);
+    for (const auto& server : fleet.servers)
+    {
+      const auto probes = server->ArrivalsSince(known);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(probes), probes >= 1 && probes <= Allowed(0));
+    }
+    fleet.SetLimits("");
+    RunFor(Milliseconds(2500));
+    const auto back = Common::Now();
+    RunFor(Milliseconds(1000));
+    CPPUNIT_ASSERT(fleet.ArrivalsSince(back) >= 35);
+  }
+
+  void ANewHolderKeepsTheLimitToo()
+  {
+    LimitedFleet fleet(4, 3);
+    fleet.servers[0]->SetLimit("2");
+    fleet.servers[1]->SetLimit("2");
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(50);
+    RunFor(CONTACT_TIME);
+    const auto known = Common::Now();
+    fleet.SetHolder(1, 2);
+    RunFor(Milliseconds(1500));
+    fleet.SetHolder(2, 3);
+    RunFor(WINDOW);
+    for (int server = 0; server < 2; ++server)
+      CPPUNIT_ASSERT(fleet.servers[server]->WorstWindow(WINDOW, known) <= Allowed(2));
+  }
+
+  /// The holder is gone, and each daemon goes by what it knows.
+  void WithoutAHolderTheLimitIsKept()
+  {
+    LimitedFleet fleet(4, 3);
+    fleet.SetLimits("4");
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(50);
+    RunFor(CONTACT_TIME);
+    const auto known = Common::Now();
+    for (const auto& vm : fleet.vms)
+      vm->hub.SetHolder(std::nullopt, std::nullopt);
+    RunFor(WINDOW + Milliseconds(1000));
+    for (const auto& server : fleet.servers)
+      CPPUNIT_ASSERT(server->WorstWindow(WINDOW, known) <= Allowed(4));
+    // The standbys go on.
+    CPPUNIT_ASSERT(fleet.ArrivalsSince(known + Milliseconds(1500)) >= 3);
+  }
+
+  void ALimitThatCannotBeReadStopsNothing()
+  {
+    LimitedFleet fleet(2, 1);
+    fleet.SetLimits("-1");
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(40);
+    RunFor(Milliseconds(1000));
+    CPPUNIT_ASSERT(fleet.vms[0]->dispatcher.Limited().All().empty());
+    CPPUNIT_ASSERT(fleet.vms[0]->dispatcher.Limited().UnreadableAnswers() > 0);
+    CPPUNIT_ASSERT(fleet.served >= 30);
+    // The lower of two counts; neither is more than the server takes.
+    fleet.SetLimits("2\r\nLimit: 1");
+    RunFor(Milliseconds(1000));
+    const auto limit = fleet.vms[1]->dispatcher.Servers().All().begin()->second->Limit();
+    CPPUNIT_ASSERT(limit && limit->rate == RateLimits::RequestRate(1000));
+  }
+
+  void ARestartedServerBeginsWithoutALimit()
+  {
+    LimitedFleet fleet(2, 1);
+    fleet.SetLimits("1");
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(40);
+    RunFor(Milliseconds(1000));
+    fleet.SetLimits("");
+    for (const auto& vm : fleet.vms)
+    {
+      vm->dispatcher.Servers().Remove(Gateway::InstanceId("i-0"));
+      vm->AddServer("i-0-again", fleet.servers[0]->Address());
+    }
+    const auto restarted = Common::Now();
+    RunFor(Milliseconds(1000));
+    CPPUNIT_ASSERT(fleet.ArrivalsSince(restarted) >= 30);
+  }
+
   /// Each daemon sent to a limited server as before: 5 to 6 times its limit.
   void AllDaemonsTogetherKeepAServersLimit()
   {
--- /dev/null
+++ b/Source/UnitTests/RateLimits/PermitReplayTest.cpp
@@ -0,0 +1,462 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Daemons before one server with a limit that is asked for several times as much, in virtual time.
+// Messages are delayed, lost and doubled; the holder is cut off and replaced, daemons are suspended
+// and start again. Three ways to divide the limit, by what the server gets in the worst window and
+// by what is served.
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Common/Random.h"
+#include "RateLimits/LocalPermits.h"
+#include "RateLimits/PermitKeeper.h"
+
+namespace
+{
+using namespace RateLimits;
+using Common::Milliseconds;
+using Common::TimePoint;
+using Common::VmId;
+
+constexpr ServerKey SERVER{7};
+constexpr Milliseconds STEP{10};
+constexpr Milliseconds WINDOW{4000};
+constexpr Milliseconds PATIENCE{1400};
+constexpr Milliseconds ASK_EVERY{150};
+constexpr Milliseconds HEARTBEAT{250};
+constexpr Milliseconds HOLDER_MISSED_FOR{4500};
+constexpr std::uint64_t LOST_IN_100 = 2;
+constexpr std::uint64_t DOUBLED_IN_100 = 2;
+constexpr std::uint64_t LATEST_MS = 8;
+
+struct Load
+{
+  std::size_t daemons = 6;
+  double rate = 1;
+  double demand = 4; ///< Requests a second.
+  Milliseconds length{60000};
+  bool faults = false;
+};
+
+/// What the server saw and the callers got.
+struct Outcome
+{
+  std::int64_t asked = 0;
+  std::vector<TimePoint> arrivals;
+
+  std::size_t WorstWindow() const
+  {
+    std::size_t worst = 0;
+    for (auto first = arrivals.begin(); first != arrivals.end(); ++first)
+    {
+      const auto last = std::ranges::upper_bound(arrivals, *first + WINDOW);
+      worst = std::max(worst, static_cast<std::size_t>(last - first));
+    }
+    return worst;
+  }
+  double PerSecond(const Load& load) const
+  {
+    return static_cast<double>(arrivals.size()) /
+           std::chrono::duration<double>(load.length).count();
+  }
+};
+
+std::size_t Allowed(double rate)
+{
+  return static_cast<std::size_t>(1.5 * 4 * rate + 5);
+}
+
+/// Time, messages and faults that all ways share.
+class World
+{
+public:
+  World(const Load& load, std::uint64_t seed) : load(load), random(seed), m_suspended(load.daemons)
+  {
+  }
+
+  void Send(std::size_t to, std::function<void()> message)
+  {
+    if (Draw(100) < LOST_IN_100)
+      return;
+    Post(to, message);
+    if (Draw(100) < DOUBLED_IN_100)
+      Post(to, message);
+  }
+  std::uint64_t Draw(std::uint64_t below) { return random() % below; }
+  bool Runs(std::size_t daemon) const { return now >= m_suspended[daemon]; }
+  void Suspend(std::size_t daemon, Milliseconds span) { m_suspended[daemon] = now + span; }
+
+  /// Messages of daemons that do not run wait in their sockets.
+  void Deliver()
+  {
+    while (!m_messages.empty() && m_messages.begin()->first <= now)
+    {
+      const auto [to, message] = std::move(m_messages.begin()->second);
+      m_messages.erase(m_messages.begin());
+      if (Runs(to))
+        message();
+      else
+        m_messages.emplace(m_suspended[to], std::pair(to, message));
+    }
+  }
+
+  Load load;
+  Common::Random random;
+  TimePoint begin = TimePoint(std::chrono::hours(1));
+  TimePoint now = begin;
+  Outcome outcome;
+
+private:
+  void Post(std::size_t to, std::function<void()> message)
+  {
+    m_messages.emplace(now + Milliseconds(1 + Draw(LATEST_MS)), std::pair(to, std::move(message)));
+  }
+
+  std::multimap<TimePoint, std::pair<std::size_t, std::function<void()>>> m_messages;
+  std::vector<TimePoint> m_suspended;
+};
+
+/// How the limit is divided among the daemons.
+template <typename T>
+concept Division = requires(T way, std::size_t daemon, std::uint32_t waiting)
+{
+  way.Tick();
+  {
+    way.MaySend(daemon, waiting)
+    } -> std::same_as<bool>;
+  way.LoseHolder();
+  way.Restart(daemon);
+};
+
+/// Permits of one keeper, as in the product.
+class LeasedPermits
+{
+public:
+  explicit LeasedPermits(World& world) : m_world(world), m_daemons(world.load.daemons)
+  {
+    for (Daemon& daemon : m_daemons)
+      daemon.permits.SetDaemons(static_cast<int>(m_daemons.size()));
+    BeginTenure();
+  }
+
+  void Tick()
+  {
+    if (m_keeper_back_at && m_world.now >= *m_keeper_back_at)
+    {
+      m_keeper_back_at.reset();
+      m_holder = (m_holder + 1) % m_daemons.size();
+      BeginTenure();
+    }
+    if (m_keeper_back_at || !m_world.Runs(m_holder))
+      return;
+    if (m_world.now >= m_next_heartbeat)
+    {
+      m_next_heartbeat = m_world.now + HEARTBEAT;
+      for (std::size_t i = 0; i < m_daemons.size(); ++i)
+        m_world.Send(i, [this, i] {
+          m_daemons[i].permits.NoteHolderHeard(m_world.now);
+        });
+    }
+    for (const Grant& grant : m_keeper.HandOut(m_world.now))
+      SendGrant(grant);
+  }
+
+  bool MaySend(std::size_t index, std::uint32_t waiting)
+  {
+    Daemon& daemon = m_daemons[index];
+    const bool news = waiting != daemon.told;
+    if ((news || m_world.now >= daemon.next_ask) && (waiting > 0 || daemon.told > 0))
+      Ask(index, waiting);
+    return waiting > 0 && daemon.permits.Take(SERVER, Rate(), m_world.now);
+  }
+
+  void LoseHolder() { m_keeper_back_at = m_world.now + HOLDER_MISSED_FOR; }
+  void Restart(std::size_t index)
+  {
+    m_daemons[index] = {};
+    m_daemons[index].permits.SetDaemons(static_cast<int>(m_daemons.size()));
+    m_daemons[index].run = ++m_runs;
+  }
+
+private:
+  struct Daemon
+  {
+    LocalPermits permits;
+    int run = 0;
+    std::uint32_t told = 0;
+    TimePoint next_ask;
+    std::uint64_t sequence = 0;
+    std::map<std::uint64_t, TimePoint> asked_at;
+    std::pair<int, std::uint64_t> last_reply; ///< Tenure and number.
+  };
+  struct Peer
+  {
+    int run = 0;
+    std::uint64_t sequence = 0;
+    TimePoint heard_at;
+  };
+
+  RequestRate Rate() const
+  {
+    return RequestRate(static_cast<std::int64_t>(m_world.load.rate * THOUSANDTHS));
+  }
+
+  void BeginTenure()
+  {
+    ++m_tenure;
+    m_number = 0;
+    m_peers.clear();
+    m_keeper.Begin();
+    const PermitKeeper::KnownLimit limit{SERVER, Rate(), Common::DataCentreId("a")};
+    m_keeper.SetLimits(std::span(&limit, 1), m_world.now);
+  }
+
+  void Ask(std::size_t index, std::uint32_t waiting)
+  {
+    Daemon& daemon = m_daemons[index];
+    daemon.told = waiting;
+    daemon.next_ask = m_world.now + ASK_EVERY;
+    daemon.asked_at[++daemon.sequence] = m_world.now;
+    PermitWant want{SERVER, waiting, 5, PATIENCE.count()};
+    want.unused = daemon.permits.TakeUnused(SERVER, m_world.now);
+    m_world.Send(m_holder, [this, index, want, run = daemon.run, sequence = daemon.sequence,
+                            holder = m_holder] {
+      Peer& peer = m_peers[index];
+      if (m_keeper_back_at || holder != m_holder || (peer.run == run && sequence <= peer.sequence))
+        return;
+      peer = {run, sequence, m_world.now};
+      m_keeper.TakeWants({VmId(std::to_string(index)), Common::DataCentreId("a")},
+                         std::span(&want, 1), m_world.now);
+    });
+  }
+
+  void SendGrant(const Grant& grant)
+  {
+    const std::size_t index = std::stoul(grant.vm.Get());
+    const Peer peer = m_peers[index];
+    const auto held = m_world.now - peer.heard_at;
+    const auto standbys = m_keeper.StandbysOf(grant.vm);
+    const std::pair number(m_tenure, ++m_number);
+    m_world.Send(index, [this, index, peer, held, standbys, number, count = grant.count] {
+      Daemon& daemon = m_daemons[index];
+      if (daemon.run != peer.run || number <= daemon.last_reply)
+        return;
+      daemon.last_reply = number;
+      daemon.permits.SetStandbys(standbys);
+      const auto until = daemon.asked_at[peer.sequence] + held + PERMIT_VALID;
+      daemon.permits.Add(SERVER, count, until);
+    });
+  }
+
+  World& m_world;
+  std::vector<Daemon> m_daemons;
+  PermitKeeper m_keeper;
+  std::map<std::size_t, Peer> m_peers;
+  std::size_t m_holder = 0;
+  int m_tenure = 0;
+  int m_runs = 0;
+  std::uint64_t m_number = 0;
+  TimePoint m_next_heartbeat;
+  std::optional<TimePoint> m_keeper_back_at;
+};
+
+/// Each daemon has an equal share of the rate, and a burst of one request.
+class EqualShares
+{
+public:
+  explicit EqualShares(World& world) : m_world(world), m_buckets(world.load.daemons) {}
+
+  void Tick() {}
+  bool MaySend(std::size_t index, std::uint32_t waiting)
+  {
+    Bucket& bucket = m_buckets[index];
+    const double part = m_world.load.rate / static_cast<double>(m_buckets.size());
+    const std::chrono::duration<double> since = m_world.now - bucket.filled_at;
+    bucket.level = std::min(bucket.level + part * since.count(), 1.0);
+    bucket.filled_at = m_world.now;
+    if (waiting == 0 || bucket.level < 1)
+      return false;
+    bucket.level -= 1;
+    return true;
+  }
+  void LoseHolder() {}
+  void Restart(std::size_t index) { m_buckets[index] = {}; }
+
+private:
+  struct Bucket
+  {
+    double level = 1;
+    TimePoint filled_at;
+  };
+  World& m_world;
+  std::vector<Bucket> m_buckets;
+};
+
+/// One daemon sends for all, the first of the living by each daemon's own view; it keeps the whole
+/// rate. Where a data centre is cut off, each side has one.
+class OneSender
+{
+public:
+  explicit OneSender(World& world) : m_world(world) {}
+
+  void Tick() {}
+  bool MaySend(std::size_t index, std::uint32_t waiting)
+  {
+    const bool is_cut = m_world.now < m_cut_until;
+    Bucket& bucket = m_sides[is_cut ? index % 2 : 0];
+    const std::chrono::duration<double> since = m_world.now - bucket.filled_at;
+    bucket.level = std::min(bucket.level + m_world.load.rate * since.count(), 1.25);
+    bucket.filled_at = m_world.now;
+    if (waiting == 0 || bucket.level < 1)
+      return false;
+    bucket.level -= 1;
+    return true;
+  }
+  void LoseHolder() { m_cut_until = m_world.now + HOLDER_MISSED_FOR; }
+  void Restart(std::size_t) {}
+
+private:
+  struct Bucket
+  {
+    double level = 0;
+    TimePoint filled_at;
+  };
+  World& m_world;
+  Bucket m_sides[2];
+  TimePoint m_cut_until;
+};
+
+template <Division Way>
+Outcome Play(const Load& load, std::uint64_t seed)
+{
+  World world(load, seed);
+  Way way(world);
+  std::vector<std::deque<TimePoint>> waiting(load.daemons);
+  std::set<std::size_t> active; ///< Daemons with waiting requests, now or a step before.
+  double due = 0;
+  auto next_fault = world.begin + Milliseconds(5000);
+  for (const auto end = world.begin + load.length; world.now < end; world.now += STEP)
+  {
+    world.Deliver();
+    way.Tick();
+    for (due += load.demand * std::chrono::duration<double>(STEP).count(); due >= 1; due -= 1)
+    {
+      ++world.outcome.asked;
+      const std::size_t daemon = world.Draw(load.daemons);
+      waiting[daemon].push_back(world.now);
+      active.insert(daemon);
+    }
+    if (load.faults && world.now >= next_fault)
+    {
+      next_fault = world.now + Milliseconds(2000 + world.Draw(6000));
+      const std::size_t victim = world.Draw(load.daemons);
+      switch (world.Draw(3))
+      {
+      case 0:
+        way.LoseHolder();
+        break;
+      case 1:
+        world.Suspend(victim, Milliseconds(200 + world.Draw(6000)));
+        break;
+      default:
+        way.Restart(victim);
+      }
+    }
+    for (auto next = active.begin(); next != active.end();)
+    {
+      const std::size_t daemon = *next++;
+      if (!world.Runs(daemon))
+        continue;
+      auto& queue = waiting[daemon];
+      if (queue.empty())
+        active.erase(daemon);
+      while (!queue.empty() && world.now - queue.front() > PATIENCE)
+        queue.pop_front();
+      if (!way.MaySend(daemon, static_cast<std::uint32_t>(queue.size())))
+        continue;
+      queue.pop_front();
+      world.outcome.arrivals.push_back(world.now);
+    }
+  }
+  return world.outcome;
+}
+
+class PermitReplayTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PermitReplayTest);
+  CPPUNIT_TEST(UnderDemandAServerGetsWhatItNames);
+  CPPUNIT_TEST(NoWindowExceedsTheBoundWhateverBefallsTheDaemons);
+  CPPUNIT_TEST(SharesOfManyDaemonsExceedTheBound);
+  CPPUNIT_TEST(TwoSidesWithASenderEachExceedTheBound);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr int SEEDS = 3;
+
+  template <Division Way>
+  static Outcome Worst(const Load& load)
+  {
+    Outcome worst;
+    for (int seed = 1; seed <= SEEDS; ++seed)
+    {
+      const Outcome outcome = Play<Way>(load, static_cast<std::uint64_t>(seed));
+      if (outcome.WorstWindow() >= worst.WorstWindow())
+        worst = outcome;
+    }
+    return worst;
+  }
+
+  void UnderDemandAServerGetsWhatItNames()
+  {
+    for (const std::size_t daemons : {6, 77, 330})
+      for (const double rate : {0.5, 5.0})
+      {
+        const Load load{daemons, rate, 8 * rate, Milliseconds(40000)};
+        const Outcome outcome = Play<LeasedPermits>(load, 1);
+        const std::string what = std::to_string(daemons) + " daemons, " + std::to_string(rate) +
+                                 ": " + std::to_string(outcome.PerSecond(load));
+        CPPUNIT_ASSERT_MESSAGE(what, outcome.PerSecond(load) >= 0.85 * rate);
+        CPPUNIT_ASSERT_MESSAGE(what, outcome.PerSecond(load) <= 1.03 * rate);
+      }
+  }
+
+  void NoWindowExceedsTheBoundWhateverBefallsTheDaemons()
+  {
+    for (const std::size_t daemons : {6, 77})
+      for (const double rate : {0.0, 0.5, 1.1, 5.0, 11.0})
+      {
+        const Outcome outcome =
+            Worst<LeasedPermits>({daemons, rate, 10 + 8 * rate, Milliseconds(60000), true});
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(daemons) + " daemons, " + std::to_string(rate) +
+                                   ": " + std::to_string(outcome.WorstWindow()),
+                               outcome.WorstWindow() <= Allowed(rate));
+      }
+  }
+
+  void SharesOfManyDaemonsExceedTheBound()
+  {
+    const Load load{330, 0.5, 20};
+    CPPUNIT_ASSERT(Worst<EqualShares>(load).WorstWindow() > Allowed(load.rate));
+    CPPUNIT_ASSERT(Worst<LeasedPermits>(load).WorstWindow() <= Allowed(load.rate));
+  }
+
+  void TwoSidesWithASenderEachExceedTheBound()
+  {
+    const Load load{77, 5, 40, Milliseconds(60000), true};
+    CPPUNIT_ASSERT(Worst<OneSender>(load).WorstWindow() > Allowed(load.rate));
+    CPPUNIT_ASSERT(Worst<LeasedPermits>(load).WorstWindow() <= Allowed(load.rate));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PermitReplayTest);
+} // namespace
--- a/Source/UnitTests/Support/LimitedFleet.cpp
+++ b/Source/UnitTests/Support/LimitedFleet.cpp
@@ -15,6 +15,9 @@
 {
 constexpr Http::Patience CALLER_PATIENCE{Milliseconds(3000), Milliseconds(3000)};
 
+/// A request that waits at all is looked at again after 40 ms.
+constexpr Milliseconds AT_ONCE{30};
+
 Http::Endpoint FreeDatagramEndpoint()
 {
   const int fd = socket(AF_INET, SOCK_DGRAM, 0);
@@ -123,6 +126,20 @@
       vms[i]->hub.SetHolder(vms[holder]->hub_endpoint, std::nullopt);
 }
 
+void LimitedFleet::SetLimits(const std::string& limit)
+{
+  for (const auto& server : servers)
+    server->SetLimit(limit);
+}
+
+std::size_t LimitedFleet::ArrivalsSince(Common::TimePoint moment) const
+{
+  std::size_t arrivals = 0;
+  for (const auto& server : servers)
+    arrivals += server->ArrivalsSince(moment);
+  return arrivals;
+}
+
 void LimitedFleet::StartLoad(double per_second)
 {
   m_gap = Milliseconds(static_cast<std::int64_t>(1000 / per_second));
@@ -136,11 +153,15 @@
   });
   ++asked;
   LimitedVm& vm = *vms[static_cast<std::size_t>(asked) % vms.size()];
-  vm.Ask("r" + std::to_string(asked), [this](int status) {
+  const auto asked_at = Common::Now();
+  vm.Ask("r" + std::to_string(asked), [this, asked_at](int status) {
     if (status == 200)
       ++served;
     else if (status == 503 || status == 429)
+    {
       ++refused;
+      refused_late += Common::Now() - asked_at > AT_ONCE ? 1 : 0;
+    }
     else
       ++failed;
   });
--- a/Source/UnitTests/Support/LimitedFleet.h
+++ b/Source/UnitTests/Support/LimitedFleet.h
@@ -70,6 +70,9 @@
   /// So many requests a second, at the daemons in turn.
   void StartLoad(double per_second);
   void StopLoad() { m_load_timer.Stop(); }
+  /// All servers name the limit from now on; empty: none.
+  void SetLimits(const std::string& limit);
+  std::size_t ArrivalsSince(Common::TimePoint moment) const;
 
   std::vector<std::unique_ptr<LimitedVm>> vms;
   std::vector<std::unique_ptr<LimitedServer>> servers;
@@ -77,6 +80,7 @@
   int served = 0;
   int refused = 0;
   int failed = 0;
+  int refused_late = 0; ///< Refused after it has waited.
 
 private:
   void SendNext();
