Gateway, UnitTests: a permit is never prolonged, and a limit of another process counts for nobody

By reading, before the landing: a permit that was given back after a refused connection got its whole time anew, so that permits of a server that was down gathered until it came back; it is lost now. The answer of another process at the server's address was taken for the server's own (ALimitOfAnotherProcessAtTheAddressIsNotTheServers).

What decides on limits stands in DispatcherLimits.cpp.

--- /dev/null
+++ b/Source/Core/Gateway/DispatcherLimits.cpp
@@ -0,0 +1,129 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Requests that wait for a permit of a server with a limit, or are refused for it.
+
+#include "Gateway/Dispatcher.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// A server with a limit may be probed where a request could have gone there so lately.
+constexpr Milliseconds PASSED_BY_LATELY{1000};
+/// Servers that one daemon offers to probe at once.
+constexpr int MAX_PROBES = 8;
+} // namespace
+
+void Dispatcher::NotePassedBy(const Server& server, Common::TimePoint now)
+{
+  const auto before = std::exchange(m_passed_by[server.Key()], now);
+  if (now - before > PASSED_BY_LATELY && m_on_permit_demand)
+    m_on_permit_demand();
+}
+
+std::optional<Dispatcher::EarlyRefusal>
+Dispatcher::WhyRefuse(const Server& limited_holder, bool is_coming,
+                      std::optional<Decisions::WeightSource> nearest, Milliseconds longest_wait)
+{
+  const auto now = Common::Now();
+  const bool loads_elsewhere =
+      is_coming || (nearest && *nearest != Decisions::WeightSource::WeightStore &&
+                    limited_holder.HasSettledLimit(now));
+  if (loads_elsewhere || m_limited.ExpectedWait(limited_holder) <= longest_wait)
+    return std::nullopt;
+  return EarlyRefusal{m_limited.ComeBackAfter(limited_holder, now),
+                      "its servers take too few requests"};
+}
+
+std::vector<Dispatcher::AwaitedPermit> Dispatcher::AwaitedPermits(Common::TimePoint now) const
+{
+  std::vector<AwaitedPermit> awaited;
+  std::map<RateLimits::ServerKey, int> assigned;
+  for (const auto& relay : WaitingInOrder())
+  {
+    ServerPtr soonest;
+    Milliseconds shortest_wait{0};
+    for (const ServerPtr& server : m_limited.All())
+    {
+      if (!IsEligible(*relay, *server, now) || server->InFlight() >= LimitFor(*server))
+        continue;
+      const Milliseconds wait = m_limited.WaitBehind(*server, assigned[server->Key()]);
+      if (soonest && wait >= shortest_wait)
+        continue;
+      soonest = server;
+      shortest_wait = wait;
+    }
+    if (!soonest)
+      continue;
+    ++assigned[soonest->Key()];
+    awaited.push_back({relay, soonest, shortest_wait});
+  }
+  return awaited;
+}
+
+std::vector<RateLimits::PermitWant> Dispatcher::PermitWants()
+{
+  const auto now = Common::Now();
+  std::map<RateLimits::ServerKey, RateLimits::PermitWant> wants;
+  std::map<RateLimits::ServerKey, std::uint32_t> waiting;
+  for (const AwaitedPermit& awaited : AwaitedPermits(now))
+  {
+    const RateLimits::ServerKey key = awaited.server->Key();
+    RateLimits::PermitWant& want = wants[key];
+    const auto left = awaited.relay->WaitLeft(now).count();
+    want.gives_up_ms = want.count == 0 ? left : std::min(want.gives_up_ms, left);
+    want.priority = std::min(want.priority, awaited.relay->Priority());
+    waiting[key] = ++want.count;
+  }
+  m_limited.SetOwnWaiting(std::move(waiting));
+  std::erase_if(m_passed_by, [now](const auto& entry) {
+    return now - entry.second > PASSED_BY_LATELY;
+  });
+  int probes = 0;
+  for (const ServerPtr& server : m_limited.All())
+  {
+    const RateLimits::ServerKey key = server->Key();
+    if (m_passed_by.contains(key) && !wants.contains(key) && probes++ < MAX_PROBES)
+      wants[key].may_probe = true;
+    if (const auto unused = m_limited.Permits().TakeUnused(key, now))
+      wants[key].unused = unused;
+  }
+  std::vector<RateLimits::PermitWant> result;
+  for (auto& [key, want] : wants)
+  {
+    want.server = key;
+    result.push_back(want);
+  }
+  return result;
+}
+
+void Dispatcher::ReviewWaiting()
+{
+  const auto now = Common::Now();
+  for (const AwaitedPermit& awaited : AwaitedPermits(now))
+    if (awaited.expected_wait > awaited.relay->WaitLeft(now))
+      awaited.relay->ReviewWait();
+}
+
+void Dispatcher::TakePlaces(const std::vector<RateLimits::PermitLine>& ahead)
+{
+  m_limited.SetAhead(ahead, Common::Now());
+  WakeWaiting();
+  ReviewWaiting();
+}
+
+void Dispatcher::OnLimitChange()
+{
+  WakeWaiting();
+  ReviewWaiting();
+  if (m_on_permit_demand)
+    m_on_permit_demand();
+}
+} // namespace Gateway
--- a/Source/Core/Gateway/LimitedServers.cpp
+++ b/Source/Core/Gateway/LimitedServers.cpp
@@ -140,12 +140,6 @@
     m_permits.Take(server.Key(), limit->rate, now);
 }
 
-void LimitedServers::ReturnPermit(const Server& server, Common::TimePoint now)
-{
-  if (server.Limit())
-    m_permits.Add(server.Key(), 1, now + RateLimits::PERMIT_VALID);
-}
-
 void LimitedServers::SetAhead(const std::vector<RateLimits::PermitLine>& lines,
                               Common::TimePoint now)
 {
--- a/Source/Core/Gateway/LimitedServers.h
+++ b/Source/Core/Gateway/LimitedServers.h
@@ -50,8 +50,6 @@
   bool MaySend(const Server& server, Common::TimePoint now);
   /// A request is sent.
   void NoteSend(const Server& server, Common::TimePoint now);
-  /// The request did not reach the server: another may have its permit.
-  void ReturnPermit(const Server& server, Common::TimePoint now);
 
   /// How long one more request would wait for its permit.
   Common::Milliseconds ExpectedWait(const Server& server) const;
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -568,7 +568,9 @@
   }
   m_head = head;
   m_server_spoke_at = Common::Now();
-  if (IsSound(m_head))
+  const std::string* instance = head.Find(m_dispatcher.Settings().names.instance);
+  const bool is_own = instance == nullptr || *instance == m_server->Entry().instance.Get();
+  if (IsSound(m_head) && is_own)
     m_dispatcher.Limited().NoteAnswer(*m_server, m_head,
                                       m_dispatcher.Settings().names.request_limit, m_sent_at);
   const std::string* type = m_head.Find("Content-Type");
@@ -719,7 +721,6 @@
       m_server->Health().NoteUnreachable(now);
       m_dispatcher.Ends().NoteRefused(m_server);
     }
-    m_dispatcher.Limited().ReturnPermit(*m_server, now);
     --m_arrivals;
     m_tried.erase(m_server->Entry().instance);
     AttemptFailed("no connection", m_may_have_run);
--- a/Source/Core/Orders/PermitExchange.cpp
+++ b/Source/Core/Orders/PermitExchange.cpp
@@ -37,7 +37,7 @@
 void PermitExchange::SetHolder(std::optional<Http::Endpoint> holder,
                                std::optional<std::int64_t> own_tenure)
 {
-  m_holder = std::move(holder);
+  m_holder = holder;
   m_own_tenure = own_tenure;
   m_peers.clear();
   m_keeper.Begin();
--- a/Source/UnitTests/Orders/ServerLimitTest.cpp
+++ b/Source/UnitTests/Orders/ServerLimitTest.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(WithoutAHolderTheLimitIsKept);
   CPPUNIT_TEST(ALimitThatCannotBeReadStopsNothing);
   CPPUNIT_TEST(ARestartedServerBeginsWithoutALimit);
+  CPPUNIT_TEST(ALimitOfAnotherProcessAtTheAddressIsNotTheServers);
   CPPUNIT_TEST_SUITE_END();
 
   void ALimitThatEndsIsKnownToAllWithinTwoSeconds()
@@ -151,6 +152,16 @@
     CPPUNIT_ASSERT(limit && limit->rate == RateLimits::RequestRate(1000));
   }
 
+  void ALimitOfAnotherProcessAtTheAddressIsNotTheServers()
+  {
+    LimitedFleet fleet(1, 1);
+    fleet.SetLimits("1\r\nInstance: another");
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(40);
+    RunFor(Milliseconds(300));
+    CPPUNIT_ASSERT(fleet.vms[0]->dispatcher.Limited().All().empty());
+  }
+
   void ARestartedServerBeginsWithoutALimit()
   {
     LimitedFleet fleet(2, 1);
