Gateway, UnitTests: of many servers with a limit each is probed

Callers would see a server as limited for as long as eight others are: each daemon offered to probe the first eight by name alone, so that the end of a ninth limit was never learned. OfManyServersThatTakeNothingEachIsProbed, 14 servers that take nothing, failed before (no request at some of them in 8 s). The eight are drawn now.

--- a/Models/ServerLimit.pml
+++ b/Models/ServerLimit.pml
@@ -148,7 +148,7 @@
        losses < 2 && next_holder_in == 0 -> losses++;
        next_holder_in = LEASE
      }
-  :: atomic { /* another daemon is the standby; the word to the one before may be lost, as it is never told twice */
+  :: atomic { /* another daemon is the standby; the one before may not have been told */
        next_holder_in == 0 -> standby = (standby + 1) % DAEMONS
      }
   od
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -173,6 +173,8 @@
                                         Common::Milliseconds longest_wait);
   /// A request could have gone to the server but for its limit.
   void NotePassedBy(const Server& server, Common::TimePoint now);
+  /// Servers with a limit to which a request could go instead of elsewhere.
+  std::vector<RateLimits::ServerKey> ProbesToOffer() const;
   /// The best of these servers; nothing where all are full.
   ServerPtr ChooseAmong(const std::vector<ServerPtr>& servers, const Relay& relay);
   /// Waiting requests, the first to be served first.
--- a/Source/Core/Gateway/DispatcherLimits.cpp
+++ b/Source/Core/Gateway/DispatcherLimits.cpp
@@ -6,9 +6,13 @@
 #include "Gateway/Dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
+#include <ranges>
 #include <utility>
 
+#include "Common/Random.h"
+
 namespace Gateway
 {
 namespace
@@ -18,7 +22,7 @@
 /// A server with a limit may be probed where a request could have gone there so lately.
 constexpr Milliseconds PASSED_BY_LATELY{1000};
 /// Servers that one daemon offers to probe at once.
-constexpr int MAX_PROBES = 8;
+constexpr std::size_t MAX_PROBES = 8;
 } // namespace
 
 void Dispatcher::NotePassedBy(const Server& server, Common::TimePoint now)
@@ -68,6 +72,16 @@
   return awaited;
 }
 
+std::vector<RateLimits::ServerKey> Dispatcher::ProbesToOffer() const
+{
+  std::vector<RateLimits::ServerKey> keys;
+  std::ranges::copy(std::views::keys(m_passed_by), std::back_inserter(keys));
+  // Others each time, so that every server has its turn.
+  std::ranges::shuffle(keys, Common::SharedRandom());
+  keys.resize(std::min(keys.size(), MAX_PROBES));
+  return keys;
+}
+
 std::vector<RateLimits::PermitWant> Dispatcher::PermitWants()
 {
   const auto now = Common::Now();
@@ -86,15 +100,11 @@
   std::erase_if(m_passed_by, [now](const auto& entry) {
     return now - entry.second > PASSED_BY_LATELY;
   });
-  int probes = 0;
   for (const ServerPtr& server : m_limited.All())
-  {
-    const RateLimits::ServerKey key = server->Key();
-    if (m_passed_by.contains(key) && !wants.contains(key) && probes++ < MAX_PROBES)
-      wants[key].may_probe = true;
-    if (const auto unused = m_limited.Permits().TakeUnused(key, now))
-      wants[key].unused = unused;
-  }
+    if (const auto unused = m_limited.Permits().TakeUnused(server->Key(), now))
+      wants[server->Key()].unused = unused;
+  for (const RateLimits::ServerKey key : ProbesToOffer())
+    wants[key].may_probe = true;
   std::vector<RateLimits::PermitWant> result;
   for (auto& [key, want] : wants)
   {
--- a/Source/Core/Gateway/LimitedServers.h
+++ b/Source/Core/Gateway/LimitedServers.h
@@ -30,7 +30,7 @@
   /// A server has answered a request that was sent to it at `sent_at`.
   void NoteAnswer(const Server& server, const Http::MessageHead& answer,
                   const std::string& limit_header, Common::TimePoint sent_at);
-  /// The holder's word.
+  /// What the holder announced.
   void TakeNews(std::int64_t tenure, const RateLimits::LimitNews& news);
   /// As the holder: what another daemon read.
   void TakeObservations(std::int64_t tenure, const Common::VmId& from,
@@ -58,7 +58,7 @@
   /// When a request that was refused now should come back: each one that is told so comes later
   /// than the one before, so that they do not return together.
   Common::Milliseconds ComeBackAfter(const Server& server, Common::TimePoint now);
-  /// The holder's word of the requests of other daemons that come before this daemon's.
+  /// Requests of other daemons that come before this daemon's, as the holder answered.
   void SetAhead(const std::vector<RateLimits::PermitLine>& lines, Common::TimePoint now);
   /// Requests of this daemon that wait for the server's permits.
   void SetOwnWaiting(std::map<RateLimits::ServerKey, std::uint32_t> waiting)
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -199,7 +199,7 @@
   RunHash run = 0;
   std::uint64_t sequence = 0; ///< Rises within a run.
   Common::DataCentreId data_centre;
-  std::int64_t tenure = 0; ///< Of the holder by whose words it knows the limits.
+  std::int64_t tenure = 0; ///< Of the holder whose announcements it has.
   std::vector<RateLimits::LimitObservation> observations;
   std::vector<RateLimits::PermitWant> wants; ///< All that it wants now.
 
--- a/Source/Core/RateLimits/LimitBook.h
+++ b/Source/Core/RateLimits/LimitBook.h
@@ -45,7 +45,7 @@
                                         Common::TimePoint sent_at, Common::TimePoint now);
   /// What the holder does not know yet.
   std::vector<LimitObservation> Unconfirmed(Common::TimePoint now) const;
-  /// The holder's word.
+  /// What the holder announced.
   std::vector<LimitChange> TakeNews(std::int64_t tenure, const LimitNews& news,
                                     Common::TimePoint now);
 
--- a/Source/Core/RateLimits/LocalPermits.cpp
+++ b/Source/Core/RateLimits/LocalPermits.cpp
@@ -63,7 +63,7 @@
   if (m_heard_at && now - *m_heard_at <= HOLDER_SILENCE)
   {
     local.own = 0;
-    // Once the holder is missed, its last word turns out to have been the last.
+    // Counted from here if no later message of the holder comes.
     local.filled_at = *m_heard_at + HOLDER_SILENCE;
     return;
   }
--- a/Source/UnitTests/Orders/ServerLimitTest.cpp
+++ b/Source/UnitTests/Orders/ServerLimitTest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(ALimitThatEndsIsKnownToAllWithinTwoSeconds);
   CPPUNIT_TEST(WhereAllServersNameALimitTheyGetThatMuch);
   CPPUNIT_TEST(ServersThatTakeNothingAreProbedAndComeBack);
+  CPPUNIT_TEST(OfManyServersThatTakeNothingEachIsProbed);
   CPPUNIT_TEST(ANewHolderKeepsTheLimitToo);
   CPPUNIT_TEST(WithoutAHolderTheLimitIsKept);
   CPPUNIT_TEST(ALimitThatCannotBeReadStopsNothing);
@@ -100,6 +101,19 @@
     CPPUNIT_ASSERT(fleet.ArrivalsSince(back) >= 35);
   }
 
+  void OfManyServersThatTakeNothingEachIsProbed()
+  {
+    LimitedFleet fleet(2, 14);
+    fleet.SetLimits("0");
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(80);
+    RunFor(Milliseconds(1500));
+    const auto known = Common::Now();
+    RunFor(Milliseconds(8000));
+    for (const auto& server : fleet.servers)
+      CPPUNIT_ASSERT(server->ArrivalsSince(known) >= 1);
+  }
+
   void ANewHolderKeepsTheLimitToo()
   {
     LimitedFleet fleet(4, 3);
