--- a/Source/Core/Gateway/LimitedServers.cpp
+++ b/Source/Core/Gateway/LimitedServers.cpp
@@ -95,6 +95,7 @@
 {
   if (m_book.Empty() && m_limited.empty())
     return;
+  ++m_revision;
   m_limited.clear();
   std::vector<ServerKey> keys;
   for (const auto& [instance, server] : m_servers.All())
--- a/Source/Core/Gateway/LimitedServers.h
+++ b/Source/Core/Gateway/LimitedServers.h
@@ -43,6 +43,8 @@
   const RateLimits::LocalPermits& Permits() const { return m_permits; }
   /// Servers with a limit.
   const std::vector<ServerPtr>& All() const { return m_limited; }
+  /// Rises when a limit or a server changes.
+  std::uint64_t Revision() const { return m_revision; }
   /// For the one that hands out permits.
   std::vector<RateLimits::PermitKeeper::KnownLimit> KnownLimits() const;
 
@@ -88,5 +90,6 @@
   std::map<RateLimits::ServerKey, std::string> m_learned_from;
   std::function<void()> m_on_change;
   std::int64_t m_unreadable = 0;
+  std::uint64_t m_revision = 1;
 };
 } // namespace Gateway
--- a/Source/Core/Orders/PermitExchange.cpp
+++ b/Source/Core/Orders/PermitExchange.cpp
@@ -41,6 +41,7 @@
   m_own_tenure = own_tenure;
   m_peers.clear();
   m_keeper.Begin();
+  m_limits_revision = 0;
   RateLimits::LimitBook& book = m_dispatcher.Limited().Book();
   if (own_tenure)
     book.BeginTenure(*own_tenure);
@@ -120,7 +121,9 @@
     return;
   peer = {from, ask.run, ask.sequence, now};
   m_dispatcher.Limited().TakeObservations(ask.tenure, ask.vm, ask.observations);
-  m_keeper.SetLimits(m_dispatcher.Limited().KnownLimits(), now);
+  const std::uint64_t revision = m_dispatcher.Limited().Revision();
+  if (std::exchange(m_limits_revision, revision) != revision)
+    m_keeper.SetLimits(m_dispatcher.Limited().KnownLimits(), now);
   m_keeper.TakeWants({ask.vm, ask.data_centre}, ask.wants, now);
   HandOut();
   TellPlace(ask);
--- a/Source/Core/Orders/PermitExchange.h
+++ b/Source/Core/Orders/PermitExchange.h
@@ -82,7 +82,8 @@
   std::optional<std::int64_t> m_own_tenure;
   std::int64_t m_tenure = 0; ///< Of the holder that was heard last.
 
-  RateLimits::PermitKeeper m_keeper; ///< Used while this daemon is the holder.
+  RateLimits::PermitKeeper m_keeper;   ///< Used while this daemon is the holder.
+  std::uint64_t m_limits_revision = 0; ///< Of the limits that the keeper has.
   std::map<Common::VmId, Peer> m_peers;
   std::uint64_t m_reply_number = 0;
 
--- a/Source/Core/RateLimits/PermitKeeper.cpp
+++ b/Source/Core/RateLimits/PermitKeeper.cpp
@@ -30,6 +30,7 @@
 constexpr Milliseconds LONGEST_WAIT{600000};
 /// A daemon that has asked for no permit for so long is no standby any more.
 constexpr Milliseconds STANDBY_ASKED_WITHIN{10000};
+constexpr Milliseconds LOOK_FOR_SILENT_EVERY{1000};
 /// Requests a second of a standby: fewer would hardly be of use before a new holder is heard.
 constexpr double LEAST_STANDBY_FLOW = 0.25;
 /// After a pause of this process the bucket fills by no more than so.
@@ -46,6 +47,16 @@
   return told.may_probe && now - told_at <= PROBE_OFFER_VALID;
 }
 
+bool PermitKeeper::Bucket::MayHaveWaiting(Common::TimePoint now) const
+{
+  return wait_told_at && now - *wait_told_at <= WANT_VALID;
+}
+
+bool PermitKeeper::Bucket::MayHaveProbes(Common::TimePoint now) const
+{
+  return probe_told_at && now - *probe_told_at <= PROBE_OFFER_VALID;
+}
+
 Common::TimePoint PermitKeeper::Bucket::ProbeDueAt() const
 {
   return granted_at ? *granted_at + PROBE_INTERVAL : Common::TimePoint::min();
@@ -67,6 +78,8 @@
 PermitKeeper::Bucket::MostUrgent(Common::TimePoint now)
 {
   const bool probe_due = now >= ProbeDueAt();
+  if (!MayHaveWaiting(now) && !(probe_due && MayHaveProbes(now)))
+    return wants.end();
   const auto may_have = [&](const Want& want) {
     return want.Waits(now) || (probe_due && want.MayProbe(now));
   };
@@ -75,7 +88,12 @@
     return std::tuple(!want.Waits(now), !may_have(want), want.told.priority, want.GivesUpAt());
   };
   const auto first = std::ranges::min_element(wants, {}, rank);
-  return first != wants.end() && may_have(first->second) ? first : wants.end();
+  if (first != wants.end() && may_have(first->second))
+    return first;
+  wait_told_at.reset();
+  if (probe_due)
+    probe_told_at.reset();
+  return wants.end();
 }
 
 void PermitKeeper::Bucket::ChooseStandbys()
@@ -96,8 +114,10 @@
 
 void PermitKeeper::SetLimits(std::span<const KnownLimit> limits, Common::TimePoint now)
 {
+  std::set<ServerKey> limited;
+  std::ranges::transform(limits, std::inserter(limited, limited.end()), &KnownLimit::server);
   std::erase_if(m_buckets, [&](const auto& entry) {
-    return std::ranges::find(limits, entry.first, &KnownLimit::server) == limits.end();
+    return !limited.contains(entry.first);
   });
   for (const KnownLimit& limit : limits)
   {
@@ -112,25 +132,64 @@
   }
 }
 
+void PermitKeeper::Begin()
+{
+  m_buckets.clear();
+  m_wanted_by.clear();
+}
+
 void PermitKeeper::TakeWants(const Asker& asker, std::span<const PermitWant> wants,
                              Common::TimePoint now)
 {
-  for (auto& [server, bucket] : m_buckets)
+  std::set<ServerKey> told;
+  for (const PermitWant& want : wants)
   {
-    const auto told = std::ranges::find(wants, server, &PermitWant::server);
-    if (told == wants.end())
-    {
-      if (const auto known = bucket.wants.find(asker.vm); known != bucket.wants.end())
+    told.insert(want.server);
+    TakeWant(asker, want, now);
+  }
+  const std::set<ServerKey> before = std::exchange(m_wanted_by[asker.vm], told);
+  for (const ServerKey server : before)
+    if (const auto bucket = m_buckets.find(server);
+        !told.contains(server) && bucket != m_buckets.end())
+      if (const auto known = bucket->second.wants.find(asker.vm);
+          known != bucket->second.wants.end())
         known->second.told = {server};
-      continue;
-    }
-    Want& want = bucket.wants[asker.vm];
-    want = {*told, asker.data_centre, now};
-    want.told.gives_up_ms = std::clamp<std::int64_t>(told->gives_up_ms, 0, LONGEST_WAIT.count());
-    bucket.Fill(now);
-    bucket.level = std::min(bucket.level + told->unused, bucket.Capacity());
-    m_totals.unused += told->unused;
+  ForgetSilent(now);
+}
+
+void PermitKeeper::TakeWant(const Asker& asker, const PermitWant& told, Common::TimePoint now)
+{
+  const auto found = m_buckets.find(told.server);
+  if (found == m_buckets.end())
+    return;
+  Bucket& bucket = found->second;
+  const bool is_new = !bucket.wants.contains(asker.vm);
+  Want& want = bucket.wants[asker.vm];
+  want = {told, asker.data_centre, now};
+  want.told.gives_up_ms = std::clamp<std::int64_t>(told.gives_up_ms, 0, LONGEST_WAIT.count());
+  if (told.count > 0)
+    bucket.wait_told_at = now;
+  if (told.may_probe)
+    bucket.probe_told_at = now;
+  bucket.Fill(now);
+  bucket.level = std::min(bucket.level + told.unused, bucket.Capacity());
+  m_totals.unused += told.unused;
+  if (is_new)
     bucket.ChooseStandbys();
+}
+
+void PermitKeeper::ForgetSilent(Common::TimePoint now)
+{
+  if (now - m_looked_for_silent_at < LOOK_FOR_SILENT_EVERY)
+    return;
+  m_looked_for_silent_at = now;
+  for (auto& [server, bucket] : m_buckets)
+  {
+    const auto forgotten = std::erase_if(bucket.wants, [now](const auto& entry) {
+      return now - entry.second.told_at > STANDBY_ASKED_WITHIN;
+    });
+    if (forgotten > 0)
+      bucket.ChooseStandbys();
   }
 }
 
@@ -139,12 +198,6 @@
   std::vector<Grant> grants;
   for (auto& [server, bucket] : m_buckets)
   {
-    std::erase_if(bucket.wants, [now](const auto& entry) {
-      return now - entry.second.told_at > STANDBY_ASKED_WITHIN;
-    });
-    std::erase_if(bucket.standbys, [&](const Common::VmId& vm) {
-      return !bucket.wants.contains(vm);
-    });
     bucket.Fill(now);
     for (auto want = bucket.MostUrgent(now); bucket.level >= 1 && want != bucket.wants.end();
          want = bucket.MostUrgent(now))
@@ -170,11 +223,8 @@
   std::optional<Common::TimePoint> next;
   for (const auto& [server, bucket] : m_buckets)
   {
-    const bool anyone_waits = Waiting(server, now) > 0;
-    const bool anyone_probes = std::ranges::any_of(bucket.wants, [now](const auto& entry) {
-      return entry.second.MayProbe(now);
-    });
-    if (!anyone_waits && !anyone_probes)
+    const bool anyone_waits = bucket.MayHaveWaiting(now);
+    if (!anyone_waits && !bucket.MayHaveProbes(now))
       continue;
     const Seconds until_full(std::max((1 - bucket.level) / bucket.Flow(), 0.0));
     const auto full_at = bucket.filled_at + std::chrono::ceil<Milliseconds>(until_full);
--- a/Source/Core/RateLimits/PermitKeeper.h
+++ b/Source/Core/RateLimits/PermitKeeper.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <vector>
 
@@ -44,7 +45,7 @@
 {
 public:
   /// A new tenure: the buckets are empty, since what the keeper before has granted is not known.
-  void Begin() { m_buckets.clear(); }
+  void Begin();
   struct KnownLimit
   {
     ServerKey server;
@@ -93,12 +94,18 @@
     double level = 0;
     Common::TimePoint filled_at;
     std::optional<Common::TimePoint> granted_at; ///< The last permit.
+    /// When a daemon last told that it waits, or that it may probe: where that is long ago, or
+    /// nobody was found since, the wants need not be looked at.
+    std::optional<Common::TimePoint> wait_told_at;
+    std::optional<Common::TimePoint> probe_told_at;
     std::map<Common::VmId, Want> wants;
     std::vector<Common::VmId> standbys;
 
     double Flow() const { return FlowPerSecond(rate); }
     double Capacity() const;
     void Fill(Common::TimePoint now);
+    bool MayHaveWaiting(Common::TimePoint now) const;
+    bool MayHaveProbes(Common::TimePoint now) const;
     /// When a permit may go to a daemon that only probes.
     Common::TimePoint ProbeDueAt() const;
     /// The want to serve next; end where there is none.
@@ -107,7 +114,13 @@
     void ChooseStandbys();
   };
 
+  void TakeWant(const Asker& asker, const PermitWant& told, Common::TimePoint now);
+  /// Forgets daemons that have not asked for long.
+  void ForgetSilent(Common::TimePoint now);
+
   std::map<ServerKey, Bucket> m_buckets;
+  std::map<Common::VmId, std::set<ServerKey>> m_wanted_by; ///< What each daemon told last.
+  Common::TimePoint m_looked_for_silent_at;
   Counters m_totals;
 };
 } // namespace RateLimits
