Gateway, Orders, UnitTests: one piece of code where the change had two

Found by reading the whole change; behaviour stays as it is.

- Which server has a key: ServerDirectory::FindByKey, in place of Knows and of the same search in LimitedServers.
- A server's hash in reports is the low part of KeyOf; it was computed in two places, alike.
- Whether another process answered: Relay::IsOfAnotherInstance, which the rejection used as well.
- The soundness of an answer was looked up twice for each answer.
- The holder with the shortest wait follows from the list of holders (RefuseForLimit); it was kept beside it.
- The holder of the lease made a reply, with the standbys of all servers, also where it had none to send.
- FreeDatagramEndpoint stands in Support/Loopback.h; HubTest had the same.
- A comment of ServerLimitTest named a figure.

Ruled out: one token bucket for accounts' and servers' limits, since units of accounts are handed out ahead of use and permits are not.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -192,7 +192,6 @@
   load.until_deadline = std::chrono::floor<Milliseconds>(relay.Deadline() - now);
   load.patience = patience;
   load.from_store = spec == nullptr ? Milliseconds(0) : spec->load_from_store;
-  ServerPtr limited_holder;
   std::vector<ServerPtr> limited_holders;
   std::optional<Decisions::WeightSource> nearest_unlimited;
   for (const auto& [instance, server] : m_servers.All())
@@ -205,9 +204,6 @@
       return std::nullopt;
     if (holds)
       limited_holders.push_back(server);
-    if (holds && (!limited_holder ||
-                  m_limited.ExpectedWait(*server) < m_limited.ExpectedWait(*limited_holder)))
-      limited_holder = server;
     if (holds || spec == nullptr)
       continue;
     load.is_coming = load.is_coming || server->IsComing(model);
@@ -216,16 +212,8 @@
     if (!server->Limit())
       nearest_unlimited = std::min(nearest_unlimited.value_or(source), source);
   }
-  if (limited_holder)
-  {
-    auto refusal = WhyRefuse(*limited_holder, load.is_coming, nearest_unlimited, longest_wait);
-    if (!refusal)
-      return std::nullopt;
-    for (const ServerPtr& server : limited_holders)
-      NotePassedBy(*server, now);
-    refusal->limited_holder = limited_holder;
-    return refusal;
-  }
+  if (!limited_holders.empty())
+    return RefuseForLimit(limited_holders, load.is_coming, nearest_unlimited, longest_wait);
   if (spec == nullptr)
     return std::nullopt;
   const auto until = Decisions::RefusedUntil(load);
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -168,9 +168,10 @@
   std::int64_t LimitFor(const Server& server) const;
   /// True where the request may be sent to the server now, but for the server's own limit.
   bool IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const;
-  std::optional<EarlyRefusal> WhyRefuse(const Server& limited_holder, bool is_coming,
-                                        std::optional<Decisions::WeightSource> nearest,
-                                        Common::Milliseconds longest_wait);
+  /// `holders`: all that hold the model, each with a limit. `nearest`: where else it may be loaded.
+  std::optional<EarlyRefusal> RefuseForLimit(const std::vector<ServerPtr>& holders, bool is_coming,
+                                             std::optional<Decisions::WeightSource> nearest,
+                                             Common::Milliseconds longest_wait);
   /// A request could have gone to the server but for its limit.
   void NotePassedBy(const Server& server, Common::TimePoint now);
   /// Servers with a limit to which a request could go instead of elsewhere.
--- a/Source/Core/Gateway/DispatcherLimits.cpp
+++ b/Source/Core/Gateway/DispatcherLimits.cpp
@@ -33,17 +33,24 @@
 }
 
 std::optional<Dispatcher::EarlyRefusal>
-Dispatcher::WhyRefuse(const Server& limited_holder, bool is_coming,
-                      std::optional<Decisions::WeightSource> nearest, Milliseconds longest_wait)
+Dispatcher::RefuseForLimit(const std::vector<ServerPtr>& holders, bool is_coming,
+                           std::optional<Decisions::WeightSource> nearest,
+                           Milliseconds longest_wait)
 {
   const auto now = Common::Now();
+  const ServerPtr& soonest =
+      *std::ranges::min_element(holders, {}, [this](const ServerPtr& server) {
+        return m_limited.ExpectedWait(*server);
+      });
   const bool loads_elsewhere =
       is_coming || (nearest && *nearest != Decisions::WeightSource::WeightStore &&
-                    limited_holder.HasSettledLimit(now));
-  if (loads_elsewhere || m_limited.ExpectedWait(limited_holder) <= longest_wait)
+                    soonest->HasSettledLimit(now));
+  if (loads_elsewhere || m_limited.ExpectedWait(*soonest) <= longest_wait)
     return std::nullopt;
-  return EarlyRefusal{m_limited.ComeBackAfter(limited_holder, now),
-                      "its servers take too few requests"};
+  for (const ServerPtr& server : holders)
+    NotePassedBy(*server, now);
+  return EarlyRefusal{m_limited.ComeBackAfter(*soonest, now), "its servers take too few requests",
+                      soonest};
 }
 
 std::vector<Dispatcher::AwaitedPermit> Dispatcher::AwaitedPermits(Common::TimePoint now) const
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -44,6 +44,7 @@
   // Lives as long as the process.
   g_unix_signal_add(number, run, new std::function<void()>(std::move(callback)));
 }
+
 /// Null where the server has none.
 Common::Json DumpLimit(const Server& server, Common::TimePoint now)
 {
--- a/Source/Core/Gateway/LimitedServers.cpp
+++ b/Source/Core/Gateway/LimitedServers.cpp
@@ -73,11 +73,9 @@
     return;
   for (const RateLimits::LimitChange& change : changes)
   {
-    const auto server = std::ranges::find_if(m_servers.All(), [&](const auto& entry) {
-      return entry.second->Key() == change.server;
-    });
+    const ServerPtr server = m_servers.FindByKey(change.server);
     Common::LogEvent(Common::LogLevel::Info, "server-limit",
-                     {{"instance", server == m_servers.All().end() ? "" : server->first.Get()},
+                     {{"instance", server ? server->Entry().instance.Get() : ""},
                       {"per_second", RateLimits::Describe(change.rate)},
                       {"before", RateLimits::Describe(change.before)},
                       {"source", source}});
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -568,15 +568,13 @@
   }
   m_head = head;
   m_server_spoke_at = Common::Now();
-  const std::string* instance = head.Find(m_dispatcher.Settings().names.instance);
-  const bool is_own = instance == nullptr || *instance == m_server->Entry().instance.Get();
-  if (IsSound(m_head) && is_own)
+  const bool is_sound = IsSound(m_head);
+  if (is_sound && !IsOfAnotherInstance(m_head))
     m_dispatcher.Limited().NoteAnswer(*m_server, m_head,
                                       m_dispatcher.Settings().names.request_limit, m_sent_at);
   const std::string* type = m_head.Find("Content-Type");
   m_is_stream = m_route.repeatability == Repeatability::Streaming && m_head.status == 200 &&
-                IsSound(m_head) &&
-                (type == nullptr || type->find("event-stream") != std::string::npos);
+                is_sound && (type == nullptr || type->find("event-stream") != std::string::npos);
   return Verdict::Take;
 }
 
@@ -587,6 +585,12 @@
   return (!success || signed_by_server) && head.Find("Content-Encoding") == nullptr;
 }
 
+bool Relay::IsOfAnotherInstance(const Http::MessageHead& head) const
+{
+  const std::string* instance = head.Find(m_dispatcher.Settings().names.instance);
+  return instance != nullptr && *instance != m_server->Entry().instance.Get();
+}
+
 void Relay::OnAnswerBody(std::string_view bytes)
 {
   m_server->NoteHeard(Common::Now());
@@ -695,8 +699,7 @@
 void Relay::HandleRejection()
 {
   const auto now = Common::Now();
-  const std::string* instance = m_head.Find(m_dispatcher.Settings().names.instance);
-  if (m_head.status == 421 && instance != nullptr && *instance != m_server->Entry().instance.Get())
+  if (m_head.status == 421 && IsOfAnotherInstance(m_head))
     m_server->NoteReplaced();
   else if (m_head.status == 421)
     m_server->NoteMissing(m_artifact, now);
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -117,6 +117,8 @@
   void HandleRejection();
   void HandleWholeAnswer();
   bool IsSound(const Http::MessageHead& head) const;
+  /// Another process than the request was sent to has answered.
+  bool IsOfAnotherInstance(const Http::MessageHead& head) const;
   void ForwardEvents(const std::string& events);
   void FinishStream();
   void PassAnswerOn();
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -197,11 +197,12 @@
   return is_known ? found->second : nullptr;
 }
 
-bool ServerDirectory::Knows(RateLimits::ServerKey key) const
+ServerPtr ServerDirectory::FindByKey(RateLimits::ServerKey key) const
 {
-  return std::ranges::any_of(m_servers, [key](const auto& entry) {
+  const auto found = std::ranges::find_if(m_servers, [key](const auto& entry) {
     return entry.second->Key() == key;
   });
+  return found == m_servers.end() ? nullptr : found->second;
 }
 
 std::vector<ServerPtr> ServerDirectory::InPool(const PoolId& pool) const
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -141,7 +141,7 @@
   /// The latest life under the id of `instance`, whatever the start that it names.
   ServerPtr FindLatest(const InstanceId& instance) const;
   const std::map<InstanceId, ServerPtr>& All() const { return m_servers; }
-  bool Knows(RateLimits::ServerKey key) const;
+  ServerPtr FindByKey(RateLimits::ServerKey key) const;
   std::vector<ServerPtr> InPool(const PoolId& pool) const;
   bool Empty() const { return m_servers.empty(); }
   /// Rises when a server comes, goes or moves to another pool.
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -79,10 +79,7 @@
 
 ServerHash HashOf(const Gateway::InstanceId& instance)
 {
-  // The start is the seed: a server's lives differ.
-  return static_cast<ServerHash>(
-      XXH3_64bits_withSeed(instance.Get().data(), instance.Get().size(),
-                           static_cast<XXH64_hash_t>(instance.Started().Get())));
+  return static_cast<ServerHash>(Gateway::KeyOf(instance).Get());
 }
 
 RunHash HashOf(const Common::Incarnation& run)
--- a/Source/Core/Orders/PermitExchange.cpp
+++ b/Source/Core/Orders/PermitExchange.cpp
@@ -70,7 +70,7 @@
   ask.tenure = m_tenure;
   ask.wants = m_dispatcher.PermitWants();
   for (const auto& observation : m_dispatcher.Limited().Book().Unconfirmed(Common::Now()))
-    if (m_dispatcher.Servers().Knows(observation.server))
+    if (m_dispatcher.Servers().FindByKey(observation.server))
       ask.observations.push_back(observation);
   FitDatagram(ask);
   return ask;
@@ -82,9 +82,9 @@
     return;
   PermitAsk ask = MakeAsk();
   const bool is_empty = ask.wants.empty() && ask.observations.empty();
-  if (is_empty && std::exchange(m_last_ask_was_empty, true))
+  const bool was_empty = std::exchange(m_last_ask_was_empty, is_empty);
+  if (is_empty && was_empty)
     return;
-  m_last_ask_was_empty = is_empty;
   const auto now = Common::Now();
   ask.sequence = ++m_sequence;
   m_sent.push_back({ask.sequence, now});
@@ -132,12 +132,15 @@
 void PermitExchange::TellPlace(const PermitAsk& ask)
 {
   const auto now = Common::Now();
-  PermitReply reply = ReplyTo(ask.vm, m_peers.at(ask.vm));
+  std::vector<RateLimits::PermitLine> ahead;
   for (const RateLimits::PermitWant& want : ask.wants)
     if (want.count > 0)
-      reply.ahead.push_back({want.server, m_keeper.Ahead(ask.vm, want.server, now)});
-  if (!reply.ahead.empty())
-    Deliver(ask.vm, reply);
+      ahead.push_back({want.server, m_keeper.Ahead(ask.vm, want.server, now)});
+  if (ahead.empty())
+    return;
+  PermitReply reply = ReplyTo(ask.vm, m_peers.at(ask.vm));
+  reply.ahead = std::move(ahead);
+  Deliver(ask.vm, reply);
 }
 
 void PermitExchange::Deliver(const Common::VmId& vm, const PermitReply& reply)
@@ -196,7 +199,7 @@
 {
   RateLimits::LimitBook& book = m_dispatcher.Limited().Book();
   book.Retain([this](RateLimits::ServerKey server) {
-    return m_dispatcher.Servers().Knows(server);
+    return m_dispatcher.Servers().FindByKey(server) != nullptr;
   });
   auto news = book.NextNews(MAX_NEWS_LINES, now);
   for (RateLimits::LimitLine& line : news.lines)
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -6,8 +6,6 @@
 #include "Orders/Hub.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "UnitTests/Support/Loopback.h"
 
@@ -21,18 +19,6 @@
 
 constexpr int ADAPTERS = 8;
 
-/// A port of the loopback that is free now.
-Http::Endpoint FreeEndpoint()
-{
-  const int fd = socket(AF_INET, SOCK_DGRAM, 0);
-  sockaddr_in address = Http::Endpoint{htonl(INADDR_LOOPBACK), 0}.ToSockaddr();
-  socklen_t size = sizeof(address);
-  CPPUNIT_ASSERT_EQUAL(0, bind(fd, reinterpret_cast<const sockaddr*>(&address), size));
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return Http::Endpoint::FromSockaddr(address);
-}
-
 InstanceId InstanceOf(int server)
 {
   return InstanceId(std::to_string(1000000000 + server));
@@ -48,7 +34,7 @@
 {
 public:
   explicit Daemon(const char* name)
-      : endpoint(FreeEndpoint()),
+      : endpoint(UnitTests::FreeDatagramEndpoint()),
         desk(dispatcher.Servers(), {}, {}),
         hub({Common::VmId(name), Common::Incarnation("run"), endpoint}, dispatcher, desk)
   {
--- a/Source/UnitTests/Orders/ServerLimitTest.cpp
+++ b/Source/UnitTests/Orders/ServerLimitTest.cpp
@@ -194,7 +194,7 @@
     CPPUNIT_ASSERT(fleet.ArrivalsSince(restarted) >= 30);
   }
 
-  /// Each daemon sent to a limited server as before: 5 to 6 times its limit.
+  /// Each daemon sent to a limited server as to any other.
   void AllDaemonsTogetherKeepAServersLimit()
   {
     LimitedFleet fleet(5, 8);
--- a/Source/UnitTests/Support/LimitedFleet.cpp
+++ b/Source/UnitTests/Support/LimitedFleet.cpp
@@ -6,8 +6,6 @@
 #include <algorithm>
 
 #include <cppunit/TestAssert.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 namespace UnitTests
 {
@@ -18,17 +16,6 @@
 /// A request that waits at all is looked at again after 40 ms.
 constexpr Milliseconds AT_ONCE{30};
 
-Http::Endpoint FreeDatagramEndpoint()
-{
-  const int fd = socket(AF_INET, SOCK_DGRAM, 0);
-  sockaddr_in address = Http::Endpoint{htonl(INADDR_LOOPBACK), 0}.ToSockaddr();
-  socklen_t size = sizeof(address);
-  CPPUNIT_ASSERT_EQUAL(0, bind(fd, reinterpret_cast<const sockaddr*>(&address), size));
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return Http::Endpoint::FromSockaddr(address);
-}
-
 std::shared_ptr<const Configuration> OnePlainRoute()
 {
   auto configuration = std::make_shared<Configuration>();
--- a/Source/UnitTests/Support/Loopback.h
+++ b/Source/UnitTests/Support/Loopback.h
@@ -10,7 +10,10 @@
 #include <vector>
 
 #include <arpa/inet.h>
+#include <cppunit/TestAssert.h>
 #include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "Common/Loop.h"
 #include "Http/TcpStream.h"
@@ -177,6 +180,18 @@
   TestServer m_server;
 };
 
+/// A port of the loopback that is free for datagrams now.
+inline Http::Endpoint FreeDatagramEndpoint()
+{
+  const int fd = socket(AF_INET, SOCK_DGRAM, 0);
+  sockaddr_in address = Http::Endpoint{htonl(INADDR_LOOPBACK), 0}.ToSockaddr();
+  socklen_t size = sizeof(address);
+  CPPUNIT_ASSERT_EQUAL(0, bind(fd, reinterpret_cast<const sockaddr*>(&address), size));
+  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+  close(fd);
+  return Http::Endpoint::FromSockaddr(address);
+}
+
 /// The value of a header in a raw head; empty where it is missing.
 inline std::string HeaderOf(const std::string& head, const std::string& name)
 {
