Gateway, platform: one reader of what answers tell of their servers

The records of DRAIN and BUDGET do not tell a header that nobody reads from one that is read and passed by: no line says what a daemon knows of a server's end or of the time for which it wants no requests.

ReadSignals turns the head of an answer into one type: instance, rejected before it ran, draining, time to back off, limit. Its names stand in platform/. The dispatcher takes it for every sound answer of the process that was meant and logs it (server-draining, server-backoff, server-signal-unreadable). Nothing is decided by it yet; the limit goes the way it went before.

--- /dev/null
+++ b/Source/Core/Common/Text.h
@@ -0,0 +1,16 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <string_view>
+
+namespace Common
+{
+/// Blanks behind a header's value are no part of it (RFC 9110, 5.5); the parser keeps them.
+inline std::string_view WithoutTrailingBlanks(std::string_view text)
+{
+  const auto last = text.find_last_not_of(" \t");
+  return text.substr(0, last == std::string_view::npos ? 0 : last + 1);
+}
+} // namespace Common
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -20,6 +20,7 @@
 #include "Gateway/Relay.h"
 #include "Gateway/RetryBudget.h"
 #include "Gateway/ServerDirectory.h"
+#include "Gateway/ServerSignals.h"
 #include "Gateway/Types.h"
 #include "Http/ServerConnection.h"
 
@@ -36,6 +37,13 @@
   int arrivals = 0; ///< Since the demand was last taken.
 };
 
+/// The call whose answer tells something of its server.
+struct SignalOrigin
+{
+  std::string_view request; ///< Its id, or what else was asked.
+  Common::TimePoint sent_at;
+};
+
 struct DispatcherSettings
 {
   Common::DataCentreId data_centre; ///< Of this daemon.
@@ -139,6 +147,10 @@
   void ExpectReturn(const Relay& relay, Common::Milliseconds span);
   void NoteArrival(const Relay& relay);
   EndDetector& Ends() { return m_ends; }
+  /// Takes what an answer tells of its server into account; for answers to requests, orders and
+  /// reports alike.
+  void NoteSignals(const ServerPtr& server, const ServerSignals& signals,
+                   const SignalOrigin& origin);
   /// The server's connection broke while it had the request.
   void NoteBroken(const ServerPtr& server, Relay& relay, Common::TimePoint sent_at,
                   std::optional<Common::Milliseconds> ran_for);
--- a/Source/Core/Gateway/LimitedServers.cpp
+++ b/Source/Core/Gateway/LimitedServers.cpp
@@ -29,21 +29,15 @@
 }
 } // namespace
 
-void LimitedServers::NoteAnswer(const Server& server, const Http::MessageHead& answer,
-                                const std::string& limit_header, Common::TimePoint sent_at)
+void LimitedServers::NoteAnswer(const Server& server, const RateLimits::LimitReading& reading,
+                                Common::TimePoint sent_at)
 {
-  std::vector<std::string_view> values;
-  for (const Http::HeaderField& field : answer.headers)
-    if (Http::EqualIgnoringCase(field.name, limit_header))
-      values.push_back(field.value);
-  const RateLimits::LimitReading reading = RateLimits::ReadLimit(values);
   if (!reading.readable)
   {
     ++m_unreadable;
     Common::LogEvent(Common::LogLevel::Warning, "server-limit-unreadable",
                      {{"instance", server.Entry().instance},
-                      {"value", values.front()},
-                      {"values", values.size()},
+                      {"value", reading.unreadable},
                       {"in_force", RateLimits::Describe(m_book.InForce(server.Key()))}});
   }
   if (const auto change = m_book.NoteAnswer(server.Key(), reading, sent_at, Common::Now()))
--- a/Source/Core/Gateway/LimitedServers.h
+++ b/Source/Core/Gateway/LimitedServers.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "Gateway/ServerDirectory.h"
-#include "Http/MessageParser.h"
 #include "RateLimits/LimitBook.h"
 #include "RateLimits/LocalPermits.h"
 #include "RateLimits/PermitKeeper.h"
@@ -28,8 +27,8 @@
   void OnChange(std::function<void()> callback) { m_on_change = std::move(callback); }
 
   /// A server has answered a request that was sent to it at `sent_at`.
-  void NoteAnswer(const Server& server, const Http::MessageHead& answer,
-                  const std::string& limit_header, Common::TimePoint sent_at);
+  void NoteAnswer(const Server& server, const RateLimits::LimitReading& reading,
+                  Common::TimePoint sent_at);
   /// What the holder announced.
   void TakeNews(std::int64_t tenure, const RateLimits::LimitNews& news);
   /// As the holder: what another daemon read.
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -10,6 +10,7 @@
 #include "Common/Log.h"
 #include "Common/Mechanisms.h"
 #include "Common/Random.h"
+#include "Common/Text.h"
 #include "Gateway/Dispatcher.h"
 #include "Gateway/Forwarding.h"
 
@@ -88,13 +89,6 @@
   return pools.back().pool;
 }
 
-/// Blanks behind a header's value are no part of it (RFC 9110, 5.5); the parser keeps them.
-std::string_view WithoutTrailingBlanks(std::string_view value)
-{
-  const auto last = value.find_last_not_of(" \t");
-  return value.substr(0, last == std::string_view::npos ? 0 : last + 1);
-}
-
 /// How long a caller stays without a word; for a whole answer until its deadline.
 Milliseconds CallerPatience(const Route& route)
 {
@@ -299,7 +293,7 @@
   std::vector<std::string_view> keys;
   for (const Http::HeaderField& field : m_request.head.headers)
     if (Http::EqualIgnoringCase(field.name, name))
-      keys.push_back(WithoutTrailingBlanks(field.value));
+      keys.push_back(Common::WithoutTrailingBlanks(field.value));
   return keys;
 }
 
@@ -569,9 +563,10 @@
   m_head = head;
   m_server_spoke_at = Common::Now();
   const bool is_sound = IsSound(m_head);
-  if (is_sound && !IsOfAnotherInstance(m_head))
-    m_dispatcher.Limited().NoteAnswer(*m_server, m_head,
-                                      m_dispatcher.Settings().names.request_limit, m_sent_at);
+  m_signals = ReadSignals(m_head.status, m_head.headers, m_dispatcher.Settings().names,
+                          std::chrono::system_clock::now());
+  if (is_sound)
+    m_dispatcher.NoteSignals(m_server, m_signals, {m_id, m_sent_at});
   const std::string* type = m_head.Find("Content-Type");
   m_is_stream = m_route.repeatability == Repeatability::Streaming && m_head.status == 200 &&
                 is_sound && (type == nullptr || type->find("event-stream") != std::string::npos);
@@ -585,10 +580,9 @@
   return (!success || signed_by_server) && head.Find("Content-Encoding") == nullptr;
 }
 
-bool Relay::IsOfAnotherInstance(const Http::MessageHead& head) const
+bool Relay::IsOfAnotherInstance() const
 {
-  const std::string* instance = head.Find(m_dispatcher.Settings().names.instance);
-  return instance != nullptr && *instance != m_server->Entry().instance.Get();
+  return m_signals.instance && *m_signals.instance != m_server->Entry().instance.Get();
 }
 
 void Relay::OnAnswerBody(std::string_view bytes)
@@ -653,15 +647,9 @@
   EndWith(Outcome::Answered, 0, "");
 }
 
-bool Relay::IsRejection() const
-{
-  const bool says_so = m_head.Find(m_dispatcher.Settings().names.not_run) != nullptr;
-  return says_so || m_head.status == 421;
-}
-
 void Relay::HandleWholeAnswer()
 {
-  if (IsRejection())
+  if (m_signals.not_run)
   {
     HandleRejection();
     return;
@@ -699,7 +687,7 @@
 void Relay::HandleRejection()
 {
   const auto now = Common::Now();
-  if (m_head.status == 421 && IsOfAnotherInstance(m_head))
+  if (m_head.status == 421 && IsOfAnotherInstance())
     m_server->NoteReplaced();
   else if (m_head.status == 421)
     m_server->NoteMissing(m_artifact, now);
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -15,6 +15,7 @@
 #include "Crashes/Fingerprint.h"
 #include "Gateway/EventSplitter.h"
 #include "Gateway/ServerDirectory.h"
+#include "Gateway/ServerSignals.h"
 #include "Gateway/Types.h"
 #include "Http/OriginConnection.h"
 #include "Http/ServerConnection.h"
@@ -113,12 +114,11 @@
   Common::Milliseconds TimeLeft() const;
 
   // What came back.
-  bool IsRejection() const;
   void HandleRejection();
   void HandleWholeAnswer();
   bool IsSound(const Http::MessageHead& head) const;
   /// Another process than the request was sent to has answered.
-  bool IsOfAnotherInstance(const Http::MessageHead& head) const;
+  bool IsOfAnotherInstance() const;
   void ForwardEvents(const std::string& events);
   void FinishStream();
   void PassAnswerOn();
@@ -177,6 +177,7 @@
   bool m_done = false;
 
   Http::MessageHead m_head; ///< Of the answer at hand.
+  ServerSignals m_signals;  ///< The same answer's.
   bool m_is_stream = false;
   std::string m_body;
   /// The answer to pass on: the last one, or a server's first failure while it is repeated
--- a/Source/Core/RateLimits/RequestRate.cpp
+++ b/Source/Core/RateLimits/RequestRate.cpp
@@ -4,9 +4,11 @@
 #include "RateLimits/RequestRate.h"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <utility>
+
+#include "Common/Decimal.h"
 
 namespace RateLimits
 {
@@ -14,28 +16,6 @@
 {
 /// Requests a second; no server takes so many.
 constexpr double UNLIMITED_FROM = 1e6;
-
-bool IsDigitOrPoint(char c)
-{
-  return (c >= '0' && c <= '9') || c == '.';
-}
-
-/// A decimal number without sign or exponent.
-std::optional<double> ParseDecimal(std::string_view text)
-{
-  const auto last = text.find_last_not_of(" \t");
-  text = text.substr(0, last == std::string_view::npos ? 0 : last + 1);
-  if (text.empty() || !std::ranges::all_of(text, IsDigitOrPoint))
-    return std::nullopt;
-  double number = 0;
-  const auto read =
-      std::from_chars(text.data(), text.data() + text.size(), number, std::chars_format::fixed);
-  if (read.ec == std::errc::result_out_of_range)
-    return UNLIMITED_FROM;
-  if (read.ec != std::errc() || read.ptr != text.data() + text.size())
-    return std::nullopt;
-  return number;
-}
 } // namespace
 
 LimitReading ReadLimit(std::span<const std::string_view> values)
@@ -43,10 +23,11 @@
   LimitReading reading;
   for (const std::string_view value : values)
   {
-    const auto number = ParseDecimal(value);
+    const auto number = Common::ParseDecimal(value);
     if (!number)
     {
-      reading.readable = false;
+      if (std::exchange(reading.readable, false))
+        reading.unreadable = value;
       continue;
     }
     if (*number >= UNLIMITED_FROM)
--- a/Source/Core/RateLimits/RequestRate.h
+++ b/Source/Core/RateLimits/RequestRate.h
@@ -30,6 +30,7 @@
 {
   bool readable = true;            ///< False where a value is not a decimal number.
   std::optional<RequestRate> rate; ///< The lowest that is named; nothing where there is no limit.
+  std::string unreadable;          ///< The first value that is none.
 };
 
 /// Reads the values of all limit headers of one answer. A rate beyond all that a server can take is
--- a/Source/UnitTests/Support/RelayWorld.h
+++ b/Source/UnitTests/Support/RelayWorld.h
@@ -37,6 +37,8 @@
   names.instance = "Instance";
   names.not_run = "Did-Not-Run";
   names.request_limit = "Limit";
+  names.draining = "Leaving";
+  names.retry_after = "Retry-After";
   names.urgency = "Urgency";
   names.key = "Api-Key";
   names.account = "Account";
