--- /dev/null
+++ b/Source/UnitTests/Orders/ServerBackoffTest.cpp
@@ -0,0 +1,69 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Daemons on the loopback before backend servers that reject requests and name a time for which
+// they want none from that daemon.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/Support/LimitedFleet.h"
+
+namespace
+{
+using Common::Milliseconds;
+using UnitTests::LimitedFleet;
+using UnitTests::RunFor;
+
+constexpr std::size_t VMS = 5;
+/// Requests that are on their way may still arrive for so long after the rejection.
+constexpr Milliseconds LEEWAY{500};
+constexpr std::size_t ALLOWED = 2;
+
+class ServerBackoffTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ServerBackoffTest);
+  CPPUNIT_TEST(AServerThatNamesARetryAfterIsLeftAloneUntilThen);
+  CPPUNIT_TEST(WhoCannotOutwaitTheOnlyServersBackoffIsRefusedAtOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+  void AServerThatNamesARetryAfterIsLeftAloneUntilThen()
+  {
+    LimitedFleet fleet(VMS, 4);
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(80);
+    RunFor(Milliseconds(500));
+    fleet.servers[0]->Reject("2");
+    fleet.servers[1]->Reject("1.5");
+    RunFor(Milliseconds(5000));
+    const auto worst = std::max(fleet.servers[0]->WorstBackoff(VMS, Milliseconds(2000), LEEWAY),
+                                fleet.servers[1]->WorstBackoff(VMS, Milliseconds(1500), LEEWAY));
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(worst), worst <= ALLOWED);
+    // The others have room for all, and both are asked again soon afterwards.
+    fleet.servers[0]->Accept();
+    fleet.servers[1]->Accept();
+    RunFor(Milliseconds(2200));
+    const auto back = Common::Now();
+    RunFor(Milliseconds(1000));
+    CPPUNIT_ASSERT(fleet.servers[0]->ArrivalsSince(back) >= 10);
+    CPPUNIT_ASSERT(fleet.servers[1]->ArrivalsSince(back) >= 10);
+    fleet.StopLoad();
+    RunFor(Milliseconds(100));
+    CPPUNIT_ASSERT(fleet.served >= fleet.asked * 98 / 100);
+  }
+
+  void WhoCannotOutwaitTheOnlyServersBackoffIsRefusedAtOnce()
+  {
+    LimitedFleet fleet(VMS, 1);
+    fleet.SetHolder(0, 1);
+    fleet.servers[0]->Reject("30");
+    fleet.StartLoad(20);
+    RunFor(Milliseconds(2000));
+    fleet.StopLoad();
+    RunFor(Milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(fleet.asked, fleet.refused);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(fleet.refused_late), fleet.refused_late == 0);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerBackoffTest);
+} // namespace
--- /dev/null
+++ b/Source/UnitTests/Orders/ServerDrainTest.cpp
@@ -0,0 +1,65 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Daemons on the loopback before backend servers that announce their end in their answers, while
+// the platform's entries still call them ready.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/Support/LimitedFleet.h"
+
+namespace
+{
+using Common::Milliseconds;
+using UnitTests::LimitedFleet;
+using UnitTests::RunFor;
+
+constexpr std::size_t VMS = 5;
+/// Within this after an answer that announced the end, its daemon sends the last request.
+constexpr Milliseconds BOUND{2000};
+
+class ServerDrainTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ServerDrainTest);
+  CPPUNIT_TEST(AServerThatAnnouncesItsEndGetsNoRequestsAfterTheBound);
+  CPPUNIT_TEST(WithoutAHolderEachDaemonGoesByItsOwnAnswers);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::size_t LateArrivals(const LimitedFleet& fleet, std::size_t server)
+  {
+    std::size_t late = 0;
+    for (std::size_t vm = 0; vm < VMS; ++vm)
+      if (const auto told = fleet.servers[server]->AnnouncedTo(vm, VMS))
+        late += fleet.servers[server]->ArrivalsOf(vm, VMS, *told + BOUND);
+    return late;
+  }
+
+  void AServerThatAnnouncesItsEndGetsNoRequestsAfterTheBound()
+  {
+    LimitedFleet fleet(VMS, 4);
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(80);
+    RunFor(Milliseconds(500));
+    fleet.servers[0]->SetDraining("1");
+    fleet.servers[1]->SetDraining("1");
+    RunFor(Milliseconds(5000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, LateArrivals(fleet, 0) + LateArrivals(fleet, 1));
+    // The others have room for all.
+    fleet.StopLoad();
+    RunFor(Milliseconds(100));
+    CPPUNIT_ASSERT(fleet.served >= fleet.asked * 98 / 100);
+  }
+
+  void WithoutAHolderEachDaemonGoesByItsOwnAnswers()
+  {
+    LimitedFleet fleet(VMS, 4);
+    fleet.StartLoad(80);
+    RunFor(Milliseconds(500));
+    fleet.servers[0]->SetDraining("1");
+    RunFor(Milliseconds(4000));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, LateArrivals(fleet, 0));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerDrainTest);
+} // namespace
--- a/Source/UnitTests/Support/LimitedFleet.cpp
+++ b/Source/UnitTests/Support/LimitedFleet.cpp
@@ -29,27 +29,78 @@
 
 LimitedServer::LimitedServer()
     : m_server(std::make_unique<TestServer>([this](TestPeer& peer, const std::string& head) {
-        m_arrivals.push_back(Common::Now());
-        const std::string limit = m_limit.empty() ? "" : "Limit: " + m_limit + "\r\n";
-        peer.stream->Write("HTTP/1.1 200 OK\r\nReq-Id: " + HeaderOf(head, "Req-Id") + "\r\n" +
-                           limit + "Signed: yes\r\nContent-Length: 2\r\n\r\nok");
+        const std::string id = HeaderOf(head, "Req-Id");
+        m_arrivals.push_back(
+            {Common::Now(), std::stoul(id.substr(1)), m_rejects, m_draining == "1"});
+        std::string more;
+        if (!m_limit.empty())
+          more += "Limit: " + m_limit + "\r\n";
+        if (!m_draining.empty())
+          more += "Leaving: " + m_draining + "\r\n";
+        if (m_rejects && !m_retry_after.empty())
+          more += "Retry-After: " + m_retry_after + "\r\n";
+        if (m_rejects)
+          peer.stream->Write("HTTP/1.1 503 Service Unavailable\r\nReq-Id: " + id + "\r\n" + more +
+                             "Did-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+        else
+          peer.stream->Write("HTTP/1.1 200 OK\r\nReq-Id: " + id + "\r\n" + more +
+                             "Signed: yes\r\nContent-Length: 2\r\n\r\nok");
       }))
 {
 }
 
+void LimitedServer::Reject(std::string retry_after)
+{
+  m_rejects = true;
+  m_retry_after = std::move(retry_after);
+}
+
 std::size_t LimitedServer::ArrivalsSince(Common::TimePoint moment) const
 {
-  return static_cast<std::size_t>(std::ranges::count_if(m_arrivals, [moment](Common::TimePoint at) {
-    return at >= moment;
+  return static_cast<std::size_t>(std::ranges::count_if(m_arrivals, [moment](const Arrival& a) {
+    return a.at >= moment;
   }));
 }
 
+std::size_t LimitedServer::ArrivalsOf(std::size_t vm, std::size_t vms, Common::TimePoint from) const
+{
+  return static_cast<std::size_t>(std::ranges::count_if(m_arrivals, [&](const Arrival& a) {
+    return a.at >= from && a.number % vms == vm;
+  }));
+}
+
+std::size_t LimitedServer::WorstBackoff(std::size_t vms, Milliseconds span,
+                                        Milliseconds leeway) const
+{
+  std::size_t worst = 0;
+  for (const Arrival& rejected : m_arrivals)
+  {
+    if (!rejected.rejected)
+      continue;
+    const auto in_time = std::ranges::count_if(m_arrivals, [&](const Arrival& a) {
+      return a.number % vms == rejected.number % vms && a.at > rejected.at + leeway &&
+             a.at < rejected.at + span;
+    });
+    worst = std::max(worst, static_cast<std::size_t>(in_time));
+  }
+  return worst;
+}
+
+std::optional<Common::TimePoint> LimitedServer::AnnouncedTo(std::size_t vm, std::size_t vms) const
+{
+  const auto found = std::ranges::find_if(m_arrivals, [&](const Arrival& a) {
+    return a.announced && a.number % vms == vm;
+  });
+  return found == m_arrivals.end() ? std::nullopt : std::optional(found->at);
+}
+
 std::size_t LimitedServer::WorstWindow(Milliseconds span, Common::TimePoint from) const
 {
   std::size_t worst = 0;
-  for (auto first = std::ranges::lower_bound(m_arrivals, from); first != m_arrivals.end(); ++first)
+  auto first = std::ranges::lower_bound(m_arrivals, from, {}, &Arrival::at);
+  for (; first != m_arrivals.end(); ++first)
   {
-    const auto last = std::ranges::upper_bound(m_arrivals, *first + span);
+    const auto last = std::ranges::upper_bound(m_arrivals, first->at + span, {}, &Arrival::at);
     worst = std::max(worst, static_cast<std::size_t>(last - first));
   }
   return worst;
