--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -89,6 +89,8 @@
   {
     for (const PlannedServer& server : input.servers)
     {
+      if (server.draining)
+        continue;
       for (const PlannedReplica& replica : server.replicas)
         if (CarriesDemand(server, Model(replica.model)))
           ++m_replicas[At(replica.model)];
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -46,6 +46,8 @@
   double reserved_mb = 0; ///< To be left free.
   bool usable = true;     ///< Takes work and orders.
   bool order_open = false;
+  /// It is about to leave: what it holds, and what is on its way there, counts for nothing.
+  bool draining = false;
   /// It takes no more from all daemons together, and has for a while.
   std::optional<double> requests_per_second;
   std::optional<ModelIndex> loading; ///< On its way, or next after an unload.
--- /dev/null
+++ b/Source/Core/Gateway/Backoff.cpp
@@ -0,0 +1,76 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/Backoff.h"
+
+#include <algorithm>
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// For so long a server that rejected a request without a time gets none.
+constexpr Milliseconds UNNAMED_PAUSE{60};
+/// An answer makes room for so many more requests at once: for its own and one more.
+constexpr int WINDOW_PER_ANSWER = 2;
+} // namespace
+
+void Backoff::NoteRejected(Common::TimePoint now)
+{
+  m_until = std::max(m_until, now + UNNAMED_PAUSE);
+}
+
+bool Backoff::NoteRetryAfter(Milliseconds span, Common::TimePoint now)
+{
+  const auto until = now + span;
+  if (span <= Milliseconds(0) || until <= m_until)
+    return false;
+  const bool is_renewed = IsNamed(now) || m_window == 1;
+  if (!is_renewed)
+    m_named_since = now;
+  m_until = until;
+  m_named_until = until;
+  m_window = 1;
+  m_in_flight = 0;
+  return true;
+}
+
+void Backoff::NoteAccepted(Common::TimePoint sent_at, int slots)
+{
+  if (!m_window || sent_at < m_named_until)
+    return;
+  *m_window += WINDOW_PER_ANSWER;
+  if (*m_window > slots)
+    m_window.reset();
+}
+
+void Backoff::NoteStart(Common::TimePoint sent_at)
+{
+  if (sent_at >= m_named_until)
+    ++m_in_flight;
+}
+
+void Backoff::NoteEnd(Common::TimePoint sent_at)
+{
+  if (sent_at >= m_named_until)
+    --m_in_flight;
+}
+
+Milliseconds Backoff::Left(Common::TimePoint now) const
+{
+  return std::max(std::chrono::ceil<Milliseconds>(m_until - now), Milliseconds(0));
+}
+
+Milliseconds Backoff::NamedSpan(Common::TimePoint now) const
+{
+  return IsNamed(now) ? std::chrono::ceil<Milliseconds>(m_named_until - m_named_since)
+                      : Milliseconds(0);
+}
+
+bool Backoff::MaySend(Common::TimePoint now) const
+{
+  return !IsActive(now) && (!m_window || m_in_flight < *m_window);
+}
+} // namespace Gateway
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -36,6 +36,7 @@
   Configure(std::move(settings));
   m_servers.OnChange([this] {
     m_limited.Refresh();
+    RefreshDraining();
     WakeWaiting();
   });
   m_limited.OnChange([this] {
@@ -55,6 +56,7 @@
   m_budget.Configure(m_settings.budget);
   m_keys.Configure(m_settings.key_limit);
   m_allowances.Configure(m_settings.usage_bound);
+  m_servers.SetDrainGrace(m_settings.drain_grace);
 }
 
 void Dispatcher::SetConfiguration(std::shared_ptr<const Configuration> configuration)
@@ -151,21 +153,33 @@
   const auto now = Common::Now();
   std::vector<ServerPtr> unlimited;
   std::vector<ServerPtr> limited;
+  std::vector<ServerPtr> permitted;
+  std::vector<ServerPtr> draining;
   for (const auto& [instance, server] : m_servers.All())
-    if (IsEligible(relay, *server, now))
-      (server->Limit() ? limited : unlimited).push_back(server);
+  {
+    if (!IsEligible(relay, *server, now))
+      continue;
+    const bool may_send = m_limited.MaySend(*server, now);
+    if (server->IsDraining())
+    {
+      if (may_send)
+        draining.push_back(server);
+      continue;
+    }
+    (server->Limit() ? limited : unlimited).push_back(server);
+    if (server->Limit() && may_send)
+      permitted.push_back(server);
+  }
   // A permit that is not used soon is lost, and only an answer tells that a limit has ended.
-  std::vector<ServerPtr> permitted;
-  std::ranges::copy_if(limited, std::back_inserter(permitted), [&](const ServerPtr& server) {
-    return m_limited.MaySend(*server, now);
-  });
   if (ServerPtr chosen = ChooseAmong(permitted, relay))
     return chosen;
-  ServerPtr chosen = ChooseAmong(unlimited, relay);
-  if (chosen)
+  if (ServerPtr chosen = ChooseAmong(unlimited, relay))
+  {
     for (const ServerPtr& server : limited)
       NotePassedBy(*server, now);
-  return chosen;
+    return chosen;
+  }
+  return ChooseAmong(draining, relay);
 }
 
 bool Dispatcher::IsHeldAnywhere(const PoolId& pool, const Artifact& artifact) const
@@ -196,7 +210,7 @@
   std::optional<Decisions::WeightSource> nearest_unlimited;
   for (const auto& [instance, server] : m_servers.All())
   {
-    if (server->Entry().pool != relay.WantedPool() || server->Entry().draining)
+    if (server->Entry().pool != relay.WantedPool() || !server->TakesWork(now))
       continue;
     const bool holds = model.Empty() || server->HoldsModel(model);
     // Who holds it serves it sooner or later, also where it is full now.
@@ -488,8 +502,10 @@
                        return server.Health().IsEjected(now);
                      }));
   m_metrics.SetGauge("servers_draining", count_servers([](const Server& server) {
-                       return server.Entry().draining;
+                       return server.IsDraining();
                      }));
+  m_metrics.SetGauge("sent_to_draining", static_cast<double>(m_counters.sent_to_draining));
+  m_metrics.SetGauge("sent_after_drain", static_cast<double>(m_counters.sent_after_drain));
   if (m_configuration)
   {
     m_metrics.SetGauge("configuration_version", static_cast<double>(m_configuration->version));
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -8,6 +8,8 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
+#include <string_view>
 
 #include "Accounts/KeyTrust.h"
 #include "Accounts/LocalAllowances.h"
@@ -15,6 +17,7 @@
 #include "Crashes/CrashLedger.h"
 #include "Crashes/RecentSuccesses.h"
 #include "Decisions/Routing.h"
+#include "Gateway/DrainBook.h"
 #include "Gateway/EndDetector.h"
 #include "Gateway/LimitedServers.h"
 #include "Gateway/Relay.h"
@@ -53,6 +56,9 @@
   std::optional<Common::Milliseconds> key_limit;
   Accounts::UsageBound usage_bound;
   Common::VmId self; ///< Named to others as the witness of what it saw.
+  /// After an answer to this VM has announced a server's end, it may get for so long what no other
+  /// server can take.
+  Common::Milliseconds drain_grace{1000};
 };
 
 /// Counters that the metrics show beside the outcomes of requests.
@@ -61,6 +67,8 @@
   std::int64_t attempts = 0;
   std::int64_t repeats = 0;
   std::int64_t resumed = 0;
+  std::int64_t sent_to_draining = 0; ///< As no other server could take them.
+  std::int64_t sent_after_drain = 0; ///< Later than that is allowed.
 };
 
 /// Takes callers' requests, matches them with backend servers, and holds those that wait.
@@ -90,7 +98,14 @@
   /// Servers that take only so many requests a second.
   LimitedServers& Limited() { return m_limited; }
   const LimitedServers& Limited() const { return m_limited; }
-  /// Called when permits for servers with a limit are wanted, or a limit is news.
+  /// Servers that have announced their end, for the exchange with other daemons.
+  DrainBook& Draining() { return m_draining; }
+  /// The holder of `tenure` knows of servers that have announced their end.
+  void TakeDrainNews(std::int64_t tenure, std::span<const RateLimits::ServerKey> servers);
+  /// At the holder: another daemon does.
+  void TakeDrainReport(const Common::VmId& from, std::span<const RateLimits::ServerKey> servers);
+  /// Called when permits for servers with a limit are wanted, or other daemons should hear of a
+  /// limit or of a server that drains.
   void OnPermitDemand(std::function<void()> callback) { m_on_permit_demand = std::move(callback); }
   /// What the waiting requests want of servers with a limit.
   std::vector<RateLimits::PermitWant> PermitWants();
@@ -135,10 +150,12 @@
   {
     Common::Milliseconds come_back_after{0};
     std::string_view why;
-    ServerPtr limited_holder; ///< With the shortest wait, where a limit is the reason.
+    /// With the shortest wait, where holders have a limit or want no requests yet.
+    ServerPtr holder;
   };
   /// Where a request cannot be served before its caller leaves: nobody holds its model and the
-  /// weights would come too late, or all who hold it have a limit and too many wait for them.
+  /// weights would come too late, or all who hold it have a limit and too many wait for them, or
+  /// want no requests until later.
   /// Nothing where it may wait, for `longest_wait` at most.
   std::optional<EarlyRefusal> WhyRefuse(const Relay& relay, Common::Milliseconds patience,
                                         Common::Milliseconds longest_wait);
@@ -151,6 +168,11 @@
   /// reports alike.
   void NoteSignals(const ServerPtr& server, const ServerSignals& signals,
                    const SignalOrigin& origin);
+  /// The head of an interim answer, which tells only of the server's end.
+  void NoteAnnouncedEnd(const ServerPtr& server, const ServerSignals& signals,
+                        const SignalOrigin& origin);
+  /// A request goes to the server now.
+  void CountSend(const Server& server, Common::TimePoint now);
   /// The server's connection broke while it had the request.
   void NoteBroken(const ServerPtr& server, Relay& relay, Common::TimePoint sent_at,
                   std::optional<Common::Milliseconds> ran_for);
@@ -203,6 +225,12 @@
   /// A limit has begun or changed: requests that wait in vain now are refused.
   void ReviewWaiting();
   void OnLimitChange();
+  /// An answer to this VM has announced the server's end.
+  void NoteAnnouncedEnd(const ServerPtr& server, const SignalOrigin& origin);
+  /// The end of a server was announced to another VM.
+  void NoteReportedEnd(RateLimits::ServerKey key, std::string_view told_by);
+  /// Servers that came after the news of their end.
+  void RefreshDraining();
 
   DispatcherSettings m_settings;
   std::shared_ptr<const Configuration> m_configuration;
@@ -216,6 +244,8 @@
   Crashes::RecentSuccesses m_successes;
   EndDetector m_ends{m_servers};
   LimitedServers m_limited{m_servers};
+  DrainBook m_draining;
+  std::uint64_t m_draining_revision = 0; ///< Of the servers that have been told of the book.
   Decisions::AffinityRouting m_routing;
   std::map<Relay*, std::shared_ptr<Relay>> m_relays;
   std::map<Http::ServerConnection*, std::shared_ptr<Http::ServerConnection>> m_connections;
--- /dev/null
+++ b/Source/Core/Gateway/DrainBook.cpp
@@ -0,0 +1,69 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/DrainBook.h"
+
+#include <algorithm>
+
+namespace Gateway
+{
+namespace
+{
+using RateLimits::ServerKey;
+
+/// A server that drains is gone by then, and every daemon has been told long before.
+constexpr std::chrono::minutes TOLD_FOR{10};
+} // namespace
+
+bool DrainBook::Note(ServerKey server, Common::TimePoint now)
+{
+  const bool is_new = m_servers.try_emplace(server, Entry{now, m_is_holder ? m_tenure : 0}).second;
+  m_revision += is_new ? 1 : 0;
+  return is_new;
+}
+
+std::vector<ServerKey> DrainBook::Unconfirmed() const
+{
+  std::vector<ServerKey> servers;
+  for (const auto& [server, entry] : m_servers)
+    if (entry.told_in < m_tenure)
+      servers.push_back(server);
+  return servers;
+}
+
+std::vector<ServerKey> DrainBook::TakeNews(std::int64_t tenure, std::span<const ServerKey> servers,
+                                           Common::TimePoint now)
+{
+  m_tenure = std::max(m_tenure, tenure);
+  std::vector<ServerKey> unknown;
+  for (const ServerKey server : servers)
+  {
+    if (Note(server, now))
+      unknown.push_back(server);
+    Entry& entry = m_servers[server];
+    entry.told_in = std::max(entry.told_in, tenure);
+  }
+  return unknown;
+}
+
+void DrainBook::BeginTenure(std::int64_t tenure)
+{
+  m_tenure = std::max(m_tenure, tenure);
+  m_is_holder = true;
+  for (auto& [server, entry] : m_servers)
+    entry.told_in = m_tenure;
+}
+
+std::vector<ServerKey> DrainBook::NextNews(std::size_t most, Common::TimePoint now)
+{
+  std::erase_if(m_servers, [now](const auto& item) {
+    return now - item.second.noted_at > TOLD_FOR;
+  });
+  std::vector<ServerKey> servers;
+  auto next = m_servers.upper_bound(m_told_up_to);
+  for (; next != m_servers.end() && servers.size() < most; ++next)
+    servers.push_back(next->first);
+  m_told_up_to = next == m_servers.end() ? RateLimits::FIRST_KEY : servers.back();
+  return servers;
+}
+} // namespace Gateway
--- a/Source/Core/Gateway/EndDetector.cpp
+++ b/Source/Core/Gateway/EndDetector.cpp
@@ -88,7 +88,7 @@
   const InstanceId& instance = server->Entry().instance;
   // Whoever leaves as planned may break what it still has.
   const bool leaves =
-      server->Entry().draining || server->IsReplaced() || m_servers.Find(instance) != server;
+      server->IsDraining() || server->IsReplaced() || m_servers.Find(instance) != server;
   if (leaves)
     return;
   const auto [found, is_new] = m_doubts.try_emplace(instance);
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -56,6 +56,14 @@
           {"age_ms", age.count()},
           {"learned_from", limit->learned_from}};
 }
+/// Since the first answer or report that announced the server's end; null without one.
+Common::Json DumpDrainAge(const Server& server, Common::TimePoint now)
+{
+  const auto since = server.Drain().Since();
+  if (!since)
+    return nullptr;
+  return std::chrono::floor<Common::Milliseconds>(now - *since).count();
+}
 } // namespace
 
 void ProbeResponder::Adopt(int fd)
@@ -123,7 +131,8 @@
                        {"pool", server->Entry().pool.Get()},
                        {"address", server->Entry().endpoint.ToString()},
                        {"data_centre", server->Entry().data_centre.Get()},
-                       {"draining", server->Entry().draining},
+                       {"draining", ToString(server->Drain().Source())},
+                       {"draining_ms", DumpDrainAge(*server, now)},
                        {"available", server->IsAvailable(now)},
                        {"ejected", server->Health().IsEjected(now)},
                        {"failure_share", server->Health().FailureShare()},
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -465,7 +465,7 @@
   if (!refusal)
     return false;
   m_come_back_after = refusal->come_back_after;
-  if (const ServerPtr& holder = refusal->limited_holder)
+  if (const ServerPtr& holder = refusal->holder)
     Common::LogEvent(
         Common::LogLevel::Info, "refused-for-limit",
         {{"id", m_id},
@@ -524,7 +524,7 @@
     return;
   }
   m_dispatcher.Limited().NoteSend(*m_server, now);
-  ++m_dispatcher.Counters().attempts;
+  m_dispatcher.CountSend(*m_server, now);
   if (m_arrivals > 0)
     ++m_dispatcher.Counters().repeats;
   if (m_stream_begun)
@@ -585,6 +585,14 @@
   return m_signals.instance && *m_signals.instance != m_server->Entry().instance.Get();
 }
 
+void Relay::OnInterimHead(Http::MessageHead& head)
+{
+  ServerSignals signals = ReadSignals(head.status, head.headers, m_dispatcher.Settings().names,
+                                      std::chrono::system_clock::now());
+  if (signals.draining)
+    m_dispatcher.NoteAnnouncedEnd(m_server, signals, {m_id, m_sent_at});
+}
+
 void Relay::OnAnswerBody(std::string_view bytes)
 {
   m_server->NoteHeard(Common::Now());
@@ -692,7 +700,7 @@
   else if (m_head.status == 421)
     m_server->NoteMissing(m_artifact, now);
   else
-    m_server->NoteFull(now);
+    m_server->GetBackoff().NoteRejected(now);
   AttemptFailed("rejected with " + std::to_string(m_head.status), m_may_have_run);
 }
 
@@ -925,7 +933,7 @@
 {
   if (!m_server)
     return;
-  m_server->NoteEnd(m_artifact, Common::Now());
+  m_server->NoteEnd(m_artifact, m_sent_at, Common::Now());
   m_server = nullptr;
 }
 
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -86,6 +86,7 @@
   void GiveUpForStop();
 
   Verdict OnAnswerHead(Http::MessageHead& head) override;
+  void OnInterimHead(Http::MessageHead& head) override;
   void OnAnswerBody(std::string_view bytes) override;
   void OnAnswerEnd() override;
   void OnAnswerBroken(Http::Breakage breakage) override;
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -13,25 +13,33 @@
 {
 /// For so long an artifact that a server denied is not asked of it again, unless its entry changes.
 constexpr Common::Milliseconds MISSING_PAUSE{400};
-/// For so long a server that rejected a request for want of room gets none.
-constexpr Common::Milliseconds FULL_PAUSE{60};
 constexpr Common::Milliseconds LIMIT_SETTLES_AFTER{2500};
+/// So long the condition of a server without an entry is kept, of so many servers.
+constexpr std::chrono::minutes CONDITION_KEPT{10};
+constexpr std::size_t MAX_CONDITIONS_KEPT = 4096;
 } // namespace
 
+Server::Server(ServerEntry entry, std::shared_ptr<ServerCondition> condition)
+    : m_entry(std::move(entry)), m_key(KeyOf(m_entry.instance)), m_condition(std::move(condition))
+{
+  Drain().SetEntry(m_entry.draining);
+}
+
 void Server::SetEntry(ServerEntry entry)
 {
   if (entry.models != m_entry.models)
     m_missing_until.clear();
   m_entry = std::move(entry);
+  Drain().SetEntry(m_entry.draining);
   ++m_entry_revision;
 }
 
 bool Server::IsAvailable(Common::TimePoint now) const
 {
-  if (m_entry.draining || m_replaced || m_health.IsEjected(now) || now < m_full_until ||
+  if (!TakesWork(now) || Health().IsEjected(now) || !GetBackoff().MaySend(now) ||
       m_silence.IsSilent(now))
     return false;
-  return !m_health.IsOnTrial() || m_in_flight == 0;
+  return !Health().IsOnTrial() || m_in_flight == 0;
 }
 
 bool Server::HasSettledLimit(Common::TimePoint now) const
@@ -80,11 +88,6 @@
   m_missing_until[artifact] = now + MISSING_PAUSE;
 }
 
-void Server::NoteFull(Common::TimePoint now)
-{
-  m_full_until = now + FULL_PAUSE;
-}
-
 std::shared_ptr<Http::OriginConnection> Server::TakeConnection(Common::TimePoint now)
 {
   if (auto kept = m_idle.Take(now))
@@ -105,20 +108,22 @@
 void Server::NoteStart(const Artifact& artifact, Common::TimePoint now)
 {
   m_silence.NoteSent(now);
+  GetBackoff().NoteStart(now);
   ++m_in_flight;
   ++m_in_flight_by_model[artifact.model];
 }
 
-void Server::NoteEnd(const Artifact& artifact, Common::TimePoint now)
+void Server::NoteEnd(const Artifact& artifact, Common::TimePoint sent_at, Common::TimePoint now)
 {
   --m_in_flight;
+  GetBackoff().NoteEnd(sent_at);
   if (m_in_flight == 0 && m_silence.IsSilent(now))
   {
     Common::LogEvent(Common::LogLevel::Warning, "server-silent",
                      {{"instance", m_entry.instance},
                       {"limit_ms", m_silence.Limit().count()},
                       {"data_centre", m_entry.data_centre}});
-    m_health.NoteUnreachable(now);
+    Health().NoteUnreachable(now);
   }
   m_silence.NoteEnded(m_in_flight);
   const auto found = m_in_flight_by_model.find(artifact.model);
@@ -151,7 +156,8 @@
   else
   {
     if (entry.draining && !found->second->Entry().draining)
-      Common::LogEvent(Common::LogLevel::Info, "server-draining", {{"instance", entry.instance}});
+      Common::LogEvent(Common::LogLevel::Info, "server-draining",
+                       {{"instance", entry.instance}, {"source", ToString(DrainSource::Entry)}});
     if (entry.pool != found->second->Entry().pool)
       ++m_revision;
     found->second->SetEntry(std::move(entry));
@@ -168,16 +174,47 @@
                     {"address", entry.endpoint.ToString()},
                     {"data_centre", entry.data_centre}});
   const InstanceId instance = entry.instance;
-  m_servers.emplace(instance, std::make_shared<Server>(std::move(entry)));
+  auto condition = std::make_shared<ServerCondition>();
+  if (const auto kept = m_removed.extract(instance))
+  {
+    condition = kept.mapped().condition;
+    // Its entry shows that it lives and is reached at its address.
+    condition->health = {};
+    condition->replaced = false;
+  }
+  const auto server = std::make_shared<Server>(std::move(entry), std::move(condition));
+  server->SetDrainGrace(m_drain_grace);
+  m_servers.emplace(instance, server);
   ++m_revision;
 }
 
+void ServerDirectory::SetDrainGrace(Common::Milliseconds grace)
+{
+  m_drain_grace = grace;
+  for (const auto& [instance, server] : m_servers)
+    server->SetDrainGrace(grace);
+}
+
+void ServerDirectory::DropOldConditions(Common::TimePoint now)
+{
+  std::erase_if(m_removed, [now](const auto& entry) {
+    return now - entry.second.removed_at > CONDITION_KEPT;
+  });
+  if (m_removed.size() >= MAX_CONDITIONS_KEPT)
+    m_removed.erase(std::ranges::min_element(m_removed, {}, [](const auto& entry) {
+      return entry.second.removed_at;
+    }));
+}
+
 void ServerDirectory::Remove(const InstanceId& instance)
 {
   const auto found = m_servers.find(instance);
   if (found == m_servers.end())
     return;
   Common::LogEvent(Common::LogLevel::Info, "server-removed", {{"instance", instance}});
+  const auto now = Common::Now();
+  DropOldConditions(now);
+  m_removed[instance] = {found->second->Condition(), now};
   // Requests that run there hold the server and end by themselves.
   m_servers.erase(found);
   ++m_revision;
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -12,7 +12,7 @@
 
 #include "Common/Loop.h"
 #include "Decisions/WeightCopies.h"
-#include "Gateway/ServerHealth.h"
+#include "Gateway/ServerCondition.h"
 #include "Gateway/SilenceDetector.h"
 #include "Gateway/Types.h"
 #include "Http/IdleConnections.h"
@@ -34,7 +34,9 @@
   /// Idle connections kept to one server.
   static constexpr std::size_t MAX_IDLE_CONNECTIONS = 24;
 
-  explicit Server(ServerEntry entry) : m_entry(std::move(entry)), m_key(KeyOf(m_entry.instance)) {}
+  /// Without a condition from before, nothing is known of this life yet.
+  explicit Server(ServerEntry entry,
+                  std::shared_ptr<ServerCondition> condition = std::make_shared<ServerCondition>());
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
@@ -49,10 +51,15 @@
   /// True where the server's entry names the model.
   bool HoldsModel(const ModelId& model) const;
   bool Holds(const Artifact& artifact, Common::TimePoint now) const;
+  /// True where the server takes work now or after a pause.
+  bool TakesWork(Common::TimePoint now) const
+  {
+    return !IsReplaced() && Drain().MayServe(now, m_drain_grace);
+  }
   /// True where a request for the artifact may be served here, now or after a short pause.
   bool MayServe(const Artifact& artifact, Common::TimePoint now) const
   {
-    return !m_entry.draining && !m_replaced && Holds(artifact, now);
+    return TakesWork(now) && Holds(artifact, now);
   }
   /// The server said that it does not hold the artifact: not tried for a while.
   void NoteMissing(const Artifact& artifact, Common::TimePoint now);
@@ -69,11 +76,8 @@
   Decisions::WeightSource SourceOf(const ModelId& model) const;
   /// The order holder is silent: the entry alone counts.
   void ForgetPlacement() { m_placement.reset(); }
-  /// Another process has the address, or this one has started again: this life is over.
-  void NoteReplaced() { m_replaced = true; }
-  bool IsReplaced() const { return m_replaced; }
-  /// The server takes no connection now.
-  void NoteFull(Common::TimePoint now);
+  void NoteReplaced() { m_condition->replaced = true; }
+  bool IsReplaced() const { return m_condition->replaced; }
 
   /// A kept connection or a new one; nullptr where no socket is left.
   std::shared_ptr<Http::OriginConnection> TakeConnection(Common::TimePoint now);
@@ -82,7 +86,7 @@
   void NoteStart(const Artifact& artifact, Common::TimePoint now);
   /// A server that is silent when its last request is given up is ejected: the next request that
   /// tries it would be lost too.
-  void NoteEnd(const Artifact& artifact, Common::TimePoint now);
+  void NoteEnd(const Artifact& artifact, Common::TimePoint sent_at, Common::TimePoint now);
   /// Bytes came from the server.
   void NoteHeard(Common::TimePoint now) { m_silence.NoteHeard(now); }
   const std::optional<ServerLimit>& Limit() const { return m_limit; }
@@ -97,18 +101,26 @@
   void SetRemoteInFlight(int count) { m_remote_in_flight = count; }
   int Load() const { return m_in_flight + m_remote_in_flight; }
 
-  ServerHealth& Health() { return m_health; }
-  const ServerHealth& Health() const { return m_health; }
+  const std::shared_ptr<ServerCondition>& Condition() const { return m_condition; }
+  ServerHealth& Health() { return m_condition->health; }
+  const ServerHealth& Health() const { return m_condition->health; }
+  DrainState& Drain() { return m_condition->drain; }
+  const DrainState& Drain() const { return m_condition->drain; }
+  bool IsDraining() const { return Drain().IsDraining(); }
+  Backoff& GetBackoff() { return m_condition->backoff; }
+  const Backoff& GetBackoff() const { return m_condition->backoff; }
+  /// After an answer to this VM has announced the server's end, it may get for so long what no
+  /// other server can take.
+  void SetDrainGrace(Common::Milliseconds grace) { m_drain_grace = grace; }
 
 private:
   ServerEntry m_entry;
   RateLimits::ServerKey m_key;
   std::uint64_t m_entry_revision = 1;
-  ServerHealth m_health;
+  std::shared_ptr<ServerCondition> m_condition;
+  Common::Milliseconds m_drain_grace{0};
   SilenceDetector m_silence;
   std::optional<ServerLimit> m_limit;
-  bool m_replaced = false;
-  Common::TimePoint m_full_until;
   Http::IdleConnections m_idle{MAX_IDLE_CONNECTIONS};
   struct Placement
   {
@@ -135,7 +147,10 @@
   /// An entry of a later life takes the place of the server with all that was known of it; one of
   /// an earlier life changes nothing, however late it comes.
   void Put(ServerEntry entry);
+  /// What is known of the server's condition is kept for a while: the entry of a server that lives
+  /// may lapse and come again.
   void Remove(const InstanceId& instance);
+  void SetDrainGrace(Common::Milliseconds grace);
 
   ServerPtr Find(const InstanceId& instance) const;
   /// The latest life under the id of `instance`, whatever the start that it names.
@@ -148,9 +163,18 @@
   std::uint64_t Revision() const { return m_revision; }
 
 private:
+  struct KeptCondition
+  {
+    std::shared_ptr<ServerCondition> condition;
+    Common::TimePoint removed_at;
+  };
+
   void Add(ServerEntry entry);
+  void DropOldConditions(Common::TimePoint now);
 
   std::map<InstanceId, ServerPtr> m_servers;
+  std::map<InstanceId, KeptCondition> m_removed; ///< Of servers without an entry.
+  Common::Milliseconds m_drain_grace{0};
   std::uint64_t m_revision = 1;
   std::function<void()> m_on_change;
 };
--- a/Source/Core/Gateway/ServerRoster.cpp
+++ b/Source/Core/Gateway/ServerRoster.cpp
@@ -45,7 +45,7 @@
   const ServerPtr server = m_directory.FindLatest(instance);
   if (!server)
     return;
-  if (server->Entry().draining || now >= m_grace_until)
+  if (server->IsDraining() || now >= m_grace_until)
   {
     m_directory.Remove(server->Entry().instance);
     return;
--- a/Source/Core/Gateway/ServerSignals.cpp
+++ b/Source/Core/Gateway/ServerSignals.cpp
@@ -59,6 +59,7 @@
   if (const auto instances = ValuesOf(headers, names.instance); !instances.empty())
     signals.instance = instances.front();
   signals.not_run = !ValuesOf(headers, names.not_run).empty() || status == STATUS_MISDIRECTED;
+  signals.accepted = !signals.not_run && !IsRejectionForLoad(status);
   for (const std::string& value : ValuesOf(headers, names.draining))
   {
     const std::string_view text = Common::WithoutTrailingBlanks(value);
--- a/Source/Core/Gateway/ServerSignals.h
+++ b/Source/Core/Gateway/ServerSignals.h
@@ -29,6 +29,7 @@
   /// The process that answered; nothing where it does not tell.
   std::optional<std::string> instance;
   bool not_run = false;  ///< The request was rejected before it ran.
+  bool accepted = false; ///< The server has taken the request on, whatever became of it.
   bool draining = false; ///< The server is about to leave.
   /// Of a rejection: the server wants no request from this VM for so long. Nothing where it names
   /// no time.
--- a/Source/Core/Http/MessageParser.cpp
+++ b/Source/Core/Http/MessageParser.cpp
@@ -185,7 +185,10 @@
     head.content_length = parser->content_length;
   const bool interim = self.m_kind == Kind::Response && head.status < 200;
   if (interim)
+  {
+    self.m_sink->OnInterimHead(head);
     return SKIP_BODY;
+  }
   const bool bodyless = self.m_no_body || head.status == 204 || head.status == 304;
   head.ends_with_connection =
       self.m_kind == Kind::Response && !bodyless && !head.chunked && !has_length;
--- a/Source/Core/Http/MessageParser.h
+++ b/Source/Core/Http/MessageParser.h
@@ -48,6 +48,8 @@
 public:
   virtual ~MessageSink() = default;
   virtual void OnHead(MessageHead& head) = 0;
+  /// Of an interim answer (1xx), which has no body and is followed by another answer.
+  virtual void OnInterimHead(MessageHead&) {}
   virtual void OnBody(std::string_view bytes) = 0;
   virtual void OnMessageEnd() = 0;
 };
--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -188,6 +188,12 @@
     m_skipping = m_events->OnAnswerHead(head) == AnswerEvents::Verdict::Skip;
 }
 
+void OriginConnection::OnInterimHead(MessageHead& head)
+{
+  if (m_events != nullptr)
+    m_events->OnInterimHead(head);
+}
+
 void OriginConnection::OnBody(std::string_view bytes)
 {
   if (m_events != nullptr && !m_skipping)
--- a/Source/Core/Http/OriginConnection.h
+++ b/Source/Core/Http/OriginConnection.h
@@ -37,6 +37,8 @@
 
   virtual ~AnswerEvents() = default;
   virtual Verdict OnAnswerHead(MessageHead& head) = 0;
+  /// An interim answer (1xx); the final one follows.
+  virtual void OnInterimHead(MessageHead&) {}
   virtual void OnAnswerBody(std::string_view bytes) = 0;
   virtual void OnAnswerEnd() = 0;
   virtual void OnAnswerBroken(Breakage breakage) = 0;
@@ -70,6 +72,7 @@
   void OnBytes(std::string_view bytes) override;
   void OnEnd(StreamEnd end) override;
   void OnHead(MessageHead& head) override;
+  void OnInterimHead(MessageHead& head) override;
   void OnBody(std::string_view bytes) override;
   void OnMessageEnd() override;
 
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -107,7 +107,8 @@
   });
   m_dispatcher.OnPermitDemand([this] {
     m_permits.AskSoon();
-    if (m_dispatcher.Limited().Book().Revision() != m_limits_announced)
+    if (m_dispatcher.Limited().Book().Revision() != m_limits_announced ||
+        m_dispatcher.Draining().Revision() != m_draining_announced)
       AnnounceSoon();
   });
 }
@@ -374,6 +375,9 @@
   const std::uint64_t limits_revision = m_dispatcher.Limited().Book().Revision();
   if (regular || std::exchange(m_limits_announced, limits_revision) != limits_revision)
     state.limits.push_back(m_permits.News(now));
+  const std::uint64_t draining_revision = m_dispatcher.Draining().Revision();
+  if (regular || std::exchange(m_draining_announced, draining_revision) != draining_revision)
+    state.draining = m_permits.DrainNews(now);
   state.regular = regular;
   if (regular)
     for (const auto& [instance, load] : m_desk.Flights().All())
@@ -615,6 +619,7 @@
   m_dispatcher.Limited().Permits().NoteHolderHeard(m_holder_heard_at);
   for (const RateLimits::LimitNews& news : state->limits)
     m_permits.TakeNews(report.fence, news);
+  m_dispatcher.TakeDrainNews(report.fence, state->draining);
   if (m_on_lease_word && !m_own_lease)
     m_on_lease_word({report.fence, state->lease_version, Milliseconds(state->lease_left_ms)},
                     state->vm, from);
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -177,10 +177,11 @@
   std::uint64_t m_placement_heard = 0; ///< Version of the placements that were last taken.
   std::uint64_t m_crash_heard = 0;     ///< Of the holder's cases.
   std::uint64_t m_own_crashes_confirmed = 0;
-  std::uint64_t m_own_crashes_told = 0;  ///< Up to here they stand in the last report.
-  Common::TimePoint m_holder_since;      ///< When the holder was last another.
-  std::uint64_t m_crashes_announced = 0; ///< As the holder.
-  std::uint64_t m_limits_announced = 0;  ///< As the holder; a revision of the book of limits.
+  std::uint64_t m_own_crashes_told = 0;   ///< Up to here they stand in the last report.
+  Common::TimePoint m_holder_since;       ///< When the holder was last another.
+  std::uint64_t m_crashes_announced = 0;  ///< As the holder.
+  std::uint64_t m_limits_announced = 0;   ///< As the holder; a revision of the book of limits.
+  std::uint64_t m_draining_announced = 0; ///< As the holder; a revision of the servers that drain.
   DaemonCount m_daemons;
   Common::Milliseconds m_least_handicap{0};
   std::map<Common::VmId, Peer> m_peers; ///< Daemons that report to this holder.
--- a/Source/Core/Orders/MessageSize.cpp
+++ b/Source/Core/Orders/MessageSize.cpp
@@ -120,5 +120,7 @@
   CutTo(ask.observations, room, "limits");
   std::ranges::stable_sort(ask.wants, std::ranges::greater(), &RateLimits::PermitWant::count);
   CutTo(ask.wants, room, "wants");
+  constexpr std::size_t MAX_DRAINING = 250;
+  ask.draining.resize(std::min(ask.draining.size(), MAX_DRAINING));
 }
 } // namespace Orders
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -139,12 +139,14 @@
   bool regular = false;   ///< Holds `in_flight`; else there is only news.
   std::map<ServerHash, std::int32_t> in_flight; ///< Open requests of all daemons.
   std::vector<RateLimits::LimitNews> limits;    ///< One, or none: no news.
+  /// Servers that have announced their end; all, or the next part of them.
+  std::vector<RateLimits::ServerKey> draining;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
     archive(vm, daemons, least_handicap_ms, lease_version, lease_left_ms, abdicated, regular,
-            in_flight, limits);
+            in_flight, limits, draining);
   }
 };
 
@@ -192,7 +194,8 @@
   }
 };
 
-/// From a daemon to the holder: what it read of servers' limits, and the permits that it wants.
+/// From a daemon to the holder: what it read of servers' limits and ends, and the permits that it
+/// wants.
 struct PermitAsk
 {
   Common::VmId vm;
@@ -202,11 +205,13 @@
   std::int64_t tenure = 0; ///< Of the holder whose announcements it has.
   std::vector<RateLimits::LimitObservation> observations;
   std::vector<RateLimits::PermitWant> wants; ///< All that it wants now.
+  /// Servers that have announced their end, of which the holder has not told itself.
+  std::vector<RateLimits::ServerKey> draining;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(vm, run, sequence, data_centre, tenure, observations, wants);
+    archive(vm, run, sequence, data_centre, tenure, observations, wants, draining);
   }
 };
 
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -201,6 +201,12 @@
   }
   if (open.in_exchange || now < open.next_check)
     return;
+  // A load that was not taken is of no use there any more.
+  if (wanted && !open.accepted && server->IsDraining())
+  {
+    CloseOrder(server->Entry().instance, book, "draining");
+    return;
+  }
   const auto pool = m_configuration->pools.find(server->Entry().pool);
   const auto usual = pool != m_configuration->pools.end() && pool->second.engine
                          ? LoadTime(*pool->second.engine, open.call.artifact.model, open.source)
@@ -381,7 +387,7 @@
   const bool done = std::string_view(outcome) == "done";
   if (!done)
     book.state_known = false;
-  if (done && server && !server->Entry().draining)
+  if (done && server && !server->IsDraining())
     GiveNext(server, closed);
 }
 
--- a/Source/Core/Orders/OrderDeskAdapters.cpp
+++ b/Source/Core/Orders/OrderDeskAdapters.cpp
@@ -35,7 +35,7 @@
     const auto holders = Holders(pool.id, artifact.model);
     const bool held = std::ranges::any_of(holders, [&](const Slot* slot) {
       const auto adapters = AdaptersOn(*slot->server, *slot->book);
-      return !slot->server->Entry().draining && !slot->server->Health().IsEjected(now) &&
+      return !slot->server->IsDraining() && !slot->server->Health().IsEjected(now) &&
              std::ranges::find(adapters, artifact) != adapters.end();
     });
     if (!held)
@@ -54,7 +54,7 @@
     const ServerBook& book = *slot->book;
     const bool leaving = book.open && book.open->call.operation == OrderCall::Operation::Unload &&
                          book.open->call.artifact.model == artifact.model;
-    if (server->Entry().draining || server->Health().IsEjected(now) || leaving ||
+    if (server->IsDraining() || server->Health().IsEjected(now) || leaving ||
         now < book.unusable_until || !book.state_known)
       continue;
     const bool full =
--- a/Source/Core/Orders/OrderDeskPlan.cpp
+++ b/Source/Core/Orders/OrderDeskPlan.cpp
@@ -82,7 +82,8 @@
   const bool has_limit = plan_around_limits && server.HasSettledLimit(now);
   if (has_limit)
     state.requests_per_second = RateLimits::PerSecond(server.Limit()->rate);
-  state.usable = !has_limit && !server.Entry().draining && !server.IsReplaced() &&
+  state.draining = server.IsDraining();
+  state.usable = !has_limit && !state.draining && !server.IsReplaced() &&
                  !server.Health().IsEjected(now) && now >= book.unusable_until && book.state_known;
   state.order_open = book.open.has_value();
   state.reserved_mb = LateLoadsMb(pool, book, now);
--- a/Source/Core/Orders/PermitExchange.cpp
+++ b/Source/Core/Orders/PermitExchange.cpp
@@ -23,7 +23,7 @@
 constexpr Milliseconds REPEAT_PROBES_AFTER{1000};
 /// Asks whose sending is remembered for the holder's echo.
 constexpr std::size_t ASKS_REMEMBERED = 64;
-/// Limits that one message tells: some 5 KB, twice a second.
+/// Limits, and servers that drain, that one message tells: some 7 KB, twice a second.
 constexpr std::size_t MAX_NEWS_LINES = 250;
 /// A daemon that has asked for nothing for so long is forgotten.
 constexpr Milliseconds PEER_SILENT_AFTER{10000};
@@ -42,11 +42,18 @@
   m_peers.clear();
   m_keeper.Begin();
   m_limits_revision = 0;
-  RateLimits::LimitBook& book = m_dispatcher.Limited().Book();
+  RateLimits::LimitBook& limits = m_dispatcher.Limited().Book();
+  Gateway::DrainBook& draining = m_dispatcher.Draining();
   if (own_tenure)
-    book.BeginTenure(*own_tenure);
+  {
+    limits.BeginTenure(*own_tenure);
+    draining.BeginTenure(*own_tenure);
+  }
   else
-    book.EndTenure();
+  {
+    limits.EndTenure();
+    draining.EndTenure();
+  }
   AskSoon();
 }
 
@@ -72,6 +79,7 @@
   for (const auto& observation : m_dispatcher.Limited().Book().Unconfirmed(Common::Now()))
     if (m_dispatcher.Servers().FindByKey(observation.server))
       ask.observations.push_back(observation);
+  ask.draining = m_dispatcher.Draining().Unconfirmed();
   FitDatagram(ask);
   return ask;
 }
@@ -81,7 +89,7 @@
   if (!m_holder && !m_own_tenure)
     return;
   PermitAsk ask = MakeAsk();
-  const bool is_empty = ask.wants.empty() && ask.observations.empty();
+  const bool is_empty = ask.wants.empty() && ask.observations.empty() && ask.draining.empty();
   const bool was_empty = std::exchange(m_last_ask_was_empty, is_empty);
   if (is_empty && was_empty)
     return;
@@ -92,10 +100,10 @@
     m_sent.pop_front();
   if (!is_empty)
   {
-    const bool is_urgent =
-        !ask.observations.empty() || std::ranges::any_of(ask.wants, [](const auto& want) {
-          return want.count > 0;
-        });
+    const bool is_urgent = !ask.observations.empty() || !ask.draining.empty() ||
+                           std::ranges::any_of(ask.wants, [](const auto& want) {
+                             return want.count > 0;
+                           });
     m_repeat_timer.Start(is_urgent ? REPEAT_AFTER : REPEAT_PROBES_AFTER, [this] {
       AskSoon();
     });
@@ -121,6 +129,7 @@
     return;
   peer = {from, ask.run, ask.sequence, now};
   m_dispatcher.Limited().TakeObservations(ask.tenure, ask.vm, ask.observations);
+  m_dispatcher.TakeDrainReport(ask.vm, ask.draining);
   const std::uint64_t revision = m_dispatcher.Limited().Revision();
   if (std::exchange(m_limits_revision, revision) != revision)
     m_keeper.SetLimits(m_dispatcher.Limited().KnownLimits(), now);
@@ -195,6 +204,11 @@
                            });
 }
 
+std::vector<RateLimits::ServerKey> PermitExchange::DrainNews(Common::TimePoint now)
+{
+  return m_dispatcher.Draining().NextNews(MAX_NEWS_LINES, now);
+}
+
 RateLimits::LimitNews PermitExchange::News(Common::TimePoint now)
 {
   RateLimits::LimitBook& book = m_dispatcher.Limited().Book();
--- a/Source/Core/Orders/PermitExchange.h
+++ b/Source/Core/Orders/PermitExchange.h
@@ -18,9 +18,9 @@
 
 namespace Orders
 {
-/// Carries what daemons read of servers' limits to the holder of the order lease, and permits for
-/// requests to such servers back. Messages of its own: a request waits for its permit, and a whole
-/// report for each would cost the holder too much.
+/// Carries what daemons read of servers' limits and ends to the holder of the order lease, and
+/// permits for requests to servers with a limit back. Messages of its own: a request waits for its
+/// permit, and a whole report for each would cost the holder too much.
 class PermitExchange
 {
 public:
@@ -45,6 +45,8 @@
   /// At the holder.
   void TakeAsk(const PermitAsk& ask, const Http::Endpoint& from);
   RateLimits::LimitNews News(Common::TimePoint now);
+  /// Servers that have announced their end, for all daemons.
+  std::vector<RateLimits::ServerKey> DrainNews(Common::TimePoint now);
 
   /// From the holder.
   void TakeNews(std::int64_t tenure, const RateLimits::LimitNews& news);
--- a/Source/Core/Orders/PlanBook.cpp
+++ b/Source/Core/Orders/PlanBook.cpp
@@ -128,6 +128,7 @@
   Decisions::PlannedServer& planned = m_input.servers[At(server)];
   planned.usable = state.usable;
   planned.order_open = state.order_open;
+  planned.draining = state.draining;
   planned.requests_per_second = state.requests_per_second;
   planned.reserved_mb = state.reserved_mb;
   planned.loading.reset();
@@ -173,7 +174,8 @@
   std::vector<bool> held(m_input.models.size());
   for (const Decisions::PlannedServer& server : m_input.servers)
     for (const Decisions::PlannedReplica& replica : server.replicas)
-      held[At(replica.model)] = true;
+      if (!server.draining)
+        held[At(replica.model)] = true;
   for (std::size_t i = 0; i < m_input.models.size(); ++i)
   {
     Decisions::PlannedModel& model = m_input.models[i];
--- a/Source/Core/Orders/PlanBook.h
+++ b/Source/Core/Orders/PlanBook.h
@@ -27,6 +27,7 @@
   std::optional<double> requests_per_second;
   std::optional<Gateway::ModelId> loading; ///< On its way, or next after an unload.
   double reserved_mb = 0;                  ///< That late orders may still take.
+  bool draining = false;
 };
 
 /// A model that a server holds, since when.
--- a/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
+++ b/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
@@ -160,6 +160,8 @@
   CPPUNIT_TEST(ADiskIsWaitedForAsLongAsThatSavesTime);
   CPPUNIT_TEST(ABusyModelGetsASpareReplicaFromDiskOnly);
   CPPUNIT_TEST(UnusableServersGetNothing);
+  CPPUNIT_TEST(WhatOnlyADrainingServerHoldsIsLoadedElsewhere);
+  CPPUNIT_TEST(ALoadOnItsWayToADrainingServerIsNone);
   CPPUNIT_TEST(SeveralModelsMakeRoomForALargeOne);
   CPPUNIT_TEST_SUITE_END();
 
@@ -182,6 +184,33 @@
     CPPUNIT_ASSERT_EQUAL(std::string("other"), orders().at(0).instance);
   }
 
+  static NamedServer Draining(const char* name, std::vector<const char*> models)
+  {
+    NamedServer server = Server(name, std::move(models));
+    server.draining = true;
+    server.usable = false;
+    return server;
+  }
+
+  void WhatOnlyADrainingServerHoldsIsLoadedElsewhere()
+  {
+    const auto orders = PlanReplicas(
+        Input({Draining("goes", {"a"}), Server("stays", {"b"})}, {Model("a", 1), Model("b")}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("stays"), orders[0].instance);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), orders[0].model);
+  }
+
+  void ALoadOnItsWayToADrainingServerIsNone()
+  {
+    NamedServer goes = Draining("goes", {});
+    goes.loading = "a";
+    goes.order_open = true;
+    const auto orders = PlanReplicas(Input({goes, Server("stays", {})}, {Model("a", 1)}));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("stays"), orders[0].instance);
+  }
+
   void NothingIsOrderedWithoutDemand()
   {
     CPPUNIT_ASSERT(PlanReplicas(Input({Server("s", {})}, {Model("a")})).empty());
--- /dev/null
+++ b/Source/UnitTests/Gateway/DrainStateTest.cpp
@@ -0,0 +1,178 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include <algorithm>
+#include <deque>
+#include <random>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Gateway/DrainBook.h"
+#include "Gateway/DrainState.h"
+#include "Gateway/ServerDirectory.h"
+#include "Gateway/ServerRoster.h"
+
+namespace
+{
+using namespace Gateway;
+using Common::Milliseconds;
+using Common::TimePoint;
+using RateLimits::ServerKey;
+
+constexpr TimePoint START{std::chrono::hours(1)};
+constexpr Milliseconds GRACE{1000};
+
+class DrainStateTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(DrainStateTest);
+  CPPUNIT_TEST(AnAnswerIsFinalAfterItsGrace);
+  CPPUNIT_TEST(AnEntryEndsItAtOnceAndMayTakeItBack);
+  CPPUNIT_TEST(WhatOthersWereToldIsContradictedByALaterAnswer);
+  CPPUNIT_TEST(WhatIsKnownOutlastsAnEntryThatLapses);
+  CPPUNIT_TEST(ANewLifeIsNotDraining);
+  CPPUNIT_TEST(AllDaemonsLearnOfItWhateverBecomesOfTheNews);
+  CPPUNIT_TEST_SUITE_END();
+
+  void AnAnswerIsFinalAfterItsGrace()
+  {
+    DrainState state;
+    CPPUNIT_ASSERT(state.NoteAnnounced(START));
+    CPPUNIT_ASSERT(!state.NoteAnnounced(START + GRACE / 2));
+    CPPUNIT_ASSERT(state.IsDraining() && state.MayServe(START + GRACE / 2, GRACE));
+    CPPUNIT_ASSERT(!state.MayServe(START + GRACE, GRACE));
+    state.NoteNotAnnounced(START + GRACE);
+    state.SetEntry(false);
+    CPPUNIT_ASSERT(!state.MayServe(START + std::chrono::hours(24), GRACE));
+  }
+
+  void AnEntryEndsItAtOnceAndMayTakeItBack()
+  {
+    DrainState state;
+    state.SetEntry(true);
+    CPPUNIT_ASSERT(!state.MayServe(START, GRACE));
+    state.SetEntry(false);
+    CPPUNIT_ASSERT(!state.IsDraining() && state.MayServe(START, GRACE));
+    state.NoteAnnounced(START);
+    state.SetEntry(true);
+    CPPUNIT_ASSERT(!state.MayServe(START, GRACE));
+  }
+
+  void WhatOthersWereToldIsContradictedByALaterAnswer()
+  {
+    DrainState state;
+    state.NoteReported(START);
+    CPPUNIT_ASSERT(state.IsDraining() && state.MayServe(START + std::chrono::hours(1), GRACE));
+    state.NoteNotAnnounced(START - Milliseconds(1));
+    CPPUNIT_ASSERT(state.IsDraining());
+    state.NoteNotAnnounced(START + Milliseconds(1));
+    state.NoteReported(START + Milliseconds(2));
+    CPPUNIT_ASSERT(!state.IsDraining());
+    state.NoteAnnounced(START + Milliseconds(3));
+    CPPUNIT_ASSERT(state.IsDraining());
+  }
+
+  static ServerEntry EntryOf(std::int64_t started)
+  {
+    ServerEntry entry;
+    entry.instance = InstanceId("i-1", ServerStart(started));
+    entry.pool = PoolId("pool");
+    return entry;
+  }
+
+  /// Entries lapse while the platform's store is away, and come again as they were.
+  void WhatIsKnownOutlastsAnEntryThatLapses()
+  {
+    ServerDirectory directory;
+    directory.Put(EntryOf(1));
+    const auto now = Common::Now();
+    const ServerPtr before = directory.FindLatest(InstanceId("i-1"));
+    before->Drain().NoteAnnounced(now);
+    directory.Remove(before->Entry().instance);
+    // A request that still runs there ends.
+    before->GetBackoff().NoteRejected(now);
+    directory.Put(EntryOf(1));
+    const ServerPtr after = directory.FindLatest(InstanceId("i-1"));
+    CPPUNIT_ASSERT(before != after);
+    CPPUNIT_ASSERT(after->IsDraining());
+    CPPUNIT_ASSERT(after->GetBackoff().IsActive(now));
+  }
+
+  void ANewLifeIsNotDraining()
+  {
+    ServerDirectory directory;
+    directory.Put(EntryOf(1));
+    directory.FindLatest(InstanceId("i-1"))->Drain().NoteAnnounced(Common::Now());
+    directory.Put(EntryOf(2));
+    CPPUNIT_ASSERT(!directory.FindLatest(InstanceId("i-1"))->IsDraining());
+  }
+
+  /// A message between a daemon and the holder, which may be lost, late or doubled.
+  struct Message
+  {
+    TimePoint arrives_at;
+    std::size_t to = 0;
+    std::int64_t tenure = 0; ///< Of the holder that sends or is meant.
+    bool is_news = false;
+    std::vector<ServerKey> servers;
+  };
+
+  void AllDaemonsLearnOfItWhateverBecomesOfTheNews()
+  {
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+      std::mt19937 random(seed);
+      const auto draw = [&](unsigned bound) {
+        return random() % bound;
+      };
+      constexpr std::size_t DAEMONS = 12;
+      std::vector<DrainBook> books(DAEMONS);
+      std::deque<Message> on_the_way;
+      const auto send = [&](const Message& message) {
+        for (unsigned copies = draw(10) < 2 ? 0 : 1 + draw(2); copies > 0; --copies)
+        {
+          on_the_way.push_back(message);
+          on_the_way.back().arrives_at += Milliseconds(draw(400));
+        }
+      };
+      std::size_t holder = 0;
+      std::int64_t tenure = 1;
+      books[holder].BeginTenure(tenure);
+      const ServerKey server(7);
+      books[3].Note(server, START);
+      for (int tick = 0; tick < 60; ++tick)
+      {
+        const auto now = START + Milliseconds(100 * tick);
+        if (tick % 15 == 14)
+        {
+          // The holder is lost before or after it has told others.
+          books[holder].EndTenure();
+          holder = draw(DAEMONS);
+          books[holder].BeginTenure(++tenure);
+        }
+        for (std::size_t i = 0; i < DAEMONS; ++i)
+          if (const auto unconfirmed = books[i].Unconfirmed(); !unconfirmed.empty())
+            send({now, holder, tenure, false, unconfirmed});
+        for (std::size_t i = 0; i < DAEMONS; ++i)
+          send({now, i, tenure, true, books[holder].NextNews(1, now)});
+        std::deque<Message> later;
+        for (const Message& message : on_the_way)
+        {
+          if (message.arrives_at > now)
+            later.push_back(message);
+          else if (message.is_news)
+            books[message.to].TakeNews(message.tenure, message.servers, now);
+          else if (message.to == holder && message.tenure == tenure)
+            books[holder].Note(message.servers.front(), now);
+        }
+        on_the_way = later;
+      }
+      CPPUNIT_ASSERT(std::ranges::all_of(books, [&](const DrainBook& book) {
+        return book.Contains(server) && book.Unconfirmed().empty();
+      }));
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DrainStateTest);
+} // namespace
--- /dev/null
+++ b/Source/UnitTests/Gateway/DrainingServersTest.cpp
@@ -0,0 +1,169 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// The relay before backend servers that announce their end in their answers.
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/Support/RelayWorld.h"
+
+namespace
+{
+using namespace Gateway;
+using Common::Milliseconds;
+using UnitTests::Answer;
+using UnitTests::Chunk;
+using UnitTests::Event;
+using UnitTests::HeaderOf;
+using UnitTests::PLAIN_PATH;
+using UnitTests::RunFor;
+using UnitTests::STREAM_PATH;
+using UnitTests::StreamHead;
+using UnitTests::TestPeer;
+using UnitTests::TestServer;
+using World = UnitTests::RelayWorld;
+
+const InstanceId FIRST("i-1");
+
+std::string With(const std::string& header, std::string answer)
+{
+  return answer.insert(answer.find("\r\n") + 2, header + "\r\n");
+}
+
+class DrainingServersTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(DrainingServersTest);
+  CPPUNIT_TEST(TheHeadOfARunningStreamCounts);
+  CPPUNIT_TEST(ARejectionCounts);
+  CPPUNIT_TEST(AnAnswerThatBreaksOffCounts);
+  CPPUNIT_TEST(AnInterimAnswerCounts);
+  CPPUNIT_TEST(WhatAnotherProcessSaysDoesNotCount);
+  CPPUNIT_TEST(TheOnlyServerServesUntilTheGraceIsOver);
+  CPPUNIT_TEST(TheEntryDoesNotOverruleTheAnswer);
+  CPPUNIT_TEST(AFalseAnswerToAnotherVmTakesNoServerAway);
+  CPPUNIT_TEST_SUITE_END();
+
+  static bool Drains(const World& world)
+  {
+    return UnitTests::RunUntil(
+        [&] {
+          return world.dispatcher.Servers().Find(FIRST)->IsDraining();
+        },
+        Milliseconds(500));
+  }
+
+  void TheHeadOfARunningStreamCounts()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(With("Leaving: 1", StreamHead(head)) + Chunk(Event(1)));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(STREAM_PATH, "id-1");
+    CPPUNIT_ASSERT(Drains(world));
+  }
+
+  void ARejectionCounts()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write("HTTP/1.1 503 x\r\nReq-Id: " + HeaderOf(head, "Req-Id") +
+                         "\r\nLeaving: 1\r\nDid-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(PLAIN_PATH, "id-1");
+    CPPUNIT_ASSERT(Drains(world));
+  }
+
+  void AnAnswerThatBreaksOffCounts()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      const std::string answer = With("Leaving: 1", Answer(head, "whole"));
+      peer.stream->Write(answer.substr(0, answer.size() - 2));
+      peer.stream->Close();
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(PLAIN_PATH, "id-1");
+    CPPUNIT_ASSERT(Drains(world));
+  }
+
+  void AnInterimAnswerCounts()
+  {
+    TestServer server([](TestPeer& peer, const std::string&) {
+      peer.stream->Write("HTTP/1.1 103 Early Hints\r\nLeaving: 1\r\n\r\n");
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(PLAIN_PATH, "id-1");
+    CPPUNIT_ASSERT(Drains(world));
+  }
+
+  void WhatAnotherProcessSaysDoesNotCount()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(With("Leaving: 1\r\nInstance: i-9", Answer(head, "ok")));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(PLAIN_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("200 OK"));
+    CPPUNIT_ASSERT(!world.dispatcher.Servers().Find(FIRST)->IsDraining());
+  }
+
+  /// Until it goes, what it serves is service.
+  void TheOnlyServerServesUntilTheGraceIsOver()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(With("Leaving: 1", Answer(head, HeaderOf(head, "Req-Id"))));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(PLAIN_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("\r\n\r\nid-1"));
+    world.Ask(PLAIN_PATH, "id-2");
+    CPPUNIT_ASSERT(world.CallerGot("\r\n\r\nid-2"));
+    RunFor(world.dispatcher.Settings().drain_grace);
+    world.Ask(PLAIN_PATH, "id-3");
+    CPPUNIT_ASSERT(world.CallerGot("503"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), server.requests.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(1), world.dispatcher.Counters().sent_to_draining);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), world.dispatcher.Counters().sent_after_drain);
+  }
+
+  void TheEntryDoesNotOverruleTheAnswer()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(With("Leaving: 1", Answer(head, "ok")));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(PLAIN_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("200 OK"));
+    world.AddServer("i-1", server.Address());
+    CPPUNIT_ASSERT(Drains(world));
+    world.dispatcher.Servers().Remove(FIRST);
+    world.AddServer("i-1", server.Address());
+    CPPUNIT_ASSERT(Drains(world));
+  }
+
+  void AFalseAnswerToAnotherVmTakesNoServerAway()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(Answer(head, "ok"));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    const RateLimits::ServerKey key = world.dispatcher.Servers().Find(FIRST)->Key();
+    world.dispatcher.TakeDrainNews(1, std::vector{key});
+    CPPUNIT_ASSERT(world.dispatcher.Servers().Find(FIRST)->IsDraining());
+    world.Ask(PLAIN_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("200 OK"));
+    CPPUNIT_ASSERT(!world.dispatcher.Servers().Find(FIRST)->IsDraining());
+    world.dispatcher.TakeDrainNews(1, std::vector{key});
+    CPPUNIT_ASSERT(!world.dispatcher.Servers().Find(FIRST)->IsDraining());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DrainingServersTest);
+} // namespace
--- a/Source/UnitTests/Gateway/ServerLivesTest.cpp
+++ b/Source/UnitTests/Gateway/ServerLivesTest.cpp
@@ -57,7 +57,7 @@
     const auto now = Common::Now();
     before->NoteStart(MODEL, now);
     before->SetRemoteInFlight(7);
-    before->NoteFull(now);
+    before->GetBackoff().NoteRejected(now);
     before->NoteMissing(MODEL, now);
     before->Health().NoteUnreachable(now);
     const std::uint64_t revision = directory.Revision();
--- a/Source/UnitTests/Gateway/SilenceDetectorTest.cpp
+++ b/Source/UnitTests/Gateway/SilenceDetectorTest.cpp
@@ -51,7 +51,7 @@
     CPPUNIT_ASSERT(!detector.IsSilent(NOW + Milliseconds(5000)));
     Server server(ServerEntry{});
     server.NoteStart({}, NOW);
-    server.NoteEnd({}, NOW + Milliseconds(1100));
+    server.NoteEnd({}, NOW, NOW + Milliseconds(1100));
     CPPUNIT_ASSERT(server.IsAvailable(NOW + Milliseconds(1101)));
   }
 
@@ -97,14 +97,14 @@
     Server server(ServerEntry{});
     server.NoteStart({}, NOW);
     server.NoteStart({}, NOW);
-    server.NoteEnd({}, NOW + Milliseconds(1900));
-    server.NoteEnd({}, NOW + Milliseconds(2000));
+    server.NoteEnd({}, NOW, NOW + Milliseconds(1900));
+    server.NoteEnd({}, NOW, NOW + Milliseconds(2000));
     CPPUNIT_ASSERT(!server.IsAvailable(NOW + Milliseconds(2001)));
     CPPUNIT_ASSERT(server.Health().IsOnTrial());
     Server answered(ServerEntry{});
     answered.NoteStart({}, NOW);
     answered.NoteHeard(NOW + Milliseconds(50));
-    answered.NoteEnd({}, NOW + Milliseconds(60));
+    answered.NoteEnd({}, NOW, NOW + Milliseconds(60));
     CPPUNIT_ASSERT(answered.IsAvailable(NOW + Milliseconds(61)));
   }
 };
--- a/Source/UnitTests/Orders/ServerDrainTest.cpp
+++ b/Source/UnitTests/Orders/ServerDrainTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST_SUITE(ServerDrainTest);
   CPPUNIT_TEST(AServerThatAnnouncesItsEndGetsNoRequestsAfterTheBound);
   CPPUNIT_TEST(WithoutAHolderEachDaemonGoesByItsOwnAnswers);
+  CPPUNIT_TEST(AllDaemonsAvoidItSoonAfterOneWasTold);
   CPPUNIT_TEST_SUITE_END();
 
   static std::size_t LateArrivals(const LimitedFleet& fleet, std::size_t server)
@@ -59,6 +60,25 @@
     RunFor(Milliseconds(4000));
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, LateArrivals(fleet, 0));
   }
+
+  void AllDaemonsAvoidItSoonAfterOneWasTold()
+  {
+    LimitedFleet fleet(VMS, 4);
+    fleet.SetHolder(0, 1);
+    fleet.servers[0]->SetDraining("1");
+    constexpr std::size_t TOLD_VM = 3;
+    for (std::size_t number = TOLD_VM; !fleet.servers[0]->AnnouncedTo(TOLD_VM, VMS); number += VMS)
+    {
+      fleet.vms[TOLD_VM]->Ask("r" + std::to_string(number), [](int) {});
+      RunFor(Milliseconds(20));
+    }
+    RunFor(Milliseconds(700));
+    const auto told = Common::Now();
+    fleet.StartLoad(80);
+    RunFor(Milliseconds(1500));
+    fleet.StopLoad();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fleet.servers[0]->ArrivalsSince(told));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerDrainTest);
