Gateway, Orders: a server that names a Retry-After is left alone until then

What callers saw: requests were sent to servers that rejected everything and had asked for 3 s of rest, 109 in 9 s; 39 of 48 refusals came as the retry budget was spent on it, and the rest after a wait of 1.3 s.

Cause: no daemon read the Retry-After of a rejection; a server that rejects was left alone for 60 ms. A request that the only server of its pool had rejected could not go back there at all and waited for nothing.

Backoff is the one clock for both: the latest end that the server named counts, 60 ms where it named none. It is kept for this VM: the server asked this one. Afterwards requests come back as in a slow start, those that wait first. What the servers that may serve a request make wait for longer than its caller stays is refused on arrival, or when the news comes, with a time behind the backoff; what can still be served waits, and may go back to the server that deferred it. Requests that have not gone out are withdrawn. Orders, reports and adapters go to no such server either.

The plan: servers that have wanted none for 2.5 s, or will, from half of the daemons count as servers that take nothing; their models are held elsewhere. In the incident the holder loaded two models on a server that rejected all.

--- a/Source/Core/Gateway/Backoff.cpp
+++ b/Source/Core/Gateway/Backoff.cpp
@@ -37,13 +37,15 @@
   return true;
 }
 
-void Backoff::NoteAccepted(Common::TimePoint sent_at, int slots)
+bool Backoff::NoteAccepted(Common::TimePoint sent_at, int slots)
 {
   if (!m_window || sent_at < m_named_until)
-    return;
+    return false;
+  const bool is_first = *m_window == 1;
   *m_window += WINDOW_PER_ANSWER;
   if (*m_window > slots)
     m_window.reset();
+  return is_first;
 }
 
 void Backoff::NoteStart(Common::TimePoint sent_at)
--- a/Source/Core/Gateway/Backoff.h
+++ b/Source/Core/Gateway/Backoff.h
@@ -23,8 +23,8 @@
   /// counts. True where that moves the end.
   bool NoteRetryAfter(Common::Milliseconds span, Common::TimePoint now);
   /// An answer that is no rejection, to a request sent at `sent_at`. `slots`: requests at once
-  /// beyond which the slow start is over.
-  void NoteAccepted(Common::TimePoint sent_at, int slots);
+  /// beyond which the slow start is over. True for the first one after a time that was named.
+  bool NoteAccepted(Common::TimePoint sent_at, int slots);
   void NoteStart(Common::TimePoint sent_at);
   void NoteEnd(Common::TimePoint sent_at);
 
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -29,6 +29,12 @@
 /// Requests at once on a server without a model engine, in its slots: a few wait there, so that a
 /// slot that frees itself is taken at once.
 constexpr int PLAIN_SLOTS_FACTOR = 2;
+
+/// The lowest is served first.
+auto RankOf(const Relay& relay)
+{
+  return std::tuple(relay.Priority(), relay.MatchedRoute().priority, relay.ArrivedAt());
+}
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherSettings settings)
@@ -124,10 +130,8 @@
 
 bool Dispatcher::IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const
 {
-  const auto& tried = relay.TriedServers();
-  const bool only_tried = static_cast<int>(tried.size()) >= relay.MatchedRoute().max_servers;
   return server.Entry().pool == relay.WantedPool() && server.IsAvailable(now) &&
-         server.Holds(relay.Wanted(), now) && tried.contains(server.Entry().instance) == only_tried;
+         server.Holds(relay.Wanted(), now) && relay.MayGoTo(server.Entry().instance);
 }
 
 ServerPtr Dispatcher::ChooseAmong(const std::vector<ServerPtr>& servers, const Relay& relay)
@@ -159,6 +163,9 @@
   {
     if (!IsEligible(relay, *server, now))
       continue;
+    // Of those that wait for the server, the first is served first.
+    if (server->GetBackoff().IsSlowStart() && IsOvertaking(relay))
+      continue;
     const bool may_send = m_limited.MaySend(*server, now);
     if (server->IsDraining())
     {
@@ -182,6 +189,17 @@
   return ChooseAmong(draining, relay);
 }
 
+bool Dispatcher::IsOvertaking(const Relay& relay) const
+{
+  if (relay.IsWaiting())
+    return false;
+  return std::ranges::any_of(m_relays, [&](const auto& entry) {
+    const Relay& other = *entry.second;
+    return other.IsWaiting() && other.WantedPool() == relay.WantedPool() &&
+           other.Wanted() == relay.Wanted() && RankOf(other) < RankOf(relay);
+  });
+}
+
 bool Dispatcher::IsHeldAnywhere(const PoolId& pool, const Artifact& artifact) const
 {
   const auto now = Common::Now();
@@ -191,8 +209,8 @@
   });
 }
 
-std::optional<Dispatcher::EarlyRefusal>
-Dispatcher::WhyRefuse(const Relay& relay, Milliseconds patience, Milliseconds longest_wait)
+std::optional<EarlyRefusal> Dispatcher::WhyRefuse(const Relay& relay, Milliseconds patience,
+                                                  Milliseconds longest_wait)
 {
   const ModelId& model = relay.Wanted().model;
   const auto pool = m_configuration->pools.find(relay.WantedPool());
@@ -206,28 +224,30 @@
   load.until_deadline = std::chrono::floor<Milliseconds>(relay.Deadline() - now);
   load.patience = patience;
   load.from_store = spec == nullptr ? Milliseconds(0) : spec->load_from_store;
-  std::vector<ServerPtr> limited_holders;
+  std::vector<ServerPtr> slow_holders;
   std::optional<Decisions::WeightSource> nearest_unlimited;
   for (const auto& [instance, server] : m_servers.All())
   {
-    if (server->Entry().pool != relay.WantedPool() || !server->TakesWork(now))
+    if (server->Entry().pool != relay.WantedPool() || !server->TakesWork(now) ||
+        !relay.MayGoTo(instance))
       continue;
     const bool holds = model.Empty() || server->HoldsModel(model);
+    const bool must_wait = server->Limit() || server->GetBackoff().IsNamed(now);
     // Who holds it serves it sooner or later, also where it is full now.
-    if (holds && !server->Limit())
+    if (holds && !must_wait)
       return std::nullopt;
     if (holds)
-      limited_holders.push_back(server);
+      slow_holders.push_back(server);
     if (holds || spec == nullptr)
       continue;
     load.is_coming = load.is_coming || server->IsComing(model);
     const auto source = server->SourceOf(model);
     load.nearest = std::min(load.nearest.value_or(source), source);
-    if (!server->Limit())
+    if (!must_wait)
       nearest_unlimited = std::min(nearest_unlimited.value_or(source), source);
   }
-  if (!limited_holders.empty())
-    return RefuseForLimit(limited_holders, load.is_coming, nearest_unlimited, longest_wait);
+  if (!slow_holders.empty())
+    return RefuseForWait(slow_holders, load.is_coming, nearest_unlimited, longest_wait);
   if (spec == nullptr)
     return std::nullopt;
   const auto until = Decisions::RefusedUntil(load);
@@ -341,7 +361,7 @@
     if (relay->IsWaiting())
       waiting.push_back(relay);
   std::ranges::sort(waiting, {}, [](const auto& relay) {
-    return std::tuple(relay->Priority(), relay->MatchedRoute().priority, relay->ArrivedAt());
+    return RankOf(*relay);
   });
   return waiting;
 }
@@ -349,6 +369,7 @@
 void Dispatcher::PumpWaiting()
 {
   m_wake_asked = false;
+  ReviewBackoffs();
   const auto waiting = WaitingInOrder();
   for (const auto& relay : waiting)
     relay->TryDispatch();
@@ -506,6 +527,11 @@
                      }));
   m_metrics.SetGauge("sent_to_draining", static_cast<double>(m_counters.sent_to_draining));
   m_metrics.SetGauge("sent_after_drain", static_cast<double>(m_counters.sent_after_drain));
+  m_metrics.SetGauge("servers_backing_off", count_servers([&](const Server& server) {
+                       return server.GetBackoff().IsNamed(now);
+                     }));
+  m_metrics.SetGauge("sent_in_backoff", static_cast<double>(m_counters.sent_in_backoff));
+  m_metrics.SetGauge("withdrawn_for_backoff", static_cast<double>(m_counters.withdrawn));
   if (m_configuration)
   {
     m_metrics.SetGauge("configuration_version", static_cast<double>(m_configuration->version));
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -69,6 +69,8 @@
   std::int64_t resumed = 0;
   std::int64_t sent_to_draining = 0; ///< As no other server could take them.
   std::int64_t sent_after_drain = 0; ///< Later than that is allowed.
+  std::int64_t sent_in_backoff = 0;  ///< Into a time for which the server wanted none.
+  std::int64_t withdrawn = 0;        ///< Before they had gone out, as such a time began.
 };
 
 /// Takes callers' requests, matches them with backend servers, and holds those that wait.
@@ -145,14 +147,6 @@
   ServerPtr ChooseServer(const Relay& relay);
   /// True where some server in the pool holds the artifact, whether or not it has room.
   bool IsHeldAnywhere(const PoolId& pool, const Artifact& artifact) const;
-  /// A request that is refused at once.
-  struct EarlyRefusal
-  {
-    Common::Milliseconds come_back_after{0};
-    std::string_view why;
-    /// With the shortest wait, where holders have a limit or want no requests yet.
-    ServerPtr holder;
-  };
   /// Where a request cannot be served before its caller leaves: nobody holds its model and the
   /// weights would come too late, or all who hold it have a limit and too many wait for them, or
   /// want no requests until later.
@@ -202,10 +196,15 @@
   std::int64_t LimitFor(const Server& server) const;
   /// True where the request may be sent to the server now, but for the server's own limit.
   bool IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const;
-  /// `holders`: all that hold the model, each with a limit. `nearest`: where else it may be loaded.
-  std::optional<EarlyRefusal> RefuseForLimit(const std::vector<ServerPtr>& holders, bool is_coming,
-                                             std::optional<Decisions::WeightSource> nearest,
-                                             Common::Milliseconds longest_wait);
+  /// `holders`: all that hold the model, each of which has a limit or wants no requests yet.
+  /// `nearest`: where else it may be loaded.
+  std::optional<EarlyRefusal> RefuseForWait(const std::vector<ServerPtr>& holders, bool is_coming,
+                                            std::optional<Decisions::WeightSource> nearest,
+                                            Common::Milliseconds longest_wait);
+  /// How long a request would wait until the server takes it, as far as the server has told.
+  Common::Milliseconds ExpectedWait(const Server& server, Common::TimePoint now) const;
+  /// True where a request that waits would be overtaken by this one.
+  bool IsOvertaking(const Relay& relay) const;
   /// A request could have gone to the server but for its limit.
   void NotePassedBy(const Server& server, Common::TimePoint now);
   /// Servers with a limit to which a request could go instead of elsewhere.
@@ -225,6 +224,11 @@
   /// A limit has begun or changed: requests that wait in vain now are refused.
   void ReviewWaiting();
   void OnLimitChange();
+  /// The server wants no requests for `span`.
+  void NoteRetryAfter(const ServerPtr& server, Common::Milliseconds span,
+                      const SignalOrigin& origin);
+  /// Requests that wait for servers that want none, or have not gone out to them yet.
+  void ReviewBackoffs();
   /// An answer to this VM has announced the server's end.
   void NoteAnnouncedEnd(const ServerPtr& server, const SignalOrigin& origin);
   /// The end of a server was announced to another VM.
@@ -245,6 +249,7 @@
   EndDetector m_ends{m_servers};
   LimitedServers m_limited{m_servers};
   DrainBook m_draining;
+  std::set<ServerPtr> m_backoff_news;    ///< Servers that have just named a time.
   std::uint64_t m_draining_revision = 0; ///< Of the servers that have been told of the book.
   Decisions::AffinityRouting m_routing;
   std::map<Relay*, std::shared_ptr<Relay>> m_relays;
--- a/Source/Core/Gateway/DispatcherLimits.cpp
+++ b/Source/Core/Gateway/DispatcherLimits.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds PASSED_BY_LATELY{1000};
 /// Servers that one daemon offers to probe at once.
 constexpr std::size_t MAX_PROBES = 8;
+/// Callers that are refused until a server wants requests again return over so long.
+constexpr Milliseconds BACKOFF_RETURN_SPREAD{500};
 } // namespace
 
 void Dispatcher::NotePassedBy(const Server& server, Common::TimePoint now)
@@ -32,25 +34,34 @@
     m_on_permit_demand();
 }
 
-std::optional<Dispatcher::EarlyRefusal>
-Dispatcher::RefuseForLimit(const std::vector<ServerPtr>& holders, bool is_coming,
-                           std::optional<Decisions::WeightSource> nearest,
-                           Milliseconds longest_wait)
+Milliseconds Dispatcher::ExpectedWait(const Server& server, Common::TimePoint now) const
+{
+  return std::max(server.GetBackoff().Left(now), m_limited.ExpectedWait(server));
+}
+
+std::optional<EarlyRefusal>
+Dispatcher::RefuseForWait(const std::vector<ServerPtr>& holders, bool is_coming,
+                          std::optional<Decisions::WeightSource> nearest, Milliseconds longest_wait)
 {
   const auto now = Common::Now();
-  const ServerPtr& soonest =
-      *std::ranges::min_element(holders, {}, [this](const ServerPtr& server) {
-        return m_limited.ExpectedWait(*server);
-      });
+  const ServerPtr& soonest = *std::ranges::min_element(holders, {}, [&](const ServerPtr& server) {
+    return ExpectedWait(*server, now);
+  });
   const bool loads_elsewhere =
       is_coming || (nearest && *nearest != Decisions::WeightSource::WeightStore &&
-                    soonest->HasSettledLimit(now));
-  if (loads_elsewhere || m_limited.ExpectedWait(*soonest) <= longest_wait)
+                    soonest->IsPlannedAround(now));
+  if (loads_elsewhere || ExpectedWait(*soonest, now) <= longest_wait)
     return std::nullopt;
   for (const ServerPtr& server : holders)
-    NotePassedBy(*server, now);
-  return EarlyRefusal{m_limited.ComeBackAfter(*soonest, now), "its servers take too few requests",
-                      soonest};
+    if (server->Limit() && !server->GetBackoff().IsNamed(now))
+      NotePassedBy(*server, now);
+  if (!soonest->GetBackoff().IsNamed(now))
+    return EarlyRefusal{m_limited.ComeBackAfter(*soonest, now), "its servers take too few requests",
+                        soonest};
+  const auto spread = Milliseconds(Common::SharedRandom()() % BACKOFF_RETURN_SPREAD.count());
+  const auto come_back =
+      std::max(soonest->GetBackoff().Left(now) + spread, m_limited.ComeBackAfter(*soonest, now));
+  return EarlyRefusal{come_back, "its servers want no requests yet", soonest};
 }
 
 std::vector<Dispatcher::AwaitedPermit> Dispatcher::AwaitedPermits(Common::TimePoint now) const
--- a/Source/Core/Gateway/DispatcherSignals.cpp
+++ b/Source/Core/Gateway/DispatcherSignals.cpp
@@ -5,6 +5,8 @@
 
 #include "Gateway/Dispatcher.h"
 
+#include <utility>
+
 #include "Common/Log.h"
 
 namespace Gateway
@@ -41,16 +43,46 @@
     NoteAnnouncedEnd(server, origin);
   else
     server->Drain().NoteNotAnnounced(origin.sent_at);
-  const auto age = AgeOf(origin);
   if (signals.backoff)
-    Common::LogEvent(Common::LogLevel::Info, "server-backoff",
-                     {{"instance", instance},
-                      {"id", origin.request},
-                      {"for_ms", signals.backoff->count()},
-                      {"sent_ms_ago", age.count()}});
+    NoteRetryAfter(server, *signals.backoff, origin);
+  if (signals.accepted && server->GetBackoff().NoteAccepted(origin.sent_at, server->Entry().slots))
+    Common::LogEvent(Common::LogLevel::Info, "server-backoff-ended",
+                     {{"instance", instance}, {"id", origin.request}});
   m_limited.NoteAnswer(*server, signals.limit, origin.sent_at);
 }
 
+void Dispatcher::NoteRetryAfter(const ServerPtr& server, Milliseconds span,
+                                const SignalOrigin& origin)
+{
+  const auto now = Common::Now();
+  Backoff& backoff = server->GetBackoff();
+  const Milliseconds before = backoff.IsNamed(now) ? backoff.Left(now) : Milliseconds(0);
+  if (!backoff.NoteRetryAfter(span, now))
+    return;
+  Common::LogEvent(Common::LogLevel::Info, "server-backoff",
+                   {{"instance", server->Entry().instance},
+                    {"id", origin.request},
+                    {"for_ms", span.count()},
+                    {"left_before_ms", before.count()},
+                    {"in_all_ms", backoff.NamedSpan(now).count()},
+                    {"sent_ms_ago", AgeOf(origin).count()}});
+  m_backoff_news.insert(server);
+  WakeWaiting();
+}
+
+void Dispatcher::ReviewBackoffs()
+{
+  const auto servers = std::exchange(m_backoff_news, {});
+  if (servers.empty())
+    return;
+  const auto relays = m_relays;
+  for (const auto& [key, relay] : relays)
+  {
+    relay->WithdrawUnsent(servers);
+    relay->ReviewWait();
+  }
+}
+
 void Dispatcher::NoteAnnouncedEnd(const ServerPtr& server, const ServerSignals& signals,
                                   const SignalOrigin& origin)
 {
@@ -61,6 +93,7 @@
 void Dispatcher::CountSend(const Server& server, Common::TimePoint now)
 {
   ++m_counters.attempts;
+  m_counters.sent_in_backoff += server.GetBackoff().IsActive(now) ? 1 : 0;
   if (!server.IsDraining())
     return;
   ++m_counters.sent_to_draining;
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -134,6 +134,7 @@
                        {"draining", ToString(server->Drain().Source())},
                        {"draining_ms", DumpDrainAge(*server, now)},
                        {"available", server->IsAvailable(now)},
+                       {"backoff_left_ms", server->GetBackoff().Left(now).count()},
                        {"ejected", server->Health().IsEjected(now)},
                        {"failure_share", server->Health().FailureShare()},
                        {"limit", DumpLimit(*server, now)},
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -422,8 +422,7 @@
 
 void Relay::Wait()
 {
-  const bool new_server_allowed = static_cast<int>(m_tried.size()) < m_route.max_servers;
-  if (!new_server_allowed && !m_waiting)
+  if (!MayGoToAnother() && !m_waiting)
   {
     // Only the servers that have seen the request may get it again, and they cannot serve it.
     const auto now = Common::Now();
@@ -459,27 +458,69 @@
 
 bool Relay::RefuseEarly()
 {
-  if (m_arrivals > 0 || m_may_have_run)
-    return false;
   const auto refusal = m_dispatcher.WhyRefuse(*this, m_patience, WaitLeft(Common::Now()));
   if (!refusal)
     return false;
+  if (m_may_have_run)
+  {
+    // Whether a load comes in time is an estimate, but what a server names is known.
+    if (refusal->holder)
+      OnWaitExpired();
+    return refusal->holder != nullptr;
+  }
   m_come_back_after = refusal->come_back_after;
-  if (const ServerPtr& holder = refusal->holder)
+  LogEarlyRefusal(*refusal);
+  m_dispatcher.ExpectReturn(*this, refusal->come_back_after);
+  Refuse(refusal->why);
+  return true;
+}
+
+void Relay::LogEarlyRefusal(const EarlyRefusal& refusal) const
+{
+  if (!refusal.holder)
+    return;
+  const auto now = Common::Now();
+  const Server& holder = *refusal.holder;
+  if (holder.GetBackoff().IsNamed(now))
+    Common::LogEvent(Common::LogLevel::Info, "refused-for-backoff",
+                     {{"id", m_id},
+                      {"artifact", m_artifact.ToString()},
+                      {"instance", holder.Entry().instance},
+                      {"left_ms", holder.GetBackoff().Left(now).count()},
+                      {"patience_ms", WaitLeft(now).count()},
+                      {"come_back_ms", refusal.come_back_after.count()}});
+  else if (const auto& limit = holder.Limit())
     Common::LogEvent(
         Common::LogLevel::Info, "refused-for-limit",
         {{"id", m_id},
          {"artifact", m_artifact.ToString()},
-         {"instance", holder->Entry().instance},
-         {"per_second", RateLimits::Describe(holder->Limit()->rate)},
-         {"limit_age_ms",
-          std::chrono::floor<Milliseconds>(Common::Now() - holder->Limit()->since).count()},
-         {"expected_wait_ms", m_dispatcher.Limited().ExpectedWait(*holder).count()},
-         {"patience_ms", WaitLeft(Common::Now()).count()},
-         {"come_back_ms", refusal->come_back_after.count()}});
-  m_dispatcher.ExpectReturn(*this, refusal->come_back_after);
-  Refuse(refusal->why);
-  return true;
+         {"instance", holder.Entry().instance},
+         {"per_second", RateLimits::Describe(limit->rate)},
+         {"limit_age_ms", std::chrono::floor<Milliseconds>(now - limit->since).count()},
+         {"expected_wait_ms", m_dispatcher.Limited().ExpectedWait(holder).count()},
+         {"patience_ms", WaitLeft(now).count()},
+         {"come_back_ms", refusal.come_back_after.count()}});
+}
+
+bool Relay::MayGoToAnother() const
+{
+  return static_cast<int>(m_tried.size()) < m_route.max_servers;
+}
+
+bool Relay::MayGoTo(const InstanceId& instance) const
+{
+  return m_tried.contains(instance) != MayGoToAnother() || m_deferred_by.contains(instance);
+}
+
+void Relay::WithdrawUnsent(const std::set<ServerPtr>& servers)
+{
+  if (m_done || !m_connection || m_connection->HasSent() || !servers.contains(m_server))
+    return;
+  const auto guard = shared_from_this();
+  ++m_dispatcher.Counters().withdrawn;
+  --m_arrivals;
+  m_tried.erase(m_server->Entry().instance);
+  AttemptFailed("the server wants no requests yet", m_may_have_run);
 }
 
 void Relay::ReviewWait()
@@ -700,7 +741,11 @@
   else if (m_head.status == 421)
     m_server->NoteMissing(m_artifact, now);
   else
+  {
     m_server->GetBackoff().NoteRejected(now);
+    if (m_signals.backoff)
+      m_deferred_by.insert(m_server->Entry().instance);
+  }
   AttemptFailed("rejected with " + std::to_string(m_head.status), m_may_have_run);
 }
 
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -24,6 +24,15 @@
 {
 class Dispatcher;
 
+/// A request that is refused at once.
+struct EarlyRefusal
+{
+  Common::Milliseconds come_back_after{0};
+  std::string_view why;
+  /// With the shortest wait, where holders have a limit or want no requests yet.
+  ServerPtr holder;
+};
+
 /// Why a request ended, for logs and counters.
 enum class Outcome
 {
@@ -68,7 +77,10 @@
   const std::string& Id() const { return m_id; }
   /// Tokens-independent key that keeps requests with the same prompt beginning together.
   const std::string& AffinityKey() const { return m_affinity; }
-  const std::set<InstanceId>& TriedServers() const { return m_tried; }
+  /// True where the request may be sent to the server, as far as its route says: to each server
+  /// once, to so many at most, and then to the same again; and again to one that has named the time
+  /// when it takes it.
+  bool MayGoTo(const InstanceId& instance) const;
   const Route& MatchedRoute() const { return m_route; }
   /// By which the request is recognised when it comes again. Made when it is first asked for.
   const Crashes::Fingerprint& Fingerprint();
@@ -77,6 +89,9 @@
   /// It waits for a server with a limit that will have no time for it: refused where it cannot be
   /// served elsewhere either.
   void ReviewWait();
+  /// These servers want no requests: if this one has not gone out to one of them yet, it goes
+  /// elsewhere.
+  void WithdrawUnsent(const std::set<ServerPtr>& servers);
   Crashes::RequestIdentity Identity() const;
 
   /// Servers have ended under the request: it is not sent again, nor waited for.
@@ -127,9 +142,12 @@
   // What to do when an attempt has failed.
   void AttemptFailed(std::string_view why, bool may_have_run);
   bool MayTryAgain(bool may_have_run) const;
+  /// The route allows it one more server.
+  bool MayGoToAnother() const;
   void Wait();
-  /// True where the request has been refused, as it cannot be served before its caller leaves.
+  /// True where the request has ended, as it cannot be served before its caller leaves.
   bool RefuseEarly();
+  void LogEarlyRefusal(const EarlyRefusal& refusal) const;
   void OnWaitExpired();
   void OnDeadline();
   void OnSilence(Common::Milliseconds span);
@@ -169,7 +187,8 @@
   ServerPtr m_server;
   std::shared_ptr<Http::OriginConnection> m_connection;
   std::set<InstanceId> m_tried;
-  Common::TimePoint m_sent_at; ///< To the server that has the request now.
+  std::set<InstanceId> m_deferred_by; ///< Of these, who rejected it and named a time to come again.
+  Common::TimePoint m_sent_at;        ///< To the server that has the request now.
   /// The first word of that server.
   std::optional<Common::TimePoint> m_server_spoke_at;
   int m_arrivals = 0; ///< Times the request has reached, or may have reached, a server.
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -13,7 +13,7 @@
 {
 /// For so long an artifact that a server denied is not asked of it again, unless its entry changes.
 constexpr Common::Milliseconds MISSING_PAUSE{400};
-constexpr Common::Milliseconds LIMIT_SETTLES_AFTER{2500};
+constexpr Common::Milliseconds SETTLES_AFTER{2500};
 /// So long the condition of a server without an entry is kept, of so many servers.
 constexpr std::chrono::minutes CONDITION_KEPT{10};
 constexpr std::size_t MAX_CONDITIONS_KEPT = 4096;
@@ -44,7 +44,12 @@
 
 bool Server::HasSettledLimit(Common::TimePoint now) const
 {
-  return m_limit && now - m_limit->since >= LIMIT_SETTLES_AFTER;
+  return m_limit && now - m_limit->since >= SETTLES_AFTER;
+}
+
+bool Server::HasLongBackoff(Common::TimePoint now) const
+{
+  return GetBackoff().NamedSpan(now) >= SETTLES_AFTER;
 }
 
 bool Server::Holds(const Artifact& artifact, Common::TimePoint now) const
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -94,6 +94,12 @@
   /// The server has had a limit for so long that its models should be held elsewhere too; a need
   /// that passes at once moves none.
   bool HasSettledLimit(Common::TimePoint now) const;
+  /// The same for a server that wants no requests.
+  bool HasLongBackoff(Common::TimePoint now) const;
+  bool IsPlannedAround(Common::TimePoint now) const
+  {
+    return HasSettledLimit(now) || HasLongBackoff(now);
+  }
   int InFlight() const { return m_in_flight; }
   const std::map<ModelId, int>& InFlightByModel() const { return m_in_flight_by_model; }
   /// Requests of other daemons there, as they told the order holder.
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -218,8 +218,11 @@
   for (const Gateway::ArtifactDemand& demand : m_dispatcher.TakeDemand())
     report.demand.push_back({demand.pool, demand.artifact, demand.waiting, demand.priority,
                              demand.oldest_wait.count(), demand.arrivals});
+  const auto now = Common::Now();
   for (const auto& [instance, server] : m_dispatcher.Servers().All())
   {
+    if (server->HasLongBackoff(now))
+      report.backing_off.push_back(HashOf(instance));
     if (server->InFlight() == 0)
       continue;
     LoadLine line;
--- a/Source/Core/Orders/MessageSize.cpp
+++ b/Source/Core/Orders/MessageSize.cpp
@@ -34,6 +34,8 @@
 
 /// The allowances' part of what a report has room for: some 400 accounts.
 constexpr std::size_t ALLOWANCE_PARTS = 4;
+/// Of the servers that a message names by a number alone.
+constexpr std::size_t MAX_SERVERS_NAMED = 250;
 
 std::size_t BytesOf(const Accounts::AllowanceLine& line)
 {
@@ -108,6 +110,8 @@
   std::ranges::stable_sort(report.demand, std::ranges::greater(), &DemandLine::waiting);
   // Made to fit when the report was.
   room -= CRASH_BYTES;
+  report.backing_off.resize(std::min(report.backing_off.size(), MAX_SERVERS_NAMED));
+  room -= report.backing_off.size() * sizeof(ServerHash);
   CutTo(report.demand, room / 2, "demand");
   std::ranges::stable_sort(report.loads, std::ranges::greater(), &LoadLine::in_flight);
   CutTo(report.loads, room / 2, "loads");
@@ -120,7 +124,6 @@
   CutTo(ask.observations, room, "limits");
   std::ranges::stable_sort(ask.wants, std::ranges::greater(), &RateLimits::PermitWant::count);
   CutTo(ask.wants, room, "wants");
-  constexpr std::size_t MAX_DRAINING = 250;
-  ask.draining.resize(std::min(ask.draining.size(), MAX_DRAINING));
+  ask.draining.resize(std::min(ask.draining.size(), MAX_SERVERS_NAMED));
 }
 } // namespace Orders
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -77,6 +77,11 @@
   }
 };
 
+/// Stands for a backend server where its whole name would be most of the message. Two servers with
+/// one hash only blur each other's load.
+using ServerHash = std::uint32_t;
+ServerHash HashOf(const Gateway::InstanceId& instance);
+
 /// From a daemon to the holder.
 struct DaemonReport
 {
@@ -95,12 +100,14 @@
   /// Requests that end servers: what this daemon saw and the holder has not confirmed.
   std::vector<Crashes::CaseLine> crashes;
   std::uint64_t crash_revision = 0; ///< Of the holder's cases, as this daemon has them.
+  /// Servers that want no requests from this daemon, and have not for a while or will not.
+  std::vector<ServerHash> backing_off;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
     archive(vm, run, sequence, demand, loads, table_versions, placement_version, missed_news,
-            handicap_ms, grants_fence, allowances, crashes, crash_revision);
+            handicap_ms, grants_fence, allowances, crashes, crash_revision, backing_off);
   }
 };
 
@@ -121,11 +128,6 @@
   }
 };
 
-/// Stands for a backend server where its whole name would be most of the message. Two servers with
-/// one hash only blur each other's load.
-using ServerHash = std::uint32_t;
-ServerHash HashOf(const Gateway::InstanceId& instance);
-
 /// The part of a holder's report that is the same for all daemons; encoded once.
 struct HolderState
 {
--- a/Source/Core/Orders/OrderDesk.cpp
+++ b/Source/Core/Orders/OrderDesk.cpp
@@ -158,6 +158,14 @@
   });
 }
 
+void OrderDesk::SumBackoffs()
+{
+  m_backing_off.clear();
+  for (const auto& [vm, daemon] : m_daemons)
+    for (const ServerHash server : daemon.last.backing_off)
+      ++m_backing_off[server];
+}
+
 void OrderDesk::PlanSoon()
 {
   if (m_plan_timer.Running())
@@ -172,6 +180,7 @@
   if (!m_configuration || !m_permit())
     return;
   DropSilentDaemons(now);
+  SumBackoffs();
   RefreshSlots();
   for (Slot& slot : m_slots)
   {
@@ -216,7 +225,8 @@
     CloseOrder(server->Entry().instance, book, "given_up");
     return;
   }
-  AskReport(server, book);
+  if (!server->GetBackoff().IsNamed(now))
+    AskReport(server, book);
 }
 
 void OrderDesk::Give(const ServerPtr& server, OrderCall::Operation operation, const ModelId& model,
@@ -261,7 +271,7 @@
 {
   OpenOrder& open = *book.open;
   const auto permit = m_permit();
-  if (!permit || book.adapter_in_exchange)
+  if (!permit || book.adapter_in_exchange || server->GetBackoff().IsNamed(Common::Now()))
   {
     open.next_check = Common::Now();
     return;
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -192,6 +192,7 @@
   };
 
   void DropSilentDaemons(Common::TimePoint now);
+  void SumBackoffs();
   /// Makes the slots and the plans' books anew where servers or the configuration have changed.
   void RefreshSlots();
   void RefreshSlot(Slot& slot, Common::TimePoint now);
@@ -209,7 +210,10 @@
   static std::vector<HeldModel> HeldModels(const ServerBook& book, Common::TimePoint now);
   /// Models of servers with a limit are held elsewhere too, unless most servers have one: then
   /// there is no elsewhere.
-  static bool MayPlanAround(const PlanBook& plan, Common::TimePoint now);
+  bool MayPlanAround(const PlanBook& plan, Common::TimePoint now) const;
+  /// True where the server wants no requests from at least half of the daemons, and has not for a
+  /// while or will not.
+  bool IsBackedOffFrom(const Gateway::Server& server) const;
   ServerState StateOf(const Gateway::Pool& pool, const Slot& slot, bool plan_around_limits,
                       Common::TimePoint now) const;
   void CheckOpen(const Gateway::ServerPtr& server, ServerBook& book, Common::TimePoint now);
@@ -261,6 +265,7 @@
   std::map<Gateway::InstanceId, ServerBook> m_books;
   std::map<Common::VmId, DaemonBook> m_daemons;
   FlightBook m_flights;
+  std::map<ServerHash, int> m_backing_off; ///< Daemons that tell it of a server.
   std::map<Gateway::PoolId, PlanBook> m_plans;
   std::vector<Slot> m_slots;
   std::uint64_t m_slots_revision = 0; ///< Of the servers that the slots were made from; 0: none.
--- a/Source/Core/Orders/OrderDeskPlan.cpp
+++ b/Source/Core/Orders/OrderDeskPlan.cpp
@@ -65,10 +65,17 @@
   return memory_mb;
 }
 
-bool OrderDesk::MayPlanAround(const PlanBook& plan, TimePoint now)
+bool OrderDesk::IsBackedOffFrom(const Server& server) const
 {
-  const auto limited = std::ranges::count_if(plan.Servers(), [now](const auto& server) {
-    return server->HasSettledLimit(now);
+  const auto found = m_backing_off.find(HashOf(server.Entry().instance));
+  return found != m_backing_off.end() &&
+         static_cast<std::size_t>(found->second) * 2 >= m_daemons.size();
+}
+
+bool OrderDesk::MayPlanAround(const PlanBook& plan, TimePoint now) const
+{
+  const auto limited = std::ranges::count_if(plan.Servers(), [&](const auto& server) {
+    return server->HasSettledLimit(now) || IsBackedOffFrom(*server);
   });
   return limited * 2 <= static_cast<std::ptrdiff_t>(plan.Servers().size());
 }
@@ -82,9 +89,13 @@
   const bool has_limit = plan_around_limits && server.HasSettledLimit(now);
   if (has_limit)
     state.requests_per_second = RateLimits::PerSecond(server.Limit()->rate);
+  const bool backs_off = plan_around_limits && IsBackedOffFrom(server);
+  if (backs_off)
+    state.requests_per_second = 0;
   state.draining = server.IsDraining();
-  state.usable = !has_limit && !state.draining && !server.IsReplaced() &&
-                 !server.Health().IsEjected(now) && now >= book.unusable_until && book.state_known;
+  state.usable = !has_limit && !backs_off && !server.GetBackoff().IsNamed(now) && !state.draining &&
+                 !server.IsReplaced() && !server.Health().IsEjected(now) &&
+                 now >= book.unusable_until && book.state_known;
   state.order_open = book.open.has_value();
   state.reserved_mb = LateLoadsMb(pool, book, now);
   if (book.open && book.open->next.load)
--- a/Source/Core/Orders/OrderDeskServers.cpp
+++ b/Source/Core/Orders/OrderDeskServers.cpp
@@ -142,7 +142,8 @@
 
 void OrderDesk::LearnState(const ServerPtr& server, ServerBook& book, TimePoint now)
 {
-  if (book.state_known || book.report_asked || book.open || now < book.next_report)
+  if (book.state_known || book.report_asked || book.open || now < book.next_report ||
+      server->GetBackoff().IsNamed(now))
     return;
   const auto pool = m_configuration->pools.find(server->Entry().pool);
   if (pool == m_configuration->pools.end() || !pool->second.engine)
