--- /dev/null
+++ b/Source/UnitTests/Gateway/BackoffReplayTest.cpp
@@ -0,0 +1,270 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Daemons before servers that reject when they are full and name a time, in virtual time: whether
+// the time should count for the VM that was told it, for all, or for the others as a hint.
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <map>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Gateway/Backoff.h"
+
+namespace
+{
+using Common::Milliseconds;
+using Common::TimePoint;
+using Gateway::Backoff;
+
+constexpr TimePoint START{std::chrono::hours(1)};
+constexpr std::size_t SERVERS = 4;
+constexpr int SLOTS = 6;
+constexpr int QUEUE = 12; ///< Requests that wait at a server.
+constexpr Milliseconds SERVICE_TIME{100};
+constexpr double CAPACITY = SERVERS * SLOTS * 10.0; ///< Requests a second.
+constexpr Milliseconds PATIENCE{1000};
+constexpr Milliseconds RETRY_AFTER{1500};
+constexpr Milliseconds NEWS_DELAY{300};
+constexpr int SECONDS = 30;
+constexpr int MAX_SERVERS = 2; ///< Of one request.
+/// Requests of one daemon that a server may get within a time for which it wants none, when the
+/// requests on their way have arrived.
+constexpr int ALLOWED_IN_BACKOFF = 2;
+
+enum class Way
+{
+  Kept,      ///< For the VM that was told.
+  ToldToAll, ///< For all VMs.
+  Hint,      ///< For the VM that was told; others prefer other servers.
+};
+
+enum class Load
+{
+  OneSlowServer, ///< 0.6 of what all serve, and one serves an eighth of its part.
+  Overload,      ///< 1.3 times what all serve.
+  OneUnfairVm,   ///< 0.6, and one server rejects one VM alone.
+};
+
+struct Outcome
+{
+  int served = 0;
+  int refused = 0;
+  int rejections = 0;
+  int in_backoff = 0; ///< The most that one daemon sent to one server in one backoff.
+};
+
+struct Server
+{
+  std::array<TimePoint, SLOTS> free_at{};
+  int in_system = 0;
+};
+
+struct Request
+{
+  TimePoint arrived;
+  std::size_t daemon = 0;
+  std::vector<std::size_t> tried;
+};
+
+class Replay
+{
+public:
+  Replay(Way way, Load load, std::size_t daemons, unsigned seed)
+      : m_way(way), m_load(load), m_random(seed), m_daemons(daemons)
+  {
+  }
+
+  Outcome Run()
+  {
+    const double rate = CAPACITY * (m_load == Load::Overload ? 1.3 : 0.6);
+    std::exponential_distribution<double> gap(rate);
+    double next_s = gap(m_random);
+    for (int tick = 0; tick < SECONDS * 1000; ++tick)
+    {
+      m_now = START + Milliseconds(tick);
+      EndRequests();
+      std::vector<Request> waiting = std::exchange(m_waiting, {});
+      for (Request& request : waiting)
+        Dispatch(request);
+      for (; next_s * 1000 <= tick; next_s += gap(m_random))
+      {
+        Request request{m_now, m_random() % m_daemons.size(), {}};
+        Dispatch(request);
+      }
+    }
+    return m_outcome;
+  }
+
+private:
+  struct Link
+  {
+    Backoff backoff;
+    int in_flight = 0;
+    std::optional<TimePoint> told_at;
+    int since_told = 0;
+  };
+  struct Daemon
+  {
+    std::array<Link, SERVERS> links;
+  };
+  struct Running
+  {
+    std::size_t daemon;
+    std::size_t server;
+    TimePoint sent_at;
+  };
+
+  bool IsAvoided(const Daemon& daemon, std::size_t server) const
+  {
+    return !daemon.links[server].backoff.MaySend(m_now) ||
+           (m_way == Way::ToldToAll && IsNews(server));
+  }
+  bool IsNews(std::size_t server) const
+  {
+    return m_news_until[server] > m_now && m_news_from[server] <= m_now;
+  }
+
+  void Dispatch(Request& request)
+  {
+    Daemon& daemon = m_daemons[request.daemon];
+    std::optional<std::size_t> best;
+    const auto rank = [&](std::size_t server) {
+      return std::pair(m_way == Way::Hint && IsNews(server), daemon.links[server].in_flight);
+    };
+    const std::size_t first = m_random() % SERVERS;
+    for (std::size_t i = 0; i < SERVERS; ++i)
+    {
+      const std::size_t server = (first + i) % SERVERS;
+      const bool is_tried = std::ranges::find(request.tried, server) != request.tried.end();
+      if (is_tried || IsAvoided(daemon, server))
+        continue;
+      if (!best || rank(server) < rank(*best))
+        best = server;
+    }
+    if (best)
+      Send(request, *best);
+    else
+      WaitOrRefuse(request);
+  }
+
+  void WaitOrRefuse(const Request& request)
+  {
+    const Daemon& daemon = m_daemons[request.daemon];
+    const auto left = request.arrived + PATIENCE - m_now;
+    const bool hopeful = std::ranges::any_of(daemon.links, [&](const Link& link) {
+      return link.backoff.Left(m_now) <= left;
+    });
+    if (left > Milliseconds(0) && hopeful)
+      m_waiting.push_back(request);
+    else
+      ++m_outcome.refused;
+  }
+
+  void Send(Request& request, std::size_t server)
+  {
+    Daemon& daemon = m_daemons[request.daemon];
+    Link& link = daemon.links[server];
+    if (link.told_at && m_now > *link.told_at && m_now < *link.told_at + RETRY_AFTER)
+      m_outcome.in_backoff = std::max(m_outcome.in_backoff, ++link.since_told);
+    const bool is_unfair = m_load == Load::OneUnfairVm && server == 0 && request.daemon == 0;
+    Server& chosen = m_servers[server];
+    if (chosen.in_system >= SLOTS + QUEUE || is_unfair)
+    {
+      ++m_outcome.rejections;
+      link.backoff.NoteRetryAfter(RETRY_AFTER, m_now);
+      link.told_at = m_now;
+      link.since_told = 0;
+      m_news_from[server] = m_now + NEWS_DELAY;
+      m_news_until[server] = m_now + RETRY_AFTER;
+      request.tried.push_back(server);
+      if (request.tried.size() < MAX_SERVERS)
+        Dispatch(request);
+      else
+        ++m_outcome.refused;
+      return;
+    }
+    const bool is_slow = m_load == Load::OneSlowServer && server == 0;
+    TimePoint& slot = *std::ranges::min_element(chosen.free_at);
+    slot = std::max(slot, m_now) + SERVICE_TIME * (is_slow ? 8 : 1);
+    const auto end = slot;
+    ++chosen.in_system;
+    link.backoff.NoteStart(m_now);
+    ++link.in_flight;
+    m_running.emplace(end, Running{request.daemon, server, m_now});
+  }
+
+  void EndRequests()
+  {
+    while (!m_running.empty() && m_running.begin()->first <= m_now)
+    {
+      const auto [end, running] = *m_running.begin();
+      m_running.erase(m_running.begin());
+      --m_servers[running.server].in_system;
+      Link& link = m_daemons[running.daemon].links[running.server];
+      link.backoff.NoteAccepted(running.sent_at, SLOTS);
+      link.backoff.NoteEnd(running.sent_at);
+      --link.in_flight;
+      ++m_outcome.served;
+    }
+  }
+
+  Way m_way;
+  Load m_load;
+  std::mt19937 m_random;
+  TimePoint m_now;
+  std::vector<Daemon> m_daemons;
+  std::array<Server, SERVERS> m_servers;
+  std::array<TimePoint, SERVERS> m_news_from{};
+  std::array<TimePoint, SERVERS> m_news_until{};
+  std::multimap<TimePoint, Running> m_running;
+  std::vector<Request> m_waiting;
+  Outcome m_outcome;
+};
+
+Outcome Play(Way way, Load load, std::size_t daemons)
+{
+  Outcome sum;
+  for (unsigned seed = 1; seed <= 3; ++seed)
+  {
+    const Outcome one = Replay(way, load, daemons, seed).Run();
+    sum.served += one.served;
+    sum.refused += one.refused;
+    sum.rejections += one.rejections;
+    sum.in_backoff = std::max(sum.in_backoff, one.in_backoff);
+  }
+  if (std::getenv("DRUMPOND_PRINT_REPLAYS") != nullptr)
+    std::printf("way %d load %d daemons %zu: served %d refused %d rejections %d worst %d\n",
+                static_cast<int>(way), static_cast<int>(load), daemons, sum.served, sum.refused,
+                sum.rejections, sum.in_backoff);
+  return sum;
+}
+
+class BackoffReplayTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(BackoffReplayTest);
+  CPPUNIT_TEST(KeptForTheVmThatWasToldItServesTheMost);
+  CPPUNIT_TEST_SUITE_END();
+
+  void KeptForTheVmThatWasToldItServesTheMost()
+  {
+    for (const std::size_t daemons : {6, 77})
+      for (const Load load : {Load::OneSlowServer, Load::Overload, Load::OneUnfairVm})
+      {
+        const Outcome kept = Play(Way::Kept, load, daemons);
+        const Outcome told = Play(Way::ToldToAll, load, daemons);
+        const Outcome hint = Play(Way::Hint, load, daemons);
+        CPPUNIT_ASSERT(kept.in_backoff <= ALLOWED_IN_BACKOFF);
+        CPPUNIT_ASSERT(kept.served * 100 >= told.served * 99);
+        CPPUNIT_ASSERT(kept.served * 100 >= hint.served * 99);
+      }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(BackoffReplayTest);
+} // namespace
--- a/Source/UnitTests/Support/RelayWorld.h
+++ b/Source/UnitTests/Support/RelayWorld.h
@@ -151,6 +151,14 @@
     caller.stream->Write(bytes + "\r\n" + body);
   }
 
+  /// One more caller, with a connection of its own.
+  std::unique_ptr<TestPeer> NewCaller() const
+  {
+    auto peer = std::make_unique<TestPeer>();
+    peer->stream = Http::TcpStream::Connect(m_listener.Local(), peer.get());
+    return peer;
+  }
+
   bool CallerGot(const std::string& text)
   {
     return RunUntil([&] {
