Gateway, Soak: what an answer to an order leaves out is not over; servers that leave and back off in the soak

The soak has servers that announce their end while their entries stay ready, and servers that reject with 503 and Retry-After in spells, beside limits, crashes, restarts, suspensions (SIGSTOP) and outages of the store, from seed 900 on. It counts at the servers, by life and daemon: requests sent later than 2 s after the announcement, more than two from half a second after the rejection to the end of the time. A restart or a suspension since excuses.

Such an answer now only adds to what is known. WhatAnOrdersAnswerLeavesOutIsNotOver replays it.

--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -45,6 +45,8 @@
 {
   std::string_view request; ///< Its id, or what else was asked.
   Common::TimePoint sent_at;
+  /// A request, whose answer names all that holds. Answers to orders and reports may leave it out.
+  bool is_request = true;
 };
 
 struct DispatcherSettings
--- a/Source/Core/Gateway/DispatcherSignals.cpp
+++ b/Source/Core/Gateway/DispatcherSignals.cpp
@@ -41,10 +41,16 @@
                       {"value", unreadable.value}});
   if (signals.draining)
     NoteAnnouncedEnd(server, origin);
-  else
+  else if (origin.is_request)
     server->Drain().NoteNotAnnounced(origin.sent_at);
   if (signals.backoff)
     NoteRetryAfter(server, *signals.backoff, origin);
+  if (!origin.is_request)
+  {
+    if (signals.limit.rate)
+      m_limited.NoteAnswer(*server, signals.limit, origin.sent_at);
+    return;
+  }
   if (signals.accepted && server->GetBackoff().NoteAccepted(origin.sent_at, server->Entry().slots))
     Common::LogEvent(Common::LogLevel::Info, "server-backoff-ended",
                      {{"instance", instance}, {"id", origin.request}});
--- a/Source/StandIns/Soak/Ledger.cpp
+++ b/Source/StandIns/Soak/Ledger.cpp
@@ -26,6 +26,13 @@
 constexpr double LIMIT_FACTOR = 1.5;
 constexpr double LIMIT_SLACK = 5;
 
+/// A request that a caller sends later than this after its daemon has passed on that a server
+/// leaves does not reach that server.
+constexpr Common::Milliseconds LEAVING_BOUND{2000};
+/// Requests may reach a server that wants none for so long after it has said so, and so many later.
+constexpr Common::Milliseconds BACKOFF_LEEWAY{500};
+constexpr int BACKOFF_ARRIVALS_ALLOWED = 2;
+
 /// True where the body is a whole stream for `id`: ids from 1 without a gap, then the end mark.
 bool IsWholeStream(const std::string& id, const std::string& body)
 {
@@ -130,6 +137,58 @@
         " in a window, allowed " + std::to_string(allowed));
 }
 
+bool Ledger::HasRunSince(const std::string& daemon, Common::TimePoint moment) const
+{
+  const auto stopped = m_daemons_stopped_until.find(daemon);
+  return stopped == m_daemons_stopped_until.end() || stopped->second < moment;
+}
+
+void Ledger::NoteAnnouncedEnd(const std::string& instance, const std::string& id,
+                              Common::TimePoint now)
+{
+  Told& told = m_told[{instance, m_requests[id].daemon}];
+  if (told.leaving_at && HasRunSince(m_requests[id].daemon, *told.leaving_at))
+    return;
+  told.leaving_at = now;
+  ++m_told_of_leaving;
+}
+
+void Ledger::NoteRetryAfter(const std::string& instance, const std::string& id, double seconds,
+                            Common::TimePoint now)
+{
+  const auto span =
+      std::chrono::duration_cast<Common::Milliseconds>(std::chrono::duration<double>(seconds));
+  m_told[{instance, m_requests[id].daemon}].backoffs.push_back({now, now + span, 0});
+  ++m_told_to_back_off;
+}
+
+void Ledger::NoteArrivalInLife(const std::string& instance, const std::string& id,
+                               Common::TimePoint now)
+{
+  const Request& request = m_requests[id];
+  const auto found = m_told.find({instance, request.daemon});
+  if (found == m_told.end())
+    return;
+  Told& told = found->second;
+  if (told.leaving_at && request.sent_at > *told.leaving_at + LEAVING_BOUND &&
+      HasRunSince(request.daemon, *told.leaving_at))
+    Break("reached a server that leaves: " + id + " at " + instance + " from " + request.daemon);
+  std::erase_if(told.backoffs, [now](const Told::Backoff& backoff) {
+    return backoff.until <= now;
+  });
+  for (Told::Backoff& backoff : told.backoffs)
+    if (now > backoff.from + BACKOFF_LEEWAY && HasRunSince(request.daemon, backoff.from) &&
+        ++backoff.arrivals == BACKOFF_ARRIVALS_ALLOWED + 1)
+      Break("reached a server that wanted none: " + id + " at " + instance + " from " +
+            request.daemon);
+}
+
+void Ledger::NoteDaemonStop(const std::string& daemon, Common::TimePoint until)
+{
+  Common::TimePoint& known = m_daemons_stopped_until[daemon];
+  known = std::max(known, until);
+}
+
 void Ledger::NoteDaemonDisturbance(const std::string& daemon, Common::TimePoint until)
 {
   Common::TimePoint& known = m_daemons_disturbed_until[daemon];
--- a/Source/StandIns/Soak/Ledger.h
+++ b/Source/StandIns/Soak/Ledger.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/Loop.h"
@@ -31,6 +32,7 @@
   {
     m_requests[id].type = type;
     m_requests[id].daemon = daemon;
+    m_requests[id].sent_at = Common::Now();
   }
   /// A backend server began to work on the request.
   void NoteRun(const std::string& id);
@@ -48,6 +50,15 @@
                  Common::TimePoint now);
   /// A request has reached a backend server.
   void NoteArrival(const std::string& server, const std::string& id, Common::TimePoint now);
+  /// A life of a backend server has told the request's daemon in an answer that it leaves.
+  void NoteAnnouncedEnd(const std::string& instance, const std::string& id, Common::TimePoint now);
+  /// It has rejected the request and wants none of its daemon for so many seconds.
+  void NoteRetryAfter(const std::string& instance, const std::string& id, double seconds,
+                      Common::TimePoint now);
+  /// A request has reached a life of a backend server.
+  void NoteArrivalInLife(const std::string& instance, const std::string& id, Common::TimePoint now);
+  /// Until then the daemon is restarted or stands still.
+  void NoteDaemonStop(const std::string& daemon, Common::TimePoint until);
   /// Until then the daemon is restarted, stands still or is cut off.
   void NoteDaemonDisturbance(const std::string& daemon, Common::TimePoint until);
   /// Until then some daemon is not in touch with the others or the store.
@@ -62,6 +73,9 @@
   /// Requests that servers got whose limit all daemons had to know, and the most that they would
   /// have taken.
   std::int64_t LimitedArrivals() const { return m_limited_arrivals; }
+  /// How often servers have told a daemon that they leave, or want no requests.
+  int ToldOfLeaving() const { return m_told_of_leaving; }
+  int ToldToBackOff() const { return m_told_to_back_off; }
   /// A line a request that ends servers: how often it arrived, and how many ended.
   std::string DescribeCrashers() const;
   /// Forgets the counts, not the promises.
@@ -72,6 +86,7 @@
   {
     RequestType type = RequestType::Plain;
     std::string daemon; ///< That was asked.
+    Common::TimePoint sent_at;
     int runs = 0;
     bool promised_not_run = false;
   };
@@ -98,6 +113,26 @@
     bool broken = false;
   };
 
+  /// What one life of a server has told one daemon.
+  struct Told
+  {
+    struct Backoff
+    {
+      Common::TimePoint from;
+      Common::TimePoint until;
+      int arrivals = 0;
+    };
+    std::optional<Common::TimePoint> leaving_at;
+    std::vector<Backoff> backoffs;
+  };
+
+  /// True where the daemon has run on since the moment.
+  bool HasRunSince(const std::string& daemon, Common::TimePoint moment) const;
+
+  std::map<std::pair<std::string, std::string>, Told> m_told; ///< By life and daemon.
+  std::map<std::string, Common::TimePoint> m_daemons_stopped_until;
+  int m_told_of_leaving = 0;
+  int m_told_to_back_off = 0;
   std::map<std::string, LimitedServer> m_limited;
   std::map<std::string, Common::TimePoint> m_daemons_disturbed_until;
   std::map<std::string, Request> m_requests;
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -60,6 +60,7 @@
 constexpr int FIRST_ROUTES = 3500;
 constexpr int MORE_ROUTES = 700;
 constexpr int STATUS_OK = 200;
+constexpr double MS_PER_S = 1000;
 constexpr Http::Patience CALLER_PATIENCE{Milliseconds(6000), Milliseconds(6000)};
 /// After the faults, so many of 100 requests are served.
 constexpr std::int64_t SERVED_AFTER_FAULTS = 95;
@@ -92,6 +93,7 @@
   void RestartServersUnderTheirId() { m_restarts_under_id = true; }
   void SendCrashingRequests() { m_crashers = CRASHERS; }
   void LimitServers() { m_limits_servers = true; }
+  void LetServersLeaveAndBackOff() { m_servers_leave = true; }
 
   int Run(Milliseconds faults_for)
   {
@@ -107,6 +109,8 @@
       NextFault();
       if (m_limits_servers)
         LimitAServer();
+      if (m_servers_leave)
+        LetAServerLeaveOrBackOff();
     });
     const auto calm = START_TIME + faults_for;
     After(calm, [this] {
@@ -124,6 +128,9 @@
     std::cout << m_ledger.DescribeCrashers();
     if (m_limits_servers)
       std::cout << m_ledger.LimitedArrivals() << " requests at servers whose limit was known\n";
+    if (m_servers_leave)
+      std::cout << m_ledger.ToldOfLeaving() << " times a daemon was told that a server leaves, "
+                << m_ledger.ToldToBackOff() << " times that it wants no requests\n";
     std::cout << m_ledger.Orders() << " orders, " << m_fault_count << " faults, "
               << m_ledger.Broken().size() << " broken\n";
     return m_ledger.Broken().empty() ? 0 : 1;
@@ -383,6 +390,30 @@
     });
   }
 
+  /// Now one server leaves, whose entry still calls it ready, now one rejects everything for a
+  /// while and names a time.
+  void LetAServerLeaveOrBackOff()
+  {
+    if (m_stopped || Common::Now() >= m_faults_until)
+      return;
+    StandInServer& server = AnyServer();
+    if (Draw(2) == 0)
+    {
+      server.AnnounceEnd();
+      After(DrawMs(2500, 6000), [&server] {
+        server.Restart();
+      });
+    }
+    else
+    {
+      server.SetRetryAfter(static_cast<double>(DrawMs(1500, 3000).count()) / MS_PER_S);
+      SetServerFor(server, ServerMood::Sheds, DrawMs(500, 5000));
+    }
+    After(DrawMs(1500, 4000), [this] {
+      LetAServerLeaveOrBackOff();
+    });
+  }
+
   /// One line a signal, so that a failed run shows what met what.
   void Trace(const char* what, const DaemonSlot& daemon) const
   {
@@ -398,6 +429,7 @@
     Trace(signal == SIGTERM ? "stop" : "kill", daemon);
     m_ledger.NoteDisturbance(Common::Now() + Milliseconds(3600) + START_TIME);
     m_ledger.NoteDaemonDisturbance(daemon.name, Common::Now() + Milliseconds(3600) + START_TIME);
+    m_ledger.NoteDaemonStop(daemon.name, Common::Now() + Milliseconds(3600));
     m_processes.Signal(daemon.pid, SIGCONT);
     m_processes.Signal(daemon.pid, signal);
     daemon.expected_to_run = false;
@@ -433,6 +465,7 @@
     const auto span = DrawMs(100, 6000);
     m_ledger.NoteDisturbance(Common::Now() + span);
     m_ledger.NoteDaemonDisturbance(daemon.name, Common::Now() + span);
+    m_ledger.NoteDaemonStop(daemon.name, Common::Now() + span);
     After(span, [this, pid = daemon.pid] {
       m_processes.Signal(pid, SIGCONT);
     });
@@ -520,6 +553,7 @@
     {
       server->SetMood(ServerMood::Well);
       server->SetLimit(std::nullopt);
+      server->SetRetryAfter(std::nullopt);
     }
     for (DaemonSlot& daemon : m_daemons)
     {
@@ -559,6 +593,7 @@
   bool m_stopped = false;
   bool m_restarts_under_id = false;
   bool m_limits_servers = false;
+  bool m_servers_leave = false;
   int m_crashers = 0;              ///< Requests that end servers.
   std::uint64_t m_models = MODELS; ///< That are asked for.
 };
@@ -579,7 +614,8 @@
       cxxopts::value<std::string>()->default_value("build/bin/drumpondd"))(
       "restarts-under-id", "half of the restarted servers keep their id")(
       "crashing-requests", "requests that end the servers that run them come again and again")(
-      "limited-servers", "servers name how many requests a second they take");
+      "limited-servers", "servers name how many requests a second they take")(
+      "leaving-servers", "servers say that they leave, or want no requests for a while");
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   Common::InitLog(argv[0]);
@@ -594,5 +630,7 @@
     run.SendCrashingRequests();
   if (parsed.count("limited-servers") > 0)
     run.LimitServers();
+  if (parsed.count("leaving-servers") > 0)
+    run.LetServersLeaveAndBackOff();
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
 }
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -100,6 +100,7 @@
   m_sequence = 0;
   m_busy = false;
   m_draining = false;
+  m_announces_end = false;
   SetLimit(std::nullopt);
   const auto connections = m_connections;
   for (const auto& [key, connection] : connections)
@@ -112,6 +113,11 @@
   WriteEntry();
 }
 
+void StandInServer::AnnounceEnd()
+{
+  m_announces_end = true;
+}
+
 void StandInServer::After(Milliseconds delay, std::function<void()> callback)
 {
   Common::Reactor::Get().After(delay, [this, life = m_life, callback = std::move(callback)] {
@@ -131,6 +137,8 @@
 {
   if (m_limit)
     headers.push_back({"Server-Limit", Common::DumpJson(*m_limit)});
+  if (m_announces_end)
+    headers.push_back({"Server-Leaving", "1"});
   return headers;
 }
 
@@ -153,9 +161,13 @@
 
 void StandInServer::Reject(const Connection& connection, int status, const std::string& id)
 {
-  connection->Respond(
-      status, Http::ReasonPhrase(status),
-      AnswerHeaders({{"Attempt-Id", id}, {"Not-Run", "1"}, {"Instance", m_instance}}), "");
+  auto headers = AnswerHeaders({{"Attempt-Id", id}, {"Not-Run", "1"}, {"Instance", m_instance}});
+  if (status == 503 && m_retry_after)
+  {
+    headers.push_back({"Retry-After", Common::DumpJson(*m_retry_after)});
+    m_ledger.NoteRetryAfter(m_instance, id, *m_retry_after, Common::Now());
+  }
+  connection->Respond(status, Http::ReasonPhrase(status), headers, "");
 }
 
 void StandInServer::OnRequest(const Connection& connection, Http::ReceivedRequest request)
@@ -164,7 +176,10 @@
   const std::string wanted = HeaderValue(request.head, "Expect-Instance");
   const bool is_request = request.head.target != "/order" && request.head.target != "/report";
   if (is_request)
+  {
     m_ledger.NoteArrival(m_name, id, Common::Now());
+    m_ledger.NoteArrivalInLife(m_instance, id, Common::Now());
+  }
   const bool is_crasher = request.body.starts_with(CRASHER_PREFIX);
   if (is_crasher)
     m_ledger.NoteCrasherArrival(request.body, Common::Now());
@@ -190,6 +205,12 @@
     Serve(connection, request);
 }
 
+void StandInServer::NoteAnnouncement(const std::string& id)
+{
+  if (m_announces_end)
+    m_ledger.NoteAnnouncedEnd(m_instance, id, Common::Now());
+}
+
 void StandInServer::Serve(const Connection& connection, const Http::ReceivedRequest& request)
 {
   const std::string id = HeaderValue(request.head, "Attempt-Id");
@@ -211,6 +232,7 @@
   if (!model.empty())
   {
     const std::string last = HeaderValue(request.head, "Last-Event-Id");
+    NoteAnnouncement(id);
     connection->BeginChunked(
         200, "OK",
         AnswerHeaders(
@@ -222,8 +244,11 @@
     if (m_mood == ServerMood::Resets && Common::SharedRandom()() % 3 == 0)
       connection->BreakAnswer();
     else
+    {
+      NoteAnnouncement(id);
       connection->Respond(200, "OK", AnswerHeaders({{"Attempt-Id", id}, {"Server-Stamp", "s"}}),
                           "answer to " + id);
+    }
   });
 }
 
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -49,6 +49,10 @@
   /// Bodies that begin so belong to requests that end every server that begins to run them.
   static constexpr std::string_view CRASHER_PREFIX = "crash ";
   void SetMood(ServerMood mood) { m_mood = mood; }
+  /// Says in its answers from now on that it leaves, though its entry calls it ready.
+  void AnnounceEnd();
+  /// Names in its rejections from now on the seconds for which it wants no request; nothing: none.
+  void SetRetryAfter(std::optional<double> seconds) { m_retry_after = seconds; }
   /// Names in its answers from now on how many requests a second it takes; nothing: no limit.
   void SetLimit(std::optional<double> per_second);
 
@@ -63,6 +67,8 @@
   void BeginLife();
   Common::Result<Common::Done> Open();
   void WriteEntry();
+  /// The answer to the request says that the server leaves.
+  void NoteAnnouncement(const std::string& id);
   void Serve(const Connection& connection, const Http::ReceivedRequest& request);
   void Stream(const Connection& connection, const std::string& id, int event);
   void TakeOrder(const Connection& connection, const Http::ReceivedRequest& request);
@@ -88,6 +94,8 @@
   bool m_draining = false;
   int m_life = 0;
   ServerMood m_mood = ServerMood::Well;
-  std::optional<double> m_limit; ///< Requests a second.
+  std::optional<double> m_limit;       ///< Requests a second.
+  std::optional<double> m_retry_after; ///< Seconds.
+  bool m_announces_end = false;
 };
 } // namespace Soak
--- a/Source/UnitTests/Gateway/BackoffTest.cpp
+++ b/Source/UnitTests/Gateway/BackoffTest.cpp
@@ -51,6 +51,7 @@
   CPPUNIT_TEST(ALimitAndABackoffBothCount);
   CPPUNIT_TEST(WhoWaitsIsRefusedWhenTheTimeIsRenewed);
   CPPUNIT_TEST(AnswersToOrdersCount);
+  CPPUNIT_TEST(WhatAnOrdersAnswerLeavesOutIsNotOver);
   CPPUNIT_TEST_SUITE_END();
 
   void TheLatestEndCounts()
@@ -260,12 +261,30 @@
     ServerSignals signals;
     signals.backoff = Milliseconds(30000);
     signals.draining = true;
-    world.dispatcher.NoteSignals(known, signals, {"an order", Common::Now()});
+    world.dispatcher.NoteSignals(known, signals, {"an order", Common::Now(), false});
     CPPUNIT_ASSERT(known->IsDraining());
     world.Ask(PLAIN_PATH, "id-1");
     CPPUNIT_ASSERT(world.CallerGot("503"));
     CPPUNIT_ASSERT(server.requests.empty());
   }
+
+  void WhatAnOrdersAnswerLeavesOutIsNotOver()
+  {
+    World world;
+    TestServer server([](TestPeer&, const std::string&) {});
+    world.AddServer("i-1", server.Address());
+    const ServerPtr known = world.dispatcher.Servers().Find(InstanceId("i-1"));
+    ServerSignals limited;
+    limited.limit.rate = RateLimits::RequestRate(3000);
+    world.dispatcher.NoteSignals(known, limited, {"id-1", Common::Now()});
+    CPPUNIT_ASSERT(known->Limit());
+    known->Drain().NoteReported(Common::Now());
+    const auto later = Common::Now() + Milliseconds(1);
+    world.dispatcher.NoteSignals(known, {}, {"a report", later, false});
+    CPPUNIT_ASSERT(known->Limit() && known->IsDraining());
+    world.dispatcher.NoteSignals(known, {}, {"id-2", later});
+    CPPUNIT_ASSERT(!known->Limit() && !known->IsDraining());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BackoffTest);
--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -25,6 +25,8 @@
 CRASHERS_FROM=700
 # Seeds from here on have servers that name how many requests a second they take.
 LIMITS_FROM=800
+# Seeds from here on have servers that say that they leave, or want no requests for a while.
+LEAVING_FROM=900
 # one SEED: plays it on loopback addresses of its own.
 one() {
   local seed=$1
@@ -32,12 +34,13 @@
   [ "$seed" -ge "$UNDER_ID_FROM" ] && more=(--restarts-under-id)
   [ "$seed" -ge "$CRASHERS_FROM" ] && more+=(--crashing-requests)
   [ "$seed" -ge "$LIMITS_FROM" ] && more+=(--limited-servers)
+  [ "$seed" -ge "$LEAVING_FROM" ] && more+=(--leaving-servers)
   build/bin/soak --seed "$seed" --seconds "$SECONDS_EACH" --net "127.$((50 + seed / 250 % 50)).$((seed % 250 + 1))" \
     --logs "build/soak/$seed" --binary build/soak/drumpondd "${more[@]}" >"build/soak/$seed.txt" 2>&1
   if [ $? -eq 0 ]; then echo "pass soak-$seed"; else echo "FAIL soak-$seed : $(grep BROKEN "build/soak/$seed.txt" | head -n 3 | tr '\n' ';')"; fi
 }
 export -f one
-export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM
+export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM LEAVING_FROM
 RESULTS=$(echo "$SEEDS" | xargs -P "$AT_ONCE" -I{} bash -c 'one {}')
 echo "$RESULTS"
 echo "$(grep -c '^pass' <<<"$RESULTS") passed, $(grep -c '^FAIL' <<<"$RESULTS") failed"
