UnitTests: orders keep away from servers that want none or leave

No order and no report call goes to a server that wants no requests of this VM; an unanswered load is not repeated at a server that drains; what half of the daemons may not ask for long is loaded elsewhere although it counts as held.

--- a/Source/UnitTests/Orders/OrderDeskTest.cpp
+++ b/Source/UnitTests/Orders/OrderDeskTest.cpp
@@ -134,8 +134,83 @@
   CPPUNIT_TEST(APoolThatLosesItsEngineIsPlannedNoMore);
   CPPUNIT_TEST(AnAdapterKeepsItsSlotUntilItsUnloadIsConfirmed);
   CPPUNIT_TEST(ALeavingModelIsAnnouncedBeforeItsUnload);
+  CPPUNIT_TEST(AServerThatWantsNoRequestsIsNotOrderedNorAsked);
+  CPPUNIT_TEST(AnUnansweredLoadIsNotRepeatedAtADrainingServer);
+  CPPUNIT_TEST(WhatHalfOfTheDaemonsMayNotAskIsHeldElsewhere);
   CPPUNIT_TEST_SUITE_END();
 
+  void AServerThatWantsNoRequestsIsNotOrderedNorAsked()
+  {
+    World world;
+    Backoff& backoff = world.servers.Find(InstanceId("i-1"))->GetBackoff();
+    const auto begin = Common::Now();
+    backoff.NoteRetryAfter(Milliseconds(300), begin);
+    world.Demand("c");
+    // The last plan begins well before the end.
+    world.PlanUntil([&] {
+      return Common::Now() >= begin + Milliseconds(250);
+    });
+    CPPUNIT_ASSERT_EQUAL(0, world.reports);
+    CPPUNIT_ASSERT(world.calls.empty());
+    CPPUNIT_ASSERT(world.PlanUntil([&] {
+      return !world.calls.empty();
+    }));
+  }
+
+  void AnUnansweredLoadIsNotRepeatedAtADrainingServer()
+  {
+    World world;
+    world.SetModels({"a"});
+    world.next_answer = Common::Failure{Common::FailureKind::Timeout, "lost"};
+    world.Demand("c");
+    CPPUNIT_ASSERT(world.PlanUntil([&] {
+      return world.calls.size() == 1;
+    }));
+    world.servers.Find(InstanceId("i-1"))->Drain().NoteAnnounced(Common::Now());
+    const auto end = Common::Now() + Milliseconds(900);
+    world.PlanUntil([&] {
+      return Common::Now() > end;
+    });
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.calls.size());
+  }
+
+  void WhatHalfOfTheDaemonsMayNotAskIsHeldElsewhere()
+  {
+    World world;
+    ServerEntry other;
+    other.instance = InstanceId("i-2");
+    other.pool = PoolId("p");
+    other.slots = 8;
+    other.on_disk = {ModelId("a")};
+    world.servers.Put(other);
+    ServerEntry third = other;
+    third.instance = InstanceId("i-3");
+    third.on_disk.clear();
+    world.servers.Put(third);
+    // "a" is held by i-1 and asked for, but not by requests that wait.
+    const auto report = [&](std::vector<ServerHash> backing_off, std::uint64_t sequence) {
+      DaemonReport daemon;
+      daemon.vm = Common::VmId("vm");
+      daemon.run = Common::Incarnation("run");
+      daemon.sequence = sequence;
+      daemon.demand = {{PoolId("p"), {ModelId("a"), AdapterId("")}, 1, 0, 10, 1}};
+      daemon.backing_off = std::move(backing_off);
+      world.desk.TakeReport(daemon, Common::Now());
+    };
+    report({}, 1);
+    const auto calm_until = Common::Now() + Milliseconds(100);
+    world.PlanUntil([&] {
+      return Common::Now() > calm_until;
+    });
+    CPPUNIT_ASSERT(world.calls.empty());
+    report({HashOf(InstanceId("i-1"))}, 2);
+    CPPUNIT_ASSERT(world.PlanUntil([&] {
+      return !world.calls.empty();
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::string("i-2"), world.calls[0].instance.Get());
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), world.calls[0].artifact.model.Get());
+  }
+
   void AsksTheServersStateBeforeTheFirstOrder()
   {
     World world;
