RateLimits, Gateway, Orders: a small limit is used although daemons are many

What callers saw: with a limit of 0.5 a second at both servers of a pool, twelve daemons and 4 requests a second, no request was served for 20 s: 88 of 88 were refused, where 20 fit. With 12 requests a second 20 were served.

Cause: a request waits for a permit only where its turn is expected before its caller leaves, and a daemon took that for one over the limit, 2 s, though the holder's bucket was full; so all were refused on arrival. The permits went to probes instead, at daemons that had no request within the 0.5 s for which a permit holds.

The holder now tells with each limit, and with each place in the queue, when the next permit is free; a request that finds one free waits the 10 ms until it has it, or is told that another was faster. Refused requests are no offers to probe any more: the next request after a free permit is the probe.

Evidence: ManyDaemonsUseASmallLimit, 0 of 20 before, 16 or more with it, the limit kept; the other tests of limits that load it pass.

--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -114,7 +114,7 @@
   /// What the waiting requests want of servers with a limit.
   std::vector<RateLimits::PermitWant> PermitWants();
   /// Permits may have come; the holder tells how many requests of other daemons come first.
-  void TakePlaces(const std::vector<RateLimits::PermitLine>& ahead);
+  void TakePlaces(const std::vector<RateLimits::PlaceLine>& places);
   /// Requests that end the servers that run them.
   const Crashes::CrashLedger& CrashCases() const { return m_crashes; }
   /// What other daemons know of such requests.
--- a/Source/Core/Gateway/DispatcherLimits.cpp
+++ b/Source/Core/Gateway/DispatcherLimits.cpp
@@ -52,9 +52,6 @@
                     soonest->IsPlannedAround(now));
   if (loads_elsewhere || ExpectedWait(*soonest, now) <= longest_wait)
     return std::nullopt;
-  for (const ServerPtr& server : holders)
-    if (server->Limit() && !server->GetBackoff().IsNamed(now))
-      NotePassedBy(*server, now);
   if (!soonest->GetBackoff().IsNamed(now))
     return EarlyRefusal{m_limited.ComeBackAfter(*soonest, now), "its servers take too few requests",
                         soonest};
@@ -140,9 +137,9 @@
       awaited.relay->ReviewWait();
 }
 
-void Dispatcher::TakePlaces(const std::vector<RateLimits::PermitLine>& ahead)
+void Dispatcher::TakePlaces(const std::vector<RateLimits::PlaceLine>& places)
 {
-  m_limited.SetAhead(ahead, Common::Now());
+  m_limited.SetPlaces(places, Common::Now());
   WakeWaiting();
   ReviewWaiting();
 }
--- a/Source/Core/Gateway/LimitedServers.cpp
+++ b/Source/Core/Gateway/LimitedServers.cpp
@@ -21,6 +21,8 @@
 
 /// The holder answers each time that this daemon repeats what it waits for.
 constexpr Milliseconds AHEAD_VALID{300};
+/// The holder tells twice in this span when the next permit is free.
+constexpr Milliseconds FREE_VALID{1300};
 
 std::uint32_t CountOf(const std::map<ServerKey, std::uint32_t>& counts, ServerKey server)
 {
@@ -45,13 +47,22 @@
 }
 
 void LimitedServers::TakeNews(std::int64_t tenure, const RateLimits::LimitNews& news)
+{
+  const auto now = Common::Now();
+  TakeQueues(news, now);
+  Report(m_book.TakeNews(tenure, news, now), "the holder");
+}
+
+void LimitedServers::TakeQueues(const RateLimits::LimitNews& news, Common::TimePoint now)
 {
   std::erase_if(m_waiting, [&](const auto& entry) {
     return news.Covers(entry.first);
   });
   for (const RateLimits::LimitLine& line : news.lines)
+  {
     m_waiting[line.server] = line.waiting;
-  Report(m_book.TakeNews(tenure, news, Common::Now()), "the holder");
+    m_free_at[line.server] = {now + Milliseconds(line.free_in_ms), now};
+  }
 }
 
 void LimitedServers::TakeObservations(std::int64_t tenure, const Common::VmId& from,
@@ -109,6 +120,7 @@
   };
   std::erase_if(m_next_return, is_over);
   std::erase_if(m_ahead, is_over);
+  std::erase_if(m_free_at, is_over);
 }
 
 std::vector<RateLimits::PermitKeeper::KnownLimit> LimitedServers::KnownLimits() const
@@ -133,11 +145,23 @@
     m_permits.Take(server.Key(), limit->rate, now);
 }
 
-void LimitedServers::SetAhead(const std::vector<RateLimits::PermitLine>& lines,
-                              Common::TimePoint now)
+void LimitedServers::SetPlaces(const std::vector<RateLimits::PlaceLine>& lines,
+                               Common::TimePoint now)
+{
+  for (const RateLimits::PlaceLine& line : lines)
+  {
+    m_ahead[line.server] = {line.ahead, now};
+    m_free_at[line.server] = {now + Milliseconds(line.free_in_ms), now};
+  }
+}
+
+Milliseconds LimitedServers::FreeIn(const Server& server, Common::TimePoint now) const
 {
-  for (const RateLimits::PermitLine& line : lines)
-    m_ahead[line.server] = {line.count, now};
+  const auto found = m_free_at.find(server.Key());
+  if (found != m_free_at.end() && now - found->second.told_at <= FREE_VALID)
+    return std::max(std::chrono::ceil<Milliseconds>(found->second.at - now), Milliseconds(0));
+  return std::chrono::ceil<Milliseconds>(
+      Seconds(1 / RateLimits::FlowPerSecond(server.Limit()->rate)));
 }
 
 Milliseconds LimitedServers::ExpectedWait(const Server& server) const
@@ -157,8 +181,8 @@
   if (told != m_ahead.end() && Common::Now() - told->second.told_at <= AHEAD_VALID)
     elsewhere = told->second.count;
   const double ahead = static_cast<double>(elsewhere) + own;
-  return std::chrono::ceil<Milliseconds>(
-      Seconds((ahead + 1) / RateLimits::FlowPerSecond(limit->rate)));
+  return FreeIn(server, Common::Now()) +
+         std::chrono::ceil<Milliseconds>(Seconds(ahead / RateLimits::FlowPerSecond(limit->rate)));
 }
 
 Milliseconds LimitedServers::ComeBackAfter(const Server& server, Common::TimePoint now)
--- a/Source/Core/Gateway/LimitedServers.h
+++ b/Source/Core/Gateway/LimitedServers.h
@@ -31,6 +31,8 @@
                   Common::TimePoint sent_at);
   /// What the holder announced.
   void TakeNews(std::int64_t tenure, const RateLimits::LimitNews& news);
+  /// Of what the holder announces, the queues for servers alone.
+  void TakeQueues(const RateLimits::LimitNews& news, Common::TimePoint now);
   /// As the holder: what another daemon read.
   void TakeObservations(std::int64_t tenure, const Common::VmId& from,
                         std::span<const RateLimits::LimitObservation> observations);
@@ -59,8 +61,8 @@
   /// When a request that was refused now should come back: each one that is told so comes later
   /// than the one before, so that they do not return together.
   Common::Milliseconds ComeBackAfter(const Server& server, Common::TimePoint now);
-  /// Requests of other daemons that come before this daemon's, as the holder answered.
-  void SetAhead(const std::vector<RateLimits::PermitLine>& lines, Common::TimePoint now);
+  /// What comes before this daemon's requests, as the holder answered.
+  void SetPlaces(const std::vector<RateLimits::PlaceLine>& lines, Common::TimePoint now);
   /// Requests of this daemon that wait for the server's permits.
   void SetOwnWaiting(std::map<RateLimits::ServerKey, std::uint32_t> waiting)
   {
@@ -70,6 +72,8 @@
   std::int64_t UnreadableAnswers() const { return m_unreadable; }
 
 private:
+  /// Until the next permit is free, where none waits.
+  Common::Milliseconds FreeIn(const Server& server, Common::TimePoint now) const;
   void Report(const std::vector<RateLimits::LimitChange>& changes, std::string_view source);
 
   ServerDirectory& m_servers;
@@ -85,6 +89,13 @@
     Common::TimePoint told_at;
   };
   std::map<RateLimits::ServerKey, Ahead> m_ahead;
+  /// When the next permit of a server is free, as the holder last told.
+  struct FreeAt
+  {
+    Common::TimePoint at;
+    Common::TimePoint told_at;
+  };
+  std::map<RateLimits::ServerKey, FreeAt> m_free_at;
   std::map<RateLimits::ServerKey, Common::TimePoint> m_next_return;
   std::map<RateLimits::ServerKey, std::string> m_learned_from;
   std::function<void()> m_on_change;
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -226,14 +226,14 @@
   std::uint64_t sequence = 0; ///< Of the daemon's ask that the holder has read last.
   std::int64_t held_ms = 0;   ///< Since the holder has read it.
   std::vector<RateLimits::PermitLine> permits;
-  /// Requests of other daemons that get their permits first, where this one waits.
-  std::vector<RateLimits::PermitLine> ahead;
+  /// Where this daemon waits.
+  std::vector<RateLimits::PlaceLine> places;
   std::vector<RateLimits::StandbyLine> standbys; ///< All for which the daemon is a standby.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(run, tenure, number, sequence, held_ms, permits, ahead, standbys);
+    archive(run, tenure, number, sequence, held_ms, permits, places, standbys);
   }
 };
 
--- a/Source/Core/Orders/PermitExchange.cpp
+++ b/Source/Core/Orders/PermitExchange.cpp
@@ -130,25 +130,31 @@
   peer = {from, ask.run, ask.sequence, now};
   m_dispatcher.Limited().TakeObservations(ask.tenure, ask.vm, ask.observations);
   m_dispatcher.TakeDrainReport(ask.vm, ask.draining);
-  const std::uint64_t revision = m_dispatcher.Limited().Revision();
-  if (std::exchange(m_limits_revision, revision) != revision)
-    m_keeper.SetLimits(m_dispatcher.Limited().KnownLimits(), now);
+  TellKeeper(now);
   m_keeper.TakeWants({ask.vm, ask.data_centre}, ask.wants, now);
   HandOut();
   TellPlace(ask);
 }
 
+void PermitExchange::TellKeeper(Common::TimePoint now)
+{
+  const std::uint64_t revision = m_dispatcher.Limited().Revision();
+  if (std::exchange(m_limits_revision, revision) != revision)
+    m_keeper.SetLimits(m_dispatcher.Limited().KnownLimits(), now);
+}
+
 void PermitExchange::TellPlace(const PermitAsk& ask)
 {
   const auto now = Common::Now();
-  std::vector<RateLimits::PermitLine> ahead;
+  std::vector<RateLimits::PlaceLine> places;
   for (const RateLimits::PermitWant& want : ask.wants)
     if (want.count > 0)
-      ahead.push_back({want.server, m_keeper.Ahead(ask.vm, want.server, now)});
-  if (ahead.empty())
+      places.push_back({want.server, m_keeper.Ahead(ask.vm, want.server, now),
+                        static_cast<std::uint32_t>(m_keeper.FreeIn(want.server, now).count())});
+  if (places.empty())
     return;
   PermitReply reply = ReplyTo(ask.vm, m_peers.at(ask.vm));
-  reply.ahead = std::move(ahead);
+  reply.places = std::move(places);
   Deliver(ask.vm, reply);
 }
 
@@ -215,9 +221,14 @@
   book.Retain([this](RateLimits::ServerKey server) {
     return m_dispatcher.Servers().FindByKey(server) != nullptr;
   });
+  TellKeeper(now);
   auto news = book.NextNews(MAX_NEWS_LINES, now);
   for (RateLimits::LimitLine& line : news.lines)
+  {
     line.waiting = m_keeper.Waiting(line.server, now);
+    line.free_in_ms = static_cast<std::uint32_t>(m_keeper.FreeIn(line.server, now).count());
+  }
+  m_dispatcher.Limited().TakeQueues(news, now);
   return news;
 }
 
@@ -246,6 +257,6 @@
   const auto until = sent->at + Milliseconds(reply.held_ms) + RateLimits::PERMIT_VALID;
   for (const RateLimits::PermitLine& line : reply.permits)
     m_dispatcher.Limited().Permits().Add(line.server, line.count, until);
-  m_dispatcher.TakePlaces(reply.ahead);
+  m_dispatcher.TakePlaces(reply.places);
 }
 } // namespace Orders
--- a/Source/Core/Orders/PermitExchange.h
+++ b/Source/Core/Orders/PermitExchange.h
@@ -71,6 +71,8 @@
   PermitAsk MakeAsk();
   void AskNow();
   void HandOut();
+  /// The keeper hands out permits for the limits that are known now.
+  void TellKeeper(Common::TimePoint now);
   /// Tells the daemon at which place its waiting requests are.
   void TellPlace(const PermitAsk& ask);
   void Deliver(const Common::VmId& vm, const PermitReply& reply);
--- a/Source/Core/RateLimits/Messages.h
+++ b/Source/Core/RateLimits/Messages.h
@@ -55,11 +55,13 @@
   RequestRate rate;          ///< NO_LIMIT: it has ended lately.
   std::uint32_t version = 0; ///< Rises with each change.
   std::uint32_t waiting = 0; ///< Requests of all daemons that wait for a permit.
+  /// Until the next permit is free, where none waits.
+  std::uint32_t free_in_ms = 0;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(server, rate, version, waiting);
+    archive(server, rate, version, waiting, free_in_ms);
   }
 };
 /// The limits of all servers whose keys lie behind `after`, up to `up_to`. Servers in between
@@ -98,7 +100,21 @@
   }
 };
 
-/// Of one server for one daemon: permits, or other daemons' requests that come first.
+/// The place of one daemon's requests in the queue for one server.
+struct PlaceLine
+{
+  ServerKey server;
+  std::uint32_t ahead = 0;      ///< Other daemons' requests that come first.
+  std::uint32_t free_in_ms = 0; ///< Until the next permit is free.
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(server, ahead, free_in_ms);
+  }
+};
+
+/// Permits of one daemon for one server.
 struct PermitLine
 {
   ServerKey server;
--- a/Source/Core/RateLimits/PermitKeeper.cpp
+++ b/Source/Core/RateLimits/PermitKeeper.cpp
@@ -243,6 +243,16 @@
   return waiting;
 }
 
+Milliseconds PermitKeeper::FreeIn(ServerKey server, Common::TimePoint now) const
+{
+  const auto bucket = m_buckets.find(server);
+  if (bucket == m_buckets.end())
+    return std::chrono::ceil<Milliseconds>(Seconds(1 / LEAST_FLOW));
+  const Seconds until_full((1 - bucket->second.level) / bucket->second.Flow());
+  const auto full_at = bucket->second.filled_at + std::chrono::ceil<Milliseconds>(until_full);
+  return std::max(std::chrono::ceil<Milliseconds>(full_at - now), Milliseconds(0));
+}
+
 std::uint32_t PermitKeeper::Ahead(const Common::VmId& vm, ServerKey server,
                                   Common::TimePoint now) const
 {
--- a/Source/Core/RateLimits/PermitKeeper.h
+++ b/Source/Core/RateLimits/PermitKeeper.h
@@ -62,6 +62,8 @@
   std::optional<Common::TimePoint> NextAt(Common::TimePoint now) const;
   /// Requests that wait for a permit, over all daemons.
   std::uint32_t Waiting(ServerKey server, Common::TimePoint now) const;
+  /// Until the server's next permit is free, where nobody waits.
+  Common::Milliseconds FreeIn(ServerKey server, Common::TimePoint now) const;
   /// Of these, the other daemons' that get theirs before the daemon's first.
   std::uint32_t Ahead(const Common::VmId& vm, ServerKey server, Common::TimePoint now) const;
   /// What the daemon may send to each server while it hears no holder.
--- a/Source/UnitTests/Orders/ServerLimitTest.cpp
+++ b/Source/UnitTests/Orders/ServerLimitTest.cpp
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(AllDaemonsTogetherKeepAServersLimit);
   CPPUNIT_TEST(ALimitThatEndsIsKnownToAllWithinTwoSeconds);
   CPPUNIT_TEST(WhereAllServersNameALimitTheyGetThatMuch);
+  CPPUNIT_TEST(ManyDaemonsUseASmallLimit);
   CPPUNIT_TEST(ServersThatTakeNothingAreProbedAndComeBack);
   CPPUNIT_TEST(OfManyServersThatTakeNothingEachIsProbed);
   CPPUNIT_TEST(ANewHolderKeepsTheLimitToo);
@@ -80,6 +81,22 @@
     CPPUNIT_ASSERT_EQUAL(0, fleet.failed);
   }
 
+  void ManyDaemonsUseASmallLimit()
+  {
+    LimitedFleet fleet(12, 2);
+    fleet.SetLimits("0.5");
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(4);
+    RunFor(CONTACT_TIME);
+    const auto known = Common::Now();
+    RunFor(Milliseconds(20000));
+    const auto arrivals = fleet.ArrivalsSince(known);
+    // Of one request in two seconds at each of two servers, as under any demand.
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(arrivals), arrivals >= 2 * 10 * 80 / 100);
+    for (const auto& server : fleet.servers)
+      CPPUNIT_ASSERT(server->WorstWindow(WINDOW, known) <= Allowed(0.5));
+  }
+
   void ServersThatTakeNothingAreProbedAndComeBack()
   {
     LimitedFleet fleet(3, 2);
