--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -107,6 +107,9 @@
   void OnAnswerBroken(Http::Breakage breakage) override;
 
 private:
+  /// A stream that is silent for less is left alone, whatever its route aims at.
+  static constexpr Common::Milliseconds MIN_STREAM_SILENCE{1000};
+
   /// Finds out who calls; false where the request has been answered.
   bool AdmitCaller(const Configuration& configuration);
   /// The key still allows the request; false where the request has been answered.
--- /dev/null
+++ b/Source/Core/Gateway/RelayAdmission.cpp
@@ -0,0 +1,163 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Who calls, and whether the account may.
+
+#include "Gateway/Relay.h"
+
+#include <utility>
+
+#include "Common/Log.h"
+#include "Common/Text.h"
+#include "Gateway/Dispatcher.h"
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// So long a request waits for units of its account's limit: the holder of the order lease answers
+/// within some 10 ms; where it is gone, units flow in by themselves within a second. Replayed with
+/// a holder that is missed for 4.5 s, 0.8 s refused 7 of 100 units inside the limit.
+constexpr Milliseconds ALLOWANCE_PATIENCE{1500};
+/// Without a proof that the keys are current: a store that was lost is asked about once a second.
+constexpr Milliseconds RETRY_AFTER_PROOF{1000};
+} // namespace
+
+void Relay::TakeAllowance()
+{
+  if (!m_limited || !m_limited->limit.IsLimited())
+  {
+    Begin();
+    return;
+  }
+  m_cost = Accounts::CostOf(m_limited->limit,
+                            m_request.head.Find(m_dispatcher.Settings().names.token_counts));
+  const auto verdict =
+      m_dispatcher.Allowances().Take(*m_limited, m_cost, Common::Now(), !m_awaits_allowance);
+  if (verdict == Accounts::UsageVerdict::Taken)
+  {
+    m_charged = true;
+    Begin();
+    return;
+  }
+  if (verdict != Accounts::UsageVerdict::Ask)
+  {
+    RefuseAllowance(verdict);
+    return;
+  }
+  m_awaits_allowance = true;
+  m_dispatcher.Allowances().BeginWait(m_account, m_cost);
+  m_wait_timer.Start(ALLOWANCE_PATIENCE, [this] {
+    RefuseAllowance(Accounts::UsageVerdict::Over);
+  });
+  m_dispatcher.RequestAllowance();
+}
+
+void Relay::TryAllowance()
+{
+  if (!m_awaits_allowance)
+    return;
+  const auto guard = shared_from_this();
+  const auto verdict = m_dispatcher.Allowances().Take(*m_limited, m_cost, Common::Now(), false);
+  if (verdict != Accounts::UsageVerdict::Taken)
+    return;
+  m_awaits_allowance = false;
+  m_wait_timer.Stop();
+  m_dispatcher.Allowances().EndWait(m_account, m_cost);
+  m_charged = true;
+  Begin();
+}
+
+void Relay::RefuseAllowance(Accounts::UsageVerdict verdict)
+{
+  const auto guard = shared_from_this();
+  m_dispatcher.Allowances().NoteRefused(m_account, m_cost);
+  m_come_back_after = m_dispatcher.Allowances().ComeBackAfter(*m_limited, m_cost, Common::Now());
+  if (verdict == Accounts::UsageVerdict::Over)
+    EndWith(Outcome::OverLimit, 429, "the account is over its limit");
+  else
+    EndWith(Outcome::Refused, 503, "the account's limit cannot be checked");
+}
+
+void Relay::ReturnAllowance()
+{
+  if (std::exchange(m_awaits_allowance, false))
+    m_dispatcher.Allowances().EndWait(m_account, m_cost);
+  if (std::exchange(m_charged, false) && !m_may_have_run && !m_connection)
+    m_dispatcher.Allowances().GiveBack(m_account, m_cost);
+}
+
+std::vector<std::string_view> Relay::Keys() const
+{
+  const std::string& name = m_dispatcher.Settings().names.key;
+  std::vector<std::string_view> keys;
+  for (const Http::HeaderField& field : m_request.head.headers)
+    if (Http::EqualIgnoringCase(field.name, name))
+      keys.push_back(Common::WithoutTrailingBlanks(field.value));
+  return keys;
+}
+
+bool Relay::AdmitCaller(const Configuration& configuration)
+{
+  const auto keys = Keys();
+  const Accounts::Caller caller =
+      Accounts::Identify(configuration.accounts.get(), m_route.open_to_all, keys);
+  switch (caller.identity)
+  {
+  case Accounts::Identity::NotAsked:
+    return true;
+  case Accounts::Identity::Missing:
+    Deny(401, "the request has no key");
+    return false;
+  case Accounts::Identity::Unknown:
+    Deny(401, "no account holds the key");
+    return false;
+  case Accounts::Identity::Conflicting:
+    Deny(400, "the request has keys that differ");
+    return false;
+  case Accounts::Identity::Known:
+    break;
+  }
+  m_account = caller.account->name;
+  m_limited = std::shared_ptr<const Accounts::Account>(configuration.accounts, caller.account);
+  m_priority = caller.account->priority.value_or(m_route.priority);
+  return KeyStillAllows();
+}
+
+bool Relay::KeyStillAllows()
+{
+  if (m_account.Empty())
+    return true;
+  const auto& accounts = m_dispatcher.CurrentConfiguration()->accounts;
+  const auto keys = Keys();
+  const Accounts::Account* account = accounts ? accounts->Find(keys.front()) : nullptr;
+  if (accounts && (account == nullptr || account->name != m_account))
+  {
+    constexpr std::string_view WHY = "the key was taken away";
+    if (m_stream_begun || m_may_have_run)
+      AttemptFailed(WHY, m_may_have_run);
+    else
+      Deny(401, WHY);
+    return false;
+  }
+  const auto now = Common::Now();
+  if (m_dispatcher.Keys().Stands(now))
+    return true;
+  const auto age = m_dispatcher.Keys().Age(now);
+  m_come_back_after = RETRY_AFTER_PROOF;
+  Common::LogEvent(Common::LogLevel::Warning, "key-not-proven",
+                   {{"id", m_id},
+                    {"account", m_account},
+                    {"configuration", m_dispatcher.CurrentConfiguration()->version},
+                    {"proof_age_ms", age ? age->count() : -1}});
+  AttemptFailed("the keys are not known to be current", m_may_have_run);
+  return false;
+}
+
+void Relay::Deny(int status, std::string_view why)
+{
+  EndWith(Outcome::Denied, status, why);
+}
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/RelayAnswers.cpp
@@ -0,0 +1,218 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// What comes back from a backend server.
+
+#include "Gateway/Relay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Common/Log.h"
+#include "Gateway/Dispatcher.h"
+#include "Gateway/Forwarding.h"
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// A stream that pauses for so many gap targets is continued elsewhere.
+constexpr int SILENCE_GAPS = 4;
+} // namespace
+
+Http::AnswerEvents::Verdict Relay::OnAnswerHead(Http::MessageHead& head)
+{
+  m_server->NoteHeard(Common::Now());
+  const std::string* id = head.Find(m_dispatcher.Settings().names.request_id);
+  if (!m_id.empty() && (id == nullptr || *id != m_id))
+  {
+    Common::LogEvent(Common::LogLevel::Warning, "answer-crossed",
+                     {{"id", m_id},
+                      {"answer_id", id == nullptr ? "" : *id},
+                      {"instance", m_server->Entry().instance}});
+    return Verdict::Skip;
+  }
+  m_head = head;
+  m_server_spoke_at = Common::Now();
+  const bool is_sound = IsSound(m_head);
+  m_signals = ReadSignals(m_head.status, m_head.headers, m_dispatcher.Settings().names,
+                          std::chrono::system_clock::now());
+  if (is_sound)
+    m_dispatcher.NoteSignals(m_server, m_signals, {m_id, m_sent_at});
+  const std::string* type = m_head.Find("Content-Type");
+  m_is_stream = m_route.repeatability == Repeatability::Streaming && m_head.status == 200 &&
+                is_sound && (type == nullptr || type->find("event-stream") != std::string::npos);
+  return Verdict::Take;
+}
+
+bool Relay::IsSound(const Http::MessageHead& head) const
+{
+  const bool success = head.status >= 200 && head.status < 300;
+  const bool signed_by_server = head.Find(m_dispatcher.Settings().names.signature) != nullptr;
+  return (!success || signed_by_server) && head.Find("Content-Encoding") == nullptr;
+}
+
+bool Relay::IsOfAnotherInstance() const
+{
+  return m_signals.instance && *m_signals.instance != m_server->Entry().instance.Get();
+}
+
+void Relay::OnInterimHead(Http::MessageHead& head)
+{
+  ServerSignals signals = ReadSignals(head.status, head.headers, m_dispatcher.Settings().names,
+                                      std::chrono::system_clock::now());
+  if (signals.draining)
+    m_dispatcher.NoteAnnouncedEnd(m_server, signals, {m_id, m_sent_at});
+}
+
+void Relay::OnAnswerBody(std::string_view bytes)
+{
+  m_server->NoteHeard(Common::Now());
+  if (!m_is_stream)
+  {
+    m_body.append(bytes);
+    return;
+  }
+  ForwardEvents(m_events.Feed(bytes));
+}
+
+void Relay::ForwardEvents(const std::string& events)
+{
+  if (events.empty())
+    return;
+  const auto gap = m_route.gap_target * SILENCE_GAPS;
+  ArmSilenceTimer(std::max(gap, MIN_STREAM_SILENCE));
+  if (!m_stream_begun)
+  {
+    m_stream_begun = true;
+    m_first_event_after = std::chrono::duration_cast<Milliseconds>(Common::Now() - m_arrived);
+    m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders(m_head));
+  }
+  else
+    m_longest_pause = std::max(
+        m_longest_pause, std::chrono::duration_cast<Milliseconds>(Common::Now() - m_last_event_at));
+  m_last_event_at = Common::Now();
+  m_caller->SendChunk(events);
+  if (m_caller->UnsentBytes() == 0 || !m_connection)
+    return;
+  // The caller reads slowly: the backend server is held up until it has caught up.
+  m_connection->SetReading(false);
+  m_caller->OnAllSent([this] {
+    if (m_connection)
+      m_connection->SetReading(true);
+  });
+}
+
+void Relay::OnAnswerEnd()
+{
+  const auto guard = shared_from_this();
+  m_silence_timer.Stop();
+  if (m_connection && m_server)
+    m_server->KeepConnection(std::exchange(m_connection, nullptr));
+  if (m_is_stream)
+    FinishStream();
+  else
+    HandleWholeAnswer();
+}
+
+void Relay::FinishStream()
+{
+  m_server->Health().NoteSuccess(Common::Now());
+  m_dispatcher.NoteSurvival(*this);
+  const std::string rest = m_events.Partial();
+  if (!m_stream_begun)
+    m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders(m_head));
+  m_caller->SendChunk(rest);
+  m_caller->EndChunked();
+  EndWith(Outcome::Answered, 0, "");
+}
+
+void Relay::HandleWholeAnswer()
+{
+  if (m_signals.not_run)
+  {
+    HandleRejection();
+    return;
+  }
+  if (!IsSound(m_head))
+  {
+    m_server->Health().NoteFailure(Common::Now());
+    AttemptFailed("an answer without the server's signature", true);
+    return;
+  }
+  const bool server_failed = m_head.status >= 500;
+  if (m_stream_begun)
+  {
+    // A continuation that is no stream cannot be joined to what the caller has.
+    AttemptFailed("the continuation was answered with " + std::to_string(m_head.status), true);
+    return;
+  }
+  if (!server_failed)
+    m_server->Health().NoteSuccess(Common::Now());
+  // A failure may come without a run.
+  if (m_head.status >= 200 && m_head.status < 300)
+    m_dispatcher.NoteSurvival(*this);
+  const bool is_first_failure = server_failed && !m_kept_head;
+  if (!server_failed || is_first_failure)
+  {
+    m_kept_head = m_head;
+    m_kept_body = m_body;
+  }
+  if (is_first_failure && m_route.IsRepeatable())
+    AttemptFailed("the server failed with " + std::to_string(m_head.status), true);
+  else
+    PassAnswerOn();
+}
+
+void Relay::HandleRejection()
+{
+  const auto now = Common::Now();
+  if (m_head.status == 421 && IsOfAnotherInstance())
+    m_server->NoteReplaced();
+  else if (m_head.status == 421)
+    m_server->NoteMissing(m_artifact, now);
+  else
+  {
+    m_server->GetBackoff().NoteRejected(now);
+    if (m_signals.backoff)
+      m_deferred_by.insert(m_server->Entry().instance);
+  }
+  AttemptFailed("rejected with " + std::to_string(m_head.status), m_may_have_run);
+}
+
+void Relay::OnAnswerBroken(Http::Breakage breakage)
+{
+  const auto guard = shared_from_this();
+  m_connection = nullptr;
+  const auto now = Common::Now();
+  const bool timed_out = breakage == Http::Breakage::ConnectTimedOut;
+  if (timed_out || breakage == Http::Breakage::ConnectFailed)
+  {
+    // One lost packet delays a connection too: only a row of them ejects the server.
+    if (timed_out)
+      m_server->Health().NoteFailure(now);
+    else
+    {
+      m_server->Health().NoteUnreachable(now);
+      m_dispatcher.Ends().NoteRefused(m_server);
+    }
+    --m_arrivals;
+    m_tried.erase(m_server->Entry().instance);
+    AttemptFailed("no connection", m_may_have_run);
+    return;
+  }
+  m_server->Health().NoteFailure(now);
+  if (breakage == Http::Breakage::Malformed)
+  {
+    AttemptFailed("malformed answer", true);
+    return;
+  }
+  std::optional<Milliseconds> ran_for;
+  if (m_server_spoke_at)
+    ran_for = std::chrono::duration_cast<Milliseconds>(now - *m_server_spoke_at);
+  m_dispatcher.NoteBroken(m_server, *this, m_sent_at, ran_for);
+  AttemptFailed("broken answer", true);
+}
+} // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/RelayWaiting.cpp
@@ -0,0 +1,152 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Requests that wait for a server, and those that are refused instead.
+
+#include "Gateway/Relay.h"
+
+#include <algorithm>
+
+#include "Common/Log.h"
+#include "Gateway/Dispatcher.h"
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// The part of that patience that a request may wait for a server, so that the refusal still
+/// reaches somebody.
+constexpr double WAIT_SHARE_OF_PATIENCE = 0.7;
+/// The part of the time to its deadline that a request may wait: holding an unserved request for
+/// more than half of it costs the caller its chance elsewhere.
+constexpr double WAIT_SHARE_OF_DEADLINE = 0.45;
+} // namespace
+
+void Relay::Wait()
+{
+  if (!MayGoToAnother() && !m_waiting)
+  {
+    // Only the servers that have seen the request may get it again, and they cannot serve it.
+    const auto now = Common::Now();
+    const bool hopeful = std::ranges::any_of(m_tried, [&](const InstanceId& instance) {
+      const ServerPtr server = m_dispatcher.Servers().Find(instance);
+      return server && server->MayServe(m_artifact, now);
+    });
+    if (!hopeful)
+    {
+      AttemptFailed("no further server may be asked", m_may_have_run);
+      return;
+    }
+  }
+  if (m_waiting)
+    return;
+  if (RefuseEarly())
+    return;
+  m_waiting = true;
+  m_wait_timer.Start(WaitLeft(Common::Now()), [this] {
+    OnWaitExpired();
+  });
+  m_dispatcher.RequestDemand();
+}
+
+Milliseconds Relay::WaitLeft(Common::TimePoint now) const
+{
+  auto limit =
+      std::chrono::duration_cast<Milliseconds>((m_deadline - m_arrived) * WAIT_SHARE_OF_DEADLINE);
+  limit = std::min(limit,
+                   std::chrono::duration_cast<Milliseconds>(m_patience * WAIT_SHARE_OF_PATIENCE));
+  return std::max(std::chrono::floor<Milliseconds>(m_arrived + limit - now), Milliseconds(0));
+}
+
+bool Relay::RefuseEarly()
+{
+  const auto refusal = m_dispatcher.WhyRefuse(*this, m_patience, WaitLeft(Common::Now()));
+  if (!refusal)
+    return false;
+  if (m_may_have_run)
+  {
+    // Whether a load comes in time is an estimate, but what a server names is known.
+    if (refusal->holder)
+      OnWaitExpired();
+    return refusal->holder != nullptr;
+  }
+  m_come_back_after = refusal->come_back_after;
+  LogEarlyRefusal(*refusal);
+  m_dispatcher.ExpectReturn(*this, refusal->come_back_after);
+  Refuse(refusal->why);
+  return true;
+}
+
+void Relay::LogEarlyRefusal(const EarlyRefusal& refusal) const
+{
+  if (!refusal.holder)
+    return;
+  const auto now = Common::Now();
+  const Server& holder = *refusal.holder;
+  if (holder.GetBackoff().IsNamed(now))
+    Common::LogEvent(Common::LogLevel::Info, "refused-for-backoff",
+                     {{"id", m_id},
+                      {"artifact", m_artifact.ToString()},
+                      {"instance", holder.Entry().instance},
+                      {"left_ms", holder.GetBackoff().Left(now).count()},
+                      {"patience_ms", WaitLeft(now).count()},
+                      {"come_back_ms", refusal.come_back_after.count()}});
+  else if (const auto& limit = holder.Limit())
+    Common::LogEvent(
+        Common::LogLevel::Info, "refused-for-limit",
+        {{"id", m_id},
+         {"artifact", m_artifact.ToString()},
+         {"instance", holder.Entry().instance},
+         {"per_second", RateLimits::Describe(limit->rate)},
+         {"limit_age_ms", std::chrono::floor<Milliseconds>(now - limit->since).count()},
+         {"expected_wait_ms", m_dispatcher.Limited().ExpectedWait(holder).count()},
+         {"patience_ms", WaitLeft(now).count()},
+         {"come_back_ms", refusal.come_back_after.count()}});
+}
+
+bool Relay::MayGoToAnother() const
+{
+  return static_cast<int>(m_tried.size()) < m_route.max_servers;
+}
+
+bool Relay::MayGoTo(const InstanceId& instance) const
+{
+  return m_tried.contains(instance) != MayGoToAnother() || m_deferred_by.contains(instance);
+}
+
+void Relay::WithdrawUnsent(const std::set<ServerPtr>& servers)
+{
+  if (m_done || !m_connection || m_connection->HasSent() || !servers.contains(m_server))
+    return;
+  const auto guard = shared_from_this();
+  ++m_dispatcher.Counters().withdrawn;
+  --m_arrivals;
+  m_tried.erase(m_server->Entry().instance);
+  AttemptFailed("the server wants no requests yet", m_may_have_run);
+}
+
+void Relay::ReviewWait()
+{
+  const auto guard = shared_from_this();
+  if (m_waiting && !m_done)
+    RefuseEarly();
+}
+
+void Relay::OnWaitExpired()
+{
+  const auto guard = shared_from_this();
+  if (m_kept_head)
+  {
+    PassAnswerOn();
+    return;
+  }
+  if (m_stream_begun)
+    EndWith(Outcome::BrokenOff, 0, "no server could continue the stream");
+  else if (m_may_have_run)
+    Fail(502, "no other server in time: " + m_last_reason);
+  else
+    Refuse("no server could take it in time");
+}
+} // namespace Gateway
