--- a/Source/StandIns/Soak/Ledger.cpp
+++ b/Source/StandIns/Soak/Ledger.cpp
@@ -162,6 +162,13 @@
   ++m_told_to_back_off;
 }
 
+void Ledger::BreakByArrival(std::string what, const std::string& id, const std::string& instance)
+{
+  what.append(id).append(" at ").append(instance);
+  what.append(" from ").append(m_requests[id].daemon);
+  Break(what);
+}
+
 void Ledger::NoteArrivalInLife(const std::string& instance, const std::string& id,
                                Common::TimePoint now)
 {
@@ -172,15 +179,14 @@
   Told& told = found->second;
   if (told.leaving_at && request.sent_at > *told.leaving_at + LEAVING_BOUND &&
       HasRunSince(request.daemon, *told.leaving_at))
-    Break("reached a server that leaves: " + id + " at " + instance + " from " + request.daemon);
+    BreakByArrival("reached a server that leaves: ", id, instance);
   std::erase_if(told.backoffs, [now](const Told::Backoff& backoff) {
     return backoff.until <= now;
   });
   for (Told::Backoff& backoff : told.backoffs)
     if (now > backoff.from + BACKOFF_LEEWAY && HasRunSince(request.daemon, backoff.from) &&
         ++backoff.arrivals == BACKOFF_ARRIVALS_ALLOWED + 1)
-      Break("reached a server that wanted none: " + id + " at " + instance + " from " +
-            request.daemon);
+      BreakByArrival("reached a server that wanted none: ", id, instance);
 }
 
 void Ledger::NoteDaemonStop(const std::string& daemon, Common::TimePoint until)
--- a/Source/StandIns/Soak/Ledger.h
+++ b/Source/StandIns/Soak/Ledger.h
@@ -126,6 +126,7 @@
     std::vector<Backoff> backoffs;
   };
 
+  void BreakByArrival(std::string what, const std::string& id, const std::string& instance);
   /// True where the daemon has run on since the moment.
   bool HasRunSince(const std::string& daemon, Common::TimePoint moment) const;
 
