Gateway: daemons forget servers that drained long ago

DrainBook kept each server for the life of the process, some bytes for each that ever left; the holder alone forgot. Daemons now forget after 20 minutes, longer than the holder tells, so that none tells it anew (OldNewsIsForgottenAndNotToldAnew). Interim answers have a name of their own.

--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -165,8 +165,8 @@
   void NoteSignals(const ServerPtr& server, const ServerSignals& signals,
                    const SignalOrigin& origin);
   /// The head of an interim answer, which tells only of the server's end.
-  void NoteAnnouncedEnd(const ServerPtr& server, const ServerSignals& signals,
-                        const SignalOrigin& origin);
+  void NoteInterimSignals(const ServerPtr& server, const ServerSignals& signals,
+                          const SignalOrigin& origin);
   /// A request goes to the server now.
   void CountSend(const Server& server, Common::TimePoint now);
   /// The server's connection broke while it had the request.
--- a/Source/Core/Gateway/DispatcherSignals.cpp
+++ b/Source/Core/Gateway/DispatcherSignals.cpp
@@ -89,10 +89,10 @@
   }
 }
 
-void Dispatcher::NoteAnnouncedEnd(const ServerPtr& server, const ServerSignals& signals,
-                                  const SignalOrigin& origin)
+void Dispatcher::NoteInterimSignals(const ServerPtr& server, const ServerSignals& signals,
+                                    const SignalOrigin& origin)
 {
-  if (!IsOfAnotherInstance(*server, signals))
+  if (signals.draining && !IsOfAnotherInstance(*server, signals))
     NoteAnnouncedEnd(server, origin);
 }
 
--- a/Source/Core/Gateway/DrainBook.cpp
+++ b/Source/Core/Gateway/DrainBook.cpp
@@ -13,6 +13,8 @@
 
 /// A server that drains is gone by then, and every daemon has been told long before.
 constexpr std::chrono::minutes TOLD_FOR{10};
+/// Longer than that, so that what one daemon forgets is told to it by none.
+constexpr std::chrono::minutes KNOWN_FOR{20};
 } // namespace
 
 bool DrainBook::Note(ServerKey server, Common::TimePoint now)
@@ -35,6 +37,7 @@
                                            Common::TimePoint now)
 {
   m_tenure = std::max(m_tenure, tenure);
+  Forget(now - KNOWN_FOR);
   std::vector<ServerKey> unknown;
   for (const ServerKey server : servers)
   {
@@ -56,9 +59,7 @@
 
 std::vector<ServerKey> DrainBook::NextNews(std::size_t most, Common::TimePoint now)
 {
-  std::erase_if(m_servers, [now](const auto& item) {
-    return now - item.second.noted_at > TOLD_FOR;
-  });
+  Forget(now - TOLD_FOR);
   std::vector<ServerKey> servers;
   auto next = m_servers.upper_bound(m_told_up_to);
   for (; next != m_servers.end() && servers.size() < most; ++next)
@@ -66,4 +67,11 @@
   m_told_up_to = next == m_servers.end() ? RateLimits::FIRST_KEY : servers.back();
   return servers;
 }
+
+void DrainBook::Forget(Common::TimePoint noted_before)
+{
+  std::erase_if(m_servers, [noted_before](const auto& item) {
+    return item.second.noted_at < noted_before;
+  });
+}
 } // namespace Gateway
--- a/Source/Core/Gateway/DrainBook.h
+++ b/Source/Core/Gateway/DrainBook.h
@@ -46,6 +46,8 @@
     std::int64_t told_in = 0; ///< The last tenure whose holder told it.
   };
 
+  void Forget(Common::TimePoint noted_before);
+
   std::map<RateLimits::ServerKey, Entry> m_servers;
   RateLimits::ServerKey m_told_up_to = RateLimits::FIRST_KEY; ///< By the news before.
   std::uint64_t m_revision = 0;
--- a/Source/Core/Gateway/RelayAnswers.cpp
+++ b/Source/Core/Gateway/RelayAnswers.cpp
@@ -61,10 +61,9 @@
 
 void Relay::OnInterimHead(Http::MessageHead& head)
 {
-  ServerSignals signals = ReadSignals(head.status, head.headers, m_dispatcher.Settings().names,
-                                      std::chrono::system_clock::now());
-  if (signals.draining)
-    m_dispatcher.NoteAnnouncedEnd(m_server, signals, {m_id, m_sent_at});
+  const ServerSignals signals = ReadSignals(
+      head.status, head.headers, m_dispatcher.Settings().names, std::chrono::system_clock::now());
+  m_dispatcher.NoteInterimSignals(m_server, signals, {m_id, m_sent_at});
 }
 
 void Relay::OnAnswerBody(std::string_view bytes)
--- a/Source/UnitTests/Gateway/DrainStateTest.cpp
+++ b/Source/UnitTests/Gateway/DrainStateTest.cpp
@@ -32,6 +32,7 @@
   CPPUNIT_TEST(WhatIsKnownOutlastsAnEntryThatLapses);
   CPPUNIT_TEST(ANewLifeIsNotDraining);
   CPPUNIT_TEST(AllDaemonsLearnOfItWhateverBecomesOfTheNews);
+  CPPUNIT_TEST(OldNewsIsForgottenAndNotToldAnew);
   CPPUNIT_TEST_SUITE_END();
 
   void AnAnswerIsFinalAfterItsGrace()
@@ -107,6 +108,21 @@
     CPPUNIT_ASSERT(!directory.FindLatest(InstanceId("i-1"))->IsDraining());
   }
 
+  void OldNewsIsForgottenAndNotToldAnew()
+  {
+    DrainBook holder;
+    DrainBook daemon;
+    holder.BeginTenure(1);
+    holder.Note(ServerKey(7), START);
+    daemon.TakeNews(1, holder.NextNews(10, START), START);
+    const auto later = START + std::chrono::minutes(11);
+    CPPUNIT_ASSERT(holder.NextNews(10, later).empty() && holder.Empty());
+    daemon.TakeNews(1, {}, later);
+    CPPUNIT_ASSERT(daemon.Unconfirmed().empty());
+    daemon.TakeNews(1, {}, START + std::chrono::minutes(21));
+    CPPUNIT_ASSERT(daemon.Empty());
+  }
+
   /// A message between a daemon and the holder, which may be lost, late or doubled.
   struct Message
   {
