RateLimits: behind others, a request expects the limit's pace as before

Cause: since the holder tells when the next permit is free, a request behind others was taken to wait only that much and one turn for each, a turn less than before, so more waited in vain until the holder told their place. The free permit now counts for the first in line alone.

The test passes four times at once beside three busy loops, as does ManyDaemonsUseASmallLimit.

--- a/Source/Core/Gateway/LimitedServers.cpp
+++ b/Source/Core/Gateway/LimitedServers.cpp
@@ -181,8 +181,10 @@
   if (told != m_ahead.end() && Common::Now() - told->second.told_at <= AHEAD_VALID)
     elsewhere = told->second.count;
   const double ahead = static_cast<double>(elsewhere) + own;
-  return FreeIn(server, Common::Now()) +
-         std::chrono::ceil<Milliseconds>(Seconds(ahead / RateLimits::FlowPerSecond(limit->rate)));
+  if (ahead == 0)
+    return FreeIn(server, Common::Now());
+  return std::chrono::ceil<Milliseconds>(
+      Seconds((ahead + 1) / RateLimits::FlowPerSecond(limit->rate)));
 }
 
 Milliseconds LimitedServers::ComeBackAfter(const Server& server, Common::TimePoint now)
