--- a/Source/Core/Gateway/Backoff.h
+++ b/Source/Core/Gateway/Backoff.h
@@ -19,8 +19,8 @@
 public:
   /// A rejection that names no time.
   void NoteRejected(Common::TimePoint now);
-  /// A rejection after which the server wants no request for `span`. The latest end that it named
-  /// counts. True where that moves the end.
+  /// A rejection with a Retry-After of `span`. The latest end that was named counts. True where
+  /// that moves the end.
   bool NoteRetryAfter(Common::Milliseconds span, Common::TimePoint now);
   /// An answer that is no rejection, to a request sent at `sent_at`. `slots`: requests at once
   /// beyond which the slow start is over. True for the first one after a time that was named.
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -71,7 +71,7 @@
   std::int64_t resumed = 0;
   std::int64_t sent_to_draining = 0; ///< As no other server could take them.
   std::int64_t sent_after_drain = 0; ///< Later than that is allowed.
-  std::int64_t sent_in_backoff = 0;  ///< Into a time for which the server wanted none.
+  std::int64_t sent_in_backoff = 0;  ///< Although the server had named a Retry-After.
   std::int64_t withdrawn = 0;        ///< Before they had gone out, as such a time began.
 };
 
@@ -226,10 +226,11 @@
   /// A limit has begun or changed: requests that wait in vain now are refused.
   void ReviewWaiting();
   void OnLimitChange();
-  /// The server wants no requests for `span`.
+  /// The server has named a Retry-After.
   void NoteRetryAfter(const ServerPtr& server, Common::Milliseconds span,
                       const SignalOrigin& origin);
-  /// Requests that wait for servers that want none, or have not gone out to them yet.
+  /// Servers have named a Retry-After: looks at the requests that wait for them, and at those that
+  /// have not gone out to them yet.
   void ReviewBackoffs();
   /// An answer to this VM has announced the server's end.
   void NoteAnnouncedEnd(const ServerPtr& server, const SignalOrigin& origin);
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -89,8 +89,8 @@
   /// It waits for a server with a limit that will have no time for it: refused where it cannot be
   /// served elsewhere either.
   void ReviewWait();
-  /// These servers want no requests: if this one has not gone out to one of them yet, it goes
-  /// elsewhere.
+  /// These servers have named a Retry-After: if this request has not gone out to one of them yet,
+  /// it goes elsewhere.
   void WithdrawUnsent(const std::set<ServerPtr>& servers);
   Crashes::RequestIdentity Identity() const;
 
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -94,7 +94,7 @@
   /// The server has had a limit for so long that its models should be held elsewhere too; a need
   /// that passes at once moves none.
   bool HasSettledLimit(Common::TimePoint now) const;
-  /// The same for a server that wants no requests.
+  /// The same for a server that has named a Retry-After.
   bool HasLongBackoff(Common::TimePoint now) const;
   bool IsPlannedAround(Common::TimePoint now) const
   {
--- a/Source/Core/Gateway/ServerSignals.h
+++ b/Source/Core/Gateway/ServerSignals.h
@@ -31,8 +31,7 @@
   bool not_run = false;  ///< The request was rejected before it ran.
   bool accepted = false; ///< The server has taken the request on, whatever became of it.
   bool draining = false; ///< The server is about to leave.
-  /// Of a rejection: the server wants no request from this VM for so long. Nothing where it names
-  /// no time.
+  /// Of a rejection: this VM should back off for so long. Nothing where no time is named.
   std::optional<Common::Milliseconds> backoff;
   RateLimits::LimitReading limit;
   std::vector<UnreadableSignal> unreadable; ///< But for the limit, which tells by itself.
--- a/Source/Core/Gateway/Types.h
+++ b/Source/Core/Gateway/Types.h
@@ -213,7 +213,7 @@
   /// Requests a second that the server takes from all daemons together.
   std::string request_limit;
   std::string draining;    ///< "1" while the server is about to leave.
-  std::string retry_after; ///< Of a rejection: how long the server wants no request from this VM.
+  std::string retry_after; ///< Of a rejection: how long this VM should back off.
   std::string urgency;
   std::string key;                   ///< The caller's secret; never passed on.
   std::string account;               ///< The caller's account, set by us; never taken from callers.
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -100,7 +100,7 @@
   /// Requests that end servers: what this daemon saw and the holder has not confirmed.
   std::vector<Crashes::CaseLine> crashes;
   std::uint64_t crash_revision = 0; ///< Of the holder's cases, as this daemon has them.
-  /// Servers that want no requests from this daemon, and have not for a while or will not.
+  /// Servers from which this daemon backs off for long.
   std::vector<ServerHash> backing_off;
 
   template <typename Archive>
--- a/Source/Core/Orders/OrderDesk.h
+++ b/Source/Core/Orders/OrderDesk.h
@@ -211,8 +211,7 @@
   /// Models of servers with a limit are held elsewhere too, unless most servers have one: then
   /// there is no elsewhere.
   bool MayPlanAround(const PlanBook& plan, Common::TimePoint now) const;
-  /// True where the server wants no requests from at least half of the daemons, and has not for a
-  /// while or will not.
+  /// True where at least half of the daemons back off from the server for long.
   bool IsBackedOffFrom(const Gateway::Server& server) const;
   ServerState StateOf(const Gateway::Pool& pool, const Slot& slot, bool plan_around_limits,
                       Common::TimePoint now) const;
