Gateway: evacuated data centres, cold servers and allowed regions

Servers of an evacuated data centre get no requests and no loads; requests whose bytes were not sent yet move on; what runs there ends; requests that no server may take any more are refused at once.

A cold server has its pool's rate as a limit until it is warm, shared out by the permits of the lease holder as for the limits that servers announce. Entries and responses state how long it is cold; when an evacuation ends, its servers count as cold for the pool's period, as their entries may be older. Regions of a route and an account both restrict where a request runs; an unknown region rejects the configuration.

Ruled out: a message of our own for evacuations, which would have to be repeated to daemons that start, and a fixed share of the cold rate for each daemon, which is useless with more daemons than requests per second.

Not done here: loads in the regions of a restricted request.

--- a/Source/Core/Accounts/Directory.h
+++ b/Source/Core/Accounts/Directory.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -47,6 +48,8 @@
   AccountName name;
   std::optional<int> priority; ///< 0 is the most urgent; overrides the route's priority.
   UsageLimit limit;
+  /// Regions in which the account's requests may run; empty: in all.
+  std::set<Common::RegionId> allowed_regions;
 };
 
 /// An account as the operators' configuration declares it.
--- a/Source/Core/Common/FieldReader.cpp
+++ b/Source/Core/Common/FieldReader.cpp
@@ -72,6 +72,20 @@
   return fallback;
 }
 
+std::map<std::string, std::string> FieldReader::TextsOrNone(const char* path)
+{
+  const Json* field = Find(path);
+  if (field == nullptr)
+    return {};
+  const bool is_valid = field->is_object() && std::ranges::all_of(*field, [](const Json& value) {
+                          return value.is_string();
+                        });
+  if (is_valid)
+    return field->get<std::map<std::string, std::string>>();
+  AddError(path, "an object of strings");
+  return {};
+}
+
 void FieldReader::AddError(const char* path, std::string_view expected)
 {
   std::string name(path + 1);
--- a/Source/Core/Common/FieldReader.h
+++ b/Source/Core/Common/FieldReader.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -42,6 +43,9 @@
   /// Reads an optional boolean.
   bool BoolOr(const char* path, bool fallback);
 
+  /// Reads an optional object whose values are all strings.
+  std::map<std::string, std::string> TextsOrNone(const char* path);
+
   /// Reads a required string that `parse` converts to a `Result<T>`. Returns a default T on error.
   template <typename Parse>
   auto Parsed(const char* path, std::string_view expected, Parse parse)
--- a/Source/Core/Common/Units.h
+++ b/Source/Core/Common/Units.h
@@ -92,6 +92,8 @@
 /// A virtual machine of the platform: an entry VM or a backend server.
 using VmId = StrongId<struct VmIdTag>;
 using DataCentreId = StrongId<struct DataCentreIdTag>;
+/// A group of data centres that are near each other.
+using RegionId = StrongId<struct RegionIdTag>;
 /// An artifact that a backend server can load: a model version `model@version`, or an adapter of
 /// one.
 using ArtifactId = StrongId<struct ArtifactIdTag>;
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -46,7 +46,8 @@
   double reserved_mb = 0; ///< Memory to keep free.
   bool usable = true;     ///< Accepts requests and orders.
   bool order_open = false;
-  /// The server is about to shut down: its replicas and pending loads are not counted.
+  /// The server is about to shut down or is evacuated: its replicas and pending loads are not
+  /// counted.
   bool draining = false;
   /// Rate limit over all daemons together, if one has been in force for a while.
   std::optional<double> requests_per_second;
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -40,8 +40,8 @@
 Dispatcher::Dispatcher(DispatcherSettings settings)
 {
   Configure(std::move(settings));
-  m_servers.OnChange([this] {
-    m_limited.Refresh();
+  m_servers.OnChange([this](const ServerPtr& server) {
+    m_limited.RefreshServer(server);
     MarkDrainingServers();
     ScheduleDispatch();
   });
@@ -78,6 +78,7 @@
   m_limits = m_configuration->limits;
   m_configuration_error.clear();
   m_allowances.SetAccounts(m_configuration->accounts);
+  ConfigureColdRates();
   m_configured_at = Common::Now();
   ScheduleDispatch();
 }
@@ -132,7 +133,8 @@
 bool Dispatcher::IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const
 {
   return server.Entry().pool == relay.SelectedPool() && server.IsAvailable(now) &&
-         server.Holds(relay.RequestedArtifact(), now) && relay.MaySendTo(server.Entry().instance);
+         server.Holds(relay.RequestedArtifact(), now) && relay.MaySendTo(server.Entry().instance) &&
+         MayRunAt(relay, server);
 }
 
 ServerPtr Dispatcher::ChooseAmong(const std::vector<ServerPtr>& servers, const Relay& relay)
@@ -185,7 +187,8 @@
   if (ServerPtr chosen = ChooseAmong(unlimited, relay))
   {
     for (const ServerPtr& server : limited)
-      RecordBypass(*server, now);
+      if (!server->Limit()->cold_until)
+        RecordBypass(*server, now);
     return chosen;
   }
   return ChooseAmong(draining, relay);
@@ -223,6 +226,8 @@
   const ModelSpec* spec = pool->second.FindModel(model);
   if (!model.Empty() && spec == nullptr)
     return std::nullopt;
+  if (auto refusal = CheckNoServerAllowed(relay))
+    return refusal;
   const auto now = Common::Now();
   Decisions::WaitForLoadInput load;
   load.until_deadline = std::chrono::floor<Milliseconds>(relay.Deadline() - now);
@@ -233,7 +238,7 @@
   for (const auto& [instance, server] : m_servers.All())
   {
     if (server->Entry().pool != relay.SelectedPool() || !server->AcceptsRequests(now) ||
-        !relay.MaySendTo(instance))
+        !relay.MaySendTo(instance) || !MayRunAt(relay, *server))
       continue;
     const bool holds = model.Empty() || server->HoldsModel(model);
     const bool must_wait = server->Limit() || server->GetBackoff().IsRetryAfterActive(now);
@@ -532,6 +537,10 @@
   m_metrics.SetGauge("servers_draining", count_servers([](const Server& server) {
                        return server.IsDraining();
                      }));
+  m_metrics.SetGauge("data_centres_evacuated", static_cast<double>(m_servers.Evacuated().size()));
+  m_metrics.SetGauge("servers_cold", count_servers([&](const Server& server) {
+                       return server.Cold().IsCold(now);
+                     }));
   m_metrics.SetGauge("sent_to_draining", static_cast<double>(m_counters.sent_to_draining));
   m_metrics.SetGauge("sent_after_drain", static_cast<double>(m_counters.sent_after_drain));
   m_metrics.SetGauge("servers_backing_off", count_servers([&](const Server& server) {
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -62,6 +62,8 @@
   /// For this long after a response to this VM announced that the server drains, the server may
   /// still get requests that no other server can take.
   Common::Milliseconds drain_grace{1000};
+  /// The region of each data centre.
+  std::map<Common::DataCentreId, Common::RegionId> regions;
 };
 
 /// Counters that are exported in addition to the request outcomes.
@@ -109,6 +111,11 @@
   void ApplyDrainUpdate(std::int64_t tenure, std::span<const RateLimits::ServerKey> servers);
   /// At the lease holder: applies the draining servers that another daemon has reported.
   void ApplyDrainReport(const Common::VmId& from, std::span<const RateLimits::ServerKey> servers);
+  /// Sets the data centres that the operators have evacuated: all of them, or one that was added or
+  /// removed. Their servers get no requests and no loads; what runs there ends.
+  void SetEvacuations(std::set<Common::DataCentreId> data_centres);
+  void BeginEvacuation(const Common::DataCentreId& data_centre);
+  void EndEvacuation(const Common::DataCentreId& data_centre);
   /// Called when permits for servers with a limit are needed, or when a limit or a draining server
   /// has to be reported to other daemons.
   void OnPermitDemand(std::function<void()> callback) { m_on_permit_demand = std::move(callback); }
@@ -203,6 +210,16 @@
   std::int64_t ConcurrencyLimitFor(const Server& server) const;
   /// True if the request may be sent to the server now, leaving the server's rate limit aside.
   bool IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const;
+  /// True if the request's route and account allow it to run in the server's region.
+  bool MayRunAt(const Relay& relay, const Server& server) const;
+  /// The refusal for a request that no server may take until the operators change something: those
+  /// of its pool are evacuated or outside its regions. Returns nullopt if any server may take it.
+  std::optional<EarlyRefusal> CheckNoServerAllowed(const Relay& relay) const;
+  /// Cold rates of the pools in the configuration.
+  void ConfigureColdRates();
+  /// Assumes that a data centre's servers are cold: they may have been restarted while evacuated,
+  /// and their entries may not show it yet.
+  void AssumeCold(const Common::DataCentreId& data_centre);
   /// `holders`: all servers that hold the model; each has a limit or a Retry-After in force.
   /// `nearest`: the fastest source from which another server could load the weights.
   std::optional<EarlyRefusal> CheckExpectedWait(const std::vector<ServerPtr>& holders,
--- a/Source/Core/Gateway/DispatcherSignals.cpp
+++ b/Source/Core/Gateway/DispatcherSignals.cpp
@@ -44,6 +44,11 @@
     OnDrainAnnounced(server, origin);
   else if (origin.is_request)
     server->Drain().NoteNotAnnounced(origin.sent_at);
+  if (signals.cold_left)
+  {
+    server->Cold().NoteLeft(*signals.cold_left, Common::Now());
+    m_limited.RefreshServer(server);
+  }
   if (signals.backoff)
     NoteRetryAfter(server, *signals.backoff, origin);
   if (!origin.is_request)
@@ -85,7 +90,7 @@
   const auto relays = m_relays;
   for (const auto& [key, relay] : relays)
   {
-    relay->WithdrawUnsent(servers);
+    relay->WithdrawUnsent(servers, "the server sent a Retry-After before the request was sent");
     relay->RecheckWait();
   }
 }
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -65,6 +65,12 @@
     return nullptr;
   return std::chrono::floor<Common::Milliseconds>(now - *since).count();
 }
+
+Milliseconds ColdLeft(const Server& server, Common::TimePoint now)
+{
+  return std::chrono::floor<Milliseconds>(
+      server.Cold().IsCold(now) ? server.Cold().Until() - now : Common::TimePoint::duration());
+}
 } // namespace
 
 void ProbeResponder::AcceptConnection(int fd)
@@ -134,6 +140,8 @@
                        {"data_centre", server->Entry().data_centre.Get()},
                        {"draining", ToString(server->Drain().Source())},
                        {"draining_ms", DumpDrainAge(*server, now)},
+                       {"evacuated", server->IsEvacuated()},
+                       {"cold_left_ms", ColdLeft(*server, now).count()},
                        {"available", server->IsAvailable(now)},
                        {"backoff_left_ms", server->GetBackoff().Left(now).count()},
                        {"ejected", server->Health().IsEjected(now)},
@@ -151,6 +159,9 @@
                        {"blocked_for_ms", line.blocked_for_ms},
                        {"blocks", line.blocks},
                        {"survived_ms_ago", line.last_success_age_ms}});
+  Common::Json evacuated = Common::Json::array();
+  for (const Common::DataCentreId& data_centre : m_dispatcher.Servers().Evacuated())
+    evacuated.push_back(data_centre.Get());
   const auto& configuration = m_dispatcher.CurrentConfiguration();
   return Common::DumpJson({{"ready", IsReady()},
                            {"crashes", std::move(crashes)},
@@ -158,6 +169,7 @@
                            {"open_requests", m_dispatcher.OpenRequests()},
                            {"configuration_version", configuration ? configuration->version : -1},
                            {"configuration_refused", m_dispatcher.ConfigurationError()},
+                           {"evacuated", std::move(evacuated)},
                            {"servers", std::move(servers)}});
 }
 
--- a/Source/Core/Gateway/LimitedServers.cpp
+++ b/Source/Core/Gateway/LimitedServers.cpp
@@ -25,6 +25,10 @@
 /// How long the time of the next free permit is used: the lease holder announces it twice within
 /// this span.
 constexpr Milliseconds NEXT_PERMIT_LIFETIME{1300};
+/// Minimum interval between two checks of which servers are still cold.
+constexpr Milliseconds MIN_COLD_CHECK_INTERVAL{50};
+/// The source of the limit of a cold server.
+constexpr const char* COLD_START = "cold start";
 
 std::uint32_t CountOf(const std::map<ServerKey, std::uint32_t>& counts, ServerKey server)
 {
@@ -96,26 +100,54 @@
     m_on_change();
 }
 
+void LimitedServers::SetColdRates(std::map<PoolId, RateLimits::RequestRate> rates)
+{
+  if (m_cold_rates == rates)
+    return;
+  m_cold_rates = std::move(rates);
+  Refresh();
+}
+
+std::optional<RateLimits::RequestRate> LimitedServers::ColdRateOf(const Server& server,
+                                                                  Common::TimePoint now) const
+{
+  const auto rate = m_cold_rates.find(server.Entry().pool);
+  if (rate == m_cold_rates.end() || !server.Cold().IsCold(now))
+    return std::nullopt;
+  return rate->second;
+}
+
+std::optional<ServerLimit> LimitedServers::LimitOf(const Server& server,
+                                                   Common::TimePoint now) const
+{
+  const auto announced = m_registry.CurrentLimit(server.Key());
+  const auto cold = ColdRateOf(server, now);
+  if (cold && (!announced || *cold < *announced))
+    return ServerLimit{*cold, server.Cold().Since(), COLD_START, server.Cold().Until()};
+  if (!announced)
+    return std::nullopt;
+  const auto source = m_learned_from.find(server.Key());
+  return ServerLimit{*announced, *m_registry.LimitedSince(server.Key()),
+                     source == m_learned_from.end() ? "" : source->second, std::nullopt};
+}
+
 void LimitedServers::Refresh()
 {
-  if (m_registry.Empty() && m_limited.empty())
+  if (m_registry.Empty() && m_limited.empty() && m_cold_rates.empty())
     return;
+  const auto now = Common::Now();
   ++m_revision;
   m_limited.clear();
   std::vector<ServerKey> keys;
   for (const auto& [instance, server] : m_servers.All())
   {
-    const auto rate = m_registry.CurrentLimit(server->Key());
-    const auto since = m_registry.LimitedSince(server->Key());
-    if (!rate)
-    {
-      server->SetLimit(std::nullopt);
+    server->SetLimit(LimitOf(*server, now));
+    if (!server->Limit())
       continue;
-    }
-    server->SetLimit(ServerLimit{*rate, *since, m_learned_from[server->Key()]});
     m_limited.push_back(server);
     keys.push_back(server->Key());
   }
+  m_servers_revision = m_servers.Revision();
   m_permits.Retain(keys);
   const auto is_unlimited = [&](const auto& entry) {
     return std::ranges::find(keys, entry.first) == keys.end();
@@ -123,6 +155,60 @@
   std::erase_if(m_next_retry, is_unlimited);
   std::erase_if(m_queue_positions, is_unlimited);
   std::erase_if(m_next_permits, is_unlimited);
+  ScheduleColdCheck();
+}
+
+void LimitedServers::RefreshServer(const ServerPtr& server)
+{
+  if (m_registry.Empty() && m_limited.empty() && m_cold_rates.empty())
+    return;
+  if (std::exchange(m_servers_revision, m_servers.Revision()) != m_servers.Revision())
+    RemoveUnlimited();
+  const auto before = server->Limit();
+  server->SetLimit(LimitOf(*server, Common::Now()));
+  const auto& limit = server->Limit();
+  const bool same_rate =
+      before.has_value() == limit.has_value() && (!limit || before->rate == limit->rate);
+  if (!same_rate)
+    ++m_revision;
+  if (!before && limit)
+    m_limited.push_back(server);
+  if (before && !limit)
+    RemoveUnlimited();
+  ScheduleColdCheck();
+}
+
+void LimitedServers::RemoveUnlimited()
+{
+  const auto removed = std::erase_if(m_limited, [this](const ServerPtr& server) {
+    return !server->Limit() || m_servers.Find(server->Entry().instance) != server;
+  });
+  if (removed > 0)
+    ++m_revision;
+}
+
+void LimitedServers::ScheduleColdCheck()
+{
+  if (m_cold_timer.Running())
+    return;
+  std::optional<Common::TimePoint> first_warm;
+  for (const ServerPtr& server : m_limited)
+    if (const auto& until = server->Limit()->cold_until)
+      first_warm = std::min(first_warm.value_or(*until), *until);
+  if (!first_warm)
+    return;
+  const auto wait = std::chrono::ceil<Milliseconds>(*first_warm - Common::Now());
+  m_cold_timer.Start(std::max(wait, MIN_COLD_CHECK_INTERVAL), [this] {
+    const auto now = Common::Now();
+    const auto limited = m_limited;
+    const std::uint64_t before = m_revision;
+    for (const ServerPtr& server : limited)
+      server->SetLimit(LimitOf(*server, now));
+    RemoveUnlimited();
+    ScheduleColdCheck();
+    if (m_revision != before && m_on_change)
+      m_on_change();
+  });
 }
 
 std::vector<RateLimits::PermitAllocator::KnownLimit> LimitedServers::KnownLimits() const
@@ -183,9 +269,14 @@
       Common::Now() - position->second.announced_at <= QUEUE_POSITION_LIFETIME)
     elsewhere = position->second.count;
   const double ahead = static_cast<double>(elsewhere) + own;
-  if (ahead == 0)
-    return TimeToNextPermit(server, Common::Now());
-  return std::chrono::ceil<Milliseconds>(Seconds((ahead + 1) / RateLimits::SendRate(limit->rate)));
+  const auto wait = ahead == 0 ? TimeToNextPermit(server, Common::Now())
+                               : std::chrono::ceil<Milliseconds>(
+                                     Seconds((ahead + 1) / RateLimits::SendRate(limit->rate)));
+  if (!limit->cold_until)
+    return wait;
+  // A warm server has no limit.
+  const auto until_warm = std::chrono::ceil<Milliseconds>(*limit->cold_until - Common::Now());
+  return std::clamp(wait, Milliseconds(0), std::max(until_warm, Milliseconds(0)));
 }
 
 Milliseconds LimitedServers::RetryDelay(const Server& server, Common::TimePoint now)
--- a/Source/Core/Gateway/LimitedServers.h
+++ b/Source/Core/Gateway/LimitedServers.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "Common/Reactor.h"
 #include "Gateway/ServerDirectory.h"
 #include "RateLimits/LimitRegistry.h"
 #include "RateLimits/LocalPermits.h"
@@ -36,8 +37,12 @@
   /// At the lease holder: applies limits that another daemon has read from responses.
   void ApplyObservations(std::int64_t tenure, const Common::VmId& from,
                          std::span<const RateLimits::LimitObservation> observations);
-  /// Applies the limits to the directory's servers; called after the directory has changed.
+  /// Sets the rates that cold servers accept, by pool.
+  void SetColdRates(std::map<PoolId, RateLimits::RequestRate> rates);
+  /// Applies the limits to the directory's servers.
   void Refresh();
+  /// Applies the limit of one server; called after its entry or its cold state has changed.
+  void RefreshServer(const ServerPtr& server);
 
   RateLimits::LimitRegistry& Registry() { return m_registry; }
   RateLimits::LocalPermits& Permits() { return m_permits; }
@@ -75,6 +80,15 @@
   /// Time until the next permit is free if no request waits.
   Common::Milliseconds TimeToNextPermit(const Server& server, Common::TimePoint now) const;
   void Report(const std::vector<RateLimits::LimitChange>& changes, std::string_view source);
+  /// The limit in force: the lower one of what the server has announced and, while it is cold, of
+  /// its pool's rate for cold servers.
+  std::optional<ServerLimit> LimitOf(const Server& server, Common::TimePoint now) const;
+  std::optional<RateLimits::RequestRate> ColdRateOf(const Server& server,
+                                                    Common::TimePoint now) const;
+  /// Drops servers from `m_limited` that have left the directory or have no limit any more.
+  void RemoveUnlimited();
+  /// Checks the cold servers again when the first of them is warm.
+  void ScheduleColdCheck();
 
   ServerDirectory& m_servers;
   RateLimits::LimitRegistry m_registry;
@@ -98,6 +112,9 @@
   std::map<RateLimits::ServerKey, NextPermit> m_next_permits;
   std::map<RateLimits::ServerKey, Common::TimePoint> m_next_retry;
   std::map<RateLimits::ServerKey, std::string> m_learned_from;
+  std::map<PoolId, RateLimits::RequestRate> m_cold_rates;
+  std::uint64_t m_servers_revision = 0; ///< Of the directory when `m_limited` was last pruned.
+  Common::OwnedTimer m_cold_timer;
   std::function<void()> m_on_change;
   std::int64_t m_unreadable_limits = 0;
   std::uint64_t m_revision = 1;
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -91,9 +91,13 @@
   /// Refuses the request if it waits for a server that will not take it in time and no other server
   /// can serve it.
   void RecheckWait();
-  /// Redirects the request to another server if it is assigned to one of `servers`, which have sent
-  /// a Retry-After, and none of its bytes have been sent yet.
-  void WithdrawUnsent(const std::set<ServerPtr>& servers);
+  /// True if the route or the caller's account restricts the regions in which the request may run.
+  bool HasAllowedRegions() const;
+  /// True if both the route and the caller's account allow the request to run in the region.
+  bool MayRunIn(const Common::RegionId& region) const;
+  /// Redirects the request to another server if it is assigned to one of `servers`, which should
+  /// get no requests for the reason `why`, and none of its bytes have been sent yet.
+  void WithdrawUnsent(const std::set<ServerPtr>& servers, std::string_view why);
   Crashes::RequestIdentity Identity() const;
 
   /// Ends the request if it is blocked because servers crashed while they ran it, unless a server
--- a/Source/Core/Gateway/RelayAdmission.cpp
+++ b/Source/Core/Gateway/RelayAdmission.cpp
@@ -160,6 +160,21 @@
   return false;
 }
 
+bool Relay::HasAllowedRegions() const
+{
+  return !m_route.allowed_regions.empty() ||
+         (m_account_config && !m_account_config->allowed_regions.empty());
+}
+
+bool Relay::MayRunIn(const Common::RegionId& region) const
+{
+  const auto allows = [&](const std::set<Common::RegionId>& regions) {
+    return regions.empty() || regions.contains(region);
+  };
+  return allows(m_route.allowed_regions) &&
+         (!m_account_config || allows(m_account_config->allowed_regions));
+}
+
 void Relay::Deny(int status, std::string_view why)
 {
   EndWith(Outcome::Denied, status, why);
--- a/Source/Core/Gateway/RelayWaiting.cpp
+++ b/Source/Core/Gateway/RelayWaiting.cpp
@@ -120,7 +120,7 @@
          m_deferred_by.contains(instance);
 }
 
-void Relay::WithdrawUnsent(const std::set<ServerPtr>& servers)
+void Relay::WithdrawUnsent(const std::set<ServerPtr>& servers, std::string_view why)
 {
   if (m_done || !m_connection || m_connection->HasSent() || !servers.contains(m_server))
     return;
@@ -128,7 +128,7 @@
   ++m_dispatcher.Counters().withdrawn;
   --m_arrivals;
   m_tried_servers.erase(m_server->Entry().instance);
-  AttemptFailed("the server sent a Retry-After before the request was sent", m_may_have_run);
+  AttemptFailed(why, m_may_have_run);
 }
 
 void Relay::RecheckWait()
--- a/Source/Core/Gateway/ServerCondition.h
+++ b/Source/Core/Gateway/ServerCondition.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "Gateway/Backoff.h"
+#include "Gateway/ColdState.h"
 #include "Gateway/DrainState.h"
 #include "Gateway/ServerHealth.h"
 
@@ -16,6 +17,7 @@
   ServerHealth health;
   DrainState drain;
   Backoff backoff;
+  ColdState cold;
   /// This instance has ended: another process has the address, or the server has restarted.
   bool replaced = false;
 };
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -25,6 +25,7 @@
     : m_entry(std::move(entry)), m_key(KeyOf(m_entry.instance)), m_condition(std::move(condition))
 {
   Drain().SetEntry(m_entry.draining);
+  Cold().NoteLeft(m_entry.warming_up, Common::Now());
 }
 
 void Server::SetEntry(ServerEntry entry)
@@ -33,6 +34,7 @@
     m_missing_until.clear();
   m_entry = std::move(entry);
   Drain().SetEntry(m_entry.draining);
+  Cold().NoteLeft(m_entry.warming_up, Common::Now());
   ++m_entry_revision;
 }
 
@@ -46,7 +48,7 @@
 
 bool Server::HasLastingLimit(Common::TimePoint now) const
 {
-  return m_limit && now - m_limit->since >= LASTING_AFTER;
+  return m_limit && !m_limit->cold_until && now - m_limit->since >= LASTING_AFTER;
 }
 
 bool Server::HasLastingBackoff(Common::TimePoint now) const
@@ -175,8 +177,10 @@
       ++m_revision;
     found->second->SetEntry(std::move(entry));
   }
+  const ServerPtr server = Find(instance);
+  server->SetEvacuated(m_evacuated.contains(server->Entry().data_centre));
   if (m_on_change)
-    m_on_change();
+    m_on_change(server);
 }
 
 void ServerDirectory::Inherit(Server& server, const Server& before)
@@ -216,6 +220,13 @@
     server->SetDrainGrace(grace);
 }
 
+void ServerDirectory::SetEvacuated(std::set<Common::DataCentreId> data_centres)
+{
+  m_evacuated = std::move(data_centres);
+  for (const auto& [instance, server] : m_servers)
+    server->SetEvacuated(m_evacuated.contains(server->Entry().data_centre));
+}
+
 void ServerDirectory::DropOldConditions(Common::TimePoint now)
 {
   std::erase_if(m_removed, [now](const auto& entry) {
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -25,6 +25,10 @@
   RateLimits::RequestRate rate;
   Common::TimePoint since;  ///< Start of the period in which the server has had any limit.
   std::string learned_from; ///< Source of the current rate.
+  /// Set if the limit applies because the server is cold, and ends by itself at this time.
+  std::optional<Common::TimePoint> cold_until;
+
+  bool operator==(const ServerLimit&) const = default;
 };
 
 /// A backend server: its entry on the platform, and this daemon's requests, connections and
@@ -55,7 +59,7 @@
   /// True if the server takes requests now or after a pause.
   bool AcceptsRequests(Common::TimePoint now) const
   {
-    return !IsReplaced() && Drain().MayServe(now, m_drain_grace);
+    return !IsReplaced() && !m_evacuated && Drain().MayServe(now, m_drain_grace);
   }
   /// True if the server can serve a request for the artifact, now or after a short pause.
   bool MayServe(const Artifact& artifact, Common::TimePoint now) const
@@ -115,6 +119,13 @@
   DrainState& Drain() { return m_condition->drain; }
   const DrainState& Drain() const { return m_condition->drain; }
   bool IsDraining() const { return Drain().IsDraining(); }
+  /// True while the operators have evacuated the server's data centre.
+  bool IsEvacuated() const { return m_evacuated; }
+  void SetEvacuated(bool evacuated) { m_evacuated = evacuated; }
+  /// True if models may be loaded on the server: it is neither draining nor evacuated.
+  bool IsStaying() const { return !IsDraining() && !IsEvacuated(); }
+  ColdState& Cold() { return m_condition->cold; }
+  const ColdState& Cold() const { return m_condition->cold; }
   Backoff& GetBackoff() { return m_condition->backoff; }
   const Backoff& GetBackoff() const { return m_condition->backoff; }
   /// Sets how long the server may still receive requests that no other server can take, after it
@@ -127,6 +138,7 @@
   std::uint64_t m_entry_revision = 1;
   std::shared_ptr<ServerCondition> m_condition;
   Common::Milliseconds m_drain_grace{0};
+  bool m_evacuated = false;
   SilenceDetector m_silence;
   std::optional<ServerLimit> m_limit;
   Http::IdleConnections m_idle{MAX_IDLE_CONNECTIONS};
@@ -149,8 +161,11 @@
 class ServerDirectory
 {
 public:
-  /// Sets the callback for any change that may allow a waiting request to proceed.
-  void OnChange(std::function<void()> callback) { m_on_change = std::move(callback); }
+  /// Sets the callback for any change of a server that may allow a waiting request to proceed.
+  void OnChange(std::function<void(const ServerPtr&)> callback)
+  {
+    m_on_change = std::move(callback);
+  }
 
   /// Adds or updates a server. The entry of a later instance replaces the server and everything
   /// recorded for it; an entry of an earlier instance is ignored.
@@ -159,6 +174,9 @@
   /// expire and be written again.
   void Remove(const InstanceId& instance);
   void SetDrainGrace(Common::Milliseconds grace);
+  /// Sets the data centres whose servers, also those added later, get no requests and no loads.
+  void SetEvacuated(std::set<Common::DataCentreId> data_centres);
+  const std::set<Common::DataCentreId>& Evacuated() const { return m_evacuated; }
 
   ServerPtr Find(const InstanceId& instance) const;
   /// The latest instance under the id of `instance`; the start time of `instance` is ignored.
@@ -187,7 +205,8 @@
   std::map<InstanceId, RetainedCondition>
       m_removed; ///< Conditions of servers whose entry was removed.
   Common::Milliseconds m_drain_grace{0};
+  std::set<Common::DataCentreId> m_evacuated;
   std::uint64_t m_revision = 1;
-  std::function<void()> m_on_change;
+  std::function<void(const ServerPtr&)> m_on_change;
 };
 } // namespace Gateway
--- a/Source/Core/Gateway/ServerSignals.cpp
+++ b/Source/Core/Gateway/ServerSignals.cpp
@@ -21,6 +21,8 @@
 constexpr int STATUS_TOO_MANY_REQUESTS = 429;
 constexpr int STATUS_UNAVAILABLE = 503;
 constexpr int STATUS_MISDIRECTED = 421;
+/// Upper bound for the time that a server states to be cold; longer values are clamped.
+constexpr Milliseconds MAX_COLD_TIME = std::chrono::minutes(1);
 
 std::vector<std::string> ValuesOf(std::span<const Http::HeaderField> headers,
                                   const std::string& name)
@@ -46,6 +48,15 @@
   return std::clamp(std::chrono::ceil<Milliseconds>(*date - now), Milliseconds(0), MAX_BACKOFF);
 }
 
+std::optional<Milliseconds> ReadColdTime(const std::string& value)
+{
+  const auto number = Common::ParseDecimal(value);
+  if (!number)
+    return std::nullopt;
+  const std::chrono::duration<double, std::milli> left(*number);
+  return left < MAX_COLD_TIME ? std::chrono::ceil<Milliseconds>(left) : MAX_COLD_TIME;
+}
+
 bool IsRejectionForLoad(int status)
 {
   return status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY_REQUESTS;
@@ -76,6 +87,14 @@
       else
         signals.invalid.push_back({names.retry_after, value});
     }
+  for (const std::string& value : ValuesOf(headers, names.cold_left))
+  {
+    const auto left = ReadColdTime(value);
+    if (left)
+      signals.cold_left = std::max(signals.cold_left.value_or(*left), *left);
+    else
+      signals.invalid.push_back({names.cold_left, value});
+  }
   const auto limits = ValuesOf(headers, names.request_limit);
   const std::vector<std::string_view> limit_values(limits.begin(), limits.end());
   signals.limit = RateLimits::ReadLimit(limit_values);
--- a/Source/Core/Gateway/ServerSignals.h
+++ b/Source/Core/Gateway/ServerSignals.h
@@ -33,6 +33,8 @@
   bool draining = false; ///< The server is about to shut down.
   /// Retry-After of a rejection: how long this VM should back off. Unset if there is none.
   std::optional<Common::Milliseconds> backoff;
+  /// How much longer the server is cold; unset if it does not state it.
+  std::optional<Common::Milliseconds> cold_left;
   RateLimits::LimitReading limit;
   std::vector<InvalidHeader> invalid; ///< Except the limit, see LimitReading.
 };
--- a/Source/Core/Gateway/Types.h
+++ b/Source/Core/Gateway/Types.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <ostream>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -123,6 +124,8 @@
   bool resumable = false; ///< A stream may continue after its last event on another server.
   bool uses_model = false;
   bool open_to_all = false; ///< No API key is required.
+  /// Regions in which requests may run; empty: in all.
+  std::set<Common::RegionId> allowed_regions;
   std::vector<WeightedPool> pools;
 
   bool IsRepeatable() const { return repeatability == Repeatability::Idempotent || resumable; }
@@ -155,6 +158,10 @@
   PoolId id;
   std::string health_path;
   int max_connections = 0; ///< Accepted by one server from all callers together.
+  /// Requests per second that a cold server accepts from all daemons together; unset if it takes as
+  /// many as a warm one.
+  std::optional<RateLimits::RequestRate> cold_rate;
+  Common::Milliseconds cold_period{0}; ///< How long a server is cold after a start.
   std::optional<ModelServerSpec> model_server;
 
   /// Returns nullptr if the servers of the pool run no models or do not support this one.
@@ -193,7 +200,7 @@
   Common::DataCentreId data_centre;
   int slots = 1; ///< Maximum concurrent requests.
   bool draining = false;
-  Common::Milliseconds warming_up{0}; ///< Duration of slow operation after its start.
+  Common::Milliseconds warming_up{0}; ///< How long the server remains cold.
   std::vector<LoadedModel> models;
   std::vector<ModelId> in_host_memory; ///< Weights in host memory, the fastest to load.
   std::vector<ModelId> on_disk;
@@ -215,6 +222,7 @@
   /// Rate limit of the server for all daemons together, in requests per second.
   std::string request_limit;
   std::string draining;    ///< "1" while the server is draining.
+  std::string cold_left;   ///< How long the server remains cold, in milliseconds.
   std::string retry_after; ///< In a rejection: how long this VM should back off.
   std::string urgency;
   std::string key;     ///< The caller's API key; never forwarded.
--- a/Source/Core/Orders/OrderManager.cpp
+++ b/Source/Core/Orders/OrderManager.cpp
@@ -211,10 +211,10 @@
   }
   if (open.call_pending || now < open.next_check)
     return;
-  // A load that was not accepted yet is useless on a draining server.
-  if (wanted && !open.accepted && server->IsDraining())
+  // A load that was not accepted yet is useless on a draining or evacuated server.
+  if (wanted && !open.accepted && !server->IsStaying())
   {
-    CloseOrder(server->Entry().instance, record, "draining");
+    CloseOrder(server->Entry().instance, record, server->IsDraining() ? "draining" : "evacuated");
     return;
   }
   const auto pool = m_configuration->pools.find(server->Entry().pool);
@@ -403,7 +403,7 @@
   const bool done = std::string_view(outcome) == "done";
   if (!done)
     record.state_known = false;
-  if (done && server && !server->IsDraining())
+  if (done && server && server->IsStaying())
     StartNextOrder(server, closed);
 }
 
--- a/Source/Core/Orders/OrderManagerAdapters.cpp
+++ b/Source/Core/Orders/OrderManagerAdapters.cpp
@@ -36,7 +36,7 @@
     const auto holders = Holders(pool.id, artifact.model);
     const bool held = std::ranges::any_of(holders, [&](const ServerRef* ref) {
       const auto adapters = AdaptersOn(*ref->server, *ref->record);
-      return !ref->server->IsDraining() && !ref->server->Health().IsEjected(now) &&
+      return ref->server->IsStaying() && !ref->server->Health().IsEjected(now) &&
              std::ranges::find(adapters, artifact) != adapters.end();
     });
     if (!held)
@@ -56,7 +56,7 @@
     const bool is_unloading = record.open &&
                               record.open->call.operation == OrderCall::Operation::Unload &&
                               record.open->call.artifact.model == artifact.model;
-    if (server->IsDraining() || server->Health().IsEjected(now) || is_unloading ||
+    if (!server->IsStaying() || server->Health().IsEjected(now) || is_unloading ||
         server->GetBackoff().IsRetryAfterActive(now) || now < record.unusable_until ||
         !record.state_known)
       continue;
--- a/Source/Core/Orders/OrderManagerPlan.cpp
+++ b/Source/Core/Orders/OrderManagerPlan.cpp
@@ -94,7 +94,7 @@
   const bool backs_off = plan_around_limits && IsBackedOffFrom(server);
   if (backs_off)
     state.requests_per_second = 0;
-  state.draining = server.IsDraining();
+  state.draining = !server.IsStaying();
   state.usable = !has_limit && !backs_off && !server.GetBackoff().IsRetryAfterActive(now) &&
                  !state.draining && !server.IsReplaced() && !server.Health().IsEjected(now) &&
                  now >= record.unusable_until && record.state_known;
--- a/Source/UnitTests/Platform/DecodeTest.cpp
+++ b/Source/UnitTests/Platform/DecodeTest.cpp
@@ -27,6 +27,11 @@
   CPPUNIT_TEST(MissingSettingsHaveDefaults);
   CPPUNIT_TEST(ReadsConfiguration);
   CPPUNIT_TEST(RejectsUnknownKindOfRoute);
+  CPPUNIT_TEST(ReadsAllowedRegions);
+  CPPUNIT_TEST(RejectsAllowedRegionsThatAreNotKnown);
+  CPPUNIT_TEST(ReadsRateOfColdServers);
+  CPPUNIT_TEST(ReadsEvacuationKeys);
+  CPPUNIT_TEST(ReadsRegionsOfDataCentres);
   CPPUNIT_TEST(ReadsServerEntry);
   CPPUNIT_TEST(RejectsEntryWithoutAddress);
   CPPUNIT_TEST(RejectsEntryWithAnyInvalidField);
@@ -108,6 +113,69 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(200), value.limits.body_bytes);
   }
 
+  static std::string WithRegions(const std::string& route_field, const std::string& account_field)
+  {
+    return R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/","kind":"idempotent","service":"s")" +
+           route_field + R"(}],"services":[],"tenants":[{"name":"a","apiKeys":["k"])" +
+           account_field + "}]}";
+  }
+
+  void ReadsAllowedRegions()
+  {
+    const std::set<Common::RegionId> known{Common::RegionId("north"), Common::RegionId("south")};
+    const auto configuration = DecodeConfiguration(
+        WithRegions(R"(,"allowedRegions":["north"])", R"(,"allowedRegions":["south","north"])"),
+        known);
+    CPPUNIT_ASSERT(static_cast<bool>(configuration));
+    const std::set<Common::RegionId> expected{Common::RegionId("north")};
+    CPPUNIT_ASSERT((*configuration)->routes.at(0).allowed_regions == expected);
+    CPPUNIT_ASSERT((*configuration)->accounts->Find("k")->allowed_regions == known);
+    const auto unrestricted =
+        DecodeConfiguration(WithRegions(R"(,"allowedRegions":[])", ""), known);
+    CPPUNIT_ASSERT((*unrestricted)->routes.at(0).allowed_regions.empty());
+  }
+
+  void RejectsAllowedRegionsThatAreNotKnown()
+  {
+    const std::set<Common::RegionId> known{Common::RegionId("north")};
+    for (const char* value : {R"(["east"])", R"("north")", "[7]", "{}", "7"})
+    {
+      const std::string field = std::string(",\"allowedRegions\":") + value;
+      const auto in_route = DecodeConfiguration(WithRegions(field, ""), known);
+      CPPUNIT_ASSERT_MESSAGE(value, !in_route);
+      CPPUNIT_ASSERT(in_route.Reason().detail.find("allowedRegions") != std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(value, !DecodeConfiguration(WithRegions("", field), known));
+    }
+  }
+
+  void ReadsRateOfColdServers()
+  {
+    const auto configuration = DecodeConfiguration(
+        R"({"version":7,"routes":[],"services":[{"name":"s","coldPerS":6.9,"coldS":3.0},{"name":"t"}]})");
+    CPPUNIT_ASSERT(static_cast<bool>(configuration));
+    const Gateway::Pool& pool = (*configuration)->pools.at(Gateway::PoolId("s"));
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(6900), pool.cold_rate->Get());
+    CPPUNIT_ASSERT(pool.cold_period == Common::Milliseconds(3000));
+    CPPUNIT_ASSERT(!(*configuration)->pools.at(Gateway::PoolId("t")).cold_rate);
+  }
+
+  void ReadsEvacuationKeys()
+  {
+    CPPUNIT_ASSERT(DecodeEvacuationKey("evacuate/hall") == Common::DataCentreId("hall"));
+    for (const char* key : {"evacuate/", "evacuate", "config", "x/evacuate/hall", ""})
+      CPPUNIT_ASSERT_MESSAGE(key, !DecodeEvacuationKey(key));
+  }
+
+  void ReadsRegionsOfDataCentres()
+  {
+    const std::string text(SETTINGS);
+    const auto settings =
+        DecodeSettings(text.substr(0, text.size() - 1) + R"(,"zones":{"hall":"north"}})");
+    CPPUNIT_ASSERT(static_cast<bool>(settings));
+    CPPUNIT_ASSERT(settings->regions.at(Common::DataCentreId("hall")) == Common::RegionId("north"));
+    CPPUNIT_ASSERT(!DecodeSettings(text.substr(0, text.size() - 1) + R"(,"zones":{"hall":7}})"));
+  }
+
   void RejectsUnknownKindOfRoute()
   {
     CPPUNIT_ASSERT(!DecodeConfiguration(
--- a/Tools/make-days.py
+++ b/Tools/make-days.py
@@ -143,6 +143,17 @@
         "Stops, kills and new settings follow each other and overlap.",
         ['at = 3.0, kind = "roll_term", share = 1.0, gap_s = 0.7', 'at = 16.0, kind = "roll_term", share = 1.0, how = "busy", gap_s = 0.5'],
         ['at = 5.0, kind = "node_kill", share = 0.3', 'at = 18.0, kind = "node_kill", share = 0.3', 'at = 24.0, kind = "herd_kill", share = 0.6']),
+    "evacuated": (
+        "Data centres are evacuated and taken back, one after the other and overlapping; one comes back cold.",
+        ['at = 2.0, kind = "evacuate", zone = "@z0", for_s = 7.0', 'at = 6.0, kind = "evacuate", zone = "@z1", for_s = 5.0',
+         'at = 22.0, kind = "evacuate", zone = "@z0", for_s = 2.0', 'at = 26.0, kind = "evacuate", zone = "@z0", for_s = 5.0'],
+        ['at = 14.0, kind = "cold_return", zone = "@z1", for_s = 3.0', 'at = 15.0, kind = "burst", x = 2.0, for_s = 6.0']),
+    "evacuated-in-outages": (
+        "Data centres are evacuated while VMs are killed, frozen and cut off and the store is away.",
+        ['at = 2.0, kind = "evacuate", zone = "@z1", for_s = 9.0', 'at = 14.0, kind = "evacuate", zone = "@z0", for_s = 8.0'],
+        ['at = 3.0, kind = "node_freeze", share = 0.2, for_s = 2.5', 'at = 5.0, kind = "herd_kill", share = 0.5',
+         'at = 9.5, kind = "core_cut", count = 2, how = "giver", for_s = 4.0', 'at = 15.0, kind = "platform_down", for_s = 3.0',
+         'at = 20.0, kind = "node_kill", count = 1, how = "giver"', 'at = 25.0, kind = "cold_return", zone = "@z0", for_s = 3.0, how = "dark"']),
 }
 STORE_FAULTS = ('kind = "platform_down", how = "nodes reset", share = 0.4, for_s = 5.0',
                 'kind = "platform_lost", x = 0.5, for_s = 5.0, how = "late"')
