Gateway: a retry budget that can be used with more daemons than retries

Cause: each daemon's share of the retries that all may make is rounded down.

Change: each daemon adds a number from 0 to 1, drawn once, before it rounds. The sum over all daemons stays the same on average. Redrawing it per window was ruled out: two draws in one sliding window let a daemon use the larger one, which adds up to over the bound at twice the size.

Test: PartsTest::BudgetIsUsableWithMoreDaemonsThanRetries at 984, 2,000 and 4,000 daemons; without the change no retry is allowed at 984. Not yet measured on the fleet.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <random>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -39,6 +40,7 @@
 
 Dispatcher::Dispatcher(DispatcherSettings settings)
 {
+  m_budget.SetRounding(std::uniform_real_distribution<>()(Common::SharedRandom()));
   Configure(std::move(settings));
   m_servers.OnChange([this](const ServerPtr& server) {
     m_limited.RefreshServer(server);
--- a/Source/Core/Gateway/RetryBudget.cpp
+++ b/Source/Core/Gateway/RetryBudget.cpp
@@ -39,7 +39,7 @@
   const double slack = Common::IsOn(Common::Mechanism::BudgetSlack) ? m_settings.slack : 0;
   const double allowed = m_settings.ratio * static_cast<double>(counts.requests.size()) +
                          slack / std::max(m_daemons, 1);
-  return USED_SHARE * allowed - static_cast<double>(counts.retries.size());
+  return USED_SHARE * allowed + m_rounding - static_cast<double>(counts.retries.size());
 }
 
 bool RetryBudget::Take(const PoolId& pool, Common::TimePoint now)
--- a/Source/Core/Gateway/RetryBudget.h
+++ b/Source/Core/Gateway/RetryBudget.h
@@ -27,6 +27,10 @@
 public:
   void Configure(const RetryBudgetSettings& settings) { m_settings = settings; }
   void SetDaemons(int count) { m_daemons = count; }
+  /// Sets a number from 0 to 1, drawn once by each daemon, that is added to its share before that
+  /// is rounded down. With more daemons than retries no share reaches a whole one; so some daemons
+  /// get one and the sum stays the same.
+  void SetRounding(double rounding) { m_rounding = rounding; }
 
   void NoteRequest(const PoolId& pool, Common::TimePoint now);
   /// Uses up one retry; false if the budget does not allow it.
@@ -44,6 +48,7 @@
 
   RetryBudgetSettings m_settings;
   int m_daemons = 1;
+  double m_rounding = 0;
   std::map<PoolId, Counts> m_counts;
 };
 } // namespace Gateway
--- a/Source/UnitTests/Gateway/PartsTest.cpp
+++ b/Source/UnitTests/Gateway/PartsTest.cpp
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(EventsAreSplitOnlyAtTheirEnd);
   CPPUNIT_TEST(AlreadySentEventsAreSkipped);
   CPPUNIT_TEST(BudgetCountsOwnRequestsAndAShareOfTheSlack);
+  CPPUNIT_TEST(BudgetIsUsableWithMoreDaemonsThanRetries);
   CPPUNIT_TEST(FailingServerIsEjectedAndThenProbedWithOneRequest);
   CPPUNIT_TEST(TheLongestPrefixOfTheHostWins);
   CPPUNIT_TEST(ExpiredEntryIsRemovedAfterTheGracePeriod);
@@ -48,6 +49,32 @@
     CPPUNIT_ASSERT_EQUAL(std::string("data: x\n\n"), splitter.Feed("data: x\n\n"));
   }
 
+  /// Each daemon sees one request and tries to send it again as often as it may.
+  void BudgetIsUsableWithMoreDaemonsThanRetries()
+  {
+    constexpr double SLACK = 1040;
+    constexpr double RATIO = 0.2;
+    const PoolId pool("p");
+    const Common::TimePoint now{std::chrono::hours(1)};
+    for (const int daemons : {984, 2000, 4000})
+    {
+      int retries = 0;
+      for (int i = 0; i < daemons; ++i)
+      {
+        RetryBudget budget;
+        budget.Configure({RATIO, SLACK, Milliseconds(10000)});
+        budget.SetDaemons(daemons);
+        budget.SetRounding((i + 0.5) / daemons);
+        budget.NoteRequest(pool, now);
+        while (budget.Take(pool, now))
+          ++retries;
+      }
+      const double bound = RATIO * daemons + SLACK;
+      CPPUNIT_ASSERT(retries <= bound);
+      CPPUNIT_ASSERT(retries >= bound / 2);
+    }
+  }
+
   void BudgetCountsOwnRequestsAndAShareOfTheSlack()
   {
     RetryBudget budget;
