Fleet: daemons hand their copy of the tables to daemons that start

Cause: each daemon read the whole table of servers from the store when it started, 20 pages before 9,998 servers: calls and bytes there grew with VMs x servers.

Change: the holder of the order lease reads; the others get a compressed copy over TCP, in a tree that the holder plans (HandoverPlanner): a source serves four at once, two copies cross into a data centre that has none, sources that do not deliver are replaced. While the holder's tables still fill up, as when a fleet starts, nobody is served, and the holder says so. A daemon without a copy in time reads itself, at a random time of its own (JoinPolicy). A call for changes after a lost holder waits at the store at once instead of asking twice, and the lease table's position follows the announcements, so that the store still has its history.

What learns the fleet moves to the package Fleet: RowChange, SharedTables, TableFollower. More changes are kept for other daemons where the table has more rows.

Ruled out: a summary of the other data centres' servers, since a request may go to any server that holds its model; the first page as a test of the table's size, 105 KB for each daemon.

Not yet measured on the fleet.

--- a/Source/Core/Orders/RowChange.cpp
+++ b/Source/Core/Fleet/RowChange.cpp
@@ -1,14 +1,17 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-#include "Orders/RowChange.h"
+#include "Fleet/RowChange.h"
 
+#include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <string_view>
 #include <utility>
 
 #include "Common/Compression.h"
 
-namespace Orders
+namespace Fleet
 {
 namespace
 {
@@ -25,6 +28,14 @@
     m_rows[row.key] = row;
 }
 
+std::vector<TableRow> KnownRows::All() const
+{
+  std::vector<TableRow> rows;
+  rows.reserve(m_rows.size());
+  std::ranges::copy(std::views::values(m_rows), std::back_inserter(rows));
+  return rows;
+}
+
 RowChange KnownRows::Pack(const TableRow& row) const
 {
   RowChange change{row.key, row.version, row.removed, 0, ""};
@@ -74,4 +85,4 @@
   row.value = std::move(*value);
   return row;
 }
-} // namespace Orders
+} // namespace Fleet
--- a/Source/Core/Orders/RowChange.h
+++ b/Source/Core/Fleet/RowChange.h
@@ -10,7 +10,7 @@
 
 #include "Common/Failure.h"
 
-namespace Orders
+namespace Fleet
 {
 /// A row of one of the platform's tables, with its value as stored.
 struct TableRow
@@ -54,6 +54,9 @@
 public:
   void Clear() { m_rows.clear(); }
   void Put(const TableRow& row);
+  std::size_t Size() const { return m_rows.size(); }
+  /// All rows, keys rising.
+  std::vector<TableRow> All() const;
 
   /// Returns the change that turns the known row into `row`.
   RowChange Pack(const TableRow& row) const;
@@ -66,4 +69,4 @@
 
   std::map<std::string, TableRow> m_rows;
 };
-} // namespace Orders
+} // namespace Fleet
--- a/Source/Core/Orders/SharedTables.h
+++ b/Source/Core/Fleet/SharedTables.h
@@ -9,9 +9,10 @@
 #include <vector>
 
 #include "Common/Units.h"
-#include "Orders/RowChange.h"
+#include "Fleet/RowChange.h"
+#include "Fleet/TableSnapshot.h"
 
-namespace Orders
+namespace Fleet
 {
 /// Why a daemon reads a table from the platform instead of using the changes that the holder
 /// relays.
@@ -53,5 +54,13 @@
   std::function<void(bool, DirectReadReason)> set_relayed;
   std::function<void(Common::Milliseconds)> set_wait;
   std::function<void(Common::Milliseconds)> set_batch_delay;
+  /// True if this copy has rows and few of them have changed lately.
+  std::function<bool()> is_settled;
+  /// All rows of this copy.
+  std::function<TableSnapshot()> snapshot;
+  /// Replaces this copy by that of another daemon, unless this one is newer.
+  std::function<void(const TableSnapshot&)> apply_snapshot;
+  /// Reads the whole table from the platform.
+  std::function<void()> read;
 };
-} // namespace Orders
+} // namespace Fleet
--- a/Source/Core/Orders/TableFollower.h
+++ b/Source/Core/Fleet/TableFollower.h
@@ -18,10 +18,10 @@
 #include "Common/Loop.h"
 #include "Common/Random.h"
 #include "Common/Reactor.h"
-#include "Orders/Messages.h"
-#include "Orders/SharedTables.h"
+#include "Fleet/SharedTables.h"
+#include "Fleet/TableSnapshot.h"
 
-namespace Orders
+namespace Fleet
 {
 /// Rows of a table, and the newest version of the table when they were read.
 struct TableRows
@@ -44,6 +44,34 @@
   source.Follow(text, version, wait, done);
 };
 
+/// Counts the changes in the latest complete period and the current one.
+class RecentChanges
+{
+public:
+  void Note(Common::TimePoint now)
+  {
+    if (now - m_began >= PERIOD)
+    {
+      m_before = now - m_began < 2 * PERIOD ? m_current : 0;
+      m_current = 0;
+      m_began = now;
+    }
+    ++m_current;
+  }
+
+  std::size_t Count(Common::TimePoint now) const
+  {
+    return now - m_began < 2 * PERIOD ? m_before + m_current : 0;
+  }
+
+private:
+  static constexpr Common::Milliseconds PERIOD{300};
+
+  Common::TimePoint m_began;
+  std::size_t m_before = 0;
+  std::size_t m_current = 0;
+};
+
 /// Callbacks for the contents of a table.
 struct TableEvents
 {
@@ -115,8 +143,9 @@
     if (!relayed && m_have_snapshot && !m_calling)
     {
       m_retry_timer.Stop();
-      // Changes were missed: get those that the source already has.
-      Follow(Common::Milliseconds(0));
+      // Changes that were missed arrive at once, whatever the wait. A proof that there are none is
+      // not waited for.
+      Follow(m_events.on_proven ? Common::Milliseconds(0) : m_wait);
     }
   }
 
@@ -144,6 +173,38 @@
     return true;
   }
 
+  /// The rows up to this version are known from elsewhere: later calls ask for newer ones only, so
+  /// that the source need not keep the changes since the last call.
+  void SkipTo(std::int64_t version)
+  {
+    if (m_have_snapshot)
+      m_version = std::max(m_version, version);
+  }
+
+  /// True if the table has rows and few of them have changed lately. While a fleet starts, its
+  /// servers write their entries one after the other.
+  bool IsSettled(Common::TimePoint now) const
+  {
+    return m_have_snapshot && m_rows.Size() > 0 &&
+           m_recent_changes.Count(now) * SETTLED_DIVISOR <= m_rows.Size();
+  }
+
+  /// All rows of this copy.
+  TableSnapshot Snapshot() const { return {Version(), m_rows.All()}; }
+
+  /// Replaces this copy by that of another daemon, unless this one is as new. The changes since are
+  /// expected from the holder; without them the source is called.
+  void ApplySnapshot(const TableSnapshot& snapshot)
+  {
+    if (m_have_snapshot && snapshot.version <= m_version)
+      return;
+    Replace(snapshot.rows, snapshot.version);
+    m_retry_timer.Start(FIRST_RELAY_TIMEOUT, [this] {
+      if (!m_calling)
+        FollowUnlessRelayed();
+    });
+  }
+
   /// Returns the changes after `version`, or nothing if they are no longer in the log.
   std::optional<RowChanges> ChangesSince(std::int64_t version) const
   {
@@ -157,8 +218,10 @@
   }
 
 private:
-  /// Maximum number of changes that are kept for other daemons.
-  static constexpr std::size_t MAX_LOG_ROWS = 512;
+  /// Number of changes that are kept for other daemons: a fraction (1/N) of the table's rows, and
+  /// at least the minimum.
+  static constexpr std::size_t LOG_DIVISOR = 8;
+  static constexpr std::size_t MIN_LOG_ROWS = 512;
   /// Pause after the first failed call. It doubles up to about 1 s: rejected calls are billed, and
   /// a daemon's copy has to be current within 3 s after an outage.
   static constexpr Common::Milliseconds FIRST_PAUSE{60};
@@ -166,6 +229,10 @@
   /// Short enough that a call which the source has lost is retried within the time allowed for
   /// applying a configuration after an outage.
   static constexpr Common::Milliseconds DEFAULT_WAIT{2500};
+  /// After a copy was handed over, the holder's changes are expected within this time.
+  static constexpr Common::Milliseconds FIRST_RELAY_TIMEOUT{1500};
+  /// A table is settled if at most this fraction (1/N) of its rows has changed lately.
+  static constexpr std::size_t SETTLED_DIVISOR = 10;
 
   void ReadPage(const std::string& first_key)
   {
@@ -197,17 +264,24 @@
       ReadPage(NextPageStart(first_key));
       return;
     }
-    m_version = *m_snapshot_version;
+    // Another daemon may have handed over a newer copy meanwhile.
+    if (!m_have_snapshot || *m_snapshot_version > m_version)
+      Replace(m_snapshot, *m_snapshot_version);
+    m_snapshot.clear();
+    RecordProof(m_snapshot_requested_at);
+    FollowUnlessRelayed();
+  }
+
+  void Replace(const std::vector<TableRow>& rows, std::int64_t version)
+  {
+    m_version = version;
     m_log.clear();
     m_log_floor = m_version;
     m_have_snapshot = true;
-    const auto rows = std::exchange(m_snapshot, {});
     m_rows.Clear();
     for (const TableRow& row : rows)
       m_rows.Put(row);
     m_events.on_snapshot(rows);
-    RecordProof(m_snapshot_requested_at);
-    FollowUnlessRelayed();
   }
 
   /// The first key of the next page. Pages start at the last known key, whose row is skipped. If
@@ -275,7 +349,8 @@
   {
     m_rows.Put(row);
     m_log.push_back(std::move(change));
-    while (m_log.size() > MAX_LOG_ROWS)
+    m_recent_changes.Note(Common::Now());
+    while (m_log.size() > std::max(MIN_LOG_ROWS, m_rows.Size() / LOG_DIVISOR))
     {
       m_log_floor = m_log.front().version;
       m_log.pop_front();
@@ -346,8 +421,9 @@
   Common::TimePoint m_snapshot_requested_at; ///< When its first page was requested.
   std::optional<Common::TimePoint> m_proven_at;
   KnownRows m_rows;
+  RecentChanges m_recent_changes;
   std::deque<RowChange> m_log; ///< Changes after `m_log_floor`, oldest first.
   std::int64_t m_log_floor = 0;
   Common::OwnedTimer m_retry_timer;
 };
-} // namespace Orders
+} // namespace Fleet
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -14,12 +14,12 @@
 #include "Common/Mechanisms.h"
 #include "Common/Random.h"
 #include "Common/Reactor.h"
+#include "Fleet/TableFollower.h"
 #include "Gateway/Dispatcher.h"
 #include "Orders/CrashArchive.h"
 #include "Orders/Hub.h"
 #include "Orders/LeaseManager.h"
 #include "Orders/OrderManager.h"
-#include "Orders/TableFollower.h"
 
 namespace Orders
 {
@@ -31,6 +31,7 @@
   double load_window_s = 5;
   double cores = 1; ///< CPU cores of this VM.
   double link_mbps = 1000;
+  Common::DataCentreId data_centre;
 };
 
 /// Delay before a VM with few cores or a slow link tries to acquire a free lease; 0 for a VM with
@@ -53,11 +54,11 @@
 
 /// Coordinates this daemon with the others: acquires and renews the order lease, exchanges reports,
 /// and issues orders while this daemon holds the lease.
-template <LeaseStore Store, TableSource Source>
+template <LeaseStore Store, Fleet::TableSource Source>
 class Coordination
 {
 public:
-  using Follower = TableFollower<Source>;
+  using Follower = Fleet::TableFollower<Source>;
 
   /// `lease_table` is read from the store only while no lease holder is reachable.
   Coordination(const CoordinationSettings& settings, Gateway::Dispatcher& dispatcher, Store& store,
@@ -67,7 +68,8 @@
         m_run(Common::NewId("run-")),
         m_order_manager(dispatcher.Servers(), std::move(channel), {settings.load_window_s}),
         m_hub({settings.vm, m_run, settings.local,
-               LeaseHandicap(settings.cores, settings.link_mbps), settings.link_mbps},
+               LeaseHandicap(settings.cores, settings.link_mbps), settings.link_mbps,
+               settings.data_centre},
               dispatcher, m_order_manager),
         m_lease(store, {settings.vm, m_run, settings.local.ToString(), LEASE_DURATION,
                         settings.holder_pause + PAUSE_MARGIN,
@@ -75,7 +77,7 @@
         m_archive(dispatcher, std::move(archive)),
         m_lease_table(lease_table)
   {
-    std::vector<TableAccess> tables;
+    std::vector<Fleet::TableAccess> tables;
     std::ranges::transform(shared_tables, std::back_inserter(tables), [](Follower* follower) {
       return AccessTo(*follower);
     });
@@ -84,6 +86,7 @@
     m_hub.OnLeaseAnnouncement([this](const LeaseAnnouncement& lease, const Common::VmId& holder,
                                      const Http::Endpoint& from) {
       m_lease.OnHolderAnnouncement(lease.version, {holder, {}, from.ToString()}, lease.left);
+      m_lease_table.SkipTo(lease.version);
       UpdateHolder();
     });
     m_order_manager.SetPermission([this] {
@@ -101,6 +104,8 @@
   {
     auto started = m_hub.Start();
     m_lease.Start();
+    m_lease_table.Start();
+    m_hub.Join();
     Tick();
     return started;
   }
@@ -134,6 +139,8 @@
     metrics.SetGauge("lease_fence", static_cast<double>(m_lease.Fence()));
     metrics.SetGauge("holder_heard", m_hub.HasHolderContact() ? 1 : 0);
     metrics.SetGauge("daemons", m_hub.Daemons());
+    metrics.SetGauge("table_copies_sent", static_cast<double>(m_hub.Handover().CopiesSent()));
+    metrics.SetGauge("table_bytes_sent", static_cast<double>(m_hub.Handover().BytesSent()));
     const auto& permits = m_hub.Permits().Granted();
     metrics.SetGauge("permits_handed_out", static_cast<double>(permits.granted));
     metrics.SetGauge("permits_handed_back", static_cast<double>(permits.unused));
@@ -172,9 +179,9 @@
   static constexpr Common::Milliseconds TICK{50};
   static constexpr Common::Milliseconds IDLE_TICK{200};
 
-  static TableAccess AccessTo(Follower& follower)
+  static Fleet::TableAccess AccessTo(Follower& follower)
   {
-    TableAccess access;
+    Fleet::TableAccess access;
     access.version = [&follower] {
       return follower.Version();
     };
@@ -191,10 +198,10 @@
       follower.ApplyRelayedProof(moment);
     };
     access.apply_relayed = [&follower](std::int64_t from, std::int64_t to,
-                                       const std::vector<RowChange>& rows) {
+                                       const std::vector<Fleet::RowChange>& rows) {
       return follower.ApplyRelayed(from, to, rows);
     };
-    access.set_relayed = [&follower](bool relayed, DirectReadReason reason) {
+    access.set_relayed = [&follower](bool relayed, Fleet::DirectReadReason reason) {
       follower.SetRelayed(relayed, reason);
     };
     access.set_wait = [&follower](Common::Milliseconds wait) {
@@ -203,6 +210,18 @@
     access.set_batch_delay = [&follower](Common::Milliseconds span) {
       follower.SetBatchDelay(span);
     };
+    access.is_settled = [&follower] {
+      return follower.IsSettled(Common::Now());
+    };
+    access.snapshot = [&follower] {
+      return follower.Snapshot();
+    };
+    access.apply_snapshot = [&follower](const Fleet::TableSnapshot& snapshot) {
+      follower.ApplySnapshot(snapshot);
+    };
+    access.read = [&follower] {
+      follower.Start();
+    };
     return access;
   }
 
@@ -250,7 +269,7 @@
     AbdicateIfCutOff(Common::Now());
     UpdateHolder();
     m_lease.SetContenders(m_hub.Daemons(), m_hub.MinHandicap());
-    m_lease_table.SetRelayed(m_held || m_hub.HasHolderContact(), DirectReadReason::NoHolder);
+    m_lease_table.SetRelayed(m_held || m_hub.HasHolderContact(), Fleet::DirectReadReason::NoHolder);
     const auto now = Common::Now();
     const bool holds = m_lease.Holds(now);
     if (holds)
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -18,6 +18,8 @@
 #include "Common/Log.h"
 #include "Common/Loop.h"
 #include "Common/Mechanisms.h"
+#include "Common/Random.h"
+#include "Fleet/JoinPolicy.h"
 #include "Orders/MessageSize.h"
 #include "Orders/UpdateWriter.h"
 
@@ -66,6 +68,12 @@
 constexpr Milliseconds HOLDER_BATCH_DELAY{25};
 constexpr Milliseconds FOLLOWER_BATCH_DELAY{250};
 constexpr Milliseconds CHECK_INTERVAL{100};
+/// How often a daemon without tables checks whether it should read them itself.
+constexpr Milliseconds JOIN_INTERVAL{20};
+/// How long the holder waits for its tables to fill up before it hands over copies, and how often
+/// it checks.
+constexpr Milliseconds MAX_FILL_TIME{6000};
+constexpr Milliseconds FILL_CHECK_INTERVAL{100};
 /// Placements are discarded if no announcement arrived from the holder for this long.
 constexpr Milliseconds PLACEMENT_VALID{2000};
 constexpr int DATAGRAMS_PER_TURN = 64;
@@ -105,7 +113,11 @@
       m_permits({m_settings.self, HashOf(m_settings.run)}, dispatcher,
                 [this](const Http::Endpoint& peer, const Envelope& envelope) {
                   SendTo(peer, Daemons::Encode(envelope));
-                })
+                }),
+      m_handover(m_tables, [this](bool succeeded) {
+        m_missed_updates = m_missed_updates || succeeded;
+        ScheduleReport();
+      })
 {
   m_permits.SetPermission([this] {
     return m_own_lease && Common::Now() < m_own_lease_until;
@@ -134,6 +146,10 @@
     return {Common::FailureKind::Unavailable,
             m_settings.local.ToString() + ": " + std::strerror(errno)};
   m_watch = Common::Reactor::Get().Watch(m_fd, EPOLLIN, this);
+  // Without the port the daemon works, but hands over no copies.
+  if (const auto listening = m_handover.Listen(m_settings.local); !listening)
+    Common::LogEvent(Common::LogLevel::Error, "handover-unavailable",
+                     {{"reason", listening.Reason().detail}});
   UpdateSharedBudgets();
   SetPollWaits();
   SendReport();
@@ -155,6 +171,7 @@
   if (!holder_changed)
     return;
   m_peers.clear();
+  m_handover_plan.Clear();
   // A new holder has received nothing of what this daemon observed.
   m_own_crashes_confirmed = 0;
   m_holder_since = Common::Now();
@@ -162,12 +179,12 @@
   m_allowances.Configure(m_dispatcher.Settings().usage_bound);
   m_allowances.BeginTenure(own_lease ? own_lease->fence : 0);
   SetPollWaits();
-  for (const TableAccess& table : m_tables)
+  for (const Fleet::TableAccess& table : m_tables)
   {
     if (Common::IsOn(Common::Mechanism::GatheredChanges))
       table.set_batch_delay(own_lease ? HOLDER_BATCH_DELAY : FOLLOWER_BATCH_DELAY);
     if (own_lease)
-      table.set_relayed(false, DirectReadReason::IsHolder);
+      table.set_relayed(false, Fleet::DirectReadReason::IsHolder);
   }
   ScheduleReport();
 }
@@ -240,12 +257,13 @@
     report.loads.push_back(std::move(line));
   }
   std::ranges::transform(m_tables, std::back_inserter(report.table_versions),
-                         [](const TableAccess& table) {
+                         [](const Fleet::TableAccess& table) {
                            return table.version();
                          });
   report.placement_version = m_placement_applied;
   report.missed_updates = std::exchange(m_missed_updates, false);
   report.handicap_ms = m_settings.handicap.count();
+  report.place = Fleet::HashOf(m_settings.data_centre);
   report.grants_fence = m_dispatcher.Allowances().Tenure();
   report.allowances = m_dispatcher.Allowances().Report(Common::Now());
   auto seen = m_dispatcher.CrashCases().OwnChangesSince(m_own_crashes_confirmed, CRASH_BYTES,
@@ -268,6 +286,7 @@
   if (m_own_lease)
   {
     const auto now = Common::Now();
+    NoteMember(report);
     m_order_manager.OnDaemonReport(report, now);
     m_order_manager.SchedulePlan();
     m_allowances.ApplyReport({m_settings.self, HashOf(m_settings.run), report.grants_fence},
@@ -283,6 +302,91 @@
   SendTo(*m_holder, Daemons::Encode(envelope));
 }
 
+void Hub::NoteMember(const DaemonReport& report)
+{
+  const bool has_tables = !report.table_versions.empty() &&
+                          std::ranges::all_of(report.table_versions, [](std::int64_t version) {
+                            return version > 0;
+                          });
+  m_handover_plan.Update(report.vm, {report.place, has_tables, report.handicap_ms == 0});
+  if (!m_handover_plan.AnyWaiting() || m_handover_timer.Running())
+    return;
+  m_handover_timer.Start(UPDATE_DELAY, [this] {
+    PlanHandovers();
+  });
+}
+
+bool Hub::MayHandOver(Common::TimePoint now)
+{
+  const bool is_settled = std::ranges::all_of(m_tables, [](const Fleet::TableAccess& table) {
+    return table.is_settled();
+  });
+  if (is_settled)
+    m_filling_since.reset();
+  else if (!m_filling_since)
+    m_filling_since = now;
+  return is_settled || now - *m_filling_since > MAX_FILL_TIME;
+}
+
+void Hub::PlanHandovers()
+{
+  if (!m_own_lease || !m_handover_plan.AnyWaiting())
+    return;
+  const auto now = Common::Now();
+  if (!MayHandOver(now))
+  {
+    m_handover_timer.Start(FILL_CHECK_INTERVAL, [this] {
+      PlanHandovers();
+    });
+    return;
+  }
+  for (const Common::VmId& vm : m_handover_plan.Assign(now))
+  {
+    const auto peer = m_peers.find(vm);
+    if (peer == m_peers.end())
+      continue;
+    Envelope envelope;
+    envelope.holder_replies.push_back(ReplyTo(vm, peer->second, now));
+    SendTo(peer->second.endpoint, Daemons::Encode(envelope));
+  }
+}
+
+void Hub::Join()
+{
+  m_join_began = Common::Now();
+  m_join_spread = Milliseconds(Common::SharedRandom()() % Fleet::MAX_JOIN_SPREAD.count());
+  ContinueJoin();
+}
+
+void Hub::ContinueJoin()
+{
+  if (m_handover.HasAllTables())
+    return;
+  const auto now = Common::Now();
+  const auto track = [now](std::optional<Common::TimePoint>& since, bool is_true) {
+    since = is_true ? since.value_or(now) : std::optional<Common::TimePoint>();
+    return since ? std::optional(std::chrono::floor<Milliseconds>(now - *since)) : std::nullopt;
+  };
+  Fleet::JoinState state;
+  state.since_start = std::chrono::floor<Milliseconds>(now - m_join_began);
+  state.spread = m_join_spread;
+  state.holds_lease = m_own_lease.has_value();
+  state.holder_named_for = track(m_holder_named_since, m_holder.has_value());
+  state.holder_contact_for = track(m_contact_since, HasHolderContact());
+  state.copies_pending = m_copies_pending;
+  state.is_receiving = m_handover.IsReceiving();
+  if (!Fleet::ShouldReadStore(state))
+  {
+    m_join_timer.Start(JOIN_INTERVAL, [this] {
+      ContinueJoin();
+    });
+    return;
+  }
+  for (const Fleet::TableAccess& table : m_tables)
+    if (table.version() == 0)
+      table.read();
+}
+
 void Hub::UpdateSharedBudgets()
 {
   const int daemons = m_daemons.ForSharedLimits(Common::Now());
@@ -300,8 +404,8 @@
   if (m_own_lease)
     return;
   if (!HasHolderContact())
-    for (const TableAccess& table : m_tables)
-      table.set_relayed(false, DirectReadReason::NoHolder);
+    for (const Fleet::TableAccess& table : m_tables)
+      table.set_relayed(false, Fleet::DirectReadReason::NoHolder);
   if (Common::Now() - m_last_announcement_at < PLACEMENT_VALID)
     return;
   for (const auto& [instance, server] : m_dispatcher.Servers().All())
@@ -372,8 +476,13 @@
     return;
   const auto now = Common::Now();
   std::erase_if(m_peers, [&](const auto& entry) {
-    return now - entry.second.last_report_at > PEER_TIMEOUT;
+    const bool is_gone = now - entry.second.last_report_at > PEER_TIMEOUT;
+    if (is_gone)
+      m_handover_plan.Remove(entry.first);
+    return is_gone;
   });
+  if (regular)
+    PlanHandovers();
   if (const auto* accounts = GrantableAccounts(now); accounts != nullptr && regular)
     m_allowances.Allocate(*accounts, now);
   m_placements.Update(m_order_manager.Placements());
@@ -385,6 +494,7 @@
   state.lease_left_ms = m_own_lease->left.count();
   state.daemons = m_daemons.Get();
   state.min_handicap_ms = MinHandicapOfPeers().count();
+  state.copies_pending = m_handover_plan.AnyWaiting() && !MayHandOver(now);
   const std::uint64_t limits_revision = m_dispatcher.Limited().Registry().Revision();
   if (regular || std::exchange(m_limits_announced, limits_revision) != limits_revision)
     state.limits.push_back(m_permits.MakeLimitUpdate(now));
@@ -455,6 +565,8 @@
     {
       OnReportConfirmed(reply.sequence);
       m_dispatcher.TakeGrants(reply.fence, reply.grants);
+      for (const CopySource& source : reply.copy_sources)
+        m_handover.Receive({source.address, source.port});
     }
 }
 
@@ -473,6 +585,12 @@
   reply.run = peer.run;
   reply.sequence = peer.sequence;
   reply.held_ms = std::chrono::floor<Milliseconds>(now - peer.last_report_at).count();
+  if (const auto source = m_handover_plan.SourceOf(vm))
+  {
+    const auto found = m_peers.find(*source);
+    const Http::Endpoint& from = found == m_peers.end() ? m_settings.local : found->second.endpoint;
+    reply.copy_sources.push_back({from.address, from.port});
+  }
   return reply;
 }
 
@@ -577,6 +695,7 @@
       peer.crash_sent = peer.crash_revision;
       ScheduleAnnouncement();
     }
+    NoteMember(report);
     m_dispatcher.MergeCrashCases(report.crashes);
     if (m_dispatcher.CrashCases().Revision() != m_crashes_announced)
       ScheduleAnnouncement();
@@ -632,6 +751,7 @@
   }
   m_last_announcement_at = Common::Now();
   m_daemons.Update(state->daemons, m_last_announcement_at);
+  m_copies_pending = state->copies_pending;
   m_dispatcher.Limited().Permits().NoteHolderContact(m_last_announcement_at);
   for (const RateLimits::LimitUpdate& update : state->limits)
     m_permits.ApplyLimitUpdate(report.fence, update);
@@ -690,6 +810,9 @@
   m_update_states.resize(m_tables.size());
   for (std::size_t i = 0; i < std::min(updates.size(), m_tables.size()); ++i)
   {
+    // Changes are useless before there is a copy to apply them to.
+    if (m_tables[i].version() == 0)
+      continue;
     const bool current = updates[i].response_age_ms < MAX_RESPONSE_AGE.count();
     const bool complete =
         m_tables[i].apply_relayed(updates[i].from, updates[i].to, updates[i].rows);
@@ -698,7 +821,7 @@
     if (current && complete && Common::IsOn(Common::Mechanism::RelayedTables))
     {
       m_update_states[i].complete_at = now;
-      m_tables[i].set_relayed(true, DirectReadReason::NoHolder);
+      m_tables[i].set_relayed(true, Fleet::DirectReadReason::NoHolder);
       continue;
     }
     if (!complete && !std::exchange(m_missed_updates, true))
@@ -707,8 +830,8 @@
     // large rows by 0.7 s.
     const bool missing = updates[i].omitted || now - m_update_states[i].complete_at > GAP_TIMEOUT;
     if (!current || missing)
-      m_tables[i].set_relayed(false, current ? DirectReadReason::RowsLeftOut
-                                             : DirectReadReason::StaleCopy);
+      m_tables[i].set_relayed(false, current ? Fleet::DirectReadReason::RowsLeftOut
+                                             : Fleet::DirectReadReason::StaleCopy);
   }
 }
 } // namespace Orders
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -12,6 +12,9 @@
 
 #include "Accounts/AllowanceAllocator.h"
 #include "Common/Reactor.h"
+#include "Fleet/HandoverPlanner.h"
+#include "Fleet/SharedTables.h"
+#include "Fleet/TableHandover.h"
 #include "Gateway/Dispatcher.h"
 #include "Http/TcpStream.h"
 #include "Orders/DaemonCount.h"
@@ -19,7 +22,6 @@
 #include "Orders/OrderManager.h"
 #include "Orders/PermitExchange.h"
 #include "Orders/PlacementLog.h"
-#include "Orders/SharedTables.h"
 
 namespace Orders
 {
@@ -30,6 +32,7 @@
   Http::Endpoint local;
   Common::Milliseconds handicap{0}; ///< Delay of this VM before it tries to acquire a free lease.
   double link_mbps = 1000;          ///< Link capacity of this VM.
+  Common::DataCentreId data_centre;
 };
 
 /// The state of the lease as the holder announces it.
@@ -57,7 +60,7 @@
 
   Common::Result<Common::Done> Start();
   /// Sets the shared tables, in the order of `SharedTable`.
-  void SetTables(std::vector<TableAccess> tables) { m_tables = std::move(tables); }
+  void SetTables(std::vector<Fleet::TableAccess> tables) { m_tables = std::move(tables); }
   void OnLeaseAnnouncement(LeaseAnnouncementHandler handler)
   {
     m_on_lease_announcement = std::move(handler);
@@ -75,6 +78,9 @@
   Common::Milliseconds MinHandicap() const { return m_min_handicap; }
   /// True if another daemon holds the lease and its announcements arrive in time.
   bool HasHolderContact() const;
+  /// Begins to obtain a copy of the shared tables.
+  void Join();
+  const Fleet::TableHandover& Handover() const { return m_handover; }
   /// Schedules a report of this daemon within a few milliseconds, ahead of the regular interval.
   void ScheduleReport();
   /// Schedules an announcement to all daemons, if this daemon is the holder.
@@ -132,6 +138,13 @@
   /// permits.
   void UpdateSharedBudgets();
   void CheckHolder();
+  /// Reads the tables from the store, unless another daemon hands over a copy in time.
+  void ContinueJoin();
+  /// At the holder: plans from where the daemons without tables get a copy, and informs them.
+  void PlanHandovers();
+  void NoteMember(const DaemonReport& report);
+  /// At the holder: true if its copy is complete, or has been filling up for too long to wait.
+  bool MayHandOver(Common::TimePoint now);
   void ApplyTableUpdates(const std::vector<TableUpdate>& updates,
                          std::optional<Common::TimePoint> written_after);
   void ApplyPlacements(const HolderReport& report);
@@ -172,7 +185,7 @@
   Common::TimePoint m_own_lease_until;       ///< When the lease expires, if this daemon holds it.
   Accounts::AllowanceAllocator m_allowances; ///< Used while this daemon is the holder.
   PermitExchange m_permits;
-  std::vector<TableAccess> m_tables;
+  std::vector<Fleet::TableAccess> m_tables;
   LeaseAnnouncementHandler m_on_lease_announcement;
   PlacementLog m_placements;
   struct SentReport
@@ -197,6 +210,17 @@
   std::uint64_t m_limits_announced = 0;
   /// Revision of the draining servers last announced as the holder.
   std::uint64_t m_draining_announced = 0;
+  Fleet::TableHandover m_handover;
+  Fleet::HandoverPlanner m_handover_plan; ///< Used while this daemon is the holder.
+  Common::TimePoint m_join_began;
+  std::optional<Common::TimePoint> m_holder_named_since; ///< While joining.
+  std::optional<Common::TimePoint> m_contact_since;      ///< While joining.
+  Common::Milliseconds m_join_spread{0};
+  bool m_copies_pending = false; ///< As last announced by the holder.
+  /// At the holder: when its tables began to fill up.
+  std::optional<Common::TimePoint> m_filling_since;
+  Common::OwnedTimer m_join_timer;
+  Common::OwnedTimer m_handover_timer;
   DaemonCount m_daemons;
   Common::Milliseconds m_min_handicap{0};
   std::map<Common::VmId, Peer> m_peers; ///< Daemons that report to this holder.
--- a/Source/Core/Orders/MessageSize.cpp
+++ b/Source/Core/Orders/MessageSize.cpp
@@ -71,7 +71,7 @@
 }
 } // namespace
 
-std::size_t EncodedSizeBound(const RowChange& row)
+std::size_t EncodedSizeBound(const Fleet::RowChange& row)
 {
   return row.key.size() + LENGTH_BYTES + 2 * NUMBER_BYTES + 1 + row.packed.size() + COUNT_BYTES;
 }
--- a/Source/Core/Orders/MessageSize.h
+++ b/Source/Core/Orders/MessageSize.h
@@ -17,7 +17,7 @@
 /// Share of a datagram for crash cases, enough for some 30 of them.
 constexpr std::size_t CRASH_BYTES = 7500;
 
-std::size_t EncodedSizeBound(const RowChange& row);
+std::size_t EncodedSizeBound(const Fleet::RowChange& row);
 std::size_t EncodedSizeBound(const PlacementLine& line);
 std::size_t EncodedSizeBound(const DemandLine& line);
 std::size_t EncodedSizeBound(const LoadLine& line);
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -11,8 +11,9 @@
 #include "Accounts/Allowance.h"
 #include "Crashes/CrashCase.h"
 #include "Daemons/Codec.h"
+#include "Fleet/HandoverPlanner.h"
+#include "Fleet/RowChange.h"
 #include "Gateway/Types.h"
-#include "Orders/RowChange.h"
 #include "RateLimits/Messages.h"
 
 /// Datagrams between the daemons and the holder of the order lease. All of their contents are soft
@@ -37,7 +38,7 @@
   /// Negative if there is no such call, or if changes before `to` are missing here.
   std::int64_t proof_age_ms = -1;
   bool omitted = false; ///< A row is too long to be relayed; read it from the platform.
-  std::vector<RowChange> rows;
+  std::vector<Fleet::RowChange> rows;
 
   template <typename Archive>
   void serialize(Archive& archive)
@@ -103,12 +104,13 @@
   std::uint64_t crash_revision = 0; ///< This daemon's revision of the holder's crash cases.
   /// Servers with a long backoff at this daemon.
   std::vector<ServerHash> backing_off;
+  Fleet::PlaceHash place = 0; ///< Data centre of this daemon.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
     archive(vm, run, sequence, demand, loads, table_versions, placement_version, missed_updates,
-            handicap_ms, grants_fence, allowances, crashes, crash_revision, backing_off);
+            handicap_ms, grants_fence, allowances, crashes, crash_revision, backing_off, place);
   }
 };
 
@@ -141,6 +143,8 @@
   std::int64_t lease_left_ms = 0; ///< For how long the holder may act without a renewal, at most.
   /// The holder no longer issues orders under this version of the lease's row.
   bool abdicated = false;
+  /// Daemons without tables will get copies, but the tables still fill up.
+  bool copies_pending = false;
   bool regular = false; ///< `in_flight` is filled; otherwise the report has only changes.
   std::map<ServerHash, std::int32_t> in_flight; ///< Open requests of all daemons by server.
   std::vector<RateLimits::LimitUpdate> limits;  ///< At most one; empty if there are no changes.
@@ -150,8 +154,8 @@
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(vm, daemons, min_handicap_ms, lease_version, lease_left_ms, abdicated, regular,
-            in_flight, limits, draining);
+    archive(vm, daemons, min_handicap_ms, lease_version, lease_left_ms, abdicated, copies_pending,
+            regular, in_flight, limits, draining);
   }
 };
 
@@ -181,6 +185,19 @@
 using RunHash = std::uint32_t;
 RunHash HashOf(const Common::Incarnation& run);
 
+/// A daemon that hands over its copy of the shared tables.
+struct CopySource
+{
+  std::uint32_t address = 0; ///< Network byte order.
+  std::uint16_t port = 0;    ///< Host byte order.
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(address, port);
+  }
+};
+
 /// The part of a holder's report that is addressed to one daemon. It echoes the daemon's last
 /// report, from which the daemon derives a time of its own clock before which the holder did not
 /// write this, however long the datagram was in transit.
@@ -191,11 +208,13 @@
   std::int64_t held_ms = 0;   ///< Time since the holder read that report.
   std::int64_t fence = 0;     ///< Fence of the holder's lease.
   std::vector<Accounts::GrantLine> grants;
+  /// Where a daemon without tables gets a copy; at most one.
+  std::vector<CopySource> copy_sources;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(run, sequence, held_ms, fence, grants);
+    archive(run, sequence, held_ms, fence, grants, copy_sources);
   }
 };
 
--- a/Source/Core/Orders/UpdateWriter.cpp
+++ b/Source/Core/Orders/UpdateWriter.cpp
@@ -24,17 +24,17 @@
 constexpr double MIN_RELAYED_BYTES = 4000;
 constexpr double MAX_RELAYED_BYTES = 1 << 20;
 
-std::map<std::int64_t, std::size_t> BytesByVersion(const std::vector<RowChange>& rows)
+std::map<std::int64_t, std::size_t> BytesByVersion(const std::vector<Fleet::RowChange>& rows)
 {
   std::map<std::int64_t, std::size_t> bytes;
-  for (const RowChange& row : rows)
+  for (const Fleet::RowChange& row : rows)
     bytes[row.version] += EncodedSizeBound(row);
   return bytes;
 }
 
 /// Returns the age of the last proof that the copy was the newest version; negative if there is
 /// none.
-std::int64_t ProofAge(const TableAccess& table, Common::TimePoint now)
+std::int64_t ProofAge(const Fleet::TableAccess& table, Common::TimePoint now)
 {
   const auto proven_at = table.proven_at();
   if (!proven_at)
@@ -50,7 +50,7 @@
   return static_cast<std::size_t>(std::clamp(bytes, MIN_RELAYED_BYTES, MAX_RELAYED_BYTES));
 }
 
-TableUpdate WriteUpdate(const TableAccess& table, std::int64_t since,
+TableUpdate WriteUpdate(const Fleet::TableAccess& table, std::int64_t since,
                         const UpdateSizeLimits& limits)
 {
   TableUpdate update;
@@ -79,15 +79,16 @@
     }
     last_complete = version;
   }
-  std::ranges::copy_if(changes->rows, std::back_inserter(update.rows), [&](const RowChange& row) {
-    return row.version <= last_complete;
-  });
+  std::ranges::copy_if(changes->rows, std::back_inserter(update.rows),
+                       [&](const Fleet::RowChange& row) {
+                         return row.version <= last_complete;
+                       });
   if (update.to == table.version())
     update.proof_age_ms = ProofAge(table, Common::Now());
   return update;
 }
 
-std::vector<TableUpdate> WriteUpdate(const std::vector<TableAccess>& tables,
+std::vector<TableUpdate> WriteUpdate(const std::vector<Fleet::TableAccess>& tables,
                                      const std::vector<std::int64_t>& since,
                                      UpdateSizeLimits limits)
 {
@@ -95,7 +96,7 @@
   for (std::size_t i = 0; i < tables.size(); ++i)
   {
     update.push_back(WriteUpdate(tables[i], since[i], limits));
-    for (const RowChange& row : update.back().rows)
+    for (const Fleet::RowChange& row : update.back().rows)
       limits.bytes -= EncodedSizeBound(row);
   }
   return update;
--- a/Source/Core/Orders/UpdateWriter.h
+++ b/Source/Core/Orders/UpdateWriter.h
@@ -7,8 +7,8 @@
 #include <cstdint>
 #include <vector>
 
+#include "Fleet/SharedTables.h"
 #include "Orders/Messages.h"
-#include "Orders/SharedTables.h"
 
 namespace Orders
 {
@@ -25,12 +25,12 @@
 
 /// Collects the rows of one table that changed after `since`, up to the size limits. Rows of the
 /// same version stay together.
-TableUpdate WriteUpdate(const TableAccess& table, std::int64_t since,
+TableUpdate WriteUpdate(const Fleet::TableAccess& table, std::int64_t since,
                         const UpdateSizeLimits& limits);
 
 /// Collects the changes of all tables, which share the size limit: bytes that one table leaves
 /// unused are available to the next.
-std::vector<TableUpdate> WriteUpdate(const std::vector<TableAccess>& tables,
+std::vector<TableUpdate> WriteUpdate(const std::vector<Fleet::TableAccess>& tables,
                                      const std::vector<std::int64_t>& since,
                                      UpdateSizeLimits limits);
 } // namespace Orders
--- a/Source/UnitTests/Orders/RowChangeTest.cpp
+++ b/Source/UnitTests/Fleet/RowChangeTest.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-#include "Orders/RowChange.h"
+#include "Fleet/RowChange.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -9,7 +9,7 @@
 
 namespace
 {
-using namespace Orders;
+using namespace Fleet;
 
 /// Similar in size and structure to a backend server's entry. The ids have little in common, so
 /// that it compresses badly without a dictionary.
--- a/Source/UnitTests/Orders/TableFollowerTest.cpp
+++ b/Source/UnitTests/Fleet/TableFollowerTest.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-#include "Orders/TableFollower.h"
+#include "Fleet/TableFollower.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -9,7 +9,7 @@
 
 namespace
 {
-using namespace Orders;
+using namespace Fleet;
 using Common::Milliseconds;
 using UnitTests::RunFor;
 using UnitTests::RunUntil;
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -34,14 +34,14 @@
 {
 public:
   explicit Daemon(const char* name)
-      : endpoint(UnitTests::FreeDatagramEndpoint()),
+      : endpoint(UnitTests::FreeEndpoint()),
         order_manager(dispatcher.Servers(), {}, {}),
         hub({Common::VmId(name), Common::Incarnation("run"), endpoint}, dispatcher, order_manager)
   {
     order_manager.SetPermission([] {
       return std::optional(OrderPermit{1, Common::TimePoint::max()});
     });
-    TableAccess table;
+    Fleet::TableAccess table;
     table.version = [this] {
       return version;
     };
@@ -63,12 +63,15 @@
       version = std::max(version, to);
       return true;
     };
-    table.set_relayed = [this](bool now, DirectReadReason why) {
+    table.set_relayed = [this](bool now, Fleet::DirectReadReason why) {
       relayed = now;
       reason = why;
     };
     table.set_wait = [](Milliseconds) {};
     table.set_batch_delay = [](Milliseconds) {};
+    table.is_settled = [] {
+      return true;
+    };
     hub.SetTables({table});
     CPPUNIT_ASSERT(hub.Start());
   }
@@ -95,9 +98,9 @@
   Http::Endpoint endpoint;
   std::int64_t version = 5;
   std::optional<Common::TimePoint> proven_at;
-  std::optional<RowChanges> changes = RowChanges{5, {}};
+  std::optional<Fleet::RowChanges> changes = Fleet::RowChanges{5, {}};
   bool relayed = false;
-  DirectReadReason reason = DirectReadReason::NoHolder;
+  Fleet::DirectReadReason reason = Fleet::DirectReadReason::NoHolder;
   Dispatcher dispatcher{DispatcherSettings{}};
   OrderManager order_manager;
   Hub hub;
@@ -156,7 +159,7 @@
     RunFor(Milliseconds(10));
     const auto written = Common::Now();
     other.proven_at.reset();
-    holder.changes = RowChanges{5, {{"k", 6, false, 0, "x"}}};
+    holder.changes = Fleet::RowChanges{5, {{"k", 6, false, 0, "x"}}};
     holder.version = 6;
     holder.hub.ScheduleAnnouncement();
     CPPUNIT_ASSERT(RunUntil([&] {
@@ -343,14 +346,14 @@
       return other.relayed;
     }));
     holder.version = 6;
-    holder.changes = RowChanges{5, {{"c", 6, false, 0, std::string(1 << 20, 'x')}}};
+    holder.changes = Fleet::RowChanges{5, {{"c", 6, false, 0, std::string(1 << 20, 'x')}}};
     holder.hub.ScheduleAnnouncement();
     CPPUNIT_ASSERT(RunUntil(
         [&] {
           return !other.relayed;
         },
         Milliseconds(200)));
-    CPPUNIT_ASSERT(other.reason == DirectReadReason::RowsLeftOut);
+    CPPUNIT_ASSERT(other.reason == Fleet::DirectReadReason::RowsLeftOut);
   }
 
   /// The holder did not know a daemon, whose requests for models then waited without effect. With a
--- a/Source/UnitTests/Orders/UpdateWriterTest.cpp
+++ b/Source/UnitTests/Orders/UpdateWriterTest.cpp
@@ -18,15 +18,15 @@
 {
 using namespace Orders;
 
-RowChange Change(std::int64_t version, std::size_t bytes)
+Fleet::RowChange Change(std::int64_t version, std::size_t bytes)
 {
   return {"k", version, false, 0, std::string(bytes, 'x')};
 }
 
 /// A table that changed from version 5 to the version of the last row.
-TableAccess Table(std::vector<RowChange> rows)
+Fleet::TableAccess Table(std::vector<Fleet::RowChange> rows)
 {
-  TableAccess table;
+  Fleet::TableAccess table;
   table.version = [last = rows.back().version] {
     return last;
   };
@@ -37,8 +37,8 @@
     return std::optional(Common::Now());
   };
   table.changes_since = [rows](std::int64_t since) {
-    RowChanges changes{since, {}};
-    std::ranges::copy_if(rows, std::back_inserter(changes.rows), [&](const RowChange& row) {
+    Fleet::RowChanges changes{since, {}};
+    std::ranges::copy_if(rows, std::back_inserter(changes.rows), [&](const Fleet::RowChange& row) {
       return row.version > since;
     });
     return changes;
@@ -59,7 +59,7 @@
 
   void RemainingRowsAreSentLater()
   {
-    const TableAccess table = Table({Change(6, 400), Change(7, 400), Change(8, 400)});
+    const Fleet::TableAccess table = Table({Change(6, 400), Change(7, 400), Change(8, 400)});
     const TableUpdate first = WriteUpdate(table, 5, {1000, 1000});
     CPPUNIT_ASSERT_EQUAL(std::int64_t(7), first.to);
     // The newest version is not included, so that this is no proof of the newest version.
@@ -75,7 +75,7 @@
   /// daemon considered its copy current.
   void TooLongRowsOfOneVersionAreOmitted()
   {
-    const TableAccess table = Table({Change(6, 700), Change(6, 700)});
+    const Fleet::TableAccess table = Table({Change(6, 700), Change(6, 700)});
     const TableUpdate update = WriteUpdate(table, 5, {1000, 1000});
     CPPUNIT_ASSERT(update.omitted);
     CPPUNIT_ASSERT(update.rows.empty());
--- a/Source/UnitTests/Platform/StoreClientTest.cpp
+++ b/Source/UnitTests/Platform/StoreClientTest.cpp
@@ -40,8 +40,8 @@
   {
     ThrottledServer store(OneRowResponse(1073'000));
     PlatformAdapter::StoreClient client(store.Address());
-    std::optional<Common::Result<Orders::TableRows>> changes;
-    client.Follow("op", 6, Milliseconds(0), [&](Common::Result<Orders::TableRows> answer) {
+    std::optional<Common::Result<Fleet::TableRows>> changes;
+    client.Follow("op", 6, Milliseconds(0), [&](Common::Result<Fleet::TableRows> answer) {
       changes = std::move(answer);
     });
     CPPUNIT_ASSERT(RunUntil([&] {
@@ -56,8 +56,8 @@
   {
     ThrottledServer store(OneRowResponse(2400'000));
     PlatformAdapter::StoreClient client(store.Address());
-    std::optional<Common::Result<Orders::TableRows>> rows;
-    client.Read("op", "", [&](Common::Result<Orders::TableRows> answer) {
+    std::optional<Common::Result<Fleet::TableRows>> rows;
+    client.Read("op", "", [&](Common::Result<Fleet::TableRows> answer) {
       rows = std::move(answer);
     });
     CPPUNIT_ASSERT(RunUntil([&] {
@@ -74,8 +74,8 @@
     ThrottledServer store(OneRowResponse(1073'000));
     store.StopSendingAfter(100'000);
     PlatformAdapter::StoreClient client(store.Address());
-    std::optional<Common::Result<Orders::TableRows>> changes;
-    client.Follow("op", 6, Milliseconds(2500), [&](Common::Result<Orders::TableRows> answer) {
+    std::optional<Common::Result<Fleet::TableRows>> changes;
+    client.Follow("op", 6, Milliseconds(2500), [&](Common::Result<Fleet::TableRows> answer) {
       changes = std::move(answer);
     });
     CPPUNIT_ASSERT(RunUntil(
--- a/Source/UnitTests/Support/LimitedFleet.cpp
+++ b/Source/UnitTests/Support/LimitedFleet.cpp
@@ -107,7 +107,7 @@
 }
 
 LimitedVm::LimitedVm(const std::string& name)
-    : hub_endpoint(FreeDatagramEndpoint()),
+    : hub_endpoint(FreeEndpoint()),
       dispatcher(DispatcherSettings{
           Common::DataCentreId("here"), Names(), {0.2, 100, Milliseconds(10000)}}),
       order_manager(dispatcher.Servers(), {}, {}),
--- a/Source/UnitTests/Support/Loopback.h
+++ b/Source/UnitTests/Support/Loopback.h
@@ -180,16 +180,27 @@
   TestServer m_server;
 };
 
-/// A loopback endpoint whose UDP port is currently free.
-inline Http::Endpoint FreeDatagramEndpoint()
+/// A loopback endpoint whose UDP and TCP ports are currently free. The ports lie below those that
+/// the kernel gives to outgoing connections.
+inline Http::Endpoint FreeEndpoint()
 {
-  const int fd = socket(AF_INET, SOCK_DGRAM, 0);
-  sockaddr_in address = Http::Endpoint{htonl(INADDR_LOOPBACK), 0}.ToSockaddr();
-  socklen_t size = sizeof(address);
-  CPPUNIT_ASSERT_EQUAL(0, bind(fd, reinterpret_cast<const sockaddr*>(&address), size));
-  getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
-  close(fd);
-  return Http::Endpoint::FromSockaddr(address);
+  constexpr std::uint16_t FIRST_PORT = 12000;
+  constexpr std::uint16_t PORTS = 18000;
+  static std::uint32_t s_next = static_cast<std::uint32_t>(getpid()) * 131;
+  const auto is_free = [](const Http::Endpoint& endpoint, int type) {
+    const int fd = socket(AF_INET, type, 0);
+    const sockaddr_in address = endpoint.ToSockaddr();
+    const int status = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+    close(fd);
+    return status == 0;
+  };
+  while (true)
+  {
+    const auto port = static_cast<std::uint16_t>(FIRST_PORT + s_next++ % PORTS);
+    const Http::Endpoint endpoint{htonl(INADDR_LOOPBACK), port};
+    if (is_free(endpoint, SOCK_DGRAM) && is_free(endpoint, SOCK_STREAM))
+      return endpoint;
+  }
 }
 
 /// The value of a header in a raw message head; empty if the header is missing.
