Fleet: copies are handed over while the rows of a table change often

Cause: the holder waited with copies until few rows had changed.

Change: only new rows count, as while a fleet starts.

Test: TableFollowerTest::TableIsSettledWhileItsRowsChangeOften, which failed before.

--- a/Source/Core/Fleet/RowChange.h
+++ b/Source/Core/Fleet/RowChange.h
@@ -55,6 +55,7 @@
   void Clear() { m_rows.clear(); }
   void Put(const TableRow& row);
   std::size_t Size() const { return m_rows.size(); }
+  bool Contains(const std::string& key) const { return m_rows.contains(key); }
   /// All rows, keys rising.
   std::vector<TableRow> All() const;
 
--- a/Source/Core/Fleet/SharedTables.h
+++ b/Source/Core/Fleet/SharedTables.h
@@ -54,7 +54,7 @@
   std::function<void(bool, DirectReadReason)> set_relayed;
   std::function<void(Common::Milliseconds)> set_wait;
   std::function<void(Common::Milliseconds)> set_batch_delay;
-  /// True if this copy has rows and few of them have changed lately.
+  /// True if this copy has rows and few of them are new.
   std::function<bool()> is_settled;
   /// All rows of this copy.
   std::function<TableSnapshot()> snapshot;
--- a/Source/Core/Fleet/TableFollower.h
+++ b/Source/Core/Fleet/TableFollower.h
@@ -44,8 +44,8 @@
   source.Follow(text, version, wait, done);
 };
 
-/// Counts the changes in the latest complete period and the current one.
-class RecentChanges
+/// Counts events in the latest complete period and the current one.
+class RecentCount
 {
 public:
   void Note(Common::TimePoint now)
@@ -181,12 +181,12 @@
       m_version = std::max(m_version, version);
   }
 
-  /// True if the table has rows and few of them have changed lately. While a fleet starts, its
-  /// servers write their entries one after the other.
+  /// True if the table has rows and few of them are new. While a fleet starts, its servers write
+  /// their entries one after the other.
   bool IsSettled(Common::TimePoint now) const
   {
     return m_have_snapshot && m_rows.Size() > 0 &&
-           m_recent_changes.Count(now) * SETTLED_DIVISOR <= m_rows.Size();
+           m_new_rows.Count(now) * SETTLED_DIVISOR <= m_rows.Size();
   }
 
   /// All rows of this copy.
@@ -231,7 +231,7 @@
   static constexpr Common::Milliseconds DEFAULT_WAIT{2500};
   /// After a copy was handed over, the holder's changes are expected within this time.
   static constexpr Common::Milliseconds FIRST_RELAY_TIMEOUT{1500};
-  /// A table is settled if at most this fraction (1/N) of its rows has changed lately.
+  /// A table is settled if at most this fraction (1/N) of its rows is new.
   static constexpr std::size_t SETTLED_DIVISOR = 10;
 
   void ReadPage(const std::string& first_key)
@@ -347,9 +347,10 @@
 
   void ApplyChange(const TableRow& row, RowChange change)
   {
+    if (!row.removed && !m_rows.Contains(row.key))
+      m_new_rows.Note(Common::Now());
     m_rows.Put(row);
     m_log.push_back(std::move(change));
-    m_recent_changes.Note(Common::Now());
     while (m_log.size() > std::max(MIN_LOG_ROWS, m_rows.Size() / LOG_DIVISOR))
     {
       m_log_floor = m_log.front().version;
@@ -421,7 +422,7 @@
   Common::TimePoint m_snapshot_requested_at; ///< When its first page was requested.
   std::optional<Common::TimePoint> m_proven_at;
   KnownRows m_rows;
-  RecentChanges m_recent_changes;
+  RecentCount m_new_rows;
   std::deque<RowChange> m_log; ///< Changes after `m_log_floor`, oldest first.
   std::int64_t m_log_floor = 0;
   Common::OwnedTimer m_retry_timer;
--- a/Source/UnitTests/Fleet/TableFollowerTest.cpp
+++ b/Source/UnitTests/Fleet/TableFollowerTest.cpp
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(FirstCallAfterRelayingEndsDoesNotWait);
   CPPUNIT_TEST(HandedOverCopyReplacesAnOlderOne);
   CPPUNIT_TEST(LateReadDoesNotReplaceANewerCopy);
+  CPPUNIT_TEST(TableIsSettledWhileItsRowsChangeOften);
   CPPUNIT_TEST(RejectsRelayedChangesWithAGap);
   CPPUNIT_TEST(DuplicateChangeIsAppliedOnce);
   CPPUNIT_TEST(RelaysChangesInTheLog);
@@ -333,6 +334,26 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), fixture.snapshot.size());
   }
 
+  /// Guards against a holder that hands over no copies for seconds, because the servers' entries
+  /// change all the time.
+  void TableIsSettledWhileItsRowsChangeOften()
+  {
+    FakeSource source;
+    FollowerFixture fixture(source);
+    const auto settled = [&] {
+      return fixture.follower.IsSettled(Common::Now());
+    };
+    CPPUNIT_ASSERT(!settled());
+    fixture.follower.ApplySnapshot({2, {Row("a", 1), Row("b", 2)}});
+    CPPUNIT_ASSERT(settled());
+    CPPUNIT_ASSERT(fixture.follower.ApplyRelayed(2, 4, {Change("a", 3), Change("b", 4)}));
+    CPPUNIT_ASSERT(settled());
+    CPPUNIT_ASSERT(fixture.follower.ApplyRelayed(4, 6, {Change("c", 5), Change("d", 6)}));
+    CPPUNIT_ASSERT(!settled());
+    RunFor(Milliseconds(700));
+    CPPUNIT_ASSERT(settled());
+  }
+
   void RejectsRelayedChangesWithAGap()
   {
     FakeSource source;
