Orders, platform: any table's follower detects the outage and the return of the store

Cause: the lease is reserved for its last holder when the store returns, but only at daemons whose follower of the lease table had noticed the outage. One with a long call open did not, and acquired the lease at once, on a VM with little CPU and bandwidth.

Change: an outage or a return that the follower of any table detects counts.

--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <ranges>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Common/Mechanisms.h"
@@ -121,16 +122,17 @@
   }
   /// Handles a stored row about requests that crash servers.
   void OnCrashRow(const ArchiveRow& row) { m_archive.OnRow(row); }
-  /// The store stopped responding to this daemon, or responds again.
+  /// The store stopped responding to this daemon, or responds again, as the follower of any table
+  /// has found out. Each detects it only when it has a call open.
   void OnStoreLost()
   {
-    m_store_lost = true;
-    m_lease.OnStoreLost();
+    if (!std::exchange(m_store_lost, true))
+      m_lease.OnStoreLost();
   }
   void OnStoreBack()
   {
-    m_store_lost = false;
-    m_lease.OnStoreBack();
+    if (std::exchange(m_store_lost, false))
+      m_lease.OnStoreBack();
   }
   void FillMetrics(Common::Metrics& metrics) const
   {
