Orders: a daemon without a copy of the tables is sent no changes

Cause: the holder assumed that a daemon to which it had sent an announcement has what came before it. A trace of the start shows it: 122 of 122 daemons with a log had lost the holder 1.5 s after the start and received a copy after 3 to 4.5 s, while they were reading.

Change: changes start at nothing until a daemon confirms a copy, and a daemon that has lost the holder waits for 3 s plus its random part before it reads.

Tests: HubTest::DaemonWithoutACopyIsSentNoChanges, JoinPolicyTest.

--- a/Source/Core/Fleet/JoinPolicy.cpp
+++ b/Source/Core/Fleet/JoinPolicy.cpp
@@ -16,6 +16,9 @@
 constexpr Milliseconds PENDING_TIMEOUT{8000};
 /// How long it waits for the first announcement of a holder that the lease row names.
 constexpr Milliseconds HOLDER_TIMEOUT{500};
+/// How long it waits after announcements have ceased: the holder's link may be full for a while, or
+/// the next holder takes over.
+constexpr Milliseconds LOST_HOLDER_TIMEOUT{3000};
 /// How long it waits until any daemon holds the lease: the system is starting, or the last holder
 /// has stopped.
 constexpr Milliseconds NO_HOLDER_TIMEOUT{2500};
@@ -30,6 +33,8 @@
   if (state.holder_contact_for)
     return *state.holder_contact_for >=
            (state.copies_pending ? PENDING_TIMEOUT : COPY_TIMEOUT) + state.spread;
+  if (state.holder_contact_lost_for)
+    return *state.holder_contact_lost_for >= LOST_HOLDER_TIMEOUT + state.spread;
   if (state.holder_named_for)
     return *state.holder_named_for >= HOLDER_TIMEOUT + state.spread;
   return state.since_start >= NO_HOLDER_TIMEOUT + state.spread;
--- a/Source/Core/Fleet/JoinPolicy.h
+++ b/Source/Core/Fleet/JoinPolicy.h
@@ -19,6 +19,8 @@
   std::optional<Common::Milliseconds> holder_named_for;
   /// Since when announcements of the holder arrive; nullopt if none do.
   std::optional<Common::Milliseconds> holder_contact_for;
+  /// Since when they no longer arrive; nullopt if they do, or never did.
+  std::optional<Common::Milliseconds> holder_contact_lost_for;
   bool copies_pending = false; ///< The holder announced that its own copy still fills up.
   bool is_receiving = false;   ///< Another daemon is sending its copy.
 };
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -372,7 +372,10 @@
   state.spread = m_join_spread;
   state.holds_lease = m_own_lease.has_value();
   state.holder_named_for = track(m_holder_named_since, m_holder.has_value());
+  const bool had_contact = m_last_announcement_at != Common::TimePoint();
   state.holder_contact_for = track(m_contact_since, HasHolderContact());
+  if (had_contact && !state.holder_contact_for)
+    state.holder_contact_lost_for = std::chrono::floor<Milliseconds>(now - m_last_announcement_at);
   state.copies_pending = m_copies_pending;
   state.is_receiving = m_handover.IsReceiving();
   if (!Fleet::ShouldReadStore(state))
@@ -430,9 +433,11 @@
   UpdatePosition position{std::max(peer.placement_version, peer.placement_sent),
                           {},
                           std::max(peer.crash_revision, peer.crash_sent)};
+  // A daemon without a copy cannot apply changes. It gets none, however many announcements it was
+  // sent: while a fleet starts, the entries of all servers would fill the holder's link.
   std::ranges::transform(peer.versions, peer.sent, std::back_inserter(position.tables),
                          [](std::int64_t confirmed, std::int64_t sent) {
-                           return std::max(confirmed, sent);
+                           return confirmed == 0 ? 0 : std::max(confirmed, sent);
                          });
   return position;
 }
--- a/Source/UnitTests/Fleet/JoinPolicyTest.cpp
+++ b/Source/UnitTests/Fleet/JoinPolicyTest.cpp
@@ -19,6 +19,7 @@
   CPPUNIT_TEST(DaemonThatHearsTheHolderWaitsForACopy);
   CPPUNIT_TEST(DaemonWithoutACopyReadsInTheEnd);
   CPPUNIT_TEST(SilentHolderDelaysTheReadBriefly);
+  CPPUNIT_TEST(GapInTheAnnouncementsIsNoReasonToRead);
   CPPUNIT_TEST(DaemonsThatStartTogetherReadAtDifferentTimes);
   CPPUNIT_TEST(CopyOnItsWayIsNotReadTwice);
   CPPUNIT_TEST_SUITE_END();
@@ -70,6 +71,15 @@
     CPPUNIT_ASSERT(!ShouldReadStore(just_named));
   }
 
+  void GapInTheAnnouncementsIsNoReasonToRead()
+  {
+    JoinState state = After(Milliseconds(4000));
+    state.holder_contact_lost_for = Milliseconds(2000);
+    CPPUNIT_ASSERT(!ShouldReadStore(state));
+    state.holder_contact_lost_for = Milliseconds(3100);
+    CPPUNIT_ASSERT(ShouldReadStore(state));
+  }
+
   void DaemonsThatStartTogetherReadAtDifferentTimes()
   {
     JoinState early = After(Milliseconds(700));
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -45,7 +45,8 @@
     table.version = [this] {
       return version;
     };
-    table.changes_since = [this](std::int64_t) {
+    table.changes_since = [this](std::int64_t since) {
+      changes_asked_since.push_back(since);
       return changes;
     };
     table.response_age = [] {
@@ -69,6 +70,10 @@
     };
     table.set_wait = [](Milliseconds) {};
     table.set_batch_delay = [](Milliseconds) {};
+    table.snapshot = [this] {
+      return Fleet::TableSnapshot{version, {}};
+    };
+    table.apply_snapshot = [](const Fleet::TableSnapshot&) {};
     table.is_settled = [] {
       return true;
     };
@@ -99,6 +104,7 @@
   std::int64_t version = 5;
   std::optional<Common::TimePoint> proven_at;
   std::optional<Fleet::RowChanges> changes = Fleet::RowChanges{5, {}};
+  std::vector<std::int64_t> changes_asked_since;
   bool relayed = false;
   Fleet::DirectReadReason reason = Fleet::DirectReadReason::NoHolder;
   Dispatcher dispatcher{DispatcherSettings{}};
@@ -112,6 +118,7 @@
   CPPUNIT_TEST(PlacementsOfManyServersArrive);
   CPPUNIT_TEST(OmittedRowIsReadFromThePlatformAtOnce);
   CPPUNIT_TEST(DaemonWithRequestsAtManyServersCanReport);
+  CPPUNIT_TEST(DaemonWithoutACopyIsSentNoChanges);
   CPPUNIT_TEST(FollowerProofIsNoNewerThanTheHolders);
   CPPUNIT_TEST(QueuedAnnouncementProvesOnlyItsWriteTime);
   CPPUNIT_TEST(NewHolderGrantsUnits);
@@ -144,6 +151,27 @@
   /// wait in its socket, each with a proof that was fresh when it was written. Its age was counted
   /// from the arrival; it has to be counted from the write time, for which the echo of the daemon's
   /// own report gives a lower bound.
+  /// Guards against a holder whose link is filled by the entries of a starting fleet, sent to
+  /// daemons that have no copy to apply them to.
+  void DaemonWithoutACopyIsSentNoChanges()
+  {
+    Daemon holder("a");
+    Daemon other("b");
+    other.version = 0;
+    AssignHolder(holder, other);
+    RunFor(Milliseconds(50));
+    for (int i = 0; i < 3; ++i)
+    {
+      ++holder.version;
+      holder.hub.ScheduleAnnouncement();
+      RunFor(Milliseconds(30));
+    }
+    CPPUNIT_ASSERT(holder.changes_asked_since.size() >= 3);
+    CPPUNIT_ASSERT(std::ranges::all_of(holder.changes_asked_since, [](std::int64_t since) {
+      return since == 0;
+    }));
+  }
+
   void QueuedAnnouncementProvesOnlyItsWriteTime()
   {
     Daemon holder("a");
