Gateway: the holder uses a server's own limit again when the server is warm

Cause: when a cold server with a limit of its own became warm, the list of limits did not count as changed, so the permit allocator kept the cold rate. Found by reading the change.

--- a/Source/Core/Gateway/LimitedServers.cpp
+++ b/Source/Core/Gateway/LimitedServers.cpp
@@ -203,7 +203,13 @@
     const auto limited = m_limited;
     const std::uint64_t before = m_revision;
     for (const ServerPtr& server : limited)
-      server->SetLimit(LimitOf(*server, now));
+    {
+      const auto limit = LimitOf(*server, now);
+      // A server that is warm again may still have a limit that it announced.
+      if (limit && limit->rate != server->Limit()->rate)
+        ++m_revision;
+      server->SetLimit(limit);
+    }
     RemoveUnlimited();
     ScheduleColdCheck();
     if (m_revision != before && m_on_change)
--- a/Source/UnitTests/Gateway/PlacesTest.cpp
+++ b/Source/UnitTests/Gateway/PlacesTest.cpp
@@ -123,6 +123,7 @@
   CPPUNIT_TEST(ServersAreColdWhenAnEvacuationEnds);
   CPPUNIT_TEST(LimitOfAColdServerEnds);
   CPPUNIT_TEST(ColdTimeInAResponseCounts);
+  CPPUNIT_TEST(AnnouncedLimitReturnsWhenAServerIsWarm);
   CPPUNIT_TEST(RestrictedRouteNeverUsesAnotherRegion);
   CPPUNIT_TEST(RouteAndAccountBothRestrictRegions);
   CPPUNIT_TEST(RetryStaysInTheAllowedRegions);
@@ -299,6 +300,26 @@
     CPPUNIT_ASSERT(server->Limit().has_value());
   }
 
+  /// Guards against a lease holder that keeps granting permits at the cold rate.
+  void AnnouncedLimitReturnsWhenAServerIsWarm()
+  {
+    World world;
+    world.MakeServersColdAfterStart(1, Milliseconds(3000));
+    const ServerPtr server = world.dispatcher.Servers().Find(InstanceId("i-here"));
+    LimitedServers& limited = world.dispatcher.Limited();
+    RateLimits::LimitReading reading;
+    reading.rate = RateLimits::RequestRate(7 * RateLimits::THOUSANDTHS);
+    limited.NoteResponse(*server, reading, Common::Now());
+    world.Put("i-here", world.here.Address(), HERE, Milliseconds(100));
+    CPPUNIT_ASSERT(server->Limit()->cold_until.has_value());
+    const std::uint64_t cold_revision = limited.Revision();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return !server->Limit()->cold_until;
+    }));
+    CPPUNIT_ASSERT(server->Limit()->rate == *reading.rate);
+    CPPUNIT_ASSERT(limited.Revision() > cold_revision);
+  }
+
   static void Restrict(Configuration& configuration, const std::set<RegionId>& regions)
   {
     for (Route& route : configuration.routes)
