Fleet: a daemon that lost the holder while its tables fill up waits for them

Change: if the last announcement said that copies are pending, the longer time applies.

Test: JoinPolicyTest::GapInTheAnnouncementsIsNoReasonToRead, which failed before. Not measured on the fleet.

--- a/Source/Core/Fleet/JoinPolicy.cpp
+++ b/Source/Core/Fleet/JoinPolicy.cpp
@@ -34,7 +34,8 @@
     return *state.holder_contact_for >=
            (state.copies_pending ? PENDING_TIMEOUT : COPY_TIMEOUT) + state.spread;
   if (state.holder_contact_lost_for)
-    return *state.holder_contact_lost_for >= LOST_HOLDER_TIMEOUT + state.spread;
+    return *state.holder_contact_lost_for >=
+           (state.copies_pending ? PENDING_TIMEOUT : LOST_HOLDER_TIMEOUT) + state.spread;
   if (state.holder_named_for)
     return *state.holder_named_for >= HOLDER_TIMEOUT + state.spread;
   return state.since_start >= NO_HOLDER_TIMEOUT + state.spread;
--- a/Source/UnitTests/Fleet/JoinPolicyTest.cpp
+++ b/Source/UnitTests/Fleet/JoinPolicyTest.cpp
@@ -78,6 +78,8 @@
     CPPUNIT_ASSERT(!ShouldReadStore(state));
     state.holder_contact_lost_for = Milliseconds(3100);
     CPPUNIT_ASSERT(ShouldReadStore(state));
+    state.copies_pending = true;
+    CPPUNIT_ASSERT(!ShouldReadStore(state));
   }
 
   void DaemonsThatStartTogetherReadAtDifferentTimes()
