--- a/Source/Core/Gateway/DispatcherPlaces.cpp
+++ b/Source/Core/Gateway/DispatcherPlaces.cpp
@@ -18,8 +18,8 @@
 using Common::DataCentreId;
 using Common::Milliseconds;
 
-/// Retry-After of a request that no server may take until the operators change something. Callers
-/// return within the time in which an evacuation is usually taken back or a server is added.
+/// Retry-After of a request that no server may take until the operators change something. When that
+/// will be is not known.
 constexpr Milliseconds NO_SERVER_RETRY_AFTER{2000};
 } // namespace
 
