--- a/Source/Core/Fleet/HandoverPlanner.cpp
+++ b/Source/Core/Fleet/HandoverPlanner.cpp
@@ -22,8 +22,8 @@
 constexpr std::size_t MAX_RECEIVERS_OF_WEAK = 1;
 /// Copies that one data centre receives from other ones at once, while it has none of its own.
 constexpr std::size_t MAX_FROM_ELSEWHERE = 2;
-/// After this time a source that has not delivered is replaced. Long enough for a copy to pass a slow
-/// link that several receivers share.
+/// After this time a source that has not delivered is replaced. Long enough for a copy to pass a
+/// slow link that several receivers share.
 constexpr Milliseconds SOURCE_TIMEOUT{2000};
 } // namespace
 
--- a/Source/Core/Fleet/JoinPolicy.cpp
+++ b/Source/Core/Fleet/JoinPolicy.cpp
@@ -9,8 +9,8 @@
 {
 using Common::Milliseconds;
 
-/// How long a daemon waits for a copy while the holder's announcements arrive: the holder has to read
-/// the tables first, and the copies pass through several daemons.
+/// How long a daemon waits for a copy while the holder's announcements arrive: the holder has to
+/// read the tables first, and the copies pass through several daemons.
 constexpr Milliseconds COPY_TIMEOUT{4000};
 /// The same while the holder's own copy fills up, as after the first start of a fleet.
 constexpr Milliseconds PENDING_TIMEOUT{8000};
