Crashes: the block of a bystander is lifted

Callers: honest requests, the same bytes each time, were refused for ten minutes with a Retry-After of ten minutes, by all daemons.

Cause: a request that is in progress on three crashed servers before it has completed anywhere is blocked, whichever request caused the crashes. The grace after a good end does not help, as nothing had ended well yet.

Change: the lease holder knows the crashes that all daemons observed. 3 s after a block it compares the blocked requests. What is not in any smallest set of requests that explains all crashes is a bystander: its crashes are marked as explained and the mark spreads with the case, so that every daemon lifts the block. No request is sent for it, so the bound of three servers stays. Requests with the same crashes are all kept. While that may still happen, the Retry-After is at most 4 s.

Tried first: a crash explained by a request that is the only suspect of another crash, one crash at a time.

--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -5,9 +5,12 @@
 
 #include <algorithm>
 #include <iterator>
+#include <ranges>
 #include <tuple>
 #include <utility>
 
+#include "Crashes/CrashAttribution.h"
+
 namespace Crashes
 {
 namespace
@@ -27,7 +30,7 @@
 /// Upper bounds for the encoded size of a case without its crashes, and of one crash without its
 /// names.
 constexpr std::size_t CASE_BYTES = 64;
-constexpr std::size_t SERVER_CRASH_BYTES = 30;
+constexpr std::size_t SERVER_CRASH_BYTES = 31;
 
 std::int64_t AgeOf(TimePoint moment, TimePoint now)
 {
@@ -83,7 +86,9 @@
   const auto [found, is_new] = entry.server_crashes.try_emplace(server, crash);
   found->second.at = std::min(found->second.at, crash.at);
   found->second.sent_at = std::min(found->second.sent_at, crash.sent_at);
-  return is_new;
+  const bool newly_explained = !found->second.explained && crash.explained;
+  found->second.explained = found->second.explained || crash.explained;
+  return is_new || newly_explained;
 }
 
 void CrashLedger::RecordCrash(const Fingerprint& request, const ServerInstance& server,
@@ -166,9 +171,11 @@
   }
   for (const CrashLine& crash : line.server_crashes)
   {
-    changed |=
-        AddCrash(entry, crash.server,
-                 {now - Milliseconds(crash.age_ms), now - Milliseconds(crash.sent_age_ms), {}});
+    changed |= AddCrash(entry, crash.server,
+                        {now - Milliseconds(crash.age_ms),
+                         now - Milliseconds(crash.sent_age_ms),
+                         {},
+                         crash.explained});
     const auto known = entry.server_crashes.find(crash.server);
     for (const Common::VmId& vm : crash.seen_by)
       if (known != entry.server_crashes.end() && known->second.seen_by.size() < MAX_SEEN_BY)
@@ -187,6 +194,8 @@
       m_newly_blocked.push_back(line.request);
     changed = true;
   }
+  if (IsBlockOverruled(entry))
+    entry.blocked_until = {};
   if (changed)
     MarkChanged(entry, now);
   BlockIfDue(line.request, now);
@@ -197,7 +206,8 @@
   std::vector<const CrashRecord*> server_crashes;
   server_crashes.reserve(entry.server_crashes.size());
   for (const auto& [server, crash] : entry.server_crashes)
-    server_crashes.push_back(&crash);
+    if (!crash.explained)
+      server_crashes.push_back(&crash);
   std::ranges::sort(server_crashes, {}, [](const CrashRecord* crash) {
     return crash->at;
   });
@@ -217,13 +227,50 @@
 }
 
 /// True if the request's successful completion invalidates its first block, which was set by a
-/// daemon that was unaware of the completion.
+/// daemon that was unaware of the completion, or if other requests caused all crashes.
 bool CrashLedger::IsBlockOverruled(const Case& entry)
 {
+  const auto is_explained = [](const auto& crash) {
+    return crash.second.explained;
+  };
+  if (!entry.server_crashes.empty() && std::ranges::all_of(entry.server_crashes, is_explained))
+    return true;
   return entry.last_success && entry.blocks <= 1 &&
          entry.server_crashes.size() < CRASHES_TO_BLOCK_AFTER_SUCCESS;
 }
 
+bool CrashLedger::HasOtherSuspects(const Case& entry) const
+{
+  return std::ranges::any_of(m_cases, [&](const auto& other) {
+    return &other.second != &entry &&
+           std::ranges::any_of(other.second.server_crashes, [&](const auto& crash) {
+             return entry.server_crashes.contains(crash.first);
+           });
+  });
+}
+
+std::vector<Fingerprint> CrashLedger::LiftBlocksOfBystanders(TimePoint now)
+{
+  CrashesByRequest blocked;
+  for (const auto& [request, entry] : m_cases)
+    if (entry.IsBlocked(now))
+      std::ranges::copy(entry.server_crashes | std::views::keys,
+                        std::inserter(blocked[request], blocked[request].end()));
+  std::vector<Fingerprint> lifted;
+  for (const Fingerprint& request : FindBystanders(blocked))
+  {
+    Case& entry = m_cases.at(request);
+    if (now - entry.blocked_at < COMPARISON_DELAY)
+      continue;
+    for (auto& [server, crash] : entry.server_crashes)
+      crash.explained = true;
+    entry.blocked_until = {};
+    MarkChanged(entry, now);
+    lifted.push_back(request);
+  }
+  return lifted;
+}
+
 void CrashLedger::BlockIfDue(const Fingerprint& request, TimePoint now)
 {
   Case& entry = m_cases.at(request);
@@ -245,7 +292,13 @@
   BlockStatus status;
   status.blocked = found->second.IsBlocked(now);
   if (status.blocked)
+  {
     status.blocked_for = std::chrono::ceil<Milliseconds>(found->second.blocked_until - now);
+    const bool may_be_lifted =
+        now - found->second.blocked_at < UNCERTAIN_SPAN && HasOtherSuspects(found->second);
+    status.retry_after =
+        may_be_lifted ? std::min(status.blocked_for, UNCERTAIN_RETRY_AFTER) : status.blocked_for;
+  }
   status.server_crashes = CountIndependentCrashes(found->second);
   return status;
 }
@@ -259,7 +312,8 @@
     line.server_crashes.push_back({server,
                                    AgeOf(crash.at, now),
                                    AgeOf(crash.sent_at, now),
-                                   {crash.seen_by.begin(), crash.seen_by.end()}});
+                                   {crash.seen_by.begin(), crash.seen_by.end()},
+                                   crash.explained});
   if (entry.last_success)
     line.last_success_age_ms = AgeOf(*entry.last_success, now);
   if (entry.IsBlocked(now))
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -28,6 +28,8 @@
 {
   bool blocked = false;
   Common::Milliseconds blocked_for{0};
+  /// When the caller should retry: the end of the block, or earlier if the block may be lifted.
+  Common::Milliseconds retry_after{0};
   int server_crashes = 0; ///< Server crashes that count against the request.
 };
 
@@ -42,6 +44,11 @@
 /// the request was sent to the server after the previous counted crash. Three counted crashes block
 /// a request for a time. After that it is tried again, and one more crash blocks it for twice as
 /// long.
+///
+/// Identical requests of many callers may be in progress on three crashed servers before one of
+/// them has completed, and are blocked like the request that caused the crashes. Once that one is
+/// blocked too, a comparison of their crashes tells them apart, and the bystander's block is
+/// lifted.
 class CrashLedger
 {
 public:
@@ -59,6 +66,14 @@
   static constexpr Common::Milliseconds MAX_BLOCK{std::chrono::hours(6)};
   /// A case is removed this long after its last change or the end of its block.
   static constexpr Common::Milliseconds RETENTION{std::chrono::hours(1)};
+  /// Time from a block until its crashes are compared with those of other blocked requests. Within
+  /// it, the reports of all daemons arrive, and the requests that caused the crashes are usually
+  /// blocked as well.
+  static constexpr Common::Milliseconds COMPARISON_DELAY{3000};
+  /// A block that may still be lifted is announced to callers for this long at most, and is no
+  /// longer expected to be lifted after the second span.
+  static constexpr Common::Milliseconds UNCERTAIN_RETRY_AFTER{4000};
+  static constexpr Common::Milliseconds UNCERTAIN_SPAN{20000};
   /// Maximum number of cases, about 2 MB. Beyond it, those with the fewest crashes are evicted
   /// first.
   static constexpr std::size_t MAX_CASES = 4096;
@@ -81,6 +96,9 @@
                           Common::TimePoint now);
   /// Merges the state of a case received from another daemon.
   void Merge(const CaseLine& line, Common::TimePoint now);
+  /// At the lease holder, which knows the observations of all daemons: lifts the blocks of requests
+  /// whose crashes other blocked requests caused. Returns these requests.
+  std::vector<Fingerprint> LiftBlocksOfBystanders(Common::TimePoint now);
   /// Returns the requests that have been blocked since the last call.
   std::vector<Fingerprint> TakeNewlyBlocked() { return std::exchange(m_newly_blocked, {}); }
 
@@ -111,6 +129,7 @@
     Common::TimePoint at;
     Common::TimePoint sent_at; ///< When the request was first sent to the server.
     std::set<Common::VmId> seen_by;
+    bool explained = false;
   };
   struct Case
   {
@@ -131,6 +150,8 @@
   static bool AddCrash(Case& entry, const ServerInstance& server, const CrashRecord& crash);
   static void Clear(Case& entry, Common::TimePoint last_success);
   int CountIndependentCrashes(const Case& entry) const;
+  /// Whether other requests were in progress on the crashed servers as well.
+  bool HasOtherSuspects(const Case& entry) const;
   int CrashesToBlock(const Case& entry) const
   {
     return entry.last_success ? CRASHES_TO_BLOCK_AFTER_SUCCESS : m_crashes_to_block;
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -306,6 +306,22 @@
     m_on_demand();
 }
 
+void Dispatcher::LiftBlocksOfBystanders(Common::TimePoint now)
+{
+  if (m_crashes.Revision() != m_compared_revision)
+    // A block is compared with the others only after a delay.
+    m_compare_until = now + Crashes::CrashLedger::COMPARISON_DELAY * 2;
+  if (now > m_compare_until)
+    return;
+  for (const Crashes::Fingerprint& request : m_crashes.LiftBlocksOfBystanders(now))
+    if (const auto crash_case = m_crashes.Find(request, now))
+      Common::LogEvent(Common::LogLevel::Info, "request-unblocked",
+                       {{"fingerprint", request.ToString()},
+                        {"why", "other blocked requests explain all of its crashes"},
+                        {"ended", Crashes::Describe(crash_case->server_crashes)}});
+  m_compared_revision = m_crashes.Revision();
+}
+
 void Dispatcher::EndBlockedRequests()
 {
   const auto blocked = m_crashes.TakeNewlyBlocked();
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -128,6 +128,8 @@
   const Crashes::CrashLedger& CrashCases() const { return m_crashes; }
   /// Merges what other daemons have recorded about such requests.
   void MergeCrashCases(const std::vector<Crashes::CaseLine>& cases);
+  /// At the lease holder: lifts the blocks of requests whose crashes other requests caused.
+  void LiftBlocksOfBystanders(Common::TimePoint now);
   const DispatcherSettings& Settings() const { return m_settings; }
   DispatcherCounters& Counters() { return m_counters; }
 
@@ -273,6 +275,8 @@
   Accounts::KeyFreshness m_keys;
   Accounts::LocalAllowances m_allowances;
   Crashes::CrashLedger m_crashes;
+  std::uint64_t m_compared_revision = 0; ///< Of the ledger when blocks were last compared.
+  Common::TimePoint m_compare_until;     ///< Without a change, blocks are compared until then.
   Crashes::RecentSuccesses m_successes;
   CrashDetector m_crash_detector{m_servers};
   LimitedServers m_limited{m_servers};
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -187,7 +187,7 @@
   const Crashes::BlockStatus block_status = m_dispatcher.GetBlockStatus(*this);
   if (!block_status.blocked)
     return false;
-  m_retry_after = block_status.blocked_for;
+  m_retry_after = block_status.retry_after;
   const std::string why =
       std::to_string(block_status.server_crashes) + " servers crashed while they had this request";
   if (m_stream_begun)
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -491,6 +491,7 @@
   if (const auto* accounts = GrantableAccounts(now); accounts != nullptr && regular)
     m_allowances.Allocate(*accounts, now);
   m_placements.Update(m_order_manager.Placements());
+  m_dispatcher.LiftBlocksOfBystanders(now);
   m_crashes_announced = m_dispatcher.CrashCases().Revision();
   m_daemons.Update(static_cast<int>(m_peers.size()) + 1, now);
   HolderState state;
--- a/Source/UnitTests/Crashes/CrashLedgerTest.cpp
+++ b/Source/UnitTests/Crashes/CrashLedgerTest.cpp
@@ -21,6 +21,7 @@
 
 constexpr Fingerprint CRASHER{1, 1, 10};
 constexpr Fingerprint BYSTANDER{2, 2, 20};
+constexpr Fingerprint ANOTHER_CRASHER{3, 3, 30};
 /// Time from sending the request to the crash of the server.
 constexpr Milliseconds RUN_TIME{300};
 constexpr std::size_t ALL_BYTES = 1 << 20;
@@ -38,6 +39,8 @@
   CPPUNIT_TEST(EarlierSuccessLiftsTheBlock);
   CPPUNIT_TEST(SimultaneousCrashesCountOnce);
   CPPUNIT_TEST(TwoSimultaneousCrashingRequestsAreBothBlocked);
+  CPPUNIT_TEST(BlockOfABystanderIsLiftedEverywhere);
+  CPPUNIT_TEST(CallersOfABystanderAreAskedToReturnSoon);
   CPPUNIT_TEST(ExpiredBlockDoublesAfterOneMoreCrash);
   CPPUNIT_TEST(NumberOfCasesIsBounded);
   CPPUNIT_TEST(CrashesFromBeforeTheBootCount);
@@ -208,6 +211,58 @@
     CPPUNIT_ASSERT(IsBlocked(ledger, BYSTANDER));
   }
 
+  /// Blocks two crashing requests, and a bystander that was in progress on three of the servers.
+  void BlockWithBystander(CrashLedger& ledger)
+  {
+    for (int instance = 1; instance <= 6; ++instance)
+    {
+      if (instance % 2 == 0)
+        ledger.RecordCrash(BYSTANDER, InstanceOf(instance), VmId("vm-1"), m_now - RUN_TIME, m_now);
+      Crash(ledger, instance <= 3 ? CRASHER : ANOTHER_CRASHER, instance);
+    }
+    CPPUNIT_ASSERT(IsBlocked(ledger, BYSTANDER));
+  }
+
+  /// Honest requests, identical each time, stayed blocked for ten minutes.
+  void BlockOfABystanderIsLiftedEverywhere()
+  {
+    CrashLedger holder;
+    BlockWithBystander(holder);
+    CrashLedger daemon;
+    Send(holder, daemon);
+    const CrashLedger uninformed = daemon;
+    CPPUNIT_ASSERT(IsBlocked(daemon, BYSTANDER));
+    m_now += CrashLedger::COMPARISON_DELAY;
+    CPPUNIT_ASSERT(holder.LiftBlocksOfBystanders(m_now) == std::vector{BYSTANDER});
+    CPPUNIT_ASSERT(holder.LiftBlocksOfBystanders(m_now).empty());
+    Send(holder, daemon);
+    // A message from before the comparison does not block the request again.
+    Send(uninformed, daemon);
+    Send(uninformed, holder);
+    for (const CrashLedger* ledger : {&holder, &daemon})
+    {
+      CPPUNIT_ASSERT(!IsBlocked(*ledger, BYSTANDER));
+      CPPUNIT_ASSERT_EQUAL(0, ledger->BlockStatusOf(BYSTANDER, m_now).server_crashes);
+      CPPUNIT_ASSERT(IsBlocked(*ledger, CRASHER));
+      CPPUNIT_ASSERT(IsBlocked(*ledger, ANOTHER_CRASHER));
+    }
+    for (int instance = 7; instance <= 9; ++instance)
+      Crash(daemon, BYSTANDER, instance);
+    CPPUNIT_ASSERT(IsBlocked(daemon, BYSTANDER));
+  }
+
+  void CallersOfABystanderAreAskedToReturnSoon()
+  {
+    CrashLedger ledger;
+    BlockWithBystander(ledger);
+    CPPUNIT_ASSERT(ledger.BlockStatusOf(BYSTANDER, m_now).retry_after <=
+                   CrashLedger::UNCERTAIN_RETRY_AFTER);
+    m_now += CrashLedger::UNCERTAIN_SPAN;
+    const BlockStatus later = ledger.BlockStatusOf(CRASHER, m_now);
+    CPPUNIT_ASSERT(later.retry_after == later.blocked_for);
+    CPPUNIT_ASSERT(later.blocked_for > CrashLedger::UNCERTAIN_SPAN);
+  }
+
   void ExpiredBlockDoublesAfterOneMoreCrash()
   {
     CrashLedger ledger;
