Daemon: signals that arrive during the start are handled after it

Callers: a daemon that an operator or the soak sent SIGHUP right after its start was gone, without a log line, and its callers were refused connections until it was started again ("ended by itself").

Cause: the signal arrives before main, while 33 shared libraries are loaded; no handler can exist then, and the default action ends the process. SIGTERM and SIGINT cut open requests in the same way. The same class: SIGINT, SIGUSR1 and SIGUSR2 on the platform's face, SIGHUP and SIGUSR2 on our own had no handler at all, and a mask inherited from the parent was never undone, so that SIGTERM did not stop the daemon.

Change: drumpondd is a small program that needs the C library only, blocks the signals with its first statement and then loads the daemon as a library from its own directory. Blocked signals stay pending until the handlers stand.

--- a/Source/Core/Daemon/Application.cpp
+++ b/Source/Core/Daemon/Application.cpp
@@ -11,6 +11,7 @@
 #include "Callers/ChatRelay.h"
 #include "Callers/Jobs.h"
 #include "Callers/PlainServices.h"
+#include "Common/DeferredSignals.h"
 #include "Common/Log.h"
 #include "Common/Random.h"
 #include "Operators/OperatorsApi.h"
@@ -342,6 +343,10 @@
           return G_SOURCE_CONTINUE;
         },
         this);
+    // The settings are flags and environment variables: there is nothing to reload.
+    for (const int number : {SIGHUP, SIGUSR2})
+      std::signal(number, SIG_IGN);
+    Common::DeliverDeferredSignals();
   }
 
   /// Graceful shutdown: announces to the load balancer and the peers that this daemon leaves, so
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -8,6 +8,7 @@
 #include <glib-unix.h>
 #include <glib.h>
 
+#include "Common/DeferredSignals.h"
 #include "Common/Json.h"
 #include "Common/Log.h"
 #include "Common/Loop.h"
@@ -199,15 +200,25 @@
   return m_readiness.Listen(m_settings.readiness, probe);
 }
 
-int EntryPoint::Run()
+void EntryPoint::HandleSignals()
 {
-  OnSignal(SIGTERM, [this] {
-    BeginStop();
-  });
+  for (const int number : {SIGTERM, SIGINT})
+    OnSignal(number, [this] {
+      BeginStop();
+    });
   OnSignal(SIGHUP, [this] {
     if (m_on_reload)
       m_on_reload();
   });
+  // The state is available at the metrics address.
+  for (const int number : {SIGUSR1, SIGUSR2})
+    std::signal(number, SIG_IGN);
+  Common::DeliverDeferredSignals();
+}
+
+int EntryPoint::Run()
+{
+  HandleSignals();
   Common::LogEvent(Common::LogLevel::Info, "started",
                    {{"callers", m_settings.callers.ToString()},
                     {"data_centre", m_settings.dispatcher.data_centre}});
--- a/Source/Core/Gateway/EntryPoint.h
+++ b/Source/Core/Gateway/EntryPoint.h
@@ -73,6 +73,8 @@
   bool IsReady() const;
   std::string RenderMetrics();
   std::string RenderDump() const;
+  /// Installs the handlers of all signals that are deferred while the daemon starts.
+  void HandleSignals();
   void BeginStop();
   void ContinueStop();
 
--- a/Source/Daemon/Main.cpp
+++ b/Source/Daemon/Main.cpp
@@ -1,68 +1,32 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-// drumpondd, the daemon that runs on every entry VM.
+// The start of drumpondd. This program needs only the C library and so begins to run within about a
+// millisecond. It defers signals and then loads the daemon, with all of its libraries, from the
+// directory of the program.
 
-#include <csignal>
-#include <cstdlib>
-#include <iostream>
+#include <cstdio>
 
-#include "Common/Log.h"
-#include "Daemon/Application.h"
-#include "Daemon/Settings.h"
-#include "platform/PlatformDaemon.h"
+#include <dlfcn.h>
 
-namespace
-{
-constexpr const char* VERSION = "drumpondd 0.1.0";
-constexpr int EXIT_BAD_SETTINGS = 2;
+#include "Common/DeferredSignals.h"
 
-void PrintSettings(const Daemon::ParsedSettings& parsed)
+namespace
 {
-  for (const auto& [name, value] : parsed.effective)
-    std::cout << name << "=" << value << "\n";
-}
+constexpr const char* DAEMON_LIBRARY = "libdrumpondd.so";
+constexpr const char* DAEMON_MAIN = "RunDaemon";
+constexpr int EXIT_NOT_LOADED = 127;
 } // namespace
 
 int main(int argc, char** argv)
 {
-  if (const auto settings_path = PlatformAdapter::SettingsPath())
-  {
-    std::signal(SIGPIPE, SIG_IGN);
-    Common::InitLog(argv[0]);
-    const int status = PlatformAdapter::Run(*settings_path);
-    Common::FlushLog();
-    std::_Exit(status);
-  }
-  const Daemon::ParsedSettings parsed = Daemon::ReadSettings(argc, argv);
-  if (parsed.help || parsed.version)
-  {
-    std::cout << (parsed.help ? parsed.help_text : std::string(VERSION) + "\n");
-    return 0;
-  }
-  if (!parsed.errors.empty())
-  {
-    for (const std::string& error : parsed.errors)
-      std::cerr << "drumpondd: " << error << "\n";
-    return EXIT_BAD_SETTINGS;
-  }
-  if (parsed.print)
-  {
-    PrintSettings(parsed);
-    return 0;
-  }
-  std::signal(SIGPIPE, SIG_IGN);
-  Common::InitLog(argv[0]);
-  Daemon::Application application(parsed.settings);
-  const auto started = application.Start();
-  if (!started)
+  Common::DeferSignals();
+  void* const library = dlopen(DAEMON_LIBRARY, RTLD_NOW | RTLD_LOCAL);
+  void* const symbol = library == nullptr ? nullptr : dlsym(library, DAEMON_MAIN);
+  if (symbol == nullptr)
   {
-    std::cerr << "drumpondd: cannot start: " << started.Reason().detail << "\n";
-    return 1;
+    std::fprintf(stderr, "drumpondd: cannot load the daemon: %s\n", dlerror());
+    return EXIT_NOT_LOADED;
   }
-  const int status = application.Run();
-  // Exits without running destructors: suspended coroutines still refer to the objects, and the
-  // process ends anyway.
-  Common::FlushLog();
-  std::_Exit(status);
+  return reinterpret_cast<int (*)(int, char**)>(symbol)(argc, argv);
 }
--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -18,7 +18,7 @@
 fi
 mkdir -p build/soak
 # A copy, so that a concurrent build does not replace the program of a daemon that is restarted.
-cp build/bin/drumpondd build/soak/drumpondd
+cp build/bin/drumpondd build/bin/libdrumpondd.so build/soak/
 # From this seed on, servers restart under their id. Lower seeds keep their earlier behaviour, here and below.
 UNDER_ID_FROM=600
 # From this seed on, some requests crash the servers that run them.
