Gateway: a permit that has arrived is used before waits are checked

Callers: requests for servers with a small limit were refused while the servers were free, also in the moment in which their permit arrived.

Cause: the holder sends a permit and then the time until the next one. The daemon scheduled the dispatch, but checked the waiting requests at once against that time, and refused the one whose permit was there; the permit expired.

Change: the check follows the dispatch. A change of limits had the same order.

Result: PermitIsUsedThoughTheNextOneIsFarAway fails before (503) and passes.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -404,6 +404,8 @@
   const auto waiting = WaitingRelays();
   for (const auto& relay : waiting)
     relay->TryDispatch();
+  if (std::exchange(m_recheck_after_dispatch, false))
+    RecheckWaiting();
   const bool still_waiting = std::ranges::any_of(waiting, [](const auto& relay) {
     return relay->IsWaiting();
   });
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -252,6 +252,10 @@
   std::vector<AwaitedPermit> AwaitedPermits(Common::TimePoint now) const;
   /// Refuses the waiting requests whose expected wait has become too long.
   void RecheckWaiting();
+  /// Schedules a dispatch of the waiting requests and then a recheck of those that still wait. The
+  /// expected wait is that until the next permit, which must not end a request whose own permit has
+  /// just arrived.
+  void ScheduleRecheck();
   void OnLimitChange();
   /// Applies a Retry-After that the server sent.
   void NoteRetryAfter(const ServerPtr& server, Common::Milliseconds span,
@@ -301,6 +305,7 @@
   Common::Metrics m_metrics;
   Common::TimePoint m_configured_at;
   bool m_dispatch_scheduled = false;
+  bool m_recheck_after_dispatch = false;
   Common::OwnedTimer m_dispatch_timer;
   Common::OwnedTimer m_allowance_timer;
   bool m_stopping = false;
--- a/Source/Core/Gateway/DispatcherLimits.cpp
+++ b/Source/Core/Gateway/DispatcherLimits.cpp
@@ -131,6 +131,12 @@
   return result;
 }
 
+void Dispatcher::ScheduleRecheck()
+{
+  m_recheck_after_dispatch = true;
+  ScheduleDispatch();
+}
+
 void Dispatcher::RecheckWaiting()
 {
   const auto now = Common::Now();
@@ -142,14 +148,12 @@
 void Dispatcher::ApplyQueuePositions(const std::vector<RateLimits::PositionLine>& positions)
 {
   m_limited.SetQueuePositions(positions, Common::Now());
-  ScheduleDispatch();
-  RecheckWaiting();
+  ScheduleRecheck();
 }
 
 void Dispatcher::OnLimitChange()
 {
-  ScheduleDispatch();
-  RecheckWaiting();
+  ScheduleRecheck();
   if (m_on_permit_demand)
     m_on_permit_demand();
 }
--- a/Source/UnitTests/Orders/ServerLimitTest.cpp
+++ b/Source/UnitTests/Orders/ServerLimitTest.cpp
@@ -13,6 +13,7 @@
 using Common::Milliseconds;
 using UnitTests::LimitedFleet;
 using UnitTests::RunFor;
+using UnitTests::RunUntil;
 
 /// Within this time all connected daemons enforce a limit.
 constexpr Milliseconds CONTACT_TIME{3000};
@@ -32,6 +33,7 @@
   CPPUNIT_TEST(RemovedLimitIsKnownEverywhereWithinTwoSeconds);
   CPPUNIT_TEST(LimitedServersAreUsedUpToTheirLimits);
   CPPUNIT_TEST(ManyDaemonsUseASmallLimit);
+  CPPUNIT_TEST(PermitIsUsedThoughTheNextOneIsFarAway);
   CPPUNIT_TEST(ServersWithLimitZeroAreProbedAndUsedAgain);
   CPPUNIT_TEST(EachOfManyServersWithLimitZeroIsProbed);
   CPPUNIT_TEST(LimitIsKeptWhenTheHolderChanges);
@@ -98,6 +100,40 @@
       CPPUNIT_ASSERT(server->WorstWindow(WINDOW, known) <= Allowed(0.5));
   }
 
+  /// A waiting request was refused in the moment in which its permit arrived, since the next permit
+  /// was too far away for it.
+  void PermitIsUsedThoughTheNextOneIsFarAway()
+  {
+    LimitedFleet fleet(1, 1);
+    fleet.SetLimits("0.5");
+    auto& vm = *fleet.vms.front();
+    int status = 0;
+    const auto ask = [&](const char* id) {
+      status = 0;
+      vm.Ask(id, [&](int answer) {
+        status = answer;
+      });
+    };
+    ask("r1");
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return status == 200;
+    }));
+    const auto& server = vm.dispatcher.Servers().All().begin()->second;
+    CPPUNIT_ASSERT(server->Limit().has_value());
+    auto& permits = vm.dispatcher.Limited().Permits();
+    permits.NoteHolderContact(Common::Now());
+    vm.dispatcher.ApplyQueuePositions({{server->Key(), 0, 300}});
+    ask("r2");
+    RunFor(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(0, status);
+    permits.Add(server->Key(), 1, Common::Now() + Milliseconds(500));
+    vm.dispatcher.ApplyQueuePositions({{server->Key(), 0, 2000}});
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return status != 0;
+    }));
+    CPPUNIT_ASSERT_EQUAL(200, status);
+  }
+
   void ServersWithLimitZeroAreProbedAndUsedAgain()
   {
     LimitedFleet fleet(3, 2);
