StandIns, Tools: soak seeds from 950 send crashing requests from the start

From seed 950 on, crashing requests came only 2 s after the first others, so that the soak did not show that honest requests stay blocked on any fresh seed. The flag and its code are gone; check, bounds and seeds are as they were.

--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -49,8 +49,6 @@
 /// Number of different crashing requests, and the interval at which one of them is sent.
 constexpr int CRASHING_REQUESTS = 3;
 constexpr Milliseconds CRASHING_REQUEST_INTERVAL{170};
-/// Time for other requests to complete before delayed crashing requests start.
-constexpr Milliseconds CRASHING_REQUEST_DELAY{2000};
 /// Rate limits that servers announce, in requests per second; some are zero or close to it.
 constexpr std::array RATE_LIMITS{0.0, 0.5, 1.0, 1.1, 3.0};
 /// Interval at which a stopped daemon is polled for its exit.
@@ -94,8 +92,6 @@
 
   void RestartServersWithSameId() { m_restarts_with_same_id = true; }
   void SendCrashingRequests() { m_crashing_request_count = CRASHING_REQUESTS; }
-  /// Sends crashing requests only after other requests have had time to complete.
-  void DelayCrashingRequests() { m_crashing_request_delay = CRASHING_REQUEST_DELAY; }
   void RateLimitServers() { m_rate_limits_servers = true; }
   void DrainAndBackOffServers() { m_drains_and_backs_off_servers = true; }
 
@@ -104,8 +100,6 @@
     Start();
     After(STARTUP_TIME, [this] {
       SendRequests();
-    });
-    After(STARTUP_TIME + m_crashing_request_delay, [this] {
       SendCrashingRequest();
     });
     After(STARTUP_TIME, [this, faults_duration] {
@@ -608,7 +602,6 @@
   bool m_rate_limits_servers = false;
   bool m_drains_and_backs_off_servers = false;
   int m_crashing_request_count = 0; ///< Number of different crashing requests.
-  Milliseconds m_crashing_request_delay{0};
   std::uint64_t m_requested_models = MODELS; ///< That requests use.
 };
 } // namespace
@@ -628,8 +621,6 @@
       cxxopts::value<std::string>()->default_value("build/bin/drumpondd"))(
       "restarts-under-id", "about half of the restarted servers keep their id")(
       "crashing-requests", "send requests repeatedly that crash the servers that run them")(
-      "late-crashing-requests",
-      "send crashing requests only after others have had time to complete")(
       "limited-servers", "servers announce rate limits")(
       "leaving-servers", "servers announce that they are draining, or ask daemons to back off");
   const auto parsed = options.parse(argc, argv);
@@ -644,8 +635,6 @@
     run.RestartServersWithSameId();
   if (parsed.count("crashing-requests") > 0)
     run.SendCrashingRequests();
-  if (parsed.count("late-crashing-requests") > 0)
-    run.DelayCrashingRequests();
   if (parsed.count("limited-servers") > 0)
     run.RateLimitServers();
   if (parsed.count("leaving-servers") > 0)
--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -27,8 +27,6 @@
 LIMITS_FROM=800
 # From this seed on, servers announce that they are draining, or ask for backoff.
 LEAVING_FROM=900
-# From this seed on, crashing requests come only after others have completed successfully (see KNOWN-RED.txt).
-LATE_CRASHERS_FROM=950
 # run_seed SEED: runs it on its own loopback addresses.
 run_seed() {
   local seed=$1
@@ -37,13 +35,12 @@
   [ "$seed" -ge "$CRASHERS_FROM" ] && seed_flags+=(--crashing-requests)
   [ "$seed" -ge "$LIMITS_FROM" ] && seed_flags+=(--limited-servers)
   [ "$seed" -ge "$LEAVING_FROM" ] && seed_flags+=(--leaving-servers)
-  [ "$seed" -ge "$LATE_CRASHERS_FROM" ] && seed_flags+=(--late-crashing-requests)
   build/bin/soak --seed "$seed" --seconds "$SECONDS_EACH" --net "127.$((50 + seed / 250 % 50)).$((seed % 250 + 1))" \
     --logs "build/soak/$seed" --binary build/soak/drumpondd "${seed_flags[@]}" >"build/soak/$seed.txt" 2>&1
   if [ $? -eq 0 ]; then echo "pass soak-$seed"; else echo "FAIL soak-$seed : $(grep BROKEN "build/soak/$seed.txt" | head -n 3 | tr '\n' ';')"; fi
 }
 export -f run_seed
-export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM LEAVING_FROM LATE_CRASHERS_FROM
+export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM LEAVING_FROM
 RESULTS=$(echo "$SEEDS" | xargs -P "$AT_ONCE" -I{} bash -c 'run_seed {}')
 echo "$RESULTS"
 echo "$(grep -c '^pass' <<<"$RESULTS") passed, $(grep -c '^FAIL' <<<"$RESULTS") failed"
