--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -601,7 +601,7 @@
   bool m_restarts_with_same_id = false;
   bool m_rate_limits_servers = false;
   bool m_drains_and_backs_off_servers = false;
-  int m_crashing_request_count = 0; ///< Number of different crashing requests.
+  int m_crashing_request_count = 0;          ///< Number of different crashing requests.
   std::uint64_t m_requested_models = MODELS; ///< That requests use.
 };
 } // namespace
--- a/Source/UnitTests/Crashes/CrashReplayTest.cpp
+++ b/Source/UnitTests/Crashes/CrashReplayTest.cpp
@@ -36,6 +36,8 @@
 
 /// Delay until the other daemons receive an observation.
 constexpr Milliseconds MESSAGE_DELAY{300};
+/// Interval at which the lease holder compares the crashes of blocked requests.
+constexpr Milliseconds COMPARISON_INTERVAL{100};
 constexpr Milliseconds SERVER_DOWN{4000};
 constexpr std::uint64_t HARMLESS_GAP_MS = 15; ///< About 65 per second.
 constexpr std::uint64_t CRASHING_REQUEST_GAP_MS = 500;
@@ -83,6 +85,7 @@
     for (; m_now < end; m_now += STEP)
     {
       Deliver();
+      LiftBlocks();
       CrashSome();
       FinishRuns();
       const auto arrive = [&](std::uint64_t gap_ms, auto&& attempt) {
@@ -246,6 +249,19 @@
         Receive(daemon, Delayed(m_messages.front().line));
   }
 
+  /// The first daemon is the lease holder.
+  void LiftBlocks()
+  {
+    CrashLedger& holder = m_ledgers.front();
+    const std::uint64_t before = holder.Revision();
+    if (m_now.time_since_epoch() % COMPARISON_INTERVAL != Milliseconds(0) ||
+        holder.LiftBlocksOfBystanders(m_now).empty())
+      return;
+    constexpr std::size_t ALL_BYTES = 1 << 20;
+    for (CaseLine& line : holder.SharedChangesSince(before, ALL_BYTES, m_now).lines)
+      m_messages.push({m_now + MESSAGE_DELAY, std::move(line)});
+  }
+
   void Receive(std::size_t daemon, const CaseLine& line)
   {
     CrashLedger& ledger = m_ledgers[daemon];
@@ -305,6 +321,7 @@
   CPPUNIT_TEST(CrashingRequestsOnly);
   CPPUNIT_TEST(CrashingRequestsAmongCrashingServers);
   CPPUNIT_TEST(CrashingRequestsAmongCrashingRacks);
+  CPPUNIT_TEST(CrashingRequestsBeforeAnythingHasCompleted);
   CPPUNIT_TEST_SUITE_END();
 
   /// The platform allows three late sends. Fewer than one in a thousand harmless requests may be
@@ -336,6 +353,12 @@
   {
     Check("a rack crashes every 20 s", {3, QUIET_PERIOD, Milliseconds(0), Milliseconds(20000)});
   }
+  /// Identical harmless requests were blocked when three servers that ran them among others crashed
+  /// before one of them had completed.
+  void CrashingRequestsBeforeAnythingHasCompleted()
+  {
+    Check("nothing has completed before", {3, Milliseconds(0)});
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashReplayTest);
