StandIns: a crashed server comes back though it was to be restarted meanwhile

The soak's stand-in: where a fault restarted a server within the 1.5 s in which it was down after a crash, the timer that makes it listen again was cancelled with the former instance. Its entry stayed ready in the store for the rest of the run, and nothing listened: a state that no server of the platform is in, as entries lapse after three missed heartbeats. The bound of 95 in 100 was then asked of the models that two servers hold.

Change: the return is bound to the server, and restarts within the down time have no effect.

--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -70,7 +70,8 @@
 {
   m_listener.reset();
   ResetInstance();
-  After(down_time, [this] {
+  // Not bound to the instance: the server comes back whatever else happens to it meanwhile.
+  Common::Reactor::Get().After(down_time, [this] {
     if (!OpenListener())
       m_checker.ReportViolation("stand-in server cannot listen after a crash: " + m_name);
     Restart();
@@ -79,6 +80,8 @@
 
 void StandInServer::Restart()
 {
+  if (IsDown())
+    return;
   if (!m_instance.empty())
     m_store.Remove("servers", m_instance);
   ResetInstance();
@@ -88,6 +91,8 @@
 
 void StandInServer::RestartWithSameId(Milliseconds entry_delay)
 {
+  if (IsDown())
+    return;
   ResetInstance();
   After(entry_delay, [this] {
     WriteEntry();
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -39,7 +39,8 @@
 
   /// Listens and starts the first instance.
   Common::Result<Common::Done> Listen();
-  /// Resets all connections, drops models and orders, and starts a new instance.
+  /// Resets all connections, drops models and orders, and starts a new instance. Has no effect
+  /// while the process is down.
   void Restart();
   /// The same, but the new instance has the id of the old one and a later start time, which its
   /// entry shows only after `entry_delay`. Delayed orders to the old instance are carried out by
@@ -86,6 +87,8 @@
   void Reject(const Connection& connection, int status, const std::string& id);
   /// Calls the callback after the delay, unless the instance has ended by then.
   void After(Common::Milliseconds delay, std::function<void()> callback);
+  /// True after a crash, until the process is started again.
+  bool IsDown() const { return !m_listener; }
   /// Adds the headers that all responses to requests have.
   std::vector<Http::HeaderField> ResponseHeaders(std::vector<Http::HeaderField> headers) const;
 
