Crashes: a responding request is the bystander beside one that had not begun

Callers: honest streams, the same bytes each time, stayed blocked for ten minutes where they had been on the same three crashed servers as a crashing request.

Cause: the comparison of blocked requests cannot tell two requests with the same crashes apart and keeps both.

Change: each crash carries whether the server had begun to respond. Only among requests that have no crash of their own, a responding one is no suspect beside one that had not begun. A request that is alone on a crash stays blocked whatever it had received, so that the bound of three holds for one that crashes servers in the middle of a response.

Result: RespondingRequestIsTheBystanderOfTwo fails before.

--- a/Source/Core/Crashes/CrashAttribution.cpp
+++ b/Source/Core/Crashes/CrashAttribution.cpp
@@ -23,17 +23,32 @@
 {
   Suspects suspects;
   for (const auto& [request, servers] : crashes)
-    for (const ServerInstance& server : servers)
+    for (const auto& [server, progress] : servers)
       suspects[server].insert(request);
   return suspects;
 }
 
-/// Removes the crashes that the request explains.
-void Explain(CrashesByRequest& unexplained, const std::set<ServerInstance>& servers)
+/// The same without the responding suspects of a crash that has others.
+Suspects LikelySuspectsOf(const CrashesByRequest& crashes)
+{
+  Suspects suspects = SuspectsOf(crashes);
+  for (auto& [server, requests] : suspects)
+  {
+    const auto is_responding = [&](const Fingerprint& request) {
+      return crashes.at(request).at(server) == Progress::Responding;
+    };
+    if (!std::ranges::all_of(requests, is_responding))
+      std::erase_if(requests, is_responding);
+  }
+  return suspects;
+}
+
+/// Removes the crashes that a request explains.
+void Explain(CrashesByRequest& unexplained, const CrashesByRequest::mapped_type& explained)
 {
   for (auto& [request, left] : unexplained)
-    std::erase_if(left, [&](const ServerInstance& server) {
-      return servers.contains(server);
+    std::erase_if(left, [&](const auto& crash) {
+      return explained.contains(crash.first);
     });
 }
 
@@ -93,10 +108,10 @@
 {
   CrashesByRequest group;
   group.insert(from.extract(from.begin()));
-  std::set<ServerInstance> servers = group.begin()->second;
+  auto servers = group.begin()->second;
   const auto shares_crash = [&](const auto& entry) {
-    return std::ranges::any_of(entry.second, [&](const ServerInstance& server) {
-      return servers.contains(server);
+    return std::ranges::any_of(entry.second, [&](const auto& crash) {
+      return servers.contains(crash.first);
     });
   };
   for (auto found = std::ranges::find_if(from, shares_crash); found != from.end();
@@ -115,7 +130,7 @@
   std::set<Fingerprint> members;
   if (group.size() > MAX_CANDIDATES)
     return members;
-  const Suspects suspects = SuspectsOf(group);
+  const Suspects suspects = LikelySuspectsOf(group);
   for (std::size_t size = 1; size <= MAX_CULPRITS && members.empty(); ++size)
   {
     Members chosen;
--- a/Source/Core/Crashes/CrashCase.h
+++ b/Source/Core/Crashes/CrashCase.h
@@ -24,12 +24,13 @@
   std::int64_t age_ms = 0;
   std::int64_t sent_age_ms = 0;      ///< Since the request was sent to the server.
   std::vector<Common::VmId> seen_by; ///< Some of the VMs that observed the crash.
-  bool explained = false;            ///< Other requests caused the crash.
+  bool responding = false; ///< The server had begun to respond, wherever the request came from.
+  bool explained = false;  ///< Other requests caused the crash.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(server, age_ms, sent_age_ms, seen_by, explained);
+    archive(server, age_ms, sent_age_ms, seen_by, responding, explained);
   }
 };
 
--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -9,8 +9,6 @@
 #include <tuple>
 #include <utility>
 
-#include "Crashes/CrashAttribution.h"
-
 namespace Crashes
 {
 namespace
@@ -30,7 +28,7 @@
 /// Upper bounds for the encoded size of a case without its crashes, and of one crash without its
 /// names.
 constexpr std::size_t CASE_BYTES = 64;
-constexpr std::size_t SERVER_CRASH_BYTES = 31;
+constexpr std::size_t SERVER_CRASH_BYTES = 32;
 
 std::int64_t AgeOf(TimePoint moment, TimePoint now)
 {
@@ -88,12 +86,14 @@
   found->second.sent_at = std::min(found->second.sent_at, crash.sent_at);
   const bool newly_explained = !found->second.explained && crash.explained;
   found->second.explained = found->second.explained || crash.explained;
-  return is_new || newly_explained;
+  const Progress least = std::min(found->second.progress, crash.progress);
+  const bool had_come_less_far = std::exchange(found->second.progress, least) != least;
+  return is_new || newly_explained || had_come_less_far;
 }
 
 void CrashLedger::RecordCrash(const Fingerprint& request, const ServerInstance& server,
                               const Common::VmId& seen_by, TimePoint sent_at, TimePoint ended_at,
-                              std::optional<TimePoint> last_success)
+                              std::optional<TimePoint> last_success, Progress progress)
 {
   if (last_success && ended_at - *last_success <= SUCCESS_GRACE)
     return;
@@ -101,7 +101,7 @@
   Case& entry = FindOrCreate(request);
   if (last_success)
     entry.last_success = std::max(entry.last_success.value_or(*last_success), *last_success);
-  AddCrash(entry, server, {ended_at, sent_at, {}});
+  AddCrash(entry, server, {ended_at, sent_at, {}, progress});
   const auto crash = entry.server_crashes.find(server);
   if (crash != entry.server_crashes.end() && crash->second.seen_by.size() < MAX_SEEN_BY)
     crash->second.seen_by.insert(seen_by);
@@ -175,6 +175,7 @@
                         {now - Milliseconds(crash.age_ms),
                          now - Milliseconds(crash.sent_age_ms),
                          {},
+                         crash.responding ? Progress::Responding : Progress::NotBegun,
                          crash.explained});
     const auto known = entry.server_crashes.find(crash.server);
     for (const Common::VmId& vm : crash.seen_by)
@@ -254,8 +255,8 @@
   CrashesByRequest blocked;
   for (const auto& [request, entry] : m_cases)
     if (entry.IsBlocked(now))
-      std::ranges::copy(entry.server_crashes | std::views::keys,
-                        std::inserter(blocked[request], blocked[request].end()));
+      for (const auto& [server, crash] : entry.server_crashes)
+        blocked[request].emplace(server, crash.progress);
   std::vector<Fingerprint> lifted;
   for (const Fingerprint& request : FindBystanders(blocked))
   {
@@ -313,6 +314,7 @@
                                    AgeOf(crash.at, now),
                                    AgeOf(crash.sent_at, now),
                                    {crash.seen_by.begin(), crash.seen_by.end()},
+                                   crash.progress == Progress::Responding,
                                    crash.explained});
   if (entry.last_success)
     line.last_success_age_ms = AgeOf(*entry.last_success, now);
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "Crashes/CrashAttribution.h"
 #include "Crashes/CrashCase.h"
 
 namespace Crashes
@@ -84,11 +85,12 @@
   }
 
   /// Records that a server crashed while it processed the request. `last_success` is the last
-  /// successful completion of the request known to this daemon.
+  /// successful completion of the request known to this daemon; `progress` is how far it had come.
   void RecordCrash(const Fingerprint& request, const ServerInstance& server,
                    const Common::VmId& seen_by, Common::TimePoint sent_at,
                    Common::TimePoint ended_at,
-                   std::optional<Common::TimePoint> last_success = std::nullopt);
+                   std::optional<Common::TimePoint> last_success = std::nullopt,
+                   Progress progress = Progress::NotBegun);
   /// Records a successful completion of the request.
   void NoteRequestSuccess(const Fingerprint& request, Common::TimePoint now);
   /// Records a successful completion from before the case was known to this daemon.
@@ -129,6 +131,7 @@
     Common::TimePoint at;
     Common::TimePoint sent_at; ///< When the request was first sent to the server.
     std::set<Common::VmId> seen_by;
+    Progress progress = Progress::NotBegun;
     bool explained = false;
   };
   struct Case
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -284,8 +284,9 @@
                                          : instance.Get() + "@" +
                                                std::to_string(instance.Started().Get()));
   for (const CrashDetector::Suspect& suspect : suspects)
-    m_crashes.RecordCrash(suspect.request, life, m_settings.self, suspect.sent_at, ended_at,
-                          suspect.last_success);
+    m_crashes.RecordCrash(
+        suspect.request, life, m_settings.self, suspect.sent_at, ended_at, suspect.last_success,
+        suspect.ran_for ? Crashes::Progress::Responding : Crashes::Progress::NotBegun);
   EndBlockedRequests();
   if (m_on_demand)
     m_on_demand();
--- a/Source/UnitTests/Crashes/CrashAttributionTest.cpp
+++ b/Source/UnitTests/Crashes/CrashAttributionTest.cpp
@@ -7,6 +7,7 @@
 
 #include "Crashes/CrashAttribution.h"
 
+#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -21,13 +22,18 @@
   return {number, number, number};
 }
 
-/// Requests are numbered from 1 in the order of the list.
+/// Requests are numbered from 1 in the order of the list. A negative number is that of a server
+/// that had begun to respond.
 CrashesByRequest CrashesOf(const std::vector<std::vector<int>>& servers)
 {
   CrashesByRequest crashes;
   for (const auto& list : servers)
-    for (auto& of_request = crashes[RequestOf(crashes.size() + 1)]; const int server : list)
-      of_request.insert(ServerInstance("s-" + std::to_string(server)));
+  {
+    auto& of_request = crashes[RequestOf(crashes.size() + 1)];
+    for (const int server : list)
+      of_request.emplace(ServerInstance("s-" + std::to_string(std::abs(server))),
+                         server < 0 ? Progress::Responding : Progress::NotBegun);
+  }
   return crashes;
 }
 
@@ -37,6 +43,8 @@
   CPPUNIT_TEST(BystanderOfSeveralCrashingRequestsIsFound);
   CPPUNIT_TEST(BystanderIsFoundThoughNoCrashHasAnOnlySuspect);
   CPPUNIT_TEST(RequestsWithTheSameCrashesAreNotToldApart);
+  CPPUNIT_TEST(RespondingRequestIsTheBystanderOfTwo);
+  CPPUNIT_TEST(RespondingRequestIsKeptWhereItIsTheOnlySuspect);
   CPPUNIT_TEST(OnlySuspectOfACrashIsNoBystander);
   CPPUNIT_TEST(CrashingRequestsThatShareACrashAreKept);
   CPPUNIT_TEST(GroupThatNeedsTooManyCulpritsIsKept);
@@ -61,6 +69,20 @@
     CPPUNIT_ASSERT(FindBystanders(CrashesOf({{1, 2, 3}, {1, 2, 3}})).empty());
   }
 
+  /// The crashes of soak seed 3006: an honest stream beside a crashing request at all of its
+  /// crashes.
+  void RespondingRequestIsTheBystanderOfTwo()
+  {
+    CPPUNIT_ASSERT(FindBystanders(CrashesOf({{1, 2, 3}, {-1, -2, -3}})) == std::set{RequestOf(2)});
+    CPPUNIT_ASSERT(FindBystanders(CrashesOf({{-1, -2, -3}, {-1, -2, -3}})).empty());
+    CPPUNIT_ASSERT(FindBystanders(CrashesOf({{1, 2, 3}, {-1, -2, 3}})) == std::set{RequestOf(2)});
+  }
+
+  void RespondingRequestIsKeptWhereItIsTheOnlySuspect()
+  {
+    CPPUNIT_ASSERT(FindBystanders(CrashesOf({{1, 2, 3}, {-2, -3, -4}})).empty());
+  }
+
   void OnlySuspectOfACrashIsNoBystander()
   {
     CPPUNIT_ASSERT(FindBystanders(CrashesOf({{1, 2, 3}, {2, 3, 4}})).empty());
