Gateway: one attempt crashes two servers at most

Callers: one attempt of a request that crashes servers took three of them down within 30 ms, and honest requests that went along to the same servers were blocked for ten minutes.

Cause: after a broken connection a request goes on at once. Its route allows two servers, but a crashed one refuses the next connection and is then taken off the list of the tried ones, so that a third is allowed; and whether a server has crashed was awaited only once two crashes were known.

Change: after two broken connections in one attempt the check of the servers is awaited (some 0.1 s), and if two have crashed the request ends with 502; its caller may send it again. Servers that broke connections and run on do not count, so that a third try after resets stays.

Result: the test passes. An honest request that was on two crashed servers in one attempt now ends with 502 where it used to go on to a third server.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -350,8 +350,10 @@
 
 bool Dispatcher::MustAwaitCrashCheck(Relay& relay) const
 {
-  return GetBlockStatus(relay).server_crashes >= Crashes::CrashLedger::CRASHES_TO_BLOCK - 1 &&
-         m_crash_detector.IsCheckPending(relay.Fingerprint());
+  const bool may_crash_more =
+      relay.MustNotCrashMore() ||
+      GetBlockStatus(relay).server_crashes >= Crashes::CrashLedger::CRASHES_TO_BLOCK - 1;
+  return may_crash_more && m_crash_detector.IsCheckPending(relay.Fingerprint());
 }
 
 void Dispatcher::NoteConnectionBroken(const ServerPtr& server, Relay& relay,
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -187,8 +187,8 @@
                             std::optional<Common::Milliseconds> ran_for);
   /// Whether the request is blocked because servers that ran it have crashed.
   Crashes::BlockStatus GetBlockStatus(Relay& relay) const;
-  /// True while the request is one crash short of being blocked, and it is not yet known whether a
-  /// server that just broke its connection has crashed.
+  /// True while it is not yet known whether a server that just broke the request's connection has
+  /// crashed, and the request is one crash short of being blocked or of the most in one attempt.
   bool MustAwaitCrashCheck(Relay& relay) const;
   /// Records that a server has completed the request successfully.
   void NoteRequestSuccess(Relay& relay);
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -198,6 +198,21 @@
   return true;
 }
 
+bool Relay::FailAfterCrashes()
+{
+  if (!MustNotCrashMore() ||
+      m_dispatcher.GetBlockStatus(*this).server_crashes < MAX_CRASHES_PER_ATTEMPT)
+    return false;
+  constexpr const char* WHY = "several servers crashed while they had this request";
+  if (m_saved_head)
+    ForwardSavedResponse();
+  else if (m_stream_begun)
+    EndWith(Outcome::BrokenOff, 0, WHY);
+  else
+    Fail(502, WHY);
+  return true;
+}
+
 void Relay::EndIfBlocked()
 {
   const auto guard = shared_from_this();
@@ -253,7 +268,7 @@
   if (m_done || m_connection)
     return;
   const auto guard = shared_from_this();
-  if (RefuseIfBlocked())
+  if (RefuseIfBlocked() || FailAfterCrashes())
     return;
   const ServerPtr server =
       m_dispatcher.MustAwaitCrashCheck(*this) ? nullptr : m_dispatcher.ChooseServer(*this);
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -54,6 +54,9 @@
 class Relay : public Http::ResponseHandler, public std::enable_shared_from_this<Relay>
 {
 public:
+  /// Servers that may crash under the request in one attempt of its caller.
+  static constexpr int MAX_CRASHES_PER_ATTEMPT = 2;
+
   Relay(Dispatcher& dispatcher, std::shared_ptr<Http::ServerConnection> caller,
         Http::ReceivedRequest request);
   ~Relay() override;
@@ -64,6 +67,8 @@
   void TryDispatch();
 
   bool IsWaiting() const { return m_waiting; }
+  /// True if as many connections broke in this attempt as servers may crash under it.
+  bool MustNotCrashMore() const { return m_broken_connections >= MAX_CRASHES_PER_ATTEMPT; }
   /// True while the request waits for units of its account's limit, before it looks for a server.
   bool AwaitsAllowance() const { return m_awaits_allowance; }
   /// Tries again to take the units of the account's limit that the request waits for.
@@ -130,6 +135,10 @@
   void ReturnAllowance();
   /// Ends the request and returns true if it is blocked.
   bool RefuseIfBlocked();
+  /// Ends the request if too many servers have crashed under it in this attempt. Going on would let
+  /// it crash further ones before other daemons know of it, together with the requests that its
+  /// servers had beside it.
+  bool FailAfterCrashes();
   /// Looks for a server, after the account's limit has been checked.
   void FindServer();
   /// The values of the key headers in the order in which they appear.
@@ -202,6 +211,7 @@
   Common::TimePoint m_sent_at; ///< To the current server.
   /// When the response head of the current server arrived.
   std::optional<Common::TimePoint> m_response_began_at;
+  int m_broken_connections = 0; ///< While a server had the request.
   int m_arrivals = 0; ///< How often the request has reached, or may have reached, a server.
   bool m_may_have_run = false;
   bool m_waiting = false;
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -214,6 +214,7 @@
   std::optional<Milliseconds> ran_for;
   if (m_response_began_at)
     ran_for = std::chrono::duration_cast<Milliseconds>(now - *m_response_began_at);
+  ++m_broken_connections;
   m_dispatcher.NoteConnectionBroken(m_server, *this, m_sent_at, ran_for);
   AttemptFailed("the connection broke before the response was complete", true);
 }
--- a/Source/UnitTests/Gateway/CrashingRequestsTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestsTest.cpp
@@ -83,6 +83,7 @@
 {
   CPPUNIT_TEST_SUITE(CrashingRequestsTest);
   CPPUNIT_TEST(RetriedRequestCrashesThreeServersAtMost);
+  CPPUNIT_TEST(OneAttemptCrashesTwoServersAtMost);
   CPPUNIT_TEST(StatusTellsWhetherTheRequestMayHaveRun);
   CPPUNIT_TEST(RequestWithAnotherBodyIsNotBlocked);
   CPPUNIT_TEST(ReportOfAnotherDaemonEndsAWaitingRequest);
@@ -99,6 +100,18 @@
     world.dispatcher.MergeCrashCases({line});
   }
 
+  /// Within 30 ms, one attempt of a caller went on from two crashed servers to a third, and other
+  /// requests went along to the same ones.
+  void OneAttemptCrashesTwoServersAtMost()
+  {
+    RelayWorld world;
+    CrashingServers crashing_servers(world, 10);
+    CPPUNIT_ASSERT_EQUAL(std::string("502"),
+                         SendAndWait(world, CRASHING_PATH, "crash-1").substr(9, 3));
+    RunFor(Milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(2, crashing_servers.crashed);
+  }
+
   /// A request that may have run gets a 502; once it is blocked, it is refused at once with a long
   /// Retry-After.
   void StatusTellsWhetherTheRequestMayHaveRun()
