StandIns, Tools: soak with callers that stay and faults that overlap

From seed 10000 on, callers go on sending requests to a stopping daemon until its process has ended, up to four faults coincide, and signals (SIGHUP, SIGUSR1, SIGUSR2, repeated SIGTERM and SIGINT) come in series, also to daemons that stop or have just started.

--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -59,6 +59,15 @@
 /// configuration takes 0.8 s, and each change adds 0.15 s.
 constexpr int INITIAL_ROUTES = 3500;
 constexpr int ROUTES_PER_CHANGE = 700;
+/// Signals of a series, and the pauses between them.
+constexpr std::array SERIES_SIGNALS{SIGHUP, SIGUSR1, SIGUSR2};
+constexpr std::uint64_t MAX_SERIES_LENGTH = 6;
+constexpr std::uint64_t MAX_SERIES_PAUSE_MS = 120;
+/// Faults that coincide with another one.
+constexpr std::uint64_t MAX_COINCIDING_FAULTS = 3;
+constexpr std::uint64_t MAX_COINCIDENCE_MS = 60;
+/// After this time, a process has begun to run its own code.
+constexpr std::uint64_t PROCESS_START_MS = 25;
 constexpr int STATUS_OK = 200;
 constexpr double MS_PER_S = 1000;
 constexpr Http::CallTimeouts CALLER_TIMEOUTS{Milliseconds(6000), Milliseconds(6000)};
@@ -94,6 +103,10 @@
   void SendCrashingRequests() { m_crashing_request_count = CRASHING_REQUESTS; }
   void RateLimitServers() { m_rate_limits_servers = true; }
   void DrainAndBackOffServers() { m_drains_and_backs_off_servers = true; }
+  /// Callers go on sending requests to a daemon that stops, until its process has ended.
+  void KeepCallersUntilExit() { m_callers_stay = true; }
+  /// Several faults coincide, and signals come in series, also to daemons that start or stop.
+  void OverlapFaults() { m_faults_overlap = true; }
 
   int Run(Milliseconds faults_duration)
   {
@@ -276,10 +289,15 @@
     });
   }
 
+  bool IsCalled(const DaemonProcess& daemon)
+  {
+    return daemon.expected_to_run || (m_callers_stay && !m_processes.ExitStatus(daemon.pid));
+  }
+
   void SendRequest()
   {
     DaemonProcess& daemon = RandomDaemon();
-    if (!daemon.expected_to_run)
+    if (!IsCalled(daemon))
       return;
     const auto type = static_cast<RequestType>(Draw(4));
     static const char* const PATHS[] = {"/plain/x", "/once/x", "/stream/x", "/one/x"};
@@ -321,7 +339,7 @@
       request.headers.push_back({"Model", "m" + std::to_string(number - 1)});
     m_checker.RecordSent(id, is_plain ? RequestType::Repeatable : RequestType::ResumableStream,
                          daemon.name);
-    if (daemon.expected_to_run)
+    if (IsCalled(daemon))
       daemon.caller_channel->Call(request, CALLER_TIMEOUTS, [](const auto&) {});
     After(CRASHING_REQUEST_INTERVAL, [this] {
       SendCrashingRequest();
@@ -335,6 +353,8 @@
       return;
     ++m_fault_count;
     InjectFault();
+    if (m_faults_overlap)
+      InjectCoincidingFaults();
     // Longer pauses let all daemons reconnect between faults, which the check of crashing requests
     // requires.
     const auto pause = m_crashing_request_count == 0 ? DrawMs(150, 1200) : DrawMs(150, 6000);
@@ -343,6 +363,29 @@
     });
   }
 
+  void InjectCoincidingFaults()
+  {
+    for (auto left = Draw(MAX_COINCIDING_FAULTS + 1); left > 0; --left)
+      After(DrawMs(0, MAX_COINCIDENCE_MS), [this] {
+        ++m_fault_count;
+        InjectFault();
+      });
+    SendSignalSeries(RandomDaemon(), Draw(MAX_SERIES_LENGTH));
+  }
+
+  /// Sends the process `length` signals that must not end it.
+  void SendSignalSeries(const DaemonProcess& daemon, std::uint64_t length)
+  {
+    Milliseconds delay{0};
+    for (; length > 0; --length)
+    {
+      delay += DrawMs(0, MAX_SERIES_PAUSE_MS);
+      After(delay, [this, pid = daemon.pid, signal = SERIES_SIGNALS[Draw(SERIES_SIGNALS.size())]] {
+        m_processes.Signal(pid, signal);
+      });
+    }
+  }
+
   void InjectFault()
   {
     switch (Draw(11))
@@ -439,12 +482,25 @@
     m_processes.Signal(daemon.pid, signal);
     daemon.expected_to_run = false;
     daemon.suspended_while_stopping = false;
+    if (m_faults_overlap)
+      RepeatStopSignals(daemon, signal);
     const auto down_time = signal == SIGTERM ? Milliseconds(3600) : DrawMs(100, 1500);
     After(down_time, [this, &daemon] {
       LaunchAfterExit(daemon);
     });
   }
 
+  /// An operator who repeats the signal to stop, among others, does not shorten the stop.
+  void RepeatStopSignals(const DaemonProcess& daemon, int signal)
+  {
+    SendSignalSeries(daemon, Draw(MAX_SERIES_LENGTH));
+    if (signal == SIGTERM)
+      for (const int repeated : {SIGTERM, SIGINT})
+        After(DrawMs(0, 2000), [this, pid = daemon.pid, repeated] {
+          m_processes.Signal(pid, repeated);
+        });
+  }
+
   /// Starts the daemon again once its process has exited. Kills it if it has not exited within its
   /// grace time, as the platform does. That is a violation unless the process was suspended
   /// meanwhile and so could not stop.
@@ -453,6 +509,10 @@
     if (m_processes.ExitStatus(daemon.pid))
     {
       Launch(daemon);
+      if (m_faults_overlap)
+        After(Milliseconds(PROCESS_START_MS), [this, &daemon] {
+          SendSignalSeries(daemon, Draw(MAX_SERIES_LENGTH));
+        });
       return;
     }
     if (!daemon.suspended_while_stopping)
@@ -601,6 +661,8 @@
   bool m_restarts_with_same_id = false;
   bool m_rate_limits_servers = false;
   bool m_drains_and_backs_off_servers = false;
+  bool m_callers_stay = false;
+  bool m_faults_overlap = false;
   int m_crashing_request_count = 0;          ///< Number of different crashing requests.
   std::uint64_t m_requested_models = MODELS; ///< That requests use.
 };
@@ -622,7 +684,9 @@
       "restarts-under-id", "about half of the restarted servers keep their id")(
       "crashing-requests", "send requests repeatedly that crash the servers that run them")(
       "limited-servers", "servers announce rate limits")(
-      "leaving-servers", "servers announce that they are draining, or ask daemons to back off");
+      "leaving-servers", "servers announce that they are draining, or ask daemons to back off")(
+      "staying-callers", "callers send requests to a stopping daemon until its process has ended")(
+      "overlapping-faults", "faults coincide, and signals come in series");
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   Common::InitLog(argv[0]);
@@ -639,5 +703,9 @@
     run.RateLimitServers();
   if (parsed.count("leaving-servers") > 0)
     run.DrainAndBackOffServers();
+  if (parsed.count("staying-callers") > 0)
+    run.KeepCallersUntilExit();
+  if (parsed.count("overlapping-faults") > 0)
+    run.OverlapFaults();
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
 }
--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -27,6 +27,9 @@
 LIMITS_FROM=800
 # From this seed on, servers announce that they are draining, or ask for backoff.
 LEAVING_FROM=900
+# From this seed on, callers go on sending requests to a stopping daemon until its process has ended, faults coincide, and
+# signals come in series.
+OVERLAPPING_FROM=10000
 # run_seed SEED: runs it on its own loopback addresses.
 run_seed() {
   local seed=$1
@@ -35,12 +38,13 @@
   [ "$seed" -ge "$CRASHERS_FROM" ] && seed_flags+=(--crashing-requests)
   [ "$seed" -ge "$LIMITS_FROM" ] && seed_flags+=(--limited-servers)
   [ "$seed" -ge "$LEAVING_FROM" ] && seed_flags+=(--leaving-servers)
+  [ "$seed" -ge "$OVERLAPPING_FROM" ] && seed_flags+=(--staying-callers --overlapping-faults)
   build/bin/soak --seed "$seed" --seconds "$SECONDS_EACH" --net "127.$((50 + seed / 250 % 50)).$((seed % 250 + 1))" \
     --logs "build/soak/$seed" --binary build/soak/drumpondd "${seed_flags[@]}" >"build/soak/$seed.txt" 2>&1
   if [ $? -eq 0 ]; then echo "pass soak-$seed"; else echo "FAIL soak-$seed : $(grep BROKEN "build/soak/$seed.txt" | head -n 3 | tr '\n' ';')"; fi
 }
 export -f run_seed
-export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM LEAVING_FROM
+export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM LEAVING_FROM OVERLAPPING_FROM
 RESULTS=$(echo "$SEEDS" | xargs -P "$AT_ONCE" -I{} bash -c 'run_seed {}')
 echo "$RESULTS"
 echo "$(grep -c '^pass' <<<"$RESULTS") passed, $(grep -c '^FAIL' <<<"$RESULTS") failed"
