Orders: adapters are ordered before models

Cause: in each pass the plan gave every idle server its next model order, and the order for an adapter, sent after it, met a server that executes one: "busy", and the server's state had to be queried again.

Change: adapters are planned first. A server with an open order gets no adapter order, and one with an adapter call under way no model order in that pass.

--- a/Source/Core/Orders/OrderManager.cpp
+++ b/Source/Core/Orders/OrderManager.cpp
@@ -192,8 +192,10 @@
   for (auto& [id, plan_input] : m_plan_inputs)
   {
     const Gateway::Pool& pool = m_configuration->pools.at(id);
-    PlanPool(pool, plan_input, now);
+    // Adapters come first: the planner may want a model order on each server that is idle, and a
+    // server that executes one rejects orders for adapters. An adapter takes only some ms.
     PlanAdapters(pool, now);
+    PlanPool(pool, plan_input, now);
   }
 }
 
--- a/Source/Core/Orders/OrderManagerAdapters.cpp
+++ b/Source/Core/Orders/OrderManagerAdapters.cpp
@@ -53,10 +53,8 @@
   {
     const ServerPtr& server = ref->server;
     const ServerRecord& record = *ref->record;
-    const bool is_unloading = record.open &&
-                              record.open->call.operation == OrderCall::Operation::Unload &&
-                              record.open->call.artifact.model == artifact.model;
-    if (!server->IsStaying() || server->Health().IsEjected(now) || is_unloading ||
+    // A server that executes an order for a model rejects those for adapters.
+    if (!server->IsStaying() || server->Health().IsEjected(now) || record.open ||
         server->GetBackoff().IsRetryAfterActive(now) || now < record.unusable_until ||
         !record.state_known)
       continue;
@@ -74,12 +72,10 @@
   if (!best)
     return;
   ServerRecord& record = m_server_records[best->Entry().instance];
-  const bool call_pending =
-      record.adapter_call_pending || (record.open && record.open->call_pending);
   const auto loads_in_progress = std::ranges::count_if(record.adapters, [&](const auto& entry) {
     return entry.second.usable_from > now;
   });
-  if (call_pending || loads_in_progress >= MAX_ADAPTER_LOADS)
+  if (record.adapter_call_pending || loads_in_progress >= MAX_ADAPTER_LOADS)
     return;
   if (best_key.first)
     SendAdapterOrder(best, OrderCall::Operation::Unload, *AdapterToEvict(*best, record, now));
--- a/Source/Core/Orders/OrderManagerPlan.cpp
+++ b/Source/Core/Orders/OrderManagerPlan.cpp
@@ -98,7 +98,7 @@
   state.usable = !has_limit && !backs_off && !server.GetBackoff().IsRetryAfterActive(now) &&
                  !state.draining && !server.IsReplaced() && !server.Health().IsEjected(now) &&
                  now >= record.unusable_until && record.state_known;
-  state.order_open = record.open.has_value();
+  state.order_open = record.open.has_value() || record.adapter_call_pending;
   state.reserved_mb = UnansweredLoadsMb(pool, record, now);
   if (record.open && record.open->next.load)
     state.loading = *record.open->next.load;
--- a/Source/UnitTests/Orders/OrderManagerTest.cpp
+++ b/Source/UnitTests/Orders/OrderManagerTest.cpp
@@ -84,13 +84,16 @@
     servers.Put(entry);
   }
 
-  void Demand(const char* model, const char* adapter = "")
+  void Demand(const char* model, const char* adapter = "") { Demand({{model, adapter}}); }
+  /// One request waits for each of these models and adapters.
+  void Demand(const std::vector<std::pair<const char*, const char*>>& artifacts)
   {
     DaemonReport daemon;
     daemon.vm = Common::VmId("vm");
     daemon.run = Common::Incarnation("run");
     daemon.sequence = ++m_sequence;
-    daemon.demand = {{PoolId("p"), {ModelId(model), AdapterId(adapter)}, 1, 0, 10, 1}};
+    for (const auto& [model, adapter] : artifacts)
+      daemon.demand.push_back({PoolId("p"), {ModelId(model), AdapterId(adapter)}, 1, 0, 10, 1});
     order_manager.OnDaemonReport(daemon, Common::Now());
   }
 
@@ -134,6 +137,8 @@
   CPPUNIT_TEST(UnloadedModelFromAReportIsNotHeld);
   CPPUNIT_TEST(PoolWithoutEngineGetsNoOrders);
   CPPUNIT_TEST(AdapterKeepsItsSlotUntilItsUnloadIsConfirmed);
+  CPPUNIT_TEST(AdapterIsOrderedBeforeTheNextModel);
+  CPPUNIT_TEST(AdapterWaitsForTheOpenOrderOfItsServer);
   CPPUNIT_TEST(UnloadIsAnnouncedBeforeTheOrder);
   CPPUNIT_TEST(ServerInBackoffGetsNoOrdersOrQueries);
   CPPUNIT_TEST(UnansweredLoadIsNotResentToADrainingServer);
@@ -436,6 +441,46 @@
     }));
   }
 
+  /// Adapters of a model that was loaded for 23 s were never loaded: each time the server became
+  /// idle, an order for a model came first, and the server rejected the adapter.
+  void AdapterIsOrderedBeforeTheNextModel()
+  {
+    OrderFixture fixture;
+    fixture.report = ServerReport{4, false, {{ModelId("a"), {}}, {ModelId("b"), {}}}, {}};
+    // Until then, the planner keeps the models that it has just seen as loaded.
+    const auto evictable_at = Common::Now() + Milliseconds(1000);
+    fixture.PlanUntil([&] {
+      return Common::Now() > evictable_at;
+    });
+    fixture.Demand({{"c", ""}, {"a", "a1"}});
+    CPPUNIT_ASSERT(fixture.PlanUntil([&] {
+      return fixture.calls.size() >= 2;
+    }));
+    CPPUNIT_ASSERT(fixture.calls[0].artifact == (Artifact{ModelId("a"), AdapterId("a1")}));
+    CPPUNIT_ASSERT(fixture.calls[0].operation == OrderCall::Operation::Load);
+    CPPUNIT_ASSERT(fixture.calls[1].operation == OrderCall::Operation::Unload);
+    CPPUNIT_ASSERT_EQUAL(fixture.calls[0].expected_sequence + 1,
+                         fixture.calls[1].expected_sequence);
+  }
+
+  /// An order that the server rejects as busy makes it known anew only after a query.
+  void AdapterWaitsForTheOpenOrderOfItsServer()
+  {
+    OrderFixture fixture;
+    fixture.report = ServerReport{4, false, {{ModelId("a"), {}}, {ModelId("b"), {}}}, {}};
+    fixture.Demand("c");
+    CPPUNIT_ASSERT(fixture.PlanUntil([&] {
+      return fixture.calls.size() == 1;
+    }));
+    const auto end = Common::Now() + Milliseconds(100);
+    fixture.PlanUntil([&] {
+      fixture.Demand({{"c", ""}, {"a", "a1"}, {"b", "b1"}});
+      return Common::Now() > end;
+    });
+    for (const OrderCall& call : fixture.calls)
+      CPPUNIT_ASSERT(!call.artifact.IsAdapter());
+  }
+
   void UnloadIsAnnouncedBeforeTheOrder()
   {
     OrderFixture fixture;
