--- a/Source/UnitTests/Crashes/CrashAttributionTest.cpp
+++ b/Source/UnitTests/Crashes/CrashAttributionTest.cpp
@@ -56,8 +56,7 @@
                    std::set{RequestOf(4)});
   }
 
-  /// The crashes of soak seed 816: two honest requests beside one crashing request at all of its
-  /// crashes, and beside another at one.
+  /// Two honest requests ran beside one crashing request at its crashes, and beside another at one.
   void BystanderIsFoundThoughNoCrashHasAnOnlySuspect()
   {
     CPPUNIT_ASSERT(FindBystanders(CrashesOf({{1, 2, 3}, {4, 5, 6}, {1, 2, 4}, {1, 3, 4}})) ==
