--- a/Source/UnitTests/Crashes/CrashAttributionTest.cpp
+++ b/Source/UnitTests/Crashes/CrashAttributionTest.cpp
@@ -68,8 +68,7 @@
     CPPUNIT_ASSERT(FindBystanders(CrashesOf({{1, 2, 3}, {1, 2, 3}})).empty());
   }
 
-  /// The crashes of soak seed 3006: an honest stream beside a crashing request at all of its
-  /// crashes.
+  /// An honest stream ran beside a crashing request at all of its crashes.
   void RespondingRequestIsTheBystanderOfTwo()
   {
     CPPUNIT_ASSERT(FindBystanders(CrashesOf({{1, 2, 3}, {-1, -2, -3}})) == std::set{RequestOf(2)});
--- a/Source/UnitTests/Gateway/CrashingRequestsTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingRequestsTest.cpp
@@ -100,8 +100,8 @@
     world.dispatcher.MergeCrashCases({line});
   }
 
-  /// Within 30 ms, one attempt of a caller went on from two crashed servers to a third, and other
-  /// requests went along to the same ones.
+  /// One attempt of a caller went on from two crashed servers to a third, and other requests went
+  /// along to the same servers.
   void OneAttemptCrashesTwoServersAtMost()
   {
     RelayWorld world;
--- a/Source/UnitTests/Orders/OrderManagerTest.cpp
+++ b/Source/UnitTests/Orders/OrderManagerTest.cpp
@@ -441,8 +441,8 @@
     }));
   }
 
-  /// Adapters of a model that was loaded for 23 s were never loaded: each time the server became
-  /// idle, an order for a model came first, and the server rejected the adapter.
+  /// Adapters of a loaded model were never loaded: each time the server became idle, an order for a
+  /// model came first, and the server rejected the adapter's as busy.
   void AdapterIsOrderedBeforeTheNextModel()
   {
     OrderFixture fixture;
