StandIns: promises of a server are kept by its life, not by its id

The soak's checker noted who had been told that a server drains, or asks for a backoff, by the server's id alone. A server that starts again under its id has promised nothing, and daemons may send there; the checker reported it.

The check is as strict for each life as before.

--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -115,6 +115,11 @@
     connection->AbortResponse();
 }
 
+std::string StandInServer::LifeName() const
+{
+  return m_instance + "@" + std::to_string(m_start_ms);
+}
+
 void StandInServer::Drain()
 {
   m_draining = true;
@@ -174,7 +179,7 @@
   if (status == 503 && m_retry_after)
   {
     headers.push_back({"Retry-After", Common::DumpJson(*m_retry_after)});
-    m_checker.RecordRetryAfter(m_instance, id, *m_retry_after, Common::Now());
+    m_checker.RecordRetryAfter(LifeName(), id, *m_retry_after, Common::Now());
   }
   connection->Respond(status, Http::ReasonPhrase(status), headers, "");
 }
@@ -187,7 +192,7 @@
   if (is_request)
   {
     m_checker.RecordArrival(m_name, id, Common::Now());
-    m_checker.RecordArrivalAtInstance(m_instance, id, Common::Now());
+    m_checker.RecordArrivalAtInstance(LifeName(), id, Common::Now());
   }
   const bool is_crashing = request.body.starts_with(CRASHING_BODY_PREFIX);
   if (is_crashing)
@@ -217,7 +222,7 @@
 void StandInServer::RecordAnnouncement(const std::string& id)
 {
   if (m_announces_drain)
-    m_checker.RecordDrainAnnouncement(m_instance, id, Common::Now());
+    m_checker.RecordDrainAnnouncement(LifeName(), id, Common::Now());
 }
 
 void StandInServer::ServeRequest(const Connection& connection, const Http::ReceivedRequest& request)
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -87,6 +87,8 @@
   void Reject(const Connection& connection, int status, const std::string& id);
   /// Calls the callback after the delay, unless the instance has ended by then.
   void After(Common::Milliseconds delay, std::function<void()> callback);
+  /// Names this instance also where it has the id of the one before.
+  std::string LifeName() const;
   /// True after a crash, until the process is started again.
   bool IsDown() const { return !m_listener; }
   /// Adds the headers that all responses to requests have.
