Orders: a new holder reads its tables despite a late announcement

Cause: a daemon that has acquired the lease learns of it while it handles the last announcement of the former holder. It ends the relaying of its tables, goes on with that announcement and marks them as relayed again; as a holder it ignores later announcements, so it never reads the tables again.

Change: after the callback a daemon that holds the lease leaves the announcement.

Result: NewHolderReadsTheTablesDespiteALateAnnouncement fails before and passes.

--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -762,13 +762,16 @@
   for (const RateLimits::LimitUpdate& update : state->limits)
     m_permits.ApplyLimitUpdate(report.fence, update);
   m_dispatcher.ApplyDrainUpdate(report.fence, state->draining);
-  if (m_on_lease_announcement && !m_own_lease)
+  if (m_on_lease_announcement)
     m_on_lease_announcement(
         {report.fence, state->lease_version, Milliseconds(state->lease_left_ms)}, state->vm, from);
+  // The callback may find that this daemon has acquired the lease meanwhile. The announcement is
+  // then a late one of the former holder; a holder reads the tables itself.
+  if (m_own_lease)
+    return;
   ApplyTableUpdates(report.table_updates, written_after);
   ApplyPlacements(report);
-  if (!m_own_lease)
-    ApplyCrashes(report);
+  ApplyCrashes(report);
   if (state->regular)
     for (const auto& [instance, server] : m_dispatcher.Servers().All())
     {
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -121,6 +121,7 @@
   CPPUNIT_TEST(DaemonWithoutACopyIsSentNoChanges);
   CPPUNIT_TEST(FollowerProofIsNoNewerThanTheHolders);
   CPPUNIT_TEST(QueuedAnnouncementProvesOnlyItsWriteTime);
+  CPPUNIT_TEST(NewHolderReadsTheTablesDespiteALateAnnouncement);
   CPPUNIT_TEST(NewHolderGrantsUnits);
   CPPUNIT_TEST(HolderGrantsUnitsUpToTheBound);
   CPPUNIT_TEST(CrashesReportedByTwoDaemonsBlockARequestEverywhere);
@@ -197,6 +198,31 @@
     CPPUNIT_ASSERT(*other.proven_at <= written);
   }
 
+  /// A daemon that had acquired the lease learned of it while it handled the last announcement of
+  /// the former holder. It took its tables for relayed and never read them again: no orders, and
+  /// outdated tables for all daemons, until the lease changed hands.
+  void NewHolderReadsTheTablesDespiteALateAnnouncement()
+  {
+    Daemon former("a");
+    Daemon next("b");
+    AssignHolder(former, next);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return next.relayed;
+    }));
+    bool holds = false;
+    next.hub.OnLeaseAnnouncement([&](const auto&, const auto&, const auto&) {
+      next.hub.SetHolder(std::nullopt, LeaseAnnouncement{2, 2, Milliseconds(60000)});
+      holds = true;
+    });
+    former.hub.ScheduleAnnouncement();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return holds;
+    }));
+    RunFor(Milliseconds(100));
+    CPPUNIT_ASSERT(!next.relayed);
+    CPPUNIT_ASSERT(next.reason == Fleet::DirectReadReason::IsHolder);
+  }
+
   static void SetAccounts(Daemon& daemon)
   {
     Accounts::AccountSpec spec;
