Gateway: the log names how a response ended

Callers received streams that a crash had cut as complete. The line 'request' named the outcome and the server only, so that a response without a length and a cut response with chunks looked the same. It now has body_end (length, chunks or connection) and inside_event.

--- a/Source/Core/Gateway/EventSplitter.h
+++ b/Source/Core/Gateway/EventSplitter.h
@@ -22,6 +22,9 @@
   void DropPartial() { m_partial.clear(); }
   /// Bytes after the last complete event.
   const std::string& Partial() const { return m_partial; }
+  /// True if bytes of an incomplete event have been received; line ends between events do not
+  /// count.
+  bool IsInsideEvent() const { return m_partial.find_first_not_of("\r\n") != std::string::npos; }
   /// The id of the last complete event that had one; empty before the first.
   const std::optional<std::int64_t>& LastId() const { return m_last_id; }
   /// Skips events up to this id, which the caller already has.
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -77,6 +77,16 @@
   return pools.back().pool;
 }
 
+/// How the response states the end of its body.
+std::string_view BodyEnd(const Http::MessageHead& response)
+{
+  if (response.status == 0)
+    return "";
+  if (response.ends_with_connection)
+    return "connection";
+  return response.chunked ? "chunks" : "length";
+}
+
 /// How long a caller of a stream waits without receiving anything; a caller of a complete response
 /// waits until its deadline.
 Milliseconds CallerIdleTimeout(const Route& route)
@@ -482,6 +492,8 @@
        {"status", status == 0 ? m_head.status : status},
        {"why", why},
        {"instance", m_server ? m_server->Entry().instance.Get() : ""},
+       {"body_end", BodyEnd(m_head)},
+       {"inside_event", m_events.IsInsideEvent()},
        {"arrivals", m_arrivals},
        {"ms", took.count()},
        {"first_event_ms", m_first_event_after.value_or(Milliseconds(-1)).count()}});
