Gateway: a stream that ends inside an event is broken off

Callers received streams that a crash had cut as complete (ORDER): the unfinished event was sent on, and the response ended with a last chunk. Cause: FinishStream took any end of the response for the end of the stream; the host of a crashed server closes its connections in an orderly way, which ends a response without a length. A stream that ends inside an event, or with its connection before the first event, now counts as a broken connection: it is resumed or retried where the route allows, otherwise its caller's response is cut. Tests: ChunkedStreamThatEndsInsideAnEventLooksComplete and UnframedStreamWithoutEventsLooksComplete failed before and pass; in StreamCutInsideAnEventLooksComplete only the way of cutting is still red.

--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -155,6 +155,9 @@
   /// True if the response came from a different server process than the one addressed.
   bool IsFromOtherInstance() const;
   void ForwardEvents(const std::string& events);
+  /// True if the end of the stream that was received cannot be that of a complete one: it lies
+  /// inside an event, or the connection ended before the first event.
+  bool LooksBrokenOff() const;
   void FinishStream();
   void ForwardSavedResponse();
 
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -107,6 +107,11 @@
 void Relay::OnResponseEnd()
 {
   const auto guard = shared_from_this();
+  if (m_is_stream && LooksBrokenOff())
+  {
+    OnExchangeFailed(Http::ExchangeError::Closed);
+    return;
+  }
   m_stall_timer.Stop();
   if (m_connection && m_server)
     m_server->ReturnConnection(std::exchange(m_connection, nullptr));
@@ -116,14 +121,19 @@
     HandleCompleteResponse();
 }
 
+bool Relay::LooksBrokenOff() const
+{
+  const bool has_no_events = !m_stream_begun && !m_events.LastId();
+  return m_events.IsInsideEvent() || (m_head.ends_with_connection && has_no_events);
+}
+
 void Relay::FinishStream()
 {
   m_server->Health().NoteSuccess(Common::Now());
   m_dispatcher.NoteRequestSuccess(*this);
-  const std::string rest = m_events.Partial();
   if (!m_stream_begun)
     m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders(m_head));
-  m_caller->SendChunk(rest);
+  m_caller->SendChunk(m_events.Partial());
   m_caller->EndChunked();
   EndWith(Outcome::Answered, 0, "");
 }
