Gateway: a response without a stated end reaches its caller without one

Cause: the framing of the caller's response did not depend on that of the server's. Such a response now ends with the caller's connection too: an orderly close is passed on as such, everything else (a reset, a deadline, a failed resumption, the exit of the daemon) resets the connection. A stream that was begun in chunks and continued without a stated end is resumed once more, so that a server states it, or is broken off. Only a success whose end is stated counts as a complete run in crash attribution.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -308,6 +308,7 @@
   m_response_began_at.reset();
   m_server->NoteStart(m_artifact, now);
   m_is_stream = false;
+  m_received_events = false;
   m_body.clear();
   m_events.DropPartial();
   m_connection = m_server->TakeConnection(now);
@@ -398,7 +399,15 @@
                   " without confirming that the request did not run");
     return;
   }
-  m_caller->Respond(m_head.status, m_head.reason, ForwardedHeaders(m_head), m_saved_body);
+  if (m_head.ends_with_connection)
+  {
+    m_caller->BeginBody(m_head.status, m_head.reason, ForwardedHeaders(m_head),
+                        Http::BodyFraming::UntilClose);
+    m_caller->SendBody(m_saved_body);
+    m_caller->EndBody();
+  }
+  else
+    m_caller->Respond(m_head.status, m_head.reason, ForwardedHeaders(m_head), m_saved_body);
   EndWith(Outcome::Answered, 0, "");
 }
 
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -158,7 +158,13 @@
   /// True if the end of the stream that was received cannot be that of a complete one: it lies
   /// inside an event, or the connection ended before the first event.
   bool LooksBrokenOff() const;
+  /// Begins the caller's response to a stream.
+  void BeginStream();
   void FinishStream();
+  /// Resumes a stream that the caller gets in chunks, after a server sent its continuation without
+  /// a stated end: the next server sends what is left and states the end. If the continuation
+  /// brought no event, no server is expected to state it.
+  void ResumeToFindEnd();
   void ForwardSavedResponse();
 
   // Handling of failed attempts.
@@ -230,6 +236,8 @@
   std::string m_saved_body;
   EventSplitter m_events;
   bool m_stream_begun = false; ///< Bytes of the stream have been sent to the caller.
+  Http::BodyFraming m_framing = Http::BodyFraming::Chunked; ///< Of the begun stream.
+  bool m_received_events = false; ///< The current server has sent events that the caller lacked.
   std::optional<Common::Milliseconds> m_first_event_after;
   Common::TimePoint m_last_event_at;
   Common::TimePoint m_last_progress_at;
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -81,19 +81,19 @@
 {
   if (events.empty())
     return;
+  m_received_events = true;
   const auto gap = m_route.gap_target * STALL_GAP_TARGETS;
   ArmStallTimer(std::max(gap, MIN_STREAM_STALL_TIMEOUT));
   if (!m_stream_begun)
   {
-    m_stream_begun = true;
     m_first_event_after = std::chrono::duration_cast<Milliseconds>(Common::Now() - m_arrived);
-    m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders(m_head));
+    BeginStream();
   }
   else
     m_longest_pause = std::max(
         m_longest_pause, std::chrono::duration_cast<Milliseconds>(Common::Now() - m_last_event_at));
   m_last_event_at = Common::Now();
-  m_caller->SendChunk(events);
+  m_caller->SendBody(events);
   if (m_caller->UnsentBytes() == 0 || !m_connection)
     return;
   // Backpressure: stops reading from the backend server until the caller has received everything.
@@ -127,17 +127,41 @@
   return m_events.IsInsideEvent() || (m_head.ends_with_connection && has_no_events);
 }
 
+void Relay::BeginStream()
+{
+  m_stream_begun = true;
+  // The daemon must not state an end that the server has not stated.
+  m_framing =
+      m_head.ends_with_connection ? Http::BodyFraming::UntilClose : Http::BodyFraming::Chunked;
+  m_caller->BeginBody(m_head.status, m_head.reason, ForwardedHeaders(m_head), m_framing);
+}
+
 void Relay::FinishStream()
 {
   m_server->Health().NoteSuccess(Common::Now());
-  m_dispatcher.NoteRequestSuccess(*this);
+  if (m_head.ends_with_connection && m_framing == Http::BodyFraming::Chunked && m_stream_begun)
+  {
+    ResumeToFindEnd();
+    return;
+  }
+  if (!m_head.ends_with_connection)
+    m_dispatcher.NoteRequestSuccess(*this);
   if (!m_stream_begun)
-    m_caller->BeginChunked(m_head.status, m_head.reason, ForwardedHeaders(m_head));
-  m_caller->SendChunk(m_events.Partial());
-  m_caller->EndChunked();
+    BeginStream();
+  m_caller->SendBody(m_events.Partial());
+  m_caller->EndBody();
   EndWith(Outcome::Answered, 0, "");
 }
 
+void Relay::ResumeToFindEnd()
+{
+  constexpr std::string_view WHY = "the response has no stated end, unlike the one begun before";
+  if (m_received_events)
+    AttemptFailed(WHY, true);
+  else
+    EndWith(Outcome::BrokenOff, 0, WHY);
+}
+
 void Relay::HandleCompleteResponse()
 {
   if (m_signals.not_run)
@@ -161,8 +185,8 @@
   }
   if (!server_failed)
     m_server->Health().NoteSuccess(Common::Now());
-  // Only a success shows that the server has run the request; an error may come without a run.
-  if (m_head.status >= 200 && m_head.status < 300)
+  // Only a success whose end is stated shows that the server has completed the request.
+  if (m_head.status >= 200 && m_head.status < 300 && !m_head.ends_with_connection)
     m_dispatcher.NoteRequestSuccess(*this);
   const bool is_first_failure = server_failed && !m_saved_head;
   if (!server_failed || is_first_failure)
--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -188,7 +188,7 @@
     head += field.name + ": " + field.value + "\r\n";
   if (length)
     head += "Content-Length: " + std::to_string(*length) + "\r\n";
-  else
+  else if (m_framing == BodyFraming::Chunked)
     head += "Transfer-Encoding: chunked\r\n";
   if (m_close_after_response)
     head += "Connection: close\r\n";
@@ -206,27 +206,48 @@
   EndResponse();
 }
 
-void ServerConnection::BeginChunked(int status, std::string_view reason,
-                                    const std::vector<HeaderField>& headers)
+void ServerConnection::BeginBody(int status, std::string_view reason,
+                                 const std::vector<HeaderField>& headers, BodyFraming framing)
 {
-  if (m_stream->IsOpen())
-    WriteHead(status, reason, headers, std::nullopt);
+  if (!m_stream->IsOpen())
+    return;
+  m_framing = framing;
+  if (framing == BodyFraming::UntilClose)
+  {
+    m_close_after_response = true;
+    // If the process exits before the end of the body, the kernel must not close the connection in
+    // an orderly way, which would state that the body is complete.
+    m_stream->SetResetOnClose(true);
+  }
+  WriteHead(status, reason, headers, std::nullopt);
 }
 
-void ServerConnection::SendChunk(std::string_view bytes)
+void ServerConnection::SendBody(std::string_view bytes)
 {
-  if (!bytes.empty() && m_stream->IsOpen())
+  if (bytes.empty() || !m_stream->IsOpen())
+    return;
+  if (m_framing == BodyFraming::UntilClose)
+    m_stream->Write(bytes);
+  else
     m_stream->Write(HexLength(bytes.size()) + "\r\n" + std::string(bytes) + "\r\n");
 }
 
-void ServerConnection::EndChunked()
+void ServerConnection::EndBody()
 {
   if (!m_stream->IsOpen())
     return;
-  m_stream->Write("0\r\n\r\n");
+  if (m_framing == BodyFraming::Chunked)
+    m_stream->Write("0\r\n\r\n");
   EndResponse();
 }
 
+void ServerConnection::CloseConnection()
+{
+  m_stream->SetResetOnClose(false);
+  m_stream->Close();
+  Finish();
+}
+
 void ServerConnection::EndResponse()
 {
   const auto guard = shared_from_this();
@@ -236,10 +257,7 @@
   if (m_close_after_response)
   {
     if (m_stream->Unsent() == 0)
-    {
-      m_stream->Close();
-      Finish();
-    }
+      CloseConnection();
     return;
   }
   m_stream->SetReading(true);
@@ -256,6 +274,8 @@
   m_request_open = false;
   m_on_peer_disconnected = nullptr;
   m_on_all_sent = nullptr;
+  if (m_framing == BodyFraming::UntilClose)
+    m_stream->Reset();
   m_stream->Close();
   Finish();
 }
@@ -274,8 +294,7 @@
   const auto guard = shared_from_this();
   if (!m_request_open && m_close_after_response)
   {
-    m_stream->Close();
-    Finish();
+    CloseConnection();
     return;
   }
   if (m_on_all_sent)
--- a/Source/Core/Http/ServerConnection.h
+++ b/Source/Core/Http/ServerConnection.h
@@ -30,6 +30,15 @@
   std::string body;
 };
 
+/// How a response that is sent piece by piece states where its body ends.
+enum class BodyFraming
+{
+  Chunked,
+  /// By the close of the connection. The receiver cannot tell a complete body from one whose sender
+  /// was cut off, unless the connection is reset.
+  UntilClose,
+};
+
 class ServerConnection;
 
 /// Handles the requests that connections receive.
@@ -56,11 +65,12 @@
   /// Sends a response with a complete body.
   void Respond(int status, std::string_view reason, const std::vector<HeaderField>& headers,
                std::string_view body);
-  /// Starts a response in chunked encoding.
-  void BeginChunked(int status, std::string_view reason, const std::vector<HeaderField>& headers);
-  void SendChunk(std::string_view bytes);
-  void EndChunked();
-  /// Closes the connection in the middle of a response, so that it is not taken for a complete one.
+  /// Starts a response whose body is sent piece by piece.
+  void BeginBody(int status, std::string_view reason, const std::vector<HeaderField>& headers,
+                 BodyFraming framing = BodyFraming::Chunked);
+  void SendBody(std::string_view bytes);
+  void EndBody();
+  /// Ends the connection in the middle of a response, so that it is not taken for a complete one.
   void AbortResponse();
   /// Closes the connection if no request is open or partly received and no output is unsent.
   void CloseIfIdle();
@@ -95,6 +105,7 @@
   void Reject(int status, std::string_view reason);
   void WriteHead(int status, std::string_view reason, const std::vector<HeaderField>& headers,
                  std::optional<std::size_t> length);
+  void CloseConnection();
   void EndResponse();
   void StartIdleTimer();
   void OnIdle();
@@ -108,6 +119,7 @@
   bool m_request_open = false;
   bool m_close_after_response = false;
   bool m_head_only = false; ///< The request is a HEAD: the response has no body.
+  BodyFraming m_framing = BodyFraming::Chunked; ///< Of the response that is being sent.
   bool m_consuming = false;
   bool m_body_too_large = false;
   Common::OwnedTimer m_timer;
--- a/Source/Core/Http/TcpStream.cpp
+++ b/Source/Core/Http/TcpStream.cpp
@@ -36,12 +36,18 @@
   (void)setsockopt(fd, level, name, &value, sizeof(value));
 }
 
+/// With a linger time of 0 the kernel resets the connection when the socket is closed.
+void SetLinger(int fd, bool reset_on_close)
+{
+  SetOption(fd, SOL_SOCKET, SO_LINGER, linger{reset_on_close ? 1 : 0, 0});
+}
+
 void PrepareSocket(int fd, const SocketOptions& options)
 {
   SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
   SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<unsigned>(options.user_timeout.count()));
   if (options.reset_on_close)
-    SetOption(fd, SOL_SOCKET, SO_LINGER, linger{1, 0});
+    SetLinger(fd, true);
   SetOption(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
   SetOption(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
   SetOption(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
@@ -188,10 +194,16 @@
 {
   if (m_fd < 0)
     return;
-  SetOption(m_fd, SOL_SOCKET, SO_LINGER, linger{1, 0});
+  SetLinger(m_fd, true);
   Close();
 }
 
+void TcpStream::SetResetOnClose(bool reset)
+{
+  if (m_fd >= 0)
+    SetLinger(m_fd, reset);
+}
+
 bool TcpStream::IsStillIdle() const
 {
   if (m_fd < 0)
--- a/Source/Core/Http/TcpStream.h
+++ b/Source/Core/Http/TcpStream.h
@@ -88,6 +88,9 @@
   /// Closes the connection without further events. Bytes that the kernel has accepted are still
   /// sent, unless `SocketOptions::reset_on_close` is set.
   void Close();
+  /// Whether `Close`, or the exit of the process, resets the connection instead of closing it in an
+  /// orderly way.
+  void SetResetOnClose(bool reset);
   /// Resets the connection, so that the peer cannot mistake what it received for complete.
   void Reset();
 
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -247,7 +247,7 @@
   {
     const std::string last_event_id = HeaderValue(request.head, "Last-Event-Id");
     RecordAnnouncement(id);
-    connection->BeginChunked(
+    connection->BeginBody(
         200, "OK",
         ResponseHeaders(
             {{"Attempt-Id", id}, {"Server-Stamp", "s"}, {"Content-Type", "text/event-stream"}}));
@@ -272,17 +272,17 @@
     return;
   if (event > EVENTS_PER_STREAM)
   {
-    connection->EndChunked();
+    connection->EndBody();
     return;
   }
   const std::string text = "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
   if (m_fault == ServerFault::ResetConnections && Common::SharedRandom()() % RESET_ONE_IN == 0)
   {
-    connection->SendChunk(text.substr(0, text.size() / 2));
+    connection->SendBody(text.substr(0, text.size() / 2));
     connection->AbortResponse();
     return;
   }
-  connection->SendChunk(text);
+  connection->SendBody(text);
   After(EVENT_INTERVAL, [this, connection, id, event] {
     Stream(connection, id, event + 1);
   });
