Gateway: a crash between two events does not look like a stream's end

The closed connection alone does not tell the two apart, a refused new connection does. The end of such a stream is now held until the crash check of its server is done: after a crash the stream is resumed where the route allows, otherwise cut; the request also counts as a suspect, which it did not, as its end was taken for a success. Events are not delayed.

--- a/Source/Core/Gateway/CrashDetector.cpp
+++ b/Source/Core/Gateway/CrashDetector.cpp
@@ -85,29 +85,33 @@
   std::shared_ptr<Http::TcpStream> m_stream;
 };
 
-void CrashDetector::NoteConnectionBroken(const ServerPtr& server, const Suspect& suspect)
+bool CrashDetector::NoteConnectionEnded(const ServerPtr& server, const Suspect& suspect,
+                                        ResultHandler on_result)
 {
   const InstanceId& instance = server->Entry().instance;
   // A server that shuts down as planned may break its remaining connections.
   const bool is_planned =
       server->IsDraining() || server->IsReplaced() || m_servers.Find(instance) != server;
   if (is_planned)
-    return;
+    return false;
   const auto [found, is_new] = m_pending_checks.try_emplace(instance);
   PendingCheck& check = found->second;
   check.suspects.push_back(suspect);
+  if (on_result)
+    check.result_handlers.push_back(std::move(on_result));
   if (!is_new)
-    return;
+    return true;
   check.server = server;
   check.since = Common::Now();
   check.timer.Start(PROBE_DELAY, [this, instance] {
     StartProbe(instance);
   });
+  return true;
 }
 
 void CrashDetector::NoteConnectionRefused(const ServerPtr& server)
 {
-  Finish(server->Entry().instance, true, "connection for a request refused");
+  Finish(server->Entry().instance, CheckResult::Crashed, "connection for a request refused");
 }
 
 void CrashDetector::StartProbe(const InstanceId& instance)
@@ -115,21 +119,29 @@
   PendingCheck& check = m_pending_checks.at(instance);
   check.probe = std::make_shared<Probe>(
       check.server->Entry().endpoint, [this, instance](Probe::Outcome outcome) {
-        if (outcome == Probe::Outcome::Refused)
-          Finish(instance, true, "probe connection refused");
-        else
-          Finish(instance, false,
-                 outcome == Probe::Outcome::Accepted ? "probe connection accepted" : "silent");
+        switch (outcome)
+        {
+        case Probe::Outcome::Refused:
+          Finish(instance, CheckResult::Crashed, "probe connection refused");
+          break;
+        case Probe::Outcome::Accepted:
+          Finish(instance, CheckResult::Running, "probe connection accepted");
+          break;
+        case Probe::Outcome::Inconclusive:
+          Finish(instance, CheckResult::Unknown, "silent");
+          break;
+        }
       });
 }
 
-void CrashDetector::Finish(const InstanceId& instance, bool crashed, const char* how)
+void CrashDetector::Finish(const InstanceId& instance, CheckResult result, const char* how)
 {
   const auto found = m_pending_checks.find(instance);
   if (found == m_pending_checks.end())
     return;
   // The caller may be a timer or probe owned by the extracted node, which is destroyed on return.
   const auto check = m_pending_checks.extract(found);
+  const bool crashed = result == CheckResult::Crashed;
   const auto likely = SelectLikely(check.mapped().suspects);
   const auto took = std::chrono::duration_cast<Milliseconds>(Common::Now() - check.mapped().since);
   Common::LogEvent(crashed ? Common::LogLevel::Warning : Common::LogLevel::Info,
@@ -141,6 +153,8 @@
                     {"after_ms", took.count()}});
   if (crashed)
     m_on_crashed(instance, check.mapped().since, likely);
+  for (const ResultHandler& on_result : check.mapped().result_handlers)
+    on_result(result);
   m_on_check_done();
 }
 
--- a/Source/Core/Gateway/CrashDetector.h
+++ b/Source/Core/Gateway/CrashDetector.h
@@ -35,6 +35,13 @@
     /// Time since the first bytes of the response; unset if there were none.
     std::optional<Common::Milliseconds> ran_for;
   };
+  enum class CheckResult
+  {
+    Crashed,
+    Running,
+    Unknown, ///< The server could not be reached.
+  };
+  using ResultHandler = std::function<void(CheckResult)>;
   /// Arguments: the server, when its first connection broke, and the requests that may have caused
   /// the crash.
   using CrashHandler =
@@ -47,8 +54,11 @@
   /// Called when the check of a suspected server completes.
   void OnCheckDone(std::function<void()> callback) { m_on_check_done = std::move(callback); }
 
-  /// Records that a connection broke during an exchange.
-  void NoteConnectionBroken(const ServerPtr& server, const Suspect& suspect);
+  /// Records that a connection ended during an exchange, and checks the server. Returns false if
+  /// there is no check, since the server shuts down as planned; otherwise `on_result` is called
+  /// later.
+  bool NoteConnectionEnded(const ServerPtr& server, const Suspect& suspect,
+                           ResultHandler on_result = nullptr);
   /// Records that a new connection to the server was refused.
   void NoteConnectionRefused(const ServerPtr& server);
   /// True while it is undetermined whether a server crashed while it processed the request.
@@ -62,12 +72,13 @@
     ServerPtr server;
     Common::TimePoint since;
     std::vector<Suspect> suspects;
+    std::vector<ResultHandler> result_handlers;
     Common::OwnedTimer timer;
     std::shared_ptr<Probe> probe;
   };
 
   void StartProbe(const InstanceId& instance);
-  void Finish(const InstanceId& instance, bool crashed, const char* how);
+  void Finish(const InstanceId& instance, CheckResult result, const char* how);
 
   const ServerDirectory& m_servers;
   CrashHandler m_on_crashed;
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -356,14 +356,14 @@
   return may_crash_more && m_crash_detector.IsCheckPending(relay.Fingerprint());
 }
 
-void Dispatcher::NoteConnectionBroken(const ServerPtr& server, Relay& relay,
-                                      Common::TimePoint sent_at,
-                                      std::optional<Milliseconds> ran_for)
+bool Dispatcher::NoteConnectionEnded(const ServerPtr& server, Relay& relay,
+                                     Common::TimePoint sent_at, std::optional<Milliseconds> ran_for,
+                                     CrashDetector::ResultHandler on_result)
 {
   const auto last_success =
       m_successes.LastOf(Crashes::QuickKeyOf(relay.Identity()), Common::Now());
-  m_crash_detector.NoteConnectionBroken(server,
-                                        {relay.Fingerprint(), sent_at, last_success, ran_for});
+  return m_crash_detector.NoteConnectionEnded(
+      server, {relay.Fingerprint(), sent_at, last_success, ran_for}, std::move(on_result));
 }
 
 void Dispatcher::NoteRequestSuccess(Relay& relay)
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -182,9 +182,11 @@
                            const SignalOrigin& origin);
   /// Counts a request that is being sent to the server.
   void CountSend(const Server& server, Common::TimePoint now);
-  /// Records that the connection broke while the server had the request.
-  void NoteConnectionBroken(const ServerPtr& server, Relay& relay, Common::TimePoint sent_at,
-                            std::optional<Common::Milliseconds> ran_for);
+  /// Records that the connection ended, and did not state the end of a response, while the server
+  /// had the request. Returns true if `on_result` will be called with the result of a crash check.
+  bool NoteConnectionEnded(const ServerPtr& server, Relay& relay, Common::TimePoint sent_at,
+                           std::optional<Common::Milliseconds> ran_for,
+                           CrashDetector::ResultHandler on_result = nullptr);
   /// Whether the request is blocked because servers that ran it have crashed.
   Crashes::BlockStatus GetBlockStatus(Relay& relay) const;
   /// True while it is not yet known whether a server that just broke the request's connection has
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -13,6 +13,7 @@
 #include "Accounts/LocalAllowances.h"
 #include "Common/Reactor.h"
 #include "Crashes/Fingerprint.h"
+#include "Gateway/CrashDetector.h"
 #include "Gateway/EventSplitter.h"
 #include "Gateway/ServerDirectory.h"
 #include "Gateway/ServerSignals.h"
@@ -151,6 +152,8 @@
   // Handling of responses.
   void HandleRejection();
   void HandleCompleteResponse();
+  /// Time since the response head arrived; unset before.
+  std::optional<Common::Milliseconds> ResponseTime() const;
   bool IsValidResponse(const Http::MessageHead& head) const;
   /// True if the response came from a different server process than the one addressed.
   bool IsFromOtherInstance() const;
@@ -161,6 +164,12 @@
   /// Begins the caller's response to a stream.
   void BeginStream();
   void FinishStream();
+  /// Checks whether the server crashed when its connection ended between two events of a stream
+  /// without a stated end, which then is not complete.
+  void CheckUnstatedEnd();
+  void OnCrashCheck(CrashDetector::CheckResult result);
+  /// Ends the caller's response to a stream.
+  void EndStream();
   /// Resumes a stream that the caller gets in chunks, after a server sent its continuation without
   /// a stated end: the next server sends what is left and states the end. If the continuation
   /// brought no event, no server is expected to state it.
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -138,14 +138,55 @@
 
 void Relay::FinishStream()
 {
+  if (m_head.ends_with_connection)
+  {
+    CheckUnstatedEnd();
+    return;
+  }
   m_server->Health().NoteSuccess(Common::Now());
-  if (m_head.ends_with_connection && m_framing == Http::BodyFraming::Chunked && m_stream_begun)
+  m_dispatcher.NoteRequestSuccess(*this);
+  EndStream();
+}
+
+void Relay::CheckUnstatedEnd()
+{
+  m_may_have_run = true;
+  const std::weak_ptr<Relay> relay = weak_from_this();
+  const auto on_result = [relay](CrashDetector::CheckResult result) {
+    if (const auto self = relay.lock())
+      self->OnCrashCheck(result);
+  };
+  if (!m_dispatcher.NoteConnectionEnded(m_server, *this, m_sent_at, ResponseTime(), on_result))
+    OnCrashCheck(CrashDetector::CheckResult::Unknown);
+}
+
+void Relay::OnCrashCheck(CrashDetector::CheckResult result)
+{
+  if (m_done)
+    return;
+  const auto guard = shared_from_this();
+  if (result == CrashDetector::CheckResult::Crashed)
   {
-    ResumeToFindEnd();
+    ++m_broken_connections;
+    m_server->Health().NoteFailure(Common::Now());
+    AttemptFailed("the server crashed where its response could have ended", true);
     return;
   }
-  if (!m_head.ends_with_connection)
+  if (result == CrashDetector::CheckResult::Running)
+  {
+    m_server->Health().NoteSuccess(Common::Now());
     m_dispatcher.NoteRequestSuccess(*this);
+  }
+  if (m_framing == Http::BodyFraming::Chunked && m_stream_begun)
+  {
+    ResumeToFindEnd();
+    return;
+  }
+  EndStream();
+}
+
+void Relay::EndStream()
+{
   if (!m_stream_begun)
     BeginStream();
   m_caller->SendBody(m_events.Partial());
@@ -185,8 +226,12 @@
   }
   if (!server_failed)
     m_server->Health().NoteSuccess(Common::Now());
-  // Only a success whose end is stated shows that the server has completed the request.
-  if (m_head.status >= 200 && m_head.status < 300 && !m_head.ends_with_connection)
+  // Only a success whose end is stated shows that the server has completed the request; after
+  // another one the server may have crashed.
+  const bool is_success = m_head.status >= 200 && m_head.status < 300;
+  if (is_success && m_head.ends_with_connection)
+    m_dispatcher.NoteConnectionEnded(m_server, *this, m_sent_at, ResponseTime());
+  else if (is_success)
     m_dispatcher.NoteRequestSuccess(*this);
   const bool is_first_failure = server_failed && !m_saved_head;
   if (!server_failed || is_first_failure)
@@ -217,6 +262,13 @@
                 m_may_have_run);
 }
 
+std::optional<Milliseconds> Relay::ResponseTime() const
+{
+  if (!m_response_began_at)
+    return std::nullopt;
+  return std::chrono::duration_cast<Milliseconds>(Common::Now() - *m_response_began_at);
+}
+
 void Relay::OnExchangeFailed(Http::ExchangeError breakage)
 {
   const auto guard = shared_from_this();
@@ -245,11 +297,8 @@
     AttemptFailed("malformed response", true);
     return;
   }
-  std::optional<Milliseconds> ran_for;
-  if (m_response_began_at)
-    ran_for = std::chrono::duration_cast<Milliseconds>(now - *m_response_began_at);
   ++m_broken_connections;
-  m_dispatcher.NoteConnectionBroken(m_server, *this, m_sent_at, ran_for);
+  m_dispatcher.NoteConnectionEnded(m_server, *this, m_sent_at, ResponseTime());
   AttemptFailed("the connection broke before the response was complete", true);
 }
 } // namespace Gateway
--- a/Source/UnitTests/Gateway/BrokenOffResponsesTest.cpp
+++ b/Source/UnitTests/Gateway/BrokenOffResponsesTest.cpp
@@ -48,6 +48,14 @@
   });
 }
 
+/// Ends the server's connections in an orderly way and stops listening, like the exit of a process.
+void CrashSoon(std::unique_ptr<TestServer>& server)
+{
+  Common::Reactor::Get().After(Milliseconds(10), [&server] {
+    server.reset();
+  });
+}
+
 std::size_t CountOf(const std::string& text, const std::string& part)
 {
   std::size_t count = 0;
@@ -73,6 +81,8 @@
   CPPUNIT_TEST(UnframedStreamThatIsResetLooksComplete);
   CPPUNIT_TEST(UnframedStreamPastItsDeadlineLooksComplete);
   CPPUNIT_TEST(UnframedStreamWithoutEventsLooksComplete);
+  CPPUNIT_TEST(UnframedStreamOfACrashedServerLooksComplete);
+  CPPUNIT_TEST(UnframedStreamOfACrashedServerIsNotContinued);
   CPPUNIT_TEST(UnframedEndOfAResumedStreamLooksComplete);
   CPPUNIT_TEST(UnframedEndOfAResumedStreamIsResumedForever);
   CPPUNIT_TEST(UnframedPlainResponseGetsALength);
@@ -198,6 +208,49 @@
     CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 502 "));
   }
 
+  /// The crash cuts the stream between two events.
+  void UnframedStreamOfACrashedServerLooksComplete()
+  {
+    std::unique_ptr<TestServer> server;
+    server = std::make_unique<TestServer>([&](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(UnframedHead(head) + Event(1));
+      CrashSoon(server);
+    });
+    World world;
+    world.AddServer("i-1", server->Address());
+    world.Ask(ONE_STREAM_PATH, "id-1");
+    CPPUNIT_ASSERT(CallerConnectionEnds(world));
+    CPPUNIT_ASSERT(world.caller.end == Http::StreamEnd::Reset);
+    CPPUNIT_ASSERT(world.caller.received.ends_with(Event(1)));
+  }
+
+  void UnframedStreamOfACrashedServerIsNotContinued()
+  {
+    std::unique_ptr<TestServer> first;
+    std::unique_ptr<TestServer> second;
+    int requests = 0;
+    const auto respond = [&](std::unique_ptr<TestServer>& self) {
+      return [&](TestPeer& peer, const std::string& head) {
+        if (++requests == 1)
+        {
+          peer.stream->Write(UnframedHead(head) + Event(1));
+          CrashSoon(self);
+          return;
+        }
+        peer.stream->Write(StreamHead(head) + Chunk(Event(2)) + "0\r\n\r\n");
+      };
+    };
+    first = std::make_unique<TestServer>(respond(first));
+    second = std::make_unique<TestServer>(respond(second));
+    World world;
+    world.AddServer("i-1", first->Address());
+    world.AddServer("i-2", second->Address());
+    world.Ask(STREAM_PATH, "id-1");
+    CPPUNIT_ASSERT(CallerConnectionEnds(world));
+    CPPUNIT_ASSERT(world.caller.end == Http::StreamEnd::Closed);
+    CPPUNIT_ASSERT(world.caller.received.ends_with(Event(1) + Event(2)));
+  }
+
   /// The caller's response has chunks already, so that only a stated end may be passed on.
   void UnframedEndOfAResumedStreamLooksComplete()
   {
--- a/Source/UnitTests/Gateway/CrashDetectorTest.cpp
+++ b/Source/UnitTests/Gateway/CrashDetectorTest.cpp
@@ -50,7 +50,7 @@
   ServerPtr Server() { return directory.All().begin()->second; }
   void Break(const Fingerprint& request, std::optional<Milliseconds> ran_for = std::nullopt)
   {
-    detector.NoteConnectionBroken(Server(), {request, Common::Now(), std::nullopt, ran_for});
+    detector.NoteConnectionEnded(Server(), {request, Common::Now(), std::nullopt, ran_for});
   }
   bool CheckCompletes()
   {
@@ -141,7 +141,7 @@
     world.Break(NEW);
     // Some servers never announce draining: their entry is removed while they still serve.
     world.directory.Remove(world.entry.instance);
-    world.detector.NoteConnectionBroken(listed, {NEW, Common::Now(), std::nullopt, std::nullopt});
+    world.detector.NoteConnectionEnded(listed, {NEW, Common::Now(), std::nullopt, std::nullopt});
     CPPUNIT_ASSERT(!world.detector.IsCheckPending(NEW));
   }
 
@@ -151,7 +151,7 @@
     const ServerPtr before = world.Server();
     world.entry.instance = InstanceId("i-1", ServerStart(5));
     world.directory.Put(world.entry);
-    world.detector.NoteConnectionBroken(before, {NEW, Common::Now(), std::nullopt, std::nullopt});
+    world.detector.NoteConnectionEnded(before, {NEW, Common::Now(), std::nullopt, std::nullopt});
     CPPUNIT_ASSERT(!world.detector.IsCheckPending(NEW));
   }
 
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -304,7 +304,7 @@
   {
     daemon.AddServers(server + 1, false);
     const auto found = daemon.dispatcher.Servers().Find(InstanceOf(server));
-    daemon.dispatcher.GetCrashDetector().NoteConnectionBroken(
+    daemon.dispatcher.GetCrashDetector().NoteConnectionEnded(
         found, {CRASHING_REQUEST, Common::Now(), std::nullopt, std::nullopt});
     daemon.dispatcher.GetCrashDetector().NoteConnectionRefused(found);
     RunFor(Milliseconds(5));
