--- a/Source/StandIns/Soak/InvariantChecker.cpp
+++ b/Source/StandIns/Soak/InvariantChecker.cpp
@@ -34,12 +34,12 @@
 constexpr Common::Milliseconds BACKOFF_GRACE{500};
 constexpr int MAX_BACKOFF_ARRIVALS = 2;
 
-/// Returns whether the body consists of complete events for `id`, numbered from 1 without a gap.
-/// Does not check how many there are.
-bool IsCompleteStream(const std::string& id, const std::string& body)
+/// Returns whether the body consists of complete events for `id`, numbered from 1 without a gap; of
+/// `required` events, unless that is 0.
+bool IsCompleteStream(const std::string& id, const std::string& body, int required)
 {
   std::string expected;
-  for (int event = 1; expected.size() < body.size(); ++event)
+  for (int event = 1; expected.size() < body.size() || event <= required; ++event)
     expected += "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
   return !body.empty() && expected == body;
 }
@@ -90,7 +90,8 @@
   ++m_served;
   const bool is_stream = request.type == RequestType::ResumableStream ||
                          request.type == RequestType::NonRepeatableStream;
-  const bool is_valid = is_stream ? IsCompleteStream(id, body) : body == "answer to " + id;
+  const bool is_valid =
+      is_stream ? IsCompleteStream(id, body, m_required_events) : body == "answer to " + id;
   if (!is_valid)
     ReportViolation("wrong response to " + id + ": " + body.substr(0, 80));
 }
--- a/Source/StandIns/Soak/InvariantChecker.h
+++ b/Source/StandIns/Soak/InvariantChecker.h
@@ -37,6 +37,8 @@
   /// A backend server started to run the request.
   void RecordRun(const std::string& id);
   /// The caller got a complete response, or none (status 0).
+  /// From now on a stream counts as complete only with this number of events.
+  void RequireEvents(int events) { m_required_events = events; }
   void RecordResponse(const std::string& id, int status, const std::string& body);
   /// A backend server received an order.
   void RecordOrder(const std::string& server, const std::string& holder, std::int64_t fence,
@@ -143,6 +145,7 @@
   std::map<std::string, RateLimitedServer> m_rate_limited_servers;
   std::map<std::string, Common::TimePoint> m_daemon_faults_until;
   std::map<std::string, Request> m_requests;
+  int m_required_events = 0;
   std::map<std::string, LastOrder> m_last_orders;
   std::map<std::string, CrashingRequest> m_crashing_requests;
   Common::TimePoint m_fault_until;
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -105,6 +105,12 @@
   void DrainAndBackOffServers() { m_drains_and_backs_off_servers = true; }
   /// Callers go on sending requests to a daemon that stops, until its process has ended.
   void KeepCallersUntilExit() { m_callers_stay = true; }
+  /// Some responses of servers have neither a length nor chunks.
+  void SendUnframedResponses()
+  {
+    m_server_faults = static_cast<std::uint64_t>(ServerFault::UnframedResponses);
+    m_checker.RequireEvents(StandInServer::EVENTS_PER_STREAM);
+  }
   /// Several faults coincide, and signals come in series, also to daemons that start or stop.
   void OverlapFaults() { m_faults_overlap = true; }
 
@@ -419,7 +425,8 @@
       DrainAndReplace(RandomServer());
       break;
     default:
-      InjectServerFault(RandomServer(), static_cast<ServerFault>(1 + Draw(4)), DrawMs(300, 5000));
+      InjectServerFault(RandomServer(), static_cast<ServerFault>(1 + Draw(m_server_faults)),
+                        DrawMs(300, 5000));
     }
   }
 
@@ -663,6 +670,8 @@
   bool m_drains_and_backs_off_servers = false;
   bool m_callers_stay = false;
   bool m_faults_overlap = false;
+  /// The server faults that are drawn: the first of `ServerFault`, up to this one.
+  std::uint64_t m_server_faults = static_cast<std::uint64_t>(ServerFault::DelayOrders);
   int m_crashing_request_count = 0;          ///< Number of different crashing requests.
   std::uint64_t m_requested_models = MODELS; ///< That requests use.
 };
@@ -686,7 +695,8 @@
       "limited-servers", "servers announce rate limits")(
       "leaving-servers", "servers announce that they are draining, or ask daemons to back off")(
       "staying-callers", "callers send requests to a stopping daemon until its process has ended")(
-      "overlapping-faults", "faults coincide, and signals come in series");
+      "overlapping-faults", "faults coincide, and signals come in series")(
+      "unframed-responses", "some responses of servers have neither a length nor chunks");
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   Common::InitLog(argv[0]);
@@ -707,5 +717,7 @@
     run.KeepCallersUntilExit();
   if (parsed.count("overlapping-faults") > 0)
     run.OverlapFaults();
+  if (parsed.count("unframed-responses") > 0)
+    run.SendUnframedResponses();
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
 }
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -21,7 +21,6 @@
 constexpr Milliseconds UNLOAD_TIME{20};
 constexpr Milliseconds PLAIN_REQUEST_TIME{15};
 constexpr Milliseconds EVENT_INTERVAL{8};
-constexpr int EVENTS_PER_STREAM = 25;
 /// With ServerFault::ResetConnections, one in so many stream events resets the connection.
 constexpr std::uint64_t RESET_ONE_IN = 40;
 /// With ServerFault::DelayOrders, orders are delayed by 1 s and a random time below this.
@@ -250,7 +249,8 @@
     connection->BeginBody(
         200, "OK",
         ResponseHeaders(
-            {{"Attempt-Id", id}, {"Server-Stamp", "s"}, {"Content-Type", "text/event-stream"}}));
+            {{"Attempt-Id", id}, {"Server-Stamp", "s"}, {"Content-Type", "text/event-stream"}}),
+        Framing());
     Stream(connection, id, last_event_id.empty() ? 1 : std::atoi(last_event_id.c_str()) + 1);
     return;
   }
@@ -260,12 +260,25 @@
     else
     {
       RecordAnnouncement(id);
-      connection->Respond(200, "OK", ResponseHeaders({{"Attempt-Id", id}, {"Server-Stamp", "s"}}),
-                          "answer to " + id);
+      const auto headers = ResponseHeaders({{"Attempt-Id", id}, {"Server-Stamp", "s"}});
+      if (m_fault != ServerFault::UnframedResponses)
+      {
+        connection->Respond(200, "OK", headers, "answer to " + id);
+        return;
+      }
+      connection->BeginBody(200, "OK", headers, Framing());
+      connection->SendBody("answer to " + id);
+      connection->EndBody();
     }
   });
 }
 
+Http::BodyFraming StandInServer::Framing() const
+{
+  return m_fault == ServerFault::UnframedResponses ? Http::BodyFraming::UntilClose
+                                                   : Http::BodyFraming::Chunked;
+}
+
 void StandInServer::Stream(const Connection& connection, const std::string& id, int event)
 {
   if (!connection->IsOpen() || m_fault == ServerFault::Unresponsive)
@@ -282,6 +295,13 @@
     connection->AbortResponse();
     return;
   }
+  if (m_fault == ServerFault::UnframedResponses && Common::SharedRandom()() % RESET_ONE_IN == 0)
+  {
+    // On a connection whose body has no stated end, this is an orderly close inside an event.
+    connection->SendBody(text.substr(0, text.size() / 2));
+    connection->EndBody();
+    return;
+  }
   connection->SendBody(text);
   After(EVENT_INTERVAL, [this, connection, id, event] {
     Stream(connection, id, event + 1);
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -22,11 +22,12 @@
 /// The active fault of a backend server.
 enum class ServerFault
 {
-  None,             ///< No fault.
-  ResetConnections, ///< Resets some connections instead of or during the response.
-  Unresponsive,     ///< Accepts requests and sends nothing.
-  RejectRequests,   ///< Rejects requests before they run, with status 503.
-  DelayOrders,      ///< Sends no response to orders and carries them out seconds later.
+  None,              ///< No fault.
+  ResetConnections,  ///< Resets some connections instead of or during the response.
+  Unresponsive,      ///< Accepts requests and sends nothing.
+  RejectRequests,    ///< Rejects requests before they run, with status 503.
+  DelayOrders,       ///< Sends no response to orders and carries them out seconds later.
+  UnframedResponses, ///< Sends responses without a stated end, and closes some inside an event.
 };
 
 /// A stand-in for a backend server with a model server: serves requests and streams, carries out
@@ -34,6 +35,7 @@
 class StandInServer : public Http::RequestHandler
 {
 public:
+  static constexpr int EVENTS_PER_STREAM = 25;
   StandInServer(std::string name, Http::Endpoint endpoint, StandInStore& store,
                 InvariantChecker& checker, std::vector<std::string> models);
 
@@ -79,6 +81,8 @@
   /// draining.
   void RecordAnnouncement(const std::string& id);
   void ServeRequest(const Connection& connection, const Http::ReceivedRequest& request);
+  /// How the body of the next response states its end.
+  Http::BodyFraming Framing() const;
   void Stream(const Connection& connection, const std::string& id, int event);
   void HandleOrder(const Connection& connection, const Http::ReceivedRequest& request);
   /// Carries out an order; returns the status of the response.
--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -30,6 +30,8 @@
 # From this seed on, callers go on sending requests to a stopping daemon until its process has ended, faults coincide, and
 # signals come in series.
 OVERLAPPING_FROM=10000
+# From this seed on, some responses of servers have neither a length nor chunks.
+UNFRAMED_FROM=20000
 # run_seed SEED: runs it on its own loopback addresses.
 run_seed() {
   local seed=$1
@@ -39,12 +41,13 @@
   [ "$seed" -ge "$LIMITS_FROM" ] && seed_flags+=(--limited-servers)
   [ "$seed" -ge "$LEAVING_FROM" ] && seed_flags+=(--leaving-servers)
   [ "$seed" -ge "$OVERLAPPING_FROM" ] && seed_flags+=(--staying-callers --overlapping-faults)
+  [ "$seed" -ge "$UNFRAMED_FROM" ] && seed_flags+=(--unframed-responses)
   build/bin/soak --seed "$seed" --seconds "$SECONDS_EACH" --net "127.$((50 + seed / 250 % 50)).$((seed % 250 + 1))" \
     --logs "build/soak/$seed" --binary build/soak/drumpondd "${seed_flags[@]}" >"build/soak/$seed.txt" 2>&1
   if [ $? -eq 0 ]; then echo "pass soak-$seed"; else echo "FAIL soak-$seed : $(grep BROKEN "build/soak/$seed.txt" | head -n 3 | tr '\n' ';')"; fi
 }
 export -f run_seed
-export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM LEAVING_FROM OVERLAPPING_FROM
+export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM LEAVING_FROM OVERLAPPING_FROM UNFRAMED_FROM
 RESULTS=$(echo "$SEEDS" | xargs -P "$AT_ONCE" -I{} bash -c 'run_seed {}')
 echo "$RESULTS"
 echo "$(grep -c '^pass' <<<"$RESULTS") passed, $(grep -c '^FAIL' <<<"$RESULTS") failed"
