Tunnels: connections to backend servers through another daemon

A VM that cannot connect to a server has no other way to it. The HTTP exchange stays with the daemon that has the caller, and with it attempts, deadlines, the retry budget, keys, limits and what may be said to have run: as with a direct connection, no byte of a request is sent before the server has accepted the connection. Nothing uses it yet.

--- a/Source/Core/Http/Channel.cpp
+++ b/Source/Core/Http/Channel.cpp
@@ -21,6 +21,7 @@
   {
   case ExchangeError::ConnectFailed:
   case ExchangeError::ConnectTimedOut:
+  case ExchangeError::TunnelFailed:
   case ExchangeError::SendDeadlinePassed:
     return Common::FailureKind::NotSent;
   case ExchangeError::Malformed:
--- a/Source/Core/Http/IdleConnections.cpp
+++ b/Source/Core/Http/IdleConnections.cpp
@@ -9,7 +9,12 @@
 {
 IdleConnections::~IdleConnections()
 {
-  for (const auto& connection : m_connections)
+  Clear();
+}
+
+void IdleConnections::Clear()
+{
+  for (const auto& connection : std::exchange(m_connections, {}))
     connection->Abandon();
 }
 
--- a/Source/Core/Http/IdleConnections.h
+++ b/Source/Core/Http/IdleConnections.h
@@ -24,6 +24,8 @@
   std::shared_ptr<OriginConnection> Take(Common::TimePoint now);
   /// Adds a connection if it is reusable; closes the oldest one where the pool is full.
   void Keep(std::shared_ptr<OriginConnection> connection, Common::TimePoint now);
+  /// Closes all connections.
+  void Clear();
 
 private:
   std::size_t m_max_connections;
--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -20,6 +20,19 @@
 /// Connecting takes one round trip, a few ms between data centres. If it takes this long, the peer
 /// is cut off or a packet was lost, which the kernel would retransmit only after a second.
 constexpr Common::Milliseconds CONNECT_TIMEOUT{400};
+/// A tunnel takes one connection to the helper and one from there to the server.
+constexpr Common::Milliseconds TUNNEL_TIMEOUT = CONNECT_TIMEOUT * 2;
+
+/// Why a tunnel was not opened, as if the connection had been direct where the reason lies at the
+/// server.
+ExchangeError ErrorOf(const std::optional<TunnelStatus>& status)
+{
+  if (status == TunnelStatus::Refused)
+    return ExchangeError::ConnectFailed;
+  if (status == TunnelStatus::TimedOut)
+    return ExchangeError::ConnectTimedOut;
+  return ExchangeError::TunnelFailed;
+}
 
 std::optional<Common::Milliseconds> ParseTimeoutParameter(const std::string& keep_alive)
 {
@@ -45,6 +58,17 @@
   return connection->m_stream ? connection : nullptr;
 }
 
+std::shared_ptr<OriginConnection> OriginConnection::ConnectThrough(const Endpoint& helper,
+                                                                   const std::string& open_message)
+{
+  auto connection = Connect(helper);
+  if (!connection)
+    return nullptr;
+  connection->m_tunnel = TunnelState::Opening;
+  connection->m_stream->Write(open_message);
+  return connection;
+}
+
 void OriginConnection::Send(const std::string& request, ResponseHandler* handler,
                             bool no_body_expected, Common::TimePoint send_deadline)
 {
@@ -52,14 +76,22 @@
   m_skipping = false;
   m_parser.ExpectNoBody(no_body_expected);
   m_parser.Restart();
-  m_stream->Write(request, send_deadline);
-  if (m_stream->IsConnected())
+  const bool is_opening = m_tunnel == TunnelState::Opening;
+  if (is_opening)
+  {
+    m_pending_request = request;
+    m_pending_deadline = send_deadline;
+  }
+  else
+    m_stream->Write(request, send_deadline);
+  if (IsConnected())
     return;
-  m_connect_deadline = Common::Now() + CONNECT_TIMEOUT;
-  m_connect_timer.Start(CONNECT_TIMEOUT, [this] {
+  const auto timeout = is_opening ? TUNNEL_TIMEOUT : CONNECT_TIMEOUT;
+  m_connect_deadline = Common::Now() + timeout;
+  m_connect_timer.Start(timeout, [this, is_opening] {
     const auto guard = shared_from_this();
-    if (m_handler != nullptr && !m_stream->IsConnected())
-      Break(ExchangeError::ConnectTimedOut);
+    if (m_handler != nullptr && !IsConnected())
+      Break(is_opening ? ExchangeError::TunnelFailed : ExchangeError::ConnectTimedOut);
   });
 }
 
@@ -94,9 +126,31 @@
   return now - m_idle_since < limit && m_stream->IsStillIdle();
 }
 
+std::size_t OriginConnection::ReadTunnelStatus(std::string_view bytes)
+{
+  const auto status = DecodeTunnelStatus(bytes.front());
+  if (status != TunnelStatus::Open)
+  {
+    Break(ErrorOf(status));
+    return bytes.size();
+  }
+  m_connect_timer.Stop();
+  // As in OnConnected: after a suspension the request must not be sent.
+  if (m_handler != nullptr && Common::Now() >= m_connect_deadline)
+  {
+    Break(ExchangeError::ConnectTimedOut);
+    return bytes.size();
+  }
+  m_tunnel = TunnelState::Open;
+  m_stream->Write(std::exchange(m_pending_request, {}), m_pending_deadline);
+  return 1;
+}
+
 void OriginConnection::OnBytes(std::string_view bytes)
 {
   const auto guard = shared_from_this();
+  if (m_tunnel == TunnelState::Opening)
+    bytes.remove_prefix(ReadTunnelStatus(bytes));
   while (!bytes.empty() && m_stream->IsOpen())
   {
     if (m_handler == nullptr)
@@ -150,9 +204,9 @@
     Break(ExchangeError::SendDeadlinePassed);
     return;
   }
-  if (!m_stream->IsConnected())
+  if (!IsConnected())
   {
-    Break(ExchangeError::ConnectFailed);
+    Break(IsTunnel() ? ExchangeError::TunnelFailed : ExchangeError::ConnectFailed);
     return;
   }
   const bool completes =
--- a/Source/Core/Http/OriginConnection.h
+++ b/Source/Core/Http/OriginConnection.h
@@ -11,6 +11,7 @@
 #include "Common/Reactor.h"
 #include "Http/MessageParser.h"
 #include "Http/TcpStream.h"
+#include "Http/Tunnel.h"
 
 namespace Http
 {
@@ -24,6 +25,7 @@
   SendDeadlinePassed, ///< The send deadline passed before the request was sent; no more of it will
                       ///< be.
   Malformed,          ///< The received bytes are not a valid response.
+  TunnelFailed,       ///< The helper opened no tunnel, for a reason of its own; no byte was sent.
 };
 
 /// Receives the response to one request. No call follows the one that ends the exchange.
@@ -55,6 +57,11 @@
   static std::shared_ptr<OriginConnection> Connect(const Endpoint& peer,
                                                    const SocketOptions& options = {});
 
+  /// Starts to connect through `helper`, which gets `open_message` first and replies with a
+  /// `TunnelStatus`; returns nullptr where no socket can be opened or connected.
+  static std::shared_ptr<OriginConnection> ConnectThrough(const Endpoint& helper,
+                                                          const std::string& open_message);
+
   /// Sends a serialized request; no byte of it is sent at `send_deadline` or later. `handler` must
   /// live until the exchange has ended or `Abandon` has been called.
   void Send(const std::string& request, ResponseHandler* handler, bool no_body_expected = false,
@@ -63,9 +70,13 @@
   /// unsent output, the connection is reset; otherwise it is closed.
   void Abandon();
 
-  bool IsConnected() const { return m_stream->IsConnected(); }
-  /// True if at least one byte has been sent over this connection.
-  bool HasSent() const { return m_stream->HasSent(); }
+  bool IsConnected() const { return m_stream->IsConnected() && m_tunnel != TunnelState::Opening; }
+  /// True until the first response has been received completely.
+  bool IsFirstExchange() const { return !m_response_received; }
+  /// True if the connection goes through another daemon.
+  bool IsTunnel() const { return m_tunnel != TunnelState::None; }
+  /// True if at least one byte of a request has been sent over this connection.
+  bool HasSent() const { return m_stream->HasSent() && m_tunnel != TunnelState::Opening; }
   /// True if the connection may carry another request at `now`.
   bool IsReusable(Common::TimePoint now) const;
   void SetReading(bool reading) { m_stream->SetReading(reading); }
@@ -79,8 +90,17 @@
   void OnMessageEnd() override;
 
 private:
+  enum class TunnelState
+  {
+    None, ///< The connection is direct.
+    Opening,
+    Open,
+  };
+
   OriginConnection();
 
+  /// Handles the helper's reply; returns the number of bytes that belong to it.
+  std::size_t ReadTunnelStatus(std::string_view bytes);
   void Break(ExchangeError error);
   void EndResponse(bool extra_bytes_follow);
   void UpdateKeepAlive(const MessageHead& head);
@@ -95,5 +115,8 @@
   Common::TimePoint m_idle_since;
   Common::TimePoint m_connect_deadline;
   Common::OwnedTimer m_connect_timer;
+  TunnelState m_tunnel = TunnelState::None;
+  std::string m_pending_request; ///< Sent once the tunnel is open.
+  Common::TimePoint m_pending_deadline = NO_SEND_DEADLINE;
 };
 } // namespace Http
--- /dev/null
+++ b/Source/Core/Tunnels/TunnelServer.h
@@ -0,0 +1,50 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+#include "Common/Reactor.h"
+#include "Http/TcpStream.h"
+#include "Tunnels/Messages.h"
+
+namespace Tunnels
+{
+/// Opens and serves tunnels for daemons that cannot connect to backend servers themselves.
+class TunnelServer
+{
+public:
+  /// Returns the server's address if this VM connects to it directly; otherwise nothing.
+  using Resolver = std::function<std::optional<Http::Endpoint>(const TunnelTarget&)>;
+
+  explicit TunnelServer(Resolver resolver);
+  ~TunnelServer();
+  TunnelServer(const TunnelServer&) = delete;
+  TunnelServer& operator=(const TunnelServer&) = delete;
+
+  Common::Result<Common::Done> Listen(const Http::Endpoint& local);
+  Http::Endpoint Local() const { return m_listener.Local(); }
+  std::size_t OpenTunnels() const { return m_tunnels.size(); }
+  /// Tunnels that were requested since the start, and those that were rejected for lack of room.
+  std::int64_t Requested() const { return m_requested; }
+  std::int64_t Rejected() const { return m_rejected; }
+
+private:
+  class Tunnel;
+
+  void Accept(int fd);
+  /// Destroys a tunnel from the main loop, because its streams may still be in a callback.
+  void Remove(Tunnel* tunnel);
+
+  Resolver m_resolver;
+  Http::TcpListener m_listener;
+  std::map<Tunnel*, std::unique_ptr<Tunnel>> m_tunnels;
+  std::int64_t m_requested = 0;
+  std::int64_t m_rejected = 0;
+};
+} // namespace Tunnels
