--- /dev/null
+++ b/Source/Core/Gateway/ConnectionProbe.h
@@ -0,0 +1,49 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Common/Reactor.h"
+#include "Http/TcpStream.h"
+
+namespace Gateway
+{
+/// Connects to a server, directly or through a helper, to learn whether it accepts connections, and
+/// closes the connection again. Sends no request.
+class ConnectionProbe : private Http::StreamEvents
+{
+public:
+  enum class Outcome
+  {
+    Accepted,
+    Refused,
+    Inconclusive, ///< There was no reply in time.
+    HelperFailed, ///< The helper was not reached, or did not try.
+  };
+  /// Called from the main loop, never from the constructor. May destroy the probe.
+  using OutcomeHandler = std::function<void(Outcome)>;
+
+  ConnectionProbe(const Http::Endpoint& server, OutcomeHandler on_outcome);
+  /// Probes through `helper`, which gets `open_message` first.
+  ConnectionProbe(const Http::Endpoint& helper, const std::string& open_message,
+                  OutcomeHandler on_outcome);
+  ~ConnectionProbe() override = default;
+
+private:
+  void OnConnected() override;
+  void OnBytes(std::string_view bytes) override;
+  void OnEnd(Http::StreamEnd end) override;
+  /// Defers the callback, since it destroys the probe while its stream is still in a callback.
+  void FinishLater(Outcome outcome);
+
+  bool m_through_helper;
+  OutcomeHandler m_on_outcome;
+  bool m_finished = false;
+  Common::OwnedTimer m_timer;
+  std::shared_ptr<Http::TcpStream> m_stream;
+};
+} // namespace Gateway
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -23,6 +23,7 @@
 #include "Gateway/Relay.h"
 #include "Gateway/RetryBudget.h"
 #include "Gateway/ServerDirectory.h"
+#include "Gateway/ServerPaths.h"
 #include "Gateway/ServerSignals.h"
 #include "Gateway/Types.h"
 #include "Http/ServerConnection.h"
@@ -75,6 +76,7 @@
   std::int64_t sent_to_draining = 0; ///< Because no other server could take them.
   std::int64_t sent_after_drain = 0; ///< After the drain grace had run out.
   std::int64_t sent_in_backoff = 0;  ///< While the backoff of the server was active.
+  std::int64_t through_helpers = 0;  ///< Sent on connections through other daemons.
   std::int64_t withdrawn = 0; ///< Because a Retry-After came before their first byte was sent.
 };
 
@@ -173,6 +175,9 @@
   /// that its model can be loaded meanwhile.
   void ExpectRetry(const Relay& relay, Common::Milliseconds span);
   void NoteArrival(const Relay& relay);
+  /// How this VM reaches the servers.
+  ServerPaths& Paths() { return m_paths; }
+  const ServerPaths& Paths() const { return m_paths; }
   CrashDetector& GetCrashDetector() { return m_crash_detector; }
   /// Applies the signals in the headers of a response to a request, an order or a report.
   void ApplySignals(const ServerPtr& server, const ServerSignals& signals,
@@ -194,6 +199,8 @@
   bool MustAwaitCrashCheck(Relay& relay) const;
   /// Records that a server has completed the request successfully.
   void NoteRequestSuccess(Relay& relay);
+  /// True if this VM reaches no server. Its callers are better served by other VMs.
+  bool IsCutOff() const { return m_paths.IsCutOff(Common::Now()); }
   /// Schedules one pass over the waiting requests from the main loop; repeated calls are merged.
   void ScheduleDispatch();
   void ReportDemand();
@@ -284,6 +291,7 @@
   std::uint64_t m_compared_revision = 0; ///< Of the ledger when blocks were last compared.
   Common::TimePoint m_compare_until;     ///< Without a change, blocks are compared until then.
   Crashes::RecentSuccesses m_successes;
+  ServerPaths m_paths{m_servers};
   CrashDetector m_crash_detector{m_servers};
   LimitedServers m_limited{m_servers};
   DrainRegistry m_draining;
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -311,7 +311,7 @@
   m_received_events = false;
   m_body.clear();
   m_events.DropPartial();
-  m_connection = m_server->TakeConnection(now);
+  m_connection = m_server->TakeConnection(now, std::nullopt);
   if (!m_connection)
   {
     AttemptFailed("no socket available", m_may_have_run);
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "Common/Log.h"
+#include "Tunnels/Messages.h"
 
 namespace Gateway
 {
@@ -97,10 +98,14 @@
   m_missing_until[artifact] = now + MISSING_PAUSE;
 }
 
-std::shared_ptr<Http::OriginConnection> Server::TakeConnection(Common::TimePoint now)
+std::shared_ptr<Http::OriginConnection>
+Server::TakeConnection(Common::TimePoint now, const std::optional<Http::Endpoint>& helper)
 {
   if (auto kept = m_idle.Take(now))
     return kept;
+  if (helper)
+    return Http::OriginConnection::ConnectThrough(
+        *helper, Tunnels::EncodeOpen({m_entry.instance.Get(), m_entry.instance.Started().Get()}));
   return Http::OriginConnection::Connect(m_entry.endpoint);
 }
 
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -85,16 +85,25 @@
   void NoteReplaced() { m_condition->replaced = true; }
   bool IsReplaced() const { return m_condition->replaced; }
 
-  /// Returns an idle connection or a new one; nullptr if no socket is available.
-  std::shared_ptr<Http::OriginConnection> TakeConnection(Common::TimePoint now);
+  /// Returns an idle connection or a new one, through `helper` if that is set; nullptr if no socket
+  /// is available.
+  std::shared_ptr<Http::OriginConnection>
+  TakeConnection(Common::TimePoint now, const std::optional<Http::Endpoint>& helper);
   void ReturnConnection(std::shared_ptr<Http::OriginConnection> connection);
+  void DropIdleConnections() { m_idle.Clear(); }
 
   void NoteStart(const Artifact& artifact, Common::TimePoint now);
   /// Records the end of a request. If the server is unresponsive when its last request ends, it is
   /// ejected, since the next request sent to it would be lost too.
   void NoteEnd(const Artifact& artifact, Common::TimePoint sent_at, Common::TimePoint now);
   /// Records that data was received from the server.
-  void NoteReceived(Common::TimePoint now) { m_silence.NoteReceived(now); }
+  void NoteReceived(Common::TimePoint now)
+  {
+    m_silence.NoteReceived(now);
+    m_received_at = now;
+  }
+  /// When data was last received from the server.
+  Common::TimePoint ReceivedAt() const { return m_received_at; }
   const std::optional<ServerLimit>& Limit() const { return m_limit; }
   void SetLimit(const std::optional<ServerLimit>& limit) { m_limit = limit; }
   /// True if the server has had a limit for so long that its models should be loaded on other
@@ -140,6 +149,7 @@
   Common::Milliseconds m_drain_grace{0};
   bool m_evacuated = false;
   SilenceDetector m_silence;
+  Common::TimePoint m_received_at;
   std::optional<ServerLimit> m_limit;
   Http::IdleConnections m_idle{MAX_IDLE_CONNECTIONS};
   struct Placement
