Gateway: a refused connection alone is no evidence of a crash

A VM that is partitioned from servers may have its connections reset and new ones refused. Test: IsolatedVmTest::IsolationIsTakenForCrashes failed before.

--- a/Source/Core/Gateway/CrashDetector.cpp
+++ b/Source/Core/Gateway/CrashDetector.cpp
@@ -20,9 +20,6 @@
 /// shows that the server has exited. Data still received from the server proves nothing, since it
 /// may have been written before the exit.
 constexpr Milliseconds PROBE_DELAY{100};
-/// Time limit for the probe's connection. A timeout is inconclusive: the server may be on the other
-/// side of a network partition.
-constexpr Milliseconds PROBE_TIMEOUT{400};
 /// A request that crashes a server does so shortly after it starts to run. A request that had been
 /// running for longer is a suspect only if no newer one was in progress.
 constexpr Milliseconds MAX_CRASH_RUN_TIME{1000};
@@ -43,48 +40,6 @@
 }
 } // namespace
 
-class CrashDetector::Probe : public Http::StreamEvents
-{
-public:
-  enum class Outcome
-  {
-    Accepted,
-    Refused,
-    Inconclusive,
-  };
-
-  Probe(const Http::Endpoint& server, std::function<void(Outcome)> on_outcome)
-      : m_on_outcome(std::move(on_outcome)), m_stream(Http::TcpStream::Connect(server, this))
-  {
-    m_timer.Start(m_stream ? PROBE_TIMEOUT : Milliseconds(0), [this] {
-      m_on_outcome(Outcome::Inconclusive);
-    });
-  }
-
-  void OnConnected() override { FinishLater(Outcome::Accepted); }
-  void OnBytes(std::string_view) override {}
-  void OnEnd(Http::StreamEnd) override
-  {
-    if (!m_finished)
-      FinishLater(Outcome::Refused);
-  }
-
-private:
-  /// Defers the callback, since it destroys the probe while its stream is still in a callback.
-  void FinishLater(Outcome outcome)
-  {
-    m_finished = true;
-    m_timer.Start(Milliseconds(0), [this, outcome] {
-      m_on_outcome(outcome);
-    });
-  }
-
-  std::function<void(Outcome)> m_on_outcome;
-  bool m_finished = false;
-  Common::OwnedTimer m_timer;
-  std::shared_ptr<Http::TcpStream> m_stream;
-};
-
 bool CrashDetector::NoteConnectionEnded(const ServerPtr& server, const Suspect& suspect,
                                         ResultHandler on_result)
 {
@@ -111,29 +66,53 @@
 
 void CrashDetector::NoteConnectionRefused(const ServerPtr& server)
 {
-  Finish(server->Entry().instance, CheckResult::Crashed, "connection for a request refused");
+  Confirm(server, "connection for a request refused");
+}
+
+void CrashDetector::NoteRefusedElsewhere(const ServerPtr& server)
+{
+  Finish(server->Entry().instance, CheckResult::Crashed, "connection of another VM refused");
 }
 
 void CrashDetector::StartProbe(const InstanceId& instance)
 {
   PendingCheck& check = m_pending_checks.at(instance);
-  check.probe = std::make_shared<Probe>(
-      check.server->Entry().endpoint, [this, instance](Probe::Outcome outcome) {
+  check.probe = std::make_unique<ConnectionProbe>(
+      check.server->Entry().endpoint,
+      [this, server = check.server](ConnectionProbe::Outcome outcome) {
+        // The probe, which owns this callback and its captures, is destroyed below.
+        CrashDetector& detector = *this;
+        const ServerPtr probed = server;
+        const InstanceId& probed_instance = probed->Entry().instance;
         switch (outcome)
         {
-        case Probe::Outcome::Refused:
-          Finish(instance, CheckResult::Crashed, "probe connection refused");
+        case ConnectionProbe::Outcome::Refused:
+          detector.Confirm(probed, "probe connection refused");
           break;
-        case Probe::Outcome::Accepted:
-          Finish(instance, CheckResult::Running, "probe connection accepted");
+        case ConnectionProbe::Outcome::Accepted:
+          detector.Finish(probed_instance, CheckResult::Running, "probe connection accepted");
           break;
-        case Probe::Outcome::Inconclusive:
-          Finish(instance, CheckResult::Unknown, "silent");
+        case ConnectionProbe::Outcome::Inconclusive:
+        case ConnectionProbe::Outcome::HelperFailed:
+          detector.Finish(probed_instance, CheckResult::Unknown, "silent");
           break;
         }
       });
 }
 
+void CrashDetector::Confirm(const ServerPtr& server, const char* how)
+{
+  const InstanceId instance = server->Entry().instance;
+  const auto on_confirmed = [this, instance, how](ConnectionProbe::Outcome outcome) {
+    if (outcome == ConnectionProbe::Outcome::Refused)
+      Finish(instance, CheckResult::Crashed, how);
+    else
+      Finish(instance, CheckResult::Unknown, "not refused elsewhere");
+  };
+  if (!m_confirm || !m_confirm(server, on_confirmed))
+    Finish(instance, CheckResult::Crashed, how);
+}
+
 void CrashDetector::Finish(const InstanceId& instance, CheckResult result, const char* how)
 {
   const auto found = m_pending_checks.find(instance);
--- a/Source/Core/Gateway/CrashDetector.h
+++ b/Source/Core/Gateway/CrashDetector.h
@@ -11,8 +11,8 @@
 
 #include "Common/Reactor.h"
 #include "Crashes/Fingerprint.h"
+#include "Gateway/ConnectionProbe.h"
 #include "Gateway/ServerDirectory.h"
-#include "Http/TcpStream.h"
 
 namespace Gateway
 {
@@ -47,8 +47,15 @@
   using CrashHandler =
       std::function<void(const InstanceId&, Common::TimePoint, const std::vector<Suspect>&)>;
 
+  /// Probes a server that refused a connection from elsewhere; returns false if it cannot.
+  using Confirmation = std::function<bool(
+      const ServerPtr&, std::function<void(ConnectionProbe::Outcome)> on_outcome)>;
+
   explicit CrashDetector(const ServerDirectory& servers) : m_servers(servers) {}
 
+  /// A refused connection then counts as a crash only if the server refuses one from elsewhere too:
+  /// a partition between this VM and the server may reset connections as well.
+  void SetConfirmation(Confirmation confirm) { m_confirm = std::move(confirm); }
   /// Called for each server that has crashed.
   void OnCrashed(CrashHandler handler) { m_on_crashed = std::move(handler); }
   /// Called when the check of a suspected server completes.
@@ -61,12 +68,12 @@
                            ResultHandler on_result = nullptr);
   /// Records that a new connection to the server was refused.
   void NoteConnectionRefused(const ServerPtr& server);
+  /// Records that the server refused a connection of another VM.
+  void NoteRefusedElsewhere(const ServerPtr& server);
   /// True while it is undetermined whether a server crashed while it processed the request.
   bool IsCheckPending(const Crashes::Fingerprint& request) const;
 
 private:
-  /// Connects to the server to check whether it still listens.
-  class Probe;
   struct PendingCheck
   {
     ServerPtr server;
@@ -74,13 +81,16 @@
     std::vector<Suspect> suspects;
     std::vector<ResultHandler> result_handlers;
     Common::OwnedTimer timer;
-    std::shared_ptr<Probe> probe;
+    std::unique_ptr<ConnectionProbe> probe;
   };
 
   void StartProbe(const InstanceId& instance);
+  /// Finishes the check of a server that refused a connection.
+  void Confirm(const ServerPtr& server, const char* how);
   void Finish(const InstanceId& instance, CheckResult result, const char* how);
 
   const ServerDirectory& m_servers;
+  Confirmation m_confirm;
   CrashHandler m_on_crashed;
   std::function<void()> m_on_check_done;
   std::map<InstanceId, PendingCheck> m_pending_checks;
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -57,6 +57,9 @@
   m_crash_detector.OnCheckDone([this] {
     ScheduleDispatch();
   });
+  m_crash_detector.SetConfirmation([this](const ServerPtr& server, auto on_outcome) {
+    return m_paths.NoteDirectFailure(server, std::move(on_outcome));
+  });
 }
 
 void Dispatcher::Configure(DispatcherSettings settings)
