--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -23,6 +23,8 @@
 
 /// How often waiting requests are retried: a server's backoff or ejection ends without an event.
 constexpr Milliseconds DISPATCH_INTERVAL{40};
+/// Retry-After while this VM reaches no server: the caller's next connection goes to another VM.
+constexpr Milliseconds CUT_OFF_RETRY_AFTER{100};
 /// Accounts that get their own gauges, the largest first; the others are summed up.
 constexpr std::size_t MAX_ACCOUNT_SERIES = 20;
 /// How often requests that wait for units of their account's limit are retried.
@@ -57,9 +59,7 @@
   m_crash_detector.OnCheckDone([this] {
     ScheduleDispatch();
   });
-  m_crash_detector.SetConfirmation([this](const ServerPtr& server, auto on_outcome) {
-    return m_paths.NoteDirectFailure(server, std::move(on_outcome));
-  });
+  ConnectPaths();
 }
 
 void Dispatcher::Configure(DispatcherSettings settings)
@@ -107,6 +107,8 @@
   }
   auto relay = std::make_shared<Relay>(*this, connection, std::move(request));
   m_relays.emplace(relay.get(), relay);
+  if (!m_silence_timer.Running())
+    CheckSilentPaths();
   relay->Start();
 }
 
@@ -139,7 +141,7 @@
 {
   return server.Entry().pool == relay.SelectedPool() && server.IsAvailable(now) &&
          server.Holds(relay.RequestedArtifact(), now) && relay.MaySendTo(server.Entry().instance) &&
-         MayRunAt(relay, server);
+         MayRunAt(relay, server) && m_paths.HasPath(server, now);
 }
 
 ServerPtr Dispatcher::ChooseAmong(const std::vector<ServerPtr>& servers, const Relay& relay)
@@ -233,6 +235,8 @@
     return std::nullopt;
   if (auto refusal = CheckNoServerAllowed(relay))
     return refusal;
+  if (IsCutOff())
+    return EarlyRefusal{CUT_OFF_RETRY_AFTER, "this VM reaches no server"};
   const auto now = Common::Now();
   Decisions::WaitForLoadInput load;
   load.until_deadline = std::chrono::floor<Milliseconds>(relay.Deadline() - now);
@@ -563,6 +567,12 @@
   m_metrics.SetGauge("servers_draining", count_servers([](const Server& server) {
                        return server.IsDraining();
                      }));
+  m_metrics.SetGauge("vm_isolated", m_paths.IsIsolated() ? 1 : 0);
+  m_metrics.SetGauge("vm_cut_off", IsCutOff() ? 1 : 0);
+  m_metrics.SetGauge("sent_through_helpers", static_cast<double>(m_counters.through_helpers));
+  m_metrics.SetGauge("servers_through_helpers", count_servers([this](const Server& server) {
+                       return m_paths.NeedsHelper(server);
+                     }));
   m_metrics.SetGauge("data_centres_evacuated", static_cast<double>(m_servers.Evacuated().size()));
   m_metrics.SetGauge("servers_cold", count_servers([&](const Server& server) {
                        return server.Cold().IsCold(now);
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -200,7 +200,12 @@
   /// Records that a server has completed the request successfully.
   void NoteRequestSuccess(Relay& relay);
   /// True if this VM reaches no server. Its callers are better served by other VMs.
-  bool IsCutOff() const { return m_paths.IsCutOff(Common::Now()); }
+  bool IsCutOff() const;
+  /// Called when this VM becomes isolated from the servers, or no longer is.
+  void OnIsolationChange(std::function<void()> callback)
+  {
+    m_on_isolation_change = std::move(callback);
+  }
   /// Schedules one pass over the waiting requests from the main loop; repeated calls are merged.
   void ScheduleDispatch();
   void ReportDemand();
@@ -209,6 +214,11 @@
   void OnRelayFinished(Relay* relay);
 
 private:
+  void ConnectPaths();
+  /// Requests that wait on a direct connection to `server`, or to any server, go elsewhere.
+  void LeaveDirectPath(const ServerPtr& server);
+  /// Checks the paths of open requests whose servers are silent, at regular intervals.
+  void CheckSilentPaths();
   void DispatchWaiting();
   void OnServerCrashed(const InstanceId& instance, Common::TimePoint ended_at,
                        const std::vector<CrashDetector::Suspect>& suspects);
@@ -292,6 +302,8 @@
   Common::TimePoint m_compare_until;     ///< Without a change, blocks are compared until then.
   Crashes::RecentSuccesses m_successes;
   ServerPaths m_paths{m_servers};
+  Common::OwnedTimer m_silence_timer;
+  std::function<void()> m_on_isolation_change;
   CrashDetector m_crash_detector{m_servers};
   LimitedServers m_limited{m_servers};
   DrainRegistry m_draining;
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -114,13 +114,29 @@
           },
           [this] {
             return RenderDump();
-          })
+          }),
+      m_tunnels([this](const Tunnels::TunnelTarget& target) {
+        return ResolveTunnel(target);
+      })
 {
 }
 
+std::optional<Http::Endpoint> EntryPoint::ResolveTunnel(const Tunnels::TunnelTarget& target) const
+{
+  const InstanceId instance(target.server, ServerStart(target.server_start));
+  const ServerPtr server = m_dispatcher.Servers().Find(instance);
+  if (!server || m_dispatcher.Paths().NeedsHelper(*server))
+    return std::nullopt;
+  return server->Entry().endpoint;
+}
+
 std::string EntryPoint::RenderMetrics()
 {
   m_dispatcher.RefreshGauges();
+  m_dispatcher.GetMetrics().SetGauge("tunnels_open", static_cast<double>(m_tunnels.OpenTunnels()));
+  m_dispatcher.GetMetrics().SetGauge("tunnels_requested",
+                                     static_cast<double>(m_tunnels.Requested()));
+  m_dispatcher.GetMetrics().SetGauge("tunnels_rejected", static_cast<double>(m_tunnels.Rejected()));
   if (m_on_metrics)
     m_on_metrics(m_dispatcher.GetMetrics());
   return m_dispatcher.GetMetrics().Render();
@@ -182,7 +198,8 @@
 
 bool EntryPoint::IsReady() const
 {
-  return !m_stopping && m_dispatcher.CurrentConfiguration() && !m_dispatcher.Servers().Empty();
+  return !m_stopping && m_dispatcher.CurrentConfiguration() && !m_dispatcher.Servers().Empty() &&
+         !m_dispatcher.IsCutOff();
 }
 
 Common::Result<Common::Done> EntryPoint::Start()
@@ -195,6 +212,9 @@
   const auto probe = [this](int fd, const Http::Endpoint&) {
     m_probes.AcceptConnection(fd);
   };
+  if (m_settings.tunnels)
+    if (auto tunnels = m_tunnels.Listen(*m_settings.tunnels); !tunnels)
+      return tunnels;
   if (auto metrics = m_metrics.Listen(m_settings.metrics, probe); !metrics)
     return metrics;
   return m_readiness.Listen(m_settings.readiness, probe);
--- a/Source/Core/Gateway/EntryPoint.h
+++ b/Source/Core/Gateway/EntryPoint.h
@@ -9,6 +9,7 @@
 
 #include "Gateway/Dispatcher.h"
 #include "Http/TcpStream.h"
+#include "Tunnels/TunnelServer.h"
 
 namespace Gateway
 {
@@ -17,6 +18,8 @@
   Http::Endpoint callers;
   Http::Endpoint readiness;
   Http::Endpoint metrics;
+  /// Where other daemons open tunnels to servers; unset: none are served.
+  std::optional<Http::Endpoint> tunnels;
   Common::Milliseconds stop_grace{8000};
   DispatcherSettings dispatcher;
 };
@@ -71,6 +74,8 @@
 
 private:
   bool IsReady() const;
+  /// The address of a server to which this VM connects directly.
+  std::optional<Http::Endpoint> ResolveTunnel(const Tunnels::TunnelTarget& target) const;
   std::string RenderMetrics();
   std::string RenderDump() const;
   /// Installs the handlers of all signals that are deferred while the daemon starts.
@@ -81,6 +86,7 @@
   EntryPointSettings m_settings;
   Dispatcher m_dispatcher;
   ProbeResponder m_probes;
+  Tunnels::TunnelServer m_tunnels;
   Http::TcpListener m_callers;
   Http::TcpListener m_readiness;
   Http::TcpListener m_metrics;
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -36,6 +36,9 @@
 /// A server that the platform no longer lists may still finish its work; if it also sends nothing
 /// for this long, it is considered to have failed.
 constexpr Milliseconds UNLISTED_SERVER_TIMEOUT{1900};
+/// After this time without data from a server, the path to it is checked. Longer than the usual
+/// time to a first event.
+constexpr Milliseconds PATH_CHECK_AFTER{400};
 /// Retry-After of a refused request whose model no server holds (a load from disk takes about a
 /// second), and of other refused requests.
 constexpr std::string_view RETRY_AFTER_LOAD_S = "0.5";
@@ -311,7 +314,8 @@
   m_received_events = false;
   m_body.clear();
   m_events.DropPartial();
-  m_connection = m_server->TakeConnection(now, std::nullopt);
+  m_helper = m_dispatcher.Paths().HelperFor(*m_server, now);
+  m_connection = m_server->TakeConnection(now, m_helper);
   if (!m_connection)
   {
     AttemptFailed("no socket available", m_may_have_run);
@@ -319,6 +323,8 @@
   }
   m_dispatcher.Limited().NoteSend(*m_server, now);
   m_dispatcher.CountSend(*m_server, now);
+  if (m_connection->IsTunnel())
+    ++m_dispatcher.Counters().through_helpers;
   if (m_arrivals > 0)
     ++m_dispatcher.Counters().retries;
   if (m_stream_begun)
@@ -425,6 +431,8 @@
   if (!m_connection)
     return;
   const auto now = Common::Now();
+  if (!m_connection->IsTunnel())
+    m_dispatcher.Paths().CheckSilentServer(m_server, now);
   const bool is_unlisted = m_dispatcher.Servers().Find(m_server->Entry().instance) == nullptr;
   if (is_unlisted && now - m_last_progress_at >= UNLISTED_SERVER_TIMEOUT)
   {
@@ -445,6 +453,37 @@
   });
 }
 
+bool Relay::IsSilentOnDirectPath(Common::TimePoint now) const
+{
+  return m_connection && m_server && !m_connection->IsTunnel() &&
+         now - std::max(m_sent_at, m_server->ReceivedAt()) >= PATH_CHECK_AFTER;
+}
+
+void Relay::LeaveDirectPath()
+{
+  if (m_done || !m_connection || m_connection->IsTunnel())
+    return;
+  const auto guard = shared_from_this();
+  constexpr std::string_view WHY = "the path to the server is broken";
+  if (!m_connection->IsConnected())
+  {
+    ForgetAttempt();
+    AttemptFailed(WHY, m_may_have_run);
+    return;
+  }
+  const auto now = Common::Now();
+  const bool may_repeat =
+      m_route.IsRepeatable() && MayTryAgain(true) && m_dispatcher.Budget().Left(m_pool, now) >= 1;
+  if (may_repeat && IsSilentOnDirectPath(now))
+    AttemptFailed(WHY, true);
+}
+
+void Relay::ForgetAttempt()
+{
+  --m_arrivals;
+  m_tried_servers.erase(m_server->Entry().instance);
+}
+
 void Relay::OnDeadline()
 {
   const auto guard = shared_from_this();
@@ -519,6 +558,8 @@
   else if (status != 0)
   {
     std::vector<Http::HeaderField> headers;
+    if (status == 503 && m_dispatcher.IsCutOff())
+      m_caller->CloseAfterResponse();
     if (status == 503 || status == 429)
       headers.push_back({"Retry-After", RetryAfter()});
     if (status == 401)
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -68,6 +68,14 @@
   void TryDispatch();
 
   bool IsWaiting() const { return m_waiting; }
+  /// The server that has the request, or is about to get it; null if there is none.
+  const ServerPtr& AssignedServer() const { return m_server; }
+  /// True if the request is on a direct connection and its server has sent nothing for so long that
+  /// the path to the server should be checked.
+  bool IsSilentOnDirectPath(Common::TimePoint now) const;
+  /// Sends the request elsewhere if it waits on a direct connection to a server that this VM can no
+  /// longer connect to, and it may run again or none of it has been sent.
+  void LeaveDirectPath();
   /// True if as many connections broke in this attempt as servers may crash under it.
   bool MustNotCrashMore() const { return m_broken_connections >= MAX_CRASHES_PER_ATTEMPT; }
   /// True while the request waits for units of its account's limit, before it looks for a server.
@@ -154,6 +162,8 @@
   void HandleCompleteResponse();
   /// Time since the response head arrived; unset before.
   std::optional<Common::Milliseconds> ResponseTime() const;
+  /// Records that a connection to the server was refused or not established in time.
+  void NoteConnectFailure(bool timed_out, bool through_helper);
   bool IsValidResponse(const Http::MessageHead& head) const;
   /// True if the response came from a different server process than the one addressed.
   bool IsFromOtherInstance() const;
@@ -190,6 +200,8 @@
   void OnStall(Common::Milliseconds span);
   void ArmStallTimer(Common::Milliseconds span);
 
+  /// Takes back an attempt of which no byte was sent.
+  void ForgetAttempt();
   void Refuse(std::string_view why);
   void Fail(int status, std::string_view why);
   /// The value of the Retry-After header in seconds.
@@ -223,6 +235,8 @@
 
   ServerPtr m_server;
   std::shared_ptr<Http::OriginConnection> m_connection;
+  /// The daemon through which `m_connection` was opened; unset if it is direct or was kept.
+  std::optional<Http::Endpoint> m_helper;
   std::set<InstanceId> m_tried_servers;
   /// Those of m_tried_servers that rejected the request with a Retry-After.
   std::set<InstanceId> m_deferred_by;
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -25,6 +25,8 @@
 Http::ResponseHandler::HeadAction Relay::OnResponseHead(Http::MessageHead& head)
 {
   m_server->NoteReceived(Common::Now());
+  if (m_connection && !m_connection->IsTunnel())
+    m_dispatcher.Paths().NoteDirectResponse(Common::Now(), m_connection->IsFirstExchange());
   const std::string* id = head.Find(m_dispatcher.Settings().names.request_id);
   if (!m_id.empty() && (id == nullptr || *id != m_id))
   {
@@ -262,6 +264,24 @@
                 m_may_have_run);
 }
 
+void Relay::NoteConnectFailure(bool timed_out, bool through_helper)
+{
+  const auto now = Common::Now();
+  // A single lost packet can also delay a connection, so only several timeouts in a row eject the
+  // server.
+  if (timed_out)
+    m_server->Health().NoteFailure(now);
+  else
+    m_server->Health().NoteUnreachable(now);
+  CrashDetector& crash_detector = m_dispatcher.GetCrashDetector();
+  if (!timed_out && through_helper)
+    crash_detector.NoteRefusedElsewhere(m_server);
+  else if (!timed_out)
+    crash_detector.NoteConnectionRefused(m_server);
+  else if (!through_helper)
+    m_dispatcher.Paths().NoteDirectFailure(m_server);
+}
+
 std::optional<Milliseconds> Relay::ResponseTime() const
 {
   if (!m_response_began_at)
@@ -272,22 +292,21 @@
 void Relay::OnExchangeFailed(Http::ExchangeError breakage)
 {
   const auto guard = shared_from_this();
-  m_connection = nullptr;
+  const auto connection = std::exchange(m_connection, nullptr);
   const auto now = Common::Now();
+  if (breakage == Http::ExchangeError::TunnelFailed)
+  {
+    if (m_helper)
+      m_dispatcher.Paths().NoteHelperFailure(*m_helper, now);
+    ForgetAttempt();
+    AttemptFailed("the helper opened no tunnel to the server", m_may_have_run);
+    return;
+  }
   const bool timed_out = breakage == Http::ExchangeError::ConnectTimedOut;
   if (timed_out || breakage == Http::ExchangeError::ConnectFailed)
   {
-    // A single lost packet can also delay a connection, so only several timeouts in a row eject the
-    // server.
-    if (timed_out)
-      m_server->Health().NoteFailure(now);
-    else
-    {
-      m_server->Health().NoteUnreachable(now);
-      m_dispatcher.GetCrashDetector().NoteConnectionRefused(m_server);
-    }
-    --m_arrivals;
-    m_tried_servers.erase(m_server->Entry().instance);
+    NoteConnectFailure(timed_out, connection && connection->IsTunnel());
+    ForgetAttempt();
     AttemptFailed("could not connect to the server", m_may_have_run);
     return;
   }
--- a/Source/Core/Gateway/RelayWaiting.cpp
+++ b/Source/Core/Gateway/RelayWaiting.cpp
@@ -126,8 +126,7 @@
     return;
   const auto guard = shared_from_this();
   ++m_dispatcher.Counters().withdrawn;
-  --m_arrivals;
-  m_tried_servers.erase(m_server->Entry().instance);
+  ForgetAttempt();
   AttemptFailed(why, m_may_have_run);
 }
 
--- a/Source/Core/Http/ServerConnection.h
+++ b/Source/Core/Http/ServerConnection.h
@@ -70,6 +70,8 @@
                  BodyFraming framing = BodyFraming::Chunked);
   void SendBody(std::string_view bytes);
   void EndBody();
+  /// Closes the connection once the current response is complete, and announces that in its head.
+  void CloseAfterResponse() { m_close_after_response = true; }
   /// Ends the connection in the middle of a response, so that it is not taken for a complete one.
   void AbortResponse();
   /// Closes the connection if no request is open or partly received and no output is unsent.
