--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -22,6 +22,7 @@
 #include "Fleet/JoinPolicy.h"
 #include "Orders/MessageSize.h"
 #include "Orders/UpdateWriter.h"
+#include "Tunnels/Messages.h"
 
 namespace Orders
 {
@@ -88,6 +89,11 @@
   report.placement_to = update.to;
   report.placements = std::move(update.lines);
 }
+/// How often the holder informs the daemons of helpers, how many it names, and how many of them at
+/// most are in the daemon's own data centre.
+constexpr Milliseconds HELPER_INTERVAL{2000};
+constexpr std::size_t MAX_HELPERS = 8;
+constexpr std::ptrdiff_t NEAR_HELPERS = 5;
 } // namespace
 
 ServerHash HashOf(const Gateway::InstanceId& instance)
@@ -487,7 +493,10 @@
     return is_gone;
   });
   if (regular)
+  {
     PlanHandovers();
+    SendHelpers(now);
+  }
   if (const auto* accounts = GrantableAccounts(now); accounts != nullptr && regular)
     m_allowances.Allocate(*accounts, now);
   m_placements.Update(m_order_manager.Placements());
@@ -571,7 +580,7 @@
     {
       OnReportConfirmed(reply.sequence);
       m_dispatcher.TakeGrants(reply.fence, reply.grants);
-      for (const CopySource& source : reply.copy_sources)
+      for (const PeerAddress& source : reply.copy_sources)
         m_handover.Receive({source.address, source.port});
     }
 }
@@ -670,8 +679,74 @@
   }
 }
 
+std::vector<PeerAddress> Hub::HelpersFor(const Http::Endpoint& daemon, Fleet::PlaceHash place) const
+{
+  std::vector<Http::Endpoint> near;
+  std::vector<Http::Endpoint> far;
+  const auto add = [&](const Http::Endpoint& endpoint, Fleet::PlaceHash peer_place) {
+    if (endpoint != daemon)
+      (peer_place == place ? near : far).push_back(endpoint);
+  };
+  add(m_settings.local, Fleet::HashOf(m_settings.data_centre));
+  for (const auto& [vm, peer] : m_peers)
+    add(peer.endpoint, peer.place);
+  std::vector<Http::Endpoint> chosen;
+  std::ranges::sample(near, std::back_inserter(chosen), NEAR_HELPERS, Common::SharedRandom());
+  std::ranges::sample(far, std::back_inserter(chosen),
+                      static_cast<std::ptrdiff_t>(MAX_HELPERS - chosen.size()),
+                      Common::SharedRandom());
+  std::vector<PeerAddress> helpers;
+  std::ranges::transform(chosen, std::back_inserter(helpers), [](const Http::Endpoint& messages) {
+    const Http::Endpoint tunnels = Tunnels::TunnelEndpoint(messages);
+    return PeerAddress{tunnels.address, tunnels.port};
+  });
+  return helpers;
+}
+
+void Hub::SendHelpers(Common::TimePoint now)
+{
+  if (now - m_helpers_sent_at < HELPER_INTERVAL)
+    return;
+  m_helpers_sent_at = now;
+  for (const auto& [vm, peer] : m_peers)
+  {
+    HelperUpdate update;
+    update.fence = m_own_lease->fence;
+    update.helpers = HelpersFor(peer.endpoint, peer.place);
+    SendTo(peer.endpoint, Daemons::Encode(update));
+  }
+  SetHelpers(HelpersFor(m_settings.local, Fleet::HashOf(m_settings.data_centre)));
+}
+
+void Hub::OnHelperUpdate(std::string_view bytes)
+{
+  const auto update = Daemons::Decode<HelperUpdate>(bytes);
+  if (!update || update->marker != HelperUpdate::MARKER)
+  {
+    Common::LogEvent(Common::LogLevel::Warning, "datagram-malformed", {{"reason", "helpers"}});
+    return;
+  }
+  if (!m_own_lease && update->fence >= m_last_announcement.first)
+    SetHelpers(update->helpers);
+}
+
+void Hub::SetHelpers(const std::vector<PeerAddress>& helpers)
+{
+  std::vector<Http::Endpoint> endpoints;
+  std::ranges::transform(helpers, std::back_inserter(endpoints), [](const PeerAddress& helper) {
+    return Http::Endpoint{helper.address, helper.port};
+  });
+  m_dispatcher.Paths().SetHelpers(std::move(endpoints));
+}
+
 void Hub::OnDatagram(std::string_view bytes, const Http::Endpoint& from)
 {
+  constexpr char HELPER_UPDATE_BEGIN = '\xff';
+  if (bytes.starts_with(HELPER_UPDATE_BEGIN))
+  {
+    OnHelperUpdate(bytes);
+    return;
+  }
   const auto envelope = Daemons::Decode<Envelope>(bytes);
   if (!envelope)
   {
@@ -694,6 +769,7 @@
     peer.placement_version = report.placement_version;
     peer.crash_revision = report.crash_revision;
     peer.handicap = Milliseconds(report.handicap_ms);
+    peer.place = report.place;
     if (report.missed_updates)
     {
       peer.sent = peer.versions;
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -107,6 +107,7 @@
     std::uint64_t crash_revision = 0;
     std::uint64_t crash_sent = 0;
     Common::Milliseconds handicap{0};
+    Fleet::PlaceHash place = 0; ///< Its data centre.
   };
   /// Reception state of one shared table's relayed changes.
   struct UpdateState
@@ -170,6 +171,11 @@
     UpdatePosition position_after;
   };
   UpdatePosition PositionOf(Peer& peer, Common::TimePoint now) const;
+  /// At the holder: informs each daemon of others that may open tunnels for it.
+  void SendHelpers(Common::TimePoint now);
+  std::vector<PeerAddress> HelpersFor(const Http::Endpoint& daemon, Fleet::PlaceHash place) const;
+  void OnHelperUpdate(std::string_view bytes);
+  void SetHelpers(const std::vector<PeerAddress>& helpers);
   Announcement MakeAnnouncement(HolderReport report, const UpdatePosition& position) const;
   Common::Milliseconds PushDelay() const;
   Common::Milliseconds RegularInterval() const;
@@ -204,8 +210,9 @@
       0; ///< Revision of the holder's crash cases that were last applied.
   std::uint64_t m_own_crashes_confirmed = 0;
   std::uint64_t m_own_crashes_reported = 0; ///< Revision up to which the last report includes them.
-  Common::TimePoint m_holder_since;         ///< When the holder last changed.
-  std::uint64_t m_crashes_announced = 0;    ///< Revision last announced as the holder.
+  Common::TimePoint m_helpers_sent_at;
+  Common::TimePoint m_holder_since;      ///< When the holder last changed.
+  std::uint64_t m_crashes_announced = 0; ///< Revision last announced as the holder.
   /// Revision of the limit book last announced as the holder.
   std::uint64_t m_limits_announced = 0;
   /// Revision of the draining servers last announced as the holder.
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -185,8 +185,8 @@
 using RunHash = std::uint32_t;
 RunHash HashOf(const Common::Incarnation& run);
 
-/// A daemon that hands over its copy of the shared tables.
-struct CopySource
+/// Where another daemon offers something: its copy of the shared tables, or tunnels.
+struct PeerAddress
 {
   std::uint32_t address = 0; ///< Network byte order.
   std::uint16_t port = 0;    ///< Host byte order.
@@ -209,7 +209,7 @@
   std::int64_t fence = 0;     ///< Fence of the holder's lease.
   std::vector<Accounts::GrantLine> grants;
   /// Where a daemon without tables gets a copy; at most one.
-  std::vector<CopySource> copy_sources;
+  std::vector<PeerAddress> copy_sources;
 
   template <typename Archive>
   void serialize(Archive& archive)
@@ -259,6 +259,24 @@
   }
 };
 
+/// From the holder to one daemon: other daemons that may connect to backend servers for it, those
+/// of its data centre first. A datagram of its own, which daemons without tunnels reject.
+struct HelperUpdate
+{
+  /// The first field of the datagram; no `Envelope` begins with this value.
+  static constexpr std::uint64_t MARKER = ~std::uint64_t{0};
+
+  std::uint64_t marker = MARKER;
+  std::int64_t fence = 0; ///< Fence of the holder's lease.
+  std::vector<PeerAddress> helpers;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(marker, fence, helpers);
+  }
+};
+
 /// The content of one datagram.
 struct Envelope
 {
