Orders: a holder that is isolated from the backend servers abdicates

Callers of all VMs waited for models that nobody loaded (RECOVER): the holder of the order lease was among the partitioned VMs, and in 13 s none of its orders arrived, while it renewed its lease. Orders may not go through another VM, as each holder is one VM. An isolated holder now abdicates as one that has lost the store does, and an isolated VM waits 3 s longer than others for a free lease.

--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -65,7 +65,8 @@
   Coordination(const CoordinationSettings& settings, Gateway::Dispatcher& dispatcher, Store& store,
                OrderChannel channel, ArchiveAccess archive, std::vector<Follower*> shared_tables,
                Follower& lease_table)
-      : m_vm(settings.vm),
+      : m_dispatcher(dispatcher),
+        m_vm(settings.vm),
         m_run(Common::NewId("run-")),
         m_order_manager(dispatcher.Servers(), std::move(channel), {settings.load_window_s}),
         m_hub({settings.vm, m_run, settings.local,
@@ -175,6 +176,8 @@
   /// At the start of a tenure a call with a follower's longer wait may still be open, so the age of
   /// the responses is ignored for this long.
   static constexpr Common::Milliseconds STARTUP_GRACE{3500};
+  /// While this VM is isolated from the backend servers, it lets other daemons acquire the lease.
+  static constexpr Common::Milliseconds ISOLATED_DEFERRAL{3000};
   /// Added to the platform's pause between holders, for orders that are still in transit.
   static constexpr Common::Milliseconds PAUSE_MARGIN{150};
   /// Interval of the periodic tick at the lease holder, which plans orders, and at other daemons.
@@ -253,13 +256,18 @@
 
   LeaseAnnouncement CurrentLease() const { return {m_lease.Fence(), m_lease.RowVersion(), {}}; }
 
-  /// If the store stops responding to the holder, the holder abdicates and announces it at once
-  /// instead of letting the lease expire: another daemon may reach the store.
+  /// If the store stops responding to the holder, or its VM no longer reaches the backend servers,
+  /// the holder abdicates and announces it at once instead of letting the lease expire: another
+  /// daemon may reach them.
   void AbdicateIfCutOff(Common::TimePoint now)
   {
+    if (!m_held)
+      return;
     // Right after an outage the last responses are old and the first new ones are still in transit.
-    if (!m_held || now - m_held_since < STARTUP_GRACE ||
-        NewestResponseAge(now) <= STORE_RESPONSE_TIMEOUT)
+    const bool has_lost_store =
+        now - m_held_since >= STARTUP_GRACE && NewestResponseAge(now) > STORE_RESPONSE_TIMEOUT;
+    const bool has_lost_servers = m_dispatcher.Paths().IsIsolated() && m_hub.Daemons() > 1;
+    if (!has_lost_store && !has_lost_servers)
       return;
     const LeaseAnnouncement lease = CurrentLease();
     m_lease.Abdicate();
@@ -268,6 +276,8 @@
 
   void Tick()
   {
+    const bool is_isolated = m_dispatcher.Paths().IsIsolated();
+    m_lease.SetDeferral(is_isolated ? ISOLATED_DEFERRAL : Common::Milliseconds(0));
     AbdicateIfCutOff(Common::Now());
     UpdateHolder();
     m_lease.SetContenders(m_hub.Daemons(), m_hub.MinHandicap());
@@ -316,6 +326,7 @@
     m_hub.SetHolder(endpoint.Value(), std::nullopt);
   }
 
+  Gateway::Dispatcher& m_dispatcher;
   Common::VmId m_vm;
   Common::Incarnation m_run;
   OrderManager m_order_manager;
--- a/Source/Core/Orders/LeaseManager.h
+++ b/Source/Core/Orders/LeaseManager.h
@@ -137,6 +137,8 @@
   std::int64_t Fence() const { return m_fence.value_or(0); }
   const std::optional<LeaseRecord>& Record() const { return m_record; }
 
+  /// Sets an additional delay before this daemon tries to acquire a free lease.
+  void SetDeferral(Common::Milliseconds deferral) { m_deferral = deferral; }
   /// Sets the number of daemons that may contend for the lease and the lowest handicap among them.
   void SetContenders(int daemons, Common::Milliseconds min_handicap)
   {
@@ -230,13 +232,13 @@
     const auto handicap =
         loses_repeatedly ? m_settings.handicap * LOSS_HANDICAP_FACTOR : relative_handicap;
     if (IsOwnLease())
-      return handicap;
+      return handicap + m_deferral;
     const auto max_jitter = std::max(MAX_JITTER_MS, MAX_JITTER_MS_PER_DAEMON * m_contenders);
     const bool has_last_holder = m_record && !m_record->holder.Empty();
     const auto reservation_left =
         has_last_holder ? std::chrono::ceil<Common::Milliseconds>(m_reserved_until - now)
                         : Common::Milliseconds(0);
-    return std::max(reservation_left, Common::Milliseconds(0)) + handicap +
+    return std::max(reservation_left, Common::Milliseconds(0)) + handicap + m_deferral +
            Common::Milliseconds(Common::SharedRandom()() % max_jitter);
   }
 
@@ -340,6 +342,7 @@
   Common::TimePoint m_reserved_until; ///< Until then the lease is reserved for its last holder.
   std::uint64_t m_contenders = 1;
   Common::Milliseconds m_min_handicap{0};
+  Common::Milliseconds m_deferral{0};
   bool m_writing = false;
   bool m_released = false;
   bool m_store_lost = false;
