Gateway: a stream goes on only at the software version that began it

Servers of several software versions may serve side by side, and what two of them write does not fit together: a caller whose stream was resumed at another version got a mixture. The version in a server's entry is now read; a stream that has begun is resumed at servers of its version only, within an answer and when its caller takes it up again (Resumes names the request that brought its first event). A VM knows the streams that began through it.

--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -25,6 +25,7 @@
 #include "Gateway/ServerDirectory.h"
 #include "Gateway/ServerPaths.h"
 #include "Gateway/ServerSignals.h"
+#include "Gateway/StreamOrigins.h"
 #include "Gateway/Types.h"
 #include "Http/ServerConnection.h"
 
@@ -175,6 +176,9 @@
   /// that its model can be loaded meanwhile.
   void ExpectRetry(const Relay& relay, Common::Milliseconds span);
   void NoteArrival(const Relay& relay);
+  StreamOrigins& Origins() { return m_origins; }
+  /// The software versions that serve the pool, or have recently begun streams of it.
+  std::set<SoftwareVersion> VersionsInPool(const PoolId& pool) const;
   /// How this VM reaches the servers.
   ServerPaths& Paths() { return m_paths; }
   const ServerPaths& Paths() const { return m_paths; }
@@ -231,7 +235,8 @@
   std::int64_t ConcurrencyLimitFor(const Server& server) const;
   /// True if the request may be sent to the server now, leaving the server's rate limit aside.
   bool IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const;
-  /// True if the request's route and account allow it to run in the server's region.
+  /// True if the request's route and account allow it to run in the server's region, and the
+  /// server's software version began the stream that it resumes.
   bool MayRunAt(const Relay& relay, const Server& server) const;
   /// The refusal for a request that no server may take until the operators change something: those
   /// of its pool are evacuated or outside its regions. Returns nullopt if any server may take it.
@@ -302,6 +307,7 @@
   Common::TimePoint m_compare_until;     ///< Without a change, blocks are compared until then.
   Crashes::RecentSuccesses m_successes;
   ServerPaths m_paths{m_servers};
+  StreamOrigins m_origins;
   Common::OwnedTimer m_silence_timer;
   std::function<void()> m_on_isolation_change;
   CrashDetector m_crash_detector{m_servers};
--- a/Source/Core/Gateway/DispatcherPlaces.cpp
+++ b/Source/Core/Gateway/DispatcherPlaces.cpp
@@ -102,23 +102,36 @@
 
 bool Dispatcher::MayRunAt(const Relay& relay, const Server& server) const
 {
+  if (!relay.MayContinueAt(server.Entry().version))
+    return false;
   if (!relay.HasAllowedRegions())
     return true;
   const auto region = m_settings.regions.find(server.Entry().data_centre);
   return region != m_settings.regions.end() && relay.MayRunIn(region->second);
 }
 
+std::set<SoftwareVersion> Dispatcher::VersionsInPool(const PoolId& pool) const
+{
+  std::set<SoftwareVersion> versions = m_origins.RecentVersions(pool, Common::Now());
+  for (const auto& [instance, server] : m_servers.All())
+    if (server->Entry().pool == pool)
+      versions.insert(server->Entry().version);
+  return versions;
+}
+
 std::optional<EarlyRefusal> Dispatcher::CheckNoServerAllowed(const Relay& relay) const
 {
-  if (!relay.HasAllowedRegions() && m_servers.Evacuated().empty())
+  if (!relay.HasAllowedRegions() && !relay.IsBoundToVersion() && m_servers.Evacuated().empty())
     return std::nullopt;
   bool any_in_pool = false;
+  bool any_of_version = false;
   bool any_in_region = false;
   for (const auto& [instance, server] : m_servers.All())
   {
     if (server->Entry().pool != relay.SelectedPool())
       continue;
     any_in_pool = true;
+    any_of_version = any_of_version || relay.MayContinueAt(server->Entry().version);
     if (!MayRunAt(relay, *server))
       continue;
     any_in_region = true;
@@ -127,6 +140,9 @@
   }
   if (!any_in_pool)
     return std::nullopt;
+  if (!any_of_version)
+    return EarlyRefusal{NO_SERVER_RETRY_AFTER,
+                        "no server has the software version that began the stream"};
   return EarlyRefusal{NO_SERVER_RETRY_AFTER,
                       any_in_region ? "the operators have evacuated all servers"
                                     : "no server is in a region where the request may run"};
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -173,7 +173,7 @@
   m_pool = PickPool(m_route.pools);
   m_idle_timeout = CallerIdleTimeout(m_route);
   ReadHeaders();
-  if (RefuseIfBlocked())
+  if (RefuseIfBlocked() || RefuseUnknownOrigin())
     return;
   StartTimers();
   TakeAllowance();
@@ -261,6 +261,19 @@
     m_affinity = m_artifact.ToString() + ":" + SharedPromptParts(*parts);
   if (const auto last_event = ParseNumber(head.Find(names.last_event_id)))
     m_events.StartAfter(*last_event);
+  const std::string* resumes = head.Find(names.resumes);
+  m_resumes = resumes == nullptr ? "" : *resumes;
+}
+
+bool Relay::RefuseUnknownOrigin()
+{
+  if (m_route.repeatability != Repeatability::Streaming || !m_events.LastId())
+    return false;
+  m_stream_version = m_dispatcher.Origins().Find(m_resumes, Common::Now());
+  if (m_stream_version || m_dispatcher.VersionsInPool(m_pool).size() <= 1)
+    return false;
+  Refuse("it is not known which software version began the stream");
+  return true;
 }
 
 void Relay::StartTimers()
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -112,6 +112,13 @@
   /// Redirects the request to another server if it is assigned to one of `servers`, which should
   /// get no requests for the reason `why`, and none of its bytes have been sent yet.
   void WithdrawUnsent(const std::set<ServerPtr>& servers, std::string_view why);
+  /// True if the request resumes a stream, and the software version that began it is known.
+  bool IsBoundToVersion() const { return m_stream_version.has_value(); }
+  /// False if the request resumes a stream that a server with other software began.
+  bool MayContinueAt(const SoftwareVersion& version) const
+  {
+    return !m_stream_version || *m_stream_version == version;
+  }
   Crashes::RequestIdentity Identity() const;
 
   /// Ends the request if it is blocked because servers crashed while they ran it, unless a server
@@ -148,6 +155,9 @@
   /// it crash further ones before other daemons know of it, together with the requests that its
   /// servers had beside it.
   bool FailAfterCrashes();
+  /// Ends the request and returns true if its caller resumes a stream, servers of several software
+  /// versions may have begun it, and it is not known which.
+  bool RefuseUnknownOrigin();
   /// Looks for a server, after the account's limit has been checked.
   void FindServer();
   /// The values of the key headers in the order in which they appear.
@@ -261,6 +271,11 @@
   bool m_stream_begun = false; ///< Bytes of the stream have been sent to the caller.
   Http::BodyFraming m_framing = Http::BodyFraming::Chunked; ///< Of the begun stream.
   bool m_received_events = false; ///< The current server has sent events that the caller lacked.
+  /// Version of the servers' software that began the stream; unset before.
+  std::optional<SoftwareVersion> m_stream_version;
+  /// The request that brought the first event of the stream that the caller resumes; empty if the
+  /// caller does not name it.
+  std::string m_resumes;
   std::optional<Common::Milliseconds> m_first_event_after;
   Common::TimePoint m_last_event_at;
   Common::TimePoint m_last_progress_at;
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -132,6 +132,9 @@
 void Relay::BeginStream()
 {
   m_stream_begun = true;
+  m_stream_version = m_server->Entry().version;
+  m_dispatcher.Origins().Note(m_pool, m_resumes.empty() ? m_id : m_resumes, *m_stream_version,
+                              Common::Now());
   // The daemon must not state an end that the server has not stated.
   m_framing =
       m_head.ends_with_connection ? Http::BodyFraming::UntilClose : Http::BodyFraming::Chunked;
--- a/Source/Core/Gateway/Types.h
+++ b/Source/Core/Gateway/Types.h
@@ -191,10 +191,14 @@
   auto operator<=>(const LoadedModel&) const = default;
 };
 
+/// Version of a backend server's software; versions have no order.
+using SoftwareVersion = Common::StrongId<struct SoftwareVersionTag>;
+
 /// A backend server's entry on the platform.
 struct ServerEntry
 {
   InstanceId instance;
+  SoftwareVersion version; ///< Empty if unknown.
   PoolId pool;
   Http::Endpoint endpoint;
   Common::DataCentreId data_centre;
@@ -213,6 +217,7 @@
   std::string time_left_ms;
   std::string model;
   std::string last_event_id;
+  std::string resumes; ///< Id of the request whose response brought a resumed stream's first event.
   std::string token_counts; ///< "IN,OUT": tokens of the prompt, and maximum of the response.
   std::string prompt_parts; ///< ID:TOKENS of the prompt's parts, in order.
   std::string signature;    ///< Proves that a backend server made the response.
--- a/Source/UnitTests/Support/RelayWorld.h
+++ b/Source/UnitTests/Support/RelayWorld.h
@@ -31,6 +31,7 @@
   names.time_left_ms = "Left-Ms";
   names.model = "Model";
   names.last_event_id = "Last-Event-Id";
+  names.resumes = "Resumes";
   names.prompt_parts = "Parts";
   names.signature = "Signed";
   names.expected_instance = "Want-Instance";
@@ -129,9 +130,10 @@
   }
 
   void AddServer(const std::string& instance, const Http::Endpoint& endpoint,
-                 const std::vector<ModelId>& on_disk = {})
+                 const std::vector<ModelId>& on_disk = {}, const std::string& version = "")
   {
     ServerEntry entry;
+    entry.version = SoftwareVersion(version);
     entry.on_disk = on_disk;
     entry.instance = InstanceId(instance);
     entry.pool = PoolId("pool");
