Orders: daemons ask each other which software version began a stream

While several software versions of the servers serve, a caller that took a stream up at another VM than the one through which it began was refused, as its origin was known there only. That VM now asks through the holder, which passes the query on to all; whoever knows the origin replies to the asker, and the request waits 150 ms at most. Left: the origin is unknown if its VM was killed or no holder is in contact.

--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -180,6 +180,19 @@
   void ExpectRetry(const Relay& relay, Common::Milliseconds span);
   void NoteArrival(const Relay& relay);
   StreamOrigins& Origins() { return m_origins; }
+  /// Called when the origin of a stream is to be asked of the other daemons; the argument is the
+  /// request whose response brought its first event.
+  void OnOriginQuery(std::function<void(const std::string&)> callback)
+  {
+    m_on_origin_query = std::move(callback);
+  }
+  void QueryOrigin(const std::string& request)
+  {
+    if (m_on_origin_query)
+      m_on_origin_query(request);
+  }
+  /// Applies the reply of another daemon, and resumes the requests that waited for it.
+  void LearnOrigin(const std::string& request, const SoftwareVersion& version);
   /// The software versions that serve the pool, or have recently begun streams of it.
   std::set<SoftwareVersion> VersionsInPool(const PoolId& pool) const;
   /// How this VM reaches the servers.
@@ -313,6 +326,7 @@
   Crashes::RecentSuccesses m_successes;
   ServerPaths m_paths{m_servers};
   StreamOrigins m_origins;
+  std::function<void(const std::string&)> m_on_origin_query;
   int m_daemons = 1;
   Common::OwnedTimer m_silence_timer;
   std::function<void()> m_on_isolation_change;
--- a/Source/Core/Gateway/DispatcherPlaces.cpp
+++ b/Source/Core/Gateway/DispatcherPlaces.cpp
@@ -110,6 +110,14 @@
   return region != m_settings.regions.end() && relay.MayRunIn(region->second);
 }
 
+void Dispatcher::LearnOrigin(const std::string& request, const SoftwareVersion& version)
+{
+  m_origins.Learn(request, version, Common::Now());
+  const auto relays = m_relays;
+  for (const auto& [key, relay] : relays)
+    relay->LearnOrigin(request, version);
+}
+
 std::set<SoftwareVersion> Dispatcher::VersionsInPool(const PoolId& pool) const
 {
   std::set<SoftwareVersion> versions = m_origins.RecentVersions(pool, Common::Now());
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -36,6 +36,9 @@
 /// A server that the platform no longer lists may still finish its work; if it also sends nothing
 /// for this long, it is considered to have failed.
 constexpr Milliseconds UNLISTED_SERVER_TIMEOUT{1900};
+/// How long a request waits for another daemon to name the software version that began the stream
+/// that it resumes. The lease holder passes the query on within some ms.
+constexpr Milliseconds ORIGIN_TIMEOUT{150};
 /// After this time without data from a server, the path to it is checked. Longer than the usual
 /// time to a first event.
 constexpr Milliseconds PATH_CHECK_AFTER{400};
@@ -173,9 +176,11 @@
   m_pool = PickPool(m_route.pools);
   m_idle_timeout = CallerIdleTimeout(m_route);
   ReadHeaders();
-  if (RefuseIfBlocked() || RefuseUnknownOrigin())
+  if (RefuseIfBlocked())
     return;
   StartTimers();
+  if (MustAwaitOrigin())
+    return;
   TakeAllowance();
 }
 
@@ -265,17 +270,38 @@
   m_resumes = resumes == nullptr ? "" : *resumes;
 }
 
-bool Relay::RefuseUnknownOrigin()
+bool Relay::MustAwaitOrigin()
 {
   if (m_route.repeatability != Repeatability::Streaming || !m_events.LastId())
     return false;
   m_stream_version = m_dispatcher.Origins().Find(m_resumes, Common::Now());
   if (m_stream_version || m_dispatcher.VersionsInPool(m_pool).size() <= 1)
     return false;
-  Refuse("it is not known which software version began the stream");
+  constexpr std::string_view WHY = "it is not known which software version began the stream";
+  if (m_resumes.empty())
+  {
+    Refuse(WHY);
+    return true;
+  }
+  m_awaits_origin = true;
+  m_wait_timer.Start(ORIGIN_TIMEOUT, [this, WHY] {
+    Refuse(WHY);
+  });
+  m_dispatcher.QueryOrigin(m_resumes);
   return true;
 }
 
+void Relay::LearnOrigin(const std::string& request, const SoftwareVersion& version)
+{
+  if (m_done || !m_awaits_origin || m_resumes != request)
+    return;
+  const auto guard = shared_from_this();
+  m_awaits_origin = false;
+  m_wait_timer.Stop();
+  m_stream_version = version;
+  TakeAllowance();
+}
+
 void Relay::StartTimers()
 {
   m_deadline_timer.Start(TimeLeft(), [this] {
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -119,6 +119,8 @@
   {
     return !m_stream_version || *m_stream_version == version;
   }
+  /// Goes on if the request waits for the origin of this stream.
+  void LearnOrigin(const std::string& request, const SoftwareVersion& version);
   Crashes::RequestIdentity Identity() const;
 
   /// Ends the request if it is blocked because servers crashed while they ran it, unless a server
@@ -155,9 +157,10 @@
   /// it crash further ones before other daemons know of it, together with the requests that its
   /// servers had beside it.
   bool FailAfterCrashes();
-  /// Ends the request and returns true if its caller resumes a stream, servers of several software
-  /// versions may have begun it, and it is not known which.
-  bool RefuseUnknownOrigin();
+  /// Returns true if the caller resumes a stream, servers of several software versions may have
+  /// begun it, and it is not known which. The request then waits for the reply of another daemon,
+  /// or has ended.
+  bool MustAwaitOrigin();
   /// Looks for a server, after the account's limit has been checked.
   void FindServer();
   /// The values of the key headers in the order in which they appear.
@@ -276,6 +279,7 @@
   /// The request that brought the first event of the stream that the caller resumes; empty if the
   /// caller does not name it.
   std::string m_resumes;
+  bool m_awaits_origin = false;
   std::optional<Common::Milliseconds> m_first_event_after;
   Common::TimePoint m_last_event_at;
   Common::TimePoint m_last_progress_at;
--- a/Source/Core/Gateway/ServerPaths.h
+++ b/Source/Core/Gateway/ServerPaths.h
@@ -42,6 +42,7 @@
   }
   /// Sets the other daemons that may open tunnels, the preferred ones first.
   void SetHelpers(std::vector<Http::Endpoint> helpers);
+  const std::vector<Http::Endpoint>& Helpers() const { return m_helpers; }
 
   /// True if the server is used through a helper.
   bool NeedsHelper(const Server& server) const;
--- a/Source/Core/Gateway/StreamOrigins.cpp
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -17,8 +17,13 @@
                          const SoftwareVersion& version, Common::TimePoint now)
 {
   m_used_at[pool][version] = now;
-  if (request.empty())
-    return;
+  if (!request.empty())
+    Learn(request, version, now);
+}
+
+void StreamOrigins::Learn(const std::string& request, const SoftwareVersion& version,
+                          Common::TimePoint now)
+{
   DropOld(now);
   if (m_versions.insert_or_assign(request, version).second)
     m_begun.push_back({now, request});
--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -17,13 +17,15 @@
 {
 /// Which software version of the servers began a stream. What two versions write does not fit
 /// together, so that a stream may go on only at the version that began it. Holds the streams that
-/// callers received through this VM; a stream that was begun through another VM is unknown.
+/// callers received through this VM, and others that callers resumed here.
 class StreamOrigins
 {
 public:
   /// Records that a server of `version` began the stream that `request` asked for.
   void Note(const PoolId& pool, const std::string& request, const SoftwareVersion& version,
             Common::TimePoint now);
+  /// Records what another daemon knows of a stream.
+  void Learn(const std::string& request, const SoftwareVersion& version, Common::TimePoint now);
   /// The version that began the stream; unset if it is not known.
   std::optional<SoftwareVersion> Find(const std::string& request, Common::TimePoint now);
   /// The versions that have recently begun streams of the pool through this VM.
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -156,6 +156,9 @@
   if (const auto listening = m_handover.Listen(m_settings.local); !listening)
     Common::LogEvent(Common::LogLevel::Error, "handover-unavailable",
                      {{"reason", listening.Reason().detail}});
+  m_dispatcher.OnOriginQuery([this](const std::string& request) {
+    SendOriginQuery(request);
+  });
   UpdateSharedBudgets();
   SetPollWaits();
   SendReport();
@@ -707,24 +710,74 @@
   m_helpers_sent_at = now;
   for (const auto& [vm, peer] : m_peers)
   {
-    HelperUpdate update;
-    update.fence = m_own_lease->fence;
-    update.helpers = HelpersFor(peer.endpoint, peer.place);
-    SendTo(peer.endpoint, Daemons::Encode(update));
+    Notice notice;
+    notice.fence = m_own_lease->fence;
+    notice.helpers = HelpersFor(peer.endpoint, peer.place);
+    SendTo(peer.endpoint, Daemons::Encode(notice));
   }
   SetHelpers(HelpersFor(m_settings.local, Fleet::HashOf(m_settings.data_centre)));
 }
 
-void Hub::OnHelperUpdate(std::string_view bytes)
+void Hub::OnNotice(std::string_view bytes, const Http::Endpoint& from)
+{
+  const auto notice = Daemons::Decode<Notice>(bytes);
+  if (!notice || notice->marker != Notice::MARKER)
+  {
+    Common::LogEvent(Common::LogLevel::Warning, "datagram-malformed",
+                     {{"from", from.ToString()}, {"reason", "not a notice"}});
+    return;
+  }
+  const bool is_current = !m_own_lease && notice->fence >= m_last_announcement.first;
+  if (!notice->helpers.empty() && is_current)
+    SetHelpers(notice->helpers);
+  for (OriginQuery query : notice->origin_queries)
+  {
+    if (!notice->queries_passed_on)
+      query.sender = {from.address, from.port};
+    OnOriginQuery(query, notice->queries_passed_on);
+  }
+  for (const OriginReply& reply : notice->origin_replies)
+    m_dispatcher.LearnOrigin(reply.request, reply.version);
+}
+
+void Hub::OnOriginQuery(const OriginQuery& query, bool passed_on)
+{
+  if (const auto version = m_dispatcher.Origins().Find(query.request, Common::Now()))
+  {
+    Notice notice;
+    notice.origin_replies.push_back({query.request, *version});
+    SendTo({query.sender.address, query.sender.port}, Daemons::Encode(notice));
+  }
+  else if (!passed_on)
+    PassOn(query);
+}
+
+void Hub::SendOriginQuery(const std::string& request)
 {
-  const auto update = Daemons::Decode<HelperUpdate>(bytes);
-  if (!update || update->marker != HelperUpdate::MARKER)
+  const OriginQuery query{request, {m_settings.local.address, m_settings.local.port}};
+  if (m_own_lease)
   {
-    Common::LogEvent(Common::LogLevel::Warning, "datagram-malformed", {{"reason", "helpers"}});
+    PassOn(query);
     return;
   }
-  if (!m_own_lease && update->fence >= m_last_announcement.first)
-    SetHelpers(update->helpers);
+  Notice notice;
+  notice.origin_queries.push_back(query);
+  if (m_holder)
+    SendTo(*m_holder, Daemons::Encode(notice));
+}
+
+void Hub::PassOn(const OriginQuery& query)
+{
+  if (!m_own_lease)
+    return;
+  Notice notice;
+  notice.origin_queries.push_back(query);
+  notice.queries_passed_on = true;
+  const std::string bytes = Daemons::Encode(notice);
+  const Http::Endpoint sender{query.sender.address, query.sender.port};
+  for (const auto& [vm, peer] : m_peers)
+    if (peer.endpoint != sender)
+      SendTo(peer.endpoint, bytes);
 }
 
 void Hub::SetHelpers(const std::vector<PeerAddress>& helpers)
@@ -738,10 +791,10 @@
 
 void Hub::OnDatagram(std::string_view bytes, const Http::Endpoint& from)
 {
-  constexpr char HELPER_UPDATE_BEGIN = '\xff';
-  if (bytes.starts_with(HELPER_UPDATE_BEGIN))
+  constexpr char FIRST_BYTE_OF_NOTICE = '\xff';
+  if (bytes.starts_with(FIRST_BYTE_OF_NOTICE))
   {
-    OnHelperUpdate(bytes);
+    OnNotice(bytes, from);
     return;
   }
   const auto envelope = Daemons::Decode<Envelope>(bytes);
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -174,7 +174,12 @@
   /// At the holder: informs each daemon of others that may open tunnels for it.
   void SendHelpers(Common::TimePoint now);
   std::vector<PeerAddress> HelpersFor(const Http::Endpoint& daemon, Fleet::PlaceHash place) const;
-  void OnHelperUpdate(std::string_view bytes);
+  void OnNotice(std::string_view bytes, const Http::Endpoint& from);
+  void OnOriginQuery(const OriginQuery& query, bool passed_on);
+  /// Asks the other daemons, through the holder, which software version began a stream.
+  void SendOriginQuery(const std::string& request);
+  /// At the holder: passes a query on to all other daemons.
+  void PassOn(const OriginQuery& query);
   void SetHelpers(const std::vector<PeerAddress>& helpers);
   Announcement MakeAnnouncement(HolderReport report, const UpdatePosition& position) const;
   Common::Milliseconds PushDelay() const;
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -259,21 +259,52 @@
   }
 };
 
-/// From the holder to one daemon: other daemons that may connect to backend servers for it, those
-/// of its data centre first. A datagram of its own, which daemons without tunnels reject.
-struct HelperUpdate
+/// Asks which software version began a stream that a caller resumes.
+struct OriginQuery
 {
-  /// The first field of the datagram; no `Envelope` begins with this value.
+  std::string request; ///< The request whose response brought the stream's first event.
+  PeerAddress sender;  ///< Where the reply goes; set by the holder, which passes the query on.
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(request, sender);
+  }
+};
+
+/// From a daemon through which the stream began.
+struct OriginReply
+{
+  std::string request;
+  Gateway::SoftwareVersion version;
+
+  template <typename Archive>
+  void serialize(Archive& archive)
+  {
+    archive(request, version);
+  }
+};
+
+/// A datagram of its own, so that daemons which cannot decode it still decode all others.
+struct Notice
+{
+  /// The first field; no `Envelope` begins with this value.
   static constexpr std::uint64_t MARKER = ~std::uint64_t{0};
 
   std::uint64_t marker = MARKER;
-  std::int64_t fence = 0; ///< Fence of the holder's lease.
+  std::int64_t fence = 0; ///< Fence of the lease, if the holder sends it.
+  /// From the holder: other daemons that may connect to backend servers for the receiver, those of
+  /// its data centre first. Empty if there are no news of them.
   std::vector<PeerAddress> helpers;
+  std::vector<OriginQuery> origin_queries;
+  /// The holder has passed the queries on to all daemons.
+  bool queries_passed_on = false;
+  std::vector<OriginReply> origin_replies;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(marker, fence, helpers);
+    archive(marker, fence, helpers, origin_queries, queries_passed_on, origin_replies);
   }
 };
 
--- a/Source/UnitTests/Gateway/SoftwareVersionsTest.cpp
+++ b/Source/UnitTests/Gateway/SoftwareVersionsTest.cpp
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(CallerResumesAtAnotherVersion);
   CPPUNIT_TEST(CallerCannotResumeAtItsVersion);
   CPPUNIT_TEST(StreamOfUnknownOriginGoesOn);
+  CPPUNIT_TEST(StreamThatBeganAtAnotherDaemonIsRefused);
   CPPUNIT_TEST(StreamOfUnknownOriginIsRefusedWithOneVersion);
   CPPUNIT_TEST(StreamOfAReplacedVersionGoesOnAtTheNewOne);
   CPPUNIT_TEST_SUITE_END();
@@ -130,6 +131,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), first.requests.size() + second.requests.size());
   }
 
+  void StreamThatBeganAtAnotherDaemonIsRefused()
+  {
+    TestServer first(BreakOffThenComplete);
+    TestServer second(BreakOffThenComplete);
+    World world;
+    world.AddServer("i-1", first, "a");
+    world.AddServer("i-2", second, "b");
+    world.dispatcher.OnOriginQuery([&](const std::string& request) {
+      Common::Reactor::Get().After(Milliseconds(5), [&world, request] {
+        world.dispatcher.LearnOrigin(request, Gateway::SoftwareVersion("b"));
+      });
+    });
+    const auto caller = Resume(world, "id-elsewhere");
+    CPPUNIT_ASSERT(Gets(*caller, Event(2)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), second.requests.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), first.requests.size());
+  }
+
   void StreamOfUnknownOriginIsRefusedWithOneVersion()
   {
     TestServer server(BreakOffThenComplete);
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -7,6 +7,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Tunnels/Messages.h"
 #include "UnitTests/Support/Loopback.h"
 
 namespace
@@ -124,6 +125,9 @@
   CPPUNIT_TEST(NewHolderReadsTheTablesDespiteALateAnnouncement);
   CPPUNIT_TEST(NewHolderGrantsUnits);
   CPPUNIT_TEST(HolderGrantsUnitsUpToTheBound);
+  CPPUNIT_TEST(DaemonsKnowNoHelpers);
+  CPPUNIT_TEST(HelpersAreForgottenWithTheHolder);
+  CPPUNIT_TEST(OriginOfAStreamIsUnknownToOtherDaemons);
   CPPUNIT_TEST(CrashesReportedByTwoDaemonsBlockARequestEverywhere);
   CPPUNIT_TEST(NewHolderReceivesCrashesFromAllDaemons);
   CPPUNIT_TEST_SUITE_END();
@@ -297,6 +301,65 @@
       CPPUNIT_ASSERT(GetsUnits(other, 1000));
   }
 
+  /// Each of the three daemons, also the holder, knows the two others.
+  void DaemonsKnowNoHelpers()
+  {
+    Daemon holder("a");
+    Daemon second("b");
+    Daemon third("c");
+    AssignHolder(holder, second);
+    third.hub.SetHolder(holder.endpoint, std::nullopt);
+    const auto knows = [](Daemon& daemon, const Daemon& other) {
+      return std::ranges::count(daemon.dispatcher.Paths().Helpers(),
+                                Tunnels::TunnelEndpoint(other.endpoint)) == 1;
+    };
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return knows(holder, second) && knows(holder, third) && knows(second, holder) &&
+                 knows(second, third) && knows(third, holder) && knows(third, second);
+        },
+        Milliseconds(6000)));
+    CPPUNIT_ASSERT(!knows(second, second));
+  }
+
+  void HelpersAreForgottenWithTheHolder()
+  {
+    Daemon holder("a");
+    Daemon second("b");
+    AssignHolder(holder, second);
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return !second.dispatcher.Paths().Helpers().empty();
+        },
+        Milliseconds(6000)));
+    second.hub.SetHolder(std::nullopt, std::nullopt);
+    RunFor(Milliseconds(200));
+    CPPUNIT_ASSERT(!second.dispatcher.Paths().Helpers().empty());
+  }
+
+  /// Every daemon, also the holder, learns the origin from the one through which the stream began.
+  void OriginOfAStreamIsUnknownToOtherDaemons()
+  {
+    Daemon holder("a");
+    Daemon second("b");
+    Daemon third("c");
+    AssignHolder(holder, second);
+    third.hub.SetHolder(holder.endpoint, std::nullopt);
+    RunFor(Milliseconds(600));
+    const SoftwareVersion version("v");
+    second.dispatcher.Origins().Learn("id-1", version, Common::Now());
+    for (Daemon* daemon : {&third, &holder})
+    {
+      daemon->dispatcher.QueryOrigin("id-1");
+      CPPUNIT_ASSERT(RunUntil([&] {
+        return daemon->dispatcher.Origins().Find("id-1", Common::Now()) == version;
+      }));
+    }
+    third.dispatcher.QueryOrigin("id-2");
+    RunFor(Milliseconds(100));
+    CPPUNIT_ASSERT(!third.dispatcher.Origins().Find("id-2", Common::Now()));
+  }
+
   static constexpr Crashes::Fingerprint CRASHING_REQUEST{7, 7, 7};
 
   /// A server that the daemon knows crashes right after it got the crashing request.
