Gateway: a plain success without a stated end counts once its server runs

Such a success now counts once the crash check finds the server running, as that of a stream does. Test: BrokenOffResponsesTest::UnframedSuccessDoesNotUnblockItsRequest failed before (14 passed, 1 failed) and passes.

--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -173,6 +173,8 @@
   // Handling of responses.
   void HandleRejection();
   void HandleCompleteResponse();
+  /// Records that the server has completed the request, once that is certain.
+  void NotePlainSuccess();
   /// Time since the response head arrived; unset before.
   std::optional<Common::Milliseconds> ResponseTime() const;
   /// Records that a connection to the server was refused or not established in time.
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -231,13 +231,8 @@
   }
   if (!server_failed)
     m_server->Health().NoteSuccess(Common::Now());
-  // Only a success whose end is stated shows that the server has completed the request; after
-  // another one the server may have crashed.
-  const bool is_success = m_head.status >= 200 && m_head.status < 300;
-  if (is_success && m_head.ends_with_connection)
-    m_dispatcher.NoteConnectionEnded(m_server, *this, m_sent_at, ResponseTime());
-  else if (is_success)
-    m_dispatcher.NoteRequestSuccess(*this);
+  if (m_head.status >= 200 && m_head.status < 300)
+    NotePlainSuccess();
   const bool is_first_failure = server_failed && !m_saved_head;
   if (!server_failed || is_first_failure)
   {
@@ -250,6 +245,22 @@
     ForwardSavedResponse();
 }
 
+void Relay::NotePlainSuccess()
+{
+  if (!m_head.ends_with_connection)
+  {
+    m_dispatcher.NoteRequestSuccess(*this);
+    return;
+  }
+  // Without a stated end the server may have crashed instead of completing the request. The caller
+  // does not wait for the check.
+  m_dispatcher.NoteConnectionEnded(m_server, *this, m_sent_at, ResponseTime(),
+                                   [self = shared_from_this()](CrashDetector::CheckResult result) {
+                                     if (result == CrashDetector::CheckResult::Running)
+                                       self->m_dispatcher.NoteRequestSuccess(*self);
+                                   });
+}
+
 void Relay::HandleRejection()
 {
   const auto now = Common::Now();
--- a/Source/UnitTests/Gateway/BrokenOffResponsesTest.cpp
+++ b/Source/UnitTests/Gateway/BrokenOffResponsesTest.cpp
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(UnframedEndOfAResumedStreamIsResumedForever);
   CPPUNIT_TEST(UnframedPlainResponseGetsALength);
   CPPUNIT_TEST(UnframedPlainResponseThatIsResetIsForwarded);
+  CPPUNIT_TEST(UnframedSuccessDoesNotUnblockItsRequest);
   CPPUNIT_TEST(UnframedStreamOfAnEndingProcessLooksComplete);
   CPPUNIT_TEST_SUITE_END();
 
@@ -333,6 +334,31 @@
     CPPUNIT_ASSERT(world.caller.received.find("\r\n\r\nbo") == std::string::npos);
   }
 
+  /// The request was blocked while its server was responding, and the server has not crashed.
+  void UnframedSuccessDoesNotUnblockItsRequest()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(UnframedHead(head, "text/plain") + "bo");
+      Common::Reactor::Get().After(Milliseconds(60), [&peer] {
+        peer.stream->Write("dy");
+        peer.stream->Close();
+      });
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(PLAIN_PATH, "id-1");
+    UnitTests::RunFor(Milliseconds(30));
+    Crashes::CaseLine line;
+    line.request = Crashes::FingerprintOf({"", "POST", "shop.example", PLAIN_PATH, ""});
+    line.blocks = 1;
+    line.blocked_for_ms = 600000;
+    world.dispatcher.MergeCrashCases({line});
+    CPPUNIT_ASSERT(world.CallerGot("body"));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.dispatcher.CrashCases().Blocked(Common::Now()) == 0;
+    }));
+  }
+
   /// The kernel closes the connections of a process that is killed.
   void UnframedStreamOfAnEndingProcessLooksComplete()
   {
