Gateway: a probe keeps its handler while it runs

The handlers of connection probes copied their captures, as the probe that owns them may be destroyed by what they call; the linter rejects copies that are never modified. The probe now moves its handler out before it calls it.

--- a/Source/Core/Gateway/ConnectionProbe.cpp
+++ b/Source/Core/Gateway/ConnectionProbe.cpp
@@ -44,7 +44,7 @@
       m_stream(Http::TcpStream::Connect(server, this))
 {
   m_timer.Start(m_stream ? DIRECT_TIMEOUT : Milliseconds(0), [this] {
-    m_on_outcome(Outcome::Inconclusive);
+    Report(Outcome::Inconclusive);
   });
 }
 
@@ -57,10 +57,17 @@
   if (m_stream)
     m_stream->Write(open_message);
   m_timer.Start(m_stream ? HELPER_TIMEOUT : Milliseconds(0), [this] {
-    m_on_outcome(Outcome::HelperFailed);
+    Report(Outcome::HelperFailed);
   });
 }
 
+void ConnectionProbe::Report(Outcome outcome)
+{
+  // The handler may destroy this object, but not itself while it runs.
+  const OutcomeHandler on_outcome = std::move(m_on_outcome);
+  on_outcome(outcome);
+}
+
 void ConnectionProbe::OnConnected()
 {
   if (!m_through_helper)
@@ -85,7 +92,7 @@
 {
   m_finished = true;
   m_timer.Start(Milliseconds(0), [this, outcome] {
-    m_on_outcome(outcome);
+    Report(outcome);
   });
 }
 } // namespace Gateway
--- a/Source/Core/Gateway/ConnectionProbe.h
+++ b/Source/Core/Gateway/ConnectionProbe.h
@@ -34,6 +34,7 @@
   ~ConnectionProbe() override = default;
 
 private:
+  void Report(Outcome outcome);
   void OnConnected() override;
   void OnBytes(std::string_view bytes) override;
   void OnEnd(Http::StreamEnd end) override;
--- a/Source/Core/Gateway/CrashDetector.cpp
+++ b/Source/Core/Gateway/CrashDetector.cpp
@@ -80,21 +80,17 @@
   check.probe = std::make_unique<ConnectionProbe>(
       check.server->Entry().endpoint,
       [this, server = check.server](ConnectionProbe::Outcome outcome) {
-        // The probe, which owns this callback and its captures, is destroyed below.
-        CrashDetector& detector = *this;
-        const ServerPtr probed = server;
-        const InstanceId& probed_instance = probed->Entry().instance;
         switch (outcome)
         {
         case ConnectionProbe::Outcome::Refused:
-          detector.Confirm(probed, "probe connection refused");
+          Confirm(server, "probe connection refused");
           break;
         case ConnectionProbe::Outcome::Accepted:
-          detector.Finish(probed_instance, CheckResult::Running, "probe connection accepted");
+          Finish(server->Entry().instance, CheckResult::Running, "probe connection accepted");
           break;
         case ConnectionProbe::Outcome::Inconclusive:
         case ConnectionProbe::Outcome::HelperFailed:
-          detector.Finish(probed_instance, CheckResult::Unknown, "silent");
+          Finish(server->Entry().instance, CheckResult::Unknown, "silent");
           break;
         }
       });
--- a/Source/Core/Gateway/ServerPaths.cpp
+++ b/Source/Core/Gateway/ServerPaths.cpp
@@ -75,6 +75,13 @@
   return failed == m_failed_helpers.end() || now - failed->second >= HELPER_PAUSE;
 }
 
+bool ServerPaths::HasUsableHelper(Common::TimePoint now) const
+{
+  return std::ranges::any_of(m_helpers, [&](const Http::Endpoint& helper) {
+    return IsUsable(helper, now);
+  });
+}
+
 std::optional<Http::Endpoint> ServerPaths::PickHelper(Common::TimePoint now) const
 {
   std::vector<Http::Endpoint> usable;
@@ -99,7 +106,7 @@
 
 bool ServerPaths::HasPath(const Server& server, Common::TimePoint now) const
 {
-  return !NeedsHelper(server) || PickHelper(now);
+  return !NeedsHelper(server) || HasUsableHelper(now);
 }
 
 bool ServerPaths::NoteDirectFailure(const ServerPtr& server, ProbeHandler on_outcome)
@@ -139,16 +146,13 @@
     return false;
   m_paths[server->Entry().instance].helper_probe = std::make_unique<ConnectionProbe>(
       *helper, OpenMessage(*server), [this, server, helper = *helper](Outcome outcome) {
-        // The probe, which owns this callback and its captures, is destroyed below.
-        ServerPaths& paths = *this;
-        const ServerPtr probed = server;
         if (outcome == Outcome::HelperFailed)
         {
-          paths.NoteHelperFailure(helper, Common::Now());
-          if (paths.ProbeThroughHelper(probed))
+          NoteHelperFailure(helper, Common::Now());
+          if (ProbeThroughHelper(server))
             return;
         }
-        paths.OnHelperProbe(probed, outcome);
+        OnHelperProbe(server, outcome);
       });
   return true;
 }
@@ -210,9 +214,7 @@
     return;
   path.direct_probe =
       std::make_unique<ConnectionProbe>(server->Entry().endpoint, [this, server](Outcome outcome) {
-        // This callback is owned by the probe, which is destroyed below.
-        const ServerPtr probed = server;
-        OnDirectProbe(probed, outcome);
+        OnDirectProbe(server, outcome);
       });
 }
 
@@ -298,7 +300,7 @@
 
 bool ServerPaths::IsCutOff(Common::TimePoint now) const
 {
-  if (m_helpers.empty() || PickHelper(now))
+  if (m_helpers.empty() || HasUsableHelper(now))
     return false;
   const auto failing = std::ranges::count_if(m_paths, [now](const auto& entry) {
     const Path& path = entry.second;
--- a/Source/Core/Gateway/ServerPaths.h
+++ b/Source/Core/Gateway/ServerPaths.h
@@ -82,6 +82,7 @@
   };
 
   bool IsUsable(const Http::Endpoint& helper, Common::TimePoint now) const;
+  bool HasUsableHelper(Common::TimePoint now) const;
   std::optional<Http::Endpoint> PickHelper(Common::TimePoint now) const;
   /// Starts a probe through a helper; returns false if there is no helper.
   bool ProbeThroughHelper(const ServerPtr& server);
--- a/Source/UnitTests/Gateway/BackoffTest.cpp
+++ b/Source/UnitTests/Gateway/BackoffTest.cpp
@@ -115,7 +115,7 @@
                                     std::to_string(i) + "\r\n\r\n");
       RunFor(Milliseconds(50));
     }
-    CPPUNIT_ASSERT(server.requests.size() >= 1);
+    CPPUNIT_ASSERT(!server.requests.empty());
     CPPUNIT_ASSERT(server.requests.size() <= 2);
   }
 
--- a/Source/UnitTests/Gateway/IsolatedVmTest.cpp
+++ b/Source/UnitTests/Gateway/IsolatedVmTest.cpp
@@ -13,7 +13,6 @@
 namespace
 {
 using Common::Milliseconds;
-using Gateway::InstanceId;
 using UnitTests::Answer;
 using UnitTests::Chunk;
 using UnitTests::Event;
