Gateway: an isolated VM goes on probing when it has no servers for a while

Found on reading: while the store is away all entries may lapse. Test: IsolatedVmTest::VmStaysIsolatedAfterItsServersWereReplaced failed before (11 passed, 1 failed) and passes.

--- a/Source/Core/Gateway/ServerPaths.cpp
+++ b/Source/Core/Gateway/ServerPaths.cpp
@@ -22,7 +22,7 @@
 
 /// Servers that this VM must fail to reach before it is considered isolated.
 constexpr std::size_t ISOLATED_SERVERS = 2;
-/// This VM is not isolated while a server has responded directly within this time.
+/// This VM is not isolated, nor cut off, while a server has responded directly within this time.
 constexpr Milliseconds DIRECT_SUCCESS_VALID{1000};
 /// Failed connections that are older are no evidence any more.
 constexpr Milliseconds FAILURE_VALID{3000};
@@ -322,10 +322,11 @@
         candidates.push_back(server);
     if (m_isolated)
       std::ranges::copy(std::views::values(m_servers.All()), std::back_inserter(candidates));
-    if (candidates.empty())
-      return;
-    ProbeDirectly(PickRandom(candidates));
-    ProbeDirectPaths();
+    if (!candidates.empty())
+      ProbeDirectly(PickRandom(candidates));
+    // While this VM is isolated, servers may be added that have to be probed.
+    if (m_isolated || !candidates.empty())
+      ProbeDirectPaths();
   });
 }
 
--- a/Source/UnitTests/Gateway/IsolatedVmTest.cpp
+++ b/Source/UnitTests/Gateway/IsolatedVmTest.cpp
@@ -111,6 +111,7 @@
   CPPUNIT_TEST(FailedServerIsTakenForIsolation);
   CPPUNIT_TEST(SilentServerIsTakenForAPartition);
   CPPUNIT_TEST(HelpersAreUsedAfterThePartition);
+  CPPUNIT_TEST(VmStaysIsolatedAfterItsServersWereReplaced);
   CPPUNIT_TEST(RequestsWaitWhileNoServerCanBeReached);
   CPPUNIT_TEST(CutOffVmKeepsItsCallers);
   CPPUNIT_TEST(DisconnectOfACallerDoesNotReachTheServer);
@@ -229,6 +230,23 @@
     CPPUNIT_ASSERT_EQUAL(before, world.dispatcher.Counters().through_helpers);
   }
 
+  /// For a while there is no server to probe.
+  void VmStaysIsolatedAfterItsServersWereReplaced()
+  {
+    World world(RespondAtOnce);
+    world.AddServers(UnitTests::FreeEndpoint(), UnitTests::FreeEndpoint());
+    CPPUNIT_ASSERT(world.IsServed(PLAIN_PATH, "id-1"));
+    CPPUNIT_ASSERT(world.IsServed(PLAIN_PATH, "id-2"));
+    CPPUNIT_ASSERT(world.dispatcher.Paths().IsIsolated());
+    for (const char* instance : {"i-1", "i-2"})
+      world.dispatcher.Servers().Remove(Gateway::InstanceId(instance));
+    RunFor(Milliseconds(600));
+    world.AddServers(world.first.Address(), world.second.Address());
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return !world.dispatcher.Paths().IsIsolated();
+    }));
+  }
+
   void RequestsWaitWhileNoServerCanBeReached()
   {
     World world(RespondAtOnce);
