--- a/Tools/make-days.py
+++ b/Tools/make-days.py
@@ -154,6 +154,18 @@
         ['at = 3.0, kind = "node_freeze", share = 0.2, for_s = 2.5', 'at = 5.0, kind = "herd_kill", share = 0.5',
          'at = 9.5, kind = "core_cut", count = 2, how = "giver", for_s = 4.0', 'at = 15.0, kind = "platform_down", for_s = 3.0',
          'at = 20.0, kind = "node_kill", count = 1, how = "giver"', 'at = 25.0, kind = "cold_return", zone = "@z0", for_s = 3.0, how = "dark"']),
+    "servers-out-of-reach": (
+        "Some VMs lose all servers of a pool, also by resets and while the store is down; the holder of the order lease is killed meanwhile.",
+        [],
+        ['at = 4.0, kind = "srv_cut", share = 1.0, x = 0.34, how = "some", for_s = 8.0', 'at = 8.0, kind = "node_kill", count = 1, how = "giver"',
+         'at = 15.0, kind = "srv_cut", share = 1.0, x = 0.7, how = "some", for_s = 8.0', 'at = 17.0, kind = "platform_down", for_s = 4.0',
+         'at = 26.0, kind = "srv_cut", share = 1.0, x = 0.5, how = "some reset", for_s = 6.0']),
+    "responses-without-a-length": (
+        "Responses have neither a length nor chunks while servers crash and connections are reset.",
+        [],
+        ['at = 3.0, kind = "garble", share = 1.0, x = 0.4, how = "unframed", for_s = 28.0', 'at = 6.0, kind = "srv_crash", share = 0.3, for_s = 2.0',
+         'at = 14.0, kind = "srv_crash", share = 0.3, for_s = 2.0', 'at = 18.0, kind = "reset_conns", share = 0.5, x = 0.6',
+         'at = 24.0, kind = "srv_crash", share = 0.3, for_s = 2.0']),
 }
 STORE_FAULTS = ('kind = "platform_down", how = "nodes reset", share = 0.4, for_s = 5.0',
                 'kind = "platform_lost", x = 0.5, for_s = 5.0, how = "late"')
