--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -212,12 +212,16 @@
   const auto probe = [this](int fd, const Http::Endpoint&) {
     m_probes.AcceptConnection(fd);
   };
-  if (m_settings.tunnels)
-    if (auto tunnels = m_tunnels.Listen(*m_settings.tunnels); !tunnels)
-      return tunnels;
   if (auto metrics = m_metrics.Listen(m_settings.metrics, probe); !metrics)
     return metrics;
-  return m_readiness.Listen(m_settings.readiness, probe);
+  if (auto readiness = m_readiness.Listen(m_settings.readiness, probe); !readiness)
+    return readiness;
+  // Without this port the VM serves its own callers; other VMs use other helpers.
+  if (m_settings.tunnels)
+    if (const auto tunnels = m_tunnels.Listen(*m_settings.tunnels); !tunnels)
+      Common::LogEvent(Common::LogLevel::Error, "tunnels-unavailable",
+                       {{"reason", tunnels.Reason().detail}});
+  return Common::Done{};
 }
 
 void EntryPoint::HandleSignals()
