--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -20,6 +20,7 @@
 #include "Common/Mechanisms.h"
 #include "Common/Random.h"
 #include "Fleet/JoinPolicy.h"
+#include "Orders/HelperPlan.h"
 #include "Orders/MessageSize.h"
 #include "Orders/UpdateWriter.h"
 #include "Tunnels/Messages.h"
@@ -89,11 +90,8 @@
   report.placement_to = update.to;
   report.placements = std::move(update.lines);
 }
-/// How often the holder informs the daemons of helpers, how many it names, and how many of them at
-/// most are in the daemon's own data centre.
+/// How often the holder informs the daemons of helpers.
 constexpr Milliseconds HELPER_INTERVAL{2000};
-constexpr std::size_t MAX_HELPERS = 8;
-constexpr std::ptrdiff_t NEAR_HELPERS = 5;
 } // namespace
 
 ServerHash HashOf(const Gateway::InstanceId& instance)
@@ -679,43 +677,29 @@
   }
 }
 
-std::vector<PeerAddress> Hub::HelpersFor(const Http::Endpoint& daemon, Fleet::PlaceHash place) const
-{
-  std::vector<Http::Endpoint> near;
-  std::vector<Http::Endpoint> far;
-  const auto add = [&](const Http::Endpoint& endpoint, Fleet::PlaceHash peer_place) {
-    if (endpoint != daemon)
-      (peer_place == place ? near : far).push_back(endpoint);
-  };
-  add(m_settings.local, Fleet::HashOf(m_settings.data_centre));
-  for (const auto& [vm, peer] : m_peers)
-    add(peer.endpoint, peer.place);
-  std::vector<Http::Endpoint> chosen;
-  std::ranges::sample(near, std::back_inserter(chosen), NEAR_HELPERS, Common::SharedRandom());
-  std::ranges::sample(far, std::back_inserter(chosen),
-                      static_cast<std::ptrdiff_t>(MAX_HELPERS - chosen.size()),
-                      Common::SharedRandom());
-  std::vector<PeerAddress> helpers;
-  std::ranges::transform(chosen, std::back_inserter(helpers), [](const Http::Endpoint& messages) {
-    const Http::Endpoint tunnels = Tunnels::TunnelEndpoint(messages);
-    return PeerAddress{tunnels.address, tunnels.port};
-  });
-  return helpers;
-}
-
 void Hub::SendHelpers(Common::TimePoint now)
 {
   if (now - m_helpers_sent_at < HELPER_INTERVAL)
     return;
   m_helpers_sent_at = now;
+  DaemonsByPlace daemons;
+  daemons[Fleet::HashOf(m_settings.data_centre)].push_back(m_settings.local);
   for (const auto& [vm, peer] : m_peers)
+    daemons[peer.place].push_back(peer.endpoint);
+  for (const auto& [daemon, helpers] : PlanHelpers(std::move(daemons)))
   {
     Notice notice;
     notice.fence = m_own_lease->fence;
-    notice.helpers = HelpersFor(peer.endpoint, peer.place);
-    SendTo(peer.endpoint, Daemons::Encode(notice));
+    std::ranges::transform(helpers, std::back_inserter(notice.helpers),
+                           [](const Http::Endpoint& messages) {
+                             const Http::Endpoint tunnels = Tunnels::TunnelEndpoint(messages);
+                             return PeerAddress{tunnels.address, tunnels.port};
+                           });
+    if (daemon == m_settings.local)
+      SetHelpers(notice.helpers);
+    else
+      SendTo(daemon, Daemons::Encode(notice));
   }
-  SetHelpers(HelpersFor(m_settings.local, Fleet::HashOf(m_settings.data_centre)));
 }
 
 void Hub::OnNotice(std::string_view bytes, const Http::Endpoint& from)
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -173,7 +173,6 @@
   UpdatePosition PositionOf(Peer& peer, Common::TimePoint now) const;
   /// At the holder: informs each daemon of others that may open tunnels for it.
   void SendHelpers(Common::TimePoint now);
-  std::vector<PeerAddress> HelpersFor(const Http::Endpoint& daemon, Fleet::PlaceHash place) const;
   void OnNotice(std::string_view bytes, const Http::Endpoint& from);
   void OnOriginQuery(const OriginQuery& query, bool passed_on);
   /// Asks the other daemons, through the holder, which software version began a stream.
