--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -221,11 +221,6 @@
   void NoteRequestSuccess(Relay& relay);
   /// True if this VM reaches no server. Its callers are better served by other VMs.
   bool IsCutOff() const;
-  /// Called when this VM becomes isolated from the servers, or no longer is.
-  void OnIsolationChange(std::function<void()> callback)
-  {
-    m_on_isolation_change = std::move(callback);
-  }
   /// Schedules one pass over the waiting requests from the main loop; repeated calls are merged.
   void ScheduleDispatch();
   void ReportDemand();
@@ -329,7 +324,6 @@
   std::function<void(const std::string&)> m_on_origin_query;
   int m_daemons = 1;
   Common::OwnedTimer m_silence_timer;
-  std::function<void()> m_on_isolation_change;
   CrashDetector m_crash_detector{m_servers};
   LimitedServers m_limited{m_servers};
   DrainRegistry m_draining;
--- a/Source/Core/Gateway/DispatcherPaths.cpp
+++ b/Source/Core/Gateway/DispatcherPaths.cpp
@@ -29,8 +29,6 @@
     if (m_paths.IsIsolated())
       LeaveDirectPath(nullptr);
     ScheduleRecheck();
-    if (m_on_isolation_change)
-      m_on_isolation_change();
   });
 }
 
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -98,14 +98,18 @@
   m_missing_until[artifact] = now + MISSING_PAUSE;
 }
 
+std::string Server::TunnelRequest() const
+{
+  return Tunnels::EncodeOpen({m_entry.instance.Get(), m_entry.instance.Started().Get()});
+}
+
 std::shared_ptr<Http::OriginConnection>
 Server::TakeConnection(Common::TimePoint now, const std::optional<Http::Endpoint>& helper)
 {
   if (auto kept = m_idle.Take(now))
     return kept;
   if (helper)
-    return Http::OriginConnection::ConnectThrough(
-        *helper, Tunnels::EncodeOpen({m_entry.instance.Get(), m_entry.instance.Started().Get()}));
+    return Http::OriginConnection::ConnectThrough(*helper, TunnelRequest());
   return Http::OriginConnection::Connect(m_entry.endpoint);
 }
 
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -89,6 +89,8 @@
   /// is available.
   std::shared_ptr<Http::OriginConnection>
   TakeConnection(Common::TimePoint now, const std::optional<Http::Endpoint>& helper);
+  /// The message that asks a helper for a tunnel to this server.
+  std::string TunnelRequest() const;
   void ReturnConnection(std::shared_ptr<Http::OriginConnection> connection);
   void DropIdleConnections() { m_idle.Clear(); }
 
--- a/Source/Core/Gateway/ServerPaths.cpp
+++ b/Source/Core/Gateway/ServerPaths.cpp
@@ -11,7 +11,6 @@
 #include "Common/Log.h"
 #include "Common/Loop.h"
 #include "Common/Random.h"
-#include "Tunnels/Messages.h"
 
 namespace Gateway
 {
@@ -37,12 +36,6 @@
 /// The helpers among which one is picked: the first usable ones, which are the preferred ones.
 constexpr std::size_t HELPERS_IN_USE = 4;
 
-std::string OpenMessage(const Server& server)
-{
-  const InstanceId& instance = server.Entry().instance;
-  return Tunnels::EncodeOpen({instance.Get(), instance.Started().Get()});
-}
-
 bool IsRecent(const std::optional<Common::TimePoint>& at, Common::TimePoint now)
 {
   return at && now - *at < DIRECT_SUCCESS_VALID;
@@ -145,7 +138,7 @@
   if (!helper)
     return false;
   m_paths[server->Entry().instance].helper_probe = std::make_unique<ConnectionProbe>(
-      *helper, OpenMessage(*server), [this, server, helper = *helper](Outcome outcome) {
+      *helper, server->TunnelRequest(), [this, server, helper = *helper](Outcome outcome) {
         if (outcome == Outcome::HelperFailed)
         {
           NoteHelperFailure(helper, Common::Now());
