--- a/Source/Core/Fleet/TableFollower.h
+++ b/Source/Core/Fleet/TableFollower.h
@@ -372,7 +372,11 @@
     m_failures = 0;
     if (!std::exchange(m_lost, false))
       return;
-    Common::LogEvent(Common::LogLevel::Info, "table-source-back", {{"table", m_table}});
+    const auto lost_for =
+        std::chrono::floor<Common::Milliseconds>(m_last_response_at - m_lost_since);
+    Common::LogEvent(
+        Common::LogLevel::Info, "table-source-back",
+        {{"table", m_table}, {"version", m_version}, {"lost_for_ms", lost_for.count()}});
     m_events.on_back();
   }
 
@@ -383,6 +387,7 @@
       Common::LogEvent(Common::LogLevel::Warning, "table-history-gone", {{"table", m_table}});
     else if (!std::exchange(m_lost, true))
     {
+      m_lost_since = Common::Now();
       Common::LogEvent(Common::LogLevel::Warning, "table-source-lost",
                        {{"table", m_table},
                         {"reason", Common::ToString(reason.kind)},
@@ -417,6 +422,7 @@
   bool m_relayed = false;
   bool m_calling = false;
   bool m_lost = false;
+  Common::TimePoint m_lost_since; ///< When the source last stopped responding.
   int m_failures = 0;
   Common::TimePoint m_last_response_at;
   Common::TimePoint m_snapshot_requested_at; ///< When its first page was requested.
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -582,6 +582,8 @@
        {"body_end", BodyEnd(m_head)},
        {"inside_event", m_events.IsInsideEvent()},
        {"arrivals", m_arrivals},
+       {"entries_age_ms",
+        m_dispatcher.Servers().Age(Common::Now()).value_or(Milliseconds(-1)).count()},
        {"ms", took.count()},
        {"first_event_ms", m_first_event_after.value_or(Milliseconds(-1)).count()}});
   Common::Metrics& metrics = m_dispatcher.GetMetrics();
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -261,6 +261,13 @@
   ++m_revision;
 }
 
+std::optional<Common::Milliseconds> ServerDirectory::Age(Common::TimePoint now) const
+{
+  if (!m_proven_at)
+    return std::nullopt;
+  return std::chrono::floor<Common::Milliseconds>(now - *m_proven_at);
+}
+
 ServerPtr ServerDirectory::Find(const InstanceId& instance) const
 {
   const auto found = m_servers.find(instance);
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -190,6 +191,11 @@
   void SetEvacuated(std::set<Common::DataCentreId> data_centres);
   const std::set<Common::DataCentreId>& Evacuated() const { return m_evacuated; }
 
+  /// Records that the entries were the newest ones of the platform at `moment`.
+  void RecordProof(Common::TimePoint moment) { m_proven_at = moment; }
+  /// Time since the entries were last known to be the newest ones; nullopt if they never were.
+  std::optional<Common::Milliseconds> Age(Common::TimePoint now) const;
+
   ServerPtr Find(const InstanceId& instance) const;
   /// The latest instance under the id of `instance`; the start time of `instance` is ignored.
   ServerPtr FindLatest(const InstanceId& instance) const;
@@ -219,6 +225,7 @@
   Common::Milliseconds m_drain_grace{0};
   std::set<Common::DataCentreId> m_evacuated;
   std::uint64_t m_revision = 1;
+  std::optional<Common::TimePoint> m_proven_at;
   std::function<void(const ServerPtr&)> m_on_change;
 };
 } // namespace Gateway
--- a/Source/Core/Gateway/ServerDiscovery.cpp
+++ b/Source/Core/Gateway/ServerDiscovery.cpp
@@ -50,9 +50,11 @@
     m_directory.Remove(server->Entry().instance);
     return;
   }
-  Common::LogEvent(Common::LogLevel::Warning, "server-entry-lapsed", {{"instance", instance}});
+  const auto left = std::chrono::ceil<Common::Milliseconds>(m_grace_until - now);
+  Common::LogEvent(Common::LogLevel::Warning, "server-entry-lapsed",
+                   {{"instance", instance}, {"kept_for_ms", left.count()}});
   m_expired_entries.insert(server->Entry().instance);
-  m_timer.Start(std::chrono::ceil<Common::Milliseconds>(m_grace_until - now), [this] {
+  m_timer.Start(left, [this] {
     RemoveExpired();
   });
 }
