--- /dev/null
+++ b/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
@@ -0,0 +1,171 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Tests which servers are used after this VM or the platform's store was out of reach.
+
+#include "Gateway/ServerDiscovery.h"
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "Fleet/TableFollower.h"
+#include "UnitTests/Support/RelayWorld.h"
+
+namespace
+{
+using namespace Gateway;
+using Common::Milliseconds;
+using UnitTests::Answer;
+using UnitTests::PLAIN_PATH;
+using UnitTests::RunFor;
+using UnitTests::RunUntil;
+using UnitTests::TestPeer;
+using UnitTests::TestServer;
+using World = UnitTests::RelayWorld;
+
+/// Within this time after a cut ends, a VM must act on everything that the store has.
+constexpr Milliseconds CONTACT_BOUND{3000};
+
+/// A table source that this VM reaches or not. While it is out of reach, each call fails after the
+/// time that a connection attempt takes.
+class CutSource
+{
+public:
+  using Done = std::function<void(Common::Result<Fleet::TableRows>)>;
+
+  void Read(const std::string&, const std::string&, Done done) { Call(std::move(done)); }
+  void Follow(const std::string&, std::int64_t, Milliseconds, Done done) { Call(std::move(done)); }
+
+  Fleet::TableRows rows;
+  bool is_cut = false;
+  std::optional<Common::TimePoint> call_began_at; ///< Of the latest call during the cut.
+
+private:
+  static constexpr Milliseconds CONNECT_TIMEOUT{400};
+  static constexpr Milliseconds POLL_WAIT{50};
+
+  void Call(Done done)
+  {
+    if (is_cut)
+      call_began_at = Common::Now();
+    const auto result =
+        is_cut ? Common::Result<Fleet::TableRows>(Common::FailureKind::NotSent, "cut") : rows;
+    Common::Reactor::Get().After(is_cut ? CONNECT_TIMEOUT : POLL_WAIT,
+                                 [result, done = std::move(done)] {
+                                   done(result);
+                                 });
+  }
+};
+
+ServerEntry EntryOf(const std::string& instance)
+{
+  ServerEntry entry;
+  entry.instance = InstanceId(instance);
+  entry.pool = PoolId("pool");
+  return entry;
+}
+
+class ServerDiscoveryTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(ServerDiscoveryTest);
+  CPPUNIT_TEST(ServerThatLeftDuringACutIsUsedBesideOthers);
+  CPPUNIT_TEST(ServerThatLeftDuringACutIsUsedAfterTheContactBound);
+  CPPUNIT_TEST(OutagesInSeriesKeepAServerThatHasLeft);
+  CPPUNIT_TEST_SUITE_END();
+
+  void ServerThatLeftDuringACutIsUsedBesideOthers()
+  {
+    const auto respond = [](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(Answer(head, "ok"));
+    };
+    TestServer left(respond);
+    TestServer other(respond);
+    World world;
+    world.AddServer("i-1", left.Address());
+    world.AddServer("i-2", other.Address());
+    ServerDiscovery discovery(world.dispatcher.Servers());
+    discovery.NoteStoreLost();
+    discovery.NoteStoreRestored(Common::Now());
+    discovery.ApplyRemoval(InstanceId("i-1"), Common::Now());
+    constexpr std::size_t REQUESTS = 10;
+    for (std::size_t i = 0; i < REQUESTS; ++i)
+    {
+      world.Ask(PLAIN_PATH, "id-" + std::to_string(i));
+      CPPUNIT_ASSERT(RunUntil([&] {
+        return left.requests.size() + other.requests.size() > i;
+      }));
+      RunFor(Milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, left.requests.size());
+    CPPUNIT_ASSERT_EQUAL(REQUESTS, other.requests.size());
+  }
+
+  /// The cut ends right after a failed call has begun, so that the next call comes as late as
+  /// possible.
+  void ServerThatLeftDuringACutIsUsedAfterTheContactBound()
+  {
+    ServerDirectory directory;
+    ServerDiscovery discovery(directory);
+    CutSource source;
+    const auto apply = [&](const std::vector<Fleet::TableRow>& rows) {
+      std::vector<ServerEntry> entries;
+      for (const Fleet::TableRow& row : rows)
+        entries.push_back(EntryOf(row.key));
+      discovery.ApplySnapshot(std::move(entries), Common::Now());
+    };
+    Fleet::TableFollower<CutSource> follower(
+        source, "servers",
+        {apply,
+         [&](const Fleet::TableRow& row) {
+           if (row.removed)
+             discovery.ApplyRemoval(InstanceId(row.key), Common::Now());
+         },
+         [&] {
+           discovery.NoteStoreLost();
+         },
+         [&] {
+           discovery.NoteStoreRestored(Common::Now());
+         }});
+    source.rows = {{{"i-1", "", 1, false}}, 1, false};
+    follower.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return directory.Find(InstanceId("i-1")) != nullptr;
+    }));
+    source.is_cut = true;
+    source.rows = {{{"i-1", "", 2, true}}, 2, false};
+    RunFor(Milliseconds(4500));
+    const auto before = *source.call_began_at;
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return *source.call_began_at != before;
+    }));
+    source.is_cut = false;
+    RunFor(CONTACT_BOUND);
+    CPPUNIT_ASSERT(!directory.Find(InstanceId("i-1")));
+  }
+
+  void OutagesInSeriesKeepAServerThatHasLeft()
+  {
+    ServerDirectory directory;
+    directory.Put(EntryOf("i-1"));
+    directory.Put(EntryOf("i-2"));
+    ServerDiscovery discovery(directory);
+    discovery.NoteStoreLost();
+    discovery.NoteStoreRestored(Common::Now());
+    discovery.ApplyRemoval(InstanceId("i-1"), Common::Now());
+    RunFor(CONTACT_BOUND / 2);
+    discovery.NoteStoreLost();
+    discovery.NoteStoreRestored(Common::Now());
+    discovery.ApplyRemoval(InstanceId("i-2"), Common::Now());
+    RunFor(CONTACT_BOUND / 2);
+    CPPUNIT_ASSERT(!directory.Find(InstanceId("i-1")));
+    CPPUNIT_ASSERT(directory.Find(InstanceId("i-2")) != nullptr);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ServerDiscoveryTest);
+} // namespace
