--- a/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
+++ b/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
@@ -118,19 +118,19 @@
         entries.push_back(EntryOf(row.key));
       discovery.ApplySnapshot(std::move(entries), Common::Now());
     };
-    Fleet::TableFollower<CutSource> follower(
-        source, "servers",
-        {apply,
-         [&](const Fleet::TableRow& row) {
-           if (row.removed)
-             discovery.ApplyRemoval(InstanceId(row.key), Common::Now());
-         },
-         [&] {
-           discovery.NoteStoreLost();
-         },
-         [&] {
-           discovery.NoteStoreRestored(Common::Now());
-         }});
+    Fleet::TableFollower<CutSource> follower(source, "servers",
+                                             {apply,
+                                              [&](const Fleet::TableRow& row) {
+                                                if (row.removed)
+                                                  discovery.ApplyRemoval(InstanceId(row.key),
+                                                                         Common::Now());
+                                              },
+                                              [&] {
+                                                discovery.NoteStoreLost();
+                                              },
+                                              [&] {
+                                                discovery.NoteStoreRestored(Common::Now());
+                                              }});
     source.rows = {{{"i-1", "", 1, false}}, 1, false};
     follower.Start();
     CPPUNIT_ASSERT(RunUntil([&] {
