Gateway: a server whose entry is missing after an outage is used last

Where most entries of a pool are missing, these servers could not write them and are used as before.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -177,7 +177,8 @@
   std::vector<ServerPtr> unlimited;
   std::vector<ServerPtr> limited;
   std::vector<ServerPtr> permitted;
-  std::vector<ServerPtr> draining;
+  std::vector<ServerPtr> last_choices; ///< For requests that no other server can take.
+  std::vector<ServerPtr> missing;
   for (const auto& [instance, server] : m_servers.All())
   {
     if (!IsEligible(relay, *server, now))
@@ -186,16 +187,20 @@
     if (server->GetBackoff().IsSlowStart() && WouldOvertake(relay))
       continue;
     const bool may_send = m_limited.MaySend(*server, now);
-    if (server->IsDraining())
+    if (server->IsDraining() || server->IsEntryMissing())
     {
       if (may_send)
-        draining.push_back(server);
+        (server->IsDraining() ? last_choices : missing).push_back(server);
       continue;
     }
     (server->Limit() ? limited : unlimited).push_back(server);
     if (server->Limit() && may_send)
       permitted.push_back(server);
   }
+  // Where most entries are missing, the servers could not write them during an outage. Where few
+  // are, these servers have probably left.
+  const bool most_are_missing = missing.size() > unlimited.size() + limited.size();
+  std::ranges::copy(missing, std::back_inserter(most_are_missing ? unlimited : last_choices));
   // Limited servers come first: a permit expires if it is not used soon, and only a response shows
   // that a limit has ended.
   if (ServerPtr chosen = ChooseAmong(permitted, relay))
@@ -207,7 +212,7 @@
         RecordBypass(*server, now);
     return chosen;
   }
-  return ChooseAmong(draining, relay);
+  return ChooseAmong(last_choices, relay);
 }
 
 bool Dispatcher::WouldOvertake(const Relay& relay) const
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -25,6 +25,7 @@
 Server::Server(ServerEntry entry, std::shared_ptr<ServerCondition> condition)
     : m_entry(std::move(entry)), m_key(KeyOf(m_entry.instance)), m_condition(std::move(condition))
 {
+  m_entry_missing = false;
   Drain().SetEntry(m_entry.draining);
   Cold().NoteLeft(m_entry.warming_up, Common::Now());
 }
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -131,6 +131,9 @@
   DrainState& Drain() { return m_condition->drain; }
   const DrainState& Drain() const { return m_condition->drain; }
   bool IsDraining() const { return Drain().IsDraining(); }
+  /// True while the server's entry is missing and may be written again.
+  bool IsEntryMissing() const { return m_entry_missing; }
+  void SetEntryMissing() { m_entry_missing = true; }
   /// True while the operators have evacuated the server's data centre.
   bool IsEvacuated() const { return m_evacuated; }
   void SetEvacuated(bool evacuated) { m_evacuated = evacuated; }
@@ -151,6 +154,7 @@
   std::shared_ptr<ServerCondition> m_condition;
   Common::Milliseconds m_drain_grace{0};
   bool m_evacuated = false;
+  bool m_entry_missing = false;
   SilenceDetector m_silence;
   Common::TimePoint m_received_at;
   std::optional<ServerLimit> m_limit;
--- a/Source/Core/Gateway/ServerDiscovery.cpp
+++ b/Source/Core/Gateway/ServerDiscovery.cpp
@@ -53,6 +53,7 @@
   const auto left = std::chrono::ceil<Common::Milliseconds>(m_grace_until - now);
   Common::LogEvent(Common::LogLevel::Warning, "server-entry-lapsed",
                    {{"instance", instance}, {"kept_for_ms", left.count()}});
+  server->SetEntryMissing();
   m_expired_entries.insert(server->Entry().instance);
   m_timer.Start(left, [this] {
     RemoveExpired();
