Gateway: a further outage does not keep a missing entry any longer

One timer served all missing entries and was started anew with each of them, so that a removal after a second outage prolongs the time for which servers missing since the first one are used (docs/incidents/removed-servers.md). Each entry now has the deadline of its first absence. OutagesInSeriesKeepAServerThatHasLeft failed before and passes.

--- a/Source/Core/Gateway/ServerDiscovery.cpp
+++ b/Source/Core/Gateway/ServerDiscovery.cpp
@@ -4,6 +4,9 @@
 #include "Gateway/ServerDiscovery.h"
 
 #include <algorithm>
+#include <ranges>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "Common/Log.h"
@@ -34,8 +37,8 @@
 
 void ServerDiscovery::ApplyEntry(ServerEntry entry)
 {
-  std::erase_if(m_expired_entries, [&](const InstanceId& instance) {
-    return instance.HasIdOf(entry.instance);
+  std::erase_if(m_missing_entries, [&](const auto& missing) {
+    return missing.first.HasIdOf(entry.instance);
   });
   m_directory.Put(std::move(entry));
 }
@@ -50,14 +53,14 @@
     m_directory.Remove(server->Entry().instance);
     return;
   }
-  const auto left = std::chrono::ceil<Common::Milliseconds>(m_grace_until - now);
-  Common::LogEvent(Common::LogLevel::Warning, "server-entry-lapsed",
-                   {{"instance", instance}, {"kept_for_ms", left.count()}});
   server->SetEntryMissing();
-  m_expired_entries.insert(server->Entry().instance);
-  m_timer.Start(left, [this] {
-    RemoveExpired();
-  });
+  if (m_missing_entries.try_emplace(server->Entry().instance, m_grace_until).second)
+  {
+    const auto left = std::chrono::ceil<Common::Milliseconds>(m_grace_until - now);
+    Common::LogEvent(Common::LogLevel::Warning, "server-entry-lapsed",
+                     {{"instance", instance}, {"kept_for_ms", left.count()}});
+  }
+  ArmTimer();
 }
 
 void ServerDiscovery::ApplyMalformed(const InstanceId& instance)
@@ -66,10 +69,27 @@
     m_directory.Remove(server->Entry().instance);
 }
 
+void ServerDiscovery::ArmTimer()
+{
+  if (m_missing_entries.empty())
+    return;
+  const auto next = std::ranges::min(m_missing_entries | std::views::values);
+  const auto left = std::chrono::ceil<Common::Milliseconds>(next - Common::Now());
+  m_timer.Start(std::max(left, Common::Milliseconds(0)), [this] {
+    RemoveExpired();
+  });
+}
+
 void ServerDiscovery::RemoveExpired()
 {
-  for (const InstanceId& instance : std::exchange(m_expired_entries, {}))
-    m_directory.Remove(instance);
+  const auto now = Common::Now();
+  std::erase_if(m_missing_entries, [&](const auto& entry) {
+    if (entry.second > now)
+      return false;
+    m_directory.Remove(entry.first);
+    return true;
+  });
+  ArmTimer();
 }
 
 void ServerDiscovery::NoteStoreLost()
--- a/Source/Core/Gateway/ServerDiscovery.h
+++ b/Source/Core/Gateway/ServerDiscovery.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <map>
-#include <set>
 #include <vector>
 
 #include "Common/Reactor.h"
@@ -32,11 +31,14 @@
 
 private:
   void RemoveExpired();
+  void ArmTimer();
 
   ServerDirectory& m_directory;
   bool m_store_unavailable = false;
   Common::TimePoint m_grace_until;
-  std::set<InstanceId> m_expired_entries;
+  /// Servers whose entry is missing, and until when they are kept. A further outage does not change
+  /// the time: it says nothing about an entry that was missing before it.
+  std::map<InstanceId, Common::TimePoint> m_missing_entries;
   Common::OwnedTimer m_timer;
 };
 } // namespace Gateway
