Fleet: a source that cannot be reached is called twice a second

Callers' requests reached a server that had left, up to 3.6 s after the end of a cut of their VM, where 3 s are allowed (docs/incidents/removed-servers.md): the pause between calls grew to 1.02 s, a connection attempt takes 0.4 s, and the grace period of 2.2 s for missing entries begins with the first response. Calls that cannot be sent are not billed, so they may follow each other every 0.5 s; the longest sum is 2.9 s. Pauses after the source's refusals stay as they are.

--- a/Source/Core/Fleet/TableFollower.h
+++ b/Source/Core/Fleet/TableFollower.h
@@ -226,6 +226,9 @@
   /// a daemon's copy has to be current within 3 s after an outage.
   static constexpr Common::Milliseconds FIRST_PAUSE{60};
   static constexpr int MAX_PAUSE_DOUBLINGS = 4;
+  /// Time from one call to the next while the source cannot be reached. Such calls are not billed,
+  /// and what was missed has to be applied soon after the path is back.
+  static constexpr Common::Milliseconds UNREACHABLE_INTERVAL{500};
   /// Short enough that a call which the source has lost is retried within the time allowed for
   /// applying a configuration after an outage.
   static constexpr Common::Milliseconds DEFAULT_WAIT{2500};
@@ -237,6 +240,7 @@
   void ReadPage(const std::string& first_key)
   {
     m_calling = true;
+    m_called_at = Common::Now();
     if (first_key.empty())
       m_snapshot_requested_at = Common::Now();
     m_source.Read(m_table, first_key, [this, first_key](Common::Result<TableRows> page) {
@@ -304,7 +308,8 @@
   void Follow(Common::Milliseconds wait)
   {
     m_calling = true;
-    const auto requested_at = Common::Now();
+    m_called_at = Common::Now();
+    const auto requested_at = m_called_at;
     m_source.Follow(m_table, m_version, wait,
                     [this, requested_at](Common::Result<TableRows> changes) {
                       m_calling = false;
@@ -380,6 +385,15 @@
     m_events.on_back();
   }
 
+  Common::Milliseconds PauseAfter(Common::FailureKind failure) const
+  {
+    const auto pause = FIRST_PAUSE * (1 << std::min(m_failures, MAX_PAUSE_DOUBLINGS));
+    if (failure != Common::FailureKind::NotSent)
+      return pause;
+    const auto took = std::chrono::floor<Common::Milliseconds>(Common::Now() - m_called_at);
+    return std::clamp(UNREACHABLE_INTERVAL - took, FIRST_PAUSE, pause);
+  }
+
   void OnFailure(const Common::Failure& reason)
   {
     const bool history_gone = reason.kind == Common::FailureKind::NotFound;
@@ -394,9 +408,7 @@
                         {"detail", reason.detail}});
       m_events.on_lost();
     }
-    const auto pause = history_gone
-                           ? Common::Milliseconds(0)
-                           : FIRST_PAUSE * (1 << std::min(m_failures, MAX_PAUSE_DOUBLINGS));
+    const auto pause = history_gone ? Common::Milliseconds(0) : PauseAfter(reason.kind);
     ++m_failures;
     // Random jitter, so that many daemons do not call at the same time after an outage.
     const auto jitter = static_cast<std::int64_t>(Common::SharedRandom()() %
@@ -422,6 +434,7 @@
   bool m_relayed = false;
   bool m_calling = false;
   bool m_lost = false;
+  Common::TimePoint m_called_at;  ///< When the latest call was made.
   Common::TimePoint m_lost_since; ///< When the source last stopped responding.
   int m_failures = 0;
   Common::TimePoint m_last_response_at;
