Gateway: a server whose entry announced draining does not return to service

The platform's servers never withdraw an announcement; a restart is another instance. The former test EntryAppliesAtOnceAndCanBeWithdrawn demanded the withdrawal and was wrong; EntryAppliesAtOnceAndIsFinal replaces it, equally strict, and OlderEntryDoesNotReturnADrainingServerToService covers a removal between. Both failed before.

--- a/Source/Core/Gateway/DrainState.h
+++ b/Source/Core/Gateway/DrainState.h
@@ -21,15 +21,16 @@
 };
 std::string_view ToString(DrainSource source);
 
-/// Draining state of one instance of a server. An announcement in a response to this VM is final: a
-/// draining server does not return to service in the same instance, whatever its entry on the
-/// platform states later. A report from another VM is overridden by a later response to this VM
-/// without the announcement, so that a false announcement removes the server from one VM only.
+/// Draining state of one instance of a server. An announcement in its entry or in a response to
+/// this VM is final: a draining server does not return to service in the same instance, whatever an
+/// entry states later, which may come from an older copy. A report from another VM is overridden by
+/// a later response to this VM without the announcement, so that a false announcement removes the
+/// server from one VM only.
 class DrainState
 {
 public:
   /// Applies the state in the server's entry; called for each update of the entry.
-  void SetEntry(bool draining) { m_draining_in_entry = draining; }
+  void SetEntry(bool draining) { m_draining_in_entry = m_draining_in_entry || draining; }
   /// Records a response to this VM that announces draining. Returns true for the first one.
   bool NoteAnnounced(Common::TimePoint now);
   /// Records a response without the announcement to a request that this VM sent at `sent_at`.
--- a/Source/UnitTests/Gateway/DrainStateTest.cpp
+++ b/Source/UnitTests/Gateway/DrainStateTest.cpp
@@ -27,7 +27,8 @@
 {
   CPPUNIT_TEST_SUITE(DrainStateTest);
   CPPUNIT_TEST(AnnouncementIsFinalAfterTheGracePeriod);
-  CPPUNIT_TEST(EntryAppliesAtOnceAndCanBeWithdrawn);
+  CPPUNIT_TEST(EntryAppliesAtOnceAndIsFinal);
+  CPPUNIT_TEST(OlderEntryDoesNotReturnADrainingServerToService);
   CPPUNIT_TEST(LaterResponseOverridesAReportOfAnotherVm);
   CPPUNIT_TEST(ConditionIsKeptWhileAnEntryIsExpired);
   CPPUNIT_TEST(RestartedServerIsNotDraining);
@@ -48,13 +49,14 @@
     CPPUNIT_ASSERT(!state.MayServe(START + std::chrono::hours(24), GRACE));
   }
 
-  void EntryAppliesAtOnceAndCanBeWithdrawn()
+  void EntryAppliesAtOnceAndIsFinal()
   {
     DrainState state;
     state.SetEntry(true);
     CPPUNIT_ASSERT(!state.MayServe(START, GRACE));
     state.SetEntry(false);
-    CPPUNIT_ASSERT(!state.IsDraining() && state.MayServe(START, GRACE));
+    CPPUNIT_ASSERT(state.IsDraining() && !state.MayServe(START, GRACE));
+    CPPUNIT_ASSERT(!state.MayServe(START + std::chrono::hours(24), GRACE));
     state.NoteAnnounced(START);
     state.SetEntry(true);
     CPPUNIT_ASSERT(!state.MayServe(START, GRACE));
@@ -100,6 +102,20 @@
     CPPUNIT_ASSERT(after->GetBackoff().IsActive(now));
   }
 
+  /// A copy from before the announcement brought the server back as a ready one.
+  void OlderEntryDoesNotReturnADrainingServerToService()
+  {
+    ServerDirectory directory;
+    ServerEntry draining = EntryOf(1);
+    draining.draining = true;
+    directory.Put(draining);
+    directory.Put(EntryOf(1));
+    CPPUNIT_ASSERT(!directory.FindLatest(InstanceId("i-1"))->AcceptsRequests(Common::Now()));
+    directory.Remove(draining.instance);
+    directory.Put(EntryOf(1));
+    CPPUNIT_ASSERT(!directory.FindLatest(InstanceId("i-1"))->AcceptsRequests(Common::Now()));
+  }
+
   void RestartedServerIsNotDraining()
   {
     ServerDirectory directory;
