--- a/Source/Core/Fleet/TableFollower.h
+++ b/Source/Core/Fleet/TableFollower.h
@@ -193,10 +193,15 @@
   TableSnapshot Snapshot() const { return {Version(), m_rows.All()}; }
 
   /// Replaces this copy by that of another daemon, unless this one is as new. The changes since are
-  /// expected from the holder; without them the source is called.
+  /// expected from the holder; without them the source is called. A copy that is older than what
+  /// was applied here is ignored, also while this daemon has none: what it still lists may be gone.
   void ApplySnapshot(const TableSnapshot& snapshot)
   {
-    if (m_have_snapshot && snapshot.version <= m_version)
+    const bool is_older = snapshot.version < m_version;
+    if (is_older)
+      Common::LogEvent(Common::LogLevel::Warning, "table-copy-outdated",
+                       {{"table", m_table}, {"version", snapshot.version}, {"known", m_version}});
+    if (is_older || (m_have_snapshot && snapshot.version == m_version))
       return;
     Replace(snapshot.rows, snapshot.version);
     m_retry_timer.Start(FIRST_RELAY_TIMEOUT, [this] {
--- a/Source/UnitTests/Fleet/TableFollowerTest.cpp
+++ b/Source/UnitTests/Fleet/TableFollowerTest.cpp
@@ -109,6 +109,7 @@
   CPPUNIT_TEST(FirstCallAfterRelayingEndsDoesNotWait);
   CPPUNIT_TEST(HandedOverCopyReplacesAnOlderOne);
   CPPUNIT_TEST(LateReadDoesNotReplaceANewerCopy);
+  CPPUNIT_TEST(HandedOverCopyFromBeforeTheAppliedChangesIsIgnored);
   CPPUNIT_TEST(TableIsSettledWhileItsRowsChangeOften);
   CPPUNIT_TEST(RejectsRelayedChangesWithAGap);
   CPPUNIT_TEST(DuplicateChangeIsAppliedOnce);
@@ -178,6 +179,31 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), fixture.snapshot.size());
   }
 
+  /// While this daemon had no copy, because the source had dropped its history, an older copy of
+  /// another daemon returned rows that had been removed.
+  void HandedOverCopyFromBeforeTheAppliedChangesIsIgnored()
+  {
+    FakeSource source;
+    source.rows = {Row("a", 5)};
+    source.version = 8;
+    FollowerFixture fixture(source);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return source.waiting != nullptr;
+    }));
+    source.Answer(std::exchange(source.waiting, nullptr),
+                  Common::Failure{Common::FailureKind::NotFound, "history"});
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return !fixture.follower.HasSnapshot();
+    }));
+    fixture.follower.ApplySnapshot({6, {Row("a", 5), Row("removed", 6)}});
+    CPPUNIT_ASSERT(!fixture.follower.HasSnapshot());
+    CPPUNIT_ASSERT_EQUAL(1, fixture.snapshots);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return fixture.snapshots == 2;
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.snapshot.size());
+  }
+
   void ChangesAreBatchedBetweenCalls()
   {
     FakeSource source;
