--- a/Source/Core/Fleet/TableFollower.h
+++ b/Source/Core/Fleet/TableFollower.h
@@ -81,6 +81,8 @@
   std::function<void()> on_back; ///< The source responds again.
   /// The copy, with all changes reported so far, was the newest version at this time.
   std::function<void(Common::TimePoint)> on_proven = {};
+  /// Another daemon, which the source responds to, relays the table from now on.
+  std::function<void()> on_relayed = {};
 };
 
 /// Replicates one table: reads a snapshot, then applies changes. They come from the source, by
@@ -140,6 +142,8 @@
     Common::LogEvent(
         Common::LogLevel::Info, relayed ? "table-relayed" : "table-asked",
         {{"table", m_table}, {"version", m_version}, {"why", relayed ? "" : ToString(reason)}});
+    if (relayed && m_events.on_relayed)
+      m_events.on_relayed();
     if (!relayed && m_have_snapshot && !m_calling)
     {
       m_retry_timer.Stop();
--- a/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
+++ b/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(ServerThatLeftDuringACutIsUsedBesideOthers);
   CPPUNIT_TEST(ServerThatLeftDuringACutIsUsedAfterTheContactBound);
   CPPUNIT_TEST(OutagesInSeriesKeepAServerThatHasLeft);
+  CPPUNIT_TEST(OutageThatEndedForOthersKeepsNoServerLater);
   CPPUNIT_TEST_SUITE_END();
 
   void ServerThatLeftDuringACutIsUsedBesideOthers()
@@ -165,6 +166,19 @@
     CPPUNIT_ASSERT(!directory.Find(InstanceId("i-1")));
     CPPUNIT_ASSERT(directory.Find(InstanceId("i-2")) != nullptr);
   }
+
+  /// A VM that gets the entries from another daemon calls the store again at any later time.
+  void OutageThatEndedForOthersKeepsNoServerLater()
+  {
+    ServerDirectory directory;
+    directory.Put(EntryOf("i-1"));
+    ServerDiscovery discovery(directory);
+    discovery.NoteStoreLost();
+    discovery.NoteStoreServesOthers();
+    discovery.NoteStoreRestored(Common::Now());
+    discovery.ApplyRemoval(InstanceId("i-1"), Common::Now());
+    CPPUNIT_ASSERT(!directory.Find(InstanceId("i-1")));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerDiscoveryTest);
