--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -399,6 +399,7 @@
                       {"route", m_route.name},
                       {"fingerprint", Fingerprint().ToString()},
                       {"artifact", m_artifact.ToString()},
+                      {"prompt_parts", PromptPartsForLog()},
                       {"instance", m_server->Entry().instance},
                       {"why", why},
                       {"may_have_run", may_have_run},
@@ -422,6 +423,13 @@
     Refuse(why);
 }
 
+std::string_view Relay::PromptPartsForLog() const
+{
+  constexpr std::size_t MAX_BYTES = 200;
+  const std::string* parts = m_request.head.Find(m_dispatcher.Settings().names.prompt_parts);
+  return parts == nullptr ? std::string_view() : std::string_view(*parts).substr(0, MAX_BYTES);
+}
+
 bool Relay::MayTryAgain(bool may_have_run) const
 {
   if (TimeLeft() < MIN_ATTEMPT_TIME)
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -203,6 +203,8 @@
 
   // Handling of failed attempts.
   void AttemptFailed(std::string_view why, bool may_have_run);
+  /// The beginning of the caller's list of prompt parts.
+  std::string_view PromptPartsForLog() const;
   bool MayTryAgain(bool may_have_run) const;
   /// True if the route allows the request to be sent to one more server.
   bool MayTryNewServer() const;
