UnitTests: the cut source calls nobody after its end

A call that was open when ServerThatLeftDuringACutIsUsedAfterTheContactBound ended was answered to the destroyed follower, and the run of all tests ended with a segmentation fault. The timer now belongs to the source.

--- a/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
+++ b/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
@@ -49,16 +49,17 @@
   static constexpr Milliseconds CONNECT_TIMEOUT{400};
   static constexpr Milliseconds POLL_WAIT{50};
 
+  Common::OwnedTimer m_timer; ///< The follower has one call open at a time.
+
   void Call(Done done)
   {
     if (is_cut)
       call_began_at = Common::Now();
     const auto result =
         is_cut ? Common::Result<Fleet::TableRows>(Common::FailureKind::NotSent, "cut") : rows;
-    Common::Reactor::Get().After(is_cut ? CONNECT_TIMEOUT : POLL_WAIT,
-                                 [result, done = std::move(done)] {
-                                   done(result);
-                                 });
+    m_timer.Start(is_cut ? CONNECT_TIMEOUT : POLL_WAIT, [result, done = std::move(done)] {
+      done(result);
+    });
   }
 };
 
