Crashes, Gateway: evidence of crashes is kept by part of the prompt

The ledger now also keeps cases of prompt parts, all but a prompt's last one, by account and by the servers' software version. Against a part counts a server that crashed before it had written for 0.3 s on a request with it; a server that wrote on any request with it clears it for 10 minutes, also of earlier crashes. Three crashes that lie 30 ms or more apart block it, as before for whole requests; requests with it are refused on arrival, in the queue and before each send. While a crash of a server is being confirmed, requests with the same unproven parts wait. Parts that were blocked together are told apart by single requests that the lease holder sends. The existing exchange and archive carry the cases; daemons before and after this change do not read each other's.

CrashingPartsTest failed before and passes.

--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -20,6 +20,11 @@
 /// Maximum crashes recorded per request. Three block it, and a few more may follow before all
 /// daemons apply the block.
 constexpr std::size_t MAX_CRASHES = 16;
+/// Servers that fail together, such as those of a rack, do so within this time. Servers that crash
+/// on the same part of prompts do not.
+constexpr Milliseconds MIN_CRASH_DISTANCE{30};
+/// Two blocked parts that share this many crashes may be blocked because of one of them.
+constexpr std::ptrdiff_t MIN_SHARED_CRASHES = 2;
 /// Number of doublings after which the longest block is reached.
 constexpr int MAX_DOUBLINGS = 6;
 /// Interval at which old cases are removed.
@@ -74,9 +79,17 @@
   entry.revision = ++m_revision;
 }
 
-bool CrashLedger::AddCrash(Case& entry, const ServerInstance& server, const CrashRecord& crash)
+CrashPolicy CrashLedger::CrashPolicyOf(const Fingerprint& request) const
 {
-  if (entry.last_success && crash.at <= *entry.last_success + SUCCESS_GRACE)
+  if (request.attribute == Attribute::PromptPart)
+    return {m_crashes_to_block, CRASHES_TO_BLOCK_AFTER_SUCCESS, PART_SUCCESS_GRACE, true};
+  return {m_crashes_to_block, CRASHES_TO_BLOCK_AFTER_SUCCESS, SUCCESS_GRACE, false};
+}
+
+bool CrashLedger::AddCrash(Case& entry, const CrashPolicy& policy, const ServerInstance& server,
+                           const CrashRecord& crash)
+{
+  if (entry.last_success && crash.at <= *entry.last_success + policy.success_grace)
     return false;
   if (entry.server_crashes.size() >= MAX_CRASHES && !entry.server_crashes.contains(server))
     return false;
@@ -94,13 +107,14 @@
                               const Common::VmId& seen_by, TimePoint sent_at, TimePoint ended_at,
                               std::optional<TimePoint> last_success, Progress progress)
 {
-  if (last_success && ended_at - *last_success <= SUCCESS_GRACE)
+  const CrashPolicy policy = CrashPolicyOf(request);
+  if (last_success && ended_at - *last_success <= policy.success_grace)
     return;
   Prune(ended_at);
   Case& entry = FindOrCreate(request);
   if (last_success)
     entry.last_success = std::max(entry.last_success.value_or(*last_success), *last_success);
-  AddCrash(entry, server, {ended_at, sent_at, {}, progress});
+  AddCrash(entry, policy, server, {ended_at, sent_at, {}, progress});
   const auto crash = entry.server_crashes.find(server);
   if (crash != entry.server_crashes.end() && crash->second.seen_by.size() < MAX_SEEN_BY)
     crash->second.seen_by.insert(seen_by);
@@ -121,7 +135,7 @@
   if (known.server_crashes.empty() && known.last_success &&
       now - *known.last_success < MIN_REPEAT_INTERVAL)
     return;
-  Clear(found->second, now);
+  Clear(found->second, CrashPolicyOf(request), now);
   MarkChanged(found->second, now);
   found->second.own_revision = found->second.revision;
   m_own_revision = found->second.revision;
@@ -136,25 +150,29 @@
   Case& entry = found->second;
   if (entry.last_success && last_success <= *entry.last_success + SUCCESS_GRACE / 3)
     return;
-  Clear(entry, last_success);
+  Clear(entry, CrashPolicyOf(request), last_success);
   MarkChanged(entry, now);
   entry.own_revision = entry.revision;
   m_own_revision = entry.revision;
 }
 
-void CrashLedger::Clear(Case& entry, TimePoint last_success)
+void CrashLedger::Clear(Case& entry, const CrashPolicy& policy, TimePoint last_success)
 {
   entry.last_success = std::max(entry.last_success.value_or(last_success), last_success);
+  const TimePoint cleared_until =
+      *entry.last_success +
+      (policy.success_outweighs_crashes ? policy.success_grace : Milliseconds(0));
   std::erase_if(entry.server_crashes, [&](const auto& crash) {
-    return crash.second.at <= *entry.last_success;
+    return crash.second.at <= cleared_until;
   });
-  if (entry.blocked_at <= *entry.last_success || IsBlockOverruled(entry))
+  if (entry.blocked_at <= cleared_until || IsBlockOverruled(policy, entry, entry.blocked_at))
     entry.blocked_until = {};
 }
 
 void CrashLedger::Merge(const CaseLine& line, TimePoint now)
 {
   Prune(now);
+  const CrashPolicy policy = CrashPolicyOf(line.request);
   Case& entry = FindOrCreate(line.request);
   bool changed = false;
   if (line.last_success_age_ms >= 0)
@@ -164,13 +182,13 @@
     constexpr Milliseconds MAX_TIME_SHIFT{2000};
     if (!entry.last_success || last_success > *entry.last_success + MAX_TIME_SHIFT)
     {
-      Clear(entry, last_success);
+      Clear(entry, policy, last_success);
       changed = true;
     }
   }
   for (const CrashLine& crash : line.server_crashes)
   {
-    changed |= AddCrash(entry, crash.server,
+    changed |= AddCrash(entry, policy, crash.server,
                         {now - Milliseconds(crash.age_ms),
                          now - Milliseconds(crash.sent_age_ms),
                          {},
@@ -185,7 +203,7 @@
   {
     const bool was_blocked = entry.IsBlocked(now);
     entry.blocks = line.blocks;
-    if (!IsBlockOverruled(entry))
+    if (!IsBlockOverruled(policy, entry, now))
     {
       entry.blocked_at = now;
       entry.blocked_until = now + Milliseconds(line.blocked_for_ms);
@@ -194,15 +212,16 @@
       m_newly_blocked.push_back(line.request);
     changed = true;
   }
-  if (IsBlockOverruled(entry))
+  if (IsBlockOverruled(policy, entry, entry.blocked_at))
     entry.blocked_until = {};
   if (changed)
     MarkChanged(entry, now);
   BlockIfDue(line.request, now);
 }
 
-int CrashLedger::CountIndependentCrashes(const Case& entry) const
+int CrashLedger::CountIndependentCrashes(const Fingerprint& request, const Case& entry) const
 {
+  const CrashPolicy policy = CrashPolicyOf(request);
   std::vector<const CrashRecord*> server_crashes;
   server_crashes.reserve(entry.server_crashes.size());
   for (const auto& [server, crash] : entry.server_crashes)
@@ -216,44 +235,67 @@
   TimePoint last_counted = TimePoint::min();
   for (const CrashRecord* crash : server_crashes)
   {
-    if (crash->sent_at < last_counted)
+    const bool is_dependent = request.attribute == Attribute::PromptPart
+                                  ? crash->at < last_counted + MIN_CRASH_DISTANCE
+                                  : crash->sent_at < last_counted;
+    if (last_counted != TimePoint::min() && is_dependent)
       continue;
     last_counted = crash->at;
     const bool is_old = entry.blocks > 0 && crash->at <= entry.blocked_until;
     ++(is_old ? before_last_block : since);
   }
   // After a block, a single further crash triggers the next one.
-  return std::min(before_last_block, CrashesToBlock(entry) - 1) + since;
+  return std::min(before_last_block, CrashesToBlock(policy, entry) - 1) + since;
 }
 
 /// True if the request's successful completion invalidates its first block, which was set by a
 /// daemon that was unaware of the completion, or if other requests caused all crashes.
-bool CrashLedger::IsBlockOverruled(const Case& entry)
+bool CrashLedger::IsBlockOverruled(const CrashPolicy& policy, const Case& entry,
+                                   TimePoint blocked_at)
 {
   const auto is_explained = [](const auto& crash) {
     return crash.second.explained;
   };
   if (!entry.server_crashes.empty() && std::ranges::all_of(entry.server_crashes, is_explained))
     return true;
+  if (policy.success_outweighs_crashes && entry.last_success &&
+      blocked_at <= *entry.last_success + policy.success_grace)
+    return true;
   return entry.last_success && entry.blocks <= 1 &&
          entry.server_crashes.size() < CRASHES_TO_BLOCK_AFTER_SUCCESS;
 }
 
-bool CrashLedger::HasOtherSuspects(const Case& entry) const
+bool CrashLedger::HasOtherSuspects(const Fingerprint& request, const Case& entry) const
 {
   return std::ranges::any_of(m_cases, [&](const auto& other) {
-    return &other.second != &entry &&
+    return &other.second != &entry && other.first.attribute == request.attribute &&
            std::ranges::any_of(other.second.server_crashes, [&](const auto& crash) {
              return entry.server_crashes.contains(crash.first);
            });
   });
 }
 
+bool CrashLedger::IsCauseAmbiguous(const Fingerprint& part, TimePoint now) const
+{
+  const auto found = m_cases.find(part);
+  if (found == m_cases.end())
+    return false;
+  const auto shares_crashes = [&](const Case& other) {
+    return std::ranges::count_if(other.server_crashes, [&](const auto& crash) {
+             return found->second.server_crashes.contains(crash.first);
+           }) >= MIN_SHARED_CRASHES;
+  };
+  return std::ranges::any_of(m_cases, [&](const auto& other) {
+    return other.first != part && other.first.attribute == part.attribute &&
+           other.second.IsBlocked(now) && shares_crashes(other.second);
+  });
+}
+
 std::vector<Fingerprint> CrashLedger::LiftBlocksOfBystanders(TimePoint now)
 {
   CrashesByRequest blocked;
   for (const auto& [request, entry] : m_cases)
-    if (entry.IsBlocked(now))
+    if (entry.IsBlocked(now) && request.attribute == Attribute::WholeRequest)
       for (const auto& [server, crash] : entry.server_crashes)
         blocked[request].emplace(server, crash.progress);
   std::vector<Fingerprint> lifted;
@@ -274,7 +316,8 @@
 void CrashLedger::BlockIfDue(const Fingerprint& request, TimePoint now)
 {
   Case& entry = m_cases.at(request);
-  if (entry.IsBlocked(now) || CountIndependentCrashes(entry) < CrashesToBlock(entry))
+  if (entry.IsBlocked(now) ||
+      CountIndependentCrashes(request, entry) < CrashesToBlock(CrashPolicyOf(request), entry))
     return;
   const auto span = std::min(FIRST_BLOCK * (1 << std::min(entry.blocks, MAX_DOUBLINGS)), MAX_BLOCK);
   ++entry.blocks;
@@ -295,11 +338,11 @@
   {
     status.blocked_for = std::chrono::ceil<Milliseconds>(found->second.blocked_until - now);
     const bool may_be_lifted =
-        now - found->second.blocked_at < UNCERTAIN_SPAN && HasOtherSuspects(found->second);
+        now - found->second.blocked_at < UNCERTAIN_SPAN && HasOtherSuspects(request, found->second);
     status.retry_after =
         may_be_lifted ? std::min(status.blocked_for, UNCERTAIN_RETRY_AFTER) : status.blocked_for;
   }
-  status.server_crashes = CountIndependentCrashes(found->second);
+  status.server_crashes = CountIndependentCrashes(request, found->second);
   return status;
 }
 
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -34,6 +34,18 @@
   int server_crashes = 0; ///< Server crashes that count against the request.
 };
 
+/// How crashes count against a whole request or a part of a prompt.
+struct CrashPolicy
+{
+  int crashes_to_block = 0;
+  /// The same after a success.
+  int crashes_to_block_after_success = 0;
+  /// Crashes within this time after a success do not count.
+  Common::Milliseconds success_grace{0};
+  /// True if a success also clears the crashes and the block of this time before it was known.
+  bool success_outweighs_crashes = false;
+};
+
 /// Tracks which requests were in progress on servers that crashed, and blocks those that repeatedly
 /// crash servers. It has no clock or I/O of its own; times are passed in. Merging what other
 /// daemons observed is commutative and idempotent.
@@ -46,6 +58,10 @@
 /// a request for a time. After that it is tried again, and one more crash blocks it for twice as
 /// long.
 ///
+/// A part of a prompt is tracked in the same way, with another rule (`CrashPolicyOf`): a server
+/// that begins to write on it shows that it is not the cause, which outweighs all crashes, and
+/// crashes need not follow each other, because each comes from another request.
+///
 /// Identical requests of many callers may be in progress on three crashed servers before one of
 /// them has completed, and are blocked like the request that caused the crashes. Once that one is
 /// blocked too, a comparison of their crashes tells them apart, and the bystander's block is
@@ -61,6 +77,8 @@
   /// Crashes within this time after a successful completion do not count. This also delays the
   /// detection of a request that starts to crash servers after a release by as many seconds.
   static constexpr Common::Milliseconds SUCCESS_GRACE{15000};
+  /// The same for a part of a prompt: servers with the same software crash on it always or never.
+  static constexpr Common::Milliseconds PART_SUCCESS_GRACE{std::chrono::minutes(10)};
   /// Duration of the first block. Each later one is twice as long, up to the longest. Blocks
   /// expire because a server whose fault has been fixed can serve the request again.
   static constexpr Common::Milliseconds FIRST_BLOCK{std::chrono::minutes(10)};
@@ -101,10 +119,15 @@
   /// At the lease holder, which knows the observations of all daemons: lifts the blocks of requests
   /// whose crashes other blocked requests caused. Returns these requests.
   std::vector<Fingerprint> LiftBlocksOfBystanders(Common::TimePoint now);
+  /// True if another blocked part may have caused the crashes that count against this one, so that
+  /// one request with this part and without the other would tell them apart.
+  bool IsCauseAmbiguous(const Fingerprint& part, Common::TimePoint now) const;
   /// Returns the requests that have been blocked since the last call.
   std::vector<Fingerprint> TakeNewlyBlocked() { return std::exchange(m_newly_blocked, {}); }
 
   bool Empty() const { return m_cases.empty(); }
+  /// How crashes count against what the fingerprint identifies.
+  CrashPolicy CrashPolicyOf(const Fingerprint& request) const;
   /// False if no known request has this key, so that the fingerprint need not be computed.
   bool MayContain(QuickKey key) const { return m_keys.contains(key); }
   BlockStatus BlockStatusOf(const Fingerprint& request, Common::TimePoint now) const;
@@ -150,16 +173,18 @@
 
   Case& FindOrCreate(const Fingerprint& request);
   void MarkChanged(Case& entry, Common::TimePoint now);
-  static bool AddCrash(Case& entry, const ServerInstance& server, const CrashRecord& crash);
-  static void Clear(Case& entry, Common::TimePoint last_success);
-  int CountIndependentCrashes(const Case& entry) const;
+  static bool AddCrash(Case& entry, const CrashPolicy& policy, const ServerInstance& server,
+                       const CrashRecord& crash);
+  static void Clear(Case& entry, const CrashPolicy& policy, Common::TimePoint last_success);
+  int CountIndependentCrashes(const Fingerprint& request, const Case& entry) const;
   /// Whether other requests were in progress on the crashed servers as well.
-  bool HasOtherSuspects(const Case& entry) const;
-  int CrashesToBlock(const Case& entry) const
+  bool HasOtherSuspects(const Fingerprint& request, const Case& entry) const;
+  static int CrashesToBlock(const CrashPolicy& policy, const Case& entry)
   {
-    return entry.last_success ? CRASHES_TO_BLOCK_AFTER_SUCCESS : m_crashes_to_block;
+    return entry.last_success ? policy.crashes_to_block_after_success : policy.crashes_to_block;
   }
-  static bool IsBlockOverruled(const Case& entry);
+  static bool IsBlockOverruled(const CrashPolicy& policy, const Case& entry,
+                               Common::TimePoint blocked_at);
   /// Blocks the request if enough crashes count against it.
   void BlockIfDue(const Fingerprint& request, Common::TimePoint now);
   void Remove(const Fingerprint& request);
--- a/Source/Core/Crashes/Fingerprint.cpp
+++ b/Source/Core/Crashes/Fingerprint.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdio>
 #include <cstring>
+#include <initializer_list>
 #include <memory>
 
 #include <glib.h>
@@ -31,6 +32,30 @@
   g_checksum_update(checksum, reinterpret_cast<const guchar*>(part.data()),
                     static_cast<gssize>(part.size()));
 }
+
+QuickKey QuickKeyOfFields(std::initializer_list<std::string_view> fields)
+{
+  QuickKey key = 0;
+  for (const std::string_view field : fields)
+    key = XXH3_64bits_withSeed(field.data(), field.size(), key + field.size());
+  return key;
+}
+
+/// The cryptographic half of a fingerprint.
+Fingerprint DigestOfFields(std::initializer_list<std::string_view> fields)
+{
+  const Checksum checksum(g_checksum_new(G_CHECKSUM_SHA256));
+  for (const std::string_view field : fields)
+    Add(checksum.get(), field);
+  constexpr std::size_t SHA256_BYTES = 32;
+  std::array<guint8, SHA256_BYTES> digest{};
+  gsize size = digest.size();
+  g_checksum_get_digest(checksum.get(), digest.data(), &size);
+  Fingerprint result;
+  std::memcpy(&result.high, digest.data(), sizeof(result.high));
+  std::memcpy(&result.low, digest.data() + sizeof(result.high), sizeof(result.low));
+  return result;
+}
 } // namespace
 
 std::string Fingerprint::ToString() const
@@ -43,29 +68,28 @@
 
 QuickKey QuickKeyOf(const RequestIdentity& identity)
 {
-  QuickKey key = 0;
-  for (const std::string_view part :
-       {identity.account, identity.method, identity.host, identity.target, identity.body})
-    key = XXH3_64bits_withSeed(part.data(), part.size(), key + part.size());
-  return key;
+  return QuickKeyOfFields(
+      {identity.account, identity.method, identity.host, identity.target, identity.body});
 }
 
 Fingerprint FingerprintOf(const RequestIdentity& identity)
 {
-  const Checksum checksum(g_checksum_new(G_CHECKSUM_SHA256));
-  Add(checksum.get(), identity.account);
-  Add(checksum.get(), identity.method);
-  Add(checksum.get(), identity.host);
-  Add(checksum.get(), identity.target);
-  Add(checksum.get(), identity.body);
-  constexpr std::size_t SHA256_BYTES = 32;
-  std::array<guint8, SHA256_BYTES> digest{};
-  gsize size = digest.size();
-  g_checksum_get_digest(checksum.get(), digest.data(), &size);
-  Fingerprint result;
+  Fingerprint result = DigestOfFields(
+      {identity.account, identity.method, identity.host, identity.target, identity.body});
   result.quick = QuickKeyOf(identity);
-  std::memcpy(&result.high, digest.data(), sizeof(result.high));
-  std::memcpy(&result.low, digest.data() + sizeof(result.high), sizeof(result.low));
+  return result;
+}
+
+QuickKey QuickKeyOf(const PromptPartIdentity& identity)
+{
+  return QuickKeyOfFields({identity.account, identity.part, identity.software});
+}
+
+Fingerprint FingerprintOf(const PromptPartIdentity& identity)
+{
+  Fingerprint result = DigestOfFields({identity.account, identity.part, identity.software});
+  result.quick = QuickKeyOf(identity);
+  result.attribute = Attribute::PromptPart;
   return result;
 }
 } // namespace Crashes
--- a/Source/Core/Crashes/Fingerprint.h
+++ b/Source/Core/Crashes/Fingerprint.h
@@ -22,17 +22,35 @@
   std::string_view body;
 };
 
+/// A part of a prompt, on servers with one software version: what crashes servers may do so only
+/// until their software changes. The account belongs to it because callers choose the ids of parts.
+struct PromptPartIdentity
+{
+  std::string_view account; ///< Empty if callers have no accounts.
+  std::string_view part;
+  std::string_view software; ///< Version of the servers' software.
+};
+
+/// What a fingerprint identifies.
+enum class Attribute : std::uint8_t
+{
+  WholeRequest,
+  PromptPart,
+};
+
 /// Non-cryptographic hash of a request's identity. Different requests may share a key. About a
 /// hundred times faster to compute than a fingerprint.
 using QuickKey = std::uint64_t;
 
-/// Cryptographic hash of a request's identity, so that no caller can construct a request that
-/// matches another caller's. Also used in logs and messages, which must not contain request bodies.
+/// Cryptographic hash of what several requests may share, a whole request or a part of its prompt,
+/// so that no caller can construct one that matches another caller's. Also used in logs and
+/// messages, which must not contain request bodies.
 struct Fingerprint
 {
   std::uint64_t high = 0;
   std::uint64_t low = 0;
   QuickKey quick = 0;
+  Attribute attribute = Attribute::WholeRequest;
 
   auto operator<=>(const Fingerprint&) const = default;
 
@@ -42,7 +60,7 @@
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(high, low, quick);
+    archive(high, low, quick, attribute);
   }
 };
 
@@ -50,4 +68,6 @@
 /// most requests that are not known.
 QuickKey QuickKeyOf(const RequestIdentity& identity);
 Fingerprint FingerprintOf(const RequestIdentity& identity);
+QuickKey QuickKeyOf(const PromptPartIdentity& identity);
+Fingerprint FingerprintOf(const PromptPartIdentity& identity);
 } // namespace Crashes
--- a/Source/Core/Gateway/CrashDetector.cpp
+++ b/Source/Core/Gateway/CrashDetector.cpp
@@ -140,4 +140,14 @@
            check.second.suspects.end();
   });
 }
+
+bool CrashDetector::IsCheckPendingForAny(std::span<const Crashes::Fingerprint> parts) const
+{
+  const auto has_any = [&](const Suspect& suspect) {
+    return std::ranges::find_first_of(suspect.parts, parts) != suspect.parts.end();
+  };
+  return std::ranges::any_of(m_pending_checks, [&](const auto& check) {
+    return std::ranges::any_of(check.second.suspects, has_any);
+  });
+}
 } // namespace Gateway
--- a/Source/Core/Gateway/CrashDetector.h
+++ b/Source/Core/Gateway/CrashDetector.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <vector>
 
 #include "Common/Reactor.h"
@@ -34,6 +35,8 @@
     std::optional<Common::TimePoint> last_success;
     /// Time since the first bytes of the response; unset if there were none.
     std::optional<Common::Milliseconds> ran_for;
+    /// Parts of its prompt that may be the cause.
+    std::vector<Crashes::Fingerprint> parts;
   };
   enum class CheckResult
   {
@@ -72,6 +75,9 @@
   void NoteRefusedElsewhere(const ServerPtr& server);
   /// True while it is undetermined whether a server crashed while it processed the request.
   bool IsCheckPending(const Crashes::Fingerprint& request) const;
+  /// The same for requests with any of these parts in their prompts.
+  bool IsCheckPendingForAny(std::span<const Crashes::Fingerprint> parts) const;
+  bool HasPendingChecks() const { return !m_pending_checks.empty(); }
 
 private:
   struct PendingCheck
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -305,9 +305,14 @@
                                          : instance.Get() + "@" +
                                                std::to_string(instance.Started().Get()));
   for (const CrashDetector::Suspect& suspect : suspects)
+  {
     m_crashes.RecordCrash(
         suspect.request, life, m_settings.self, suspect.sent_at, ended_at, suspect.last_success,
         suspect.ran_for ? Crashes::Progress::Responding : Crashes::Progress::NotBegun);
+    for (const Crashes::Fingerprint& part : suspect.parts)
+      m_crashes.RecordCrash(part, life, m_settings.self, suspect.sent_at, ended_at,
+                            m_parts.LastWritten(part.quick, Common::Now()));
+  }
   EndBlockedRequests();
   if (m_on_demand)
     m_on_demand();
@@ -320,11 +325,19 @@
   for (const Crashes::CaseLine& line : cases)
   {
     m_crashes.Merge(line, now);
-    if (const auto last_success = m_successes.LastOf(line.request.quick, now))
+    const auto last_success = line.request.attribute == Crashes::Attribute::PromptPart
+                                  ? m_parts.LastWritten(line.request.quick, now)
+                                  : m_successes.LastOf(line.request.quick, now);
+    if (last_success)
       m_crashes.NoteEarlierSuccess(line.request, *last_success, now);
   }
+  OnCrashEvidence(before);
+}
+
+void Dispatcher::OnCrashEvidence(std::uint64_t revision)
+{
   EndBlockedRequests();
-  if (m_crashes.OwnRevision() != before && m_on_demand)
+  if (m_crashes.OwnRevision() != revision && m_on_demand)
     m_on_demand();
 }
 
@@ -350,7 +363,9 @@
   const auto now = Common::Now();
   for (const Crashes::Fingerprint& request : blocked)
     if (const auto crash_case = m_crashes.Find(request, now))
-      Common::LogEvent(Common::LogLevel::Warning, "request-blocked",
+      Common::LogEvent(Common::LogLevel::Warning,
+                       request.attribute == Crashes::Attribute::PromptPart ? "prompt-part-blocked"
+                                                                           : "request-blocked",
                        {{"fingerprint", request.ToString()},
                         {"for_ms", crash_case->blocked_for_ms},
                         {"blocks", crash_case->blocks},
@@ -369,8 +384,35 @@
   return m_crashes.BlockStatusOf(relay.Fingerprint(), Common::Now());
 }
 
+Crashes::BlockStatus Dispatcher::GetPartStatus(const Relay& relay) const
+{
+  if (m_crashes.Empty() || relay.PromptParts().ids.empty())
+    return {};
+  const auto now = Common::Now();
+  std::set<SoftwareVersion> versions;
+  for (const ServerPtr& server : m_servers.InPool(relay.SelectedPool()))
+    versions.insert(server->Entry().version);
+  Crashes::BlockStatus shortest;
+  for (const SoftwareVersion& version : versions)
+  {
+    const auto status = m_parts.StatusOf(relay.PromptParts(), version.Get(), now);
+    if (!status.blocked)
+      return {};
+    if (!shortest.blocked || status.retry_after < shortest.retry_after)
+      shortest = status;
+  }
+  return shortest;
+}
+
 bool Dispatcher::MustAwaitCrashCheck(Relay& relay) const
 {
+  if (!m_crash_detector.HasPendingChecks())
+    return false;
+  const auto now = Common::Now();
+  for (const SoftwareVersion& version : VersionsInPool(relay.SelectedPool()))
+    if (m_crash_detector.IsCheckPendingForAny(
+            m_parts.Suspects(relay.PromptParts(), version.Get(), now)))
+      return true;
   const bool may_crash_more =
       relay.MustNotCrashMore() ||
       GetBlockStatus(relay).server_crashes >= Crashes::CrashLedger::CRASHES_TO_BLOCK - 1;
@@ -384,7 +426,12 @@
   const auto last_success =
       m_successes.LastOf(Crashes::QuickKeyOf(relay.Identity()), Common::Now());
   return m_crash_detector.NoteConnectionEnded(
-      server, {relay.Fingerprint(), sent_at, last_success, ran_for}, std::move(on_result));
+      server,
+      {relay.Fingerprint(), sent_at, last_success, ran_for,
+       relay.HasWritten()
+           ? std::vector<Crashes::Fingerprint>()
+           : m_parts.Suspects(relay.PromptParts(), server->Entry().version.Get(), Common::Now())},
+      std::move(on_result));
 }
 
 void Dispatcher::NoteRequestSuccess(Relay& relay)
@@ -395,9 +442,15 @@
     return;
   const std::uint64_t before = m_crashes.OwnRevision();
   m_crashes.NoteRequestSuccess(relay.Fingerprint(), Common::Now());
-  EndBlockedRequests();
-  if (m_crashes.OwnRevision() != before && m_on_demand)
-    m_on_demand();
+  OnCrashEvidence(before);
+}
+
+void Dispatcher::NotePromptWritten(const Relay& relay, const SoftwareVersion& version)
+{
+  const std::uint64_t before = m_crashes.OwnRevision();
+  m_parts.NoteWritten(relay.PromptParts(), version.Get(), Common::Now());
+  if (m_crashes.OwnRevision() != before)
+    OnCrashEvidence(before);
 }
 
 void Dispatcher::ScheduleDispatch()
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -15,6 +15,7 @@
 #include "Accounts/LocalAllowances.h"
 #include "Common/Metrics.h"
 #include "Crashes/CrashLedger.h"
+#include "Crashes/PartEvidence.h"
 #include "Crashes/RecentSuccesses.h"
 #include "Decisions/Routing.h"
 #include "Gateway/CrashDetector.h"
@@ -214,11 +215,17 @@
                            CrashDetector::ResultHandler on_result = nullptr);
   /// Whether the request is blocked because servers that ran it have crashed.
   Crashes::BlockStatus GetBlockStatus(Relay& relay) const;
+  /// Whether the request is blocked because parts of its prompt crash servers, whatever their
+  /// software.
+  Crashes::BlockStatus GetPartStatus(const Relay& relay) const;
+  Crashes::PartEvidence& Parts() { return m_parts; }
   /// True while it is not yet known whether a server that just broke the request's connection has
   /// crashed, and the request is one crash short of being blocked or of the most in one attempt.
   bool MustAwaitCrashCheck(Relay& relay) const;
   /// Records that a server has completed the request successfully.
   void NoteRequestSuccess(Relay& relay);
+  /// Records that a server with this software has written on the request's prompt.
+  void NotePromptWritten(const Relay& relay, const SoftwareVersion& version);
   /// True if this VM reaches no server. Its callers are better served by other VMs.
   bool IsCutOff() const;
   /// Schedules one pass over the waiting requests from the main loop; repeated calls are merged.
@@ -241,6 +248,8 @@
                        const std::vector<CrashDetector::Suspect>& suspects);
   /// Ends the open requests that have become blocked.
   void EndBlockedRequests();
+  /// Ends blocked requests and reports observations that this daemon has made since `revision`.
+  void OnCrashEvidence(std::uint64_t revision);
   /// Updates the gauges of requested and refused units by account.
   void RefreshAccountGauges();
   /// Retries the requests that wait for units of an account's limit, oldest first.
@@ -319,6 +328,7 @@
   std::uint64_t m_compared_revision = 0; ///< Of the ledger when blocks were last compared.
   Common::TimePoint m_compare_until;     ///< Without a change, blocks are compared until then.
   Crashes::RecentSuccesses m_successes;
+  Crashes::PartEvidence m_parts{m_crashes};
   ServerPaths m_paths{m_servers};
   StreamOrigins m_origins;
   std::function<void(const std::string&)> m_on_origin_query;
--- a/Source/Core/Gateway/DispatcherPlaces.cpp
+++ b/Source/Core/Gateway/DispatcherPlaces.cpp
@@ -104,6 +104,8 @@
 {
   if (!relay.MayContinueAt(server.Entry().version))
     return false;
+  if (m_parts.StatusOf(relay.PromptParts(), server.Entry().version.Get(), Common::Now()).blocked)
+    return false;
   if (!relay.HasAllowedRegions())
     return true;
   const auto region = m_settings.regions.find(server.Entry().data_centre);
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -202,12 +202,18 @@
 
 bool Relay::RefuseIfBlocked()
 {
-  const Crashes::BlockStatus block_status = m_dispatcher.GetBlockStatus(*this);
+  Crashes::BlockStatus block_status = m_dispatcher.GetBlockStatus(*this);
+  std::string_view cause = "this request";
+  if (!block_status.blocked && !(m_is_probe && m_connection))
+  {
+    block_status = m_dispatcher.GetPartStatus(*this);
+    cause = "requests with a part of this prompt";
+  }
   if (!block_status.blocked)
     return false;
   m_retry_after = block_status.retry_after;
-  const std::string why =
-      std::to_string(block_status.server_crashes) + " servers crashed while they had this request";
+  const std::string why = std::to_string(block_status.server_crashes) +
+                          " servers crashed while they had " + std::string(cause);
   if (m_stream_begun)
     EndWith(Outcome::BrokenOff, 0, why);
   else
@@ -263,7 +269,10 @@
   }
   const std::string* parts = head.Find(names.prompt_parts);
   if (parts != nullptr)
+  {
     m_affinity = m_artifact.ToString() + ":" + SharedPromptParts(*parts);
+    m_prompt_parts = Crashes::ReadSharedParts(*parts, m_account.Get());
+  }
   if (const auto last_event = ParseNumber(head.Find(names.last_event_id)))
     m_events.StartAfter(*last_event);
   const std::string* resumes = head.Find(names.resumes);
@@ -351,6 +360,9 @@
   m_server->NoteStart(m_artifact, now);
   m_is_stream = false;
   m_received_events = false;
+  m_writing_since.reset();
+  m_has_written = false;
+  m_is_probe = false;
   m_body.clear();
   m_events.DropPartial();
   m_helper = m_dispatcher.Paths().HelperFor(*m_server, now);
@@ -360,6 +372,7 @@
     AttemptFailed("no socket available", m_may_have_run);
     return;
   }
+  m_is_probe = m_dispatcher.Parts().NoteSent(m_prompt_parts, m_server->Entry().version.Get(), now);
   m_dispatcher.Limited().NoteSend(*m_server, now);
   m_dispatcher.CountSend(*m_server, now);
   if (m_connection->IsTunnel())
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -13,6 +13,7 @@
 #include "Accounts/LocalAllowances.h"
 #include "Common/Reactor.h"
 #include "Crashes/Fingerprint.h"
+#include "Crashes/PartEvidence.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/EventSplitter.h"
 #include "Gateway/ServerDirectory.h"
@@ -97,6 +98,11 @@
   /// than `max_servers` have been tried, then to the tried ones again. A server that rejected the
   /// request with a Retry-After is always allowed again.
   bool MaySendTo(const InstanceId& instance) const;
+  /// The parts of the prompt that other requests may have too.
+  const Crashes::SharedParts& PromptParts() const { return m_prompt_parts; }
+  /// True if the current server has written events for some time, so that it does not crash on the
+  /// prompt.
+  bool HasWritten() const { return m_has_written; }
   const Route& MatchedRoute() const { return m_route; }
   /// Identifies the request when its caller retries it. Computed on first use.
   const Crashes::Fingerprint& Fingerprint();
@@ -153,6 +159,8 @@
   void ReturnAllowance();
   /// Ends the request and returns true if it is blocked.
   bool RefuseIfBlocked();
+  /// Records that the current server writes on the prompt.
+  void NoteWritten();
   /// Ends the request if too many servers have crashed under it in this attempt. Going on would let
   /// it crash further ones before other daemons know of it, together with the requests that its
   /// servers had beside it.
@@ -242,6 +250,7 @@
   Artifact m_artifact;
   std::string m_id;
   std::string m_affinity;
+  Crashes::SharedParts m_prompt_parts;
   std::optional<Crashes::Fingerprint> m_fingerprint;
   Common::TimePoint m_arrived;
   Common::TimePoint m_deadline;
@@ -277,6 +286,11 @@
   EventSplitter m_events;
   bool m_stream_begun = false; ///< Bytes of the stream have been sent to the caller.
   Http::BodyFraming m_framing = Http::BodyFraming::Chunked; ///< Of the begun stream.
+  /// When the current server sent its first event.
+  std::optional<Common::TimePoint> m_writing_since;
+  bool m_has_written = false;
+  /// The request is sent to find out which of several blocked parts crashes servers.
+  bool m_is_probe = false;
   bool m_received_events = false; ///< The current server has sent events that the caller lacked.
   /// Version of the servers' software that began the stream; unset before.
   std::optional<SoftwareVersion> m_stream_version;
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -20,6 +20,8 @@
 
 /// A stream that pauses for this many gap targets is resumed at another server.
 constexpr int STALL_GAP_TARGETS = 4;
+/// A server that crashes on a prompt does so within this time after its first event.
+constexpr Milliseconds WRITING_TIME{300};
 } // namespace
 
 Http::ResponseHandler::HeadAction Relay::OnResponseHead(Http::MessageHead& head)
@@ -84,6 +86,9 @@
   if (events.empty())
     return;
   m_received_events = true;
+  m_writing_since = m_writing_since.value_or(Common::Now());
+  if (Common::Now() - *m_writing_since >= WRITING_TIME)
+    NoteWritten();
   const auto gap = m_route.gap_target * STALL_GAP_TARGETS;
   ArmStallTimer(std::max(gap, MIN_STREAM_STALL_TIMEOUT));
   if (!m_stream_begun)
@@ -123,6 +128,12 @@
     HandleCompleteResponse();
 }
 
+void Relay::NoteWritten()
+{
+  if (!std::exchange(m_has_written, true))
+    m_dispatcher.NotePromptWritten(*this, m_server->Entry().version);
+}
+
 bool Relay::LooksBrokenOff() const
 {
   const bool has_no_events = !m_stream_begun && !m_events.LastId();
@@ -149,6 +160,7 @@
     return;
   }
   m_server->Health().NoteSuccess(Common::Now());
+  NoteWritten();
   m_dispatcher.NoteRequestSuccess(*this);
   EndStream();
 }
@@ -180,6 +192,7 @@
   if (result == CrashDetector::CheckResult::Running)
   {
     m_server->Health().NoteSuccess(Common::Now());
+    NoteWritten();
     m_dispatcher.NoteRequestSuccess(*this);
   }
   if (m_framing == Http::BodyFraming::Chunked && m_stream_begun)
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -177,6 +177,7 @@
     m_own_lease_until = Common::Now() + own_lease->left;
   if (!holder_changed)
     return;
+  m_dispatcher.Parts().SetMayProbe(own_lease.has_value());
   m_peers.clear();
   m_handover_plan.Clear();
   // A new holder has received nothing of what this daemon observed.
