Crashes: a blocked part is sent now and then until it is proven

Complete responses that are no streams did not clear parts either. Now the lease holder sends one request with a single blocked part every 2 s until two servers have crashed under such requests, whichever daemon sent them, and callers are asked to return after 4 s at most as long as it does.

--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -23,8 +23,6 @@
 /// Servers that fail together, such as those of a rack, do so within this time. Servers that crash
 /// on the same part of prompts do not.
 constexpr Milliseconds MIN_CRASH_DISTANCE{30};
-/// Two blocked parts that share this many crashes may be blocked because of one of them.
-constexpr std::ptrdiff_t MIN_SHARED_CRASHES = 2;
 /// Number of doublings after which the longest block is reached.
 constexpr int MAX_DOUBLINGS = 6;
 /// Interval at which old cases are removed.
@@ -275,20 +273,15 @@
   });
 }
 
-bool CrashLedger::IsCauseAmbiguous(const Fingerprint& part, TimePoint now) const
+int CrashLedger::CrashesSinceBlock(const Fingerprint& request) const
 {
-  const auto found = m_cases.find(part);
+  const auto found = m_cases.find(request);
   if (found == m_cases.end())
-    return false;
-  const auto shares_crashes = [&](const Case& other) {
-    return std::ranges::count_if(other.server_crashes, [&](const auto& crash) {
-             return found->second.server_crashes.contains(crash.first);
-           }) >= MIN_SHARED_CRASHES;
-  };
-  return std::ranges::any_of(m_cases, [&](const auto& other) {
-    return other.first != part && other.first.attribute == part.attribute &&
-           other.second.IsBlocked(now) && shares_crashes(other.second);
-  });
+    return 0;
+  return static_cast<int>(
+      std::ranges::count_if(found->second.server_crashes, [&](const auto& crash) {
+        return crash.second.sent_at > found->second.blocked_at;
+      }));
 }
 
 std::vector<Fingerprint> CrashLedger::LiftBlocksOfBystanders(TimePoint now)
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -119,9 +119,8 @@
   /// At the lease holder, which knows the observations of all daemons: lifts the blocks of requests
   /// whose crashes other blocked requests caused. Returns these requests.
   std::vector<Fingerprint> LiftBlocksOfBystanders(Common::TimePoint now);
-  /// True if another blocked part may have caused the crashes that count against this one, so that
-  /// one request with this part and without the other would tell them apart.
-  bool IsCauseAmbiguous(const Fingerprint& part, Common::TimePoint now) const;
+  /// Servers that crashed under requests that were sent although this was blocked.
+  int CrashesSinceBlock(const Fingerprint& request) const;
   /// Returns the requests that have been blocked since the last call.
   std::vector<Fingerprint> TakeNewlyBlocked() { return std::exchange(m_newly_blocked, {}); }
 
--- a/Source/Core/Crashes/PartEvidence.cpp
+++ b/Source/Core/Crashes/PartEvidence.cpp
@@ -19,11 +19,11 @@
 constexpr std::size_t MAX_PARTS = 16;
 /// A part on which servers write all the time is recorded this often.
 constexpr Milliseconds RECORD_INTERVAL{10000};
-/// A probe that has not been answered in this time has failed.
-constexpr Milliseconds PROBE_TIMEOUT{5000};
-/// Probes of one part. The platform allows three sends after a part is known to crash servers.
-constexpr int MAX_PROBES = 2;
-constexpr std::chrono::minutes PROBE_RETENTION{10};
+/// Time from one request with a blocked part to the next: a crash is known by then.
+constexpr Milliseconds PROBE_INTERVAL{2000};
+/// Servers that may crash under requests with a blocked part. The platform allows three sends after
+/// a part is known to crash servers; the last one is left for a change of the lease holder.
+constexpr int MAX_CRASHES_SINCE_BLOCK = 2;
 
 /// Ids are hexadecimal numbers.
 std::string Normalized(std::string_view id)
@@ -97,13 +97,17 @@
   return blocked;
 }
 
+bool PartEvidence::IsUnproven(const Fingerprint& part) const
+{
+  return m_ledger.CrashesSinceBlock(part) < MAX_CRASHES_SINCE_BLOCK;
+}
+
 bool PartEvidence::MayProbe(const std::vector<Fingerprint>& blocked, TimePoint now) const
 {
-  if (!m_may_probe || blocked.size() != 1 || !m_ledger.IsCauseAmbiguous(blocked.front(), now))
+  if (!m_may_probe || blocked.size() != 1 || !IsUnproven(blocked.front()))
     return false;
-  const auto probe = m_probes.find(blocked.front());
-  return probe == m_probes.end() ||
-         (probe->second.count < MAX_PROBES && now - probe->second.sent_at > PROBE_TIMEOUT);
+  const auto probed_at = m_probed_at.find(blocked.front());
+  return probed_at == m_probed_at.end() || now - probed_at->second > PROBE_INTERVAL;
 }
 
 BlockStatus PartEvidence::StatusOf(const SharedParts& parts, std::string_view software,
@@ -114,10 +118,17 @@
   const auto blocked = BlockedParts(parts, software, now);
   if (blocked.empty() || MayProbe(blocked, now))
     return {};
-  const auto statuses = blocked | std::views::transform([&](const Fingerprint& part) {
-                          return m_ledger.BlockStatusOf(part, now);
-                        });
-  return *std::ranges::max_element(statuses, {}, &BlockStatus::retry_after);
+  BlockStatus longest;
+  for (const Fingerprint& part : blocked)
+  {
+    BlockStatus status = m_ledger.BlockStatusOf(part, now);
+    status.retry_after = IsUnproven(part)
+                             ? std::min(status.blocked_for, CrashLedger::UNCERTAIN_RETRY_AFTER)
+                             : status.blocked_for;
+    if (!longest.blocked || status.retry_after > longest.retry_after)
+      longest = status;
+  }
+  return longest;
 }
 
 bool PartEvidence::NoteSent(const SharedParts& parts, std::string_view software, TimePoint now)
@@ -125,17 +136,11 @@
   if (m_ledger.Empty())
     return false;
   const auto blocked = BlockedParts(parts, software, now);
-  if (blocked.empty())
-    return false;
-  std::erase_if(m_probes, [&](const auto& probe) {
-    return now - probe.second.sent_at > PROBE_RETENTION;
+  std::erase_if(m_probed_at, [&](const auto& probe) {
+    return now - probe.second > PROBE_INTERVAL;
   });
   for (const Fingerprint& part : blocked)
-  {
-    Probe& probe = m_probes[part];
-    probe.sent_at = now;
-    ++probe.count;
-  }
-  return true;
+    m_probed_at[part] = now;
+  return !blocked.empty();
 }
 } // namespace Crashes
--- a/Source/Core/Crashes/PartEvidence.h
+++ b/Source/Core/Crashes/PartEvidence.h
@@ -32,8 +32,9 @@
 /// the part; evidence for it is any server that wrote on one. The ledger keeps both and exchanges
 /// them with the other daemons.
 ///
-/// Parts that occurred together when servers crashed are blocked together. At the lease holder, one
-/// request at a time with only one of them is sent, so that the others are told from the cause.
+/// Parts that occurred together when servers crashed are blocked together, and so may parts be that
+/// were only there. At the lease holder, one request at a time with a single blocked part is sent,
+/// until servers have crashed under these as well.
 class PartEvidence
 {
 public:
@@ -53,30 +54,25 @@
   /// Whether a request with these parts may be sent to servers with this software.
   BlockStatus StatusOf(const SharedParts& parts, std::string_view software,
                        Common::TimePoint now) const;
-  /// Records that a request with these parts is sent. Returns true if it is sent to find out which
-  /// one of several blocked parts crashes servers.
+  /// Records that a request with these parts is sent. Returns true if it is sent to find out
+  /// whether its blocked part crashes servers.
   bool NoteSent(const SharedParts& parts, std::string_view software, Common::TimePoint now);
   /// Only one daemon, the lease holder, sends requests with blocked parts.
   void SetMayProbe(bool may_probe) { m_may_probe = may_probe; }
 
 private:
-  /// A request that was sent although its part is blocked.
-  struct Probe
-  {
-    Common::TimePoint sent_at;
-    int count = 0;
-  };
-
   /// The fingerprint of a part if the ledger has a case for it.
   std::optional<Fingerprint> FindCase(const SharedParts& parts, const std::string& id,
                                       std::string_view software) const;
   std::vector<Fingerprint> BlockedParts(const SharedParts& parts, std::string_view software,
                                         Common::TimePoint now) const;
+  /// True if servers may crash under one more request with the part.
+  bool IsUnproven(const Fingerprint& part) const;
   bool MayProbe(const std::vector<Fingerprint>& blocked, Common::TimePoint now) const;
 
   CrashLedger& m_ledger;
   RecentSuccesses m_written;
-  std::map<Fingerprint, Probe> m_probes;
+  std::map<Fingerprint, Common::TimePoint> m_probed_at; ///< When a blocked part was last sent.
   bool m_may_probe = false;
 };
 } // namespace Crashes
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -289,7 +289,7 @@
   /// When the current server sent its first event.
   std::optional<Common::TimePoint> m_writing_since;
   bool m_has_written = false;
-  /// The request is sent to find out which of several blocked parts crashes servers.
+  /// The request is sent to find out whether a blocked part of its prompt crashes servers.
   bool m_is_probe = false;
   bool m_received_events = false; ///< The current server has sent events that the caller lacked.
   /// Version of the servers' software that began the stream; unset before.
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -262,6 +262,7 @@
 {
   if (!m_head.ends_with_connection)
   {
+    NoteWritten();
     m_dispatcher.NoteRequestSuccess(*this);
     return;
   }
