StandIns, Tools: soak with parts of prompts that crash servers

From seed 40000 on, prompts have parts, no two requests are alike, and one part crashes each server that begins on it.

--- a/Source/StandIns/Soak/InvariantChecker.cpp
+++ b/Source/StandIns/Soak/InvariantChecker.cpp
@@ -16,6 +16,8 @@
 
 /// Daemons recognize a crashing request after this many crashes.
 constexpr int RECOGNIZED_AFTER_CRASHES = 3;
+/// The same for a part of prompts, which arrives in requests that differ.
+constexpr int PART_RECOGNIZED_AFTER_CRASHES = 5;
 /// Maximum time until all daemons that are not cut off have learned of a crash or a rate limit.
 constexpr Common::Milliseconds PROPAGATION_TIME{3000};
 /// Maximum number of arrivals of a crashing request after that time, over the whole run.
@@ -216,19 +218,24 @@
   m_fault_until = std::max(m_fault_until, until);
 }
 
+int InvariantChecker::CrashesToRecognize(const std::string& body)
+{
+  return body == CRASHING_PART ? PART_RECOGNIZED_AFTER_CRASHES : RECOGNIZED_AFTER_CRASHES;
+}
+
 void InvariantChecker::RecordCrash(const std::string& body, Common::TimePoint now)
 {
   CrashingRequest& known = m_crashing_requests[body];
-  if (++known.crashes == RECOGNIZED_AFTER_CRASHES)
-    known.third_crash_at = now;
+  if (++known.crashes == CrashesToRecognize(body))
+    known.recognizable_since = now;
 }
 
 void InvariantChecker::RecordCrashingRequestArrival(const std::string& body, Common::TimePoint now)
 {
   CrashingRequest& known = m_crashing_requests[body];
   ++known.arrivals;
-  if (known.crashes < RECOGNIZED_AFTER_CRASHES || now - known.third_crash_at < PROPAGATION_TIME ||
-      now - m_fault_until < PROPAGATION_TIME)
+  if (known.crashes < CrashesToRecognize(body) ||
+      now - known.recognizable_since < PROPAGATION_TIME || now - m_fault_until < PROPAGATION_TIME)
     return;
   if (++known.late_arrivals == MAX_LATE_ARRIVALS + 1)
     ReportViolation("crashing request was not blocked: " + body + ", " +
--- a/Source/StandIns/Soak/InvariantChecker.h
+++ b/Source/StandIns/Soak/InvariantChecker.h
@@ -43,6 +43,8 @@
   /// A backend server received an order.
   void RecordOrder(const std::string& server, const std::string& holder, std::int64_t fence,
                    Common::TimePoint now);
+  /// Name of the prompt part that crashes servers, in place of a body.
+  static constexpr std::string_view CRASHING_PART = "part of the prompt";
   /// A request that crashes the servers that run it has arrived at a server.
   void RecordCrashingRequestArrival(const std::string& body, Common::TimePoint now);
   /// A server has crashed while it ran that request.
@@ -87,6 +89,8 @@
   void ResetCounts() { m_served = m_refused = m_failed = 0; }
 
 private:
+  /// Crashes after which daemons recognize the body or part.
+  static int CrashesToRecognize(const std::string& body);
   struct Request
   {
     RequestType type = RequestType::Repeatable;
@@ -107,8 +111,8 @@
   {
     int crashes = 0;       ///< Servers that crashed while they ran it.
     int arrivals = 0;      ///< Requests that arrived at servers.
-    int late_arrivals = 0; ///< Arrivals at a time when all daemons had to know of the third crash.
-    Common::TimePoint third_crash_at;
+    int late_arrivals = 0; ///< Arrivals at a time when all daemons had to know of enough crashes.
+    Common::TimePoint recognizable_since; ///< Since enough servers have crashed.
   };
 
   struct RateLimitedServer
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -49,6 +49,7 @@
 /// Number of different crashing requests, and the interval at which one of them is sent.
 constexpr int CRASHING_REQUESTS = 3;
 constexpr Milliseconds CRASHING_REQUEST_INTERVAL{170};
+constexpr std::uint64_t PROMPT_THEMES = 20;
 /// Rate limits that servers announce, in requests per second; some are zero or close to it.
 constexpr std::array RATE_LIMITS{0.0, 0.5, 1.0, 1.1, 3.0};
 /// Interval at which a stopped daemon is polled for its exit.
@@ -101,6 +102,9 @@
 
   void RestartServersWithSameId() { m_restarts_with_same_id = true; }
   void SendCrashingRequests() { m_crashing_request_count = CRASHING_REQUESTS; }
+  /// Prompts have parts, of which one crashes the servers that begin on it. No two of these
+  /// requests are alike.
+  void SendCrashingParts() { m_prompts_have_parts = true; }
   void RateLimitServers() { m_rate_limits_servers = true; }
   void DrainAndBackOffServers() { m_drains_and_backs_off_servers = true; }
   /// Callers go on sending requests to a daemon that stops, until its process has ended.
@@ -120,6 +124,7 @@
     After(STARTUP_TIME, [this] {
       SendRequests();
       SendCrashingRequest();
+      SendCrashingPart();
     });
     After(STARTUP_TIME, [this, faults_duration] {
       m_faults_until = Common::Now() + faults_duration;
@@ -311,11 +316,14 @@
     Http::CompleteRequest request{"POST",
                                   PATHS[static_cast<int>(type)],
                                   {{"Host", "h"}, {"Attempt-Id", id}, {"Time-Left-Ms", "4000"}},
-                                  "body"};
+                                  m_prompts_have_parts ? "body " + id : "body"};
     if (type == RequestType::ResumableStream || type == RequestType::NonRepeatableStream)
       request.headers.push_back(
           {"Model",
            "m" + std::to_string(std::min(Draw(m_requested_models), Draw(m_requested_models)))});
+    const bool is_stream = type != RequestType::Repeatable && type != RequestType::NonRepeatable;
+    if (m_prompts_have_parts && is_stream)
+      request.headers.push_back({"Prompt-Prefix", "a1:20," + RandomTheme() + "," + id + ":5"});
     m_checker.RecordSent(id, type, daemon.name);
     daemon.caller_channel->Call(request, CALLER_TIMEOUTS,
                                 [this, id](Common::Result<Http::CompleteResponse> response) {
@@ -352,6 +360,34 @@
     });
   }
 
+  std::string RandomTheme() { return "b" + std::to_string(Draw(PROMPT_THEMES)) + ":30"; }
+
+  /// They do not count for the share of requests that must be served.
+  void SendCrashingPart()
+  {
+    if (m_stopped || !m_prompts_have_parts)
+      return;
+    DaemonProcess& daemon = RandomDaemon();
+    const std::string id = "p" + std::to_string(++m_request_count);
+    const std::string model = "m" + std::to_string(Draw(m_requested_models));
+    const std::string part = std::string(StandInServer::CRASHING_PART) + ":7,";
+    const Http::CompleteRequest request{
+        "POST",
+        "/one/x",
+        {{"Host", "h"},
+         {"Attempt-Id", id},
+         {"Time-Left-Ms", "4000"},
+         {"Model", model},
+         {"Prompt-Prefix", "a1:20," + part + RandomTheme() + "," + id + ":5"}},
+        "body " + id};
+    m_checker.RecordSent(id, RequestType::NonRepeatableStream, daemon.name);
+    if (IsCalled(daemon))
+      daemon.caller_channel->Call(request, CALLER_TIMEOUTS, [](const auto&) {});
+    After(CRASHING_REQUEST_INTERVAL, [this] {
+      SendCrashingPart();
+    });
+  }
+
   void InjectNextFault()
   {
     CheckDaemonsAreRunning();
@@ -672,6 +708,7 @@
   bool m_faults_overlap = false;
   /// The server faults that are drawn: the first of `ServerFault`, up to this one.
   std::uint64_t m_server_faults = static_cast<std::uint64_t>(ServerFault::DelayOrders);
+  bool m_prompts_have_parts = false;
   int m_crashing_request_count = 0;          ///< Number of different crashing requests.
   std::uint64_t m_requested_models = MODELS; ///< That requests use.
 };
@@ -692,6 +729,7 @@
       cxxopts::value<std::string>()->default_value("build/bin/drumpondd"))(
       "restarts-under-id", "about half of the restarted servers keep their id")(
       "crashing-requests", "send requests repeatedly that crash the servers that run them")(
+      "crashing-parts", "send prompts with a part that crashes the servers that begin on it")(
       "limited-servers", "servers announce rate limits")(
       "leaving-servers", "servers announce that they are draining, or ask daemons to back off")(
       "staying-callers", "callers send requests to a stopping daemon until its process has ended")(
@@ -707,6 +745,8 @@
               std::filesystem::absolute(parsed["logs"].as<std::string>()));
   if (parsed.count("restarts-under-id") > 0)
     run.RestartServersWithSameId();
+  if (parsed.count("crashing-parts") > 0)
+    run.SendCrashingParts();
   if (parsed.count("crashing-requests") > 0)
     run.SendCrashingRequests();
   if (parsed.count("limited-servers") > 0)
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -183,6 +183,16 @@
   connection->Respond(status, Http::ReasonPhrase(status), headers, "");
 }
 
+std::string StandInServer::CauseOfCrash(const Http::ReceivedRequest& request)
+{
+  if (request.body.starts_with(CRASHING_BODY_PREFIX))
+    return request.body;
+  const std::string parts = HeaderValue(request.head, "Prompt-Prefix");
+  const auto found = parts.find(CRASHING_PART);
+  const bool is_before_the_last = found != std::string::npos && found < parts.rfind(',');
+  return is_before_the_last ? std::string(InvariantChecker::CRASHING_PART) : "";
+}
+
 void StandInServer::OnRequest(const Connection& connection, Http::ReceivedRequest request)
 {
   const std::string id = HeaderValue(request.head, "Attempt-Id");
@@ -193,9 +203,8 @@
     m_checker.RecordArrival(m_name, id, Common::Now());
     m_checker.RecordArrivalAtInstance(LifeName(), id, Common::Now());
   }
-  const bool is_crashing = request.body.starts_with(CRASHING_BODY_PREFIX);
-  if (is_crashing)
-    m_checker.RecordCrashingRequestArrival(request.body, Common::Now());
+  if (const std::string cause = CauseOfCrash(request); !cause.empty())
+    m_checker.RecordCrashingRequestArrival(cause, Common::Now());
   if (m_fault == ServerFault::Unresponsive)
     return;
   if (!expected_instance.empty() && expected_instance != m_instance)
@@ -234,10 +243,10 @@
     return;
   }
   m_checker.RecordRun(id);
-  if (request.body.starts_with(CRASHING_BODY_PREFIX))
+  if (const std::string cause = CauseOfCrash(request); !cause.empty())
   {
-    After(CRASH_AFTER, [this, body = request.body] {
-      m_checker.RecordCrash(body, Common::Now());
+    After(CRASH_AFTER, [this, cause] {
+      m_checker.RecordCrash(cause, Common::Now());
       Crash(DOWN_TIME);
     });
     return;
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -55,6 +55,9 @@
   void Crash(Common::Milliseconds down_time);
   /// Start of the body of crashing requests, which crash each server that starts to run them.
   static constexpr std::string_view CRASHING_BODY_PREFIX = "crash ";
+  /// Part of a prompt that crashes each server that starts to run a request with it, unless it is
+  /// the last one.
+  static constexpr std::string_view CRASHING_PART = "bad0";
   void SetFault(ServerFault fault) { m_fault = fault; }
   /// Announces in its responses from now on that it is draining, while its entry still says ready.
   void AnnounceDrain();
@@ -80,6 +83,8 @@
   /// Records an announcement in the response to the request, if the server announces that it is
   /// draining.
   void RecordAnnouncement(const std::string& id);
+  /// What in the request crashes servers; empty if nothing does.
+  static std::string CauseOfCrash(const Http::ReceivedRequest& request);
   void ServeRequest(const Connection& connection, const Http::ReceivedRequest& request);
   /// How the body of the next response states its end.
   Http::BodyFraming Framing() const;
--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -32,6 +32,8 @@
 OVERLAPPING_FROM=10000
 # From this seed on, some responses of servers have neither a length nor chunks.
 UNFRAMED_FROM=20000
+# From this seed on, prompts have parts, one of which crashes the servers that begin on it.
+PARTS_FROM=40000
 # run_seed SEED: runs it on its own loopback addresses.
 run_seed() {
   local seed=$1
@@ -42,12 +44,13 @@
   [ "$seed" -ge "$LEAVING_FROM" ] && seed_flags+=(--leaving-servers)
   [ "$seed" -ge "$OVERLAPPING_FROM" ] && seed_flags+=(--staying-callers --overlapping-faults)
   [ "$seed" -ge "$UNFRAMED_FROM" ] && seed_flags+=(--unframed-responses)
+  [ "$seed" -ge "$PARTS_FROM" ] && seed_flags+=(--crashing-parts)
   build/bin/soak --seed "$seed" --seconds "$SECONDS_EACH" --net "127.$((50 + seed / 250 % 50)).$((seed % 250 + 1))" \
     --logs "build/soak/$seed" --binary build/soak/drumpondd "${seed_flags[@]}" >"build/soak/$seed.txt" 2>&1
   if [ $? -eq 0 ]; then echo "pass soak-$seed"; else echo "FAIL soak-$seed : $(grep BROKEN "build/soak/$seed.txt" | head -n 3 | tr '\n' ';')"; fi
 }
 export -f run_seed
-export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM LEAVING_FROM OVERLAPPING_FROM UNFRAMED_FROM
+export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM LEAVING_FROM OVERLAPPING_FROM UNFRAMED_FROM PARTS_FROM
 RESULTS=$(echo "$SEEDS" | xargs -P "$AT_ONCE" -I{} bash -c 'run_seed {}')
 echo "$RESULTS"
 echo "$(grep -c '^pass' <<<"$RESULTS") passed, $(grep -c '^FAIL' <<<"$RESULTS") failed"
