--- a/Source/UnitTests/Gateway/CrashingPartsTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingPartsTest.cpp
@@ -80,6 +80,8 @@
 {
   CPPUNIT_TEST_SUITE(CrashingPartsTest);
   CPPUNIT_TEST(PartThatCrashesServersIsSentOnAndOn);
+  CPPUNIT_TEST(BlockedPartWaitsForItsDeadline);
+  CPPUNIT_TEST(BlockOfAnotherDaemonDoesNotEndASentRequest);
   CPPUNIT_TEST_SUITE_END();
 
   /// Sends a request whose last part is its own.
@@ -117,6 +119,46 @@
     });
     CPPUNIT_ASSERT(static_cast<std::size_t>(late) <= ALLOWED_LATE_SENDS);
   }
+
+  /// Blocks the part "bad" by a report of another daemon.
+  static void Block(RelayWorld& world)
+  {
+    Crashes::CaseLine line;
+    line.request = Crashes::FingerprintOf(Crashes::PromptPartIdentity{"", "bad", ""});
+    line.blocks = 1;
+    line.blocked_for_ms = 600000;
+    world.dispatcher.MergeCrashCases({line});
+  }
+
+  void BlockedPartWaitsForItsDeadline()
+  {
+    RelayWorld world;
+    Servers servers(world);
+    Block(world);
+    const auto begin = Common::Now();
+    CPPUNIT_ASSERT_EQUAL(std::string("503"), Send(world, "first:20,bad:7"));
+    CPPUNIT_ASSERT(Common::Now() - begin < Milliseconds(200));
+    CPPUNIT_ASSERT(std::stod(HeaderOf(world.caller.received, "Retry-After")) > 0);
+    CPPUNIT_ASSERT(servers.bad_arrivals.empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("200"), Send(world, "first:20"));
+  }
+
+  /// The request is queued at its server, and has not begun there.
+  void BlockOfAnotherDaemonDoesNotEndASentRequest()
+  {
+    TestServer server([](TestPeer&, const std::string&) {});
+    RelayWorld world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONE_STREAM_PATH, "id-1", "Parts: first:20,bad:7,own:5\r\n");
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return !server.requests.empty();
+    }));
+    Block(world);
+    CPPUNIT_ASSERT(world.CallerGot("502"));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return server.peers.front()->ended;
+    }));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingPartsTest);
