--- a/Source/UnitTests/Orders/ServerLimitTest.cpp
+++ b/Source/UnitTests/Orders/ServerLimitTest.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(RemovedLimitIsKnownEverywhereWithinTwoSeconds);
   CPPUNIT_TEST(LimitedServersAreUsedUpToTheirLimits);
   CPPUNIT_TEST(ManyDaemonsUseASmallLimit);
+  CPPUNIT_TEST(OneVmWithAllConnectionsUsesOnlyItsShareOfTheLimits);
   CPPUNIT_TEST(PermitIsUsedThoughTheNextOneIsFarAway);
   CPPUNIT_TEST(ServersWithLimitZeroAreProbedAndUsedAgain);
   CPPUNIT_TEST(EachOfManyServersWithLimitZeroIsProbed);
@@ -60,6 +61,29 @@
       CPPUNIT_ASSERT(vm->dispatcher.Limited().All().empty());
   }
 
+  /// The platform may hand most new connections to one VM. Within the contact time its requests are
+  /// served three quarters as often as before, or more.
+  void OneVmWithAllConnectionsUsesOnlyItsShareOfTheLimits()
+  {
+    LimitedFleet fleet(5, 4);
+    fleet.SetLimits("8");
+    fleet.SetHolder(0, 1);
+    fleet.StartLoad(40);
+    RunFor(CONTACT_TIME);
+    const auto share_in = [&](Milliseconds span) {
+      const int asked = fleet.asked;
+      const int served = fleet.served;
+      RunFor(span);
+      return static_cast<double>(fleet.served - served) / (fleet.asked - asked);
+    };
+    const double before = share_in(CONTACT_TIME);
+    fleet.SendAllTo(2);
+    RunFor(CONTACT_TIME);
+    const double after = share_in(CONTACT_TIME);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(before) + " " + std::to_string(after),
+                           after >= before * 3 / 4);
+  }
+
   void LimitedServersAreUsedUpToTheirLimits()
   {
     LimitedFleet fleet(4, 3);
--- a/Source/UnitTests/Support/LimitedFleet.cpp
+++ b/Source/UnitTests/Support/LimitedFleet.cpp
@@ -191,7 +191,7 @@
     SendNext();
   });
   ++asked;
-  LimitedVm& vm = *vms[static_cast<std::size_t>(asked) % vms.size()];
+  LimitedVm& vm = *vms[m_only_vm.value_or(static_cast<std::size_t>(asked) % vms.size())];
   const auto asked_at = Common::Now();
   vm.Ask("r" + std::to_string(asked), [this, asked_at](int status) {
     if (status == 200)
--- a/Source/UnitTests/Support/LimitedFleet.h
+++ b/Source/UnitTests/Support/LimitedFleet.h
@@ -96,6 +96,8 @@
   /// Sends `per_second` requests a second to the daemons in turn.
   void StartLoad(double per_second);
   void StopLoad() { m_load_timer.Stop(); }
+  /// Sends all requests to one daemon from now on, as when the platform hands it all connections.
+  void SendAllTo(std::size_t vm) { m_only_vm = vm; }
   /// Sets the limit that all servers announce from now on; empty: none.
   void SetLimits(const std::string& limit);
   std::size_t ArrivalsSince(Common::TimePoint moment) const;
@@ -112,6 +114,7 @@
   void SendNext();
 
   Common::Milliseconds m_gap{0};
+  std::optional<std::size_t> m_only_vm;
   Common::OwnedTimer m_load_timer;
 };
 } // namespace UnitTests
