Gateway: only parts under which a server has crashed wait for a crash check

A request whose connection broke waited 0.1 s for the check of its server before it was sent on, as its own parts were unproven at this VM; resets are far more frequent than crashes. Now it waits only where a server has crashed before under one of these parts.

--- a/Source/Core/Crashes/PartEvidence.cpp
+++ b/Source/Core/Crashes/PartEvidence.cpp
@@ -63,6 +63,17 @@
   return suspects;
 }
 
+std::vector<Fingerprint> PartEvidence::Suspected(const SharedParts& parts,
+                                                 std::string_view software, TimePoint now) const
+{
+  std::vector<Fingerprint> suspected;
+  for (const std::string& id : parts.ids)
+    if (const auto part = FindCase(parts, id, software);
+        part && m_ledger.BlockStatusOf(*part, now).server_crashes > 0)
+      suspected.push_back(*part);
+  return suspected;
+}
+
 void PartEvidence::NoteWritten(const SharedParts& parts, std::string_view software, TimePoint now)
 {
   for (const std::string& id : parts.ids)
--- a/Source/Core/Crashes/PartEvidence.h
+++ b/Source/Core/Crashes/PartEvidence.h
@@ -44,6 +44,9 @@
   /// written on them.
   std::vector<Fingerprint> Suspects(const SharedParts& parts, std::string_view software,
                                     Common::TimePoint now) const;
+  /// Those of them under which a server has crashed.
+  std::vector<Fingerprint> Suspected(const SharedParts& parts, std::string_view software,
+                                     Common::TimePoint now) const;
   /// Records that a server with this software wrote on a request with these parts.
   void NoteWritten(const SharedParts& parts, std::string_view software, Common::TimePoint now);
   /// When a server was last known to write on a request with the part.
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -411,7 +411,7 @@
   const auto now = Common::Now();
   for (const SoftwareVersion& version : VersionsInPool(relay.SelectedPool()))
     if (m_crash_detector.IsCheckPendingForAny(
-            m_parts.Suspects(relay.PromptParts(), version.Get(), now)))
+            m_parts.Suspected(relay.PromptParts(), version.Get(), now)))
       return true;
   const bool may_crash_more =
       relay.MustNotCrashMore() ||
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -220,7 +220,8 @@
   Crashes::BlockStatus GetPartStatus(const Relay& relay) const;
   Crashes::PartEvidence& Parts() { return m_parts; }
   /// True while it is not yet known whether a server that just broke the request's connection has
-  /// crashed, and the request is one crash short of being blocked or of the most in one attempt.
+  /// crashed, and the request is one crash short of being blocked or of the most in one attempt, or
+  /// servers have crashed before under parts of its prompt that the broken request has too.
   bool MustAwaitCrashCheck(Relay& relay) const;
   /// Records that a server has completed the request successfully.
   void NoteRequestSuccess(Relay& relay);
