Crashes: the kind of a fingerprint is a mark in its hash

A mark in the hash of parts keeps the format; daemons without parts pass such cases on and block nothing by them. FingerprintTest::PromptPartIsTakenForARequest.

--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -79,7 +79,7 @@
 
 CrashPolicy CrashLedger::CrashPolicyOf(const Fingerprint& request) const
 {
-  if (request.attribute == Attribute::PromptPart)
+  if (request.GetAttribute() == Attribute::PromptPart)
     return {m_crashes_to_block, CRASHES_TO_BLOCK_AFTER_SUCCESS, PART_SUCCESS_GRACE, true};
   return {m_crashes_to_block, CRASHES_TO_BLOCK_AFTER_SUCCESS, SUCCESS_GRACE, false};
 }
@@ -233,7 +233,7 @@
   TimePoint last_counted = TimePoint::min();
   for (const CrashRecord* crash : server_crashes)
   {
-    const bool is_dependent = request.attribute == Attribute::PromptPart
+    const bool is_dependent = request.GetAttribute() == Attribute::PromptPart
                                   ? crash->at < last_counted + MIN_CRASH_DISTANCE
                                   : crash->sent_at < last_counted;
     if (last_counted != TimePoint::min() && is_dependent)
@@ -266,7 +266,7 @@
 bool CrashLedger::HasOtherSuspects(const Fingerprint& request, const Case& entry) const
 {
   return std::ranges::any_of(m_cases, [&](const auto& other) {
-    return &other.second != &entry && other.first.attribute == request.attribute &&
+    return &other.second != &entry && other.first.GetAttribute() == request.GetAttribute() &&
            std::ranges::any_of(other.second.server_crashes, [&](const auto& crash) {
              return entry.server_crashes.contains(crash.first);
            });
@@ -288,7 +288,7 @@
 {
   CrashesByRequest blocked;
   for (const auto& [request, entry] : m_cases)
-    if (entry.IsBlocked(now) && request.attribute == Attribute::WholeRequest)
+    if (entry.IsBlocked(now) && request.GetAttribute() == Attribute::WholeRequest)
       for (const auto& [server, crash] : entry.server_crashes)
         blocked[request].emplace(server, crash.progress);
   std::vector<Fingerprint> lifted;
--- a/Source/Core/Crashes/Fingerprint.cpp
+++ b/Source/Core/Crashes/Fingerprint.cpp
@@ -77,6 +77,8 @@
   Fingerprint result = DigestOfFields(
       {identity.account, identity.method, identity.host, identity.target, identity.body});
   result.quick = QuickKeyOf(identity);
+  if (result.GetAttribute() != Attribute::WholeRequest)
+    result.high &= ~(std::uint64_t{1} << Fingerprint::MARK_SHIFT);
   return result;
 }
 
@@ -89,7 +91,7 @@
 {
   Fingerprint result = DigestOfFields({identity.account, identity.part, identity.software});
   result.quick = QuickKeyOf(identity);
-  result.attribute = Attribute::PromptPart;
+  result.high |= Fingerprint::PART_MARK << Fingerprint::MARK_SHIFT;
   return result;
 }
 } // namespace Crashes
--- a/Source/Core/Crashes/Fingerprint.h
+++ b/Source/Core/Crashes/Fingerprint.h
@@ -50,7 +50,12 @@
   std::uint64_t high = 0;
   std::uint64_t low = 0;
   QuickKey quick = 0;
-  Attribute attribute = Attribute::WholeRequest;
+
+  /// Stated by a mark in the hash, which daemons without prompt parts pass on unread.
+  Attribute GetAttribute() const
+  {
+    return high >> MARK_SHIFT == PART_MARK ? Attribute::PromptPart : Attribute::WholeRequest;
+  }
 
   auto operator<=>(const Fingerprint&) const = default;
 
@@ -60,8 +65,11 @@
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(high, low, quick, attribute);
+    archive(high, low, quick);
   }
+
+  static constexpr int MARK_SHIFT = 48;
+  static constexpr std::uint64_t PART_MARK = 0xffff;
 };
 
 /// A matching key does not prove that two requests are the same. It is a fast check that rules out
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -325,7 +325,7 @@
   for (const Crashes::CaseLine& line : cases)
   {
     m_crashes.Merge(line, now);
-    const auto last_success = line.request.attribute == Crashes::Attribute::PromptPart
+    const auto last_success = line.request.GetAttribute() == Crashes::Attribute::PromptPart
                                   ? m_parts.LastWritten(line.request.quick, now)
                                   : m_successes.LastOf(line.request.quick, now);
     if (last_success)
@@ -364,8 +364,9 @@
   for (const Crashes::Fingerprint& request : blocked)
     if (const auto crash_case = m_crashes.Find(request, now))
       Common::LogEvent(Common::LogLevel::Warning,
-                       request.attribute == Crashes::Attribute::PromptPart ? "prompt-part-blocked"
-                                                                           : "request-blocked",
+                       request.GetAttribute() == Crashes::Attribute::PromptPart
+                           ? "prompt-part-blocked"
+                           : "request-blocked",
                        {{"fingerprint", request.ToString()},
                         {"for_ms", crash_case->blocked_for_ms},
                         {"blocks", crash_case->blocks},
--- a/Source/UnitTests/Crashes/FingerprintTest.cpp
+++ b/Source/UnitTests/Crashes/FingerprintTest.cpp
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(EachPartAffectsTheFingerprint);
   CPPUNIT_TEST(PartsAreDelimited);
   CPPUNIT_TEST(TextKeepsLeadingZeros);
+  CPPUNIT_TEST(PromptPartIsTakenForARequest);
   CPPUNIT_TEST_SUITE_END();
 
   void EachPartAffectsTheFingerprint()
@@ -47,6 +48,22 @@
     CPPUNIT_ASSERT_EQUAL(std::string("000000000000000f0000000000000001"),
                          (Fingerprint{15, 1, 7}.ToString()));
   }
+
+  /// Daemons of different versions exchange fingerprints, and pass on those that they do not know.
+  void PromptPartIsTakenForARequest()
+  {
+    const Fingerprint part = FingerprintOf(PromptPartIdentity{"account", "5c1e", "v1"});
+    CPPUNIT_ASSERT(part.GetAttribute() == Attribute::PromptPart);
+    CPPUNIT_ASSERT(part != FingerprintOf(PromptPartIdentity{"account", "5c1e", "v2"}));
+    CPPUNIT_ASSERT(part != FingerprintOf(PromptPartIdentity{"other", "5c1e", "v1"}));
+    constexpr int MANY = 200000;
+    for (int i = 0; i < MANY; ++i)
+    {
+      const std::string body = std::to_string(i);
+      const Fingerprint request = FingerprintOf(RequestIdentity{"", "POST", "host", "/", body});
+      CPPUNIT_ASSERT(request.GetAttribute() == Attribute::WholeRequest);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FingerprintTest);
