Gateway: a request that its own refused connection blocks is not handled further

A refused connection may complete a crash check; the crash may block this very request, which ends and releases its server, and the handler then removed that server from the request's list. Possible before for whole requests, likely with parts, which many requests share. RefusedConnectionThatBlocksItsOwnRequest ended in the same way before and passes.

--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -333,9 +333,11 @@
   const bool timed_out = breakage == Http::ExchangeError::ConnectTimedOut;
   if (timed_out || breakage == Http::ExchangeError::ConnectFailed)
   {
-    NoteConnectFailure(timed_out, connection && connection->IsTunnel());
     ForgetAttempt();
-    AttemptFailed("could not connect to the server", m_may_have_run);
+    // A refused connection may show a crash that blocks this request, which then ends here.
+    NoteConnectFailure(timed_out, connection && connection->IsTunnel());
+    if (!m_done)
+      AttemptFailed("could not connect to the server", m_may_have_run);
     return;
   }
   m_server->Health().NoteFailure(now);
--- a/Source/UnitTests/Gateway/CrashingPartsTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingPartsTest.cpp
@@ -82,6 +82,7 @@
   CPPUNIT_TEST(PartThatCrashesServersIsSentOnAndOn);
   CPPUNIT_TEST(BlockedPartWaitsForItsDeadline);
   CPPUNIT_TEST(BlockOfAnotherDaemonDoesNotEndASentRequest);
+  CPPUNIT_TEST(RefusedConnectionThatBlocksItsOwnRequest);
   CPPUNIT_TEST_SUITE_END();
 
   /// Sends a request whose last part is its own.
@@ -159,6 +160,29 @@
       return server.peers.front()->ended;
     }));
   }
+
+  /// The daemon crashed. The refused connection is the third crash under the request's part, so
+  /// that the request ends while its failed connection is being handled.
+  void RefusedConnectionThatBlocksItsOwnRequest()
+  {
+    RelayWorld world;
+    auto gone = std::make_unique<TestServer>([](TestPeer&, const std::string&) {});
+    world.AddServer("i-1", gone->Address());
+    gone.reset();
+    Crashes::CaseLine line;
+    line.request = Crashes::FingerprintOf(Crashes::PromptPartIdentity{"", "bad", ""});
+    line.server_crashes = {{Crashes::ServerInstance("s-1"), 900, 950, {}, false, false},
+                           {Crashes::ServerInstance("s-2"), 500, 550, {}, false, false}};
+    world.dispatcher.MergeCrashCases({line});
+    const auto server = world.dispatcher.Servers().Find(Gateway::InstanceId("i-1"));
+    world.Ask(ONE_STREAM_PATH, "id-1", "Parts: first:20,bad:7,own:5\r\n");
+    while (server->InFlight() == 0)
+      g_main_context_iteration(nullptr, FALSE);
+    // Another request with the part broke at the same server.
+    world.dispatcher.GetCrashDetector().NoteConnectionEnded(
+        server, {{}, Common::Now(), std::nullopt, std::nullopt, {line.request}});
+    CPPUNIT_ASSERT(world.CallerGot("503"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashingPartsTest);
