Crashes: blocked parts are probed only while no servers crash

Requests sent by daemons that had not heard of the block counted as probes as well. A probe now waits until no crash is known for 1.5 s, and only sends later than 0.5 s after the block count.

--- a/Source/Core/Crashes/CrashLedger.cpp
+++ b/Source/Core/Crashes/CrashLedger.cpp
@@ -23,6 +23,10 @@
 /// Servers that fail together, such as those of a rack, do so within this time. Servers that crash
 /// on the same part of prompts do not.
 constexpr Milliseconds MIN_CRASH_DISTANCE{30};
+/// Time until all daemons know of a block.
+constexpr Milliseconds BLOCK_SPREAD{500};
+/// Time without a crash after which those that followed each other have ended.
+constexpr Milliseconds CALM_AFTER{1500};
 /// Number of doublings after which the longest block is reached.
 constexpr int MAX_DOUBLINGS = 6;
 /// Interval at which old cases are removed.
@@ -112,6 +116,7 @@
   Case& entry = FindOrCreate(request);
   if (last_success)
     entry.last_success = std::max(entry.last_success.value_or(*last_success), *last_success);
+  m_last_crash_at = std::max(m_last_crash_at, ended_at);
   AddCrash(entry, policy, server, {ended_at, sent_at, {}, progress});
   const auto crash = entry.server_crashes.find(server);
   if (crash != entry.server_crashes.end() && crash->second.seen_by.size() < MAX_SEEN_BY)
@@ -186,6 +191,7 @@
   }
   for (const CrashLine& crash : line.server_crashes)
   {
+    m_last_crash_at = std::max(m_last_crash_at, now - Milliseconds(crash.age_ms));
     changed |= AddCrash(entry, policy, crash.server,
                         {now - Milliseconds(crash.age_ms),
                          now - Milliseconds(crash.sent_age_ms),
@@ -280,10 +286,17 @@
     return 0;
   return static_cast<int>(
       std::ranges::count_if(found->second.server_crashes, [&](const auto& crash) {
-        return crash.second.sent_at > found->second.blocked_at;
+        return crash.second.sent_at > found->second.blocked_at + BLOCK_SPREAD;
       }));
 }
 
+bool CrashLedger::IsCalm(const Fingerprint& request, TimePoint now) const
+{
+  const auto found = m_cases.find(request);
+  return now - m_last_crash_at >= CALM_AFTER &&
+         (found == m_cases.end() || now - found->second.blocked_at > BLOCK_SPREAD);
+}
+
 std::vector<Fingerprint> CrashLedger::LiftBlocksOfBystanders(TimePoint now)
 {
   CrashesByRequest blocked;
--- a/Source/Core/Crashes/CrashLedger.h
+++ b/Source/Core/Crashes/CrashLedger.h
@@ -119,8 +119,11 @@
   /// At the lease holder, which knows the observations of all daemons: lifts the blocks of requests
   /// whose crashes other blocked requests caused. Returns these requests.
   std::vector<Fingerprint> LiftBlocksOfBystanders(Common::TimePoint now);
-  /// Servers that crashed under requests that were sent although this was blocked.
+  /// Servers that crashed under requests that were sent although all daemons knew of the block.
   int CrashesSinceBlock(const Fingerprint& request) const;
+  /// True if no server is known to have crashed, and this has not been blocked, for some time: what
+  /// crashes now under a request with it is its own doing.
+  bool IsCalm(const Fingerprint& request, Common::TimePoint now) const;
   /// Returns the requests that have been blocked since the last call.
   std::vector<Fingerprint> TakeNewlyBlocked() { return std::exchange(m_newly_blocked, {}); }
 
@@ -201,6 +204,7 @@
   std::vector<Fingerprint> m_newly_blocked;
   std::uint64_t m_revision = 0;
   std::uint64_t m_own_revision = 0;
+  Common::TimePoint m_last_crash_at;
   Common::TimePoint m_pruned_at;
 };
 } // namespace Crashes
--- a/Source/Core/Crashes/PartEvidence.cpp
+++ b/Source/Core/Crashes/PartEvidence.cpp
@@ -115,7 +115,8 @@
 
 bool PartEvidence::MayProbe(const std::vector<Fingerprint>& blocked, TimePoint now) const
 {
-  if (!m_may_probe || blocked.size() != 1 || !IsUnproven(blocked.front()))
+  if (!m_may_probe || blocked.size() != 1 || !IsUnproven(blocked.front()) ||
+      !m_ledger.IsCalm(blocked.front(), now))
     return false;
   const auto probed_at = m_probed_at.find(blocked.front());
   return probed_at == m_probed_at.end() || now - probed_at->second > PROBE_INTERVAL;
--- a/Source/Core/Crashes/PartEvidence.h
+++ b/Source/Core/Crashes/PartEvidence.h
@@ -33,8 +33,8 @@
 /// them with the other daemons.
 ///
 /// Parts that occurred together when servers crashed are blocked together, and so may parts be that
-/// were only there. At the lease holder, one request at a time with a single blocked part is sent,
-/// until servers have crashed under these as well.
+/// were only there. At the lease holder, one request at a time with a single blocked part is sent
+/// while no other servers crash, until servers have crashed under these as well.
 class PartEvidence
 {
 public:
--- a/Source/UnitTests/Crashes/PartEvidenceTest.cpp
+++ b/Source/UnitTests/Crashes/PartEvidenceTest.cpp
@@ -118,9 +118,11 @@
   {
     Daemon daemon;
     daemon.Crash({"", {"a"}}, 3, START);
-    const auto now = START + APART * 3;
-    CPPUNIT_ASSERT(daemon.IsBlocked({"", {"a"}}, now));
+    CPPUNIT_ASSERT(daemon.IsBlocked({"", {"a"}}, START + APART * 3));
     daemon.evidence.SetMayProbe(true);
+    // Servers crash until now.
+    CPPUNIT_ASSERT(daemon.IsBlocked({"", {"a"}}, START + APART * 3));
+    const auto now = START + APART * 20;
     CPPUNIT_ASSERT(!daemon.IsBlocked({"", {"a"}}, now));
     CPPUNIT_ASSERT(daemon.evidence.NoteSent({"", {"a"}}, SOFTWARE, now));
     // One at a time.
