--- a/Source/UnitTests/Gateway/CrashingPartsTest.cpp
+++ b/Source/UnitTests/Gateway/CrashingPartsTest.cpp
@@ -94,7 +94,7 @@
     world.Ask(ONE_STREAM_PATH, "id-" + number,
               "Parts: " + shared_parts + ",own" + number + ":5\r\n", "body " + number);
     CPPUNIT_ASSERT(world.CallerGot("\r\n\r\n"));
-    const std::string status = world.caller.received.substr(9, 3);
+    std::string status = world.caller.received.substr(9, 3);
     if (status == "200")
       CPPUNIT_ASSERT(world.CallerGot("0\r\n\r\n"));
     RunFor(Milliseconds(5));
--- a/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
+++ b/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
@@ -6,6 +6,8 @@
 #include "Gateway/ServerDiscovery.h"
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <optional>
 #include <string>
 #include <utility>
@@ -116,8 +118,7 @@
     CutSource source;
     const auto apply = [&](const std::vector<Fleet::TableRow>& rows) {
       std::vector<ServerEntry> entries;
-      for (const Fleet::TableRow& row : rows)
-        entries.push_back(EntryOf(row.key));
+      std::ranges::transform(rows, std::back_inserter(entries), EntryOf, &Fleet::TableRow::key);
       discovery.ApplySnapshot(std::move(entries), Common::Now());
     };
     Fleet::TableFollower<CutSource> follower(source, "servers",
