UnitTests: the origin of a stream is lost with one daemon or a silent holder

What callers see: 503, "it is not known which software version began the stream", for a stream that began through a daemon that is gone, or while the holder of the order lease is suspended or changing.

Three tests with the hubs of three and four daemons in one process: the daemon of the begin is destroyed; the holder is; there is no holder.

--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -128,6 +128,9 @@
   CPPUNIT_TEST(DaemonsKnowNoHelpers);
   CPPUNIT_TEST(HelpersAreForgottenWithTheHolder);
   CPPUNIT_TEST(OriginOfAStreamIsUnknownToOtherDaemons);
+  CPPUNIT_TEST(OriginIsLostWithTheDaemonThroughWhichTheStreamBegan);
+  CPPUNIT_TEST(OriginIsUnknownWhileTheHolderIsSilent);
+  CPPUNIT_TEST(OriginIsUnknownWithoutAHolder);
   CPPUNIT_TEST(CrashesReportedByTwoDaemonsBlockARequestEverywhere);
   CPPUNIT_TEST(NewHolderReceivesCrashesFromAllDaemons);
   CPPUNIT_TEST_SUITE_END();
@@ -360,6 +363,71 @@
     CPPUNIT_ASSERT(!third.dispatcher.Origins().Find("id-2", Common::Now()));
   }
 
+  /// Records that a stream has begun at a server with this software version.
+  static void BeginStream(Daemon& daemon, const char* request, const SoftwareVersion& version)
+  {
+    daemon.dispatcher.Origins().Learn(request, version, Common::Now());
+  }
+
+  /// Returns whether the daemon finds out the version within the time that a request waits for it.
+  static bool FindsOrigin(Daemon& daemon, const char* request, const SoftwareVersion& version)
+  {
+    daemon.dispatcher.QueryOrigin(request);
+    return RunUntil(
+        [&] {
+          return daemon.dispatcher.Origins().Find(request, Common::Now()) == version;
+        },
+        Milliseconds(1000));
+  }
+
+  void OriginIsLostWithTheDaemonThroughWhichTheStreamBegan()
+  {
+    Daemon holder("a");
+    auto second = std::make_unique<Daemon>("b");
+    Daemon third("c");
+    Daemon fourth("d");
+    AssignHolder(holder, *second);
+    third.hub.SetHolder(holder.endpoint, std::nullopt);
+    fourth.hub.SetHolder(holder.endpoint, std::nullopt);
+    RunFor(Milliseconds(1500));
+    const SoftwareVersion version("v");
+    BeginStream(*second, "id-1", version);
+    RunFor(Milliseconds(100));
+    second.reset();
+    for (Daemon* daemon : {&third, &fourth, &holder})
+      CPPUNIT_ASSERT(FindsOrigin(*daemon, "id-1", version));
+  }
+
+  /// The holder is suspended, so that datagrams to it are not answered.
+  void OriginIsUnknownWhileTheHolderIsSilent()
+  {
+    auto holder = std::make_unique<Daemon>("a");
+    Daemon second("b");
+    Daemon third("c");
+    AssignHolder(*holder, second);
+    third.hub.SetHolder(holder->endpoint, std::nullopt);
+    RunFor(Milliseconds(1500));
+    holder.reset();
+    const SoftwareVersion version("v");
+    BeginStream(second, "id-1", version);
+    CPPUNIT_ASSERT(FindsOrigin(third, "id-1", version));
+  }
+
+  void OriginIsUnknownWithoutAHolder()
+  {
+    Daemon holder("a");
+    Daemon second("b");
+    Daemon third("c");
+    AssignHolder(holder, second);
+    third.hub.SetHolder(holder.endpoint, std::nullopt);
+    RunFor(Milliseconds(1500));
+    for (Daemon* daemon : {&holder, &second, &third})
+      daemon->hub.SetHolder(std::nullopt, std::nullopt);
+    const SoftwareVersion version("v");
+    BeginStream(second, "id-1", version);
+    CPPUNIT_ASSERT(FindsOrigin(third, "id-1", version));
+  }
+
   static constexpr Crashes::Fingerprint CRASHING_REQUEST{7, 7, 7};
 
   /// A server that the daemon knows crashes right after it got the crashing request.
