Gateway: log and count the streams that callers resume

A refused stream could not be traced: `request` names neither the stream that it resumes nor how its software version was looked for, and no counter separates resumed streams from new ones, so that the hypotheses of docs/incidents/resumed-streams.md look alike.

`stream-resumed` names the request that began the stream and how its version became known; drumpond_resumptions_total counts by that and by how the request ended. No change of behaviour.

--- a/Source/Core/Common/Metrics.cpp
+++ b/Source/Core/Common/Metrics.cpp
@@ -24,6 +24,10 @@
                      .Name("drumpond_requests_total")
                      .Help("Callers' requests by kind and outcome")
                      .Register(m_registry)),
+      m_resumptions(prometheus::BuildCounter()
+                        .Name("drumpond_resumptions_total")
+                        .Help("Streams that callers resumed by source of the origin and outcome")
+                        .Register(m_registry)),
       m_attempts(prometheus::BuildCounter()
                      .Name("drumpond_backend_attempts_total")
                      .Help("Requests sent to backend servers by result")
@@ -52,6 +56,11 @@
   m_requests.Add({{"kind", kind}, {"outcome", outcome}}).Increment();
 }
 
+void Metrics::CountResumption(const std::string& origin, const std::string& outcome)
+{
+  m_resumptions.Add({{"origin", origin}, {"outcome", outcome}}).Increment();
+}
+
 void Metrics::CountAttempt(const std::string& result)
 {
   m_attempts.Add({{"result", result}}).Increment();
--- a/Source/Core/Common/Metrics.h
+++ b/Source/Core/Common/Metrics.h
@@ -24,6 +24,9 @@
 
   /// Counts a completed request of a caller; `outcome` is "ok" or the type of the error.
   void CountRequest(const std::string& kind, const std::string& outcome);
+  /// Counts a stream that a caller resumed. `origin`: how the software version that began it was
+  /// found out; `outcome`: "continued", or how the request ended.
+  void CountResumption(const std::string& origin, const std::string& outcome);
   /// Counts a request to a backend server; `result` is "ok", "declined", "not_sent", "broken" or
   /// "crossed".
   void CountAttempt(const std::string& result);
@@ -39,6 +42,7 @@
 private:
   prometheus::Registry m_registry;
   prometheus::Family<prometheus::Counter>& m_requests;
+  prometheus::Family<prometheus::Counter>& m_resumptions;
   prometheus::Family<prometheus::Counter>& m_attempts;
   prometheus::Family<prometheus::Histogram>& m_first_token;
   prometheus::Family<prometheus::Histogram>& m_latency;
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -130,6 +130,24 @@
   return "unknown";
 }
 
+std::string_view ToString(OriginSource source)
+{
+  switch (source)
+  {
+  case OriginSource::NotResumed:
+    return "not_resumed";
+  case OriginSource::Own:
+    return "own";
+  case OriginSource::OtherDaemon:
+    return "other_daemon";
+  case OriginSource::OnlyVersion:
+    return "only_version";
+  case OriginSource::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
 Relay::Relay(Dispatcher& dispatcher, std::shared_ptr<Http::ServerConnection> caller,
              Http::ReceivedRequest request)
     : m_dispatcher(dispatcher),
@@ -285,15 +303,21 @@
     return false;
   m_stream_version = m_dispatcher.Origins().Find(m_resumes, Common::Now());
   if (m_stream_version || m_dispatcher.VersionsInPool(m_pool).size() <= 1)
+  {
+    LogOrigin(m_stream_version ? OriginSource::Own : OriginSource::OnlyVersion);
     return false;
+  }
+  m_origin_source = OriginSource::Unknown;
   constexpr std::string_view WHY = "it is not known which software version began the stream";
   if (m_resumes.empty())
   {
+    LogOrigin(OriginSource::Unknown);
     Refuse(WHY);
     return true;
   }
   m_awaits_origin = true;
   m_wait_timer.Start(ORIGIN_TIMEOUT, [this, WHY] {
+    LogOrigin(OriginSource::Unknown);
     Refuse(WHY);
   });
   m_dispatcher.QueryOrigin(m_resumes);
@@ -308,9 +332,24 @@
   m_awaits_origin = false;
   m_wait_timer.Stop();
   m_stream_version = version;
+  LogOrigin(OriginSource::OtherDaemon);
   TakeAllowance();
 }
 
+void Relay::LogOrigin(OriginSource source)
+{
+  m_origin_source = source;
+  Common::LogEvent(source == OriginSource::Unknown ? Common::LogLevel::Warning
+                                                   : Common::LogLevel::Info,
+                   "stream-resumed",
+                   {{"id", m_id},
+                    {"resumes", m_resumes},
+                    {"pool", m_pool},
+                    {"origin", ToString(source)},
+                    {"versions", m_dispatcher.VersionsInPool(m_pool).size()},
+                    {"ms", std::chrono::floor<Milliseconds>(Common::Now() - m_arrived).count()}});
+}
+
 void Relay::StartTimers()
 {
   m_deadline_timer.Start(TimeLeft(), [this] {
@@ -609,6 +648,9 @@
        {"first_event_ms", m_first_event_after.value_or(Milliseconds(-1)).count()}});
   Common::Metrics& metrics = m_dispatcher.GetMetrics();
   metrics.CountRequest(m_route.name, std::string(ToString(outcome)));
+  if (m_origin_source != OriginSource::NotResumed)
+    metrics.CountResumption(std::string(ToString(m_origin_source)),
+                            m_stream_begun ? "continued" : std::string(ToString(outcome)));
   if (outcome == Outcome::Answered)
     metrics.ObserveLatency(m_route.name, m_first_event_after.value_or(took));
   if (m_stream_begun)
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -51,6 +51,17 @@
 };
 std::string_view ToString(Outcome outcome);
 
+/// How the software version that began a resumed stream became known, for logs and counters.
+enum class OriginSource
+{
+  NotResumed,
+  Own,         ///< This daemon knew it.
+  OtherDaemon, ///< Another daemon knew it.
+  OnlyVersion, ///< The servers have had only one version.
+  Unknown,
+};
+std::string_view ToString(OriginSource source);
+
 /// Proxies one request to a backend server and its response back to the caller. Holds all state of
 /// the request; shared state (servers, budget, configuration) belongs to the dispatcher.
 class Relay : public Http::ResponseHandler, public std::enable_shared_from_this<Relay>
@@ -169,6 +180,7 @@
   /// begun it, and it is not known which. The request then waits for the reply of another daemon,
   /// or has ended.
   bool MustAwaitOrigin();
+  void LogOrigin(OriginSource source);
   /// Looks for a server, after the account's limit has been checked.
   void FindServer();
   /// The values of the key headers in the order in which they appear.
@@ -298,6 +310,7 @@
   /// caller does not name it.
   std::string m_resumes;
   bool m_awaits_origin = false;
+  OriginSource m_origin_source = OriginSource::NotResumed;
   std::optional<Common::Milliseconds> m_first_event_after;
   Common::TimePoint m_last_event_at;
   Common::TimePoint m_last_progress_at;
