--- a/Source/Core/Crashes/Fingerprint.cpp
+++ b/Source/Core/Crashes/Fingerprint.cpp
@@ -41,7 +41,8 @@
   return key;
 }
 
-/// The cryptographic half of a fingerprint.
+} // namespace
+
 Fingerprint DigestOfFields(std::initializer_list<std::string_view> fields)
 {
   const Checksum checksum(g_checksum_new(G_CHECKSUM_SHA256));
@@ -56,7 +57,6 @@
   std::memcpy(&result.low, digest.data() + sizeof(result.high), sizeof(result.low));
   return result;
 }
-} // namespace
 
 std::string Fingerprint::ToString() const
 {
--- a/Source/Core/Crashes/Fingerprint.h
+++ b/Source/Core/Crashes/Fingerprint.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -72,6 +73,10 @@
   static constexpr std::uint64_t PART_MARK = 0xffff;
 };
 
+/// The SHA-256 digest of the fields, without a quick key. Each field counts with its length, so
+/// that different splits of the same bytes yield different digests.
+Fingerprint DigestOfFields(std::initializer_list<std::string_view> fields);
+
 /// A matching key does not prove that two requests are the same. It is a fast check that rules out
 /// most requests that are not known.
 QuickKey QuickKeyOf(const RequestIdentity& identity);
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -410,7 +410,7 @@
   if (!m_crash_detector.HasPendingChecks())
     return false;
   const auto now = Common::Now();
-  for (const SoftwareVersion& version : VersionsInPool(relay.SelectedPool()))
+  for (const SoftwareVersion& version : m_versions.Recent(relay.SelectedPool(), now))
     if (m_crash_detector.IsCheckPendingForAny(
             m_parts.Suspected(relay.PromptParts(), version.Get(), now)))
       return true;
@@ -627,6 +627,7 @@
   m_metrics.SetGauge("caller_connections", static_cast<double>(m_connections.size()));
   m_metrics.SetGauge("attempts", static_cast<double>(m_counters.attempts));
   m_metrics.SetGauge("repeats", static_cast<double>(m_counters.retries));
+  m_metrics.SetGauge("stream_origins", static_cast<double>(m_origins.Size()));
   m_metrics.SetGauge("streams_resumed", static_cast<double>(m_counters.resumed));
   m_metrics.SetGauge("servers", static_cast<double>(m_servers.All().size()));
   m_metrics.SetGauge("servers_ejected", count_servers([&](const Server& server) {
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -28,6 +28,7 @@
 #include "Gateway/ServerSignals.h"
 #include "Gateway/StreamOrigins.h"
 #include "Gateway/Types.h"
+#include "Gateway/VersionHistory.h"
 #include "Http/ServerConnection.h"
 
 namespace Gateway
@@ -181,21 +182,39 @@
   void ExpectRetry(const Relay& relay, Common::Milliseconds span);
   void NoteArrival(const Relay& relay);
   StreamOrigins& Origins() { return m_origins; }
-  /// Called when the origin of a stream is to be asked of the other daemons; the argument is the
-  /// request whose response brought its first event.
-  void OnOriginQuery(std::function<void(const std::string&)> callback)
+  VersionHistory& Versions() { return m_versions; }
+  const VersionHistory& Versions() const { return m_versions; }
+  /// Sets the address of this daemon for messages and the hash of its data centre, which the
+  /// origins of streams name.
+  void SetLocalOrigin(const Http::Endpoint& daemon, std::uint32_t place);
+  /// Called when other daemons are to be asked for the origin of a stream, and with the pool that
+  /// would serve the stream if its origin stays unknown.
+  void OnOriginQuery(std::function<void(StreamKey, const PoolId&)> callback)
   {
     m_on_origin_query = std::move(callback);
   }
-  void QueryOrigin(const std::string& request)
+  /// Called when a stream has begun or is still running, so that other daemons get a copy of its
+  /// origin.
+  void OnStreamNoted(std::function<void(StreamKey)> callback)
   {
-    if (m_on_origin_query)
-      m_on_origin_query(request);
+    m_on_stream_noted = std::move(callback);
   }
-  /// Applies the reply of another daemon, and resumes the requests that waited for it.
-  void LearnOrigin(const std::string& request, const SoftwareVersion& version);
-  /// The software versions that serve the pool, or have recently begun streams of it.
-  std::set<SoftwareVersion> VersionsInPool(const PoolId& pool) const;
+  /// Asks other daemons for the origin. Returns false if there is no connection to others.
+  bool QueryOrigin(StreamKey stream, const PoolId& pool);
+  /// True if requests wait for the origin of the stream.
+  bool AwaitsOrigin(StreamKey stream) const;
+  /// Applies the reply of another daemon, and resumes the requests that waited for it. `evidence`:
+  /// what the daemons that replied before did not know.
+  void LearnOrigin(StreamKey stream, const StreamOrigins::Entry& entry,
+                   const OriginEvidence& evidence);
+  /// Applies the replies so far of daemons that do not know the origin.
+  void LearnNoOrigin(StreamKey stream, const OriginEvidence& evidence);
+  /// Records that a server of the pool with this version has begun a stream or continues it.
+  /// `known`: the origin, if the stream was resumed.
+  void NoteStream(StreamKey stream, const PoolId& pool, const SoftwareVersion& version,
+                  const std::optional<StreamOrigin>& known);
+  /// Whether a server of the pool has this software version.
+  bool HasVersion(const PoolId& pool, VersionKey version) const;
   /// How this VM reaches the servers.
   ServerPaths& Paths() { return m_paths; }
   const ServerPaths& Paths() const { return m_paths; }
@@ -332,7 +351,10 @@
   Crashes::PartEvidence m_parts{m_crashes};
   ServerPaths m_paths{m_servers};
   StreamOrigins m_origins;
-  std::function<void(const std::string&)> m_on_origin_query;
+  VersionHistory m_versions{m_servers};
+  StreamOrigin m_local_origin; ///< Without a version.
+  std::function<void(StreamKey, const PoolId&)> m_on_origin_query;
+  std::function<void(StreamKey)> m_on_stream_noted;
   int m_daemons = 1;
   Common::OwnedTimer m_silence_timer;
   CrashDetector m_crash_detector{m_servers};
--- a/Source/Core/Gateway/DispatcherPlaces.cpp
+++ b/Source/Core/Gateway/DispatcherPlaces.cpp
@@ -102,7 +102,7 @@
 
 bool Dispatcher::MayRunAt(const Relay& relay, const Server& server) const
 {
-  if (!relay.MayContinueAt(server.Entry().version))
+  if (!relay.MayContinueAt(server.Entry()))
     return false;
   if (m_parts.StatusOf(relay.PromptParts(), server.Entry().version.Get(), Common::Now()).blocked)
     return false;
@@ -112,23 +112,6 @@
   return region != m_settings.regions.end() && relay.MayRunIn(region->second);
 }
 
-void Dispatcher::LearnOrigin(const std::string& request, const SoftwareVersion& version)
-{
-  m_origins.Learn(request, version, Common::Now());
-  const auto relays = m_relays;
-  for (const auto& [key, relay] : relays)
-    relay->LearnOrigin(request, version);
-}
-
-std::set<SoftwareVersion> Dispatcher::VersionsInPool(const PoolId& pool) const
-{
-  std::set<SoftwareVersion> versions = m_origins.RecentVersions(pool, Common::Now());
-  for (const auto& [instance, server] : m_servers.All())
-    if (server->Entry().pool == pool)
-      versions.insert(server->Entry().version);
-  return versions;
-}
-
 std::optional<EarlyRefusal> Dispatcher::CheckNoServerAllowed(const Relay& relay) const
 {
   if (!relay.HasAllowedRegions() && !relay.IsBoundToVersion() && m_servers.Evacuated().empty())
@@ -141,7 +124,7 @@
     if (server->Entry().pool != relay.SelectedPool())
       continue;
     any_in_pool = true;
-    any_of_version = any_of_version || relay.MayContinueAt(server->Entry().version);
+    any_of_version = any_of_version || relay.MayContinueAt(server->Entry());
     if (!MayRunAt(relay, *server))
       continue;
     any_in_region = true;
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -36,9 +36,6 @@
 /// A server that the platform no longer lists may still finish its work; if it also sends nothing
 /// for this long, it is considered to have failed.
 constexpr Milliseconds UNLISTED_SERVER_TIMEOUT{1900};
-/// How long a request waits for another daemon to name the software version that began the stream
-/// that it resumes. The lease holder passes the query on within some ms.
-constexpr Milliseconds ORIGIN_TIMEOUT{150};
 /// After this time without data from a server, the path to it is checked. Longer than the usual
 /// time to a first event.
 constexpr Milliseconds PATH_CHECK_AFTER{400};
@@ -130,24 +127,6 @@
   return "unknown";
 }
 
-std::string_view ToString(OriginSource source)
-{
-  switch (source)
-  {
-  case OriginSource::NotResumed:
-    return "not_resumed";
-  case OriginSource::Own:
-    return "own";
-  case OriginSource::OtherDaemon:
-    return "other_daemon";
-  case OriginSource::OnlyVersion:
-    return "only_version";
-  case OriginSource::Unknown:
-    break;
-  }
-  return "unknown";
-}
-
 Relay::Relay(Dispatcher& dispatcher, std::shared_ptr<Http::ServerConnection> caller,
              Http::ReceivedRequest request)
     : m_dispatcher(dispatcher),
@@ -295,59 +274,7 @@
     m_events.StartAfter(*last_event);
   const std::string* resumes = head.Find(names.resumes);
   m_resumes = resumes == nullptr ? "" : *resumes;
-}
-
-bool Relay::MustAwaitOrigin()
-{
-  if (m_route.repeatability != Repeatability::Streaming || !m_events.LastId())
-    return false;
-  m_stream_version = m_dispatcher.Origins().Find(m_resumes, Common::Now());
-  if (m_stream_version || m_dispatcher.VersionsInPool(m_pool).size() <= 1)
-  {
-    LogOrigin(m_stream_version ? OriginSource::Own : OriginSource::OnlyVersion);
-    return false;
-  }
-  m_origin_source = OriginSource::Unknown;
-  constexpr std::string_view WHY = "it is not known which software version began the stream";
-  if (m_resumes.empty())
-  {
-    LogOrigin(OriginSource::Unknown);
-    Refuse(WHY);
-    return true;
-  }
-  m_awaits_origin = true;
-  m_wait_timer.Start(ORIGIN_TIMEOUT, [this, WHY] {
-    LogOrigin(OriginSource::Unknown);
-    Refuse(WHY);
-  });
-  m_dispatcher.QueryOrigin(m_resumes);
-  return true;
-}
-
-void Relay::LearnOrigin(const std::string& request, const SoftwareVersion& version)
-{
-  if (m_done || !m_awaits_origin || m_resumes != request)
-    return;
-  const auto guard = shared_from_this();
-  m_awaits_origin = false;
-  m_wait_timer.Stop();
-  m_stream_version = version;
-  LogOrigin(OriginSource::OtherDaemon);
-  TakeAllowance();
-}
-
-void Relay::LogOrigin(OriginSource source)
-{
-  m_origin_source = source;
-  Common::LogEvent(source == OriginSource::Unknown ? Common::LogLevel::Warning
-                                                   : Common::LogLevel::Info,
-                   "stream-resumed",
-                   {{"id", m_id},
-                    {"resumes", m_resumes},
-                    {"pool", m_pool},
-                    {"origin", ToString(source)},
-                    {"versions", m_dispatcher.VersionsInPool(m_pool).size()},
-                    {"ms", std::chrono::floor<Milliseconds>(Common::Now() - m_arrived).count()}});
+  m_stream = KeyOf(m_account, m_resumes.empty() ? m_id : m_resumes);
 }
 
 void Relay::StartTimers()
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -18,6 +18,7 @@
 #include "Gateway/EventSplitter.h"
 #include "Gateway/ServerDirectory.h"
 #include "Gateway/ServerSignals.h"
+#include "Gateway/StreamOrigins.h"
 #include "Gateway/Types.h"
 #include "Http/OriginConnection.h"
 #include "Http/ServerConnection.h"
@@ -132,12 +133,17 @@
   /// True if the request resumes a stream, and the software version that began it is known.
   bool IsBoundToVersion() const { return m_stream_version.has_value(); }
   /// False if the request resumes a stream that a server with other software began.
-  bool MayContinueAt(const SoftwareVersion& version) const
+  bool MayContinueAt(const ServerEntry& server) const
   {
-    return !m_stream_version || *m_stream_version == version;
+    return !m_stream_version || *m_stream_version == KeyOf(server.pool, server.version);
   }
-  /// Goes on if the request waits for the origin of this stream.
-  void LearnOrigin(const std::string& request, const SoftwareVersion& version);
+  /// True if the request waits for the origin of this stream.
+  bool AwaitsOrigin(StreamKey stream) const { return m_awaits_origin && m_stream == stream; }
+  /// Goes on with the origin, which another daemon knew.
+  void LearnOrigin(const StreamOrigins::Entry& entry, const OriginEvidence& evidence);
+  /// Goes on if only one version can have begun the stream. Refuses the request if several can and
+  /// no more replies are expected.
+  void LearnNoOrigin(const OriginEvidence& evidence);
   Crashes::RequestIdentity Identity() const;
 
   /// Ends the request if it is blocked because servers crashed while they ran it, unless a server
@@ -176,11 +182,20 @@
   /// it crash further ones before other daemons know of it, together with the requests that its
   /// servers had beside it.
   bool FailAfterCrashes();
-  /// Returns true if the caller resumes a stream, servers of several software versions may have
-  /// begun it, and it is not known which. The request then waits for the reply of another daemon,
-  /// or has ended.
+  /// Returns true if the caller resumes a stream and this daemon does not know which software
+  /// version began it. The request then waits for the replies of other daemons, or has ended.
   bool MustAwaitOrigin();
-  void LogOrigin(OriginSource source);
+  /// From now on the request may go only to servers of the version that began the stream.
+  void BindToOrigin(const StreamOrigins::Entry& entry, OriginSource source);
+  /// Does the same with the only version that the pool's servers have had, and returns true.
+  /// Returns false if they had several, or may have had others that are not known here.
+  bool BindToOnlyVersion();
+  void RefuseUnknownOrigin();
+  /// Ends the wait for the origin and looks for a server.
+  void ContinueWithOrigin();
+  void LogOrigin(const StreamOrigins::Entry* entry) const;
+  /// Records at regular intervals that the stream is still running.
+  void NoteStream();
   /// Looks for a server, after the account's limit has been checked.
   void FindServer();
   /// The values of the key headers in the order in which they appear.
@@ -305,12 +320,17 @@
   bool m_is_probe = false;
   bool m_received_events = false; ///< The current server has sent events that the caller lacked.
   /// Version of the servers' software that began the stream; unset before.
-  std::optional<SoftwareVersion> m_stream_version;
+  std::optional<VersionKey> m_stream_version;
+  StreamKey m_stream{};
+  /// Of a resumed stream, if it is known.
+  std::optional<StreamOrigin> m_origin;
+  OriginSource m_origin_source = OriginSource::NotResumed;
+  OriginEvidence m_origin_evidence;
+  Common::TimePoint m_stream_noted_at;
   /// The request that brought the first event of the stream that the caller resumes; empty if the
   /// caller does not name it.
   std::string m_resumes;
   bool m_awaits_origin = false;
-  OriginSource m_origin_source = OriginSource::NotResumed;
   std::optional<Common::Milliseconds> m_first_event_after;
   Common::TimePoint m_last_event_at;
   Common::TimePoint m_last_progress_at;
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -100,6 +100,8 @@
     m_longest_pause = std::max(
         m_longest_pause, std::chrono::duration_cast<Milliseconds>(Common::Now() - m_last_event_at));
   m_last_event_at = Common::Now();
+  if (m_last_event_at - m_stream_noted_at >= StreamOrigins::REFRESH_INTERVAL)
+    NoteStream();
   m_caller->SendBody(events);
   if (m_caller->UnsentBytes() == 0 || !m_connection)
     return;
@@ -143,9 +145,8 @@
 void Relay::BeginStream()
 {
   m_stream_begun = true;
-  m_stream_version = m_server->Entry().version;
-  m_dispatcher.Origins().Note(m_pool, m_resumes.empty() ? m_id : m_resumes, *m_stream_version,
-                              Common::Now());
+  m_stream_version = KeyOf(m_pool, m_server->Entry().version);
+  NoteStream();
   // The daemon must not state an end that the server has not stated.
   m_framing =
       m_head.ends_with_connection ? Http::BodyFraming::UntilClose : Http::BodyFraming::Chunked;
--- /dev/null
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -0,0 +1,177 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Streams that callers resume after a connection broke. They may go on only at servers with the
+// software version that began them.
+
+#include "Gateway/Relay.h"
+
+#include <algorithm>
+
+#include "Common/Log.h"
+#include "Gateway/Dispatcher.h"
+
+namespace Gateway
+{
+namespace
+{
+using Common::Milliseconds;
+
+/// A daemon that knows the origin usually replies within this time. After it, a stream whose origin
+/// no daemon has named yet goes on if the servers have had only one version.
+constexpr Milliseconds ORIGIN_REPLY_TIME{150};
+/// Retry-After if no daemon that was asked knows the origin: only a change of the servers' versions
+/// helps.
+constexpr Milliseconds RETRY_AFTER_UNKNOWN_ORIGIN{2000};
+/// Retry-After if some daemons did not reply.
+constexpr Milliseconds RETRY_AFTER_NO_REPLY{500};
+} // namespace
+
+std::string_view ToString(OriginSource source)
+{
+  switch (source)
+  {
+  case OriginSource::NotResumed:
+    return "not_resumed";
+  case OriginSource::Own:
+    return "own";
+  case OriginSource::OtherDaemon:
+    return "other_daemon";
+  case OriginSource::OnlyVersion:
+    return "only_version";
+  case OriginSource::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+bool Relay::MustAwaitOrigin()
+{
+  if (m_route.repeatability != Repeatability::Streaming || !m_events.LastId())
+    return false;
+  m_origin_source = OriginSource::Unknown;
+  if (const auto known = m_dispatcher.Origins().Find(m_stream, Common::Now());
+      known && !m_resumes.empty())
+  {
+    BindToOrigin(*known, OriginSource::Own);
+    return false;
+  }
+  m_awaits_origin = true;
+  if (m_resumes.empty() || !m_dispatcher.QueryOrigin(m_stream, m_pool))
+  {
+    // Without other daemons, this one has seen all versions.
+    m_origin_evidence.is_current = true;
+    m_origin_evidence.is_complete = true;
+    LearnNoOrigin(m_origin_evidence);
+    return true;
+  }
+  if (!m_awaits_origin || m_done)
+    return true;
+  m_wait_timer.Start(std::min(ORIGIN_REPLY_TIME, WaitLeft(Common::Now())), [this] {
+    const auto guard = shared_from_this();
+    if (BindToOnlyVersion())
+    {
+      ContinueWithOrigin();
+      return;
+    }
+    m_wait_timer.Start(WaitLeft(Common::Now()), [this] {
+      RefuseUnknownOrigin();
+    });
+  });
+  return true;
+}
+
+void Relay::BindToOrigin(const StreamOrigins::Entry& entry, OriginSource source)
+{
+  m_origin = entry.origin;
+  m_origin_source = source;
+  m_stream_version = entry.origin.version;
+  // A route may have several pools, and the stream began in one of them.
+  const auto pool = std::ranges::find_if(m_route.pools, [&](const WeightedPool& candidate) {
+    return m_dispatcher.HasVersion(candidate.pool, entry.origin.version);
+  });
+  if (pool != m_route.pools.end())
+    m_pool = pool->pool;
+  LogOrigin(&entry);
+}
+
+bool Relay::BindToOnlyVersion()
+{
+  const auto now = Common::Now();
+  const VersionHistory& history = m_dispatcher.Versions();
+  std::set<VersionKey> versions = m_origin_evidence.versions;
+  for (const SoftwareVersion& version : history.Recent(m_pool, now))
+    versions.insert(KeyOf(m_pool, version));
+  if (versions.size() > 1 || !(m_origin_evidence.is_current || history.IsCurrent(now)))
+    return false;
+  m_origin_source = OriginSource::OnlyVersion;
+  if (!versions.empty())
+    m_stream_version = *versions.begin();
+  LogOrigin(nullptr);
+  return true;
+}
+
+void Relay::LearnOrigin(const StreamOrigins::Entry& entry, const OriginEvidence& evidence)
+{
+  const auto guard = shared_from_this();
+  m_origin_evidence = evidence;
+  BindToOrigin(entry, OriginSource::OtherDaemon);
+  ContinueWithOrigin();
+}
+
+void Relay::LearnNoOrigin(const OriginEvidence& evidence)
+{
+  const auto guard = shared_from_this();
+  m_origin_evidence = evidence;
+  if (!evidence.is_complete)
+    return;
+  if (BindToOnlyVersion())
+    ContinueWithOrigin();
+  else
+    RefuseUnknownOrigin();
+}
+
+void Relay::RefuseUnknownOrigin()
+{
+  const auto guard = shared_from_this();
+  m_awaits_origin = false;
+  LogOrigin(nullptr);
+  m_retry_after = m_origin_evidence.is_complete ? RETRY_AFTER_UNKNOWN_ORIGIN : RETRY_AFTER_NO_REPLY;
+  Refuse("it is not known which software version began the stream");
+}
+
+void Relay::ContinueWithOrigin()
+{
+  m_awaits_origin = false;
+  m_wait_timer.Stop();
+  if (!m_done)
+    TakeAllowance();
+}
+
+void Relay::LogOrigin(const StreamOrigins::Entry* entry) const
+{
+  const auto now = Common::Now();
+  const auto age =
+      entry == nullptr ? Milliseconds(-1) : std::chrono::floor<Milliseconds>(now - entry->noted_at);
+  Common::LogEvent(
+      m_origin_source == OriginSource::Unknown ? Common::LogLevel::Warning : Common::LogLevel::Info,
+      "stream-resumed",
+      {{"id", m_id},
+       {"resumes", m_resumes},
+       {"pool", m_pool},
+       {"origin", ToString(m_origin_source)},
+       {"began_at", entry == nullptr ? std::string() : entry->origin.daemon.ToString()},
+       {"age_ms", age.count()},
+       {"asked", m_origin_evidence.asked},
+       {"replies", m_origin_evidence.replies},
+       {"ms", std::chrono::floor<Milliseconds>(now - m_arrived).count()}});
+}
+
+void Relay::NoteStream()
+{
+  if ((m_id.empty() && m_resumes.empty()) || !m_server)
+    return;
+  m_stream_noted_at = Common::Now();
+  m_dispatcher.NoteStream(m_stream, m_pool, m_server->Entry().version, m_origin);
+}
+} // namespace Gateway
--- a/Source/Core/Gateway/StreamOrigins.cpp
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -3,60 +3,109 @@
 
 #include "Gateway/StreamOrigins.h"
 
+#include <algorithm>
+
+#include <xxhash.h>
+
+#include "Crashes/Fingerprint.h"
+
 namespace Gateway
 {
-namespace
+StreamKey KeyOf(const Accounts::AccountName& account, std::string_view request)
 {
-/// How long a stream is remembered; longer than the deadlines of callers.
-constexpr std::chrono::seconds RETENTION{60};
-/// Bounds the memory for streams to a few MB.
-constexpr std::size_t MAX_STREAMS = 20000;
-} // namespace
+  return StreamKey(Crashes::DigestOfFields({account.Get(), request}).low);
+}
 
-void StreamOrigins::Note(const PoolId& pool, const std::string& request,
-                         const SoftwareVersion& version, Common::TimePoint now)
+VersionKey KeyOf(const PoolId& pool, const SoftwareVersion& version)
 {
-  m_used_at[pool][version] = now;
-  if (!request.empty())
-    Learn(request, version, now);
+  const std::uint64_t of_pool = XXH3_64bits(pool.Get().data(), pool.Get().size());
+  return VersionKey(static_cast<std::uint32_t>(
+      XXH3_64bits_withSeed(version.Get().data(), version.Get().size(), of_pool)));
 }
 
-void StreamOrigins::Learn(const std::string& request, const SoftwareVersion& version,
+bool StreamOrigins::Note(StreamKey stream, const StreamOrigin& origin, Common::TimePoint now)
+{
+  DropOld(now);
+  const auto known = m_entries.find(stream);
+  const bool is_current = known != m_entries.end() &&
+                          known->second.origin.version == origin.version &&
+                          now - known->second.noted_at < REFRESH_INTERVAL;
+  if (is_current)
+    return false;
+  Put(stream, {origin, now, false});
+  m_uncopied.push_back(stream);
+  return true;
+}
+
+void StreamOrigins::Merge(StreamKey stream, const StreamOrigin& origin, Common::TimePoint noted_at,
                           Common::TimePoint now)
 {
   DropOld(now);
-  if (m_versions.insert_or_assign(request, version).second)
-    m_begun.push_back({now, request});
+  const auto known = m_entries.find(stream);
+  if (known != m_entries.end() && known->second.noted_at >= noted_at)
+    return;
+  Put(stream, {origin, std::min(noted_at, now), true});
+}
+
+void StreamOrigins::MarkCopied(StreamKey stream)
+{
+  if (const auto known = m_entries.find(stream); known != m_entries.end())
+    known->second.copied = true;
 }
 
-std::optional<SoftwareVersion> StreamOrigins::Find(const std::string& request,
-                                                   Common::TimePoint now)
+void StreamOrigins::MarkUncopied(StreamKey stream)
+{
+  const auto known = m_entries.find(stream);
+  if (known == m_entries.end())
+    return;
+  known->second.copied = false;
+  m_uncopied.push_back(stream);
+}
+
+std::optional<StreamOrigins::Entry> StreamOrigins::Find(StreamKey stream, Common::TimePoint now)
 {
   DropOld(now);
-  const auto found = m_versions.find(request);
-  return found == m_versions.end() ? std::nullopt : std::optional(found->second);
+  const auto found = m_entries.find(stream);
+  return found == m_entries.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<std::pair<StreamKey, StreamOrigins::Entry>> StreamOrigins::InRange(StreamKey first,
+                                                                               StreamKey last) const
+{
+  return {m_entries.lower_bound(first), m_entries.upper_bound(last)};
+}
+
+std::vector<StreamKey> StreamOrigins::TakeUncopied(std::size_t limit)
+{
+  std::vector<StreamKey> result;
+  while (!m_uncopied.empty() && result.size() < limit)
+  {
+    const auto entry = m_entries.find(m_uncopied.front());
+    if (entry != m_entries.end() && !entry->second.copied)
+      result.push_back(entry->first);
+    m_uncopied.pop_front();
+  }
+  return result;
 }
 
-std::set<SoftwareVersion> StreamOrigins::RecentVersions(const PoolId& pool,
-                                                        Common::TimePoint now) const
+void StreamOrigins::Put(StreamKey stream, const Entry& entry)
 {
-  std::set<SoftwareVersion> versions;
-  const auto used = m_used_at.find(pool);
-  if (used == m_used_at.end())
-    return versions;
-  for (const auto& [version, at] : used->second)
-    if (now - at < RETENTION)
-      versions.insert(version);
-  return versions;
+  m_entries.insert_or_assign(stream, entry);
+  const auto later = std::ranges::upper_bound(m_noted, entry.noted_at, {}, &Noted::at);
+  m_noted.insert(later, {entry.noted_at, stream});
 }
 
 void StreamOrigins::DropOld(Common::TimePoint now)
 {
-  while (!m_begun.empty() &&
-         (now - m_begun.front().at >= RETENTION || m_begun.size() > MAX_STREAMS))
+  while (!m_noted.empty() &&
+         (now - m_noted.front().at >= RETENTION || m_entries.size() > MAX_STREAMS))
   {
-    m_versions.erase(m_begun.front().request);
-    m_begun.pop_front();
+    const auto entry = m_entries.find(m_noted.front().stream);
+    if (entry != m_entries.end() && entry->second.noted_at == m_noted.front().at)
+      m_entries.erase(entry);
+    m_noted.pop_front();
   }
+  while (!m_uncopied.empty() && !m_entries.contains(m_uncopied.front()))
+    m_uncopied.pop_front();
 }
 } // namespace Gateway
--- /dev/null
+++ b/Source/Core/Gateway/VersionHistory.cpp
@@ -0,0 +1,63 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Gateway/VersionHistory.h"
+
+#include <algorithm>
+
+namespace Gateway
+{
+using Common::TimePoint;
+
+void VersionHistory::Observe(TimePoint now)
+{
+  if (m_revision != m_servers.Revision())
+  {
+    m_revision = m_servers.Revision();
+    m_current.clear();
+    for (const auto& [instance, server] : m_servers.All())
+      m_current[server->Entry().pool].insert(server->Entry().version);
+  }
+  for (const auto& [pool, versions] : m_current)
+    for (const SoftwareVersion& version : versions)
+      m_last_seen[pool][version] = now;
+  for (auto& [pool, versions] : m_last_seen)
+    std::erase_if(versions, [now](const auto& entry) {
+      return now - entry.second >= StreamOrigins::RETENTION;
+    });
+}
+
+void VersionHistory::Note(const PoolId& pool, const SoftwareVersion& version, TimePoint now)
+{
+  m_last_seen[pool][version] = now;
+}
+
+std::set<SoftwareVersion> VersionHistory::Recent(const PoolId& pool, TimePoint now) const
+{
+  std::set<SoftwareVersion> versions;
+  for (const ServerPtr& server : m_servers.InPool(pool))
+    versions.insert(server->Entry().version);
+  const auto seen = m_last_seen.find(pool);
+  if (seen == m_last_seen.end())
+    return versions;
+  for (const auto& [version, at] : seen->second)
+    if (now - at < StreamOrigins::RETENTION)
+      versions.insert(version);
+  return versions;
+}
+
+bool VersionHistory::HasSeveralVersions(TimePoint now) const
+{
+  return std::ranges::any_of(m_last_seen, [now](const auto& entry) {
+    return std::ranges::count_if(entry.second, [now](const auto& seen) {
+             return now - seen.second < StreamOrigins::RETENTION;
+           }) > 1;
+  });
+}
+
+bool VersionHistory::IsCurrent(TimePoint now) const
+{
+  const auto age = m_servers.Age(now);
+  return age && *age <= MAX_ENTRY_AGE;
+}
+} // namespace Gateway
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -144,6 +144,15 @@
     metrics.SetGauge("daemons", m_hub.Daemons());
     metrics.SetGauge("table_copies_sent", static_cast<double>(m_hub.Handover().CopiesSent()));
     metrics.SetGauge("table_bytes_sent", static_cast<double>(m_hub.Handover().BytesSent()));
+    const auto& origins = m_hub.Origins().GetCounters();
+    metrics.SetGauge("members", static_cast<double>(m_hub.Members().All().size()));
+    metrics.SetGauge("origin_copies_sent", static_cast<double>(origins.copies_sent));
+    metrics.SetGauge("origin_copies_moved", static_cast<double>(origins.copies_moved));
+    metrics.SetGauge("origin_queries", static_cast<double>(origins.queries));
+    metrics.SetGauge("origin_replies_not_asked_for",
+                     static_cast<double>(origins.replies_not_asked_for));
+    metrics.SetGauge("origin_copies_of_strangers",
+                     static_cast<double>(origins.copies_of_strangers));
     const auto& permits = m_hub.Permits().Granted();
     metrics.SetGauge("permits_handed_out", static_cast<double>(permits.granted));
     metrics.SetGauge("permits_handed_back", static_cast<double>(permits.unused));
@@ -157,6 +166,7 @@
   void Stop()
   {
     m_stopped = true;
+    m_hub.PrepareStop();
     if (m_held)
       m_hub.AnnounceAbdication(CurrentLease());
     m_lease.Release();
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -118,6 +118,14 @@
                 [this](const Http::Endpoint& peer, const Envelope& envelope) {
                   SendTo(peer, Daemons::Encode(envelope));
                 }),
+      m_members(m_settings.local,
+                [this](const Http::Endpoint& peer, const std::string& bytes) {
+                  SendTo(peer, bytes);
+                }),
+      m_origins({m_settings.local, Fleet::HashOf(m_settings.data_centre)}, dispatcher, m_members,
+                [this](const Http::Endpoint& peer, const std::string& bytes) {
+                  SendTo(peer, bytes);
+                }),
       m_handover(m_tables, [this](bool succeeded) {
         m_missed_updates = m_missed_updates || succeeded;
         ScheduleReport();
@@ -154,9 +162,10 @@
   if (const auto listening = m_handover.Listen(m_settings.local); !listening)
     Common::LogEvent(Common::LogLevel::Error, "handover-unavailable",
                      {{"reason", listening.Reason().detail}});
-  m_dispatcher.OnOriginQuery([this](const std::string& request) {
-    SendOriginQuery(request);
+  m_members.OnChange([this] {
+    m_origins.OnMembersChanged();
   });
+  m_origins.Start();
   UpdateSharedBudgets();
   SetPollWaits();
   SendReport();
@@ -183,6 +192,8 @@
   // A new holder has received nothing of what this daemon observed.
   m_own_crashes_confirmed = 0;
   m_holder_since = Common::Now();
+  m_members.SetHolder(endpoint);
+  m_origins.SetHolder(endpoint);
   m_permits.SetHolder(endpoint, own_lease ? std::optional(own_lease->fence) : std::nullopt);
   m_allowances.Configure(m_dispatcher.Settings().usage_bound);
   m_allowances.BeginTenure(own_lease ? own_lease->fence : 0);
@@ -409,6 +420,7 @@
     CheckHolder();
   });
   UpdateSharedBudgets();
+  m_origins.SetContact(m_own_lease || HasHolderContact());
   if (m_own_lease)
     return;
   if (!HasHolderContact())
@@ -495,6 +507,7 @@
   {
     PlanHandovers();
     SendHelpers(now);
+    AnnounceMembers(now);
   }
   if (const auto* accounts = GrantableAccounts(now); accounts != nullptr && regular)
     m_allowances.Allocate(*accounts, now);
@@ -703,6 +716,22 @@
   }
 }
 
+void Hub::AnnounceMembers(Common::TimePoint now)
+{
+  std::vector<Fleet::ListedDaemon> daemons;
+  daemons.push_back(
+      {m_settings.local, Fleet::HashOf(m_settings.data_centre), HashOf(m_settings.run)});
+  for (const auto& [vm, peer] : m_peers)
+    daemons.push_back({peer.endpoint, peer.place, peer.run});
+  // Daemons that have not reported to a new holder yet are not gone.
+  if (now - m_holder_since < PEER_TIMEOUT)
+    for (const Fleet::ListedDaemon& known : m_members.Members().All())
+      if (std::ranges::find(daemons, known.messages, &Fleet::ListedDaemon::messages) ==
+          daemons.end())
+        daemons.push_back(known);
+  m_members.Announce(std::move(daemons), m_own_lease->fence, now);
+}
+
 void Hub::OnNotice(std::string_view bytes, const Http::Endpoint& from)
 {
   const auto notice = Daemons::Decode<Notice>(bytes);
@@ -715,54 +744,6 @@
   const bool is_current = !m_own_lease && notice->fence >= m_last_announcement.first;
   if (!notice->helpers.empty() && is_current)
     SetHelpers(notice->helpers);
-  for (OriginQuery query : notice->origin_queries)
-  {
-    if (!notice->queries_passed_on)
-      query.sender = {from.address, from.port};
-    OnOriginQuery(query, notice->queries_passed_on);
-  }
-  for (const OriginReply& reply : notice->origin_replies)
-    m_dispatcher.LearnOrigin(reply.request, reply.version);
-}
-
-void Hub::OnOriginQuery(const OriginQuery& query, bool passed_on)
-{
-  if (const auto version = m_dispatcher.Origins().Find(query.request, Common::Now()))
-  {
-    Notice notice;
-    notice.origin_replies.push_back({query.request, *version});
-    SendTo({query.sender.address, query.sender.port}, Daemons::Encode(notice));
-  }
-  else if (!passed_on)
-    PassOn(query);
-}
-
-void Hub::SendOriginQuery(const std::string& request)
-{
-  const OriginQuery query{request, {m_settings.local.address, m_settings.local.port}};
-  if (m_own_lease)
-  {
-    PassOn(query);
-    return;
-  }
-  Notice notice;
-  notice.origin_queries.push_back(query);
-  if (m_holder)
-    SendTo(*m_holder, Daemons::Encode(notice));
-}
-
-void Hub::PassOn(const OriginQuery& query)
-{
-  if (!m_own_lease)
-    return;
-  Notice notice;
-  notice.origin_queries.push_back(query);
-  notice.queries_passed_on = true;
-  const std::string bytes = Daemons::Encode(notice);
-  const Http::Endpoint sender{query.sender.address, query.sender.port};
-  for (const auto& [vm, peer] : m_peers)
-    if (peer.endpoint != sender)
-      SendTo(peer.endpoint, bytes);
 }
 
 void Hub::SetHelpers(const std::vector<PeerAddress>& helpers)
@@ -782,6 +763,18 @@
     OnNotice(bytes, from);
     return;
   }
+  if (bytes.starts_with(static_cast<char>(OriginMessage::MARKER)))
+  {
+    m_origins.OnMessage(bytes, from);
+    return;
+  }
+  if (bytes.starts_with(static_cast<char>(MemberMessage::MARKER)))
+  {
+    m_members.OnMessage(bytes, from, [this](std::int64_t fence) {
+      return !m_own_lease && fence >= m_last_announcement.first;
+    });
+    return;
+  }
   const auto envelope = Daemons::Decode<Envelope>(bytes);
   if (!envelope)
   {
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -18,8 +18,10 @@
 #include "Gateway/Dispatcher.h"
 #include "Http/TcpStream.h"
 #include "Orders/DaemonCount.h"
+#include "Orders/MemberExchange.h"
 #include "Orders/Messages.h"
 #include "Orders/OrderManager.h"
+#include "Orders/OriginExchange.h"
 #include "Orders/PermitExchange.h"
 #include "Orders/PlacementLog.h"
 
@@ -87,6 +89,11 @@
   void ScheduleAnnouncement();
   /// Permits for requests to rate-limited servers.
   const PermitExchange& Permits() const { return m_permits; }
+  /// The daemons that this one can address without the holder.
+  const Fleet::MemberList& Members() const { return m_members.Members(); }
+  const OriginExchange& Origins() const { return m_origins; }
+  /// Hands over what other daemons must not lose when this one stops.
+  void PrepareStop() { m_origins.SendUncopied(); }
 
   void OnDescriptorEvents(std::uint32_t events) override;
 
@@ -174,11 +181,8 @@
   /// At the holder: informs each daemon of others that may open tunnels for it.
   void SendHelpers(Common::TimePoint now);
   void OnNotice(std::string_view bytes, const Http::Endpoint& from);
-  void OnOriginQuery(const OriginQuery& query, bool passed_on);
-  /// Asks the other daemons, through the holder, which software version began a stream.
-  void SendOriginQuery(const std::string& request);
-  /// At the holder: passes a query on to all other daemons.
-  void PassOn(const OriginQuery& query);
+  /// At the holder: sends changes of the list of daemons to all.
+  void AnnounceMembers(Common::TimePoint now);
   void SetHelpers(const std::vector<PeerAddress>& helpers);
   Announcement MakeAnnouncement(HolderReport report, const UpdatePosition& position) const;
   Common::Milliseconds PushDelay() const;
@@ -221,6 +225,8 @@
   std::uint64_t m_limits_announced = 0;
   /// Revision of the draining servers last announced as the holder.
   std::uint64_t m_draining_announced = 0;
+  MemberExchange m_members;
+  OriginExchange m_origins;
   Fleet::TableHandover m_handover;
   Fleet::HandoverPlanner m_handover_plan; ///< Used while this daemon is the holder.
   Common::TimePoint m_join_began;
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -259,32 +259,6 @@
   }
 };
 
-/// Asks which software version began a stream that a caller resumes.
-struct OriginQuery
-{
-  std::string request; ///< The request whose response brought the stream's first event.
-  PeerAddress sender;  ///< Where the reply goes; set by the holder, which passes the query on.
-
-  template <typename Archive>
-  void serialize(Archive& archive)
-  {
-    archive(request, sender);
-  }
-};
-
-/// From a daemon through which the stream began.
-struct OriginReply
-{
-  std::string request;
-  Gateway::SoftwareVersion version;
-
-  template <typename Archive>
-  void serialize(Archive& archive)
-  {
-    archive(request, version);
-  }
-};
-
 /// A datagram of its own, so that daemons which cannot decode it still decode all others.
 struct Notice
 {
@@ -296,15 +270,11 @@
   /// From the holder: other daemons that may connect to backend servers for the receiver, those of
   /// its data centre first. Empty if there are no news of them.
   std::vector<PeerAddress> helpers;
-  std::vector<OriginQuery> origin_queries;
-  /// The holder has passed the queries on to all daemons.
-  bool queries_passed_on = false;
-  std::vector<OriginReply> origin_replies;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(marker, fence, helpers, origin_queries, queries_passed_on, origin_replies);
+    archive(marker, fence, helpers);
   }
 };
 
--- /dev/null
+++ b/Source/Core/Orders/OriginExchange.cpp
@@ -0,0 +1,331 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Orders/OriginExchange.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+#include "Common/Log.h"
+#include "Common/Loop.h"
+#include "Common/Random.h"
+
+namespace Orders
+{
+using Common::Milliseconds;
+using Common::TimePoint;
+using Gateway::StreamKey;
+using Gateway::StreamOrigin;
+using Gateway::StreamOrigins;
+
+OriginExchange::OriginExchange(Settings settings, Gateway::Dispatcher& dispatcher,
+                               const MemberExchange& members, Sender send)
+    : m_settings(settings), m_dispatcher(dispatcher), m_members(members), m_send(std::move(send))
+{
+}
+
+void OriginExchange::Start()
+{
+  m_dispatcher.SetLocalOrigin(m_settings.self, m_settings.place);
+  m_dispatcher.OnOriginQuery([this](StreamKey stream, const Gateway::PoolId& pool) {
+    Ask(stream, pool);
+  });
+  m_dispatcher.OnStreamNoted([this](StreamKey stream) {
+    OnStreamNoted(stream);
+  });
+  Tick();
+}
+
+void OriginExchange::Tick()
+{
+  const auto now = Common::Now();
+  m_dispatcher.Versions().Observe(now);
+  m_spare_copies = SPARE_COPIES_PER_SECOND;
+  if (m_dispatcher.Versions().HasSeveralVersions(now))
+    SendUncopied();
+  std::erase_if(m_queries, [&](const auto& entry) {
+    const bool is_over =
+        now - entry.second.began_at > QUERY_TIMEOUT || !m_dispatcher.AwaitsOrigin(entry.first);
+    if (is_over)
+      m_streams_by_nonce.erase(entry.second.nonce);
+    return is_over;
+  });
+  m_tick_timer.Start(TICK, [this] {
+    Tick();
+  });
+}
+
+void OriginExchange::OnStreamNoted(StreamKey stream)
+{
+  const bool is_necessary = m_dispatcher.Versions().HasSeveralVersions(Common::Now());
+  if (!is_necessary && m_spare_copies < 1)
+    return;
+  if (!is_necessary)
+    --m_spare_copies;
+  SendCopies(stream);
+}
+
+void OriginExchange::SendUncopied()
+{
+  if (m_send_timer.Running())
+    return;
+  const auto streams = m_dispatcher.Origins().TakeUncopied(COPIES_PER_TURN);
+  std::ranges::for_each(streams, [this](StreamKey stream) {
+    SendCopies(stream);
+  });
+  if (streams.size() == COPIES_PER_TURN)
+    m_send_timer.Start(TURN_PAUSE, [this] {
+      SendUncopied();
+    });
+}
+
+OriginCopy OriginExchange::CopyOf(StreamKey stream, const StreamOrigins::Entry& entry) const
+{
+  OriginCopy copy;
+  copy.stream = ToBytes(stream);
+  copy.version = entry.origin.version;
+  copy.age_ms = std::chrono::floor<Milliseconds>(Common::Now() - entry.noted_at).count();
+  copy.place = entry.origin.place;
+  if (entry.origin.daemon != m_settings.self)
+    copy.daemon.push_back({entry.origin.daemon.address, entry.origin.daemon.port});
+  return copy;
+}
+
+void OriginExchange::SendCopies(StreamKey stream)
+{
+  const auto entry = m_dispatcher.Origins().Find(stream, Common::Now());
+  if (!entry)
+    return;
+  OriginMessage message;
+  message.copies.push_back(CopyOf(stream, *entry));
+  const std::string bytes = Daemons::Encode(message);
+  const auto receivers = DaemonsForCopies(m_members.Members().All(), GroupOf(stream),
+                                          m_settings.self, m_settings.place);
+  for (const Http::Endpoint& receiver : receivers)
+    m_send(receiver, bytes);
+  m_counters.copies_sent += static_cast<std::int64_t>(receivers.size());
+  if (!receivers.empty())
+    m_dispatcher.Origins().MarkCopied(stream);
+}
+
+void OriginExchange::SetContact(bool has_contact)
+{
+  const auto now = Common::Now();
+  if (has_contact && m_lost_contact_at)
+    ResendSince(*m_lost_contact_at);
+  if (has_contact)
+    m_lost_contact_at.reset();
+  else if (!m_lost_contact_at)
+    m_lost_contact_at = now - CONTACT_LOSS_DELAY;
+}
+
+void OriginExchange::ResendSince(TimePoint moment)
+{
+  for (const auto& [stream, entry] :
+       m_dispatcher.Origins().InRange(StreamKey{}, StreamKey(~std::uint64_t{0})))
+    if (entry.noted_at >= moment && entry.origin.daemon == m_settings.self)
+      m_dispatcher.Origins().MarkUncopied(stream);
+  SendUncopied();
+}
+
+void OriginExchange::OnMembersChanged()
+{
+  if (m_move_timer.Running())
+    return;
+  m_move_timer.Start(MOVE_DELAY, [this] {
+    m_moving_to.assign(m_members.Members().All().begin(), m_members.Members().All().end());
+    MoveGroups(0);
+  });
+}
+
+void OriginExchange::MoveGroups(std::size_t first_group)
+{
+  const std::size_t end = std::min(first_group + GROUPS_PER_TURN, ORIGIN_GROUPS);
+  for (std::size_t group = first_group; group < end; ++group)
+    MoveGroup(OriginGroup(group));
+  if (end < ORIGIN_GROUPS)
+  {
+    m_move_timer.Start(TURN_PAUSE, [this, end] {
+      MoveGroups(end);
+    });
+    return;
+  }
+  m_placed = std::move(m_moving_to);
+  if (!std::ranges::equal(m_placed, m_members.Members().All()))
+    OnMembersChanged();
+}
+
+void OriginExchange::MoveGroup(OriginGroup group)
+{
+  const auto [first, last] = KeysOf(group);
+  const auto entries = m_dispatcher.Origins().InRange(first, last);
+  std::map<Http::Endpoint, OriginMessage> messages;
+  for (const auto& [stream, entry] : entries)
+  {
+    if (!entry.copied)
+      continue;
+    const StreamOrigin& origin = entry.origin;
+    const auto before = DaemonsForCopies(m_placed, group, origin.daemon, origin.place);
+    for (const Http::Endpoint& receiver :
+         DaemonsForCopies(m_moving_to, group, origin.daemon, origin.place))
+      if (receiver != m_settings.self && !IsSameRun(before, receiver))
+        messages[receiver].copies.push_back(CopyOf(stream, entry));
+  }
+  for (const auto& [receiver, message] : messages)
+  {
+    m_send(receiver, Daemons::Encode(message));
+    m_counters.copies_moved += static_cast<std::int64_t>(message.copies.size());
+  }
+}
+
+bool OriginExchange::IsSameRun(const std::vector<Http::Endpoint>& before,
+                               const Http::Endpoint& receiver) const
+{
+  const auto run_in = [&](const std::vector<Fleet::ListedDaemon>& daemons) {
+    const auto found =
+        std::ranges::lower_bound(daemons, receiver, {}, &Fleet::ListedDaemon::messages);
+    return found == daemons.end() ? 0 : found->run;
+  };
+  return std::ranges::find(before, receiver) != before.end() &&
+         run_in(m_placed) == run_in(m_moving_to);
+}
+
+void OriginExchange::Ask(StreamKey stream, const Gateway::PoolId& pool)
+{
+  if (m_queries.contains(stream) || m_queries.size() >= MAX_QUERIES)
+    return;
+  Query& query = m_queries[stream];
+  query.stream = stream;
+  query.pool = pool;
+  query.began_at = Common::Now();
+  query.nonce = Common::SharedRandom()();
+  m_streams_by_nonce[query.nonce] = stream;
+  ++m_counters.queries;
+  SendQuery(query);
+}
+
+void OriginExchange::ChooseDaemons(Query& query)
+{
+  const auto daemons =
+      DaemonsToAsk(m_members.Members().All(), GroupOf(query.stream), m_settings.self);
+  query.unanswered = {daemons.begin(), daemons.end()};
+  if (daemons.empty() && m_holder)
+    query.unanswered.insert(*m_holder);
+  query.evidence.asked = static_cast<int>(query.unanswered.size());
+}
+
+void OriginExchange::SendQuery(Query& query)
+{
+  // A daemon that has just started does not know the others yet.
+  if (query.evidence.asked == 0)
+    ChooseDaemons(query);
+  OriginMessage message;
+  message.queries.push_back({ToBytes(query.stream), query.nonce, query.pool});
+  const std::string bytes = Daemons::Encode(message);
+  for (const Http::Endpoint& daemon : query.unanswered)
+    m_send(daemon, bytes);
+  query.timer.Start(query.resend_after, [this, stream = query.stream] {
+    if (const auto found = m_queries.find(stream); found != m_queries.end())
+      SendQuery(found->second);
+  });
+  query.resend_after = std::min(query.resend_after * 2, LAST_RESEND);
+}
+
+void OriginExchange::OnMessage(std::string_view bytes, const Http::Endpoint& from)
+{
+  const auto message = Daemons::Decode<OriginMessage>(bytes);
+  if (!message)
+  {
+    Common::LogEvent(Common::LogLevel::Warning, "datagram-malformed",
+                     {{"from", from.ToString()}, {"reason", message.Reason().detail}});
+    return;
+  }
+  for (const OriginCopy& copy : message->copies)
+    MergeCopy(copy, from);
+  for (const OriginQuery& query : message->queries)
+    OnQuery(query, from);
+  for (const OriginReply& reply : message->replies)
+    OnReply(reply, from);
+}
+
+StreamOrigin OriginExchange::OriginIn(const OriginCopy& copy, const Http::Endpoint& from)
+{
+  const Http::Endpoint daemon =
+      copy.daemon.empty() ? from
+                          : Http::Endpoint{copy.daemon.front().address, copy.daemon.front().port};
+  return {copy.version, daemon, copy.place};
+}
+
+void OriginExchange::MergeCopy(const OriginCopy& copy, const Http::Endpoint& from)
+{
+  if (m_members.IsComplete() && !m_members.Members().Contains(from))
+  {
+    ++m_counters.copies_of_strangers;
+    return;
+  }
+  const auto now = Common::Now();
+  const auto age = Milliseconds(std::max<std::int64_t>(copy.age_ms, 0));
+  if (age < StreamOrigins::RETENTION)
+    m_dispatcher.Origins().Merge(ToStreamKey(copy.stream), OriginIn(copy, from), now - age, now);
+}
+
+void OriginExchange::OnQuery(const OriginQuery& query, const Http::Endpoint& from)
+{
+  const auto now = Common::Now();
+  const StreamKey stream = ToStreamKey(query.stream);
+  OriginReply reply;
+  reply.nonce = query.nonce;
+  if (const auto entry = m_dispatcher.Origins().Find(stream, now))
+    reply.origin.push_back(CopyOf(stream, *entry));
+  else
+  {
+    for (const auto& version : m_dispatcher.Versions().Recent(query.pool, now))
+      reply.versions.push_back(Gateway::KeyOf(query.pool, version));
+    reply.is_current = m_dispatcher.Versions().IsCurrent(now);
+  }
+  OriginMessage message;
+  message.replies.push_back(std::move(reply));
+  m_send(from, Daemons::Encode(message));
+}
+
+void OriginExchange::OnReply(const OriginReply& reply, const Http::Endpoint& from)
+{
+  const auto stream = m_streams_by_nonce.find(reply.nonce);
+  const auto found =
+      stream == m_streams_by_nonce.end() ? m_queries.end() : m_queries.find(stream->second);
+  if (found == m_queries.end() || found->second.unanswered.erase(from) == 0)
+  {
+    ++m_counters.replies_not_asked_for;
+    return;
+  }
+  Query& query = found->second;
+  Gateway::OriginEvidence& evidence = query.evidence;
+  ++evidence.replies;
+  if (!reply.origin.empty())
+  {
+    const OriginCopy& copy = reply.origin.front();
+    const auto now = Common::Now();
+    const auto age = Milliseconds(std::max<std::int64_t>(copy.age_ms, 0));
+    const StreamKey key = query.stream;
+    const Gateway::OriginEvidence known = evidence;
+    m_streams_by_nonce.erase(stream);
+    m_queries.erase(found);
+    m_dispatcher.Origins().Merge(key, OriginIn(copy, from), now - age, now);
+    m_dispatcher.LearnOrigin(key, {OriginIn(copy, from), now - age, true}, known);
+    return;
+  }
+  evidence.versions.insert(reply.versions.begin(), reply.versions.end());
+  evidence.is_current = evidence.is_current || reply.is_current;
+  evidence.is_complete = query.unanswered.empty();
+  const Gateway::OriginEvidence so_far = evidence;
+  const StreamKey key = query.stream;
+  if (so_far.is_complete)
+  {
+    m_streams_by_nonce.erase(stream);
+    m_queries.erase(found);
+  }
+  m_dispatcher.LearnNoOrigin(key, so_far);
+}
+} // namespace Orders
--- /dev/null
+++ b/Source/Core/Orders/OriginExchange.h
@@ -0,0 +1,136 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Common/Reactor.h"
+#include "Fleet/MemberList.h"
+#include "Gateway/Dispatcher.h"
+#include "Orders/MemberExchange.h"
+#include "Orders/OriginMessages.h"
+#include "Orders/OriginPlacement.h"
+
+namespace Orders
+{
+/// Keeps copies of the origins of streams at other daemons, and asks those daemons for the origin
+/// of a stream that a caller resumes here. It depends neither on the holder of the order lease nor
+/// on the platform's store.
+///
+/// Designed for this load pattern: each of hundreds of daemons begins a hundred streams a second,
+/// few of which are resumed. A beginning costs two datagrams, a resumption some dozen.
+class OriginExchange
+{
+public:
+  struct Settings
+  {
+    Http::Endpoint self; ///< Address for messages.
+    Fleet::PlaceHash place = 0;
+  };
+  using Sender = std::function<void(const Http::Endpoint&, const std::string&)>;
+
+  OriginExchange(Settings settings, Gateway::Dispatcher& dispatcher, const MemberExchange& members,
+                 Sender send);
+
+  /// Connects the dispatcher, and begins to send copies.
+  void Start();
+  /// Sets the holder of the order lease, which is asked while the other daemons are not known.
+  void SetHolder(std::optional<Http::Endpoint> holder) { m_holder = holder; }
+  void OnMessage(std::string_view bytes, const Http::Endpoint& from);
+  /// Sends the copies for which the changed list of daemons calls for other daemons.
+  void OnMembersChanged();
+  /// Sends the copies that have not been sent. Called also before this daemon stops.
+  void SendUncopied();
+  /// Called at least every second with whether this daemon is in contact with the holder of the
+  /// order lease, or is the holder. Copies that were sent without contact may have been lost.
+  void SetContact(bool has_contact);
+
+  struct Counters
+  {
+    std::int64_t copies_sent = 0;
+    std::int64_t copies_moved = 0; ///< Of `copies_sent`, those after a change of the list.
+    std::int64_t queries = 0;
+    std::int64_t replies_not_asked_for = 0;
+    std::int64_t copies_of_strangers = 0; ///< From senders that are not in the list of daemons.
+  };
+  const Counters& GetCounters() const { return m_counters; }
+
+private:
+  /// While a pool has only had one software version, copies are not necessary: a version that
+  /// appears later leaves time to send them. Then this many streams a second are copied, so that
+  /// most survive the failure of this VM at that very time.
+  static constexpr double SPARE_COPIES_PER_SECOND = 20;
+  static constexpr Common::Milliseconds TICK{1000};
+  /// Streams whose copies are sent in one turn of the loop, and the pause between two turns.
+  static constexpr std::size_t COPIES_PER_TURN = 200;
+  static constexpr Common::Milliseconds TURN_PAUSE{10};
+  /// Contact may have been lost for this long when it is noticed.
+  static constexpr Common::Milliseconds CONTACT_LOSS_DELAY{2000};
+  /// After a change of the list further changes usually follow.
+  static constexpr Common::Milliseconds MOVE_DELAY{100};
+  static constexpr std::size_t GROUPS_PER_TURN = 64;
+  /// A query without a reply is sent again after this time, then after twice as long, and so on.
+  static constexpr Common::Milliseconds FIRST_RESEND{50};
+  static constexpr Common::Milliseconds LAST_RESEND{400};
+  /// A query ends when no request waits for it any more, at the latest after this time.
+  static constexpr Common::Milliseconds QUERY_TIMEOUT{10000};
+  static constexpr std::size_t MAX_QUERIES = 5000;
+
+  struct Query
+  {
+    std::uint64_t nonce = 0;
+    Gateway::StreamKey stream{};
+    Gateway::PoolId pool;
+    std::set<Http::Endpoint> unanswered;
+    Gateway::OriginEvidence evidence;
+    Common::TimePoint began_at;
+    Common::Milliseconds resend_after = FIRST_RESEND;
+    Common::OwnedTimer timer;
+  };
+
+  void Tick();
+  void OnStreamNoted(Gateway::StreamKey stream);
+  void SendCopies(Gateway::StreamKey stream);
+  OriginCopy CopyOf(Gateway::StreamKey stream, const Gateway::StreamOrigins::Entry& entry) const;
+  /// Sends what changed between `m_placed` and the list, one part after the other.
+  void MoveGroups(std::size_t first_group);
+  void MoveGroup(OriginGroup group);
+  /// True if the daemon is in `before` and has not restarted between the two lists.
+  bool IsSameRun(const std::vector<Http::Endpoint>& before, const Http::Endpoint& receiver) const;
+  /// Sends the copies of streams that began here and were noted since then once more.
+  void ResendSince(Common::TimePoint moment);
+  void Ask(Gateway::StreamKey stream, const Gateway::PoolId& pool);
+  void ChooseDaemons(Query& query);
+  /// Sends the query to the daemons that have not replied, and again after a while.
+  void SendQuery(Query& query);
+  void OnQuery(const OriginQuery& query, const Http::Endpoint& from);
+  void OnReply(const OriginReply& reply, const Http::Endpoint& from);
+  static Gateway::StreamOrigin OriginIn(const OriginCopy& copy, const Http::Endpoint& from);
+  void MergeCopy(const OriginCopy& copy, const Http::Endpoint& from);
+
+  Settings m_settings;
+  Gateway::Dispatcher& m_dispatcher;
+  const MemberExchange& m_members;
+  Sender m_send;
+  std::optional<Http::Endpoint> m_holder;
+  double m_spare_copies = SPARE_COPIES_PER_SECOND;
+  std::map<Gateway::StreamKey, Query> m_queries;
+  std::map<std::uint64_t, Gateway::StreamKey> m_streams_by_nonce;
+  /// The list by which the copies that were sent are placed.
+  std::vector<Fleet::ListedDaemon> m_placed;
+  std::vector<Fleet::ListedDaemon> m_moving_to;
+  std::optional<Common::TimePoint> m_lost_contact_at;
+  Counters m_counters;
+  Common::OwnedTimer m_tick_timer;
+  Common::OwnedTimer m_send_timer;
+  Common::OwnedTimer m_move_timer;
+};
+} // namespace Orders
--- /dev/null
+++ b/Source/Core/Orders/OriginPlacement.h
@@ -0,0 +1,48 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <utility>
+#include <vector>
+
+#include "Fleet/MemberList.h"
+#include "Gateway/StreamOrigins.h"
+
+/// Decides which daemons keep copies of the origins of streams. Every daemon derives the same ones
+/// from the stream's key and the list of daemons, by rendezvous hashing, so that no daemon has to
+/// be present for another one to find a copy.
+namespace Orders
+{
+/// Streams are placed in groups, so that what a change of the list moves is determined once for
+/// each group.
+enum class OriginGroup : std::uint16_t
+{
+};
+constexpr std::size_t ORIGIN_GROUPS = 1024;
+OriginGroup GroupOf(Gateway::StreamKey stream);
+/// The first and the last key of the group.
+std::pair<Gateway::StreamKey, Gateway::StreamKey> KeysOf(OriginGroup group);
+
+/// Copies of an origin, besides the one of the daemon through which the stream began.
+inline constexpr std::size_t ORIGIN_COPIES = 2;
+/// How many daemons of each data centre are asked for an origin, and how many of all at least.
+/// Daemons with different lists of daemons rank a data centre's first ones differently.
+inline constexpr std::size_t ASKED_PER_PLACE = 2;
+inline constexpr std::size_t MIN_ASKED = 12;
+
+/// The daemons that keep the copies of a stream that began through `daemon` in data centre `place`:
+/// one in that data centre, so that a copy is in reach while the data centre is cut off, and one in
+/// another, so that a copy survives the loss of the data centre.
+std::vector<Http::Endpoint> DaemonsForCopies(std::span<const Fleet::ListedDaemon> daemons,
+                                             OriginGroup group, const Http::Endpoint& daemon,
+                                             Fleet::PlaceHash place);
+
+/// The daemons that `asking` asks for the origin of a stream; they include those that keep its
+/// copies, wherever it began.
+std::vector<Http::Endpoint> DaemonsToAsk(std::span<const Fleet::ListedDaemon> daemons,
+                                         OriginGroup group, const Http::Endpoint& asking);
+} // namespace Orders
--- a/Source/UnitTests/Gateway/SoftwareVersionsTest.cpp
+++ b/Source/UnitTests/Gateway/SoftwareVersionsTest.cpp
@@ -138,9 +138,10 @@
     World world;
     world.AddServer("i-1", first, "a");
     world.AddServer("i-2", second, "b");
-    world.dispatcher.OnOriginQuery([&](const std::string& request) {
-      Common::Reactor::Get().After(Milliseconds(5), [&world, request] {
-        world.dispatcher.LearnOrigin(request, Gateway::SoftwareVersion("b"));
+    world.dispatcher.OnOriginQuery([&](Gateway::StreamKey stream, const Gateway::PoolId& pool) {
+      Common::Reactor::Get().After(Milliseconds(5), [&world, stream, pool] {
+        const auto version = Gateway::KeyOf(pool, Gateway::SoftwareVersion("b"));
+        world.dispatcher.LearnOrigin(stream, {{version, {}, 0}, Common::Now(), true}, {});
       });
     });
     const auto caller = Resume(world, "id-elsewhere");
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -19,6 +19,7 @@
 using UnitTests::RunUntil;
 
 constexpr int ADAPTERS = 8;
+const PoolId POOL("p");
 
 InstanceId InstanceOf(int server)
 {
@@ -350,32 +351,38 @@
     third.hub.SetHolder(holder.endpoint, std::nullopt);
     RunFor(Milliseconds(600));
     const SoftwareVersion version("v");
-    second.dispatcher.Origins().Learn("id-1", version, Common::Now());
+    const StreamKey stream = KeyOf(Accounts::AccountName(), "id-1");
+    second.dispatcher.NoteStream(stream, POOL, version, std::nullopt);
     for (Daemon* daemon : {&third, &holder})
     {
-      daemon->dispatcher.QueryOrigin("id-1");
+      daemon->dispatcher.QueryOrigin(stream, POOL);
       CPPUNIT_ASSERT(RunUntil([&] {
-        return daemon->dispatcher.Origins().Find("id-1", Common::Now()) == version;
+        const auto known = daemon->dispatcher.Origins().Find(stream, Common::Now());
+        return known && known->origin.version == KeyOf(POOL, version);
       }));
     }
-    third.dispatcher.QueryOrigin("id-2");
+    const StreamKey unknown = KeyOf(Accounts::AccountName(), "id-2");
+    third.dispatcher.QueryOrigin(unknown, POOL);
     RunFor(Milliseconds(100));
-    CPPUNIT_ASSERT(!third.dispatcher.Origins().Find("id-2", Common::Now()));
+    CPPUNIT_ASSERT(!third.dispatcher.Origins().Find(unknown, Common::Now()));
   }
 
   /// Records that a stream has begun at a server with this software version.
   static void BeginStream(Daemon& daemon, const char* request, const SoftwareVersion& version)
   {
-    daemon.dispatcher.Origins().Learn(request, version, Common::Now());
+    daemon.dispatcher.NoteStream(KeyOf(Accounts::AccountName(), request), POOL, version,
+                                 std::nullopt);
   }
 
   /// Returns whether the daemon finds out the version within the time that a request waits for it.
   static bool FindsOrigin(Daemon& daemon, const char* request, const SoftwareVersion& version)
   {
-    daemon.dispatcher.QueryOrigin(request);
+    const StreamKey stream = KeyOf(Accounts::AccountName(), request);
+    daemon.dispatcher.QueryOrigin(stream, POOL);
     return RunUntil(
         [&] {
-          return daemon.dispatcher.Origins().Find(request, Common::Now()) == version;
+          const auto known = daemon.dispatcher.Origins().Find(stream, Common::Now());
+          return known && known->origin.version == KeyOf(POOL, version);
         },
         Milliseconds(1000));
   }
