Soak: stand-in servers have software versions and can be retired

A stand-in server names its software version and data centre in its entry and the version in each event, where it has one. It can be ended for good, and a request can ask for its stream to be reset after one event. The store's rows can be read by the test. Servers without a version behave as before.

--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -20,7 +20,6 @@
 constexpr Milliseconds LOAD_TIME{200};
 constexpr Milliseconds UNLOAD_TIME{20};
 constexpr Milliseconds PLAIN_REQUEST_TIME{15};
-constexpr Milliseconds EVENT_INTERVAL{8};
 /// With ServerFault::ResetConnections, one in so many stream events resets the connection.
 constexpr std::uint64_t RESET_ONE_IN = 40;
 /// With ServerFault::DelayOrders, orders are delayed by 1 s and a random time below this.
@@ -119,6 +118,21 @@
   return m_instance + "@" + std::to_string(m_start_ms);
 }
 
+void StandInServer::RunSoftware(std::string version, std::string data_centre)
+{
+  m_version = std::move(version);
+  m_data_centre = std::move(data_centre);
+}
+
+void StandInServer::Retire()
+{
+  if (IsDown())
+    return;
+  m_listener.reset();
+  m_store.Remove("servers", m_instance);
+  ResetInstance();
+}
+
 void StandInServer::Drain()
 {
   m_draining = true;
@@ -160,16 +174,18 @@
   Json models = Json::array();
   for (const std::string& model : m_models)
     models.push_back({{"name", model}, {"version", 1}, {"adapters", Json::array()}});
-  m_store.Put("servers", m_instance,
-              {{"service", "pool"},
-               {"address", m_endpoint.ToString()},
-               {"zone", "z1"},
-               {"slots", 16},
-               {"state", m_draining ? "draining" : "ready"},
-               {"models", models},
-               {"atHand", {{"inMemory", Json::array()}, {"onDisk", m_models_on_disk}}},
-               {"seq", 1},
-               {"born", m_start_ms}});
+  Json entry = {{"service", "pool"},
+                {"address", m_endpoint.ToString()},
+                {"zone", m_data_centre},
+                {"slots", 16},
+                {"state", m_draining ? "draining" : "ready"},
+                {"models", models},
+                {"atHand", {{"inMemory", Json::array()}, {"onDisk", m_models_on_disk}}},
+                {"seq", 1},
+                {"born", m_start_ms}};
+  if (!m_version.empty())
+    entry["version"] = m_version;
+  m_store.Put("servers", m_instance, entry);
 }
 
 void StandInServer::Reject(const Connection& connection, int status, const std::string& id)
@@ -251,7 +267,7 @@
     });
     return;
   }
-  if (!model.empty())
+  if (!model.empty() || request.head.target.starts_with("/stream/"))
   {
     const std::string last_event_id = HeaderValue(request.head, "Last-Event-Id");
     RecordAnnouncement(id);
@@ -260,7 +276,11 @@
         ResponseHeaders(
             {{"Attempt-Id", id}, {"Server-Stamp", "s"}, {"Content-Type", "text/event-stream"}}),
         Framing());
-    Stream(connection, id, last_event_id.empty() ? 1 : std::atoi(last_event_id.c_str()) + 1);
+    const int break_after = request.body.starts_with(BREAKING_BODY_PREFIX)
+                                ? std::atoi(request.body.c_str() + BREAKING_BODY_PREFIX.size())
+                                : 0;
+    Stream(connection, id, last_event_id.empty() ? 1 : std::atoi(last_event_id.c_str()) + 1,
+           break_after);
     return;
   }
   After(PLAIN_REQUEST_TIME, [this, connection, id] {
@@ -288,7 +308,8 @@
                                                    : Http::BodyFraming::Chunked;
 }
 
-void StandInServer::Stream(const Connection& connection, const std::string& id, int event)
+void StandInServer::Stream(const Connection& connection, const std::string& id, int event,
+                           int break_after)
 {
   if (!connection->IsOpen() || m_fault == ServerFault::Unresponsive)
     return;
@@ -297,7 +318,8 @@
     connection->EndBody();
     return;
   }
-  const std::string text = "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+  const std::string text = "id: " + std::to_string(event) + "\ndata: " + id +
+                           (m_version.empty() ? "" : " " + m_version) + "\n\n";
   if (m_fault == ServerFault::ResetConnections && Common::SharedRandom()() % RESET_ONE_IN == 0)
   {
     connection->SendBody(text.substr(0, text.size() / 2));
@@ -312,8 +334,13 @@
     return;
   }
   connection->SendBody(text);
-  After(EVENT_INTERVAL, [this, connection, id, event] {
-    Stream(connection, id, event + 1);
+  if (event == break_after)
+  {
+    connection->AbortResponse();
+    return;
+  }
+  After(m_event_interval, [this, connection, id, event, break_after] {
+    Stream(connection, id, event + 1, break_after);
   });
 }
 
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -39,6 +39,11 @@
   StandInServer(std::string name, Http::Endpoint endpoint, StandInStore& store,
                 InvariantChecker& checker, std::vector<std::string> models);
 
+  /// Sets the software version of its entry, which each event of its streams then names, and its
+  /// data centre. Must be called before `Listen`.
+  void RunSoftware(std::string version, std::string data_centre);
+  /// Sets the pause between the events of a stream.
+  void SetEventInterval(Common::Milliseconds interval) { m_event_interval = interval; }
   /// Listens and starts the first instance.
   Common::Result<Common::Done> Listen();
   /// Resets all connections, drops models and orders, and starts a new instance. Has no effect
@@ -50,11 +55,19 @@
   void RestartWithSameId(Common::Milliseconds entry_delay);
   /// Sets its entry to draining.
   void Drain();
+  /// Ends for good: removes the entry, resets all connections and refuses new ones.
+  void Retire();
+  /// True if it takes requests and its entry says so.
+  bool IsReady() const { return m_listener && !m_draining; }
+  const std::string& Version() const { return m_version; }
   /// Crashes: resets all connections and refuses new ones. The entry stays for `down_time`, after
   /// which a new instance starts.
   void Crash(Common::Milliseconds down_time);
   /// Start of the body of crashing requests, which crash each server that starts to run them.
   static constexpr std::string_view CRASHING_BODY_PREFIX = "crash ";
+  /// Start of the body of requests whose stream is reset once, after the event whose number
+  /// follows.
+  static constexpr std::string_view BREAKING_BODY_PREFIX = "break after ";
   /// Part of a prompt that crashes each server that starts to run a request with it, unless it is
   /// the last one.
   static constexpr std::string_view CRASHING_PART = "bad0";
@@ -88,7 +101,8 @@
   void ServeRequest(const Connection& connection, const Http::ReceivedRequest& request);
   /// How the body of the next response states its end.
   Http::BodyFraming Framing() const;
-  void Stream(const Connection& connection, const std::string& id, int event);
+  /// Sends an event of the stream and those that follow; resets it after event `break_after`.
+  void Stream(const Connection& connection, const std::string& id, int event, int break_after);
   void HandleOrder(const Connection& connection, const Http::ReceivedRequest& request);
   /// Carries out an order; returns the status of the response.
   int ExecuteOrder(const Common::Json& order);
@@ -104,6 +118,9 @@
   std::vector<Http::HeaderField> ResponseHeaders(std::vector<Http::HeaderField> headers) const;
 
   std::string m_name;
+  std::string m_version; ///< Of the software; empty if the entry has none.
+  std::string m_data_centre = "z1";
+  Common::Milliseconds m_event_interval{8};
   std::string m_instance;
   Http::Endpoint m_endpoint;
   StandInStore& m_store;
--- a/Source/StandIns/Soak/StandInStore.cpp
+++ b/Source/StandIns/Soak/StandInStore.cpp
@@ -73,6 +73,18 @@
   g_free(encoded);
 }
 
+std::string StandInStore::Find(const std::string& table, const std::string& key) const
+{
+  const auto rows = m_tables.find(table);
+  if (rows == m_tables.end() || !rows->second.contains(key))
+    return "";
+  gsize size = 0;
+  guchar* decoded = g_base64_decode(rows->second.at(key).value.c_str(), &size);
+  std::string value(reinterpret_cast<const char*>(decoded), size);
+  g_free(decoded);
+  return value;
+}
+
 void StandInStore::Remove(const std::string& table, const std::string& key)
 {
   if (m_tables[table].contains(key))
--- a/Source/StandIns/Soak/StandInStore.h
+++ b/Source/StandIns/Soak/StandInStore.h
@@ -33,6 +33,8 @@
 
   void Put(const std::string& table, const std::string& key, const Common::Json& value);
   void Remove(const std::string& table, const std::string& key);
+  /// The value of a row, as it was written; empty if there is none.
+  std::string Find(const std::string& table, const std::string& key) const;
   void SetFault(StoreFault fault) { m_fault = fault; }
   /// Drops the history of changes: pending feeds, and later ones that ask for older changes, get
   /// status 410.
