--- a/Tools/check-models.sh
+++ b/Tools/check-models.sh
@@ -7,11 +7,9 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 MODELS=$PWD/Models
-WORK=build/models
-mkdir -p "$WORK"
-cd "$WORK"
-passed=0
-failed=0
+WORK=$PWD/build/models
+# Each check has a time limit and takes up to 1.5 GB of memory.
+AT_ONCE=3
 
 # verify MODEL SWITCHES: runs an exhaustive search and prints "ERRORS STATES". Fails if the search is incomplete.
 verify() {
@@ -24,20 +22,28 @@
   awk '/errors:/ {e=$NF} /states, stored/ {s=$1} END {print e, s}' pan.log
 }
 
-record_result() {
-  if [ "$1" = yes ]; then passed=$((passed + 1)); echo "pass $2"; else failed=$((failed + 1)); echo "FAIL $2"; fi
+print_result() {
+  if [ "$1" = yes ]; then echo "pass $2"; else echo "FAIL $2"; fi
 }
 
-for file in "$MODELS"/*.pml; do
-  model=$(basename "$file" .pml)
+# check_model MODEL: checks it with all guards, then without each of them, in a directory of its own.
+check_model() {
+  local model=$1 errors states ok
+  mkdir -p "$WORK/$model"
+  cd "$WORK/$model" || return 1
   read -r errors states < <(verify "$model" "")
   [ "${errors:-none}" = 0 ] && ok=yes || ok=no
-  record_result $ok "model $model holds: ${states:-no} states explored, ${errors:-no verdict on} errors"
-  for guard in $(sed -n 's/^ \* guards: \(.*\) \*\/$/\1/p' "$file"); do
+  print_result $ok "model $model holds: ${states:-no} states explored, ${errors:-no verdict on} errors"
+  for guard in $(sed -n 's/^ \* guards: \(.*\) \*\/$/\1/p' "$MODELS/$model.pml"); do
     read -r errors states < <(verify "$model" "-D$guard")
     [ "${errors:-0}" -ge 1 ] && ok=yes || ok=no
-    record_result $ok "model $model without its guard ($guard) has a counterexample, after ${states:-no} states"
+    print_result $ok "model $model without its guard ($guard) has a counterexample, after ${states:-no} states"
   done
-done
-echo "$passed passed, $failed failed"
-[ "$failed" -eq 0 ]
+}
+
+export MODELS WORK
+export -f verify print_result check_model
+RESULTS=$(basename -s .pml "$MODELS"/*.pml | xargs -P "$AT_ONCE" -I{} bash -c 'check_model {}')
+echo "$RESULTS"
+echo "$(grep -c '^pass' <<<"$RESULTS") passed, $(grep -c '^FAIL' <<<"$RESULTS") failed"
+! grep -q '^FAIL' <<<"$RESULTS"
