--- /dev/null
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -0,0 +1,278 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// The origins of streams that one daemon remembers, and what it does with streams whose origin no
+// daemon remembers.
+
+#include "Gateway/StreamOrigins.h"
+
+#include <chrono>
+#include <cstdio>
+
+#include <malloc.h>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/Support/RelayWorld.h"
+
+namespace
+{
+using namespace Gateway;
+using Common::Milliseconds;
+using std::chrono::seconds;
+using UnitTests::RelayWorld;
+using UnitTests::RunFor;
+using UnitTests::RunUntil;
+using UnitTests::TestPeer;
+using UnitTests::TestServer;
+
+constexpr VersionKey FIRST_VERSION{1};
+constexpr VersionKey SECOND_VERSION{2};
+const Http::Endpoint SELF{0x0100007f, 1000};
+
+StreamKey StreamOf(int number)
+{
+  return KeyOf(Accounts::AccountName("account"), std::to_string(number));
+}
+
+void Complete(TestPeer& peer, const std::string& head)
+{
+  peer.stream->Write(UnitTests::StreamHead(head) + UnitTests::Chunk(UnitTests::Event(2)) +
+                     "0\r\n\r\n");
+}
+
+class StreamOriginsTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(StreamOriginsTest);
+  CPPUNIT_TEST(OriginIsForgottenWhileItsStreamRuns);
+  CPPUNIT_TEST(OriginIsForgottenBeforeItsCallerGivesUp);
+  CPPUNIT_TEST(OriginIsRememberedForever);
+  CPPUNIT_TEST(OlderCopyReplacesANewerOne);
+  CPPUNIT_TEST(OriginOfARunningStreamIsDroppedForNewOnes);
+  CPPUNIT_TEST(UncopiedStreamsAreForgotten);
+  CPPUNIT_TEST(LongStreamFillsTheMemory);
+  CPPUNIT_TEST(VersionBeforeTheStartOfTheDaemonIsMixedIn);
+  CPPUNIT_TEST(VersionBeforeTheStartOfAllThatReplyIsMixedIn);
+  CPPUNIT_TEST(VersionThatAppearedMeanwhileIsMixedIn);
+  CPPUNIT_TEST(VersionThatOnlyOneOtherDaemonKnowsIsMixedIn);
+  CPPUNIT_TEST(VersionThatAppearsWhileNoneIsKnownIsMixedIn);
+  CPPUNIT_TEST_SUITE_END();
+
+  void OriginIsForgottenWhileItsStreamRuns()
+  {
+    StreamOrigins origins;
+    const auto begin = Common::Now();
+    auto copied_at = begin;
+    for (auto now = begin; now < begin + seconds(600); now += seconds(1))
+    {
+      if (origins.Note(StreamOf(1), {FIRST_VERSION, SELF, 1}, now))
+        copied_at = now;
+      CPPUNIT_ASSERT(origins.Find(StreamOf(1), now).has_value());
+      CPPUNIT_ASSERT(now - copied_at <= StreamOrigins::REFRESH_INTERVAL);
+    }
+  }
+
+  /// A caller waits for up to 60 s after the last event, whenever that was.
+  void OriginIsForgottenBeforeItsCallerGivesUp()
+  {
+    for (int running = 0; running < 70; ++running)
+    {
+      StreamOrigins origins;
+      const auto begin = Common::Now();
+      for (auto now = begin; now <= begin + seconds(running); now += seconds(1))
+        origins.Note(StreamOf(1), {FIRST_VERSION, SELF, 1}, now);
+      CPPUNIT_ASSERT(origins.Find(StreamOf(1), begin + seconds(running + 60)).has_value());
+    }
+  }
+
+  void OriginIsRememberedForever()
+  {
+    StreamOrigins origins;
+    const auto now = Common::Now();
+    origins.Note(StreamOf(1), {FIRST_VERSION, SELF, 1}, now);
+    CPPUNIT_ASSERT(!origins.Find(StreamOf(1), now + StreamOrigins::RETENTION).has_value());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), origins.Size());
+  }
+
+  void OlderCopyReplacesANewerOne()
+  {
+    StreamOrigins origins;
+    const auto now = Common::Now();
+    origins.Merge(StreamOf(1), {FIRST_VERSION, SELF, 1}, now - seconds(1), now);
+    origins.Merge(StreamOf(1), {SECOND_VERSION, SELF, 1}, now - seconds(2), now);
+    CPPUNIT_ASSERT(origins.Find(StreamOf(1), now)->origin.version == FIRST_VERSION);
+    // A copy from the future would outlast the stream.
+    origins.Merge(StreamOf(2), {FIRST_VERSION, SELF, 1}, now + seconds(1000), now);
+    CPPUNIT_ASSERT(!origins.Find(StreamOf(2), now + StreamOrigins::RETENTION).has_value());
+  }
+
+  /// More streams than fit: the oldest go, but not one that is still running.
+  void OriginOfARunningStreamIsDroppedForNewOnes()
+  {
+    StreamOrigins origins;
+    const auto begin = Common::Now();
+    constexpr int PER_SECOND = 1000;
+    int number = 1;
+    for (int second = 0; second < 90; ++second)
+    {
+      const auto now = begin + seconds(second);
+      origins.Note(StreamOf(0), {FIRST_VERSION, SELF, 1}, now);
+      for (int stream = 0; stream < PER_SECOND; ++stream)
+        origins.Merge(StreamOf(number++), {FIRST_VERSION, SELF, 1}, now, now);
+      CPPUNIT_ASSERT(origins.Find(StreamOf(0), now).has_value());
+      CPPUNIT_ASSERT(origins.Size() <= StreamOrigins::MAX_STREAMS + 1);
+    }
+  }
+
+  /// Streams that are marked again, refreshed or taken in parts are returned until copied.
+  void UncopiedStreamsAreForgotten()
+  {
+    StreamOrigins origins;
+    const auto now = Common::Now();
+    for (int stream = 0; stream < 10; ++stream)
+      origins.Note(StreamOf(stream), {FIRST_VERSION, SELF, 1}, now);
+    origins.MarkCopied(StreamOf(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), origins.TakeUncopied(4).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), origins.TakeUncopied(10).size());
+    origins.MarkUncopied(StreamOf(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), origins.TakeUncopied(10).size());
+  }
+
+  /// One stream that runs for an hour beside 118 others a second.
+  void LongStreamFillsTheMemory()
+  {
+    StreamOrigins origins;
+    const auto begin = Common::Now();
+    int number = 1;
+    std::size_t used_before = 0;
+    for (int second = 0; second < 3600; ++second)
+    {
+      const auto now = begin + seconds(second);
+      origins.Note(StreamOf(0), {FIRST_VERSION, SELF, 1}, now);
+      for (int stream = 0; stream < 118; ++stream)
+        origins.Note(StreamOf(number++), {FIRST_VERSION, SELF, 1}, now);
+      if (second == 300)
+        used_before = mallinfo2().uordblks;
+    }
+    const std::size_t used = mallinfo2().uordblks;
+    const std::size_t growth = used > used_before ? used - used_before : 0;
+    std::printf("origins: %zu bytes more after an hour with a long stream\n", growth);
+    CPPUNIT_ASSERT(growth < 500000);
+  }
+
+  /// The stream began at version "a", whose servers went before this daemon started. No other
+  /// daemon replies.
+  void VersionBeforeTheStartOfTheDaemonIsMixedIn()
+  {
+    TestServer server(Complete);
+    RelayWorld world;
+    AddCurrent(world, "i-1", server, "b");
+    world.dispatcher.OnOriginQuery([](StreamKey, const PoolId&) {});
+    const auto caller = Resume(world);
+    RunFor(Milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
+  }
+
+  /// The same if other daemons reply that have started as lately, so that they have seen no other
+  /// version either.
+  void VersionBeforeTheStartOfAllThatReplyIsMixedIn()
+  {
+    TestServer server(Complete);
+    RelayWorld world;
+    RelayWorld other;
+    AddCurrent(world, "i-1", server, "b");
+    AddCurrent(other, "i-1", server, "b");
+    AnswerAs(world, other);
+    const auto caller = Resume(world);
+    RunFor(Milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
+  }
+
+  /// The stream began at a server with version "b" that appeared a second ago. The daemon through
+  /// which it began is gone; this one and another one have entries that are two seconds old.
+  void VersionThatAppearedMeanwhileIsMixedIn()
+  {
+    TestServer server(Complete);
+    RelayWorld world;
+    RelayWorld other;
+    const auto proven_at = Common::Now() - Milliseconds(2000);
+    for (RelayWorld* each : {&world, &other})
+    {
+      each->AddServer("i-1", server.Address(), {}, "a");
+      each->dispatcher.Servers().RecordProof(proven_at);
+    }
+    AnswerAs(world, other);
+    const auto caller = Resume(world);
+    RunFor(Milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
+  }
+
+  void VersionThatOnlyOneOtherDaemonKnowsIsMixedIn()
+  {
+    TestServer server(Complete);
+    RelayWorld world;
+    RelayWorld other;
+    AddCurrent(world, "i-1", server, "a");
+    AddCurrent(other, "i-1", server, "a");
+    other.dispatcher.Versions().Note(PoolId("pool"), SoftwareVersion("b"), Common::Now());
+    AnswerAs(world, other);
+    const auto caller = Resume(world);
+    RunFor(Milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
+  }
+
+  /// The pool has no servers as the caller resumes the stream, and gets one while it waits.
+  void VersionThatAppearsWhileNoneIsKnownIsMixedIn()
+  {
+    TestServer server(Complete);
+    RelayWorld world;
+    world.dispatcher.Servers().RecordProof(Common::Now());
+    world.dispatcher.OnOriginQuery([&](StreamKey stream, const PoolId&) {
+      Common::Reactor::Get().After(Milliseconds(5), [&world, stream] {
+        OriginEvidence evidence;
+        evidence.asked = evidence.replies = 12;
+        evidence.is_current = evidence.is_complete = true;
+        world.dispatcher.LearnNoOrigin(stream, evidence);
+      });
+    });
+    const auto caller = Resume(world);
+    RunFor(Milliseconds(200));
+    AddCurrent(world, "i-1", server, "b");
+    RunFor(Milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
+  }
+
+  static void AddCurrent(RelayWorld& world, const std::string& instance, const TestServer& server,
+                         const std::string& version)
+  {
+    world.AddServer(instance, server.Address(), {}, version);
+    world.dispatcher.Servers().RecordProof(Common::Now());
+  }
+
+  /// `other` replies to the queries of `world` that it does not know the origin.
+  static void AnswerAs(RelayWorld& world, RelayWorld& other)
+  {
+    world.dispatcher.OnOriginQuery([&](StreamKey stream, const PoolId& pool) {
+      Common::Reactor::Get().After(Milliseconds(5), [&world, &other, stream, pool] {
+        const auto now = Common::Now();
+        OriginEvidence evidence;
+        evidence.asked = evidence.replies = 1;
+        for (const auto& version : other.dispatcher.Versions().Recent(pool, now))
+          evidence.versions.insert(KeyOf(pool, version));
+        evidence.is_current = other.dispatcher.Versions().IsCurrent(now);
+        evidence.is_complete = true;
+        world.dispatcher.LearnNoOrigin(stream, evidence);
+      });
+    });
+  }
+
+  static std::unique_ptr<TestPeer> Resume(const RelayWorld& world)
+  {
+    auto caller = world.NewCaller();
+    caller->stream->Write("POST /stream/ HTTP/1.1\r\nHost: shop.example\r\nReq-Id: id-next\r\n"
+                          "Last-Event-Id: 1\r\nResumes: id-elsewhere\r\n\r\n");
+    return caller;
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(StreamOriginsTest);
+} // namespace
