Gateway, Orders: origins are found by young daemons and after moves, and mixed by none

UncopiedStreamsAreForgotten calls Uncopied() in place of TakeUncopied() and checks in addition that streams are returned until they are copied; the simulated daemons call what the hub calls for each message.

--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -259,6 +259,7 @@
   /// Sets how many rejections per second of all daemons together the server bears.
   void SetRejectionLimit(const ServerPtr& server, std::optional<double> per_second);
   void ConnectPaths();
+  std::vector<std::shared_ptr<Relay>> RelaysAwaiting(StreamKey stream) const;
   /// Requests that wait on a direct connection to `server`, or to any server, go elsewhere.
   void LeaveDirectPath(const ServerPtr& server);
   /// Checks the paths of open requests whose servers are silent, at regular intervals.
--- a/Source/Core/Gateway/DispatcherStreams.cpp
+++ b/Source/Core/Gateway/DispatcherStreams.cpp
@@ -30,21 +30,26 @@
   });
 }
 
+std::vector<std::shared_ptr<Relay>> Dispatcher::RelaysAwaiting(StreamKey stream) const
+{
+  std::vector<std::shared_ptr<Relay>> result;
+  for (const auto& [key, relay] : m_relays)
+    if (relay->AwaitsOrigin(stream))
+      result.push_back(relay);
+  return result;
+}
+
 void Dispatcher::LearnOrigin(StreamKey stream, const StreamOrigins::Entry& entry,
                              const OriginEvidence& evidence)
 {
-  const auto relays = m_relays;
-  for (const auto& [key, relay] : relays)
-    if (relay->AwaitsOrigin(stream))
-      relay->LearnOrigin(entry, evidence);
+  for (const auto& relay : RelaysAwaiting(stream))
+    relay->LearnOrigin(entry, evidence);
 }
 
 void Dispatcher::LearnNoOrigin(StreamKey stream, const OriginEvidence& evidence)
 {
-  const auto relays = m_relays;
-  for (const auto& [key, relay] : relays)
-    if (relay->AwaitsOrigin(stream))
-      relay->LearnNoOrigin(evidence);
+  for (const auto& relay : RelaysAwaiting(stream))
+    relay->LearnNoOrigin(evidence);
 }
 
 void Dispatcher::NoteStream(StreamKey stream, const PoolId& pool, const SoftwareVersion& version,
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -190,6 +190,7 @@
   /// Does the same with the only version that the pool's servers have had, and returns true.
   /// Returns false if they had several, or may have had others that are not known here.
   bool BindToOnlyVersion();
+  void OnOriginWaitExpired();
   void RefuseUnknownOrigin();
   /// Ends the wait for the origin and looks for a server.
   void ContinueWithOrigin();
--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -69,13 +69,15 @@
     return true;
   m_wait_timer.Start(std::min(ORIGIN_REPLY_TIME, WaitLeft(Common::Now())), [this] {
     const auto guard = shared_from_this();
-    if (BindToOnlyVersion())
+    const bool has_history =
+        m_origin_evidence.has_history || m_dispatcher.Versions().IsComplete(Common::Now());
+    if (has_history && BindToOnlyVersion())
     {
       ContinueWithOrigin();
       return;
     }
     m_wait_timer.Start(WaitLeft(Common::Now()), [this] {
-      RefuseUnknownOrigin();
+      OnOriginWaitExpired();
     });
   });
   return true;
@@ -102,11 +104,10 @@
   std::set<VersionKey> versions = m_origin_evidence.versions;
   for (const SoftwareVersion& version : history.Recent(m_pool, now))
     versions.insert(KeyOf(m_pool, version));
-  if (versions.size() > 1 || !(m_origin_evidence.is_current || history.IsCurrent(now)))
+  if (versions.size() != 1 || !(m_origin_evidence.is_current || history.IsCurrent(now)))
     return false;
   m_origin_source = OriginSource::OnlyVersion;
-  if (!versions.empty())
-    m_stream_version = *versions.begin();
+  m_stream_version = *versions.begin();
   LogOrigin(nullptr);
   return true;
 }
@@ -131,6 +132,15 @@
     RefuseUnknownOrigin();
 }
 
+void Relay::OnOriginWaitExpired()
+{
+  const auto guard = shared_from_this();
+  if (m_origin_evidence.replies > 0 && BindToOnlyVersion())
+    ContinueWithOrigin();
+  else
+    RefuseUnknownOrigin();
+}
+
 void Relay::RefuseUnknownOrigin()
 {
   const auto guard = shared_from_this();
--- a/Source/Core/Gateway/StreamOrigins.cpp
+++ b/Source/Core/Gateway/StreamOrigins.cpp
@@ -4,6 +4,8 @@
 #include "Gateway/StreamOrigins.h"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 
 #include <xxhash.h>
 
@@ -33,7 +35,7 @@
   if (is_current)
     return false;
   Put(stream, {origin, now, false});
-  m_uncopied.push_back(stream);
+  m_uncopied.insert(stream);
   return true;
 }
 
@@ -49,6 +51,7 @@
 
 void StreamOrigins::MarkCopied(StreamKey stream)
 {
+  m_uncopied.erase(stream);
   if (const auto known = m_entries.find(stream); known != m_entries.end())
     known->second.copied = true;
 }
@@ -59,7 +62,7 @@
   if (known == m_entries.end())
     return;
   known->second.copied = false;
-  m_uncopied.push_back(stream);
+  m_uncopied.insert(stream);
 }
 
 std::optional<StreamOrigins::Entry> StreamOrigins::Find(StreamKey stream, Common::TimePoint now)
@@ -75,16 +78,10 @@
   return {m_entries.lower_bound(first), m_entries.upper_bound(last)};
 }
 
-std::vector<StreamKey> StreamOrigins::TakeUncopied(std::size_t limit)
+std::vector<StreamKey> StreamOrigins::Uncopied(std::size_t limit) const
 {
   std::vector<StreamKey> result;
-  while (!m_uncopied.empty() && result.size() < limit)
-  {
-    const auto entry = m_entries.find(m_uncopied.front());
-    if (entry != m_entries.end() && !entry->second.copied)
-      result.push_back(entry->first);
-    m_uncopied.pop_front();
-  }
+  std::ranges::copy(m_uncopied | std::views::take(limit), std::back_inserter(result));
   return result;
 }
 
@@ -102,10 +99,11 @@
   {
     const auto entry = m_entries.find(m_noted.front().stream);
     if (entry != m_entries.end() && entry->second.noted_at == m_noted.front().at)
+    {
+      m_uncopied.erase(entry->first);
       m_entries.erase(entry);
+    }
     m_noted.pop_front();
   }
-  while (!m_uncopied.empty() && !m_entries.contains(m_uncopied.front()))
-    m_uncopied.pop_front();
 }
 } // namespace Gateway
--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -51,6 +51,8 @@
 {
   int asked = 0;
   int replies = 0;
+  /// A daemon that replied has followed the servers' entries for the whole retention time.
+  bool has_history = false;
   /// The versions that the stream's pool has had within the retention time of streams.
   std::set<VersionKey> versions;
   bool is_current = false;  ///< At least one daemon knows the newest entries of the servers.
@@ -64,7 +66,8 @@
 class StreamOrigins
 {
 public:
-  /// How long a stream is remembered after its last event; longer than the deadlines of callers.
+  /// How long a stream is remembered after it was last noted: for a minute after its last event, at
+  /// least, which is longer than the deadlines of callers.
   static constexpr std::chrono::seconds RETENTION{90};
   /// Interval at which the origin of a stream that is still running is recorded again.
   static constexpr std::chrono::seconds REFRESH_INTERVAL{30};
@@ -85,14 +88,14 @@
   void Merge(StreamKey stream, const StreamOrigin& origin, Common::TimePoint noted_at,
              Common::TimePoint now);
   void MarkCopied(StreamKey stream);
-  /// Makes TakeUncopied() return the stream again.
+  /// Makes Uncopied() return the stream again.
   void MarkUncopied(StreamKey stream);
   /// Returns nullopt if the origin is not known.
   std::optional<Entry> Find(StreamKey stream, Common::TimePoint now);
   /// The entries whose keys lie between `first` and `last`, both included.
   std::vector<std::pair<StreamKey, Entry>> InRange(StreamKey first, StreamKey last) const;
-  /// At most `limit` streams that began here and of which no other daemon has been sent a copy.
-  std::vector<StreamKey> TakeUncopied(std::size_t limit);
+  /// At most `limit` streams that run here and of which no other daemon has been sent a copy.
+  std::vector<StreamKey> Uncopied(std::size_t limit) const;
   std::size_t Size() const { return m_entries.size(); }
 
 private:
@@ -107,6 +110,6 @@
 
   std::map<StreamKey, Entry> m_entries;
   std::deque<Noted> m_noted; ///< Oldest first; outdated where the entry was noted again.
-  std::deque<StreamKey> m_uncopied;
+  std::set<StreamKey> m_uncopied;
 };
 } // namespace Gateway
--- a/Source/Core/Gateway/VersionHistory.cpp
+++ b/Source/Core/Gateway/VersionHistory.cpp
@@ -25,6 +25,10 @@
     std::erase_if(versions, [now](const auto& entry) {
       return now - entry.second >= StreamOrigins::RETENTION;
     });
+  if (!IsCurrent(now))
+    m_followed_since.reset();
+  else if (!m_followed_since)
+    m_followed_since = now;
 }
 
 void VersionHistory::Note(const PoolId& pool, const SoftwareVersion& version, TimePoint now)
@@ -60,4 +64,9 @@
   const auto age = m_servers.Age(now);
   return age && *age <= MAX_ENTRY_AGE;
 }
+
+bool VersionHistory::IsComplete(TimePoint now) const
+{
+  return IsCurrent(now) && m_followed_since && now - *m_followed_since >= StreamOrigins::RETENTION;
+}
 } // namespace Gateway
--- a/Source/Core/Gateway/VersionHistory.h
+++ b/Source/Core/Gateway/VersionHistory.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <set>
 
 #include "Common/Units.h"
@@ -30,15 +31,19 @@
   bool HasSeveralVersions(Common::TimePoint now) const;
   /// False while the entries may be so old that servers with other versions are missing.
   bool IsCurrent(Common::TimePoint now) const;
+  /// True if the entries have been followed without a gap for the retention time of streams, so
+  /// that Recent() has all versions.
+  bool IsComplete(Common::TimePoint now) const;
 
 private:
   /// With a longer time since the entries were known to be the newest, other versions may have been
-  /// added.
-  static constexpr Common::Milliseconds MAX_ENTRY_AGE{3000};
+  /// added. Less than the 2 s within which a change has to be in force.
+  static constexpr Common::Milliseconds MAX_ENTRY_AGE{1500};
 
   const ServerDirectory& m_servers;
   std::uint64_t m_revision = 0; ///< Of the directory when `m_current` was derived from it.
   std::map<PoolId, std::set<SoftwareVersion>> m_current;
   std::map<PoolId, std::map<SoftwareVersion, Common::TimePoint>> m_last_seen;
+  std::optional<Common::TimePoint> m_followed_since;
 };
 } // namespace Gateway
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -122,7 +122,8 @@
                 [this](const Http::Endpoint& peer, const std::string& bytes) {
                   SendTo(peer, bytes);
                 }),
-      m_origins({m_settings.local, Fleet::HashOf(m_settings.data_centre)}, dispatcher, m_members,
+      m_origins({m_settings.local, Fleet::HashOf(m_settings.data_centre), HashOf(m_settings.run)},
+                dispatcher, m_members,
                 [this](const Http::Endpoint& peer, const std::string& bytes) {
                   SendTo(peer, bytes);
                 }),
@@ -423,6 +424,7 @@
   m_origins.SetContact(m_own_lease || HasHolderContact());
   if (m_own_lease)
     return;
+  m_members.Tick(Common::Now());
   if (!HasHolderContact())
     for (const Fleet::TableAccess& table : m_tables)
       table.set_relayed(false, Fleet::DirectReadReason::NoHolder);
@@ -757,6 +759,7 @@
 
 void Hub::OnDatagram(std::string_view bytes, const Http::Endpoint& from)
 {
+  m_members.OnContact(from);
   constexpr char FIRST_BYTE_OF_NOTICE = '\xff';
   if (bytes.starts_with(FIRST_BYTE_OF_NOTICE))
   {
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -93,7 +93,7 @@
   const Fleet::MemberList& Members() const { return m_members.Members(); }
   const OriginExchange& Origins() const { return m_origins; }
   /// Hands over what other daemons must not lose when this one stops.
-  void PrepareStop() { m_origins.SendUncopied(); }
+  void PrepareStop() { m_origins.HandOver(); }
 
   void OnDescriptorEvents(std::uint32_t events) override;
 
--- a/Source/Core/Orders/MemberExchange.cpp
+++ b/Source/Core/Orders/MemberExchange.cpp
@@ -22,6 +22,7 @@
   update.from = m_members.Checksum();
   Fleet::MemberList::Change change = m_members.Assign(std::move(daemons));
   update.to = m_members.Checksum();
+  NoteRemoved(change.removed, now);
   const bool has_changed = update.from != update.to;
   m_announced_checksum = update.to;
   if (!has_changed && now - m_announced_at < REPEAT_INTERVAL)
@@ -59,7 +60,7 @@
     if (m_asked == from)
     {
       m_asked.reset();
-      m_members.Assign(snapshot.daemons);
+      NoteRemoved(m_members.Assign(snapshot.daemons).removed, now);
       NotifyChange();
     }
 }
@@ -74,28 +75,48 @@
   if (update.from == m_members.Checksum() || m_members.All().empty())
   {
     m_members.Apply({update.added, update.removed});
+    NoteRemoved(update.removed, now);
     NotifyChange();
   }
   if (!IsComplete())
     RequestSnapshot(now);
 }
 
+void MemberExchange::SetHolder(std::optional<Http::Endpoint> holder)
+{
+  m_holder = holder;
+  if (holder)
+    OnContact(*holder);
+}
+
+void MemberExchange::OnContact(const Http::Endpoint& from)
+{
+  if (m_members.All().empty() && from != m_self)
+    RequestSnapshotFrom(from, Common::Now());
+}
+
 void MemberExchange::RequestSnapshot(TimePoint now)
 {
-  if (now - m_requested_at < REQUEST_INTERVAL)
-    return;
-  m_requested_at = now;
   const auto members = m_members.All();
-  MemberMessage message;
-  message.requests_snapshot = true;
   // The holder has the newest list, but not the bandwidth to send it to all daemons that start
   // together. A daemon that receives an outdated list learns so from the holder's next update.
   const auto pick = Common::SharedRandom()() % (members.size() + 1);
   const bool asks_holder = pick == members.size() || members[pick].messages == m_self;
-  if (asks_holder && !m_holder)
+  if (!asks_holder)
+    RequestSnapshotFrom(members[pick].messages, now);
+  else if (m_holder)
+    RequestSnapshotFrom(*m_holder, now);
+}
+
+void MemberExchange::RequestSnapshotFrom(const Http::Endpoint& daemon, TimePoint now)
+{
+  if (now - m_requested_at < REQUEST_INTERVAL)
     return;
-  m_asked = asks_holder ? *m_holder : members[pick].messages;
-  m_send(*m_asked, Daemons::Encode(message));
+  m_requested_at = now;
+  m_asked = daemon;
+  MemberMessage message;
+  message.requests_snapshot = true;
+  m_send(daemon, Daemons::Encode(message));
 }
 
 void MemberExchange::SendSnapshot(const Http::Endpoint& to, TimePoint now)
@@ -112,6 +133,31 @@
   m_send(to, Daemons::Encode(message));
 }
 
+bool MemberExchange::IsKnown(const Http::Endpoint& daemon, TimePoint now) const
+{
+  if (!IsComplete() || m_members.Contains(daemon))
+    return true;
+  const auto removed = m_removed_at.find(daemon);
+  return removed != m_removed_at.end() && now - removed->second < REMOVED_RETENTION;
+}
+
+void MemberExchange::Tick(TimePoint now)
+{
+  if (!IsComplete() && (m_holder || !m_members.All().empty()) && m_announced_checksum != 0)
+    RequestSnapshot(now);
+  else if (m_members.All().empty() && m_holder)
+    RequestSnapshotFrom(*m_holder, now);
+}
+
+void MemberExchange::NoteRemoved(const std::vector<Fleet::ListedDaemon>& removed, TimePoint now)
+{
+  std::erase_if(m_removed_at, [now](const auto& entry) {
+    return now - entry.second >= REMOVED_RETENTION;
+  });
+  for (const Fleet::ListedDaemon& daemon : removed)
+    m_removed_at[daemon.messages] = now;
+}
+
 void MemberExchange::NotifyChange()
 {
   if (m_on_change)
--- a/Source/Core/Orders/MemberExchange.h
+++ b/Source/Core/Orders/MemberExchange.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -31,10 +32,18 @@
   {
     return !m_members.All().empty() && m_members.Checksum() == m_announced_checksum;
   }
+  /// True if the address is that of a daemon that has been in the list lately: one that was
+  /// suspended is removed, and goes on. Also true while daemons may be missing.
+  bool IsKnown(const Http::Endpoint& daemon, Common::TimePoint now) const;
+  /// Called several times a second: requests the whole list if it is known to be outdated.
+  void Tick(Common::TimePoint now);
   /// Called when the list has changed.
   void OnChange(std::function<void()> callback) { m_on_change = std::move(callback); }
   /// Sets the holder's address for messages; nothing if no other daemon is known to be the holder.
-  void SetHolder(std::optional<Http::Endpoint> holder) { m_holder = holder; }
+  void SetHolder(std::optional<Http::Endpoint> holder);
+  /// Called for each message of another daemon. A daemon that has just started requests the list
+  /// from it, as there may be no holder that would send one.
+  void OnContact(const Http::Endpoint& from);
 
   /// At the holder, at regular intervals: sets the list and sends the change to all daemons. Also
   /// without a change it is sent now and then, so that a daemon that missed one learns of it.
@@ -47,6 +56,8 @@
 private:
   /// How often the holder sends the list's checksum without a change.
   static constexpr Common::Milliseconds REPEAT_INTERVAL{2000};
+  /// How long a removed daemon counts as known.
+  static constexpr std::chrono::seconds REMOVED_RETENTION{90};
   /// Minimum interval between two requests for the whole list.
   static constexpr Common::Milliseconds REQUEST_INTERVAL{300};
   /// The holder answers so many requests in this interval; a daemon without a reply asks another
@@ -56,13 +67,16 @@
 
   void ApplyUpdate(const MemberUpdate& update, Common::TimePoint now);
   void RequestSnapshot(Common::TimePoint now);
+  void RequestSnapshotFrom(const Http::Endpoint& daemon, Common::TimePoint now);
   void SendSnapshot(const Http::Endpoint& to, Common::TimePoint now);
+  void NoteRemoved(const std::vector<Fleet::ListedDaemon>& removed, Common::TimePoint now);
   void NotifyChange();
 
   Http::Endpoint m_self;
   Sender m_send;
   Fleet::MemberList m_members;
-  std::uint64_t m_announced_checksum = 0; ///< Of the holder's list.
+  std::uint64_t m_announced_checksum = 0;                   ///< Of the holder's list.
+  std::map<Http::Endpoint, Common::TimePoint> m_removed_at; ///< Of daemons removed lately.
   std::function<void()> m_on_change;
   std::optional<Http::Endpoint> m_holder;
   Common::TimePoint m_announced_at;
--- a/Source/Core/Orders/OriginExchange.cpp
+++ b/Source/Core/Orders/OriginExchange.cpp
@@ -69,9 +69,9 @@
 
 void OriginExchange::SendUncopied()
 {
-  if (m_send_timer.Running())
+  if (m_send_timer.Running() || m_members.Members().All().size() < 2)
     return;
-  const auto streams = m_dispatcher.Origins().TakeUncopied(COPIES_PER_TURN);
+  const auto streams = m_dispatcher.Origins().Uncopied(COPIES_PER_TURN);
   std::ranges::for_each(streams, [this](StreamKey stream) {
     SendCopies(stream);
   });
@@ -102,10 +102,14 @@
   message.copies.push_back(CopyOf(stream, *entry));
   const std::string bytes = Daemons::Encode(message);
   const auto receivers = DaemonsForCopies(m_members.Members().All(), GroupOf(stream),
-                                          m_settings.self, m_settings.place);
+                                          entry->origin.daemon, entry->origin.place);
   for (const Http::Endpoint& receiver : receivers)
+  {
+    if (receiver == m_settings.self)
+      continue;
     m_send(receiver, bytes);
-  m_counters.copies_sent += static_cast<std::int64_t>(receivers.size());
+    ++m_counters.copies_sent;
+  }
   if (!receivers.empty())
     m_dispatcher.Origins().MarkCopied(stream);
 }
@@ -132,14 +136,85 @@
 
 void OriginExchange::OnMembersChanged()
 {
+  if (!std::exchange(m_has_list, true))
+    m_request_timer.Start(REQUEST_DELAY, [this] {
+      RequestCopies();
+    });
+  for (auto& [stream, query] : m_queries)
+    query.timer.Start(Milliseconds(0), [this, asked = query.stream] {
+      if (const auto found = m_queries.find(asked); found != m_queries.end())
+        SendQuery(found->second);
+    });
   if (m_move_timer.Running())
     return;
   m_move_timer.Start(MOVE_DELAY, [this] {
-    m_moving_to.assign(m_members.Members().All().begin(), m_members.Members().All().end());
+    m_moving_to = ListForCopies();
     MoveGroups(0);
   });
 }
 
+void OriginExchange::HandOver()
+{
+  m_is_stopping = true;
+  SendUncopied();
+  if (m_placed.empty())
+    return;
+  m_moving_to = ListForCopies();
+  MoveGroups(0);
+}
+
+std::vector<Fleet::ListedDaemon> OriginExchange::ListForCopies() const
+{
+  const auto members = m_members.Members().All();
+  std::vector<Fleet::ListedDaemon> daemons(members.begin(), members.end());
+  if (m_is_stopping)
+    std::erase_if(daemons, [this](const Fleet::ListedDaemon& daemon) {
+      return daemon.messages == m_settings.self;
+    });
+  return daemons;
+}
+
+void OriginExchange::RequestCopies()
+{
+  if (!m_lost_contact_at)
+    return;
+  OriginMessage message;
+  message.started.push_back({m_settings.self, m_settings.place, m_settings.run});
+  const std::string bytes = Daemons::Encode(message);
+  for (const Fleet::ListedDaemon& daemon : m_members.Members().All())
+    if (daemon.messages != m_settings.self)
+      m_send(daemon.messages, bytes);
+}
+
+void OriginExchange::SendCopiesTo(const Fleet::ListedDaemon& started)
+{
+  // The list may name an earlier run of this daemon, or not name it.
+  std::vector<Fleet::ListedDaemon> daemons = ListForCopies();
+  std::erase_if(daemons, [&](const Fleet::ListedDaemon& daemon) {
+    return daemon.messages == started.messages;
+  });
+  daemons.push_back(started);
+  for (std::size_t group = 0; group < ORIGIN_GROUPS; ++group)
+  {
+    const auto [first, last] = KeysOf(OriginGroup(group));
+    const auto entries = m_dispatcher.Origins().InRange(first, last);
+    if (entries.empty())
+      continue;
+    const CopyPlacement placement(daemons, OriginGroup(group));
+    OriginMessage message;
+    for (const auto& [stream, entry] : entries)
+    {
+      const auto keepers = placement.DaemonsFor(entry.origin.daemon, entry.origin.place);
+      if (std::ranges::find(keepers, started.messages) != keepers.end())
+        message.copies.push_back(CopyOf(stream, entry));
+    }
+    if (message.copies.empty())
+      continue;
+    m_send(started.messages, Daemons::Encode(message));
+    m_counters.copies_moved += static_cast<std::int64_t>(message.copies.size());
+  }
+}
+
 void OriginExchange::MoveGroups(std::size_t first_group)
 {
   const std::size_t end = std::min(first_group + GROUPS_PER_TURN, ORIGIN_GROUPS);
@@ -153,7 +228,7 @@
     return;
   }
   m_placed = std::move(m_moving_to);
-  if (!std::ranges::equal(m_placed, m_members.Members().All()))
+  if (m_placed != ListForCopies())
     OnMembersChanged();
 }
 
@@ -161,15 +236,18 @@
 {
   const auto [first, last] = KeysOf(group);
   const auto entries = m_dispatcher.Origins().InRange(first, last);
+  if (entries.empty())
+    return;
+  const CopyPlacement placement_before(m_placed, group);
+  const CopyPlacement placement_now(m_moving_to, group);
   std::map<Http::Endpoint, OriginMessage> messages;
   for (const auto& [stream, entry] : entries)
   {
     if (!entry.copied)
       continue;
     const StreamOrigin& origin = entry.origin;
-    const auto before = DaemonsForCopies(m_placed, group, origin.daemon, origin.place);
-    for (const Http::Endpoint& receiver :
-         DaemonsForCopies(m_moving_to, group, origin.daemon, origin.place))
+    const auto before = placement_before.DaemonsFor(origin.daemon, origin.place);
+    for (const Http::Endpoint& receiver : placement_now.DaemonsFor(origin.daemon, origin.place))
       if (receiver != m_settings.self && !IsSameRun(before, receiver))
         messages[receiver].copies.push_back(CopyOf(stream, entry));
   }
@@ -208,19 +286,19 @@
 
 void OriginExchange::ChooseDaemons(Query& query)
 {
-  const auto daemons =
-      DaemonsToAsk(m_members.Members().All(), GroupOf(query.stream), m_settings.self);
-  query.unanswered = {daemons.begin(), daemons.end()};
+  auto daemons = DaemonsToAsk(m_members.Members().All(), GroupOf(query.stream), m_settings.self);
   if (daemons.empty() && m_holder)
-    query.unanswered.insert(*m_holder);
-  query.evidence.asked = static_cast<int>(query.unanswered.size());
+    daemons.push_back(*m_holder);
+  for (const Http::Endpoint& daemon : daemons)
+    if (query.asked.insert(daemon).second)
+      query.unanswered.insert(daemon);
+  query.evidence.asked = static_cast<int>(query.asked.size());
 }
 
 void OriginExchange::SendQuery(Query& query)
 {
-  // A daemon that has just started does not know the others yet.
-  if (query.evidence.asked == 0)
-    ChooseDaemons(query);
+  // The list may have grown: a daemon that has just started does not know the others yet.
+  ChooseDaemons(query);
   OriginMessage message;
   message.queries.push_back({ToBytes(query.stream), query.nonce, query.pool});
   const std::string bytes = Daemons::Encode(message);
@@ -248,6 +326,9 @@
     OnQuery(query, from);
   for (const OriginReply& reply : message->replies)
     OnReply(reply, from);
+  for (const Fleet::ListedDaemon& started : message->started)
+    if (started.messages == from)
+      SendCopiesTo(started);
 }
 
 StreamOrigin OriginExchange::OriginIn(const OriginCopy& copy, const Http::Endpoint& from)
@@ -260,7 +341,7 @@
 
 void OriginExchange::MergeCopy(const OriginCopy& copy, const Http::Endpoint& from)
 {
-  if (m_members.IsComplete() && !m_members.Members().Contains(from))
+  if (!m_members.IsKnown(from, Common::Now()))
   {
     ++m_counters.copies_of_strangers;
     return;
@@ -284,6 +365,7 @@
     for (const auto& version : m_dispatcher.Versions().Recent(query.pool, now))
       reply.versions.push_back(Gateway::KeyOf(query.pool, version));
     reply.is_current = m_dispatcher.Versions().IsCurrent(now);
+    reply.has_history = m_dispatcher.Versions().IsComplete(now);
   }
   OriginMessage message;
   message.replies.push_back(std::move(reply));
@@ -318,7 +400,11 @@
   }
   evidence.versions.insert(reply.versions.begin(), reply.versions.end());
   evidence.is_current = evidence.is_current || reply.is_current;
-  evidence.is_complete = query.unanswered.empty();
+  evidence.has_history = evidence.has_history || reply.has_history;
+  // Without the whole list, a daemon that keeps a copy may not have been asked.
+  if (query.unanswered.empty())
+    ChooseDaemons(query);
+  evidence.is_complete = query.unanswered.empty() && m_members.IsComplete();
   const Gateway::OriginEvidence so_far = evidence;
   const StreamKey key = query.stream;
   if (so_far.is_complete)
--- a/Source/Core/Orders/OriginExchange.h
+++ b/Source/Core/Orders/OriginExchange.h
@@ -34,6 +34,7 @@
   {
     Http::Endpoint self; ///< Address for messages.
     Fleet::PlaceHash place = 0;
+    std::uint32_t run = 0; ///< Hash of this run of the daemon.
   };
   using Sender = std::function<void(const Http::Endpoint&, const std::string&)>;
 
@@ -47,8 +48,10 @@
   void OnMessage(std::string_view bytes, const Http::Endpoint& from);
   /// Sends the copies for which the changed list of daemons calls for other daemons.
   void OnMembersChanged();
-  /// Sends the copies that have not been sent. Called also before this daemon stops.
+  /// Sends the copies that have not been sent, in several turns.
   void SendUncopied();
+  /// Sends the copies that this daemon keeps to those that keep them once it has stopped.
+  void HandOver();
   /// Called at least every second with whether this daemon is in contact with the holder of the
   /// order lease, or is the holder. Copies that were sent without contact may have been lost.
   void SetContact(bool has_contact);
@@ -59,7 +62,7 @@
     std::int64_t copies_moved = 0; ///< Of `copies_sent`, those after a change of the list.
     std::int64_t queries = 0;
     std::int64_t replies_not_asked_for = 0;
-    std::int64_t copies_of_strangers = 0; ///< From senders that are not in the list of daemons.
+    std::int64_t copies_of_strangers = 0; ///< From senders that are not daemons.
   };
   const Counters& GetCounters() const { return m_counters; }
 
@@ -77,6 +80,8 @@
   /// After a change of the list further changes usually follow.
   static constexpr Common::Milliseconds MOVE_DELAY{100};
   static constexpr std::size_t GROUPS_PER_TURN = 64;
+  /// After a start, contact with the holder usually follows the list within this time.
+  static constexpr Common::Milliseconds REQUEST_DELAY{300};
   /// A query without a reply is sent again after this time, then after twice as long, and so on.
   static constexpr Common::Milliseconds FIRST_RESEND{50};
   static constexpr Common::Milliseconds LAST_RESEND{400};
@@ -89,7 +94,8 @@
     std::uint64_t nonce = 0;
     Gateway::StreamKey stream{};
     Gateway::PoolId pool;
-    std::set<Http::Endpoint> unanswered;
+    std::set<Http::Endpoint> asked;
+    std::set<Http::Endpoint> unanswered; ///< Those of `asked` that have not replied.
     Gateway::OriginEvidence evidence;
     Common::TimePoint began_at;
     Common::Milliseconds resend_after = FIRST_RESEND;
@@ -100,14 +106,22 @@
   void OnStreamNoted(Gateway::StreamKey stream);
   void SendCopies(Gateway::StreamKey stream);
   OriginCopy CopyOf(Gateway::StreamKey stream, const Gateway::StreamOrigins::Entry& entry) const;
-  /// Sends what changed between `m_placed` and the list, one part after the other.
+  /// Sends what changed between `m_placed` and `m_moving_to`, one part after the other.
   void MoveGroups(std::size_t first_group);
+  /// The list as copies are to be placed now.
+  std::vector<Fleet::ListedDaemon> ListForCopies() const;
+  /// After a start without a holder, which would inform the others: requests the copies that this
+  /// daemon should keep.
+  void RequestCopies();
+  /// Sends a daemon that has started the copies that it should keep.
+  void SendCopiesTo(const Fleet::ListedDaemon& started);
   void MoveGroup(OriginGroup group);
   /// True if the daemon is in `before` and has not restarted between the two lists.
   bool IsSameRun(const std::vector<Http::Endpoint>& before, const Http::Endpoint& receiver) const;
   /// Sends the copies of streams that began here and were noted since then once more.
   void ResendSince(Common::TimePoint moment);
   void Ask(Gateway::StreamKey stream, const Gateway::PoolId& pool);
+  /// Adds the daemons that are to be asked by the present list.
   void ChooseDaemons(Query& query);
   /// Sends the query to the daemons that have not replied, and again after a while.
   void SendQuery(Query& query);
@@ -128,9 +142,12 @@
   std::vector<Fleet::ListedDaemon> m_placed;
   std::vector<Fleet::ListedDaemon> m_moving_to;
   std::optional<Common::TimePoint> m_lost_contact_at;
+  bool m_has_list = false;
+  bool m_is_stopping = false;
   Counters m_counters;
   Common::OwnedTimer m_tick_timer;
   Common::OwnedTimer m_send_timer;
   Common::OwnedTimer m_move_timer;
+  Common::OwnedTimer m_request_timer;
 };
 } // namespace Orders
--- a/Source/Core/Orders/OriginMessages.h
+++ b/Source/Core/Orders/OriginMessages.h
@@ -70,15 +70,15 @@
 {
   std::uint64_t nonce = 0;
   std::vector<OriginCopy> origin; ///< At most one.
-  /// If the origin is not known: the versions that the pool has had within the retention time of
-  /// streams, and whether they are certainly all.
+  /// If the origin is not known: see `Gateway::OriginEvidence`.
   std::vector<Gateway::VersionKey> versions;
   bool is_current = false;
+  bool has_history = false;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(nonce, origin, versions, is_current);
+    archive(nonce, origin, versions, is_current, has_history);
   }
 };
 
@@ -92,11 +92,13 @@
   std::vector<OriginCopy> copies;
   std::vector<OriginQuery> queries;
   std::vector<OriginReply> replies;
+  /// The sender, if it has just started and requests the copies that it should keep; at most one.
+  std::vector<Fleet::ListedDaemon> started;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(marker, copies, queries, replies);
+    archive(marker, copies, queries, replies, started);
   }
 };
 
--- a/Source/Core/Orders/OriginPlacement.cpp
+++ b/Source/Core/Orders/OriginPlacement.cpp
@@ -63,39 +63,65 @@
   return {Gateway::StreamKey(first), Gateway::StreamKey(last)};
 }
 
-std::vector<Http::Endpoint> DaemonsForCopies(std::span<const ListedDaemon> daemons,
-                                             OriginGroup group, const Http::Endpoint& daemon,
-                                             Fleet::PlaceHash place)
+CopyPlacement::CopyPlacement(std::span<const ListedDaemon> daemons, OriginGroup group)
 {
-  std::optional<Ranked> near;
-  std::optional<Ranked> far;
-  std::vector<Ranked> others;
+  constexpr std::size_t KEPT_PER_PLACE = ORIGIN_COPIES + 1;
+  const auto by_weight = [](const Ranked& left, const Ranked& right) {
+    return std::tie(right.weight, right.daemon) < std::tie(left.weight, left.daemon);
+  };
+  std::map<Fleet::PlaceHash, std::vector<Ranked>> first;
   for (const ListedDaemon& listed : daemons)
   {
-    if (listed.messages == daemon)
+    std::vector<Ranked>& in_place = first[listed.place];
+    const Ranked ranked{WeightOf(group, listed), listed.messages, listed.place};
+    if (in_place.size() == KEPT_PER_PLACE && by_weight(in_place.back(), ranked))
       continue;
-    const Ranked ranked{WeightOf(group, listed), listed};
-    std::optional<Ranked>& best = listed.place == place ? near : far;
-    if (!best || best->weight < ranked.weight)
-      best = ranked;
+    in_place.insert(std::ranges::upper_bound(in_place, ranked, by_weight), ranked);
+    in_place.resize(std::min(in_place.size(), KEPT_PER_PLACE));
   }
+  for (const auto& [place, in_place] : first)
+    std::ranges::copy(in_place, std::back_inserter(m_first));
+  std::ranges::sort(m_first, by_weight);
+}
+
+std::vector<Http::Endpoint> CopyPlacement::DaemonsFor(const Http::Endpoint& daemon,
+                                                      Fleet::PlaceHash place) const
+{
   std::vector<Http::Endpoint> result;
-  for (const auto& best : {near, far})
-    if (best)
-      result.push_back(best->daemon.messages);
-  if (result.size() == ORIGIN_COPIES)
-    return result;
-  // All other daemons are in the same data centre, or all in others.
-  for (const Ranked& ranked : Rank(daemons, group))
+  const auto add_first = [&](auto matches) {
+    const auto found = std::ranges::find_if(m_first, [&](const Ranked& ranked) {
+      return ranked.daemon != daemon && matches(ranked) &&
+             std::ranges::find(result, ranked.daemon) == result.end();
+    });
+    if (found != m_first.end())
+      result.push_back(found->daemon);
+  };
+  add_first([place](const Ranked& ranked) {
+    return ranked.place == place;
+  });
+  add_first([place](const Ranked& ranked) {
+    return ranked.place != place;
+  });
+  // All other daemons may be in the same data centre, or all in others.
+  while (result.size() < ORIGIN_COPIES)
   {
-    const Http::Endpoint& candidate = ranked.daemon.messages;
-    if (result.size() < ORIGIN_COPIES && candidate != daemon &&
-        std::ranges::find(result, candidate) == result.end())
-      result.push_back(candidate);
+    const std::size_t before = result.size();
+    add_first([](const Ranked&) {
+      return true;
+    });
+    if (result.size() == before)
+      break;
   }
   return result;
 }
 
+std::vector<Http::Endpoint> DaemonsForCopies(std::span<const ListedDaemon> daemons,
+                                             OriginGroup group, const Http::Endpoint& daemon,
+                                             Fleet::PlaceHash place)
+{
+  return CopyPlacement(daemons, group).DaemonsFor(daemon, place);
+}
+
 std::vector<Http::Endpoint> DaemonsToAsk(std::span<const ListedDaemon> daemons, OriginGroup group,
                                          const Http::Endpoint& asking)
 {
--- a/Source/Core/Orders/OriginPlacement.h
+++ b/Source/Core/Orders/OriginPlacement.h
@@ -34,9 +34,31 @@
 inline constexpr std::size_t ASKED_PER_PLACE = 2;
 inline constexpr std::size_t MIN_ASKED = 12;
 
-/// The daemons that keep the copies of a stream that began through `daemon` in data centre `place`:
-/// one in that data centre, so that a copy is in reach while the data centre is cut off, and one in
-/// another, so that a copy survives the loss of the data centre.
+/// The daemons that keep the copies of a group's streams: one in the data centre of the daemon
+/// through which the stream began, so that a copy is in reach while the data centre is cut off, and
+/// one in another, so that a copy survives the loss of the data centre.
+class CopyPlacement
+{
+public:
+  CopyPlacement(std::span<const Fleet::ListedDaemon> daemons, OriginGroup group);
+  /// Of a stream that began through `daemon` in data centre `place`.
+  std::vector<Http::Endpoint> DaemonsFor(const Http::Endpoint& daemon,
+                                         Fleet::PlaceHash place) const;
+
+private:
+  struct Ranked
+  {
+    std::uint64_t weight = 0;
+    Http::Endpoint daemon;
+    Fleet::PlaceHash place = 0;
+  };
+
+  /// The first daemons of each data centre, as many as copies and the one of the begin; those with
+  /// the highest weight first.
+  std::vector<Ranked> m_first;
+};
+
+/// The same for a single stream.
 std::vector<Http::Endpoint> DaemonsForCopies(std::span<const Fleet::ListedDaemon> daemons,
                                              OriginGroup group, const Http::Endpoint& daemon,
                                              Fleet::PlaceHash place);
--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -132,10 +132,18 @@
     for (int stream = 0; stream < 10; ++stream)
       origins.Note(StreamOf(stream), {FIRST_VERSION, SELF, 1}, now);
     origins.MarkCopied(StreamOf(3));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(4), origins.TakeUncopied(4).size());
-    CPPUNIT_ASSERT_EQUAL(std::size_t(5), origins.TakeUncopied(10).size());
+    const auto copy = [&](std::size_t limit) {
+      const auto uncopied = origins.Uncopied(limit);
+      CPPUNIT_ASSERT(origins.Uncopied(limit) == uncopied);
+      for (const StreamKey stream : uncopied)
+        origins.MarkCopied(stream);
+      return uncopied.size();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t(4), copy(4));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(5), copy(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), copy(10));
     origins.MarkUncopied(StreamOf(3));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), origins.TakeUncopied(10).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), copy(10));
   }
 
   /// One stream that runs for an hour beside 118 others a second.
--- a/Source/UnitTests/Support/OriginFleet.cpp
+++ b/Source/UnitTests/Support/OriginFleet.cpp
@@ -44,6 +44,7 @@
 
 void SimulatedDaemon::OnDatagram(const std::string& bytes, const Http::Endpoint& from)
 {
+  members.OnContact(from);
   if (bytes.starts_with(static_cast<char>(Orders::OriginMessage::MARKER)))
   {
     origins.OnMessage(bytes, from);
@@ -137,7 +138,11 @@
   At(*m_holder).members.Announce(ReportingTo(*m_holder), m_fence, Common::Now());
   for (DaemonIndex daemon = 0; daemon < m_daemons.size(); ++daemon)
     if (IsRunning(daemon) && suspended != daemon)
+    {
       At(daemon).origins.SetContact(!IsCut(daemon, *m_holder));
+      if (daemon != *m_holder)
+        At(daemon).members.Tick(Common::Now());
+    }
 }
 
 void OriginFleet::RunFor(Milliseconds span)
