Gateway: a resumed stream looks in the pools that have its version

Callers saw: on a route with several pools, a stream that was taken up was refused at once with "no server has the software version that began the stream", though servers of the version served in another pool of the route, in proportion to the weights of the pools without the version.

Cause: the pool is drawn for each request, before it is known which version began the stream. Class: a resumed stream is refused where a new one begins.

Once the version is known, the draw is repeated among the route's pools with servers of the version.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 #include "Common/Log.h"
@@ -245,8 +246,23 @@
     RefuseIfBlocked();
 }
 
+void Relay::SelectPoolOfVersion()
+{
+  std::vector<WeightedPool> pools;
+  std::ranges::copy_if(m_route.pools, std::back_inserter(pools), [this](const WeightedPool& entry) {
+    return std::ranges::any_of(m_dispatcher.Servers().InPool(entry.pool),
+                               [this](const auto& server) {
+                                 return MayContinueAt(server->Entry().version);
+                               });
+  });
+  if (!pools.empty())
+    m_pool = PickPool(pools);
+}
+
 void Relay::FindServer()
 {
+  if (IsBoundToVersion())
+    SelectPoolOfVersion();
   m_dispatcher.NoteArrival(*this);
   TryDispatch();
 }
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -169,6 +169,8 @@
   /// begun it, and it is not known which. The request then waits for the reply of another daemon,
   /// or has ended.
   bool MustAwaitOrigin();
+  /// Draws among the route's pools with servers that may continue the stream, if there are any.
+  void SelectPoolOfVersion();
   /// Looks for a server, after the account's limit has been checked.
   void FindServer();
   /// The values of the key headers in the order in which they appear.
