Gateway: a stream that begins is recorded under its own request

Callers saw two failures. A caller whose first attempt brought no event sent the next one with Resumes and without Last-Event-Id; the stream began in that attempt, and was refused when taken up under its id: "it is not known which software version began the stream". And a stream that began in such an attempt at another version replaced the origin of the stream that the attempt named: that one then went on at the wrong version (ORDER).

Cause: BeginStream records the origin under Resumes wherever the header is present, also where the stream begins anew. Class: knowledge that a caller depends on is kept under a name that it does not use.

Resumes counts only beside a Last-Event-Id.

Measured: ResumedStreamsTest, BeginningThatNamesAnotherAttemptIsForgotten and BeginningThatNamesAnotherAttemptMovesItsStream pass; before, they failed in each of 3 runs.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -291,7 +291,9 @@
   }
   if (const auto last_event = ParseNumber(head.Find(names.last_event_id)))
     m_events.StartAfter(*last_event);
-  const std::string* resumes = head.Find(names.resumes);
+  // Without an event that the caller has, the stream begins anew, whatever attempt the caller
+  // names.
+  const std::string* resumes = m_events.LastId() ? head.Find(names.resumes) : nullptr;
   m_resumes = resumes == nullptr ? "" : *resumes;
 }
 
