Gateway: ejected servers of its version continue a resumed stream

Callers saw: a stream that was taken up was refused after the longest wait with "no server could take the request in time", while both servers of its version ran; new streams began at another version.

Cause: servers that break streams off are ejected, for 0.7 s to 5 s. A new request goes elsewhere meanwhile. A resumed stream has nowhere else to go and waits for 0.7 s to 1.4 s at most. Class: the failures of the servers that broke a stream count against its continuation.

Where all servers of the version are ejected or recovering, the first send of an attempt that resumes a stream goes to one of them. Not to servers that were unreachable or unresponsive, so that nobody is sent to a closed port, and not the repeats within an attempt, which would use up the retry budget at a failing server.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -146,11 +146,37 @@
   return server.Entry().slots * factor - server.RemoteInFlight();
 }
 
+bool Dispatcher::MayServe(const Relay& relay, const Server& server, Common::TimePoint now) const
+{
+  return server.Entry().pool == relay.SelectedPool() &&
+         server.MayServe(relay.RequestedArtifact(), now) &&
+         relay.MaySendTo(server.Entry().instance) && MayRunAt(relay, server) &&
+         m_paths.HasPath(server, now);
+}
+
 bool Dispatcher::IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const
 {
-  return server.Entry().pool == relay.SelectedPool() && server.IsAvailable(now) &&
-         server.Holds(relay.RequestedArtifact(), now) && relay.MaySendTo(server.Entry().instance) &&
-         MayRunAt(relay, server) && m_paths.HasPath(server, now);
+  return server.IsAvailable(now) && MayServe(relay, server, now);
+}
+
+std::vector<ServerPtr> Dispatcher::EjectedServersFor(const Relay& relay, Common::TimePoint now)
+{
+  std::vector<ServerPtr> servers;
+  // Only the first send of an attempt: repeats would use up the retry budget at a failing server.
+  if (!relay.IsUnsentContinuation())
+    return servers;
+  for (const auto& [instance, server] : m_servers.All())
+    if (MayServe(relay, *server, now))
+      servers.push_back(server);
+  const bool all_ejected = std::ranges::all_of(servers, [](const ServerPtr& server) {
+    return server->Health().IsRecovering();
+  });
+  if (!all_ejected)
+    return {};
+  std::erase_if(servers, [&](const ServerPtr& server) {
+    return !server->IsAvailableThoughEjected(now) || !m_limited.MaySend(*server, now);
+  });
+  return servers;
 }
 
 ServerPtr Dispatcher::ChooseAmong(const std::vector<ServerPtr>& servers, const Relay& relay)
@@ -212,7 +238,9 @@
         RecordBypass(*server, now);
     return chosen;
   }
-  return ChooseAmong(last_choices, relay);
+  if (ServerPtr chosen = ChooseAmong(last_choices, relay))
+    return chosen;
+  return ChooseAmong(EjectedServersFor(relay, now), relay);
 }
 
 bool Dispatcher::WouldOvertake(const Relay& relay) const
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -258,6 +258,11 @@
   std::int64_t ConcurrencyLimitFor(const Server& server) const;
   /// True if the request may be sent to the server now, leaving the server's rate limit aside.
   bool IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const;
+  /// True if the request may be sent to the server when that takes requests.
+  bool MayServe(const Relay& relay, const Server& server, Common::TimePoint now) const;
+  /// Servers for a stream that its caller has taken up, which no other server may continue: where
+  /// all servers of its version are ejected, those that accept connections.
+  std::vector<ServerPtr> EjectedServersFor(const Relay& relay, Common::TimePoint now);
   /// True if the request's route and account allow it to run in the server's region, and the
   /// server's software version began the stream that it resumes.
   bool MayRunAt(const Relay& relay, const Server& server) const;
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -120,6 +120,8 @@
   void WithdrawUnsent(const std::set<ServerPtr>& servers, std::string_view why);
   /// True if the request resumes a stream, and the software version that began it is known.
   bool IsBoundToVersion() const { return m_stream_version.has_value(); }
+  /// True if the request resumes a stream whose version is known, and no server has got it yet.
+  bool IsUnsentContinuation() const { return IsBoundToVersion() && m_arrivals == 0; }
   /// False if the request resumes a stream that a server with other software began.
   bool MayContinueAt(const SoftwareVersion& version) const
   {
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -298,7 +298,7 @@
   // A single lost packet can also delay a connection, so only several timeouts in a row eject the
   // server.
   if (timed_out)
-    m_server->Health().NoteFailure(now);
+    m_server->Health().NoteConnectTimeout(now);
   else
     m_server->Health().NoteUnreachable(now);
   CrashDetector& crash_detector = m_dispatcher.GetCrashDetector();
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -40,14 +40,23 @@
   ++m_entry_revision;
 }
 
+bool Server::IsReady(Common::TimePoint now) const
+{
+  return AcceptsRequests(now) && GetBackoff().MaySend(now) && !m_silence.IsUnresponsive(now);
+}
+
 bool Server::IsAvailable(Common::TimePoint now) const
 {
-  if (!AcceptsRequests(now) || Health().IsEjected(now) || !GetBackoff().MaySend(now) ||
-      m_silence.IsUnresponsive(now))
+  if (!IsReady(now) || Health().IsEjected(now))
     return false;
   return !Health().IsRecovering() || m_in_flight == 0;
 }
 
+bool Server::IsAvailableThoughEjected(Common::TimePoint now) const
+{
+  return IsReady(now) && Health().WasReachable();
+}
+
 bool Server::HasLastingLimit(Common::TimePoint now) const
 {
   return m_limit && !m_limit->cold_until && now - m_limit->since >= LASTING_AFTER;
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -54,6 +54,9 @@
 
   /// True if the server can take a request now.
   bool IsAvailable(Common::TimePoint now) const;
+  /// True if the server can take a request now but for its ejection, which connections that could
+  /// not be made did not cause.
+  bool IsAvailableThoughEjected(Common::TimePoint now) const;
   /// True if the server's entry lists the model.
   bool HoldsModel(const ModelId& model) const;
   bool Holds(const Artifact& artifact, Common::TimePoint now) const;
@@ -148,6 +151,9 @@
   void SetDrainGrace(Common::Milliseconds grace) { m_drain_grace = grace; }
 
 private:
+  /// True if the server can take a request now, leaving its failures aside.
+  bool IsReady(Common::TimePoint now) const;
+
   ServerEntry m_entry;
   RateLimits::ServerKey m_key;
   std::uint64_t m_entry_revision = 1;
--- a/Source/Core/Gateway/ServerHealth.cpp
+++ b/Source/Core/Gateway/ServerHealth.cpp
@@ -27,11 +27,13 @@
 {
   m_failure_share *= 1 - NEWEST_WEIGHT;
   m_failures_in_a_row = 0;
+  m_was_reachable = true;
   m_ejections = 0;
 }
 
 void ServerHealth::NoteFailure(Common::TimePoint now)
 {
+  m_was_reachable = true;
   m_failure_share += NEWEST_WEIGHT * (1 - m_failure_share);
   ++m_failures_in_a_row;
   const bool was_on_trial = IsRecovering();
@@ -42,10 +44,17 @@
 
 void ServerHealth::NoteUnreachable(Common::TimePoint now)
 {
+  m_was_reachable = false;
   ++m_failures_in_a_row;
   Eject(now);
 }
 
+void ServerHealth::NoteConnectTimeout(Common::TimePoint now)
+{
+  NoteFailure(now);
+  m_was_reachable = false;
+}
+
 void ServerHealth::Eject(Common::TimePoint now)
 {
   if (IsEjected(now) || !Common::IsOn(Common::Mechanism::Ejection))
--- a/Source/UnitTests/Gateway/ResumedStreamsTest.cpp
+++ b/Source/UnitTests/Gateway/ResumedStreamsTest.cpp
@@ -227,6 +227,7 @@
   CPPUNIT_TEST(WaitingStreamBlocksNewRequestsInSlowStart);
   CPPUNIT_TEST(EjectedServersContinueNoStream);
   CPPUNIT_TEST(UnreachableServersAreTriedOnAndOn);
+  CPPUNIT_TEST(EjectedServersUseUpTheRetryBudget);
   CPPUNIT_TEST(DrainingServersContinueNoStream);
   CPPUNIT_TEST(StreamWaitsForDrainedServers);
   CPPUNIT_TEST(WaitingStreamOutlastsTheLastServerOfItsVersion);
@@ -355,6 +356,28 @@
     CPPUNIT_ASSERT_EQUAL(before, world.a1.Requests().size() + world.a2.Requests().size());
   }
 
+  /// The servers break off each stream after one event.
+  void EjectedServersUseUpTheRetryBudget()
+  {
+    TestServer first(BreakOff);
+    TestServer second(BreakOff);
+    World world;
+    world.Begin("id-1");
+    world.ListOtherVersion();
+    world.dispatcher.Servers().Remove(InstanceId("a-1"));
+    world.dispatcher.Servers().Remove(InstanceId("a-2"));
+    world.List("c-1", first, "a");
+    world.List("c-2", second, "a");
+    for (const char* instance : {"c-1", "c-2"})
+      for (int i = 0; i < 3; ++i)
+        world.Find(instance)->Health().NoteFailure(Common::Now());
+    const auto peer = world.TakeUp("id-1", "id-2");
+    AssertGoesOn(*peer);
+    RunFor(Milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.requests.size() + second.requests.size());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), world.dispatcher.Counters().retries);
+  }
+
   void DrainingServersContinueNoStream()
   {
     World world;
