Gateway: new requests leave permits to requests that wait for them

Callers saw: where the servers of a version have a rate limit, streams of that version that were taken up were refused after the longest wait, while new requests used the permits of these servers, though others were free.

Cause: a server with a limit comes first in the choice, for any request, and a request that arrives is sent at once, one that waits in the next pass over all waiting ones (40 ms, without a lease holder and without requests that end). So new requests, which may go anywhere, take the permits of a request that may go nowhere else. Class: the same order does not apply to what arrives and to what waits.

A new request does not use a permit that a waiting request which ranks before it could use. The rule of the slow start now also regards only waiting requests that may use the server.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -210,9 +210,11 @@
     if (!IsEligible(relay, *server, now))
       continue;
     // During the slow start after a Retry-After, new requests do not overtake waiting ones.
-    if (server->GetBackoff().IsSlowStart() && WouldOvertake(relay))
+    if (server->GetBackoff().IsSlowStart() && WouldOvertake(relay, *server))
       continue;
-    const bool may_send = m_limited.MaySend(*server, now);
+    // Nor do they use a permit that a waiting request could use.
+    const bool may_send =
+        m_limited.MaySend(*server, now) && !(server->Limit() && WouldOvertake(relay, *server));
     if (server->IsDraining() || server->IsEntryMissing())
     {
       if (may_send)
@@ -243,7 +245,7 @@
   return ChooseAmong(EjectedServersFor(relay, now), relay);
 }
 
-bool Dispatcher::WouldOvertake(const Relay& relay) const
+bool Dispatcher::WouldOvertake(const Relay& relay, const Server& server) const
 {
   if (relay.IsWaiting())
     return false;
@@ -251,7 +253,8 @@
     const Relay& other = *entry.second;
     return other.IsWaiting() && other.SelectedPool() == relay.SelectedPool() &&
            other.RequestedArtifact() == relay.RequestedArtifact() &&
-           SortKeyOf(other) < SortKeyOf(relay);
+           SortKeyOf(other) < SortKeyOf(relay) && other.MaySendTo(server.Entry().instance) &&
+           MayRunAt(other, server);
   });
 }
 
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -282,8 +282,9 @@
                                                 Common::Milliseconds longest_wait);
   /// How long a request would wait for the server, by its Retry-After and its rate limit.
   Common::Milliseconds ExpectedWait(const Server& server, Common::TimePoint now) const;
-  /// True if the request is new and a waiting request for the same artifact ranks before it.
-  bool WouldOvertake(const Relay& relay) const;
+  /// True if the request is new, and a waiting request for the same artifact that may use the
+  /// server as well ranks before it.
+  bool WouldOvertake(const Relay& relay, const Server& server) const;
   /// Records that a request was sent to another server, and that this one could have served it but
   /// for its limit.
   void RecordBypass(const Server& server, Common::TimePoint now);
