Gateway: the end of a server that is reported to drain is no crash

Callers saw: a stream was blocked for 10 minutes after its servers had ended as planned, one after the other, in a rollout.

Cause: when a connection breaks, it is checked whether the server drains; the refused connection that shows its end comes 100 ms later. A report of another VM that the server drains, passed on by the lease holder, may arrive in between, and the end counted as a crash under the stream's request. Class: streams that are taken up are those whose servers ended.

The state at the end of the check decides. The log line "server-ended" states whether it was planned.

A report that arrives after the check (no lease holder, which alone passes it on) still comes too late.

--- a/Source/Core/Gateway/CrashDetector.cpp
+++ b/Source/Core/Gateway/CrashDetector.cpp
@@ -116,13 +116,16 @@
     return;
   // The caller may be a timer or probe owned by the extracted node, which is destroyed on return.
   const auto check = m_pending_checks.extract(found);
-  const bool crashed = result == CheckResult::Crashed;
+  const bool ended = result == CheckResult::Crashed;
+  // The report that the server drains may have arrived during the check.
+  const bool crashed = ended && !check.mapped().server->IsDraining();
   const auto likely = SelectLikely(check.mapped().suspects);
   const auto took = std::chrono::duration_cast<Milliseconds>(Common::Now() - check.mapped().since);
   Common::LogEvent(crashed ? Common::LogLevel::Warning : Common::LogLevel::Info,
-                   crashed ? "server-ended" : "server-not-ended",
+                   ended ? "server-ended" : "server-not-ended",
                    {{"instance", instance},
                     {"how", how},
+                    {"planned", ended && !crashed},
                     {"broken", check.mapped().suspects.size()},
                     {"suspects", likely.size()},
                     {"after_ms", took.count()}});
