Gateway: blocks of prompt parts count for the version of the stream

Callers saw: a stream whose prompt part is blocked for its own version alone was refused because "no server is in a region where the request may run", with Retry-After 2 s.

Cause: a request counts as blocked for its parts only if they are blocked for every version in the pool. A resumed stream has one version. Likewise it waited for crash checks that concern other versions. Class: a resumed stream is treated as if it could go on anywhere.

Only versions that may continue the stream are regarded. The request then ends as blocked, with the Retry-After of the block.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -423,7 +423,8 @@
   const auto now = Common::Now();
   std::set<SoftwareVersion> versions;
   for (const ServerPtr& server : m_servers.InPool(relay.SelectedPool()))
-    versions.insert(server->Entry().version);
+    if (relay.MayContinueAt(server->Entry().version))
+      versions.insert(server->Entry().version);
   Crashes::BlockStatus shortest;
   for (const SoftwareVersion& version : versions)
   {
@@ -442,8 +443,8 @@
     return false;
   const auto now = Common::Now();
   for (const SoftwareVersion& version : VersionsInPool(relay.SelectedPool()))
-    if (m_crash_detector.IsCheckPendingForAny(
-            m_parts.Suspected(relay.PromptParts(), version.Get(), now)))
+    if (relay.MayContinueAt(version) && m_crash_detector.IsCheckPendingForAny(m_parts.Suspected(
+                                            relay.PromptParts(), version.Get(), now)))
       return true;
   const bool may_crash_more =
       relay.MustNotCrashMore() ||
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -215,8 +215,8 @@
                            CrashDetector::ResultHandler on_result = nullptr);
   /// Whether the request is blocked because servers that ran it have crashed.
   Crashes::BlockStatus GetBlockStatus(Relay& relay) const;
-  /// Whether the request is blocked because parts of its prompt crash servers, whatever their
-  /// software.
+  /// Whether the request is blocked because parts of its prompt crash servers, whatever the
+  /// software at which it may run.
   Crashes::BlockStatus GetPartStatus(const Relay& relay) const;
   Crashes::PartEvidence& Parts() { return m_parts; }
   /// True while it is not yet known whether a server that just broke the request's connection has
