Gateway: a resumed stream is refused once its version has gone

Callers saw: a stream that waited for a server of its version was refused only after its longest wait, though the last of these servers had been removed; so was one whose servers of the version had all drained.

Cause: whether any server may come is checked before a request waits, not while it does, and servers that have drained counted as some that may come. Class: a caller waits for what is known not to come.

A request that may have run still waits, as before.

--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -176,6 +176,10 @@
   std::optional<EarlyRefusal> CheckEarlyRefusal(const Relay& relay,
                                                 Common::Milliseconds idle_timeout,
                                                 Common::Milliseconds longest_wait);
+  /// The refusal for a request that no server may take until the operators change something: those
+  /// of its pool are evacuated or outside its regions, or those of the version that began its
+  /// stream have drained. Returns nullopt if any server may take it.
+  std::optional<EarlyRefusal> CheckNoServerAllowed(const Relay& relay) const;
   /// Counts a refused request as a waiting one for `span`, after which its caller should retry, so
   /// that its model can be loaded meanwhile.
   void ExpectRetry(const Relay& relay, Common::Milliseconds span);
@@ -266,9 +270,6 @@
   /// True if the request's route and account allow it to run in the server's region, and the
   /// server's software version began the stream that it resumes.
   bool MayRunAt(const Relay& relay, const Server& server) const;
-  /// The refusal for a request that no server may take until the operators change something: those
-  /// of its pool are evacuated or outside its regions. Returns nullopt if any server may take it.
-  std::optional<EarlyRefusal> CheckNoServerAllowed(const Relay& relay) const;
   /// Cold rates of the pools in the configuration.
   void ConfigureColdRates();
   /// Assumes that a data centre's servers are cold: they may have been restarted while evacuated,
--- a/Source/Core/Gateway/DispatcherPlaces.cpp
+++ b/Source/Core/Gateway/DispatcherPlaces.cpp
@@ -133,9 +133,11 @@
 {
   if (!relay.HasAllowedRegions() && !relay.IsBoundToVersion() && m_servers.Evacuated().empty())
     return std::nullopt;
+  const auto now = Common::Now();
   bool any_in_pool = false;
   bool any_of_version = false;
   bool any_in_region = false;
+  bool any_drained = false;
   for (const auto& [instance, server] : m_servers.All())
   {
     if (server->Entry().pool != relay.SelectedPool())
@@ -145,7 +147,10 @@
     if (!MayRunAt(relay, *server))
       continue;
     any_in_region = true;
-    if (!server->IsEvacuated())
+    const bool has_drained =
+        relay.IsBoundToVersion() && server->IsDraining() && !server->AcceptsRequests(now);
+    any_drained = any_drained || has_drained;
+    if (!server->IsEvacuated() && !has_drained)
       return std::nullopt;
   }
   if (!any_in_pool)
@@ -153,6 +158,9 @@
   if (!any_of_version)
     return EarlyRefusal{NO_SERVER_RETRY_AFTER,
                         "no server has the software version that began the stream"};
+  if (any_drained)
+    return EarlyRefusal{NO_SERVER_RETRY_AFTER,
+                        "the servers with the software version that began the stream have drained"};
   return EarlyRefusal{NO_SERVER_RETRY_AFTER,
                       any_in_region ? "the operators have evacuated all servers"
                                     : "no server is in a region where the request may run"};
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -223,6 +223,8 @@
   void WaitForServer();
   /// Ends the request and returns true if it cannot be served before its caller disconnects.
   bool RefuseEarly();
+  /// Ends a waiting request that resumes a stream if no server may continue that any more.
+  void RefuseIfVersionIsGone();
   void LogEarlyRefusal(const EarlyRefusal& refusal) const;
   void OnWaitExpired();
   void OnDeadline();
--- a/Source/Core/Gateway/RelayWaiting.cpp
+++ b/Source/Core/Gateway/RelayWaiting.cpp
@@ -42,7 +42,10 @@
     }
   }
   if (m_waiting)
+  {
+    RefuseIfVersionIsGone();
     return;
+  }
   if (RefuseEarly())
     return;
   m_waiting = true;
@@ -82,6 +85,17 @@
   return true;
 }
 
+void Relay::RefuseIfVersionIsGone()
+{
+  if (!IsBoundToVersion() || m_may_have_run)
+    return;
+  const auto refusal = m_dispatcher.CheckNoServerAllowed(*this);
+  if (!refusal)
+    return;
+  m_retry_after = refusal->retry_after;
+  Refuse(refusal->why);
+}
+
 void Relay::LogEarlyRefusal(const EarlyRefusal& refusal) const
 {
   if (!refusal.holder)
