--- a/Source/UnitTests/Gateway/ResumedStreamsTest.cpp
+++ b/Source/UnitTests/Gateway/ResumedStreamsTest.cpp
@@ -60,6 +60,14 @@
   Http::Endpoint Address() const { return m_server.Address(); }
   const std::vector<std::string>& Requests() const { return m_server.requests; }
 
+  /// Ends the connections of all streams that are open.
+  void BreakOffStreams()
+  {
+    for (const TestPeer* peer : m_open)
+      peer->stream->Close();
+    m_open.clear();
+  }
+
   /// A line that is added to the head of each response.
   std::string header;
 
@@ -232,6 +240,8 @@
   CPPUNIT_TEST(StreamWaitsForDrainedServers);
   CPPUNIT_TEST(WaitingStreamOutlastsTheLastServerOfItsVersion);
   CPPUNIT_TEST(ReplacedVersionKeepsACallerWaiting);
+  CPPUNIT_TEST(StreamThatRanForLongDoesNotWait);
+  CPPUNIT_TEST(BrokenStreamWaitsForAVersionThatIsGone);
   CPPUNIT_TEST(MissingEntriesEndStreams);
   CPPUNIT_TEST(NewRequestsTakeThePermitsOfAWaitingStream);
   CPPUNIT_TEST(ShortBackoffRefusesAStream);
@@ -245,6 +255,7 @@
   CPPUNIT_TEST(BrokenConnectionsOfRunningServersBlockAStream);
   CPPUNIT_TEST(ServersThatDrainedBlockAStream);
   CPPUNIT_TEST(LateReportOfADrainBlocksAStream);
+  CPPUNIT_TEST(TwoCrashesBlockAStream);
   CPPUNIT_TEST(StreamBreaksOnItsThirdServer);
   CPPUNIT_TEST(RefusedStreamIsCharged);
   CPPUNIT_TEST(StreamContinuesInAPoolWithoutItsVersion);
@@ -431,6 +442,41 @@
     CPPUNIT_ASSERT(World::RetryAfter(*peer) >= 1);
   }
 
+  /// Runs a stream at "a-1" for longer than a request may wait for a server.
+  static std::unique_ptr<TestPeer> RunForLong(World& world)
+  {
+    world.dispatcher.Servers().Remove(InstanceId("a-2"));
+    auto peer = world.Call(STREAM_PATH, "id-1");
+    CPPUNIT_ASSERT(World::Gets(*peer, Event(1)));
+    RunFor(LONGEST_WAIT);
+    world.ListOtherVersion();
+    return peer;
+  }
+
+  /// The stream breaks while the other server of its version takes no requests for 100 ms.
+  void StreamThatRanForLongDoesNotWait()
+  {
+    World world;
+    const auto peer = RunForLong(world);
+    world.List("a-2", world.a2, "a")->GetBackoff().NoteRetryAfter(Milliseconds(100), Common::Now());
+    world.a1.BreakOffStreams();
+    AssertGoesOn(*peer);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), world.RequestsAtOtherVersion());
+  }
+
+  void BrokenStreamWaitsForAVersionThatIsGone()
+  {
+    World world;
+    const auto peer = RunForLong(world);
+    world.dispatcher.Servers().Remove(InstanceId("a-1"));
+    world.a1.BreakOffStreams();
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return peer->ended;
+        },
+        AT_ONCE));
+  }
+
   /// The store is away: the entries of the version's servers have lapsed.
   void MissingEntriesEndStreams()
   {
@@ -632,13 +678,12 @@
 
   /// Ends servers with a stream open, one after the other, as in a rollout; `announce` makes known
   /// that the server drains.
-  static void
-  AssertGoesOnAfterEnds(World& world,
-                        const std::function<void(const ServerPtr&, bool ended)>& announce)
+  static void EndServers(World& world, int count,
+                         const std::function<void(const ServerPtr&, bool ended)>& announce)
   {
     world.dispatcher.Servers().Remove(InstanceId("a-1"));
     world.dispatcher.Servers().Remove(InstanceId("a-2"));
-    for (int i = 1; i <= 4; ++i)
+    for (int i = 1; i <= count; ++i)
     {
       auto server = std::make_unique<TestServer>([](TestPeer& peer, const std::string& head) {
         peer.stream->Write(StreamHead(head) + Chunk(Event(1)));
@@ -656,26 +701,35 @@
     }
     world.List("a-1", world.a1, "a");
     world.ListOtherVersion();
-    AssertGoesOn(*world.TakeUp("id-1", "id-9", ONE_STREAM_PATH));
   }
 
   void ServersThatDrainedBlockAStream()
   {
     World world;
-    AssertGoesOnAfterEnds(world, [](const ServerPtr& server, bool ended) {
+    EndServers(world, 4, [](const ServerPtr& server, bool ended) {
       if (!ended)
         server->Drain().NoteReported(Common::Now());
     });
+    AssertGoesOn(*world.TakeUp("id-1", "id-9", ONE_STREAM_PATH));
   }
 
   /// The report that the server drains arrives while it is checked whether the server crashed.
   void LateReportOfADrainBlocksAStream()
   {
     World world;
-    AssertGoesOnAfterEnds(world, [](const ServerPtr& server, bool ended) {
+    EndServers(world, 4, [](const ServerPtr& server, bool ended) {
       if (ended)
         server->Drain().NoteReported(Common::Now());
     });
+    AssertGoesOn(*world.TakeUp("id-1", "id-9", ONE_STREAM_PATH));
+  }
+
+  void TwoCrashesBlockAStream()
+  {
+    World world;
+    EndServers(world, 2, [](const ServerPtr&, bool) {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.dispatcher.CrashCases().Cases());
+    AssertGoesOn(*world.TakeUp("id-1", "id-9", ONE_STREAM_PATH));
   }
 
   /// The route allows a request one server.
