Gateway: a broken stream waits for a server from its last event on

Callers saw: a stream that had run for longer than 0.7 s to 1.4 s was broken off as soon as its server broke, if the other servers of its version were busy, and had to be taken up; a shorter one waited.

Cause: the time that a request may wait for a server counts from its arrival. For a stream that has begun it had passed. Class: a limit of new requests is applied to a stream that has begun.

The time counts from the last event that the caller got, as its idle timeout does. Where no server of the version may come any more, a begun stream ends at once, as it did before.

BrokenStreamWaitsForAVersionThatIsGone passes before and after.

--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -223,8 +223,9 @@
   void WaitForServer();
   /// Ends the request and returns true if it cannot be served before its caller disconnects.
   bool RefuseEarly();
-  /// Ends a waiting request that resumes a stream if no server may continue that any more.
-  void RefuseIfVersionIsGone();
+  /// Ends the request and returns true if it continues a stream that no server may continue any
+  /// more.
+  bool EndIfVersionIsGone();
   void LogEarlyRefusal(const EarlyRefusal& refusal) const;
   void OnWaitExpired();
   void OnDeadline();
--- a/Source/Core/Gateway/RelayWaiting.cpp
+++ b/Source/Core/Gateway/RelayWaiting.cpp
@@ -43,10 +43,10 @@
   }
   if (m_waiting)
   {
-    RefuseIfVersionIsGone();
+    EndIfVersionIsGone();
     return;
   }
-  if (RefuseEarly())
+  if (EndIfVersionIsGone() || RefuseEarly())
     return;
   m_waiting = true;
   m_wait_timer.Start(WaitLeft(Common::Now()), [this] {
@@ -57,11 +57,13 @@
 
 Milliseconds Relay::WaitLeft(Common::TimePoint now) const
 {
+  // The caller's idle timeout counts from the last event that it got.
+  const auto since = m_stream_begun ? m_last_event_at : m_arrived;
   auto limit =
-      std::chrono::duration_cast<Milliseconds>((m_deadline - m_arrived) * WAIT_SHARE_OF_DEADLINE);
+      std::chrono::duration_cast<Milliseconds>((m_deadline - since) * WAIT_SHARE_OF_DEADLINE);
   limit = std::min(
       limit, std::chrono::duration_cast<Milliseconds>(m_idle_timeout * WAIT_SHARE_OF_IDLE_TIMEOUT));
-  return std::max(std::chrono::floor<Milliseconds>(m_arrived + limit - now), Milliseconds(0));
+  return std::max(std::chrono::floor<Milliseconds>(since + limit - now), Milliseconds(0));
 }
 
 bool Relay::RefuseEarly()
@@ -85,15 +87,21 @@
   return true;
 }
 
-void Relay::RefuseIfVersionIsGone()
+bool Relay::EndIfVersionIsGone()
 {
-  if (!IsBoundToVersion() || m_may_have_run)
-    return;
+  if (!IsBoundToVersion())
+    return false;
   const auto refusal = m_dispatcher.CheckNoServerAllowed(*this);
   if (!refusal)
-    return;
+    return false;
+  if (m_may_have_run)
+  {
+    OnWaitExpired();
+    return true;
+  }
   m_retry_after = refusal->retry_after;
   Refuse(refusal->why);
+  return true;
 }
 
 void Relay::LogEarlyRefusal(const EarlyRefusal& refusal) const
