UnitTests: a resumed stream waits for a crash check

With two crashes under a stream on record, the connection to a third server breaks, which keeps running. The stream that is taken up at once waits for the check and goes on.

--- a/Source/UnitTests/Gateway/ResumedStreamsTest.cpp
+++ b/Source/UnitTests/Gateway/ResumedStreamsTest.cpp
@@ -256,6 +256,7 @@
   CPPUNIT_TEST(ServersThatDrainedBlockAStream);
   CPPUNIT_TEST(LateReportOfADrainBlocksAStream);
   CPPUNIT_TEST(TwoCrashesBlockAStream);
+  CPPUNIT_TEST(CrashCheckRefusesAStream);
   CPPUNIT_TEST(StreamBreaksOnItsThirdServer);
   CPPUNIT_TEST(RefusedStreamIsCharged);
   CPPUNIT_TEST(StreamContinuesInAPoolWithoutItsVersion);
@@ -732,6 +733,26 @@
     AssertGoesOn(*world.TakeUp("id-1", "id-9", ONE_STREAM_PATH));
   }
 
+  /// One crash short of a block, the connection to a server breaks that keeps running.
+  void CrashCheckRefusesAStream()
+  {
+    World world;
+    EndServers(world, 2, [](const ServerPtr&, bool) {});
+    for (const char* instance : {"a-1", "b-1", "b-2"})
+      world.dispatcher.Servers().Remove(InstanceId(instance));
+    TestServer server(BreakOff);
+    world.List("c-1", server, "a");
+    const auto peer = world.Call(ONE_STREAM_PATH, "id-5");
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return peer->ended;
+    }));
+    world.List("a-1", world.a1, "a");
+    world.ListOtherVersion();
+    world.dispatcher.Servers().Remove(InstanceId("c-1"));
+    CPPUNIT_ASSERT(world.dispatcher.GetCrashDetector().HasPendingChecks());
+    AssertGoesOn(*world.TakeUp("id-5", "id-9", ONE_STREAM_PATH));
+  }
+
   /// The route allows a request one server.
   void StreamBreaksOnItsThirdServer()
   {
