--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -146,11 +146,37 @@
   return server.Entry().slots * factor - server.RemoteInFlight();
 }
 
+bool Dispatcher::MayServe(const Relay& relay, const Server& server, Common::TimePoint now) const
+{
+  return server.Entry().pool == relay.SelectedPool() &&
+         server.MayServe(relay.RequestedArtifact(), now) &&
+         relay.MaySendTo(server.Entry().instance) && MayRunAt(relay, server) &&
+         m_paths.HasPath(server, now);
+}
+
 bool Dispatcher::IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const
 {
-  return server.Entry().pool == relay.SelectedPool() && server.IsAvailable(now) &&
-         server.Holds(relay.RequestedArtifact(), now) && relay.MaySendTo(server.Entry().instance) &&
-         MayRunAt(relay, server) && m_paths.HasPath(server, now);
+  return server.IsAvailable(now) && MayServe(relay, server, now);
+}
+
+std::vector<ServerPtr> Dispatcher::EjectedServersFor(const Relay& relay, Common::TimePoint now)
+{
+  std::vector<ServerPtr> servers;
+  // Only the first send of an attempt: repeats would use up the retry budget at a failing server.
+  if (!relay.IsUnsentContinuation())
+    return servers;
+  for (const auto& [instance, server] : m_servers.All())
+    if (MayServe(relay, *server, now))
+      servers.push_back(server);
+  const bool all_ejected = std::ranges::all_of(servers, [](const ServerPtr& server) {
+    return server->Health().IsRecovering();
+  });
+  if (!all_ejected)
+    return {};
+  std::erase_if(servers, [&](const ServerPtr& server) {
+    return !server->IsAvailableThoughEjected(now) || !m_limited.MaySend(*server, now);
+  });
+  return servers;
 }
 
 ServerPtr Dispatcher::ChooseAmong(const std::vector<ServerPtr>& servers, const Relay& relay)
@@ -184,9 +210,11 @@
     if (!IsEligible(relay, *server, now))
       continue;
     // During the slow start after a Retry-After, new requests do not overtake waiting ones.
-    if (server->GetBackoff().IsSlowStart() && WouldOvertake(relay))
+    if (server->GetBackoff().IsSlowStart() && WouldOvertake(relay, *server))
       continue;
-    const bool may_send = m_limited.MaySend(*server, now);
+    // Nor do they use a permit that a waiting request could use.
+    const bool may_send =
+        m_limited.MaySend(*server, now) && !(server->Limit() && WouldOvertake(relay, *server));
     if (server->IsDraining() || server->IsEntryMissing())
     {
       if (may_send)
@@ -212,10 +240,12 @@
         RecordBypass(*server, now);
     return chosen;
   }
-  return ChooseAmong(last_choices, relay);
+  if (ServerPtr chosen = ChooseAmong(last_choices, relay))
+    return chosen;
+  return ChooseAmong(EjectedServersFor(relay, now), relay);
 }
 
-bool Dispatcher::WouldOvertake(const Relay& relay) const
+bool Dispatcher::WouldOvertake(const Relay& relay, const Server& server) const
 {
   if (relay.IsWaiting())
     return false;
@@ -223,7 +253,8 @@
     const Relay& other = *entry.second;
     return other.IsWaiting() && other.SelectedPool() == relay.SelectedPool() &&
            other.RequestedArtifact() == relay.RequestedArtifact() &&
-           SortKeyOf(other) < SortKeyOf(relay);
+           SortKeyOf(other) < SortKeyOf(relay) && other.MaySendTo(server.Entry().instance) &&
+           MayRunAt(other, server);
   });
 }
 
@@ -392,7 +423,8 @@
   const auto now = Common::Now();
   std::set<SoftwareVersion> versions;
   for (const ServerPtr& server : m_servers.InPool(relay.SelectedPool()))
-    versions.insert(server->Entry().version);
+    if (relay.MayContinueAt(server->Entry()))
+      versions.insert(server->Entry().version);
   Crashes::BlockStatus shortest;
   for (const SoftwareVersion& version : versions)
   {
@@ -411,7 +443,8 @@
     return false;
   const auto now = Common::Now();
   for (const SoftwareVersion& version : m_versions.Recent(relay.SelectedPool(), now))
-    if (m_crash_detector.IsCheckPendingForAny(
+    if (relay.MayContinueAt(relay.SelectedPool(), version) &&
+        m_crash_detector.IsCheckPendingForAny(
             m_parts.Suspected(relay.PromptParts(), version.Get(), now)))
       return true;
   const bool may_crash_more =
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -177,6 +177,10 @@
   std::optional<EarlyRefusal> CheckEarlyRefusal(const Relay& relay,
                                                 Common::Milliseconds idle_timeout,
                                                 Common::Milliseconds longest_wait);
+  /// The refusal for a request that no server may take until the operators change something: those
+  /// of its pool are evacuated or outside its regions, or those of the version that began its
+  /// stream have drained. Returns nullopt if any server may take it.
+  std::optional<EarlyRefusal> CheckNoServerAllowed(const Relay& relay) const;
   /// Counts a refused request as a waiting one for `span`, after which its caller should retry, so
   /// that its model can be loaded meanwhile.
   void ExpectRetry(const Relay& relay, Common::Milliseconds span);
@@ -213,8 +217,6 @@
   /// `known`: the origin, if the stream was resumed.
   void NoteStream(StreamKey stream, const PoolId& pool, const SoftwareVersion& version,
                   const std::optional<StreamOrigin>& known);
-  /// Whether a server of the pool has this software version.
-  bool HasVersion(const PoolId& pool, VersionKey version) const;
   /// How this VM reaches the servers.
   ServerPaths& Paths() { return m_paths; }
   const ServerPaths& Paths() const { return m_paths; }
@@ -234,8 +236,8 @@
                            CrashDetector::ResultHandler on_result = nullptr);
   /// Whether the request is blocked because servers that ran it have crashed.
   Crashes::BlockStatus GetBlockStatus(Relay& relay) const;
-  /// Whether the request is blocked because parts of its prompt crash servers, whatever their
-  /// software.
+  /// Whether the request is blocked because parts of its prompt crash servers, whatever the
+  /// software at which it may run.
   Crashes::BlockStatus GetPartStatus(const Relay& relay) const;
   Crashes::PartEvidence& Parts() { return m_parts; }
   /// True while it is not yet known whether a server that just broke the request's connection has
@@ -278,12 +280,14 @@
   std::int64_t ConcurrencyLimitFor(const Server& server) const;
   /// True if the request may be sent to the server now, leaving the server's rate limit aside.
   bool IsEligible(const Relay& relay, const Server& server, Common::TimePoint now) const;
+  /// True if the request may be sent to the server when that takes requests.
+  bool MayServe(const Relay& relay, const Server& server, Common::TimePoint now) const;
+  /// Servers for a stream that its caller has taken up, which no other server may continue: where
+  /// all servers of its version are ejected, those that accept connections.
+  std::vector<ServerPtr> EjectedServersFor(const Relay& relay, Common::TimePoint now);
   /// True if the request's route and account allow it to run in the server's region, and the
   /// server's software version began the stream that it resumes.
   bool MayRunAt(const Relay& relay, const Server& server) const;
-  /// The refusal for a request that no server may take until the operators change something: those
-  /// of its pool are evacuated or outside its regions. Returns nullopt if any server may take it.
-  std::optional<EarlyRefusal> CheckNoServerAllowed(const Relay& relay) const;
   /// Cold rates of the pools in the configuration.
   void ConfigureColdRates();
   /// Assumes that a data centre's servers are cold: they may have been restarted while evacuated,
@@ -297,8 +301,9 @@
                                                 Common::Milliseconds longest_wait);
   /// How long a request would wait for the server, by its Retry-After and its rate limit.
   Common::Milliseconds ExpectedWait(const Server& server, Common::TimePoint now) const;
-  /// True if the request is new and a waiting request for the same artifact ranks before it.
-  bool WouldOvertake(const Relay& relay) const;
+  /// True if the request is new, and a waiting request for the same artifact that may use the
+  /// server as well ranks before it.
+  bool WouldOvertake(const Relay& relay, const Server& server) const;
   /// Records that a request was sent to another server, and that this one could have served it but
   /// for its limit.
   void RecordBypass(const Server& server, Common::TimePoint now);
--- a/Source/Core/Gateway/DispatcherStreams.cpp
+++ b/Source/Core/Gateway/DispatcherStreams.cpp
@@ -62,11 +62,4 @@
   if (m_origins.Note(stream, origin, now) && m_on_stream_noted)
     m_on_stream_noted(stream);
 }
-
-bool Dispatcher::HasVersion(const PoolId& pool, VersionKey version) const
-{
-  return std::ranges::any_of(m_servers.InPool(pool), [&](const ServerPtr& server) {
-    return KeyOf(pool, server->Entry().version) == version;
-  });
-}
 } // namespace Gateway
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 #include "Common/Log.h"
@@ -242,8 +243,23 @@
     RefuseIfBlocked();
 }
 
+void Relay::SelectPoolOfVersion()
+{
+  std::vector<WeightedPool> pools;
+  std::ranges::copy_if(m_route.pools, std::back_inserter(pools), [this](const WeightedPool& entry) {
+    return std::ranges::any_of(m_dispatcher.Servers().InPool(entry.pool),
+                               [this](const auto& server) {
+                                 return MayContinueAt(server->Entry());
+                               });
+  });
+  if (!pools.empty())
+    m_pool = PickPool(pools);
+}
+
 void Relay::FindServer()
 {
+  if (IsBoundToVersion())
+    SelectPoolOfVersion();
   m_dispatcher.NoteArrival(*this);
   TryDispatch();
 }
@@ -272,7 +288,9 @@
   }
   if (const auto last_event = ParseNumber(head.Find(names.last_event_id)))
     m_events.StartAfter(*last_event);
-  const std::string* resumes = head.Find(names.resumes);
+  // Without an event that the caller has, the stream begins anew, whatever attempt the caller
+  // names.
+  const std::string* resumes = m_events.LastId() ? head.Find(names.resumes) : nullptr;
   m_resumes = resumes == nullptr ? "" : *resumes;
   m_stream = KeyOf(m_account, m_resumes.empty() ? m_id : m_resumes);
 }
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -132,10 +132,16 @@
   void WithdrawUnsent(const std::set<ServerPtr>& servers, std::string_view why);
   /// True if the request resumes a stream, and the software version that began it is known.
   bool IsBoundToVersion() const { return m_stream_version.has_value(); }
+  /// True if the request resumes a stream whose version is known, and no server has got it yet.
+  bool IsUnsentContinuation() const { return IsBoundToVersion() && m_arrivals == 0; }
   /// False if the request resumes a stream that a server with other software began.
+  bool MayContinueAt(const PoolId& pool, const SoftwareVersion& version) const
+  {
+    return !m_stream_version || *m_stream_version == KeyOf(pool, version);
+  }
   bool MayContinueAt(const ServerEntry& server) const
   {
-    return !m_stream_version || *m_stream_version == KeyOf(server.pool, server.version);
+    return MayContinueAt(server.pool, server.version);
   }
   /// True if the request waits for the origin of this stream.
   bool AwaitsOrigin(StreamKey stream) const { return m_awaits_origin && m_stream == stream; }
@@ -197,6 +203,8 @@
   void LogOrigin(const StreamOrigins::Entry* entry) const;
   /// Records at regular intervals that the stream is still running.
   void NoteStream();
+  /// Draws among the route's pools with servers that may continue the stream, if there are any.
+  void SelectPoolOfVersion();
   /// Looks for a server, after the account's limit has been checked.
   void FindServer();
   /// The values of the key headers in the order in which they appear.
@@ -247,6 +255,9 @@
   void WaitForServer();
   /// Ends the request and returns true if it cannot be served before its caller disconnects.
   bool RefuseEarly();
+  /// Ends the request and returns true if it continues a stream that no server may continue any
+  /// more.
+  bool EndIfVersionIsGone();
   void LogEarlyRefusal(const EarlyRefusal& refusal) const;
   void OnWaitExpired();
   void OnDeadline();
--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -88,12 +88,6 @@
   m_origin = entry.origin;
   m_origin_source = source;
   m_stream_version = entry.origin.version;
-  // A route may have several pools, and the stream began in one of them.
-  const auto pool = std::ranges::find_if(m_route.pools, [&](const WeightedPool& candidate) {
-    return m_dispatcher.HasVersion(candidate.pool, entry.origin.version);
-  });
-  if (pool != m_route.pools.end())
-    m_pool = pool->pool;
   LogOrigin(&entry);
 }
 
@@ -101,10 +95,15 @@
 {
   const auto now = Common::Now();
   const VersionHistory& history = m_dispatcher.Versions();
+  // The stream may have begun in any pool of the route.
+  std::set<SoftwareVersion> known;
+  for (const WeightedPool& entry : m_route.pools)
+    known.merge(history.Recent(entry.pool, now));
+  if (known.size() != 1 || !(m_origin_evidence.is_current || history.IsCurrent(now)))
+    return false;
   std::set<VersionKey> versions = m_origin_evidence.versions;
-  for (const SoftwareVersion& version : history.Recent(m_pool, now))
-    versions.insert(KeyOf(m_pool, version));
-  if (versions.size() != 1 || !(m_origin_evidence.is_current || history.IsCurrent(now)))
+  versions.insert(KeyOf(m_pool, *known.begin()));
+  if (versions.size() != 1)
     return false;
   m_origin_source = OriginSource::OnlyVersion;
   m_stream_version = *versions.begin();
