Orders: demand names the servers that may take it, tests of loads for it

Callers that resume a stream were refused with "no server could take the request in time" while new streams of the same model began.

Cause, shown by BoundDemandTest on the planner as it was: the demand that daemons report names neither the software version that began the stream nor the allowed regions. A model that only a server of another version holds counts as held, so nothing is loaded at the version that the stream needs (no order within 1 s of plans). In the same way a model in another region counts as held, an adapter is loaded at a server that may not take the request, and demand that no server may take causes loads.

DemandLine gets a constraint (versions and regions, empty: any), two bytes for a line without one (UnboundDemandLineIsMuchLonger passes), and the planner's input gets bound demand by group of servers.

--- a/Source/Core/Daemons/Codec.h
+++ b/Source/Core/Daemons/Codec.h
@@ -16,6 +16,7 @@
 #include <cereal/types/common.hpp>
 #include <cereal/types/map.hpp>
 #include <cereal/types/optional.hpp>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -451,13 +451,13 @@
 };
 } // namespace
 
-int WantedReplicas(const PlannedModel& model, int batch, bool spare_replicas)
+int WantedReplicas(const ModelDemand& demand, int batch, bool spare_replicas)
 {
   const bool asked_often =
-      spare_replicas && model.arrivals_per_second >= SPARE_REPLICA_ABOVE_PER_SECOND;
-  if (model.waiting == 0 && model.in_flight == 0 && !asked_often)
+      spare_replicas && demand.arrivals_per_second >= SPARE_REPLICA_ABOVE_PER_SECOND;
+  if (demand.waiting == 0 && demand.in_flight == 0 && !asked_often)
     return 0;
-  const double load = model.in_flight + model.waiting;
+  const double load = demand.in_flight + demand.waiting;
   const int by_load = 1 + static_cast<int>(load / (TARGET_UTILIZATION * std::max(batch, 1)));
   const int spare = asked_often ? 2 : 1;
   return std::max(by_load, spare);
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -16,20 +16,44 @@
 /// functions of the known state of the servers and of the demand.
 namespace Decisions
 {
-struct PlannedModel
+/// The demand for one model.
+struct ModelDemand
+{
+  int waiting = 0;                      ///< Requests waiting for it, over all daemons.
+  int priority = 9;                     ///< Of the most urgent waiting request.
+  Common::Milliseconds oldest_wait{0};  ///< Longest wait of a single request.
+  Common::Milliseconds unserved_for{0}; ///< Over all requests, while no server has it loaded.
+  double arrivals_per_second = 0;
+  int in_flight = 0;             ///< Over all servers that may take the requests.
+  Common::TimePoint last_wanted; ///< Time of the last request for it.
+};
+
+/// A model, and the demand for it that any server may serve.
+struct PlannedModel : ModelDemand
 {
   double memory_mb = 0;
   Common::Milliseconds from_host_memory{0};
   Common::Milliseconds from_disk{0};
   Common::Milliseconds from_store{0};
   bool listed = true; ///< Named in the operators' configuration; other models are only evicted.
-  int waiting = 0;    ///< Requests waiting for it, over all daemons.
-  int priority = 9;   ///< Of the most urgent waiting request.
-  Common::Milliseconds oldest_wait{0};  ///< Longest wait of a single request.
-  Common::Milliseconds unserved_for{0}; ///< Over all requests, while no server has it loaded.
-  double arrivals_per_second = 0;
-  int in_flight = 0;             ///< Over all servers.
-  Common::TimePoint last_wanted; ///< Time of the last request for it.
+};
+
+/// Index of a group of servers that may take the same requests.
+enum class ServerGroup : std::uint32_t
+{
+};
+constexpr std::size_t At(ServerGroup group)
+{
+  return static_cast<std::size_t>(group);
+}
+
+/// Demand for a model that only some servers may serve.
+struct BoundDemand : ModelDemand
+{
+  ModelIndex model{};
+  std::vector<bool> groups; ///< By `ServerGroup`: whether its servers may take the requests.
+
+  bool MayUse(ServerGroup group) const { return At(group) < groups.size() && groups[At(group)]; }
 };
 
 struct PlannedReplica
@@ -46,6 +70,7 @@
   double reserved_mb = 0; ///< Memory to keep free.
   bool usable = true;     ///< Accepts requests and orders.
   bool order_open = false;
+  ServerGroup group{};
   /// The server is about to shut down or is evacuated: its replicas and pending loads are not
   /// counted.
   bool draining = false;
@@ -87,6 +112,7 @@
   int batch = 1; ///< Concurrent requests per server.
   std::vector<PlannedServer> servers;
   std::vector<PlannedModel> models;
+  std::vector<BoundDemand> bound_demands;
   WeightCopies copies;
   int store_loads_allowed = 0; ///< Loads from the weight store that may start now.
 };
@@ -134,6 +160,6 @@
 
 ReplicaPlan PlanReplicas(const ReplicaPlanInput& input);
 
-/// The number of replicas that the demand for a model calls for.
-int WantedReplicas(const PlannedModel& model, int batch, bool spare_replicas = true);
+/// The number of replicas that the demand calls for.
+int WantedReplicas(const ModelDemand& demand, int batch, bool spare_replicas = true);
 } // namespace Decisions
--- a/Source/Core/Orders/MessageSize.cpp
+++ b/Source/Core/Orders/MessageSize.cpp
@@ -33,6 +33,16 @@
   return EncodedTextSizeBound(artifact.model) + EncodedTextSizeBound(artifact.adapter);
 }
 
+std::size_t EncodedSizeBound(const Gateway::PlacementConstraint& constraint)
+{
+  std::size_t bytes = 2 * COUNT_BYTES;
+  for (const Gateway::SoftwareVersion& version : constraint.versions)
+    bytes += EncodedTextSizeBound(version);
+  for (const Common::RegionId& region : constraint.regions)
+    bytes += EncodedTextSizeBound(region);
+  return bytes;
+}
+
 /// Allowances get this fraction (1/N) of the space in a report, enough for some 400 accounts.
 constexpr std::size_t ALLOWANCE_DIVISOR = 4;
 /// Maximum number of servers that a message identifies only by a number.
@@ -91,7 +101,7 @@
 std::size_t EncodedSizeBound(const DemandLine& line)
 {
   return EncodedTextSizeBound(line.pool) + EncodedSizeBound(line.artifact) + 3 * COUNT_BYTES +
-         NUMBER_BYTES;
+         NUMBER_BYTES + EncodedSizeBound(line.constraint);
 }
 
 std::size_t EncodedSizeBound(const LoadLine& line)
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -13,6 +13,7 @@
 #include "Daemons/Codec.h"
 #include "Fleet/HandoverPlanner.h"
 #include "Fleet/RowChange.h"
+#include "Gateway/PlacementConstraint.h"
 #include "Gateway/Types.h"
 #include "RateLimits/Messages.h"
 
@@ -47,7 +48,7 @@
   }
 };
 
-/// Waiting and recent requests for one artifact at one daemon.
+/// Waiting and recent requests for one artifact at one daemon that the same servers may take.
 struct DemandLine
 {
   Gateway::PoolId pool;
@@ -56,11 +57,12 @@
   std::int32_t priority = 9;
   std::int64_t oldest_wait_ms = 0;
   std::int32_t arrivals = 0; ///< Requests that arrived since the previous report.
+  Gateway::PlacementConstraint constraint;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(pool, artifact, waiting, priority, oldest_wait_ms, arrivals);
+    archive(pool, artifact, waiting, priority, oldest_wait_ms, arrivals, constraint);
   }
 };
 
--- a/Source/Core/Orders/OrderManager.h
+++ b/Source/Core/Orders/OrderManager.h
@@ -82,6 +82,8 @@
 struct OrderManagerSettings
 {
   double load_window_s = 5; ///< Window of the rate limit on loads from the weight store.
+  /// The region of each data centre.
+  std::map<Common::DataCentreId, Common::RegionId> regions;
 };
 
 /// Plans and sends the orders of the lease holder and tracks their outcomes. Each order contains
