Orders: the holder loads models and adapters where their requests may run

Demand with a constraint is kept apart from the rest, by model and constraint, with its own arrival rate and its own time without a replica. Servers of one version and region form a group, to which constraints are matched once in a plan. Adapters are looked for and loaded only at servers that the constraint allows. `model-passed-over` states whether the demand is bound.

At most 1,024 different bound demands of a pool are planned as such; further ones count as unbound, as all did before, and are counted in orders_bound_demand_over_limit. A demand without a request for 8 s is forgotten.

--- a/Source/Core/Orders/OrderManager.cpp
+++ b/Source/Core/Orders/OrderManager.cpp
@@ -114,8 +114,12 @@
     return pool == m_configuration->pools.end() || !pool->second.model_server;
   });
   for (const auto& [id, pool] : m_configuration->pools)
-    if (pool.model_server)
-      m_plan_inputs[id].Configure(pool);
+  {
+    if (!pool.model_server)
+      continue;
+    m_plan_inputs[id].Configure(pool);
+    m_plan_inputs[id].SetRegions(m_settings.regions);
+  }
   m_server_refs.clear();
   m_server_refs_revision = 0;
 }
@@ -135,7 +139,10 @@
     };
     std::vector<DemandLine> lines;
     std::ranges::copy_if(report.demand, std::back_inserter(lines), of_pool);
-    if (plan_input.ApplyDemand(report.vm, lines, now))
+    const bool all_known = plan_input.ApplyDemand(report.vm, lines, now);
+    if (const auto lines_over_limit = plan_input.TakeLinesOverLimit())
+      m_counters["bound_demand_over_limit"] += lines_over_limit;
+    if (all_known)
       continue;
     ++m_counters["demand_for_unknown_models"];
     if (!std::exchange(m_unknown_logged, true))
--- a/Source/Core/Orders/OrderManager.h
+++ b/Source/Core/Orders/OrderManager.h
@@ -266,11 +266,19 @@
 
   /// Announces loaded adapters to the daemons once they are usable.
   void AnnounceAdapters();
-  /// Adapters for which requests are waiting.
-  std::set<Gateway::Artifact> WaitingAdapters(const Gateway::PoolId& pool) const;
-  /// The pool's servers on which the model is loaded.
+  /// An adapter for which requests are waiting, and the servers that may take them.
+  struct AdapterDemand
+  {
+    Gateway::Artifact artifact;
+    Gateway::PlacementConstraint constraint;
+
+    auto operator<=>(const AdapterDemand&) const = default;
+  };
+  std::set<AdapterDemand> WaitingAdapters(const Gateway::PoolId& pool) const;
+  /// The pool's servers that have the adapter's model loaded and may take the requests.
   std::vector<const ServerRef*> Holders(const Gateway::PoolId& pool,
-                                        const Gateway::ModelId& model) const;
+                                        const AdapterDemand& demand) const;
+  bool MayTake(const Gateway::Server& server, const Gateway::PlacementConstraint& constraint) const;
   std::vector<Gateway::Artifact> AdaptersOn(const Gateway::Server& server,
                                             const ServerRecord& record) const;
 
--- a/Source/Core/Orders/OrderManagerAdapters.cpp
+++ b/Source/Core/Orders/OrderManagerAdapters.cpp
@@ -31,9 +31,10 @@
 
 void OrderManager::PlanAdapters(const Gateway::Pool& pool, TimePoint now)
 {
-  for (const Artifact& artifact : WaitingAdapters(pool.id))
+  for (const AdapterDemand& demand : WaitingAdapters(pool.id))
   {
-    const auto holders = Holders(pool.id, artifact.model);
+    const Artifact& artifact = demand.artifact;
+    const auto holders = Holders(pool.id, demand);
     const bool held = std::ranges::any_of(holders, [&](const ServerRef* ref) {
       const auto adapters = AdaptersOn(*ref->server, *ref->record);
       return ref->server->IsStaying() && !ref->server->Health().IsEjected(now) &&
--- a/Source/Core/Orders/OrderManagerPlan.cpp
+++ b/Source/Core/Orders/OrderManagerPlan.cpp
@@ -27,6 +27,16 @@
 /// Minimum interval between log lines for a model that successive plans skip.
 constexpr Common::Milliseconds SKIPPED_LOG_INTERVAL{1000};
 
+/// Requests that wait for the model, whichever servers may take them.
+int WaitingFor(const Decisions::ReplicaPlanInput& input, Decisions::ModelIndex model)
+{
+  int waiting = input.models[Decisions::At(model)].waiting;
+  for (const Decisions::BoundDemand& demand : input.bound_demands)
+    if (demand.model == model)
+      waiting += demand.waiting;
+  return waiting;
+}
+
 /// The reason for the order, for the log.
 std::string ReasonOf(const PlanInputBuilder& plan_input, const Decisions::PlannedOrder& order,
                      int waiting)
@@ -126,7 +136,7 @@
                            [&](Decisions::ModelIndex model) {
                              return plan_input.NameOf(model);
                            });
-    const int waiting = input.models[Decisions::At(order.model)].waiting;
+    const int waiting = WaitingFor(input, order.model);
     StartOrder(plan_input.ServerAt(order.server),
                is_load ? OrderCall::Operation::Load : OrderCall::Operation::Unload,
                plan_input.NameOf(order.model), std::move(next), order.source,
@@ -152,9 +162,10 @@
         Common::LogLevel::Info, "model-passed-over",
         {{"model", name},
          {"obstacle", ToString(entry.obstacle)},
-         {"waiting", model.waiting},
-         {"oldest_wait_ms", model.oldest_wait.count()},
-         {"unserved_ms", model.unserved_for.count()},
+         {"bound", entry.is_bound},
+         {"waiting", entry.demand.waiting},
+         {"oldest_wait_ms", entry.demand.oldest_wait.count()},
+         {"unserved_ms", entry.demand.unserved_for.count()},
          {"copies", entry.copies},
          {"store_allowed", entry.store_allowed},
          {"instance", entry.most_free_server
@@ -165,24 +176,34 @@
   }
 }
 
-std::set<Artifact> OrderManager::WaitingAdapters(const Gateway::PoolId& pool) const
+std::set<OrderManager::AdapterDemand>
+OrderManager::WaitingAdapters(const Gateway::PoolId& pool) const
 {
-  std::set<Artifact> waiting;
+  std::set<AdapterDemand> waiting;
   for (const auto& [vm, daemon] : m_daemons)
     for (const DemandLine& line : daemon.last.demand)
       if (line.waiting > 0 && line.artifact.IsAdapter() && line.pool == pool)
-        waiting.insert(line.artifact);
+        waiting.insert({line.artifact, line.constraint});
   return waiting;
 }
 
 std::vector<const OrderManager::ServerRef*> OrderManager::Holders(const Gateway::PoolId& pool,
-                                                                  const ModelId& model) const
+                                                                  const AdapterDemand& demand) const
 {
   std::vector<const ServerRef*> holders;
   for (const ServerRef& ref : m_server_refs)
-    if (ref.plan_input != nullptr && ref.server->HoldsModel(model) &&
-        ref.server->Entry().pool == pool)
+    if (ref.plan_input != nullptr && ref.server->HoldsModel(demand.artifact.model) &&
+        ref.server->Entry().pool == pool && MayTake(*ref.server, demand.constraint))
       holders.push_back(&ref);
   return holders;
 }
+
+bool OrderManager::MayTake(const Server& server,
+                           const Gateway::PlacementConstraint& constraint) const
+{
+  const auto region = m_settings.regions.find(server.Entry().data_centre);
+  return constraint.Allows(server.Entry().version, region == m_settings.regions.end()
+                                                       ? std::nullopt
+                                                       : std::optional(region->second));
+}
 } // namespace Orders
--- a/Source/Core/Orders/PlanInputBuilder.cpp
+++ b/Source/Core/Orders/PlanInputBuilder.cpp
@@ -16,6 +16,7 @@
 using Common::TimePoint;
 using Decisions::At;
 using Decisions::ModelIndex;
+using Decisions::ServerGroup;
 using Decisions::ServerIndex;
 using Gateway::ModelId;
 
@@ -25,6 +26,12 @@
   return arrivals_per_second * std::exp(-elapsed / RATE_SECONDS);
 }
 
+void PlanInputBuilder::Rate::Add(int arrivals, TimePoint now)
+{
+  arrivals_per_second = At(now) + std::max(arrivals, 0) / RATE_SECONDS;
+  updated = now;
+}
+
 ModelIndex PlanInputBuilder::Intern(const ModelId& model)
 {
   const auto [found, is_new] = m_models.try_emplace(model, ModelIndex(m_names.size()));
@@ -76,6 +83,55 @@
   });
   m_input.copies.Clear();
   m_input.servers.assign(m_servers.size(), {});
+  m_groups.clear();
+}
+
+ServerGroup PlanInputBuilder::GroupOf(const Gateway::ServerEntry& entry)
+{
+  const auto region = m_regions.find(entry.data_centre);
+  const ServerAttributes attributes{
+      entry.version, region == m_regions.end() ? std::nullopt : std::optional(region->second)};
+  const auto found = std::ranges::find(m_groups, attributes);
+  const auto group = static_cast<ServerGroup>(found - m_groups.begin());
+  if (found == m_groups.end())
+    m_groups.push_back(attributes);
+  return group;
+}
+
+std::vector<bool>
+PlanInputBuilder::GroupsAllowedBy(const Gateway::PlacementConstraint& constraint) const
+{
+  std::vector<bool> allowed;
+  std::ranges::transform(m_groups, std::back_inserter(allowed), [&](const ServerAttributes& group) {
+    return constraint.Allows(group.version, group.region);
+  });
+  return allowed;
+}
+
+PlanInputBuilder::BoundRecord*
+PlanInputBuilder::FindBoundRecord(ModelIndex model, const Gateway::PlacementConstraint& constraint)
+{
+  const BoundKey key{model, constraint};
+  const auto found = m_bound.find(key);
+  if (found != m_bound.end())
+    return &found->second;
+  return m_bound.size() < MAX_BOUND_DEMANDS ? &m_bound[key] : nullptr;
+}
+
+void PlanInputBuilder::ApplyLine(const DemandLine& line, ModelIndex model,
+                                 std::vector<WaitingLine>& waiting, TimePoint now)
+{
+  const bool is_bound = !line.constraint.Empty();
+  BoundRecord* record = is_bound ? FindBoundRecord(model, line.constraint) : nullptr;
+  if (is_bound && record == nullptr)
+    ++m_lines_over_limit;
+  Rate& rate = record == nullptr ? m_rates[At(model)] : record->rate;
+  rate.Add(line.arrivals, now);
+  if (line.arrivals > 0 || line.waiting > 0)
+    (record == nullptr ? m_input.models[At(model)].last_wanted : record->last_wanted) = now;
+  if (line.waiting > 0)
+    waiting.push_back({model, line.waiting, line.priority, now - Milliseconds(line.oldest_wait_ms),
+                       record == nullptr ? Gateway::PlacementConstraint() : line.constraint});
 }
 
 bool PlanInputBuilder::ApplyDemand(const Common::VmId& daemon, const std::vector<DemandLine>& lines,
@@ -92,15 +148,7 @@
       all_known = false;
       continue;
     }
-    const ModelIndex model = found->second;
-    Rate& rate = m_rates[At(model)];
-    rate.arrivals_per_second = rate.At(now) + std::max(line.arrivals, 0) / RATE_SECONDS;
-    rate.updated = now;
-    if (line.arrivals > 0 || line.waiting > 0)
-      m_input.models[At(model)].last_wanted = now;
-    if (line.waiting > 0)
-      waiting.push_back(
-          {model, line.waiting, line.priority, now - Milliseconds(line.oldest_wait_ms)});
+    ApplyLine(line, found->second, waiting, now);
   }
   if (waiting.empty())
     m_waiting.erase(daemon);
@@ -118,6 +166,7 @@
     return result;
   };
   m_input.copies.Set(server, positions(entry.in_host_memory), positions(entry.on_disk));
+  m_input.servers[At(server)].group = GroupOf(entry);
   std::vector<Decisions::PlannedReplica>& replicas = m_input.servers[At(server)].replicas;
   replicas.clear();
   for (const HeldModel& model : held)
@@ -141,12 +190,34 @@
 {
   m_input.now = now;
   m_input.store_loads_allowed = store_loads_allowed;
+  ListBoundDemands(now);
   SumDemand(now);
   SumInFlight();
   UpdateUnserved(now);
   return m_input;
 }
 
+void PlanInputBuilder::ListBoundDemands(TimePoint now)
+{
+  std::erase_if(m_bound, [&](const auto& entry) {
+    return now - entry.second.last_wanted >= BOUND_DEMAND_TIMEOUT;
+  });
+  m_input.bound_demands.clear();
+  for (auto& [key, record] : m_bound)
+  {
+    record.position.reset();
+    std::vector<bool> groups = GroupsAllowedBy(key.constraint);
+    if (std::ranges::find(groups, true) == groups.end())
+      continue;
+    record.position = m_input.bound_demands.size();
+    Decisions::BoundDemand& demand = m_input.bound_demands.emplace_back();
+    demand.model = key.model;
+    demand.groups = std::move(groups);
+    demand.arrivals_per_second = record.rate.At(now);
+    demand.last_wanted = record.last_wanted;
+  }
+}
+
 void PlanInputBuilder::SumDemand(TimePoint now)
 {
   for (std::size_t i = 0; i < m_input.models.size(); ++i)
@@ -160,28 +231,56 @@
   }
   for (const auto& [daemon, lines] : m_waiting)
     for (const WaitingLine& line : lines)
-    {
-      Decisions::PlannedModel& model = m_input.models[At(line.model)];
-      const auto wait = std::chrono::duration_cast<Milliseconds>(now - line.oldest_since);
-      model.waiting += line.count;
-      model.last_wanted = now;
-      model.priority = std::min(model.priority, line.priority);
-      model.oldest_wait = std::max(model.oldest_wait, wait);
-    }
+      AddWaiting(line, now);
+}
+
+void PlanInputBuilder::AddWaiting(const WaitingLine& line, TimePoint now)
+{
+  Decisions::ModelDemand* demand = &m_input.models[At(line.model)];
+  BoundRecord* record =
+      line.constraint.Empty() ? nullptr : FindBoundRecord(line.model, line.constraint);
+  if (record != nullptr)
+  {
+    record->last_wanted = now;
+    if (!record->position)
+      return;
+    demand = &m_input.bound_demands[*record->position];
+  }
+  const auto wait = std::chrono::duration_cast<Milliseconds>(now - line.oldest_since);
+  demand->waiting += line.count;
+  demand->last_wanted = now;
+  demand->priority = std::min(demand->priority, line.priority);
+  demand->oldest_wait = std::max(demand->oldest_wait, wait);
 }
 
 void PlanInputBuilder::UpdateUnserved(TimePoint now)
 {
   std::vector<bool> held(m_input.models.size());
+  std::vector<bool> held_for_bound(m_input.bound_demands.size());
   for (const Decisions::PlannedServer& server : m_input.servers)
+  {
+    if (server.draining)
+      continue;
     for (const Decisions::PlannedReplica& replica : server.replicas)
-      if (!server.draining)
-        held[At(replica.model)] = true;
+    {
+      held[At(replica.model)] = true;
+      for (const Decisions::BoundDemand& demand : BoundDemandsAt(server, replica.model))
+        held_for_bound[static_cast<std::size_t>(&demand - m_input.bound_demands.data())] = true;
+    }
+  }
   for (std::size_t i = 0; i < m_input.models.size(); ++i)
   {
     Decisions::PlannedModel& model = m_input.models[i];
     model.unserved_for = m_unserved[i].Update(held[i], model.last_wanted, now);
   }
+  for (auto& [key, record] : m_bound)
+  {
+    if (!record.position)
+      continue;
+    Decisions::BoundDemand& demand = m_input.bound_demands[*record.position];
+    demand.unserved_for =
+        record.unserved.Update(held_for_bound[*record.position], demand.last_wanted, now);
+  }
 }
 
 void PlanInputBuilder::SumInFlight()
@@ -196,6 +295,8 @@
     {
       replica.in_flight = m_loads[i]->InFlight(NameOf(replica.model));
       m_input.models[At(replica.model)].in_flight += replica.in_flight;
+      for (Decisions::BoundDemand& demand : BoundDemandsAt(server, replica.model))
+        demand.in_flight += replica.in_flight;
     }
   }
 }
--- a/Source/Core/Orders/PlanInputBuilder.h
+++ b/Source/Core/Orders/PlanInputBuilder.h
@@ -3,14 +3,19 @@
 
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <ranges>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "Common/Units.h"
 #include "Decisions/ReplicaPlan.h"
 #include "Decisions/UnservedDemand.h"
+#include "Gateway/PlacementConstraint.h"
 #include "Gateway/ServerDirectory.h"
 #include "Gateway/Types.h"
 #include "Orders/InFlightTotals.h"
@@ -48,6 +53,11 @@
 public:
   /// Sets the pool's models and limits from the current configuration.
   void Configure(const Gateway::Pool& pool);
+  /// Sets the region of each data centre. Applies to servers whose `SetHeld` is called later.
+  void SetRegions(std::map<Common::DataCentreId, Common::RegionId> regions)
+  {
+    m_regions = std::move(regions);
+  }
   /// Replaces all servers and discards their state. `ServerIndex` follows the order given.
   void SetServers(std::vector<Gateway::ServerPtr> servers, InFlightTotals& in_flight_totals);
   const std::vector<Gateway::ServerPtr>& Servers() const { return m_servers; }
@@ -57,6 +67,9 @@
   /// configuration.
   bool ApplyDemand(const Common::VmId& daemon, const std::vector<DemandLine>& lines,
                    Common::TimePoint now);
+  /// Number of bound demand lines since the last call that were taken as unbound, because too many
+  /// different ones were known.
+  std::int64_t TakeLinesOverLimit() { return std::exchange(m_lines_over_limit, 0); }
   void DropDaemon(const Common::VmId& daemon) { m_waiting.erase(daemon); }
 
   /// Called when the server's entry or its loaded models have changed.
@@ -78,6 +91,11 @@
 private:
   /// Time constant of the arrival rates, short compared with the minutes over which demand shifts.
   static constexpr double RATE_SECONDS = 8;
+  /// Maximum number of different bound demands, each for one model and one constraint. Further ones
+  /// are planned as if any server might serve them.
+  static constexpr std::size_t MAX_BOUND_DEMANDS = 1024;
+  /// A bound demand without a request for this long is forgotten.
+  static constexpr Common::Milliseconds BOUND_DEMAND_TIMEOUT{8000};
 
   struct Rate
   {
@@ -85,6 +103,7 @@
     Common::TimePoint updated;
 
     double At(Common::TimePoint now) const;
+    void Add(int arrivals, Common::TimePoint now);
   };
   struct WaitingLine
   {
@@ -92,11 +111,57 @@
     int count = 0;
     int priority = 9;
     Common::TimePoint oldest_since;
+    Gateway::PlacementConstraint constraint;
+  };
+  struct BoundKey
+  {
+    Decisions::ModelIndex model{};
+    Gateway::PlacementConstraint constraint;
+
+    auto operator<=>(const BoundKey&) const = default;
+  };
+  /// What is kept of a bound demand from one plan to the next.
+  struct BoundRecord
+  {
+    Rate rate;
+    Common::TimePoint last_wanted;
+    Decisions::UnservedDemand unserved;
+    /// In `ReplicaPlanInput::bound_demands`; nullopt if no server may serve the demand.
+    std::optional<std::size_t> position;
+  };
+  /// What constraints refer to; servers with equal attributes form a `ServerGroup`.
+  struct ServerAttributes
+  {
+    Gateway::SoftwareVersion version;
+    std::optional<Common::RegionId> region;
+
+    bool operator==(const ServerAttributes&) const = default;
   };
 
   /// The model's index. A model that is not in the configuration gets one too, with `listed` false.
   Decisions::ModelIndex Intern(const Gateway::ModelId& model);
+  Decisions::ServerGroup GroupOf(const Gateway::ServerEntry& entry);
+  /// By `ServerGroup`: whether the constraint allows its servers.
+  std::vector<bool> GroupsAllowedBy(const Gateway::PlacementConstraint& constraint) const;
+  /// The record of a bound demand, created if necessary; nullptr if there are too many.
+  BoundRecord* FindBoundRecord(Decisions::ModelIndex model,
+                               const Gateway::PlacementConstraint& constraint);
+  /// Adds the arrivals of a line to the rate of its demand, and keeps its waiting requests.
+  void ApplyLine(const DemandLine& line, Decisions::ModelIndex model,
+                 std::vector<WaitingLine>& waiting, Common::TimePoint now);
+  /// Makes an entry of the input for each bound demand that some server may serve.
+  void ListBoundDemands(Common::TimePoint now);
   void SumDemand(Common::TimePoint now);
+  void AddWaiting(const WaitingLine& line, Common::TimePoint now);
+  /// The bound demands that a replica of the model on the server serves.
+  auto BoundDemandsAt(const Decisions::PlannedServer& server, Decisions::ModelIndex model)
+  {
+    return std::ranges::equal_range(m_input.bound_demands, model, {},
+                                    &Decisions::BoundDemand::model) |
+           std::views::filter([group = server.group](const Decisions::BoundDemand& demand) {
+             return demand.MayUse(group);
+           });
+  }
   void SumInFlight();
   void UpdateUnserved(Common::TimePoint now);
 
@@ -104,7 +169,11 @@
   std::vector<Gateway::ModelId> m_names;
   std::vector<Rate> m_rates;
   std::vector<Decisions::UnservedDemand> m_unserved; ///< By `ModelIndex`.
+  std::map<BoundKey, BoundRecord> m_bound;
+  std::int64_t m_lines_over_limit = 0;
   std::unordered_map<Gateway::ModelId, Decisions::ModelIndex> m_models;
+  std::map<Common::DataCentreId, Common::RegionId> m_regions;
+  std::vector<ServerAttributes> m_groups; ///< By `ServerGroup`.
   std::vector<Gateway::ServerPtr> m_servers;
   std::vector<const ServerLoad*> m_loads; ///< By `ServerIndex`.
   std::map<Common::VmId, std::vector<WaitingLine>> m_waiting;
--- a/Source/UnitTests/Orders/BoundDemandTest.cpp
+++ b/Source/UnitTests/Orders/BoundDemandTest.cpp
@@ -4,7 +4,6 @@
 // Loads for requests that only some servers may take: those that resume a stream of one software
 // version, and those with allowed regions.
 
-#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -20,7 +19,6 @@
 using namespace Gateway;
 using Common::Milliseconds;
 using Common::RegionId;
-using UnitTests::RunFor;
 using UnitTests::RunUntil;
 
 constexpr double MODEL_MB = 70;
@@ -106,13 +104,19 @@
 
   /// One request waits for model "m", or for an adapter of it.
   void Demand(const PlacementConstraint& constraint, const char* adapter = "")
+  {
+    Demand(std::vector{constraint}, adapter);
+  }
+  /// One request waits with each of these constraints.
+  void Demand(const std::vector<PlacementConstraint>& constraints, const char* adapter = "")
   {
     DaemonReport daemon;
     daemon.vm = Common::VmId("vm");
     daemon.run = Common::Incarnation("run");
     daemon.sequence = ++m_sequence;
-    daemon.demand.push_back(
-        {PoolId("p"), {ModelId("m"), AdapterId(adapter)}, 1, 0, 10, 1, constraint});
+    for (const PlacementConstraint& constraint : constraints)
+      daemon.demand.push_back(
+          {PoolId("p"), {ModelId("m"), AdapterId(adapter)}, 1, 0, 10, 1, constraint});
     order_manager.OnDaemonReport(daemon, Common::Now());
   }
 
@@ -152,6 +156,7 @@
   CPPUNIT_TEST(AdapterIsLoadedAtAnotherVersion);
   CPPUNIT_TEST(VersionWithoutServersCausesOrders);
   CPPUNIT_TEST(RegionWithoutServersCausesOrders);
+  CPPUNIT_TEST(DemandBeyondTheLimitIsIgnored);
   CPPUNIT_TEST(UnboundDemandLineIsMuchLonger);
   CPPUNIT_TEST_SUITE_END();
 
@@ -228,6 +233,20 @@
   void VersionWithoutServersCausesOrders() { CheckNoOrders(OfVersion("c")); }
   void RegionWithoutServersCausesOrders() { CheckNoOrders(InRegion("r3")); }
 
+  void DemandBeyondTheLimitIsIgnored()
+  {
+    TwoVersions fleet;
+    fleet.AddServer("a-1", "a", "east", {});
+    std::vector<PlacementConstraint> constraints;
+    for (int i = 0; i < 1024; ++i)
+      constraints.push_back(OfVersion(("gone-" + std::to_string(i)).c_str()));
+    constraints.push_back(OfVersion("a"));
+    fleet.Demand(constraints);
+    CheckLoadOn(fleet, "a-");
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(1),
+                         fleet.order_manager.Counters().at("bound_demand_over_limit"));
+  }
+
   void UnboundDemandLineIsMuchLonger()
   {
     const DemandLine line{PoolId("p"), {ModelId("m"), AdapterId("")}, 1, 0, 10, 1, {}};
