Gateway: reported demand names the versions and regions that may serve it

Waiting requests, expected retries and arrivals are reported by model and constraint: the version that began a resumed stream, the allowed regions of route and account, and the versions at which no part of the prompt is blocked. Requests that no server may take are no demand; they used to cause loads. A region is matched by the same rule as in MayRunAt.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -133,8 +133,10 @@
 void Dispatcher::NoteArrival(const Relay& relay)
 {
   m_budget.NoteRequest(relay.SelectedPool(), Common::Now());
-  if (!relay.RequestedArtifact().model.Empty())
-    ++m_arrivals[{relay.SelectedPool(), relay.RequestedArtifact()}];
+  if (relay.RequestedArtifact().model.Empty())
+    return;
+  if (auto key = DemandOf(relay))
+    ++m_arrivals[*std::move(key)];
 }
 
 std::int64_t Dispatcher::ConcurrencyLimitFor(const Server& server) const
@@ -227,12 +229,13 @@
   });
 }
 
-bool Dispatcher::IsHeldAnywhere(const PoolId& pool, const Artifact& artifact) const
+bool Dispatcher::IsHeldFor(const Relay& relay) const
 {
   const auto now = Common::Now();
   return std::ranges::any_of(m_servers.All(), [&](const auto& entry) {
     const Server& server = *entry.second;
-    return server.Entry().pool == pool && server.MayServe(artifact, now);
+    return server.Entry().pool == relay.SelectedPool() &&
+           server.MayServe(relay.RequestedArtifact(), now) && MayRunAt(relay, server);
   });
 }
 
@@ -290,7 +293,10 @@
 
 void Dispatcher::ExpectRetry(const Relay& relay, Milliseconds span)
 {
-  ExpectedRetry& expected = m_expected_retries[{relay.SelectedPool(), relay.RequestedArtifact()}];
+  auto key = DemandOf(relay);
+  if (!key)
+    return;
+  ExpectedRetry& expected = m_expected_retries[*std::move(key)];
   expected.at = std::max(expected.at, Common::Now() + span);
   expected.priority = std::min(expected.priority, relay.Priority());
   if (m_on_demand)
@@ -539,11 +545,10 @@
 
 std::vector<ArtifactDemand> Dispatcher::TakeDemand()
 {
-  std::map<std::pair<PoolId, Artifact>, ArtifactDemand> demand;
-  const auto at = [&](const PoolId& pool, const Artifact& artifact) -> ArtifactDemand& {
-    ArtifactDemand& entry = demand[{pool, artifact}];
-    entry.pool = pool;
-    entry.artifact = artifact;
+  std::map<DemandKey, ArtifactDemand> demand;
+  const auto at = [&](const DemandKey& key) -> ArtifactDemand& {
+    ArtifactDemand& entry = demand[key];
+    entry.key = key;
     return entry;
   };
   const auto now = Common::Now();
@@ -551,7 +556,10 @@
   {
     if (!relay->IsWaiting() || relay->RequestedArtifact().model.Empty())
       continue;
-    ArtifactDemand& entry = at(relay->SelectedPool(), relay->RequestedArtifact());
+    const auto needs = DemandOf(*relay);
+    if (!needs)
+      continue;
+    ArtifactDemand& entry = at(*needs);
     ++entry.waiting;
     entry.priority = std::min(entry.priority, relay->Priority());
     entry.oldest_wait = std::max(
@@ -562,12 +570,12 @@
   });
   for (const auto& [key, expected] : m_expected_retries)
   {
-    ArtifactDemand& entry = at(key.first, key.second);
+    ArtifactDemand& entry = at(key);
     ++entry.waiting;
     entry.priority = std::min(entry.priority, expected.priority);
   }
   for (const auto& [key, count] : m_arrivals)
-    at(key.first, key.second).arrivals = count;
+    at(key).arrivals = count;
   m_arrivals.clear();
   std::vector<ArtifactDemand> result;
   std::ranges::transform(demand, std::back_inserter(result), [](auto& entry) {
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -21,6 +21,7 @@
 #include "Gateway/CrashDetector.h"
 #include "Gateway/DrainRegistry.h"
 #include "Gateway/LimitedServers.h"
+#include "Gateway/PlacementConstraint.h"
 #include "Gateway/Relay.h"
 #include "Gateway/RetryBudget.h"
 #include "Gateway/ServerDirectory.h"
@@ -32,11 +33,20 @@
 
 namespace Gateway
 {
-/// Requests for one artifact that wait at this daemon, and how many have arrived recently.
-struct ArtifactDemand
+/// What a request needs of the server that takes it.
+struct DemandKey
 {
   PoolId pool;
   Artifact artifact;
+  PlacementConstraint constraint;
+
+  auto operator<=>(const DemandKey&) const = default;
+};
+
+/// Requests with the same needs that wait at this daemon, and how many have arrived recently.
+struct ArtifactDemand
+{
+  DemandKey key;
   int waiting = 0;
   int priority = 9; ///< Of the most urgent waiting request.
   Common::Milliseconds oldest_wait{0};
@@ -148,7 +158,7 @@
   /// units of an account's limit, a refused caller is expected to retry, or crash or drain data is
   /// new.
   void OnDemand(std::function<void()> callback) { m_on_demand = std::move(callback); }
-  /// The current demand by artifact; resets the count of arrivals.
+  /// The current demand by what the requests need; resets the count of arrivals.
   std::vector<ArtifactDemand> TakeDemand();
 
   void AcceptConnection(int fd);
@@ -167,8 +177,9 @@
 
   // Called by Relay.
   ServerPtr ChooseServer(const Relay& relay);
-  /// True if a server in the pool can serve the artifact, even if it has no free slot now.
-  bool IsHeldAnywhere(const PoolId& pool, const Artifact& artifact) const;
+  /// True if a server that may take the request holds its artifact, even if it has no free slot
+  /// now.
+  bool IsHeldFor(const Relay& relay) const;
   /// The refusal for a request that cannot be served before its caller disconnects: no server holds
   /// its model and the weights would load too late, or all servers that hold it have a limit with
   /// too long a queue or a Retry-After that lasts too long.
@@ -261,6 +272,11 @@
   /// True if the request's route and account allow it to run in the server's region, and the
   /// server's software version began the stream that it resumes.
   bool MayRunAt(const Relay& relay, const Server& server) const;
+  /// What the request needs of its server; nullopt if no server can satisfy it.
+  std::optional<DemandKey> DemandOf(const Relay& relay) const;
+  /// The software versions of the pool's servers that may take the request; empty if all may,
+  /// nullopt if none may.
+  std::optional<std::set<SoftwareVersion>> VersionsFor(const Relay& relay) const;
   /// The refusal for a request that no server may take until the operators change something: those
   /// of its pool are evacuated or outside its regions. Returns nullopt if any server may take it.
   std::optional<EarlyRefusal> CheckNoServerAllowed(const Relay& relay) const;
@@ -343,13 +359,13 @@
   Decisions::AffinityRouting m_routing;
   std::map<Relay*, std::shared_ptr<Relay>> m_relays;
   std::map<Http::ServerConnection*, std::shared_ptr<Http::ServerConnection>> m_connections;
-  std::map<std::pair<PoolId, Artifact>, int> m_arrivals;
+  std::map<DemandKey, int> m_arrivals;
   struct ExpectedRetry
   {
     Common::TimePoint at;
     int priority = 9;
   };
-  std::map<std::pair<PoolId, Artifact>, ExpectedRetry> m_expected_retries;
+  std::map<DemandKey, ExpectedRetry> m_expected_retries;
   std::function<void()> m_on_demand;
   std::function<void()> m_on_permit_demand;
   /// When a request that the rate-limited server could have served was last sent to another one.
--- a/Source/Core/Gateway/DispatcherPlaces.cpp
+++ b/Source/Core/Gateway/DispatcherPlaces.cpp
@@ -7,6 +7,8 @@
 #include "Gateway/Dispatcher.h"
 
 #include <algorithm>
+#include <iterator>
+#include <ranges>
 #include <utility>
 
 #include "Common/Log.h"
@@ -112,6 +114,42 @@
   return region != m_settings.regions.end() && relay.MayRunIn(region->second);
 }
 
+std::optional<std::set<SoftwareVersion>> Dispatcher::VersionsFor(const Relay& relay) const
+{
+  std::set<SoftwareVersion> required;
+  if (const auto bound = relay.BoundVersion())
+    required.insert(*bound);
+  if (m_crashes.Empty() || relay.PromptParts().ids.empty())
+    return required;
+  std::set<SoftwareVersion> allowed = required;
+  if (required.empty())
+    for (const ServerPtr& server : m_servers.InPool(relay.SelectedPool()))
+      allowed.insert(server->Entry().version);
+  const auto now = Common::Now();
+  const auto blocked = std::erase_if(allowed, [&](const SoftwareVersion& version) {
+    return m_parts.StatusOf(relay.PromptParts(), version.Get(), now).blocked;
+  });
+  if (blocked == 0)
+    return required;
+  return allowed.empty() ? std::nullopt : std::optional(std::move(allowed));
+}
+
+std::optional<DemandKey> Dispatcher::DemandOf(const Relay& relay) const
+{
+  auto versions = VersionsFor(relay);
+  if (!versions)
+    return std::nullopt;
+  DemandKey key{relay.SelectedPool(), relay.RequestedArtifact(), {*std::move(versions), {}}};
+  if (!relay.HasAllowedRegions())
+    return key;
+  std::set<Common::RegionId>& regions = key.constraint.regions;
+  std::ranges::copy_if(std::views::values(m_settings.regions),
+                       std::inserter(regions, regions.end()), [&](const Common::RegionId& region) {
+                         return relay.MayRunIn(region);
+                       });
+  return regions.empty() ? std::nullopt : std::optional(std::move(key));
+}
+
 void Dispatcher::LearnOrigin(const std::string& request, const SoftwareVersion& version)
 {
   m_origins.Learn(request, version, Common::Now());
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -643,8 +643,7 @@
     const std::int64_t tenths = (m_retry_after->count() + jitter + 99) / 100;
     return std::to_string(tenths / 10) + "." + std::to_string(tenths % 10);
   }
-  const bool lacks_model =
-      !m_artifact.model.Empty() && !m_dispatcher.IsHeldAnywhere(m_pool, m_artifact);
+  const bool lacks_model = !m_artifact.model.Empty() && !m_dispatcher.IsHeldFor(*this);
   return std::string(lacks_model ? RETRY_AFTER_LOAD_S : RETRY_AFTER_S);
 }
 
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -120,6 +120,8 @@
   void WithdrawUnsent(const std::set<ServerPtr>& servers, std::string_view why);
   /// True if the request resumes a stream, and the software version that began it is known.
   bool IsBoundToVersion() const { return m_stream_version.has_value(); }
+  /// The only software version whose servers may take the request, if it is bound to one.
+  std::optional<SoftwareVersion> BoundVersion() const { return m_stream_version; }
   /// False if the request resumes a stream that a server with other software began.
   bool MayContinueAt(const SoftwareVersion& version) const
   {
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -248,8 +248,8 @@
   report.run = m_settings.run;
   report.sequence = ++m_sequence;
   for (const Gateway::ArtifactDemand& demand : m_dispatcher.TakeDemand())
-    report.demand.push_back({demand.pool, demand.artifact, demand.waiting, demand.priority,
-                             demand.oldest_wait.count(), demand.arrivals});
+    report.demand.push_back({demand.key.pool, demand.key.artifact, demand.waiting, demand.priority,
+                             demand.oldest_wait.count(), demand.arrivals, demand.key.constraint});
   const auto now = Common::Now();
   for (const auto& [instance, server] : m_dispatcher.Servers().All())
   {
