Orders: bound demands of a replica are visited by a callback

A view in the header could not be compiled by clang-tidy 14, which then checked less of every file that includes it. Behaviour is unchanged.

--- a/Source/Core/Orders/PlanInputBuilder.cpp
+++ b/Source/Core/Orders/PlanInputBuilder.cpp
@@ -264,8 +264,9 @@
     for (const Decisions::PlannedReplica& replica : server.replicas)
     {
       held[At(replica.model)] = true;
-      for (const Decisions::BoundDemand& demand : BoundDemandsAt(server, replica.model))
+      ForEachBoundDemand(server, replica.model, [&](const Decisions::BoundDemand& demand) {
         held_for_bound[static_cast<std::size_t>(&demand - m_input.bound_demands.data())] = true;
+      });
     }
   }
   for (std::size_t i = 0; i < m_input.models.size(); ++i)
@@ -295,8 +296,9 @@
     {
       replica.in_flight = m_loads[i]->InFlight(NameOf(replica.model));
       m_input.models[At(replica.model)].in_flight += replica.in_flight;
-      for (Decisions::BoundDemand& demand : BoundDemandsAt(server, replica.model))
+      ForEachBoundDemand(server, replica.model, [&](Decisions::BoundDemand& demand) {
         demand.in_flight += replica.in_flight;
+      });
     }
   }
 }
--- a/Source/Core/Orders/PlanInputBuilder.h
+++ b/Source/Core/Orders/PlanInputBuilder.h
@@ -7,7 +7,6 @@
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <ranges>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -153,14 +152,15 @@
   void ListBoundDemands(Common::TimePoint now);
   void SumDemand(Common::TimePoint now);
   void AddWaiting(const WaitingLine& line, Common::TimePoint now);
-  /// The bound demands that a replica of the model on the server serves.
-  auto BoundDemandsAt(const Decisions::PlannedServer& server, Decisions::ModelIndex model)
+  /// Calls `visit` for each bound demand that a replica of the model on the server serves.
+  template <typename Visit>
+  void ForEachBoundDemand(const Decisions::PlannedServer& server, Decisions::ModelIndex model,
+                          const Visit& visit)
   {
-    return std::ranges::equal_range(m_input.bound_demands, model, {},
-                                    &Decisions::BoundDemand::model) |
-           std::views::filter([group = server.group](const Decisions::BoundDemand& demand) {
-             return demand.MayUse(group);
-           });
+    for (Decisions::BoundDemand& demand :
+         std::ranges::equal_range(m_input.bound_demands, model, {}, &Decisions::BoundDemand::model))
+      if (demand.MayUse(server.group))
+        visit(demand);
   }
   void SumInFlight();
   void UpdateUnserved(Common::TimePoint now);
