Gateway, Orders: what the review of the exchange of origins found

A stream of unknown origin needs the history of the versions unless all that were asked replied; requests that wait for an origin are indexed by stream; moved copies are collected and sent after a random delay.

--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -214,8 +214,12 @@
   {
     m_on_stream_noted = std::move(callback);
   }
-  /// Asks other daemons for the origin. Returns false if there is no connection to others.
-  bool QueryOrigin(StreamKey stream, const PoolId& pool);
+  /// Asks other daemons for the origin, for which `relay` waits. Returns false if there is no
+  /// connection to others.
+  bool QueryOrigin(StreamKey stream, const PoolId& pool,
+                   const std::shared_ptr<Relay>& relay = nullptr);
+  /// Forgets the requests that no longer wait for the origin.
+  void DropAwaiting(StreamKey stream);
   /// True if requests wait for the origin of the stream.
   bool AwaitsOrigin(StreamKey stream) const;
   /// Applies the reply of another daemon, and resumes the requests that waited for it. `evidence`:
@@ -376,6 +380,8 @@
   VersionHistory m_versions{m_servers};
   StreamOrigin m_local_origin; ///< Without a version.
   std::function<void(StreamKey, const PoolId&)> m_on_origin_query;
+  /// The requests that wait for the origin of a stream.
+  std::multimap<StreamKey, std::weak_ptr<Relay>> m_awaiting_origin;
   std::function<void(StreamKey)> m_on_stream_noted;
   int m_daemons = 1;
   Common::OwnedTimer m_silence_timer;
--- a/Source/Core/Gateway/DispatcherStreams.cpp
+++ b/Source/Core/Gateway/DispatcherStreams.cpp
@@ -5,7 +5,8 @@
 
 #include "Gateway/Dispatcher.h"
 
-#include <algorithm>
+#include <iterator>
+#include <ranges>
 
 namespace Gateway
 {
@@ -15,26 +16,39 @@
   m_local_origin.place = place;
 }
 
-bool Dispatcher::QueryOrigin(StreamKey stream, const PoolId& pool)
+bool Dispatcher::QueryOrigin(StreamKey stream, const PoolId& pool,
+                             const std::shared_ptr<Relay>& relay)
 {
   if (!m_on_origin_query)
     return false;
+  if (relay)
+    m_awaiting_origin.emplace(stream, relay);
   m_on_origin_query(stream, pool);
   return true;
 }
 
 bool Dispatcher::AwaitsOrigin(StreamKey stream) const
 {
-  return std::ranges::any_of(m_relays, [stream](const auto& entry) {
-    return entry.second->AwaitsOrigin(stream);
-  });
+  return !RelaysAwaiting(stream).empty();
+}
+
+void Dispatcher::DropAwaiting(StreamKey stream)
+{
+  const auto [first, last] = m_awaiting_origin.equal_range(stream);
+  for (auto entry = first; entry != last;)
+  {
+    const auto relay = entry->second.lock();
+    entry =
+        relay && relay->AwaitsOrigin(stream) ? std::next(entry) : m_awaiting_origin.erase(entry);
+  }
 }
 
 std::vector<std::shared_ptr<Relay>> Dispatcher::RelaysAwaiting(StreamKey stream) const
 {
   std::vector<std::shared_ptr<Relay>> result;
-  for (const auto& [key, relay] : m_relays)
-    if (relay->AwaitsOrigin(stream))
+  const auto [first, last] = m_awaiting_origin.equal_range(stream);
+  for (const auto& [key, waiting] : std::ranges::subrange(first, last))
+    if (const auto relay = waiting.lock(); relay && relay->AwaitsOrigin(stream))
       result.push_back(relay);
   return result;
 }
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -567,6 +567,8 @@
   const auto guard = shared_from_this();
   m_done = true;
   m_waiting = false;
+  if (std::exchange(m_awaits_origin, false))
+    m_dispatcher.DropAwaiting(m_stream);
   if (outcome != Outcome::Answered)
     ReturnAllowance();
   m_deadline_timer.Stop();
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -196,6 +196,10 @@
   /// Does the same with the only version that the pool's servers have had, and returns true.
   /// Returns false if they had several, or may have had others that are not known here.
   bool BindToOnlyVersion();
+  /// True if some daemon that replied, or this one, knows all versions that the pool has had.
+  bool IsHistoryKnown() const;
+  /// The versions that the pools of the route have had.
+  std::set<SoftwareVersion> RecentVersions() const;
   void OnOriginWaitExpired();
   void RefuseUnknownOrigin();
   /// Ends the wait for the origin and looks for a server.
--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -57,21 +57,22 @@
     return false;
   }
   m_awaits_origin = true;
-  if (m_resumes.empty() || !m_dispatcher.QueryOrigin(m_stream, m_pool))
+  if (m_resumes.empty() || !m_dispatcher.QueryOrigin(m_stream, m_pool, shared_from_this()))
   {
-    // Without other daemons, this one has seen all versions.
+    // No other daemon can be asked, so that the versions known here decide.
     m_origin_evidence.is_current = true;
     m_origin_evidence.is_complete = true;
-    LearnNoOrigin(m_origin_evidence);
+    if (BindToOnlyVersion())
+      ContinueWithOrigin();
+    else
+      RefuseUnknownOrigin();
     return true;
   }
   if (!m_awaits_origin || m_done)
     return true;
   m_wait_timer.Start(std::min(ORIGIN_REPLY_TIME, WaitLeft(Common::Now())), [this] {
     const auto guard = shared_from_this();
-    const bool has_history =
-        m_origin_evidence.has_history || m_dispatcher.Versions().IsComplete(Common::Now());
-    if (has_history && BindToOnlyVersion())
+    if (IsHistoryKnown() && BindToOnlyVersion())
     {
       ContinueWithOrigin();
       return;
@@ -91,14 +92,25 @@
   LogOrigin(&entry);
 }
 
+bool Relay::IsHistoryKnown() const
+{
+  return m_origin_evidence.has_history || m_dispatcher.Versions().IsComplete(Common::Now());
+}
+
+std::set<SoftwareVersion> Relay::RecentVersions() const
+{
+  std::set<SoftwareVersion> versions;
+  for (const WeightedPool& entry : m_route.pools)
+    versions.merge(m_dispatcher.Versions().Recent(entry.pool, Common::Now()));
+  return versions;
+}
+
 bool Relay::BindToOnlyVersion()
 {
   const auto now = Common::Now();
   const VersionHistory& history = m_dispatcher.Versions();
   // The stream may have begun in any pool of the route.
-  std::set<SoftwareVersion> known;
-  for (const WeightedPool& entry : m_route.pools)
-    known.merge(history.Recent(entry.pool, now));
+  const std::set<SoftwareVersion> known = RecentVersions();
   if (known.size() != 1 || !(m_origin_evidence.is_current || history.IsCurrent(now)))
     return false;
   std::set<VersionKey> versions = m_origin_evidence.versions;
@@ -127,14 +139,15 @@
     return;
   if (BindToOnlyVersion())
     ContinueWithOrigin();
-  else
+  else if (evidence.versions.size() > 1 || RecentVersions().size() > 1)
     RefuseUnknownOrigin();
+  // Otherwise the newest entries are missing, and may arrive while the request may wait.
 }
 
 void Relay::OnOriginWaitExpired()
 {
   const auto guard = shared_from_this();
-  if (m_origin_evidence.replies > 0 && BindToOnlyVersion())
+  if ((m_origin_evidence.is_complete || IsHistoryKnown()) && BindToOnlyVersion())
     ContinueWithOrigin();
   else
     RefuseUnknownOrigin();
@@ -152,6 +165,7 @@
 void Relay::ContinueWithOrigin()
 {
   m_awaits_origin = false;
+  m_dispatcher.DropAwaiting(m_stream);
   m_wait_timer.Stop();
   if (!m_done)
     TakeAllowance();
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -759,7 +759,6 @@
 
 void Hub::OnDatagram(std::string_view bytes, const Http::Endpoint& from)
 {
-  m_members.OnContact(from);
   constexpr char FIRST_BYTE_OF_NOTICE = '\xff';
   if (bytes.starts_with(FIRST_BYTE_OF_NOTICE))
   {
@@ -768,7 +767,8 @@
   }
   if (bytes.starts_with(static_cast<char>(OriginMessage::MARKER)))
   {
-    m_origins.OnMessage(bytes, from);
+    if (m_origins.OnMessage(bytes, from))
+      m_members.OnContact(from);
     return;
   }
   if (bytes.starts_with(static_cast<char>(MemberMessage::MARKER)))
@@ -785,6 +785,7 @@
                      {{"from", from.ToString()}, {"reason", envelope.Reason().detail}});
     return;
   }
+  m_members.OnContact(from);
   const auto now = Common::Now();
   for (const DaemonReport& report : envelope->from_daemon)
   {
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -272,11 +272,15 @@
   /// From the holder: other daemons that may connect to backend servers for the receiver, those of
   /// its data centre first. Empty if there are no news of them.
   std::vector<PeerAddress> helpers;
+  /// Empty, in the place of lists that other releases of the daemon expect.
+  std::vector<std::uint8_t> reserved_first;
+  bool reserved_flag = false;
+  std::vector<std::uint8_t> reserved_second;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(marker, fence, helpers);
+    archive(marker, fence, helpers, reserved_first, reserved_flag, reserved_second);
   }
 };
 
--- a/Source/Core/Orders/OriginExchange.cpp
+++ b/Source/Core/Orders/OriginExchange.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 #include <iterator>
+#include <span>
 #include <utility>
 
 #include "Common/Log.h"
@@ -42,7 +43,9 @@
 {
   const auto now = Common::Now();
   m_dispatcher.Versions().Observe(now);
-  m_spare_copies = SPARE_COPIES_PER_SECOND;
+  constexpr std::chrono::duration<double> TICK_SECONDS = TICK;
+  m_spare_copies = std::min(m_spare_copies + SPARE_COPIES_PER_SECOND * TICK_SECONDS.count(),
+                            SPARE_COPIES_PER_SECOND);
   if (m_dispatcher.Versions().HasSeveralVersions(now))
     SendUncopied();
   std::erase_if(m_queries, [&](const auto& entry) {
@@ -59,7 +62,8 @@
 
 void OriginExchange::OnStreamNoted(StreamKey stream)
 {
-  const bool is_necessary = m_dispatcher.Versions().HasSeveralVersions(Common::Now());
+  const bool is_necessary =
+      m_is_stopping || m_dispatcher.Versions().HasSeveralVersions(Common::Now());
   if (!is_necessary && m_spare_copies < 1)
     return;
   if (!is_necessary)
@@ -147,7 +151,8 @@
     });
   if (m_move_timer.Running())
     return;
-  m_move_timer.Start(MOVE_DELAY, [this] {
+  const auto spread = Milliseconds(Common::SharedRandom()() % MOVE_SPREAD_MS);
+  m_move_timer.Start(MOVE_DELAY + spread, [this] {
     m_moving_to = ListForCopies();
     MoveGroups(0);
   });
@@ -194,6 +199,7 @@
     return daemon.messages == started.messages;
   });
   daemons.push_back(started);
+  Messages messages;
   for (std::size_t group = 0; group < ORIGIN_GROUPS; ++group)
   {
     const auto [first, last] = KeysOf(OriginGroup(group));
@@ -201,25 +207,23 @@
     if (entries.empty())
       continue;
     const CopyPlacement placement(daemons, OriginGroup(group));
-    OriginMessage message;
     for (const auto& [stream, entry] : entries)
     {
       const auto keepers = placement.DaemonsFor(entry.origin.daemon, entry.origin.place);
       if (std::ranges::find(keepers, started.messages) != keepers.end())
-        message.copies.push_back(CopyOf(stream, entry));
+        messages[started.messages].copies.push_back(CopyOf(stream, entry));
     }
-    if (message.copies.empty())
-      continue;
-    m_send(started.messages, Daemons::Encode(message));
-    m_counters.copies_moved += static_cast<std::int64_t>(message.copies.size());
   }
+  SendMoved(messages);
 }
 
 void OriginExchange::MoveGroups(std::size_t first_group)
 {
   const std::size_t end = std::min(first_group + GROUPS_PER_TURN, ORIGIN_GROUPS);
+  Messages messages;
   for (std::size_t group = first_group; group < end; ++group)
-    MoveGroup(OriginGroup(group));
+    MoveGroup(OriginGroup(group), messages);
+  SendMoved(messages);
   if (end < ORIGIN_GROUPS)
   {
     m_move_timer.Start(TURN_PAUSE, [this, end] {
@@ -232,7 +236,7 @@
     OnMembersChanged();
 }
 
-void OriginExchange::MoveGroup(OriginGroup group)
+void OriginExchange::MoveGroup(OriginGroup group, Messages& messages)
 {
   const auto [first, last] = KeysOf(group);
   const auto entries = m_dispatcher.Origins().InRange(first, last);
@@ -240,7 +244,6 @@
     return;
   const CopyPlacement placement_before(m_placed, group);
   const CopyPlacement placement_now(m_moving_to, group);
-  std::map<Http::Endpoint, OriginMessage> messages;
   for (const auto& [stream, entry] : entries)
   {
     if (!entry.copied)
@@ -251,9 +254,21 @@
       if (receiver != m_settings.self && !IsSameRun(before, receiver))
         messages[receiver].copies.push_back(CopyOf(stream, entry));
   }
+}
+
+void OriginExchange::SendMoved(const Messages& messages)
+{
   for (const auto& [receiver, message] : messages)
   {
-    m_send(receiver, Daemons::Encode(message));
+    std::span<const OriginCopy> rest(message.copies);
+    while (!rest.empty())
+    {
+      const auto part = rest.first(std::min(rest.size(), COPIES_PER_DATAGRAM));
+      OriginMessage datagram;
+      datagram.copies.assign(part.begin(), part.end());
+      m_send(receiver, Daemons::Encode(datagram));
+      rest = rest.subspan(part.size());
+    }
     m_counters.copies_moved += static_cast<std::int64_t>(message.copies.size());
   }
 }
@@ -311,14 +326,14 @@
   query.resend_after = std::min(query.resend_after * 2, LAST_RESEND);
 }
 
-void OriginExchange::OnMessage(std::string_view bytes, const Http::Endpoint& from)
+bool OriginExchange::OnMessage(std::string_view bytes, const Http::Endpoint& from)
 {
   const auto message = Daemons::Decode<OriginMessage>(bytes);
   if (!message)
   {
     Common::LogEvent(Common::LogLevel::Warning, "datagram-malformed",
                      {{"from", from.ToString()}, {"reason", message.Reason().detail}});
-    return;
+    return false;
   }
   for (const OriginCopy& copy : message->copies)
     MergeCopy(copy, from);
@@ -327,8 +342,9 @@
   for (const OriginReply& reply : message->replies)
     OnReply(reply, from);
   for (const Fleet::ListedDaemon& started : message->started)
-    if (started.messages == from)
+    if (started.messages == from && m_members.IsKnown(from, Common::Now()))
       SendCopiesTo(started);
+  return true;
 }
 
 StreamOrigin OriginExchange::OriginIn(const OriginCopy& copy, const Http::Endpoint& from)
@@ -339,6 +355,14 @@
   return {copy.version, daemon, copy.place};
 }
 
+std::optional<Milliseconds> OriginExchange::AgeOf(const OriginCopy& copy)
+{
+  const Milliseconds retention = StreamOrigins::RETENTION;
+  if (copy.age_ms < 0 || copy.age_ms >= retention.count())
+    return std::nullopt;
+  return Milliseconds(copy.age_ms);
+}
+
 void OriginExchange::MergeCopy(const OriginCopy& copy, const Http::Endpoint& from)
 {
   if (!m_members.IsKnown(from, Common::Now()))
@@ -347,9 +371,8 @@
     return;
   }
   const auto now = Common::Now();
-  const auto age = Milliseconds(std::max<std::int64_t>(copy.age_ms, 0));
-  if (age < StreamOrigins::RETENTION)
-    m_dispatcher.Origins().Merge(ToStreamKey(copy.stream), OriginIn(copy, from), now - age, now);
+  if (const auto age = AgeOf(copy))
+    m_dispatcher.Origins().Merge(ToStreamKey(copy.stream), OriginIn(copy, from), now - *age, now);
 }
 
 void OriginExchange::OnQuery(const OriginQuery& query, const Http::Endpoint& from)
@@ -385,17 +408,17 @@
   Query& query = found->second;
   Gateway::OriginEvidence& evidence = query.evidence;
   ++evidence.replies;
-  if (!reply.origin.empty())
+  const auto age = reply.origin.empty() ? std::nullopt : AgeOf(reply.origin.front());
+  if (age)
   {
     const OriginCopy& copy = reply.origin.front();
     const auto now = Common::Now();
-    const auto age = Milliseconds(std::max<std::int64_t>(copy.age_ms, 0));
     const StreamKey key = query.stream;
     const Gateway::OriginEvidence known = evidence;
     m_streams_by_nonce.erase(stream);
     m_queries.erase(found);
-    m_dispatcher.Origins().Merge(key, OriginIn(copy, from), now - age, now);
-    m_dispatcher.LearnOrigin(key, {OriginIn(copy, from), now - age, true}, known);
+    m_dispatcher.Origins().Merge(key, OriginIn(copy, from), now - *age, now);
+    m_dispatcher.LearnOrigin(key, {OriginIn(copy, from), now - *age, true}, known);
     return;
   }
   evidence.versions.insert(reply.versions.begin(), reply.versions.end());
--- a/Source/Core/Orders/OriginExchange.h
+++ b/Source/Core/Orders/OriginExchange.h
@@ -45,7 +45,8 @@
   void Start();
   /// Sets the holder of the order lease, which is asked while the other daemons are not known.
   void SetHolder(std::optional<Http::Endpoint> holder) { m_holder = holder; }
-  void OnMessage(std::string_view bytes, const Http::Endpoint& from);
+  /// Returns false if the message is malformed.
+  bool OnMessage(std::string_view bytes, const Http::Endpoint& from);
   /// Sends the copies for which the changed list of daemons calls for other daemons.
   void OnMembersChanged();
   /// Sends the copies that have not been sent, in several turns.
@@ -70,8 +71,8 @@
   /// While a pool has only had one software version, copies are not necessary: a version that
   /// appears later leaves time to send them. Then this many streams a second are copied, so that
   /// most survive the failure of this VM at that very time.
-  static constexpr double SPARE_COPIES_PER_SECOND = 20;
-  static constexpr Common::Milliseconds TICK{1000};
+  static constexpr double SPARE_COPIES_PER_SECOND = 60;
+  static constexpr Common::Milliseconds TICK{250};
   /// Streams whose copies are sent in one turn of the loop, and the pause between two turns.
   static constexpr std::size_t COPIES_PER_TURN = 200;
   static constexpr Common::Milliseconds TURN_PAUSE{10};
@@ -79,6 +80,9 @@
   static constexpr Common::Milliseconds CONTACT_LOSS_DELAY{2000};
   /// After a change of the list further changes usually follow.
   static constexpr Common::Milliseconds MOVE_DELAY{100};
+  /// Random part of the delay, so that not all daemons send to a new one at once.
+  static constexpr std::uint64_t MOVE_SPREAD_MS = 200;
+  static constexpr std::size_t COPIES_PER_DATAGRAM = 1000;
   static constexpr std::size_t GROUPS_PER_TURN = 64;
   /// After a start, contact with the holder usually follows the list within this time.
   static constexpr Common::Milliseconds REQUEST_DELAY{300};
@@ -115,7 +119,11 @@
   void RequestCopies();
   /// Sends a daemon that has started the copies that it should keep.
   void SendCopiesTo(const Fleet::ListedDaemon& started);
-  void MoveGroup(OriginGroup group);
+  using Messages = std::map<Http::Endpoint, OriginMessage>;
+  /// Adds the copies of the group that are to be moved.
+  void MoveGroup(OriginGroup group, Messages& messages);
+  /// Sends the copies, in datagrams of limited size.
+  void SendMoved(const Messages& messages);
   /// True if the daemon is in `before` and has not restarted between the two lists.
   bool IsSameRun(const std::vector<Http::Endpoint>& before, const Http::Endpoint& receiver) const;
   /// Sends the copies of streams that began here and were noted since then once more.
@@ -128,6 +136,8 @@
   void OnQuery(const OriginQuery& query, const Http::Endpoint& from);
   void OnReply(const OriginReply& reply, const Http::Endpoint& from);
   static Gateway::StreamOrigin OriginIn(const OriginCopy& copy, const Http::Endpoint& from);
+  /// Nullopt if the copy is older than origins are kept.
+  static std::optional<Common::Milliseconds> AgeOf(const OriginCopy& copy);
   void MergeCopy(const OriginCopy& copy, const Http::Endpoint& from);
 
   Settings m_settings;
