StandIns: the program of resumed streams has its own folder

The files that only `resumed-streams` has move to Source/StandIns/ResumedStreams with a namespace of their own; stand-in servers and store stay with the soak. No behaviour changes; both programs build.

--- a/Source/StandIns/Soak/DaemonPool.cpp
+++ b/Source/StandIns/ResumedStreams/DaemonPool.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-#include "StandIns/Soak/DaemonPool.h"
+#include "StandIns/ResumedStreams/DaemonPool.h"
 
 #include <algorithm>
 #include <csignal>
@@ -13,7 +13,7 @@
 #include "Common/Loop.h"
 #include "Common/Reactor.h"
 
-namespace Soak
+namespace ResumedStreams
 {
 namespace
 {
@@ -163,4 +163,4 @@
     m_processes.Signal(daemon.pid, SIGCONT);
   });
 }
-} // namespace Soak
+} // namespace ResumedStreams
--- a/Source/StandIns/Soak/DaemonPool.h
+++ b/Source/StandIns/ResumedStreams/DaemonPool.h
@@ -13,7 +13,7 @@
 #include "Http/Channel.h"
 #include "ScenarioRunner/Processes.h"
 
-namespace Soak
+namespace ResumedStreams
 {
 /// Real daemons, each on a loopback address of its own, that can be killed, stopped and frozen.
 class DaemonPool
@@ -66,4 +66,4 @@
   ScenarioRunner::Processes m_processes;
   std::vector<Daemon> m_daemons;
 };
-} // namespace Soak
+} // namespace ResumedStreams
--- a/Source/StandIns/Soak/ResumedStreams.cpp
+++ b/Source/StandIns/ResumedStreams/Main.cpp
@@ -20,14 +20,15 @@
 #include "Common/Log.h"
 #include "Common/Loop.h"
 #include "Common/Reactor.h"
-#include "StandIns/Soak/DaemonPool.h"
+#include "StandIns/ResumedStreams/DaemonPool.h"
+#include "StandIns/ResumedStreams/StreamCallers.h"
 #include "StandIns/Soak/InvariantChecker.h"
 #include "StandIns/Soak/StandInServer.h"
 #include "StandIns/Soak/StandInStore.h"
-#include "StandIns/Soak/StreamCallers.h"
 
 namespace
 {
+using namespace ResumedStreams;
 using namespace Soak;
 using Common::Json;
 using Common::Milliseconds;
--- a/Source/StandIns/Soak/ResumptionChecker.cpp
+++ b/Source/StandIns/ResumedStreams/ResumptionChecker.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-#include "StandIns/Soak/ResumptionChecker.h"
+#include "StandIns/ResumedStreams/ResumptionChecker.h"
 
 #include <algorithm>
 #include <filesystem>
@@ -9,7 +9,7 @@
 #include <sstream>
 #include <string_view>
 
-namespace Soak
+namespace ResumedStreams
 {
 namespace
 {
@@ -101,4 +101,4 @@
                          " new ones began");
   return violations;
 }
-} // namespace Soak
+} // namespace ResumedStreams
--- a/Source/StandIns/Soak/ResumptionChecker.h
+++ b/Source/StandIns/ResumedStreams/ResumptionChecker.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-namespace Soak
+namespace ResumedStreams
 {
 /// Counts the streams that began, those that were taken up and went on, and those that hold events
 /// of two software versions.
@@ -52,4 +52,4 @@
   std::vector<Failure> m_failures;
   std::map<std::string, std::string> m_mixed; ///< First such attempt, by stream.
 };
-} // namespace Soak
+} // namespace ResumedStreams
--- a/Source/StandIns/Soak/StreamAttempt.cpp
+++ b/Source/StandIns/ResumedStreams/StreamAttempt.cpp
@@ -1,13 +1,13 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-#include "StandIns/Soak/StreamAttempt.h"
+#include "StandIns/ResumedStreams/StreamAttempt.h"
 
 #include <algorithm>
 #include <cstdlib>
 #include <utility>
 
-namespace Soak
+namespace ResumedStreams
 {
 namespace
 {
@@ -114,4 +114,4 @@
     on_end(AttemptEnd(m_end));
   });
 }
-} // namespace Soak
+} // namespace ResumedStreams
--- a/Source/StandIns/Soak/StreamAttempt.h
+++ b/Source/StandIns/ResumedStreams/StreamAttempt.h
@@ -12,7 +12,7 @@
 #include "Http/Channel.h"
 #include "Http/OriginConnection.h"
 
-namespace Soak
+namespace ResumedStreams
 {
 /// An event of a stream, with the software version of the server that wrote it.
 struct StreamEvent
@@ -68,4 +68,4 @@
   Common::OwnedTimer m_timer;
   Common::OwnedTimer m_end_timer;
 };
-} // namespace Soak
+} // namespace ResumedStreams
--- a/Source/StandIns/Soak/StreamCallers.cpp
+++ b/Source/StandIns/ResumedStreams/StreamCallers.cpp
@@ -1,14 +1,14 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-#include "StandIns/Soak/StreamCallers.h"
+#include "StandIns/ResumedStreams/StreamCallers.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "StandIns/Soak/StandInServer.h"
 
-namespace Soak
+namespace ResumedStreams
 {
 namespace
 {
@@ -60,7 +60,7 @@
 void StreamCallers::OpenStream()
 {
   After(Milliseconds(Draw(MAX_PAUSE_BETWEEN_STREAMS_MS)), [this] {
-    constexpr auto EVENTS = static_cast<std::uint64_t>(StandInServer::EVENTS_PER_STREAM);
+    constexpr auto EVENTS = static_cast<std::uint64_t>(Soak::StandInServer::EVENTS_PER_STREAM);
     Stream stream;
     stream.attempts_left = 1 + MAX_TAKEN_UP;
     if (m_habits.models > 0)
@@ -69,7 +69,7 @@
     const int event = 1 + static_cast<int>(Draw(EVENTS - 1));
     stream.body = "body";
     if (fate < BROKEN_PERCENT)
-      stream.body = std::string(StandInServer::BREAKING_BODY_PREFIX) + std::to_string(event);
+      stream.body = std::string(Soak::StandInServer::BREAKING_BODY_PREFIX) + std::to_string(event);
     else if (fate < BROKEN_PERCENT + m_habits.leave_percent)
     {
       stream.leaves_left = m_habits.leaves;
@@ -197,4 +197,4 @@
     Send(copy);
   });
 }
-} // namespace Soak
+} // namespace ResumedStreams
--- a/Source/StandIns/Soak/StreamCallers.h
+++ b/Source/StandIns/ResumedStreams/StreamCallers.h
@@ -10,10 +10,10 @@
 #include <string>
 
 #include "Common/Random.h"
-#include "StandIns/Soak/ResumptionChecker.h"
-#include "StandIns/Soak/StreamAttempt.h"
+#include "StandIns/ResumedStreams/ResumptionChecker.h"
+#include "StandIns/ResumedStreams/StreamAttempt.h"
 
-namespace Soak
+namespace ResumedStreams
 {
 /// What callers need to know of daemons and servers.
 struct CallerSurroundings
@@ -97,4 +97,4 @@
   std::int64_t m_attempt_count = 0;
   bool m_stopped = false;
 };
-} // namespace Soak
+} // namespace ResumedStreams
