--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -22,7 +22,6 @@
 using std::chrono::seconds;
 using UnitTests::RelayWorld;
 using UnitTests::RunFor;
-using UnitTests::RunUntil;
 using UnitTests::TestPeer;
 using UnitTests::TestServer;
 
