StandIns: the soak has streams of two software versions

A stream that is taken up goes on only at servers of the version that began it. The soak had servers without versions and callers that never took a stream up, so neither rule (no stream mixes versions; streams taken up go on at least half as often as new ones begin) was checked beside its faults.

Attempts count while two servers of the version serve. A share is compared from 12 streams of each type on. All other streams, too, must name one version in all events.

--- a/Source/StandIns/ResumedStreams/StreamCallers.cpp
+++ b/Source/StandIns/ResumedStreams/StreamCallers.cpp
@@ -76,6 +76,8 @@
       stream.leave_after =
           m_habits.leaves == 1 ? event : 1 + static_cast<int>(Draw(EVENTS_BETWEEN_LEAVES));
     }
+    if (m_habits.distinct_bodies)
+      stream.body.append(" ").append(std::to_string(++m_stream_count));
     Send(std::move(stream));
   });
 }
@@ -119,6 +121,8 @@
   place->faults_before = m_surroundings.faults(*vm);
   place->takes_up = takes_up;
   place->counts = HasServers(stream);
+  if (m_surroundings.on_sent)
+    m_surroundings.on_sent(place->id, *vm);
   const auto request = MakeRequest(stream, place->id);
   place->stream = std::move(stream);
   StreamAttempt::Callbacks callbacks{[this, place](const StreamEvent& event) {
--- a/Source/StandIns/ResumedStreams/StreamCallers.h
+++ b/Source/StandIns/ResumedStreams/StreamCallers.h
@@ -25,6 +25,8 @@
   std::function<std::uint64_t(std::size_t vm)> faults;
   /// Servers of a version that take requests; of an empty one: of any.
   std::function<int(const std::string& version)> ready_servers;
+  /// Called before an attempt is sent; may be empty.
+  std::function<void(const std::string& id, std::size_t vm)> on_sent = {};
 };
 
 /// How callers behave.
@@ -34,6 +36,7 @@
   int leaves = 1; ///< How often a caller that leaves its stream does so.
   std::uint64_t leave_percent = 33;
   bool leaves_early = false;               ///< Some attempts are left before their next event.
+  bool distinct_bodies = false;            ///< No two streams have the same body.
   bool takes_up_twice = false;             ///< At two VMs at the same time.
   Common::Milliseconds longest_pause{400}; ///< Between a break and the next attempt.
 };
@@ -95,6 +98,7 @@
   ResumptionChecker& m_checker;
   std::list<OpenAttempt> m_attempts;
   std::int64_t m_attempt_count = 0;
+  std::int64_t m_stream_count = 0;
   bool m_stopped = false;
 };
 } // namespace ResumedStreams
--- a/Source/StandIns/Soak/InvariantChecker.cpp
+++ b/Source/StandIns/Soak/InvariantChecker.cpp
@@ -37,12 +37,25 @@
 constexpr int MAX_BACKOFF_ARRIVALS = 2;
 
 /// Returns whether the body consists of complete events for `id`, numbered from 1 without a gap; of
-/// `required` events, unless that is 0.
-bool IsCompleteStream(const std::string& id, const std::string& body, int required)
+/// `required` events, unless that is 0. With `names_version`, all events name the same version.
+bool IsCompleteStream(const std::string& id, const std::string& body, int required,
+                      bool names_version)
 {
+  const std::string first = std::string("id: 1\ndata: ").append(id);
+  const auto first_end = std::min(body.find("\n\n"), body.size());
+  const std::string version = names_version && body.starts_with(first) && body[first.size()] == ' '
+                                  ? body.substr(first.size(), first_end - first.size())
+                                  : "";
+  if (names_version && version.empty())
+    return false;
   std::string expected;
   for (int event = 1; expected.size() < body.size() || event <= required; ++event)
-    expected += "id: " + std::to_string(event) + "\ndata: " + id + "\n\n";
+    expected.append("id: ")
+        .append(std::to_string(event))
+        .append("\ndata: ")
+        .append(id)
+        .append(version)
+        .append("\n\n");
   return !body.empty() && expected == body;
 }
 } // namespace
@@ -92,8 +105,9 @@
   ++m_served;
   const bool is_stream = request.type == RequestType::ResumableStream ||
                          request.type == RequestType::NonRepeatableStream;
-  const bool is_valid =
-      is_stream ? IsCompleteStream(id, body, m_required_events) : body == "answer to " + id;
+  const bool is_valid = is_stream
+                            ? IsCompleteStream(id, body, m_required_events, m_events_name_versions)
+                            : body == "answer to " + id;
   if (!is_valid)
     ReportViolation("wrong response to " + id + ": " + body.substr(0, 80));
 }
--- a/Source/StandIns/Soak/InvariantChecker.h
+++ b/Source/StandIns/Soak/InvariantChecker.h
@@ -39,6 +39,8 @@
   /// The caller got a complete response, or none (status 0).
   /// From now on a stream counts as complete only with this number of events.
   void RequireEvents(int events) { m_required_events = events; }
+  /// From now on each event of a stream names a software version, all events the same one.
+  void RequireOneVersion() { m_events_name_versions = true; }
   void RecordResponse(const std::string& id, int status, const std::string& body);
   /// A backend server received an order.
   void RecordOrder(const std::string& server, const std::string& holder, std::int64_t fence,
@@ -149,6 +151,7 @@
   std::map<std::string, RateLimitedServer> m_rate_limited_servers;
   std::map<std::string, Common::TimePoint> m_daemon_faults_until;
   std::map<std::string, Request> m_requests;
+  bool m_events_name_versions = false;
   int m_required_events = 0;
   std::map<std::string, LastOrder> m_last_orders;
   std::map<std::string, CrashingRequest> m_crashing_requests;
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -29,6 +29,7 @@
 #include "StandIns/Soak/InvariantChecker.h"
 #include "StandIns/Soak/StandInServer.h"
 #include "StandIns/Soak/StandInStore.h"
+#include "StandIns/Soak/VersionedStreams.h"
 
 namespace
 {
@@ -60,6 +61,17 @@
 /// configuration takes 0.8 s, and each change adds 0.15 s.
 constexpr int INITIAL_ROUTES = 3500;
 constexpr int ROUTES_PER_CHANGE = 700;
+/// Software versions of servers: those of the second appear while faults last, in this share of
+/// the time, one after the other; later those of the first go.
+constexpr const char* FIRST_VERSION = "v1";
+constexpr const char* SECOND_VERSION = "v2";
+constexpr int ROLLOUT_STEPS = 16;
+constexpr int ROLLOUT_BEGIN_STEP = 3;
+constexpr int ROLLOUT_DRAIN_STEP = 9;
+constexpr Milliseconds ROLLOUT_DRAIN_TIME{1500};
+constexpr Milliseconds RETIRE_RETRY_INTERVAL{200};
+/// For streams to be taken up after the last fault.
+constexpr Milliseconds STREAMS_AFTER_FAULTS{2000};
 /// Signals of a series, and the pauses between them.
 constexpr std::array SERIES_SIGNALS{SIGHUP, SIGUSR1, SIGUSR2};
 constexpr std::uint64_t MAX_SERIES_LENGTH = 6;
@@ -115,6 +127,12 @@
     m_server_faults = static_cast<std::uint64_t>(ServerFault::UnframedResponses);
     m_checker.RequireEvents(StandInServer::EVENTS_PER_STREAM);
   }
+  /// Servers have two software versions, and callers take up streams at other VMs.
+  void UseSoftwareVersions()
+  {
+    m_uses_versions = true;
+    m_checker.RequireOneVersion();
+  }
   /// Several faults coincide, and signals come in series, also to daemons that start or stop.
   void OverlapFaults() { m_faults_overlap = true; }
 
@@ -128,6 +146,8 @@
     });
     After(STARTUP_TIME, [this, faults_duration] {
       m_faults_until = Common::Now() + faults_duration;
+      if (m_streams)
+        RollOut(faults_duration);
       InjectNextFault();
       if (m_rate_limits_servers)
         RateLimitRandomServer();
@@ -138,6 +158,10 @@
     After(faults_end, [this] {
       EndFaults();
     });
+    if (m_streams)
+      After(faults_end + STREAMS_AFTER_FAULTS, [this] {
+        m_streams->Stop(m_logs);
+      });
     After(faults_end + RECOVERY_TIME, [this] {
       m_checker.ResetCounts();
       CheckNewestRoute();
@@ -181,20 +205,89 @@
   {
     const std::string store_ip = m_net + ".1";
     RequireStarted(static_cast<bool>(m_store.Listen(EndpointAt(store_ip, FIRST_PORT))), "store");
+    for (int i = 0; i < SERVERS; ++i)
+      StartServer(i, FIRST_VERSION);
+    PutConfiguration();
+    if (m_uses_versions)
+      UseVersionedStreams();
+    for (std::size_t i = 0; i < m_daemons.size(); ++i)
+      StartDaemon(i, store_ip);
+  }
+
+  void StartServer(int number, const char* version)
+  {
     std::vector<std::string> models;
     models.reserve(MODELS);
     for (int i = 0; i < MODELS; ++i)
       models.push_back("m" + std::to_string(i));
+    auto server = std::make_unique<StandInServer>("s" + std::to_string(number),
+                                                  EndpointAt(m_net + ".2", FIRST_PORT + number),
+                                                  m_store, m_checker, std::move(models));
+    if (m_uses_versions)
+      server->RunSoftware(version, "z1");
+    RequireStarted(static_cast<bool>(server->Listen()), "server");
+    m_servers.push_back(std::move(server));
+  }
+
+  void UseVersionedStreams()
+  {
+    std::vector<VersionedStreams::Vm> vms;
+    for (std::size_t i = 0; i < m_daemons.size(); ++i)
+    {
+      const std::string ip = m_net + "." + std::to_string(10 + i);
+      vms.push_back({.name = "vm-" + std::to_string(i),
+                     .endpoint = EndpointAt(ip, FIRST_PORT + 1),
+                     .readiness = std::make_unique<Http::Channel>(EndpointAt(ip, FIRST_PORT + 2)),
+                     .suspended_until = {},
+                     .cut_until = {}});
+    }
+    m_streams = std::make_unique<VersionedStreams>(Common::Random(m_random()), std::move(vms),
+                                                   m_servers, m_checker);
+    After(STARTUP_TIME, [this] {
+      m_streams->Start();
+    });
+  }
+
+  /// Servers of the second version appear; later those of the first go.
+  void RollOut(Milliseconds duration)
+  {
+    const auto step = duration / ROLLOUT_STEPS;
     for (int i = 0; i < SERVERS; ++i)
     {
-      m_servers.push_back(std::make_unique<StandInServer>("s" + std::to_string(i),
-                                                          EndpointAt(m_net + ".2", FIRST_PORT + i),
-                                                          m_store, m_checker, models));
-      RequireStarted(static_cast<bool>(m_servers.back()->Listen()), "server");
+      After((ROLLOUT_BEGIN_STEP + i) * step, [this, i] {
+        StartServer(SERVERS + i, SECOND_VERSION);
+      });
+      After((ROLLOUT_DRAIN_STEP + i) * step, [this] {
+        StandInServer* leaving = m_servers[m_leaving_servers++].get();
+        if (!leaving->IsDown())
+          leaving->Drain();
+        After(ROLLOUT_DRAIN_TIME, [this, leaving] {
+          Retire(*leaving);
+        });
+      });
     }
-    PutConfiguration();
-    for (std::size_t i = 0; i < m_daemons.size(); ++i)
-      StartDaemon(i, store_ip);
+  }
+
+  /// Retires the server once it is up.
+  void Retire(StandInServer& server)
+  {
+    if (server.IsDown())
+    {
+      After(RETIRE_RETRY_INTERVAL, [this, &server] {
+        Retire(server);
+      });
+      return;
+    }
+    server.Retire();
+    const auto found = std::ranges::find(m_servers, &server, &std::unique_ptr<StandInServer>::get);
+    m_retired_servers.push_back(std::move(*found));
+    m_servers.erase(found);
+    --m_leaving_servers;
+  }
+
+  std::size_t IndexOf(const DaemonProcess& daemon) const
+  {
+    return static_cast<std::size_t>(&daemon - m_daemons.data());
   }
 
   void StartDaemon(std::size_t index, const std::string& store_ip)
@@ -227,6 +320,8 @@
     setenv("DRUMPOND_METRICS_PORT", std::to_string(FIRST_PORT + 3).c_str(), 1);
     daemon.pid = m_processes.Start(daemon.name, {m_binary});
     daemon.expected_to_run = true;
+    if (m_streams)
+      m_streams->RecordLaunch(IndexOf(daemon));
   }
 
   static void RequireStarted(bool done, const char* what)
@@ -521,6 +616,8 @@
     m_checker.RecordFault(Common::Now() + Milliseconds(3600) + STARTUP_TIME);
     m_checker.RecordDaemonFault(daemon.name, Common::Now() + Milliseconds(3600) + STARTUP_TIME);
     m_checker.RecordDaemonStop(daemon.name, Common::Now() + Milliseconds(3600));
+    if (m_streams)
+      m_streams->RecordEnd(IndexOf(daemon));
     m_processes.Signal(daemon.pid, SIGCONT);
     m_processes.Signal(daemon.pid, signal);
     daemon.expected_to_run = false;
@@ -575,6 +672,8 @@
     m_checker.RecordFault(Common::Now() + span);
     m_checker.RecordDaemonFault(daemon.name, Common::Now() + span);
     m_checker.RecordDaemonStop(daemon.name, Common::Now() + span);
+    if (m_streams)
+      m_streams->RecordSuspension(IndexOf(daemon), span);
     After(span, [this, pid = daemon.pid] {
       m_processes.Signal(pid, SIGCONT);
     });
@@ -603,6 +702,8 @@
     const auto span = DrawMs(300, 6000);
     m_checker.RecordFault(Common::Now() + span);
     m_checker.RecordDaemonFault(daemon.name, Common::Now() + span);
+    if (m_streams)
+      m_streams->RecordCut(IndexOf(daemon), span);
     After(span, [&daemon] {
       daemon.store_relay->SetCut(false);
     });
@@ -691,8 +792,11 @@
   ScenarioRunner::Processes m_processes;
   InvariantChecker m_checker;
   StandInStore m_store;
-  std::vector<std::unique_ptr<StandInServer>> m_servers;
+  Servers m_servers;
+  Servers m_retired_servers;         ///< Faults that end later may still refer to them.
+  std::size_t m_leaving_servers = 0; ///< The first ones of `m_servers`, which are being retired.
   std::vector<DaemonProcess> m_daemons;
+  std::unique_ptr<VersionedStreams> m_streams; ///< None without software versions.
   GMainLoop* m_loop = g_main_loop_new(nullptr, FALSE);
   Common::TimePoint m_started_at = Common::Now();
   Common::TimePoint m_faults_until;
@@ -706,6 +810,7 @@
   bool m_drains_and_backs_off_servers = false;
   bool m_callers_stay = false;
   bool m_faults_overlap = false;
+  bool m_uses_versions = false;
   /// The server faults that are drawn: the first of `ServerFault`, up to this one.
   std::uint64_t m_server_faults = static_cast<std::uint64_t>(ServerFault::DelayOrders);
   bool m_prompts_have_parts = false;
@@ -734,7 +839,8 @@
       "leaving-servers", "servers announce that they are draining, or ask daemons to back off")(
       "staying-callers", "callers send requests to a stopping daemon until its process has ended")(
       "overlapping-faults", "faults coincide, and signals come in series")(
-      "unframed-responses", "some responses of servers have neither a length nor chunks");
+      "unframed-responses", "some responses of servers have neither a length nor chunks")(
+      "software-versions", "servers have two versions, and callers take up streams at other VMs");
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   Common::InitLog(argv[0]);
@@ -759,5 +865,7 @@
     run.OverlapFaults();
   if (parsed.count("unframed-responses") > 0)
     run.SendUnframedResponses();
+  if (parsed.count("software-versions") > 0)
+    run.UseSoftwareVersions();
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
 }
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -59,6 +59,13 @@
   void Retire();
   /// True if it takes requests and its entry says so.
   bool IsReady() const { return m_listener && !m_draining; }
+  /// True if it is ready and serves all requests as they come.
+  bool TakesRequests() const
+  {
+    return IsReady() && m_fault == ServerFault::None && !m_rate_limit && !m_announces_drain;
+  }
+  /// True after a crash, until the process is started again.
+  bool IsDown() const { return !m_listener; }
   const std::string& Version() const { return m_version; }
   /// Crashes: resets all connections and refuses new ones. The entry stays for `down_time`, after
   /// which a new instance starts.
@@ -112,8 +119,6 @@
   void After(Common::Milliseconds delay, std::function<void()> callback);
   /// Names this instance also where it has the id of the one before.
   std::string LifeName() const;
-  /// True after a crash, until the process is started again.
-  bool IsDown() const { return !m_listener; }
   /// Adds the headers that all responses to requests have.
   std::vector<Http::HeaderField> ResponseHeaders(std::vector<Http::HeaderField> headers) const;
 
