--- a/Source/Core/Http/TcpStream.cpp
+++ b/Source/Core/Http/TcpStream.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <optional>
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
@@ -29,6 +30,9 @@
 constexpr int KEEPALIVE_INTERVAL_S = 1;
 constexpr int KEEPALIVE_PROBES = 2;
 
+/// Local address of outgoing connections, with port 0; none: the kernel chooses it.
+std::optional<sockaddr_in> s_source;
+
 template <typename T>
 void SetOption(int fd, int level, int name, T value)
 {
@@ -95,6 +99,35 @@
   return result;
 }
 
+namespace
+{
+/// Binds an unconnected socket to the source address, if one is set. Returns false if that fails.
+bool BindToSource(int fd)
+{
+  if (!s_source)
+    return true;
+  // The port is chosen when the socket is connected, so that one port serves many peers.
+  SetOption(fd, IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, 1);
+  return bind(fd, reinterpret_cast<const sockaddr*>(&*s_source), sizeof(*s_source)) == 0;
+}
+} // namespace
+
+Common::Result<Common::Done> SetSourceAddress(const std::string& address)
+{
+  const auto endpoint = Endpoint::Parse(address + ":0");
+  if (!endpoint)
+    return {Common::FailureKind::InvalidInput, "not an IPv4 address: " + address};
+  s_source = endpoint->ToSockaddr();
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const bool is_local = fd >= 0 && BindToSource(fd);
+  const std::string reason = std::strerror(errno);
+  close(fd);
+  if (is_local)
+    return Common::Done{};
+  s_source.reset();
+  return {Common::FailureKind::InvalidInput, address + ": " + reason};
+}
+
 TcpStream::TcpStream(int fd, StreamEvents* events, bool connected, const SocketOptions& options)
     : m_fd(fd), m_events(events), m_connected(connected)
 {
@@ -114,6 +147,11 @@
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
     return nullptr;
+  if (!BindToSource(fd))
+  {
+    close(fd);
+    return nullptr;
+  }
   const sockaddr_in address = peer.ToSockaddr();
   const int status = connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
   if (status != 0 && errno != EINPROGRESS)
--- a/Source/Core/Http/TcpStream.h
+++ b/Source/Core/Http/TcpStream.h
@@ -52,6 +52,10 @@
 /// No send deadline: bytes may be sent at any time.
 inline constexpr Common::TimePoint NO_SEND_DEADLINE = Common::TimePoint::max();
 
+/// Sets the local IPv4 address of all outgoing connections of this process, for VMs with several;
+/// without one the kernel chooses it. Fails with InvalidInput if the text is no address of this VM.
+Common::Result<Common::Done> SetSourceAddress(const std::string& address);
+
 /// Receives the events of a `TcpStream`. A call may destroy the stream's owner.
 class StreamEvents
 {
@@ -141,6 +145,7 @@
   Common::Result<Common::Done> Listen(const Endpoint& local, AcceptHandler handler);
   /// Returns the bound address, with the actual port where port 0 was requested.
   Endpoint Local() const;
+  int Descriptor() const { return m_fd; }
   void OnDescriptorEvents(std::uint32_t events) override;
 
 private:
