--- /dev/null
+++ b/Source/StandIns/OverloadedServers/Main.cpp
@@ -0,0 +1,450 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// Runs real daemons in front of servers with slots and queues, and injects the faults of one case.
+// Checks that brittle servers do not crash under the requests that they reject while callers use
+// their capacity, and that callers of VMs that are cut off from servers are served like the others.
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <numeric>
+
+#include <cxxopts.hpp>
+#include <glib.h>
+
+#include "Common/Json.h"
+#include "Common/Log.h"
+#include "Common/Loop.h"
+#include "Common/Reactor.h"
+#include "StandIns/OverloadedServers/OpenLoopCallers.h"
+#include "StandIns/OverloadedServers/QueueingServer.h"
+#include "StandIns/ResumedStreams/DaemonPool.h"
+#include "StandIns/Soak/StandInStore.h"
+
+namespace
+{
+using namespace OverloadedServers;
+using Common::Json;
+using Common::Milliseconds;
+using ResumedStreams::DaemonPool;
+
+constexpr std::size_t DATA_CENTRES = 3;
+constexpr int SERVERS = 6;
+constexpr int STORE_PORT = 8300;
+constexpr int REJECTIONS_PER_SECOND = 4;
+constexpr Milliseconds STARTUP_TIME{4000};
+constexpr Milliseconds TIME_BEFORE_FAULTS{1500};
+constexpr Milliseconds FAULTS_DURATION{17000};
+/// From the start of a fault until what callers see of it counts.
+constexpr Milliseconds NOTICE{3000};
+/// For the last requests to end.
+constexpr Milliseconds TIME_AFTER_FAULTS{4500};
+/// A refusal that comes later than this came from a wait that ran out.
+constexpr Milliseconds LATE_REFUSAL{1500};
+
+void RequireStarted(bool done, const char* what)
+{
+  if (done)
+    return;
+  std::cerr << "overloaded-servers: cannot start the " << what << "\n";
+  std::exit(2);
+}
+
+/// What became of some requests.
+struct Tally
+{
+  int sent = 0;
+  int served = 0;
+  int refused_late = 0;
+
+  int NotServed() const { return sent - served; }
+  double Share() const { return sent == 0 ? 1 : static_cast<double>(served) / sent; }
+};
+
+template <typename Predicate>
+Tally Count(const std::vector<Attempt>& attempts, Predicate counts)
+{
+  Tally tally;
+  for (const Attempt& attempt : attempts)
+  {
+    if (!counts(attempt))
+      continue;
+    ++tally.sent;
+    tally.served += attempt.IsServed() ? 1 : 0;
+    tally.refused_late += !attempt.IsServed() && attempt.took > LATE_REFUSAL ? 1 : 0;
+  }
+  return tally;
+}
+
+class OverloadedServersRun
+{
+public:
+  OverloadedServersRun(const std::string& binary, std::uint64_t seed, std::string net,
+                       std::string logs, std::optional<std::size_t> daemons, bool bears_rejections)
+      : m_random(seed),
+        m_binary(binary),
+        m_net(std::move(net)),
+        m_logs(std::move(logs)),
+        m_daemon_count(daemons),
+        m_bears_rejections(bears_rejections)
+  {
+  }
+
+  /// Runs the case; returns the exit status.
+  int Run(const std::string& name)
+  {
+    const auto found = Cases().find(name);
+    RequireStarted(found != Cases().end(), "case: its name is unknown");
+    m_case = found->second;
+    Start();
+    g_main_loop_run(m_loop);
+    m_callers->Stop();
+    m_daemons->KillAll();
+    return Report(name);
+  }
+
+private:
+  enum class Trouble
+  {
+    Brittle, ///< All servers are brittle.
+    Cut,     ///< Some VMs are cut off from the servers.
+  };
+  struct Case
+  {
+    Trouble trouble = Trouble::Brittle;
+    std::size_t daemons = 6;
+    /// Offered load, as a share of the capacity of all servers.
+    double load = 0.6;
+    double load_later = 0; ///< From the middle of the faults on; 0: the same.
+    std::size_t clump = 1;
+    /// The least share of the requests that must be served, or of the capacity if that is less than
+    /// what is offered; 0: not checked.
+    double least_served = 0;
+    void (OverloadedServersRun::*inject)() = &OverloadedServersRun::InjectNothing;
+    CutKind cut = CutKind::Hang;
+    std::size_t spared = 0; ///< VMs that are not cut off.
+  };
+
+  static const std::map<std::string, Case>& Cases()
+  {
+    using Run = OverloadedServersRun;
+    constexpr double CLUMPS_SERVED = 0.9;
+    constexpr double CAPACITY_USED = 0.85;
+    static const std::map<std::string, Case> CASES{
+        {"brittle-even", {.least_served = CLUMPS_SERVED}},
+        {"brittle-clumps-one-vm", {.daemons = 1, .clump = 12, .least_served = CLUMPS_SERVED}},
+        {"brittle-clumps", {.clump = 12, .least_served = CLUMPS_SERVED}},
+        {"brittle-overload", {.load = 1.5, .least_served = CAPACITY_USED}},
+        {"brittle-step", {.load = 0.5, .load_later = 2}},
+        {"brittle-kills", {.load = 1.5, .inject = &Run::KillTwo}},
+        {"brittle-holder-frozen", {.load = 1.5, .inject = &Run::FreezeHolder}},
+        {"brittle-store-away", {.load = 1.5, .inject = &Run::SilenceStore}},
+        {"brittle-restarts", {.load = 1.5, .inject = &Run::RestartInTurn}},
+        {"brittle-suspended", {.load = 1.5, .inject = &Run::SuspendInTurn}},
+        {"brittle-overlapping", {.load = 1.5, .inject = &Run::OverlapFaults}},
+        {"brittle-many-vms", {.daemons = 20, .load = 1.5, .least_served = CAPACITY_USED}},
+        {"brittle-many-vms-clumps", {.daemons = 20, .clump = 12, .least_served = CLUMPS_SERVED}},
+        {"cut-half", {.trouble = Trouble::Cut, .load = 0.5, .spared = 3}},
+        {"cut-half-reset",
+         {.trouble = Trouble::Cut, .load = 0.5, .cut = CutKind::Reset, .spared = 3}},
+        {"cut-half-old-ones-live",
+         {.trouble = Trouble::Cut, .load = 0.5, .cut = CutKind::OldOnesLive, .spared = 3}},
+        {"cut-all-but-one", {.trouble = Trouble::Cut, .daemons = 12, .load = 0.5, .spared = 1}},
+        {"cut-all-but-one-reset",
+         {.trouble = Trouble::Cut, .daemons = 12, .load = 0.5, .cut = CutKind::Reset, .spared = 1}},
+        {"cut-all-but-two", {.trouble = Trouble::Cut, .daemons = 12, .load = 0.5, .spared = 2}},
+        {"cut-restarts",
+         {.trouble = Trouble::Cut, .load = 0.5, .inject = &Run::RestartInTurn, .spared = 3}},
+        {"cut-holder-frozen",
+         {.trouble = Trouble::Cut, .load = 0.5, .inject = &Run::FreezeHolder, .spared = 3}},
+        {"cut-store-away",
+         {.trouble = Trouble::Cut, .load = 0.5, .inject = &Run::SilenceStore, .spared = 3}},
+        {"cut-overlapping",
+         {.trouble = Trouble::Cut, .load = 0.5, .inject = &Run::OverlapFaults, .spared = 3}},
+    };
+    return CASES;
+  }
+
+  static void After(Milliseconds delay, std::function<void()> callback)
+  {
+    Common::Reactor::Get().After(delay, std::move(callback));
+  }
+  /// Calls the function at this interval while faults last.
+  void Repeat(Milliseconds interval, const std::function<void()>& callback)
+  {
+    for (Milliseconds at{0}; at < FAULTS_DURATION; at += interval)
+      After(at, callback);
+  }
+
+  Http::Endpoint EndpointAt(int octet, int port)
+  {
+    return *Http::Endpoint::Parse(m_net + "." + std::to_string(octet) + ":" + std::to_string(port));
+  }
+
+  void Start()
+  {
+    const Http::Endpoint store = EndpointAt(1, STORE_PORT);
+    RequireStarted(static_cast<bool>(m_store.Listen(store)), "store");
+    for (int i = 0; i < SERVERS; ++i)
+    {
+      m_servers.push_back(std::make_unique<QueueingServer>(
+          "s" + std::to_string(i), EndpointAt(2, STORE_PORT + i), m_store, m_capacity, m_counts));
+      RequireStarted(static_cast<bool>(m_servers.back()->Start()), "server");
+    }
+    PutConfiguration();
+    m_daemons = std::make_unique<DaemonPool>(m_binary, m_net, m_logs,
+                                             m_daemon_count.value_or(m_case.daemons), DATA_CENTRES);
+    m_daemons->ConnectFromOwnAddresses();
+    m_daemons->Start(store);
+    m_callers =
+        std::make_unique<OpenLoopCallers>(Common::Random(m_random()), Surroundings(), m_case.clump);
+    After(STARTUP_TIME, [this] {
+      m_callers->Start();
+    });
+    After(STARTUP_TIME + TIME_BEFORE_FAULTS, [this] {
+      BeginFaults();
+    });
+    After(STARTUP_TIME + TIME_BEFORE_FAULTS + FAULTS_DURATION, [this] {
+      EndFaults();
+    });
+    After(STARTUP_TIME + TIME_BEFORE_FAULTS + FAULTS_DURATION + TIME_AFTER_FAULTS, [this] {
+      g_main_loop_quit(m_loop);
+    });
+  }
+
+  OpenLoopCallers::Surroundings Surroundings()
+  {
+    return {[this] {
+              return m_daemons->InTouch();
+            },
+            [this](std::size_t vm) {
+              return m_daemons->CallerEndpoint(vm);
+            },
+            [this] {
+              return CurrentLoad() * TotalCapacity();
+            }};
+  }
+
+  double TotalCapacity() const { return m_capacity.PerSecond() * SERVERS; }
+
+  double CurrentLoad() const
+  {
+    const bool is_later =
+        m_began_at && Common::Now() - *m_began_at >= NOTICE + (FAULTS_DURATION - NOTICE) / 2;
+    return is_later && m_case.load_later > 0 ? m_case.load_later : m_case.load;
+  }
+
+  void PutConfiguration()
+  {
+    const Json route = {{"name", "plain"},      {"host", "h"},       {"pathPrefix", "/plain/"},
+                        {"kind", "idempotent"}, {"timeoutMs", 4000}, {"targetLatencyMs", 1000},
+                        {"priority", 1},        {"service", "pool"}, {"maxAttempts", 3}};
+    m_store.Put("op", "config",
+                {{"version", 1},
+                 {"routes", Json::array({route})},
+                 {"services", Json::array({{{"name", "pool"}, {"maxConns", 200}}})},
+                 {"limits", {{"idleTimeoutMs", 10000}}}});
+  }
+
+  void BeginFaults()
+  {
+    m_began_at = Common::Now();
+    if (m_case.trouble == Trouble::Brittle)
+      for (const auto& server : m_servers)
+        server->BeginBrittle(REJECTIONS_PER_SECOND, !m_bears_rejections);
+    else
+      CutVms();
+    (this->*m_case.inject)();
+  }
+
+  void EndFaults()
+  {
+    m_ended_at = Common::Now();
+    for (const auto& server : m_servers)
+    {
+      server->EndBrittle();
+      server->EndCut();
+    }
+  }
+
+  void CutVms()
+  {
+    NetworkCut cut;
+    cut.kind = m_case.cut;
+    for (std::size_t vm = m_case.spared; vm < m_daemons->Size(); ++vm)
+    {
+      m_cut_vms.insert(vm);
+      cut.addresses.insert(m_daemons->CallerEndpoint(vm).address);
+    }
+    for (const auto& server : m_servers)
+      server->SetCut(cut);
+  }
+
+  void InjectNothing() {}
+
+  void KillTwo()
+  {
+    for (const std::size_t vm : {1U, 3U})
+      After(NOTICE + Milliseconds(2000), [this, vm] {
+        m_daemons->End(vm, SIGKILL, Milliseconds(2000));
+      });
+  }
+
+  void EndInTurn(Milliseconds interval, int signal, Milliseconds down_time)
+  {
+    Repeat(interval, [this, signal, down_time, turn = std::make_shared<std::size_t>(0)] {
+      m_daemons->End((*turn)++ % m_daemons->Size(), signal, down_time);
+    });
+  }
+  void RestartInTurn() { EndInTurn(Milliseconds(1800), SIGTERM, Milliseconds(300)); }
+
+  void SuspendInTurn()
+  {
+    Repeat(Milliseconds(2300), [this, turn = std::make_shared<std::size_t>(0)] {
+      m_daemons->Freeze((*turn)++ % m_daemons->Size(), Milliseconds(2000));
+    });
+  }
+
+  std::optional<std::size_t> Holder() const
+  {
+    const auto row = Common::ParseJson(m_store.Find("drumpond", "order-lease"));
+    return row ? m_daemons->Find(Common::GetOr<std::string>(*row, "holder", "")) : std::nullopt;
+  }
+
+  void FreezeHolder()
+  {
+    After(NOTICE + Milliseconds(2000), [this] {
+      if (const auto holder = Holder())
+        m_daemons->Freeze(*holder, Milliseconds(5000));
+    });
+  }
+
+  void SilenceStore()
+  {
+    After(NOTICE + Milliseconds(1000), [this] {
+      m_store.SetFault(Soak::StoreFault::Unresponsive);
+      After(Milliseconds(6000), [this] {
+        m_store.SetFault(Soak::StoreFault::None);
+      });
+    });
+  }
+
+  void OverlapFaults()
+  {
+    EndInTurn(Milliseconds(3700), SIGTERM, Milliseconds(300));
+    EndInTurn(Milliseconds(5300), SIGKILL, Milliseconds(900));
+    FreezeHolder();
+    SilenceStore();
+  }
+
+  /// True for a request that was sent while the fault was in full effect.
+  bool Counts(const Attempt& attempt) const
+  {
+    return attempt.sent_at >= *m_began_at + NOTICE && attempt.sent_at < *m_ended_at;
+  }
+
+  std::vector<std::string> CheckBrittle() const
+  {
+    std::vector<std::string> violations;
+    const Tally tally = Count(m_callers->Ended(), [this](const Attempt& attempt) {
+      return Counts(attempt);
+    });
+    const double seconds = std::chrono::duration<double>(FAULTS_DURATION - NOTICE).count();
+    const double possible = TotalCapacity() * seconds;
+    std::cout << "falls " << m_counts.falls << ", rejections " << m_counts.rejections << ", served "
+              << tally.served << " of " << tally.sent << ", "
+              << static_cast<int>(100 * tally.served / possible)
+              << " in 100 of the capacity, not served after a long wait " << tally.refused_late
+              << "\n";
+    constexpr int SERVERS_PER_FALL = 10;
+    if (m_counts.falls > 2 + SERVERS / SERVERS_PER_FALL)
+      violations.push_back(std::to_string(m_counts.falls) + " falls of brittle servers");
+    const double owed = std::min<double>(tally.sent, possible) * m_case.least_served;
+    if (tally.served < owed)
+      violations.push_back("served " + std::to_string(tally.served) + " where " +
+                           std::to_string(static_cast<int>(owed)) + " are owed");
+    return violations;
+  }
+
+  std::vector<std::string> CheckCut() const
+  {
+    const Tally cut = Count(m_callers->Ended(), [this](const Attempt& attempt) {
+      return Counts(attempt) && m_cut_vms.contains(attempt.vm);
+    });
+    const Tally others = Count(m_callers->Ended(), [this](const Attempt& attempt) {
+      return Counts(attempt) && !m_cut_vms.contains(attempt.vm);
+    });
+    std::cout << "cut off: served " << cut.served << " of " << cut.sent << ", others "
+              << others.served << " of " << others.sent << "\n";
+    constexpr double LEAST_RATIO = 2.0 / 3;
+    constexpr int FAILURES = 10;
+    constexpr int REQUESTS_PER_FAILURE = 50;
+    const bool many_fail = cut.NotServed() > FAILURES + cut.sent / REQUESTS_PER_FAILURE;
+    if (many_fail && cut.Share() < others.Share() * LEAST_RATIO)
+      return {"callers of cut VMs are served far worse than others"};
+    return {};
+  }
+
+  int Report(const std::string& name)
+  {
+    const auto violations = m_case.trouble == Trouble::Brittle ? CheckBrittle() : CheckCut();
+    if (violations.empty())
+      std::cout << "pass overloaded-" << name << "\n";
+    else
+      std::cout << "FAIL overloaded-" << name << " : " << violations.front() << "\n";
+    return violations.empty() ? 0 : 1;
+  }
+
+  Common::Random m_random;
+  std::string m_binary;
+  std::string m_net;
+  std::string m_logs;
+  std::optional<std::size_t> m_daemon_count;
+  bool m_bears_rejections;
+  Case m_case;
+  Capacity m_capacity;
+  BrittleCounts m_counts;
+  Soak::StandInStore m_store;
+  std::vector<std::unique_ptr<QueueingServer>> m_servers;
+  std::unique_ptr<DaemonPool> m_daemons;
+  std::unique_ptr<OpenLoopCallers> m_callers;
+  std::set<std::size_t> m_cut_vms;
+  std::optional<Common::TimePoint> m_began_at;
+  std::optional<Common::TimePoint> m_ended_at;
+  GMainLoop* m_loop = g_main_loop_new(nullptr, FALSE);
+};
+} // namespace
+
+int main(int argc, char** argv)
+{
+  cxxopts::Options options("overloaded-servers", "Servers that are brittle or out of reach");
+  options.add_options()("case", "name of the case",
+                        cxxopts::value<std::string>()->default_value("brittle-even"))(
+      "seed", "seed of the callers", cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "daemons", "number of daemons instead of the case's", cxxopts::value<std::size_t>())(
+      "bears-rejections", "brittle servers do not crash; the control")(
+      "net", "first three octets of the loopback addresses",
+      cxxopts::value<std::string>()->default_value("127.42.1"))(
+      "logs", "directory for the logs of the daemons",
+      cxxopts::value<std::string>()->default_value("build/overloaded-servers"))(
+      "binary", "path of the daemon's program",
+      cxxopts::value<std::string>()->default_value("build/bin/drumpondd"));
+  const auto parsed = options.parse(argc, argv);
+  std::signal(SIGPIPE, SIG_IGN);
+  Common::InitLog(argv[0]);
+  Common::MuteLog();
+  const auto logs = std::filesystem::absolute(parsed["logs"].as<std::string>());
+  std::filesystem::create_directories(logs);
+  std::optional<std::size_t> daemons;
+  if (parsed.count("daemons") > 0)
+    daemons = parsed["daemons"].as<std::size_t>();
+  OverloadedServersRun run(std::filesystem::absolute(parsed["binary"].as<std::string>()),
+                           parsed["seed"].as<std::uint64_t>(), parsed["net"].as<std::string>(),
+                           logs, daemons, parsed.count("bears-rejections") > 0);
+  return run.Run(parsed["case"].as<std::string>());
+}
--- /dev/null
+++ b/Source/StandIns/OverloadedServers/QueueingServer.h
@@ -0,0 +1,112 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "Common/Reactor.h"
+#include "Http/ServerConnection.h"
+#include "StandIns/OverloadedServers/NetworkCut.h"
+#include "StandIns/Soak/StandInStore.h"
+
+namespace OverloadedServers
+{
+/// How much a server takes at once.
+struct Capacity
+{
+  int slots = 3;               ///< Requests that it works on at the same time.
+  int queue = 12;              ///< Requests that may wait.
+  int queue_while_brittle = 2; ///< The same, some time after it began to state that it is brittle.
+  Common::Milliseconds work{120};
+
+  double PerSecond() const;
+};
+
+/// What all servers did while they were brittle.
+struct BrittleCounts
+{
+  int falls = 0;
+  int rejections = 0;
+};
+
+/// A stand-in for a backend server without models, with slots and a queue. While it is brittle it
+/// states so in all responses, and crashes if it has to reject too many requests within a second.
+class QueueingServer : public Http::RequestHandler
+{
+public:
+  QueueingServer(std::string name, Http::Endpoint endpoint, Soak::StandInStore& store,
+                 Capacity capacity, BrittleCounts& counts);
+
+  /// Listens and writes the entry of its first instance.
+  Common::Result<Common::Done> Start();
+  /// From now on the server states in its responses that it bears so many rejections a second.
+  /// `crashes`: whether it crashes beyond that.
+  void BeginBrittle(int rejections_per_second, bool crashes);
+  void EndBrittle();
+  /// Cuts the connections with these VMs, or ends the cut of all.
+  void SetCut(const NetworkCut& cut);
+  void EndCut();
+  bool IsRunning() const { return m_listener.has_value(); }
+
+  void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
+                 Http::ReceivedRequest request) override;
+  const Http::ServerLimits& Limits() const override { return m_limits; }
+  bool IsStopping() const override { return false; }
+
+private:
+  using Connection = std::shared_ptr<Http::ServerConnection>;
+  struct Peer
+  {
+    Connection connection;
+    int fd = -1;
+    std::uint32_t address = 0;
+  };
+  struct Work
+  {
+    Connection connection;
+    std::string id;
+  };
+
+  Common::Result<Common::Done> Launch();
+  void WriteEntry();
+  void Accept(int fd, const Http::Endpoint& peer);
+  static void ResetConnection(const Peer& peer);
+  void OnConnectionFinished(Http::ServerConnection* connection);
+  int QueueLength() const;
+  void Run(Work work);
+  void RunNext();
+  void Reject(const Connection& connection, int status, const std::string& id);
+  /// Resets all connections and removes the entry; a new instance starts after a while.
+  void Crash();
+  std::vector<Http::HeaderField> Headers(const std::string& id) const;
+
+  std::string m_name;
+  std::string m_instance;
+  int m_instance_number = 0;
+  Http::Endpoint m_endpoint;
+  Soak::StandInStore& m_store;
+  Capacity m_capacity;
+  BrittleCounts& m_counts;
+  Http::ServerLimits m_limits;
+  std::optional<Http::TcpListener> m_listener; ///< None after a crash, until it is back.
+  std::map<Http::ServerConnection*, Peer> m_peers;
+  std::map<Http::ServerConnection*, std::string> m_running; ///< Id of the request.
+  std::deque<Work> m_waiting;
+  struct Brittleness
+  {
+    int rejections_per_second = 0;
+    bool crashes = true;
+    Common::TimePoint since;
+  };
+  std::optional<Brittleness> m_brittle;
+  std::deque<Common::TimePoint> m_rejections; ///< Within the last second.
+  NetworkCut m_cut;
+};
+} // namespace OverloadedServers
--- a/Source/StandIns/ResumedStreams/DaemonPool.cpp
+++ b/Source/StandIns/ResumedStreams/DaemonPool.cpp
@@ -130,6 +130,8 @@
 {
   setenv("DRUMPOND_BOOT", (m_logs + "/" + daemon.name + ".json").c_str(), 1);
   setenv("DRUMPOND_METRICS_PORT", std::to_string(METRICS_PORT).c_str(), 1);
+  if (m_connects_from_own_address)
+    setenv("DRUMPOND_SOURCE_ADDRESS", daemon.ip.c_str(), 1);
   daemon.pid = m_processes.Start(daemon.name, {m_binary});
   AwaitReady(daemon);
 }
--- a/Source/StandIns/ResumedStreams/DaemonPool.h
+++ b/Source/StandIns/ResumedStreams/DaemonPool.h
@@ -24,6 +24,8 @@
 
   /// Name of the data centre with this index.
   static std::string DataCentre(std::size_t index) { return "z" + std::to_string(index + 1); }
+  /// From now on each daemon connects from its own address, so that servers can tell them apart.
+  void ConnectFromOwnAddresses() { m_connects_from_own_address = true; }
   void Start(const Http::Endpoint& store);
   std::size_t Size() const { return m_daemons.size(); }
   std::optional<std::size_t> Find(const std::string& name) const;
@@ -63,6 +65,7 @@
   std::string m_binary;
   std::string m_logs;
   std::size_t m_data_centres;
+  bool m_connects_from_own_address = false;
   ScenarioRunner::Processes m_processes;
   std::vector<Daemon> m_daemons;
 };
--- a/Tools/test.sh
+++ b/Tools/test.sh
@@ -3,8 +3,8 @@
 # SPDX-License-Identifier: Apache-2.0
 #
 # Builds and runs the tests: unit tests, models, fast scenarios, the commands of the docs, the build of
-# deploy/system.toml, a short soak, the cases of resumed streams and the demo. Tools/prove.sh runs all scenarios, models
-# and fuzz tests. The last line is "N passed, N failed". Failures listed in KNOWN-RED.txt are printed and not counted.
+# deploy/system.toml, a short soak, the cases of resumed streams and of overloaded servers, and the demo. Tools/prove.sh
+# runs all scenarios, models and fuzz tests. The last line is "N passed, N failed". Failures listed in KNOWN-RED.txt are printed and not counted.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 Tools/build.sh || exit 1
@@ -15,6 +15,7 @@
 deploy/check.sh >build/test/deploy.txt 2>&1
 Tools/soak.sh kept >build/test/soak.txt 2>&1
 Tools/resumed-streams.sh >build/test/resumed.txt 2>&1
+Tools/overloaded-servers.sh >build/test/overloaded.txt 2>&1
 if Tools/demo.sh >build/test/demo.log 2>&1; then
   echo -e "pass demo\n1 passed, 0 failed"
 else
@@ -24,7 +25,7 @@
 
 passed=0
 failed=0
-for suite in unit prove docs deploy soak resumed demo; do
+for suite in unit prove docs deploy soak resumed overloaded demo; do
   echo "== $suite"
   grep -v -E '^[0-9]+ passed, [0-9]+ failed$' "build/test/$suite.txt"
   verdict=$(grep -E '^[0-9]+ passed, [0-9]+ failed$' "build/test/$suite.txt" | tail -n 1)
