--- a/Source/Core/Gateway/DispatcherPaths.cpp
+++ b/Source/Core/Gateway/DispatcherPaths.cpp
@@ -29,6 +29,9 @@
     if (m_paths.IsIsolated())
       LeaveDirectPath(nullptr);
     ScheduleRecheck();
+    // The lease holder plans which daemons help others.
+    if (m_on_demand)
+      m_on_demand();
   });
 }
 
@@ -50,7 +53,7 @@
   const auto now = Common::Now();
   for (const auto& [key, relay] : m_relays)
     if (relay->IsSilentOnDirectPath(now))
-      m_paths.CheckSilentServer(relay->AssignedServer(), now);
+      m_paths.CheckDirectPath(relay->AssignedServer(), now);
   if (m_relays.empty())
     return;
   m_silence_timer.Start(SILENCE_CHECK_INTERVAL, [this] {
--- a/Source/Core/Orders/HelperPlan.cpp
+++ b/Source/Core/Orders/HelperPlan.cpp
@@ -20,30 +20,40 @@
     result.push_back(list[(begin + i) % list.size()]);
 }
 
-std::vector<Http::Endpoint> DaemonsElsewhere(const DaemonsByPlace& daemons, Fleet::PlaceHash place)
+std::vector<Http::Endpoint> HelpersElsewhere(const DaemonsByPlace& daemons, Fleet::PlaceHash place,
+                                             const std::set<Http::Endpoint>& isolated)
 {
   std::vector<Http::Endpoint> elsewhere;
   for (const auto& [other, members] : daemons)
     if (other != place)
-      std::ranges::copy(members, std::back_inserter(elsewhere));
+      std::ranges::copy_if(members, std::back_inserter(elsewhere), [&](const auto& daemon) {
+        return !isolated.contains(daemon);
+      });
   std::ranges::shuffle(elsewhere, Common::SharedRandom());
   return elsewhere;
 }
 } // namespace
 
-std::map<Http::Endpoint, std::vector<Http::Endpoint>> PlanHelpers(DaemonsByPlace daemons)
+std::map<Http::Endpoint, std::vector<Http::Endpoint>>
+PlanHelpers(DaemonsByPlace daemons, const std::set<Http::Endpoint>& isolated)
 {
   std::map<Http::Endpoint, std::vector<Http::Endpoint>> plan;
   for (auto& [place, near] : daemons)
   {
     std::ranges::shuffle(near, Common::SharedRandom());
-    const std::vector<Http::Endpoint> far = DaemonsElsewhere(daemons, place);
-    const std::size_t near_count = std::min(NEAR_HELPERS, near.size() - 1);
-    const std::size_t far_count = std::min(MAX_HELPERS - near_count, far.size());
+    const auto others = std::ranges::partition(near, [&](const Http::Endpoint& daemon) {
+      return !isolated.contains(daemon);
+    });
+    const std::vector<Http::Endpoint> sound(near.begin(), others.begin());
+    const std::vector<Http::Endpoint> far = HelpersElsewhere(daemons, place, isolated);
     for (std::size_t i = 0; i < near.size(); ++i)
     {
+      // Of its own data centre, a daemon that can help gets the others, an isolated one all.
+      const std::size_t self = i < sound.size() ? 1 : 0;
+      const std::size_t near_count = std::min(NEAR_HELPERS, sound.size() - self);
+      const std::size_t far_count = std::min(MAX_HELPERS - near_count, far.size());
       std::vector<Http::Endpoint>& helpers = plan[near[i]];
-      AppendWindow(near, i + 1, near_count, helpers);
+      AppendWindow(sound, i + self, near_count, helpers);
       AppendWindow(far, i * far_count, far_count, helpers);
     }
   }
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -108,12 +108,14 @@
   /// Servers with a long backoff at this daemon.
   std::vector<ServerHash> backing_off;
   Fleet::PlaceHash place = 0; ///< Data centre of this daemon.
+  bool is_isolated = false;   ///< It reaches no server directly.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
     archive(vm, run, sequence, demand, loads, table_versions, placement_version, missed_updates,
-            handicap_ms, grants_fence, allowances, crashes, crash_revision, backing_off, place);
+            handicap_ms, grants_fence, allowances, crashes, crash_revision, backing_off, place,
+            is_isolated);
   }
 };
 
--- a/Source/UnitTests/Orders/HelperPlanTest.cpp
+++ b/Source/UnitTests/Orders/HelperPlanTest.cpp
@@ -34,6 +34,8 @@
   CPPUNIT_TEST(SomeDaemonsHelpMoreThanOthers);
   CPPUNIT_TEST(OnlyDaemonHasAHelper);
   CPPUNIT_TEST(DaemonAloneInItsDataCentreHasNoHelpers);
+  CPPUNIT_TEST(IsolatedDaemonIsAHelper);
+  CPPUNIT_TEST(IsolatedDaemonsHaveNoHelperThoughOneDaemonIsSound);
   CPPUNIT_TEST_SUITE_END();
 
   /// Helpers are distinct others, those of the daemon's data centre first.
@@ -72,6 +74,29 @@
     const auto plan = PlanHelpers(MakeDaemons(4, 1));
     CPPUNIT_ASSERT_EQUAL(std::size_t(3), plan.at(DaemonAt(2, 1)).size());
   }
+
+  void IsolatedDaemonIsAHelper()
+  {
+    const std::set<Endpoint> isolated{DaemonAt(1, 1), DaemonAt(1, 2), DaemonAt(2, 5)};
+    for (const auto& [daemon, helpers] : PlanHelpers(MakeDaemons(3, 6), isolated))
+    {
+      CPPUNIT_ASSERT_EQUAL(MAX_HELPERS, helpers.size());
+      for (const Endpoint& helper : helpers)
+        CPPUNIT_ASSERT(!isolated.contains(helper) && helper != daemon);
+    }
+  }
+
+  void IsolatedDaemonsHaveNoHelperThoughOneDaemonIsSound()
+  {
+    auto daemons = MakeDaemons(3, 4);
+    std::set<Endpoint> isolated;
+    for (const auto& [place, members] : daemons)
+      isolated.insert(members.begin(), members.end());
+    const Endpoint sound = DaemonAt(2, 3);
+    isolated.erase(sound);
+    for (const auto& [daemon, helpers] : PlanHelpers(std::move(daemons), isolated))
+      CPPUNIT_ASSERT(daemon == sound ? helpers.empty() : helpers == std::vector{sound});
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HelperPlanTest);
 } // namespace
