Gateway, Http: responses without end are given up before they need too much memory

Cause: a body was kept as fast as it came; its only bound was the time of the attempt. Nothing bounded the sum.

A response may have 16 MB, an event of a stream 1 MB, and all responses that a daemon keeps 32 MB; beyond that the one with most bytes is given up, counts as a failure of its server and is sent elsewhere where it may run again. Heads were bounded already.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -135,12 +135,24 @@
   const bool any_waiting = std::ranges::any_of(m_relays, [](const auto& entry) {
     return entry.second->IsWaiting();
   });
+  m_response_memory.Set(relay, 0);
   m_relays.erase(relay);
   if (any_waiting)
     ScheduleDispatch();
   ReportPlaces();
 }
 
+void Dispatcher::NoteBufferedBytes(Relay* relay, std::size_t bytes)
+{
+  m_response_memory.Set(relay, bytes);
+  while (m_response_memory.IsExceeded())
+  {
+    Relay* largest = m_response_memory.Largest();
+    m_response_memory.Set(largest, 0);
+    largest->FailOversizedResponse("responses need too much memory, and this one most of it");
+  }
+}
+
 void Dispatcher::NoteArrival(const Relay& relay)
 {
   m_budget.NoteRequest(relay.SelectedPool(), Common::Now());
@@ -692,6 +704,7 @@
   const auto waiting = std::ranges::count_if(m_relays, [](const auto& entry) {
     return entry.second->IsWaiting();
   });
+  m_metrics.SetGauge("response_bytes_buffered", static_cast<double>(m_response_memory.Total()));
   m_metrics.SetGauge("requests_open", static_cast<double>(m_relays.size()));
   m_metrics.SetGauge("requests_waiting", static_cast<double>(waiting));
   m_metrics.SetGauge("caller_connections", static_cast<double>(m_connections.size()));
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -24,6 +24,7 @@
 #include "Gateway/LimitedServers.h"
 #include "Gateway/PlacementConstraint.h"
 #include "Gateway/Relay.h"
+#include "Gateway/ResponseMemory.h"
 #include "Gateway/RetryBudget.h"
 #include "Gateway/ServerDirectory.h"
 #include "Gateway/ServerPaths.h"
@@ -280,6 +281,9 @@
   /// Called when a request begins to wait for units of its account's limit.
   void ScheduleAllowanceRetry();
   void OnRelayFinished(Relay* relay);
+  /// Records how many bytes of responses the request keeps in memory. Fails the requests with the
+  /// most bytes if all together keep too many.
+  void NoteBufferedBytes(Relay* relay, std::size_t bytes);
 
 private:
   /// Applies to the backoff of a server how many rejections per second of all daemons together it
@@ -434,6 +438,7 @@
   DispatcherCounters m_counters;
   Common::Metrics m_metrics;
   Common::TimePoint m_configured_at;
+  ResponseMemory m_response_memory;
   bool m_dispatch_scheduled = false;
   bool m_recheck_after_dispatch = false;
   Common::OwnedTimer m_dispatch_timer;
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -156,6 +156,9 @@
   /// has already begun to respond.
   void EndIfBlocked();
 
+  /// Gives up the response that is being received because it needs too much memory.
+  void FailOversizedResponse(std::string_view why);
+
   /// Ends the request with an error because the process shuts down.
   void CancelForShutdown();
 
@@ -227,6 +230,8 @@
   std::optional<Common::Milliseconds> ResponseTime() const;
   /// Records that a connection to the server was refused or not established in time.
   void NoteConnectFailure(bool timed_out, bool through_helper);
+  /// Records the bytes that the response takes in memory. Fails it if they are too many.
+  void BoundBufferedBytes();
   bool IsValidResponse(const Http::MessageHead& head) const;
   /// True if the response came from a different server process than the one addressed.
   bool IsFromOtherInstance() const;
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -76,9 +76,35 @@
   if (!m_is_stream)
   {
     m_body.append(bytes);
+    BoundBufferedBytes();
     return;
   }
   ForwardEvents(m_events.Feed(bytes));
+  BoundBufferedBytes();
+}
+
+void Relay::BoundBufferedBytes()
+{
+  if (m_done || !m_connection)
+    return;
+  const std::size_t event_bytes = m_events.Partial().size();
+  if (m_body.size() > ResponseMemory::MAX_RESPONSE_BYTES ||
+      event_bytes > ResponseMemory::MAX_EVENT_BYTES)
+    FailOversizedResponse("the response, or one of its events, is too large");
+  else
+    m_dispatcher.NoteBufferedBytes(this, m_body.size() + m_saved_body.size() + event_bytes);
+}
+
+void Relay::FailOversizedResponse(std::string_view why)
+{
+  if (m_done || !m_connection)
+    return;
+  const auto guard = shared_from_this();
+  m_server->Health().NoteFailure(Common::Now());
+  m_body = {};
+  m_events.DropPartial();
+  m_dispatcher.NoteBufferedBytes(this, m_saved_body.size());
+  AttemptFailed(why, true);
 }
 
 void Relay::ForwardEvents(const std::string& events)
@@ -254,7 +280,8 @@
   if (!server_failed || is_first_failure)
   {
     m_saved_head = m_head;
-    m_saved_body = m_body;
+    m_saved_body = std::move(m_body);
+    m_body = {};
   }
   if (is_first_failure && m_route.IsRepeatable())
     AttemptFailed("the server failed with status " + std::to_string(m_head.status), true);
--- a/Source/Core/Http/Channel.cpp
+++ b/Source/Core/Http/Channel.cpp
@@ -82,7 +82,10 @@
   void OnResponseBody(std::string_view bytes) override
   {
     m_last_bytes_at = Common::Now();
-    m_response.body.append(bytes);
+    if (m_response.body.size() + bytes.size() > m_timeouts.max_body_bytes)
+      FailOversized();
+    else
+      m_response.body.append(bytes);
   }
   void OnResponseEnd() override
   {
@@ -118,6 +121,18 @@
       FailWithTimeout();
   }
 
+  /// The body is dropped at once; the callback follows from the main loop, as this object may be in
+  /// a callback of its connection.
+  void FailOversized()
+  {
+    std::exchange(connection, nullptr)->Abandon();
+    m_response.body = {};
+    m_timer.Start(Common::Milliseconds(0), [this] {
+      m_channel.Finish(this, Common::Failure{Common::FailureKind::Protocol,
+                                             "the body of the response is too large"});
+    });
+  }
+
   void FailWithTimeout()
   {
     const bool sent = connection->HasSent();
--- a/Source/Core/Http/Channel.h
+++ b/Source/Core/Http/Channel.h
@@ -37,13 +37,15 @@
 /// it has a body.
 std::string SerializeRequest(const CompleteRequest& request, const Endpoint& peer);
 
-/// How long a call waits for the next bytes of the response. The complete response has no time
-/// limit, because its size is unbounded: with a fixed limit, a row of 1,073 KB could never be read
-/// over a link of 10 Mbit/s.
+/// How long a call waits for the next bytes of the response, and how many it accepts. The complete
+/// response has no time limit: with a fixed limit, a row of 1,073 KB could never be read over a
+/// link of 10 Mbit/s.
 struct CallTimeouts
 {
   Common::Milliseconds head_timeout;  ///< From the call to the response head.
   Common::Milliseconds stall_timeout; ///< From one byte of the response to the next.
+  /// A longer body is not kept; the call fails.
+  std::size_t max_body_bytes = std::size_t{32} << 20U;
 };
 
 /// Makes HTTP calls to one peer over persistent connections and returns complete responses. A call
--- a/Source/StandIns/OverloadedServers/Main.cpp
+++ b/Source/StandIns/OverloadedServers/Main.cpp
@@ -3,7 +3,8 @@
 
 // Runs real daemons in front of servers with slots and queues, and injects the faults of one case.
 // Checks that brittle servers do not crash under the requests that they reject while callers use
-// their capacity, and that callers of VMs that are cut off from servers are served like the others.
+// their capacity, that callers of VMs that are cut off from servers are served like the others, and
+// that responses that do not end do not exhaust the memory of a daemon.
 
 #include <algorithm>
 #include <csignal>
@@ -21,6 +22,7 @@
 #include "Common/Log.h"
 #include "Common/Loop.h"
 #include "Common/Reactor.h"
+#include "StandIns/OverloadedServers/EndlessServer.h"
 #include "StandIns/OverloadedServers/OpenLoopCallers.h"
 #include "StandIns/OverloadedServers/QueueingServer.h"
 #include "StandIns/ResumedStreams/DaemonPool.h"
@@ -44,6 +46,8 @@
 constexpr Milliseconds NOTICE{3000};
 /// For the last requests to end.
 constexpr Milliseconds TIME_AFTER_FAULTS{4500};
+/// Memory of the smallest VM on which daemons run.
+constexpr std::size_t SMALLEST_VM_MB = 160;
 /// A refusal that comes later than this came from a wait that ran out.
 constexpr Milliseconds LATE_REFUSAL{1500};
 
@@ -104,6 +108,8 @@
     Start();
     g_main_loop_run(m_loop);
     m_callers->Stop();
+    for (std::size_t vm = 0; vm < m_daemons->Size(); ++vm)
+      m_peak_memory.push_back(m_daemons->PeakMemory(vm));
     m_daemons->KillAll();
     return Report(name);
   }
@@ -113,6 +119,7 @@
   {
     Brittle, ///< All servers are brittle.
     Cut,     ///< Some VMs are cut off from the servers.
+    Endless, ///< Further servers answer with bytes that do not end.
   };
   struct Case
   {
@@ -128,6 +135,7 @@
     void (OverloadedServersRun::*inject)() = &OverloadedServersRun::InjectNothing;
     CutKind cut = CutKind::Hang;
     std::size_t spared = 0; ///< VMs that are not cut off.
+    int copies = 1;         ///< Endless servers of each kind.
   };
 
   static const std::map<std::string, Case>& Cases()
@@ -135,6 +143,7 @@
     using Run = OverloadedServersRun;
     constexpr double CLUMPS_SERVED = 0.9;
     constexpr double CAPACITY_USED = 0.85;
+    constexpr double SOUND_SERVED = 0.9;
     static const std::map<std::string, Case> CASES{
         {"brittle-even", {.least_served = CLUMPS_SERVED}},
         {"brittle-clumps-one-vm", {.daemons = 1, .clump = 12, .least_served = CLUMPS_SERVED}},
@@ -149,6 +158,10 @@
         {"brittle-overlapping", {.load = 1.5, .inject = &Run::OverlapFaults}},
         {"brittle-many-vms", {.daemons = 20, .load = 1.5, .least_served = CAPACITY_USED}},
         {"brittle-many-vms-clumps", {.daemons = 20, .clump = 12, .least_served = CLUMPS_SERVED}},
+        {"endless-bytes",
+         {.trouble = Trouble::Endless, .daemons = 3, .load = 0.5, .least_served = SOUND_SERVED}},
+        {"endless-bytes-many",
+         {.trouble = Trouble::Endless, .daemons = 3, .load = 0.5, .copies = 6}},
         {"cut-half", {.trouble = Trouble::Cut, .load = 0.5, .spared = 3}},
         {"cut-half-reset",
          {.trouble = Trouble::Cut, .load = 0.5, .cut = CutKind::Reset, .spared = 3}},
@@ -227,7 +240,9 @@
             },
             [this] {
               return CurrentLoad() * TotalCapacity();
-            }};
+            },
+            m_case.trouble == Trouble::Endless ? std::vector<std::string>{"/plain/x", "/stream/x"}
+                                               : std::vector<std::string>{"/plain/x"}};
   }
 
   double TotalCapacity() const { return m_capacity.PerSecond() * SERVERS; }
@@ -241,14 +256,25 @@
 
   void PutConfiguration()
   {
-    const Json route = {{"name", "plain"},      {"host", "h"},       {"pathPrefix", "/plain/"},
-                        {"kind", "idempotent"}, {"timeoutMs", 4000}, {"targetLatencyMs", 1000},
-                        {"priority", 1},        {"service", "pool"}, {"maxAttempts", 3}};
-    m_store.Put("op", "config",
-                {{"version", 1},
-                 {"routes", Json::array({route})},
-                 {"services", Json::array({{{"name", "pool"}, {"maxConns", 200}}})},
-                 {"limits", {{"idleTimeoutMs", 10000}}}});
+    const auto route = [](const char* name, const char* kind) {
+      return Json{{"name", name},
+                  {"host", "h"},
+                  {"pathPrefix", "/" + std::string(name) + "/"},
+                  {"kind", kind},
+                  {"timeoutMs", 4000},
+                  {"targetLatencyMs", 1000},
+                  {"gapAimMs", 300},
+                  {"priority", 1},
+                  {"service", "pool"},
+                  {"maxAttempts", 3},
+                  {"resumable", std::string_view(kind) == "streaming"}};
+    };
+    m_store.Put(
+        "op", "config",
+        {{"version", 1},
+         {"routes", Json::array({route("plain", "idempotent"), route("stream", "streaming")})},
+         {"services", Json::array({{{"name", "pool"}, {"maxConns", 200}}})},
+         {"limits", {{"idleTimeoutMs", 10000}}}});
   }
 
   void BeginFaults()
@@ -257,8 +283,10 @@
     if (m_case.trouble == Trouble::Brittle)
       for (const auto& server : m_servers)
         server->BeginBrittle(REJECTIONS_PER_SECOND, !m_bears_rejections);
-    else
+    else if (m_case.trouble == Trouble::Cut)
       CutVms();
+    else
+      StartEndlessServers();
     (this->*m_case.inject)();
   }
 
@@ -272,6 +300,17 @@
     }
   }
 
+  void StartEndlessServers()
+  {
+    for (int i = 0; i < ENDLESS_KINDS * m_case.copies; ++i)
+    {
+      m_endless.push_back(
+          std::make_unique<EndlessServer>("e" + std::to_string(i), EndpointAt(3, STORE_PORT + i),
+                                          m_store, static_cast<EndlessBytes>(i % ENDLESS_KINDS)));
+      RequireStarted(static_cast<bool>(m_endless.back()->Start()), "endless server");
+    }
+  }
+
   void CutVms()
   {
     NetworkCut cut;
@@ -390,9 +429,47 @@
     return {};
   }
 
+  std::vector<std::string> CheckEndless() const
+  {
+    const Tally tally = Count(m_callers->Ended(), [this](const Attempt& attempt) {
+      return Counts(attempt);
+    });
+    const auto sent = std::accumulate(m_endless.begin(), m_endless.end(), std::uint64_t{0},
+                                      [](std::uint64_t sum, const auto& server) {
+                                        return sum + server->Sent();
+                                      });
+    constexpr std::size_t MB = 1000000;
+    std::cout << "served " << tally.served << " of " << tally.sent << ", MB of endless bytes "
+              << sent / MB << ", peak memory of the daemons in MB:";
+    for (const std::size_t memory : m_peak_memory)
+      std::cout << " " << memory / MB;
+    std::cout << "\n";
+    if (std::ranges::any_of(m_peak_memory, [](std::size_t memory) {
+          return memory == 0 || memory > SMALLEST_VM_MB * MB;
+        }))
+      return {"a daemon ended, or used more memory than the smallest VM has"};
+    if (tally.Share() < m_case.least_served)
+      return {"callers are not served by the sound servers"};
+    return {};
+  }
+
+  std::vector<std::string> Check() const
+  {
+    switch (m_case.trouble)
+    {
+    case Trouble::Brittle:
+      return CheckBrittle();
+    case Trouble::Cut:
+      return CheckCut();
+    case Trouble::Endless:
+      return CheckEndless();
+    }
+    return {"the case checks nothing"};
+  }
+
   int Report(const std::string& name)
   {
-    const auto violations = m_case.trouble == Trouble::Brittle ? CheckBrittle() : CheckCut();
+    const auto violations = Check();
     if (violations.empty())
       std::cout << "pass overloaded-" << name << "\n";
     else
@@ -413,6 +490,8 @@
   std::vector<std::unique_ptr<QueueingServer>> m_servers;
   std::unique_ptr<DaemonPool> m_daemons;
   std::unique_ptr<OpenLoopCallers> m_callers;
+  std::vector<std::unique_ptr<EndlessServer>> m_endless;
+  std::vector<std::size_t> m_peak_memory; ///< Of each daemon, in bytes.
   std::set<std::size_t> m_cut_vms;
   std::optional<Common::TimePoint> m_began_at;
   std::optional<Common::TimePoint> m_ended_at;
@@ -422,7 +501,8 @@
 
 int main(int argc, char** argv)
 {
-  cxxopts::Options options("overloaded-servers", "Servers that are brittle or out of reach");
+  cxxopts::Options options("overloaded-servers",
+                           "Servers that are brittle, out of reach or broken");
   options.add_options()("case", "name of the case",
                         cxxopts::value<std::string>()->default_value("brittle-even"))(
       "seed", "seed of the callers", cxxopts::value<std::uint64_t>()->default_value("1"))(
--- a/Source/StandIns/OverloadedServers/OpenLoopCallers.cpp
+++ b/Source/StandIns/OverloadedServers/OpenLoopCallers.cpp
@@ -61,12 +61,13 @@
 
 void OpenLoopCallers::Send(std::size_t vm)
 {
-  const Http::CompleteRequest request{"POST",
-                                      "/plain/x",
-                                      {{"Host", "h"},
-                                       {"Attempt-Id", "r" + std::to_string(++m_last_id)},
-                                       {"Time-Left-Ms", std::to_string(PATIENCE.count())}},
-                                      "body " + std::to_string(m_last_id)};
+  const Http::CompleteRequest request{
+      "POST",
+      m_surroundings.paths[++m_last_id % m_surroundings.paths.size()],
+      {{"Host", "h"},
+       {"Attempt-Id", "r" + std::to_string(m_last_id)},
+       {"Time-Left-Ms", std::to_string(PATIENCE.count())}},
+      "body " + std::to_string(m_last_id)};
   ChannelTo(vm).Call(
       request, TIMEOUTS,
       [this, vm, sent_at = Common::Now()](const Common::Result<Http::CompleteResponse>& response) {
--- a/Source/StandIns/OverloadedServers/OpenLoopCallers.h
+++ b/Source/StandIns/OverloadedServers/OpenLoopCallers.h
@@ -38,6 +38,8 @@
     std::function<Http::Endpoint(std::size_t vm)> endpoint;
     /// Requests a second that all callers send now.
     std::function<double()> rate;
+    /// Paths of the requests, in turn.
+    std::vector<std::string> paths;
   };
 
   /// Requests come in clumps of `clump`, each at one VM.
--- a/Source/StandIns/OverloadedServers/QueueingServer.cpp
+++ b/Source/StandIns/OverloadedServers/QueueingServer.cpp
@@ -169,6 +169,7 @@
 {
   const std::string id = HeaderValue(request.head, "Attempt-Id");
   const std::string expected_instance = HeaderValue(request.head, "Expect-Instance");
+  const bool is_stream = request.head.target.starts_with("/stream/");
   if (!expected_instance.empty() && expected_instance != m_instance)
     Reject(connection, 421, id);
   else if (request.head.target == "/report")
@@ -176,9 +177,9 @@
         200, "OK", Headers(id),
         Common::DumpJson({{"seq", 0}, {"busy", false}, {"born", m_instance_number}}));
   else if (static_cast<int>(m_running.size()) < m_capacity.slots)
-    Run({connection, id});
+    Run({connection, id, is_stream});
   else if (static_cast<int>(m_waiting.size()) < QueueLength())
-    m_waiting.push_back({connection, id});
+    m_waiting.push_back({connection, id, is_stream});
   else
   {
     Reject(connection, 503, id);
@@ -212,7 +213,9 @@
         m_running.erase(found);
         auto headers = Headers(work.id);
         headers.push_back({"Server-Stamp", "s"});
-        work.connection->Respond(200, "OK", headers, "answer to " + work.id);
+        if (work.is_stream)
+          headers.push_back({"Content-Type", "text/event-stream"});
+        work.connection->Respond(200, "OK", headers, "id: 1\ndata: " + work.id + "\n\n");
         RunNext();
       });
 }
--- a/Source/StandIns/OverloadedServers/QueueingServer.h
+++ b/Source/StandIns/OverloadedServers/QueueingServer.h
@@ -72,6 +72,7 @@
   {
     Connection connection;
     std::string id;
+    bool is_stream = false; ///< The response is a stream of one event.
   };
 
   Common::Result<Common::Done> Launch();
--- a/Source/StandIns/ResumedStreams/DaemonPool.cpp
+++ b/Source/StandIns/ResumedStreams/DaemonPool.cpp
@@ -91,6 +91,19 @@
   return m_daemons[index].ready && !m_daemons[index].frozen;
 }
 
+std::size_t DaemonPool::PeakMemory(std::size_t index) const
+{
+  constexpr std::size_t BYTES_PER_KB = 1024;
+  std::ifstream status("/proc/" + std::to_string(m_daemons[index].pid) + "/status");
+  for (std::string field; status >> field;)
+  {
+    std::size_t kilobytes = 0;
+    if (field == "VmHWM:" && status >> kilobytes)
+      return kilobytes * BYTES_PER_KB;
+  }
+  return 0;
+}
+
 std::vector<std::size_t> DaemonPool::InTouch() const
 {
   std::vector<std::size_t> found;
--- a/Source/StandIns/ResumedStreams/DaemonPool.h
+++ b/Source/StandIns/ResumedStreams/DaemonPool.h
@@ -33,6 +33,9 @@
   /// The daemon is ready, and neither killed, stopped nor frozen.
   bool IsInTouch(std::size_t index) const;
   std::vector<std::size_t> InTouch() const;
+  /// The most memory that the daemon's process has had resident since it was started, in bytes; 0
+  /// if it does not run.
+  std::size_t PeakMemory(std::size_t index) const;
   /// The number of faults that the daemon has had.
   std::uint64_t Faults(std::size_t index) const { return m_daemons[index].faults; }
   /// When the daemon became ready for the last time.
--- a/Source/UnitTests/Http/ChannelTest.cpp
+++ b/Source/UnitTests/Http/ChannelTest.cpp
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(SendsNothingAfterSuspensionPastSendDeadline);
   CPPUNIT_TEST(SendsNothingPastSendDeadlineOnReusedConnection);
   CPPUNIT_TEST(AbandonResetsConnections);
+  CPPUNIT_TEST(EndlessBodyIsKeptInMemory);
   CPPUNIT_TEST_SUITE_END();
 
   /// After a plain close, the kernel could deliver the request later, once a network partition has
@@ -51,6 +52,26 @@
     CPPUNIT_ASSERT(server.peers.at(0)->end == Http::StreamEnd::Reset);
   }
 
+  void EndlessBodyIsKeptInMemory()
+  {
+    TestServer server([](TestPeer& peer, const std::string&) {
+      peer.stream->Write("HTTP/1.1 200 OK\r\n\r\n" + std::string(100000, 'x'));
+    });
+    Http::Channel channel(server.Address());
+    std::optional<Common::FailureKind> failed;
+    channel.Call({"GET", "/report", {}, ""}, {Milliseconds(5000), Milliseconds(5000), 50000},
+                 [&](Common::Result<Http::CompleteResponse> response) {
+                   failed = response.Reason().kind;
+                 });
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return failed.has_value();
+    }));
+    CPPUNIT_ASSERT(*failed == Common::FailureKind::Protocol);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return server.peers.at(0)->ended;
+    }));
+  }
+
   void ReusesConnections()
   {
     TestServer server([](TestPeer& peer, const std::string&) {
--- a/Tools/overloaded-servers.sh
+++ b/Tools/overloaded-servers.sh
@@ -9,7 +9,7 @@
 CASES=(brittle-even brittle-clumps-one-vm brittle-clumps brittle-overload brittle-step brittle-kills
   brittle-holder-frozen brittle-store-away brittle-restarts brittle-suspended brittle-overlapping brittle-many-vms
   brittle-many-vms-clumps cut-half cut-half-reset cut-half-old-ones-live cut-all-but-one cut-all-but-one-reset
-  cut-all-but-two cut-restarts cut-holder-frozen cut-store-away cut-overlapping)
+  cut-all-but-two cut-restarts cut-holder-frozen cut-store-away cut-overlapping endless-bytes endless-bytes-many)
 SELECTED=("${CASES[@]}")
 [ $# -gt 0 ] && SELECTED=("$1")
 exec Tools/daemon-cases.sh overloaded-servers 127.42 "${2:-1}" "${*:3}" "${SELECTED[@]}"
