RateLimits: places at brittle servers are used once when holders change

- While a new holder collected reports, daemons went on with the places that they have without a holder, which it did not know.
A reply of the holder now ends that before it grants the first place; so does one after its lease had expired for a while.
- A daemon that used places without a holder, and had no request waiting, got no reply and went on.
It now asks for one.
- A lost reply to demand that had ended made the next demand count as unanswered.
- Without a holder, places were drawn by each daemon alone, so that at 20 daemons some servers had seven users for four places.
They are divided by rank in the list of daemons that every daemon has.
- One request about to expire made the demand of all others of its group expire.

--- a/Source/Core/Gateway/BrittleServers.cpp
+++ b/Source/Core/Gateway/BrittleServers.cpp
@@ -184,15 +184,14 @@
     m_queues[queue.group] = {queue, now};
 }
 
-std::optional<Seconds> BrittleServers::IntervalAt(std::span<const ServerPtr> servers,
-                                                  Common::TimePoint now) const
+std::optional<Seconds> BrittleServers::IntervalAt(std::span<const ServerPtr> servers) const
 {
   if (servers.empty())
     return std::nullopt;
   const auto service_time = m_service_times.find(servers.front()->Entry().pool);
   if (service_time == m_service_times.end())
     return std::nullopt;
-  const bool is_alone = m_places.IsWithoutHolder(now);
+  const bool is_alone = m_places.IsWithoutHolder();
   const int places =
       std::accumulate(servers.begin(), servers.end(), 0, [&](int sum, const ServerPtr& server) {
         const int slots = server->Entry().slots;
@@ -205,12 +204,12 @@
                                           std::span<const ServerPtr> servers, int own,
                                           Common::TimePoint now) const
 {
-  const auto interval = IntervalAt(servers, now);
+  const auto interval = IntervalAt(servers);
   if (!interval)
     return Milliseconds(0);
   const auto queue = m_queues.find(group);
   const bool is_known = queue != m_queues.end() && now - queue->second.at <= QUEUE_LIFETIME &&
-                        !m_places.IsWithoutHolder(now);
+                        !m_places.IsWithoutHolder();
   const double elsewhere = is_known ? queue->second.reported.waiting_elsewhere : 0;
   return std::chrono::ceil<Milliseconds>(*interval * (elsewhere + own + 1));
 }
@@ -222,7 +221,7 @@
   std::erase_if(m_next_retry, [now](const auto& entry) {
     return entry.second <= now;
   });
-  const auto interval = IntervalAt(servers, now).value_or(Seconds(0));
+  const auto interval = IntervalAt(servers).value_or(Seconds(0));
   Common::TimePoint& next = m_next_retry[group];
   const auto after_others = next + std::chrono::ceil<Milliseconds>(interval);
   next = std::min(std::max(now + ExpectedWait(group, servers, own, now), after_others),
--- a/Source/Core/Gateway/BrittleServers.h
+++ b/Source/Core/Gateway/BrittleServers.h
@@ -85,8 +85,7 @@
   /// Updates the bounds of the pools by what their servers have stated.
   void UpdatePoolBounds(Common::TimePoint now);
   /// Time between two requests that begin at these servers; none if there is no estimate.
-  std::optional<std::chrono::duration<double>> IntervalAt(std::span<const ServerPtr> servers,
-                                                          Common::TimePoint now) const;
+  std::optional<std::chrono::duration<double>> IntervalAt(std::span<const ServerPtr> servers) const;
 
   ServerDirectory& m_servers;
   RateLimits::LimitRegistry m_registry; ///< Rejections per second, as rates.
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -10,8 +10,6 @@
 #include <tuple>
 #include <utility>
 
-#include <xxhash.h>
-
 #include "Common/Log.h"
 #include "Common/Mechanisms.h"
 #include "Common/Random.h"
@@ -76,8 +74,6 @@
   m_keys.Configure(m_settings.key_limit);
   m_allowances.Configure(m_settings.usage_bound);
   m_servers.SetDrainGrace(m_settings.drain_grace);
-  const std::string& self = m_settings.self.Get();
-  m_brittle.Places().SetSelf(XXH3_64bits(self.data(), self.size()));
 }
 
 void Dispatcher::SetConfiguration(std::shared_ptr<const Configuration> configuration)
--- a/Source/Core/Gateway/DispatcherBrittle.cpp
+++ b/Source/Core/Gateway/DispatcherBrittle.cpp
@@ -108,6 +108,7 @@
   }
   if (!report.demands.empty())
     m_brittle.Places().NoteDemand(now);
+  report.needs_reply = m_brittle.Places().IsWithoutHolder();
   return report;
 }
 
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -92,6 +92,8 @@
 }
 /// How often the holder informs the daemons of helpers.
 constexpr Milliseconds HELPER_INTERVAL{2000};
+/// The same while it changes which daemons can help.
+constexpr Milliseconds CHANGED_HELPERS_INTERVAL{400};
 } // namespace
 
 ServerHash HashOf(const Gateway::InstanceId& instance)
@@ -166,7 +168,9 @@
                      {{"reason", listening.Reason().detail}});
   m_members.OnChange([this] {
     m_origins.OnMembersChanged();
+    ApplyMembersToPlaces();
   });
+  ApplyMembersToPlaces();
   m_origins.Start();
   UpdateSharedBudgets();
   SetPollWaits();
@@ -175,6 +179,20 @@
   return Common::Done{};
 }
 
+void Hub::ApplyMembersToPlaces()
+{
+  constexpr int PORT_BITS = 16;
+  const auto key_of = [](const Http::Endpoint& daemon) {
+    return (RateLimits::LocalPlaces::DaemonKey{daemon.address} << PORT_BITS) | daemon.port;
+  };
+  std::vector<RateLimits::LocalPlaces::DaemonKey> members;
+  std::ranges::transform(m_members.Members().All(), std::back_inserter(members),
+                         [&](const Fleet::ListedDaemon& daemon) {
+                           return key_of(daemon.messages);
+                         });
+  m_dispatcher.Brittle().Places().SetMembers(key_of(m_settings.local), std::move(members));
+}
+
 void Hub::SetHolder(std::optional<Http::Endpoint> endpoint,
                     std::optional<LeaseAnnouncement> own_lease)
 {
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -262,15 +262,15 @@
   /// This daemon's positions in the servers' queues.
   std::vector<RateLimits::PositionLine> positions;
   std::vector<RateLimits::StandbyLine> standbys; ///< All servers for which the daemon is a standby.
-  bool grants_places = false; ///< False while the holder still collects who holds which places.
+  bool is_holder = false; ///< False if its lease has expired, so that it grants no places.
   std::vector<RateLimits::PermitLine> places; ///< At brittle servers, in addition to those held.
   std::vector<RateLimits::PlaceQueue> queues;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(run, tenure, number, sequence, held_ms, permits, positions, standbys, grants_places,
-            places, queues);
+    archive(run, tenure, number, sequence, held_ms, permits, positions, standbys, is_holder, places,
+            queues);
   }
 };
 
--- a/Source/Core/Orders/PermitExchange.cpp
+++ b/Source/Core/Orders/PermitExchange.cpp
@@ -149,6 +149,7 @@
     return MIN_REQUEST_INTERVAL;
   const bool is_urgent = !request.observations.empty() || !request.rejection_bounds.empty() ||
                          !request.draining.empty() || !request.places.demands.empty() ||
+                         request.places.needs_reply ||
                          std::ranges::any_of(request.demands, [](const auto& demand) {
                            return demand.count > 0;
                          });
@@ -197,7 +198,7 @@
           {demand.server, m_allocator.RequestsAhead(request.vm, demand.server, now),
            static_cast<std::uint32_t>(m_allocator.TimeToNextPermit(demand.server, now).count())});
   auto queues = m_places.QueuesOf(request.vm, now);
-  if (positions.empty() && queues.empty())
+  if (positions.empty() && queues.empty() && !request.places.needs_reply)
     return;
   PermitReply reply = ReplyTo(request.vm, m_peers.at(request.vm));
   reply.queues = std::move(queues);
@@ -226,7 +227,7 @@
   reply.sequence = peer.sequence;
   reply.held_ms = std::chrono::floor<Milliseconds>(Common::Now() - peer.last_request_at).count();
   reply.standbys = m_allocator.StandbysOf(vm);
-  reply.grants_places = m_places.IsOpen(Common::Now()) && m_may_grant && m_may_grant();
+  reply.is_holder = m_may_grant && m_may_grant();
   return reply;
 }
 
@@ -234,7 +235,10 @@
 {
   const auto now = Common::Now();
   if (!m_own_tenure || !m_may_grant || !m_may_grant())
+  {
+    m_places.Pause(now);
     return;
+  }
   std::erase_if(m_peers, [now](const auto& entry) {
     return now - entry.second.last_request_at > PEER_TIMEOUT;
   });
@@ -332,7 +336,7 @@
   RateLimits::LocalPlaces& places = m_dispatcher.Brittle().Places();
   for (const RateLimits::PermitLine& line : reply.places)
     places.Add(line.server, line.count, places_until, Common::Now());
-  if (reply.grants_places)
+  if (reply.is_holder)
     places.NoteReply();
   m_dispatcher.ApplyQueuePositions(reply.positions);
   m_dispatcher.ApplyPlaceReply(reply.queues);
--- a/Source/Core/RateLimits/LocalPlaces.cpp
+++ b/Source/Core/RateLimits/LocalPlaces.cpp
@@ -15,6 +15,8 @@
 /// The holder counts as gone after this time without a reply; reports are repeated several times
 /// meanwhile.
 constexpr Milliseconds HOLDER_TIMEOUT{600};
+/// Reports with demand follow each other at least this often while requests wait.
+constexpr Milliseconds MAX_DEMAND_INTERVAL{300};
 /// A place that is not used within this time after its grant is given back.
 constexpr Milliseconds UNUSED_TIME{20};
 
@@ -36,14 +38,25 @@
   places.insert(places.end(), count, {valid_until, now});
 }
 
+void LocalPlaces::SetMembers(DaemonKey self, std::vector<DaemonKey> members)
+{
+  m_self = self;
+  m_members = std::move(members);
+  m_ranks.clear();
+}
+
 void LocalPlaces::NoteDemand(Common::TimePoint now)
 {
-  m_unanswered_since = m_unanswered_since.value_or(now);
+  // A reply to demand that ended may have been lost, which shows nothing.
+  const bool is_continued = now - m_demanded_at <= MAX_DEMAND_INTERVAL || IsWithoutHolder();
+  if (!m_unanswered_since || !is_continued)
+    m_unanswered_since = now;
+  m_demanded_at = now;
 }
 
-bool LocalPlaces::IsWithoutHolder(Common::TimePoint now) const
+bool LocalPlaces::IsWithoutHolder() const
 {
-  return m_unanswered_since && now - *m_unanswered_since >= HOLDER_TIMEOUT;
+  return m_unanswered_since && m_demanded_at - *m_unanswered_since >= HOLDER_TIMEOUT;
 }
 
 int LocalPlaces::CountFree(const Places& places, int running, Common::TimePoint now)
@@ -55,13 +68,28 @@
   return std::max(valid - std::max(running - ended, 0), 0);
 }
 
+std::pair<int, int> LocalPlaces::RankAt(ServerKey server) const
+{
+  const auto order_of = [server](DaemonKey daemon) {
+    return Mix(static_cast<std::uint64_t>(server.Get()) ^ Mix(daemon));
+  };
+  if (std::ranges::find(m_members, m_self) == m_members.end())
+  {
+    const int daemons = std::max(m_daemons, 1);
+    return {static_cast<int>(order_of(m_self) % static_cast<std::uint64_t>(daemons)), daemons};
+  }
+  const auto [rank, is_new] = m_ranks.try_emplace(server, 0);
+  if (is_new)
+    rank->second = static_cast<int>(std::ranges::count_if(m_members, [&](DaemonKey other) {
+      return order_of(other) < order_of(m_self);
+    }));
+  return {rank->second, static_cast<int>(m_members.size())};
+}
+
 int LocalPlaces::Share(ServerKey server, int places) const
 {
-  const int daemons = std::max(m_daemons, 1);
-  const auto draw = Mix(static_cast<std::uint64_t>(server.Get()) ^ Mix(m_self)) %
-                    static_cast<std::uint64_t>(daemons);
-  const bool has_one_more = static_cast<int>(draw) < places % daemons;
-  return places / daemons + (has_one_more ? 1 : 0);
+  const auto [rank, daemons] = RankAt(server);
+  return places / daemons + (rank < places % daemons ? 1 : 0);
 }
 
 int LocalPlaces::MaxRequests(ServerKey server, int places, int running, Common::TimePoint now) const
@@ -69,7 +97,7 @@
   const auto found = m_servers.find(server);
   const int granted =
       running + (found == m_servers.end() ? 0 : CountFree(found->second, running, now));
-  return IsWithoutHolder(now) ? std::max(granted, Share(server, places)) : granted;
+  return IsWithoutHolder() ? std::max(granted, Share(server, places)) : granted;
 }
 
 std::uint32_t LocalPlaces::TakeHeld(ServerKey server, int running, Common::TimePoint now)
@@ -103,6 +131,7 @@
 void LocalPlaces::Clear()
 {
   m_servers.clear();
+  m_ranks.clear();
   m_unanswered_since.reset();
 }
 } // namespace RateLimits
--- a/Source/Core/RateLimits/LocalPlaces.h
+++ b/Source/Core/RateLimits/LocalPlaces.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "RateLimits/Places.h"
@@ -15,25 +16,28 @@
 /// The places at brittle servers that this daemon may use.
 ///
 /// Normally the holder of the order lease grants them. While it does not reply, the places of each
-/// server are divided among all daemons by a hash, which needs no messages: what all daemons use
-/// then stays close to what the server runs at once.
+/// server are divided among the daemons of the list that each daemon has, in an order that a hash
+/// gives. That needs no messages: daemons with the same list use what the server runs at once.
 class LocalPlaces
 {
 public:
-  /// Sets the number of daemons that divide the places without a holder.
+  /// Identifies a daemon.
+  using DaemonKey = std::uint64_t;
+
+  /// Sets the number of daemons that may exist, for a daemon that is not in its list.
   void SetDaemons(int daemons) { m_daemons = daemons; }
-  /// Sets a number that differs from that of other daemons.
-  void SetSelf(std::uint64_t self) { m_self = self; }
+  /// Sets this daemon and the list of all that divide the places without a holder.
+  void SetMembers(DaemonKey self, std::vector<DaemonKey> members);
 
   /// Adds places that the holder granted.
   void Add(ServerKey server, std::uint32_t count, Common::TimePoint valid_until,
            Common::TimePoint now);
   /// Records a report with demand to the holder, also if there is none.
   void NoteDemand(Common::TimePoint now);
-  /// Records a reply of a holder that grants places.
+  /// Records a reply of a holder whose lease is valid.
   void NoteReply() { m_unanswered_since.reset(); }
   /// True if the holder has not replied for so long that the places are divided without it.
-  bool IsWithoutHolder(Common::TimePoint now) const;
+  bool IsWithoutHolder() const;
 
   /// How many requests this daemon may have at the server in all, `running` of which it has now.
   /// `places`: requests that the server runs at once.
@@ -54,13 +58,20 @@
   };
   using Places = std::vector<Place>;
 
+  /// How many daemons come before this one when the places of the server are divided, and how many
+  /// there are.
+  std::pair<int, int> RankAt(ServerKey server) const;
   /// How many places with a valid term no running request uses. Running requests use up the places
   /// whose term has ended first.
   static int CountFree(const Places& places, int running, Common::TimePoint now);
 
   std::map<ServerKey, Places> m_servers;
   std::optional<Common::TimePoint> m_unanswered_since;
+  Common::TimePoint m_demanded_at;
   int m_daemons = 1;
-  std::uint64_t m_self = 0;
+  DaemonKey m_self = 0;
+  std::vector<DaemonKey> m_members;
+  /// How many members come before this daemon at a server; computed on first use.
+  mutable std::map<ServerKey, int> m_ranks;
 };
 } // namespace RateLimits
--- a/Source/Core/RateLimits/PlaceAllocator.cpp
+++ b/Source/Core/RateLimits/PlaceAllocator.cpp
@@ -12,8 +12,9 @@
 {
 using Common::Milliseconds;
 
-/// After the start of a tenure daemons report the places that they hold within this time.
-constexpr Milliseconds COLLECTION_TIME{700};
+/// After the start of a tenure daemons report the places that they hold within this time, and the
+/// replies have made those stop that used places without a holder.
+constexpr Milliseconds COLLECTION_TIME{500};
 /// A daemon that holds or wants places reports several times in this span. One that does not was
 /// stopped, suspended or cut off, and the term of its places has ended.
 constexpr Milliseconds REPORT_TIMEOUT{1300};
@@ -28,6 +29,11 @@
 {
   m_daemons.clear();
   m_servers.clear();
+  Pause(now);
+}
+
+void PlaceAllocator::Pause(Common::TimePoint now)
+{
   m_open_at = now + COLLECTION_TIME;
 }
 
@@ -100,9 +106,8 @@
       continue;
     for (PlaceDemand& demand : daemon.report.demands)
     {
-      const auto expires_at = daemon.reported_at + Milliseconds(demand.expires_in_ms);
-      if (demand.count > 0 && now < expires_at)
-        open.push_back({&vm, &demand, expires_at});
+      if (demand.count > 0)
+        open.push_back({&vm, &demand, daemon.reported_at + Milliseconds(demand.expires_in_ms)});
     }
   }
   std::ranges::sort(open, {}, [](const OpenDemand& demand) {
--- a/Source/Core/RateLimits/PlaceAllocator.h
+++ b/Source/Core/RateLimits/PlaceAllocator.h
@@ -23,6 +23,8 @@
   /// Starts a new tenure. Nothing is granted until all daemons have had time to report the places
   /// that they hold.
   void Begin(Common::TimePoint now);
+  /// Grants nothing for as long as after Begin(): daemons may have used places without a holder.
+  void Pause(Common::TimePoint now);
   struct KnownServer
   {
     ServerKey server;
@@ -33,7 +35,7 @@
   /// Replaces the report of a daemon in this tenure.
   void UpdateReport(const Common::VmId& vm, std::int64_t tenure, const PlaceReport& report,
                     Common::TimePoint now);
-  /// True if places may be granted: enough time has passed since Begin().
+  /// True if places may be granted: enough time has passed since Begin() or Pause().
   bool IsOpen(Common::TimePoint now) const;
   /// Grants all free places, the most urgent requests first. Call NoteSent() for each daemon.
   std::vector<Grant> GrantPlaces(Common::TimePoint now);
--- a/Source/Core/RateLimits/Places.h
+++ b/Source/Core/RateLimits/Places.h
@@ -38,7 +38,7 @@
   std::vector<ServerKey> servers;
   std::uint32_t count = 0;
   std::int32_t priority = 9;      ///< Of the most urgent request.
-  std::int64_t expires_in_ms = 0; ///< Time until the first request times out.
+  std::int64_t expires_in_ms = 0; ///< Time until the first request times out, for the order.
 
   bool operator==(const PlaceDemand&) const = default;
   template <typename Archive>
@@ -55,12 +55,14 @@
   std::uint64_t applied_number = 0; ///< Number of the reply with those grants.
   std::vector<HeldPlaces> held;
   std::vector<PlaceDemand> demands;
+  /// The daemon uses places without a holder until it gets a reply.
+  bool needs_reply = false;
 
-  bool Empty() const { return held.empty() && demands.empty(); }
+  bool Empty() const { return held.empty() && demands.empty() && !needs_reply; }
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(applied_tenure, applied_number, held, demands);
+    archive(applied_tenure, applied_number, held, demands, needs_reply);
   }
 };
 
