--- a/Source/Core/Gateway/ResponseMemory.h
+++ b/Source/Core/Gateway/ResponseMemory.h
@@ -18,9 +18,9 @@
 public:
   /// The most bytes of one response, of one event, and of all responses together. The smallest VMs
   /// have 160 MB, and a buffer that grows briefly needs twice its size.
-  static constexpr std::size_t MAX_RESPONSE_BYTES = 16U << 20U;
+  static constexpr std::size_t MAX_RESPONSE_BYTES = 8U << 20U;
   static constexpr std::size_t MAX_EVENT_BYTES = 1U << 20U;
-  static constexpr std::size_t MAX_TOTAL_BYTES = 32U << 20U;
+  static constexpr std::size_t MAX_TOTAL_BYTES = 16U << 20U;
 
   /// Sets how many bytes are kept for the request; 0 when it ends.
   void Set(Relay* relay, std::size_t bytes);
--- a/Source/StandIns/OverloadedServers/EndlessServer.cpp
+++ b/Source/StandIns/OverloadedServers/EndlessServer.cpp
@@ -17,7 +17,7 @@
 /// What comes before the endless part of a response to the request with this id.
 std::string Opening(EndlessBytes kind, const std::string& id)
 {
-  const std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: s\r\n";
+  std::string head = "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: s\r\n";
   const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
   switch (kind)
   {
--- a/Source/UnitTests/Gateway/BrittleServersTest.cpp
+++ b/Source/UnitTests/Gateway/BrittleServersTest.cpp
@@ -14,7 +14,6 @@
 using Gateway::BrittleServers;
 using Gateway::InstanceId;
 using UnitTests::HeaderOf;
-using UnitTests::PLAIN_PATH;
 using UnitTests::RunFor;
 using UnitTests::RunUntil;
 using UnitTests::TestPeer;
--- a/Source/UnitTests/Gateway/EndlessResponsesTest.cpp
+++ b/Source/UnitTests/Gateway/EndlessResponsesTest.cpp
@@ -16,21 +16,21 @@
 using UnitTests::Answer;
 using UnitTests::HeaderOf;
 using UnitTests::PLAIN_PATH;
-using UnitTests::RunFor;
 using UnitTests::RunUntil;
 using UnitTests::STREAM_PATH;
 using UnitTests::TestPeer;
 using UnitTests::TestServer;
 
 /// Sends pieces of a body as fast as they are read, until the connection ends.
-void SendWithoutEnd(TestPeer& peer)
+void SendWithoutEnd(const std::weak_ptr<Http::TcpStream>& connection)
 {
-  if (!peer.stream->IsOpen())
+  const auto stream = connection.lock();
+  if (!stream || !stream->IsOpen())
     return;
-  if (peer.stream->Unsent() == 0)
-    peer.stream->Write(std::string(1U << 20U, 'x'));
-  Common::Reactor::Get().After(Milliseconds(1), [&peer] {
-    SendWithoutEnd(peer);
+  if (stream->Unsent() == 0)
+    stream->Write(std::string(1U << 20U, 'x'));
+  Common::Reactor::Get().After(Milliseconds(1), [connection] {
+    SendWithoutEnd(connection);
   });
 }
 
@@ -55,7 +55,7 @@
     explicit World(const std::string& more)
         : endless([more](TestPeer& peer, const std::string& head) {
             peer.stream->Write(HeadWithoutLength(head, more));
-            SendWithoutEnd(peer);
+            SendWithoutEnd(peer.stream);
           }),
           sound([](TestPeer& peer, const std::string& head) {
             peer.stream->Write(Answer(head, "sound"));
--- a/Source/UnitTests/RateLimits/PlaceReplayTest.cpp
+++ b/Source/UnitTests/RateLimits/PlaceReplayTest.cpp
@@ -146,7 +146,7 @@
   double Draw() { return std::uniform_real_distribution<>()(m_random); }
   bool Happens(Milliseconds every)
   {
-    return every.count() > 0 && Draw() < static_cast<double>(TICK.count()) / every.count();
+    return every.count() > 0 && Draw() < std::chrono::duration<double>(TICK) / every;
   }
 
   void BeginTenure()
@@ -221,8 +221,9 @@
     while (!daemon.waiting.empty() && Send(daemon))
       daemon.waiting.pop_front();
     const bool has_demand = !daemon.waiting.empty();
-    const auto interval =
-        std::max(Milliseconds(20), Milliseconds(static_cast<std::int64_t>(0.3 * m_daemons.size())));
+    const auto interval = std::max(
+        Milliseconds(20),
+        Milliseconds(static_cast<std::int64_t>(0.3 * static_cast<double>(m_daemons.size()))));
     const bool is_urgent = has_demand || daemon.places.IsWithoutHolder();
     const auto resend = is_urgent ? Milliseconds(150) : Milliseconds(400);
     const auto since = m_now - daemon.reported_at;
