Gateway: only requests for pools with brittle servers are checked again

While any server was brittle, each reply of the holder made all waiting requests be checked for refusal, also those for models that were being loaded in other pools.

--- a/Source/Core/Gateway/DispatcherBrittle.cpp
+++ b/Source/Core/Gateway/DispatcherBrittle.cpp
@@ -10,7 +10,7 @@
 #include <cmath>
 #include <iterator>
 #include <map>
-#include <ranges>
+#include <set>
 #include <utility>
 
 #include <xxhash.h>
@@ -134,10 +134,14 @@
 
 void Dispatcher::RecheckPlaceQueues()
 {
-  if (m_brittle.All().empty())
+  std::set<PoolId> pools;
+  for (const ServerPtr& server : m_brittle.All())
+    pools.insert(server->Entry().pool);
+  if (pools.empty())
     return;
   for (const auto& relay : WaitingRelays())
-    relay->RecheckWait();
+    if (pools.contains(relay->SelectedPool()))
+      relay->RecheckWait();
 }
 
 void Dispatcher::ReportPlaces()
