Gateway: the crash check does not wait whether its probe stays open

The check of a server that broke a connection took 0.1 s longer since probes wait whether the connection stays open, and for as long all requests whose connection broke there are suspects of a crash. For the crash check it is enough that the server's process accepts; only the checks of a path wait.

Suites of the crash detector, of isolated VMs, of crashing requests and parts and of endless responses pass.

--- a/Source/Core/Gateway/ConnectionProbe.cpp
+++ b/Source/Core/Gateway/ConnectionProbe.cpp
@@ -19,8 +19,6 @@
 constexpr Milliseconds DIRECT_TIMEOUT{400};
 /// Through a helper, which applies the limit of a direct connection itself.
 constexpr Milliseconds HELPER_TIMEOUT = DIRECT_TIMEOUT * 2;
-/// How long a connection must stay open to count as working.
-constexpr Milliseconds HOLD_TIME{100};
 
 ConnectionProbe::Outcome OutcomeOf(Http::TunnelStatus status)
 {
@@ -40,8 +38,10 @@
 }
 } // namespace
 
-ConnectionProbe::ConnectionProbe(const Http::Endpoint& server, OutcomeHandler on_outcome)
+ConnectionProbe::ConnectionProbe(const Http::Endpoint& server, Milliseconds hold_time,
+                                 OutcomeHandler on_outcome)
     : m_through_helper(false),
+      m_hold_time(hold_time),
       m_on_outcome(std::move(on_outcome)),
       m_stream(Http::TcpStream::Connect(server, this))
 {
@@ -53,6 +53,7 @@
 ConnectionProbe::ConnectionProbe(const Http::Endpoint& helper, const std::string& open_message,
                                  OutcomeHandler on_outcome)
     : m_through_helper(true),
+      m_hold_time(PATH_HOLD_TIME),
       m_on_outcome(std::move(on_outcome)),
       m_stream(Http::TcpStream::Connect(helper, this))
 {
@@ -79,7 +80,7 @@
 void ConnectionProbe::Hold()
 {
   m_open = true;
-  m_timer.Start(HOLD_TIME, [this] {
+  m_timer.Start(m_hold_time, [this] {
     m_finished = true;
     Report(Outcome::Accepted);
   });
--- a/Source/Core/Gateway/ConnectionProbe.h
+++ b/Source/Core/Gateway/ConnectionProbe.h
@@ -20,7 +20,7 @@
 public:
   enum class Outcome
   {
-    Accepted, ///< The connection was made and stayed open.
+    Accepted, ///< The connection was made and stayed open for the hold time.
     Refused,
     Broken,       ///< The connection was made and ended at once.
     Inconclusive, ///< There was no reply in time.
@@ -29,7 +29,14 @@
   /// Called from the main loop, never from the constructor. May destroy the probe.
   using OutcomeHandler = std::function<void(Outcome)>;
 
-  ConnectionProbe(const Http::Endpoint& server, OutcomeHandler on_outcome);
+  /// How long a connection must stay open to show that the path to the server works.
+  static constexpr Common::Milliseconds PATH_HOLD_TIME{100};
+  /// Enough to show that the server's process runs.
+  static constexpr Common::Milliseconds NO_HOLD_TIME{0};
+
+  /// `hold_time`: how long the connection must stay open to count as accepted.
+  ConnectionProbe(const Http::Endpoint& server, Common::Milliseconds hold_time,
+                  OutcomeHandler on_outcome);
   /// Probes through `helper`, which gets `open_message` first.
   ConnectionProbe(const Http::Endpoint& helper, const std::string& open_message,
                   OutcomeHandler on_outcome);
@@ -46,6 +53,7 @@
   void FinishLater(Outcome outcome);
 
   bool m_through_helper;
+  Common::Milliseconds m_hold_time;
   OutcomeHandler m_on_outcome;
   bool m_open = false; ///< The connection to the server was made.
   bool m_finished = false;
--- a/Source/Core/Gateway/CrashDetector.cpp
+++ b/Source/Core/Gateway/CrashDetector.cpp
@@ -78,7 +78,7 @@
 {
   PendingCheck& check = m_pending_checks.at(instance);
   check.probe = std::make_unique<ConnectionProbe>(
-      check.server->Entry().endpoint,
+      check.server->Entry().endpoint, ConnectionProbe::NO_HOLD_TIME,
       [this, server = check.server](ConnectionProbe::Outcome outcome) {
         switch (outcome)
         {
--- a/Source/Core/Gateway/ServerPaths.cpp
+++ b/Source/Core/Gateway/ServerPaths.cpp
@@ -207,8 +207,8 @@
   Path& path = m_paths[server->Entry().instance];
   if (path.direct_probe)
     return;
-  path.direct_probe =
-      std::make_unique<ConnectionProbe>(server->Entry().endpoint, [this, server](Outcome outcome) {
+  path.direct_probe = std::make_unique<ConnectionProbe>(
+      server->Entry().endpoint, ConnectionProbe::PATH_HOLD_TIME, [this, server](Outcome outcome) {
         OnDirectProbe(server, outcome);
       });
 }
