--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -72,6 +72,11 @@
   return std::chrono::floor<Milliseconds>(
       server.Cold().IsCold(now) ? server.Cold().Until() - now : Common::TimePoint::duration());
 }
+
+InstanceId InstanceOf(const Tunnels::TunnelTarget& target)
+{
+  return InstanceId(target.server, ServerStart(target.server_start));
+}
 } // namespace
 
 void ProbeResponder::AcceptConnection(int fd)
@@ -119,12 +124,15 @@
         return ResolveTunnel(target);
       })
 {
+  m_tunnels.OnConnectFailure([this](const Tunnels::TunnelTarget& target) {
+    if (const ServerPtr server = m_dispatcher.Servers().Find(InstanceOf(target)))
+      m_dispatcher.Paths().NoteTunnelFailure(server);
+  });
 }
 
 std::optional<Http::Endpoint> EntryPoint::ResolveTunnel(const Tunnels::TunnelTarget& target) const
 {
-  const InstanceId instance(target.server, ServerStart(target.server_start));
-  const ServerPtr server = m_dispatcher.Servers().Find(instance);
+  const ServerPtr server = m_dispatcher.Servers().Find(InstanceOf(target));
   if (!server || m_dispatcher.Paths().NeedsHelper(*server))
     return std::nullopt;
   return server->Entry().endpoint;
--- a/Source/Core/Gateway/ServerPaths.cpp
+++ b/Source/Core/Gateway/ServerPaths.cpp
@@ -108,6 +108,7 @@
   DropRemovedServers();
   Path& path = m_paths[server->Entry().instance];
   path.failed_at = now;
+  path.failed_here_at = now;
   const bool is_probing = path.helper_probe || ProbeThroughHelper(server);
   if (is_probing && on_outcome)
     path.helper_probe_handlers.push_back(std::move(on_outcome));
@@ -121,6 +122,15 @@
   // A connection that was made before a partition may still work when new ones do not.
   if (is_new_connection)
     m_connected_at = now;
+  SetReachesNone(false);
+}
+
+void ServerPaths::NoteTunnelFailure(const ServerPtr& server)
+{
+  const auto now = Common::Now();
+  DropRemovedServers();
+  m_paths[server->Entry().instance].failed_here_at = now;
+  UpdateIsolation(now);
 }
 
 void ServerPaths::NoteHelperFailure(const Http::Endpoint& helper, Common::TimePoint now)
@@ -230,6 +240,7 @@
   NoteDirectResponse(Common::Now(), true);
   Path& path = m_paths[server->Entry().instance];
   path.failed_at.reset();
+  path.failed_here_at.reset();
   if (std::exchange(path.needs_helper, false))
   {
     Common::LogEvent(Common::LogLevel::Info, "server-path-restored",
@@ -262,6 +273,28 @@
     m_on_isolation_change();
 }
 
+void ServerPaths::SetReachesNone(bool reaches_none)
+{
+  if (std::exchange(m_reaches_none, reaches_none) == reaches_none)
+    return;
+  Common::LogEvent(Common::LogLevel::Warning, "vm-reaches-no-server",
+                   {{"reaches_none", reaches_none}});
+  if (reaches_none)
+    ProbeDirectPaths();
+  if (m_on_isolation_change)
+    m_on_isolation_change();
+}
+
+bool ServerPaths::FailsToConnect(Common::TimePoint now) const
+{
+  const auto failing = std::ranges::count_if(m_paths, [now](const auto& entry) {
+    const Path& path = entry.second;
+    return path.needs_helper || (path.failed_here_at && now - *path.failed_here_at < FAILURE_VALID);
+  });
+  return IsEnoughToBeIsolated(failing, m_servers) && !IsRecent(m_connected_at, now) &&
+         !IsRecent(m_response_at, now);
+}
+
 void ServerPaths::SurveyOtherServers(Common::TimePoint now)
 {
   if (now - m_surveyed_at < DIRECT_SUCCESS_VALID)
@@ -285,6 +318,8 @@
   });
   if (!m_isolated && IsEnoughToBeIsolated(needing, m_servers) && !IsRecent(m_connected_at, now))
     SetIsolated(true);
+  if (FailsToConnect(now))
+    SetReachesNone(true);
   const bool cut_off = IsCutOff(now);
   if (std::exchange(m_was_cut_off, cut_off) == cut_off)
     return;
@@ -315,12 +350,12 @@
     for (const auto& [instance, path] : m_paths)
       if (const ServerPtr server = m_servers.Find(instance); server && path.needs_helper)
         candidates.push_back(server);
-    if (m_isolated)
+    if (ReachesNoServer())
       std::ranges::copy(std::views::values(m_servers.All()), std::back_inserter(candidates));
     if (!candidates.empty())
       ProbeDirectly(PickRandom(candidates));
-    // While this VM is isolated, servers may be added that have to be probed.
-    if (m_isolated || !candidates.empty())
+    // While this VM reaches no server, servers may be added that have to be probed.
+    if (ReachesNoServer() || !candidates.empty())
       ProbeDirectPaths();
   });
 }
--- a/Source/Core/Gateway/ServerPaths.h
+++ b/Source/Core/Gateway/ServerPaths.h
@@ -22,7 +22,8 @@
 /// server is probed through a helper. If that succeeds, the server is used through helpers until a
 /// direct probe succeeds again; otherwise it is treated as failed. Where several servers can only
 /// be reached through helpers and none directly, the VM is isolated, and all servers are used
-/// through helpers.
+/// through helpers. A VM that reaches no server, whether or not others do, is no helper: what it
+/// fails to connect to is no evidence that a server is down.
 class ServerPaths
 {
 public:
@@ -35,7 +36,7 @@
   {
     m_on_usable = std::move(callback);
   }
-  /// Called when IsIsolated() or IsCutOff() changes.
+  /// Called when IsIsolated(), IsCutOff() or ReachesNoServer() changes.
   void OnIsolationChange(std::function<void()> callback)
   {
     m_on_isolation_change = std::move(callback);
@@ -57,6 +58,8 @@
   bool NoteDirectFailure(const ServerPtr& server, ProbeHandler on_outcome = nullptr);
   /// Records that a server responded on a direct connection, which was a new one or a kept one.
   void NoteDirectResponse(Common::TimePoint now, bool is_new_connection);
+  /// Records that this VM, as a helper, could not connect to the server.
+  void NoteTunnelFailure(const ServerPtr& server);
   /// Records that a helper opened no tunnel for a reason of its own.
   void NoteHelperFailure(const Http::Endpoint& helper, Common::TimePoint now);
   /// Probes the direct path to a server that has sent nothing for a while, or that ended a
@@ -66,6 +69,9 @@
 
   /// True if this VM reaches servers through helpers only.
   bool IsIsolated() const { return m_isolated; }
+  /// True if direct connections to several servers failed and none works. The servers may be down,
+  /// or this VM may be partitioned from them.
+  bool ReachesNoServer() const { return m_isolated || m_reaches_none; }
   /// True if this VM reaches no server, neither directly nor through helpers.
   bool IsCutOff(Common::TimePoint now) const;
 
@@ -77,6 +83,8 @@
   {
     bool needs_helper = false;
     /// When a direct connection last failed; unset after a success.
+    std::optional<Common::TimePoint> failed_here_at;
+    /// The same, but unset when a connection through a helper failed, too.
     std::optional<Common::TimePoint> failed_at;
     Common::TimePoint checked_at; ///< When the last direct probe of the silent server began.
     std::unique_ptr<ConnectionProbe> direct_probe;
@@ -98,10 +106,14 @@
   /// Uses the server, or all servers if this VM was isolated, directly again.
   void UseDirectPath(const ServerPtr& server);
   void SetIsolated(bool isolated);
+  void SetReachesNone(bool reaches_none);
+  /// True if this VM reaches no server, as far as its last connections show.
+  bool FailsToConnect(Common::TimePoint now) const;
   /// Probes some of the other servers after the path to one was lost.
   void SurveyOtherServers(Common::TimePoint now);
   void UpdateIsolation(Common::TimePoint now);
-  /// Probes the direct path of one server that needs a helper, at regular intervals.
+  /// Probes the direct path of one server that needs a helper, or of any server while none is
+  /// reached, at regular intervals.
   void ProbeDirectPaths();
   void DropRemovedServers();
 
@@ -116,6 +128,7 @@
   std::optional<Common::TimePoint> m_response_at;
   Common::TimePoint m_surveyed_at;
   bool m_isolated = false;
+  bool m_reaches_none = false;
   bool m_was_cut_off = false; ///< When it was last evaluated.
   Common::OwnedTimer m_probe_timer;
 };
--- a/Source/Core/Orders/HelperPlan.h
+++ b/Source/Core/Orders/HelperPlan.h
@@ -21,8 +21,8 @@
 
 /// Assigns each daemon the others that may open tunnels to backend servers for it, those of its own
 /// data centre first. The choice is random; in one data centre each daemon is assigned equally
-/// often. Daemons in `isolated`, which reach no server themselves, help nobody. The cost grows with
-/// the number of daemons times that of data centres.
+/// often. Daemons in `unfit`, which reach no server themselves, help nobody, unless that is all
+/// daemons. The cost grows with the number of daemons times that of data centres.
 std::map<Http::Endpoint, std::vector<Http::Endpoint>>
-PlanHelpers(DaemonsByPlace daemons, const std::set<Http::Endpoint>& isolated = {});
+PlanHelpers(DaemonsByPlace daemons, const std::set<Http::Endpoint>& unfit = {});
 } // namespace Orders
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -303,7 +303,7 @@
   report.missed_updates = std::exchange(m_missed_updates, false);
   report.handicap_ms = m_settings.handicap.count();
   report.place = Fleet::HashOf(m_settings.data_centre);
-  report.is_isolated = m_dispatcher.Paths().IsIsolated();
+  report.reaches_no_server = m_dispatcher.Paths().ReachesNoServer();
   report.grants_fence = m_dispatcher.Allowances().Tenure();
   report.allowances = m_dispatcher.Allowances().Report(Common::Now());
   auto seen = m_dispatcher.CrashCases().OwnChangesSince(m_own_crashes_confirmed, CRASH_BYTES,
@@ -716,30 +716,30 @@
   }
 }
 
-std::set<Http::Endpoint> Hub::IsolatedDaemons() const
+std::set<Http::Endpoint> Hub::DaemonsWithoutServers() const
 {
-  std::set<Http::Endpoint> isolated;
-  if (m_dispatcher.Paths().IsIsolated())
-    isolated.insert(m_settings.local);
+  std::set<Http::Endpoint> unfit;
+  if (m_dispatcher.Paths().ReachesNoServer())
+    unfit.insert(m_settings.local);
   for (const auto& [vm, peer] : m_peers)
-    if (peer.is_isolated)
-      isolated.insert(peer.endpoint);
-  return isolated;
+    if (peer.reaches_no_server)
+      unfit.insert(peer.endpoint);
+  return unfit;
 }
 
 void Hub::SendHelpers(Common::TimePoint now)
 {
-  const auto isolated = IsolatedDaemons();
-  const auto interval = isolated == m_isolated ? HELPER_INTERVAL : CHANGED_HELPERS_INTERVAL;
+  const auto unfit = DaemonsWithoutServers();
+  const auto interval = unfit == m_unfit_helpers ? HELPER_INTERVAL : CHANGED_HELPERS_INTERVAL;
   if (now - m_helpers_sent_at < interval)
     return;
   m_helpers_sent_at = now;
-  m_isolated = isolated;
+  m_unfit_helpers = unfit;
   DaemonsByPlace daemons;
   daemons[Fleet::HashOf(m_settings.data_centre)].push_back(m_settings.local);
   for (const auto& [vm, peer] : m_peers)
     daemons[peer.place].push_back(peer.endpoint);
-  for (const auto& [daemon, helpers] : PlanHelpers(std::move(daemons), isolated))
+  for (const auto& [daemon, helpers] : PlanHelpers(std::move(daemons), unfit))
   {
     Notice notice;
     notice.fence = m_own_lease->fence;
@@ -839,7 +839,7 @@
     peer.crash_revision = report.crash_revision;
     peer.handicap = Milliseconds(report.handicap_ms);
     peer.place = report.place;
-    peer.is_isolated = report.is_isolated;
+    peer.reaches_no_server = report.reaches_no_server;
     if (report.missed_updates)
     {
       peer.sent = peer.versions;
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -115,8 +115,8 @@
     std::uint64_t crash_revision = 0;
     std::uint64_t crash_sent = 0;
     Common::Milliseconds handicap{0};
-    Fleet::PlaceHash place = 0; ///< Its data centre.
-    bool is_isolated = false;   ///< It reaches no server directly.
+    Fleet::PlaceHash place = 0;     ///< Its data centre.
+    bool reaches_no_server = false; ///< Directly, as far as it knows.
   };
   /// Reception state of one shared table's relayed changes.
   struct UpdateState
@@ -185,9 +185,9 @@
   /// Sets the daemons that divide the places at brittle servers without a holder.
   void ApplyMembersToPlaces();
   void OnNotice(std::string_view bytes, const Http::Endpoint& from);
-  /// At the holder: sends changes of the list of daemons to all.
   /// The daemons that reach no server directly, as last reported.
-  std::set<Http::Endpoint> IsolatedDaemons() const;
+  std::set<Http::Endpoint> DaemonsWithoutServers() const;
+  /// At the holder: sends changes of the list of daemons to all.
   void AnnounceMembers(Common::TimePoint now);
   void SetHelpers(const std::vector<PeerAddress>& helpers);
   Announcement MakeAnnouncement(HolderReport report, const UpdatePosition& position) const;
@@ -225,9 +225,9 @@
   std::uint64_t m_own_crashes_confirmed = 0;
   std::uint64_t m_own_crashes_reported = 0; ///< Revision up to which the last report includes them.
   Common::TimePoint m_helpers_sent_at;
-  std::set<Http::Endpoint> m_isolated;   ///< Daemons that were not made helpers then.
-  Common::TimePoint m_holder_since;      ///< When the holder last changed.
-  std::uint64_t m_crashes_announced = 0; ///< Revision last announced as the holder.
+  std::set<Http::Endpoint> m_unfit_helpers; ///< Daemons that were not made helpers then.
+  Common::TimePoint m_holder_since;         ///< When the holder last changed.
+  std::uint64_t m_crashes_announced = 0;    ///< Revision last announced as the holder.
   /// Revision of the limit book last announced as the holder.
   std::uint64_t m_limits_announced = 0;
   std::uint64_t m_rejection_bounds_announced = 0;
--- a/Source/Core/Orders/Messages.h
+++ b/Source/Core/Orders/Messages.h
@@ -107,15 +107,15 @@
   std::uint64_t crash_revision = 0; ///< This daemon's revision of the holder's crash cases.
   /// Servers with a long backoff at this daemon.
   std::vector<ServerHash> backing_off;
-  Fleet::PlaceHash place = 0; ///< Data centre of this daemon.
-  bool is_isolated = false;   ///< It reaches no server directly.
+  Fleet::PlaceHash place = 0;     ///< Data centre of this daemon.
+  bool reaches_no_server = false; ///< Directly, as far as it knows.
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
     archive(vm, run, sequence, demand, loads, table_versions, placement_version, missed_updates,
             handicap_ms, grants_fence, allowances, crashes, crash_revision, backing_off, place,
-            is_isolated);
+            reaches_no_server);
   }
 };
 
--- a/Source/Core/Tunnels/TunnelServer.cpp
+++ b/Source/Core/Tunnels/TunnelServer.cpp
@@ -115,6 +115,7 @@
     // If this process exits or the daemon leaves, the server must not receive more of a request.
     Http::SocketOptions options;
     options.reset_on_close = true;
+    m_target = open.target;
     m_server.stream = Http::TcpStream::Connect(*address, &m_server, options);
     if (!m_server.stream)
     {
@@ -122,10 +123,17 @@
       return;
     }
     m_timer.Start(CONNECT_TIMEOUT, [this] {
-      Reject(TunnelStatus::TimedOut);
+      FailToConnect(TunnelStatus::TimedOut);
     });
   }
 
+  void FailToConnect(TunnelStatus status)
+  {
+    if (m_owner.m_on_connect_failure)
+      m_owner.m_on_connect_failure(m_target);
+    Reject(status);
+  }
+
   void OnServerConnected()
   {
     m_timer.Stop();
@@ -139,7 +147,7 @@
   {
     if (!m_open && &from == &m_server)
     {
-      Reject(TunnelStatus::Refused);
+      FailToConnect(TunnelStatus::Refused);
       return;
     }
     Side& to = Opposite(from);
@@ -188,6 +196,7 @@
   Side m_daemon;
   Side m_server;
   std::string m_received;
+  TunnelTarget m_target; ///< Once it was received.
   bool m_open = false;
   bool m_closes_when_flushed = false;
   Common::TimePoint m_ticked_at;
--- a/Source/Core/Tunnels/TunnelServer.h
+++ b/Source/Core/Tunnels/TunnelServer.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
 
 #include "Common/Reactor.h"
 #include "Http/TcpStream.h"
@@ -27,6 +28,12 @@
   TunnelServer(const TunnelServer&) = delete;
   TunnelServer& operator=(const TunnelServer&) = delete;
 
+  /// Called when the server of a tunnel refused the connection or did not reply in time.
+  void OnConnectFailure(std::function<void(const TunnelTarget&)> callback)
+  {
+    m_on_connect_failure = std::move(callback);
+  }
+
   Common::Result<Common::Done> Listen(const Http::Endpoint& local);
   Http::Endpoint Local() const { return m_listener.Local(); }
   std::size_t OpenTunnels() const { return m_tunnels.size(); }
@@ -42,6 +49,7 @@
   void Remove(Tunnel* tunnel);
 
   Resolver m_resolver;
+  std::function<void(const TunnelTarget&)> m_on_connect_failure;
   Http::TcpListener m_listener;
   std::map<Tunnel*, std::unique_ptr<Tunnel>> m_tunnels;
   std::int64_t m_requested = 0;
--- a/Source/UnitTests/Gateway/IsolatedVmTest.cpp
+++ b/Source/UnitTests/Gateway/IsolatedVmTest.cpp
@@ -127,6 +127,8 @@
   CPPUNIT_TEST(RequestsFailWhileConnectionsHang);
   CPPUNIT_TEST(RequestsFailWhileConnectionsAreResetOnceMade);
   CPPUNIT_TEST(BrokenHelperPathIsTakenForAFailedServer);
+  CPPUNIT_TEST(VmThatReachesNoServerIsAHelper);
+  CPPUNIT_TEST(IdleVmThatReachesNoServerIsAHelper);
   CPPUNIT_TEST(UnrepeatableRequestFailsBeforeItWasSent);
   CPPUNIT_TEST(StreamOnAHangingConnectionIsNotResumed);
   CPPUNIT_TEST(IsolationIsTakenForCrashes);
@@ -198,6 +200,63 @@
     CPPUNIT_ASSERT(world.dispatcher.Paths().IsIsolated());
   }
 
+  /// Its helper is cut off, too, so that it is not isolated.
+  void VmThatReachesNoServerIsAHelper()
+  {
+    const SilentAddress address;
+    World world(RespondAtOnce);
+    Tunnels::TunnelServer cut_helper([&](const Tunnels::TunnelTarget&) {
+      return std::optional(address.Address());
+    });
+    CPPUNIT_ASSERT(static_cast<bool>(cut_helper.Listen(Http::Endpoint{htonl(INADDR_LOOPBACK), 0})));
+    Gateway::ServerPaths& paths = world.dispatcher.Paths();
+    paths.SetHelpers({cut_helper.Local()});
+    world.AddServers(address.Address(), address.Address());
+    world.Ask(PLAIN_PATH, "id-1");
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return paths.ReachesNoServer();
+    }));
+    CPPUNIT_ASSERT(!paths.IsIsolated());
+    RunFor(Milliseconds(3500));
+    CPPUNIT_ASSERT(paths.ReachesNoServer());
+    // Without any further request it finds the helper that is sound, and then the direct path.
+    paths.SetHelpers({world.helper.Local()});
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return paths.IsIsolated();
+    }));
+    world.AddServers(world.first.Address(), world.second.Address());
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return !paths.ReachesNoServer();
+    }));
+  }
+
+  /// It learns from the tunnels that it cannot open for others.
+  void IdleVmThatReachesNoServerIsAHelper()
+  {
+    World world(RespondAtOnce);
+    world.AddServers(UnitTests::FreeEndpoint(), UnitTests::FreeEndpoint());
+    Gateway::ServerPaths& paths = world.dispatcher.Paths();
+    Tunnels::TunnelServer idle([&](const Tunnels::TunnelTarget& target) {
+      return std::optional(
+          world.dispatcher.Servers().Find(Gateway::InstanceId(target.server))->Entry().endpoint);
+    });
+    idle.OnConnectFailure([&](const Tunnels::TunnelTarget& target) {
+      paths.NoteTunnelFailure(world.dispatcher.Servers().Find(Gateway::InstanceId(target.server)));
+    });
+    CPPUNIT_ASSERT(static_cast<bool>(idle.Listen(Http::Endpoint{htonl(INADDR_LOOPBACK), 0})));
+    for (const char* server : {"i-1", "i-2"})
+    {
+      CPPUNIT_ASSERT(!paths.ReachesNoServer());
+      TestPeer daemon;
+      daemon.stream = Http::TcpStream::Connect(idle.Local(), &daemon);
+      daemon.stream->Write(Tunnels::EncodeOpen({server}));
+      CPPUNIT_ASSERT(RunUntil([&] {
+        return daemon.ended;
+      }));
+    }
+    CPPUNIT_ASSERT(paths.ReachesNoServer());
+  }
+
   void UnrepeatableRequestFailsBeforeItWasSent()
   {
     World world(RespondAtOnce);
--- a/Source/UnitTests/Orders/HelperPlanTest.cpp
+++ b/Source/UnitTests/Orders/HelperPlanTest.cpp
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(DaemonAloneInItsDataCentreHasNoHelpers);
   CPPUNIT_TEST(IsolatedDaemonIsAHelper);
   CPPUNIT_TEST(IsolatedDaemonsHaveNoHelperThoughOneDaemonIsSound);
+  CPPUNIT_TEST(NobodyHelpsWhereNobodyReachesAServer);
   CPPUNIT_TEST_SUITE_END();
 
   /// Helpers are distinct others, those of the daemon's data centre first.
@@ -97,6 +98,16 @@
     for (const auto& [daemon, helpers] : PlanHelpers(std::move(daemons), isolated))
       CPPUNIT_ASSERT(daemon == sound ? helpers.empty() : helpers == std::vector{sound});
   }
+
+  void NobodyHelpsWhereNobodyReachesAServer()
+  {
+    auto daemons = MakeDaemons(3, 4);
+    std::set<Endpoint> unfit;
+    for (const auto& [place, members] : daemons)
+      unfit.insert(members.begin(), members.end());
+    for (const auto& [daemon, helpers] : PlanHelpers(std::move(daemons), unfit))
+      CPPUNIT_ASSERT_EQUAL(MAX_HELPERS, helpers.size());
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(HelperPlanTest);
 } // namespace
