--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -267,9 +267,9 @@
 
   LeaseAnnouncement CurrentLease() const { return {m_lease.Fence(), m_lease.RowVersion(), {}}; }
 
-  /// If the store stops responding to the holder, or its VM no longer reaches the backend servers,
-  /// the holder abdicates and announces it at once instead of letting the lease expire: another
-  /// daemon may reach them.
+  /// If the store stops responding to the holder, it abdicates and announces it at once instead of
+  /// letting the lease expire. If its VM no longer reaches the backend servers while another one
+  /// does, it releases the lease, too.
   void AbdicateIfCutOff(Common::TimePoint now)
   {
     if (!m_held)
@@ -277,11 +277,14 @@
     // Right after an outage the last responses are old and the first new ones are still in transit.
     const bool has_lost_store =
         now - m_held_since >= STARTUP_GRACE && NewestResponseAge(now) > STORE_RESPONSE_TIMEOUT;
-    const bool has_lost_servers = m_dispatcher.Paths().IsIsolated() && m_hub.Daemons() > 1;
+    const bool has_lost_servers = m_dispatcher.Paths().IsIsolated() && m_hub.HasPeerWithServers();
     if (!has_lost_store && !has_lost_servers)
       return;
     const LeaseAnnouncement lease = CurrentLease();
-    m_lease.Abdicate();
+    if (has_lost_store)
+      m_lease.Abdicate();
+    else
+      m_lease.Resign();
     m_hub.AnnounceAbdication(lease);
   }
 
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -727,18 +727,28 @@
   return unfit;
 }
 
+bool Hub::HasPeerWithServers() const
+{
+  return std::ranges::any_of(m_peers, [](const auto& entry) {
+    return !entry.second.reaches_no_server;
+  });
+}
+
 void Hub::SendHelpers(Common::TimePoint now)
 {
   const auto unfit = DaemonsWithoutServers();
   const auto interval = unfit == m_unfit_helpers ? HELPER_INTERVAL : CHANGED_HELPERS_INTERVAL;
-  if (now - m_helpers_sent_at < interval)
+  const auto known = KnownDaemons(now);
+  // Until all have reported, their last plan is better informed.
+  const bool awaits_reports =
+      known.size() > m_peers.size() + 1 && now - m_holder_since < MAX_INTERVAL;
+  if (awaits_reports || now - m_helpers_sent_at < interval)
     return;
   m_helpers_sent_at = now;
   m_unfit_helpers = unfit;
   DaemonsByPlace daemons;
-  daemons[Fleet::HashOf(m_settings.data_centre)].push_back(m_settings.local);
-  for (const auto& [vm, peer] : m_peers)
-    daemons[peer.place].push_back(peer.endpoint);
+  for (const Fleet::ListedDaemon& daemon : known)
+    daemons[daemon.place].push_back(daemon.messages);
   for (const auto& [daemon, helpers] : PlanHelpers(std::move(daemons), unfit))
   {
     Notice notice;
@@ -755,7 +765,7 @@
   }
 }
 
-void Hub::AnnounceMembers(Common::TimePoint now)
+std::vector<Fleet::ListedDaemon> Hub::KnownDaemons(Common::TimePoint now) const
 {
   std::vector<Fleet::ListedDaemon> daemons;
   daemons.push_back(
@@ -768,7 +778,12 @@
       if (std::ranges::find(daemons, known.messages, &Fleet::ListedDaemon::messages) ==
           daemons.end())
         daemons.push_back(known);
-  m_members.Announce(std::move(daemons), m_own_lease->fence, now);
+  return daemons;
+}
+
+void Hub::AnnounceMembers(Common::TimePoint now)
+{
+  m_members.Announce(KnownDaemons(now), m_own_lease->fence, now);
 }
 
 void Hub::OnNotice(std::string_view bytes, const Http::Endpoint& from)
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -75,6 +75,8 @@
   /// Announces to all daemons that this holder no longer issues orders. Sent several times, as
   /// datagrams can be lost.
   void AnnounceAbdication(const LeaseAnnouncement& lease);
+  /// At the holder: true if another daemon reaches backend servers, as last reported.
+  bool HasPeerWithServers() const;
   /// Number of daemons that report to the holder, including the holder, as last announced.
   int Daemons() const { return m_daemons.Get(); }
   /// The lowest handicap of the daemons that report to the holder, as last announced.
@@ -187,6 +189,8 @@
   void OnNotice(std::string_view bytes, const Http::Endpoint& from);
   /// The daemons that reach no server directly, as last reported.
   std::set<Http::Endpoint> DaemonsWithoutServers() const;
+  /// At the holder: all daemons, among them those that have not reported to a new holder yet.
+  std::vector<Fleet::ListedDaemon> KnownDaemons(Common::TimePoint now) const;
   /// At the holder: sends changes of the list of daemons to all.
   void AnnounceMembers(Common::TimePoint now);
   void SetHelpers(const std::vector<PeerAddress>& helpers);
--- a/Source/Core/Orders/LeaseManager.h
+++ b/Source/Core/Orders/LeaseManager.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "Common/Failure.h"
 #include "Common/Log.h"
@@ -119,6 +120,19 @@
       OnLeaseLost("store unreachable");
   }
 
+  /// Stops acting as the holder and releases the row, so that another daemon acquires the lease at
+  /// once. Unlike after Release(), this daemon contends for the lease again, after its deferral.
+  void Resign()
+  {
+    if (!m_fence)
+      return;
+    OnLeaseLost("resigned");
+    if (m_writing)
+      m_resigns = true;
+    else
+      WriteRelease();
+  }
+
   std::int64_t RowVersion() const { return m_version; }
   /// Remaining time for which this holder may act without another renewal.
   Common::Milliseconds Left(Common::TimePoint now) const
@@ -138,7 +152,11 @@
   const std::optional<LeaseRecord>& Record() const { return m_record; }
 
   /// Sets an additional delay before this daemon tries to acquire a free lease.
-  void SetDeferral(Common::Milliseconds deferral) { m_deferral = deferral; }
+  void SetDeferral(Common::Milliseconds deferral)
+  {
+    if (std::exchange(m_deferral, deferral) != deferral)
+      m_acquire_at.reset();
+  }
   /// Sets the number of daemons that may contend for the lease and the lowest handicap among them.
   void SetContenders(int daemons, Common::Milliseconds min_handicap)
   {
@@ -246,9 +264,12 @@
 
   bool IsFree(Common::TimePoint now) const
   {
-    if (!m_record || m_record->holder.Empty() || IsOwnLease())
+    if (!m_record || m_record->holder.Empty())
       return true;
-    return now > m_free_at;
+    if (!IsOwnLease())
+      return now > m_free_at;
+    // A deferred daemon must not be faster than the others, which wait until its lease expires.
+    return m_deferral == Common::Milliseconds(0) || now > m_valid_until + ACQUIRE_MARGIN;
   }
 
   void WriteLease(Common::TimePoint now, const char* how)
@@ -268,7 +289,7 @@
   void OnWriteResult(Common::TimePoint sent, const char* how, const LeaseRecord& record,
                      bool after_other_holder, Common::Result<std::int64_t> result)
   {
-    if (m_released)
+    if (m_released || std::exchange(m_resigns, false))
     {
       if (!result)
         return;
@@ -303,9 +324,13 @@
 
   void WriteRelease()
   {
-    m_store.ReplaceLease(m_version, LeaseRecord{}, [](Common::Result<std::int64_t> result) {
+    m_store.ReplaceLease(m_version, LeaseRecord{}, [this](Common::Result<std::int64_t> result) {
       Common::LogEvent(Common::LogLevel::Info, "lease-released",
                        {{"done", static_cast<bool>(result)}});
+      if (!result || *result < m_version)
+        return;
+      m_version = *result;
+      m_record = LeaseRecord{};
     });
   }
 
@@ -343,6 +368,7 @@
   std::uint64_t m_contenders = 1;
   Common::Milliseconds m_min_handicap{0};
   Common::Milliseconds m_deferral{0};
+  bool m_resigns = false; ///< The lease is released once the pending write has completed.
   bool m_writing = false;
   bool m_released = false;
   bool m_store_lost = false;
--- a/Source/UnitTests/Orders/LeaseManagerTest.cpp
+++ b/Source/UnitTests/Orders/LeaseManagerTest.cpp
@@ -109,6 +109,10 @@
   CPPUNIT_TEST(HandicapAppliesToAWeakVmThatLosesItsLease);
   CPPUNIT_TEST(NoHandicapIfAllVmsAreEquallyWeak);
   CPPUNIT_TEST(LastHolderGoesFirstAfterAnOutage);
+  CPPUNIT_TEST(DeferredHolderTakesItsLeaseBack);
+  CPPUNIT_TEST(NextHolderWaitsThoughTheLeaseWasResigned);
+  CPPUNIT_TEST(ResignationDuringARenewalIsLost);
+  CPPUNIT_TEST(DelayThatHasBegunIgnoresADeferral);
   CPPUNIT_TEST_SUITE_END();
 
   void AcquiresAndRenewsAFreeLease()
@@ -491,6 +495,84 @@
     }));
     CPPUNIT_ASSERT(Common::Now() - begun < Milliseconds(1000));
   }
+
+  static void Acquire(Manager& manager)
+  {
+    manager.OnRow(0, std::nullopt);
+    manager.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(manager);
+    }));
+  }
+
+  /// The others wait until the lease expires, as the row does not show that it was abdicated.
+  void DeferredHolderTakesItsLeaseBack()
+  {
+    FakeStore store;
+    Manager first(store, Settings("a"));
+    Manager second(store, Settings("b"));
+    Acquire(first);
+    first.SetDeferral(Milliseconds(500));
+    first.Abdicate();
+    second.OnRow(store.version, store.record);
+    second.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(first) || Holds(second);
+    }));
+    CPPUNIT_ASSERT(Holds(second));
+  }
+
+  void NextHolderWaitsThoughTheLeaseWasResigned()
+  {
+    FakeStore store;
+    Manager first(store, Settings("a"));
+    Manager second(store, Settings("b"));
+    Acquire(first);
+    first.SetDeferral(Milliseconds(3000));
+    const auto begun = Common::Now();
+    first.Resign();
+    CPPUNIT_ASSERT(!Holds(first));
+    second.OnRow(store.version, store.record);
+    second.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return Holds(second);
+    }));
+    CPPUNIT_ASSERT(Common::Now() - begun < Settings("b").duration);
+    CPPUNIT_ASSERT(!second.MaySendOrders(Common::Now()));
+    CPPUNIT_ASSERT(!Holds(first));
+  }
+
+  void ResignationDuringARenewalIsLost()
+  {
+    FakeStore store;
+    Manager manager(store, Settings("a"));
+    Acquire(manager);
+    store.hold_responses = true;
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return !store.held.empty();
+    }));
+    manager.SetDeferral(Milliseconds(3000));
+    manager.Resign();
+    store.hold_responses = false;
+    store.held.front()();
+    CPPUNIT_ASSERT(store.record.holder.Empty());
+    RunFor(Milliseconds(300));
+    CPPUNIT_ASSERT(!Holds(manager));
+  }
+
+  void DelayThatHasBegunIgnoresADeferral()
+  {
+    FakeStore store;
+    LeaseSettings settings = Settings("a");
+    settings.handicap = Milliseconds(500);
+    Manager manager(store, settings);
+    manager.OnRow(0, std::nullopt);
+    manager.Start();
+    RunFor(Milliseconds(250));
+    manager.SetDeferral(Milliseconds(2000));
+    RunFor(Milliseconds(1000));
+    CPPUNIT_ASSERT(!Holds(manager));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LeaseManagerTest);
