--- a/Source/StandIns/OverloadedServers/Main.cpp
+++ b/Source/StandIns/OverloadedServers/Main.cpp
@@ -34,6 +34,7 @@
 using Common::Json;
 using Common::Milliseconds;
 using ResumedStreams::DaemonPool;
+using StandIns::CutKind;
 
 constexpr std::size_t DATA_CENTRES = 3;
 constexpr int SERVERS = 6;
@@ -313,7 +314,7 @@
 
   void CutVms()
   {
-    NetworkCut cut;
+    StandIns::NetworkCut cut;
     cut.kind = m_case.cut;
     for (std::size_t vm = m_case.spared; vm < m_daemons->Size(); ++vm)
     {
--- a/Source/StandIns/OverloadedServers/QueueingServer.cpp
+++ b/Source/StandIns/OverloadedServers/QueueingServer.cpp
@@ -60,8 +60,7 @@
     m_listener.reset();
     return listening;
   }
-  if (m_cut.kind == CutKind::Hang && !m_cut.addresses.empty())
-    DropPacketsFrom(m_listener->Descriptor(), m_cut.addresses);
+  m_cut.ApplyTo(m_listener->Descriptor());
   m_instance = m_name + "-" + std::to_string(++m_instance_number);
   WriteEntry();
   return listening;
@@ -83,25 +82,17 @@
 void QueueingServer::Accept(int fd, const Http::Endpoint& peer)
 {
   const auto connection = Http::ServerConnection::Adopt(fd, *this);
-  m_peers.emplace(connection.get(), Peer{connection, fd, peer.address});
+  m_connections.emplace(connection.get(), connection);
   connection->OnFinished([this](Http::ServerConnection* finished) {
     OnConnectionFinished(finished);
   });
-  if (m_cut.kind != CutKind::Hang && m_cut.Covers(peer.address))
-    ResetConnection({connection, fd, peer.address});
-}
-
-void QueueingServer::ResetConnection(const Peer& peer)
-{
-  // With a linger time of 0, closing the socket resets the connection.
-  const linger reset{1, 0};
-  setsockopt(peer.fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
-  peer.connection->AbortResponse();
+  m_cut.Add(connection, fd, peer);
 }
 
 void QueueingServer::OnConnectionFinished(Http::ServerConnection* connection)
 {
-  m_peers.erase(connection);
+  m_connections.erase(connection);
+  m_cut.Remove(connection);
   std::erase_if(m_waiting, [&](const Work& work) {
     return work.connection.get() == connection;
   });
@@ -109,35 +100,18 @@
     RunNext();
 }
 
-void QueueingServer::SetCut(const NetworkCut& cut)
+void QueueingServer::SetCut(const StandIns::NetworkCut& cut)
 {
-  m_cut = cut;
-  if (cut.kind == CutKind::Hang)
-  {
-    if (m_listener)
-      DropPacketsFrom(m_listener->Descriptor(), cut.addresses);
-    for (const auto& [key, peer] : m_peers)
-      if (cut.Covers(peer.address))
-        DropPacketsFrom(peer.fd, cut.addresses);
-  }
-  if (cut.kind != CutKind::Reset)
-    return;
-  const auto peers = m_peers;
-  for (const auto& [key, peer] : peers)
-    if (cut.Covers(peer.address))
-      ResetConnection(peer);
+  m_cut.Begin(cut);
+  if (m_listener)
+    m_cut.ApplyTo(m_listener->Descriptor());
 }
 
 void QueueingServer::EndCut()
 {
-  const NetworkCut before = std::exchange(m_cut, {});
-  if (before.kind != CutKind::Hang)
-    return;
+  m_cut.End();
   if (m_listener)
-    DropPacketsFrom(m_listener->Descriptor(), {});
-  for (const auto& [key, peer] : m_peers)
-    if (before.Covers(peer.address))
-      DropPacketsFrom(peer.fd, {});
+    m_cut.ApplyTo(m_listener->Descriptor());
 }
 
 void QueueingServer::BeginBrittle(int rejections_per_second, bool crashes)
@@ -237,9 +211,7 @@
   m_rejections.clear();
   m_waiting.clear();
   m_running.clear();
-  const auto peers = m_peers;
-  for (const auto& [key, peer] : peers)
-    ResetConnection(peer);
+  m_cut.ResetAll();
   Common::Reactor::Get().After(DOWN_TIME, [this] {
     (void)Launch();
   });
--- a/Source/StandIns/OverloadedServers/QueueingServer.h
+++ b/Source/StandIns/OverloadedServers/QueueingServer.h
@@ -13,8 +13,8 @@
 
 #include "Common/Reactor.h"
 #include "Http/ServerConnection.h"
-#include "StandIns/OverloadedServers/NetworkCut.h"
 #include "StandIns/Soak/StandInStore.h"
+#include "StandIns/Support/CutConnections.h"
 
 namespace OverloadedServers
 {
@@ -51,7 +51,7 @@
   void BeginBrittle(int rejections_per_second, bool crashes);
   void EndBrittle();
   /// Cuts the connections with these VMs, or ends the cut of all.
-  void SetCut(const NetworkCut& cut);
+  void SetCut(const StandIns::NetworkCut& cut);
   void EndCut();
   bool IsRunning() const { return m_listener.has_value(); }
 
@@ -62,12 +62,6 @@
 
 private:
   using Connection = std::shared_ptr<Http::ServerConnection>;
-  struct Peer
-  {
-    Connection connection;
-    int fd = -1;
-    std::uint32_t address = 0;
-  };
   struct Work
   {
     Connection connection;
@@ -78,7 +72,6 @@
   Common::Result<Common::Done> Launch();
   void WriteEntry();
   void Accept(int fd, const Http::Endpoint& peer);
-  static void ResetConnection(const Peer& peer);
   void OnConnectionFinished(Http::ServerConnection* connection);
   int QueueLength() const;
   void Run(Work work);
@@ -97,7 +90,7 @@
   BrittleCounts& m_counts;
   Http::ServerLimits m_limits;
   std::optional<Http::TcpListener> m_listener; ///< None after a crash, until it is back.
-  std::map<Http::ServerConnection*, Peer> m_peers;
+  std::map<Http::ServerConnection*, Connection> m_connections;
   std::map<Http::ServerConnection*, std::string> m_running; ///< Id of the request.
   std::deque<Work> m_waiting;
   struct Brittleness
@@ -108,6 +101,6 @@
   };
   std::optional<Brittleness> m_brittle;
   std::deque<Common::TimePoint> m_rejections; ///< Within the last second.
-  NetworkCut m_cut;
+  StandIns::CutConnections m_cut;
 };
 } // namespace OverloadedServers
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -53,6 +53,8 @@
 constexpr std::uint64_t PROMPT_THEMES = 20;
 /// Rate limits that servers announce, in requests per second; some are zero or close to it.
 constexpr std::array RATE_LIMITS{0.0, 0.5, 1.0, 1.1, 3.0};
+constexpr std::array CUT_KINDS{StandIns::CutKind::Hang, StandIns::CutKind::Reset,
+                               StandIns::CutKind::OldOnesLive};
 /// Interval at which a stopped daemon is polled for its exit.
 constexpr Milliseconds EXIT_POLL_INTERVAL{20};
 /// 10 Mbit/s, the link of the weaker VMs.
@@ -133,6 +135,8 @@
     m_uses_versions = true;
     m_checker.RequireOneVersion();
   }
+  /// One VM after the other is cut off from all servers for a while.
+  void CutVmsFromServers() { m_cuts_vms = true; }
   /// Several faults coincide, and signals come in series, also to daemons that start or stop.
   void OverlapFaults() { m_faults_overlap = true; }
 
@@ -153,6 +157,8 @@
         RateLimitRandomServer();
       if (m_drains_and_backs_off_servers)
         DrainOrBackOffRandomServer();
+      if (m_cuts_vms)
+        CutRandomVm();
     });
     const auto faults_end = STARTUP_TIME + faults_duration;
     After(faults_end, [this] {
@@ -318,6 +324,8 @@
   {
     setenv("DRUMPOND_BOOT", (m_logs + "/" + daemon.name + ".json").c_str(), 1);
     setenv("DRUMPOND_METRICS_PORT", std::to_string(FIRST_PORT + 3).c_str(), 1);
+    if (m_cuts_vms)
+      setenv("DRUMPOND_SOURCE_ADDRESS", daemon.ip.c_str(), 1);
     daemon.pid = m_processes.Start(daemon.name, {m_binary});
     daemon.expected_to_run = true;
     if (m_streams)
@@ -576,6 +584,26 @@
     });
   }
 
+  /// Cuts a random VM off from all servers for a while.
+  void CutRandomVm()
+  {
+    if (m_stopped || Common::Now() >= m_faults_until)
+      return;
+    StandIns::NetworkCut cut;
+    cut.addresses = {
+        Http::Endpoint::Parse(RandomDaemon().ip + ":" + std::to_string(FIRST_PORT))->address};
+    cut.kind = CUT_KINDS[Draw(CUT_KINDS.size())];
+    for (const auto& server : m_servers)
+      server->SetCut(cut);
+    After(DrawMs(1000, 5000), [this] {
+      for (const auto& server : m_servers)
+        server->EndCut();
+      After(DrawMs(500, 2500), [this] {
+        CutRandomVm();
+      });
+    });
+  }
+
   /// Lets a random server either announce that it is draining, while its entry still says ready, or
   /// reject all requests for a while with a Retry-After header.
   void DrainOrBackOffRandomServer()
@@ -814,6 +842,7 @@
   /// The server faults that are drawn: the first of `ServerFault`, up to this one.
   std::uint64_t m_server_faults = static_cast<std::uint64_t>(ServerFault::DelayOrders);
   bool m_prompts_have_parts = false;
+  bool m_cuts_vms = false;
   int m_crashing_request_count = 0;          ///< Number of different crashing requests.
   std::uint64_t m_requested_models = MODELS; ///< That requests use.
 };
@@ -840,7 +869,8 @@
       "staying-callers", "callers send requests to a stopping daemon until its process has ended")(
       "overlapping-faults", "faults coincide, and signals come in series")(
       "unframed-responses", "some responses of servers have neither a length nor chunks")(
-      "software-versions", "servers have two versions, and callers take up streams at other VMs");
+      "software-versions", "servers have two versions, and callers take up streams at other VMs")(
+      "cut-vms", "VMs are cut off from all servers in turn");
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   Common::InitLog(argv[0]);
@@ -867,5 +897,7 @@
     run.SendUnframedResponses();
   if (parsed.count("software-versions") > 0)
     run.UseSoftwareVersions();
+  if (parsed.count("cut-vms") > 0)
+    run.CutVmsFromServers();
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
 }
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -48,13 +48,32 @@
 Common::Result<Common::Done> StandInServer::OpenListener()
 {
   m_listener.emplace();
-  return m_listener->Listen(m_endpoint, [this](int fd, const Http::Endpoint&) {
+  auto listening = m_listener->Listen(m_endpoint, [this](int fd, const Http::Endpoint& peer) {
     const auto connection = Http::ServerConnection::Adopt(fd, *this);
     m_connections.emplace(connection.get(), connection);
     connection->OnFinished([this](Http::ServerConnection* finished) {
       m_connections.erase(finished);
+      m_cut.Remove(finished);
     });
+    m_cut.Add(connection, fd, peer);
   });
+  if (listening)
+    m_cut.ApplyTo(m_listener->Descriptor());
+  return listening;
+}
+
+void StandInServer::SetCut(const StandIns::NetworkCut& cut)
+{
+  m_cut.Begin(cut);
+  if (m_listener)
+    m_cut.ApplyTo(m_listener->Descriptor());
+}
+
+void StandInServer::EndCut()
+{
+  m_cut.End();
+  if (m_listener)
+    m_cut.ApplyTo(m_listener->Descriptor());
 }
 
 Common::Result<Common::Done> StandInServer::Listen()
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -16,6 +16,7 @@
 #include "Http/ServerConnection.h"
 #include "StandIns/Soak/InvariantChecker.h"
 #include "StandIns/Soak/StandInStore.h"
+#include "StandIns/Support/CutConnections.h"
 
 namespace Soak
 {
@@ -55,6 +56,9 @@
   void RestartWithSameId(Common::Milliseconds entry_delay);
   /// Sets its entry to draining.
   void Drain();
+  /// Cuts the connections with these VMs, or ends the cut of all.
+  void SetCut(const StandIns::NetworkCut& cut);
+  void EndCut();
   /// Ends for good: removes the entry, resets all connections and refuses new ones.
   void Retire();
   /// True if it takes requests and its entry says so.
@@ -133,6 +137,7 @@
   std::optional<Http::TcpListener> m_listener; ///< None while the process is down.
   Http::ServerLimits m_limits;
   std::map<Http::ServerConnection*, Connection> m_connections;
+  StandIns::CutConnections m_cut;
   std::vector<std::string> m_models_on_disk;
   std::set<std::string> m_models;
   std::int64_t m_sequence = 0;
