--- a/Source/Core/Gateway/ServerPaths.cpp
+++ b/Source/Core/Gateway/ServerPaths.cpp
@@ -285,11 +285,12 @@
     m_on_isolation_change();
 }
 
-bool ServerPaths::FailsToConnect(Common::TimePoint now) const
+bool ServerPaths::AllFail(std::optional<Common::TimePoint> Path::*failed_at,
+                          Common::TimePoint now) const
 {
-  const auto failing = std::ranges::count_if(m_paths, [now](const auto& entry) {
+  const auto failing = std::ranges::count_if(m_paths, [&](const auto& entry) {
     const Path& path = entry.second;
-    return path.needs_helper || (path.failed_here_at && now - *path.failed_here_at < FAILURE_VALID);
+    return path.needs_helper || (path.*failed_at && now - *(path.*failed_at) < FAILURE_VALID);
   });
   return IsEnoughToBeIsolated(failing, m_servers) && !IsRecent(m_connected_at, now) &&
          !IsRecent(m_response_at, now);
@@ -318,7 +319,7 @@
   });
   if (!m_isolated && IsEnoughToBeIsolated(needing, m_servers) && !IsRecent(m_connected_at, now))
     SetIsolated(true);
-  if (FailsToConnect(now))
+  if (AllFail(&Path::failed_here_at, now))
     SetReachesNone(true);
   const bool cut_off = IsCutOff(now);
   if (std::exchange(m_was_cut_off, cut_off) == cut_off)
@@ -332,12 +333,7 @@
 {
   if (m_helpers.empty() || HasUsableHelper(now))
     return false;
-  const auto failing = std::ranges::count_if(m_paths, [now](const auto& entry) {
-    const Path& path = entry.second;
-    return path.needs_helper || (path.failed_at && now - *path.failed_at < FAILURE_VALID);
-  });
-  return IsEnoughToBeIsolated(failing, m_servers) && !IsRecent(m_connected_at, now) &&
-         !IsRecent(m_response_at, now);
+  return AllFail(&Path::failed_at, now);
 }
 
 void ServerPaths::ProbeDirectPaths()
--- a/Source/Core/Gateway/ServerPaths.h
+++ b/Source/Core/Gateway/ServerPaths.h
@@ -107,8 +107,8 @@
   void UseDirectPath(const ServerPtr& server);
   void SetIsolated(bool isolated);
   void SetReachesNone(bool reaches_none);
-  /// True if this VM reaches no server, as far as its last connections show.
-  bool FailsToConnect(Common::TimePoint now) const;
+  /// True if connections to several servers failed at that time, lately, and none works.
+  bool AllFail(std::optional<Common::TimePoint> Path::*failed_at, Common::TimePoint now) const;
   /// Probes some of the other servers after the path to one was lost.
   void SurveyOtherServers(Common::TimePoint now);
   void UpdateIsolation(Common::TimePoint now);
