Gateway: the failure of the only server does not make a VM unfit to help

Two servers have to fail, as the description of the change says. HubTest: 17 of 17 in three runs, IsolatedVmTest 16 of 16.

--- a/Source/Core/Gateway/ServerPaths.cpp
+++ b/Source/Core/Gateway/ServerPaths.cpp
@@ -319,7 +319,8 @@
   });
   if (!m_isolated && IsEnoughToBeIsolated(needing, m_servers) && !IsRecent(m_connected_at, now))
     SetIsolated(true);
-  if (AllFail(&Path::failed_here_at, now))
+  // The failure of the only server there is shows nothing about this VM.
+  if (m_servers.All().size() >= ISOLATED_SERVERS && AllFail(&Path::failed_here_at, now))
     SetReachesNone(true);
   const bool cut_off = IsCutOff(now);
   if (std::exchange(m_was_cut_off, cut_off) == cut_off)
