--- a/Source/Core/RateLimits/PlaceAllocator.cpp
+++ b/Source/Core/RateLimits/PlaceAllocator.cpp
@@ -91,12 +91,6 @@
   }
 }
 
-std::uint32_t PlaceAllocator::Taken(ServerKey server) const
-{
-  const auto found = m_servers.find(server);
-  return found == m_servers.end() ? 0 : found->second.taken;
-}
-
 std::vector<PlaceAllocator::OpenDemand> PlaceAllocator::OpenDemands(Common::TimePoint now)
 {
   std::vector<OpenDemand> open;
--- a/Source/Core/RateLimits/PlaceAllocator.h
+++ b/Source/Core/RateLimits/PlaceAllocator.h
@@ -43,8 +43,6 @@
   void NoteSent(const Common::VmId& vm, std::uint64_t number);
   /// What the daemon's waiting requests have to wait for.
   std::vector<PlaceQueue> QueuesOf(const Common::VmId& vm, Common::TimePoint now) const;
-  /// Places of the server that are taken: held by daemons, or granted and not yet applied.
-  std::uint32_t Taken(ServerKey server) const;
 
 private:
   /// Grants that the daemon has not applied yet, as far as is known.
