Orders: the holder lists the known daemons once for each announcement

The list was made by SendHelpers, even when no plan was due, and again by AnnounceMembers. It is made once now and passed to both.

--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -528,8 +528,9 @@
   if (regular)
   {
     PlanHandovers();
-    SendHelpers(now);
-    AnnounceMembers(now);
+    const auto known = KnownDaemons(now);
+    SendHelpers(known, now);
+    m_members.Announce(known, m_own_lease->fence, now);
   }
   if (const auto* accounts = GrantableAccounts(now); accounts != nullptr && regular)
     m_allowances.Allocate(*accounts, now);
@@ -734,11 +735,10 @@
   });
 }
 
-void Hub::SendHelpers(Common::TimePoint now)
+void Hub::SendHelpers(std::span<const Fleet::ListedDaemon> known, Common::TimePoint now)
 {
   const auto unfit = DaemonsWithoutServers();
   const auto interval = unfit == m_unfit_helpers ? HELPER_INTERVAL : CHANGED_HELPERS_INTERVAL;
-  const auto known = KnownDaemons(now);
   // Until all have reported, their last plan is better informed.
   const bool awaits_reports =
       known.size() > m_peers.size() + 1 && now - m_holder_since < MAX_INTERVAL;
@@ -781,11 +781,6 @@
   return daemons;
 }
 
-void Hub::AnnounceMembers(Common::TimePoint now)
-{
-  m_members.Announce(KnownDaemons(now), m_own_lease->fence, now);
-}
-
 void Hub::OnNotice(std::string_view bytes, const Http::Endpoint& from)
 {
   const auto notice = Daemons::Decode<Notice>(bytes);
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -182,8 +183,8 @@
     UpdatePosition position_after;
   };
   UpdatePosition PositionOf(Peer& peer, Common::TimePoint now) const;
-  /// At the holder: informs each daemon of others that may open tunnels for it.
-  void SendHelpers(Common::TimePoint now);
+  /// At the holder: informs each known daemon of others that may open tunnels for it.
+  void SendHelpers(std::span<const Fleet::ListedDaemon> known, Common::TimePoint now);
   /// Sets the daemons that divide the places at brittle servers without a holder.
   void ApplyMembersToPlaces();
   void OnNotice(std::string_view bytes, const Http::Endpoint& from);
@@ -191,8 +192,6 @@
   std::set<Http::Endpoint> DaemonsWithoutServers() const;
   /// At the holder: all daemons, among them those that have not reported to a new holder yet.
   std::vector<Fleet::ListedDaemon> KnownDaemons(Common::TimePoint now) const;
-  /// At the holder: sends changes of the list of daemons to all.
-  void AnnounceMembers(Common::TimePoint now);
   void SetHelpers(const std::vector<PeerAddress>& helpers);
   Announcement MakeAnnouncement(HolderReport report, const UpdatePosition& position) const;
   Common::Milliseconds PushDelay() const;
