Http: interim responses without end are rejected

Callers saw nothing, but a server that sent 100 Continue at full speed was read until the deadline of the attempt: 69 to 79 MB in 0.6 s. Each interim response has a header of its own, so the limit of a header's bytes was never reached, and a status line without header fields was not counted at all.

All interim responses before a final one now count against the limit of one header (64 KB), each with its status line.

--- a/Source/Core/Http/MessageParser.cpp
+++ b/Source/Core/Http/MessageParser.cpp
@@ -17,6 +17,9 @@
 constexpr int STOP_PARSING = -1;
 /// Bytes of a header line besides name and value: ": " and CRLF.
 constexpr std::size_t HEADER_LINE_OVERHEAD = 4;
+/// Bytes of a status line besides the reason: "HTTP/1.1 100 " and CRLF, and the empty line that
+/// ends the header.
+constexpr std::size_t STATUS_LINE_OVERHEAD = 17;
 
 MessageParser& Self(http_parser* parser)
 {
@@ -138,8 +141,9 @@
 
 int MessageParser::HandleStatus(http_parser* parser, const char* at, std::size_t size)
 {
-  Self(parser).m_head.reason.append(at, size);
-  return CONTINUE_PARSING;
+  MessageParser& self = Self(parser);
+  self.m_head.reason.append(at, size);
+  return self.CountHeaderBytes(size) ? CONTINUE_PARSING : STOP_PARSING;
 }
 
 int MessageParser::HandleField(http_parser* parser, const char* at, std::size_t size)
@@ -187,6 +191,10 @@
   const bool interim = self.m_kind == Kind::Response && head.status < 200;
   if (interim)
   {
+    // All interim responses before a final one count against the same limit: a server may send
+    // them without end, each with a small header or none.
+    if (!self.CountHeaderBytes(STATUS_LINE_OVERHEAD))
+      return STOP_PARSING;
     self.m_sink->OnInterimHead(head);
     return SKIP_BODY;
   }
--- a/Source/Core/Http/MessageParser.h
+++ b/Source/Core/Http/MessageParser.h
@@ -75,6 +75,7 @@
   MessageParser(const MessageParser&) = delete;
   MessageParser& operator=(const MessageParser&) = delete;
 
+  /// Limits the header of a message; the interim responses before a response count as part of it.
   void SetHeaderLimit(std::size_t bytes) { m_header_limit = bytes; }
   /// Declares that the next response has no body, whatever its headers state.
   void ExpectNoBody(bool no_body) { m_no_body = no_body; }
--- a/Source/UnitTests/Gateway/EndlessResponsesTest.cpp
+++ b/Source/UnitTests/Gateway/EndlessResponsesTest.cpp
@@ -22,15 +22,21 @@
 using UnitTests::TestServer;
 
 /// Sends pieces of a body as fast as they are read, until the connection ends.
-void SendWithoutEnd(const std::weak_ptr<Http::TcpStream>& connection)
+void SendWithoutEnd(const std::weak_ptr<Http::TcpStream>& connection,
+                    const std::string& piece = std::string(1U << 20U, 'x'),
+                    std::size_t* sent = nullptr)
 {
   const auto stream = connection.lock();
   if (!stream || !stream->IsOpen())
     return;
   if (stream->Unsent() == 0)
-    stream->Write(std::string(1U << 20U, 'x'));
-  Common::Reactor::Get().After(Milliseconds(1), [connection] {
-    SendWithoutEnd(connection);
+  {
+    stream->Write(piece);
+    if (sent != nullptr)
+      *sent += piece.size();
+  }
+  Common::Reactor::Get().After(Milliseconds(1), [connection, piece, sent] {
+    SendWithoutEnd(connection, piece, sent);
   });
 }
 
@@ -45,6 +51,7 @@
   CPPUNIT_TEST_SUITE(EndlessResponsesTest);
   CPPUNIT_TEST(EndlessBodyIsNotSentAgainToAnotherServer);
   CPPUNIT_TEST(EndlessEventIsKeptInMemory);
+  CPPUNIT_TEST(EndlessInterimResponsesAreReadUntilTheDeadline);
   CPPUNIT_TEST(ManyEndlessBodiesExhaustMemoryTogether);
   CPPUNIT_TEST(LongBodyIsTakenForAnEndlessOne);
   CPPUNIT_TEST_SUITE_END();
@@ -89,6 +96,31 @@
     }));
   }
 
+  void EndlessInterimResponsesAreReadUntilTheDeadline()
+  {
+    std::string piece;
+    while (piece.size() < 65536)
+      piece += "HTTP/1.1 100 Continue\r\n\r\n";
+    std::size_t sent = 0;
+    TestServer endless([&](TestPeer& peer, const std::string&) {
+      SendWithoutEnd(peer.stream, piece, &sent);
+    });
+    TestServer sound([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(Answer(head, "sound"));
+    });
+    UnitTests::RelayWorld world;
+    world.AddServer("i-1", endless.Address());
+    world.Ask(PLAIN_PATH, "id-1");
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return !endless.requests.empty();
+    }));
+    world.AddServer("i-2", sound.Address());
+    CPPUNIT_ASSERT(world.CallerGot("sound"));
+    CPPUNIT_ASSERT(endless.peers.at(0)->ended);
+    // Of one connection at most 20 MB may be read; far less is, as a header may have 64 KB.
+    CPPUNIT_ASSERT(sent < 20000000);
+  }
+
   void ManyEndlessBodiesExhaustMemoryTogether()
   {
     ResponseMemory memory;
--- a/Source/UnitTests/Http/MessageParserTest.cpp
+++ b/Source/UnitTests/Http/MessageParserTest.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST(BodyWithoutLengthEndsWithConnection);
   CPPUNIT_TEST(TruncatedBodyIsMalformed);
   CPPUNIT_TEST(SkipsInterimResponses);
+  CPPUNIT_TEST(InterimResponsesWithoutEndAreReadUntilTheDeadline);
   CPPUNIT_TEST(RejectsInvalidResponse);
   CPPUNIT_TEST(RejectsWhitespaceInRequestHeaderNames);
   CPPUNIT_TEST_SUITE_END();
@@ -169,6 +170,29 @@
     CPPUNIT_ASSERT_EQUAL(std::string("x"), recorder.body);
   }
 
+  /// A server that sent 100 Continue without end kept its connection until the deadline of the
+  /// attempt, and 79 MB were read in 0.6 s.
+  void InterimResponsesWithoutEndAreReadUntilTheDeadline()
+  {
+    for (const std::string interim : {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 \r\n\r\n",
+                                      "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"})
+    {
+      Recorder recorder;
+      MessageParser parser(MessageParser::Kind::Response, &recorder);
+      parser.SetHeaderLimit(1000);
+      std::size_t fed = 0;
+      auto status = MessageParser::Status::NeedsMore;
+      while (status == MessageParser::Status::NeedsMore && fed < 10000)
+      {
+        std::size_t consumed = 0;
+        status = parser.Feed(interim, &consumed);
+        fed += consumed;
+      }
+      CPPUNIT_ASSERT_MESSAGE(interim, status == MessageParser::Status::HeaderTooLarge);
+      CPPUNIT_ASSERT_MESSAGE(interim, fed > 500 && fed < 2000);
+    }
+  }
+
   void RejectsInvalidResponse()
   {
     Recorder recorder;
