OverloadedServers: cases that measure how evenly daemons load servers

Twelve servers of three slots and a queue of twelve, 120 ms a request, Poisson arrivals at load .7, each at a random VM. Each case prints the mean response time relative to one queue in front of all slots, the share that waited while another server had a free slot, the rejections, and the messages that the daemons sent to each other, for which there is a new gauge messages_sent.

--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -143,6 +143,7 @@
     metrics.SetGauge("lease_fence", static_cast<double>(m_lease.Fence()));
     metrics.SetGauge("holder_heard", m_hub.HasHolderContact() ? 1 : 0);
     metrics.SetGauge("daemons", m_hub.Daemons());
+    metrics.SetGauge("messages_sent", static_cast<double>(m_hub.MessagesSent()));
     metrics.SetGauge("table_copies_sent", static_cast<double>(m_hub.Handover().CopiesSent()));
     metrics.SetGauge("table_bytes_sent", static_cast<double>(m_hub.Handover().BytesSent()));
     const auto& origins = m_hub.Origins().GetCounters();
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -696,6 +696,7 @@
     return;
   }
   const sockaddr_in address = peer.ToSockaddr();
+  ++m_messages_sent;
   // The next report replaces one that could not be sent.
   (void)sendto(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL,
                reinterpret_cast<const sockaddr*>(&address), sizeof(address));
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -80,6 +80,8 @@
   bool HasPeerWithServers() const;
   /// Number of daemons that report to the holder, including the holder, as last announced.
   int Daemons() const { return m_daemons.Get(); }
+  /// Datagrams that this daemon has sent to others.
+  std::int64_t MessagesSent() const { return m_messages_sent; }
   /// The lowest handicap of the daemons that report to the holder, as last announced.
   Common::Milliseconds MinHandicap() const { return m_min_handicap; }
   /// True if another daemon holds the lease and its announcements arrive in time.
@@ -237,6 +239,7 @@
   /// Revision of the draining servers last announced as the holder.
   std::uint64_t m_draining_announced = 0;
   MemberExchange m_members;
+  std::int64_t m_messages_sent = 0;
   OriginExchange m_origins;
   Fleet::TableHandover m_handover;
   Fleet::HandoverPlanner m_handover_plan; ///< Used while this daemon is the holder.
--- a/Source/StandIns/OverloadedServers/Main.cpp
+++ b/Source/StandIns/OverloadedServers/Main.cpp
@@ -3,13 +3,15 @@
 
 // Runs real daemons in front of servers with slots and queues, and injects the faults of one case.
 // Checks that brittle servers do not crash under the requests that they reject while callers use
-// their capacity, that callers of VMs that are cut off from servers are served like the others, and
-// that responses that do not end do not exhaust the memory of a daemon.
+// their capacity, that callers of VMs that are cut off from servers are served like the others,
+// that responses that do not end do not exhaust the memory of a daemon, and that many daemons use
+// the slots of servers evenly.
 
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
+#include <iomanip>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -25,6 +27,7 @@
 #include "StandIns/OverloadedServers/EndlessServer.h"
 #include "StandIns/OverloadedServers/OpenLoopCallers.h"
 #include "StandIns/OverloadedServers/QueueingServer.h"
+#include "StandIns/OverloadedServers/SharedQueue.h"
 #include "StandIns/ResumedStreams/DaemonPool.h"
 #include "StandIns/Soak/StandInStore.h"
 
@@ -38,11 +41,15 @@
 
 constexpr std::size_t DATA_CENTRES = 3;
 constexpr int SERVERS = 6;
+constexpr int EVEN_LOAD_SERVERS = 12;
 constexpr int STORE_PORT = 8300;
 constexpr int REJECTIONS_PER_SECOND = 4;
 constexpr Milliseconds STARTUP_TIME{4000};
 constexpr Milliseconds TIME_BEFORE_FAULTS{1500};
 constexpr Milliseconds FAULTS_DURATION{17000};
+/// How long even load is measured, and for the last requests to end: with the start, under 15 s.
+constexpr Milliseconds EVEN_LOAD_DURATION{7000};
+constexpr Milliseconds TIME_AFTER_EVEN_LOAD{1000};
 /// From the start of a fault until what callers see of it counts.
 constexpr Milliseconds NOTICE{3000};
 /// For the last requests to end.
@@ -121,6 +128,7 @@
     Brittle, ///< All servers are brittle.
     Cut,     ///< Some VMs are cut off from the servers.
     Endless, ///< Further servers answer with bytes that do not end.
+    None,    ///< The load of the servers is measured.
   };
   struct Case
   {
@@ -137,6 +145,9 @@
     CutKind cut = CutKind::Hang;
     std::size_t spared = 0; ///< VMs that are not cut off.
     int copies = 1;         ///< Endless servers of each kind.
+    int slow_servers = 0;   ///< Servers that take twice as long as the others.
+    /// The highest mean response time, relative to that of one queue in front of all slots.
+    double highest_ratio = 0;
   };
 
   static const std::map<std::string, Case>& Cases()
@@ -145,7 +156,28 @@
     constexpr double CLUMPS_SERVED = 0.9;
     constexpr double CAPACITY_USED = 0.85;
     constexpr double SOUND_SERVED = 0.9;
+    // 1.15 leaves 18 ms of a request of 120 ms for waiting and the network.
+    constexpr double RATIO = 1.15;
+    constexpr double RATIO_IN_CLUMPS = 1.25;
+    constexpr double EVEN_LOAD = 0.7;
     static const std::map<std::string, Case> CASES{
+        {"even-load-6", {.trouble = Trouble::None, .load = EVEN_LOAD, .highest_ratio = RATIO}},
+        {"even-load-20",
+         {.trouble = Trouble::None, .daemons = 20, .load = EVEN_LOAD, .highest_ratio = RATIO}},
+        {"even-load-40",
+         {.trouble = Trouble::None, .daemons = 40, .load = EVEN_LOAD, .highest_ratio = RATIO}},
+        {"even-load-uneven-20",
+         {.trouble = Trouble::None,
+          .daemons = 20,
+          .load = EVEN_LOAD,
+          .slow_servers = EVEN_LOAD_SERVERS / 4,
+          .highest_ratio = RATIO}},
+        {"even-load-clumps",
+         {.trouble = Trouble::None,
+          .daemons = 20,
+          .load = EVEN_LOAD,
+          .clump = 12,
+          .highest_ratio = RATIO_IN_CLUMPS}},
         {"brittle-even", {.least_served = CLUMPS_SERVED}},
         {"brittle-clumps-one-vm", {.daemons = 1, .clump = 12, .least_served = CLUMPS_SERVED}},
         {"brittle-clumps", {.clump = 12, .least_served = CLUMPS_SERVED}},
@@ -204,33 +236,59 @@
   {
     const Http::Endpoint store = EndpointAt(1, STORE_PORT);
     RequireStarted(static_cast<bool>(m_store.Listen(store)), "store");
-    for (int i = 0; i < SERVERS; ++i)
-    {
-      m_servers.push_back(std::make_unique<QueueingServer>(
-          "s" + std::to_string(i), EndpointAt(2, STORE_PORT + i), m_store, m_capacity, m_counts));
-      RequireStarted(static_cast<bool>(m_servers.back()->Start()), "server");
-    }
+    StartServers();
     PutConfiguration();
     m_daemons = std::make_unique<DaemonPool>(m_binary, m_net, m_logs,
                                              m_daemon_count.value_or(m_case.daemons), DATA_CENTRES);
     m_daemons->ConnectFromOwnAddresses();
     m_daemons->Start(store);
-    m_callers =
-        std::make_unique<OpenLoopCallers>(Common::Random(m_random()), Surroundings(), m_case.clump);
+    m_callers = std::make_unique<OpenLoopCallers>(
+        Common::Random(m_random()), Surroundings(), m_case.clump,
+        m_case.trouble == Trouble::None ? OpenLoopCallers::Arrivals::Poisson
+                                        : OpenLoopCallers::Arrivals::Even);
     After(STARTUP_TIME, [this] {
       m_callers->Start();
     });
     After(STARTUP_TIME + TIME_BEFORE_FAULTS, [this] {
       BeginFaults();
     });
-    After(STARTUP_TIME + TIME_BEFORE_FAULTS + FAULTS_DURATION, [this] {
+    const bool measures_load = m_case.trouble == Trouble::None;
+    const Milliseconds end =
+        STARTUP_TIME + TIME_BEFORE_FAULTS + (measures_load ? EVEN_LOAD_DURATION : FAULTS_DURATION);
+    After(end, [this] {
       EndFaults();
     });
-    After(STARTUP_TIME + TIME_BEFORE_FAULTS + FAULTS_DURATION + TIME_AFTER_FAULTS, [this] {
+    After(end + (measures_load ? TIME_AFTER_EVEN_LOAD : TIME_AFTER_FAULTS), [this] {
       g_main_loop_quit(m_loop);
     });
   }
 
+  void StartServers()
+  {
+    const int count = m_case.trouble == Trouble::None ? EVEN_LOAD_SERVERS : SERVERS;
+    for (int i = 0; i < count; ++i)
+    {
+      Capacity capacity = m_capacity;
+      if (i < m_case.slow_servers)
+        capacity.work *= 2;
+      m_servers.push_back(std::make_unique<QueueingServer>(
+          "s" + std::to_string(i), EndpointAt(2, STORE_PORT + i), m_store, capacity, m_counts));
+      RequireStarted(static_cast<bool>(m_servers.back()->Start()), "server");
+      m_servers.back()->OnLoadChange([this] {
+        NoteFreeSlots();
+      });
+    }
+  }
+
+  void NoteFreeSlots()
+  {
+    if (std::ranges::any_of(m_servers, [](const auto& server) {
+          return server->HasFreeSlot();
+        }))
+      for (const auto& server : m_servers)
+        server->NoteFreeSlotElsewhere();
+  }
+
   OpenLoopCallers::Surroundings Surroundings()
   {
     return {[this] {
@@ -246,7 +304,13 @@
                                                : std::vector<std::string>{"/plain/x"}};
   }
 
-  double TotalCapacity() const { return m_capacity.PerSecond() * SERVERS; }
+  double TotalCapacity() const
+  {
+    return std::accumulate(m_servers.begin(), m_servers.end(), 0.0,
+                           [](double sum, const auto& server) {
+                             return sum + server->GetCapacity().PerSecond();
+                           });
+  }
 
   double CurrentLoad() const
   {
@@ -286,8 +350,10 @@
         server->BeginBrittle(REJECTIONS_PER_SECOND, !m_bears_rejections);
     else if (m_case.trouble == Trouble::Cut)
       CutVms();
-    else
+    else if (m_case.trouble == Trouble::Endless)
       StartEndlessServers();
+    else
+      BeginLoadMeasurement();
     (this->*m_case.inject)();
   }
 
@@ -299,6 +365,53 @@
       server->EndBrittle();
       server->EndCut();
     }
+    if (m_case.trouble == Trouble::None)
+      EndLoadMeasurement();
+  }
+
+  void BeginLoadMeasurement()
+  {
+    for (const auto& server : m_servers)
+      server->ResetRequests();
+    ReadMessagesSent(-1);
+  }
+
+  void EndLoadMeasurement()
+  {
+    m_callers->Stop();
+    for (const auto& server : m_servers)
+    {
+      m_requests.received += server->Requests().received;
+      m_requests.rejected += server->Requests().rejected;
+      m_requests.waited_beside_free_slot += server->Requests().waited_beside_free_slot;
+    }
+    ReadMessagesSent(1);
+  }
+
+  /// Adds the number of messages that the daemons have sent, times `factor`, to `m_messages_sent`.
+  void ReadMessagesSent(int factor)
+  {
+    constexpr Http::CallTimeouts TIMEOUTS{Milliseconds(800), Milliseconds(800)};
+    for (std::size_t vm = 0; vm < m_daemons->Size(); ++vm)
+    {
+      m_metrics.push_back(std::make_unique<Http::Channel>(m_daemons->MetricsEndpoint(vm)));
+      m_metrics.back()->Call(
+          {"GET", "/metrics", {}, ""}, TIMEOUTS,
+          [this, factor](const Common::Result<Http::CompleteResponse>& response) {
+            const auto sent = response ? MessagesSent(response->body) : std::nullopt;
+            m_messages_sent += factor * sent.value_or(0);
+            m_messages_unknown = m_messages_unknown || !sent;
+          });
+    }
+  }
+
+  static std::optional<double> MessagesSent(const std::string& metrics)
+  {
+    const std::string name = "drumpond_state{name=\"messages_sent\"} ";
+    const std::size_t at = metrics.find(name);
+    if (at == std::string::npos)
+      return std::nullopt;
+    return std::strtod(metrics.c_str() + at + name.size(), nullptr);
   }
 
   void StartEndlessServers()
@@ -454,6 +567,60 @@
     return {};
   }
 
+  /// The mean response time relative to that of a single queue in front of all slots.
+  double RatioToOneQueue() const
+  {
+    std::vector<Attempt> attempts = m_callers->Ended();
+    std::ranges::sort(attempts, {}, &Attempt::sent_at);
+    std::vector<Common::TimePoint> arrivals;
+    std::ranges::transform(attempts, std::back_inserter(arrivals), &Attempt::sent_at);
+    std::vector<Milliseconds> slots;
+    for (const auto& server : m_servers)
+      slots.insert(slots.end(), server->GetCapacity().slots, server->GetCapacity().work);
+    const auto ideal = ResponseTimesInOneQueue(arrivals, slots);
+    double sum = 0;
+    double ideal_sum = 0;
+    for (std::size_t i = 0; i < attempts.size(); ++i)
+      if (attempts[i].sent_at >= *m_began_at)
+      {
+        sum += static_cast<double>(attempts[i].took.count());
+        ideal_sum += static_cast<double>(ideal[i].count());
+      }
+    return ideal_sum == 0 ? 0 : sum / ideal_sum;
+  }
+
+  std::vector<std::string> CheckEvenLoad() const
+  {
+    constexpr double HIGHEST_SHARE_WAITED = 0.25;
+    constexpr double HIGHEST_SHARE_REJECTED = 0.001;
+    Tally tally = Count(m_callers->Ended(), [this](const Attempt& attempt) {
+      return attempt.sent_at >= *m_began_at;
+    });
+    tally.sent += static_cast<int>(m_callers->Open());
+    const double received = std::max(m_requests.received, 1);
+    const double ratio = RatioToOneQueue();
+    const double waited = m_requests.waited_beside_free_slot / received;
+    const double rejected = m_requests.rejected / received;
+    const double seconds = std::chrono::duration<double>(EVEN_LOAD_DURATION).count();
+    std::cout << std::fixed << std::setprecision(3) << "ratio to one queue " << ratio
+              << ", waited while another server had a free slot " << waited << ", rejected "
+              << rejected << ", not served " << tally.NotServed() << " of " << tally.sent
+              << ", messages a second " << std::setprecision(0)
+              << (m_messages_unknown ? -1 : m_messages_sent / seconds) << "\n";
+    std::vector<std::string> violations;
+    if (tally.sent == 0)
+      violations.emplace_back("no requests were sent");
+    if (ratio > m_case.highest_ratio)
+      violations.emplace_back("requests take longer than one queue allows");
+    if (waited > HIGHEST_SHARE_WAITED)
+      violations.emplace_back("requests wait at a server while another has a free slot");
+    if (rejected > HIGHEST_SHARE_REJECTED)
+      violations.emplace_back("servers reject requests");
+    if (tally.NotServed() > 0)
+      violations.emplace_back("requests are not served");
+    return violations;
+  }
+
   std::vector<std::string> Check() const
   {
     switch (m_case.trouble)
@@ -464,6 +631,8 @@
       return CheckCut();
     case Trouble::Endless:
       return CheckEndless();
+    case Trouble::None:
+      return CheckEvenLoad();
     }
     return {"the case checks nothing"};
   }
@@ -494,6 +663,10 @@
   std::vector<std::unique_ptr<EndlessServer>> m_endless;
   std::vector<std::size_t> m_peak_memory; ///< Of each daemon, in bytes.
   std::set<std::size_t> m_cut_vms;
+  RequestCounts m_requests; ///< Of all servers, while even load was measured.
+  std::vector<std::unique_ptr<Http::Channel>> m_metrics;
+  double m_messages_sent = 0; ///< By all daemons, while even load was measured.
+  bool m_messages_unknown = false;
   std::optional<Common::TimePoint> m_began_at;
   std::optional<Common::TimePoint> m_ended_at;
   GMainLoop* m_loop = g_main_loop_new(nullptr, FALSE);
--- a/Source/StandIns/OverloadedServers/OpenLoopCallers.cpp
+++ b/Source/StandIns/OverloadedServers/OpenLoopCallers.cpp
@@ -3,6 +3,7 @@
 
 #include "StandIns/OverloadedServers/OpenLoopCallers.h"
 
+#include <random>
 #include <utility>
 
 #include "Common/Loop.h"
@@ -14,6 +15,8 @@
 using Common::Milliseconds;
 
 constexpr Milliseconds TICK{5};
+/// Shorter, because a burst at each tick would itself be uneven load.
+constexpr Milliseconds POISSON_TICK{1};
 /// How long callers wait for a response.
 constexpr Milliseconds PATIENCE{4000};
 /// Callers notice the end of their patience a little later than the daemon.
@@ -21,32 +24,44 @@
 } // namespace
 
 OpenLoopCallers::OpenLoopCallers(Common::Random random, Surroundings surroundings,
-                                 std::size_t clump)
-    : m_random(random), m_surroundings(std::move(surroundings)), m_clump(clump)
+                                 std::size_t clump, Arrivals arrivals)
+    : m_random(random),
+      m_surroundings(std::move(surroundings)),
+      m_clump(clump),
+      m_arrivals(arrivals)
 {
 }
 
 void OpenLoopCallers::Start()
 {
   m_ticked_at = Common::Now();
+  m_gap = NextGap();
   Tick();
 }
 
+double OpenLoopCallers::NextGap()
+{
+  return m_arrivals == Arrivals::Even ? 1 : std::exponential_distribution<>()(m_random);
+}
+
 void OpenLoopCallers::Tick()
 {
   const auto now = Common::Now();
   m_due += m_surroundings.rate() *
            std::chrono::duration<double>(now - std::exchange(m_ticked_at, now)).count();
   const auto vms = m_surroundings.vms();
-  for (; m_due >= static_cast<double>(m_clump); m_due -= static_cast<double>(m_clump))
+  const auto clump = static_cast<double>(m_clump);
+  while (m_due >= m_gap * clump)
   {
+    m_due -= m_gap * clump;
+    m_gap = NextGap();
     if (vms.empty())
       continue;
     const std::size_t vm = vms[m_random() % vms.size()];
     for (std::size_t i = 0; i < m_clump; ++i)
       Send(vm);
   }
-  m_timer.Start(TICK, [this] {
+  m_timer.Start(m_arrivals == Arrivals::Even ? TICK : POISSON_TICK, [this] {
     Tick();
   });
 }
--- a/Source/StandIns/OverloadedServers/OpenLoopCallers.h
+++ b/Source/StandIns/OverloadedServers/OpenLoopCallers.h
@@ -31,6 +31,11 @@
 class OpenLoopCallers
 {
 public:
+  enum class Arrivals
+  {
+    Even,
+    Poisson,
+  };
   struct Surroundings
   {
     /// The VMs to which callers send.
@@ -43,25 +48,32 @@
   };
 
   /// Requests come in clumps of `clump`, each at one VM.
-  OpenLoopCallers(Common::Random random, Surroundings surroundings, std::size_t clump);
+  OpenLoopCallers(Common::Random random, Surroundings surroundings, std::size_t clump,
+                  Arrivals arrivals = Arrivals::Even);
 
   void Start();
   /// Sends nothing more.
   void Stop() { m_timer.Stop(); }
   /// The requests that have ended.
   const std::vector<Attempt>& Ended() const { return m_ended; }
+  /// The number of requests that have not ended.
+  std::size_t Open() const { return m_last_id - m_ended.size(); }
 
 private:
   void Tick();
+  /// The number of clumps' worth of time until the next one.
+  double NextGap();
   void Send(std::size_t vm);
   Http::Channel& ChannelTo(std::size_t vm);
 
   Common::Random m_random;
   Surroundings m_surroundings;
   std::size_t m_clump;
+  Arrivals m_arrivals;
   std::map<std::size_t, std::unique_ptr<Http::Channel>> m_channels;
   std::vector<Attempt> m_ended;
   double m_due = 0; ///< Requests that should have been sent and were not yet.
+  double m_gap = 1; ///< Until the next clump, in mean gaps.
   Common::TimePoint m_ticked_at;
   std::uint64_t m_last_id = 0;
   Common::OwnedTimer m_timer;
--- a/Source/StandIns/OverloadedServers/QueueingServer.cpp
+++ b/Source/StandIns/OverloadedServers/QueueingServer.cpp
@@ -139,6 +139,19 @@
   return headers;
 }
 
+void QueueingServer::NoteFreeSlotElsewhere()
+{
+  for (Work& work : m_waiting)
+    if (!std::exchange(work.waited_beside_free_slot, true))
+      ++m_requests.waited_beside_free_slot;
+}
+
+void QueueingServer::ReportLoadChange() const
+{
+  if (m_on_load_change)
+    m_on_load_change();
+}
+
 void QueueingServer::OnRequest(const Connection& connection, Http::ReceivedRequest request)
 {
   const std::string id = HeaderValue(request.head, "Attempt-Id");
@@ -150,12 +163,16 @@
     connection->Respond(
         200, "OK", Headers(id),
         Common::DumpJson({{"seq", 0}, {"busy", false}, {"born", m_instance_number}}));
-  else if (static_cast<int>(m_running.size()) < m_capacity.slots)
+  else if (++m_requests.received; static_cast<int>(m_running.size()) < m_capacity.slots)
     Run({connection, id, is_stream});
   else if (static_cast<int>(m_waiting.size()) < QueueLength())
+  {
     m_waiting.push_back({connection, id, is_stream});
+    ReportLoadChange();
+  }
   else
   {
+    ++m_requests.rejected;
     Reject(connection, 503, id);
     const auto now = Common::Now();
     m_rejections.push_back(now);
@@ -191,6 +208,8 @@
           headers.push_back({"Content-Type", "text/event-stream"});
         work.connection->Respond(200, "OK", headers, "id: 1\ndata: " + work.id + "\n\n");
         RunNext();
+        if (HasFreeSlot())
+          ReportLoadChange();
       });
 }
 
--- a/Source/StandIns/OverloadedServers/QueueingServer.h
+++ b/Source/StandIns/OverloadedServers/QueueingServer.h
@@ -36,6 +36,15 @@
   int rejections = 0;
 };
 
+/// What one server did since the last reset.
+struct RequestCounts
+{
+  int received = 0;
+  int rejected = 0; ///< Because its queue was full.
+  /// Waited in its queue while another server had a free slot.
+  int waited_beside_free_slot = 0;
+};
+
 /// A stand-in for a backend server without models, with slots and a queue. While it is brittle it
 /// states so in all responses, and crashes if it has to reject too many requests within a second.
 class QueueingServer : public Http::RequestHandler
@@ -54,6 +63,17 @@
   void SetCut(const StandIns::NetworkCut& cut);
   void EndCut();
   bool IsRunning() const { return m_listener.has_value(); }
+  const Capacity& GetCapacity() const { return m_capacity; }
+  bool HasFreeSlot() const
+  {
+    return IsRunning() && static_cast<int>(m_running.size()) < m_capacity.slots;
+  }
+  /// Called after a request was added to the queue, or a slot has become free.
+  void OnLoadChange(std::function<void()> callback) { m_on_load_change = std::move(callback); }
+  /// Counts the requests that wait now as having waited while another server had a free slot.
+  void NoteFreeSlotElsewhere();
+  const RequestCounts& Requests() const { return m_requests; }
+  void ResetRequests() { m_requests = {}; }
 
   void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
                  Http::ReceivedRequest request) override;
@@ -67,6 +87,7 @@
     Connection connection;
     std::string id;
     bool is_stream = false; ///< The response is a stream of one event.
+    bool waited_beside_free_slot = false;
   };
 
   Common::Result<Common::Done> Launch();
@@ -76,6 +97,7 @@
   int QueueLength() const;
   void Run(Work work);
   void RunNext();
+  void ReportLoadChange() const;
   void Reject(const Connection& connection, int status, const std::string& id);
   /// Resets all connections and removes the entry; a new instance starts after a while.
   void Crash();
@@ -93,6 +115,8 @@
   std::map<Http::ServerConnection*, Connection> m_connections;
   std::map<Http::ServerConnection*, std::string> m_running; ///< Id of the request.
   std::deque<Work> m_waiting;
+  RequestCounts m_requests;
+  std::function<void()> m_on_load_change;
   struct Brittleness
   {
     int rejections_per_second = 0;
--- a/Source/StandIns/ResumedStreams/DaemonPool.cpp
+++ b/Source/StandIns/ResumedStreams/DaemonPool.cpp
@@ -86,6 +86,11 @@
   return *Http::Endpoint::Parse(At(m_daemons[index].ip, CALLER_PORT));
 }
 
+Http::Endpoint DaemonPool::MetricsEndpoint(std::size_t index) const
+{
+  return *Http::Endpoint::Parse(At(m_daemons[index].ip, METRICS_PORT));
+}
+
 bool DaemonPool::IsInTouch(std::size_t index) const
 {
   return m_daemons[index].ready && !m_daemons[index].frozen;
--- a/Source/StandIns/ResumedStreams/DaemonPool.h
+++ b/Source/StandIns/ResumedStreams/DaemonPool.h
@@ -30,6 +30,7 @@
   std::size_t Size() const { return m_daemons.size(); }
   std::optional<std::size_t> Find(const std::string& name) const;
   Http::Endpoint CallerEndpoint(std::size_t index) const;
+  Http::Endpoint MetricsEndpoint(std::size_t index) const;
   /// The daemon is ready, and neither killed, stopped nor frozen.
   bool IsInTouch(std::size_t index) const;
   std::vector<std::size_t> InTouch() const;
