--- /dev/null
+++ b/Source/Core/Decisions/PlaceShares.h
@@ -0,0 +1,53 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "Common/Units.h"
+
+namespace Decisions
+{
+/// A server of a pool that runs no models, for PlaceShares.
+struct ShareCandidate
+{
+  Common::VmId server;
+  int places = 1;               ///< Slots: requests that the server runs at the same time.
+  double speed = 1;             ///< From ServerSpeeds; 1: average, above 1: faster.
+  std::int64_t own_running = 0; ///< Running requests of this daemon; exact.
+  std::int64_t limit = 0;       ///< Maximum concurrent requests of this daemon; 0: unavailable.
+  bool local = true;            ///< In the data centre of this daemon.
+};
+
+/// Chooses a server based only on the daemon's own open requests. Each daemon owns a share of the
+/// slots of all servers and uses it first, so that daemons that choose at the same moment choose
+/// different servers. docs/design/even-load.md
+class PlaceShares
+{
+public:
+  /// `rank`: position of this daemon in the sorted list of the `daemons` running ones. A rank that
+  /// is out of range is reduced modulo `daemons`; no daemons count as one.
+  void SetDaemons(std::size_t rank, std::size_t daemons);
+
+  /// Returns the index of the chosen candidate; nullopt if all are at their limit. Pass all servers
+  /// of the pool in any order, including unavailable ones with a limit of 0: the shares of the
+  /// daemons are disjoint only if all daemons pass the same servers with the same slots.
+  std::optional<std::size_t> Choose(const std::vector<ShareCandidate>& candidates,
+                                    Common::TimePoint now);
+
+private:
+  std::vector<std::int64_t> OwnSlots(const std::vector<ShareCandidate>& candidates) const;
+  std::uint64_t LastUse(const Common::VmId& server) const;
+
+  std::size_t m_rank = 0;
+  std::size_t m_daemons = 1;
+  std::uint64_t m_choices = 0;
+  /// The number of the last choice that returned the server.
+  std::unordered_map<Common::VmId, std::uint64_t> m_last_use;
+};
+} // namespace Decisions
