Gateway: place shares choose the server in pools that many daemons use

ChooseAmong added up a daemon's own requests, which are exact, and the totals of the others, which are up to 0.5 s old, so that all daemons chose the same server until the next totals. In pools without models, and where there are at least twice as many daemons as slots at a server, the server is now chosen by PlaceShares, and the concurrency limit no longer subtracts the totals. Requests with an affinity, limited, draining and ejected servers are handled as before. EvenLoad decides whether the condition holds, logs the change, and counts.

--- a/Source/Core/Decisions/PlaceShares.h
+++ b/Source/Core/Decisions/PlaceShares.h
@@ -39,9 +39,10 @@
   /// daemons are disjoint only if all daemons pass the same servers with the same slots.
   std::optional<std::size_t> Choose(const std::vector<ShareCandidate>& candidates,
                                     Common::TimePoint now);
+  /// The number of slots of each candidate that this daemon owns.
+  std::vector<std::int64_t> OwnSlots(const std::vector<ShareCandidate>& candidates) const;
 
 private:
-  std::vector<std::int64_t> OwnSlots(const std::vector<ShareCandidate>& candidates) const;
   std::uint64_t LastUse(const Common::VmId& server) const;
 
   std::size_t m_rank = 0;
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -74,6 +74,7 @@
   m_keys.Configure(m_settings.key_limit);
   m_allowances.Configure(m_settings.usage_bound);
   m_servers.SetDrainGrace(m_settings.drain_grace);
+  m_even_load.SetSelf(m_settings.self, m_settings.data_centre);
 }
 
 void Dispatcher::SetConfiguration(std::shared_ptr<const Configuration> configuration)
@@ -89,6 +90,7 @@
   m_configuration_error.clear();
   m_allowances.SetAccounts(m_configuration->accounts);
   ConfigureColdRates();
+  m_even_load.RetainPools(m_configuration->pools);
   m_configured_at = Common::Now();
   ScheduleDispatch();
 }
@@ -100,6 +102,7 @@
   m_allowances.SetDaemons(daemons);
   m_limited.Permits().SetDaemons(daemons);
   m_brittle.Places().SetDaemons(daemons);
+  m_even_load.SetDaemonCount(static_cast<std::size_t>(m_daemons));
 }
 
 void Dispatcher::AcceptConnection(int fd)
@@ -165,6 +168,9 @@
   const auto pool = m_configuration->pools.find(server.Entry().pool);
   const bool runs_models = pool != m_configuration->pools.end() && pool->second.model_server;
   const int factor = runs_models ? 1 : SLOTS_FACTOR_WITHOUT_MODELS;
+  // The totals are too old to tell how much room the other daemons leave.
+  if (!server.Limit() && m_even_load.IsActive(server.Entry().pool))
+    return server.Entry().slots * factor;
   return server.Entry().slots * factor - server.RemoteInFlight();
 }
 
@@ -222,6 +228,9 @@
 ServerPtr Dispatcher::ChooseServer(const Relay& relay)
 {
   const auto now = Common::Now();
+  if (const auto pool = m_configuration->pools.find(relay.SelectedPool());
+      pool != m_configuration->pools.end())
+    m_even_load.Refresh(pool->second);
   std::vector<ServerPtr> unlimited;
   std::vector<ServerPtr> limited;
   std::vector<ServerPtr> permitted;
@@ -255,7 +264,7 @@
   // that a limit has ended.
   if (ServerPtr chosen = ChooseAmong(permitted, relay))
     return chosen;
-  if (ServerPtr chosen = ChooseAmong(unlimited, relay))
+  if (ServerPtr chosen = ChooseAmongUnlimited(unlimited, relay, now))
   {
     for (const ServerPtr& server : limited)
       if (!server->Limit()->cold_until)
@@ -732,6 +741,7 @@
                      }));
   m_metrics.SetGauge("sent_in_backoff", static_cast<double>(m_counters.sent_in_backoff));
   m_metrics.SetGauge("withdrawn_for_backoff", static_cast<double>(m_counters.withdrawn));
+  m_even_load.FillMetrics(m_metrics, now);
   if (m_configuration)
   {
     m_metrics.SetGauge("configuration_version", static_cast<double>(m_configuration->version));
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -21,6 +21,7 @@
 #include "Gateway/BrittleServers.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/DrainRegistry.h"
+#include "Gateway/EvenLoad.h"
 #include "Gateway/LimitedServers.h"
 #include "Gateway/PlacementConstraint.h"
 #include "Gateway/Relay.h"
@@ -118,6 +119,11 @@
   /// servers.
   void SetDaemons(int daemons);
   int Daemons() const { return m_daemons; }
+  /// Sets the position of this daemon in the list of the `daemons` running ones, by which they
+  /// share the slots of servers; no rank: there is no list, or this daemon is missing from it.
+  void SetDaemonRank(std::optional<std::size_t> rank, std::size_t daemons);
+  EvenLoad& GetEvenLoad() { return m_even_load; }
+  const EvenLoad& GetEvenLoad() const { return m_even_load; }
   Accounts::KeyFreshness& Keys() { return m_keys; }
   Accounts::LocalAllowances& Allowances() { return m_allowances; }
   /// Applies units of the accounts' limits that the lease holder has granted, and resumes requests
@@ -271,6 +277,8 @@
   bool MustAwaitCrashCheck(Relay& relay) const;
   /// Records that a server has completed the request successfully.
   void NoteRequestSuccess(Relay& relay);
+  /// Records that the server sent a complete successful response to a request sent at `sent_at`.
+  void NoteServed(const Server& server, Common::TimePoint sent_at);
   /// Records that a server with this software has written on the request's prompt.
   void NotePromptWritten(const Relay& relay, const SoftwareVersion& version);
   /// True if this VM reaches no server. Its callers are better served by other VMs.
@@ -362,6 +370,10 @@
   std::vector<RateLimits::ServerKey> ProbeCandidates() const;
   /// The best of these servers; null if all are full.
   ServerPtr ChooseAmong(const std::vector<ServerPtr>& servers, const Relay& relay);
+  /// The same for servers without a limit that neither drain nor are ejected: by place shares where
+  /// the pool uses these.
+  ServerPtr ChooseAmongUnlimited(const std::vector<ServerPtr>& servers, const Relay& relay,
+                                 Common::TimePoint now);
   /// The waiting requests in the order in which they are to be served.
   std::vector<std::shared_ptr<Relay>> WaitingRelays() const;
   /// A waiting request and the rate-limited server whose permit it waits for.
@@ -416,6 +428,7 @@
   int m_daemons = 1;
   Common::OwnedTimer m_silence_timer;
   CrashDetector m_crash_detector{m_servers};
+  EvenLoad m_even_load{m_servers};
   LimitedServers m_limited{m_servers};
   BrittleServers m_brittle{m_servers};
   DrainRegistry m_draining;
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -190,6 +190,7 @@
     return;
   }
   m_server->Health().NoteSuccess(Common::Now());
+  m_dispatcher.NoteServed(*m_server, m_sent_at);
   NoteWritten();
   m_dispatcher.NoteRequestSuccess(*this);
   EndStream();
@@ -291,6 +292,7 @@
 
 void Relay::NotePlainSuccess()
 {
+  m_dispatcher.NoteServed(*m_server, m_sent_at);
   if (!m_head.ends_with_connection)
   {
     NoteWritten();
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -190,6 +190,11 @@
                          [&](const Fleet::ListedDaemon& daemon) {
                            return key_of(daemon.messages);
                          });
+  const auto position = std::ranges::find(members, key_of(m_settings.local));
+  const auto rank = position == members.end()
+                        ? std::nullopt
+                        : std::optional<std::size_t>(position - members.begin());
+  m_dispatcher.SetDaemonRank(rank, members.size());
   m_dispatcher.Brittle().Places().SetMembers(key_of(m_settings.local), std::move(members));
 }
 
@@ -931,6 +936,8 @@
   ApplyTableUpdates(report.table_updates, written_after);
   ApplyPlacements(report);
   ApplyCrashes(report);
+  if (state->regular)
+    m_dispatcher.GetEvenLoad().NoteTotals(Common::Now());
   if (state->regular)
     for (const auto& [instance, server] : m_dispatcher.Servers().All())
     {
