--- a/Source/Core/Gateway/EvenLoad.cpp
+++ b/Source/Core/Gateway/EvenLoad.cpp
@@ -65,6 +65,9 @@
 
 void EvenLoad::Refresh(const Pool& pool)
 {
+  // Called for each choice, so pools with models, which have most servers, cost nothing here.
+  if (pool.model_server && !m_pools.contains(pool.id))
+    return;
   int slots = 0;
   for (const auto& [instance, server] : m_servers.All())
     if (server->Entry().pool == pool.id)
