Tool: `drumpond account` counts the requests in the daemons' logs

Which requests were lost, and why, could be read from the logs only line by line. The command counts them by route, fate and second, and the store calls by kind.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -565,6 +565,7 @@
   if (m_done)
     return;
   const auto guard = shared_from_this();
+  const std::string_view awaited = AwaitedResource();
   m_done = true;
   m_waiting = false;
   if (std::exchange(m_awaits_origin, false))
@@ -592,7 +593,9 @@
        {"entries_age_ms",
         m_dispatcher.Servers().Age(Common::Now()).value_or(Milliseconds(-1)).count()},
        {"ms", took.count()},
-       {"first_event_ms", m_first_event_after.value_or(Milliseconds(-1)).count()}});
+       {"first_event_ms", m_first_event_after.value_or(Milliseconds(-1)).count()},
+       {"target_ms", m_route.latency_target.count()},
+       {"awaited", awaited}});
   Common::Metrics& metrics = m_dispatcher.GetMetrics();
   metrics.CountRequest(m_route.name, std::string(ToString(outcome)));
   if (m_origin_source != OriginSource::NotResumed)
@@ -620,6 +623,20 @@
   m_dispatcher.OnRelayFinished(this);
 }
 
+std::string_view Relay::AwaitedResource() const
+{
+  if (m_awaits_allowance)
+    return "units";
+  if (m_awaits_origin)
+    return "origin";
+  if (m_connection)
+    return m_connection->IsConnected() ? "" : "connection";
+  if (!m_waiting)
+    return "";
+  const bool lacks_model = !m_artifact.model.Empty() && !m_dispatcher.IsHeldFor(*this);
+  return lacks_model ? "load" : "place";
+}
+
 std::string Relay::RetryAfter() const
 {
   if (m_retry_after)
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -277,6 +277,9 @@
   void ForgetAttempt();
   void Refuse(std::string_view why);
   void Fail(int status, std::string_view why);
+  /// What the request waits for, for the log: "units" of its account's limit, the "origin" of its
+  /// stream, a "load" of its model, a "place" at a server or a "connection"; empty if for none.
+  std::string_view AwaitedResource() const;
   /// The value of the Retry-After header in seconds.
   std::string RetryAfter() const;
   void EndWith(Outcome outcome, int status, std::string_view why);
--- a/Source/Tool/Commands.cpp
+++ b/Source/Tool/Commands.cpp
@@ -36,6 +36,10 @@
        "show the log lines of a request from the logs of all daemons, with related events of its "
        "model and its backend servers",
        "drumpond explain-log 0a23108cfa8f9fa6 examples/logs/*.log", 2, ExplainLog},
+      {"account", "LOG...",
+       "count the requests in the logs of all daemons by route, how they ended and second, and the "
+       "calls of the store",
+       "drumpond account examples/logs/*.log", 1, AccountRequests},
       {"check-settings", "FILE", "check a settings file of the platform without a daemon",
        "drumpond check-settings examples/platform-settings.json", 1, CheckSettings},
   };
--- a/Source/Tool/Commands.h
+++ b/Source/Tool/Commands.h
@@ -58,5 +58,6 @@
 ExitStatus ShowDump(const Invocation& invocation);
 ExitStatus Explain(const Invocation& invocation);
 ExitStatus ExplainLog(const Invocation& invocation);
+ExitStatus AccountRequests(const Invocation& invocation);
 ExitStatus CheckSettings(const Invocation& invocation);
 } // namespace Tool
--- a/Source/Tool/LogCommands.cpp
+++ b/Source/Tool/LogCommands.cpp
@@ -1,10 +1,11 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-// Commands that read files and need no daemon: tracing a request through the logs, and validating a
-// settings file.
+// Commands that read files and need no daemon: tracing a request through the logs, counting the
+// requests in them, and validating a settings file.
 
 #include <algorithm>
+#include <cctype>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -12,8 +13,11 @@
 #include <set>
 #include <sstream>
 #include <string>
+#include <utility>
 
 #include "Tool/Commands.h"
+#include "Tool/LogFile.h"
+#include "Tool/RequestAccount.h"
 #include "platform/Decode.h"
 
 namespace Tool
@@ -23,43 +27,19 @@
 /// Related events are shown from this long before the request's first line. A load from the weight
 /// store takes several seconds, and the reason why a model was not loaded precedes the request.
 constexpr std::int64_t CONTEXT_BEFORE_MS = 10000;
-/// Length of a timestamp such as "2026-12-02T16:00:00.000", by which lines are sorted.
-constexpr std::size_t TIMESTAMP_LENGTH = 23;
 
-struct LogLine
-{
-  std::string file;
-  std::string text;
-
-  std::string Timestamp() const { return text.substr(0, TIMESTAMP_LENGTH); }
-};
-
-/// Returns the value of `key=value` or `key="value"` in a line, or an empty string.
-std::string FieldValue(const std::string& line, const std::string& key)
-{
-  const auto at = line.find(" " + key + "=");
-  if (at == std::string::npos)
-    return "";
-  const auto begin = at + key.size() + 2;
-  if (begin < line.size() && line[begin] == '"')
-    return line.substr(begin + 1, line.find('"', begin + 1) - begin - 1);
-  return line.substr(begin, line.find(' ', begin) - begin);
-}
-
-std::optional<std::vector<LogLine>> ReadLogs(const std::vector<std::string>& files)
+/// Reads the lines of all files that have an event, sorted by time.
+Common::Result<std::vector<LogLine>> ReadLogs(const std::vector<std::string>& files)
 {
   std::vector<LogLine> lines;
   for (const std::string& file : files)
   {
-    std::ifstream in(file);
-    if (!in)
-    {
-      std::cerr << "drumpond: cannot read " << file << "\n";
+    const auto read = ReadLogFile(file, [&lines](LogLine line) -> std::optional<Common::Failure> {
+      lines.push_back(std::move(line));
       return std::nullopt;
-    }
-    for (std::string line; std::getline(in, line);)
-      if (line.size() > TIMESTAMP_LENGTH && line.find(" event=") != std::string::npos)
-        lines.push_back({file, std::move(line)});
+    });
+    if (!read)
+      return read.Reason();
   }
   std::ranges::stable_sort(lines, {}, &LogLine::Timestamp);
   return lines;
@@ -136,6 +116,106 @@
   return context.instances.contains(FieldValue(line.text, "instance")) ||
          context.models.contains(FieldValue(line.text, "model"));
 }
+
+/// Adds a line to the account if it is about requests or store calls. Returns what is wrong with
+/// the line, without its position.
+Common::Result<Common::Done> AddLine(RequestAccount& account, const LogLine& line)
+{
+  const bool is_request = line.text.find(" event=request ") != std::string::npos;
+  const bool is_store_calls = line.text.find(" event=store-calls ") != std::string::npos;
+  if (!is_request && !is_store_calls)
+    return Common::Done();
+  if (!line.complete)
+  {
+    // Its last number may be cut, which would go unnoticed.
+    account.NoteCutLine();
+    return Common::Done();
+  }
+  const auto fields = ParseFields(line.text);
+  if (!fields)
+    return fields.Reason();
+  const auto event = fields->find("event");
+  if (event->second == "store-calls")
+    return account.AddStoreCalls(*fields);
+  if (event->second != "request")
+    return Common::Done();
+  const auto request = ReadRequestLine(line.Timestamp(), *fields);
+  if (!request)
+    return request.Reason();
+  account.AddRequest(*request);
+  return Common::Done();
+}
+
+/// The fates with any requests; a column for each of the others would only widen the output.
+std::vector<Fate> OccurringFates(const std::map<std::string, RequestAccount::Counts>& by_route)
+{
+  std::vector<Fate> fates;
+  std::ranges::copy_if(AllFates(), std::back_inserter(fates), [&by_route](Fate fate) {
+    return std::ranges::any_of(by_route, [fate](const auto& entry) {
+      return entry.second.contains(fate);
+    });
+  });
+  return fates;
+}
+
+std::vector<std::string> CountCells(const RequestAccount::Counts& counts,
+                                    const std::vector<Fate>& fates)
+{
+  std::int64_t requests = 0;
+  for (const auto& [fate, count] : counts)
+    requests += count;
+  std::vector<std::string> cells{std::to_string(requests)};
+  std::ranges::transform(fates, std::back_inserter(cells), [&counts](Fate fate) {
+    const auto found = counts.find(fate);
+    return std::to_string(found == counts.end() ? 0 : found->second);
+  });
+  return cells;
+}
+
+std::vector<std::string> AccountHeading(std::vector<std::string> heading,
+                                        const std::vector<Fate>& fates)
+{
+  heading.push_back("REQUESTS");
+  std::ranges::transform(fates, std::back_inserter(heading), [](Fate fate) {
+    std::string name(ToString(fate));
+    std::ranges::transform(name, name.begin(), [](unsigned char letter) {
+      return static_cast<char>(std::toupper(letter));
+    });
+    return name;
+  });
+  return heading;
+}
+
+void PrintAccount(const RequestAccount& account, std::size_t seconds)
+{
+  const auto by_route = account.ByRoute();
+  const auto fates = OccurringFates(by_route);
+  std::vector<std::vector<std::string>> rows;
+  const auto add_row = [&](std::vector<std::string> cells, const RequestAccount::Counts& counts) {
+    std::ranges::move(CountCells(counts, fates), std::back_inserter(cells));
+    rows.push_back(std::move(cells));
+  };
+  for (const auto& [route, counts] : by_route)
+    add_row({route.empty() ? "-" : route}, counts);
+  PrintColumns(AccountHeading({"ROUTE"}, fates), rows);
+  rows.clear();
+  for (const RequestAccount::Second& second : account.WorstSeconds(seconds))
+    for (const auto& [route, counts] : second.by_route)
+      add_row({second.second, std::to_string(second.lost), route.empty() ? "-" : route}, counts);
+  std::cout << "\n";
+  PrintColumns(AccountHeading({"WORST_SECOND", "LOST", "ROUTE"}, fates), rows);
+  rows.clear();
+  for (const auto& [call, calls] : account.StoreCalls())
+    rows.push_back({call.first, call.second, std::to_string(calls)});
+  std::cout << "\n";
+  PrintColumns({"STORE_CALL", "RESULT", "CALLS"}, rows);
+  if (account.SuppressedLines() > 0)
+    std::cout << "\nrequest lines that the daemons omitted, as they had too many: "
+              << account.SuppressedLines() << "\n";
+  if (account.CutLines() > 0)
+    std::cout << "\nfiles that end within a line, which is not counted: " << account.CutLines()
+              << "\n";
+}
 } // namespace
 
 ExitStatus ExplainLog(const Invocation& invocation)
@@ -144,7 +224,7 @@
   const auto lines =
       ReadLogs({std::next(invocation.arguments.begin()), invocation.arguments.end()});
   if (!lines)
-    return ExitStatus::Usage;
+    return ReportFailure(lines.Reason());
   const RequestContext context = CollectContext(*lines, id);
   if (context.first_timestamp.empty())
   {
@@ -165,6 +245,28 @@
   return ExitStatus::Ok;
 }
 
+ExitStatus AccountRequests(const Invocation& invocation)
+{
+  RequestAccount account;
+  for (const std::string& file : invocation.arguments)
+  {
+    const auto read = ReadLogFile(file, [&](const LogLine& line) -> std::optional<Common::Failure> {
+      const auto added = AddLine(account, line);
+      if (added)
+        return std::nullopt;
+      return Common::Failure{added.Reason().kind, line.Position() + ": " + added.Reason().detail};
+    });
+    if (!read)
+      return ReportFailure(read.Reason());
+  }
+  const auto seconds = static_cast<std::size_t>(std::max<std::int64_t>(invocation.count, 0));
+  if (invocation.json)
+    std::cout << account.ToJson(seconds).dump(2) << "\n";
+  else
+    PrintAccount(account, seconds);
+  return ExitStatus::Ok;
+}
+
 ExitStatus CheckSettings(const Invocation& invocation)
 {
   std::ifstream in(invocation.arguments.front());
--- a/Source/Tool/Main.cpp
+++ b/Source/Tool/Main.cpp
@@ -33,12 +33,13 @@
                         "IP:port of a daemon's operator interface "
                         "(DRUMPOND_ADDRESS) [127.0.0.1:7091]",
                         cxxopts::value<std::string>())(
-      "output", "table or json", cxxopts::value<std::string>()->default_value("table"))(
+      "output", "table or json",
+      cxxopts::value<std::string>()->default_value("table"))("json", "the same as --output json")(
       "who", "author of the edit in the table history (DRUMPOND_WHO)",
       cxxopts::value<std::string>())("change-id",
                                      "id of the edit; a retry with the same id is safe",
                                      cxxopts::value<std::string>()->default_value(""))(
-      "count", "number of history entries to show",
+      "count", "number of history entries, or of the worst seconds, to show",
       cxxopts::value<std::int64_t>()->default_value("20"))(
       "no-wait", "return without waiting until the edit is in force")("help", "print this text")(
       "version", "print the version")("words", "command and its arguments",
@@ -129,7 +130,7 @@
   const std::string output = parsed["output"].as<std::string>();
   if (output != "table" && output != "json")
     return UsageError("expected --output table or json");
-  invocation.json = output == "json";
+  invocation.json = output == "json" || parsed.count("json") != 0;
   return command->run(invocation);
 }
 } // namespace
