--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -48,6 +48,10 @@
 /// others.
 constexpr int MAX_FULL_SCANS = 16;
 
+/// Requests that begin to wait within this time after a load may still have been sent to the
+/// replicas before it: the entries of the servers reach the daemons with a delay.
+constexpr Milliseconds LATE_REPLICA_SETTLING{2000};
+
 using Victims = std::vector<const PlannedReplica*>;
 
 /// A server on which a model can be loaded, possibly after evicting other models.
@@ -97,6 +101,7 @@
 {
   int replicas = 0;
   int loading = 0;
+  Common::TimePoint newest; ///< When the newest replica was first seen.
 };
 
 class Planner
@@ -117,7 +122,9 @@
       for (const PlannedReplica& replica : server.replicas)
         if (CanServeDemand(server, replica.model))
           ForEachNeed(server, replica.model, [&](const Need& need) {
-            ++CountOf(need).replicas;
+            ReplicaCount& count = CountOf(need);
+            ++count.replicas;
+            count.newest = std::max(count.newest, replica.since);
           });
       if (server.loading)
         CountLoad(server, *server.loading);
@@ -276,7 +283,20 @@
 
   int Wanted(const Need& need) const
   {
-    return WantedReplicas(*need.demand, m_input.batch, m_input.rules.spare_replicas);
+    const int wanted = WantedReplicas(*need.demand, m_input.batch, m_input.rules.spare_replicas);
+    return IsServedLate(need) ? std::max(wanted, CountOf(need).replicas + 1) : wanted;
+  }
+
+  /// True if requests wait although the replicas have free slots: the replicas serve none in time.
+  /// Requests that began to wait before the newest replica was loaded, or soon after, do not show
+  /// that this one is late too.
+  bool IsServedLate(const Need& need) const
+  {
+    if (!m_input.rules.replicas_for_late || need.demand->waiting == 0 || IsUnserved(need))
+      return false;
+    const ReplicaCount& count = CountOf(need);
+    return count.loading == 0 && need.demand->in_flight < count.replicas * m_input.batch &&
+           count.newest + LATE_REPLICA_SETTLING < m_input.now - need.demand->oldest_wait;
   }
 
   bool IsUnderReplicated(const Need& need) const
@@ -287,9 +307,11 @@
 
   void PlaceModel(const Need& need)
   {
-    // Additional replicas are loaded only from disk or host memory, not from the weight store.
+    // Additional replicas are loaded only from disk or host memory, not from the weight store,
+    // except beside replicas that serve no request in time.
     const bool unserved = IsUnserved(need);
-    const bool store_allowed = unserved && m_store_loads_left > 0 && !ShouldWaitForDisk(need);
+    const bool store_allowed =
+        (unserved || IsServedLate(need)) && m_store_loads_left > 0 && !ShouldWaitForDisk(need);
     auto best = store_allowed && TryTakeFullScan() ? BestAmongAllServers(need, unserved)
                                                    : BestAmongCopies(need, unserved);
     if (!best && !store_allowed && MayBypassDisk(need) && TryTakeFullScan())
@@ -408,9 +430,12 @@
   {
     if (!m_input.rules.disk_wait || ExceedsDiskSaving(Model(need.model), need.demand->oldest_wait))
       return false;
+    // The disk of a server that has the model loaded is of no use for an additional replica.
+    const bool served_late = IsServedLate(need);
     return std::ranges::any_of(m_input.copies.Of(need.model), [&](const WeightCopy& copy) {
       const PlannedServer& server = m_input.servers[At(copy.server)];
-      return server.usable && need.MayUse(server);
+      return server.usable && need.MayUse(server) &&
+             !(served_late && HasReplica(server, need.model));
     });
   }
 
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -103,6 +103,10 @@
   bool spare_replicas = true; ///< Keep a second replica of frequently requested models.
   bool turns = true;          ///< Models that wait too long may evict a model in use.
   bool disk_wait = true;      ///< Wait for a busy server with a copy on disk.
+  /// A model whose requests wait although its replicas have free slots gets an additional replica,
+  /// from the weight store if necessary. Set for pools whose daemons count requests at late
+  /// replicas as waiting.
+  bool replicas_for_late = false;
 };
 
 struct ReplicaPlanInput
