Gateway: requests at late replicas count as demand, or are rejected at once

In a pool with large batches a replica that serves no request in time accepts all of them, so that they neither counted as demand nor were rejected, and ended at their deadline.

LateReplicas observes each replica, where the configuration calls for it. Requests that have been at a late replica for longer than their latency target count as waiting. New ones avoid late replicas while another is in time, and are rejected with 503 if all are late and the expected time to a first event is longer than the caller waits. The lease holder plans an additional replica for such pools.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -65,6 +65,7 @@
     ScheduleDispatch();
   });
   ConnectPaths();
+  ConnectLateReplicas();
 }
 
 void Dispatcher::Configure(DispatcherSettings settings)
@@ -89,6 +90,7 @@
   m_configuration_error.clear();
   m_allowances.SetAccounts(m_configuration->accounts);
   ConfigureColdRates();
+  m_late_replicas.Configure(*m_configuration);
   m_configured_at = Common::Now();
   ScheduleDispatch();
 }
@@ -227,9 +229,10 @@
   std::vector<ServerPtr> permitted;
   std::vector<ServerPtr> last_choices; ///< For requests that no other server can take.
   std::vector<ServerPtr> missing;
+  const std::set<const Server*> avoided = ServersToAvoid(relay, now);
   for (const auto& [instance, server] : m_servers.All())
   {
-    if (!IsEligible(relay, *server, now))
+    if (!IsEligible(relay, *server, now) || avoided.contains(server.get()))
       continue;
     // During the slow start after a Retry-After, new requests do not overtake waiting ones.
     if (server->GetBackoff().IsSlowStart() && WouldOvertake(relay, *server))
@@ -318,6 +321,7 @@
   std::vector<ServerPtr> constrained_holders;
   std::vector<ServerPtr> brittle_holders;
   std::optional<Decisions::WeightSource> nearest_unlimited;
+  bool any_late_holder = false;
   for (const auto& [instance, server] : m_servers.All())
   {
     if (server->Entry().pool != relay.SelectedPool() || !server->AcceptsRequests(now) ||
@@ -325,6 +329,11 @@
       continue;
     const bool holds = model.Empty() || server->HoldsModel(model);
     const bool must_wait = server->Limit() || server->GetBackoff().IsRetryAfterActive(now);
+    if (holds && !must_wait && IsTooLate(relay, *server, now))
+    {
+      any_late_holder = true;
+      continue;
+    }
     // A server that holds the model will get to the request, even if it has no free slot now.
     if (holds && !must_wait && !server->RejectionBound())
       return std::nullopt;
@@ -347,6 +356,8 @@
                              longest_wait);
   if (spec == nullptr)
     return std::nullopt;
+  if (any_late_holder)
+    return RefusalForLateReplicas(relay, *spec, nearest_unlimited);
   const auto until = Decisions::RetryAfterIfRefused(load);
   return until ? std::optional(EarlyRefusal{*until, "the model's weights would load too late"})
                : std::nullopt;
@@ -558,6 +569,7 @@
     RecheckWaiting();
     RecheckPlaceQueues();
   }
+  RecheckLateReplicas(waiting);
   const bool still_waiting = std::ranges::any_of(waiting, [](const auto& relay) {
     return relay->IsWaiting();
   });
@@ -623,7 +635,8 @@
   const auto now = Common::Now();
   for (const auto& [key, relay] : m_relays)
   {
-    if (!relay->IsWaiting() || relay->RequestedArtifact().model.Empty())
+    const bool counts = relay->IsWaiting() || IsDelayed(*relay, now);
+    if (!counts || relay->RequestedArtifact().model.Empty())
       continue;
     const auto needs = DemandOf(*relay);
     if (!needs)
@@ -689,6 +702,11 @@
   };
   const auto& permits = m_limited.Permits().Totals();
   m_metrics.SetGauge("servers_limited", static_cast<double>(m_limited.All().size()));
+  m_metrics.SetGauge("replicas_late", static_cast<double>(m_late_replicas.CountLate()));
+  m_metrics.SetGauge("requests_at_late_replicas",
+                     static_cast<double>(m_late_replicas.CountDelayed(now)));
+  m_metrics.SetGauge("rejected_for_late_replicas",
+                     static_cast<double>(m_late_replicas.GetCounters().rejected));
   m_metrics.SetGauge("servers_brittle", static_cast<double>(m_brittle.All().size()));
   m_metrics.SetGauge("server_limits_unreadable", static_cast<double>(m_limited.UnreadableLimits()));
   m_metrics.SetGauge("permits_granted", static_cast<double>(permits.granted));
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -21,6 +21,7 @@
 #include "Gateway/BrittleServers.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/DrainRegistry.h"
+#include "Gateway/LateReplicas.h"
 #include "Gateway/LimitedServers.h"
 #include "Gateway/PlacementConstraint.h"
 #include "Gateway/Relay.h"
@@ -126,6 +127,11 @@
   /// Servers that have announced a request rate limit.
   LimitedServers& Limited() { return m_limited; }
   const LimitedServers& Limited() const { return m_limited; }
+  /// Replicas that serve no request in time.
+  LateReplicas& Late() { return m_late_replicas; }
+  const LateReplicas& Late() const { return m_late_replicas; }
+  /// Logs and counts a request that is rejected because all replicas of its model are late.
+  void NoteLateRejection(const Relay& relay, const EarlyRefusal& refusal);
   /// Servers that crash if they have to reject too many requests.
   BrittleServers& Brittle() { return m_brittle; }
   const BrittleServers& Brittle() const { return m_brittle; }
@@ -192,8 +198,8 @@
   /// now.
   bool IsHeldFor(const Relay& relay) const;
   /// The refusal for a request that cannot be served before its caller disconnects: no server holds
-  /// its model and the weights would load too late, or all servers that hold it have a limit with
-  /// too long a queue or a Retry-After that lasts too long.
+  /// its model and the weights would load too late, all servers that hold it have a limit with too
+  /// long a queue or a Retry-After that lasts too long, or all replicas serve no request in time.
   /// Returns nullopt if the request may wait, for `longest_wait` at most.
   std::optional<EarlyRefusal> CheckEarlyRefusal(const Relay& relay,
                                                 Common::Milliseconds idle_timeout,
@@ -286,6 +292,23 @@
   void NoteBufferedBytes(Relay* relay, std::size_t bytes);
 
 private:
+  void ConnectLateReplicas();
+  /// True if the request's pool is observed and a replica of its model is late.
+  bool MustAvoidLateReplicas(const Relay& relay, Common::TimePoint now) const;
+  Decisions::ReplicaView ReplicaViewOf(const Relay& relay, const Server& server,
+                                       Common::TimePoint now) const;
+  /// The servers that must not get the request because their replica is late.
+  std::set<const Server*> ServersToAvoid(const Relay& relay, Common::TimePoint now);
+  /// True if the server's replica is late and not expected to serve the request, which has not been
+  /// sent yet, while its caller waits.
+  bool IsTooLate(const Relay& relay, const Server& server, Common::TimePoint now) const;
+  /// `nearest`: the fastest source from which another server could load the weights.
+  EarlyRefusal RefusalForLateReplicas(const Relay& relay, const ModelSpec& spec,
+                                      std::optional<Decisions::WeightSource> nearest);
+  /// True if the request has been at a late replica for longer than its latency target.
+  bool IsDelayed(const Relay& relay, Common::TimePoint now) const;
+  /// Rejects the waiting requests that no replica is expected to serve in time.
+  void RecheckLateReplicas(const std::vector<std::shared_ptr<Relay>>& relays);
   /// Applies to the backoff of a server how many rejections per second of all daemons together it
   /// bears.
   void ApplyRejectionBound(const ServerPtr& server);
@@ -418,6 +441,7 @@
   CrashDetector m_crash_detector{m_servers};
   LimitedServers m_limited{m_servers};
   BrittleServers m_brittle{m_servers};
+  LateReplicas m_late_replicas{m_servers};
   DrainRegistry m_draining;
   std::set<ServerPtr> m_new_backoffs;    ///< Servers with a new Retry-After, not yet handled.
   std::uint64_t m_draining_revision = 0; ///< Of the directory when m_draining was last applied.
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -376,6 +376,8 @@
   added.account = m_account;
   if (m_stream_begun)
     added.last_event_id = m_events.LastId();
+  m_attempt =
+      m_dispatcher.Late().NoteSent(*m_server, m_artifact.model, m_route.latency_target, now);
   m_connection->Send(ForwardedRequest(m_request, names, added), this,
                      m_request.head.method == "HEAD");
   const bool is_stream = m_route.repeatability == Repeatability::Streaming;
@@ -640,6 +642,7 @@
 {
   if (!m_server)
     return;
+  m_dispatcher.Late().NoteEnded(std::exchange(m_attempt, ReplicaAttempt::None), Common::Now());
   m_server->NoteEnd(m_artifact, m_sent_at, Common::Now());
   m_server = nullptr;
 }
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -16,6 +16,7 @@
 #include "Crashes/PartEvidence.h"
 #include "Gateway/CrashDetector.h"
 #include "Gateway/EventSplitter.h"
+#include "Gateway/LateReplicas.h"
 #include "Gateway/ServerDirectory.h"
 #include "Gateway/ServerSignals.h"
 #include "Gateway/StreamOrigins.h"
@@ -35,6 +36,7 @@
   /// The server with the shortest expected wait, if the servers that hold the model have a limit or
   /// a Retry-After in force; otherwise null.
   ServerPtr holder;
+  bool for_late_replicas = false; ///< All replicas of the model serve no request in time.
 };
 
 /// Why a request ended, for logs and counters.
@@ -81,6 +83,12 @@
   void TryDispatch();
 
   bool IsWaiting() const { return m_waiting; }
+  /// True if a server has got the request, or may have.
+  bool HasBeenSent() const { return m_arrivals > 0 || m_may_have_run || m_stream_begun; }
+  /// How long the caller still waits for the first data of a response.
+  Common::Milliseconds PatienceLeft(Common::TimePoint now) const;
+  /// The current attempt, until its first event.
+  ReplicaAttempt Attempt() const { return m_attempt; }
   /// The server that has the request, or is about to get it; null if there is none.
   const ServerPtr& AssignedServer() const { return m_server; }
   /// True if the request is on a direct connection and its server has sent nothing for so long that
@@ -315,6 +323,7 @@
   /// Those of m_tried_servers that rejected the request with a Retry-After.
   std::set<InstanceId> m_deferred_by;
   Common::TimePoint m_sent_at; ///< To the current server.
+  ReplicaAttempt m_attempt = ReplicaAttempt::None;
   /// When the response head of the current server arrived.
   std::optional<Common::TimePoint> m_response_began_at;
   int m_broken_connections = 0; ///< While a server had the request.
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -112,6 +112,7 @@
   if (events.empty())
     return;
   m_received_events = true;
+  m_dispatcher.Late().NoteFirstEvent(std::exchange(m_attempt, ReplicaAttempt::None), Common::Now());
   m_writing_since = m_writing_since.value_or(Common::Now());
   if (Common::Now() - *m_writing_since >= WRITING_TIME)
     NoteWritten();
@@ -275,7 +276,11 @@
   if (!server_failed)
     m_server->Health().NoteSuccess(Common::Now());
   if (m_head.status >= 200 && m_head.status < 300)
+  {
+    m_dispatcher.Late().NoteFirstEvent(std::exchange(m_attempt, ReplicaAttempt::None),
+                                       Common::Now());
     NotePlainSuccess();
+  }
   const bool is_first_failure = server_failed && !m_saved_head;
   if (!server_failed || is_first_failure)
   {
--- a/Source/Core/Gateway/RelayWaiting.cpp
+++ b/Source/Core/Gateway/RelayWaiting.cpp
@@ -66,6 +66,13 @@
   return std::max(std::chrono::floor<Milliseconds>(since + limit - now), Milliseconds(0));
 }
 
+Milliseconds Relay::PatienceLeft(Common::TimePoint now) const
+{
+  const auto elapsed = std::chrono::ceil<Milliseconds>(now - m_arrived);
+  const auto until_deadline = std::chrono::floor<Milliseconds>(m_deadline - now);
+  return std::max(std::min(until_deadline, m_idle_timeout - elapsed), Milliseconds(0));
+}
+
 bool Relay::RefuseEarly()
 {
   const auto refusal =
@@ -82,6 +89,8 @@
   }
   m_retry_after = refusal->retry_after;
   LogEarlyRefusal(*refusal);
+  if (refusal->for_late_replicas)
+    m_dispatcher.NoteLateRejection(*this, *refusal);
   m_dispatcher.ExpectRetry(*this, refusal->retry_after);
   Refuse(refusal->why);
   return true;
--- a/Source/Core/Orders/PlanInputBuilder.cpp
+++ b/Source/Core/Orders/PlanInputBuilder.cpp
@@ -45,14 +45,14 @@
   return found->second;
 }
 
-void PlanInputBuilder::Configure(const Gateway::Pool& pool)
+void PlanInputBuilder::Configure(const Gateway::Pool& pool, bool observes_late_replicas)
 {
   const Gateway::ModelServerSpec& engine = *pool.model_server;
   m_memory_mb = engine.memory_mb;
   m_input.batch = engine.batch;
   m_input.rules = {Common::IsOn(Common::Mechanism::SpareReplicas),
                    Common::IsOn(Common::Mechanism::Turns),
-                   Common::IsOn(Common::Mechanism::DiskWait)};
+                   Common::IsOn(Common::Mechanism::DiskWait), observes_late_replicas};
   for (Decisions::PlannedModel& model : m_input.models)
   {
     model.listed = false;
--- a/Source/Core/Orders/PlanInputBuilder.h
+++ b/Source/Core/Orders/PlanInputBuilder.h
@@ -50,8 +50,9 @@
 class PlanInputBuilder
 {
 public:
-  /// Sets the pool's models and limits from the current configuration.
-  void Configure(const Gateway::Pool& pool);
+  /// Sets the pool's models and limits from the current configuration. `observes_late_replicas`:
+  /// daemons count requests at late replicas of this pool as waiting.
+  void Configure(const Gateway::Pool& pool, bool observes_late_replicas = false);
   /// Sets the region of each data centre. Applies to servers whose `SetHeld` is called later.
   void SetRegions(std::map<Common::DataCentreId, Common::RegionId> regions)
   {
