--- a/Source/Core/Decisions/PlaceShares.h
+++ b/Source/Core/Decisions/PlaceShares.h
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <unordered_map>
 #include <vector>
 
 #include "Common/Units.h"
@@ -26,7 +25,8 @@
 
 /// Chooses a server based only on the daemon's own open requests. Each daemon owns a share of the
 /// slots of all servers and uses it first, so that daemons that choose at the same moment choose
-/// different servers. docs/design/even-load.md
+/// different servers. Requests beyond the share are spread over all servers in proportion to their
+/// speeds. docs/design/even-load.md
 class PlaceShares
 {
 public:
@@ -36,18 +36,33 @@
 
   /// Returns the index of the chosen candidate; nullopt if all are at their limit. Pass all servers
   /// of the pool in any order, including unavailable ones with a limit of 0: the shares of the
-  /// daemons are disjoint only if all daemons pass the same servers with the same slots.
+  /// daemons are disjoint only if all daemons pass the same servers with the same slots. The cost
+  /// is linear in the servers while their list stays the same.
   std::optional<std::size_t> Choose(const std::vector<ShareCandidate>& candidates,
                                     Common::TimePoint now);
 
+  /// Whether the last choice was a free slot of this daemon's share, for metrics.
+  bool UsedOwnSlot() const { return m_used_own_slot; }
+
 private:
-  std::vector<std::int64_t> OwnSlots(const std::vector<ShareCandidate>& candidates) const;
-  std::uint64_t LastUse(const Common::VmId& server) const;
+  struct KnownServer
+  {
+    Common::VmId server;
+    std::size_t slots = 1;
+    std::int64_t own_slots = 0;
+    /// Position in the rotation: the cost of the requests that were sent to it. The lowest is next.
+    double turn = 0;
+  };
+
+  bool IsSameList(const std::vector<ShareCandidate>& candidates) const;
+  double TurnOf(const KnownServer& known) const;
+  void Rebuild(const std::vector<ShareCandidate>& candidates);
 
   std::size_t m_rank = 0;
   std::size_t m_daemons = 1;
-  std::uint64_t m_choices = 0;
-  /// The number of the last choice that returned the server.
-  std::unordered_map<Common::VmId, std::uint64_t> m_last_use;
+  bool m_is_current = false;
+  std::vector<KnownServer> m_servers; ///< In the order of the last candidates.
+  double m_turn = 0;                  ///< The highest that was chosen beyond the own slots.
+  bool m_used_own_slot = false;
 };
 } // namespace Decisions
--- a/Source/Core/Decisions/ServerSpeeds.cpp
+++ b/Source/Core/Decisions/ServerSpeeds.cpp
@@ -13,7 +13,7 @@
 {
 /// Time in which the weight of a response halves. Longer than the time between two responses of
 /// one server at a daemon with little traffic, short enough to follow a server that slows down.
-constexpr double HALF_LIFE_S = 5;
+constexpr double HALF_LIFE_S = 10;
 /// An estimate never counts as more than this number of responses, so that new ones keep a share.
 constexpr double LONGEST_MEMORY = 16;
 /// Number of average responses that each estimate is mixed with. One response that waited in the
