--- a/Source/Core/Gateway/EvenLoad.cpp
+++ b/Source/Core/Gateway/EvenLoad.cpp
@@ -17,16 +17,6 @@
 /// With fewer daemons, the requests of one of them are a good sample of a server's load.
 constexpr std::size_t MIN_DAEMONS_PER_SLOT = 2;
 
-/// Estimated speeds in this range count as average. They vary as much with how long requests wait
-/// at servers of equal speed, and would direct much of a clump's overflow to the same servers.
-constexpr double SLOWEST_AVERAGE = 0.9;
-constexpr double FASTEST_AVERAGE = 1.1;
-
-double SpeedIfNotAverage(double speed)
-{
-  return speed > SLOWEST_AVERAGE && speed < FASTEST_AVERAGE ? 1 : speed;
-}
-
 Common::VmId IdOf(const Server& server)
 {
   return Common::VmId(server.Entry().instance.Get());
@@ -145,7 +135,7 @@
       continue;
     candidates.servers.push_back(server);
     candidates.list.push_back({IdOf(*server), server->Entry().slots,
-                               SpeedIfNotAverage(state.speeds.SpeedOf(IdOf(*server), now)),
+                               state.speeds.SpeedOf(IdOf(*server), now),
                                server->InFlight(), is_eligible ? limit_of(*server) : 0,
                                !any_local || server->Entry().data_centre == m_data_centre});
   }
@@ -162,9 +152,7 @@
   const auto chosen = state.shares.Choose(candidates.list, now);
   if (!chosen)
     return nullptr;
-  const Decisions::ShareCandidate& candidate = candidates.list[*chosen];
-  ++(candidate.own_running < state.shares.OwnSlots(candidates.list)[*chosen] ? m_own_slot
-                                                                             : m_overflow);
+  ++(state.shares.UsedOwnSlot() ? m_own_slot : m_overflow);
   return candidates.servers[*chosen];
 }
 
@@ -175,23 +163,14 @@
     found->second.speeds.NoteResponse(IdOf(server), took, now);
 }
 
-std::int64_t EvenLoad::LargestExcess(Common::TimePoint now) const
+std::int64_t EvenLoad::LargestExcess() const
 {
   std::int64_t largest = 0;
-  for (const auto& [pool, state] : m_pools)
-  {
-    if (!state.active)
-      continue;
-    const Candidates candidates = CandidatesOf(
-        pool, state, {},
-        [](const Server&) {
-          return 0;
-        },
-        now);
-    const auto own = state.shares.OwnSlots(candidates.list);
-    for (std::size_t i = 0; i < candidates.list.size(); ++i)
-      largest = std::max<std::int64_t>(largest, candidates.list[i].own_running - own[i]);
-  }
+  for (const auto& [instance, server] : m_servers.All())
+    if (const auto found = m_pools.find(server->Entry().pool);
+        found != m_pools.end() && found->second.active)
+      largest = std::max<std::int64_t>(
+          largest, server->InFlight() - found->second.shares.OwnSlotsAt(IdOf(*server)));
   return largest;
 }
 
@@ -204,7 +183,7 @@
   metrics.SetGauge("place_share_own_slot", static_cast<double>(m_own_slot));
   metrics.SetGauge("place_share_overflow", static_cast<double>(m_overflow));
   metrics.SetGauge("place_share_other_routing", static_cast<double>(m_other_routing));
-  metrics.SetGauge("place_share_largest_excess", static_cast<double>(LargestExcess(now)));
+  metrics.SetGauge("place_share_largest_excess", static_cast<double>(LargestExcess()));
   if (m_totals_at)
     metrics.SetGauge("server_totals_age_ms",
                      std::chrono::duration<double, std::milli>(now - *m_totals_at).count());
--- a/Source/Core/Gateway/EvenLoad.h
+++ b/Source/Core/Gateway/EvenLoad.h
@@ -82,7 +82,7 @@
                           const std::vector<ServerPtr>& eligible, const LimitOf& limit_of,
                           Common::TimePoint now) const;
   /// The most requests of this daemon at a server beyond its own slots there.
-  std::int64_t LargestExcess(Common::TimePoint now) const;
+  std::int64_t LargestExcess() const;
 
   const ServerDirectory& m_servers;
   Common::VmId m_self;
