--- a/Source/Core/Decisions/PlaceShares.cpp
+++ b/Source/Core/Decisions/PlaceShares.cpp
@@ -14,9 +14,10 @@
 {
 /// Penalty for a server in another data centre, in requests, as in AffinityRouting.
 constexpr double REMOTE_PENALTY = 2;
-/// Servers whose speeds differ less than this from the average count as equal. A smaller factor
-/// follows the waits in the servers' queues, which response times contain.
-constexpr double SPEED_TOLERANCE = 1.4;
+/// Servers whose speeds differ less than this from the average count as equal, since response times
+/// contain the waits in the servers' queues. With 1.4, daemons with few requests did not detect
+/// servers at half of the speed (ratio 1.30 instead of 1.23 at 40 VMs).
+constexpr double SPEED_TOLERANCE = 1.25;
 
 /// Lag of a server behind the rotation, in requests at average speed. A server that could not be
 /// used for a while must not get all requests of all daemons when it returns.
--- a/Source/UnitTests/Decisions/Replays/EvenLoadTest.cpp
+++ b/Source/UnitTests/Decisions/Replays/EvenLoadTest.cpp
@@ -227,9 +227,13 @@
   CPPUNIT_TEST(RatioAtHighLoadAt78);
   CPPUNIT_TEST(RatioAtHighLoadAt1000);
   CPPUNIT_TEST(RatioAtUnevenSpeedsAt6);
+  CPPUNIT_TEST(RatioAtUnevenSpeedsAndHighLoadAt6);
   CPPUNIT_TEST(RatioAtUnevenSpeedsAt20);
+  CPPUNIT_TEST(RatioAtUnevenSpeedsAndHighLoadAt20);
   CPPUNIT_TEST(RatioAtUnevenSpeedsAt40);
+  CPPUNIT_TEST(RatioAtUnevenSpeedsAndHighLoadAt40);
   CPPUNIT_TEST(RatioAtUnevenSpeedsAt78);
+  CPPUNIT_TEST(RatioAtUnevenSpeedsAndHighLoadAt78);
   CPPUNIT_TEST(RatioAtUnevenSpeedsAt1000);
   CPPUNIT_TEST(RatioInBursts);
   CPPUNIT_TEST(RatioWithTwoSlowServersUpTo40);
@@ -295,25 +299,25 @@
   void RatioAtHighLoadAt78() { CheckRatio(With(78, 0.9), HIGH_LOAD_RATIO_BOUND); }
   void RatioAtHighLoadAt1000() { CheckRatio(With(1000, 0.9), HIGH_LOAD_RATIO_BOUND); }
 
-  /// A quarter of the servers is half as fast; also at high load.
-  void RatioAtUnevenSpeedsAt6()
+  /// A quarter of the servers is half as fast.
+  void RatioAtUnevenSpeedsAt6() { CheckRatio(With(6, 0.7, UNEVEN), RATIO_BOUND); }
+  void RatioAtUnevenSpeedsAndHighLoadAt6()
   {
-    CheckRatio(With(6, 0.7, UNEVEN), RATIO_BOUND);
     CheckRatio(With(6, 0.9, UNEVEN), HIGH_LOAD_RATIO_BOUND);
   }
-  void RatioAtUnevenSpeedsAt20()
+  void RatioAtUnevenSpeedsAt20() { CheckRatio(With(20, 0.7, UNEVEN), RATIO_BOUND); }
+  void RatioAtUnevenSpeedsAndHighLoadAt20()
   {
-    CheckRatio(With(20, 0.7, UNEVEN), RATIO_BOUND);
     CheckRatio(With(20, 0.9, UNEVEN), HIGH_LOAD_RATIO_BOUND);
   }
-  void RatioAtUnevenSpeedsAt40()
+  void RatioAtUnevenSpeedsAt40() { CheckRatio(With(40, 0.7, UNEVEN), RATIO_BOUND); }
+  void RatioAtUnevenSpeedsAndHighLoadAt40()
   {
-    CheckRatio(With(40, 0.7, UNEVEN), RATIO_BOUND);
     CheckRatio(With(40, 0.9, UNEVEN), HIGH_LOAD_RATIO_BOUND);
   }
-  void RatioAtUnevenSpeedsAt78()
+  void RatioAtUnevenSpeedsAt78() { CheckRatio(With(78, 0.7, UNEVEN), RATIO_BOUND); }
+  void RatioAtUnevenSpeedsAndHighLoadAt78()
   {
-    CheckRatio(With(78, 0.7, UNEVEN), RATIO_BOUND);
     CheckRatio(With(78, 0.9, UNEVEN), HIGH_LOAD_RATIO_BOUND);
   }
 
