--- a/Source/Core/Decisions/PlaceShares.cpp
+++ b/Source/Core/Decisions/PlaceShares.cpp
@@ -126,6 +126,16 @@
   return std::max(known.turn, m_turn - LONGEST_LAG);
 }
 
+std::vector<std::int64_t> PlaceShares::OwnSlots(const std::vector<ShareCandidate>& candidates)
+{
+  if (!m_is_current || !IsSameList(candidates))
+    Rebuild(candidates);
+  std::vector<std::int64_t> own;
+  for (const KnownServer& known : m_servers)
+    own.push_back(static_cast<std::int64_t>(known.own_slots));
+  return own;
+}
+
 std::optional<std::size_t> PlaceShares::Choose(const std::vector<ShareCandidate>& candidates,
                                                Common::TimePoint)
 {
--- a/Source/Core/Gateway/EvenLoad.cpp
+++ b/Source/Core/Gateway/EvenLoad.cpp
@@ -174,7 +174,7 @@
   return largest;
 }
 
-void EvenLoad::FillMetrics(Common::Metrics& metrics, Common::TimePoint now) const
+void EvenLoad::FillMetrics(Common::Metrics& metrics, Common::TimePoint now)
 {
   const auto active = std::ranges::count_if(m_pools, [](const auto& entry) {
     return entry.second.active;
--- a/Source/Core/Gateway/EvenLoad.h
+++ b/Source/Core/Gateway/EvenLoad.h
@@ -55,7 +55,7 @@
   void NoteServed(const Server& server, Common::Milliseconds took, Common::TimePoint now);
   /// Records that the totals of all daemons arrived.
   void NoteTotals(Common::TimePoint now) { m_totals_at = now; }
-  void FillMetrics(Common::Metrics& metrics, Common::TimePoint now) const;
+  void FillMetrics(Common::Metrics& metrics, Common::TimePoint now);
 
 private:
   struct PoolState
