Orders: an additional replica only for requests that waited for longer than the latency target

A request that waits for an adapter, or for a moment after a Retry-After, would have caused a load of its model from the weight store. Now only requests that wait for the model itself, for longer than the shortest latency target of the pool's routes, cause one (PlanRules::late_after). Delayed requests are reported without their adapter.

--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -287,16 +287,17 @@
     return IsServedLate(need) ? std::max(wanted, CountOf(need).replicas + 1) : wanted;
   }
 
-  /// True if requests wait although the replicas have free slots: the replicas serve none in time.
-  /// Requests that began to wait before the newest replica was loaded, or soon after, do not show
-  /// that this one is late too.
+  /// True if requests wait for too long although the replicas have free slots: the replicas serve
+  /// none in time. Requests that began to wait before the newest replica was loaded, or soon after,
+  /// do not show that this one is late too.
   bool IsServedLate(const Need& need) const
   {
-    if (!m_input.rules.replicas_for_late || need.demand->waiting == 0 || IsUnserved(need))
+    const Milliseconds waited = need.demand->oldest_wait_for_model;
+    if (!m_input.rules.late_after || waited <= *m_input.rules.late_after || IsUnserved(need))
       return false;
     const ReplicaCount& count = CountOf(need);
     return count.loading == 0 && need.demand->in_flight < count.replicas * m_input.batch &&
-           count.newest + LATE_REPLICA_SETTLING < m_input.now - need.demand->oldest_wait;
+           count.newest + LATE_REPLICA_SETTLING < m_input.now - waited;
   }
 
   bool IsUnderReplicated(const Need& need) const
--- a/Source/Core/Decisions/ReplicaPlan.h
+++ b/Source/Core/Decisions/ReplicaPlan.h
@@ -26,6 +26,8 @@
   double arrivals_per_second = 0;
   int in_flight = 0;             ///< Over all servers that may take the requests.
   Common::TimePoint last_wanted; ///< Time of the last request for it.
+  /// As `oldest_wait`, without requests that wait for an adapter.
+  Common::Milliseconds oldest_wait_for_model{0};
 };
 
 /// A model, and the demand for it that any server may serve.
@@ -103,10 +105,10 @@
   bool spare_replicas = true; ///< Keep a second replica of frequently requested models.
   bool turns = true;          ///< Models that wait too long may evict a model in use.
   bool disk_wait = true;      ///< Wait for a busy server with a copy on disk.
-  /// A model whose requests wait although its replicas have free slots gets an additional replica,
-  /// from the weight store if necessary. Set for pools whose daemons count requests at late
-  /// replicas as waiting.
-  bool replicas_for_late = false;
+  /// A model whose requests wait for longer than this although its replicas have free slots gets an
+  /// additional replica, from the weight store if necessary. Set for pools whose daemons count
+  /// requests at late replicas as waiting: the shortest latency target of their routes.
+  std::optional<Common::Milliseconds> late_after;
 };
 
 struct ReplicaPlanInput
--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -638,9 +638,12 @@
     const bool counts = relay->IsWaiting() || IsDelayed(*relay, now);
     if (!counts || relay->RequestedArtifact().model.Empty())
       continue;
-    const auto needs = DemandOf(*relay);
+    auto needs = DemandOf(*relay);
     if (!needs)
       continue;
+    // A delayed request has its adapter; it needs another replica of the model.
+    if (!relay->IsWaiting())
+      needs->artifact.adapter = AdapterId();
     ArtifactDemand& entry = at(*needs);
     ++entry.waiting;
     entry.priority = std::min(entry.priority, relay->Priority());
--- a/Source/Core/Gateway/LateReplicas.cpp
+++ b/Source/Core/Gateway/LateReplicas.cpp
@@ -29,12 +29,14 @@
 /// The least Retry-After, so that callers do not retry at once.
 constexpr Milliseconds MIN_RETRY_AFTER{100};
 
-std::optional<Milliseconds> ShortestTimeout(const Configuration& configuration, const PoolId& pool)
+/// The shortest of a time limit of the pool's routes.
+std::optional<Milliseconds> ShortestOf(Milliseconds Route::*limit,
+                                       const Configuration& configuration, const PoolId& pool)
 {
   std::optional<Milliseconds> shortest;
   for (const Route& route : configuration.routes)
     if (std::ranges::find(route.pools, pool, &WeightedPool::pool) != route.pools.end())
-      shortest = std::min(shortest.value_or(route.timeout), route.timeout);
+      shortest = std::min(shortest.value_or(route.*limit), route.*limit);
   return shortest;
 }
 
@@ -58,10 +60,18 @@
   if (found == configuration.pools.end() || !found->second.model_server ||
       found->second.model_server->batch < MIN_BATCH)
     return false;
-  const auto timeout = ShortestTimeout(configuration, pool);
+  const auto timeout = ShortestOf(&Route::timeout, configuration, pool);
   return timeout && UsualStoreLoad(*found->second.model_server) > *timeout * MIN_LOAD_TIMEOUTS;
 }
 
+std::optional<Milliseconds> LateReplicas::LateAfter(const Configuration& configuration,
+                                                    const PoolId& pool)
+{
+  if (!IsNeededFor(configuration, pool))
+    return std::nullopt;
+  return ShortestOf(&Route::latency_target, configuration, pool);
+}
+
 void LateReplicas::Configure(const Configuration& configuration)
 {
   std::set<PoolId> pools;
--- a/Source/Core/Gateway/LateReplicas.h
+++ b/Source/Core/Gateway/LateReplicas.h
@@ -41,6 +41,10 @@
   /// and its models load so slowly that no request can wait for a load.
   static bool IsNeededFor(const Configuration& configuration, const PoolId& pool);
 
+  /// The shortest latency target of the pool's routes if late replicas are observed there.
+  static std::optional<Common::Milliseconds> LateAfter(const Configuration& configuration,
+                                                       const PoolId& pool);
+
   explicit LateReplicas(const ServerDirectory& servers) : m_servers(servers) {}
 
   /// Called when a replica has become late.
--- a/Source/Core/Orders/OrderManager.cpp
+++ b/Source/Core/Orders/OrderManager.cpp
@@ -118,7 +118,7 @@
   {
     if (!pool.model_server)
       continue;
-    m_plan_inputs[id].Configure(pool, Gateway::LateReplicas::IsNeededFor(*m_configuration, id));
+    m_plan_inputs[id].Configure(pool, Gateway::LateReplicas::LateAfter(*m_configuration, id));
     m_plan_inputs[id].SetRegions(m_settings.regions);
   }
   m_server_refs.clear();
--- a/Source/Core/Orders/PlanInputBuilder.cpp
+++ b/Source/Core/Orders/PlanInputBuilder.cpp
@@ -45,14 +45,14 @@
   return found->second;
 }
 
-void PlanInputBuilder::Configure(const Gateway::Pool& pool, bool observes_late_replicas)
+void PlanInputBuilder::Configure(const Gateway::Pool& pool, std::optional<Milliseconds> late_after)
 {
   const Gateway::ModelServerSpec& engine = *pool.model_server;
   m_memory_mb = engine.memory_mb;
   m_input.batch = engine.batch;
   m_input.rules = {Common::IsOn(Common::Mechanism::SpareReplicas),
                    Common::IsOn(Common::Mechanism::Turns),
-                   Common::IsOn(Common::Mechanism::DiskWait), observes_late_replicas};
+                   Common::IsOn(Common::Mechanism::DiskWait), late_after};
   for (Decisions::PlannedModel& model : m_input.models)
   {
     model.listed = false;
@@ -131,7 +131,8 @@
     (record == nullptr ? m_input.models[At(model)].last_wanted : record->last_wanted) = now;
   if (line.waiting > 0)
     waiting.push_back({model, line.waiting, line.priority, now - Milliseconds(line.oldest_wait_ms),
-                       record == nullptr ? Gateway::PlacementConstraint() : line.constraint});
+                       record == nullptr ? Gateway::PlacementConstraint() : line.constraint,
+                       line.artifact.IsAdapter()});
 }
 
 bool PlanInputBuilder::ApplyDemand(const Common::VmId& daemon, const std::vector<DemandLine>& lines,
@@ -226,6 +227,7 @@
     model.waiting = 0;
     model.priority = 9;
     model.oldest_wait = Milliseconds(0);
+    model.oldest_wait_for_model = Milliseconds(0);
     model.in_flight = 0;
     model.arrivals_per_second = m_rates[i].At(now);
   }
@@ -251,6 +253,8 @@
   demand->last_wanted = now;
   demand->priority = std::min(demand->priority, line.priority);
   demand->oldest_wait = std::max(demand->oldest_wait, wait);
+  if (!line.for_adapter)
+    demand->oldest_wait_for_model = std::max(demand->oldest_wait_for_model, wait);
 }
 
 void PlanInputBuilder::UpdateUnserved(TimePoint now)
--- a/Source/Core/Orders/PlanInputBuilder.h
+++ b/Source/Core/Orders/PlanInputBuilder.h
@@ -50,9 +50,11 @@
 class PlanInputBuilder
 {
 public:
-  /// Sets the pool's models and limits from the current configuration. `observes_late_replicas`:
-  /// daemons count requests at late replicas of this pool as waiting.
-  void Configure(const Gateway::Pool& pool, bool observes_late_replicas = false);
+  /// Sets the pool's models and limits from the current configuration. `late_after`: set if daemons
+  /// count requests at late replicas of this pool as waiting, to its shortest latency target.
+  void Configure(const Gateway::Pool& pool,
+                 std::optional<Common::Milliseconds> late_after = std::nullopt);
+
   /// Sets the region of each data centre. Applies to servers whose `SetHeld` is called later.
   void SetRegions(std::map<Common::DataCentreId, Common::RegionId> regions)
   {
@@ -112,6 +114,7 @@
     int priority = 9;
     Common::TimePoint oldest_since;
     Gateway::PlacementConstraint constraint;
+    bool for_adapter = false;
   };
   struct BoundKey
   {
--- a/Source/UnitTests/Decisions/Replays/LateReplicaTest.cpp
+++ b/Source/UnitTests/Decisions/Replays/LateReplicaTest.cpp
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <cstdlib>
+#include <iostream>
 #include <optional>
 #include <string>
 #include <vector>
@@ -72,7 +74,8 @@
   {
     for (std::size_t i = 0; i < SERVERS; ++i)
       m_servers[i].loaded = i < load.replicas;
-    m_plan.rules.replicas_for_late = load.new_rule;
+    if (load.new_rule)
+      m_plan.rules.late_after = TARGET;
     m_plan.batch = BATCH;
     m_plan.models.resize(1);
     m_plan.models[0].memory_mb = 70;
@@ -235,7 +238,7 @@
     m_plan.now = Now();
     Decisions::PlannedModel& model = m_plan.models[0];
     model.waiting = 0;
-    model.oldest_wait = Milliseconds(0);
+    model.oldest_wait = model.oldest_wait_for_model = Milliseconds(0);
     model.in_flight = static_cast<int>(m_open.size());
     model.arrivals_per_second = m_now < ARRIVALS_FOR ? 4.5 : 0.5;
     model.last_wanted = Now();
@@ -248,6 +251,7 @@
         continue;
       ++model.waiting;
       model.oldest_wait = std::max(model.oldest_wait, waited);
+      model.oldest_wait_for_model = model.oldest_wait;
     }
     m_result.most_counted = std::max(m_result.most_counted, model.waiting);
     int loading = 0;
@@ -317,6 +321,8 @@
       load.daemons = daemons;
       const Result result = Replay(load).Run();
       const std::string text = std::to_string(daemons) + " daemons: " + result.Text();
+      if (std::getenv("DRUMPOND_PRINT_REPLAYS") != nullptr)
+        std::cout << text << "\n";
       const int before_known = static_cast<int>(ARRIVALS * (TIMEOUT / 2 + STEP) / ARRIVALS_FOR) + 1;
       const int bound = before_known + static_cast<int>(daemons) * 3;
       CPPUNIT_ASSERT_EQUAL_MESSAGE(text, ARRIVALS, result.served + result.lost);
--- a/Source/UnitTests/Orders/PlanInputBuilderTest.cpp
+++ b/Source/UnitTests/Orders/PlanInputBuilderTest.cpp
@@ -4,7 +4,9 @@
 #include "Orders/PlanInputBuilder.h"
 
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -25,7 +27,7 @@
 class PlanFixture
 {
 public:
-  PlanFixture()
+  explicit PlanFixture(std::optional<Milliseconds> late_after = std::nullopt)
   {
     Gateway::Pool pool;
     pool.id = Gateway::PoolId("p");
@@ -35,7 +37,7 @@
     for (const char* name : {"wanted", "other"})
       engine.models[ModelId(name)] = {ModelId(name), 70, FROM_STORE, FROM_DISK, FROM_DISK, 0, 1};
     pool.model_server = engine;
-    builder.Configure(pool);
+    builder.Configure(pool, late_after);
     builder.SetServers({MakeServer("busy", true), MakeServer("idle", false)}, m_in_flight_totals);
     for (const auto server : {BUSY, IDLE})
       builder.SetHeld(server, {});
@@ -43,11 +45,17 @@
   }
 
   /// Reports one request that has waited for `waited`, from a different daemon each time.
-  void ReportWaiting(Milliseconds waited, Common::TimePoint now)
+  void ReportWaiting(Milliseconds waited, Common::TimePoint now, const char* adapter = "")
   {
     const Common::VmId daemon("vm-" + std::to_string(m_daemons++));
-    builder.ApplyDemand(
-        daemon, {{Gateway::PoolId("p"), {ModelId("wanted"), {}}, 1, 0, waited.count(), 1}}, now);
+    builder.ApplyDemand(daemon,
+                        {{Gateway::PoolId("p"),
+                          {ModelId("wanted"), Gateway::AdapterId(adapter)},
+                          1,
+                          0,
+                          waited.count(),
+                          1}},
+                        now);
     if (m_daemons > 1)
       builder.DropDaemon(Common::VmId("vm-" + std::to_string(m_daemons - 2)));
   }
@@ -81,6 +89,10 @@
   CPPUNIT_TEST_SUITE(PlanInputBuilderTest);
   CPPUNIT_TEST(UnservedTimeSpansSuccessiveRequests);
   CPPUNIT_TEST(UnservedTimeRestartsAfterAGapInDemand);
+  CPPUNIT_TEST(LateReplicaGetsAnotherFromTheWeightStore);
+  CPPUNIT_TEST(WaitingForAnAdapterIsNoLateReplica);
+  CPPUNIT_TEST(ReplicaIsNotReplacedOutsideTheCondition);
+  CPPUNIT_TEST(NewReplicaIsNotLateAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
   /// A model was never served although 30 to 72 requests were waiting for it at any time. The only
@@ -112,6 +124,47 @@
     fixture.ReportWaiting(Milliseconds(100), later);
     CPPUNIT_ASSERT(fixture.Plan(later).orders.empty());
   }
+
+  /// The orders while the busy server has held the model for `held_for` and a request waits.
+  static std::vector<Decisions::PlannedOrder>
+  OrdersBesideAReplica(std::optional<Milliseconds> late_after, Milliseconds held_for,
+                       const char* adapter = "")
+  {
+    PlanFixture fixture(late_after);
+    fixture.builder.SetHeld(PlanFixture::BUSY, {{ModelId("wanted"), START - held_for}});
+    fixture.ReportWaiting(Milliseconds(900), START, adapter);
+    return fixture.Plan(START).orders;
+  }
+
+  /// 36 requests were lost at the only replica of a model, which served none in time. Additional
+  /// replicas were loaded only from disk, and no other server had a copy.
+  void LateReplicaGetsAnotherFromTheWeightStore()
+  {
+    const auto orders = OrdersBesideAReplica(Milliseconds(700), std::chrono::minutes(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
+    CPPUNIT_ASSERT(orders[0].server == PlanFixture::IDLE);
+    CPPUNIT_ASSERT(orders[0].source == Decisions::WeightSource::WeightStore);
+    CPPUNIT_ASSERT(OrdersBesideAReplica(Milliseconds(900), std::chrono::minutes(1)).empty());
+  }
+
+  void WaitingForAnAdapterIsNoLateReplica()
+  {
+    CPPUNIT_ASSERT(
+        OrdersBesideAReplica(Milliseconds(700), std::chrono::minutes(1), "adapter").empty());
+  }
+
+  void ReplicaIsNotReplacedOutsideTheCondition()
+  {
+    CPPUNIT_ASSERT(OrdersBesideAReplica(std::nullopt, std::chrono::minutes(1)).empty());
+  }
+
+  /// Requests that waited at the replica before it would cause one load after the other.
+  void NewReplicaIsNotLateAtOnce()
+  {
+    CPPUNIT_ASSERT(OrdersBesideAReplica(Milliseconds(700), Milliseconds(2500)).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1),
+                         OrdersBesideAReplica(Milliseconds(700), Milliseconds(3000)).size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlanInputBuilderTest);
