--- a/Source/Core/Decisions/PlaceShares.cpp
+++ b/Source/Core/Decisions/PlaceShares.cpp
@@ -12,8 +12,8 @@
 {
 namespace
 {
-/// Penalty for a server in another data centre, in requests. Below one request, so that the servers of
-/// a data centre with many callers do not queue requests while those of another have free slots.
+/// Penalty for a server in another data centre, in requests. Below one request, so that the servers
+/// of a data centre with many callers do not queue requests while those of another have free slots.
 constexpr double REMOTE_PENALTY = 0.5;
 /// Servers whose speeds differ less than this from the average count as equal, since response times
 /// contain the waits in the servers' queues. With 1.4, daemons with few requests did not detect
@@ -126,16 +126,6 @@
   return std::max(known.turn, m_turn - LONGEST_LAG);
 }
 
-std::vector<std::int64_t> PlaceShares::OwnSlots(const std::vector<ShareCandidate>& candidates)
-{
-  if (!m_is_current || !IsSameList(candidates))
-    Rebuild(candidates);
-  std::vector<std::int64_t> own;
-  for (const KnownServer& known : m_servers)
-    own.push_back(static_cast<std::int64_t>(known.own_slots));
-  return own;
-}
-
 std::optional<std::size_t> PlaceShares::Choose(const std::vector<ShareCandidate>& candidates,
                                                Common::TimePoint)
 {
--- a/Source/Core/Decisions/PlaceShares.h
+++ b/Source/Core/Decisions/PlaceShares.h
@@ -42,11 +42,8 @@
                                     Common::TimePoint now);
   /// The number of slots of the server that this daemon owned at the last choice.
   std::int64_t OwnSlotsAt(const Common::VmId& server) const;
-
   /// Whether the last choice was a free slot of this daemon's share, for metrics.
   bool UsedOwnSlot() const { return m_used_own_slot; }
-  /// The number of slots of each candidate that this daemon owns.
-  std::vector<std::int64_t> OwnSlots(const std::vector<ShareCandidate>& candidates);
 
 private:
   struct KnownServer
--- a/Source/Core/Gateway/EvenLoad.cpp
+++ b/Source/Core/Gateway/EvenLoad.cpp
@@ -135,8 +135,8 @@
       continue;
     candidates.servers.push_back(server);
     candidates.list.push_back({IdOf(*server), server->Entry().slots,
-                               state.speeds.SpeedOf(IdOf(*server), now),
-                               server->InFlight(), is_eligible ? limit_of(*server) : 0,
+                               state.speeds.SpeedOf(IdOf(*server), now), server->InFlight(),
+                               is_eligible ? limit_of(*server) : 0,
                                !any_local || server->Entry().data_centre == m_data_centre});
   }
   return candidates;
@@ -169,8 +169,8 @@
   for (const auto& [instance, server] : m_servers.All())
     if (const auto found = m_pools.find(server->Entry().pool);
         found != m_pools.end() && found->second.active)
-      largest = std::max<std::int64_t>(
-          largest, server->InFlight() - found->second.shares.OwnSlotsAt(IdOf(*server)));
+      largest = std::max<std::int64_t>(largest, server->InFlight() -
+                                                    found->second.shares.OwnSlotsAt(IdOf(*server)));
   return largest;
 }
 
--- a/Source/UnitTests/Decisions/Replays/EvenLoadTest.cpp
+++ b/Source/UnitTests/Decisions/Replays/EvenLoadReplayTest.cpp
@@ -211,9 +211,9 @@
   CPPUNIT_ASSERT_MESSAGE(Text("totals", settings, result), result.Ratio() > bound);
 }
 
-class EvenLoadTest : public CppUnit::TestFixture
+class EvenLoadReplayTest : public CppUnit::TestFixture
 {
-  CPPUNIT_TEST_SUITE(EvenLoadTest);
+  CPPUNIT_TEST_SUITE(EvenLoadReplayTest);
   CPPUNIT_TEST(TotalsExceedTheBounds);
   CPPUNIT_TEST(OtherPolicies);
   CPPUNIT_TEST(RatioAt6);
@@ -367,5 +367,5 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(EvenLoadTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(EvenLoadReplayTest);
 } // namespace
