--- a/Source/UnitTests/Decisions/Replays/EvenLoadReplayTest.cpp
+++ b/Source/UnitTests/Decisions/Replays/EvenLoadReplayTest.cpp
@@ -78,7 +78,8 @@
       routes[i].own_running = candidates[i].own_running;
       // In hundredths, so that weights need no other routing.
       routes[i].reported_running =
-          candidates[i].own_running * 100 + static_cast<std::int64_t>(totals[i] * m_weight * 100);
+          candidates[i].own_running * 100 +
+          static_cast<std::int64_t>(static_cast<double>(totals[i]) * m_weight * 100);
       routes[i].limit = candidates[i].limit;
     }
     return m_routing.Choose(routes, {}, m_random);
--- a/Source/UnitTests/Gateway/LateReplicasTest.cpp
+++ b/Source/UnitTests/Gateway/LateReplicasTest.cpp
@@ -18,7 +18,6 @@
 {
 using namespace Gateway;
 using Common::Milliseconds;
-using UnitTests::Answer;
 using UnitTests::Chunk;
 using UnitTests::Event;
 using UnitTests::HeaderOf;
