Decisions: one place closes a request of a replica

NoteFirstEvent, NoteEnded and NoteGivenUp each looked up the replica and its open request. Close() does it for all three.

--- a/Source/Core/Decisions/ReplicaProgress.cpp
+++ b/Source/Core/Decisions/ReplicaProgress.cpp
@@ -50,39 +50,40 @@
   m_replicas[replica].open[request] = now;
 }
 
-void ReplicaProgress::NoteFirstEvent(const ReplicaId& replica, std::uint64_t request, TimePoint now)
+std::optional<ReplicaProgress::ClosedRequest> ReplicaProgress::Close(const ReplicaId& replica,
+                                                                     std::uint64_t request)
 {
   const auto found = m_replicas.find(replica);
   if (found == m_replicas.end())
+    return std::nullopt;
+  const auto sent = found->second.open.extract(request);
+  if (sent.empty())
+    return std::nullopt;
+  return ClosedRequest{found->second, sent.mapped()};
+}
+
+void ReplicaProgress::NoteFirstEvent(const ReplicaId& replica, std::uint64_t request, TimePoint now)
+{
+  const auto closed = Close(replica, request);
+  if (!closed)
     return;
-  State& state = found->second;
-  const auto sent = state.open.find(request);
-  if (sent == state.open.end())
-    return;
-  state.last = FirstEvent{now, Between(sent->second, now)};
-  state.given_up.reset();
-  state.open.erase(sent);
+  closed->state.last = FirstEvent{now, Between(closed->sent_at, now)};
+  closed->state.given_up.reset();
 }
 
 void ReplicaProgress::NoteEnded(const ReplicaId& replica, std::uint64_t request)
 {
-  const auto found = m_replicas.find(replica);
-  if (found != m_replicas.end())
-    found->second.open.erase(request);
+  Close(replica, request);
 }
 
 void ReplicaProgress::NoteGivenUp(const ReplicaId& replica, std::uint64_t request, TimePoint now)
 {
-  const auto found = m_replicas.find(replica);
-  if (found == m_replicas.end())
-    return;
-  State& state = found->second;
-  const auto sent = state.open.find(request);
-  if (sent == state.open.end())
+  const auto closed = Close(replica, request);
+  if (!closed)
     return;
-  const auto waited = Between(std::max(sent->second, m_discarded_at), now);
-  state.open.erase(sent);
-  state.given_up = GivenUp{now, state.given_up ? std::max(state.given_up->waited, waited) : waited};
+  const auto waited = Between(std::max(closed->sent_at, m_discarded_at), now);
+  std::optional<GivenUp>& given_up = closed->state.given_up;
+  given_up = GivenUp{now, given_up ? std::max(given_up->waited, waited) : waited};
 }
 
 void ReplicaProgress::NoteTick(TimePoint now)
--- a/Source/Core/Decisions/ReplicaProgress.h
+++ b/Source/Core/Decisions/ReplicaProgress.h
@@ -18,9 +18,7 @@
 /// event yet, and the latest first event. Shows which replicas serve no request in time.
 ///
 /// Guards against this load pattern: servers with large batches accept all requests of a replica
-/// that has stopped serving them, so that none of them waits at a VM. On one recorded day 36
-/// requests for a model arrived within 8 s at its only replica, which served none in time, while
-/// other servers were idle.
+/// that has stopped serving them, so that none of them waits at a VM and no other server gets them.
 class ReplicaProgress
 {
 public:
@@ -78,7 +76,15 @@
     std::optional<GivenUp> given_up;
   };
 
+  struct ClosedRequest
+  {
+    State& state; ///< Of its replica.
+    Common::TimePoint sent_at;
+  };
+
   const State* Find(const ReplicaId& replica) const;
+  /// Removes the request from the open ones; no value if it is not open.
+  std::optional<ClosedRequest> Close(const ReplicaId& replica, std::uint64_t request);
   /// How long the oldest request has been without a first event.
   std::optional<Common::Milliseconds> OldestWait(const State& state, Common::TimePoint now) const;
 
