Decisions: no rule that only a test calls

ShouldReject() was used by the replay alone, while the dispatcher decides by MayTakeRequest(). The replay now uses the same function as the dispatcher.

--- a/Source/Core/Decisions/LateReplicaRules.h
+++ b/Source/Core/Decisions/LateReplicaRules.h
@@ -3,10 +3,8 @@
 
 #pragma once
 
-#include <algorithm>
 #include <cstddef>
 #include <optional>
-#include <span>
 
 #include "Common/Units.h"
 
@@ -33,13 +31,4 @@
     return true;
   return !any_in_time && replica.expected.value_or(Common::Milliseconds(0)) <= patience;
 }
-
-/// True if a request is to be rejected now: all replicas are late, and none of them is expected to
-/// serve it while its caller waits. False without replicas.
-inline bool ShouldReject(std::span<const ReplicaView> replicas, Common::Milliseconds patience)
-{
-  return !replicas.empty() && std::ranges::none_of(replicas, [&](const ReplicaView& replica) {
-    return MayTakeRequest(replica, false, patience);
-  });
-}
 } // namespace Decisions
--- a/Source/UnitTests/Decisions/Replays/LateReplicaTest.cpp
+++ b/Source/UnitTests/Decisions/Replays/LateReplicaTest.cpp
@@ -194,7 +194,10 @@
         holders.push_back(i);
         views.push_back(m_load.new_rule ? View(daemon, i) : ReplicaView());
       }
-    if (Decisions::ShouldReject(views, TIMEOUT))
+    const bool any_may_serve = std::ranges::any_of(views, [](const ReplicaView& view) {
+      return Decisions::MayTakeRequest(view, false, TIMEOUT);
+    });
+    if (!views.empty() && !any_may_serve)
     {
       Reject(daemon, arrival);
       return;
