Gateway: whether replicas are late is determined once for each check

CheckEarlyRefusal asked for each server whether any replica of the model is late, which goes through all observed replicas. The answer does not depend on the server, so it is now asked once before the loop.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -331,6 +331,7 @@
   std::vector<ServerPtr> brittle_holders;
   std::optional<Decisions::WeightSource> nearest_unlimited;
   bool any_late_holder = false;
+  const bool may_be_too_late = !relay.HasBeenSent() && MustAvoidLateReplicas(relay, now);
   for (const auto& [instance, server] : m_servers.All())
   {
     if (server->Entry().pool != relay.SelectedPool() || !server->AcceptsRequests(now) ||
@@ -338,7 +339,7 @@
       continue;
     const bool holds = model.Empty() || server->HoldsModel(model);
     const bool must_wait = server->Limit() || server->GetBackoff().IsRetryAfterActive(now);
-    if (holds && !must_wait && IsTooLate(relay, *server, now))
+    if (holds && !must_wait && may_be_too_late && IsTooLate(relay, *server, now))
     {
       any_late_holder = true;
       continue;
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -307,8 +307,8 @@
                                        Common::TimePoint now) const;
   /// The servers that must not get the request because their replica is late.
   std::set<const Server*> ServersToAvoid(const Relay& relay, Common::TimePoint now);
-  /// True if the server's replica is late and not expected to serve the request, which has not been
-  /// sent yet, while its caller waits.
+  /// True if the server's replica is late and not expected to serve the request while its caller
+  /// waits.
   bool IsTooLate(const Relay& relay, const Server& server, Common::TimePoint now) const;
   /// `nearest`: the fastest source from which another server could load the weights.
   EarlyRefusal RefusalForLateReplicas(const Relay& relay, const ModelSpec& spec,
--- a/Source/Core/Gateway/DispatcherReplicas.cpp
+++ b/Source/Core/Gateway/DispatcherReplicas.cpp
@@ -72,8 +72,7 @@
 
 bool Dispatcher::IsTooLate(const Relay& relay, const Server& server, Common::TimePoint now) const
 {
-  return !relay.HasBeenSent() && MustAvoidLateReplicas(relay, now) &&
-         !Decisions::MayTakeRequest(ReplicaViewOf(relay, server, now), false,
+  return !Decisions::MayTakeRequest(ReplicaViewOf(relay, server, now), false,
                                     relay.PatienceLeft(now));
 }
 
