Gateway: ModelSpec knows the load time from each source

DispatcherReplicas.cpp and OrderManager.cpp each had the same switch. A model that the configuration does not list still counts as loaded at once.

--- a/Source/Core/Gateway/DispatcherReplicas.cpp
+++ b/Source/Core/Gateway/DispatcherReplicas.cpp
@@ -14,20 +14,6 @@
 namespace
 {
 using Common::Milliseconds;
-
-Milliseconds LoadTime(const ModelSpec& spec, Decisions::WeightSource source)
-{
-  switch (source)
-  {
-  case Decisions::WeightSource::HostMemory:
-    return spec.load_from_host_memory;
-  case Decisions::WeightSource::Disk:
-    return spec.load_from_disk;
-  case Decisions::WeightSource::WeightStore:
-    break;
-  }
-  return spec.load_from_store;
-}
 } // namespace
 
 void Dispatcher::ConnectLateReplicas()
@@ -82,7 +68,7 @@
   const auto source = nearest.value_or(Decisions::WeightSource::WeightStore);
   EarlyRefusal refusal;
   refusal.retry_after = m_late_replicas.NextReplicaIn(
-      relay.SelectedPool(), relay.RequestedArtifact().model, LoadTime(spec, source), Common::Now());
+      relay.SelectedPool(), relay.RequestedArtifact().model, spec.LoadTime(source), Common::Now());
   refusal.why = "all replicas of the model serve no request in time";
   refusal.for_late_replicas = true;
   return refusal;
--- a/Source/Core/Gateway/Types.cpp
+++ b/Source/Core/Gateway/Types.cpp
@@ -18,6 +18,20 @@
   return RateLimits::ServerKey(std::bit_cast<std::int64_t>(hash));
 }
 
+Common::Milliseconds ModelSpec::LoadTime(Decisions::WeightSource source) const
+{
+  switch (source)
+  {
+  case Decisions::WeightSource::HostMemory:
+    return load_from_host_memory;
+  case Decisions::WeightSource::Disk:
+    return load_from_disk;
+  case Decisions::WeightSource::WeightStore:
+    break;
+  }
+  return load_from_store;
+}
+
 const ModelSpec* Pool::FindModel(const ModelId& model) const
 {
   if (!model_server)
--- a/Source/Core/Gateway/Types.h
+++ b/Source/Core/Gateway/Types.h
@@ -18,6 +18,7 @@
 
 #include "Accounts/Directory.h"
 #include "Common/Units.h"
+#include "Decisions/WeightCopies.h"
 #include "Http/ServerConnection.h"
 #include "Http/TcpStream.h"
 #include "RateLimits/Messages.h"
@@ -141,6 +142,8 @@
   Common::Milliseconds load_from_host_memory{0};
   int adapters = 0;
   double adapter_mb = 0;
+
+  Common::Milliseconds LoadTime(Decisions::WeightSource source) const;
 };
 
 /// Properties shared by all servers of a pool that run models.
--- a/Source/Core/Orders/OrderManager.cpp
+++ b/Source/Core/Orders/OrderManager.cpp
@@ -53,24 +53,6 @@
   }
   return "weight_store";
 }
-
-Milliseconds LoadTime(const Gateway::ModelServerSpec& engine, const ModelId& model,
-                      Decisions::WeightSource source)
-{
-  const auto found = engine.models.find(model);
-  if (found == engine.models.end())
-    return Milliseconds(0);
-  switch (source)
-  {
-  case Decisions::WeightSource::HostMemory:
-    return found->second.load_from_host_memory;
-  case Decisions::WeightSource::Disk:
-    return found->second.load_from_disk;
-  case Decisions::WeightSource::WeightStore:
-    break;
-  }
-  return found->second.load_from_store;
-}
 } // namespace
 
 const char* ToString(OrderResult result)
@@ -228,10 +210,10 @@
     return;
   }
   const auto pool = m_configuration->pools.find(server->Entry().pool);
-  const auto usual =
-      pool != m_configuration->pools.end() && pool->second.model_server
-          ? LoadTime(*pool->second.model_server, open.call.artifact.model, open.source)
-          : Milliseconds(0);
+  const Gateway::ModelSpec* spec = pool == m_configuration->pools.end()
+                                       ? nullptr
+                                       : pool->second.FindModel(open.call.artifact.model);
+  const auto usual = spec == nullptr ? Milliseconds(0) : spec->LoadTime(open.source);
   if (now - open.first_sent > usual * 2 + ORDER_TIMEOUT)
   {
     CloseOrder(server->Entry().instance, record, "given_up");
