--- a/Source/Tool/LogCommands.cpp
+++ b/Source/Tool/LogCommands.cpp
@@ -161,10 +161,7 @@
 std::vector<std::string> CountCells(const RequestAccount::Counts& counts,
                                     const std::vector<Fate>& fates)
 {
-  std::int64_t requests = 0;
-  for (const auto& [fate, count] : counts)
-    requests += count;
-  std::vector<std::string> cells{std::to_string(requests)};
+  std::vector<std::string> cells{std::to_string(RequestAccount::Total(counts))};
   std::ranges::transform(fates, std::back_inserter(cells), [&counts](Fate fate) {
     const auto found = counts.find(fate);
     return std::to_string(found == counts.end() ? 0 : found->second);
--- a/Source/Tool/RequestAccount.cpp
+++ b/Source/Tool/RequestAccount.cpp
@@ -161,14 +161,10 @@
 
 Common::Json CountsToJson(const RequestAccount::Counts& counts)
 {
-  std::int64_t requests = 0;
   Common::Json json = Common::Json::object();
   for (const auto& [fate, count] : counts)
-  {
     json[std::string(ToString(fate))] = count;
-    requests += count;
-  }
-  json["requests"] = requests;
+  json["requests"] = RequestAccount::Total(counts);
   json["lost"] = LostIn(counts);
   return json;
 }
@@ -261,6 +257,14 @@
   return Contains(line.why, "the deadline passed") ? Fate::EndedAtDeadline : Fate::FailedAtServer;
 }
 
+std::int64_t RequestAccount::Total(const Counts& counts)
+{
+  std::int64_t total = 0;
+  for (const auto& [fate, count] : counts)
+    total += count;
+  return total;
+}
+
 void RequestAccount::AddRequest(const RequestLine& line)
 {
   m_suppressed_lines += line.suppressed;
--- a/Source/Tool/RequestAccount.h
+++ b/Source/Tool/RequestAccount.h
@@ -77,6 +77,8 @@
 public:
   using Counts = std::map<Fate, std::int64_t>;
 
+  static std::int64_t Total(const Counts& counts);
+
   struct Second
   {
     std::string second; ///< Such as "2026-12-02T16:00:00".
