--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -168,9 +168,9 @@
                      {{"reason", listening.Reason().detail}});
   m_members.OnChange([this] {
     m_origins.OnMembersChanged();
-    ApplyMembersToPlaces();
+    ApplyMembers();
   });
-  ApplyMembersToPlaces();
+  ApplyMembers();
   m_origins.Start();
   UpdateSharedBudgets();
   SetPollWaits();
@@ -179,7 +179,7 @@
   return Common::Done{};
 }
 
-void Hub::ApplyMembersToPlaces()
+void Hub::ApplyMembers()
 {
   constexpr int PORT_BITS = 16;
   const auto key_of = [](const Http::Endpoint& daemon) {
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -187,8 +187,9 @@
   UpdatePosition PositionOf(Peer& peer, Common::TimePoint now) const;
   /// At the holder: informs each known daemon of others that may open tunnels for it.
   void SendHelpers(std::span<const Fleet::ListedDaemon> known, Common::TimePoint now);
-  /// Sets the daemons that divide the places at brittle servers without a holder.
-  void ApplyMembersToPlaces();
+  /// Passes on the list of running daemons: they divide the slots of servers that many daemons use,
+  /// and without a holder the places at brittle servers.
+  void ApplyMembers();
   void OnNotice(std::string_view bytes, const Http::Endpoint& from);
   /// The daemons that reach no server directly, as last reported.
   std::set<Http::Endpoint> DaemonsWithoutServers() const;
