--- a/Source/Core/Decisions/PlaceShares.cpp
+++ b/Source/Core/Decisions/PlaceShares.cpp
@@ -16,8 +16,8 @@
 /// of a data centre with many callers do not queue requests while those of another have free slots.
 constexpr double REMOTE_PENALTY = 0.5;
 /// Servers whose speeds differ less than this from the average count as equal, since response times
-/// contain the waits in the servers' queues. With 1.4, daemons with few requests did not detect
-/// servers at half of the speed (ratio 1.30 instead of 1.23 at 40 VMs).
+/// contain the waits in the servers' queues. A wider range hides servers at half of the speed from
+/// daemons that see few of their responses.
 constexpr double SPEED_TOLERANCE = 1.25;
 
 /// Lag of a server behind the rotation, in requests at average speed. A server that could not be
--- a/Source/Core/Gateway/LateReplicas.cpp
+++ b/Source/Core/Gateway/LateReplicas.cpp
@@ -17,8 +17,8 @@
 using Common::Milliseconds;
 using Common::TimePoint;
 
-/// The smallest batch at which a late replica accepts all requests of a model: on the recorded day
-/// 36 requests arrived at one replica within 8 s.
+/// A late replica with a smaller batch soon has no free slot, so that further requests wait at VMs
+/// and count as demand.
 constexpr int MIN_BATCH = 32;
 /// A request cannot wait for a load that takes more than this many times its timeout, even if the
 /// load began before it arrived.
@@ -216,7 +216,6 @@
     return;
   }
   replica.late_since = now;
-  ++m_counters.became_late;
   Common::LogEvent(
       Common::LogLevel::Warning, "replica-late",
       {{"instance", replica.instance},
--- a/Source/Core/Gateway/LateReplicas.h
+++ b/Source/Core/Gateway/LateReplicas.h
@@ -33,7 +33,6 @@
 public:
   struct Counters
   {
-    std::int64_t became_late = 0;
     std::int64_t rejected = 0; ///< Requests rejected because all replicas were late.
   };
 
