--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,5 +3,9 @@
 # SPDX-License-Identifier: Apache-2.0
 #
 # Needs the build of deploy/system.toml and review/build.sh. Writes record.txt.
-cd "$(dirname "$0")/../.." || exit 2
-exec timeout -k 2 115 target/review/case-1 review/1
+folder=$(cd "$(dirname "$0")" && pwd)
+cd "$folder/../.." || exit 2
+timeout -k 2 115 "target/review/case-$(basename "$folder")" "$folder"
+status=$?
+[ "$status" -le 1 ] && exit "$status"
+exit 2
