--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -16,11 +16,11 @@
 constexpr int DAEMONS = 6;
 constexpr int CALLERS_PER_DAEMON = 5;
 constexpr int SERVERS = 3;
-constexpr int GARBLING_SERVERS = 2; ///< Share 0.6, rounded.
+constexpr int GARBLING_SERVERS = 1; ///< Share 0.33; the pages have 0.6 at most.
 constexpr double SURPLUS_SHARE = 0.03;
 constexpr int SLOTS = 6;
 constexpr int QUEUE = 2;
-constexpr std::int64_t TRAFFIC_MS = 70000;
+constexpr std::int64_t TRAFFIC_MS = 80000;
 
 /// A place of a server's slots, and what it owes on its connections.
 struct Load
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-// Resumable streams whose model two servers hold: one server answers a request with status 500, as
+// Resumable streams. Of nine servers two hold their model: one server answers a request with status 500, as
 // servers that fail part of their requests do; the other begins the stream and crashes.
 
 #include "../support/Servers.h"
@@ -12,7 +12,8 @@
 
 constexpr int EVENTS_BEFORE_CRASH = 5;
 constexpr int EVENTS = 10;
-constexpr int ROUNDS = 8;
+constexpr int ROUNDS = 10;
+constexpr int SERVERS = 9;
 /// Requests of each round that no server fails, so that servers fail less than 0.4 of all.
 constexpr int SOUND_REQUESTS = 2;
 
@@ -31,7 +32,7 @@
 std::string RequestFor(const std::string& id)
 {
   return "POST /chat/x HTTP/1.1\r\nHost: app.example\r\nAttempt-Id: " + id +
-         "\r\nTime-Left-Ms: 12000\r\nContent-Length: 2\r\n\r\nhi";
+         "\r\nModel: m0\r\nTime-Left-Ms: 12000\r\nContent-Length: 2\r\n\r\nhi";
 }
 
 /// What a caller found wrong with an answer to a stream; empty if it is in the protocol. An answer
@@ -73,10 +74,24 @@
   Json route = RouteJson("chat", "/chat/", "streaming", "svc-model", 12000, 400, 2);
   route["resumable"] = true;
   route["gapAimMs"] = 300;
+  route["sticky"] = true;
+  // As in a small deployment, each server has room for one of these models.
+  Json service = ServiceJson("svc-model", 360);
+  Json models = Json::array();
+  for (int i = 0; i < SERVERS; ++i)
+    models.push_back({{"name", "m" + std::to_string(i)},
+                      {"weightsMb", 65000},
+                      {"loadS", 6.0},
+                      {"warmS", 0.4},
+                      {"diskS", 0.8},
+                      {"adapters", 0},
+                      {"adapterMb", 12}});
+  service["engine"] = {{"slots", 64},      {"kvTokens", 150000}, {"weightsMb", 100000},
+                       {"adapterSlots", 8}, {"loadsPerS", 3.1},   {"models", models}};
   store.Put("op", "config",
             {{"version", 7},
              {"routes", {route}},
-             {"services", {ServiceJson("svc-model", 360)}},
+             {"services", {service}},
              {"limits", LimitsJson()}});
 
   std::mutex mutex;
@@ -122,14 +137,15 @@
   int asked = 0;
   for (int round = 1; round <= ROUNDS; ++round)
   {
-    // Two new servers hold the model in each round.
+    // New servers in each round. Two of them hold the model.
     std::vector<std::shared_ptr<BackendServer>> servers;
-    for (int i = 1; i <= 2; ++i)
+    for (int i = 1; i <= SERVERS; ++i)
     {
       const int number = 10 * round + i;
       servers.push_back(std::make_shared<BackendServer>(
           "i-" + std::to_string(number), "svc-model", Address{net.Ip(100 + number), 8600},
           "zone-a", 64, handle));
+      servers.back()->Hold("m" + std::to_string(std::max(i - 2, 0)));
       if (!servers.back()->Start())
         return COULD_NOT_RUN;
     }
--- a/review/support/Servers.h
+++ b/review/support/Servers.h
@@ -53,15 +53,22 @@
   {
     if (m_crashed)
       return;
-    store.Put("servers", m_id,
-              {{"service", m_service},
-               {"address", m_address.Text()},
-               {"zone", m_zone},
-               {"version", "v1"},
-               {"slots", m_slots},
-               {"state", state},
-               {"coldLeftMs", 0},
-               {"seq", ++m_beats}});
+    Json entry = {{"service", m_service}, {"address", m_address.Text()}, {"zone", m_zone},
+                  {"version", "v1"},      {"slots", m_slots},            {"state", state},
+                  {"coldLeftMs", 0},      {"seq", ++m_beats}};
+    if (m_is_engine)
+    {
+      entry["stage"] = "combined";
+      entry["models"] = ModelsJson();
+    }
+    store.Put("servers", m_id, entry);
+  }
+
+  /// Makes it a server of models, which takes orders and reports what it holds.
+  void Hold(const std::string& model)
+  {
+    m_is_engine = true;
+    m_models.push_back(model);
   }
 
   /// An answer with the headers that every server sends.
@@ -75,6 +82,48 @@
   }
 
 private:
+  static constexpr std::int64_t LOAD_MS = 6000;
+
+  Json ModelsJson()
+  {
+    const std::lock_guard lock(m_mutex);
+    if (!m_loading.empty() && NowMs() >= m_loaded_at)
+      m_models.push_back(std::exchange(m_loading, {}));
+    Json models = Json::array();
+    for (const std::string& model : m_models)
+      models.push_back({{"name", model}, {"version", 1}, {"adapters", Json::array()}});
+    return models;
+  }
+
+  std::string Report(const Message& request)
+  {
+    const Json models = ModelsJson();
+    const std::lock_guard lock(m_mutex);
+    const Json report = {{"stage", "combined"}, {"models", models},  {"busy", !m_loading.empty()},
+                         {"seq", m_orders},     {"queued", 0},       {"running", 0},
+                         {"kvUsed", 0},         {"kvTotal", 100000}, {"handles", 0}};
+    return Answer(request, report.dump());
+  }
+
+  std::string TakeOrder(const Message& request)
+  {
+    (void)ModelsJson();
+    const Json order = Json::parse(request.body, nullptr, false);
+    const std::lock_guard lock(m_mutex);
+    if (!m_loading.empty() || (order.contains("expectedRev") && order["expectedRev"] != m_orders))
+      return Answer(request, "", "409 Conflict");
+    ++m_orders;
+    const std::string model = order.value("model", "");
+    if (order.value("operation", "") == "unload")
+      std::erase(m_models, model);
+    else
+    {
+      m_loading = model;
+      m_loaded_at = NowMs() + LOAD_MS;
+    }
+    return Answer(request, "", "202 Accepted");
+  }
+
   void Serve(int fd)
   {
     Reader reader(fd);
@@ -94,6 +143,12 @@
           return;
         continue;
       }
+      if (m_is_engine && (request.Target() == "/report" || request.Target() == "/order"))
+      {
+        if (!SendAll(fd, request.Target() == "/report" ? Report(request) : TakeOrder(request)))
+          return;
+        continue;
+      }
       if (!m_handler(*this, fd, request))
         return;
     }
@@ -106,6 +161,12 @@
   int m_slots;
   RequestHandler m_handler;
   std::int64_t m_beats = 0;
+  bool m_is_engine = false;
+  std::mutex m_mutex; ///< For what follows.
+  std::vector<std::string> m_models;
+  std::string m_loading; ///< Empty if no model is being loaded.
+  std::int64_t m_loaded_at = 0;
+  std::int64_t m_orders = 0;
   std::atomic<bool> m_crashed = false;
   Listener m_listener;
 };
