--- a/review/support/Daemons.h
+++ b/review/support/Daemons.h
@@ -12,6 +12,7 @@
 #include <iostream>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include "Store.h"
@@ -140,6 +141,8 @@
     m_pid = fork();
     if (m_pid != 0)
       return;
+    // If the case is ended from outside, the daemon ends too.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
