--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -211,6 +211,9 @@
                     trail[id]);
       }
     }
+    record.Line("all requests:");
+    for (const auto& [id, events] : trail)
+      record.Line(id + "\n" + events);
     record.Line(std::to_string(answers) + " answers of the servers, of which " +
                 std::to_string(rejections) + " were rejections; " +
                 std::to_string(surplus_answers) + " came a second time, of which " +
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -162,6 +162,7 @@
     for (int i = 1; i <= SOUND_REQUESTS; ++i)
     {
       const std::string id = "b" + std::to_string(round) + "-" + std::to_string(i);
+      record.Line("caller sends " + id);
       const auto answer = Ask(daemon.Settings().Front(), RequestFor(id));
       record.Line("caller got for " + id + ": " + (answer ? answer->first_line : "nothing whole"));
     }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -47,6 +47,8 @@
     return COULD_NOT_RUN;
 
   const auto handle = [&](BackendServer& server, int fd, const Message& request) {
+    record.Line("server " + server.Id() + " of " + server.Service() + " runs " +
+                request.Header("Attempt-Id"));
     SleepMs(5);
     return SendAll(fd, BackendServer::Answer(request, server.Service()));
   };
--- a/review/support/Daemons.h
+++ b/review/support/Daemons.h
@@ -27,7 +27,7 @@
   void Line(const std::string& text)
   {
     const std::lock_guard lock(m_mutex);
-    m_file << NowMs() << " ms  " << text << std::endl;
+    m_file << NowMs() << " ms  " << text << '\n' << std::flush;
   }
 
 private:
