--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,229 +1,202 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-// Non-idempotent requests under a load at which servers reject some as full. A few answers of the
-// servers, rejections among them, come a second time, late: where the next answer on the connection
-// is due. How often does each request run?
+// A resumable stream whose first runner answered 500 is begun at a second runner, which crashes.
+// Streams end with their connection, as the pages allow.
 
-#include <random>
+#include "../support/Clients.h"
 
-#include "../support/Servers.h"
+using namespace Review;
 
 namespace
 {
-using namespace Review;
+constexpr int STREAM_EVENTS = 60;
+constexpr std::int64_t EVENT_MS = 120;
+constexpr std::int64_t DEADLINE_MS = 15000;
+constexpr int REQUESTS = 200;
+constexpr std::int64_t REQUEST_INTERVAL_MS = 60;
+constexpr std::int64_t CRASH_AT_MS = 9000;
 
-constexpr int DAEMONS = 6;
-constexpr int CALLERS_PER_DAEMON = 5;
-constexpr int SERVERS = 3;
-constexpr int GARBLING_SERVERS = 1; ///< Share 0.33; the pages have 0.6 at most.
-constexpr double SURPLUS_SHARE = 0.03;
-constexpr int SLOTS = 6;
-constexpr int QUEUE = 2;
-constexpr std::int64_t TRAFFIC_MS = 80000;
+constexpr int CRASHING_RUNNER = 1;
 
-/// A place of a server's slots, and what it owes on its connections.
-struct Load
+std::atomic<bool> s_grey = false;
+std::atomic<bool> s_crashed = false;
+std::atomic<int> s_at_grey = 0;
+std::atomic<bool> s_stopped = false;
+
+std::string EventText(int event)
 {
-  std::mutex mutex;
-  std::condition_variable freed;
-  int running = 0;
-  int queued = 0;
-  std::map<int, std::string> late; ///< By connection: an answer that comes a second time.
-};
+  return "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
+}
+
+/// The body of the whole stream.
+std::string WholeBody()
+{
+  std::string body;
+  for (int event = 1; event <= STREAM_EVENTS; ++event)
+    body += EventText(event);
+  return body;
+}
+
+/// Streams the events after Last-Event-Id. The grey runner fails 40 in 100 of its requests.
+bool Stream(BackendServer& server, int fd, const Message& request, int number, Record& record)
+{
+  const std::string id = request.Header("Attempt-Id");
+  const int after = std::atoi(request.Header("Last-Event-Id").c_str());
+  if (number == 0 && s_grey && s_at_grey++ % 5 < 2)
+  {
+    record.Line("runner " + server.Id() + " fails " + id + " with 500");
+    return SendAll(fd, BackendServer::Answer(request, "failed", "500 Internal Server Error"));
+  }
+  record.Line("runner " + server.Id() + " streams " + id + " after event " + std::to_string(after));
+  if (!SendAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: " + server.Id() +
+                       "." + id +
+                       "\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"))
+    return false;
+  for (int event = after + 1; event <= STREAM_EVENTS && !s_stopped; ++event)
+  {
+    SleepMs(EVENT_MS);
+    if (number == CRASHING_RUNNER && s_crashed)
+    {
+      // The caller's thread closes the socket, which resets the connection.
+      const linger option{1, 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+      record.Line("runner " + server.Id() + " resets " + id + " after event " +
+                  std::to_string(event - 1));
+      return false;
+    }
+    if (!SendAll(fd, EventText(event)))
+      return false;
+  }
+  return false;
+}
 } // namespace
 
-int main(int, char** argv)
+int main(int, char** arguments)
 {
-  Record record(std::string(argv[1]) + "/record.txt");
-  const TemporaryFolder folder;
-  const LoopbackNet net;
+  const std::string folder = arguments[1];
+  Record record(folder + "/record.txt");
   const bool trouble = HasTrouble();
+  LoopbackNet net;
+  TemporaryFolder work;
   Store store;
-  const Address store_address{net.Ip(200), 8781};
+  const Address store_address{net.Ip(1), 8142};
   if (!store.Start(store_address))
     return COULD_NOT_RUN;
+  const Json zones = {{"a", "r"}, {"b", "r"}, {"c", "r"}};
 
-  std::mutex mutex;
-  std::map<std::string, std::vector<std::string>> runs; // By Attempt-Id: when and where it ran.
-  std::map<std::string, std::string> trail;             // By Attempt-Id: all that happened.
-  std::mt19937 random(1);
-  std::map<std::string, Load> loads;
-  int surplus_rejections = 0;
-  int surplus_answers = 0;
-  int rejections = 0;
-  int answers = 0;
-  const auto note = [&](const std::string& id, const std::string& what) {
-    const std::lock_guard lock(mutex);
-    trail[id] += "    " + std::to_string(NowMs()) + " ms " + what + "\n";
-  };
-  const auto handle = [&](BackendServer& server, int fd, const Message& request) {
-    const std::string id = request.Header("Attempt-Id");
-    Load& load = loads.at(server.Id());
-    std::string late;
-    {
-      const std::lock_guard lock(load.mutex);
-      late = std::exchange(load.late[fd], {});
-    }
-    if (!late.empty() && !SendAll(fd, late))
-      return false;
-    bool is_full = false;
-    {
-      std::unique_lock lock(load.mutex);
-      is_full = load.running >= SLOTS && load.queued >= QUEUE;
-      if (!is_full)
-      {
-        ++load.queued;
-        load.freed.wait(lock, [&] {
-          return load.running < SLOTS;
-        });
-        --load.queued;
-        ++load.running;
-      }
-    }
-    std::string answer;
-    if (is_full)
-    {
-      note(id, server.Id() + " rejects it on connection " + std::to_string(fd));
-      answer = BackendServer::Answer(request, "", "503 Service Unavailable", "Not-Run: 1\r\n");
-    }
-    else
-    {
-      note(id, server.Id() + " runs it, asked on connection " + std::to_string(fd));
-      {
-        const std::lock_guard lock(mutex);
-        runs[id].push_back(server.Id());
-      }
-      SleepMs(60);
-      answer = BackendServer::Answer(request, "made " + id);
-      const std::lock_guard lock(load.mutex);
-      --load.running;
-      load.freed.notify_one();
-    }
-    bool is_doubled = false;
-    {
-      const std::lock_guard lock(mutex);
-      ++answers;
-      rejections += is_full;
-      const bool garbles = trouble && server.Id() <= "i-" + std::to_string(GARBLING_SERVERS);
-      is_doubled = garbles && std::uniform_real_distribution<>()(random) < SURPLUS_SHARE;
-      surplus_answers += is_doubled;
-      surplus_rejections += is_doubled && is_full;
-    }
-    if (is_doubled)
-    {
-      note(id, server.Id() + " will send this answer once more, later, on connection " +
-                   std::to_string(fd));
-      const std::lock_guard lock(load.mutex);
-      load.late[fd] = answer;
-    }
-    else
-    {
-      const std::lock_guard lock(load.mutex);
-      load.late.erase(fd);
-    }
-    return SendAll(fd, answer);
-  };
-
-  std::vector<std::shared_ptr<BackendServer>> servers;
-  for (int i = 1; i <= SERVERS; ++i)
+  std::vector<std::shared_ptr<BackendServer>> runners;
+  for (int i = 0; i < 3; ++i)
   {
-    loads["i-" + std::to_string(i)];
-    servers.push_back(std::make_shared<BackendServer>(
-        "i-" + std::to_string(i), "svc-label", Address{net.Ip(100 + i), 8600},
-        "zone-" + std::to_string(i), SLOTS, handle));
-  }
-  for (const auto& server : servers)
-    if (!server->Start())
+    auto runner = std::make_shared<BackendServer>(
+        "i-" + std::to_string(i), "models", Address{net.Ip(20 + i), 8080},
+        std::string(1, static_cast<char>('a' + i)), 64,
+        [i, &record](BackendServer& server, int fd, const Message& request) {
+          return Stream(server, fd, request, i, record);
+        });
+    runner->Hold("m0");
+    if (!runner->Start())
       return COULD_NOT_RUN;
-  Heartbeats heartbeats(store, servers);
-  heartbeats.BeatAll();
-  store.Put(
-      "op", "config",
-      {{"version", 7},
-       {"routes", {RouteJson("label", "/label/", "non_idempotent", "svc-label", 2000, 300, 1)}},
-       {"services", {ServiceJson("svc-label", 100)}},
-       {"limits", LimitsJson()}});
+    runners.push_back(runner);
+  }
+  Heartbeats beats(store, runners);
+  beats.BeatAll();
+  Json route = RouteJson("chat", "/chat/", "streaming", "models", 15000, 400, 2);
+  route["sticky"] = true;
+  route["resumable"] = true;
+  route["gapAimMs"] = 300;
+  store.Put("op", "config",
+            {{"version", 7},
+             {"routes", Json::array({route})},
+             {"services", Json::array({EngineServiceJson("models", 64, {"m0"})})},
+             {"limits", LimitsJson()}});
+
   std::vector<std::unique_ptr<Daemon>> daemons;
-  for (int i = 1; i <= DAEMONS; ++i)
+  for (int i = 0; i < 3; ++i)
+  {
+    const std::string zone(1, static_cast<char>('a' + i));
     daemons.push_back(std::make_unique<Daemon>(
-        DaemonSettings{"entry-" + std::to_string(i), net.Ip(i),
-                       "zone-" + std::to_string(1 + i % 3), store_address, SmallBounds(),
-                       {{"zone-1", "r"}, {"zone-2", "r"}, {"zone-3", "r"}}},
-        folder.Path()));
-  for (const auto& daemon : daemons)
-    daemon->Start();
-  for (const auto& daemon : daemons)
-    if (!WaitFor(15000, [&] {
-          return IsReady(daemon->Settings());
-        }))
-      return COULD_NOT_RUN;
-  SleepMs(4000);
+        DaemonSettings{"front-" + zone, net.Ip(10 + i), zone, store_address, SmallBounds(), zones},
+        work.Path()));
+    daemons.back()->Start();
+  }
+  const bool ready = WaitFor(15000, [&] {
+    return std::ranges::all_of(daemons, [](const auto& daemon) {
+      return IsReady(daemon->Settings());
+    });
+  });
+  if (!ready)
+  {
+    record.Line("the daemons did not become ready");
+    return COULD_NOT_RUN;
+  }
+  SleepMs(2000);
+  const std::int64_t begin = NowMs();
+  record.Line("traffic begins");
+  s_grey = trouble;
 
-  std::atomic<int> sent = 0;
-  std::map<std::string, int> statuses; // By Attempt-Id; 0: no whole answer.
-  const std::int64_t until = NowMs() + TRAFFIC_MS;
-  const auto call = [&](const Daemon& daemon, int number) {
-    for (int i = 0; NowMs() < until; ++i)
-    {
-      const std::string id =
-          daemon.Settings().name + "-" + std::to_string(number) + "-" + std::to_string(i);
-      note(id, "sent to " + daemon.Settings().name);
-      ++sent;
-      const auto answer =
-          Ask(daemon.Settings().Front(),
-              "POST /label/x HTTP/1.1\r\nHost: app.example\r\nAttempt-Id: " + id +
-                  "\r\nTime-Left-Ms: 4000\r\nContent-Length: 5\r\n\r\nlabel",
-              4000);
-      const int status = answer ? answer->Status() : 0;
-      note(id, "the caller gets status " + std::to_string(status));
+  std::mutex mutex;
+  std::map<AnswerEnd, int> ends;
+  int wrong = 0;
+  const std::string whole_body = WholeBody();
+  std::vector<std::thread> clients;
+  std::thread crash;
+  if (trouble)
+    crash = std::thread([&] {
+      SleepMs(CRASH_AT_MS);
+      record.Line("runner i-1 crashes");
+      s_crashed = true;
+      SleepMs(2 * EVENT_MS);
+      runners[CRASHING_RUNNER]->Crash();
+    });
+  for (int i = 0; i < REQUESTS; ++i)
+  {
+    clients.emplace_back([&, i] {
+      const std::string id = "q" + std::to_string(i);
+      const auto& to = daemons[static_cast<std::size_t>(i) % daemons.size()]->Settings();
+      const Answer answer =
+          Request(to.Front(),
+                  RequestBytes("POST", "/chat/x", id, DEADLINE_MS,
+                               "Model: m0\r\nToken-Counts: 826,60\r\nPrompt-Prefix: 5c1e07a2:198,"
+                               "a" + std::to_string(1000 + i) + ":628\r\n",
+                               "hello"),
+                  DEADLINE_MS + 1000);
+      const bool is_wrong =
+          answer.status == 200 && answer.end == AnswerEnd::Whole && answer.body != whole_body;
       const std::lock_guard lock(mutex);
-      statuses[id] = status;
-    }
-  };
-  std::vector<std::thread> callers;
+      ++ends[answer.end];
+      wrong += is_wrong ? 1 : 0;
+      record.Line("client " + id + " by " + to.name + ": status " + std::to_string(answer.status) +
+                  ", " + ToString(answer.end) + ", " + std::to_string(answer.body.size()) +
+                  " of " + std::to_string(whole_body.size()) + " bytes");
+      if (is_wrong)
+        record.Line("  WRONG: it looks complete and ends with " +
+                    Json(answer.body.substr(answer.body.size() - std::min<std::size_t>(
+                                                                     answer.body.size(), 180)))
+                        .dump());
+    });
+    SleepMs(begin + (i + 1) * REQUEST_INTERVAL_MS - NowMs());
+  }
+  for (std::thread& client : clients)
+    client.join();
+  if (crash.joinable())
+    crash.join();
   for (const auto& daemon : daemons)
-    for (int i = 0; i < CALLERS_PER_DAEMON; ++i)
-      callers.emplace_back(call, std::cref(*daemon), i);
-  for (std::thread& caller : callers)
-    caller.join();
-  SleepMs(1000);
-
-  int twice = 0;
-  int refused = 0;
-  int served = 0;
   {
-    const std::lock_guard lock(mutex);
-    for (const auto& [id, status] : statuses)
-    {
-      served += status == 200;
-      const std::size_t times = runs.contains(id) ? runs.at(id).size() : 0;
-      const bool is_refused = status == 503 || status == 429 || status == 408 || status == 421;
-      if (times > 1)
-      {
-        ++twice;
-        record.Line("TWICE: " + id + " ran " + std::to_string(times) + " times\n" + trail[id]);
-      }
-      if (times > 0 && is_refused)
-      {
-        ++refused;
-        record.Line("REFUSED: " + id + " ran, and its caller was told that it had not\n" +
-                    trail[id]);
-      }
-    }
-    record.Line("all requests:");
-    for (const auto& [id, events] : trail)
-      record.Line(id + "\n" + events);
-    record.Line(std::to_string(answers) + " answers of the servers, of which " +
-                std::to_string(rejections) + " were rejections; " +
-                std::to_string(surplus_answers) + " came a second time, of which " +
-                std::to_string(surplus_rejections) + " were rejections");
-    record.Line(std::to_string(sent) + " requests sent, " + std::to_string(served) + " served, " +
-                std::to_string(twice) + " ran more than once, " + std::to_string(refused) +
-                " ran though refused");
+    int status = 0;
+    if (daemon->HasEnded(&status))
+      record.Line(daemon->Settings().name + " ended by itself");
   }
+  record.Line("ended in order: " + std::to_string(ends[AnswerEnd::Whole]) +
+              ", of these with status 200 and not the whole body: " + std::to_string(wrong) +
+              ", broken off: " + std::to_string(ends[AnswerEnd::BrokenOff]) +
+              ", timed out: " + std::to_string(ends[AnswerEnd::TimedOut]));
+  s_stopped = true;
   daemons.clear();
-  if (served == 0)
-    std::_Exit(COULD_NOT_RUN);
-  std::_Exit(twice + refused > 0 ? RULE_BROKEN : RULE_HELD);
+  for (const auto& runner : runners)
+    runner->Stop();
+  store.Stop();
+  const bool broken = wrong > 0;
+  record.Line(broken ? "MIXED is broken" : "MIXED held");
+  return broken ? RULE_BROKEN : RULE_HELD;
 }
