--- a/review/support/Engine.h
+++ b/review/support/Engine.h
@@ -69,6 +69,19 @@
             {"atHand", {{"inMemory", Json::array()}, {"onDisk", m_disk}}}};
   }
 
+  /// An order that it has received, whatever it answered.
+  struct Order
+  {
+    std::int64_t at = 0;
+    std::string holder;
+    std::int64_t fence = 0;
+  };
+  std::vector<Order> Orders()
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_received;
+  }
+
   /// Orders to load more than its memory can hold.
   int OrdersBeyondMemory()
   {
@@ -114,6 +127,7 @@
     const std::lock_guard lock(m_mutex);
     if (!order.is_object() || !order.contains("holder") || !order.contains("fence"))
       return 400;
+    m_received.push_back({NowMs(), order.value("holder", ""), order.value("fence", std::int64_t{0})});
     const std::string operation = order.value("operation", "");
     const std::string model = order.value("model", "");
     if (!m_loading.empty() || !m_unloading.empty())
@@ -246,6 +260,7 @@
   std::int64_t m_beats = 0;
   std::map<std::string, int> m_runs;
   int m_beyond = 0;
+  std::vector<Order> m_received;
   std::atomic<bool> m_stopped = false;
   std::thread m_worker;
   Listener m_listener;
--- a/review/support/Store.h
+++ b/review/support/Store.h
@@ -90,6 +90,15 @@
     return found == rows.end() || found->second.deleted ? 0 : found->second.version;
   }
 
+  /// The value of a row, as it was written; empty if it is absent.
+  std::string RowValue(const std::string& table, const std::string& key)
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto& rows = m_state.tables[table];
+    const auto found = rows.find(key);
+    return found == rows.end() || found->second.deleted ? "" : found->second.value;
+  }
+
   void SetFault(Fault fault)
   {
     m_fault = fault;
