--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -10,14 +10,14 @@
 
 namespace
 {
-constexpr std::size_t ANSWER_BYTES = 2000000;
+constexpr std::size_t ANSWER_BYTES = 500000;
 constexpr std::int64_t WORK_MS = 60;
 constexpr std::int64_t DEADLINE_MS = 4000;
 constexpr std::int64_t REQUEST_INTERVAL_MS = 500;
-/// A client reads so many bytes, then rests: 0.7 MB a second.
-constexpr std::size_t SLICE_BYTES = 14000;
+/// A client reads so many bytes, then rests: some 170 KB a second.
+constexpr std::size_t SLICE_BYTES = 3400;
 constexpr std::int64_t SLICE_MS = 20;
-constexpr int RECEIVE_BUFFER = 16384;
+constexpr int RECEIVE_BUFFER = 4096;
 /// The segment size of Ethernet; the loopback device's own is 64 KB.
 constexpr int SEGMENT_BYTES = 1460;
 constexpr std::int64_t GRACE_MS = 8000;
