Review: after a drill of the store two daemons act as lease holder, with fences that go back

Tried with six daemons and four runners: the lease holder is stopped and started as planned, and the store comes back from a copy 7 s old while it is down.

The cases stand in the order of their gravity now; that of the planned stop makes room.

--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,74 +1,73 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-// A resumable stream whose first runner answered 500 is begun at a second runner, which crashes.
-// Streams end with their connection, as the pages allow.
+// A machine is stopped and started as planned. Before it is back, the platform's store is away for a
+// moment and comes back from a copy some seconds old.
 
-#include "../support/Clients.h"
+#include "../support/Engine.h"
 
 using namespace Review;
 
 namespace
 {
-constexpr int STREAM_EVENTS = 60;
-constexpr std::int64_t EVENT_MS = 120;
+constexpr int DAEMONS = 6;
+constexpr int RUNNERS = 4;
+constexpr int MODELS = 14;
+constexpr std::int64_t BEAT_MS = 1200;
+constexpr std::int64_t TRAFFIC_MS = 40000;
+constexpr std::int64_t REQUEST_INTERVAL_MS = 120;
 constexpr std::int64_t DEADLINE_MS = 15000;
-constexpr int REQUESTS = 200;
-constexpr std::int64_t REQUEST_INTERVAL_MS = 60;
-constexpr std::int64_t CRASH_AT_MS = 9000;
+constexpr std::int64_t STOP_AT_MS = 12000;
+/// From the end of the process until it is started again.
+constexpr std::int64_t RESTART_MS = 3000;
+constexpr std::int64_t AWAY_MS = 300;
+/// From the return of the store until the process is started again.
+constexpr std::int64_t START_AFTER_MS = 300;
+constexpr std::int64_t COPY_AGE_MS = 7000;
+constexpr std::int64_t LEASE_MS = 3000;
+constexpr std::int64_t THAW_MS = 300;
 
-constexpr int CRASHING_RUNNER = 1;
-
-std::atomic<bool> s_grey = false;
-std::atomic<bool> s_crashed = false;
-std::atomic<int> s_at_grey = 0;
 std::atomic<bool> s_stopped = false;
 
-std::string EventText(int event)
+std::string ModelName(int number)
 {
-  return "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
+  return "m" + std::to_string(number);
 }
 
-/// The body of the whole stream.
-std::string WholeBody()
+/// What the orders that one runner received show.
+struct Verdict
 {
-  std::string body;
-  for (int event = 1; event <= STREAM_EVENTS; ++event)
-    body += EventText(event);
-  return body;
-}
+  int turns = 0;  ///< Orders of a holder within leaseMs after one of another holder.
+  int lower = 0;  ///< Orders with a fence below an earlier one.
+  int shared = 0; ///< Orders with a fence that another holder has used.
+};
 
-/// Streams the events after Last-Event-Id. The grey runner fails 40 in 100 of its requests.
-bool Stream(BackendServer& server, int fd, const Message& request, int number, Record& record)
+/// Judges the orders that one runner received, but for those right after the store's return.
+void Judge(Engine& runner, std::int64_t healed_at, Verdict& verdict, Record& record)
 {
-  const std::string id = request.Header("Attempt-Id");
-  const int after = std::atoi(request.Header("Last-Event-Id").c_str());
-  if (number == 0 && s_grey && s_at_grey++ % 5 < 2)
-  {
-    record.Line("runner " + server.Id() + " fails " + id + " with 500");
-    return SendAll(fd, BackendServer::Answer(request, "failed", "500 Internal Server Error"));
-  }
-  record.Line("runner " + server.Id() + " streams " + id + " after event " + std::to_string(after));
-  if (!SendAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: " + server.Id() +
-                       "." + id +
-                       "\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"))
-    return false;
-  for (int event = after + 1; event <= STREAM_EVENTS && !s_stopped; ++event)
+  Engine::Order before;
+  std::int64_t highest = 0;
+  std::map<std::int64_t, std::string> holder_of;
+  for (const Engine::Order& order : runner.Orders())
   {
-    SleepMs(EVENT_MS);
-    if (number == CRASHING_RUNNER && s_crashed)
-    {
-      // The caller's thread closes the socket, which resets the connection.
-      const linger option{1, 0};
-      setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-      record.Line("runner " + server.Id() + " resets " + id + " after event " +
-                  std::to_string(event - 1));
-      return false;
-    }
-    if (!SendAll(fd, EventText(event)))
-      return false;
+    if (healed_at != 0 && order.at >= healed_at && order.at <= healed_at + THAW_MS)
+      continue;
+    const bool is_turn = !before.holder.empty() && before.holder != order.holder &&
+                         order.at - before.at < LEASE_MS;
+    const bool is_lower = order.fence < highest;
+    const auto [known, is_new] = holder_of.try_emplace(order.fence, order.holder);
+    const bool is_shared = !is_new && known->second != order.holder;
+    verdict.turns += is_turn ? 1 : 0;
+    verdict.lower += is_lower ? 1 : 0;
+    verdict.shared += is_shared ? 1 : 0;
+    if (is_turn || is_shared || (is_lower && before.fence > order.fence))
+      record.Line("ONE: runner " + runner.Id() + " got an order of " + order.holder + " with fence " +
+                  std::to_string(order.fence) + " at " + std::to_string(order.at) + " ms, " +
+                  std::to_string(order.at - before.at) + " ms after one of " + before.holder +
+                  " with fence " + std::to_string(before.fence));
+    highest = std::max(highest, order.fence);
+    before = order;
   }
-  return false;
 }
 } // namespace
 
@@ -84,40 +83,56 @@
   if (!store.Start(store_address))
     return COULD_NOT_RUN;
   const Json zones = {{"a", "r"}, {"b", "r"}, {"c", "r"}};
-
-  std::vector<std::shared_ptr<BackendServer>> runners;
-  for (int i = 0; i < 3; ++i)
+  std::vector<std::unique_ptr<Engine>> runners;
+  for (int i = 0; i < RUNNERS; ++i)
   {
-    auto runner = std::make_shared<BackendServer>(
-        "i-" + std::to_string(i), "models", Address{net.Ip(20 + i), 8080},
-        std::string(1, static_cast<char>('a' + i)), 64,
-        [i, &record](BackendServer& server, int fd, const Message& request) {
-          return Stream(server, fd, request, i, record);
-        });
-    runner->Hold("m0");
-    if (!runner->Start())
+    runners.push_back(std::make_unique<Engine>("i-" + std::to_string(i), "models",
+                                               Address{net.Ip(20 + i), 8080},
+                                               std::string(1, static_cast<char>('a' + i % 3)),
+                                               record));
+    for (int k = 0; k < 3; ++k)
+      runners.back()->Hold(ModelName((i * 3 + k) % MODELS));
+    for (int k = 0; k < MODELS; ++k)
+      runners.back()->KeepOnDisk(ModelName(k));
+    if (!runners.back()->Start())
       return COULD_NOT_RUN;
-    runners.push_back(runner);
+    store.Put("servers", runners.back()->Id(), runners.back()->Entry());
   }
-  Heartbeats beats(store, runners);
-  beats.BeatAll();
-  Json route = RouteJson("chat", "/chat/", "streaming", "models", 15000, 400, 2);
+  std::vector<std::string> names;
+  for (int i = 0; i < MODELS; ++i)
+    names.push_back(ModelName(i));
+  Json route = RouteJson("chat", "/chat/", "streaming", "models", 15000, 400, 1);
   route["sticky"] = true;
-  route["resumable"] = true;
   route["gapAimMs"] = 300;
-  store.Put("op", "config",
-            {{"version", 7},
-             {"routes", Json::array({route})},
-             {"services", Json::array({EngineServiceJson("models", 64, {"m0"})})},
-             {"limits", LimitsJson()}});
-
+  const Json config = {{"version", 7},
+                       {"routes", Json::array({route})},
+                       {"services", Json::array({EngineServiceJson("models", 64, names)})},
+                       {"limits", LimitsJson()}};
+  store.Put("op", "config", config);
+  std::vector<std::thread> platform;
+  std::atomic<bool> is_away = false;
+  for (int i = 0; i < RUNNERS; ++i)
+    platform.emplace_back([&, i] {
+      SleepMs(BEAT_MS * i / RUNNERS);
+      for (; !s_stopped; SleepMs(BEAT_MS))
+        if (!is_away)
+          store.Put("servers", runners[static_cast<std::size_t>(i)]->Id(),
+                    runners[static_cast<std::size_t>(i)]->Entry());
+    });
+  platform.emplace_back([&] {
+    for (; !s_stopped; SleepMs(250))
+      if (!is_away)
+        store.TakeCopy();
+  });
   std::vector<std::unique_ptr<Daemon>> daemons;
-  for (int i = 0; i < 3; ++i)
+  for (int i = 0; i < DAEMONS; ++i)
   {
-    const std::string zone(1, static_cast<char>('a' + i));
-    daemons.push_back(std::make_unique<Daemon>(
-        DaemonSettings{"front-" + zone, net.Ip(10 + i), zone, store_address, SmallBounds(), zones},
-        work.Path()));
+    const std::string zone(1, static_cast<char>('a' + i % 3));
+    daemons.push_back(
+        std::make_unique<Daemon>(DaemonSettings{"front-" + zone + std::to_string(i / 3 + 1),
+                                                net.Ip(10 + i), zone, store_address, SmallBounds(),
+                                                zones},
+                                 work.Path()));
     daemons.back()->Start();
   }
   const bool ready = WaitFor(15000, [&] {
@@ -125,78 +140,120 @@
       return IsReady(daemon->Settings());
     });
   });
-  if (!ready)
+  /// The machine that gave the last order.
+  const auto last_holder = [&] {
+    Engine::Order last;
+    for (const auto& runner : runners)
+      for (const Engine::Order& order : runner->Orders())
+        if (order.at >= last.at)
+          last = order;
+    return last.holder;
+  };
+  int result = COULD_NOT_RUN;
+  if (ready)
   {
-    record.Line("the daemons did not become ready");
-    return COULD_NOT_RUN;
-  }
-  SleepMs(2000);
-  const std::int64_t begin = NowMs();
-  record.Line("traffic begins");
-  s_grey = trouble;
-
-  std::mutex mutex;
-  std::map<AnswerEnd, int> ends;
-  int wrong = 0;
-  const std::string whole_body = WholeBody();
-  std::vector<std::thread> clients;
-  std::thread crash;
-  if (trouble)
-    crash = std::thread([&] {
-      SleepMs(CRASH_AT_MS);
-      record.Line("runner i-1 crashes");
-      s_crashed = true;
-      SleepMs(2 * EVENT_MS);
-      runners[CRASHING_RUNNER]->Crash();
-    });
-  for (int i = 0; i < REQUESTS; ++i)
-  {
-    clients.emplace_back([&, i] {
-      const std::string id = "q" + std::to_string(i);
-      const auto& to = daemons[static_cast<std::size_t>(i) % daemons.size()]->Settings();
-      const Answer answer =
-          Request(to.Front(),
-                  RequestBytes("POST", "/chat/x", id, DEADLINE_MS,
-                               "Model: m0\r\nToken-Counts: 826,60\r\nPrompt-Prefix: 5c1e07a2:198,"
-                               "a" + std::to_string(1000 + i) + ":628\r\n",
-                               "hello"),
-                  DEADLINE_MS + 1000);
-      const bool is_wrong =
-          answer.status == 200 && answer.end == AnswerEnd::Whole && answer.body != whole_body;
-      const std::lock_guard lock(mutex);
-      ++ends[answer.end];
-      wrong += is_wrong ? 1 : 0;
-      record.Line("client " + id + " by " + to.name + ": status " + std::to_string(answer.status) +
-                  ", " + ToString(answer.end) + ", " + std::to_string(answer.body.size()) +
-                  " of " + std::to_string(whole_body.size()) + " bytes");
-      if (is_wrong)
-        record.Line("  WRONG: it looks complete and ends with " +
-                    Json(answer.body.substr(answer.body.size() - std::min<std::size_t>(
-                                                                     answer.body.size(), 180)))
-                        .dump());
+    SleepMs(5000);
+    record.Line("traffic begins");
+    const std::int64_t begin = NowMs();
+    std::vector<std::atomic<bool>> is_in(DAEMONS);
+    for (auto& in : is_in)
+      in = true;
+    std::atomic<std::int64_t> healed_at = 0;
+    std::atomic<bool> is_restarted = false;
+    std::thread operations([&] {
+      SleepMs(STOP_AT_MS);
+      const std::string name = last_holder();
+      const auto found = std::ranges::find_if(daemons, [&](const auto& daemon) {
+        return daemon->Settings().name == name;
+      });
+      if (found == daemons.end())
+        return;
+      const auto index = static_cast<std::size_t>(found - daemons.begin());
+      record.Line(name + ", which gave the last order, gets SIGTERM");
+      (*found)->Signal(SIGTERM);
+      is_in[index] = false;
+      int status = 0;
+      (void)WaitFor(8000, [&] {
+        return (*found)->HasEnded(&status);
+      });
+      (*found)->Kill();
+      record.Line(name + " has ended");
+      SleepMs(RESTART_MS - AWAY_MS - START_AFTER_MS);
+      if (trouble)
+      {
+        record.Line("the store is away, at version " + std::to_string(store.Version()));
+        is_away = true;
+        store.SetFault(Store::Fault::Reset);
+        SleepMs(AWAY_MS);
+        const std::int64_t version = store.Restore(COPY_AGE_MS);
+        store.SetFault(Store::Fault::None);
+        is_away = false;
+        healed_at = NowMs();
+        record.Line("the store is back from a copy of " + std::to_string(COPY_AGE_MS) +
+                    " ms ago, at version " + std::to_string(version));
+        // What the operator and the runners wrote is written again.
+        store.Put("op", "config", config);
+        for (const auto& runner : runners)
+          store.Put("servers", runner->Id(), runner->Entry());
+      }
+      else
+        SleepMs(AWAY_MS);
+      SleepMs(START_AFTER_MS);
+      record.Line(name + " is started again");
+      (*found)->Start();
+      is_in[index] = WaitFor(8000, [&] {
+        return IsReady((*found)->Settings());
+      });
+      is_restarted = true;
+      // A daemon ends with the thread that started it.
+      while (!s_stopped)
+        SleepMs(20);
     });
-    SleepMs(begin + (i + 1) * REQUEST_INTERVAL_MS - NowMs());
-  }
-  for (std::thread& client : clients)
-    client.join();
-  if (crash.joinable())
-    crash.join();
-  for (const auto& daemon : daemons)
-  {
-    int status = 0;
-    if (daemon->HasEnded(&status))
-      record.Line(daemon->Settings().name + " ended by itself");
+    std::mutex mutex;
+    std::map<int, int> statuses;
+    std::vector<std::thread> clients;
+    unsigned seed = static_cast<unsigned>(getpid());
+    for (int i = 0; NowMs() < begin + TRAFFIC_MS; ++i)
+    {
+      const std::string model = ModelName(rand_r(&seed) % MODELS);
+      const auto index = static_cast<std::size_t>(i) % daemons.size();
+      if (is_in[index])
+        clients.emplace_back([&, i, index, model] {
+          const Answer answer =
+              Request(daemons[index]->Settings().Front(),
+                      RequestBytes("POST", "/chat/x", "q" + std::to_string(i), DEADLINE_MS,
+                                   "Model: " + model +
+                                       "\r\nToken-Counts: 826,3\r\nPrompt-Prefix: 5c1e07a2:198,a" +
+                                       std::to_string(1000 + i) + ":628\r\n",
+                                   "hello"),
+                      DEADLINE_MS);
+          const std::lock_guard lock(mutex);
+          ++statuses[answer.status];
+        });
+      SleepMs(begin + (i + 1) * REQUEST_INTERVAL_MS - NowMs());
+    }
+    for (std::thread& client : clients)
+      client.join();
+    s_stopped = true;
+    operations.join();
+    std::string text;
+    for (const auto& [status, count] : statuses)
+      text += " " + std::to_string(status) + ": " + std::to_string(count);
+    record.Line("answers by status:" + text);
+    Verdict verdict;
+    for (const auto& runner : runners)
+      Judge(*runner, healed_at, verdict, record);
+    record.Line(std::to_string(verdict.turns) + " turns within leaseMs, " +
+                std::to_string(verdict.lower) + " orders with a lower fence after a higher one, " +
+                std::to_string(verdict.shared) + " with another holder's fence");
+    if (is_restarted)
+      result = verdict.turns + verdict.lower + verdict.shared > 0 ? RULE_BROKEN : RULE_HELD;
   }
-  record.Line("ended in order: " + std::to_string(ends[AnswerEnd::Whole]) +
-              ", of these with status 200 and not the whole body: " + std::to_string(wrong) +
-              ", broken off: " + std::to_string(ends[AnswerEnd::BrokenOff]) +
-              ", timed out: " + std::to_string(ends[AnswerEnd::TimedOut]));
   s_stopped = true;
+  for (std::thread& thread : platform)
+    thread.join();
   daemons.clear();
-  for (const auto& runner : runners)
-    runner->Stop();
+  runners.clear();
   store.Stop();
-  const bool broken = wrong > 0;
-  record.Line(broken ? "MIXED is broken" : "MIXED held");
-  return broken ? RULE_BROKEN : RULE_HELD;
+  return result;
 }
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -1,8 +1,8 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-// Daemons are stopped and started in turn, as planned work, while clients read their answers
-// slowly.
+// A resumable stream whose first runner answered 500 is begun at a second runner, which crashes.
+// Streams end with their connection, as the pages allow.
 
 #include "../support/Clients.h"
 
@@ -10,82 +10,66 @@
 
 namespace
 {
-constexpr std::size_t ANSWER_BYTES = 500000;
-constexpr std::int64_t WORK_MS = 60;
-constexpr std::int64_t DEADLINE_MS = 4000;
-constexpr std::int64_t REQUEST_INTERVAL_MS = 500;
-/// A client reads so many bytes, then rests: some 170 KB a second.
-constexpr std::size_t SLICE_BYTES = 3400;
-constexpr std::int64_t SLICE_MS = 20;
-constexpr int RECEIVE_BUFFER = 4096;
-/// The segment size of Ethernet; the loopback device's own is 64 KB.
-constexpr int SEGMENT_BYTES = 1460;
-constexpr std::int64_t GRACE_MS = 8000;
+constexpr int STREAM_EVENTS = 60;
+constexpr std::int64_t EVENT_MS = 120;
+constexpr std::int64_t DEADLINE_MS = 15000;
+constexpr int REQUESTS = 200;
+constexpr std::int64_t REQUEST_INTERVAL_MS = 60;
+constexpr std::int64_t CRASH_AT_MS = 9000;
 
+constexpr int CRASHING_RUNNER = 1;
+
+std::atomic<bool> s_grey = false;
+std::atomic<bool> s_crashed = false;
+std::atomic<int> s_at_grey = 0;
 std::atomic<bool> s_stopped = false;
 
-std::string Body(const std::string& id)
+std::string EventText(int event)
+{
+  return "id: " + std::to_string(event) + "\ndata: piece " + std::to_string(event) + "\n\n";
+}
+
+/// The body of the whole stream.
+std::string WholeBody()
 {
   std::string body;
-  body.reserve(ANSWER_BYTES + 100);
-  for (int line = 0; body.size() < ANSWER_BYTES; ++line)
-    body += id + " line " + std::to_string(line) + "\n";
+  for (int event = 1; event <= STREAM_EVENTS; ++event)
+    body += EventText(event);
   return body;
 }
 
-/// Reads an answer with a stated length slowly. Returns how it ended.
-AnswerEnd ReadSlowly(const Address& to, const std::string& id, int& status, std::size_t& received,
-                     std::size_t& length)
+/// Streams the events after Last-Event-Id. The grey runner fails 40 in 100 of its requests.
+bool Stream(BackendServer& server, int fd, const Message& request, int number, Record& record)
 {
-  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &RECEIVE_BUFFER, sizeof(RECEIVE_BUFFER));
-  setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &SEGMENT_BYTES, sizeof(SEGMENT_BYTES));
-  const sockaddr_in address = ToSockaddr(to);
-  AnswerEnd end = AnswerEnd::BrokenOff;
-  std::string bytes;
-  std::size_t head_end = std::string::npos;
-  const std::int64_t until = NowMs() + DEADLINE_MS;
-  if (connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0 &&
-      SendAll(fd, RequestBytes("POST", "/label/x", id, DEADLINE_MS, "", "order")))
-    while (true)
+  const std::string id = request.Header("Attempt-Id");
+  const int after = std::atoi(request.Header("Last-Event-Id").c_str());
+  if (number == 0 && s_grey && s_at_grey++ % 5 < 2)
+  {
+    record.Line("runner " + server.Id() + " fails " + id + " with 500");
+    return SendAll(fd, BackendServer::Answer(request, "failed", "500 Internal Server Error"));
+  }
+  record.Line("runner " + server.Id() + " streams " + id + " after event " + std::to_string(after));
+  if (!SendAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: " + server.Id() +
+                       "." + id +
+                       "\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"))
+    return false;
+  for (int event = after + 1; event <= STREAM_EVENTS && !s_stopped; ++event)
+  {
+    SleepMs(EVENT_MS);
+    if (number == CRASHING_RUNNER && s_crashed)
     {
-      const std::int64_t left = until - NowMs();
-      pollfd poll_fd{fd, POLLIN, 0};
-      if (left <= 0 || poll(&poll_fd, 1, static_cast<int>(left)) == 0)
-      {
-        end = AnswerEnd::TimedOut;
-        break;
-      }
-      char slice[SLICE_BYTES];
-      const ssize_t count = recv(fd, slice, sizeof(slice), 0);
-      if (count <= 0)
-        break;
-      bytes.append(slice, static_cast<std::size_t>(count));
-      if (head_end == std::string::npos && (head_end = bytes.find("\r\n\r\n")) != std::string::npos)
-      {
-        status = std::atoi(bytes.c_str() + 9);
-        const auto at = bytes.find("Content-Length: ");
-        length = at == std::string::npos ? 0 : std::strtoull(bytes.c_str() + at + 16, nullptr, 10);
-      }
-      received = head_end == std::string::npos ? 0 : bytes.size() - head_end - 4;
-      if (head_end != std::string::npos && received >= length)
-      {
-        end = AnswerEnd::Whole;
-        break;
-      }
-      SleepMs(SLICE_MS * count / static_cast<std::int64_t>(SLICE_BYTES));
+      // The caller's thread closes the socket, which resets the connection.
+      const linger option{1, 0};
+      setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+      record.Line("runner " + server.Id() + " resets " + id + " after event " +
+                  std::to_string(event - 1));
+      return false;
     }
-  close(fd);
-  return end;
+    if (!SendAll(fd, EventText(event)))
+      return false;
+  }
+  return false;
 }
-
-/// What the platform does with one daemon: its balancer, and planned stops.
-struct Front
-{
-  std::unique_ptr<Daemon> daemon;
-  std::atomic<bool> takes_connections = false;
-  std::atomic<std::int64_t> term_at = 0; ///< When SIGTERM was last sent.
-};
 } // namespace
 
 int main(int, char** arguments)
@@ -100,146 +84,119 @@
   if (!store.Start(store_address))
     return COULD_NOT_RUN;
   const Json zones = {{"a", "r"}, {"b", "r"}, {"c", "r"}};
-  std::mutex mutex;
-  std::map<std::string, std::string> ran_at;
+
   std::vector<std::shared_ptr<BackendServer>> runners;
   for (int i = 0; i < 3; ++i)
   {
     auto runner = std::make_shared<BackendServer>(
-        "i-" + std::to_string(i), "labels", Address{net.Ip(20 + i), 8080},
-        std::string(1, static_cast<char>('a' + i)), 6,
-        [&](BackendServer& server, int fd, const Message& request) {
-          const std::string id = request.Header("Attempt-Id");
-          SleepMs(WORK_MS);
-          const bool sent = SendAll(fd, BackendServer::Answer(request, Body(id)));
-          if (sent)
-          {
-            const std::lock_guard lock(mutex);
-            ran_at[id] = server.Id();
-          }
-          record.Line("runner " + server.Id() + " ran " + id +
-                      (sent ? " and sent its whole answer" : ", whose connection ended"));
-          return sent;
+        "i-" + std::to_string(i), "models", Address{net.Ip(20 + i), 8080},
+        std::string(1, static_cast<char>('a' + i)), 64,
+        [i, &record](BackendServer& server, int fd, const Message& request) {
+          return Stream(server, fd, request, i, record);
         });
+    runner->Hold("m0");
     if (!runner->Start())
       return COULD_NOT_RUN;
     runners.push_back(runner);
   }
   Heartbeats beats(store, runners);
   beats.BeatAll();
+  Json route = RouteJson("chat", "/chat/", "streaming", "models", 15000, 400, 2);
+  route["sticky"] = true;
+  route["resumable"] = true;
+  route["gapAimMs"] = 300;
   store.Put("op", "config",
             {{"version", 7},
-             {"routes", Json::array({RouteJson("label", "/label/", "non_idempotent", "labels", 4000,
-                                               300, 1)})},
-             {"services", Json::array({ServiceJson("labels", 100)})},
+             {"routes", Json::array({route})},
+             {"services", Json::array({EngineServiceJson("models", 64, {"m0"})})},
              {"limits", LimitsJson()}});
-  std::vector<std::unique_ptr<Front>> fronts;
+
+  std::vector<std::unique_ptr<Daemon>> daemons;
   for (int i = 0; i < 3; ++i)
   {
     const std::string zone(1, static_cast<char>('a' + i));
-    auto front = std::make_unique<Front>();
-    front->daemon = std::make_unique<Daemon>(
+    daemons.push_back(std::make_unique<Daemon>(
         DaemonSettings{"front-" + zone, net.Ip(10 + i), zone, store_address, SmallBounds(), zones},
-        work.Path());
-    front->daemon->Start();
-    fronts.push_back(std::move(front));
+        work.Path()));
+    daemons.back()->Start();
   }
   const bool ready = WaitFor(15000, [&] {
-    return std::ranges::all_of(fronts, [](const auto& front) {
-      return IsReady(front->daemon->Settings());
+    return std::ranges::all_of(daemons, [](const auto& daemon) {
+      return IsReady(daemon->Settings());
     });
   });
-  int result = COULD_NOT_RUN;
-  if (ready)
+  if (!ready)
   {
-    for (const auto& front : fronts)
-      front->takes_connections = true;
-    // The balancer asks every second; a daemon that misses twice is out until it answers 200 again.
-    std::vector<std::thread> balancer;
-    for (const auto& front : fronts)
-      balancer.emplace_back([&front = *front] {
-        for (int misses = 0; !s_stopped; SleepMs(1000))
-        {
-          misses = IsReady(front.daemon->Settings()) ? 0 : misses + 1;
-          front.takes_connections = misses < 2;
-        }
-      });
-    record.Line("traffic begins");
-    std::atomic<bool> traffic_ends = false;
-    std::thread planned([&] {
-      SleepMs(4000);
-      for (const auto& front : fronts)
-      {
-        const std::string& name = front->daemon->Settings().name;
-        if (trouble)
-        {
-          record.Line(name + " gets SIGTERM");
-          front->term_at = NowMs();
-          front->daemon->Signal(SIGTERM);
-          int status = 0;
-          const bool ended = WaitFor(GRACE_MS, [&] {
-            return front->daemon->HasEnded(&status);
-          });
-          record.Line(name + (ended ? " has ended after " : " is killed after ") +
-                      std::to_string(NowMs() - front->term_at) + " ms");
-          front->daemon->Kill();
-          SleepMs(500);
-          front->daemon->Start();
-        }
-        SleepMs(6000);
-      }
-      traffic_ends = true;
-      // The daemons that it has started end with this thread.
-      while (!s_stopped)
-        SleepMs(10);
+    record.Line("the daemons did not become ready");
+    return COULD_NOT_RUN;
+  }
+  SleepMs(2000);
+  const std::int64_t begin = NowMs();
+  record.Line("traffic begins");
+  s_grey = trouble;
+
+  std::mutex mutex;
+  std::map<AnswerEnd, int> ends;
+  int wrong = 0;
+  const std::string whole_body = WholeBody();
+  std::vector<std::thread> clients;
+  std::thread crash;
+  if (trouble)
+    crash = std::thread([&] {
+      SleepMs(CRASH_AT_MS);
+      record.Line("runner i-1 crashes");
+      s_crashed = true;
+      SleepMs(2 * EVENT_MS);
+      runners[CRASHING_RUNNER]->Crash();
     });
-    int whole = 0;
-    int lost = 0;
-    int other = 0;
-    std::vector<std::thread> clients;
-    for (int i = 0; !traffic_ends; ++i)
-    {
-      Front& front = *fronts[static_cast<std::size_t>(i) % fronts.size()];
-      if (front.takes_connections)
-        clients.emplace_back([&, i] {
-          const std::string id = "q" + std::to_string(i);
-          const std::int64_t sent_at = NowMs();
-          int status = 0;
-          std::size_t received = 0;
-          std::size_t length = 0;
-          const AnswerEnd end =
-              ReadSlowly(front.daemon->Settings().Front(), id, status, received, length);
-          const std::int64_t took = NowMs() - sent_at;
-          const std::int64_t since_term = NowMs() - front.term_at;
-          const std::lock_guard lock(mutex);
-          const bool is_lost = end == AnswerEnd::BrokenOff && ran_at.contains(id) &&
-                               front.term_at != 0 && since_term <= GRACE_MS + 1000 &&
-                               took < DEADLINE_MS;
-          whole += end == AnswerEnd::Whole && status == 200 ? 1 : 0;
-          lost += is_lost ? 1 : 0;
-          other += end != AnswerEnd::Whole && !is_lost ? 1 : 0;
-          record.Line("client " + id + " by " + front.daemon->Settings().name + ": status " +
-                      std::to_string(status) + ", " + ToString(end) + " after " +
-                      std::to_string(took) + " ms, " + std::to_string(received) + " of " +
-                      std::to_string(length) + " bytes" +
-                      (is_lost ? ", LOST " + std::to_string(since_term) + " ms after SIGTERM" : ""));
-        });
-      SleepMs(REQUEST_INTERVAL_MS / 3);
-    }
-    for (std::thread& client : clients)
-      client.join();
-    record.Line("whole: " + std::to_string(whole) + ", cut though their runner had answered: " +
-                std::to_string(lost) + ", other: " + std::to_string(other));
-    result = lost > 0 ? RULE_BROKEN : RULE_HELD;
-    s_stopped = true;
-    planned.join();
-    for (std::thread& thread : balancer)
-      thread.join();
+  for (int i = 0; i < REQUESTS; ++i)
+  {
+    clients.emplace_back([&, i] {
+      const std::string id = "q" + std::to_string(i);
+      const auto& to = daemons[static_cast<std::size_t>(i) % daemons.size()]->Settings();
+      const Answer answer =
+          Request(to.Front(),
+                  RequestBytes("POST", "/chat/x", id, DEADLINE_MS,
+                               "Model: m0\r\nToken-Counts: 826,60\r\nPrompt-Prefix: 5c1e07a2:198,"
+                               "a" + std::to_string(1000 + i) + ":628\r\n",
+                               "hello"),
+                  DEADLINE_MS + 1000);
+      const bool is_wrong =
+          answer.status == 200 && answer.end == AnswerEnd::Whole && answer.body != whole_body;
+      const std::lock_guard lock(mutex);
+      ++ends[answer.end];
+      wrong += is_wrong ? 1 : 0;
+      record.Line("client " + id + " by " + to.name + ": status " + std::to_string(answer.status) +
+                  ", " + ToString(answer.end) + ", " + std::to_string(answer.body.size()) +
+                  " of " + std::to_string(whole_body.size()) + " bytes");
+      if (is_wrong)
+        record.Line("  WRONG: it looks complete and ends with " +
+                    Json(answer.body.substr(answer.body.size() - std::min<std::size_t>(
+                                                                     answer.body.size(), 180)))
+                        .dump());
+    });
+    SleepMs(begin + (i + 1) * REQUEST_INTERVAL_MS - NowMs());
+  }
+  for (std::thread& client : clients)
+    client.join();
+  if (crash.joinable())
+    crash.join();
+  for (const auto& daemon : daemons)
+  {
+    int status = 0;
+    if (daemon->HasEnded(&status))
+      record.Line(daemon->Settings().name + " ended by itself");
   }
+  record.Line("ended in order: " + std::to_string(ends[AnswerEnd::Whole]) +
+              ", of these with status 200 and not the whole body: " + std::to_string(wrong) +
+              ", broken off: " + std::to_string(ends[AnswerEnd::BrokenOff]) +
+              ", timed out: " + std::to_string(ends[AnswerEnd::TimedOut]));
   s_stopped = true;
-  fronts.clear();
+  daemons.clear();
   for (const auto& runner : runners)
     runner->Stop();
   store.Stop();
-  return result;
+  const bool broken = wrong > 0;
+  record.Line(broken ? "MIXED is broken" : "MIXED held");
+  return broken ? RULE_BROKEN : RULE_HELD;
 }
