--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -16,16 +16,28 @@
 constexpr int GARBLING_RUNNERS = 2;
 constexpr std::int64_t WORK_MS = 60;
 constexpr std::int64_t TRAFFIC_MS = 90000;
-constexpr std::int64_t INTERVAL_MS = 35;
+constexpr std::int64_t INTERVAL_MS = 25;
 constexpr std::int64_t DEADLINE_MS = 1500;
 /// Of 100 answers of a garbling runner, so many are followed by a second copy.
 constexpr int SURPLUS_PERCENT = 3;
 /// Of 100 requests, the grey runner rejects so many.
 constexpr int SHED_PERCENT = 45;
 
+/// The disruptions come again and again, each time for so long.
+constexpr std::int64_t ROUND_MS = 7000;
+constexpr std::int64_t GREY_MS = 6500;
+constexpr std::int64_t GARBLE_MS = 5000;
+
 bool s_trouble = false;
+std::atomic<std::int64_t> s_traffic_at = 0;
 std::atomic<bool> s_stopped = false;
 
+/// True in the first `length_ms` of each round of disruptions.
+bool IsTroubled(std::int64_t length_ms)
+{
+  return s_trouble && s_traffic_at != 0 && (NowMs() - s_traffic_at) % ROUND_MS < length_ms;
+}
+
 /// Which runner has run which request how often.
 class Runs
 {
@@ -106,7 +118,7 @@
       std::string answer;
       if (request.Target() == "/health")
         answer = BackendServer::Answer(request, "", "200 OK", "Instance: " + m_id + "\r\n");
-      else if (s_trouble && m_number == GREY_RUNNER && Draw(SHED_PERCENT))
+      else if (m_number == GREY_RUNNER && IsTroubled(GREY_MS) && Draw(SHED_PERCENT))
       {
         m_record.Line("runner " + m_id + " rejects " + id);
         answer = BackendServer::Answer(request, "", "503 Service Unavailable", "Not-Run: 1\r\n");
@@ -118,7 +130,7 @@
         SleepMs(WORK_MS);
         answer = BackendServer::Answer(request, "done " + id);
       }
-      if (s_trouble && m_number < GARBLING_RUNNERS && Draw(SURPLUS_PERCENT))
+      if (m_number < GARBLING_RUNNERS && IsTroubled(GARBLE_MS) && Draw(SURPLUS_PERCENT))
       {
         surplus = answer;
         surplus_id = id;
@@ -199,6 +211,7 @@
     std::map<std::string, int> statuses;
     std::vector<std::thread> clients;
     const std::int64_t begin = NowMs();
+    s_traffic_at = begin;
     for (int i = 0; i < TRAFFIC_MS / INTERVAL_MS; ++i)
     {
       clients.emplace_back([&, i] {
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -13,14 +13,18 @@
 constexpr int STREAM_EVENTS = 60;
 constexpr std::int64_t EVENT_MS = 120;
 constexpr std::int64_t DEADLINE_MS = 15000;
-constexpr int REQUESTS = 200;
-constexpr std::int64_t REQUEST_INTERVAL_MS = 60;
-constexpr std::int64_t CRASH_AT_MS = 9000;
+constexpr int RUNNERS = 9;
+constexpr std::int64_t REQUEST_INTERVAL_MS = 28;
+/// In each of two rounds one runner is grey for a while, and at the end of that time it and another
+/// one crash for good.
+constexpr int ROUNDS = 2;
+constexpr std::int64_t FIRST_ROUND_MS = 6000;
+constexpr std::int64_t ROUND_MS = 16000;
+constexpr std::int64_t GREY_MS = 6500;
+constexpr std::int64_t TRAFFIC_MS = FIRST_ROUND_MS + ROUNDS * ROUND_MS;
 
-constexpr int CRASHING_RUNNER = 1;
-
-std::atomic<bool> s_grey = false;
-std::atomic<bool> s_crashed = false;
+std::atomic<int> s_grey = -1;   ///< The runner that is grey.
+std::atomic<int> s_crashed = 0; ///< Runners below this number have crashed.
 std::atomic<int> s_at_grey = 0;
 std::atomic<bool> s_stopped = false;
 
@@ -38,12 +42,12 @@
   return body;
 }
 
-/// Streams the events after Last-Event-Id. The grey runner fails 40 in 100 of its requests.
+/// Streams the events after Last-Event-Id. The grey runner fails 45 in 100 of its requests.
 bool Stream(BackendServer& server, int fd, const Message& request, int number, Record& record)
 {
   const std::string id = request.Header("Attempt-Id");
   const int after = std::atoi(request.Header("Last-Event-Id").c_str());
-  if (number == 0 && s_grey && s_at_grey++ % 5 < 2)
+  if (number == s_grey && s_at_grey++ % 20 < 9)
   {
     record.Line("runner " + server.Id() + " fails " + id + " with 500");
     return SendAll(fd, BackendServer::Answer(request, "failed", "500 Internal Server Error"));
@@ -56,7 +60,7 @@
   for (int event = after + 1; event <= STREAM_EVENTS && !s_stopped; ++event)
   {
     SleepMs(EVENT_MS);
-    if (number == CRASHING_RUNNER && s_crashed)
+    if (number < s_crashed)
     {
       // The caller's thread closes the socket, which resets the connection.
       const linger option{1, 0};
@@ -86,11 +90,11 @@
   const Json zones = {{"a", "r"}, {"b", "r"}, {"c", "r"}};
 
   std::vector<std::shared_ptr<BackendServer>> runners;
-  for (int i = 0; i < 3; ++i)
+  for (int i = 0; i < RUNNERS; ++i)
   {
     auto runner = std::make_shared<BackendServer>(
         "i-" + std::to_string(i), "models", Address{net.Ip(20 + i), 8080},
-        std::string(1, static_cast<char>('a' + i)), 64,
+        std::string(1, static_cast<char>('a' + i % 3)), 64,
         [i, &record](BackendServer& server, int fd, const Message& request) {
           return Stream(server, fd, request, i, record);
         });
@@ -133,23 +137,31 @@
   SleepMs(2000);
   const std::int64_t begin = NowMs();
   record.Line("traffic begins");
-  s_grey = trouble;
 
   std::mutex mutex;
   std::map<AnswerEnd, int> ends;
   int wrong = 0;
   const std::string whole_body = WholeBody();
   std::vector<std::thread> clients;
-  std::thread crash;
+  std::thread crashes;
   if (trouble)
-    crash = std::thread([&] {
-      SleepMs(CRASH_AT_MS);
-      record.Line("runner i-1 crashes");
-      s_crashed = true;
-      SleepMs(2 * EVENT_MS);
-      runners[CRASHING_RUNNER]->Crash();
+    crashes = std::thread([&] {
+      for (int round = 0; round < ROUNDS; ++round)
+      {
+        SleepMs(begin + FIRST_ROUND_MS + round * ROUND_MS - NowMs());
+        s_grey = 2 * round;
+        record.Line("runner i-" + std::to_string(2 * round) + " is grey");
+        SleepMs(GREY_MS);
+        record.Line("runners i-" + std::to_string(2 * round) + " and i-" +
+                    std::to_string(2 * round + 1) + " crash");
+        s_grey = -1;
+        s_crashed = 2 * round + 2;
+        SleepMs(2 * EVENT_MS);
+        for (int number = 2 * round; number < 2 * round + 2; ++number)
+          runners[static_cast<std::size_t>(number)]->Crash();
+      }
     });
-  for (int i = 0; i < REQUESTS; ++i)
+  for (int i = 0; NowMs() < begin + TRAFFIC_MS; ++i)
   {
     clients.emplace_back([&, i] {
       const std::string id = "q" + std::to_string(i);
@@ -179,8 +191,8 @@
   }
   for (std::thread& client : clients)
     client.join();
-  if (crash.joinable())
-    crash.join();
+  if (crashes.joinable())
+    crashes.join();
   for (const auto& daemon : daemons)
   {
     int status = 0;
