--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,8 +1,8 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-// A machine is stopped and started as planned. Before it is back, the platform's store is away for a
-// moment and comes back from a copy some seconds old.
+// A machine is stopped and started as planned. Before it is back, the platform's store is away for
+// a moment and comes back from a copy some seconds old.
 
 #include "../support/Engine.h"
 
@@ -52,8 +52,8 @@
   {
     if (healed_at != 0 && order.at >= healed_at && order.at <= healed_at + THAW_MS)
       continue;
-    const bool is_turn = !before.holder.empty() && before.holder != order.holder &&
-                         order.at - before.at < LEASE_MS;
+    const bool is_turn =
+        !before.holder.empty() && before.holder != order.holder && order.at - before.at < LEASE_MS;
     const bool is_lower = order.fence < highest;
     const auto [known, is_new] = holder_of.try_emplace(order.fence, order.holder);
     const bool is_shared = !is_new && known->second != order.holder;
@@ -61,10 +61,10 @@
     verdict.lower += is_lower ? 1 : 0;
     verdict.shared += is_shared ? 1 : 0;
     if (is_turn || is_shared || (is_lower && before.fence > order.fence))
-      record.Line("ONE: runner " + runner.Id() + " got an order of " + order.holder + " with fence " +
-                  std::to_string(order.fence) + " at " + std::to_string(order.at) + " ms, " +
-                  std::to_string(order.at - before.at) + " ms after one of " + before.holder +
-                  " with fence " + std::to_string(before.fence));
+      record.Line("ONE: runner " + runner.Id() + " got an order of " + order.holder +
+                  " with fence " + std::to_string(order.fence) + " at " + std::to_string(order.at) +
+                  " ms, " + std::to_string(order.at - before.at) + " ms after one of " +
+                  before.holder + " with fence " + std::to_string(before.fence));
     highest = std::max(highest, order.fence);
     before = order;
   }
@@ -86,10 +86,9 @@
   std::vector<std::unique_ptr<Engine>> runners;
   for (int i = 0; i < RUNNERS; ++i)
   {
-    runners.push_back(std::make_unique<Engine>("i-" + std::to_string(i), "models",
-                                               Address{net.Ip(20 + i), 8080},
-                                               std::string(1, static_cast<char>('a' + i % 3)),
-                                               record));
+    runners.push_back(
+        std::make_unique<Engine>("i-" + std::to_string(i), "models", Address{net.Ip(20 + i), 8080},
+                                 std::string(1, static_cast<char>('a' + i % 3)), record));
     for (int k = 0; k < 3; ++k)
       runners.back()->Hold(ModelName((i * 3 + k) % MODELS));
     for (int k = 0; k < MODELS; ++k)
@@ -128,11 +127,10 @@
   for (int i = 0; i < DAEMONS; ++i)
   {
     const std::string zone(1, static_cast<char>('a' + i % 3));
-    daemons.push_back(
-        std::make_unique<Daemon>(DaemonSettings{"front-" + zone + std::to_string(i / 3 + 1),
-                                                net.Ip(10 + i), zone, store_address, SmallBounds(),
-                                                zones},
-                                 work.Path()));
+    daemons.push_back(std::make_unique<Daemon>(
+        DaemonSettings{"front-" + zone + std::to_string(i / 3 + 1), net.Ip(10 + i), zone,
+                       store_address, SmallBounds(), zones},
+        work.Path()));
     daemons.back()->Start();
   }
   const bool ready = WaitFor(15000, [&] {
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -182,8 +182,8 @@
   });
   store.Put("op", "config",
             {{"version", 7},
-             {"routes", Json::array({RouteJson("lookup", "/lookup/", "non_idempotent", "app", 800,
-                                               300, 1)})},
+             {"routes",
+              Json::array({RouteJson("lookup", "/lookup/", "non_idempotent", "app", 800, 300, 1)})},
              {"services", Json::array({ServiceJson("app", 96)})},
              {"limits", LimitsJson()}});
   const Json zones = {{"a", "r"}, {"b", "r"}, {"c", "r"}};
@@ -217,8 +217,9 @@
       clients.emplace_back([&, i] {
         const std::string id = "q" + std::to_string(i);
         const auto& to = daemons[static_cast<std::size_t>(i) % daemons.size()]->Settings();
-        const Answer answer = Request(
-            to.Front(), RequestBytes("POST", "/lookup/x", id, DEADLINE_MS, "", "item"), DEADLINE_MS);
+        const Answer answer =
+            Request(to.Front(), RequestBytes("POST", "/lookup/x", id, DEADLINE_MS, "", "item"),
+                    DEADLINE_MS);
         record.Line("client " + id + " by " + to.name + ": status " +
                     std::to_string(answer.status) + ", " + ToString(answer.end));
         const std::lock_guard lock(mutex);
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -170,7 +170,8 @@
           Request(to.Front(),
                   RequestBytes("POST", "/chat/x", id, DEADLINE_MS,
                                "Model: m0\r\nToken-Counts: 826,60\r\nPrompt-Prefix: 5c1e07a2:198,"
-                               "a" + std::to_string(1000 + i) + ":628\r\n",
+                               "a" +
+                                   std::to_string(1000 + i) + ":628\r\n",
                                "hello"),
                   DEADLINE_MS + 1000);
       const bool is_wrong =
@@ -179,12 +180,12 @@
       ++ends[answer.end];
       wrong += is_wrong ? 1 : 0;
       record.Line("client " + id + " by " + to.name + ": status " + std::to_string(answer.status) +
-                  ", " + ToString(answer.end) + ", " + std::to_string(answer.body.size()) +
-                  " of " + std::to_string(whole_body.size()) + " bytes");
+                  ", " + ToString(answer.end) + ", " + std::to_string(answer.body.size()) + " of " +
+                  std::to_string(whole_body.size()) + " bytes");
       if (is_wrong)
         record.Line("  WRONG: it looks complete and ends with " +
-                    Json(answer.body.substr(answer.body.size() - std::min<std::size_t>(
-                                                                     answer.body.size(), 180)))
+                    Json(answer.body.substr(answer.body.size() -
+                                            std::min<std::size_t>(answer.body.size(), 180)))
                         .dump());
     });
     SleepMs(begin + (i + 1) * REQUEST_INTERVAL_MS - NowMs());
--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,8 +1,8 @@
 // SPDX-FileCopyrightText: 2026 The drumpond developers
 // SPDX-License-Identifier: Apache-2.0
 
-// The platform's store is away for a moment and comes back from a copy some seconds old. Right after
-// that the operator takes a key away.
+// The platform's store is away for a moment and comes back from a copy some seconds old. Right
+// after that the operator takes a key away.
 
 #include "../support/Clients.h"
 
@@ -100,10 +100,10 @@
   for (int i = 0; i < DAEMONS; ++i)
   {
     const std::string zone(1, static_cast<char>('a' + i % 3));
-    daemons.push_back(std::make_unique<Daemon>(
-        DaemonSettings{"front-" + zone + std::to_string(i / 3 + 1), net.Ip(10 + i), zone,
-                       store_address, bounds, zones},
-        work.Path()));
+    daemons.push_back(
+        std::make_unique<Daemon>(DaemonSettings{"front-" + zone + std::to_string(i / 3 + 1),
+                                                net.Ip(10 + i), zone, store_address, bounds, zones},
+                                 work.Path()));
     daemons.back()->Start();
   }
   const bool ready = WaitFor(15000, [&] {
@@ -158,12 +158,11 @@
         const bool counts =
             is_old && acknowledged_at > 0 && NowMs() > acknowledged_at + REVOKE_BOUND_MS;
         const auto& to = daemons[static_cast<std::size_t>(i / 2) % daemons.size()]->Settings();
-        const Answer answer =
-            Request(to.Front(),
-                    RequestBytes("POST", "/lookup/x", id, DEADLINE_MS,
-                                 std::string("Key: ") + (is_old ? REVOKED_KEY : "k-new") + "\r\n",
-                                 "item"),
-                    DEADLINE_MS);
+        const Answer answer = Request(
+            to.Front(),
+            RequestBytes("POST", "/lookup/x", id, DEADLINE_MS,
+                         std::string("Key: ") + (is_old ? REVOKED_KEY : "k-new") + "\r\n", "item"),
+            DEADLINE_MS);
         const std::lock_guard lock(mutex);
         if (counts)
           ++statuses[answer.status];
--- a/review/support/Daemons.h
+++ b/review/support/Daemons.h
@@ -106,13 +106,13 @@
 /// The bounds of a small deployment.
 inline Json SmallBounds()
 {
-  return {{"seedLagS", 3},       {"reuseAfterS", 2},        {"contactMs", 3000},
-          {"ackMs", 4000},       {"catchUpS", 4},           {"drainMs", 2000},
-          {"graceS", 8},         {"lostMs", 200},           {"configMs", 2000},
-          {"outerMs", 5000},     {"rollbackSlackMs", 250},  {"retryBudgetRatio", 0.2},
-          {"budgetWindowS", 10}, {"budgetSlack", 52},       {"recoverS", 12},
-          {"passMs", 120},       {"requireFence", false},   {"leaseMs", 3000},
-          {"thawMs", 300},       {"ceilingWindowS", 5},     {"ceilingOver", 1.1}};
+  return {{"seedLagS", 3},       {"reuseAfterS", 2},       {"contactMs", 3000},
+          {"ackMs", 4000},       {"catchUpS", 4},          {"drainMs", 2000},
+          {"graceS", 8},         {"lostMs", 200},          {"configMs", 2000},
+          {"outerMs", 5000},     {"rollbackSlackMs", 250}, {"retryBudgetRatio", 0.2},
+          {"budgetWindowS", 10}, {"budgetSlack", 52},      {"recoverS", 12},
+          {"passMs", 120},       {"requireFence", false},  {"leaseMs", 3000},
+          {"thawMs", 300},       {"ceilingWindowS", 5},    {"ceilingOver", 1.1}};
 }
 
 /// One daemon process.
--- a/review/support/Engine.h
+++ b/review/support/Engine.h
@@ -127,7 +127,8 @@
     const std::lock_guard lock(m_mutex);
     if (!order.is_object() || !order.contains("holder") || !order.contains("fence"))
       return 400;
-    m_received.push_back({NowMs(), order.value("holder", ""), order.value("fence", std::int64_t{0})});
+    m_received.push_back(
+        {NowMs(), order.value("holder", ""), order.value("fence", std::int64_t{0})});
     const std::string operation = order.value("operation", "");
     const std::string model = order.value("model", "");
     if (!m_loading.empty() || !m_unloading.empty())
--- a/review/support/Servers.h
+++ b/review/support/Servers.h
@@ -53,8 +53,9 @@
   {
     if (m_crashed)
       return;
-    Json entry = {{"service", m_service}, {"address", m_address.Text()}, {"zone", m_zone},
-                  {"version", "v1"},      {"slots", m_slots},            {"state", state},
+    Json entry = {{"service", m_service}, {"address", m_address.Text()},
+                  {"zone", m_zone},       {"version", "v1"},
+                  {"slots", m_slots},     {"state", state},
                   {"coldLeftMs", 0},      {"seq", ++m_beats}};
     if (m_is_engine)
     {
@@ -139,7 +140,8 @@
       }
       if (!expected.empty() && expected != m_id)
       {
-        if (!SendAll(fd, Answer(request, "", "421 Misdirected Request", "Instance: " + m_id + "\r\n")))
+        if (!SendAll(fd,
+                     Answer(request, "", "421 Misdirected Request", "Instance: " + m_id + "\r\n")))
           return;
         continue;
       }
@@ -219,10 +221,10 @@
 inline Json RouteJson(const std::string& name, const std::string& prefix, const std::string& kind,
                       const std::string& service, int timeout_ms, int target_ms, int attempts)
 {
-  return {{"name", name},           {"host", "app.example"},      {"pathPrefix", prefix},
-          {"kind", kind},           {"timeoutMs", timeout_ms},    {"targetLatencyMs", target_ms},
-          {"priority", 1},          {"service", service},         {"maxAttempts", attempts},
-          {"public", true},         {"sticky", false},            {"resumable", false}};
+  return {{"name", name},   {"host", "app.example"},   {"pathPrefix", prefix},
+          {"kind", kind},   {"timeoutMs", timeout_ms}, {"targetLatencyMs", target_ms},
+          {"priority", 1},  {"service", service},      {"maxAttempts", attempts},
+          {"public", true}, {"sticky", false},         {"resumable", false}};
 }
 
 inline Json ServiceJson(const std::string& name, int max_connections)
--- a/review/support/Store.h
+++ b/review/support/Store.h
@@ -207,10 +207,10 @@
         body["nowMs"] = NowMs();
         text = body.dump();
       }
-      const std::string answer = "HTTP/1.1 " + std::to_string(status) +
-                                 " X\r\nContent-Type: application/json\r\nStore-Era: " +
-                                 std::to_string(m_era) +
-                                 "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n";
+      const std::string answer =
+          "HTTP/1.1 " + std::to_string(status) +
+          " X\r\nContent-Type: application/json\r\nStore-Era: " + std::to_string(m_era) +
+          "\r\nContent-Length: " + std::to_string(text.size()) + "\r\n\r\n";
       if (!SendAll(fd, answer + text))
         return;
     }
