--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -50,6 +50,8 @@
         std::string(1, static_cast<char>('a' + i % 3)), 6,
         [&](BackendServer& server, int fd, const Message& request) {
           const std::string id = request.Header("Attempt-Id");
+          record.Line("runner " + server.Id() + " runs " + id + " for tenant " +
+                      request.Header("Tenant"));
           {
             const std::lock_guard lock(mutex);
             const auto sent = sent_at.find(id);
@@ -163,6 +165,9 @@
             RequestBytes("POST", "/lookup/x", id, DEADLINE_MS,
                          std::string("Key: ") + (is_old ? REVOKED_KEY : "k-new") + "\r\n", "item"),
             DEADLINE_MS);
+        record.Line("client " + id + " by " + to.name + " with the key " +
+                    (is_old ? REVOKED_KEY : "k-new") + ": status " + std::to_string(answer.status) +
+                    ", " + ToString(answer.end));
         const std::lock_guard lock(mutex);
         if (counts)
           ++statuses[answer.status];
--- a/review/support/Engine.h
+++ b/review/support/Engine.h
@@ -185,6 +185,7 @@
   bool Run(int fd, const Message& request, const std::string& model)
   {
     const std::string id = request.Header("Attempt-Id");
+    m_record.Line("runner " + m_id + " runs " + id + " with " + model);
     bool sent = SendAll(fd, "HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: " + m_id +
                                 "." + id +
                                 "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
