Http, Gateway: the log names the connection of an attempt

What callers saw: requests that were refused ran, or ran twice, and the log did not tell whether a second attempt went out on the connection of the first.

attempt-failed, request and answer-crossed name the connection to the server and the number of the request on it, and whether the caller had the beginning of a stream. No change of behaviour.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -356,6 +356,8 @@
     AttemptFailed("no socket available", m_may_have_run);
     return;
   }
+  m_connection_number = m_connection->Number();
+  m_connection_requests = m_connection->Requests() + 1;
   m_is_probe = m_dispatcher.Parts().NoteSent(m_prompt_parts, m_server->Entry().version.Get(), now);
   m_dispatcher.Limited().NoteSend(*m_server, now);
   m_dispatcher.CountSend(*m_server, now);
@@ -403,6 +405,9 @@
                       {"why", why},
                       {"may_have_run", may_have_run},
                       {"attempt", m_arrivals},
+                      {"connection", m_connection_number},
+                      {"on_connection", m_connection_requests},
+                      {"stream_begun", m_stream_begun},
                       {"budget", m_dispatcher.Budget().Left(m_pool, Common::Now())}});
   const bool had_server = m_server != nullptr;
   DropConnection();
@@ -590,6 +595,9 @@
        {"why", why},
        {"instance", m_server ? m_server->Entry().instance.Get() : ""},
        {"body_end", BodyEnd(m_head)},
+       {"stream_begun", m_stream_begun},
+       {"connection", m_connection_number},
+       {"on_connection", m_connection_requests},
        {"inside_event", m_events.IsInsideEvent()},
        {"arrivals", m_arrivals},
        {"entries_age_ms",
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -320,6 +320,10 @@
 
   ServerPtr m_server;
   std::shared_ptr<Http::OriginConnection> m_connection;
+  /// Of the last attempt, for the log: its connection, and how many requests that had carried with
+  /// this one.
+  std::uint64_t m_connection_number = 0;
+  int m_connection_requests = 0;
   /// The daemon through which `m_connection` was opened; unset if it is direct or was kept.
   std::optional<Http::Endpoint> m_helper;
   std::set<InstanceId> m_tried_servers;
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -35,6 +35,8 @@
     Common::LogEvent(Common::LogLevel::Warning, "answer-crossed",
                      {{"id", m_id},
                       {"answer_id", id == nullptr ? "" : *id},
+                      {"connection", m_connection_number},
+                      {"on_connection", m_connection_requests},
                       {"instance", m_server->Entry().instance}});
     return HeadAction::Skip;
   }
--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -34,6 +34,12 @@
   return ExchangeError::TunnelFailed;
 }
 
+std::uint64_t NextNumber()
+{
+  static std::uint64_t s_last = 0;
+  return ++s_last;
+}
+
 std::optional<Common::Milliseconds> ParseTimeoutParameter(const std::string& keep_alive)
 {
   const auto at = keep_alive.find("timeout=");
@@ -48,7 +54,10 @@
 }
 } // namespace
 
-OriginConnection::OriginConnection() : m_parser(MessageParser::Kind::Response, this) {}
+OriginConnection::OriginConnection()
+    : m_number(NextNumber()), m_parser(MessageParser::Kind::Response, this)
+{
+}
 
 std::shared_ptr<OriginConnection> OriginConnection::Connect(const Endpoint& peer,
                                                             const SocketOptions& options)
@@ -73,6 +82,7 @@
                             bool no_body_expected, Common::TimePoint send_deadline)
 {
   m_handler = handler;
+  ++m_requests;
   m_skipping = false;
   m_parser.ExpectNoBody(no_body_expected);
   m_parser.Restart();
--- a/Source/Core/Http/OriginConnection.h
+++ b/Source/Core/Http/OriginConnection.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -75,6 +76,10 @@
   bool IsFirstExchange() const { return !m_response_received; }
   /// True if the connection goes through another daemon.
   bool IsTunnel() const { return m_tunnel != TunnelState::None; }
+  /// Distinguishes the connections of this process in the log.
+  std::uint64_t Number() const { return m_number; }
+  /// Requests sent on this connection, including the current one.
+  int Requests() const { return m_requests; }
   /// True if at least one byte of a request has been sent over this connection.
   bool HasSent() const { return m_stream->HasSent() && m_tunnel != TunnelState::Opening; }
   /// True if the connection may carry another request at `now`.
@@ -106,6 +111,8 @@
   void UpdateKeepAlive(const MessageHead& head);
 
   std::shared_ptr<TcpStream> m_stream;
+  std::uint64_t m_number;
+  int m_requests = 0;
   MessageParser m_parser;
   ResponseHandler* m_handler = nullptr;
   bool m_skipping = false;
