Http, Gateway: a connection carries a request at most once

Requests that may not be repeated got 503 although they ran, or ran twice, and callers that sent a request again under its id got the response to the first attempt.

Cause: a response was matched to an attempt by the caller's id alone, which all attempts of a request share, and a request went back to its server on the connection it had just used. A request without an id accepted any response.

A connection now knows the ids of all requests that it has carried, and carries none of them again. Requests without an id get a new connection that is not kept, as does HEAD, since the copy of a response without a body cannot be told from one with a body. A connection on which a surplus response was skipped is closed after the exchange.

--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -114,9 +114,10 @@
 }
 
 std::shared_ptr<Http::OriginConnection>
-Server::TakeConnection(Common::TimePoint now, const std::optional<Http::Endpoint>& helper)
+Server::TakeConnection(Common::TimePoint now, Http::RequestId request,
+                       const std::optional<Http::Endpoint>& helper)
 {
-  if (auto kept = m_idle.Take(now))
+  if (auto kept = m_idle.Take(now, request))
     return kept;
   if (helper)
     return Http::OriginConnection::ConnectThrough(*helper, TunnelRequest());
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -90,10 +90,11 @@
   void NoteReplaced() { m_condition->replaced = true; }
   bool IsReplaced() const { return m_condition->replaced; }
 
-  /// Returns an idle connection or a new one, through `helper` if that is set; nullptr if no socket
-  /// is available.
+  /// Returns an idle connection that may carry the request, or a new one, through `helper` if that
+  /// is set; nullptr if no socket is available.
   std::shared_ptr<Http::OriginConnection>
-  TakeConnection(Common::TimePoint now, const std::optional<Http::Endpoint>& helper);
+  TakeConnection(Common::TimePoint now, Http::RequestId request,
+                 const std::optional<Http::Endpoint>& helper);
   /// The message that asks a helper for a tunnel to this server.
   std::string TunnelRequest() const;
   void ReturnConnection(std::shared_ptr<Http::OriginConnection> connection);
--- a/Source/Core/Http/IdleConnections.cpp
+++ b/Source/Core/Http/IdleConnections.cpp
@@ -3,6 +3,8 @@
 
 #include "Http/IdleConnections.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace Http
@@ -18,17 +20,34 @@
     connection->Abandon();
 }
 
-std::shared_ptr<OriginConnection> IdleConnections::Take(Common::TimePoint now)
+template <typename Predicate>
+std::shared_ptr<OriginConnection> IdleConnections::TakeIf(Common::TimePoint now, Predicate may_use)
 {
-  while (!m_connections.empty())
+  while (true)
   {
-    auto connection = std::move(m_connections.back());
-    m_connections.pop_back();
+    const auto found = std::ranges::find_if(m_connections.rbegin(), m_connections.rend(), may_use);
+    if (found == m_connections.rend())
+      return nullptr;
+    auto connection = std::move(*found);
+    m_connections.erase(std::next(found).base());
     if (connection->IsReusable(now))
       return connection;
     connection->Abandon();
   }
-  return nullptr;
+}
+
+std::shared_ptr<OriginConnection> IdleConnections::Take(Common::TimePoint now)
+{
+  return TakeIf(now, [](const auto&) {
+    return true;
+  });
+}
+
+std::shared_ptr<OriginConnection> IdleConnections::Take(Common::TimePoint now, RequestId id)
+{
+  return TakeIf(now, [id](const auto& connection) {
+    return connection->MayCarry(id);
+  });
 }
 
 void IdleConnections::Keep(std::shared_ptr<OriginConnection> connection, Common::TimePoint now)
--- a/Source/Core/Http/IdleConnections.h
+++ b/Source/Core/Http/IdleConnections.h
@@ -22,12 +22,17 @@
 
   /// Returns a reusable connection, or nullptr; closes those that are not reusable.
   std::shared_ptr<OriginConnection> Take(Common::TimePoint now);
+  /// The same for a request with this id; leaves connections that may not carry it.
+  std::shared_ptr<OriginConnection> Take(Common::TimePoint now, RequestId id);
   /// Adds a connection if it is reusable; closes the oldest one where the pool is full.
   void Keep(std::shared_ptr<OriginConnection> connection, Common::TimePoint now);
   /// Closes all connections.
   void Clear();
 
 private:
+  template <typename Predicate>
+  std::shared_ptr<OriginConnection> TakeIf(Common::TimePoint now, Predicate may_use);
+
   std::size_t m_max_connections;
   std::vector<std::shared_ptr<OriginConnection>> m_connections;
 };
--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -84,6 +84,8 @@
   m_handler = handler;
   ++m_requests;
   m_skipping = false;
+  // Where a second copy of a response without a body would end is not known.
+  m_is_last_exchange = m_is_last_exchange || no_body_expected;
   m_parser.ExpectNoBody(no_body_expected);
   m_parser.Restart();
   const bool is_opening = m_tunnel == TunnelState::Opening;
@@ -105,6 +107,19 @@
   });
 }
 
+void OriginConnection::SendIdentified(RequestId id, const std::string& request,
+                                      ResponseHandler* handler, bool no_body_expected)
+{
+  m_carried.Add(id);
+  m_is_last_exchange = m_is_last_exchange || id.IsEmpty() || m_carried.IsFull();
+  Send(request, handler, no_body_expected);
+}
+
+bool OriginConnection::MayCarry(RequestId id) const
+{
+  return m_requests == 0 || (!id.IsEmpty() && !m_carried.Contains(id));
+}
+
 void OriginConnection::OnConnected()
 {
   // Connected past the deadline, so the VM was suspended in between. The request must not be sent,
@@ -127,7 +142,8 @@
 
 bool OriginConnection::IsReusable(Common::TimePoint now) const
 {
-  if (!m_stream->IsOpen() || m_handler != nullptr || !m_keep_alive || !m_response_received)
+  if (!m_stream->IsOpen() || m_handler != nullptr || !m_keep_alive || m_is_last_exchange ||
+      !m_response_received)
     return false;
   const auto limit =
       m_idle_limit
@@ -198,7 +214,7 @@
   // of the next request.
   const bool request_completely_sent = m_stream->Unsent() == 0;
   ResponseHandler* handler = std::exchange(m_handler, nullptr);
-  if (extra_bytes_follow || !request_completely_sent || !m_keep_alive)
+  if (extra_bytes_follow || !request_completely_sent || !m_keep_alive || m_is_last_exchange)
     Abandon();
   m_idle_since = Common::Now();
   handler->OnResponseEnd();
@@ -251,8 +267,10 @@
 void OriginConnection::OnHead(MessageHead& head)
 {
   UpdateKeepAlive(head);
-  if (m_handler != nullptr)
-    m_skipping = m_handler->OnResponseHead(head) == ResponseHandler::HeadAction::Skip;
+  if (m_handler == nullptr)
+    return;
+  m_skipping = m_handler->OnResponseHead(head) == ResponseHandler::HeadAction::Skip;
+  m_is_last_exchange = m_is_last_exchange || m_skipping;
 }
 
 void OriginConnection::OnInterimHead(MessageHead& head)
--- a/Source/Core/Http/OriginConnection.h
+++ b/Source/Core/Http/OriginConnection.h
@@ -10,6 +10,7 @@
 
 #include "Common/Loop.h"
 #include "Common/Reactor.h"
+#include "Http/CarriedRequests.h"
 #include "Http/MessageParser.h"
 #include "Http/TcpStream.h"
 #include "Http/Tunnel.h"
@@ -36,7 +37,9 @@
   enum class HeadAction
   {
     Accept,
-    Skip, ///< A response to another request; the expected one may follow.
+    /// A response to another request; the expected one may follow. The connection is not reused,
+    /// since further such responses may follow too.
+    Skip,
   };
 
   virtual ~ResponseHandler() = default;
@@ -67,6 +70,13 @@
   /// live until the exchange has ended or `Abandon` has been called.
   void Send(const std::string& request, ResponseHandler* handler, bool no_body_expected = false,
             Common::TimePoint send_deadline = NO_SEND_DEADLINE);
+  /// Sends the request with this id, which the response repeats. `MayCarry(id)` must be true.
+  void SendIdentified(RequestId id, const std::string& request, ResponseHandler* handler,
+                      bool no_body_expected);
+  /// True if a response on this connection with this id can only be that to the next request: the
+  /// connection has carried no request with the same id. A server may send a response twice, the
+  /// second time where the response to a later request is due.
+  bool MayCarry(RequestId id) const;
   /// Ends the exchange and the connection without further events. During an exchange, or with
   /// unsent output, the connection is reset; otherwise it is closed.
   void Abandon();
@@ -113,10 +123,14 @@
   std::shared_ptr<TcpStream> m_stream;
   std::uint64_t m_number;
   int m_requests = 0;
+  CarriedRequests m_carried;
   MessageParser m_parser;
   ResponseHandler* m_handler = nullptr;
   bool m_skipping = false;
   bool m_keep_alive = true;
+  /// The connection is closed after this exchange: what the server sends next on it may not be the
+  /// response to the next request.
+  bool m_is_last_exchange = false;
   bool m_response_received = false; ///< At least one complete response has been received.
   std::optional<Common::Milliseconds> m_idle_limit; ///< Announced by the origin server.
   Common::TimePoint m_idle_since;
