Gateway, Http: one place decides how a request ends that no server serves

Callers of streams got, inside the stream, the 500 that another server had answered before ("bytes that are no answer", "garbage status"), and the whole looked complete.

Cause: six places ended a request. Three of them looked for a saved 5xx response before they looked whether the caller's response had begun, and the connection to the caller wrote a second head without an objection.

Relay::EndUnserved decides for all of them, in this order: nothing further of a stream that has begun, the saved response, 502 or 504 if the request may have run, else a refusal. The saved response is dropped when a stream begins. It is also what callers get at the deadline and at a stop, where they got 504 and 502. ServerConnection allows one response to each request; a second one ends the connection and is logged as second-response. A HEAD gets no body, also where the response is sent piece by piece.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -212,11 +212,12 @@
   m_retry_after = block_status.retry_after;
   const std::string why = std::to_string(block_status.server_crashes) +
                           " servers crashed while they had " + std::string(cause);
-  if (m_stream_begun)
-    EndWith(Outcome::BrokenOff, 0, why);
+  // If it may have run, also in this attempt, the status must not promise that it did not.
+  if (m_stream_begun || m_saved_head)
+    EndUnserved(why);
   else
-    // If it may have run, also in this attempt, the status must not promise that it did not.
-    EndWith(Outcome::Blocked, m_may_have_run || m_connection ? 502 : 503, why);
+    EndWith(Outcome::Blocked,
+            m_may_have_run || m_connection ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE, why);
   return true;
 }
 
@@ -225,13 +226,7 @@
   if (!MustNotCrashMore() ||
       m_dispatcher.GetBlockStatus(*this).server_crashes < MAX_CRASHES_PER_ATTEMPT)
     return false;
-  constexpr const char* WHY = "several servers crashed while they had this request";
-  if (m_saved_head)
-    ForwardSavedResponse();
-  else if (m_stream_begun)
-    EndWith(Outcome::BrokenOff, 0, WHY);
-  else
-    Fail(502, WHY);
+  EndUnserved("several servers crashed while they had this request");
   return true;
 }
 
@@ -418,12 +413,17 @@
     TryDispatch();
     return;
   }
-  if (m_saved_head)
-    ForwardSavedResponse();
-  else if (m_stream_begun)
+  EndUnserved(why);
+}
+
+void Relay::EndUnserved(std::string_view why, int failure_status)
+{
+  if (m_stream_begun)
     EndWith(Outcome::BrokenOff, 0, why);
-  else if (m_may_have_run)
-    Fail(502, why);
+  else if (m_saved_head)
+    ForwardSavedResponse();
+  else if (m_may_have_run || m_connection)
+    EndWith(Outcome::Failed, failure_status, why);
   else
     Refuse(why);
 }
@@ -453,8 +453,9 @@
   const bool claims_not_run = m_head.status == 503 || m_head.status == 429 || m_head.status == 408;
   if (claims_not_run)
   {
-    Fail(502, "the server sent status " + std::to_string(m_head.status) +
-                  " without confirming that the request did not run");
+    EndWith(Outcome::Failed, STATUS_BAD_GATEWAY,
+            "the server sent status " + std::to_string(m_head.status) +
+                " without confirming that the request did not run");
     return;
   }
   if (m_head.ends_with_connection)
@@ -469,6 +470,12 @@
   EndWith(Outcome::Answered, 0, "");
 }
 
+void Relay::DropSavedResponse()
+{
+  m_saved_head.reset();
+  m_saved_body = {};
+}
+
 void Relay::ArmStallTimer(Milliseconds span)
 {
   m_last_progress_at = Common::Now();
@@ -539,33 +546,18 @@
 void Relay::OnDeadline()
 {
   const auto guard = shared_from_this();
-  if (m_stream_begun)
-    EndWith(Outcome::BrokenOff, 0, "the deadline passed");
-  else if (m_may_have_run || m_connection)
-    Fail(504, "the deadline passed");
-  else
-    Refuse("the deadline passed before the request ran");
+  EndUnserved("the deadline passed", STATUS_GATEWAY_TIMEOUT);
 }
 
 void Relay::CancelForShutdown()
 {
   const auto guard = shared_from_this();
-  if (m_stream_begun)
-    EndWith(Outcome::BrokenOff, 0, "this process is shutting down");
-  else if (m_may_have_run || m_connection)
-    Fail(502, "this process is shutting down");
-  else
-    Refuse("this process is shutting down");
+  EndUnserved("this process is shutting down");
 }
 
 void Relay::Refuse(std::string_view why)
 {
-  EndWith(Outcome::Refused, 503, why);
-}
-
-void Relay::Fail(int status, std::string_view why)
-{
-  EndWith(Outcome::Failed, status, why);
+  EndWith(Outcome::Refused, STATUS_UNAVAILABLE, why);
 }
 
 void Relay::EndWith(Outcome outcome, int status, std::string_view why)
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -177,6 +177,9 @@
   void OnExchangeFailed(Http::ExchangeError breakage) override;
 
 private:
+  static constexpr int STATUS_BAD_GATEWAY = 502;
+  static constexpr int STATUS_UNAVAILABLE = 503;
+  static constexpr int STATUS_GATEWAY_TIMEOUT = 504;
   /// Lower bound for the stall timeout of a stream, whatever the targets of its route.
   static constexpr Common::Milliseconds MIN_STREAM_STALL_TIMEOUT{1000};
 
@@ -260,7 +263,10 @@
   /// a stated end: the next server sends what is left and states the end. If the continuation
   /// brought no event, no server is expected to state it.
   void ResumeToFindEnd();
+  /// Forwards the saved response in full, or the error that stands for it.
   void ForwardSavedResponse();
+  /// Forgets the saved response.
+  void DropSavedResponse();
 
   // Handling of failed attempts.
   void AttemptFailed(std::string_view why, bool may_have_run);
@@ -283,8 +289,12 @@
 
   /// Takes back an attempt of which no byte was sent.
   void ForgetAttempt();
+  /// Ends a request that no server will serve any more. Alone decides what its caller gets: nothing
+  /// further of a stream that has begun, else the saved response of a server, else
+  /// `failure_status` if the request may have run, else a refusal.
+  void EndUnserved(std::string_view why, int failure_status = STATUS_BAD_GATEWAY);
+  /// Refuses a request that has not run.
   void Refuse(std::string_view why);
-  void Fail(int status, std::string_view why);
   /// What the request waits for, for the log: "units" of its account's limit, the "origin" of its
   /// stream, a "load" of its model, a "place" at a server or a "connection"; empty if for none.
   std::string_view AwaitedResource() const;
@@ -344,7 +354,7 @@
   bool m_is_stream = false;
   std::string m_body;
   /// The response to forward: the latest one, or a server's first 5xx response while the request is
-  /// retried elsewhere.
+  /// retried elsewhere. Unset once the caller's response has begun.
   std::optional<Http::MessageHead> m_saved_head;
   std::string m_saved_body;
   EventSplitter m_events;
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -177,6 +177,7 @@
 void Relay::BeginStream()
 {
   m_stream_begun = true;
+  DropSavedResponse();
   m_stream_version = KeyOf(m_pool, m_server->Entry().version);
   NoteStream();
   // The daemon must not state an end that the server has not stated.
--- a/Source/Core/Gateway/RelayWaiting.cpp
+++ b/Source/Core/Gateway/RelayWaiting.cpp
@@ -171,16 +171,11 @@
 void Relay::OnWaitExpired()
 {
   const auto guard = shared_from_this();
-  if (m_saved_head)
-  {
-    ForwardSavedResponse();
-    return;
-  }
   if (m_stream_begun)
-    EndWith(Outcome::BrokenOff, 0, "no server could continue the stream");
+    EndUnserved("no server could continue the stream");
   else if (m_may_have_run)
-    Fail(502, "no other server was available in time: " + m_last_reason);
+    EndUnserved("no other server was available in time: " + m_last_reason);
   else
-    Refuse("no server could take the request in time");
+    EndUnserved("no server could take the request in time");
 }
 } // namespace Gateway
--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -8,6 +8,7 @@
 #include <charconv>
 #include <utility>
 
+#include "Common/Log.h"
 #include "Common/Loop.h"
 
 namespace Http
@@ -195,10 +196,21 @@
   m_stream->Write(head + "\r\n");
 }
 
+bool ServerConnection::MayBeginResponse()
+{
+  if (!m_stream->IsOpen() || !m_request_open)
+    return false;
+  if (!m_response_begun)
+    return true;
+  Common::LogEvent(Common::LogLevel::Error, "second-response", {});
+  AbortResponse();
+  return false;
+}
+
 void ServerConnection::Respond(int status, std::string_view reason,
                                const std::vector<HeaderField>& headers, std::string_view body)
 {
-  if (!m_stream->IsOpen())
+  if (!MayBeginResponse())
     return;
   WriteHead(status, reason, headers, body.size());
   if (!m_head_only)
@@ -209,8 +221,9 @@
 void ServerConnection::BeginBody(int status, std::string_view reason,
                                  const std::vector<HeaderField>& headers, BodyFraming framing)
 {
-  if (!m_stream->IsOpen())
+  if (!MayBeginResponse())
     return;
+  m_response_begun = true;
   m_framing = framing;
   if (framing == BodyFraming::UntilClose)
   {
@@ -224,7 +237,7 @@
 
 void ServerConnection::SendBody(std::string_view bytes)
 {
-  if (bytes.empty() || !m_stream->IsOpen())
+  if (bytes.empty() || m_head_only || !m_stream->IsOpen())
     return;
   if (m_framing == BodyFraming::UntilClose)
     m_stream->Write(bytes);
@@ -236,7 +249,7 @@
 {
   if (!m_stream->IsOpen())
     return;
-  if (m_framing == BodyFraming::Chunked)
+  if (m_framing == BodyFraming::Chunked && !m_head_only)
     m_stream->Write("0\r\n\r\n");
   EndResponse();
 }
@@ -252,6 +265,7 @@
 {
   const auto guard = shared_from_this();
   m_request_open = false;
+  m_response_begun = false;
   m_on_peer_disconnected = nullptr;
   m_on_all_sent = nullptr;
   if (m_close_after_response)
--- a/Source/Core/Http/ServerConnection.h
+++ b/Source/Core/Http/ServerConnection.h
@@ -62,10 +62,11 @@
 public:
   static std::shared_ptr<ServerConnection> Adopt(int fd, RequestHandler& handler);
 
-  /// Sends a response with a complete body.
+  /// Sends a response with a complete body. A request gets one response: if one has begun, the
+  /// connection is ended instead, as by `AbortResponse`.
   void Respond(int status, std::string_view reason, const std::vector<HeaderField>& headers,
                std::string_view body);
-  /// Starts a response whose body is sent piece by piece.
+  /// Starts a response whose body is sent piece by piece; if one has begun, as `Respond`.
   void BeginBody(int status, std::string_view reason, const std::vector<HeaderField>& headers,
                  BodyFraming framing = BodyFraming::Chunked);
   void SendBody(std::string_view bytes);
@@ -107,6 +108,9 @@
   void Reject(int status, std::string_view reason);
   void WriteHead(int status, std::string_view reason, const std::vector<HeaderField>& headers,
                  std::optional<std::size_t> length);
+  /// Returns true if the response to the open request may begin. Otherwise ends the connection if
+  /// another response has begun.
+  bool MayBeginResponse();
   void CloseConnection();
   void EndResponse();
   void StartIdleTimer();
@@ -119,6 +123,7 @@
   std::string m_unread; ///< Bytes that follow the open request.
   ReceivedRequest m_request;
   bool m_request_open = false;
+  bool m_response_begun = false; ///< To the open request, piece by piece.
   bool m_close_after_response = false;
   bool m_head_only = false; ///< The request is a HEAD: the response has no body.
   BodyFraming m_framing = BodyFraming::Chunked; ///< Of the response that is being sent.
