StandIns: streams that are taken up after all VMs were killed

Two cases with real daemons: all six VMs are killed every 4.5 s while servers of two versions are in service; and once, half a second after the last server of the first version has gone.

On the code as it is, 44 of 510 streams that are taken up go on in the first case, the others are refused since nobody knows which version began them; in the second, 2 streams hold events of both versions.

The stand-in of the store also reads ranges of keys and removes rows.

--- a/Source/StandIns/ResumedStreams/Main.cpp
+++ b/Source/StandIns/ResumedStreams/Main.cpp
@@ -128,6 +128,8 @@
         {"models", {&Run::InjectNothing, usual, false, false, true}},
         {"models-and-kills", {&Run::KillOrigins, usual, false, false, true}},
         {"overlapping", {&Run::OverlapFaults, usual}},
+        {"all-killed", {&Run::KillAllAtOnce, usual}},
+        {"rollout-and-all-killed", {&Run::KillAllAfterRollout, usual, true}},
     };
     return CASES;
   }
@@ -347,6 +349,29 @@
     }
   }
 
+  void KillAll()
+  {
+    for (std::size_t vm = 0; vm < m_daemons.Size(); ++vm)
+      m_daemons.End(vm, SIGKILL, Milliseconds(300));
+  }
+
+  void KillAllAtOnce()
+  {
+    Repeat(Milliseconds(4500), [this] {
+      KillAll();
+    });
+  }
+
+  /// The last server of the first version has gone shortly before.
+  void KillAllAfterRollout()
+  {
+    const auto rolled_out =
+        ROLLOUT_DRAIN_BEGIN + (SERVERS_PER_VERSION - 1) * ROLLOUT_STEP + DRAIN_TIME;
+    After(rolled_out + Milliseconds(500), [this] {
+      KillAll();
+    });
+  }
+
   int Report(const std::string& name)
   {
     std::cout << m_checker.Describe(m_logs) << "\n";
--- a/Source/StandIns/Soak/StandInStore.cpp
+++ b/Source/StandIns/Soak/StandInStore.cpp
@@ -110,7 +110,8 @@
   }
   const std::string& target = request.head.target;
   if (target.starts_with("/rows-get"))
-    Read(connection, QueryValue(target, "table"), QueryValue(target, "startRev"));
+    Read(connection, QueryValue(target, "table"), QueryValue(target, "startRev"),
+         QueryValue(target, "targetVersion"));
   else if (target.starts_with("/rows-feed"))
     Feed(connection, QueryValue(target, "table"), std::atoll(QueryValue(target, "after").c_str()),
          Common::Milliseconds(std::atoi(QueryValue(target, "waitMs").c_str())));
@@ -139,11 +140,12 @@
 }
 
 void StandInStore::Read(const std::shared_ptr<Http::ServerConnection>& connection,
-                        const std::string& table, const std::string& first_key)
+                        const std::string& table, const std::string& first_key,
+                        const std::string& end_key)
 {
   Json rows = Json::array();
   for (const auto& [key, row] : m_tables[table])
-    if (key >= first_key && !row.removed)
+    if (key >= first_key && (end_key.empty() || key < end_key) && !row.removed)
       rows.push_back(RowJson(table, key, row));
   RespondWithVersion(connection, 200, {{"rows", rows}, {"hasMore", false}});
 }
@@ -210,6 +212,9 @@
   for (const Json& row : Common::GetArray(*json, "setKeys"))
     Write(Common::GetOr<std::string>(row, "table", ""), Common::GetOr<std::string>(row, "key", ""),
           {Common::GetOr<std::string>(row, "value", ""), 0, false});
+  for (const Json& row : Common::GetArray(*json, "remove"))
+    Remove(Common::GetOr<std::string>(row, "table", ""),
+           Common::GetOr<std::string>(row, "key", ""));
   const bool loses_response =
       m_fault == StoreFault::LoseResponses && Common::SharedRandom()() % LOSE_ONE_IN == 0;
   if (loses_response)
--- a/Source/StandIns/Soak/StandInStore.h
+++ b/Source/StandIns/Soak/StandInStore.h
@@ -64,7 +64,7 @@
   /// Writes a row and responds to the feeds that wait for changes of its table.
   void Write(const std::string& table, const std::string& key, Row row);
   void Read(const std::shared_ptr<Http::ServerConnection>& connection, const std::string& table,
-            const std::string& first_key);
+            const std::string& first_key, const std::string& end_key);
   void Feed(const std::shared_ptr<Http::ServerConnection>& connection, const std::string& table,
             std::int64_t after, Common::Milliseconds wait);
   void Transact(const std::shared_ptr<Http::ServerConnection>& connection, const std::string& body);
--- a/Tools/resumed-streams.sh
+++ b/Tools/resumed-streams.sh
@@ -8,7 +8,7 @@
 cd "$(dirname "$0")/.."
 CASES=(quiet origin-killed origin-stopped origin-frozen holder-frozen holder-killed store-silent rolling-restart rollout
   rollout-and-kills young-vm chains same-id-twice models models-and-kills
-  overlapping)
+  overlapping all-killed rollout-and-all-killed)
 SELECTED=("${CASES[@]}")
 [ $# -gt 0 ] && SELECTED=("$1")
 exec Tools/daemon-cases.sh resumed-streams 127.41 "${2:-1}" "${*:3}" "${SELECTED[@]}"
