Orders, Gateway, platform: the store keeps the origins of streams when all daemons are lost

Callers whose streams broke off as all VMs were killed got a stream joined from two versions, or, where both versions still served, were refused ("it is not known which software version began the stream").

Cause: only running daemons knew which versions the servers had had, and which of them began a stream. Daemons that had all just started took the one version that they saw for the only one there was.

OriginArchive keeps both in a table of the store: one row with the versions of 90 s, which a daemon reads once after its start, and, while a pool has several versions, the streams that begin, gathered, in 64 shards that are read only for streams that no daemon knows.

--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -250,6 +250,11 @@
                    const OriginEvidence& evidence);
   /// Applies the replies so far of daemons that do not know the origin.
   void LearnNoOrigin(StreamKey stream, const OriginEvidence& evidence);
+  /// True if other daemons or the store may know of versions that this daemon has not seen.
+  bool MayLackVersions() const { return static_cast<bool>(m_on_origin_query); }
+  /// All versions that servers had before `now` have been noted: requests that wait for the origins
+  /// of their streams may go on.
+  void NoteVersionsRestored(Common::TimePoint now);
   /// Records that a server of the pool with this version has begun a stream or continues it.
   /// `known`: the origin, if the stream was resumed.
   void NoteStream(StreamKey stream, const PoolId& pool, const SoftwareVersion& version,
--- a/Source/Core/Gateway/DispatcherStreams.cpp
+++ b/Source/Core/Gateway/DispatcherStreams.cpp
@@ -5,6 +5,7 @@
 
 #include "Gateway/Dispatcher.h"
 
+#include <algorithm>
 #include <iterator>
 #include <ranges>
 
@@ -66,6 +67,16 @@
     relay->LearnNoOrigin(evidence);
 }
 
+void Dispatcher::NoteVersionsRestored(Common::TimePoint now)
+{
+  m_versions.NoteRestored(now);
+  std::vector<std::shared_ptr<Relay>> relays;
+  std::ranges::copy(m_relays | std::views::values, std::back_inserter(relays));
+  std::ranges::for_each(relays, [](const auto& relay) {
+    relay->RecheckOrigin();
+  });
+}
+
 void Dispatcher::NoteStream(StreamKey stream, const PoolId& pool, const SoftwareVersion& version,
                             const std::optional<StreamOrigin>& known)
 {
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -158,6 +158,9 @@
   /// Goes on if only one version can have begun the stream. Refuses the request if several can and
   /// no more replies are expected.
   void LearnNoOrigin(const OriginEvidence& evidence);
+  /// Goes on if the request waits for the origin of its stream, and the versions that the servers
+  /// have had are known now and are only one.
+  void RecheckOrigin();
   Crashes::RequestIdentity Identity() const;
 
   /// Ends the request if it is blocked because servers crashed while they ran it, unless a server
@@ -210,10 +213,12 @@
   /// Does the same with the only version that the pool's servers have had, and returns true.
   /// Returns false if they had several, or may have had others that are not known here.
   bool BindToOnlyVersion();
-  /// True if some daemon that replied, or this one, knows all versions that the pool has had.
+  /// True if some daemon that replied, or this one, knows all versions that the pool has had, or no
+  /// other one could.
   bool IsHistoryKnown() const;
   /// The versions that the pools of the route have had.
   std::set<SoftwareVersion> RecentVersions() const;
+  void AwaitOriginUntilExpiry();
   void OnOriginWaitExpired();
   void RefuseUnknownOrigin();
   /// Ends the wait for the origin and looks for a server.
--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -64,26 +64,35 @@
     m_origin_evidence.is_complete = true;
     if (BindToOnlyVersion())
       ContinueWithOrigin();
-    else
+    else if (IsHistoryKnown() || RecentVersions().size() != 1)
       RefuseUnknownOrigin();
+    else
+      AwaitOriginUntilExpiry();
     return true;
   }
   if (!m_awaits_origin || m_done)
     return true;
   m_wait_timer.Start(std::min(ORIGIN_REPLY_TIME, WaitLeft(Common::Now())), [this] {
-    const auto guard = shared_from_this();
-    if (IsHistoryKnown() && BindToOnlyVersion())
-    {
-      ContinueWithOrigin();
-      return;
-    }
-    m_wait_timer.Start(WaitLeft(Common::Now()), [this] {
-      OnOriginWaitExpired();
-    });
+    AwaitOriginUntilExpiry();
+    RecheckOrigin();
   });
   return true;
 }
 
+void Relay::AwaitOriginUntilExpiry()
+{
+  m_wait_timer.Start(WaitLeft(Common::Now()), [this] {
+    OnOriginWaitExpired();
+  });
+}
+
+void Relay::RecheckOrigin()
+{
+  const auto guard = shared_from_this();
+  if (m_awaits_origin && !m_done && IsHistoryKnown() && BindToOnlyVersion())
+    ContinueWithOrigin();
+}
+
 void Relay::BindToOrigin(const StreamOrigins::Entry& entry, OriginSource source)
 {
   m_origin = entry.origin;
@@ -94,7 +103,8 @@
 
 bool Relay::IsHistoryKnown() const
 {
-  return m_origin_evidence.has_history || m_dispatcher.Versions().IsComplete(Common::Now());
+  return m_origin_evidence.has_history || !m_dispatcher.MayLackVersions() ||
+         m_dispatcher.Versions().IsComplete(Common::Now());
 }
 
 std::set<SoftwareVersion> Relay::RecentVersions() const
@@ -111,7 +121,8 @@
   const VersionHistory& history = m_dispatcher.Versions();
   // The stream may have begun in any pool of the route.
   const std::set<SoftwareVersion> known = RecentVersions();
-  if (known.size() != 1 || !(m_origin_evidence.is_current || history.IsCurrent(now)))
+  if (known.size() != 1 || !IsHistoryKnown() ||
+      !(m_origin_evidence.is_current || history.IsCurrent(now)))
     return false;
   std::set<VersionKey> versions = m_origin_evidence.versions;
   versions.insert(KeyOf(m_pool, *known.begin()));
@@ -147,7 +158,7 @@
 void Relay::OnOriginWaitExpired()
 {
   const auto guard = shared_from_this();
-  if ((m_origin_evidence.is_complete || IsHistoryKnown()) && BindToOnlyVersion())
+  if (BindToOnlyVersion())
     ContinueWithOrigin();
   else
     RefuseUnknownOrigin();
--- a/Source/Core/Gateway/VersionHistory.cpp
+++ b/Source/Core/Gateway/VersionHistory.cpp
@@ -36,6 +36,13 @@
   m_last_seen[pool][version] = now;
 }
 
+void VersionHistory::NoteRestored(TimePoint now)
+{
+  m_restored_at = now;
+  if (!m_followed_since && IsCurrent(now))
+    m_followed_since = now;
+}
+
 std::set<SoftwareVersion> VersionHistory::Recent(const PoolId& pool, TimePoint now) const
 {
   std::set<SoftwareVersion> versions;
@@ -50,6 +57,15 @@
   return versions;
 }
 
+std::map<PoolId, std::set<SoftwareVersion>> VersionHistory::AllRecent(TimePoint now) const
+{
+  std::map<PoolId, std::set<SoftwareVersion>> result;
+  for (const auto& [pool, versions] : m_last_seen)
+    if (auto recent = Recent(pool, now); !recent.empty())
+      result.emplace(pool, std::move(recent));
+  return result;
+}
+
 bool VersionHistory::HasSeveralVersions(TimePoint now) const
 {
   return std::ranges::any_of(m_last_seen, [now](const auto& entry) {
@@ -67,6 +83,9 @@
 
 bool VersionHistory::IsComplete(TimePoint now) const
 {
-  return IsCurrent(now) && m_followed_since && now - *m_followed_since >= StreamOrigins::RETENTION;
+  if (!IsCurrent(now) || !m_followed_since)
+    return false;
+  return now - *m_followed_since >= StreamOrigins::RETENTION ||
+         (m_restored_at && *m_restored_at >= *m_followed_since);
 }
 } // namespace Gateway
--- a/Source/Core/Gateway/VersionHistory.h
+++ b/Source/Core/Gateway/VersionHistory.h
@@ -27,12 +27,16 @@
   void Note(const PoolId& pool, const SoftwareVersion& version, Common::TimePoint now);
   /// The versions of the pool within the retention time of streams.
   std::set<SoftwareVersion> Recent(const PoolId& pool, Common::TimePoint now) const;
+  /// Records that all versions that servers had before `now` have been noted.
+  void NoteRestored(Common::TimePoint now);
+  /// The versions of all pools within the retention time of streams.
+  std::map<PoolId, std::set<SoftwareVersion>> AllRecent(Common::TimePoint now) const;
   /// True if any pool has recently had several versions.
   bool HasSeveralVersions(Common::TimePoint now) const;
   /// False while the entries may be so old that servers with other versions are missing.
   bool IsCurrent(Common::TimePoint now) const;
-  /// True if the entries have been followed without a gap for the retention time of streams, so
-  /// that Recent() has all versions.
+  /// True if Recent() has all versions: the entries have been followed without a gap for the
+  /// retention time of streams, or since the versions before were restored.
   bool IsComplete(Common::TimePoint now) const;
 
 private:
@@ -45,5 +49,6 @@
   std::map<PoolId, std::set<SoftwareVersion>> m_current;
   std::map<PoolId, std::map<SoftwareVersion, Common::TimePoint>> m_last_seen;
   std::optional<Common::TimePoint> m_followed_since;
+  std::optional<Common::TimePoint> m_restored_at;
 };
 } // namespace Gateway
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -21,6 +21,7 @@
 #include "Orders/Hub.h"
 #include "Orders/LeaseManager.h"
 #include "Orders/OrderManager.h"
+#include "Orders/OriginArchive.h"
 
 namespace Orders
 {
@@ -35,6 +36,13 @@
   Common::DataCentreId data_centre;
 };
 
+/// Access to what the daemons keep in the platform's store.
+struct Archives
+{
+  ArchiveAccess crashes;
+  OriginArchiveAccess origins;
+};
+
 /// Delay before a VM with few cores or a slow link tries to acquire a free lease; 0 for a VM with
 /// enough of both. The holder of a system of 70 daemons was measured to use 0.1 cores and some
 /// Mbit/s. Candidates learn of a free lease within about a second of each other, so the longest
@@ -63,7 +71,7 @@
 
   /// `lease_table` is read from the store only while no lease holder is reachable.
   Coordination(const CoordinationSettings& settings, Gateway::Dispatcher& dispatcher, Store& store,
-               OrderChannel channel, ArchiveAccess archive, std::vector<Follower*> shared_tables,
+               OrderChannel channel, Archives archives, std::vector<Follower*> shared_tables,
                Follower& lease_table)
       : m_dispatcher(dispatcher),
         m_vm(settings.vm),
@@ -77,7 +85,9 @@
         m_lease(store, {settings.vm, m_run, settings.local.ToString(), LEASE_DURATION,
                         settings.holder_pause + PAUSE_MARGIN,
                         LeaseHandicap(settings.cores, settings.link_mbps)}),
-        m_archive(dispatcher, std::move(archive)),
+        m_archive(dispatcher, std::move(archives.crashes)),
+        m_origin_archive({settings.local, Fleet::HashOf(settings.data_centre), m_run.Get()},
+                         dispatcher, std::move(archives.origins)),
         m_lease_table(lease_table)
   {
     std::vector<Fleet::TableAccess> tables;
@@ -86,6 +96,7 @@
     });
     m_shared_tables = shared_tables;
     m_hub.SetTables(std::move(tables));
+    m_hub.UseOriginArchive(m_origin_archive);
     m_hub.OnLeaseAnnouncement([this](const LeaseAnnouncement& lease, const Common::VmId& holder,
                                      const Http::Endpoint& from) {
       m_lease.OnHolderAnnouncement(lease.version, {holder, {}, from.ToString()}, lease.left);
@@ -155,6 +166,12 @@
                      static_cast<double>(origins.replies_not_asked_for));
     metrics.SetGauge("origin_copies_of_strangers",
                      static_cast<double>(origins.copies_of_strangers));
+    const auto& archive = m_origin_archive.GetCounters();
+    metrics.SetGauge("origin_archive_rows_written", static_cast<double>(archive.rows_written));
+    metrics.SetGauge("origin_archive_shards_read", static_cast<double>(archive.shards_read));
+    metrics.SetGauge("origin_archive_streams_restored",
+                     static_cast<double>(archive.streams_restored));
+    metrics.SetGauge("origin_archive_failures", static_cast<double>(archive.failures));
     const auto& permits = m_hub.Permits().Granted();
     metrics.SetGauge("permits_handed_out", static_cast<double>(permits.granted));
     metrics.SetGauge("permits_handed_back", static_cast<double>(permits.unused));
@@ -302,6 +319,7 @@
     if (holds)
       m_order_manager.Plan(now);
     m_archive.Tick(RoleAtArchive(holds), now);
+    m_origin_archive.Tick(holds, m_hub.Members().All().size(), now);
     m_timer.Start(holds ? TICK : IDLE_TICK, [this] {
       Tick();
     });
@@ -348,6 +366,7 @@
   Hub m_hub;
   LeaseManager<Store> m_lease;
   CrashArchive m_archive;
+  OriginArchive m_origin_archive;
   bool m_store_lost = false;
   Follower& m_lease_table;
   std::vector<Follower*> m_shared_tables;
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -98,6 +98,7 @@
   /// The daemons that this one can address without the holder.
   const Fleet::MemberList& Members() const { return m_members.Members(); }
   const OriginExchange& Origins() const { return m_origins; }
+  void UseOriginArchive(OriginArchive& archive) { m_origins.UseArchive(archive); }
   /// Hands over what other daemons must not lose when this one stops.
   void PrepareStop() { m_origins.HandOver(); }
 
--- /dev/null
+++ b/Source/Core/Orders/OriginArchive.cpp
@@ -0,0 +1,328 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#include "Orders/OriginArchive.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <iterator>
+#include <ranges>
+#include <utility>
+
+#include <cereal/types/vector.hpp>
+
+#include "Common/Log.h"
+#include "Common/Loop.h"
+#include "Daemons/Codec.h"
+
+namespace Orders
+{
+namespace
+{
+using Common::Milliseconds;
+using Common::TimePoint;
+using Gateway::StreamKey;
+
+constexpr const char* STREAMS_PREFIX = "stream/";
+/// Follows all keys that begin with the prefix.
+constexpr const char* STREAMS_END = "stream0";
+
+std::string FirstKeyOf(OriginShard shard)
+{
+  std::array<char, 8> digits{};
+  std::snprintf(digits.data(), digits.size(), "%02x/", static_cast<unsigned>(shard));
+  return STREAMS_PREFIX + std::string(digits.data());
+}
+
+/// Follows all keys of the shard: '0' is the character after the '/' that ends its prefix.
+std::string EndKeyOf(OriginShard shard)
+{
+  std::string key = FirstKeyOf(shard);
+  key.back() = '0';
+  return key;
+}
+} // namespace
+
+OriginArchive::OriginArchive(Settings settings, Gateway::Dispatcher& dispatcher,
+                             OriginArchiveAccess access)
+    : m_settings(std::move(settings)), m_dispatcher(dispatcher), m_access(std::move(access))
+{
+}
+
+void OriginArchive::NoteStream(StreamKey stream)
+{
+  const auto now = Common::Now();
+  const auto entry = m_dispatcher.Origins().Find(stream, now);
+  if (!entry || !m_dispatcher.Versions().HasSeveralVersions(now))
+    return;
+  BeginWindow(now);
+  const OriginShard shard = ShardOf(stream);
+  m_window[shard].origins.push_back({ToBytes(stream), entry->origin.version});
+  m_unwritten.insert(shard);
+  ScheduleWrite();
+}
+
+void OriginArchive::BeginWindow(TimePoint now)
+{
+  const std::int64_t number = now.time_since_epoch() / WINDOW;
+  // Streams stay in the window until they have been written.
+  if (number == m_window_number || !m_unwritten.empty() || m_write_pending)
+    return;
+  m_window_number = number;
+  m_window.clear();
+}
+
+void OriginArchive::NoteAllStreams(TimePoint now)
+{
+  const auto entries = m_dispatcher.Origins().InRange(StreamKey{}, StreamKey(~std::uint64_t{0}));
+  for (const auto& [stream, entry] : entries)
+    if (entry.origin.daemon == m_settings.self &&
+        now - entry.noted_at < Gateway::StreamOrigins::RETENTION)
+      NoteStream(stream);
+}
+
+void OriginArchive::Tick(bool is_holder, std::size_t daemons, TimePoint now)
+{
+  if (!m_access.read)
+    return;
+  m_daemons = std::max<std::size_t>(daemons, 1);
+  const Gateway::VersionHistory& history = m_dispatcher.Versions();
+  const bool may_call = !m_versions_call_pending && now >= m_next_versions_call;
+  const bool lacks_history =
+      history.IsCurrent(now) && !history.IsComplete(now) && now >= m_next_versions_read;
+  if (may_call && (lacks_history || (is_holder && !m_has_versions)))
+    ReadVersions();
+  else if (may_call && is_holder && history.IsCurrent(now))
+    if (const auto versions = RecentVersions(now); versions != m_versions)
+      WriteVersions(versions);
+
+  const bool has_several = history.HasSeveralVersions(now);
+  if (has_several && !std::exchange(m_had_several_versions, true))
+    NoteAllStreams(now);
+  m_had_several_versions = has_several;
+}
+
+void OriginArchive::ReadVersions()
+{
+  m_versions_call_pending = true;
+  m_access.read(VERSIONS_KEY, std::string(VERSIONS_KEY) + "0",
+                [this](Common::Result<Fleet::TableRows> rows) {
+                  m_versions_call_pending = false;
+                  if (rows)
+                    OnVersions(*rows);
+                  else
+                    Fail("versions-read", rows.Reason());
+                });
+}
+
+void OriginArchive::OnVersions(const Fleet::TableRows& rows)
+{
+  m_has_versions = true;
+  m_versions_row = 0;
+  m_versions.clear();
+  const auto row = std::ranges::find(rows.rows, VERSIONS_KEY, &Fleet::TableRow::key);
+  const auto now = Common::Now();
+  if (row != rows.rows.end())
+  {
+    m_versions_row = row->version;
+    const auto archived = Daemons::Decode<ArchivedVersions>(row->value);
+    if (!archived)
+    {
+      // The holder writes the row again.
+      Fail("versions-decode", archived.Reason());
+      return;
+    }
+    m_versions = archived->versions;
+  }
+  // How long ago a version went is not known.
+  std::ranges::for_each(m_versions, [&](const ArchivedVersion& entry) {
+    m_dispatcher.Versions().Note(entry.pool, entry.version, now);
+  });
+  m_next_versions_read = now + MIN_READ_INTERVAL;
+  m_dispatcher.NoteVersionsRestored(now);
+}
+
+std::vector<ArchivedVersion> OriginArchive::RecentVersions(TimePoint now) const
+{
+  std::vector<ArchivedVersion> result;
+  for (const auto& [pool, versions] : m_dispatcher.Versions().AllRecent(now))
+    std::ranges::transform(versions, std::back_inserter(result),
+                           [&pool = pool](const auto& version) {
+                             return ArchivedVersion{pool, version};
+                           });
+  return result;
+}
+
+void OriginArchive::WriteVersions(const std::vector<ArchivedVersion>& versions)
+{
+  m_versions_call_pending = true;
+  const ArchivedVersions archived{versions};
+  m_access.replace_versions(m_versions_row, Daemons::Encode(archived),
+                            [this, versions](Common::Result<std::int64_t> row) {
+                              m_versions_call_pending = false;
+                              if (!row)
+                              {
+                                // Another holder has written the row, or the call may have.
+                                m_has_versions = false;
+                                Fail("versions-write", row.Reason());
+                                return;
+                              }
+                              m_versions_row = *row;
+                              m_versions = versions;
+                              ++m_counters.rows_written;
+                              Common::LogEvent(Common::LogLevel::Info, "versions-archived",
+                                               {{"row", *row}, {"versions", versions.size()}});
+                              if (!m_dispatcher.Versions().HasSeveralVersions(Common::Now()))
+                                RemoveStreams();
+                            });
+}
+
+std::string OriginArchive::KeyOfRow(OriginShard shard) const
+{
+  return FirstKeyOf(shard) + m_settings.run + "/" +
+         std::to_string(m_window_number % ROWS_PER_SHARD);
+}
+
+void OriginArchive::ScheduleWrite()
+{
+  if (m_unwritten.empty() || m_write_pending || m_write_timer.Running())
+    return;
+  using Seconds = std::chrono::duration<double>;
+  const auto now = Common::Now();
+  const double rate = MAX_WRITES_PER_SECOND / static_cast<double>(m_daemons);
+  m_writes_left = std::min(
+      m_writes_left + Seconds(now - std::exchange(m_writes_counted_at, now)).count() * rate,
+      MAX_WRITES_AT_ONCE);
+  const Seconds until_allowed(std::max(1 - m_writes_left, 0.0) / rate);
+  m_write_timer.Start(std::max(GATHER_TIME, std::chrono::ceil<Milliseconds>(until_allowed)),
+                      [this] {
+                        WriteStreams();
+                      });
+}
+
+void OriginArchive::WriteStreams()
+{
+  m_writes_left -= 1;
+  std::vector<ArchiveWrite> rows;
+  std::ranges::transform(m_unwritten, std::back_inserter(rows), [this](OriginShard shard) {
+    return ArchiveWrite{KeyOfRow(shard), Daemons::Encode(m_window[shard])};
+  });
+  const std::set<OriginShard> written = std::exchange(m_unwritten, {});
+  m_counters.rows_written += static_cast<std::int64_t>(rows.size());
+  m_write_pending = true;
+  m_access.write(std::move(rows), {}, [this, written](Common::Result<Common::Done> done) {
+    m_write_pending = false;
+    if (!done)
+    {
+      m_unwritten.insert(written.begin(), written.end());
+      Fail("streams-write", done.Reason());
+    }
+    ScheduleWrite();
+  });
+}
+
+bool OriginArchive::MustRestore(OriginShard shard, TimePoint now) const
+{
+  if (!m_access.read || !m_dispatcher.Versions().HasSeveralVersions(now))
+    return false;
+  const auto found = m_restorations.find(shard);
+  return found == m_restorations.end() || found->second.is_pending ||
+         now >= found->second.valid_until;
+}
+
+void OriginArchive::Restore(OriginShard shard, std::function<void()> on_done)
+{
+  Restoration& restoration = m_restorations[shard];
+  restoration.waiting.push_back(std::move(on_done));
+  if (!std::exchange(restoration.is_pending, true))
+    ReadShard(shard, FirstKeyOf(shard));
+}
+
+void OriginArchive::ReadShard(OriginShard shard, const std::string& first_key)
+{
+  m_access.read(first_key, EndKeyOf(shard),
+                [this, shard, first_key](Common::Result<Fleet::TableRows> rows) {
+                  if (!rows)
+                  {
+                    Fail("streams-read", rows.Reason());
+                    FinishRestore(shard, RETRY_DELAY);
+                    return;
+                  }
+                  std::ranges::for_each(rows->rows, [this](const Fleet::TableRow& row) {
+                    MergeRow(row);
+                  });
+                  // The last row of a page is the first one of the next page.
+                  const bool goes_on =
+                      rows->more && !rows->rows.empty() && rows->rows.back().key != first_key;
+                  if (goes_on)
+                  {
+                    ReadShard(shard, rows->rows.back().key);
+                    return;
+                  }
+                  ++m_counters.shards_read;
+                  FinishRestore(shard, RESTORED_VALIDITY);
+                });
+}
+
+void OriginArchive::MergeRow(const Fleet::TableRow& row)
+{
+  const auto archived = row.key.starts_with(STREAMS_PREFIX)
+                            ? Daemons::Decode<ArchivedOrigins>(row.value)
+                            : Common::Result<ArchivedOrigins>(ArchivedOrigins{});
+  if (!archived)
+  {
+    Fail("streams-decode", archived.Reason());
+    return;
+  }
+  const auto now = Common::Now();
+  for (const ArchivedOrigin& origin : archived->origins)
+  {
+    const StreamKey stream = ToStreamKey(origin.stream);
+    if (m_dispatcher.Origins().Find(stream, now))
+      continue;
+    m_dispatcher.Origins().Merge(stream, {origin.version, m_settings.self, m_settings.place}, now,
+                                 now);
+    ++m_counters.streams_restored;
+  }
+}
+
+void OriginArchive::FinishRestore(OriginShard shard, Milliseconds validity)
+{
+  Restoration& restoration = m_restorations[shard];
+  restoration.is_pending = false;
+  restoration.valid_until = Common::Now() + validity;
+  for (const auto& on_done : std::exchange(restoration.waiting, {}))
+    on_done();
+}
+
+void OriginArchive::RemoveStreams()
+{
+  m_access.read(STREAMS_PREFIX, STREAMS_END, [this](Common::Result<Fleet::TableRows> rows) {
+    if (!rows)
+    {
+      Fail("streams-read", rows.Reason());
+      return;
+    }
+    std::vector<std::string> keys;
+    for (const Fleet::TableRow& row : rows->rows)
+      if (row.key.starts_with(STREAMS_PREFIX) && keys.size() < MAX_ROWS_PER_WRITE)
+        keys.push_back(row.key);
+    if (keys.empty() || m_dispatcher.Versions().HasSeveralVersions(Common::Now()))
+      return;
+    m_access.write({}, std::move(keys), [this](Common::Result<Common::Done> done) {
+      if (done)
+        RemoveStreams();
+      else
+        Fail("streams-remove", done.Reason());
+    });
+  });
+}
+
+void OriginArchive::Fail(std::string_view what, const Common::Failure& reason)
+{
+  ++m_counters.failures;
+  m_next_versions_call = Common::Now() + RETRY_DELAY;
+  Common::LogEvent(Common::LogLevel::Warning, "origin-archive-failed",
+                   {{"call", what}, {"reason", reason.detail}});
+}
+} // namespace Orders
--- a/Source/Core/Orders/OriginExchange.cpp
+++ b/Source/Core/Orders/OriginExchange.cpp
@@ -62,6 +62,8 @@
 
 void OriginExchange::OnStreamNoted(StreamKey stream)
 {
+  if (m_archive != nullptr)
+    m_archive->NoteStream(stream);
   const bool is_necessary =
       m_is_stopping || m_dispatcher.Versions().HasSeveralVersions(Common::Now());
   if (!is_necessary && m_spare_copies < 1)
@@ -297,11 +299,56 @@
   m_streams_by_nonce[query.nonce] = stream;
   ++m_counters.queries;
   SendQuery(query);
+  RestoreFromArchive(stream);
+}
+
+bool OriginExchange::RestoreFromArchive(StreamKey stream)
+{
+  const OriginShard shard = ShardOf(stream);
+  if (m_archive == nullptr || !m_archive->MustRestore(shard, Common::Now()))
+    return false;
+  // A daemon that has no list of the others may be the only one.
+  const auto daemons = m_members.Members().All();
+  const auto readers = DaemonsToAsk(daemons, FirstGroupOf(shard), {});
+  if (!daemons.empty() && std::ranges::find(readers, m_settings.self) == readers.end())
+    return false;
+  m_archive->Restore(shard, [this, shard] {
+    OnRestored(shard);
+  });
+  return true;
+}
+
+void OriginExchange::OnRestored(OriginShard shard)
+{
+  std::vector<StreamKey> streams;
+  for (const auto& [stream, query] : m_queries)
+    if (ShardOf(stream) == shard)
+      streams.push_back(stream);
+  for (const StreamKey stream : streams)
+  {
+    const auto found = m_queries.find(stream);
+    if (found == m_queries.end())
+      continue;
+    const auto entry = m_dispatcher.Origins().Find(stream, Common::Now());
+    if (!entry)
+    {
+      ReportNoOrigin(stream);
+      continue;
+    }
+    const Gateway::OriginEvidence known = found->second.evidence;
+    m_streams_by_nonce.erase(found->second.nonce);
+    m_queries.erase(found);
+    m_dispatcher.LearnOrigin(stream, *entry, known);
+  }
 }
 
 void OriginExchange::ChooseDaemons(Query& query)
 {
   auto daemons = DaemonsToAsk(m_members.Members().All(), GroupOf(query.stream), m_settings.self);
+  if (m_archive != nullptr)
+    std::ranges::copy(DaemonsToAsk(m_members.Members().All(), FirstGroupOf(ShardOf(query.stream)),
+                                   m_settings.self),
+                      std::back_inserter(daemons));
   if (daemons.empty() && m_holder)
     daemons.push_back(*m_holder);
   for (const Http::Endpoint& daemon : daemons)
@@ -379,6 +426,9 @@
 {
   const auto now = Common::Now();
   const StreamKey stream = ToStreamKey(query.stream);
+  // The query is repeated until it has a reply.
+  if (!m_dispatcher.Origins().Find(stream, now) && RestoreFromArchive(stream))
+    return;
   OriginReply reply;
   reply.nonce = query.nonce;
   if (const auto entry = m_dispatcher.Origins().Find(stream, now))
@@ -424,17 +474,28 @@
   evidence.versions.insert(reply.versions.begin(), reply.versions.end());
   evidence.is_current = evidence.is_current || reply.is_current;
   evidence.has_history = evidence.has_history || reply.has_history;
-  // Without the whole list, a daemon that keeps a copy may not have been asked.
   if (query.unanswered.empty())
     ChooseDaemons(query);
-  evidence.is_complete = query.unanswered.empty() && m_members.IsComplete();
-  const Gateway::OriginEvidence so_far = evidence;
-  const StreamKey key = query.stream;
-  if (so_far.is_complete)
+  ReportNoOrigin(query.stream);
+}
+
+void OriginExchange::ReportNoOrigin(StreamKey stream)
+{
+  const auto found = m_queries.find(stream);
+  if (found == m_queries.end())
+    return;
+  Query& query = found->second;
+  const OriginShard shard = ShardOf(stream);
+  const bool awaits_archive = m_archive != nullptr && m_archive->IsReading(shard);
+  // Without the whole list, a daemon that keeps a copy may not have been asked.
+  query.evidence.is_complete =
+      query.unanswered.empty() && m_members.IsComplete() && !awaits_archive;
+  const Gateway::OriginEvidence evidence = query.evidence;
+  if (evidence.is_complete)
   {
-    m_streams_by_nonce.erase(stream);
+    m_streams_by_nonce.erase(query.nonce);
     m_queries.erase(found);
   }
-  m_dispatcher.LearnNoOrigin(key, so_far);
+  m_dispatcher.LearnNoOrigin(stream, evidence);
 }
 } // namespace Orders
--- a/Source/Core/Orders/OriginExchange.h
+++ b/Source/Core/Orders/OriginExchange.h
@@ -16,6 +16,7 @@
 #include "Fleet/MemberList.h"
 #include "Gateway/Dispatcher.h"
 #include "Orders/MemberExchange.h"
+#include "Orders/OriginArchive.h"
 #include "Orders/OriginMessages.h"
 #include "Orders/OriginPlacement.h"
 
@@ -41,6 +42,8 @@
   OriginExchange(Settings settings, Gateway::Dispatcher& dispatcher, const MemberExchange& members,
                  Sender send);
 
+  /// Uses the archive, which must live as long as this object, for streams that no daemon knows.
+  void UseArchive(OriginArchive& archive) { m_archive = &archive; }
   /// Connects the dispatcher, and begins to send copies.
   void Start();
   /// Sets the holder of the order lease, which is asked while the other daemons are not known.
@@ -134,6 +137,14 @@
   /// Sends the query to the daemons that have not replied, and again after a while.
   void SendQuery(Query& query);
   void OnQuery(const OriginQuery& query, const Http::Endpoint& from);
+  /// Reads what the archive has of the stream's shard if this daemon is one of those that do.
+  /// Returns true while that goes on.
+  bool RestoreFromArchive(Gateway::StreamKey stream);
+  /// Goes on with the queries for streams of the shard.
+  void OnRestored(OriginShard shard);
+  /// Passes on that the daemons which replied do not know the origin. Ends the query if no more
+  /// replies are expected.
+  void ReportNoOrigin(Gateway::StreamKey stream);
   void OnReply(const OriginReply& reply, const Http::Endpoint& from);
   static Gateway::StreamOrigin OriginIn(const OriginCopy& copy, const Http::Endpoint& from);
   /// Nullopt if the copy is older than origins are kept.
@@ -143,6 +154,7 @@
   Settings m_settings;
   Gateway::Dispatcher& m_dispatcher;
   const MemberExchange& m_members;
+  OriginArchive* m_archive = nullptr;
   Sender m_send;
   std::optional<Http::Endpoint> m_holder;
   double m_spare_copies = SPARE_COPIES_PER_SECOND;
--- a/Source/Core/Orders/OriginPlacement.cpp
+++ b/Source/Core/Orders/OriginPlacement.cpp
@@ -56,6 +56,16 @@
   return OriginGroup(static_cast<std::uint64_t>(stream) >> (KEY_BITS - GROUP_BITS));
 }
 
+OriginShard ShardOf(Gateway::StreamKey stream)
+{
+  return OriginShard(static_cast<std::size_t>(GroupOf(stream)) / (ORIGIN_GROUPS / ORIGIN_SHARDS));
+}
+
+OriginGroup FirstGroupOf(OriginShard shard)
+{
+  return OriginGroup(static_cast<std::size_t>(shard) * (ORIGIN_GROUPS / ORIGIN_SHARDS));
+}
+
 std::pair<Gateway::StreamKey, Gateway::StreamKey> KeysOf(OriginGroup group)
 {
   const std::uint64_t first = static_cast<std::uint64_t>(group) << (KEY_BITS - GROUP_BITS);
--- a/Source/Core/Orders/OriginPlacement.h
+++ b/Source/Core/Orders/OriginPlacement.h
@@ -27,6 +27,15 @@
 /// The first and the last key of the group.
 std::pair<Gateway::StreamKey, Gateway::StreamKey> KeysOf(OriginGroup group);
 
+/// Streams are kept in the platform's store in shards, each of which has several groups.
+enum class OriginShard : std::uint8_t
+{
+};
+constexpr std::size_t ORIGIN_SHARDS = 64;
+OriginShard ShardOf(Gateway::StreamKey stream);
+/// The first group of the shard. The daemons that are asked for its streams read the shard.
+OriginGroup FirstGroupOf(OriginShard shard);
+
 /// Copies of an origin, besides the one of the daemon through which the stream began.
 inline constexpr std::size_t ORIGIN_COPIES = 2;
 /// How many daemons of each data centre are asked for an origin, and how many of all at least.
--- a/Source/UnitTests/Orders/FleetStartTest.cpp
+++ b/Source/UnitTests/Orders/FleetStartTest.cpp
@@ -179,7 +179,7 @@
                       },
                       [] {}, [] {}}),
         m_coordination(Settings(number, daemons), m_dispatcher, store, OrderChannel{},
-                       ArchiveAccess{}, {&m_operator_rows, &m_server_rows}, m_lease_rows)
+                       Archives{}, {&m_operator_rows, &m_server_rows}, m_lease_rows)
   {
     CPPUNIT_ASSERT(m_coordination.Start());
   }
--- /dev/null
+++ b/Source/UnitTests/Orders/OriginArchiveTest.cpp
@@ -0,0 +1,334 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// What the platform's store keeps of the origins of streams when all daemons are lost.
+
+#include "Orders/OriginArchive.h"
+
+#include <algorithm>
+#include <memory>
+#include <ranges>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/Support/Loopback.h"
+
+namespace
+{
+using namespace Orders;
+using Common::Milliseconds;
+using Gateway::PoolId;
+using Gateway::SoftwareVersion;
+using Gateway::StreamKey;
+using UnitTests::RunFor;
+
+const PoolId POOL{"pool"};
+const SoftwareVersion FIRST{"a"};
+const SoftwareVersion SECOND{"b"};
+const Http::Endpoint SELF{0x0100007f, 1000};
+constexpr int STREAMS = 50;
+
+StreamKey StreamOf(int number)
+{
+  return Gateway::KeyOf(Accounts::AccountName(), "request-" + std::to_string(number));
+}
+
+/// A table of the store; responds after a millisecond.
+class TestTable
+{
+public:
+  OriginArchiveAccess Access()
+  {
+    OriginArchiveAccess access;
+    access.read = [this](const std::string& first, const std::string& end, auto callback) {
+      Respond([this, first, end, callback] {
+        callback(unavailable ? Failure() : Common::Result<Fleet::TableRows>(Range(first, end)));
+      });
+    };
+    access.replace_versions = [this](std::int64_t version, const std::string& value,
+                                     auto callback) {
+      Respond([this, version, value, callback] {
+        callback(Replace(version, value));
+      });
+    };
+    access.write = [this](const auto& written, const auto& removed, auto callback) {
+      ++writes;
+      Respond([this, written, removed, callback] {
+        callback(Write(written, removed));
+      });
+    };
+    return access;
+  }
+
+  std::map<std::string, Fleet::TableRow> rows;
+  bool unavailable = false;
+  std::size_t page_rows = 500;
+  int writes = 0;
+
+private:
+  static Common::Failure Failure() { return {Common::FailureKind::Overloaded, "unavailable"}; }
+
+  void Respond(std::function<void()> respond)
+  {
+    Common::Reactor::Get().After(Milliseconds(1), std::move(respond));
+  }
+
+  Fleet::TableRows Range(const std::string& first, const std::string& end)
+  {
+    Fleet::TableRows result;
+    for (auto row = rows.lower_bound(first); row != rows.lower_bound(end); ++row)
+    {
+      if (result.rows.size() == page_rows)
+      {
+        result.more = true;
+        break;
+      }
+      result.rows.push_back(row->second);
+    }
+    return result;
+  }
+
+  Common::Result<std::int64_t> Replace(std::int64_t version, const std::string& value)
+  {
+    if (unavailable)
+      return Failure();
+    Fleet::TableRow& row = rows[OriginArchive::VERSIONS_KEY];
+    if (row.version != version)
+      return Common::Failure{Common::FailureKind::Conflict, "another version"};
+    Put(OriginArchive::VERSIONS_KEY, value);
+    return row.version;
+  }
+
+  Common::Result<Common::Done> Write(const std::vector<ArchiveWrite>& written,
+                                     const std::vector<std::string>& removed)
+  {
+    if (unavailable)
+      return Failure();
+    for (const ArchiveWrite& row : written)
+      Put(row.key, row.value);
+    for (const std::string& key : removed)
+      rows.erase(key);
+    return Common::Done{};
+  }
+
+  void Put(const std::string& key, const std::string& value)
+  {
+    Fleet::TableRow row;
+    row.key = key;
+    row.value = value;
+    row.version = ++m_version;
+    rows[key] = row;
+  }
+
+  std::int64_t m_version = 0;
+};
+
+/// A daemon with the archive, and no others to ask.
+struct TestDaemon
+{
+  explicit TestDaemon(TestTable& table, const std::string& run = "run-1")
+      : archive({SELF, 1, run}, dispatcher, table.Access())
+  {
+    dispatcher.SetLocalOrigin(SELF, 1);
+    dispatcher.OnStreamNoted([this](StreamKey stream) {
+      archive.NoteStream(stream);
+    });
+  }
+
+  void See(const SoftwareVersion& version)
+  {
+    dispatcher.Versions().Note(POOL, version, Common::Now());
+  }
+  void Tick(bool is_holder, std::size_t daemons = 1)
+  {
+    dispatcher.Servers().RecordProof(Common::Now());
+    archive.Tick(is_holder, daemons, Common::Now());
+    RunFor(Milliseconds(20));
+  }
+  void Begin(int stream, const SoftwareVersion& version)
+  {
+    dispatcher.NoteStream(StreamOf(stream), POOL, version, std::nullopt);
+  }
+  /// Reads all shards; returns how many streams are known with the version that began them.
+  int CountRestored(const std::function<SoftwareVersion(int)>& version_of)
+  {
+    for (std::size_t shard = 0; shard < ORIGIN_SHARDS; ++shard)
+      if (archive.MustRestore(OriginShard(shard), Common::Now()))
+        archive.Restore(OriginShard(shard), [] {});
+    RunFor(Milliseconds(100));
+    return static_cast<int>(std::ranges::count_if(std::views::iota(0, STREAMS), [&](int stream) {
+      const auto entry = dispatcher.Origins().Find(StreamOf(stream), Common::Now());
+      return entry && entry->origin.version == Gateway::KeyOf(POOL, version_of(stream));
+    }));
+  }
+
+  Gateway::Dispatcher dispatcher{Gateway::DispatcherSettings{}};
+  OriginArchive archive;
+};
+
+SoftwareVersion AlternatingVersion(int stream)
+{
+  return stream % 2 == 0 ? FIRST : SECOND;
+}
+
+class OriginArchiveTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(OriginArchiveTest);
+  CPPUNIT_TEST(VersionThatWentIsForgottenWithAllDaemons);
+  CPPUNIT_TEST(OriginsAreForgottenWithAllDaemons);
+  CPPUNIT_TEST(OriginsOnFurtherPagesAreForgotten);
+  CPPUNIT_TEST(StreamsBeforeTheSecondVersionAreForgotten);
+  CPPUNIT_TEST(StreamsAreForgottenWhileTheStoreIsAway);
+  CPPUNIT_TEST(StoreIsReadWhileThereIsOneVersion);
+  CPPUNIT_TEST(UnreadableVersionsAreTakenForNone);
+  CPPUNIT_TEST(UnreadableStoreIsTakenForEmpty);
+  CPPUNIT_TEST(ManyDaemonsWriteMoreThanTheirShare);
+  CPPUNIT_TEST_SUITE_END();
+
+  void VersionThatWentIsForgottenWithAllDaemons()
+  {
+    TestTable table;
+    TestDaemon before(table);
+    before.See(FIRST);
+    before.See(SECOND);
+    before.Tick(true);
+    before.Tick(true);
+    TestDaemon after(table, "run-2");
+    after.See(SECOND);
+    CPPUNIT_ASSERT(!after.dispatcher.Versions().IsComplete(Common::Now()));
+    after.Tick(false);
+    CPPUNIT_ASSERT(after.dispatcher.Versions().IsComplete(Common::Now()));
+    CPPUNIT_ASSERT(after.dispatcher.Versions().HasSeveralVersions(Common::Now()));
+  }
+
+  void OriginsAreForgottenWithAllDaemons()
+  {
+    TestTable table;
+    LoseAllDaemons(table);
+    TestDaemon after(table, "run-2");
+    after.See(SECOND);
+    after.Tick(false);
+    CPPUNIT_ASSERT_EQUAL(STREAMS, after.CountRestored(AlternatingVersion));
+  }
+
+  void OriginsOnFurtherPagesAreForgotten()
+  {
+    TestTable table;
+    LoseAllDaemons(table);
+    LoseAllDaemons(table, "run-2");
+    table.page_rows = 2;
+    TestDaemon after(table, "run-3");
+    after.Tick(false);
+    CPPUNIT_ASSERT_EQUAL(STREAMS, after.CountRestored(AlternatingVersion));
+  }
+
+  void StreamsBeforeTheSecondVersionAreForgotten()
+  {
+    TestTable table;
+    TestDaemon before(table);
+    before.See(FIRST);
+    for (int stream = 0; stream < STREAMS; ++stream)
+      before.Begin(stream, FIRST);
+    before.Tick(true);
+    CPPUNIT_ASSERT_EQUAL(0, table.writes);
+    before.See(SECOND);
+    before.Tick(true);
+    before.Tick(true);
+    RunFor(Milliseconds(50));
+    TestDaemon after(table, "run-2");
+    after.Tick(false);
+    CPPUNIT_ASSERT_EQUAL(STREAMS, after.CountRestored([](int) {
+      return FIRST;
+    }));
+  }
+
+  void StreamsAreForgottenWhileTheStoreIsAway()
+  {
+    TestTable table;
+    TestDaemon before(table);
+    before.See(FIRST);
+    before.See(SECOND);
+    before.Tick(true);
+    before.Tick(true);
+    table.unavailable = true;
+    for (int stream = 0; stream < STREAMS; ++stream)
+      before.Begin(stream, AlternatingVersion(stream));
+    RunFor(Milliseconds(100));
+    table.unavailable = false;
+    RunFor(Milliseconds(500));
+    TestDaemon after(table, "run-2");
+    after.Tick(false);
+    CPPUNIT_ASSERT_EQUAL(STREAMS, after.CountRestored(AlternatingVersion));
+  }
+
+  void StoreIsReadWhileThereIsOneVersion()
+  {
+    TestTable table;
+    TestDaemon daemon(table);
+    daemon.See(FIRST);
+    daemon.Tick(true);
+    daemon.Tick(true);
+    for (std::size_t shard = 0; shard < ORIGIN_SHARDS; ++shard)
+      CPPUNIT_ASSERT(!daemon.archive.MustRestore(OriginShard(shard), Common::Now()));
+  }
+
+  void UnreadableVersionsAreTakenForNone()
+  {
+    TestTable table;
+    Fleet::TableRow& row = table.rows[OriginArchive::VERSIONS_KEY];
+    row.key = OriginArchive::VERSIONS_KEY;
+    row.version = 7;
+    row.value = "no archive";
+    TestDaemon daemon(table);
+    daemon.See(FIRST);
+    daemon.Tick(false);
+    CPPUNIT_ASSERT(!daemon.dispatcher.Versions().IsComplete(Common::Now()));
+  }
+
+  void UnreadableStoreIsTakenForEmpty()
+  {
+    TestTable table;
+    LoseAllDaemons(table);
+    table.unavailable = true;
+    TestDaemon after(table, "run-2");
+    after.See(SECOND);
+    after.Tick(false);
+    CPPUNIT_ASSERT(!after.dispatcher.Versions().IsComplete(Common::Now()));
+    table.unavailable = false;
+    RunFor(Milliseconds(400));
+    after.Tick(false);
+    CPPUNIT_ASSERT(after.dispatcher.Versions().IsComplete(Common::Now()));
+  }
+
+  void ManyDaemonsWriteMoreThanTheirShare()
+  {
+    constexpr std::size_t DAEMONS = 400;
+    constexpr int MAX_WRITES_AT_ONCE = 5;
+    TestTable table;
+    TestDaemon daemon(table);
+    daemon.See(FIRST);
+    daemon.See(SECOND);
+    daemon.Tick(false, DAEMONS);
+    for (int stream = 0; stream < STREAMS; ++stream)
+    {
+      daemon.Begin(stream, AlternatingVersion(stream));
+      RunFor(Milliseconds(20));
+    }
+    CPPUNIT_ASSERT(table.writes <= MAX_WRITES_AT_ONCE + 1);
+  }
+
+  /// A daemon sees two versions and begins streams, before it ends.
+  static void LoseAllDaemons(TestTable& table, const std::string& run = "run-1")
+  {
+    TestDaemon daemon(table, run);
+    daemon.See(FIRST);
+    daemon.See(SECOND);
+    daemon.Tick(true);
+    daemon.Tick(true);
+    for (int stream = 0; stream < STREAMS; ++stream)
+      daemon.Begin(stream, AlternatingVersion(stream));
+    RunFor(Milliseconds(100));
+  }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(OriginArchiveTest);
+} // namespace
