Http, Gateway: a HEAD goes out on a new connection

The response to a HEAD states a length and has no body, and where a copy ends depends on the request that it answers. So a HEAD needs a connection that has carried nothing, as requests without an id do. RequestIdentity says both.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -345,8 +345,8 @@
   m_body.clear();
   m_events.DropPartial();
   m_helper = m_dispatcher.Paths().HelperFor(*m_server, now);
-  const Http::RequestId request_id(m_id);
-  m_connection = m_server->TakeConnection(now, request_id, m_helper);
+  const Http::RequestIdentity identity{Http::RequestId(m_id), m_request.head.method != "HEAD"};
+  m_connection = m_server->TakeConnection(now, identity, m_helper);
   if (!m_connection)
   {
     AttemptFailed("no socket available", m_may_have_run);
@@ -376,8 +376,7 @@
     added.last_event_id = m_events.LastId();
   m_attempt =
       m_dispatcher.Late().NoteSent(*m_server, m_artifact.model, m_route.latency_target, now);
-  m_connection->SendIdentified(request_id, ForwardedRequest(m_request, names, added), this,
-                               m_request.head.method == "HEAD");
+  m_connection->SendIdentified(identity, ForwardedRequest(m_request, names, added), this);
   const bool is_stream = m_route.repeatability == Repeatability::Streaming;
   const auto target =
       std::chrono::duration_cast<Milliseconds>(m_route.latency_target * STALL_LATENCY_TARGETS);
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -114,7 +114,7 @@
 }
 
 std::shared_ptr<Http::OriginConnection>
-Server::TakeConnection(Common::TimePoint now, Http::RequestId request,
+Server::TakeConnection(Common::TimePoint now, const Http::RequestIdentity& request,
                        const std::optional<Http::Endpoint>& helper)
 {
   if (auto kept = m_idle.Take(now, request))
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -93,7 +93,7 @@
   /// Returns an idle connection that may carry the request, or a new one, through `helper` if that
   /// is set; nullptr if no socket is available.
   std::shared_ptr<Http::OriginConnection>
-  TakeConnection(Common::TimePoint now, Http::RequestId request,
+  TakeConnection(Common::TimePoint now, const Http::RequestIdentity& request,
                  const std::optional<Http::Endpoint>& helper);
   /// The message that asks a helper for a tunnel to this server.
   std::string TunnelRequest() const;
--- a/Source/Core/Http/CarriedRequests.h
+++ b/Source/Core/Http/CarriedRequests.h
@@ -27,6 +27,13 @@
   bool m_is_empty;
 };
 
+/// What ties a response to its request.
+struct RequestIdentity
+{
+  RequestId id;
+  bool has_response_body = true; ///< False for a HEAD.
+};
+
 /// The ids of all requests that a connection has carried.
 class CarriedRequests
 {
--- a/Source/Core/Http/IdleConnections.cpp
+++ b/Source/Core/Http/IdleConnections.cpp
@@ -43,10 +43,11 @@
   });
 }
 
-std::shared_ptr<OriginConnection> IdleConnections::Take(Common::TimePoint now, RequestId id)
+std::shared_ptr<OriginConnection> IdleConnections::Take(Common::TimePoint now,
+                                                        const RequestIdentity& request)
 {
-  return TakeIf(now, [id](const auto& connection) {
-    return connection->MayCarry(id);
+  return TakeIf(now, [&request](const auto& connection) {
+    return connection->MayCarry(request);
   });
 }
 
--- a/Source/Core/Http/IdleConnections.h
+++ b/Source/Core/Http/IdleConnections.h
@@ -22,8 +22,8 @@
 
   /// Returns a reusable connection, or nullptr; closes those that are not reusable.
   std::shared_ptr<OriginConnection> Take(Common::TimePoint now);
-  /// The same for a request with this id; leaves connections that may not carry it.
-  std::shared_ptr<OriginConnection> Take(Common::TimePoint now, RequestId id);
+  /// The same for this request; leaves connections that may not carry it.
+  std::shared_ptr<OriginConnection> Take(Common::TimePoint now, const RequestIdentity& request);
   /// Adds a connection if it is reusable; closes the oldest one where the pool is full.
   void Keep(std::shared_ptr<OriginConnection> connection, Common::TimePoint now);
   /// Closes all connections.
--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -107,17 +107,18 @@
   });
 }
 
-void OriginConnection::SendIdentified(RequestId id, const std::string& request,
-                                      ResponseHandler* handler, bool no_body_expected)
+void OriginConnection::SendIdentified(const RequestIdentity& identity, const std::string& request,
+                                      ResponseHandler* handler)
 {
-  m_carried.Add(id);
-  m_is_last_exchange = m_is_last_exchange || id.IsEmpty() || m_carried.IsFull();
-  Send(request, handler, no_body_expected);
+  m_carried.Add(identity.id);
+  m_is_last_exchange = m_is_last_exchange || identity.id.IsEmpty() || m_carried.IsFull();
+  Send(request, handler, !identity.has_response_body);
 }
 
-bool OriginConnection::MayCarry(RequestId id) const
+bool OriginConnection::MayCarry(const RequestIdentity& identity) const
 {
-  return m_requests == 0 || (!id.IsEmpty() && !m_carried.Contains(id));
+  return m_requests == 0 ||
+         (identity.has_response_body && !identity.id.IsEmpty() && !m_carried.Contains(identity.id));
 }
 
 void OriginConnection::OnConnected()
--- a/Source/Core/Http/OriginConnection.h
+++ b/Source/Core/Http/OriginConnection.h
@@ -70,13 +70,15 @@
   /// live until the exchange has ended or `Abandon` has been called.
   void Send(const std::string& request, ResponseHandler* handler, bool no_body_expected = false,
             Common::TimePoint send_deadline = NO_SEND_DEADLINE);
-  /// Sends the request with this id, which the response repeats. `MayCarry(id)` must be true.
-  void SendIdentified(RequestId id, const std::string& request, ResponseHandler* handler,
-                      bool no_body_expected);
-  /// True if a response on this connection with this id can only be that to the next request: the
-  /// connection has carried no request with the same id. A server may send a response twice, the
-  /// second time where the response to a later request is due.
-  bool MayCarry(RequestId id) const;
+  /// Sends the request `identity`, whose id the response repeats. `MayCarry(identity)` must be
+  /// true.
+  void SendIdentified(const RequestIdentity& identity, const std::string& request,
+                      ResponseHandler* handler);
+  /// True if a response on this connection with the request's id can only be that to this request.
+  /// A server may send a response twice, the second time where the response to a later request is
+  /// due: the connection must not have carried a request with the same id, and where a copy ends
+  /// can be told only if all responses on the connection may have bodies.
+  bool MayCarry(const RequestIdentity& identity) const;
   /// Ends the exchange and the connection without further events. During an exchange, or with
   /// unsent output, the connection is reset; otherwise it is closed.
   void Abandon();
