Gateway: blanks after an id are no part of it

Where a caller sent blanks after the id of its request, or a server after the id of its response, the response was skipped as one to another request, and the caller got 504 although its request had run. RFC 9110, 5.5 strips them.

The id is forwarded unchanged.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -151,7 +151,7 @@
   });
   const auto& configuration = m_dispatcher.CurrentConfiguration();
   const std::string* id = m_request.head.Find(m_dispatcher.Settings().names.request_id);
-  m_id = id == nullptr ? "" : *id;
+  m_id = id == nullptr ? "" : Common::TrimTrailingBlanks(*id);
   if (!configuration)
   {
     Refuse("no configuration has been received yet");
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "Common/Log.h"
+#include "Common/Text.h"
 #include "Gateway/Dispatcher.h"
 #include "Gateway/Forwarding.h"
 
@@ -30,7 +31,7 @@
   if (m_connection && !m_connection->IsTunnel())
     m_dispatcher.Paths().NoteDirectResponse(Common::Now(), m_connection->IsFirstExchange());
   const std::string* id = head.Find(m_dispatcher.Settings().names.request_id);
-  if (!m_id.empty() && (id == nullptr || *id != m_id))
+  if (!m_id.empty() && (id == nullptr || Common::TrimTrailingBlanks(*id) != m_id))
   {
     Common::LogEvent(Common::LogLevel::Warning, "answer-crossed",
                      {{"id", m_id},
--- a/Source/UnitTests/Gateway/SurplusResponsesTest.cpp
+++ b/Source/UnitTests/Gateway/SurplusResponsesTest.cpp
@@ -98,9 +98,13 @@
   CPPUNIT_TEST(SecondCopyOfASuccessAnswersTheSameRequestSentAgain);
   CPPUNIT_TEST(SecondCopyAnswersARequestWithoutAnId);
   CPPUNIT_TEST(SecondCopyOfAHeadResponseSwallowsTheNextResponse);
+  CPPUNIT_TEST(SecondCopyBeforeAHeadResponseIsReadWithoutItsBody);
+  CPPUNIT_TEST(BodyOfASecondCopyAnswersAHead);
   CPPUNIT_TEST(SeveralCopiesAreSkipped);
   CPPUNIT_TEST(SecondCopyOfAStreamIsSkipped);
   CPPUNIT_TEST(ConnectionWithASurplusResponseIsUsedAgain);
+  CPPUNIT_TEST(ResponseToAnIdWithATrailingBlankIsSkipped);
+  CPPUNIT_TEST(ResponseWithATrailingBlankAfterItsIdIsSkipped);
   CPPUNIT_TEST_SUITE_END();
 
   /// Sends a request that may not be repeated to a server that rejects it once. It must run once
@@ -231,6 +235,29 @@
     CPPUNIT_ASSERT(world.caller.received.starts_with("HTTP/1.1 200 "));
   }
 
+  /// Sends a request whose response has this body, and then a HEAD, whose response has none.
+  void AskAndSendHead(const std::string& body)
+  {
+    RepeatingServer server([&](const std::string& head) {
+      const std::string response = Answer(head, body);
+      return head.starts_with("HEAD ") ? response.substr(0, response.size() - body.size())
+                                       : response;
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONCE_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot(body));
+    world.caller.received.clear();
+    world.caller.stream->Write(
+        "HEAD /once/ HTTP/1.1\r\nHost: shop.example\r\nReq-Id: id-2\r\n\r\n");
+    CPPUNIT_ASSERT(world.CallerGot("\r\n\r\n"));
+    CPPUNIT_ASSERT(world.caller.received.starts_with("HTTP/1.1 200 "));
+  }
+
+  void SecondCopyBeforeAHeadResponseIsReadWithoutItsBody() { AskAndSendHead("first"); }
+
+  void BodyOfASecondCopyAnswersAHead() { AskAndSendHead(Rejection("\r\nReq-Id: id-2\r\n")); }
+
   void SeveralCopiesAreSkipped()
   {
     RepeatingServer server(
@@ -282,6 +309,32 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(2), server.Connections());
   }
+
+  /// Blanks after a header's value are no part of it (RFC 9110, 5.5): servers strip them.
+  void ResponseToAnIdWithATrailingBlankIsSkipped()
+  {
+    TestServer server([](TestPeer& peer, const std::string&) {
+      peer.stream->Write(Answer("\r\nReq-Id: id-1\r\n", "done"));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONCE_PATH, "id-1 ", "Left-Ms: 400\r\n");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 "));
+    CPPUNIT_ASSERT(world.caller.received.starts_with("HTTP/1.1 200 "));
+  }
+
+  /// The same in the response.
+  void ResponseWithATrailingBlankAfterItsIdIsSkipped()
+  {
+    TestServer server([](TestPeer& peer, const std::string&) {
+      peer.stream->Write(Answer("\r\nReq-Id: id-1 \t\r\n", "done"));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONCE_PATH, "id-1", "Left-Ms: 400\r\n");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 "));
+    CPPUNIT_ASSERT(world.caller.received.starts_with("HTTP/1.1 200 "));
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SurplusResponsesTest);
 } // namespace
