Http: no body without a head

After a second response to a request had been stopped, its body was still written to the caller. No caller of it is known. SendBody and EndBody do nothing unless a response has begun.

ServerConnectionTest::BodyOfASecondResponseIsSentWithoutItsHead failed before.

--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -237,7 +237,7 @@
 
 void ServerConnection::SendBody(std::string_view bytes)
 {
-  if (bytes.empty() || m_head_only || !m_stream->IsOpen())
+  if (bytes.empty() || m_head_only || !m_response_begun || !m_stream->IsOpen())
     return;
   if (m_framing == BodyFraming::UntilClose)
     m_stream->Write(bytes);
@@ -247,7 +247,7 @@
 
 void ServerConnection::EndBody()
 {
-  if (!m_stream->IsOpen())
+  if (!m_response_begun || !m_stream->IsOpen())
     return;
   if (m_framing == BodyFraming::Chunked && !m_head_only)
     m_stream->Write("0\r\n\r\n");
--- a/Source/UnitTests/Http/ServerConnectionTest.cpp
+++ b/Source/UnitTests/Http/ServerConnectionTest.cpp
@@ -35,12 +35,28 @@
   int requests = 0;
 };
 
+/// Responds, and then tries to send another response to the same request piece by piece.
+class RespondingTwice : public CountingHandler
+{
+public:
+  void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
+                 Http::ReceivedRequest) override
+  {
+    ++requests;
+    connection->Respond(200, "OK", {}, "first");
+    connection->BeginBody(200, "OK", {});
+    connection->SendBody("second");
+    connection->EndBody();
+  }
+};
+
 class ServerConnectionTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ServerConnectionTest);
   CPPUNIT_TEST(AnswersRequestAtIdleTimeout);
   CPPUNIT_TEST(RaisedIdleTimeoutAppliesToIdleConnections);
   CPPUNIT_TEST(ClosesIdleConnections);
+  CPPUNIT_TEST(BodyOfASecondResponseIsSentWithoutItsHead);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -87,6 +103,23 @@
     }));
   }
 
+  void BodyOfASecondResponseIsSentWithoutItsHead()
+  {
+    RespondingTwice handler;
+    std::array<int, 2> ends{};
+    CPPUNIT_ASSERT_EQUAL(0, socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()));
+    const auto connection = Http::ServerConnection::Adopt(ends[0], handler);
+    CPPUNIT_ASSERT(write(ends[1], REQUEST.data(), REQUEST.size()) > 0);
+    UnitTests::RunFor(Milliseconds(50));
+    std::array<char, 1024> buffer{};
+    const ssize_t count = read(ends[1], buffer.data(), buffer.size());
+    close(ends[1]);
+    CPPUNIT_ASSERT_EQUAL(1, handler.requests);
+    CPPUNIT_ASSERT(count > 0);
+    CPPUNIT_ASSERT(std::string_view(buffer.data(), static_cast<std::size_t>(count))
+                       .ends_with("\r\n\r\nfirst"));
+  }
+
   void ClosesIdleConnections()
   {
     CPPUNIT_ASSERT(UnitTests::RunUntil([this] {
