Gateway: a suspended VM has not followed the servers' entries

A VM that was suspended for longer than origins are kept vouched for the one version that it saw afterwards: the entries arrived before its first tick, so that no gap was noticed, and a stream could go on at another version.

The history begins anew if it has not been observed for longer than entries count as current. VersionHistoryTest (2 tests), one of which failed before.

--- a/Source/Core/Gateway/VersionHistory.cpp
+++ b/Source/Core/Gateway/VersionHistory.cpp
@@ -4,6 +4,7 @@
 #include "Gateway/VersionHistory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Gateway
 {
@@ -25,7 +26,9 @@
     std::erase_if(versions, [now](const auto& entry) {
       return now - entry.second >= StreamOrigins::RETENTION;
     });
-  if (!IsCurrent(now))
+  // While the VM was suspended, nothing was followed.
+  const bool has_gap = now - std::exchange(m_observed_at, now) > MAX_ENTRY_AGE;
+  if (!IsCurrent(now) || has_gap)
     m_followed_since.reset();
   else if (!m_followed_since)
     m_followed_since = now;
--- a/Source/Core/Gateway/VersionHistory.h
+++ b/Source/Core/Gateway/VersionHistory.h
@@ -48,6 +48,7 @@
   std::uint64_t m_revision = 0; ///< Of the directory when `m_current` was derived from it.
   std::map<PoolId, std::set<SoftwareVersion>> m_current;
   std::map<PoolId, std::map<SoftwareVersion, Common::TimePoint>> m_last_seen;
+  Common::TimePoint m_observed_at;
   std::optional<Common::TimePoint> m_followed_since;
   std::optional<Common::TimePoint> m_restored_at;
 };
