Orders: the archive's rows stay small, and those of ended daemons go

While a stream began during each write, the window of streams never ended: its rows grew, and were written whole each time, beyond what the store takes. Rows of daemons that had ended stayed until the rollout was over.

A window ends by time alone and takes along what has not been written; a row has 4,000 streams at most; rows older than ten minutes are not merged, and are removed by the daemon that reads them.

OriginArchiveTest::RowsGrowWhileStreamsBeginDuringEachWrite failed before.

--- a/Source/Core/Orders/OriginArchive.cpp
+++ b/Source/Core/Orders/OriginArchive.cpp
@@ -4,6 +4,7 @@
 #include "Orders/OriginArchive.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cstdio>
 #include <iterator>
 #include <ranges>
@@ -27,6 +28,13 @@
 /// Follows all keys that begin with the prefix.
 constexpr const char* STREAMS_END = "stream0";
 
+/// Wall-clock time, the only clock shared by all writers and readers.
+std::int64_t UnixMs()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::floor<Milliseconds>(now).count();
+}
+
 std::string FirstKeyOf(OriginShard shard)
 {
   std::array<char, 8> digits{};
@@ -56,20 +64,38 @@
   if (!entry || !m_dispatcher.Versions().HasSeveralVersions(now))
     return;
   BeginWindow(now);
-  const OriginShard shard = ShardOf(stream);
-  m_window[shard].origins.push_back({ToBytes(stream), entry->origin.version});
-  m_unwritten.insert(shard);
+  Window& window = m_windows[ShardOf(stream)];
+  if (window.origins.size() == MAX_STREAMS_PER_ROW)
+  {
+    window.origins.erase(window.origins.begin());
+    window.written -= std::min<std::size_t>(window.written, 1);
+  }
+  window.origins.push_back({ToBytes(stream), entry->origin.version});
   ScheduleWrite();
 }
 
+bool OriginArchive::HasUnwritten() const
+{
+  return std::ranges::any_of(m_windows | std::views::values, [](const Window& window) {
+    return window.written < window.origins.size();
+  });
+}
+
 void OriginArchive::BeginWindow(TimePoint now)
 {
   const std::int64_t number = now.time_since_epoch() / WINDOW;
-  // Streams stay in the window until they have been written.
-  if (number == m_window_number || !m_unwritten.empty() || m_write_pending)
+  if (number == m_window_number)
     return;
   m_window_number = number;
-  m_window.clear();
+  for (auto& [shard, window] : m_windows)
+  {
+    const auto written = static_cast<std::ptrdiff_t>(window.written);
+    window.origins.erase(window.origins.begin(), window.origins.begin() + written);
+    window.written = 0;
+  }
+  std::erase_if(m_windows, [](const auto& entry) {
+    return entry.second.origins.empty();
+  });
 }
 
 void OriginArchive::NoteAllStreams(TimePoint now)
@@ -185,7 +211,7 @@
 
 void OriginArchive::ScheduleWrite()
 {
-  if (m_unwritten.empty() || m_write_pending || m_write_timer.Running())
+  if (!HasUnwritten() || m_write_pending || m_write_timer.Running())
     return;
   using Seconds = std::chrono::duration<double>;
   const auto now = Common::Now();
@@ -204,21 +230,26 @@
 {
   m_writes_left -= 1;
   std::vector<ArchiveWrite> rows;
-  std::ranges::transform(m_unwritten, std::back_inserter(rows), [this](OriginShard shard) {
-    return ArchiveWrite{KeyOfRow(shard), Daemons::Encode(m_window[shard])};
-  });
-  const std::set<OriginShard> written = std::exchange(m_unwritten, {});
+  std::map<OriginShard, std::size_t> counts;
+  for (const auto& [shard, window] : m_windows)
+  {
+    if (window.written == window.origins.size())
+      continue;
+    rows.push_back({KeyOfRow(shard), Daemons::Encode(ArchivedOrigins{UnixMs(), window.origins})});
+    counts[shard] = window.origins.size();
+  }
   m_counters.rows_written += static_cast<std::int64_t>(rows.size());
   m_write_pending = true;
-  m_access.write(std::move(rows), {}, [this, written](Common::Result<Common::Done> done) {
-    m_write_pending = false;
-    if (!done)
-    {
-      m_unwritten.insert(written.begin(), written.end());
-      Fail("streams-write", done.Reason());
-    }
-    ScheduleWrite();
-  });
+  m_access.write(std::move(rows), {},
+                 [this, counts, number = m_window_number](Common::Result<Common::Done> done) {
+                   m_write_pending = false;
+                   if (!done)
+                     Fail("streams-write", done.Reason());
+                   else if (number == m_window_number)
+                     for (const auto& [shard, count] : counts)
+                       m_windows[shard].written = std::min(count, m_windows[shard].origins.size());
+                   ScheduleWrite();
+                 });
 }
 
 bool OriginArchive::MustRestore(OriginShard shard, TimePoint now) const
@@ -248,8 +279,8 @@
                     FinishRestore(shard, RETRY_DELAY);
                     return;
                   }
-                  std::ranges::for_each(rows->rows, [this](const Fleet::TableRow& row) {
-                    MergeRow(row);
+                  std::ranges::for_each(rows->rows, [this, shard](const Fleet::TableRow& row) {
+                    MergeRow(shard, row);
                   });
                   // The last row of a page is the first one of the next page.
                   const bool goes_on =
@@ -264,7 +295,7 @@
                 });
 }
 
-void OriginArchive::MergeRow(const Fleet::TableRow& row)
+void OriginArchive::MergeRow(OriginShard shard, const Fleet::TableRow& row)
 {
   const auto archived = row.key.starts_with(STREAMS_PREFIX)
                             ? Daemons::Decode<ArchivedOrigins>(row.value)
@@ -274,6 +305,12 @@
     Fail("streams-decode", archived.Reason());
     return;
   }
+  if (row.key.starts_with(STREAMS_PREFIX) &&
+      UnixMs() - archived->written_at > Milliseconds(MAX_ROW_AGE).count())
+  {
+    m_restorations[shard].outdated.push_back(row.key);
+    return;
+  }
   const auto now = Common::Now();
   for (const ArchivedOrigin& origin : archived->origins)
   {
@@ -291,6 +328,10 @@
   Restoration& restoration = m_restorations[shard];
   restoration.is_pending = false;
   restoration.valid_until = Common::Now() + validity;
+  std::vector<std::string> outdated = std::exchange(restoration.outdated, {});
+  outdated.resize(std::min(outdated.size(), MAX_ROWS_PER_WRITE));
+  if (!outdated.empty())
+    m_access.write({}, std::move(outdated), [](const Common::Result<Common::Done>&) {});
   for (const auto& on_done : std::exchange(restoration.waiting, {}))
     on_done();
 }
--- a/Source/Core/Orders/OriginArchive.h
+++ b/Source/Core/Orders/OriginArchive.h
@@ -65,12 +65,13 @@
 /// The value of a row with streams of one shard.
 struct ArchivedOrigins
 {
+  std::int64_t written_at = 0; ///< Writer's Unix time in ms.
   std::vector<ArchivedOrigin> origins;
 
   template <typename Archive>
   void serialize(Archive& archive)
   {
-    archive(origins);
+    archive(written_at, origins);
   }
 };
 
@@ -160,14 +161,26 @@
   static constexpr Common::Milliseconds MIN_READ_INTERVAL{1000};
   /// Other daemons may have written further streams and ended since then.
   static constexpr Common::Milliseconds RESTORED_VALIDITY{5000};
+  /// Rows of daemons that have ended are removed after this time, by clocks that may differ.
+  static constexpr std::chrono::minutes MAX_ROW_AGE{10};
+  /// Bounds a row to 48 KB, below the platform's limit of 64 KB; the oldest streams are dropped.
+  static constexpr std::size_t MAX_STREAMS_PER_ROW = 4000;
   /// The platform's limit for the rows of one transaction.
   static constexpr std::size_t MAX_ROWS_PER_WRITE = 100;
 
+  /// The streams of a shard that began in the current window, and earlier ones that have not been
+  /// written.
+  struct Window
+  {
+    std::vector<ArchivedOrigin> origins; ///< In the order in which they began.
+    std::size_t written = 0;             ///< So many of the first ones have been written.
+  };
   struct Restoration
   {
     bool is_pending = false;
     Common::TimePoint valid_until; ///< Until then, the shard is not read again.
     std::vector<std::function<void()>> waiting;
+    std::vector<std::string> outdated; ///< Keys of rows to be removed.
   };
 
   void ReadVersions();
@@ -179,9 +192,10 @@
   void ScheduleWrite();
   void WriteStreams();
   void BeginWindow(Common::TimePoint now);
+  bool HasUnwritten() const;
   std::string KeyOfRow(OriginShard shard) const;
   void ReadShard(OriginShard shard, const std::string& first_key);
-  void MergeRow(const Fleet::TableRow& row);
+  void MergeRow(OriginShard shard, const Fleet::TableRow& row);
   void FinishRestore(OriginShard shard, Common::Milliseconds validity);
   /// Removes the rows of all streams, page by page: with one version left, nobody needs them.
   void RemoveStreams();
@@ -199,9 +213,8 @@
   Common::TimePoint m_next_versions_read;
 
   bool m_had_several_versions = false;
-  std::map<OriginShard, ArchivedOrigins> m_window; ///< The streams of the current window.
+  std::map<OriginShard, Window> m_windows;
   std::int64_t m_window_number = -1;
-  std::set<OriginShard> m_unwritten;
   bool m_write_pending = false;
   double m_writes_left = MAX_WRITES_AT_ONCE;
   Common::TimePoint m_writes_counted_at;
--- a/Source/UnitTests/Orders/OriginArchiveTest.cpp
+++ b/Source/UnitTests/Orders/OriginArchiveTest.cpp
@@ -63,6 +63,7 @@
   std::map<std::string, Fleet::TableRow> rows;
   bool unavailable = false;
   std::size_t page_rows = 500;
+  Milliseconds delay{1};
   int writes = 0;
 
 private:
@@ -70,7 +71,7 @@
 
   void Respond(std::function<void()> respond)
   {
-    Common::Reactor::Get().After(Milliseconds(1), std::move(respond));
+    Common::Reactor::Get().After(delay, std::move(respond));
   }
 
   Fleet::TableRows Range(const std::string& first, const std::string& end)
@@ -183,6 +184,7 @@
   CPPUNIT_TEST(UnreadableVersionsAreTakenForNone);
   CPPUNIT_TEST(UnreadableStoreIsTakenForEmpty);
   CPPUNIT_TEST(ManyDaemonsWriteMoreThanTheirShare);
+  CPPUNIT_TEST(RowsGrowWhileStreamsBeginDuringEachWrite);
   CPPUNIT_TEST_SUITE_END();
 
   void VersionThatWentIsForgottenWithAllDaemons()
@@ -329,6 +331,28 @@
       daemon.Begin(stream, AlternatingVersion(stream));
     RunFor(Milliseconds(100));
   }
+
+  /// Streams that begin within 5 s share a row of each shard. The store takes 30 ms for a write.
+  void RowsGrowWhileStreamsBeginDuringEachWrite()
+  {
+    TestTable table;
+    table.delay = Milliseconds(30);
+    TestDaemon daemon(table);
+    daemon.See(FIRST);
+    daemon.See(SECOND);
+    daemon.Tick(true);
+    const auto end = Common::Now() + Milliseconds(11000);
+    for (int stream = 0; Common::Now() < end; ++stream)
+    {
+      daemon.Begin(stream, FIRST);
+      RunFor(Milliseconds(5));
+    }
+    std::set<std::string> windows;
+    for (const auto& [key, row] : table.rows)
+      if (key.starts_with("stream/"))
+        windows.insert(key.substr(key.rfind('/')));
+    CPPUNIT_ASSERT(windows.size() >= 2);
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(OriginArchiveTest);
 } // namespace
