Gateway: a refused take-up is forgotten, and history is known for all pools

Each request that was refused as nobody knew the origin of its stream stayed in memory (2,016 bytes): the dispatcher's list of waiting requests kept it. And where a route has several pools, a daemon that replied knew the versions of one.

The second fault was found by reading.

--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -103,8 +103,9 @@
 
 bool Relay::IsHistoryKnown() const
 {
-  return m_origin_evidence.has_history || !m_dispatcher.MayLackVersions() ||
-         m_dispatcher.Versions().IsComplete(Common::Now());
+  // Other daemons reply for one pool.
+  return (m_origin_evidence.has_history && m_route.pools.size() == 1) ||
+         !m_dispatcher.MayLackVersions() || m_dispatcher.Versions().IsComplete(Common::Now());
 }
 
 std::set<SoftwareVersion> Relay::RecentVersions() const
@@ -167,7 +168,6 @@
 void Relay::RefuseUnknownOrigin()
 {
   const auto guard = shared_from_this();
-  m_awaits_origin = false;
   LogOrigin(nullptr);
   m_retry_after = m_origin_evidence.is_complete ? RETRY_AFTER_UNKNOWN_ORIGIN : RETRY_AFTER_NO_REPLY;
   Refuse("it is not known which software version began the stream");
