UnitTests: responses that are cut off after any byte

A report from outside says that callers got a 200 with an empty or short body, framed as whole, from a server that stopped within the head of its response. Http::Channel makes no complete response of them either.

--- a/Source/UnitTests/Http/ChannelTest.cpp
+++ b/Source/UnitTests/Http/ChannelTest.cpp
@@ -10,6 +10,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "UnitTests/Support/CutResponses.h"
 #include "UnitTests/Support/Loopback.h"
 
 namespace
@@ -29,6 +30,7 @@
   CPPUNIT_TEST(SendsNothingPastSendDeadlineOnReusedConnection);
   CPPUNIT_TEST(AbandonResetsConnections);
   CPPUNIT_TEST(EndlessBodyIsKeptInMemory);
+  CPPUNIT_TEST(CutResponseIsComplete);
   CPPUNIT_TEST_SUITE_END();
 
   /// After a plain close, the kernel could deliver the request later, once a network partition has
@@ -72,6 +74,57 @@
     }));
   }
 
+  /// The server stops after any byte of its response and ends the connection.
+  void CutResponseIsComplete()
+  {
+    using UnitTests::Ending;
+    using UnitTests::Framing;
+    const std::string before = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+    for (const Framing framing : {Framing::Length, Framing::Chunks, Framing::None})
+      for (const Ending ending : {Ending::Close, Ending::Reset})
+      {
+        const std::string response =
+            UnitTests::FramedResponse(framing, "Content-Type: x\r\n", "body");
+        CheckCuts("", response, framing, ending);
+        CheckCuts(before, response, framing, ending);
+        CheckCuts("", UnitTests::WithBareLineFeeds(response), framing, ending);
+      }
+  }
+
+  static void CheckCuts(const std::string& before, const std::string& response,
+                        UnitTests::Framing framing, UnitTests::Ending ending)
+  {
+    const bool has_crlf = response.find('\r') != std::string::npos;
+    const std::string end_of_head = has_crlf ? "\r\n\r\n" : "\n\n";
+    const std::size_t head = response.find(end_of_head) + end_of_head.size();
+    const bool states_end = framing != UnitTests::Framing::None;
+    std::vector<std::unique_ptr<TestServer>> servers;
+    std::vector<std::unique_ptr<Http::Channel>> channels;
+    std::vector<std::optional<bool>> complete(response.size());
+    for (std::size_t size = 0; size < response.size(); ++size)
+    {
+      servers.push_back(std::make_unique<TestServer>([=](TestPeer& peer, const std::string&) {
+        peer.stream->Write(before + response.substr(0, size));
+        UnitTests::EndSoon(peer, ending);
+      }));
+      channels.push_back(std::make_unique<Http::Channel>(servers.back()->Address()));
+      channels.back()->Call({"GET", "/x", {}, ""}, {Milliseconds(2000), Milliseconds(2000)},
+                            [&complete, size](const Common::Result<Http::CompleteResponse>& got) {
+                              complete[size] = static_cast<bool>(got);
+                            });
+    }
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return std::ranges::all_of(complete, [](const auto& result) {
+        return result.has_value();
+      });
+    }));
+    for (std::size_t size = 0; size < response.size(); ++size)
+    {
+      const bool is_whole = !states_end && ending == UnitTests::Ending::Close && size >= head;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(response.substr(0, size), is_whole, *complete[size]);
+    }
+  }
+
   void ReusesConnections()
   {
     TestServer server([](TestPeer& peer, const std::string&) {
--- /dev/null
+++ b/Source/UnitTests/Support/CutResponses.h
@@ -0,0 +1,61 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "UnitTests/Support/Loopback.h"
+
+/// Servers that stop within a response.
+namespace UnitTests
+{
+enum class Framing
+{
+  Length,
+  Chunks,
+  None, ///< The response ends with its connection.
+};
+
+/// How a server ends its connection.
+enum class Ending
+{
+  Close,
+  Reset,
+};
+
+/// A response with status 200. `headers` come before those of the framing.
+inline std::string FramedResponse(Framing framing, const std::string& headers,
+                                  const std::string& body)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n" + headers;
+  if (framing == Framing::Length)
+    return head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  if (framing == Framing::None)
+    return head + "\r\n" + body;
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx", body.size());
+  return head + "Transfer-Encoding: chunked\r\n\r\n" + size + "\r\n" + body + "\r\n0\r\n\r\n";
+}
+
+/// The same message with a head whose lines end in LF only.
+inline std::string WithBareLineFeeds(const std::string& text)
+{
+  const auto end = text.find("\r\n\r\n") + 4;
+  std::string head = text.substr(0, end);
+  std::erase(head, '\r');
+  return head + text.substr(end);
+}
+
+inline void EndSoon(TestPeer& peer, Ending ending)
+{
+  Common::Reactor::Get().After(Common::Milliseconds(10), [stream = peer.stream, ending] {
+    if (ending == Ending::Close)
+      stream->Close();
+    else
+      stream->Reset();
+  });
+}
+} // namespace UnitTests
