Http, Gateway: a connection that the kernel refuses at once ends in the loop

Processes ended by themselves as soon as a request was sent to a server whose entry has an address that no server can have (255.255.255.255:80), and the same happened when no descriptor was left. A VM without a route to its servers gets the same error from connect().

Cause: TcpStream::Connect returned null where connect() fails at once.

Such a connection now fails by an event of the loop, like one that times out: the path is suspected, not the server, and the probe for crashes stays inconclusive, as before. Where no socket can be opened, the request is refused at once, since the next attempt would fail in the same way.

Before, UnreachableAddressesTest ended with a segmentation fault in its first test; now its 3 tests pass.

--- a/Source/Core/Gateway/ConnectionProbe.cpp
+++ b/Source/Core/Gateway/ConnectionProbe.cpp
@@ -103,8 +103,10 @@
     return;
   if (m_open)
     FinishLater(Outcome::Broken);
+  else if (m_through_helper)
+    FinishLater(Outcome::HelperFailed);
   else
-    FinishLater(m_through_helper ? Outcome::HelperFailed : Outcome::Refused);
+    FinishLater(m_stream->IsRefusedHere() ? Outcome::Inconclusive : Outcome::Refused);
 }
 
 void ConnectionProbe::FinishLater(Outcome outcome)
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -349,6 +349,8 @@
   m_connection = m_server->TakeConnection(now, request_id, m_helper);
   if (!m_connection)
   {
+    // The next attempt would fail in the same way, at once.
+    ReleaseServer();
     AttemptFailed("no socket available", m_may_have_run);
     return;
   }
--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -232,7 +232,10 @@
   }
   if (!IsConnected())
   {
-    Break(IsTunnel() ? ExchangeError::TunnelFailed : ExchangeError::ConnectFailed);
+    // Without a route to it, a server that does not respond has not crashed.
+    const auto error =
+        m_stream->IsRefusedHere() ? ExchangeError::ConnectTimedOut : ExchangeError::ConnectFailed;
+    Break(IsTunnel() ? ExchangeError::TunnelFailed : error);
     return;
   }
   const bool completes =
--- a/Source/Core/Http/OriginConnection.h
+++ b/Source/Core/Http/OriginConnection.h
@@ -21,7 +21,8 @@
 enum class ExchangeError
 {
   ConnectFailed,   ///< No byte was sent: the request cannot have run.
-  ConnectTimedOut, ///< The connection was not established in time; no byte was sent.
+  ConnectTimedOut, ///< The connection was not established in time, or this VM has no route to the
+                   ///< server; no byte was sent.
   Closed,          ///< The peer closed before the response was complete.
   Reset,
   SendDeadlinePassed, ///< The send deadline passed before the request was sent; no more of it will
@@ -57,12 +58,12 @@
                          public std::enable_shared_from_this<OriginConnection>
 {
 public:
-  /// Starts to connect; returns nullptr where no socket can be opened or connected.
+  /// Starts to connect; returns nullptr where no socket can be opened.
   static std::shared_ptr<OriginConnection> Connect(const Endpoint& peer,
                                                    const SocketOptions& options = {});
 
   /// Starts to connect through `helper`, which gets `open_message` first and replies with a
-  /// `TunnelStatus`; returns nullptr where no socket can be opened or connected.
+  /// `TunnelStatus`; returns nullptr where no socket can be opened.
   static std::shared_ptr<OriginConnection> ConnectThrough(const Endpoint& helper,
                                                           const std::string& open_message);
 
--- a/Source/Core/Http/TcpStream.cpp
+++ b/Source/Core/Http/TcpStream.cpp
@@ -154,12 +154,11 @@
   }
   const sockaddr_in address = peer.ToSockaddr();
   const int status = connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
-  if (status != 0 && errno != EINPROGRESS)
-  {
-    close(fd);
-    return nullptr;
-  }
-  return std::shared_ptr<TcpStream>(new TcpStream(fd, events, false, options));
+  const bool is_refused = status != 0 && errno != EINPROGRESS;
+  std::shared_ptr<TcpStream> stream(new TcpStream(fd, events, false, options));
+  // The descriptor of a socket that is not connecting has an event at once.
+  stream->m_is_refused = is_refused;
+  return stream;
 }
 
 std::shared_ptr<TcpStream> TcpStream::Adopt(int fd, StreamEvents* events)
@@ -256,7 +255,7 @@
   int error = 0;
   socklen_t size = sizeof(error);
   getsockopt(m_fd, SOL_SOCKET, SO_ERROR, &error, &size);
-  if (error != 0)
+  if (m_is_refused || error != 0)
   {
     Fail(StreamEnd::Reset);
     return;
--- a/Source/Core/Http/TcpStream.h
+++ b/Source/Core/Http/TcpStream.h
@@ -72,8 +72,8 @@
 class TcpStream : public Common::DescriptorHandler, public std::enable_shared_from_this<TcpStream>
 {
 public:
-  /// Starts to connect; `OnConnected` or `OnEnd` follows. Returns nullptr where no socket can be
-  /// opened or connected.
+  /// Starts to connect; `OnConnected` or `OnEnd` follows from the main loop, also where the kernel
+  /// refuses at once. Returns nullptr where no socket can be opened.
   static std::shared_ptr<TcpStream> Connect(const Endpoint& peer, StreamEvents* events,
                                             const SocketOptions& options = {});
   /// Takes ownership of an accepted descriptor.
@@ -100,6 +100,8 @@
 
   bool IsOpen() const { return m_fd >= 0; }
   bool IsConnected() const { return m_connected; }
+  /// True if this VM's kernel refused to connect, so that the peer knows nothing of it.
+  bool IsRefusedHere() const { return m_is_refused; }
   std::size_t Unsent() const { return m_out.size() - m_out_begin; }
   /// True if the kernel has accepted at least one byte.
   bool HasSent() const { return m_sent > 0; }
@@ -124,6 +126,7 @@
   std::uint32_t m_armed = 0;
   StreamEvents* m_events;
   bool m_connected;
+  bool m_is_refused = false; ///< The kernel has refused to connect; reported by the next event.
   bool m_reading = true;
   std::string m_out;
   std::size_t m_out_begin = 0;
