--- a/Source/Core/Common/FieldReader.cpp
+++ b/Source/Core/Common/FieldReader.cpp
@@ -7,6 +7,17 @@
 
 namespace Common
 {
+namespace
+{
+/// The value as it stands in an error message.
+std::string Quote(const Json& value)
+{
+  constexpr std::size_t MAX_BYTES = 200;
+  const std::string text = DumpJson(value);
+  return text.size() > MAX_BYTES ? text.substr(0, MAX_BYTES) + "..." : text;
+}
+} // namespace
+
 const Json* FieldReader::Find(const char* path) const
 {
   const Json::json_pointer pointer(path);
@@ -93,6 +104,6 @@
   const Json* found = Find(path);
   m_errors += m_errors.empty() ? "" : "; ";
   m_errors += name + ": expected " + std::string(expected) + ", found " +
-              (found == nullptr ? "nothing" : DumpJson(*found));
+              (found == nullptr ? "nothing" : Quote(*found));
 }
 } // namespace Common
--- a/Source/Core/Common/Json.cpp
+++ b/Source/Core/Common/Json.cpp
@@ -7,8 +7,34 @@
 
 namespace Common
 {
+namespace
+{
+constexpr int MAX_LEVELS = 100;
+
+bool IsTooDeep(std::string_view text)
+{
+  int levels = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i)
+  {
+    const char byte = text[i];
+    if (in_string && byte == '\\')
+      ++i;
+    else if (byte == '"')
+      in_string = !in_string;
+    else if (!in_string && (byte == '[' || byte == '{') && ++levels > MAX_LEVELS)
+      return true;
+    else if (!in_string && (byte == ']' || byte == '}'))
+      --levels;
+  }
+  return false;
+}
+} // namespace
+
 std::optional<Json> ParseJson(std::string_view text)
 {
+  if (IsTooDeep(text))
+    return std::nullopt;
   Json value = Json::parse(text, nullptr, false);
   if (value.is_discarded())
     return std::nullopt;
