--- a/Source/UnitTests/Platform/OddEntriesTest.cpp
+++ b/Source/UnitTests/Platform/OddEntriesTest.cpp
@@ -308,6 +308,7 @@
   CPPUNIT_TEST_SUITE(OddEntriesTest);
   CPPUNIT_TEST(NestedJsonIsSerializedByRecursion);
   CPPUNIT_TEST(NestedEntryEndsTheProcess);
+  CPPUNIT_TEST(EntryWithAPortThatDoesNotExistIsUsed);
   CPPUNIT_TEST(EntryWithAnOddFieldEndsTheProcess);
   CPPUNIT_TEST(OddNumberIsConverted);
   CPPUNIT_TEST(OddFieldOfTheSettingsEndsTheProcess);
