--- a/Source/UnitTests/Platform/OddEntriesTest.cpp
+++ b/Source/UnitTests/Platform/OddEntriesTest.cpp
@@ -310,6 +310,7 @@
   CPPUNIT_TEST(NestedEntryEndsTheProcess);
   CPPUNIT_TEST(EntryWithAPortThatDoesNotExistIsUsed);
   CPPUNIT_TEST(EntryWithAnOddFieldEndsTheProcess);
+  CPPUNIT_TEST(OddFieldOfTheConfigurationIsADurationWithoutEnd);
   CPPUNIT_TEST(OddNumberIsConverted);
   CPPUNIT_TEST(OddFieldOfTheSettingsEndsTheProcess);
   CPPUNIT_TEST(OddReportEndsTheProcess);
