--- a/Source/UnitTests/Platform/OddEntriesTest.cpp
+++ b/Source/UnitTests/Platform/OddEntriesTest.cpp
@@ -314,6 +314,7 @@
   CPPUNIT_TEST(OddNumberIsConverted);
   CPPUNIT_TEST(OddFieldOfTheSettingsEndsTheProcess);
   CPPUNIT_TEST(OddReportEndsTheProcess);
+  CPPUNIT_TEST(OddLeaseRowNamesAHolder);
   CPPUNIT_TEST(OddCrashRowEndsTheProcess);
   CPPUNIT_TEST_SUITE_END();
 
