--- a/Source/UnitTests/Platform/OddEntriesTest.cpp
+++ b/Source/UnitTests/Platform/OddEntriesTest.cpp
@@ -316,6 +316,8 @@
   CPPUNIT_TEST(OddReportEndsTheProcess);
   CPPUNIT_TEST(OddLeaseRowNamesAHolder);
   CPPUNIT_TEST(OddCrashRowEndsTheProcess);
+  CPPUNIT_TEST(OddRowCostsTheOtherRows);
+  CPPUNIT_TEST(RowWithoutAKeyStartsTheTableOver);
   CPPUNIT_TEST_SUITE_END();
 
   /// The body of a call on our own interface is parsed and serialized again.
