Http: a response without a stated end is not complete for the client

On our own interface, a server that stopped within the head of its response and closed gave a 200 with an empty body, taken for complete.

Cause: libsoup takes a head that ends with the connection for a whole one. The headers that are missing, above all the length, are then not there, so that the body is empty and ends with the connection.

What libsoup received cannot be told from a response without a length, so such a response now fails with OutcomeUnknown at its end. Servers of this interface state the end. HEAD, 204 and 304 have no body.

Left open: in chunks, libsoup also takes the end of the connection for the last chunk where the size of a chunk is due, so that such a response looks complete.

--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -4,6 +4,7 @@
 #include "Http/Client.h"
 
 #include <list>
+#include <string_view>
 
 #include <libsoup/soup.h>
 #include <netinet/in.h>
@@ -151,6 +152,21 @@
   return {FailureKind::OutcomeUnknown, detail};
 }
 
+/// libsoup takes a head that was cut off for a complete one, without the headers that are missing,
+/// so that a body without a length may be that of another response. HEAD, 204 and 304 have none.
+bool HasStatedEnd(SoupMessage* message)
+{
+  constexpr guint NO_CONTENT = 204;
+  constexpr guint NOT_MODIFIED = 304;
+  const guint status = soup_message_get_status(message);
+  if (status == NO_CONTENT || status == NOT_MODIFIED ||
+      std::string_view(soup_message_get_method(message)) == "HEAD")
+    return true;
+  const SoupEncoding encoding =
+      soup_message_headers_get_encoding(soup_message_get_response_headers(message));
+  return encoding == SOUP_ENCODING_CONTENT_LENGTH || encoding == SOUP_ENCODING_CHUNKED;
+}
+
 class SoupStream : public ResponseStream
 {
 public:
@@ -191,6 +207,8 @@
       g_clear_error(&error);
       co_return failure;
     }
+    if (size == 0 && !HasStatedEnd(m_message.Get()))
+      co_return Failure{FailureKind::OutcomeUnknown, "the response has no stated end"};
     co_return std::string(m_buffer.data(), static_cast<std::size_t>(size));
   }
 
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -51,8 +51,8 @@
   virtual int Status() const = 0;
   virtual const Headers& GetHeaders() const = 0;
   /// Returns the next bytes, or an empty string at the end of a complete body. Fails with
-  /// OutcomeUnknown where the body is truncated, with Timeout where no bytes arrive within
-  /// `stall_timeout`.
+  /// OutcomeUnknown where the body is truncated or has no stated end, with Timeout where no bytes
+  /// arrive within `stall_timeout`.
   virtual Common::Task<Common::Result<std::string>> Read(Common::Milliseconds stall_timeout) = 0;
   /// Cancels a pending read and the rest of the response.
   virtual void Cancel() = 0;
--- a/Source/UnitTests/Http/ClientTest.cpp
+++ b/Source/UnitTests/Http/ClientTest.cpp
@@ -6,12 +6,18 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Common/Task.h"
+#include "UnitTests/Support/CutResponses.h"
 #include "UnitTests/Support/Loopback.h"
 
 namespace
 {
 using Common::Milliseconds;
+using UnitTests::Ending;
+using UnitTests::FramedResponse;
+using UnitTests::Framing;
 using UnitTests::RunUntil;
+using UnitTests::TestPeer;
+using UnitTests::TestServer;
 using UnitTests::ThrottledServer;
 using Outcome = std::optional<Common::Result<Http::Response>>;
 
@@ -20,11 +26,29 @@
   outcome = co_await client.Send(std::move(request));
 }
 
+/// Whether the response was received up to its end.
+Common::Task<void> ReadStream(Http::Client& client, Http::Request request,
+                              std::optional<bool>& complete)
+{
+  auto opened = co_await client.Open(std::move(request));
+  while (opened && !complete)
+  {
+    const auto bytes = co_await (*opened)->Read(Milliseconds(1000));
+    if (!bytes || bytes->empty())
+      complete = static_cast<bool>(bytes);
+  }
+  complete = complete.value_or(false);
+}
+
 class ClientTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ClientTest);
   CPPUNIT_TEST(ReadsLongResponseOverSlowLink);
   CPPUNIT_TEST(TimesOutWhenResponseStalls);
+  CPPUNIT_TEST(CutResponseIsComplete);
+  CPPUNIT_TEST(CutStreamIsComplete);
+  CPPUNIT_TEST(CutChunksAreACompleteResponse);
+  CPPUNIT_TEST(CutChunksAreACompleteStream);
   CPPUNIT_TEST_SUITE_END();
 
   static Http::Request RequestTo(const ThrottledServer& server)
@@ -51,6 +75,68 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(800'000), (*outcome)->body.size());
   }
 
+  using CutCheck = std::function<void(const std::string& cut, const TestServer& server)>;
+
+  /// Calls `check` with each beginning of a response after which a server may stop, and that
+  /// server.
+  static void ForEachCut(Framing framing, const CutCheck& check)
+  {
+    const std::string response = FramedResponse(framing, "Content-Type: x\r\n", "body");
+    for (const Ending ending : {Ending::Close, Ending::Reset})
+      for (std::size_t size = 0; size < response.size(); ++size)
+      {
+        const std::string cut = response.substr(0, size);
+        TestServer server([&](TestPeer& peer, const std::string&) {
+          peer.stream->Write(cut);
+          UnitTests::EndSoon(peer, ending);
+        });
+        check(cut, server);
+      }
+  }
+
+  static Http::Request OnceTo(const TestServer& server)
+  {
+    Http::Request request;
+    request.method = "POST";
+    request.body = "{}";
+    request.fresh_connection = true;
+    request.url = "http://" + server.Address().ToString() + "/v1/engine/orders";
+    request.timeout = Milliseconds(1000);
+    return request;
+  }
+
+  static void CheckCutResponses(Framing framing)
+  {
+    ForEachCut(framing, [](const std::string& cut, const TestServer& server) {
+      Http::Client client;
+      Outcome outcome;
+      Common::Spawn(Fetch(client, OnceTo(server), outcome));
+      CPPUNIT_ASSERT(RunUntil([&] {
+        return outcome.has_value();
+      }));
+      CPPUNIT_ASSERT_MESSAGE(cut, !*outcome);
+      CPPUNIT_ASSERT_MESSAGE(cut, outcome->Reason().kind != Common::FailureKind::NotSent);
+    });
+  }
+
+  static void CheckCutStreams(Framing framing)
+  {
+    ForEachCut(framing, [](const std::string& cut, const TestServer& server) {
+      Http::Client client;
+      std::optional<bool> complete;
+      Common::Spawn(ReadStream(client, OnceTo(server), complete));
+      CPPUNIT_ASSERT(RunUntil([&] {
+        return complete.has_value();
+      }));
+      CPPUNIT_ASSERT_MESSAGE(cut, !*complete);
+    });
+  }
+
+  void CutResponseIsComplete() { CheckCutResponses(Framing::Length); }
+  void CutStreamIsComplete() { CheckCutStreams(Framing::Length); }
+  void CutChunksAreACompleteResponse() { CheckCutResponses(Framing::Chunks); }
+  void CutChunksAreACompleteStream() { CheckCutStreams(Framing::Chunks); }
+
   void TimesOutWhenResponseStalls()
   {
     ThrottledServer server(std::string(800'000, 'x'));
