--- a/Source/Core/Http/Channel.cpp
+++ b/Source/Core/Http/Channel.cpp
@@ -89,7 +89,8 @@
   }
   void OnResponseEnd() override
   {
-    m_channel.m_idle.Keep(std::exchange(connection, nullptr), Common::Now());
+    if (m_channel.m_use == ConnectionUse::Persistent)
+      m_channel.m_idle.Keep(std::exchange(connection, nullptr), Common::Now());
     m_channel.Finish(this, std::move(m_response));
   }
   void OnExchangeFailed(ExchangeError error) override
@@ -166,8 +167,8 @@
   std::optional<Common::TimePoint> m_last_bytes_at; ///< Last receipt of response bytes.
 };
 
-Channel::Channel(const Endpoint& peer, const SocketOptions& options)
-    : m_peer(peer), m_socket_options(options), m_idle(MAX_IDLE)
+Channel::Channel(const Endpoint& peer, const SocketOptions& options, ConnectionUse use)
+    : m_peer(peer), m_socket_options(options), m_use(use), m_idle(MAX_IDLE)
 {
 }
 
--- a/Source/Core/Http/Channel.h
+++ b/Source/Core/Http/Channel.h
@@ -48,7 +48,15 @@
   std::size_t max_body_bytes = std::size_t{32} << 20U;
 };
 
-/// Makes HTTP calls to one peer over persistent connections and returns complete responses. A call
+/// How many calls a connection carries.
+enum class ConnectionUse
+{
+  Persistent,
+  /// For peers that may send a response a second time: nothing else ties it to its request.
+  OneCall,
+};
+
+/// Makes HTTP calls to one peer and returns complete responses. A call
 /// is never retried. It fails with NotSent only if no byte of the request was sent or its send
 /// deadline passed before the rest was, else with Timeout, OutcomeUnknown or Protocol.
 class Channel
@@ -56,7 +64,8 @@
 public:
   using Callback = std::function<void(Common::Result<CompleteResponse>)>;
 
-  explicit Channel(const Endpoint& peer, const SocketOptions& options = {});
+  explicit Channel(const Endpoint& peer, const SocketOptions& options = {},
+                   ConnectionUse use = ConnectionUse::Persistent);
   ~Channel();
   Channel(const Channel&) = delete;
   Channel& operator=(const Channel&) = delete;
@@ -75,6 +84,7 @@
 
   Endpoint m_peer;
   SocketOptions m_socket_options;
+  ConnectionUse m_use;
   IdleConnections m_idle;
   std::list<std::unique_ptr<PendingCall>> m_pending;
 };
