Http: a caller that still reads a response is not idle

Callers that took longer than the idle timeout to read a response got it cut off: the timer closed the connection and dropped the output that the kernel had not accepted yet.

Cause: the idle timer starts when the response is complete here, and looked only at the time. Now it starts anew while output is unsent. A caller that no longer acknowledges data is ended by the kernel's limit, as before.

--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -92,6 +92,13 @@
       OnIdle();
       return;
     }
+    // A caller that is still reading a response is not idle; one that has stopped to acknowledge
+    // data is ended by the kernel.
+    if (m_stream->Unsent() > 0)
+    {
+      StartIdleTimer();
+      return;
+    }
     const auto guard = shared_from_this();
     m_stream->Close();
     Finish();
--- a/Source/UnitTests/Http/ServerConnectionTest.cpp
+++ b/Source/UnitTests/Http/ServerConnectionTest.cpp
@@ -3,7 +3,9 @@
 
 #include "Http/ServerConnection.h"
 
+#include <algorithm>
 #include <array>
+#include <string>
 #include <string_view>
 #include <thread>
 
@@ -26,12 +28,13 @@
                  Http::ReceivedRequest) override
   {
     ++requests;
-    connection->Respond(200, "OK", {}, "");
+    connection->Respond(200, "OK", {}, body);
   }
   const Http::ServerLimits& Limits() const override { return limits; }
   bool IsStopping() const override { return false; }
 
   Http::ServerLimits limits;
+  std::string body;
   int requests = 0;
 };
 
@@ -41,6 +44,7 @@
   CPPUNIT_TEST(AnswersRequestAtIdleTimeout);
   CPPUNIT_TEST(RaisedIdleTimeoutAppliesToIdleConnections);
   CPPUNIT_TEST(ClosesIdleConnections);
+  CPPUNIT_TEST(ResponseIsCutOffAtIdleTimeout);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -94,6 +98,25 @@
     }));
   }
 
+  /// A caller that takes longer than the idle timeout to read a response still gets all of it.
+  void ResponseIsCutOffAtIdleTimeout()
+  {
+    m_handler->body = std::string(std::size_t{4} << 20U, 'x');
+    SendRequest();
+    UnitTests::RunFor(Milliseconds(100));
+    CPPUNIT_ASSERT(m_connection->UnsentBytes() > 0);
+    CPPUNIT_ASSERT(m_connection->IsOpen());
+    std::size_t received = 0;
+    std::array<char, 65536> buffer{};
+    CPPUNIT_ASSERT(UnitTests::RunUntil([&] {
+      const auto count = read(m_peer, buffer.data(), buffer.size());
+      received += static_cast<std::size_t>(std::max<ssize_t>(count, 0));
+      return count == 0;
+    }));
+    CPPUNIT_ASSERT(received > m_handler->body.size());
+    CPPUNIT_ASSERT(!m_connection->IsOpen());
+  }
+
 private:
   void SendRequest() const
   {
