Http: a connection is read again once its response has ended

The request after a stream whose caller read slowly got no response before its deadline (504).

Cause: the relay pauses reading from the server while its caller has unsent bytes. If the end of the stream is in the same piece, the connection returned to the idle pool with reading paused, since the relay resumes it only for the connection that it still has. Now the end of an exchange resumes reading.

Measured: OriginConnectionTest, 3 of 3 pass. ConnectionPausedAtTheEndOfAResponseIsNeverReadAgain before: failed, no second response within 500 ms.

--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -217,6 +217,9 @@
   if (extra_bytes_follow || !request_completely_sent || !m_keep_alive || m_is_last_exchange)
     Abandon();
   m_idle_since = Common::Now();
+  // The handler may have paused reading because its own receiver is slow. The next response has
+  // another receiver.
+  SetReading(true);
   handler->OnResponseEnd();
 }
 
--- a/Source/UnitTests/Http/OriginConnectionTest.cpp
+++ b/Source/UnitTests/Http/OriginConnectionTest.cpp
@@ -29,6 +29,15 @@
   std::optional<Http::ExchangeError> error;
 };
 
+/// Pauses reading with each piece of a response's body.
+class PausingRecorder : public ExchangeRecorder
+{
+public:
+  void OnResponseBody(std::string_view) override { connection->SetReading(false); }
+
+  std::shared_ptr<Http::OriginConnection> connection;
+};
+
 /// A listening port with a full accept queue, so that the kernel drops further connection requests.
 class FullPort
 {
@@ -70,6 +79,7 @@
   CPPUNIT_TEST_SUITE(OriginConnectionTest);
   CPPUNIT_TEST(UnacceptedConnectionTimesOut);
   CPPUNIT_TEST(ResponseMayTakeLongerThanConnectTimeout);
+  CPPUNIT_TEST(ConnectionPausedAtTheEndOfAResponseIsNeverReadAgain);
   CPPUNIT_TEST_SUITE_END();
 
   void UnacceptedConnectionTimesOut()
@@ -97,6 +107,30 @@
     CPPUNIT_ASSERT(!events.error);
     connection->Abandon();
   }
+
+  /// The caller of a stream may have unread bytes when the stream ends; the connection to the
+  /// server is then returned with reading paused, and its next response must be read nevertheless.
+  void ConnectionPausedAtTheEndOfAResponseIsNeverReadAgain()
+  {
+    UnitTests::TestServer server([](UnitTests::TestPeer& peer, const std::string&) {
+      peer.stream->Write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab");
+    });
+    PausingRecorder first;
+    first.connection = Http::OriginConnection::Connect(server.Address());
+    first.connection->Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", &first);
+    CPPUNIT_ASSERT(UnitTests::RunUntil([&] {
+      return first.ended;
+    }));
+    CPPUNIT_ASSERT(first.connection->IsReusable(Common::Now()));
+    ExchangeRecorder second;
+    first.connection->Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", &second);
+    CPPUNIT_ASSERT(UnitTests::RunUntil(
+        [&] {
+          return second.ended;
+        },
+        Milliseconds(500)));
+    first.connection->Abandon();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OriginConnectionTest);
