Gateway: a request for which no socket can be opened waits

The process crashed when no socket to a server could be opened or connected, for want of descriptors or of a route to its address: Relay::Send and Relay::AttemptFailed called each other until the stack overflowed.

Cause: such an attempt counted neither as an arrival nor as a tried server, and the next one followed at once. Now the connection is taken before the attempt begins, and without one the request waits, as for a server: it is tried again with each dispatch and refused when the wait is over. The retry budget is charged only for what is sent.

Not changed: a server to whose address no socket can be connected at once is not ejected for it; while it is chosen, a request waits although another server might take it.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -319,12 +319,26 @@
   }
   if (!VerifyKey())
     return;
+  const auto now = Common::Now();
   const bool is_repeat = m_arrivals > 0;
-  if (is_repeat && !m_dispatcher.Budget().Take(m_pool, Common::Now()))
+  if (is_repeat && m_dispatcher.Budget().Left(m_pool, now) < 1)
   {
     AttemptFailed("the retry budget is exhausted", m_may_have_run);
     return;
   }
+  const auto helper = m_dispatcher.Paths().HelperFor(*server, now);
+  auto connection = server->TakeConnection(now, Http::RequestId(m_id), helper);
+  if (!connection)
+  {
+    // Nothing was sent. The next dispatch tries again, until the wait is over.
+    m_last_reason = "no socket available";
+    WaitForServer();
+    return;
+  }
+  if (is_repeat)
+    m_dispatcher.Budget().Take(m_pool, now);
+  m_helper = helper;
+  m_connection = std::move(connection);
   Send(server);
 }
 
@@ -344,14 +358,6 @@
   m_is_probe = false;
   m_body.clear();
   m_events.DropPartial();
-  m_helper = m_dispatcher.Paths().HelperFor(*m_server, now);
-  const Http::RequestId request_id(m_id);
-  m_connection = m_server->TakeConnection(now, request_id, m_helper);
-  if (!m_connection)
-  {
-    AttemptFailed("no socket available", m_may_have_run);
-    return;
-  }
   m_connection_number = m_connection->Number();
   m_connection_requests = m_connection->Requests() + 1;
   m_is_probe = m_dispatcher.Parts().NoteSent(m_prompt_parts, m_server->Entry().version.Get(), now);
@@ -376,8 +382,8 @@
     added.last_event_id = m_events.LastId();
   m_attempt =
       m_dispatcher.Late().NoteSent(*m_server, m_artifact.model, m_route.latency_target, now);
-  m_connection->SendIdentified(request_id, ForwardedRequest(m_request, names, added), this,
-                               m_request.head.method == "HEAD");
+  m_connection->SendIdentified(Http::RequestId(m_id), ForwardedRequest(m_request, names, added),
+                               this, m_request.head.method == "HEAD");
   const bool is_stream = m_route.repeatability == Repeatability::Streaming;
   const auto target =
       std::chrono::duration_cast<Milliseconds>(m_route.latency_target * STALL_LATENCY_TARGETS);
