Gateway: a planned stop waits until callers have got their responses

Cause: the process ended as soon as no request was in progress at a server. A relay ends when it has handed the response to the caller's connection, which may not have sent it yet; what the kernel had not accepted was dropped. Now the process stays until that is done too, or the grace period is over.

EntryPoint::BeginStop is public and HasStopped tells the end, so that a test can stop an entry point without signals.

PlannedStopTest 2 of 2; ResponseOfASlowCallerIsCutOff before: failed, the entry point had stopped with 7 MB unread.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -802,6 +802,13 @@
     connection->CloseIfIdle();
 }
 
+bool Dispatcher::HasUnsentOutput() const
+{
+  return std::ranges::any_of(m_connections, [](const auto& entry) {
+    return entry.second->UnsentBytes() > 0;
+  });
+}
+
 void Dispatcher::CancelAll()
 {
   const auto relays = m_relays;
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -192,6 +192,8 @@
   /// Ends all open requests with an error.
   void CancelAll();
   std::size_t OpenRequests() const { return m_relays.size(); }
+  /// True if the kernel has not yet accepted all output to callers.
+  bool HasUnsentOutput() const;
 
   void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
                  Http::ReceivedRequest request) override;
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -281,8 +281,11 @@
   const bool grace_over = waited >= m_settings.stop_grace - STOP_MARGIN;
   if (grace_over)
     m_dispatcher.CancelAll();
-  if (balancer_notified && m_dispatcher.OpenRequests() == 0)
+  // Callers may still be reading responses that are complete here.
+  const bool all_sent = m_dispatcher.OpenRequests() == 0 && !m_dispatcher.HasUnsentOutput();
+  if (grace_over || (balancer_notified && all_sent))
   {
+    m_stopped = true;
     g_main_loop_quit(MainLoop());
     return;
   }
--- a/Source/Core/Gateway/EntryPoint.h
+++ b/Source/Core/Gateway/EntryPoint.h
@@ -60,6 +60,10 @@
   Common::Result<Common::Done> Start();
   /// Runs the main loop until the graceful shutdown is complete; returns the exit status.
   int Run();
+  /// Begins the graceful shutdown, as on SIGTERM.
+  void BeginStop();
+  /// True once the graceful shutdown is complete.
+  bool HasStopped() const { return m_stopped; }
   void Configure(EntryPointSettings settings);
   /// Called on SIGHUP, which asks for the settings to be reloaded.
   void OnReload(std::function<void()> callback) { m_on_reload = std::move(callback); }
@@ -80,7 +84,6 @@
   std::string RenderDump() const;
   /// Installs the handlers of all signals that are deferred while the daemon starts.
   void HandleSignals();
-  void BeginStop();
   void ContinueStop();
 
   EntryPointSettings m_settings;
@@ -94,6 +97,7 @@
   std::function<void()> m_on_stop;
   std::function<void(Common::Metrics&)> m_on_metrics;
   bool m_stopping = false;
+  bool m_stopped = false;
   Common::TimePoint m_stop_began;
   Common::OwnedTimer m_stop_timer;
 };
--- /dev/null
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -0,0 +1,125 @@
+// SPDX-FileCopyrightText: 2026 The drumpond developers
+// SPDX-License-Identifier: Apache-2.0
+
+// The planned stop of a process whose callers still read their responses.
+
+#include "Gateway/EntryPoint.h"
+
+#include <memory>
+#include <string>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "UnitTests/Support/RelayWorld.h"
+
+namespace
+{
+using Common::Milliseconds;
+using UnitTests::RunFor;
+using UnitTests::RunUntil;
+using UnitTests::TestPeer;
+using UnitTests::TestServer;
+
+/// Without requests in progress, the process stops after half of the grace period.
+constexpr Milliseconds GRACE{1600};
+constexpr Milliseconds AFTER_HALF{1000};
+/// More than the kernel buffers of a connection hold.
+constexpr std::size_t BODY_BYTES = std::size_t{7} << 20U;
+
+Gateway::EntryPointSettings MakeSettings()
+{
+  Gateway::EntryPointSettings settings;
+  settings.callers = UnitTests::FreeEndpoint();
+  settings.readiness = UnitTests::FreeEndpoint();
+  settings.metrics = UnitTests::FreeEndpoint();
+  settings.stop_grace = GRACE;
+  settings.dispatcher = {
+      Common::DataCentreId("here"), UnitTests::Names(), {0.2, 100, Milliseconds(10000)}};
+  return settings;
+}
+
+std::shared_ptr<Gateway::Configuration> MakeConfiguration()
+{
+  auto configuration = std::make_shared<Gateway::Configuration>();
+  const Gateway::PoolId pool("pool");
+  configuration->version = 1;
+  configuration->routes = {
+      UnitTests::MakeRoute(UnitTests::ONCE_PATH, Gateway::Repeatability::NonIdempotent, 1, false)};
+  configuration->pools[pool] = Gateway::Pool{pool, "/health", 100, std::nullopt};
+  return configuration;
+}
+
+/// An entry point that stops while its caller has read nothing of a long response.
+class World
+{
+public:
+  World()
+  {
+    CPPUNIT_ASSERT(static_cast<bool>(entry_point.Start()));
+    Gateway::Dispatcher& dispatcher = entry_point.GetDispatcher();
+    dispatcher.SetConfiguration(MakeConfiguration());
+    Gateway::ServerEntry entry;
+    entry.instance = Gateway::InstanceId("i-1");
+    entry.pool = Gateway::PoolId("pool");
+    entry.endpoint = m_server.Address();
+    entry.data_centre = Common::DataCentreId("here");
+    entry.slots = 10;
+    dispatcher.Servers().Put(entry);
+    caller.stream = Http::TcpStream::Connect(m_settings.callers, &caller);
+    caller.stream->Write("POST /once/ HTTP/1.1\r\nHost: shop.example\r\nReq-Id: id-1\r\n\r\n");
+    CPPUNIT_ASSERT(RunUntil([this] {
+      caller.stream->SetReading(false);
+      return !m_server.requests.empty() && entry_point.GetDispatcher().OpenRequests() == 0;
+    }));
+    entry_point.BeginStop();
+  }
+
+  bool StopsWithin(Milliseconds limit)
+  {
+    return RunUntil(
+        [this] {
+          return entry_point.HasStopped();
+        },
+        limit);
+  }
+
+private:
+  UnitTests::TestServer m_server{[](TestPeer& peer, const std::string& head) {
+    peer.stream->Write(UnitTests::Answer(head, std::string(BODY_BYTES, 'x')));
+  }};
+  Gateway::EntryPointSettings m_settings = MakeSettings();
+
+public:
+  Gateway::EntryPoint entry_point{m_settings};
+  TestPeer caller;
+};
+
+class PlannedStopTest : public CppUnit::TestFixture
+{
+  CPPUNIT_TEST_SUITE(PlannedStopTest);
+  CPPUNIT_TEST(ResponseOfASlowCallerIsCutOff);
+  CPPUNIT_TEST(CallerThatReadsNothingDelaysTheStopBeyondTheGrace);
+  CPPUNIT_TEST_SUITE_END();
+
+  /// The process ended as soon as no request was in progress at a server.
+  void ResponseOfASlowCallerIsCutOff()
+  {
+    World world;
+    CPPUNIT_ASSERT(!world.StopsWithin(AFTER_HALF));
+    world.caller.stream->SetReading(true);
+    CPPUNIT_ASSERT(world.StopsWithin(GRACE - AFTER_HALF));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.caller.ended;
+    }));
+    CPPUNIT_ASSERT(world.caller.received.size() > BODY_BYTES);
+  }
+
+  void CallerThatReadsNothingDelaysTheStopBeyondTheGrace()
+  {
+    World world;
+    CPPUNIT_ASSERT(world.StopsWithin(GRACE));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
+} // namespace
