Gateway: an entry that the platform wrote late replaces no newer one

Cause: the platform may take a server's write of its entry seconds late, after newer ones. The entry then goes back to an earlier state until the next heartbeat, and the holder of the order lease saw room where a model had been loaded meanwhile. The number of the heartbeat was read and dropped.

Now it is part of the entry, and every daemon's directory ignores an entry with a lower one of the same instance, whether it was read, followed or relayed, also after the entry was removed. A restarted server is another instance and counts anew. The comparison ends 12 s after the newer entry came, so that an entry with a wrong high number cannot hide a running server for long. An entry without a number is accepted as before.

--- a/Source/Core/Gateway/ServerCondition.h
+++ b/Source/Core/Gateway/ServerCondition.h
@@ -3,10 +3,14 @@
 
 #pragma once
 
+#include <optional>
+
+#include "Common/Units.h"
 #include "Gateway/Backoff.h"
 #include "Gateway/ColdState.h"
 #include "Gateway/DrainState.h"
 #include "Gateway/ServerHealth.h"
+#include "Gateway/Types.h"
 
 namespace Gateway
 {
@@ -20,5 +24,7 @@
   ColdState cold;
   /// This instance has ended: another process has the address, or the server has restarted.
   bool replaced = false;
+  std::optional<HeartbeatNumber> heartbeat; ///< Of the newest entry that stated one.
+  Common::TimePoint heartbeat_at;           ///< When that entry was received.
 };
 } // namespace Gateway
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -20,14 +20,27 @@
 /// How long the condition of a removed server is kept, and of how many servers.
 constexpr std::chrono::minutes CONDITION_RETENTION{10};
 constexpr std::size_t MAX_RETAINED_CONDITIONS = 4096;
+/// For how long after an entry an older one of the same instance may still be written. Later, an
+/// entry whose heartbeats are lower is the only sign of life that there is.
+constexpr Common::Milliseconds LATE_WRITE_LIMIT{12000};
 } // namespace
 
 Server::Server(ServerEntry entry, std::shared_ptr<ServerCondition> condition)
     : m_entry(std::move(entry)), m_key(KeyOf(m_entry.instance)), m_condition(std::move(condition))
 {
   m_entry_missing = false;
+  ApplyEntry();
+}
+
+void Server::ApplyEntry()
+{
+  const auto now = Common::Now();
   Drain().SetEntry(m_entry.draining);
-  Cold().NoteLeft(m_entry.warming_up, Common::Now());
+  Cold().NoteLeft(m_entry.warming_up, now);
+  if (!m_entry.heartbeat || m_entry.heartbeat == m_condition->heartbeat)
+    return;
+  m_condition->heartbeat = m_entry.heartbeat;
+  m_condition->heartbeat_at = now;
 }
 
 void Server::SetEntry(ServerEntry entry)
@@ -35,8 +48,7 @@
   if (entry.models != m_entry.models)
     m_missing_until.clear();
   m_entry = std::move(entry);
-  Drain().SetEntry(m_entry.draining);
-  Cold().NoteLeft(m_entry.warming_up, Common::Now());
+  ApplyEntry();
   ++m_entry_revision;
 }
 
@@ -171,6 +183,12 @@
                       {"known", known->Entry().instance.Started()}});
     return;
   }
+  if (IsWrittenLate(entry, Common::Now()))
+  {
+    Common::LogEvent(Common::LogLevel::Info, "server-entry-written-late",
+                     {{"instance", entry.instance}, {"heartbeat", *entry.heartbeat}});
+    return;
+  }
   const bool is_next_life = known && known->Entry().instance != entry.instance;
   const InstanceId instance = entry.instance;
   if (is_next_life)
@@ -203,6 +221,23 @@
     m_on_change(server);
 }
 
+bool ServerDirectory::IsWrittenLate(const ServerEntry& entry, Common::TimePoint now) const
+{
+  const auto condition = ConditionOf(entry.instance);
+  if (!condition || !condition->heartbeat || !entry.heartbeat)
+    return false;
+  return *entry.heartbeat < *condition->heartbeat &&
+         now - condition->heartbeat_at < LATE_WRITE_LIMIT;
+}
+
+std::shared_ptr<ServerCondition> ServerDirectory::ConditionOf(const InstanceId& instance) const
+{
+  if (const ServerPtr server = Find(instance))
+    return server->Condition();
+  const auto removed = m_removed.find(instance);
+  return removed == m_removed.end() ? nullptr : removed->second.condition;
+}
+
 void ServerDirectory::Inherit(Server& server, const Server& before)
 {
   const auto now = Common::Now();
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -166,6 +166,8 @@
 private:
   /// True if the server can take a request now, leaving its failures aside.
   bool IsReady(Common::TimePoint now) const;
+  /// Applies what the current entry says about the server's condition.
+  void ApplyEntry();
 
   ServerEntry m_entry;
   RateLimits::ServerKey m_key;
@@ -206,7 +208,8 @@
   }
 
   /// Adds or updates a server. The entry of a later instance replaces the server and everything
-  /// recorded for it; an entry of an earlier instance is ignored.
+  /// recorded for it; an entry of an earlier instance is ignored. So is an entry of the same
+  /// instance with an earlier heartbeat, for as long as it may have been written late.
   void Put(ServerEntry entry);
   /// Removes a server. Its condition is kept for a while, because the entry of a running server may
   /// expire and be written again.
@@ -239,6 +242,10 @@
   };
 
   void Add(ServerEntry entry);
+  /// True if the platform wrote the entry after one with a later heartbeat of the same instance.
+  bool IsWrittenLate(const ServerEntry& entry, Common::TimePoint now) const;
+  /// The condition of a server that is known or was lately removed; otherwise nullptr.
+  std::shared_ptr<ServerCondition> ConditionOf(const InstanceId& instance) const;
   /// Copies announcements of the previous instance to `server`, which may have sent them itself
   /// before its entry was received.
   static void Inherit(Server& server, const Server& before);
--- a/Source/Core/Gateway/Types.h
+++ b/Source/Core/Gateway/Types.h
@@ -34,6 +34,9 @@
 /// is only compared with other starts of the same server.
 using ServerStart = Common::Quantity<struct ServerStartTag>;
 
+/// Counts the heartbeats of one instance of a backend server: a higher one was written later.
+using HeartbeatNumber = Common::Quantity<struct HeartbeatNumberTag>;
+
 /// Identifies one instance of a backend server: its process from one start on, named by its id on
 /// the platform and its start time, since a server may restart under the same id. All state of a
 /// server is keyed by this, so that state of a previous instance is never attributed to the current
@@ -201,7 +204,8 @@
 struct ServerEntry
 {
   InstanceId instance;
-  SoftwareVersion version; ///< Empty if unknown.
+  std::optional<HeartbeatNumber> heartbeat; ///< Of those of the instance; nullopt if not stated.
+  SoftwareVersion version;                  ///< Empty if unknown.
   PoolId pool;
   Http::Endpoint endpoint;
   Common::DataCentreId data_centre;
--- a/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
+++ b/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
@@ -73,6 +73,16 @@
   return entry;
 }
 
+ServerEntry EntryOf(const std::string& instance, std::int64_t heartbeat,
+                    const std::vector<std::string>& models)
+{
+  ServerEntry entry = EntryOf(instance);
+  entry.heartbeat = HeartbeatNumber(heartbeat);
+  for (const std::string& model : models)
+    entry.models.push_back({ModelId(model), {}});
+  return entry;
+}
+
 class ServerDiscoveryTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(ServerDiscoveryTest);
@@ -80,6 +90,9 @@
   CPPUNIT_TEST(ServerThatLeftDuringACutIsUsedAfterTheContactBound);
   CPPUNIT_TEST(OutagesInSeriesKeepAServerThatHasLeft);
   CPPUNIT_TEST(OutageThatEndedForOthersKeepsNoServerLater);
+  CPPUNIT_TEST(EntryWrittenLateReplacesANewerOne);
+  CPPUNIT_TEST(EntryWrittenLateReplacesANewerOneAfterItsRemoval);
+  CPPUNIT_TEST(RestartedServerIsIgnoredUntilItsHeartbeatsCatchUp);
   CPPUNIT_TEST_SUITE_END();
 
   void ServerThatLeftDuringACutIsUsedBesideOthers()
@@ -118,7 +131,12 @@
     CutSource source;
     const auto apply = [&](const std::vector<Fleet::TableRow>& rows) {
       std::vector<ServerEntry> entries;
-      std::ranges::transform(rows, std::back_inserter(entries), EntryOf, &Fleet::TableRow::key);
+      std::ranges::transform(
+          rows, std::back_inserter(entries),
+          [](const std::string& key) {
+            return EntryOf(key);
+          },
+          &Fleet::TableRow::key);
       discovery.ApplySnapshot(std::move(entries), Common::Now());
     };
     Fleet::TableFollower<CutSource> follower(source, "servers",
@@ -181,6 +199,45 @@
     discovery.ApplyRemoval(InstanceId("i-1"), Common::Now());
     CPPUNIT_ASSERT(!directory.Find(InstanceId("i-1")));
   }
+
+  /// The platform may take a write late, so that an entry goes back to an earlier state.
+  void EntryWrittenLateReplacesANewerOne()
+  {
+    ServerDirectory directory;
+    ServerDiscovery discovery(directory);
+    discovery.ApplyEntry(EntryOf("i-1", 7, {"a", "b"}));
+    discovery.ApplyEntry(EntryOf("i-1", 6, {"a"}));
+    CPPUNIT_ASSERT(directory.Find(InstanceId("i-1"))->HoldsModel(ModelId("b")));
+    discovery.ApplySnapshot({EntryOf("i-1", 5, {"a"})}, Common::Now());
+    CPPUNIT_ASSERT(directory.Find(InstanceId("i-1"))->HoldsModel(ModelId("b")));
+    discovery.ApplyEntry(EntryOf("i-1", 8, {"a"}));
+    CPPUNIT_ASSERT(!directory.Find(InstanceId("i-1"))->HoldsModel(ModelId("b")));
+  }
+
+  void EntryWrittenLateReplacesANewerOneAfterItsRemoval()
+  {
+    ServerDirectory directory;
+    ServerDiscovery discovery(directory);
+    discovery.ApplyEntry(EntryOf("i-1", 7, {"a", "b"}));
+    discovery.ApplyRemoval(InstanceId("i-1"), Common::Now());
+    discovery.ApplyEntry(EntryOf("i-1", 6, {"a"}));
+    CPPUNIT_ASSERT(!directory.Find(InstanceId("i-1")));
+    discovery.ApplyEntry(EntryOf("i-1", 8, {"a"}));
+    CPPUNIT_ASSERT(directory.Find(InstanceId("i-1")) != nullptr);
+  }
+
+  /// The heartbeats of a server that restarts under the same id are counted anew.
+  void RestartedServerIsIgnoredUntilItsHeartbeatsCatchUp()
+  {
+    ServerDirectory directory;
+    ServerDiscovery discovery(directory);
+    discovery.ApplyEntry(EntryOf("i-1", 700, {"a"}));
+    ServerEntry next = EntryOf("i-1", 1, {});
+    next.instance = InstanceId("i-1", ServerStart(2000));
+    discovery.ApplyEntry(next);
+    CPPUNIT_ASSERT(directory.Find(next.instance) != nullptr);
+    CPPUNIT_ASSERT(!directory.Find(next.instance)->HoldsModel(ModelId("a")));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ServerDiscoveryTest);
--- a/Source/UnitTests/Orders/OrderManagerTest.cpp
+++ b/Source/UnitTests/Orders/OrderManagerTest.cpp
@@ -72,9 +72,11 @@
   void Later(std::function<void()> callback) const { m_soon.Call(std::move(callback)); }
 
   /// Sets the models in the server's entry, as the platform publishes it.
-  void SetModels(std::vector<const char*> names)
+  void SetModels(std::vector<const char*> names,
+                 std::optional<HeartbeatNumber> heartbeat = std::nullopt)
   {
     ServerEntry entry;
+    entry.heartbeat = heartbeat;
     entry.instance = InstanceId("i-1");
     entry.pool = PoolId("p");
     entry.slots = 8;
@@ -134,6 +136,7 @@
   CPPUNIT_TEST(UnansweredOrderIsResentWithTheSameSequence);
   CPPUNIT_TEST(UnansweredOrderThatWasAcceptedIsNotResent);
   CPPUNIT_TEST(ModelListedOnlyInTheReportOccupiesMemory);
+  CPPUNIT_TEST(EntryWrittenLateMakesRoomForALoad);
   CPPUNIT_TEST(UnloadedModelFromAReportIsNotHeld);
   CPPUNIT_TEST(PoolWithoutEngineGetsNoOrders);
   CPPUNIT_TEST(AdapterKeepsItsSlotUntilItsUnloadIsConfirmed);
@@ -377,6 +380,25 @@
       CPPUNIT_ASSERT(call.operation == OrderCall::Operation::Unload);
   }
 
+  /// The server holds two models; an entry from before the second one is written late.
+  void EntryWrittenLateMakesRoomForALoad()
+  {
+    OrderFixture fixture;
+    fixture.SetModels({"a", "b"}, HeartbeatNumber(7));
+    fixture.report = ServerReport{4, false, {{ModelId("a"), {}}, {ModelId("b"), {}}}, {}};
+    CPPUNIT_ASSERT(fixture.PlanUntil([&] {
+      return fixture.reports == 1;
+    }));
+    RunFor(Milliseconds(20));
+    fixture.order_manager.Plan(Common::Now());
+    fixture.SetModels({"a"}, HeartbeatNumber(6));
+    fixture.Demand("c");
+    CPPUNIT_ASSERT(fixture.PlanUntil([&] {
+      return !fixture.calls.empty();
+    }));
+    CPPUNIT_ASSERT(fixture.calls.front().operation == OrderCall::Operation::Unload);
+  }
+
   void PoolWithoutEngineGetsNoOrders()
   {
     OrderFixture fixture;
