Orders: an unanswered load is planned anew once another order was carried out

Cause: an order's expected sequence makes it fail if another one came first. But the holder, which reads the server's report after an order without an answer, took the new sequence from there and sent the same load again with it, although the report showed another model in that room. Now a sequence that has moved without the order's effect ends the order ("overtaken"); the server's state is read and planned anew.

Ruled out: orders without an expected sequence (loads, unloads and orders for adapters all carry one). No order needs to be handed over to the next holder.

UnansweredLoadIsResentIntoRoomThatALateOrderHasTaken before: failed, the second order was the same load.

--- a/Source/Core/Orders/OrderManager.cpp
+++ b/Source/Core/Orders/OrderManager.cpp
@@ -375,6 +375,13 @@
   }
   if (report->busy || open.accepted)
     return;
+  if (moved)
+  {
+    // The server has carried out another order, perhaps a late one of the previous holder. What it
+    // has room for now must be found out first.
+    CloseOrder(instance, record, "overtaken");
+    return;
+  }
   // Nothing indicates that the order was accepted. If it is sent again, at most one copy takes
   // effect.
   SendOpenOrder(server, record);
--- a/Source/UnitTests/Orders/OrderManagerTest.cpp
+++ b/Source/UnitTests/Orders/OrderManagerTest.cpp
@@ -137,6 +137,7 @@
   CPPUNIT_TEST(UnansweredOrderThatWasAcceptedIsNotResent);
   CPPUNIT_TEST(ModelListedOnlyInTheReportOccupiesMemory);
   CPPUNIT_TEST(EntryWrittenLateMakesRoomForALoad);
+  CPPUNIT_TEST(UnansweredLoadIsResentIntoRoomThatALateOrderHasTaken);
   CPPUNIT_TEST(UnloadedModelFromAReportIsNotHeld);
   CPPUNIT_TEST(PoolWithoutEngineGetsNoOrders);
   CPPUNIT_TEST(AdapterKeepsItsSlotUntilItsUnloadIsConfirmed);
@@ -399,6 +400,29 @@
     CPPUNIT_ASSERT(fixture.calls.front().operation == OrderCall::Operation::Unload);
   }
 
+  /// A late order of the previous holder, which loads "b", is carried out before the unanswered
+  /// one.
+  void UnansweredLoadIsResentIntoRoomThatALateOrderHasTaken()
+  {
+    OrderFixture fixture;
+    fixture.SetModels({"a"});
+    fixture.report = ServerReport{4, false, {{ModelId("a"), {}}}, {}};
+    fixture.next_result = Common::Failure{Common::FailureKind::Timeout, "no answer"};
+    fixture.Demand("c");
+    CPPUNIT_ASSERT(fixture.PlanUntil([&] {
+      return fixture.calls.size() == 1;
+    }));
+    CPPUNIT_ASSERT(fixture.calls[0].operation == OrderCall::Operation::Load);
+    RunFor(Milliseconds(20));
+    fixture.report = ServerReport{5, false, {{ModelId("a"), {}}, {ModelId("b"), {}}}, {}};
+    CPPUNIT_ASSERT(fixture.PlanUntil([&] {
+      fixture.Demand("c");
+      return fixture.calls.size() == 2;
+    }));
+    CPPUNIT_ASSERT(fixture.calls[1].operation == OrderCall::Operation::Unload);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(5), fixture.calls[1].expected_sequence);
+  }
+
   void PoolWithoutEngineGetsNoOrders()
   {
     OrderFixture fixture;
