--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -286,7 +286,7 @@
   // Without an event that the caller has, the stream begins anew, whatever attempt the caller
   // names.
   const std::string* resumes = m_events.LastId() ? head.Find(names.resumes) : nullptr;
-  m_resumes = resumes == nullptr ? "" : *resumes;
+  m_resumes = resumes == nullptr ? "" : Common::TrimTrailingBlanks(*resumes);
   m_stream = KeyOf(m_account, m_resumes.empty() ? m_id : m_resumes);
 }
 
@@ -319,15 +319,34 @@
   }
   if (!VerifyKey())
     return;
+  const auto now = Common::Now();
   const bool is_repeat = m_arrivals > 0;
-  if (is_repeat && !m_dispatcher.Budget().Take(m_pool, Common::Now()))
+  if (is_repeat && m_dispatcher.Budget().Left(m_pool, now) < 1)
   {
     AttemptFailed("the retry budget is exhausted", m_may_have_run);
     return;
   }
+  const auto helper = m_dispatcher.Paths().HelperFor(*server, now);
+  auto connection = server->TakeConnection(now, Identified(), helper);
+  if (!connection)
+  {
+    // Nothing was sent. The next dispatch tries again, until the wait is over.
+    m_last_reason = "no socket available";
+    WaitForServer();
+    return;
+  }
+  if (is_repeat)
+    m_dispatcher.Budget().Take(m_pool, now);
+  m_helper = helper;
+  m_connection = std::move(connection);
   Send(server);
 }
 
+Http::RequestIdentity Relay::Identified() const
+{
+  return {Http::RequestId(m_id), m_request.head.method != "HEAD"};
+}
+
 void Relay::Send(const ServerPtr& server)
 {
   const auto now = Common::Now();
@@ -344,16 +363,6 @@
   m_is_probe = false;
   m_body.clear();
   m_events.DropPartial();
-  m_helper = m_dispatcher.Paths().HelperFor(*m_server, now);
-  const Http::RequestIdentity identity{Http::RequestId(m_id), m_request.head.method != "HEAD"};
-  m_connection = m_server->TakeConnection(now, identity, m_helper);
-  if (!m_connection)
-  {
-    // The next attempt would fail in the same way, at once.
-    ReleaseServer();
-    AttemptFailed("no socket available", m_may_have_run);
-    return;
-  }
   m_connection_number = m_connection->Number();
   m_connection_requests = m_connection->Requests() + 1;
   m_is_probe = m_dispatcher.Parts().NoteSent(m_prompt_parts, m_server->Entry().version.Get(), now);
@@ -378,7 +387,7 @@
     added.last_event_id = m_events.LastId();
   m_attempt =
       m_dispatcher.Late().NoteSent(*m_server, m_artifact.model, m_route.latency_target, now);
-  m_connection->SendIdentified(identity, ForwardedRequest(m_request, names, added), this);
+  m_connection->SendIdentified(Identified(), ForwardedRequest(m_request, names, added), this);
   const bool is_stream = m_route.repeatability == Repeatability::Streaming;
   const auto target =
       std::chrono::duration_cast<Milliseconds>(m_route.latency_target * STALL_LATENCY_TARGETS);
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -234,6 +234,9 @@
   std::vector<std::string_view> Keys() const;
   void ReadHeaders();
   void StartTimers();
+  /// What ties the responses of servers to this request.
+  Http::RequestIdentity Identified() const;
+  /// Sends the request over `m_connection`.
   void Send(const ServerPtr& server);
   Common::Milliseconds TimeLeft() const;
 
--- a/Source/UnitTests/Orders/OrderManagerTest.cpp
+++ b/Source/UnitTests/Orders/OrderManagerTest.cpp
@@ -72,9 +72,11 @@
   void Later(std::function<void()> callback) const { m_soon.Call(std::move(callback)); }
 
   /// Sets the models in the server's entry, as the platform publishes it.
-  void SetModels(std::vector<const char*> names)
+  void SetModels(std::vector<const char*> names,
+                 std::optional<HeartbeatNumber> heartbeat = std::nullopt)
   {
     ServerEntry entry;
+    entry.heartbeat = heartbeat;
     entry.instance = InstanceId("i-1");
     entry.pool = PoolId("p");
     entry.slots = 8;
@@ -134,6 +136,8 @@
   CPPUNIT_TEST(UnansweredOrderIsResentWithTheSameSequence);
   CPPUNIT_TEST(UnansweredOrderThatWasAcceptedIsNotResent);
   CPPUNIT_TEST(ModelListedOnlyInTheReportOccupiesMemory);
+  CPPUNIT_TEST(EntryWrittenLateMakesRoomForALoad);
+  CPPUNIT_TEST(UnansweredLoadIsResentIntoRoomThatALateOrderHasTaken);
   CPPUNIT_TEST(UnloadedModelFromAReportIsNotHeld);
   CPPUNIT_TEST(PoolWithoutEngineGetsNoOrders);
   CPPUNIT_TEST(AdapterKeepsItsSlotUntilItsUnloadIsConfirmed);
@@ -377,6 +381,48 @@
       CPPUNIT_ASSERT(call.operation == OrderCall::Operation::Unload);
   }
 
+  /// The server holds two models; an entry from before the second one is written late.
+  void EntryWrittenLateMakesRoomForALoad()
+  {
+    OrderFixture fixture;
+    fixture.SetModels({"a", "b"}, HeartbeatNumber(7));
+    fixture.report = ServerReport{4, false, {{ModelId("a"), {}}, {ModelId("b"), {}}}, {}};
+    CPPUNIT_ASSERT(fixture.PlanUntil([&] {
+      return fixture.reports == 1;
+    }));
+    RunFor(Milliseconds(20));
+    fixture.order_manager.Plan(Common::Now());
+    fixture.SetModels({"a"}, HeartbeatNumber(6));
+    fixture.Demand("c");
+    CPPUNIT_ASSERT(fixture.PlanUntil([&] {
+      return !fixture.calls.empty();
+    }));
+    CPPUNIT_ASSERT(fixture.calls.front().operation == OrderCall::Operation::Unload);
+  }
+
+  /// A late order of the previous holder, which loads "b", is carried out before the unanswered
+  /// one.
+  void UnansweredLoadIsResentIntoRoomThatALateOrderHasTaken()
+  {
+    OrderFixture fixture;
+    fixture.SetModels({"a"});
+    fixture.report = ServerReport{4, false, {{ModelId("a"), {}}}, {}};
+    fixture.next_result = Common::Failure{Common::FailureKind::Timeout, "no answer"};
+    fixture.Demand("c");
+    CPPUNIT_ASSERT(fixture.PlanUntil([&] {
+      return fixture.calls.size() == 1;
+    }));
+    CPPUNIT_ASSERT(fixture.calls[0].operation == OrderCall::Operation::Load);
+    RunFor(Milliseconds(20));
+    fixture.report = ServerReport{5, false, {{ModelId("a"), {}}, {ModelId("b"), {}}}, {}};
+    CPPUNIT_ASSERT(fixture.PlanUntil([&] {
+      fixture.Demand("c");
+      return fixture.calls.size() == 2;
+    }));
+    CPPUNIT_ASSERT(fixture.calls[1].operation == OrderCall::Operation::Unload);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(5), fixture.calls[1].expected_sequence);
+  }
+
   void PoolWithoutEngineGetsNoOrders()
   {
     OrderFixture fixture;
