--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -94,6 +94,7 @@
   std::string name;
   std::string ip;
   int pid = 0;
+  Common::TimePoint launched_at;
   bool expected_to_run = true;
   bool suspended_while_stopping = false; ///< Was suspended after the signal to stop.
   std::unique_ptr<ScenarioRunner::Relay> store_relay;
@@ -327,6 +328,7 @@
     if (m_cuts_vms)
       setenv("DRUMPOND_SOURCE_ADDRESS", daemon.ip.c_str(), 1);
     daemon.pid = m_processes.Start(daemon.name, {m_binary});
+    daemon.launched_at = Common::Now();
     daemon.expected_to_run = true;
     if (m_streams)
       m_streams->RecordLaunch(IndexOf(daemon));
@@ -518,10 +520,17 @@
     SendSignalSeries(RandomDaemon(), Draw(MAX_SERIES_LENGTH));
   }
 
+  /// Before this time has passed, any signal ends the process, whatever its program does.
+  static Milliseconds StartTimeLeft(const DaemonProcess& daemon)
+  {
+    const auto left = daemon.launched_at + Milliseconds(PROCESS_START_MS) - Common::Now();
+    return std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(left));
+  }
+
   /// Sends the process `length` signals that must not end it.
   void SendSignalSeries(const DaemonProcess& daemon, std::uint64_t length)
   {
-    Milliseconds delay{0};
+    auto delay = StartTimeLeft(daemon);
     for (; length > 0; --length)
     {
       delay += DrawMs(0, MAX_SERIES_PAUSE_MS);
@@ -531,6 +540,13 @@
     }
   }
 
+  void SignalReload(const DaemonProcess& daemon)
+  {
+    After(StartTimeLeft(daemon), [this, pid = daemon.pid] {
+      m_processes.Signal(pid, SIGHUP);
+    });
+  }
+
   void InjectFault()
   {
     switch (Draw(11))
@@ -545,7 +561,7 @@
       Suspend(RandomDaemon());
       break;
     case 3:
-      m_processes.Signal(RandomDaemon().pid, SIGHUP);
+      SignalReload(RandomDaemon());
       PutConfiguration();
       break;
     case 4:
@@ -756,8 +772,9 @@
   void CheckDaemonsAreRunning()
   {
     for (const DaemonProcess& daemon : m_daemons)
-      if (daemon.expected_to_run && m_processes.ExitStatus(daemon.pid))
-        m_checker.ReportViolation("ended by itself: " + daemon.name);
+      if (const auto status = m_processes.ExitStatus(daemon.pid); daemon.expected_to_run && status)
+        m_checker.ReportViolation("ended by itself: " + daemon.name + ", status " +
+                                  std::to_string(*status));
   }
 
   /// Sends a request for the newest route to each daemon. The configuration was last changed long
