StandIns: the soak sends responses twice, and rejects, fails and breaks off

In all seeds the checker also reports bytes that are no response and a 500 of another request, and takes 408 and 421 for a promise as 429 and 503.

--- a/Source/StandIns/ResumedStreams/StreamAttempt.cpp
+++ b/Source/StandIns/ResumedStreams/StreamAttempt.cpp
@@ -95,6 +95,7 @@
 
 void StreamAttempt::OnExchangeFailed(Http::ExchangeError error)
 {
+  m_end.malformed = error == Http::ExchangeError::Malformed;
   const bool is_unconnected =
       error == Http::ExchangeError::ConnectFailed || error == Http::ExchangeError::ConnectTimedOut;
   Finish(is_unconnected ? "no connection" : "the connection ended");
--- a/Source/StandIns/ResumedStreams/StreamAttempt.h
+++ b/Source/StandIns/ResumedStreams/StreamAttempt.h
@@ -24,8 +24,9 @@
 /// How an attempt ended.
 struct AttemptEnd
 {
-  bool complete = false; ///< The response was received up to its end.
-  int status = 0;        ///< 0: no response head was received.
+  bool complete = false;  ///< The response was received up to its end.
+  bool malformed = false; ///< Bytes that are no response were received.
+  int status = 0;         ///< 0: no response head was received.
   Common::Milliseconds retry_after{0};
   std::string reason; ///< Why it is not a complete stream; empty if it is.
 };
--- a/Source/StandIns/Soak/InvariantChecker.cpp
+++ b/Source/StandIns/Soak/InvariantChecker.cpp
@@ -60,6 +60,11 @@
 }
 } // namespace
 
+bool InvariantChecker::IsRefusal(int status)
+{
+  return status == 503 || status == 429 || status == 421 || status == 408;
+}
+
 void InvariantChecker::ReportViolation(const std::string& what)
 {
   m_violations.push_back(what);
@@ -89,7 +94,7 @@
   Request& request = m_requests[id];
   const bool is_non_repeatable = request.type == RequestType::NonRepeatable ||
                                  request.type == RequestType::NonRepeatableStream;
-  if (status == 503 || status == 429)
+  if (IsRefusal(status))
   {
     ++m_refused;
     request.reported_not_run = true;
@@ -100,6 +105,8 @@
   if (status != 200)
   {
     ++m_failed;
+    if (status == 500 && body != "failure of " + id)
+      ReportViolation("wrong failure of " + id + ": " + body.substr(0, 80));
     return;
   }
   ++m_served;
@@ -112,6 +119,12 @@
     ReportViolation("wrong response to " + id + ": " + body.substr(0, 80));
 }
 
+void InvariantChecker::RecordMalformedResponse(const std::string& id)
+{
+  ++m_failed;
+  ReportViolation("bytes that are no response to " + id);
+}
+
 void InvariantChecker::RecordOrder(const std::string& server, const std::string& holder,
                                    std::int64_t fence, Common::TimePoint now)
 {
--- a/Source/StandIns/Soak/InvariantChecker.h
+++ b/Source/StandIns/Soak/InvariantChecker.h
@@ -28,6 +28,8 @@
 class InvariantChecker
 {
 public:
+  /// True for a status which promises that the request has not run and never will.
+  static bool IsRefusal(int status);
   void RecordSent(const std::string& id, RequestType type, const std::string& daemon)
   {
     m_requests[id].type = type;
@@ -36,11 +38,13 @@
   }
   /// A backend server started to run the request.
   void RecordRun(const std::string& id);
-  /// The caller got a complete response, or none (status 0).
+  /// The caller got bytes that are no response.
+  void RecordMalformedResponse(const std::string& id);
   /// From now on a stream counts as complete only with this number of events.
   void RequireEvents(int events) { m_required_events = events; }
   /// From now on each event of a stream names a software version, all events the same one.
   void RequireOneVersion() { m_events_name_versions = true; }
+  /// The caller got a complete response, or none (status 0).
   void RecordResponse(const std::string& id, int status, const std::string& body);
   /// A backend server received an order.
   void RecordOrder(const std::string& server, const std::string& holder, std::int64_t fence,
@@ -99,7 +103,7 @@
     std::string daemon; ///< That the request was sent to.
     Common::TimePoint sent_at;
     int runs = 0;
-    bool reported_not_run = false; ///< The caller got status 429 or 503.
+    bool reported_not_run = false; ///< The caller got a status that says so.
   };
   /// The last order that a server received.
   struct LastOrder
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -29,6 +29,7 @@
 #include "StandIns/Soak/InvariantChecker.h"
 #include "StandIns/Soak/StandInServer.h"
 #include "StandIns/Soak/StandInStore.h"
+#include "StandIns/Soak/StreamReaders.h"
 #include "StandIns/Soak/VersionedStreams.h"
 
 namespace
@@ -83,7 +84,12 @@
 constexpr std::uint64_t MAX_COINCIDENCE_MS = 60;
 /// After this time, a process has begun to run its own code.
 constexpr std::uint64_t PROCESS_START_MS = 25;
+/// Resumable streams of no model. Most models are loaded once, so that no other server can take
+/// their streams.
+constexpr const char* ANY_SERVER_PREFIX = "/stream/any/";
 constexpr int STATUS_OK = 200;
+/// Of a caller at one request.
+constexpr int MAX_ATTEMPTS = 3;
 constexpr double MS_PER_S = 1000;
 constexpr Http::CallTimeouts CALLER_TIMEOUTS{Milliseconds(6000), Milliseconds(6000)};
 /// Minimum percentage of requests that are served after the faults.
@@ -136,6 +142,9 @@
     m_uses_versions = true;
     m_checker.RequireOneVersion();
   }
+  /// Servers send responses twice, and reject, fail and break off requests. Callers send rejected
+  /// ones again under their id. All daemons are killed at the same moment, repeatedly.
+  void SendSurplusResponses() { m_sends_surplus_responses = true; }
   /// One VM after the other is cut off from all servers for a while.
   void CutVmsFromServers() { m_cuts_vms = true; }
   /// Several faults coincide, and signals come in series, also to daemons that start or stop.
@@ -160,6 +169,10 @@
         DrainOrBackOffRandomServer();
       if (m_cuts_vms)
         CutRandomVm();
+      if (m_sends_surplus_responses)
+        After(DrawMs(2000, 6000), [this] {
+          KillAllDaemons();
+        });
     });
     const auto faults_end = STARTUP_TIME + faults_duration;
     After(faults_end, [this] {
@@ -185,6 +198,9 @@
     if (m_drains_and_backs_off_servers)
       std::cout << m_checker.DrainAnnouncements() << " announcements that a server is draining, "
                 << m_checker.BackoffAnnouncements() << " that it wants a backoff\n";
+    if (m_sends_surplus_responses)
+      for (const auto& server : m_servers)
+        std::cout << server->SurplusCopies() << " second copies of responses by one server\n";
     std::cout << m_checker.Orders() << " orders, " << m_fault_count << " faults, "
               << m_checker.Violations().size() << " violations\n";
     return m_checker.Violations().empty() ? 0 : 1;
@@ -232,6 +248,7 @@
                                                   m_store, m_checker, std::move(models));
     if (m_uses_versions)
       server->RunSoftware(version, "z1");
+    server->SetSurplusResponses(m_sends_surplus_responses);
     RequireStarted(static_cast<bool>(server->Listen()), "server");
     m_servers.push_back(std::move(server));
   }
@@ -375,6 +392,8 @@
                    route("/once/", "non_idempotent", 1, false, false),
                    route("/stream/", "streaming", 2, true, true),
                    route("/one/", "streaming", 1, true, false)};
+    if (m_sends_surplus_responses)
+      routes.push_back(route(ANY_SERVER_PREFIX, "streaming", 2, false, true));
     const int route_count =
         INITIAL_ROUTES + ROUTES_PER_CHANGE * static_cast<int>(m_configuration_version);
     for (int i = 0; i < route_count; ++i)
@@ -405,6 +424,11 @@
     });
   }
 
+  static bool IsStream(RequestType type)
+  {
+    return type == RequestType::ResumableStream || type == RequestType::NonRepeatableStream;
+  }
+
   bool IsCalled(const DaemonProcess& daemon)
   {
     return daemon.expected_to_run || (m_callers_stay && !m_processes.ExitStatus(daemon.pid));
@@ -421,22 +445,68 @@
     Http::CompleteRequest request{"POST",
                                   PATHS[static_cast<int>(type)],
                                   {{"Host", "h"}, {"Attempt-Id", id}, {"Time-Left-Ms", "4000"}},
-                                  m_prompts_have_parts ? "body " + id : "body"};
-    if (type == RequestType::ResumableStream || type == RequestType::NonRepeatableStream)
+                                  m_prompts_have_parts || m_sends_surplus_responses ? "body " + id
+                                                                                    : "body"};
+    if (m_sends_surplus_responses && type == RequestType::ResumableStream && Draw(2) == 0)
+      request.target = std::string(ANY_SERVER_PREFIX) + "x";
+    else if (IsStream(type))
       request.headers.push_back(
           {"Model",
            "m" + std::to_string(std::min(Draw(m_requested_models), Draw(m_requested_models)))});
-    const bool is_stream = type != RequestType::Repeatable && type != RequestType::NonRepeatable;
-    if (m_prompts_have_parts && is_stream)
+    if (m_prompts_have_parts && IsStream(type))
       request.headers.push_back({"Prompt-Prefix", "a1:20," + RandomTheme() + "," + id + ":5"});
-    m_checker.RecordSent(id, type, daemon.name);
-    daemon.caller_channel->Call(request, CALLER_TIMEOUTS,
-                                [this, id](Common::Result<Http::CompleteResponse> response) {
-                                  if (response)
-                                    m_checker.RecordResponse(id, response->status, response->body);
-                                  else
-                                    m_checker.RecordResponse(id, 0, "");
-                                });
+    Call(daemon, request, {id, type});
+  }
+
+  /// An attempt of a caller at a request.
+  struct Attempt
+  {
+    std::string id;
+    RequestType type;
+    int number = 1;
+  };
+
+  void Call(DaemonProcess& daemon, const Http::CompleteRequest& request, const Attempt& attempt)
+  {
+    const std::string name = StandInServer::AttemptName(attempt.id, attempt.number);
+    m_checker.RecordSent(name, attempt.type, daemon.name);
+    const auto retry = [=, this, &daemon](int status) {
+      if (InvariantChecker::IsRefusal(status))
+        RetryByChance(daemon, request, attempt);
+    };
+    // With software versions, the streams that callers take up are read event by event.
+    if (m_sends_surplus_responses && !m_uses_versions && Common::Now() < m_faults_until &&
+        IsStream(attempt.type) && Draw(2) == 0)
+    {
+      m_stream_readers.Read(EndpointAt(daemon.ip, FIRST_PORT + 1), request, name, retry);
+      return;
+    }
+    daemon.caller_channel->Call(
+        request, CALLER_TIMEOUTS,
+        [=, this, &daemon](const Common::Result<Http::CompleteResponse>& response) {
+          if (response)
+            m_checker.RecordResponse(name, response->status, response->body);
+          else if (response.Reason().kind == Common::FailureKind::Protocol)
+            m_checker.RecordMalformedResponse(name);
+          else
+            m_checker.RecordResponse(name, 0, "");
+          retry(response ? response->status : 0);
+        });
+  }
+
+  /// Sends a rejected request again under its id, to the same daemon or another one.
+  void RetryByChance(DaemonProcess& daemon, Http::CompleteRequest request, Attempt attempt)
+  {
+    if (!m_sends_surplus_responses || Common::Now() >= m_faults_until ||
+        attempt.number >= MAX_ATTEMPTS || Draw(2) == 0)
+      return;
+    std::erase_if(request.headers, [](const Http::HeaderField& field) {
+      return field.name == StandInServer::ATTEMPT_HEADER;
+    });
+    request.headers.push_back({StandInServer::ATTEMPT_HEADER, std::to_string(++attempt.number)});
+    DaemonProcess& next = Draw(2) == 0 ? daemon : RandomDaemon();
+    if (IsCalled(next))
+      Call(next, request, attempt);
   }
 
   /// Sends the same few crashing requests repeatedly, to random daemons and each time under a new
@@ -674,6 +744,17 @@
     });
   }
 
+  void KillAllDaemons()
+  {
+    if (Common::Now() >= m_faults_until)
+      return;
+    for (DaemonProcess& daemon : m_daemons)
+      StopAndRestart(daemon, SIGKILL);
+    After(DrawMs(4000, 9000), [this] {
+      KillAllDaemons();
+    });
+  }
+
   /// An operator who repeats the signal to stop, among others, does not shorten the stop.
   void RepeatStopSignals(const DaemonProcess& daemon, int signal)
   {
@@ -810,6 +891,7 @@
       server->SetFault(ServerFault::None);
       server->SetRateLimit(std::nullopt);
       server->SetRetryAfter(std::nullopt);
+      server->SetSurplusResponses(false);
     }
     for (DaemonProcess& daemon : m_daemons)
     {
@@ -836,6 +918,7 @@
   std::string m_logs;
   ScenarioRunner::Processes m_processes;
   InvariantChecker m_checker;
+  StreamReaders m_stream_readers{m_checker};
   StandInStore m_store;
   Servers m_servers;
   Servers m_retired_servers;         ///< Faults that end later may still refer to them.
@@ -860,6 +943,7 @@
   std::uint64_t m_server_faults = static_cast<std::uint64_t>(ServerFault::DelayOrders);
   bool m_prompts_have_parts = false;
   bool m_cuts_vms = false;
+  bool m_sends_surplus_responses = false;
   int m_crashing_request_count = 0;          ///< Number of different crashing requests.
   std::uint64_t m_requested_models = MODELS; ///< That requests use.
 };
@@ -887,7 +971,8 @@
       "overlapping-faults", "faults coincide, and signals come in series")(
       "unframed-responses", "some responses of servers have neither a length nor chunks")(
       "software-versions", "servers have two versions, and callers take up streams at other VMs")(
-      "cut-vms", "VMs are cut off from all servers in turn");
+      "cut-vms", "VMs are cut off from all servers in turn")(
+      "surplus-responses", "servers send responses twice, and reject, fail and break off requests");
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   Common::InitLog(argv[0]);
@@ -916,5 +1001,7 @@
     run.UseSoftwareVersions();
   if (parsed.count("cut-vms") > 0)
     run.CutVmsFromServers();
+  if (parsed.count("surplus-responses") > 0)
+    run.SendSurplusResponses();
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
 }
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -27,12 +27,34 @@
 /// Time from the start of a crashing request to the crash.
 constexpr Milliseconds CRASH_AFTER{5};
 constexpr Milliseconds DOWN_TIME{1500};
+/// Of a server with surplus responses: what happens to its requests.
+constexpr std::uint64_t REJECTED_PERCENT = 40;
+constexpr std::uint64_t TOO_MANY_OF_REJECTED_PERCENT = 10;
+constexpr std::uint64_t FAILED_PERCENT = 8;
+constexpr std::uint64_t FAILED_RESUMABLE_PERCENT = 30;
+constexpr std::uint64_t PARTIAL_PERCENT = 3;
+constexpr std::uint64_t BROKEN_STREAM_PERCENT = 40;
+constexpr std::uint64_t CRASH_OF_BROKEN_PERCENT = 3;
+
+/// The id that the response to an attempt repeats.
+std::string IdOf(const std::string& attempt)
+{
+  return attempt.substr(0, attempt.find('#'));
+}
 
 std::string HeaderValue(const Http::MessageHead& head, const char* name)
 {
   const std::string* value = head.Find(name);
   return value == nullptr ? "" : *value;
 }
+
+/// The caller's attempt that the request is from, by its name.
+std::string AttemptOf(const Http::MessageHead& head)
+{
+  return StandInServer::AttemptName(
+      HeaderValue(head, "Attempt-Id"),
+      std::atoi(HeaderValue(head, StandInServer::ATTEMPT_HEADER).c_str()));
+}
 } // namespace
 
 StandInServer::StandInServer(std::string name, Http::Endpoint endpoint, StandInStore& store,
@@ -51,7 +73,9 @@
   auto listening = m_listener->Listen(m_endpoint, [this](int fd, const Http::Endpoint& peer) {
     const auto connection = Http::ServerConnection::Adopt(fd, *this);
     m_connections.emplace(connection.get(), connection);
+    m_responses.Add(*connection, fd);
     connection->OnFinished([this](Http::ServerConnection* finished) {
+      m_responses.Remove(*finished);
       m_connections.erase(finished);
       m_cut.Remove(finished);
     });
@@ -209,13 +233,64 @@
 
 void StandInServer::Reject(const Connection& connection, int status, const std::string& id)
 {
-  auto headers = ResponseHeaders({{"Attempt-Id", id}, {"Not-Run", "1"}, {"Instance", m_instance}});
+  auto headers =
+      ResponseHeaders({{"Attempt-Id", IdOf(id)}, {"Not-Run", "1"}, {"Instance", m_instance}});
   if (status == 503 && m_retry_after)
   {
     headers.push_back({"Retry-After", Common::DumpJson(*m_retry_after)});
     m_checker.RecordRetryAfter(LifeName(), id, *m_retry_after, Common::Now());
   }
-  connection->Respond(status, Http::ReasonPhrase(status), headers, "");
+  m_responses.Respond(*connection, status, headers, "");
+}
+
+std::string StandInServer::AttemptName(const std::string& id, int number)
+{
+  return number > 1 ? id + "#" + std::to_string(number) : id;
+}
+
+void StandInServer::SetSurplusResponses(bool active)
+{
+  m_responses.SetActive(active);
+  m_misbehaves = active;
+}
+
+bool StandInServer::RejectByChance(const Connection& connection, const std::string& id)
+{
+  if (!m_misbehaves || !IsDrawn(REJECTED_PERCENT))
+    return false;
+  Reject(connection, IsDrawn(TOO_MANY_OF_REJECTED_PERCENT) ? 429 : 503, id);
+  return true;
+}
+
+bool StandInServer::FailByChance(const Connection& connection, const std::string& id,
+                                 bool is_resumable)
+{
+  if (!m_misbehaves)
+    return false;
+  const auto headers = ResponseHeaders({{"Attempt-Id", IdOf(id)}, {"Server-Stamp", "s"}});
+  if (IsDrawn(PARTIAL_PERCENT))
+  {
+    m_responses.SendPart(*connection, 200, headers, "answer to " + id);
+    // Otherwise it sends nothing more.
+    if (IsDrawn(50))
+      connection->AbortResponse();
+    return true;
+  }
+  if (!IsDrawn(is_resumable ? FAILED_RESUMABLE_PERCENT : FAILED_PERCENT))
+    return false;
+  RecordAnnouncement(id);
+  m_responses.Respond(*connection, 500, headers, "failure of " + id);
+  return true;
+}
+
+StandInServer::Break StandInServer::DrawBreak(const Http::ReceivedRequest& request) const
+{
+  if (request.body.starts_with(BREAKING_BODY_PREFIX))
+    return {std::atoi(request.body.c_str() + BREAKING_BODY_PREFIX.size())};
+  if (!m_misbehaves || !IsDrawn(BROKEN_STREAM_PERCENT))
+    return {};
+  return {static_cast<int>(1 + Common::SharedRandom()() % EVENTS_PER_STREAM),
+          IsDrawn(CRASH_OF_BROKEN_PERCENT)};
 }
 
 std::string StandInServer::CauseOfCrash(const Http::ReceivedRequest& request)
@@ -230,11 +305,12 @@
 
 void StandInServer::OnRequest(const Connection& connection, Http::ReceivedRequest request)
 {
-  const std::string id = HeaderValue(request.head, "Attempt-Id");
+  const std::string id = AttemptOf(request.head);
   const std::string expected_instance = HeaderValue(request.head, "Expect-Instance");
   const bool is_request = request.head.target != "/order" && request.head.target != "/report";
   if (is_request)
   {
+    m_responses.SendCopies(*connection);
     m_checker.RecordArrival(m_name, id, Common::Now());
     m_checker.RecordArrivalAtInstance(LifeName(), id, Common::Now());
   }
@@ -270,13 +346,15 @@
 
 void StandInServer::ServeRequest(const Connection& connection, const Http::ReceivedRequest& request)
 {
-  const std::string id = HeaderValue(request.head, "Attempt-Id");
+  const std::string id = AttemptOf(request.head);
   const std::string model = HeaderValue(request.head, "Model");
   if (!model.empty() && !m_models.contains(model))
   {
     Reject(connection, 421, id);
     return;
   }
+  if (RejectByChance(connection, id))
+    return;
   m_checker.RecordRun(id);
   if (const std::string cause = CauseOfCrash(request); !cause.empty())
   {
@@ -286,20 +364,20 @@
     });
     return;
   }
-  if (!model.empty() || request.head.target.starts_with("/stream/"))
+  const bool is_resumable = request.head.target.starts_with("/stream/");
+  if (FailByChance(connection, id, is_resumable))
+    return;
+  if (!model.empty() || is_resumable)
   {
     const std::string last_event_id = HeaderValue(request.head, "Last-Event-Id");
     RecordAnnouncement(id);
-    connection->BeginBody(
-        200, "OK",
-        ResponseHeaders(
-            {{"Attempt-Id", id}, {"Server-Stamp", "s"}, {"Content-Type", "text/event-stream"}}),
-        Framing());
-    const int break_after = request.body.starts_with(BREAKING_BODY_PREFIX)
-                                ? std::atoi(request.body.c_str() + BREAKING_BODY_PREFIX.size())
-                                : 0;
+    m_responses.BeginBody(*connection,
+                          ResponseHeaders({{"Attempt-Id", IdOf(id)},
+                                           {"Server-Stamp", "s"},
+                                           {"Content-Type", "text/event-stream"}}),
+                          Framing());
     Stream(connection, id, last_event_id.empty() ? 1 : std::atoi(last_event_id.c_str()) + 1,
-           break_after);
+           DrawBreak(request));
     return;
   }
   After(PLAIN_REQUEST_TIME, [this, connection, id] {
@@ -308,15 +386,15 @@
     else
     {
       RecordAnnouncement(id);
-      const auto headers = ResponseHeaders({{"Attempt-Id", id}, {"Server-Stamp", "s"}});
+      const auto headers = ResponseHeaders({{"Attempt-Id", IdOf(id)}, {"Server-Stamp", "s"}});
       if (m_fault != ServerFault::UnframedResponses)
       {
-        connection->Respond(200, "OK", headers, "answer to " + id);
+        m_responses.Respond(*connection, 200, headers, "answer to " + id);
         return;
       }
-      connection->BeginBody(200, "OK", headers, Framing());
-      connection->SendBody("answer to " + id);
-      connection->EndBody();
+      m_responses.BeginBody(*connection, headers, Framing());
+      m_responses.SendBody(*connection, "answer to " + id);
+      m_responses.EndBody(*connection);
     }
   });
 }
@@ -327,39 +405,47 @@
                                                    : Http::BodyFraming::Chunked;
 }
 
-void StandInServer::Stream(const Connection& connection, const std::string& id, int event,
-                           int break_after)
+void StandInServer::Stream(const Connection& connection, const std::string& id, int event, Break at)
 {
   if (!connection->IsOpen() || m_fault == ServerFault::Unresponsive)
     return;
   if (event > EVENTS_PER_STREAM)
   {
-    connection->EndBody();
+    m_responses.EndBody(*connection);
     return;
   }
   const std::string text = "id: " + std::to_string(event) + "\ndata: " + id +
                            (m_version.empty() ? "" : " " + m_version) + "\n\n";
   if (m_fault == ServerFault::ResetConnections && Common::SharedRandom()() % RESET_ONE_IN == 0)
   {
-    connection->SendBody(text.substr(0, text.size() / 2));
+    m_responses.SendBody(*connection, text.substr(0, text.size() / 2));
     connection->AbortResponse();
     return;
   }
   if (m_fault == ServerFault::UnframedResponses && Common::SharedRandom()() % RESET_ONE_IN == 0)
   {
     // On a connection whose body has no stated end, this is an orderly close inside an event.
-    connection->SendBody(text.substr(0, text.size() / 2));
-    connection->EndBody();
+    m_responses.SendBody(*connection, text.substr(0, text.size() / 2));
+    m_responses.EndBody(*connection);
     return;
   }
-  connection->SendBody(text);
-  if (event == break_after)
+  m_responses.SendBody(*connection, text);
+  if (event == at.after)
   {
-    connection->AbortResponse();
+    if (at.crashes)
+      After(CRASH_AFTER, [this] {
+        Crash(DOWN_TIME);
+      });
+    else
+    {
+      if (m_misbehaves && IsDrawn(50))
+        m_responses.ResetAtEnd(*connection);
+      connection->AbortResponse();
+    }
     return;
   }
-  After(m_event_interval, [this, connection, id, event, break_after] {
-    Stream(connection, id, event + 1, break_after);
+  After(m_event_interval, [this, connection, id, event, at] {
+    Stream(connection, id, event + 1, at);
   });
 }
 
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -16,6 +16,7 @@
 #include "Http/ServerConnection.h"
 #include "StandIns/Soak/InvariantChecker.h"
 #include "StandIns/Soak/StandInStore.h"
+#include "StandIns/Soak/SurplusResponses.h"
 #include "StandIns/Support/CutConnections.h"
 
 namespace Soak
@@ -66,7 +67,8 @@
   /// True if it is ready and serves all requests as they come.
   bool TakesRequests() const
   {
-    return IsReady() && m_fault == ServerFault::None && !m_rate_limit && !m_announces_drain;
+    return IsReady() && m_fault == ServerFault::None && !m_rate_limit && !m_announces_drain &&
+           !m_misbehaves;
   }
   /// True after a crash, until the process is started again.
   bool IsDown() const { return !m_listener; }
@@ -82,7 +84,15 @@
   /// Part of a prompt that crashes each server that starts to run a request with it, unless it is
   /// the last one.
   static constexpr std::string_view CRASHING_PART = "bad0";
+  /// Header with the number of the caller's attempt, from 2; its attempts have one id.
+  static constexpr const char* ATTEMPT_HEADER = "Caller-Attempt";
+  /// The name of an attempt for the checker and in responses: the id, and the number from 2 on.
+  static std::string AttemptName(const std::string& id, int number);
   void SetFault(ServerFault fault) { m_fault = fault; }
+  /// From now on, or no longer: sends a share of its responses twice, and rejects, fails and breaks
+  /// off a share of its requests, whatever its other fault is.
+  void SetSurplusResponses(bool active);
+  int SurplusCopies() const { return m_responses.Copies(); }
   /// Announces in its responses from now on that it is draining, while its entry still says ready.
   void AnnounceDrain();
   /// Adds a Retry-After header of so many seconds to its rejections (status 503) from now on;
@@ -98,6 +108,12 @@
 
 private:
   using Connection = std::shared_ptr<Http::ServerConnection>;
+  /// Where a stream is broken off, and whether the server crashes there.
+  struct Break
+  {
+    int after = 0; ///< Number of the last event; 0: it is not broken off.
+    bool crashes = false;
+  };
 
   /// Ends the current instance: drops its models, rate limit and drain announcement, and resets all
   /// connections.
@@ -110,10 +126,16 @@
   /// What in the request crashes servers; empty if nothing does.
   static std::string CauseOfCrash(const Http::ReceivedRequest& request);
   void ServeRequest(const Connection& connection, const Http::ReceivedRequest& request);
+  /// Rejects a share of the requests. Returns true if it did.
+  bool RejectByChance(const Connection& connection, const std::string& id);
+  /// Answers 500 to a share of the requests, or stops within the response. Returns true if it did.
+  bool FailByChance(const Connection& connection, const std::string& id, bool is_resumable);
+  /// Where the stream of the request is broken off.
+  Break DrawBreak(const Http::ReceivedRequest& request) const;
   /// How the body of the next response states its end.
   Http::BodyFraming Framing() const;
-  /// Sends an event of the stream and those that follow; resets it after event `break_after`.
-  void Stream(const Connection& connection, const std::string& id, int event, int break_after);
+  /// Sends an event of the stream and those that follow, up to the break.
+  void Stream(const Connection& connection, const std::string& id, int event, Break at);
   void HandleOrder(const Connection& connection, const Http::ReceivedRequest& request);
   /// Carries out an order; returns the status of the response.
   int ExecuteOrder(const Common::Json& order);
@@ -138,6 +160,8 @@
   Http::ServerLimits m_limits;
   std::map<Http::ServerConnection*, Connection> m_connections;
   StandIns::CutConnections m_cut;
+  SurplusResponses m_responses;
+  bool m_misbehaves = false; ///< Rejects, fails and breaks off a share of its requests.
   std::vector<std::string> m_models_on_disk;
   std::set<std::string> m_models;
   std::int64_t m_sequence = 0;
