StandIns, ScenarioRunner: the soak waits for a process by its time on a processor

On a busy machine a process may not have run at all after 25 ms. Measured at load 19 to 24, 30 starts: the program defers signals after up to 5.5 ms of time on a processor, up to 15.6 ms after the start.

Signals that must not end a process now wait until it has run for 10 ms on a processor, which the load does not change, nor a suspension.

A success without the stamp of a server is now reported.

--- a/Source/ScenarioRunner/Processes.cpp
+++ b/Source/ScenarioRunner/Processes.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <ctime>
 
 #include <fcntl.h>
 #include <sys/prctl.h>
@@ -54,6 +55,15 @@
     kill(pid, signal);
 }
 
+std::chrono::nanoseconds Processes::TimeOnCpu(int pid)
+{
+  clockid_t clock{};
+  timespec spent{};
+  if (clock_getcpuclockid(pid, &clock) != 0 || clock_gettime(clock, &spent) != 0)
+    return std::chrono::nanoseconds(0);
+  return std::chrono::seconds(spent.tv_sec) + std::chrono::nanoseconds(spent.tv_nsec);
+}
+
 std::optional<int> Processes::ExitStatus(int pid)
 {
   const auto found = m_processes.find(pid);
--- a/Source/ScenarioRunner/Processes.h
+++ b/Source/ScenarioRunner/Processes.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <chrono>
 #include <map>
 #include <optional>
 #include <string>
@@ -23,6 +24,8 @@
   /// process could not be created.
   int Start(const std::string& name, const std::vector<std::string>& command);
   void Signal(int pid, int signal);
+  /// Returns how long the process has run on a processor; 0 for processes that have ended.
+  static std::chrono::nanoseconds TimeOnCpu(int pid);
   /// Returns the exit status, or 128 + the signal that killed the process. Returns nullopt while
   /// the process runs, and for processes not started here.
   std::optional<int> ExitStatus(int pid);
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -82,8 +82,10 @@
 /// Faults that coincide with another one.
 constexpr std::uint64_t MAX_COINCIDING_FAULTS = 3;
 constexpr std::uint64_t MAX_COINCIDENCE_MS = 60;
-/// After this time, a process has begun to run its own code.
+/// Pause from the start of a process to signals.
 constexpr std::uint64_t PROCESS_START_MS = 25;
+/// With so much time on a processor, a process has begun to run its own code.
+constexpr std::chrono::nanoseconds PROCESS_START_CPU_TIME = Milliseconds(10);
 /// Resumable streams of no model. Most models are loaded once, so that no other server can take
 /// their streams.
 constexpr const char* ANY_SERVER_PREFIX = "/stream/any/";
@@ -100,7 +102,6 @@
   std::string name;
   std::string ip;
   int pid = 0;
-  Common::TimePoint launched_at;
   bool expected_to_run = true;
   bool suspended_while_stopping = false; ///< Was suspended after the signal to stop.
   std::unique_ptr<ScenarioRunner::Relay> store_relay;
@@ -345,7 +346,6 @@
     if (m_cuts_vms)
       setenv("DRUMPOND_SOURCE_ADDRESS", daemon.ip.c_str(), 1);
     daemon.pid = m_processes.Start(daemon.name, {m_binary});
-    daemon.launched_at = Common::Now();
     daemon.expected_to_run = true;
     if (m_streams)
       m_streams->RecordLaunch(IndexOf(daemon));
@@ -490,6 +490,9 @@
             m_checker.RecordMalformedResponse(name);
           else
             m_checker.RecordResponse(name, 0, "");
+          if (response && response->status == STATUS_OK &&
+              response->Find("Server-Stamp") == nullptr)
+            m_checker.ReportViolation("success without the stamp of a server: " + name);
           retry(response ? response->status : 0);
         });
   }
@@ -590,33 +593,33 @@
     SendSignalSeries(RandomDaemon(), Draw(MAX_SERIES_LENGTH));
   }
 
-  /// Before this time has passed, any signal ends the process, whatever its program does.
-  static Milliseconds StartTimeLeft(const DaemonProcess& daemon)
+  /// Sends the signal once the process runs its own code; before, any signal ends it, whatever its
+  /// program does.
+  void SignalOnceBegun(int pid, int signal)
   {
-    const auto left = daemon.launched_at + Milliseconds(PROCESS_START_MS) - Common::Now();
-    return std::max(Milliseconds(0), std::chrono::ceil<Milliseconds>(left));
+    if (m_processes.ExitStatus(pid))
+      return;
+    if (ScenarioRunner::Processes::TimeOnCpu(pid) >= PROCESS_START_CPU_TIME)
+      m_processes.Signal(pid, signal);
+    else
+      After(Milliseconds(1), [this, pid, signal] {
+        SignalOnceBegun(pid, signal);
+      });
   }
 
   /// Sends the process `length` signals that must not end it.
   void SendSignalSeries(const DaemonProcess& daemon, std::uint64_t length)
   {
-    auto delay = StartTimeLeft(daemon);
+    Milliseconds delay{0};
     for (; length > 0; --length)
     {
       delay += DrawMs(0, MAX_SERIES_PAUSE_MS);
       After(delay, [this, pid = daemon.pid, signal = SERIES_SIGNALS[Draw(SERIES_SIGNALS.size())]] {
-        m_processes.Signal(pid, signal);
+        SignalOnceBegun(pid, signal);
       });
     }
   }
 
-  void SignalReload(const DaemonProcess& daemon)
-  {
-    After(StartTimeLeft(daemon), [this, pid = daemon.pid] {
-      m_processes.Signal(pid, SIGHUP);
-    });
-  }
-
   void InjectFault()
   {
     switch (Draw(11))
@@ -631,7 +634,7 @@
       Suspend(RandomDaemon());
       break;
     case 3:
-      SignalReload(RandomDaemon());
+      SignalOnceBegun(RandomDaemon().pid, SIGHUP);
       PutConfiguration();
       break;
     case 4:
