--- a/Source/Core/Orders/CrashArchive.cpp
+++ b/Source/Core/Orders/CrashArchive.cpp
@@ -51,6 +51,11 @@
   if (row.version <= m_version)
     return;
   m_version = row.version;
+  if (row.value.empty())
+  {
+    m_row.clear();
+    return;
+  }
   auto archived = Daemons::Decode<ArchivedCases>(row.value);
   if (!archived)
   {
--- a/Source/Core/Orders/CrashArchive.h
+++ b/Source/Core/Orders/CrashArchive.h
@@ -35,7 +35,8 @@
 /// The row as read from the store, still encoded.
 struct ArchiveRow
 {
-  std::int64_t version = 0; ///< 0 if the row is absent.
+  /// Without a row the value is empty, and the store's own number in the version is 0.
+  std::int64_t version = 0;
   std::string value;
 };
 
