Orders: the pause is owed after holders whose lease row was lost

Servers saw: after a restore of the store a holder that had been stopped and started gave orders with a lower fence than before, and two holders gave orders within the pause.

Cause: the restored lease row named a former holder, or nobody, and was taken at its word: its daemon acquired the lease without a pause, while the holder of the lost span acted until its lease expired.

Change: the row has the era of the store in which it was written. A row whose version is of a later era is a restored one, and does not tell who held the lease last: it counts as that of an unknown holder whose lease has just begun, and the pause follows. Only the daemon that holds a valid lease of the era before, after which nobody else can have acquired one, goes on without a pause, under a new and higher fence; it reads the row as soon as a shared table shows the new era, as a holder does not follow the row. An acquisition or a renewal that was written before the restore counts for nothing.

FleetStartTest has a channel and an archive without content, since its holder now loses the lease.

--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -15,6 +15,7 @@
 #include "Common/Mechanisms.h"
 #include "Common/Random.h"
 #include "Common/Reactor.h"
+#include "Fleet/StoreVersion.h"
 #include "Fleet/TableFollower.h"
 #include "Gateway/Dispatcher.h"
 #include "Orders/CrashArchive.h"
@@ -195,6 +196,8 @@
   /// Interval of the periodic tick at the lease holder, which plans orders, and at other daemons.
   static constexpr Common::Milliseconds TICK{50};
   static constexpr Common::Milliseconds IDLE_TICK{200};
+  /// Interval at which the holder reads a restored lease row until a read succeeds.
+  static constexpr Common::Milliseconds LEASE_READ_INTERVAL{300};
 
   static Fleet::TableAccess AccessTo(Follower& follower)
   {
@@ -294,6 +297,7 @@
     const bool is_isolated = m_dispatcher.Paths().IsIsolated();
     m_lease.SetDeferral(is_isolated ? ISOLATED_DEFERRAL : Common::Milliseconds(0));
     AbdicateIfCutOff(Common::Now());
+    ReadRestoredLease(Common::Now());
     UpdateHolder();
     m_lease.SetContenders(m_hub.Daemons(), m_hub.MinHandicap());
     m_lease_table.SetRelayed(m_held || m_hub.HasHolderContact(), Fleet::DirectReadReason::NoHolder);
@@ -307,6 +311,21 @@
     });
   }
 
+  /// The holder does not read the lease's row while it renews it. If the store came back from an
+  /// older copy, as the shared tables show, the row has to be read before it can be renewed.
+  void ReadRestoredLease(Common::TimePoint now)
+  {
+    const auto version_of = [](const Follower* table) {
+      return table->Version();
+    };
+    const auto newest = std::ranges::max(m_shared_tables | std::views::transform(version_of));
+    const bool is_restored = Fleet::EraOf(newest) > Fleet::EraOf(m_lease.RowVersion());
+    if (!m_held || !is_restored || now - m_lease_read_at < LEASE_READ_INTERVAL)
+      return;
+    m_lease_read_at = now;
+    m_lease_table.Start();
+  }
+
   ArchiveRole RoleAtArchive(bool holds) const
   {
     if (holds)
@@ -350,6 +369,7 @@
   CrashArchive m_archive;
   bool m_store_lost = false;
   Follower& m_lease_table;
+  Common::TimePoint m_lease_read_at; ///< When the holder last read a restored row.
   std::vector<Follower*> m_shared_tables;
   Common::TimePoint m_held_since;
   bool m_held = false;
--- a/Source/Core/Orders/LeaseManager.h
+++ b/Source/Core/Orders/LeaseManager.h
@@ -17,11 +17,16 @@
 #include "Common/Random.h"
 #include "Common/Reactor.h"
 #include "Common/Units.h"
+#include "Fleet/StoreVersion.h"
 
 /// Only the holder of one lease in the platform's store may order backend servers to load and
 /// unload models. The lease row changes only by compare-and-set. The holder measures the lease
 /// duration from when it sent the renewal, observers from when they saw the row change, so that the
 /// lease expires at the holder first without synchronized clocks.
+///
+/// If the store comes back from an older copy, the row may lack the latest holders: it then has an
+/// era before that of its version. A daemon that is not the latest holder treats it as the row of
+/// an unknown holder, whose lease has just begun.
 namespace Orders
 {
 /// The value of the lease row.
@@ -34,6 +39,8 @@
   /// response was lost, so that its daemon never learned that it held the lease; the pause must
   /// still be observed.
   bool ordering = false;
+  /// Era of the store in which the row was written (Fleet/StoreVersion.h).
+  std::int64_t era = 0;
 };
 
 /// Compare-and-set of the lease row: writes it if it still has the expected version (0 if it must
@@ -70,14 +77,19 @@
 
   void Start() { Tick(); }
 
-  /// Handles the row as read from the store; `version` is 0 if it is absent.
+  /// Handles the row as read from the store; the store's own number in `version` is 0 if the row is
+  /// absent.
   void OnRow(std::int64_t version, std::optional<LeaseRecord> record)
   {
     if (m_row_known && version <= m_version)
       return;
+    const bool has_era_risen = m_row_known && Fleet::EraOf(version) > Fleet::EraOf(m_version);
     m_row_known = true;
     m_version = version;
     m_record = std::move(record);
+    m_lost_record = !m_record && (m_lost_record || has_era_risen);
+    if (!IsRestored())
+      m_continues_until = {};
     m_free_at = Common::Now() + m_settings.duration + ACQUIRE_MARGIN;
     if (!m_writing)
       CheckOwnership();
@@ -95,6 +107,9 @@
     m_free_at = version > m_version ? free_at : std::min(m_free_at, free_at);
     m_version = version;
     m_record = record;
+    m_record->era = Fleet::EraOf(version);
+    m_lost_record = false;
+    m_continues_until = {};
   }
 
   /// The store does not respond to this daemon, which makes no attempt to acquire the lease, since
@@ -232,7 +247,7 @@
     if (m_store_lost || now < m_retry_at)
       return;
     if (!m_acquire_at)
-      m_acquire_at = now + AcquisitionDelay(now);
+      m_acquire_at = Continues(now) ? now : now + AcquisitionDelay(now);
     if (now >= *m_acquire_at)
       WriteLease(now, "acquired");
   }
@@ -262,8 +277,23 @@
 
   bool IsOwnLease() const { return m_record && m_record->holder == m_settings.self; }
 
+  /// The row, or its absence, is from before the store came back from an older copy.
+  bool IsRestored() const
+  {
+    return m_record ? m_record->era < Fleet::EraOf(m_version) : m_lost_record;
+  }
+
+  /// True for the latest holder before the store came back, while nobody else can have acquired the
+  /// lease.
+  bool Continues(Common::TimePoint now) const
+  {
+    return now < m_continues_until && m_deferral == Common::Milliseconds(0);
+  }
+
   bool IsFree(Common::TimePoint now) const
   {
+    if (IsRestored())
+      return Continues(now) || now > m_free_at;
     if (!m_record || m_record->holder.Empty())
       return true;
     if (!IsOwnLease())
@@ -276,8 +306,10 @@
   {
     m_writing = true;
     const bool ordering = m_fence && now >= m_orders_from;
-    const LeaseRecord record{m_settings.self, m_settings.run, m_settings.address, ordering};
-    const bool after_other_holder = m_record && !(IsOwnLease() && m_record->ordering);
+    const LeaseRecord record{m_settings.self, m_settings.run, m_settings.address, ordering,
+                             Fleet::EraOf(m_version)};
+    const bool after_other_holder =
+        IsRestored() ? !Continues(now) : m_record && !(IsOwnLease() && m_record->ordering);
     m_store.ReplaceLease(
         m_version, record,
         [this, now, how, record, after_other_holder](Common::Result<std::int64_t> result) {
@@ -289,6 +321,8 @@
   void OnWriteResult(Common::TimePoint sent, const char* how, const LeaseRecord& record,
                      bool after_other_holder, Common::Result<std::int64_t> result)
   {
+    if (result && Fleet::EraOf(*result) < Fleet::EraOf(m_version))
+      result = Common::Failure{Common::FailureKind::Conflict, "written before the restore"};
     if (m_released || std::exchange(m_resigns, false))
     {
       if (!result)
@@ -311,41 +345,67 @@
     const auto now = Common::Now();
     m_version = std::max(m_version, *result);
     m_record = record;
+    m_lost_record = false;
     m_valid_until = sent + m_settings.duration;
     if (m_fence)
       return;
+    const bool continued = std::exchange(m_continues_until, {}) > sent && !after_other_holder;
     m_fence = *result;
     m_acquire_at.reset();
     // The previous holder may have sent orders until its lease expired.
-    m_orders_from = after_other_holder ? now + m_settings.holder_pause : now;
+    if (!continued)
+      m_orders_from = after_other_holder ? now + m_settings.holder_pause : now;
     Common::LogEvent(Common::LogLevel::Info, "lease-acquired",
                      {{"fence", *m_fence}, {"how", how}, {"after_another", after_other_holder}});
   }
 
   void WriteRelease()
   {
-    m_store.ReplaceLease(m_version, LeaseRecord{}, [this](Common::Result<std::int64_t> result) {
+    LeaseRecord record;
+    record.era = Fleet::EraOf(m_version);
+    m_store.ReplaceLease(m_version, record, [this, record](Common::Result<std::int64_t> result) {
       Common::LogEvent(Common::LogLevel::Info, "lease-released",
                        {{"done", static_cast<bool>(result)}});
       if (!result || *result < m_version)
         return;
       m_version = *result;
-      m_record = LeaseRecord{};
+      m_record = record;
     });
   }
 
   void CheckOwnership()
   {
+    if (m_fence && IsRestored() && Fleet::EraOf(*m_fence) < Fleet::EraOf(m_version))
+    {
+      BeginNewEra();
+      return;
+    }
     const bool ours = IsOwnLease() && m_record->run == m_settings.run;
     if (m_fence && !ours)
       OnLeaseLost("held by another daemon");
   }
 
+  /// The store has lost this holder's row: the lease is acquired again on the restored one, under a
+  /// higher fence.
+  void BeginNewEra()
+  {
+    Common::LogEvent(Common::LogLevel::Warning, "lease-row-restored",
+                     {{"fence", *m_fence}, {"version", m_version}});
+    m_fence.reset();
+    m_acquire_at.reset();
+    m_write_failures = 0;
+    m_retry_at = {};
+    m_continues_until = OrdersUntil();
+    if (!m_released)
+      AcquireOrRenew(Common::Now());
+  }
+
   void OnLeaseLost(const char* why)
   {
     Common::LogEvent(Common::LogLevel::Warning, "lease-lost", {{"fence", *m_fence}, {"why", why}});
     m_fence.reset();
     m_acquire_at.reset();
+    m_continues_until = {};
     const auto now = Common::Now();
     m_losses = now - m_lost_at < LOSS_WINDOW ? m_losses + 1 : 1;
     m_lost_at = now;
@@ -361,6 +421,9 @@
       m_fence; ///< The row's version at acquisition, if this daemon holds it.
   Common::TimePoint m_valid_until;
   Common::TimePoint m_orders_from;
+  /// Until then this daemon, which held the lease in the store's era before, may go on to hold it.
+  Common::TimePoint m_continues_until;
+  bool m_lost_record = false; ///< The row was there in the era before, and is absent now.
   std::optional<Common::TimePoint> m_acquire_at;
   int m_write_failures = 0;
   Common::TimePoint m_retry_at;
--- a/Source/UnitTests/Orders/FleetStartTest.cpp
+++ b/Source/UnitTests/Orders/FleetStartTest.cpp
@@ -64,6 +64,8 @@
   void Follow(const std::string& table, std::int64_t after, Milliseconds wait, Done done)
   {
     ++follows[table];
+    if (AnswerOtherEra(after, done))
+      return;
     if (AnswerChanges(table, after, done))
       return;
     const std::size_t number = ++m_calls;
@@ -102,6 +104,19 @@
     NotifyWaiting();
   }
 
+  /// Comes back from a copy that is some versions older, with a lease row that names nobody. The
+  /// calls that wait for changes fail.
+  void Restore()
+  {
+    const std::int64_t era = Fleet::EraOf(m_version) + 1;
+    m_version = Fleet::VersionIn(era, Fleet::StoreNumber(m_version) - 1);
+    for (auto& [table, rows] : m_tables)
+      for (Fleet::TableRow& row : rows)
+        row.version = Fleet::VersionIn(era, Fleet::StoreNumber(row.version));
+    lease = LeaseRecord{};
+    NotifyWaiting();
+  }
+
   int ReadsOfServers() { return reads[SERVERS_TABLE]; }
   int AllCalls() const
   {
@@ -130,10 +145,19 @@
   {
     const auto waiting = std::exchange(m_waiting, {});
     for (const auto& [number, call] : waiting)
-      if (!AnswerChanges(call.table, call.after, call.done))
+      if (!AnswerOtherEra(call.after, call.done) &&
+          !AnswerChanges(call.table, call.after, call.done))
         m_waiting.emplace(number, call);
   }
 
+  bool AnswerOtherEra(std::int64_t after, const Done& done) const
+  {
+    if (Fleet::EraOf(after) == Fleet::EraOf(m_version))
+      return false;
+    Answer(done, Common::Failure{Common::FailureKind::NotFound, "another era"});
+    return true;
+  }
+
   bool AnswerChanges(const std::string& table, std::int64_t after, const Done& done)
   {
     Fleet::TableRows changes;
@@ -147,10 +171,10 @@
     return true;
   }
 
-  void Answer(Done done, const Fleet::TableRows& rows) const
+  void Answer(Done done, const Common::Result<Fleet::TableRows>& answer) const
   {
-    m_soon.Call([done = std::move(done), rows] {
-      done(rows);
+    m_soon.Call([done = std::move(done), answer] {
+      done(answer);
     });
   }
 
@@ -178,8 +202,8 @@
                         ApplyLease(row);
                       },
                       [] {}, [] {}}),
-        m_coordination(Settings(number, daemons), m_dispatcher, store, OrderChannel{},
-                       ArchiveAccess{}, {&m_operator_rows, &m_server_rows}, m_lease_rows)
+        m_coordination(Settings(number, daemons), m_dispatcher, store, SilentChannel(),
+                       EmptyArchive(), {&m_operator_rows, &m_server_rows}, m_lease_rows)
   {
     CPPUNIT_ASSERT(m_coordination.Start());
   }
@@ -201,6 +225,25 @@
     return settings;
   }
 
+  static OrderChannel SilentChannel()
+  {
+    OrderChannel channel;
+    channel.cancel_pending = [] {};
+    return channel;
+  }
+
+  static ArchiveAccess EmptyArchive()
+  {
+    ArchiveAccess access;
+    access.read = [](auto done) {
+      done(ArchiveRow{});
+    };
+    access.replace = [](std::int64_t, const std::string&, auto done) {
+      done(Common::Failure{Common::FailureKind::Conflict, "no archive"});
+    };
+    return access;
+  }
+
   static Fleet::TableEvents Events(std::size_t& rows)
   {
     return {[&rows](const std::vector<Fleet::TableRow>& all) {
@@ -266,6 +309,8 @@
   CPPUNIT_TEST(CallsPerDaemonDoNotGrowWithTheServers);
   CPPUNIT_TEST(EntriesWrittenDuringTheStartAreNotReadByEachDaemon);
   CPPUNIT_TEST(SingleDaemonStartsByItself);
+  CPPUNIT_TEST(HolderReadsARestoredLeaseRowOnlyWhenItsLeaseIsOver);
+  CPPUNIT_TEST(DaemonsDoNotGetTheTablesOfARestoredStore);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::size_t SERVERS = 950;
@@ -322,6 +367,42 @@
     CPPUNIT_ASSERT(fleet.Completes());
     CPPUNIT_ASSERT(Common::Now() - began < Milliseconds(1500));
   }
+
+  // It could not renew its lease, nobody else could acquire it, and nothing was ordered for
+  // seconds.
+  void HolderReadsARestoredLeaseRowOnlyWhenItsLeaseIsOver()
+  {
+    StartingFleet fleet(4, 50);
+    CPPUNIT_ASSERT(fleet.Completes());
+    RunFor(Milliseconds(1000));
+    const auto holder = fleet.store.lease.holder;
+    CPPUNIT_ASSERT(!holder.Empty());
+    fleet.store.Restore();
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return fleet.store.lease.holder == holder;
+        },
+        Milliseconds(1000)));
+    // The rows' versions have the era.
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(1), fleet.store.lease.era);
+  }
+
+  // The versions of later changes are lower than those known from before, but for the era.
+  void DaemonsDoNotGetTheTablesOfARestoredStore()
+  {
+    constexpr std::size_t ADDED = 5;
+    StartingFleet fleet(4, 50);
+    CPPUNIT_ASSERT(fleet.Completes());
+    RunFor(Milliseconds(1000));
+    fleet.store.Restore();
+    RunFor(Milliseconds(300));
+    fleet.store.AddServers(ADDED);
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return fleet.AllHaveServers(50 + ADDED);
+        },
+        Milliseconds(2000)));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FleetStartTest);
--- a/Source/UnitTests/Orders/LeaseManagerTest.cpp
+++ b/Source/UnitTests/Orders/LeaseManagerTest.cpp
@@ -5,6 +5,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Fleet/StoreVersion.h"
 #include "UnitTests/Support/Loopback.h"
 
 namespace
@@ -113,6 +114,12 @@
   CPPUNIT_TEST(NextHolderWaitsThoughTheLeaseWasResigned);
   CPPUNIT_TEST(ResignationDuringARenewalIsLost);
   CPPUNIT_TEST(DelayThatHasBegunIgnoresADeferral);
+  CPPUNIT_TEST(RestartedHolderTakesARestoredRowForItsOwn);
+  CPPUNIT_TEST(RestoredReleaseIsTakenForAFreeLease);
+  CPPUNIT_TEST(AbsentRowIsTakenForAFreeLeaseAfterARestore);
+  CPPUNIT_TEST(HolderStopsOverARestore);
+  CPPUNIT_TEST(HolderGoesOnThoughAnotherOneAcquiredAfterARestore);
+  CPPUNIT_TEST(HolderWhoseLeaseHasExpiredGoesOnAfterARestore);
   CPPUNIT_TEST_SUITE_END();
 
   void AcquiresAndRenewsAFreeLease()
@@ -457,6 +464,118 @@
     CPPUNIT_ASSERT(!Holds(other));
   }
 
+  // The store lost the span in which "b" acquired the lease that "a" had released; "b" may act
+  // until its lease expires, and the pause follows.
+  void RestartedHolderTakesARestoredRowForItsOwn()
+  {
+    FakeStore store;
+    store.version = Fleet::VersionIn(2, 440);
+    store.record = {Common::VmId("a"), Common::Incarnation("before"), "127.0.0.1:2", true, 1};
+    Manager manager(store, Settings("a"));
+    OrdersOnlyAfterTheUnknownHolder(manager, [&] {
+      manager.OnRow(store.version, store.record);
+    });
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(2), store.record.era);
+  }
+
+  void RestoredReleaseIsTakenForAFreeLease()
+  {
+    FakeStore store;
+    store.version = Fleet::VersionIn(2, 440);
+    store.record.era = 1;
+    Manager manager(store, Settings("a"));
+    OrdersOnlyAfterTheUnknownHolder(manager, [&] {
+      manager.OnRow(store.version, store.record);
+    });
+  }
+
+  void AbsentRowIsTakenForAFreeLeaseAfterARestore()
+  {
+    FakeStore store;
+    store.version = Fleet::VersionIn(2, Fleet::ABSENT_ROW);
+    Manager manager(store, Settings("a"));
+    manager.OnRow(Fleet::VersionIn(1, 450),
+                  LeaseRecord{Common::VmId("b"), Common::Incarnation("r"), "127.0.0.1:2", true, 1});
+    OrdersOnlyAfterTheUnknownHolder(manager, [&] {
+      manager.OnRow(store.version, std::nullopt);
+    });
+  }
+
+  // Nobody else can have acquired the lease while that of the holder is valid.
+  void HolderStopsOverARestore()
+  {
+    FakeStore store;
+    store.version = Fleet::VersionIn(1, 450);
+    Manager manager(store, Settings("a"));
+    const auto fence = HoldLease(store, manager);
+    store.version = Fleet::VersionIn(2, 440);
+    store.record = {Common::VmId("b"), Common::Incarnation("r"), "127.0.0.1:2", true, 1};
+    manager.OnRow(store.version, store.record);
+    CPPUNIT_ASSERT(RunUntil(
+        [&] {
+          return manager.MaySendOrders(Common::Now()) && manager.Fence() > fence;
+        },
+        Milliseconds(150)));
+    CPPUNIT_ASSERT(store.record.holder == Common::VmId("a"));
+  }
+
+  void HolderGoesOnThoughAnotherOneAcquiredAfterARestore()
+  {
+    FakeStore store;
+    store.version = Fleet::VersionIn(1, 450);
+    Manager manager(store, Settings("a"));
+    HoldLease(store, manager);
+    store.version = Fleet::VersionIn(2, 441);
+    store.record = {Common::VmId("b"), Common::Incarnation("r"), "127.0.0.1:2", true, 2};
+    manager.OnRow(store.version, store.record);
+    CPPUNIT_ASSERT(!Holds(manager));
+    RunFor(Milliseconds(600));
+    CPPUNIT_ASSERT(!Holds(manager));
+  }
+
+  void HolderWhoseLeaseHasExpiredGoesOnAfterARestore()
+  {
+    FakeStore store;
+    store.version = Fleet::VersionIn(1, 450);
+    Manager manager(store, Settings("a"));
+    HoldLease(store, manager);
+    store.down = true;
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return !Holds(manager);
+    }));
+    store.down = false;
+    store.version = Fleet::VersionIn(2, 440);
+    store.record.era = 1;
+    OrdersOnlyAfterTheUnknownHolder(manager, [&] {
+      manager.OnRow(store.version, store.record);
+    });
+  }
+
+  /// Returns the fence.
+  static std::int64_t HoldLease(FakeStore& store, Manager& manager)
+  {
+    store.record.era = Fleet::EraOf(store.version);
+    manager.OnRow(store.version, store.record);
+    manager.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return manager.MaySendOrders(Common::Now());
+    }));
+    return manager.Fence();
+  }
+
+  /// A holder of which the row says nothing may act for the lease's duration.
+  static void OrdersOnlyAfterTheUnknownHolder(Manager& manager, const std::function<void()>& see)
+  {
+    const auto seen_at = Common::Now();
+    see();
+    manager.Start();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return manager.MaySendOrders(Common::Now());
+    }));
+    const auto settings = Settings("a");
+    CPPUNIT_ASSERT(Common::Now() - seen_at >= settings.duration + settings.holder_pause);
+  }
+
   void HandicapAppliesToAWeakVmThatLosesItsLease()
   {
     FakeStore store;
