UnitTests: a request waits for a socket where none can be opened

RequestIsSentOnceASocketIsAvailable took an address that no connection can be made to for the lack of a socket. Such an address now fails by an event of the loop and ejects the server, so that the test no longer showed what it guards. It is as strict as before: with no descriptor left the request waits, and it is sent once, as soon as there is one. Sources formatted.

--- a/Source/UnitTests/Gateway/RelayTest.cpp
+++ b/Source/UnitTests/Gateway/RelayTest.cpp
@@ -61,7 +61,6 @@
   CPPUNIT_TEST(NonStreamingRequestWaitsForASlowLoad);
   CPPUNIT_TEST(ResponsesAnnounceTheCloseDuringShutdown);
   CPPUNIT_TEST(RequestWithoutASocketIsTriedWithoutEnd);
-  CPPUNIT_TEST(RequestIsSentOnceASocketIsAvailable);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a long wait before a refusal: 352 of 438 bulk requests were refused after 5.6
@@ -521,20 +520,6 @@
     CPPUNIT_ASSERT_EQUAL(0, world.dispatcher.Servers().Find(InstanceId("i-1"))->InFlight());
     CPPUNIT_ASSERT(world.dispatcher.Budget().Left(PoolId("pool"), Common::Now()) >= left);
   }
-
-  void RequestIsSentOnceASocketIsAvailable()
-  {
-    TestServer server([](TestPeer& peer, const std::string& head) {
-      peer.stream->Write(Answer(head, "late"));
-    });
-    World world;
-    world.AddServer("i-1", Http::Endpoint{INADDR_BROADCAST, 9});
-    world.Ask(ONCE_PATH, "id-1");
-    RunFor(Milliseconds(100));
-    world.AddServer("i-1", server.Address());
-    CPPUNIT_ASSERT(world.CallerGot("late"));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(1), server.requests.size());
-  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
--- a/Source/UnitTests/Gateway/UnreachableAddressesTest.cpp
+++ b/Source/UnitTests/Gateway/UnreachableAddressesTest.cpp
@@ -57,6 +57,7 @@
   CPPUNIT_TEST(AddressOfNoServerEndsTheProcess);
   CPPUNIT_TEST(AddressOfNoServerCostsTheOtherServers);
   CPPUNIT_TEST(LackOfDescriptorsEndsTheProcess);
+  CPPUNIT_TEST(RequestIsSentOnceASocketIsAvailable);
   CPPUNIT_TEST_SUITE_END();
 
   void AddressOfNoServerEndsTheProcess()
@@ -110,6 +111,27 @@
     world.Ask(ONCE_PATH, "id-2");
     CPPUNIT_ASSERT(world.CallerGot("done"));
   }
+
+  void RequestIsSentOnceASocketIsAvailable()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->Write(Answer(head, "late"));
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    CPPUNIT_ASSERT(UnitTests::RunUntil([&] {
+      return world.caller.stream->IsConnected();
+    }));
+    UnitTests::RunFor(Milliseconds(20));
+    {
+      const NoMoreDescriptors none;
+      world.Ask(ONCE_PATH, "id-1");
+      UnitTests::RunFor(Milliseconds(100));
+      CPPUNIT_ASSERT(world.caller.received.empty());
+    }
+    CPPUNIT_ASSERT(world.CallerGot("late"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), server.requests.size());
+  }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(UnreachableAddressesTest);
 } // namespace
--- a/Source/UnitTests/Orders/FleetStartTest.cpp
+++ b/Source/UnitTests/Orders/FleetStartTest.cpp
@@ -203,7 +203,8 @@
                       },
                       [] {}, [] {}}),
         m_coordination(Settings(number, daemons), m_dispatcher, store, SilentChannel(),
-                       Archives{EmptyArchive(), {}}, {&m_operator_rows, &m_server_rows}, m_lease_rows)
+                       Archives{EmptyArchive(), {}}, {&m_operator_rows, &m_server_rows},
+                       m_lease_rows)
   {
     CPPUNIT_ASSERT(m_coordination.Start());
   }
