--- a/Source/UnitTests/Gateway/BegunResponsesTest.cpp
+++ b/Source/UnitTests/Gateway/BegunResponsesTest.cpp
@@ -12,7 +12,6 @@
 namespace
 {
 using Common::Milliseconds;
-using UnitTests::Answer;
 using UnitTests::Chunk;
 using UnitTests::Event;
 using UnitTests::HeaderOf;
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -15,10 +15,8 @@
 namespace
 {
 using Common::Milliseconds;
-using UnitTests::RunFor;
 using UnitTests::RunUntil;
 using UnitTests::TestPeer;
-using UnitTests::TestServer;
 
 /// Without requests in progress, the process stops after half of the grace period.
 constexpr Milliseconds GRACE{1600};
--- a/Source/UnitTests/Gateway/SurplusResponsesTest.cpp
+++ b/Source/UnitTests/Gateway/SurplusResponsesTest.cpp
@@ -23,7 +23,6 @@
 using UnitTests::ONE_STREAM_PATH;
 using UnitTests::PLAIN_PATH;
 using UnitTests::RunFor;
-using UnitTests::RunUntil;
 using UnitTests::StreamHead;
 using UnitTests::TestPeer;
 using UnitTests::TestServer;
