--- a/Source/UnitTests/Orders/OriginArchiveTest.cpp
+++ b/Source/UnitTests/Orders/OriginArchiveTest.cpp
@@ -69,9 +69,14 @@
 private:
   static Common::Failure Failure() { return {Common::FailureKind::Overloaded, "unavailable"}; }
 
+  /// Responds unless the test has ended by then.
   void Respond(std::function<void()> respond)
   {
-    Common::Reactor::Get().After(delay, std::move(respond));
+    const std::weak_ptr<bool> alive = m_alive;
+    Common::Reactor::Get().After(delay, [alive, respond = std::move(respond)] {
+      if (!alive.expired())
+        respond();
+    });
   }
 
   Fleet::TableRows Range(const std::string& first, const std::string& end)
@@ -122,6 +127,7 @@
   }
 
   std::int64_t m_version = 0;
+  std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
 /// A daemon with the archive, and no others to ask.
