Orders: larger fleets write the origins of streams less often

Fleets of more than twelve daemons now write 10 times a second together; all of their VMs are rarely lost at once, and streams that began since the last write are then refused, not mixed. Small fleets stay at 40.

--- a/Source/Core/Orders/OriginArchive.cpp
+++ b/Source/Core/Orders/OriginArchive.cpp
@@ -215,7 +215,9 @@
     return;
   using Seconds = std::chrono::duration<double>;
   const auto now = Common::Now();
-  const double rate = MAX_WRITES_PER_SECOND / static_cast<double>(m_daemons);
+  const double total =
+      m_daemons <= SMALL_FLEET ? MAX_WRITES_PER_SECOND_OF_SMALL_FLEET : MAX_WRITES_PER_SECOND;
+  const double rate = total / static_cast<double>(m_daemons);
   m_writes_left = std::min(
       m_writes_left + Seconds(now - std::exchange(m_writes_counted_at, now)).count() * rate,
       MAX_WRITES_AT_ONCE);
--- a/Source/Core/Orders/OriginArchive.h
+++ b/Source/Core/Orders/OriginArchive.h
@@ -148,7 +148,10 @@
 
 private:
   /// Writes of streams a second of all daemons together, and how many a daemon may make at once.
-  static constexpr double MAX_WRITES_PER_SECOND = 40;
+  static constexpr double MAX_WRITES_PER_SECOND = 10;
+  /// The same where the fleet is so small that all its VMs may well be lost at once.
+  static constexpr double MAX_WRITES_PER_SECOND_OF_SMALL_FLEET = 40;
+  static constexpr std::size_t SMALL_FLEET = 12;
   static constexpr double MAX_WRITES_AT_ONCE = 5;
   /// Streams that begin within this time are written together.
   static constexpr Common::Milliseconds GATHER_TIME{5};
