--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -89,7 +89,7 @@
 void Relay::RecheckOrigin()
 {
   const auto guard = shared_from_this();
-  if (m_awaits_origin && !m_done && IsHistoryKnown() && BindToOnlyVersion())
+  if (m_awaits_origin && !m_done && BindToOnlyVersion())
     ContinueWithOrigin();
 }
 
