--- a/Source/Core/Common/Loop.cpp
+++ b/Source/Core/Common/Loop.cpp
@@ -3,6 +3,7 @@
 
 #include "Common/Loop.h"
 
+#include <chrono>
 #include <ctime>
 #include <utility>
 
@@ -24,6 +25,12 @@
   return BootClock::now();
 }
 
+Milliseconds UnixTime()
+{
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::floor<Milliseconds>(now);
+}
+
 void CallSoon(std::function<void()> callback)
 {
   auto* owned = new std::function<void()>(std::move(callback));
--- a/Source/Core/Common/Loop.h
+++ b/Source/Core/Common/Loop.h
@@ -19,6 +19,8 @@
 {
 /// Current monotonic time, including the time during which the VM was suspended.
 TimePoint Now();
+/// Current time since the Unix epoch, which steps when the VM's clock is set.
+Milliseconds UnixTime();
 
 /// Schedules `callback` to run once on the main loop. May be called from any thread.
 void CallSoon(std::function<void()> callback);
--- a/Source/Core/Daemon/Application.cpp
+++ b/Source/Core/Daemon/Application.cpp
@@ -48,8 +48,7 @@
   self.vm = settings.vm;
   self.data_centre = settings.data_centre;
   self.incarnation = Common::Incarnation(Common::NewId("d-"));
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  self.started_ms = std::chrono::duration_cast<Milliseconds>(now).count();
+  self.started_ms = Common::UnixTime().count();
   return self;
 }
 
--- a/Source/Core/Orders/OriginArchive.cpp
+++ b/Source/Core/Orders/OriginArchive.cpp
@@ -28,13 +28,6 @@
 /// Follows all keys that begin with the prefix.
 constexpr const char* STREAMS_END = "stream0";
 
-/// Wall-clock time, the only clock shared by all writers and readers.
-std::int64_t UnixMs()
-{
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::floor<Milliseconds>(now).count();
-}
-
 std::string FirstKeyOf(OriginShard shard)
 {
   std::array<char, 8> digits{};
@@ -237,7 +230,8 @@
   {
     if (window.written == window.origins.size())
       continue;
-    rows.push_back({KeyOfRow(shard), Daemons::Encode(ArchivedOrigins{UnixMs(), window.origins})});
+    rows.push_back({KeyOfRow(shard),
+                    Daemons::Encode(ArchivedOrigins{Common::UnixTime().count(), window.origins})});
     counts[shard] = window.origins.size();
   }
   m_counters.rows_written += static_cast<std::int64_t>(rows.size());
@@ -308,7 +302,7 @@
     return;
   }
   if (row.key.starts_with(STREAMS_PREFIX) &&
-      UnixMs() - archived->written_at > Milliseconds(MAX_ROW_AGE).count())
+      archived->written_at < (Common::UnixTime() - MAX_ROW_AGE).count())
   {
     m_restorations[shard].outdated.push_back(row.key);
     return;
--- a/Source/Core/Serving/DecisionLog.cpp
+++ b/Source/Core/Serving/DecisionLog.cpp
@@ -4,7 +4,8 @@
 #include "Serving/DecisionLog.h"
 
 #include <algorithm>
-#include <chrono>
+
+#include "Common/Loop.h"
 
 namespace Serving
 {
@@ -16,10 +17,8 @@
 void DecisionLog::Add(std::string_view decision, const std::vector<std::string>& keys,
                       Common::Json figures)
 {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  m_entries.push_back({std::string(decision), keys,
-                       std::chrono::duration_cast<std::chrono::milliseconds>(now).count(),
-                       std::move(figures)});
+  m_entries.push_back(
+      {std::string(decision), keys, Common::UnixTime().count(), std::move(figures)});
   if (m_entries.size() > MAX_ENTRIES)
     m_entries.pop_front();
 }
