Orders: crashes that have been forgotten block nothing from the store

What callers saw: after all daemons have been away for more than an hour, a request that had ended three servers before is blocked again, by the row in the store, although no daemon remembers crashes for longer than that. A row of a foreign writer with a time in the distant past counted as new.

Cause: the row's age was added to its cases, and nothing looked at the sum; the subtraction overflowed for extreme times.

Change: cases that a daemon would have forgotten are dropped when the row is read; times are bounded. ForgottenCasesBlockAgain failed before with the age added alone, and passes; CrashArchiveTest 6 of 6.

--- a/Source/Core/Orders/CrashArchive.cpp
+++ b/Source/Core/Orders/CrashArchive.cpp
@@ -4,7 +4,6 @@
 #include "Orders/CrashArchive.h"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 #include "Common/Log.h"
@@ -24,25 +23,24 @@
 /// added, since all daemons that had requests at a server may write at the same time.
 constexpr std::int64_t FIRST_RETRY_DELAY_MS = 150;
 constexpr int MAX_DOUBLINGS = 4;
+/// Longer ages and blocks, which only a foreign writer can have written, count as this.
+constexpr std::int64_t MAX_TIME_MS = Milliseconds(std::chrono::hours(24)).count();
 
-/// Wall-clock time, the only clock shared by all writers and readers of the row. An error of a few
-/// seconds is small compared with the duration of a block.
-std::int64_t UnixMs()
+std::int64_t Later(std::int64_t age_ms, std::int64_t by_ms)
 {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::floor<Milliseconds>(now).count();
+  return std::clamp<std::int64_t>(age_ms, 0, MAX_TIME_MS) + by_ms;
 }
 
 void AddAge(Crashes::CaseLine& line, std::int64_t by_ms)
 {
   for (Crashes::CrashLine& ending : line.server_crashes)
   {
-    ending.age_ms += by_ms;
-    ending.sent_age_ms += by_ms;
+    ending.age_ms = Later(ending.age_ms, by_ms);
+    ending.sent_age_ms = Later(ending.sent_age_ms, by_ms);
   }
   if (line.last_success_age_ms >= 0)
-    line.last_success_age_ms += by_ms;
-  line.blocked_for_ms = std::max<std::int64_t>(line.blocked_for_ms - by_ms, 0);
+    line.last_success_age_ms = Later(line.last_success_age_ms, by_ms);
+  line.blocked_for_ms = std::clamp<std::int64_t>(line.blocked_for_ms, by_ms, MAX_TIME_MS) - by_ms;
 }
 } // namespace
 
@@ -63,8 +61,12 @@
                      {{"version", row.version}, {"reason", archived.Reason().detail}});
     return;
   }
-  const std::int64_t age = std::max<std::int64_t>(UnixMs() - archived->written_at, 0);
+  const std::int64_t now = Common::UnixTime().count();
+  const std::int64_t age = now - std::clamp(archived->written_at, now - MAX_TIME_MS, now);
   m_row = std::move(archived->cases);
+  std::erase_if(m_row, [age](const Crashes::CaseLine& line) {
+    return age - Crashes::CrashLedger::RETENTION.count() > line.blocked_for_ms;
+  });
   for (Crashes::CaseLine& line : m_row)
     AddAge(line, age);
   m_dispatcher.MergeCrashCases(m_row);
@@ -98,7 +100,7 @@
 
 void CrashArchive::Write(std::vector<Crashes::CaseLine> cases)
 {
-  ArchivedCases archived{UnixMs(), std::move(cases)};
+  ArchivedCases archived{Common::UnixTime().count(), std::move(cases)};
   std::string value = Daemons::Encode(archived);
   while (value.size() > MAX_ROW_BYTES)
   {
--- a/Source/UnitTests/Orders/CrashArchiveTest.cpp
+++ b/Source/UnitTests/Orders/CrashArchiveTest.cpp
@@ -6,9 +6,12 @@
 
 #include "Orders/CrashArchive.h"
 
+#include <limits>
+
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Common/Loop.h"
+#include "Daemons/Codec.h"
 #include "UnitTests/Support/Loopback.h"
 
 namespace
@@ -66,6 +69,16 @@
   CrashArchive archive;
 };
 
+/// As many crashes as lead to a block.
+Crashes::CaseLine ThreeCrashes()
+{
+  Crashes::CaseLine line;
+  line.request = CRASHER;
+  for (const char* server : {"i-1", "i-2", "i-3"})
+    line.server_crashes.push_back({Crashes::ServerInstance(server), 0, 0, {Common::VmId("vm")}});
+  return line;
+}
+
 class CrashArchiveTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(CrashArchiveTest);
@@ -74,6 +87,7 @@
   CPPUNIT_TEST(WithoutAHolderCrashesAddUpThroughTheRow);
   CPPUNIT_TEST(RetriesTheWriteAfterAStoreFailure);
   CPPUNIT_TEST(MalformedRowIsIgnored);
+  CPPUNIT_TEST(ForgottenCasesBlockAgain);
   CPPUNIT_TEST_SUITE_END();
 
   /// All daemons are killed at once, and the same request is sent to the new ones.
@@ -146,6 +160,20 @@
     daemon.archive.OnRow({4, "\xff\xff\xff\xff\xff"});
     CPPUNIT_ASSERT(daemon.dispatcher.CrashCases().Empty());
   }
+
+  /// All daemons have been away for longer than a daemon remembers crashes.
+  void ForgottenCasesBlockAgain()
+  {
+    const auto long_ago = Common::UnixTime() - 2 * Crashes::CrashLedger::RETENTION;
+    for (const std::int64_t written_at :
+         {std::int64_t(long_ago.count()), std::numeric_limits<std::int64_t>::min()})
+    {
+      FakeRow row;
+      Daemon daemon(row);
+      daemon.archive.OnRow({4, Daemons::Encode(ArchivedCases{written_at, {ThreeCrashes()}})});
+      CPPUNIT_ASSERT(!daemon.IsBlocked());
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashArchiveTest);
