Http: a connection with a very long idle limit is used again

What callers saw: none reported. A server that announces 'Keep-Alive: timeout=2147484' or more got a new connection for each request.

Cause: seconds were multiplied to milliseconds in an int, which overflowed. ConnectionWithALongIdleLimitIsReusable failed before and passes.

--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -50,7 +50,7 @@
   const auto read = std::from_chars(begin, keep_alive.data() + keep_alive.size(), seconds);
   if (read.ec != std::errc() || seconds < 0)
     return std::nullopt;
-  return Common::Milliseconds(seconds * 1000);
+  return std::chrono::seconds(seconds);
 }
 } // namespace
 
--- a/Source/UnitTests/Http/OriginConnectionTest.cpp
+++ b/Source/UnitTests/Http/OriginConnectionTest.cpp
@@ -80,6 +80,7 @@
   CPPUNIT_TEST(UnacceptedConnectionTimesOut);
   CPPUNIT_TEST(ResponseMayTakeLongerThanConnectTimeout);
   CPPUNIT_TEST(ConnectionPausedAtTheEndOfAResponseIsNeverReadAgain);
+  CPPUNIT_TEST(ConnectionWithALongIdleLimitIsReusable);
   CPPUNIT_TEST_SUITE_END();
 
   void UnacceptedConnectionTimesOut()
@@ -131,6 +132,22 @@
         Milliseconds(500)));
     first.connection->Abandon();
   }
+
+  void ConnectionWithALongIdleLimitIsReusable()
+  {
+    UnitTests::TestServer server([](UnitTests::TestPeer& peer, const std::string&) {
+      peer.stream->Write(
+          "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=2147484\r\nContent-Length: 0\r\n\r\n");
+    });
+    ExchangeRecorder events;
+    const auto connection = Http::OriginConnection::Connect(server.Address());
+    connection->Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", &events);
+    CPPUNIT_ASSERT(UnitTests::RunUntil([&] {
+      return events.ended;
+    }));
+    CPPUNIT_ASSERT(connection->IsReusable(Common::Now()));
+    connection->Abandon();
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OriginConnectionTest);
