Gateway: a request that has not left is refused, not failed, when its time ends

What callers saw: a request that may not be repeated, at a server whose connection hangs, ended with 502 or 504 when the daemon stopped or the deadline passed, although no byte of it had been sent; its account was charged, too. The caller may not repeat it then, where a refusal promises that it did not run.

Cause: an open attempt counted as one that may have run, whether or not its connection had sent anything.

Change: Relay::MayHaveRun asks the connection; what ends the request, what a block answers and what an account gets back use it alone.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -216,8 +216,7 @@
   if (m_stream_begun || m_saved_head)
     EndUnserved(why);
   else
-    EndWith(Outcome::Blocked,
-            m_may_have_run || m_connection ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE, why);
+    EndWith(Outcome::Blocked, MayHaveRun() ? STATUS_BAD_GATEWAY : STATUS_UNAVAILABLE, why);
   return true;
 }
 
@@ -432,12 +431,17 @@
     EndWith(Outcome::BrokenOff, 0, why);
   else if (m_saved_head)
     ForwardSavedResponse();
-  else if (m_may_have_run || m_connection)
+  else if (MayHaveRun())
     EndWith(Outcome::Failed, failure_status, why);
   else
     Refuse(why);
 }
 
+bool Relay::MayHaveRun() const
+{
+  return m_may_have_run || (m_connection && m_connection->HasSent());
+}
+
 std::string_view Relay::PromptPartsForLog() const
 {
   constexpr std::size_t MAX_BYTES = 200;
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -301,6 +301,9 @@
   /// further of a stream that has begun, else the saved response of a server, else
   /// `failure_status` if the request may have run, else a refusal.
   void EndUnserved(std::string_view why, int failure_status = STATUS_BAD_GATEWAY);
+  /// True if a byte of the request has been sent to a server that has not confirmed that the
+  /// request did not run.
+  bool MayHaveRun() const;
   /// Refuses a request that has not run.
   void Refuse(std::string_view why);
   /// What the request waits for, for the log: "units" of its account's limit, the "origin" of its
--- a/Source/Core/Gateway/RelayAdmission.cpp
+++ b/Source/Core/Gateway/RelayAdmission.cpp
@@ -88,7 +88,7 @@
 {
   if (std::exchange(m_awaits_allowance, false))
     m_dispatcher.Allowances().EndWait(m_account, m_cost);
-  if (std::exchange(m_charged, false) && !m_may_have_run && !m_connection)
+  if (std::exchange(m_charged, false) && !MayHaveRun())
     m_dispatcher.Allowances().Refund(m_account, m_cost);
 }
 
--- a/Source/UnitTests/Gateway/IsolatedVmTest.cpp
+++ b/Source/UnitTests/Gateway/IsolatedVmTest.cpp
@@ -139,6 +139,7 @@
   CPPUNIT_TEST(RequestsWaitWhileNoServerCanBeReached);
   CPPUNIT_TEST(CutOffVmKeepsItsCallers);
   CPPUNIT_TEST(DisconnectOfACallerDoesNotReachTheServer);
+  CPPUNIT_TEST(RequestOnAHangingConnectionMayHaveRunAtTheStop);
   CPPUNIT_TEST_SUITE_END();
 
   void RequestsFailWhileConnectionsAreRefused()
@@ -283,6 +284,17 @@
     CPPUNIT_ASSERT(world.caller.received.find(Event(2)) != std::string::npos);
   }
 
+  void RequestOnAHangingConnectionMayHaveRunAtTheStop()
+  {
+    const SilentAddress address;
+    UnitTests::RelayWorld world;
+    world.AddServer("i-1", address.Address());
+    world.Ask(ONCE_PATH, "id-1");
+    RunFor(Milliseconds(50));
+    world.dispatcher.CancelAll();
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 503 "));
+  }
+
   void IsolationIsTakenForCrashes()
   {
     World world(RespondAtOnce);
