PlatformAdapter: the pause is owed after a lease that was released

Cause: since a lease row whose holder is empty is read as no record, as odd rows are. But that is what a released lease looks like, and where there is no record there was no holder before, and no pause is owed. The unit tests of the lease hand records over and use no codec.

The same cause elsewhere: a row that another writer removed or made unreadable was taken for a lease that nobody had held. Its holder may still order, so such a row is now treated like one lost in a restore: lease and pause are waited for.

OddLeaseRowNamesAHolder took a released row for odd; it now demands that exactly the rows with an empty holder are released.

--- a/Source/Core/Orders/LeaseManager.h
+++ b/Source/Core/Orders/LeaseManager.h
@@ -78,16 +78,18 @@
   void Start() { Tick(); }
 
   /// Handles the row as read from the store; the store's own number in `version` is 0 if the row is
-  /// absent.
+  /// absent. No record with another number: the row was removed or cannot be read.
   void OnRow(std::int64_t version, std::optional<LeaseRecord> record)
   {
     if (m_row_known && version <= m_version)
       return;
     const bool has_era_risen = m_row_known && Fleet::EraOf(version) > Fleet::EraOf(m_version);
+    const bool is_unreadable = !record && Fleet::StoreNumber(version) != Fleet::ABSENT_ROW;
+    const bool had_record = m_record.has_value();
     m_row_known = true;
     m_version = version;
     m_record = std::move(record);
-    m_lost_record = !m_record && (m_lost_record || has_era_risen);
+    m_lost_record = !m_record && (m_lost_record || had_record || is_unreadable || has_era_risen);
     if (!IsRestored())
       m_continues_until = {};
     m_free_at = Common::Now() + m_settings.duration + ACQUIRE_MARGIN;
@@ -277,7 +279,8 @@
 
   bool IsOwnLease() const { return m_record && m_record->holder == m_settings.self; }
 
-  /// The row, or its absence, is from before the store came back from an older copy.
+  /// The row, or its absence, says nothing of the latest holders: it is from before the store came
+  /// back from an older copy, or another writer has removed or spoilt it.
   bool IsRestored() const
   {
     return m_record ? m_record->era < Fleet::EraOf(m_version) : m_lost_record;
@@ -423,7 +426,7 @@
   Common::TimePoint m_orders_from;
   /// Until then this daemon, which held the lease in the store's era before, may go on to hold it.
   Common::TimePoint m_continues_until;
-  bool m_lost_record = false; ///< The row was there in the era before, and is absent now.
+  bool m_lost_record = false; ///< There is no record, although there has been one.
   std::optional<Common::TimePoint> m_acquire_at;
   int m_write_failures = 0;
   Common::TimePoint m_retry_at;
--- a/Source/UnitTests/Orders/LeaseManagerTest.cpp
+++ b/Source/UnitTests/Orders/LeaseManagerTest.cpp
@@ -114,6 +114,8 @@
   CPPUNIT_TEST(NextHolderWaitsThoughTheLeaseWasResigned);
   CPPUNIT_TEST(ResignationDuringARenewalIsLost);
   CPPUNIT_TEST(DelayThatHasBegunIgnoresADeferral);
+  CPPUNIT_TEST(SpoiltRowIsTakenForAFreeLease);
+  CPPUNIT_TEST(SpoiltRowIsTakenForAFreeLeaseAtTheStart);
   CPPUNIT_TEST(RestartedHolderTakesARestoredRowForItsOwn);
   CPPUNIT_TEST(RestoredReleaseIsTakenForAFreeLease);
   CPPUNIT_TEST(AbsentRowIsTakenForAFreeLeaseAfterARestore);
@@ -501,6 +503,28 @@
     });
   }
 
+  /// Another writer has removed the row of a holder that may still order, or made it unreadable.
+  void SpoiltRowIsTakenForAFreeLease()
+  {
+    FakeStore store;
+    store.version = 8;
+    Manager manager(store, Settings("a"));
+    manager.OnRow(7, LeaseRecord{Common::VmId("b"), Common::Incarnation("r"), "127.0.0.1:2", true});
+    OrdersOnlyAfterTheUnknownHolder(manager, [&] {
+      manager.OnRow(store.version, std::nullopt);
+    });
+  }
+
+  void SpoiltRowIsTakenForAFreeLeaseAtTheStart()
+  {
+    FakeStore store;
+    store.version = 8;
+    Manager manager(store, Settings("a"));
+    OrdersOnlyAfterTheUnknownHolder(manager, [&] {
+      manager.OnRow(store.version, std::nullopt);
+    });
+  }
+
   // Nobody else can have acquired the lease while that of the holder is valid.
   void HolderStopsOverARestore()
   {
--- a/Source/UnitTests/Platform/OddEntriesTest.cpp
+++ b/Source/UnitTests/Platform/OddEntriesTest.cpp
@@ -314,6 +314,7 @@
   CPPUNIT_TEST(OddNumberIsConverted);
   CPPUNIT_TEST(OddFieldOfTheSettingsEndsTheProcess);
   CPPUNIT_TEST(OddReportEndsTheProcess);
+  CPPUNIT_TEST(ReleasedLeaseIsReadAsNone);
   CPPUNIT_TEST(OddLeaseRowNamesAHolder);
   CPPUNIT_TEST(OddCrashRowEndsTheProcess);
   CPPUNIT_TEST(OddRowCostsTheOtherRows);
@@ -436,7 +437,16 @@
     });
   }
 
-  /// A record without a holder would keep the lease from all others.
+  /// The pause after the holder that has released the lease would not be observed.
+  void ReleasedLeaseIsReadAsNone()
+  {
+    const std::string released = R"({"holder":"","run":"","address":"","ordering":false,"era":2})";
+    const auto record = LeaseRowStore::Decode({"order-lease", released, 3, false});
+    CPPUNIT_ASSERT(record && record->holder.Empty());
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(2), record->era);
+  }
+
+  /// A row that names no holder, not even an empty one, is no record of a free lease.
   void OddLeaseRowNamesAHolder()
   {
     const std::string sound =
@@ -448,7 +458,8 @@
       CPPUNIT_ASSERT(!LeaseRowStore::Decode({"order-lease", text, 3, false}));
     ForEachOddVariant(sound, [](const std::string& text) {
       const auto record = LeaseRowStore::Decode({"order-lease", text, 3, false});
-      CPPUNIT_ASSERT(!record || !record->holder.Empty());
+      const bool is_released = text.find(R"("holder":"")") != std::string::npos;
+      CPPUNIT_ASSERT(!record || record->holder.Empty() == is_released);
     });
   }
 
