UnitTests: the lease is never acquired once its row was removed

What callers would see: if another writer removes the lease row, there is no holder any more, and no model is loaded or unloaded. Found by reading after, which gives such a row the wait of an unreadable one.

Cause: the lease manager keeps the version of the removal and expects it in its next write. The store expects version 0 of a removed row, so that each write is a conflict; a later read without the row has a lower version and is ignored.

Not seen with daemons.

--- a/Source/UnitTests/Orders/LeaseManagerTest.cpp
+++ b/Source/UnitTests/Orders/LeaseManagerTest.cpp
@@ -31,7 +31,7 @@
       });
       return;
     }
-    if (expected != version)
+    if (expected != (is_removed ? Fleet::ABSENT_ROW : version))
     {
       Later([done] {
         done(Common::Failure{Common::FailureKind::Conflict, "moved"});
@@ -39,6 +39,7 @@
       return;
     }
     record = next;
+    is_removed = false;
     ++version;
     if (lose_responses)
       Later([done] {
@@ -60,6 +61,7 @@
 
   LeaseRecord record;
   std::int64_t version = 0;
+  bool is_removed = false; ///< At `version`, by another writer.
   bool down = false;
   bool lose_responses = false;
   bool hold_responses = false; ///< Responses are queued in `held`.
@@ -116,6 +118,7 @@
   CPPUNIT_TEST(DelayThatHasBegunIgnoresADeferral);
   CPPUNIT_TEST(SpoiltRowIsTakenForAFreeLease);
   CPPUNIT_TEST(SpoiltRowIsTakenForAFreeLeaseAtTheStart);
+  CPPUNIT_TEST(LeaseIsNeverAcquiredOnceTheRowWasRemoved);
   CPPUNIT_TEST(RestartedHolderTakesARestoredRowForItsOwn);
   CPPUNIT_TEST(RestoredReleaseIsTakenForAFreeLease);
   CPPUNIT_TEST(AbsentRowIsTakenForAFreeLeaseAfterARestore);
@@ -525,6 +528,19 @@
     });
   }
 
+  /// The store expects an absent row then, and not the version of the removal.
+  void LeaseIsNeverAcquiredOnceTheRowWasRemoved()
+  {
+    FakeStore store;
+    store.version = 8;
+    store.is_removed = true;
+    Manager manager(store, Settings("a"));
+    manager.OnRow(7, LeaseRecord{Common::VmId("b"), Common::Incarnation("r"), "127.0.0.1:2", true});
+    OrdersOnlyAfterTheUnknownHolder(manager, [&] {
+      manager.OnRow(store.version, std::nullopt);
+    });
+  }
+
   // Nobody else can have acquired the lease while that of the holder is valid.
   void HolderStopsOverARestore()
   {
