Orders: a daemon that has not read the versions does not take the store for empty

Take-ups from then on were restored from the store. The 26 that had come before were refused at 07.011 to 07.012, each with 5 replies of 5 asked, 1 ms after the five others had received their tables. The shards are read only while several versions are known, and none of the six knew two when those take-ups came. So the daemon that asked did not read the store for them, nor once it knew better, and the others replied that they did not know the stream. With these replies the answer was final. Retries 1 s later found all of these streams in the store.

Change: until a daemon has read the row of versions, or has followed the entries for 90 s, or knows several versions, a shard counts as not read. Its reading waits for the versions, and so do the queries for its streams; a query of another daemon gets no reply until then and is repeated, as while a shard is read. With one version no shard is read. A shard that is being read keeps one callback instead of one for each query. While the store is silent, a young daemon gives no reply on unknown streams: a take-up elsewhere then goes on after 150 ms instead of at once if there has been one version.

--- a/Source/Core/Orders/OriginArchive.cpp
+++ b/Source/Core/Orders/OriginArchive.cpp
@@ -119,6 +119,7 @@
   if (has_several && !std::exchange(m_had_several_versions, true))
     NoteAllStreams(now);
   m_had_several_versions = has_several;
+  RestoreAwaited(now);
 }
 
 void OriginArchive::ReadVersions()
@@ -158,7 +159,9 @@
     m_dispatcher.Versions().Note(entry.pool, entry.version, now);
   });
   m_next_versions_read = now + MIN_READ_INTERVAL;
+  m_versions_restored = true;
   m_dispatcher.NoteVersionsRestored(now);
+  RestoreAwaited(now);
 }
 
 std::vector<ArchivedVersion> OriginArchive::RecentVersions(TimePoint now) const
@@ -248,9 +251,19 @@
                  });
 }
 
+bool OriginArchive::KnowsVersions(TimePoint now) const
+{
+  const Gateway::VersionHistory& history = m_dispatcher.Versions();
+  return m_versions_restored || history.HasSeveralVersions(now) || history.IsComplete(now);
+}
+
 bool OriginArchive::MustRestore(OriginShard shard, TimePoint now) const
 {
-  if (!m_access.read || !m_dispatcher.Versions().HasSeveralVersions(now))
+  if (!m_access.read)
+    return false;
+  if (!KnowsVersions(now))
+    return true;
+  if (!m_dispatcher.Versions().HasSeveralVersions(now))
     return false;
   const auto found = m_restorations.find(shard);
   return found == m_restorations.end() || found->second.is_pending ||
@@ -261,8 +274,26 @@
 {
   Restoration& restoration = m_restorations[shard];
   restoration.waiting.push_back(std::move(on_done));
-  if (!std::exchange(restoration.is_pending, true))
+  if (std::exchange(restoration.is_pending, true))
+    return;
+  if (KnowsVersions(Common::Now()))
     ReadShard(shard, FirstKeyOf(shard));
+  else
+    m_awaiting_versions.insert(shard);
+}
+
+void OriginArchive::RestoreAwaited(TimePoint now)
+{
+  if (!KnowsVersions(now))
+    return;
+  const bool has_several = m_dispatcher.Versions().HasSeveralVersions(now);
+  for (const OriginShard shard : std::exchange(m_awaiting_versions, {}))
+  {
+    if (has_several)
+      ReadShard(shard, FirstKeyOf(shard));
+    else
+      FinishRestore(shard, Milliseconds(0));
+  }
 }
 
 void OriginArchive::ReadShard(OriginShard shard, const std::string& first_key)
--- a/Source/Core/Orders/OriginArchive.h
+++ b/Source/Core/Orders/OriginArchive.h
@@ -127,14 +127,16 @@
   /// which together makes a limited number of writes.
   void Tick(bool is_holder, std::size_t daemons, Common::TimePoint now);
 
-  /// True if streams of the shard may be in the store that this daemon has not read.
+  /// True if streams of the shard may be in the store that this daemon has not read. Until it has
+  /// read the versions after its start, that is not known.
   bool MustRestore(OriginShard shard, Common::TimePoint now) const;
   bool IsReading(OriginShard shard) const
   {
     const auto found = m_restorations.find(shard);
     return found != m_restorations.end() && found->second.is_pending;
   }
-  /// Reads the shard's streams; `on_done` is called once that has succeeded or failed.
+  /// Reads the shard's streams, once it is known that there are several versions; `on_done` is
+  /// called once that has succeeded or failed, or when there is only one.
   void Restore(OriginShard shard, std::function<void()> on_done);
 
   struct Counters
@@ -190,6 +192,10 @@
   void OnVersions(const Fleet::TableRows& rows);
   void WriteVersions(const std::vector<ArchivedVersion>& versions);
   std::vector<ArchivedVersion> RecentVersions(Common::TimePoint now) const;
+  /// False while versions that servers had before this daemon started may be missing here.
+  bool KnowsVersions(Common::TimePoint now) const;
+  /// Goes on with the shards that wait for the versions, if those are known.
+  void RestoreAwaited(Common::TimePoint now);
   void NoteAllStreams(Common::TimePoint now);
   /// Writes the streams that have not been written as soon as this daemon may.
   void ScheduleWrite();
@@ -211,6 +217,7 @@
   bool m_has_versions = false; ///< The row has been read, or is known to be absent.
   std::int64_t m_versions_row = 0;
   std::vector<ArchivedVersion> m_versions; ///< As in the row.
+  bool m_versions_restored = false;        ///< The row has been read at least once.
   bool m_versions_call_pending = false;
   Common::TimePoint m_next_versions_call;
   Common::TimePoint m_next_versions_read;
@@ -225,6 +232,7 @@
   Common::OwnedTimer m_write_timer;
 
   std::map<OriginShard, Restoration> m_restorations;
+  std::set<OriginShard> m_awaiting_versions; ///< Shards to be read if there are several.
   Counters m_counters;
 };
 } // namespace Orders
--- a/Source/Core/Orders/OriginExchange.cpp
+++ b/Source/Core/Orders/OriginExchange.cpp
@@ -312,9 +312,10 @@
   const auto readers = DaemonsToAsk(daemons, FirstGroupOf(shard), {});
   if (!daemons.empty() && std::ranges::find(readers, m_settings.self) == readers.end())
     return false;
-  m_archive->Restore(shard, [this, shard] {
-    OnRestored(shard);
-  });
+  if (!m_archive->IsReading(shard))
+    m_archive->Restore(shard, [this, shard] {
+      OnRestored(shard);
+    });
   return true;
 }
 
--- a/Source/UnitTests/Orders/OriginArchiveTest.cpp
+++ b/Source/UnitTests/Orders/OriginArchiveTest.cpp
@@ -12,6 +12,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "UnitTests/Support/Loopback.h"
+#include "UnitTests/Support/OriginFleet.h"
 
 namespace
 {
@@ -156,12 +157,22 @@
   {
     dispatcher.NoteStream(StreamOf(stream), POOL, version, std::nullopt);
   }
-  /// Reads all shards; returns how many streams are known with the version that began them.
-  int CountRestored(const std::function<SoftwareVersion(int)>& version_of)
+  /// Reads the shards that must be read; returns how many these are.
+  int RestoreAll(const std::function<void()>& on_done)
   {
+    int count = 0;
     for (std::size_t shard = 0; shard < ORIGIN_SHARDS; ++shard)
       if (archive.MustRestore(OriginShard(shard), Common::Now()))
-        archive.Restore(OriginShard(shard), [] {});
+      {
+        archive.Restore(OriginShard(shard), on_done);
+        ++count;
+      }
+    return count;
+  }
+  /// Reads all shards; returns how many streams are known with the version that began them.
+  int CountRestored(const std::function<SoftwareVersion(int)>& version_of)
+  {
+    RestoreAll([] {});
     RunFor(Milliseconds(100));
     return static_cast<int>(std::ranges::count_if(std::views::iota(0, STREAMS), [&](int stream) {
       const auto entry = dispatcher.Origins().Find(StreamOf(stream), Common::Now());
@@ -178,6 +189,58 @@
   return stream % 2 == 0 ? FIRST : SECOND;
 }
 
+/// Two daemons that exchange origins. Streams began at the first one while there were several
+/// versions, then both were lost and have started again.
+class RestartedFleet
+{
+public:
+  RestartedFleet()
+  {
+    Use(0, "run-1");
+    Tick(0, true);
+    RunFor(Milliseconds(20));
+    Tick(0, true);
+    for (int stream = 0; stream < STREAMS; ++stream)
+      fleet.Begin(0, stream);
+    RunFor(Milliseconds(100));
+    m_archives.clear();
+    fleet.know_both_versions = false;
+    for (const UnitTests::DaemonIndex daemon : {0U, 1U})
+      fleet.Kill(daemon);
+    for (const UnitTests::DaemonIndex daemon : {0U, 1U})
+      fleet.Restart(daemon);
+    fleet.Settle();
+  }
+
+  void Use(UnitTests::DaemonIndex daemon, const std::string& run)
+  {
+    auto& archive = m_archives[daemon];
+    archive = std::make_unique<OriginArchive>(
+        OriginArchive::Settings{UnitTests::OriginFleet::EndpointOf(daemon), 1, run},
+        fleet.At(daemon).dispatcher, table.Access());
+    fleet.At(daemon).origins.UseArchive(*archive);
+  }
+  /// Lets the archive read the versions, or write them.
+  void Tick(UnitTests::DaemonIndex daemon, bool is_holder)
+  {
+    fleet.At(daemon).dispatcher.Servers().RecordProof(Common::Now());
+    m_archives.at(daemon)->Tick(is_holder, fleet.Size(), Common::Now());
+  }
+  void TickAfter(Milliseconds delay, UnitTests::DaemonIndex daemon)
+  {
+    m_timer.Start(delay, [this, daemon] {
+      Tick(daemon, false);
+    });
+  }
+
+  TestTable table;
+  UnitTests::OriginFleet fleet{2, 1};
+
+private:
+  std::map<UnitTests::DaemonIndex, std::unique_ptr<OriginArchive>> m_archives;
+  Common::OwnedTimer m_timer;
+};
+
 class OriginArchiveTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(OriginArchiveTest);
@@ -187,6 +250,10 @@
   CPPUNIT_TEST(StreamsBeforeTheSecondVersionAreForgotten);
   CPPUNIT_TEST(StreamsAreForgottenWhileTheStoreIsAway);
   CPPUNIT_TEST(StoreIsReadWhileThereIsOneVersion);
+  CPPUNIT_TEST(StoreIsTakenForEmptyBeforeTheVersionsAreRead);
+  CPPUNIT_TEST(StreamsAreReadThoughThereIsOneVersion);
+  CPPUNIT_TEST(QueryBeforeTheVersionsAreReadSkipsTheStore);
+  CPPUNIT_TEST(DaemonRepliesBeforeItHasReadTheVersions);
   CPPUNIT_TEST(UnreadableVersionsAreTakenForNone);
   CPPUNIT_TEST(UnreadableStoreIsTakenForEmpty);
   CPPUNIT_TEST(ManyDaemonsWriteMoreThanTheirShare);
@@ -280,6 +347,64 @@
       CPPUNIT_ASSERT(!daemon.archive.MustRestore(OriginShard(shard), Common::Now()));
   }
 
+  void StoreIsTakenForEmptyBeforeTheVersionsAreRead()
+  {
+    TestTable table;
+    LoseAllDaemons(table);
+    TestDaemon after(table, "run-2");
+    after.See(SECOND);
+    int restored = 0;
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ORIGIN_SHARDS), after.RestoreAll([&] {
+      ++restored;
+    }));
+    RunFor(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(0, restored);
+    after.Tick(false);
+    RunFor(Milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ORIGIN_SHARDS), restored);
+    CPPUNIT_ASSERT_EQUAL(STREAMS, after.CountRestored(AlternatingVersion));
+  }
+
+  void StreamsAreReadThoughThereIsOneVersion()
+  {
+    TestTable table;
+    {
+      TestDaemon before(table);
+      before.See(FIRST);
+      before.Tick(true);
+      before.Tick(true);
+    }
+    TestDaemon after(table, "run-2");
+    after.See(FIRST);
+    int restored = 0;
+    const int shards = after.RestoreAll([&] {
+      ++restored;
+    });
+    after.Tick(false);
+    CPPUNIT_ASSERT_EQUAL(shards, restored);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, after.archive.GetCounters().shards_read);
+    CPPUNIT_ASSERT_EQUAL(0, after.RestoreAll([] {}));
+  }
+
+  /// The daemon that asks reads the versions 100 ms later.
+  void QueryBeforeTheVersionsAreReadSkipsTheStore()
+  {
+    RestartedFleet restarted;
+    restarted.Use(0, "run-2");
+    restarted.TickAfter(Milliseconds(100), 0);
+    CPPUNIT_ASSERT_EQUAL(STREAMS, restarted.fleet.CountFound(0, STREAMS, Milliseconds(600)));
+  }
+
+  /// The daemon that asks knows both versions, the other one reads them 100 ms later.
+  void DaemonRepliesBeforeItHasReadTheVersions()
+  {
+    RestartedFleet restarted;
+    restarted.fleet.At(0).KnowBothVersions();
+    restarted.Use(1, "run-2");
+    restarted.TickAfter(Milliseconds(100), 1);
+    CPPUNIT_ASSERT_EQUAL(STREAMS, restarted.fleet.CountFound(0, STREAMS, Milliseconds(600)));
+  }
+
   void UnreadableVersionsAreTakenForNone()
   {
     TestTable table;
