Orders: a response that is older than the lease row is a conflict

A holder that is suspended between the store's response to its renewal and the arrival of that response may read a newer row of another holder first. It took the record that it had written for that row's, held the lease on, and could write over the other one.

Change: a response with a version below the row's is a conflict, as one of an earlier era was. IsRestored, which also stands for spoilt rows now, is called IsHolderUnknown.

--- a/Source/Core/Orders/LeaseManager.h
+++ b/Source/Core/Orders/LeaseManager.h
@@ -90,7 +90,7 @@
     m_version = version;
     m_record = std::move(record);
     m_lost_record = !m_record && (m_lost_record || had_record || is_unreadable || has_era_risen);
-    if (!IsRestored())
+    if (!IsHolderUnknown())
       m_continues_until = {};
     m_free_at = Common::Now() + m_settings.duration + ACQUIRE_MARGIN;
     if (!m_writing)
@@ -281,7 +281,7 @@
 
   /// The row, or its absence, says nothing of the latest holders: it is from before the store came
   /// back from an older copy, or another writer has removed or spoilt it.
-  bool IsRestored() const
+  bool IsHolderUnknown() const
   {
     return m_record ? m_record->era < Fleet::EraOf(m_version) : m_lost_record;
   }
@@ -295,7 +295,7 @@
 
   bool IsFree(Common::TimePoint now) const
   {
-    if (IsRestored())
+    if (IsHolderUnknown())
       return Continues(now) || now > m_free_at;
     if (!m_record || m_record->holder.Empty())
       return true;
@@ -312,7 +312,7 @@
     const LeaseRecord record{m_settings.self, m_settings.run, m_settings.address, ordering,
                              Fleet::EraOf(m_version)};
     const bool after_other_holder =
-        IsRestored() ? !Continues(now) : m_record && !(IsOwnLease() && m_record->ordering);
+        IsHolderUnknown() ? !Continues(now) : m_record && !(IsOwnLease() && m_record->ordering);
     m_store.ReplaceLease(
         m_version, record,
         [this, now, how, record, after_other_holder](Common::Result<std::int64_t> result) {
@@ -324,8 +324,8 @@
   void OnWriteResult(Common::TimePoint sent, const char* how, const LeaseRecord& record,
                      bool after_other_holder, Common::Result<std::int64_t> result)
   {
-    if (result && Fleet::EraOf(*result) < Fleet::EraOf(m_version))
-      result = Common::Failure{Common::FailureKind::Conflict, "written before the restore"};
+    if (result && *result < m_version)
+      result = Common::Failure{Common::FailureKind::Conflict, "the row has changed since"};
     if (m_released || std::exchange(m_resigns, false))
     {
       if (!result)
@@ -378,7 +378,7 @@
 
   void CheckOwnership()
   {
-    if (m_fence && IsRestored() && Fleet::EraOf(*m_fence) < Fleet::EraOf(m_version))
+    if (m_fence && IsHolderUnknown() && Fleet::EraOf(*m_fence) < Fleet::EraOf(m_version))
     {
       BeginNewEra();
       return;
@@ -426,7 +426,7 @@
   Common::TimePoint m_orders_from;
   /// Until then this daemon, which held the lease in the store's era before, may go on to hold it.
   Common::TimePoint m_continues_until;
-  bool m_lost_record = false; ///< There is no record, although there has been one.
+  bool m_lost_record = false; ///< There is no record, although there is or has been a row.
   std::optional<Common::TimePoint> m_acquire_at;
   int m_write_failures = 0;
   Common::TimePoint m_retry_at;
--- a/Source/UnitTests/Orders/LeaseManagerTest.cpp
+++ b/Source/UnitTests/Orders/LeaseManagerTest.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(NextHolderWaitsThoughTheLeaseWasResigned);
   CPPUNIT_TEST(ResignationDuringARenewalIsLost);
   CPPUNIT_TEST(DelayThatHasBegunIgnoresADeferral);
+  CPPUNIT_TEST(LateResponseIsTakenForTheLatestRow);
   CPPUNIT_TEST(SpoiltRowIsTakenForAFreeLease);
   CPPUNIT_TEST(SpoiltRowIsTakenForAFreeLeaseAtTheStart);
   CPPUNIT_TEST(LeaseIsNeverAcquiredOnceTheRowWasRemoved);
@@ -506,6 +507,24 @@
     });
   }
 
+  /// The daemon was suspended between the store's response and its arrival, and another daemon has
+  /// acquired the lease since.
+  void LateResponseIsTakenForTheLatestRow()
+  {
+    FakeStore store;
+    Manager manager(store, Settings("a"));
+    HoldLease(store, manager);
+    store.hold_responses = true;
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return store.held.size() == 1;
+    }));
+    store.record = {Common::VmId("b"), Common::Incarnation("r"), "127.0.0.1:2", true};
+    manager.OnRow(++store.version, store.record);
+    store.hold_responses = false;
+    store.held.front()();
+    CPPUNIT_ASSERT(!Holds(manager));
+  }
+
   /// Another writer has removed the row of a holder that may still order, or made it unreadable.
   void SpoiltRowIsTakenForAFreeLease()
   {
--- a/Source/UnitTests/Support/OriginFleet.cpp
+++ b/Source/UnitTests/Support/OriginFleet.cpp
@@ -156,9 +156,7 @@
       Announce();
     }
     Deliver();
-    EndWaiting();
     UnitTests::RunFor(STEP);
-    RenewQueries();
   } while (Common::Now() < end);
   Deliver();
 }
@@ -254,26 +252,6 @@
 void OriginFleet::Ask(DaemonIndex daemon, int stream)
 {
   At(daemon).dispatcher.QueryOrigin(StreamOf(stream), ORIGIN_POOL);
-  m_waiting.emplace(daemon, stream);
-}
-
-bool OriginFleet::IsAsking(DaemonIndex daemon, int stream) const
-{
-  return IsRunning(daemon) && m_daemons[daemon]->origins.IsAsking(StreamOf(stream));
-}
-
-void OriginFleet::EndWaiting()
-{
-  std::erase_if(m_waiting, [this](const auto& entry) {
-    return !IsAsking(entry.first, entry.second);
-  });
-}
-
-void OriginFleet::RenewQueries()
-{
-  for (const auto& [daemon, stream] : m_waiting)
-    if (!IsAsking(daemon, stream))
-      At(daemon).dispatcher.QueryOrigin(StreamOf(stream), ORIGIN_POOL);
 }
 
 std::optional<Gateway::StreamOrigin> OriginFleet::OriginAt(DaemonIndex daemon, int stream)
@@ -288,7 +266,6 @@
     if (!OriginAt(daemon, stream))
       Ask(daemon, stream);
   RunFor(span);
-  m_waiting.clear();
   const auto streams = std::views::iota(0, count);
   return static_cast<int>(std::ranges::count_if(streams, [&](int stream) {
     const auto origin = OriginAt(daemon, stream);
--- a/Source/UnitTests/Support/OriginFleet.h
+++ b/Source/UnitTests/Support/OriginFleet.h
@@ -9,9 +9,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 #include "Fleet/MemberList.h"
@@ -90,8 +88,7 @@
   /// A caller receives an event of the stream through the daemon.
   void Begin(DaemonIndex daemon, int stream,
              const Gateway::SoftwareVersion& version = ORIGIN_VERSION);
-  /// Daemon asks for the origin of the stream, as for a request that waits until CountFound()
-  /// returns.
+  /// Daemon asks for the origin of the stream, and goes on with it as a relay does.
   void Ask(DaemonIndex daemon, int stream);
   std::optional<Gateway::StreamOrigin> OriginAt(DaemonIndex daemon, int stream);
   /// Of the streams from 0 to `count`, how many have an origin that `daemon` finds in `span`.
@@ -110,16 +107,10 @@
   void Announce();
   std::vector<Fleet::ListedDaemon> ReportingTo(DaemonIndex holder) const;
   bool IsCut(DaemonIndex from, DaemonIndex to) const;
-  bool IsAsking(DaemonIndex daemon, int stream) const;
-  /// Ends the waiting for origins that has a final reply.
-  void EndWaiting();
-  /// No requests wait in these dispatchers, so daemons drop their queries at the next tick.
-  void RenewQueries();
 
   std::size_t m_places;
   std::vector<std::unique_ptr<SimulatedDaemon>> m_daemons;
   std::deque<SimulatedDatagram> m_in_transit;
-  std::set<std::pair<DaemonIndex, int>> m_waiting; ///< Daemons that wait for origins of streams.
   LossRule m_is_lost;
   std::function<int(DaemonIndex)> m_side;
   std::optional<DaemonIndex> m_holder;
