--- a/Source/Core/Orders/CrashArchive.cpp
+++ b/Source/Core/Orders/CrashArchive.cpp
@@ -31,6 +31,13 @@
   return std::clamp<std::int64_t>(age_ms, 0, MAX_TIME_MS) + by_ms;
 }
 
+std::int64_t AgeOfLastCrash(const Crashes::CaseLine& line)
+{
+  if (line.server_crashes.empty())
+    return 0;
+  return std::ranges::min(line.server_crashes, {}, &Crashes::CrashLine::age_ms).age_ms;
+}
+
 void AddAge(Crashes::CaseLine& line, std::int64_t by_ms)
 {
   for (Crashes::CrashLine& ending : line.server_crashes)
@@ -65,7 +72,8 @@
   const std::int64_t age = now - std::clamp(archived->written_at, now - MAX_TIME_MS, now);
   m_row = std::move(archived->cases);
   std::erase_if(m_row, [age](const Crashes::CaseLine& line) {
-    return age - Crashes::CrashLedger::RETENTION.count() > line.blocked_for_ms;
+    return Later(AgeOfLastCrash(line), age) - Crashes::CrashLedger::RETENTION.count() >
+           line.blocked_for_ms;
   });
   for (Crashes::CaseLine& line : m_row)
     AddAge(line, age);
--- a/Source/UnitTests/Orders/CrashArchiveTest.cpp
+++ b/Source/UnitTests/Orders/CrashArchiveTest.cpp
@@ -88,6 +88,7 @@
   CPPUNIT_TEST(RetriesTheWriteAfterAStoreFailure);
   CPPUNIT_TEST(MalformedRowIsIgnored);
   CPPUNIT_TEST(ForgottenCasesBlockAgain);
+  CPPUNIT_TEST(ForgottenCaseInANewRowBlocksAgain);
   CPPUNIT_TEST_SUITE_END();
 
   /// All daemons are killed at once, and the same request is sent to the new ones.
@@ -174,6 +175,19 @@
       CPPUNIT_ASSERT(!daemon.IsBlocked());
     }
   }
+
+  /// Another case has caused the row to be written.
+  void ForgottenCaseInANewRowBlocksAgain()
+  {
+    FakeRow row;
+    Daemon daemon(row);
+    Crashes::CaseLine line = ThreeCrashes();
+    for (Crashes::CrashLine& crash : line.server_crashes)
+      crash.age_ms = Milliseconds(Crashes::CrashLedger::RETENTION).count() - 1000;
+    const auto written_at = Common::UnixTime() - Milliseconds(2000);
+    daemon.archive.OnRow({4, Daemons::Encode(ArchivedCases{written_at.count(), {line}})});
+    CPPUNIT_ASSERT(!daemon.IsBlocked());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CrashArchiveTest);
