UnitTests: queries of the simulated daemons live as long as those of requests

A renewed query asks daemons again that have replied, which none of a waiting request does, so the tests were laxer than the product.

Change: a query without a request lives until it has a final reply or times out, as for a request that waits; the product makes no such query.

--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -238,8 +238,8 @@
   {
     m_on_stream_noted = std::move(callback);
   }
-  /// Asks other daemons for the origin, for which `relay` waits. Returns false if there is no
-  /// connection to others.
+  /// Asks other daemons for the origin, for which `relay` waits; without one, until there is a
+  /// final reply. Returns false if there is no connection to others.
   bool QueryOrigin(StreamKey stream, const PoolId& pool,
                    const std::shared_ptr<Relay>& relay = nullptr);
   /// Forgets the requests that no longer wait for the origin.
--- a/Source/Core/Gateway/DispatcherStreams.cpp
+++ b/Source/Core/Gateway/DispatcherStreams.cpp
@@ -22,15 +22,14 @@
 {
   if (!m_on_origin_query)
     return false;
-  if (relay)
-    m_awaiting_origin.emplace(stream, relay);
+  m_awaiting_origin.emplace(stream, relay);
   m_on_origin_query(stream, pool);
   return true;
 }
 
 bool Dispatcher::AwaitsOrigin(StreamKey stream) const
 {
-  return !RelaysAwaiting(stream).empty();
+  return m_awaiting_origin.contains(stream);
 }
 
 void Dispatcher::DropAwaiting(StreamKey stream)
--- a/Source/Core/Orders/OriginExchange.h
+++ b/Source/Core/Orders/OriginExchange.h
@@ -60,9 +60,6 @@
   /// order lease, or is the holder. Copies that were sent without contact may have been lost.
   void SetContact(bool has_contact);
 
-  /// True while replies about the stream's origin are expected.
-  bool IsAsking(Gateway::StreamKey stream) const { return m_queries.contains(stream); }
-
   struct Counters
   {
     std::int64_t copies_sent = 0;
