UnitTests: checks that had become laxer, or could pass on nothing

The requests that were added to the last second of ServerBackoffTest allowed for more of them not to be served; the bound counts those before. The number of shards that wait for the versions is asserted.

--- a/Source/UnitTests/Orders/OriginArchiveTest.cpp
+++ b/Source/UnitTests/Orders/OriginArchiveTest.cpp
@@ -381,6 +381,7 @@
       ++restored;
     });
     after.Tick(false);
+    CPPUNIT_ASSERT_EQUAL(static_cast<int>(ORIGIN_SHARDS), shards);
     CPPUNIT_ASSERT_EQUAL(shards, restored);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, after.archive.GetCounters().shards_read);
     CPPUNIT_ASSERT_EQUAL(0, after.RestoreAll([] {}));
--- a/Source/UnitTests/Orders/ServerBackoffTest.cpp
+++ b/Source/UnitTests/Orders/ServerBackoffTest.cpp
@@ -20,8 +20,7 @@
 /// Requests already in transit may still arrive for this long after the rejection.
 constexpr Milliseconds TRANSIT_TIME{500};
 constexpr std::size_t MAX_VIOLATIONS = 2;
-/// Of four servers, one that is back gets at least half of its even share.
-constexpr int MIN_SHARE = 8;
+constexpr std::size_t SERVERS = 4;
 
 class ServerBackoffTest : public CppUnit::TestFixture
 {
@@ -32,7 +31,7 @@
 
   void ServerGetsNoRequestsUntilRetryAfterHasPassed()
   {
-    LimitedFleet fleet(VMS, 4);
+    LimitedFleet fleet(VMS, SERVERS);
     fleet.SetHolder(0, 1);
     fleet.StartLoad(80);
     RunFor(Milliseconds(500));
@@ -53,16 +52,18 @@
     const int asked_before = fleet.asked;
     fleet.StartLoad(320);
     RunFor(Milliseconds(1000));
-    const int asked = fleet.asked - asked_before;
+    const auto asked = static_cast<std::size_t>(fleet.asked - asked_before);
+    const std::size_t least = asked / SERVERS / 2;
     for (const std::size_t server : {0, 1})
     {
-      const auto arrivals = static_cast<int>(fleet.servers[server]->ArrivalsSince(back));
+      const std::size_t arrivals = fleet.servers[server]->ArrivalsSince(back);
       CPPUNIT_ASSERT_MESSAGE(std::to_string(arrivals) + " of " + std::to_string(asked),
-                             arrivals * MIN_SHARE >= asked);
+                             arrivals >= least);
     }
     fleet.StopLoad();
     RunFor(Milliseconds(100));
-    CPPUNIT_ASSERT(fleet.served >= fleet.asked * 98 / 100);
+    // The many requests of the last second do not allow for more that are not served.
+    CPPUNIT_ASSERT(fleet.asked - fleet.served <= asked_before * 2 / 100);
   }
 
   void RequestIsRefusedAtOnceIfTheOnlyServerBacksOffTooLong()
