--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -301,8 +301,8 @@
   /// further of a stream that has begun, else the saved response of a server, else
   /// `failure_status` if the request may have run, else a refusal.
   void EndUnserved(std::string_view why, int failure_status = STATUS_BAD_GATEWAY);
-  /// True if a byte of the request has been sent to a server that has not confirmed that the
-  /// request did not run.
+  /// True if the connection has sent anything, or an earlier attempt was sent to a server that has
+  /// not confirmed that the request did not run.
   bool MayHaveRun() const;
   /// Refuses a request that has not run.
   void Refuse(std::string_view why);
