Orders: the lease is acquired again once its row was removed

What operators would see: after another writer has removed the lease row, no running daemon acquires the lease again, and no model is loaded any more.

Cause: a daemon writes the row with the version that it has last seen, here that of the removal, while the store expects 0 for an absent row. Each write is a conflict. A row without a record may be absent or only unreadable, and the daemon does not know which.

Change: after a conflict on such a row the next write expects the other one. A compare-and-set that matches neither changes nothing, so that this is safe; the pause after the unknown holder is owed as before.

--- a/Source/Core/Orders/LeaseManager.h
+++ b/Source/Core/Orders/LeaseManager.h
@@ -88,6 +88,7 @@
     const bool had_record = m_record.has_value();
     m_row_known = true;
     m_version = version;
+    m_expects_absent_row = false;
     m_record = std::move(record);
     m_lost_record = !m_record && (m_lost_record || had_record || is_unreadable || has_era_risen);
     if (!IsHolderUnknown())
@@ -286,6 +287,15 @@
     return m_record ? m_record->era < Fleet::EraOf(m_version) : m_lost_record;
   }
 
+  /// The version that the next write expects. Whether a row without a record is absent or only
+  /// unreadable is found out by trying both.
+  std::int64_t ExpectedVersion() const
+  {
+    return !m_record && m_expects_absent_row
+               ? Fleet::VersionIn(Fleet::EraOf(m_version), Fleet::ABSENT_ROW)
+               : m_version;
+  }
+
   /// True for the latest holder before the store came back, while nobody else can have acquired the
   /// lease.
   bool Continues(Common::TimePoint now) const
@@ -314,7 +324,7 @@
     const bool after_other_holder =
         IsHolderUnknown() ? !Continues(now) : m_record && !(IsOwnLease() && m_record->ordering);
     m_store.ReplaceLease(
-        m_version, record,
+        ExpectedVersion(), record,
         [this, now, how, record, after_other_holder](Common::Result<std::int64_t> result) {
           m_writing = false;
           OnWriteResult(now, how, record, after_other_holder, std::move(result));
@@ -336,6 +346,8 @@
     }
     if (!result)
     {
+      if (result.Reason().kind == Common::FailureKind::Conflict)
+        m_expects_absent_row = !m_expects_absent_row;
       m_retry_at = Common::Now() +
                    FIRST_RETRY_DELAY * (1 << std::min(m_write_failures, MAX_RETRY_DOUBLINGS));
       ++m_write_failures;
@@ -426,7 +438,8 @@
   Common::TimePoint m_orders_from;
   /// Until then this daemon, which held the lease in the store's era before, may go on to hold it.
   Common::TimePoint m_continues_until;
-  bool m_lost_record = false; ///< There is no record, although there is or has been a row.
+  bool m_lost_record = false;        ///< There is no record, although there is or has been a row.
+  bool m_expects_absent_row = false; ///< Matters only without a record.
   std::optional<Common::TimePoint> m_acquire_at;
   int m_write_failures = 0;
   Common::TimePoint m_retry_at;
