Gateway: a server's version counts from its entry on, and gaps count as gaps

What callers could see: a stream that began at a software version which the VM had missed goes on at another one, as the VM takes the one that it knows for the only one there was (ORDER).

Cause: the history of versions was derived from the list of servers at a tick of 250 ms, and looked only at the time of the latest proof. It missed a version that a server took on under the same entry, and refreshed the server's first version for ever; it missed one that came and went between two ticks; entries read anew after lost history, and the removal of an entry that was never seen, counted as followed; so did a row of versions that was requested before a gap.

Change: each entry is noted as it arrives, a changed version changes the directory's revision, the directory counts gaps, and the row of versions counts from when it was requested.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -45,6 +45,7 @@
   m_budget.SetRounding(std::uniform_real_distribution<>()(Common::SharedRandom()));
   Configure(std::move(settings));
   m_servers.OnChange([this](const ServerPtr& server) {
+    m_versions.Note(server->Entry().pool, server->Entry().version, Common::Now());
     m_limited.RefreshServer(server);
     m_brittle.Refresh();
     MarkDrainingServers();
--- a/Source/Core/Gateway/ServerDirectory.cpp
+++ b/Source/Core/Gateway/ServerDirectory.cpp
@@ -211,7 +211,8 @@
     if (entry.draining && !found->second->Entry().draining)
       Common::LogEvent(Common::LogLevel::Info, "server-draining",
                        {{"instance", entry.instance}, {"source", ToString(DrainSource::Entry)}});
-    if (entry.pool != found->second->Entry().pool)
+    if (entry.pool != found->second->Entry().pool ||
+        entry.version != found->second->Entry().version)
       ++m_revision;
     found->second->SetEntry(std::move(entry));
   }
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -219,6 +219,10 @@
   void SetEvacuated(std::set<Common::DataCentreId> data_centres);
   const std::set<Common::DataCentreId>& Evacuated() const { return m_evacuated; }
 
+  /// Records that entries may have been written and removed that were not received.
+  void NoteGap() { ++m_gaps; }
+  /// Number of gaps so far.
+  std::uint64_t Gaps() const { return m_gaps; }
   /// Records that the entries were the newest ones of the platform at `moment`.
   void RecordProof(Common::TimePoint moment) { m_proven_at = moment; }
   /// Time since the entries were last known to be the newest ones; nullopt if they never were.
@@ -231,7 +235,7 @@
   ServerPtr FindByKey(RateLimits::ServerKey key) const;
   std::vector<ServerPtr> InPool(const PoolId& pool) const;
   bool Empty() const { return m_servers.empty(); }
-  /// Increases whenever a server is added, removed or moved to another pool.
+  /// Increases whenever a server is added, removed, or changes its pool or software version.
   std::uint64_t Revision() const { return m_revision; }
 
 private:
@@ -258,6 +262,7 @@
   std::set<Common::DataCentreId> m_evacuated;
   std::uint64_t m_revision = 1;
   std::optional<Common::TimePoint> m_proven_at;
+  std::uint64_t m_gaps = 0;
   std::function<void(const ServerPtr&)> m_on_change;
 };
 } // namespace Gateway
--- a/Source/Core/Gateway/ServerDiscovery.cpp
+++ b/Source/Core/Gateway/ServerDiscovery.cpp
@@ -21,6 +21,8 @@
 
 void ServerDiscovery::ApplySnapshot(std::vector<ServerEntry> entries, Common::TimePoint now)
 {
+  // An entry that was written and removed since the entries before is in neither.
+  m_directory.NoteGap();
   std::set<std::string> named;
   for (ServerEntry& entry : entries)
   {
@@ -47,6 +49,9 @@
 {
   const ServerPtr server = m_directory.FindLatest(instance);
   if (!server)
+  {
+    // The store tells only the latest change of an entry.
+    m_directory.NoteGap();
     return;
   if (server->IsDraining() || now >= m_grace_until)
   {
--- a/Source/Core/Gateway/VersionHistory.cpp
+++ b/Source/Core/Gateway/VersionHistory.cpp
@@ -27,10 +27,11 @@
       return now - entry.second >= StreamOrigins::RETENTION;
     });
   // While the VM was suspended, nothing was followed.
-  const bool has_gap = now - std::exchange(m_observed_at, now) > MAX_ENTRY_AGE;
+  const bool was_suspended = now - std::exchange(m_observed_at, now) > MAX_ENTRY_AGE;
+  const bool has_gap = std::exchange(m_gaps, m_servers.Gaps()) != m_servers.Gaps() || was_suspended;
   if (!IsCurrent(now) || has_gap)
     m_followed_since.reset();
-  else if (!m_followed_since)
+  if (!m_followed_since && IsCurrent(now))
     m_followed_since = now;
 }
 
@@ -41,9 +42,7 @@
 
 void VersionHistory::NoteRestored(TimePoint now)
 {
-  m_restored_at = now;
-  if (!m_followed_since && IsCurrent(now))
-    m_followed_since = now;
+  m_restored_at = std::max(m_restored_at.value_or(moment), moment);
 }
 
 std::set<SoftwareVersion> VersionHistory::Recent(const PoolId& pool, TimePoint now) const
--- a/Source/Core/Gateway/VersionHistory.h
+++ b/Source/Core/Gateway/VersionHistory.h
@@ -27,8 +27,8 @@
   void Note(const PoolId& pool, const SoftwareVersion& version, Common::TimePoint now);
   /// The versions of the pool within the retention time of streams.
   std::set<SoftwareVersion> Recent(const PoolId& pool, Common::TimePoint now) const;
-  /// Records that all versions that servers had before `now` have been noted.
-  void NoteRestored(Common::TimePoint now);
+  /// Records that all versions that servers had before `moment` have been noted.
+  void NoteRestored(Common::TimePoint moment);
   /// The versions of all pools within the retention time of streams.
   std::map<PoolId, std::set<SoftwareVersion>> AllRecent(Common::TimePoint now) const;
   /// True if any pool has recently had several versions.
@@ -51,5 +51,6 @@
   Common::TimePoint m_observed_at;
   std::optional<Common::TimePoint> m_followed_since;
   std::optional<Common::TimePoint> m_restored_at;
+  std::uint64_t m_gaps = 0;     ///< Of the directory when it was last observed.
 };
 } // namespace Gateway
