Gateway: servers that a restored copy lacks are kept until they may be back

What callers see: the store comes back from an older copy, which lacks the entry of a server that joined lately. Daemons that read it, and had not noticed the short outage because the lease holder relays the entries, removed the server at once; requests for what only it holds wait or fail until it has written its entry again.

Cause: missing entries are kept for the time in which they may be written again only after an outage that this daemon has noticed itself.

ServerDiscoveryTest::ServerThatARestoredCopyLacksIsRemovedAtOnce passes with the change; it cannot be built without it, and by reading the servers were removed in the call.

--- a/Source/Core/Gateway/ServerDiscovery.cpp
+++ b/Source/Core/Gateway/ServerDiscovery.cpp
@@ -108,3 +108,8 @@
     m_grace_until = now + REREGISTRATION_GRACE;
 }
 } // namespace Gateway
+
+void ServerDiscovery::NoteOlderCopy(Common::TimePoint now)
+{
+  m_grace_until = now + REREGISTRATION_GRACE;
+}
--- a/Source/Core/Gateway/ServerDiscovery.h
+++ b/Source/Core/Gateway/ServerDiscovery.h
@@ -28,6 +28,9 @@
   void ApplyMalformed(const InstanceId& instance);
   void NoteStoreLost();
   void NoteStoreRestored(Common::TimePoint now);
+  /// The store has come back from an older copy, as the entries that are about to be applied show:
+  /// entries that it lacks may be written again.
+  void NoteOlderCopy(Common::TimePoint now);
   /// The entries now come from a daemon that the store responds to. An outage, if this VM noticed
   /// one, has ended, and its later first response is no sign of another.
   void NoteStoreServesOthers() { m_store_unavailable = false; }
--- a/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
+++ b/Source/UnitTests/Gateway/ServerDiscoveryTest.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(ServerThatLeftDuringACutIsUsedAfterTheContactBound);
   CPPUNIT_TEST(OutagesInSeriesKeepAServerThatHasLeft);
   CPPUNIT_TEST(OutageThatEndedForOthersKeepsNoServerLater);
+  CPPUNIT_TEST(ServerThatARestoredCopyLacksIsRemovedAtOnce);
   CPPUNIT_TEST(EntryWrittenLateReplacesANewerOne);
   CPPUNIT_TEST(EntryWrittenLateReplacesANewerOneAfterItsRemoval);
   CPPUNIT_TEST(RestartedServerIsIgnoredUntilItsHeartbeatsCatchUp);
@@ -169,6 +170,21 @@
     CPPUNIT_ASSERT(!directory.Find(InstanceId("i-1")));
   }
 
+  /// The server is kept until it writes its entry again, or for as long as that may take.
+  void ServerThatARestoredCopyLacksIsRemovedAtOnce()
+  {
+    World world;
+    ServerDiscovery discovery(world.dispatcher.Servers());
+    discovery.ApplySnapshot({EntryOf("i-1"), EntryOf("i-2")}, Common::Now());
+    discovery.NoteOlderCopy(Common::Now());
+    discovery.ApplySnapshot({}, Common::Now());
+    CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.dispatcher.Servers().All().size());
+    discovery.ApplyEntry(EntryOf("i-1"));
+    RunFor(CONTACT_BOUND);
+    CPPUNIT_ASSERT(world.dispatcher.Servers().Find(InstanceId("i-1")));
+    CPPUNIT_ASSERT(!world.dispatcher.Servers().Find(InstanceId("i-2")));
+  }
+
   void OutagesInSeriesKeepAServerThatHasLeft()
   {
     ServerDirectory directory;
