StandIns: the soak restores the store, and its callers use VMs that are cut off

Until now they avoided such VMs, so that no stream was ever taken up at a VM out of step. Servers renew their entries within 1.2 s of a restore, and the operator the configuration; entries that no server renews expire.

--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -12,7 +12,9 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <iterator>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include <arpa/inet.h>
@@ -73,6 +75,8 @@
 constexpr int ROLLOUT_DRAIN_STEP = 9;
 constexpr Milliseconds ROLLOUT_DRAIN_TIME{1500};
 constexpr Milliseconds RETIRE_RETRY_INTERVAL{200};
+/// Entries in a restored copy that no server renews expire after this time.
+constexpr Milliseconds ENTRY_EXPIRY{2500};
 /// For streams to be taken up after the last fault.
 constexpr Milliseconds STREAMS_AFTER_FAULTS{2000};
 /// Signals of a series, and the pauses between them.
@@ -148,6 +152,9 @@
   void SendSurplusResponses() { m_sends_surplus_responses = true; }
   /// One VM after the other is cut off from all servers for a while.
   void CutVmsFromServers() { m_cuts_vms = true; }
+  /// The store comes back from an older copy, repeatedly. Callers use VMs that are cut off from the
+  /// store, too.
+  void RestoreStore() { m_restores_store = true; }
   /// Several faults coincide, and signals come in series, also to daemons that start or stop.
   void OverlapFaults() { m_faults_overlap = true; }
 
@@ -170,6 +177,8 @@
         DrainOrBackOffRandomServer();
       if (m_cuts_vms)
         CutRandomVm();
+      if (m_restores_store)
+        RestoreOlderCopy();
       if (m_sends_surplus_responses)
         After(DrawMs(2000, 6000), [this] {
           KillAllDaemons();
@@ -234,6 +243,8 @@
     PutConfiguration();
     if (m_uses_versions)
       UseVersionedStreams();
+    if (m_restores_store)
+      m_store.KeepCopies();
     for (std::size_t i = 0; i < m_daemons.size(); ++i)
       StartDaemon(i, store_ip);
   }
@@ -268,6 +279,7 @@
     }
     m_streams = std::make_unique<VersionedStreams>(Common::Random(m_random()), std::move(vms),
                                                    m_servers, m_checker);
+    m_streams->UseCutVms(m_restores_store);
     After(STARTUP_TIME, [this] {
       m_streams->Start();
     });
@@ -824,6 +836,37 @@
     });
   }
 
+  /// The store is away for a while and comes back from an older copy, in a row or after some time.
+  /// Servers and the operator write theirs again; entries that no server renews expire.
+  void RestoreOlderCopy()
+  {
+    if (m_stopped || Common::Now() >= m_faults_until)
+      return;
+    const auto away = DrawMs(100, 1500);
+    InjectStoreFault(StoreFault::Unavailable, away);
+    After(away, [this, age = DrawMs(1000, 8000)] {
+      m_store.Restore(age);
+      for (const auto& server : m_servers)
+        After(DrawMs(0, 1200), [target = server.get()] {
+          target->RenewEntry();
+        });
+      After(DrawMs(0, 500), [this] {
+        PutConfiguration();
+      });
+      After(ENTRY_EXPIRY, [this] {
+        std::set<std::string> instances;
+        std::ranges::transform(m_servers, std::inserter(instances, instances.end()),
+                               [](const auto& server) {
+                                 return server->Instance();
+                               });
+        m_store.RetainKeys("servers", instances);
+      });
+    });
+    After(away + DrawMs(500, 6000), [this] {
+      RestoreOlderCopy();
+    });
+  }
+
   void CutFromStore(DaemonProcess& daemon)
   {
     daemon.store_relay->SetCut(true);
@@ -947,6 +990,7 @@
   bool m_prompts_have_parts = false;
   bool m_cuts_vms = false;
   bool m_sends_surplus_responses = false;
+  bool m_restores_store = false;
   int m_crashing_request_count = 0;          ///< Number of different crashing requests.
   std::uint64_t m_requested_models = MODELS; ///< That requests use.
 };
@@ -975,7 +1019,8 @@
       "unframed-responses", "some responses of servers have neither a length nor chunks")(
       "software-versions", "servers have two versions, and callers take up streams at other VMs")(
       "cut-vms", "VMs are cut off from all servers in turn")(
-      "surplus-responses", "servers send responses twice, and reject, fail and break off requests");
+      "surplus-responses", "servers send responses twice, and reject, fail and break off requests")(
+      "restored-store", "the store comes back from an older copy, repeatedly");
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
   Common::InitLog(argv[0]);
@@ -1006,5 +1051,7 @@
     run.CutVmsFromServers();
   if (parsed.count("surplus-responses") > 0)
     run.SendSurplusResponses();
+  if (parsed.count("restored-store") > 0)
+    run.RestoreStore();
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
 }
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -176,6 +176,12 @@
   ResetInstance();
 }
 
+void StandInServer::RenewEntry()
+{
+  if (!IsDown())
+    WriteEntry();
+}
+
 void StandInServer::Drain()
 {
   m_draining = true;
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -62,6 +62,10 @@
   void EndCut();
   /// Ends for good: removes the entry, resets all connections and refuses new ones.
   void Retire();
+  /// Writes its entry again, which the store has lost.
+  void RenewEntry();
+  /// The key of its entry.
+  const std::string& Instance() const { return m_instance; }
   /// True if it takes requests and its entry says so.
   bool IsReady() const { return m_listener && !m_draining; }
   /// True if it is ready and serves all requests as they come.
--- a/Source/StandIns/Soak/StandInStore.cpp
+++ b/Source/StandIns/Soak/StandInStore.cpp
@@ -3,7 +3,9 @@
 
 #include "StandIns/Soak/StandInStore.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 #include <glib.h>
 
@@ -19,6 +21,9 @@
 /// With StoreFault::LoseResponses, one in so many writes gets no response.
 constexpr std::uint64_t LOSE_ONE_IN = 3;
 
+constexpr Common::Milliseconds COPY_INTERVAL{250};
+constexpr Common::Milliseconds MAX_COPY_AGE{9000};
+
 std::string QueryValue(const std::string& target, const std::string& name)
 {
   const auto at = target.find(name + "=");
@@ -98,6 +103,44 @@
     feed.connection->Respond(410, "Gone", {}, "");
 }
 
+void StandInStore::KeepCopies()
+{
+  const auto now = Common::Now();
+  std::erase_if(m_copies, [now](const Copy& copy) {
+    return now - copy.at > MAX_COPY_AGE;
+  });
+  m_copies.push_back({now, m_tables, m_version});
+  m_copy_timer.Start(COPY_INTERVAL, [this] {
+    KeepCopies();
+  });
+}
+
+void StandInStore::Restore(Common::Milliseconds age)
+{
+  const auto oldest = Common::Now() - age;
+  const auto copy = std::ranges::find_if(m_copies, [oldest](const Copy& candidate) {
+    return candidate.at >= oldest;
+  });
+  if (copy == m_copies.end())
+    return;
+  m_tables = copy->tables;
+  m_version = copy->version;
+  m_copies.erase(copy, m_copies.end());
+  ++m_era;
+  DropHistory();
+}
+
+void StandInStore::RetainKeys(const std::string& table, const std::set<std::string>& keys)
+{
+  std::vector<std::string> others;
+  for (const auto& [key, row] : m_tables[table])
+    if (!row.removed && !keys.contains(key))
+      others.push_back(key);
+  std::ranges::for_each(others, [&](const std::string& key) {
+    Remove(table, key);
+  });
+}
+
 void StandInStore::OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
                              Http::ReceivedRequest request)
 {
@@ -135,7 +178,8 @@
 {
   body["ver"] = m_version;
   body["nowMs"] = NowMs();
-  connection->Respond(status, Http::ReasonPhrase(status), {{"Content-Type", "application/json"}},
+  connection->Respond(status, Http::ReasonPhrase(status),
+                      {{"Content-Type", "application/json"}, {"Store-Era", std::to_string(m_era)}},
                       Common::DumpJson(body));
 }
 
@@ -169,9 +213,9 @@
 void StandInStore::Feed(const std::shared_ptr<Http::ServerConnection>& connection,
                         const std::string& table, std::int64_t after, Common::Milliseconds wait)
 {
-  if (after < m_history_start)
+  if (after < m_history_start || after > m_version)
   {
-    connection->Respond(410, "Gone", {}, "");
+    connection->Respond(410, "Gone", {{"Store-Era", std::to_string(m_era)}}, "");
     return;
   }
   if (RespondToFeed(connection, table, after))
--- a/Source/StandIns/Soak/StandInStore.h
+++ b/Source/StandIns/Soak/StandInStore.h
@@ -7,6 +7,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "Common/Json.h"
@@ -40,6 +41,13 @@
   /// status 410.
   void DropHistory();
 
+  /// From now on, keeps copies of all tables for Restore().
+  void KeepCopies();
+  /// Comes back, in a new era, from the oldest copy that is at most this old.
+  void Restore(Common::Milliseconds age);
+  /// Removes the rows of the table with other keys.
+  void RetainKeys(const std::string& table, const std::set<std::string>& keys);
+
   void OnRequest(const std::shared_ptr<Http::ServerConnection>& connection,
                  Http::ReceivedRequest request) override;
   const Http::ServerLimits& Limits() const override { return m_limits; }
@@ -52,6 +60,13 @@
     std::int64_t version = 0;
     bool removed = false;
   };
+  using Tables = std::map<std::string, std::map<std::string, Row>>;
+  struct Copy
+  {
+    Common::TimePoint at;
+    Tables tables;
+    std::int64_t version = 0;
+  };
   /// A feed without changes so far.
   struct PendingFeed
   {
@@ -78,8 +93,11 @@
   Http::TcpListener m_listener;
   Http::ServerLimits m_limits;
   std::map<Http::ServerConnection*, std::shared_ptr<Http::ServerConnection>> m_connections;
-  std::map<std::string, std::map<std::string, Row>> m_tables;
+  Tables m_tables;
   std::int64_t m_version = 1;
+  std::int64_t m_era = 0;
+  std::deque<Copy> m_copies; ///< Oldest first.
+  Common::OwnedTimer m_copy_timer;
   std::int64_t m_history_start = 0;
   std::list<PendingFeed> m_pending_feeds;
   StoreFault m_fault = StoreFault::None;
--- a/Source/StandIns/Soak/VersionedStreams.cpp
+++ b/Source/StandIns/Soak/VersionedStreams.cpp
@@ -72,7 +72,8 @@
 {
   std::vector<std::size_t> in_touch;
   for (std::size_t i = 0; i < m_vms.size(); ++i)
-    if (m_vms[i].ready && std::max(m_vms[i].suspended_until, m_vms[i].cut_until) <= Common::Now())
+    if (m_vms[i].ready && m_vms[i].suspended_until <= Common::Now() &&
+        (m_uses_cut_vms || m_vms[i].cut_until <= Common::Now()))
       in_touch.push_back(i);
   if (in_touch.empty())
     return std::nullopt;
--- a/Source/StandIns/Soak/VersionedStreams.h
+++ b/Source/StandIns/Soak/VersionedStreams.h
@@ -45,6 +45,8 @@
   void Stop(const std::string& log_directory);
 
   /// The process of the VM ends now.
+  /// Callers also use VMs that are cut off from the store.
+  void UseCutVms(bool use) { m_uses_cut_vms = use; }
   void RecordEnd(std::size_t vm);
   /// The process of the VM has been started; the VM is in touch once it reports that it is ready.
   void RecordLaunch(std::size_t vm);
@@ -58,6 +60,7 @@
 
   Common::Random m_random;
   std::vector<Vm> m_vms;
+  bool m_uses_cut_vms = false;
   const Servers& m_servers;
   InvariantChecker& m_invariants;
   ResumedStreams::ResumptionChecker m_checker;
