Gateway, Orders, Fleet: a version is the only one if that is known since the request came

Cause: a stream of which nobody knows the origin goes on at the only version there has been. For that, entries of the servers counted as the newest for 1.5 s after their last proof. Nothing tells a daemon within that time that it is cut off, and that servers of another version have joined.

StreamOriginsTest: both new tests of mixed versions failed, also for a caller that names no request.

A daemon that needs a proof reads the changes of the entries from the store beside its other calls, at most 100 such calls a second of all daemons together, or waits for the holder's next proof. What other daemons know of versions counts only if this one has followed the entries since before. A daemon that had lost touch reads the row of versions again before it replies that it does not know a stream. A stream of known version is not refused for want of servers while newer entries are on their way. stream-resumed states the age of the entries.

OriginArchiveTest::VersionsBeforeALossOfTouchAreTakenForAll fails on the code before.

--- a/Source/Core/Fleet/SharedTables.h
+++ b/Source/Core/Fleet/SharedTables.h
@@ -50,6 +50,8 @@
   std::function<std::optional<Common::TimePoint>()> proven_at;
   /// Reports that the holder's copy, which equals this one, was the newest version at that time.
   std::function<void(Common::TimePoint)> apply_relayed_proof;
+  /// Reads from the platform whether this copy is the newest version.
+  std::function<void()> prove;
   std::function<bool(std::int64_t, std::int64_t, const std::vector<RowChange>&)> apply_relayed;
   std::function<void(bool, DirectReadReason)> set_relayed;
   std::function<void(Common::Milliseconds)> set_wait;
--- a/Source/Core/Fleet/TableFollower.h
+++ b/Source/Core/Fleet/TableFollower.h
@@ -125,6 +125,20 @@
       RecordProof(moment);
   }
 
+  /// Reads from the source, beside any other call, whether this copy is the newest version, and
+  /// applies the changes since.
+  void Prove()
+  {
+    if (!m_have_snapshot || std::exchange(m_proving, true))
+      return;
+    m_source.Follow(m_table, m_version, Common::Milliseconds(0),
+                    [this, requested_at = Common::Now()](Common::Result<TableRows> changes) {
+                      m_proving = false;
+                      if (changes && m_have_snapshot)
+                        ApplyProof(*changes, requested_at);
+                    });
+  }
+
   /// Sets how long the source may hold a call that waits for changes. The daemon that relays its
   /// copy to others uses a shorter wait, so that the copy is never out of date.
   void SetWait(Common::Milliseconds wait) { m_wait = wait; }
@@ -337,9 +351,7 @@
     }
     OnResponse();
     const bool had_changes = !changes->rows.empty();
-    Apply(changes->rows, changes->version);
-    if (!changes->more)
-      RecordProof(requested_at);
+    ApplyProof(*changes, requested_at);
     if (!had_changes || m_batch_delay <= Common::Milliseconds(0))
     {
       FollowUnlessRelayed();
@@ -350,6 +362,14 @@
     });
   }
 
+  /// Applies a response to a call for the changes, and the proof that it is if it has all of them.
+  void ApplyProof(const TableRows& changes, Common::TimePoint requested_at)
+  {
+    Apply(changes.rows, changes.version);
+    if (!changes.more)
+      RecordProof(requested_at);
+  }
+
   void Apply(const std::vector<TableRow>& rows, std::int64_t to)
   {
     const std::int64_t before = m_version;
@@ -442,6 +462,7 @@
   bool m_have_snapshot = false;
   bool m_relayed = false;
   bool m_calling = false;
+  bool m_proving = false;
   bool m_lost = false;
   Common::TimePoint m_called_at;  ///< When the latest call was made.
   Common::TimePoint m_lost_since; ///< When the source last stopped responding.
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -254,9 +254,18 @@
   void LearnNoOrigin(StreamKey stream, const OriginEvidence& evidence);
   /// True if other daemons or the store may know of versions that this daemon has not seen.
   bool MayLackVersions() const { return static_cast<bool>(m_on_origin_query); }
-  /// All versions that servers had before `now` have been noted: requests that wait for the origins
-  /// of their streams may go on.
-  void NoteVersionsRestored(Common::TimePoint now);
+  /// All versions that servers had before `moment` have been noted: requests that wait for the
+  /// origins of their streams may go on.
+  void NoteVersionsRestored(Common::TimePoint moment);
+  /// The servers' entries were the newest ones at `moment`: requests that arrived before, and wait
+  /// for that, go on.
+  void NoteEntriesProven(Common::TimePoint moment);
+  /// Called when a request depends on entries that were the newest ones at its arrival or later.
+  void OnProofAwaited(std::function<void()> callback) { m_on_proof_awaited = std::move(callback); }
+  /// Calls `relay` back after the next proof.
+  void AwaitProof(const std::shared_ptr<Relay>& relay);
+  /// True if requests may wait for a proof.
+  bool AwaitsProof() const;
   /// Records that a server of the pool with this version has begun a stream or continues it.
   /// `known`: the origin, if the stream was resumed.
   void NoteStream(StreamKey stream, const PoolId& pool, const SoftwareVersion& version,
@@ -455,6 +464,9 @@
   /// The requests that wait for the origin of a stream.
   std::multimap<StreamKey, std::weak_ptr<Relay>> m_awaiting_origin;
   std::function<void(StreamKey)> m_on_stream_noted;
+  /// The requests that wait for a proof of the servers' entries.
+  std::set<std::weak_ptr<Relay>, std::owner_less<std::weak_ptr<Relay>>> m_awaiting_proof;
+  std::function<void()> m_on_proof_awaited;
   int m_daemons = 1;
   Common::OwnedTimer m_silence_timer;
   CrashDetector m_crash_detector{m_servers};
--- a/Source/Core/Gateway/DispatcherStreams.cpp
+++ b/Source/Core/Gateway/DispatcherStreams.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <iterator>
 #include <ranges>
+#include <utility>
 
 namespace Gateway
 {
@@ -66,9 +67,35 @@
     relay->LearnNoOrigin(evidence);
 }
 
-void Dispatcher::NoteVersionsRestored(Common::TimePoint now)
+void Dispatcher::AwaitProof(const std::shared_ptr<Relay>& relay)
 {
-  m_versions.NoteRestored(now);
+  m_awaiting_proof.insert(relay);
+  if (m_on_proof_awaited)
+    m_on_proof_awaited();
+}
+
+bool Dispatcher::AwaitsProof() const
+{
+  return std::ranges::any_of(m_awaiting_proof, [](const std::weak_ptr<Relay>& waiting) {
+    return !waiting.expired();
+  });
+}
+
+void Dispatcher::NoteEntriesProven(Common::TimePoint moment)
+{
+  const auto now = Common::Now();
+  // Before, since this proof would hide that there was none for a while.
+  m_versions.Observe(now);
+  m_servers.RecordProof(moment);
+  m_versions.Observe(now);
+  for (const auto& waiting : std::exchange(m_awaiting_proof, {}))
+    if (const auto relay = waiting.lock())
+      relay->RecheckProof();
+}
+
+void Dispatcher::NoteVersionsRestored(Common::TimePoint moment)
+{
+  m_versions.NoteRestored(moment);
   std::vector<std::shared_ptr<Relay>> relays;
   std::ranges::copy(m_relays | std::views::values, std::back_inserter(relays));
   std::ranges::for_each(relays, [](const auto& relay) {
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -161,6 +161,8 @@
   /// Goes on if the request waits for the origin of its stream, and the versions that the servers
   /// have had are known now and are only one.
   void RecheckOrigin();
+  /// Goes on if the request waits for what the servers' newest entries show.
+  void RecheckProof();
   Crashes::RequestIdentity Identity() const;
 
   /// Ends the request if it is blocked because servers crashed while they ran it, unless a server
@@ -213,9 +215,12 @@
   /// Does the same with the only version that the pool's servers have had, and returns true.
   /// Returns false if they had several, or may have had others that are not known here.
   bool BindToOnlyVersion();
-  /// True if some daemon that replied, or this one, knows all versions that the pool has had, or no
-  /// other one could.
+  /// True if this daemon, perhaps together with one that replied, knows all versions that the pool
+  /// has had, or no other one could.
   bool IsHistoryKnown() const;
+  /// True if no server that was listed when the request arrived is missing here. Otherwise the
+  /// request is called back after the next proof. Without other daemons, nothing can be missing.
+  bool KnowsServersAtArrival();
   /// The versions that the pools of the route have had.
   std::set<SoftwareVersion> RecentVersions() const;
   void AwaitOriginUntilExpiry();
@@ -286,6 +291,9 @@
   void WaitForServer();
   /// Ends the request and returns true if it cannot be served before its caller disconnects.
   bool RefuseEarly();
+  /// True if the request continues a stream, no known server may continue it, and entries newer
+  /// than the request, which are on their way, may show one. It is called back once they are here.
+  bool AwaitsNewerEntries();
   /// Ends the request and returns true if it continues a stream that no server may continue any
   /// more.
   bool EndIfVersionIsGone();
--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -60,11 +60,10 @@
   if (m_resumes.empty() || !m_dispatcher.QueryOrigin(m_stream, m_pool, shared_from_this()))
   {
     // No other daemon can be asked, so that the versions known here decide.
-    m_origin_evidence.is_current = true;
     m_origin_evidence.is_complete = true;
     if (BindToOnlyVersion())
       ContinueWithOrigin();
-    else if (IsHistoryKnown() || RecentVersions().size() != 1)
+    else if (RecentVersions().size() != 1)
       RefuseUnknownOrigin();
     else
       AwaitOriginUntilExpiry();
@@ -93,6 +92,14 @@
     ContinueWithOrigin();
 }
 
+void Relay::RecheckProof()
+{
+  const auto guard = shared_from_this();
+  RecheckOrigin();
+  if (m_waiting && !m_done)
+    EndIfVersionIsGone();
+}
+
 void Relay::BindToOrigin(const StreamOrigins::Entry& entry, OriginSource source)
 {
   m_origin = entry.origin;
@@ -103,9 +110,19 @@
 
 bool Relay::IsHistoryKnown() const
 {
+  const VersionHistory& history = m_dispatcher.Versions();
   // Other daemons reply for one pool.
-  return (m_origin_evidence.has_history && m_route.pools.size() == 1) ||
-         !m_dispatcher.MayLackVersions() || m_dispatcher.Versions().IsComplete(Common::Now());
+  return (m_origin_evidence.has_history && m_route.pools.size() == 1 &&
+          history.Continues(m_arrived)) ||
+         !m_dispatcher.MayLackVersions() || history.IsComplete(Common::Now());
+}
+
+bool Relay::KnowsServersAtArrival()
+{
+  if (!m_dispatcher.MayLackVersions() || m_dispatcher.Versions().IsProvenSince(m_arrived))
+    return true;
+  m_dispatcher.AwaitProof(shared_from_this());
+  return false;
 }
 
 std::set<SoftwareVersion> Relay::RecentVersions() const
@@ -118,16 +135,13 @@
 
 bool Relay::BindToOnlyVersion()
 {
-  const auto now = Common::Now();
-  const VersionHistory& history = m_dispatcher.Versions();
   // The stream may have begun in any pool of the route.
   const std::set<SoftwareVersion> known = RecentVersions();
-  if (known.size() != 1 || !IsHistoryKnown() ||
-      !(m_origin_evidence.is_current || history.IsCurrent(now)))
+  if (known.size() != 1)
     return false;
   std::set<VersionKey> versions = m_origin_evidence.versions;
   versions.insert(KeyOf(m_pool, *known.begin()));
-  if (versions.size() != 1)
+  if (versions.size() != 1 || !KnowsServersAtArrival() || !IsHistoryKnown())
     return false;
   m_origin_source = OriginSource::OnlyVersion;
   m_stream_version = *versions.begin();
@@ -198,6 +212,7 @@
        {"age_ms", age.count()},
        {"asked", m_origin_evidence.asked},
        {"replies", m_origin_evidence.replies},
+       {"entries_age_ms", m_dispatcher.Servers().Age(now).value_or(Milliseconds(-1)).count()},
        {"ms", std::chrono::floor<Milliseconds>(now - m_arrived).count()}});
 }
 
--- a/Source/Core/Gateway/RelayWaiting.cpp
+++ b/Source/Core/Gateway/RelayWaiting.cpp
@@ -73,8 +73,16 @@
   return std::max(std::min(until_deadline, m_idle_timeout - elapsed), Milliseconds(0));
 }
 
+bool Relay::AwaitsNewerEntries()
+{
+  return IsBoundToVersion() && m_dispatcher.Versions().IsCurrent(Common::Now()) &&
+         m_dispatcher.CheckNoServerAllowed(*this) && !KnowsServersAtArrival();
+}
+
 bool Relay::RefuseEarly()
 {
+  if (AwaitsNewerEntries())
+    return false;
   const auto refusal =
       m_dispatcher.CheckEarlyRefusal(*this, m_idle_timeout, WaitLeft(Common::Now()));
   if (!refusal)
@@ -101,7 +109,7 @@
   if (!IsBoundToVersion())
     return false;
   const auto refusal = m_dispatcher.CheckNoServerAllowed(*this);
-  if (!refusal)
+  if (!refusal || AwaitsNewerEntries())
     return false;
   if (m_may_have_run)
   {
--- a/Source/Core/Gateway/ServerDirectory.h
+++ b/Source/Core/Gateway/ServerDirectory.h
@@ -225,6 +225,7 @@
   std::uint64_t Gaps() const { return m_gaps; }
   /// Records that the entries were the newest ones of the platform at `moment`.
   void RecordProof(Common::TimePoint moment) { m_proven_at = moment; }
+  const std::optional<Common::TimePoint>& ProvenAt() const { return m_proven_at; }
   /// Time since the entries were last known to be the newest ones; nullopt if they never were.
   std::optional<Common::Milliseconds> Age(Common::TimePoint now) const;
 
@@ -261,8 +262,8 @@
   Common::Milliseconds m_drain_grace{0};
   std::set<Common::DataCentreId> m_evacuated;
   std::uint64_t m_revision = 1;
-  std::optional<Common::TimePoint> m_proven_at;
   std::uint64_t m_gaps = 0;
+  std::optional<Common::TimePoint> m_proven_at;
   std::function<void(const ServerPtr&)> m_on_change;
 };
 } // namespace Gateway
--- a/Source/Core/Gateway/ServerDiscovery.cpp
+++ b/Source/Core/Gateway/ServerDiscovery.cpp
@@ -53,6 +53,7 @@
     // The store tells only the latest change of an entry.
     m_directory.NoteGap();
     return;
+  }
   if (server->IsDraining() || now >= m_grace_until)
   {
     m_directory.Remove(server->Entry().instance);
@@ -107,9 +108,9 @@
   if (std::exchange(m_store_unavailable, false))
     m_grace_until = now + REREGISTRATION_GRACE;
 }
-} // namespace Gateway
 
 void ServerDiscovery::NoteOlderCopy(Common::TimePoint now)
 {
   m_grace_until = now + REREGISTRATION_GRACE;
 }
+} // namespace Gateway
--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -51,11 +51,10 @@
 {
   int asked = 0;
   int replies = 0;
-  /// A daemon that replied has followed the servers' entries for the whole retention time.
+  /// A daemon that replied knew all versions of the pool at that time, but for the newest entries.
   bool has_history = false;
   /// The versions that the stream's pool has had within the retention time of streams.
   std::set<VersionKey> versions;
-  bool is_current = false;  ///< At least one daemon knows the newest entries of the servers.
   bool is_complete = false; ///< All daemons that were asked have replied.
 };
 
--- a/Source/Core/Gateway/VersionHistory.cpp
+++ b/Source/Core/Gateway/VersionHistory.cpp
@@ -40,7 +40,7 @@
   m_last_seen[pool][version] = now;
 }
 
-void VersionHistory::NoteRestored(TimePoint now)
+void VersionHistory::NoteRestored(TimePoint moment)
 {
   m_restored_at = std::max(m_restored_at.value_or(moment), moment);
 }
@@ -83,6 +83,16 @@
   return age && *age <= MAX_ENTRY_AGE;
 }
 
+bool VersionHistory::IsProvenSince(TimePoint moment) const
+{
+  return m_servers.ProvenAt().value_or(TimePoint::min()) >= moment;
+}
+
+bool VersionHistory::Continues(TimePoint moment) const
+{
+  return m_followed_since && *m_followed_since <= moment - MAX_ENTRY_AGE;
+}
+
 bool VersionHistory::IsComplete(TimePoint now) const
 {
   if (!IsCurrent(now) || !m_followed_since)
--- a/Source/Core/Gateway/VersionHistory.h
+++ b/Source/Core/Gateway/VersionHistory.h
@@ -33,11 +33,16 @@
   std::map<PoolId, std::set<SoftwareVersion>> AllRecent(Common::TimePoint now) const;
   /// True if any pool has recently had several versions.
   bool HasSeveralVersions(Common::TimePoint now) const;
-  /// False while the entries may be so old that servers with other versions are missing.
+  /// False while the entries are so old that servers with other versions are likely to be missing.
   bool IsCurrent(Common::TimePoint now) const;
+  /// True if no server that was listed at `moment` is missing.
+  bool IsProvenSince(Common::TimePoint moment) const;
   /// True if Recent() has all versions: the entries have been followed without a gap for the
   /// retention time of streams, or since the versions before were restored.
   bool IsComplete(Common::TimePoint now) const;
+  /// True if Recent(), together with all versions that another daemon knew at `moment` while its
+  /// IsComplete() was true, has all versions.
+  bool Continues(Common::TimePoint moment) const;
 
 private:
   /// With a longer time since the entries were known to be the newest, other versions may have been
@@ -46,11 +51,11 @@
 
   const ServerDirectory& m_servers;
   std::uint64_t m_revision = 0; ///< Of the directory when `m_current` was derived from it.
+  std::uint64_t m_gaps = 0;     ///< Of the directory when it was last observed.
   std::map<PoolId, std::set<SoftwareVersion>> m_current;
   std::map<PoolId, std::map<SoftwareVersion, Common::TimePoint>> m_last_seen;
   Common::TimePoint m_observed_at;
   std::optional<Common::TimePoint> m_followed_since;
   std::optional<Common::TimePoint> m_restored_at;
-  std::uint64_t m_gaps = 0;     ///< Of the directory when it was last observed.
 };
 } // namespace Gateway
--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -234,6 +234,9 @@
     access.apply_relayed_proof = [&follower](Common::TimePoint moment) {
       follower.ApplyRelayedProof(moment);
     };
+    access.prove = [&follower] {
+      follower.Prove();
+    };
     access.apply_relayed = [&follower](std::int64_t from, std::int64_t to,
                                        const std::vector<Fleet::RowChange>& rows) {
       return follower.ApplyRelayed(from, to, rows);
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -70,6 +70,12 @@
 constexpr Milliseconds HOLDER_BATCH_DELAY{25};
 constexpr Milliseconds FOLLOWER_BATCH_DELAY{250};
 constexpr Milliseconds CHECK_INTERVAL{100};
+/// Interval at which a daemon reads whether its servers' entries are the newest ones, while
+/// requests wait for that. It grows with the number of daemons, so that all together make a bounded
+/// number of calls.
+constexpr Milliseconds PROOF_INTERVAL_PER_DAEMON{10};
+/// A call that has brought no proof is repeated after this time.
+constexpr Milliseconds PROOF_RETRY_DELAY{300};
 /// How often a daemon without tables checks whether it should read them itself.
 constexpr Milliseconds JOIN_INTERVAL{20};
 /// How long the holder waits for its tables to fill up before it hands over copies, and how often
@@ -137,6 +143,9 @@
   m_permits.SetPermission([this] {
     return m_own_lease && Common::Now() < m_own_lease_until;
   });
+  m_dispatcher.OnProofAwaited([this] {
+    ScheduleProof();
+  });
   m_dispatcher.OnPermitDemand([this] {
     m_permits.SchedulePermitRequest();
     if (m_dispatcher.Limited().Registry().Revision() != m_limits_announced ||
@@ -263,6 +272,23 @@
   });
 }
 
+void Hub::ScheduleProof()
+{
+  const auto servers = static_cast<std::size_t>(SharedTable::Servers);
+  if (m_proof_timer.Running() || m_tables.size() <= servers)
+    return;
+  const auto next_at = m_proof_requested_at + PROOF_INTERVAL_PER_DAEMON * m_daemons.Get();
+  const auto delay = std::chrono::ceil<Milliseconds>(next_at - Common::Now());
+  m_proof_timer.Start(std::max(delay, Milliseconds(0)), [this, servers] {
+    m_proof_requested_at = Common::Now();
+    m_tables[servers].prove();
+    m_proof_retry_timer.Start(PROOF_RETRY_DELAY, [this] {
+      if (m_dispatcher.AwaitsProof())
+        ScheduleProof();
+    });
+  });
+}
+
 void Hub::ScheduleAnnouncement()
 {
   if (!m_own_lease || m_announce_timer.Running())
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -138,6 +138,9 @@
   /// `written_after`: a lower bound of the time at which the holder wrote the report.
   void OnHolderReport(const HolderReport& report, const Http::Endpoint& from,
                       std::optional<Common::TimePoint> written_after);
+  /// Reads from the platform soon whether the servers' entries here are the newest ones, and again
+  /// while requests wait for that.
+  void ScheduleProof();
   /// Derives the lower bound from the holder's echo of a report of this daemon.
   std::optional<Common::TimePoint> EarliestWriteTime(const std::vector<HolderReply>& replies) const;
   HolderReply ReplyTo(const Common::VmId& vm, const Peer& peer, Common::TimePoint now) const;
@@ -252,6 +255,9 @@
   bool m_copies_pending = false; ///< As last announced by the holder.
   /// At the holder: when its tables began to fill up.
   std::optional<Common::TimePoint> m_filling_since;
+  Common::TimePoint m_proof_requested_at;
+  Common::OwnedTimer m_proof_timer;
+  Common::OwnedTimer m_proof_retry_timer;
   Common::OwnedTimer m_join_timer;
   Common::OwnedTimer m_handover_timer;
   DaemonCount m_daemons;
--- a/Source/Core/Orders/OriginArchive.cpp
+++ b/Source/Core/Orders/OriginArchive.cpp
@@ -105,7 +105,9 @@
   if (!m_access.read)
     return;
   m_daemons = std::max<std::size_t>(daemons, 1);
-  const Gateway::VersionHistory& history = m_dispatcher.Versions();
+  Gateway::VersionHistory& history = m_dispatcher.Versions();
+  // Before the row is read: what it holds counts only for entries that have been followed since.
+  history.Observe(now);
   const bool may_call = !m_versions_call_pending && now >= m_next_versions_call;
   const bool lacks_history =
       history.IsCurrent(now) && !history.IsComplete(now) && now >= m_next_versions_read;
@@ -126,16 +128,17 @@
 {
   m_versions_call_pending = true;
   m_access.read(VERSIONS_KEY, std::string(VERSIONS_KEY) + "0",
-                [this](Common::Result<Fleet::TableRows> rows) {
+                [this, requested_at = Common::Now()](Common::Result<Fleet::TableRows> rows) {
                   m_versions_call_pending = false;
+                  m_versions_unreadable = !rows;
                   if (rows)
-                    OnVersions(*rows);
+                    OnVersions(*rows, requested_at);
                   else
                     Fail("versions-read", rows.Reason());
                 });
 }
 
-void OriginArchive::OnVersions(const Fleet::TableRows& rows)
+void OriginArchive::OnVersions(const Fleet::TableRows& rows, TimePoint requested_at)
 {
   m_has_versions = true;
   m_versions_row = 0;
@@ -148,6 +151,7 @@
     const auto archived = Daemons::Decode<ArchivedVersions>(row->value);
     if (!archived)
     {
+      m_versions_unreadable = true;
       // The holder writes the row again.
       Fail("versions-decode", archived.Reason());
       return;
@@ -160,7 +164,7 @@
   });
   m_next_versions_read = now + MIN_READ_INTERVAL;
   m_versions_restored = true;
-  m_dispatcher.NoteVersionsRestored(now);
+  m_dispatcher.NoteVersionsRestored(requested_at);
   RestoreAwaited(now);
 }
 
@@ -254,7 +258,10 @@
 bool OriginArchive::KnowsVersions(TimePoint now) const
 {
   const Gateway::VersionHistory& history = m_dispatcher.Versions();
-  return m_versions_restored || history.HasSeveralVersions(now) || history.IsComplete(now);
+  if (history.HasSeveralVersions(now) || history.IsComplete(now))
+    return true;
+  // Without touch the row is not read. What this daemon replies then is no evidence.
+  return m_versions_restored && (m_versions_unreadable || !history.IsCurrent(now));
 }
 
 bool OriginArchive::MustRestore(OriginShard shard, TimePoint now) const
--- a/Source/Core/Orders/OriginArchive.h
+++ b/Source/Core/Orders/OriginArchive.h
@@ -189,10 +189,12 @@
   };
 
   void ReadVersions();
-  void OnVersions(const Fleet::TableRows& rows);
+  /// `requested_at`: when the row was requested.
+  void OnVersions(const Fleet::TableRows& rows, Common::TimePoint requested_at);
   void WriteVersions(const std::vector<ArchivedVersion>& versions);
   std::vector<ArchivedVersion> RecentVersions(Common::TimePoint now) const;
-  /// False while versions that servers had before this daemon started may be missing here.
+  /// False while versions that servers had before this daemon started, or while it was out of touch
+  /// with the entries, may be missing here and the row is about to be read.
   bool KnowsVersions(Common::TimePoint now) const;
   /// Goes on with the shards that wait for the versions, if those are known.
   void RestoreAwaited(Common::TimePoint now);
@@ -218,6 +220,7 @@
   std::int64_t m_versions_row = 0;
   std::vector<ArchivedVersion> m_versions; ///< As in the row.
   bool m_versions_restored = false;        ///< The row has been read at least once.
+  bool m_versions_unreadable = false;      ///< The latest read of the row failed.
   bool m_versions_call_pending = false;
   Common::TimePoint m_next_versions_call;
   Common::TimePoint m_next_versions_read;
--- a/Source/Core/Orders/OriginExchange.cpp
+++ b/Source/Core/Orders/OriginExchange.cpp
@@ -473,7 +473,6 @@
     return;
   }
   evidence.versions.insert(reply.versions.begin(), reply.versions.end());
-  evidence.is_current = evidence.is_current || reply.is_current;
   evidence.has_history = evidence.has_history || reply.has_history;
   if (query.unanswered.empty())
     ChooseDaemons(query);
--- a/Source/Core/Orders/OriginMessages.h
+++ b/Source/Core/Orders/OriginMessages.h
@@ -72,6 +72,7 @@
   std::vector<OriginCopy> origin; ///< At most one.
   /// If the origin is not known: see `Gateway::OriginEvidence`.
   std::vector<Gateway::VersionKey> versions;
+  /// The sender's entries are likely to be the newest ones. Read by earlier releases only.
   bool is_current = false;
   bool has_history = false;
 
--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -53,6 +53,11 @@
   CPPUNIT_TEST(VersionBeforeTheStartOfTheDaemonIsMixedIn);
   CPPUNIT_TEST(VersionBeforeTheStartOfAllThatReplyIsMixedIn);
   CPPUNIT_TEST(VersionThatAppearedMeanwhileIsMixedIn);
+  CPPUNIT_TEST(VersionThatAppearedDuringACutIsMixedIn);
+  CPPUNIT_TEST(VersionThatAppearedDuringACutIsMixedInWithoutAReference);
+  CPPUNIT_TEST(StreamOfTheOnlyVersionIsRefusedThoughThatCanBeProven);
+  CPPUNIT_TEST(StreamIsRefusedWhileTheEntriesOfItsVersionAreOnTheWay);
+  CPPUNIT_TEST(StreamOfAVersionThatHasGoneWaits);
   CPPUNIT_TEST(VersionThatOnlyOneOtherDaemonKnowsIsMixedIn);
   CPPUNIT_TEST(VersionThatAppearsWhileNoneIsKnownIsMixedIn);
   CPPUNIT_TEST_SUITE_END();
@@ -214,6 +219,96 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
   }
 
+  /// This VM has known all versions, and was cut off a second ago: from the store, so that it has
+  /// not learnt of version "b", and from the daemon through which the stream began there.
+  void VersionThatAppearedDuringACutIsMixedIn()
+  {
+    TestServer server(Complete);
+    RelayWorld world;
+    FollowUntil(world, server, Common::Now() - Milliseconds(1000));
+    world.dispatcher.OnOriginQuery([](StreamKey, const PoolId&) {});
+    const auto caller = Resume(world);
+    RunFor(Milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
+  }
+
+  /// The same for a caller that does not name the request that began the stream.
+  void VersionThatAppearedDuringACutIsMixedInWithoutAReference()
+  {
+    TestServer server(Complete);
+    RelayWorld world;
+    FollowUntil(world, server, Common::Now() - Milliseconds(1000));
+    world.dispatcher.OnOriginQuery([](StreamKey, const PoolId&) {});
+    const auto caller = Resume(world, "");
+    RunFor(Milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
+  }
+
+  /// The entries can be read as soon as a stream that was taken up depends on them.
+  void StreamOfTheOnlyVersionIsRefusedThoughThatCanBeProven()
+  {
+    for (const std::string resumes : {"Resumes: id-elsewhere\r\n", ""})
+    {
+      TestServer server(Complete);
+      RelayWorld world;
+      FollowUntil(world, server, Common::Now() - Milliseconds(1000));
+      world.dispatcher.OnOriginQuery([&](StreamKey stream, const PoolId&) {
+        OriginEvidence nobody_knows;
+        nobody_knows.is_complete = true;
+        world.dispatcher.LearnNoOrigin(stream, nobody_knows);
+      });
+      world.dispatcher.OnProofAwaited([&] {
+        Common::Reactor::Get().After(Milliseconds(5), [&, sent_at = Common::Now()] {
+          world.dispatcher.NoteEntriesProven(sent_at);
+        });
+      });
+      const auto caller = Resume(world, resumes);
+      CPPUNIT_ASSERT(UnitTests::RunUntil(
+          [&] {
+            return server.requests.size() == 1;
+          },
+          Milliseconds(100)));
+    }
+  }
+
+  /// Another daemon knows that the stream began at version "b", whose servers this VM has not
+  /// learnt of.
+  void StreamIsRefusedWhileTheEntriesOfItsVersionAreOnTheWay()
+  {
+    TestServer old_server(Complete);
+    TestServer new_server(Complete);
+    RelayWorld world;
+    FollowUntil(world, old_server, Common::Now() - Milliseconds(200));
+    AnswerWithVersion(world, "b");
+    const auto caller = Resume(world);
+    RunFor(Milliseconds(100));
+    world.AddServer("i-2", new_server.Address(), {}, "b");
+    world.dispatcher.NoteEntriesProven(Common::Now());
+    CPPUNIT_ASSERT(UnitTests::RunUntil([&] {
+      return caller->received.find(UnitTests::Event(2)) != std::string::npos;
+    }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), old_server.requests.size());
+  }
+
+  /// The newest entries show that no server has the stream's version.
+  void StreamOfAVersionThatHasGoneWaits()
+  {
+    TestServer server(Complete);
+    RelayWorld world;
+    FollowUntil(world, server, Common::Now() - Milliseconds(200));
+    AnswerWithVersion(world, "b");
+    const auto caller = Resume(world);
+    RunFor(Milliseconds(100));
+    CPPUNIT_ASSERT(caller->received.empty());
+    world.dispatcher.NoteEntriesProven(Common::Now());
+    CPPUNIT_ASSERT(UnitTests::RunUntil(
+        [&] {
+          return caller->received.starts_with("HTTP/1.1 503 ");
+        },
+        Milliseconds(100)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
+  }
+
   void VersionThatOnlyOneOtherDaemonKnowsIsMixedIn()
   {
     TestServer server(Complete);
@@ -238,7 +333,7 @@
       Common::Reactor::Get().After(Milliseconds(5), [&world, stream] {
         OriginEvidence evidence;
         evidence.asked = evidence.replies = 12;
-        evidence.is_current = evidence.is_complete = true;
+        evidence.has_history = evidence.is_complete = true;
         world.dispatcher.LearnNoOrigin(stream, evidence);
       });
     });
@@ -256,6 +351,30 @@
     world.dispatcher.Servers().RecordProof(Common::Now());
   }
 
+  /// This VM has followed the entries, of version "a" only, for as long as streams are remembered.
+  static void FollowUntil(RelayWorld& world, const TestServer& server, Common::TimePoint end)
+  {
+    world.AddServer("i-1", server.Address(), {}, "a");
+    VersionHistory& versions = world.dispatcher.Versions();
+    for (auto now = end - 2 * StreamOrigins::RETENTION; now <= end; now += Milliseconds(500))
+    {
+      world.dispatcher.Servers().RecordProof(now);
+      versions.Observe(now);
+    }
+    CPPUNIT_ASSERT(versions.IsComplete(end));
+  }
+
+  /// Another daemon replies that the stream began at this version.
+  static void AnswerWithVersion(RelayWorld& world, const std::string& version)
+  {
+    world.dispatcher.OnOriginQuery([&world, version](StreamKey stream, const PoolId& pool) {
+      Common::Reactor::Get().After(Milliseconds(5), [&world, version, stream, pool] {
+        const StreamOrigin origin{KeyOf(pool, SoftwareVersion(version)), SELF, 1};
+        world.dispatcher.LearnOrigin(stream, {origin, Common::Now(), true}, {});
+      });
+    });
+  }
+
   /// `other` replies to the queries of `world` that it does not know the origin.
   static void AnswerAs(RelayWorld& world, RelayWorld& other)
   {
@@ -266,18 +385,20 @@
         evidence.asked = evidence.replies = 1;
         for (const auto& version : other.dispatcher.Versions().Recent(pool, now))
           evidence.versions.insert(KeyOf(pool, version));
-        evidence.is_current = other.dispatcher.Versions().IsCurrent(now);
+        evidence.has_history = other.dispatcher.Versions().IsComplete(now);
         evidence.is_complete = true;
         world.dispatcher.LearnNoOrigin(stream, evidence);
       });
     });
   }
 
-  static std::unique_ptr<TestPeer> Resume(const RelayWorld& world)
+  static std::unique_ptr<TestPeer> Resume(const RelayWorld& world,
+                                          const std::string& resumes = "Resumes: id-elsewhere\r\n")
   {
     auto caller = world.NewCaller();
     caller->stream->Write("POST /stream/ HTTP/1.1\r\nHost: shop.example\r\nReq-Id: id-next\r\n"
-                          "Last-Event-Id: 1\r\nResumes: id-elsewhere\r\n\r\n");
+                          "Last-Event-Id: 1\r\n" +
+                          resumes + "\r\n");
     return caller;
   }
 };
--- a/Source/UnitTests/Orders/OriginArchiveTest.cpp
+++ b/Source/UnitTests/Orders/OriginArchiveTest.cpp
@@ -254,6 +254,7 @@
   CPPUNIT_TEST(StreamsAreReadThoughThereIsOneVersion);
   CPPUNIT_TEST(QueryBeforeTheVersionsAreReadSkipsTheStore);
   CPPUNIT_TEST(DaemonRepliesBeforeItHasReadTheVersions);
+  CPPUNIT_TEST(VersionsBeforeALossOfTouchAreTakenForAll);
   CPPUNIT_TEST(UnreadableVersionsAreTakenForNone);
   CPPUNIT_TEST(UnreadableStoreIsTakenForEmpty);
   CPPUNIT_TEST(ManyDaemonsWriteMoreThanTheirShare);
@@ -276,6 +277,35 @@
     CPPUNIT_ASSERT(after.dispatcher.Versions().HasSeveralVersions(Common::Now()));
   }
 
+  /// A second version appeared while this daemon was out of touch with the entries.
+  void VersionsBeforeALossOfTouchAreTakenForAll()
+  {
+    TestTable table;
+    TestDaemon holder(table);
+    holder.See(FIRST);
+    holder.Tick(true);
+    holder.Tick(true);
+    TestDaemon late(table, "run-2");
+    late.See(FIRST);
+    late.Tick(false);
+    CPPUNIT_ASSERT(!late.archive.MustRestore(OriginShard(0), Common::Now()));
+    for (int i = 0; i < 8; ++i)
+    {
+      RunFor(Milliseconds(200));
+      holder.Tick(true);
+    }
+    holder.See(SECOND);
+    holder.Tick(true);
+    for (int stream = 0; stream < STREAMS; ++stream)
+      holder.Begin(stream, AlternatingVersion(stream));
+    RunFor(Milliseconds(100));
+    late.dispatcher.Versions().Observe(Common::Now());
+    late.dispatcher.Servers().RecordProof(Common::Now());
+    CPPUNIT_ASSERT(late.archive.MustRestore(OriginShard(0), Common::Now()));
+    late.Tick(false);
+    CPPUNIT_ASSERT_EQUAL(STREAMS, late.CountRestored(AlternatingVersion));
+  }
+
   void OriginsAreForgottenWithAllDaemons()
   {
     TestTable table;
