Orders: a daemon that starts after a restore does not take an absent lease row for the first start

Cause, from the logs: vm-0 acquires the lease (50.68), orders at 53.29 and is suspended; the store comes back from a copy older than the lease row; vm-2, killed before, starts at 54.66, logs store-era era=1, finds no row, acquires the lease at 55.06 with after_another=0, and orders at 55.53. A daemon that had seen a row would have waited; one that starts took the absence for the first start of the system.

Change: in any era but the first an absent row counts as lost, as a restore may have lost it, also at a daemon that has just started. The first start of a system on a store that was restored before costs the lease and the pause once.

--- a/Source/Core/Orders/LeaseManager.h
+++ b/Source/Core/Orders/LeaseManager.h
@@ -83,14 +83,15 @@
   {
     if (m_row_known && version <= m_version)
       return;
-    const bool has_era_risen = m_row_known && Fleet::EraOf(version) > Fleet::EraOf(m_version);
+    // A store that has come back from an older copy may have lost the row.
+    const bool is_restored = Fleet::EraOf(version) > 0;
     const bool is_unreadable = !record && Fleet::StoreNumber(version) != Fleet::ABSENT_ROW;
     const bool had_record = m_record.has_value();
     m_row_known = true;
     m_version = version;
     m_expects_absent_row = false;
     m_record = std::move(record);
-    m_lost_record = !m_record && (m_lost_record || had_record || is_unreadable || has_era_risen);
+    m_lost_record = !m_record && (m_lost_record || had_record || is_unreadable || is_restored);
     if (!IsHolderUnknown())
       m_continues_until = {};
     m_free_at = Common::Now() + m_settings.duration + ACQUIRE_MARGIN;
--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -411,19 +411,19 @@
     for (int i = 0; i < route_count; ++i)
       routes.push_back(route(RoutePrefix(i), "idempotent", 2, false, false));
     m_newest_path = RoutePrefix(route_count - 1) + "x";
-    m_store.Put("op", "config",
-                {{"version", ++m_configuration_version},
-                 {"routes", routes},
-                 {"services",
-                  {{{"name", "pool"},
-                    {"maxConns", 200},
-                    {"engine",
-                     {{"slots", 16},
-                      {"weightsMb", 150},
-                      {"adapterSlots", 0},
-                      {"loadsPerS", 3},
-                      {"models", models}}}}}},
-                 {"limits", {{"idleTimeoutMs", 10000}}}});
+    m_configuration = {{"version", ++m_configuration_version},
+                       {"routes", routes},
+                       {"services",
+                        {{{"name", "pool"},
+                          {"maxConns", 200},
+                          {"engine",
+                           {{"slots", 16},
+                            {"weightsMb", 150},
+                            {"adapterSlots", 0},
+                            {"loadsPerS", 3},
+                            {"models", models}}}}}},
+                       {"limits", {{"idleTimeoutMs", 10000}}}};
+    m_store.Put("op", "config", m_configuration);
   }
 
   void SendRequests()
@@ -845,13 +845,15 @@
     const auto away = DrawMs(100, 1500);
     InjectStoreFault(StoreFault::Unavailable, away);
     After(away, [this, age = DrawMs(1000, 8000)] {
+      if (Common::Now() >= m_faults_until)
+        return;
       m_store.Restore(age);
       for (const auto& server : m_servers)
         After(DrawMs(0, 1200), [target = server.get()] {
           target->RenewEntry();
         });
       After(DrawMs(0, 500), [this] {
-        PutConfiguration();
+        m_store.Put("op", "config", m_configuration);
       });
       After(ENTRY_EXPIRY, [this] {
         std::set<std::string> instances;
@@ -975,6 +977,7 @@
   Common::TimePoint m_started_at = Common::Now();
   Common::TimePoint m_faults_until;
   std::int64_t m_configuration_version = 0;
+  Json m_configuration;      ///< As the operator last wrote it.
   std::string m_newest_path; ///< On the last route of the newest configuration.
   std::int64_t m_request_count = 0;
   int m_fault_count = 0;
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -230,7 +230,7 @@
                 {"state", m_draining ? "draining" : "ready"},
                 {"models", models},
                 {"atHand", {{"inMemory", Json::array()}, {"onDisk", m_models_on_disk}}},
-                {"seq", 1},
+                {"seq", ++m_heartbeat},
                 {"born", m_start_ms}};
   if (!m_version.empty())
     entry["version"] = m_version;
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -169,7 +169,8 @@
   std::vector<std::string> m_models_on_disk;
   std::set<std::string> m_models;
   std::int64_t m_sequence = 0;
-  std::int64_t m_start_ms = 0; ///< Start of this instance, Unix time in milliseconds.
+  std::int64_t m_start_ms = 0;  ///< Start of this instance, Unix time in milliseconds.
+  std::int64_t m_heartbeat = 0; ///< Of its latest entry.
   bool m_busy = false;
   bool m_draining = false;
   int m_instance_number = 0; ///< Increases at each restart and crash.
--- a/Source/UnitTests/Orders/LeaseManagerTest.cpp
+++ b/Source/UnitTests/Orders/LeaseManagerTest.cpp
@@ -122,6 +122,7 @@
   CPPUNIT_TEST(LeaseIsNeverAcquiredOnceTheRowWasRemoved);
   CPPUNIT_TEST(RestartedHolderTakesARestoredRowForItsOwn);
   CPPUNIT_TEST(RestoredReleaseIsTakenForAFreeLease);
+  CPPUNIT_TEST(AbsentRowIsTakenForTheFirstStartAfterARestore);
   CPPUNIT_TEST(AbsentRowIsTakenForAFreeLeaseAfterARestore);
   CPPUNIT_TEST(HolderStopsOverARestore);
   CPPUNIT_TEST(HolderGoesOnThoughAnotherOneAcquiredAfterARestore);
@@ -507,6 +508,17 @@
     });
   }
 
+  /// A daemon starts after the store has come back from a copy that is older than the lease row.
+  void AbsentRowIsTakenForTheFirstStartAfterARestore()
+  {
+    FakeStore store;
+    store.version = Fleet::VersionIn(1, Fleet::ABSENT_ROW);
+    Manager manager(store, Settings("a"));
+    OrdersOnlyAfterTheUnknownHolder(manager, [&] {
+      manager.OnRow(store.version, std::nullopt);
+    });
+  }
+
   /// The daemon was suspended between the store's response and its arrival, and another daemon has
   /// acquired the lease since.
   void LateResponseIsTakenForTheLatestRow()
