--- a/Source/UnitTests/Orders/LateDaemonTest.cpp
+++ b/Source/UnitTests/Orders/LateDaemonTest.cpp
@@ -4,17 +4,16 @@
 // A release while one daemon is out of step: servers of version "b" join servers of version "a",
 // streams begin on them through other daemons, break, and are taken up at the late daemon.
 
-#include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
 
-#include "Daemons/Codec.h"
-#include "Orders/OriginMessages.h"
 #include "UnitTests/Support/OriginFleet.h"
 #include "UnitTests/Support/RelayWorld.h"
 
@@ -116,8 +115,8 @@
     configuration->limits.idle_timeout = Milliseconds(5000);
     dispatcher.SetConfiguration(configuration);
     dispatcher.OnProofAwaited([this, daemon] {
-      Common::Reactor::Get().After(STORE_RESPONSE_TIME, [this, daemon, sent = Common::Now()] {
-        Read(daemon, sent);
+      After(STORE_RESPONSE_TIME, [this, daemon, sent_at = Common::Now()] {
+        Read(daemon, sent_at);
       });
     });
     m_listeners.push_back(std::make_unique<Http::TcpListener>());
@@ -155,6 +154,16 @@
     }
   }
 
+  /// Calls the function after the delay, unless this object has been destroyed by then.
+  void After(Milliseconds delay, std::function<void()> callback) const
+  {
+    Common::Reactor::Get().After(
+        delay, [alive = std::weak_ptr<bool>(m_alive), callback = std::move(callback)] {
+          if (!alive.expired())
+            callback();
+        });
+  }
+
   void Feed()
   {
     for (DaemonIndex daemon = 0; daemon < DAEMONS; ++daemon)
@@ -181,10 +190,7 @@
     if (delay == m_delays.end())
       apply();
     else
-      Common::Reactor::Get().After(delay->second, [alive = std::weak_ptr(m_alive), apply] {
-        if (!alive.expired())
-          apply();
-      });
+      After(delay->second, apply);
   }
 
   OriginFleet m_fleet;
