--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -28,6 +28,8 @@
 constexpr VersionKey FIRST_VERSION{1};
 constexpr VersionKey SECOND_VERSION{2};
 const Http::Endpoint SELF{0x0100007f, 1000};
+/// A header line that names the request which began the stream.
+constexpr const char* REFERENCE = "Resumes: id-elsewhere\r\n";
 
 StreamKey StreamOf(int number)
 {
@@ -221,33 +223,15 @@
 
   /// This VM has known all versions, and was cut off a second ago: from the store, so that it has
   /// not learnt of version "b", and from the daemon through which the stream began there.
-  void VersionThatAppearedDuringACutIsMixedIn()
-  {
-    TestServer server(Complete);
-    RelayWorld world;
-    FollowUntil(world, server, Common::Now() - Milliseconds(1000));
-    world.dispatcher.OnOriginQuery([](StreamKey, const PoolId&) {});
-    const auto caller = Resume(world);
-    RunFor(Milliseconds(600));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
-  }
+  void VersionThatAppearedDuringACutIsMixedIn() { CheckTakeUpDuringACut(REFERENCE); }
 
   /// The same for a caller that does not name the request that began the stream.
-  void VersionThatAppearedDuringACutIsMixedInWithoutAReference()
-  {
-    TestServer server(Complete);
-    RelayWorld world;
-    FollowUntil(world, server, Common::Now() - Milliseconds(1000));
-    world.dispatcher.OnOriginQuery([](StreamKey, const PoolId&) {});
-    const auto caller = Resume(world, "");
-    RunFor(Milliseconds(600));
-    CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
-  }
+  void VersionThatAppearedDuringACutIsMixedInWithoutAReference() { CheckTakeUpDuringACut(""); }
 
   /// The entries can be read as soon as a stream that was taken up depends on them.
   void StreamOfTheOnlyVersionIsRefusedThoughThatCanBeProven()
   {
-    for (const std::string resumes : {"Resumes: id-elsewhere\r\n", ""})
+    for (const std::string resumes : {REFERENCE, ""})
     {
       TestServer server(Complete);
       RelayWorld world;
@@ -364,6 +348,17 @@
     CPPUNIT_ASSERT(versions.IsComplete(end));
   }
 
+  static void CheckTakeUpDuringACut(const std::string& resumes)
+  {
+    TestServer server(Complete);
+    RelayWorld world;
+    FollowUntil(world, server, Common::Now() - Milliseconds(1000));
+    world.dispatcher.OnOriginQuery([](StreamKey, const PoolId&) {});
+    const auto caller = Resume(world, resumes);
+    RunFor(Milliseconds(600));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
+  }
+
   /// Another daemon replies that the stream began at this version.
   static void AnswerWithVersion(RelayWorld& world, const std::string& version)
   {
@@ -393,7 +388,7 @@
   }
 
   static std::unique_ptr<TestPeer> Resume(const RelayWorld& world,
-                                          const std::string& resumes = "Resumes: id-elsewhere\r\n")
+                                          const std::string& resumes = REFERENCE)
   {
     auto caller = world.NewCaller();
     caller->stream->Write("POST /stream/ HTTP/1.1\r\nHost: shop.example\r\nReq-Id: id-next\r\n"
