Orders, platform: a daemon can listen elsewhere than where others reach it

Behind an address translation a daemon has to bind an address of its own, while the other daemons, the order lease and the copies of streams name the outer one.

--- a/Source/Core/Orders/Coordination.h
+++ b/Source/Core/Orders/Coordination.h
@@ -29,7 +29,8 @@
 struct CoordinationSettings
 {
   Common::VmId vm;
-  Http::Endpoint local; ///< UDP endpoint for messages from other daemons.
+  Http::Endpoint local;                 ///< UDP endpoint for messages from other daemons.
+  std::optional<Http::Endpoint> listen; ///< Where they arrive, if not at `local`.
   Common::Milliseconds holder_pause{3000};
   double load_window_s = 5;
   double cores = 1; ///< CPU cores of this VM.
@@ -81,7 +82,7 @@
                         {settings.load_window_s, dispatcher.Settings().regions}),
         m_hub({settings.vm, m_run, settings.local,
                LeaseHandicap(settings.cores, settings.link_mbps), settings.link_mbps,
-               settings.data_centre},
+               settings.data_centre, settings.listen},
               dispatcher, m_order_manager),
         m_lease(store, {settings.vm, m_run, settings.local.ToString(), LEASE_DURATION,
                         settings.holder_pause + PAUSE_MARGIN,
--- a/Source/Core/Orders/Hub.cpp
+++ b/Source/Core/Orders/Hub.cpp
@@ -166,13 +166,13 @@
 Common::Result<Common::Done> Hub::Start()
 {
   m_fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  const sockaddr_in address = m_settings.local.ToSockaddr();
+  const Http::Endpoint listen = m_settings.listen.value_or(m_settings.local);
+  const sockaddr_in address = listen.ToSockaddr();
   if (m_fd < 0 || bind(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0)
-    return {Common::FailureKind::Unavailable,
-            m_settings.local.ToString() + ": " + std::strerror(errno)};
+    return {Common::FailureKind::Unavailable, listen.ToString() + ": " + std::strerror(errno)};
   m_watch = Common::Reactor::Get().Watch(m_fd, EPOLLIN, this);
   // Without the port the daemon works, but hands over no copies.
-  if (const auto listening = m_handover.Listen(m_settings.local); !listening)
+  if (const auto listening = m_handover.Listen(listen); !listening)
     Common::LogEvent(Common::LogLevel::Error, "handover-unavailable",
                      {{"reason", listening.Reason().detail}});
   m_members.OnChange([this] {
--- a/Source/Core/Orders/Hub.h
+++ b/Source/Core/Orders/Hub.h
@@ -33,10 +33,11 @@
 {
   Common::VmId self;
   Common::Incarnation run;
-  Http::Endpoint local;
+  Http::Endpoint local;             ///< Where other daemons reach this one.
   Common::Milliseconds handicap{0}; ///< Delay of this VM before it tries to acquire a free lease.
   double link_mbps = 1000;          ///< Link capacity of this VM.
   Common::DataCentreId data_centre;
+  std::optional<Http::Endpoint> listen = {}; ///< Where their messages arrive, if not at `local`.
 };
 
 /// The state of the lease as the holder announces it.
--- a/Source/UnitTests/Orders/HubTest.cpp
+++ b/Source/UnitTests/Orders/HubTest.cpp
@@ -134,6 +134,7 @@
   CPPUNIT_TEST(OriginIsUnknownWithoutAHolder);
   CPPUNIT_TEST(CrashesReportedByTwoDaemonsBlockARequestEverywhere);
   CPPUNIT_TEST(NewHolderReceivesCrashesFromAllDaemons);
+  CPPUNIT_TEST(HubBehindAnAddressTranslationListensElsewhere);
   CPPUNIT_TEST_SUITE_END();
 
   /// Guards against a proof that is newer at a follower than at the holder: the follower uses the
@@ -571,6 +572,30 @@
     CPPUNIT_ASSERT(loads.size() > 500);
     CPPUNIT_ASSERT_EQUAL(2, loads.at(InstanceOf(SERVERS - 1)).in_flight);
   }
+
+  void HubBehindAnAddressTranslationListensElsewhere()
+  {
+    Dispatcher dispatcher{DispatcherSettings{}};
+    OrderManager order_manager(dispatcher.Servers(), {}, {});
+    HubSettings settings{Common::VmId("a"), Common::Incarnation("run"), UnitTests::FreeEndpoint()};
+    settings.listen = UnitTests::FreeEndpoint();
+    Hub hub(settings, dispatcher, order_manager);
+    CPPUNIT_ASSERT(hub.Start());
+    CPPUNIT_ASSERT(IsTaken(*settings.listen));
+    CPPUNIT_ASSERT(!IsTaken(settings.local));
+    CPPUNIT_ASSERT(hub.Handover().Local() == *settings.listen);
+  }
+
+  /// True if a socket is bound to this UDP endpoint.
+  static bool IsTaken(const Http::Endpoint& endpoint)
+  {
+    const int fd = socket(AF_INET, SOCK_DGRAM, 0);
+    const sockaddr_in address = endpoint.ToSockaddr();
+    const bool is_bound =
+        bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+    close(fd);
+    return !is_bound;
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HubTest);
