StandIns: real daemons out of step while servers of new versions join

Streams of that version are taken up at the late daemon every other time, up to 0.7 s after it is back. No stream may hold events of two versions; take-ups go on at least half as often as new streams begin (the users' rule). Take-ups at the late daemon are counted apart, and a case with fewer than 12 of them fails.

DaemonNetwork translates the daemons' addresses: one UDP socket each at the announced address, which passes datagrams on by sender and receiver, and a relay each to the store and for TCP between daemons (copies of the tables at their start; not cut). Tunnels are not used here.

--- a/Source/ScenarioRunner/Relay.cpp
+++ b/Source/ScenarioRunner/Relay.cpp
@@ -38,7 +38,7 @@
   m_cut = cut;
 }
 
-Result<Done> Relay::Open()
+Result<Done> Relay::OpenTcp()
 {
   const auto address = ParseAddress(m_listen);
   m_service = GRef<GSocketService>(g_socket_service_new());
@@ -54,6 +54,14 @@
                      return TRUE;
                    }),
                    this);
+  return Done{};
+}
+
+Result<Done> Relay::Open()
+{
+  if (const auto opened = OpenTcp(); !opened)
+    return opened;
+  const auto address = ParseAddress(m_listen);
   m_udp = GRef<GSocket>(
       g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, nullptr));
   if (!g_socket_bind(m_udp.Get(), address.Get(), FALSE, nullptr))
--- a/Source/ScenarioRunner/Relay.h
+++ b/Source/ScenarioRunner/Relay.h
@@ -26,6 +26,8 @@
   Relay(std::string listen, std::string target);
 
   Common::Result<Common::Done> Open();
+  /// Forwards TCP connections only.
+  Common::Result<Common::Done> OpenTcp();
   void SetCut(bool cut);
   /// Limits the throughput of each connection, per direction. 0: no limit.
   void SetRate(std::int64_t bytes_per_ms) { m_bytes_per_ms = bytes_per_ms; }
--- a/Source/StandIns/ResumedStreams/DaemonPool.cpp
+++ b/Source/StandIns/ResumedStreams/DaemonPool.cpp
@@ -59,6 +59,14 @@
     Daemon& daemon = m_daemons[i];
     daemon.readiness =
         std::make_unique<Http::Channel>(*Http::Endpoint::Parse(At(daemon.ip, READINESS_PORT)));
+    Http::Endpoint own_store = store;
+    if (m_translation)
+    {
+      const DaemonAddresses addresses =
+          m_translation(daemon.ip, *Http::Endpoint::Parse(At(daemon.ip, FIRST_PEER_PORT)));
+      own_store = addresses.store;
+      daemon.messages_listen = addresses.messages_listen.ToString();
+    }
     const Json settings = {
         {"nodeName", daemon.name},
         {"zone", DataCentre(i % m_data_centres)},
@@ -66,7 +74,7 @@
         {"listen",
          {{"front", At(daemon.ip, CALLER_PORT)}, {"ready", At(daemon.ip, READINESS_PORT)}}},
         {"bounds", {{"graceS", 3}, {"leaseMs", 3000}, {"budgetSlack", 100}}},
-        {"platform", {{"address", store.ToString()}}}};
+        {"platform", {{"address", own_store.ToString()}}}};
     std::ofstream(m_logs + "/" + daemon.name + ".json") << settings.dump();
     std::filesystem::remove(m_logs + "/" + daemon.name + ".log");
     Launch(daemon);
@@ -150,6 +158,8 @@
   setenv("DRUMPOND_METRICS_PORT", std::to_string(METRICS_PORT).c_str(), 1);
   if (m_connects_from_own_address)
     setenv("DRUMPOND_SOURCE_ADDRESS", daemon.ip.c_str(), 1);
+  if (!daemon.messages_listen.empty())
+    setenv("DRUMPOND_MESSAGES_LISTEN", daemon.messages_listen.c_str(), 1);
   daemon.pid = m_processes.Start(daemon.name, {m_binary});
   AwaitReady(daemon);
 }
--- a/Source/StandIns/ResumedStreams/DaemonPool.h
+++ b/Source/StandIns/ResumedStreams/DaemonPool.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,6 +16,13 @@
 
 namespace ResumedStreams
 {
+/// Where a daemon reaches the store, and listens for the messages of other daemons.
+struct DaemonAddresses
+{
+  Http::Endpoint store;
+  Http::Endpoint messages_listen;
+};
+
 /// Real daemons, each on a loopback address of its own, that can be killed, stopped and frozen.
 class DaemonPool
 {
@@ -26,6 +34,11 @@
   static std::string DataCentre(std::size_t index) { return "z" + std::to_string(index + 1); }
   /// From now on each daemon connects from its own address, so that servers can tell them apart.
   void ConnectFromOwnAddresses() { m_connects_from_own_address = true; }
+  /// Called for each daemon as it is set up, with its IP address and where others reach it.
+  using Translation =
+      std::function<DaemonAddresses(const std::string& ip, const Http::Endpoint& messages)>;
+  /// From now on the daemons are behind an address translation.
+  void Translate(Translation translation) { m_translation = std::move(translation); }
   void Start(const Http::Endpoint& store);
   std::size_t Size() const { return m_daemons.size(); }
   std::optional<std::size_t> Find(const std::string& name) const;
@@ -53,6 +66,7 @@
   {
     std::string name;
     std::string ip;
+    std::string messages_listen; ///< Empty without an address translation.
     int pid = 0;
     bool ready = false;
     bool frozen = false;
@@ -70,6 +84,7 @@
   std::string m_logs;
   std::size_t m_data_centres;
   bool m_connects_from_own_address = false;
+  Translation m_translation;
   ScenarioRunner::Processes m_processes;
   std::vector<Daemon> m_daemons;
 };
--- a/Source/StandIns/ResumedStreams/Main.cpp
+++ b/Source/StandIns/ResumedStreams/Main.cpp
@@ -20,6 +20,7 @@
 #include "Common/Log.h"
 #include "Common/Loop.h"
 #include "Common/Reactor.h"
+#include "StandIns/ResumedStreams/DaemonNetwork.h"
 #include "StandIns/ResumedStreams/DaemonPool.h"
 #include "StandIns/ResumedStreams/StreamCallers.h"
 #include "StandIns/Soak/InvariantChecker.h"
@@ -35,7 +36,6 @@
 
 constexpr std::size_t DATA_CENTRES = 3;
 constexpr int SERVERS_PER_VERSION = 4;
-constexpr const char* const VERSIONS[] = {"v1", "v2"};
 constexpr int CALLERS = 40;
 constexpr int MODELS = 14;
 constexpr int STORE_PORT = 8300;
@@ -51,6 +51,12 @@
 constexpr Milliseconds ROLLOUT_STEP{800};
 constexpr Milliseconds ROLLOUT_DRAIN_BEGIN{8000};
 constexpr Milliseconds DRAIN_TIME{2500};
+/// How long one VM is out of step, how much later the next one is, and the times after which
+/// servers of a new version join, and callers no longer look for the late VM.
+constexpr Milliseconds LATE_TIME{3000};
+constexpr Milliseconds LATE_INTERVAL{4700};
+constexpr Milliseconds JOIN_DELAY{300};
+constexpr Milliseconds LOOKED_FOR_TIME{3700};
 /// Streams that are taken up go on as often as new ones begin, but for a few.
 constexpr double LEAST_SHARE = 0.95;
 /// The share under which the users' rule is broken.
@@ -97,6 +103,8 @@
     bool rolls_out = false;
     bool prefers_young_vms = false;
     bool asks_for_models = false;
+    double least_share = LEAST_SHARE;
+    std::optional<NetworkCut> cut = {}; ///< For cases with a VM out of step; none: it stands still.
   };
 
   static const std::map<std::string, Case>& Cases()
@@ -111,6 +119,11 @@
     chains.leaves_early = true;
     CallerHabits twice;
     twice.takes_up_twice = true;
+    CallerHabits often = chains;
+    often.leaves_early = false;
+    const auto late = [often](std::optional<NetworkCut> cut) {
+      return Case{&Run::PutOutOfStepInTurn, often, false, false, false, RULE_SHARE, cut};
+    };
     static const std::map<std::string, Case> CASES{
         {"quiet", {&Run::InjectNothing, usual}},
         {"origin-killed", {&Run::KillOrigins, usual}},
@@ -130,6 +143,14 @@
         {"overlapping", {&Run::OverlapFaults, usual}},
         {"all-killed", {&Run::KillAllAtOnce, usual}},
         {"rollout-and-all-killed", {&Run::KillAllAfterRollout, usual, true}},
+        {"late-others", late(NetworkCut{false, false, false})},
+        {"late-store", late(NetworkCut{true, true, true})},
+        {"late-all", late(NetworkCut{true, false, false})},
+        {"late-deaf", late(NetworkCut{true, false, true})},
+        {"late-mute", late(NetworkCut{true, true, false})},
+        {"late-deaf-to-others", late(NetworkCut{false, false, true})},
+        {"late-mute-to-others", late(NetworkCut{false, true, false})},
+        {"late-frozen", late(std::nullopt)},
     };
     return CASES;
   }
@@ -157,10 +178,15 @@
     if (chosen.asks_for_models)
       m_models = MODELS;
     RequireStarted(static_cast<bool>(m_store.Listen(store)), "store");
+    const bool has_late_vms = chosen.inject == &ResumedStreamsRun::PutOutOfStepInTurn;
     StartServers(0);
-    if (!chosen.rolls_out)
+    if (!chosen.rolls_out && !has_late_vms)
       StartServers(1);
     PutConfiguration();
+    if (has_late_vms)
+      TranslateAddresses(store);
+    m_cut = chosen.cut;
+    m_least_share = chosen.least_share;
     m_daemons.Start(store);
     m_prefers_young_vms = chosen.prefers_young_vms;
     CallerHabits habits = chosen.habits;
@@ -181,10 +207,20 @@
     });
   }
 
+  void TranslateAddresses(const Http::Endpoint& store)
+  {
+    m_network = std::make_unique<DaemonNetwork>(store);
+    m_daemons.Translate([this](const std::string& ip, const Http::Endpoint& messages) {
+      const auto addresses = m_network->Add(ip, messages);
+      RequireStarted(static_cast<bool>(addresses), "network");
+      return *addresses;
+    });
+  }
+
   CallerSurroundings Surroundings()
   {
-    return {[this](bool taken_up) {
-              return DrawVm(taken_up);
+    return {[this](const std::string& version) {
+              return DrawVm(version);
             },
             [this](std::size_t vm) {
               return m_daemons.CallerEndpoint(vm);
@@ -196,11 +232,24 @@
               return static_cast<int>(std::ranges::count_if(m_servers, [&](const auto& server) {
                 return server->IsReady() && (version.empty() || server->Version() == version);
               }));
+            },
+            [this](const std::string& id, std::size_t vm, const std::string& version) {
+              if (vm == m_late_vm && IsOfNewestVersion(version))
+                m_checker.NoteAtLateVm(id);
             }};
   }
 
-  std::optional<std::size_t> DrawVm(bool taken_up)
+  /// False for an empty version.
+  bool IsOfNewestVersion(const std::string& version) const
   {
+    return version == m_servers.back()->Version();
+  }
+
+  std::optional<std::size_t> DrawVm(const std::string& version)
+  {
+    if (m_late_vm && IsOfNewestVersion(version) && Draw(2) == 0)
+      return m_late_vm;
+    const bool taken_up = !version.empty();
     const auto in_touch = m_daemons.InTouch();
     std::vector<std::size_t> preferred;
     std::ranges::copy_if(in_touch, std::back_inserter(preferred), [&](std::size_t vm) {
@@ -229,7 +278,8 @@
     auto server = std::make_unique<StandInServer>(
         "s" + std::to_string(number), EndpointAt(2, STORE_PORT + static_cast<int>(number)), m_store,
         m_invariants, std::move(models));
-    server->RunSoftware(VERSIONS[version], DaemonPool::DataCentre(number % DATA_CENTRES));
+    server->RunSoftware("v" + std::to_string(version + 1),
+                        DaemonPool::DataCentre(number % DATA_CENTRES));
     server->SetEventInterval(EVENT_INTERVAL);
     RequireStarted(static_cast<bool>(server->Listen()), "server");
     m_servers.push_back(std::move(server));
@@ -372,10 +422,49 @@
     });
   }
 
+  /// One VM after the other is out of step while servers of a version of their own join; streams of
+  /// that version are often taken up there.
+  void PutOutOfStepInTurn()
+  {
+    std::vector<std::size_t> order(m_daemons.Size());
+    std::iota(order.begin(), order.end(), 0);
+    std::ranges::shuffle(order, m_random);
+    for (std::size_t turn = 0; turn < order.size(); ++turn)
+    {
+      const auto at = turn * LATE_INTERVAL;
+      if (at + LOOKED_FOR_TIME > FAULTS_DURATION)
+        return;
+      After(at, [this, vm = order[turn]] {
+        PutOutOfStep(vm);
+      });
+      After(at + JOIN_DELAY, [this, turn, vm = order[turn]] {
+        StartServers(turn + 1);
+        m_late_vm = vm;
+      });
+      After(at + LOOKED_FOR_TIME, [this] {
+        m_late_vm.reset();
+      });
+    }
+  }
+
+  void PutOutOfStep(std::size_t vm)
+  {
+    std::cout << "vm-" << vm << (Holder() == vm ? " (holder)" : "") << " is late; ";
+    if (!m_cut)
+    {
+      m_daemons.Freeze(vm, LATE_TIME);
+      return;
+    }
+    m_network->Cut(vm, *m_cut);
+    After(LATE_TIME, [this] {
+      m_network->EndCut();
+    });
+  }
+
   int Report(const std::string& name)
   {
     std::cout << m_checker.Describe(m_logs) << "\n";
-    auto violations = m_checker.Violations(LEAST_SHARE);
+    auto violations = m_checker.Violations(m_least_share);
     std::ranges::copy(m_invariants.Violations(), std::back_inserter(violations));
     if (!m_checker.HasEnough())
       violations.emplace_back("too few streams to show anything");
@@ -396,6 +485,10 @@
   InvariantChecker m_invariants;
   ResumptionChecker m_checker;
   StandInStore m_store;
+  std::unique_ptr<DaemonNetwork> m_network; ///< In cases with VMs out of step.
+  std::optional<NetworkCut> m_cut;          ///< Of a VM out of step; none: it stands still.
+  std::optional<std::size_t> m_late_vm;     ///< Once servers of a new version have joined.
+  double m_least_share = LEAST_SHARE;
   std::vector<std::unique_ptr<StandInServer>> m_servers;
   std::unique_ptr<StreamCallers> m_callers;
   bool m_prefers_young_vms = false;
--- a/Source/StandIns/ResumedStreams/ResumptionChecker.cpp
+++ b/Source/StandIns/ResumedStreams/ResumptionChecker.cpp
@@ -54,8 +54,11 @@
 {
   ++m_taken_up.total;
   m_taken_up.succeeded += went_on ? 1 : 0;
+  const bool is_at_late_vm = m_at_late_vm.contains(attempt);
+  m_taken_up_at_late_vm.total += is_at_late_vm ? 1 : 0;
+  m_taken_up_at_late_vm.succeeded += is_at_late_vm && went_on ? 1 : 0;
   if (!went_on)
-    m_failures.push_back({attempt, reason});
+    m_failures.push_back({attempt, (is_at_late_vm ? "late VM: " : "") + reason});
 }
 
 void ResumptionChecker::RecordMixed(const std::string& stream, const std::string& attempt)
@@ -76,7 +79,11 @@
   std::ostringstream line;
   line << "new streams: " << m_new.succeeded << " of " << m_new.total
        << " began; taken up: " << m_taken_up.succeeded << " of " << m_taken_up.total
-       << " went on; mixed: " << m_mixed.size() << "; why not:";
+       << " went on; ";
+  if (m_taken_up_at_late_vm.total > 0)
+    line << "of these at the late VM: " << m_taken_up_at_late_vm.succeeded << " of "
+         << m_taken_up_at_late_vm.total << "; ";
+  line << "mixed: " << m_mixed.size() << "; why not:";
   for (const auto& [reason, count] : reasons)
     line << " " << count << " " << reason << ",";
   for (const auto& [stream, attempt] : m_mixed)
@@ -86,7 +93,9 @@
 
 bool ResumptionChecker::HasEnough() const
 {
-  return std::min(m_new.total, m_taken_up.total) >= LEAST_STREAMS;
+  const std::int64_t at_late_vm =
+      m_at_late_vm.empty() ? LEAST_STREAMS : m_taken_up_at_late_vm.total;
+  return std::min({m_new.total, m_taken_up.total, at_late_vm}) >= LEAST_STREAMS;
 }
 
 std::vector<std::string> ResumptionChecker::Violations(double least_share) const
--- a/Source/StandIns/ResumedStreams/ResumptionChecker.h
+++ b/Source/StandIns/ResumedStreams/ResumptionChecker.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
   void RecordNew(const std::string& attempt, bool began, const std::string& reason);
   /// A stream that was taken up went on, or did not for the reason.
   void RecordTakenUp(const std::string& attempt, bool went_on, const std::string& reason);
+  /// The attempt takes a stream up that began after its VM had been put out of step.
+  void NoteAtLateVm(const std::string& attempt) { m_at_late_vm.insert(attempt); }
+  /// The attempts of NoteAtLateVm() that count.
+  const Share& TakenUpAtLateVm() const { return m_taken_up_at_late_vm; }
   /// The attempt brought an event of another version than the first one of its stream.
   void RecordMixed(const std::string& stream, const std::string& attempt);
 
@@ -49,6 +54,8 @@
 
   Share m_new;
   Share m_taken_up;
+  Share m_taken_up_at_late_vm;
+  std::set<std::string> m_at_late_vm; ///< Attempts.
   std::vector<Failure> m_failures;
   std::map<std::string, std::string> m_mixed; ///< First such attempt, by stream.
 };
--- a/Source/StandIns/ResumedStreams/StreamCallers.cpp
+++ b/Source/StandIns/ResumedStreams/StreamCallers.cpp
@@ -106,7 +106,7 @@
 void StreamCallers::Send(Stream stream)
 {
   const bool takes_up = stream.last_event > 0;
-  const auto vm = m_surroundings.draw_vm(takes_up);
+  const auto vm = m_surroundings.draw_vm(stream.version);
   if (!vm)
   {
     After(PAUSE_WITHOUT_VM, [this, stream] {
@@ -122,7 +122,7 @@
   place->takes_up = takes_up;
   place->counts = HasServers(stream);
   if (m_surroundings.on_sent)
-    m_surroundings.on_sent(place->id, *vm);
+    m_surroundings.on_sent(place->id, *vm, stream.version);
   const auto request = MakeRequest(stream, place->id);
   place->stream = std::move(stream);
   StreamAttempt::Callbacks callbacks{[this, place](const StreamEvent& event) {
--- a/Source/StandIns/ResumedStreams/StreamCallers.h
+++ b/Source/StandIns/ResumedStreams/StreamCallers.h
@@ -18,15 +18,17 @@
 /// What callers need to know of daemons and servers.
 struct CallerSurroundings
 {
-  /// Draws a VM in touch; none if there is none. `taken_up`: the request resumes a stream.
-  std::function<std::optional<std::size_t>(bool taken_up)> draw_vm;
+  /// Draws a VM for a request; none if none is in touch. `version`: of the stream that it takes up;
+  /// empty: it begins one.
+  std::function<std::optional<std::size_t>(const std::string& version)> draw_vm;
   std::function<Http::Endpoint(std::size_t vm)> endpoint;
   /// The number of faults that the VM has had. An attempt during which it changes does not count.
   std::function<std::uint64_t(std::size_t vm)> faults;
   /// Servers of a version that take requests; of an empty one: of any.
   std::function<int(const std::string& version)> ready_servers;
   /// Called before an attempt is sent; may be empty.
-  std::function<void(const std::string& id, std::size_t vm)> on_sent = {};
+  std::function<void(const std::string& id, std::size_t vm, const std::string& version)> on_sent =
+      {};
 };
 
 /// How callers behave.
--- a/Source/StandIns/Soak/VersionedStreams.cpp
+++ b/Source/StandIns/Soak/VersionedStreams.cpp
@@ -49,7 +49,7 @@
 
 ResumedStreams::CallerSurroundings VersionedStreams::Surroundings()
 {
-  return {[this](bool) {
+  return {[this](const std::string&) {
             return DrawVm();
           },
           [this](std::size_t vm) {
@@ -63,7 +63,7 @@
               return server->TakesRequests() && (version.empty() || server->Version() == version);
             }));
           },
-          [this](const std::string& id, std::size_t vm) {
+          [this](const std::string& id, std::size_t vm, const std::string&) {
             m_invariants.RecordSent(id, RequestType::ResumableStream, m_vms[vm].name);
           }};
 }
