StandIns: callers reach the daemon out of step while its entries are young

Servers of the new version join 0.05 s after the cut, and callers take their streams up after 0.1 to 0.15 s, so that take-ups meet entries that were proven less than 1.5 s ago.

--- a/Source/StandIns/ResumedStreams/Main.cpp
+++ b/Source/StandIns/ResumedStreams/Main.cpp
@@ -55,7 +55,7 @@
 /// servers of a new version join, and callers no longer look for the late VM.
 constexpr Milliseconds LATE_TIME{3000};
 constexpr Milliseconds LATE_INTERVAL{4700};
-constexpr Milliseconds JOIN_DELAY{300};
+constexpr Milliseconds JOIN_DELAY{50};
 constexpr Milliseconds LOOKED_FOR_TIME{3700};
 /// Streams that are taken up go on as often as new ones begin, but for a few.
 constexpr double LEAST_SHARE = 0.95;
@@ -121,6 +121,7 @@
     twice.takes_up_twice = true;
     CallerHabits often = chains;
     often.leaves_early = false;
+    often.longest_pause = Milliseconds(150); // So that entries are still young at take-ups.
     const auto late = [often](std::optional<NetworkCut> cut) {
       return Case{&Run::PutOutOfStepInTurn, often, false, false, false, RULE_SHARE, cut};
     };
