--- a/Source/UnitTests/Orders/OriginArchiveTest.cpp
+++ b/Source/UnitTests/Orders/OriginArchiveTest.cpp
@@ -7,10 +7,13 @@
 
 #include <algorithm>
 #include <memory>
+#include <optional>
 #include <ranges>
 
+#include <cereal/types/vector.hpp>
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Daemons/Codec.h"
 #include "UnitTests/Support/Loopback.h"
 #include "UnitTests/Support/OriginFleet.h"
 
@@ -48,6 +51,18 @@
     };
     access.replace_versions = [this](std::int64_t version, const std::string& value,
                                      auto callback) {
+      if (write_late)
+      {
+        const std::weak_ptr<bool> alive = m_alive;
+        Common::Reactor::Get().After(*write_late, [this, alive, version, value] {
+          if (!alive.expired())
+            static_cast<void>(Replace(version, value));
+        });
+        Respond([callback] {
+          callback(Failure());
+        });
+        return;
+      }
       Respond([this, version, value, callback] {
         callback(Replace(version, value));
       });
@@ -61,8 +76,16 @@
     return access;
   }
 
+  void PutVersions(const std::vector<ArchivedVersion>& versions)
+  {
+    Put(OriginArchive::VERSIONS_KEY, Daemons::Encode(ArchivedVersions{versions}));
+  }
+
   std::map<std::string, Fleet::TableRow> rows;
   bool unavailable = false;
+  bool refuses_versions = false;
+  /// Writes of the versions get no answer, and are carried out after this time.
+  std::optional<Milliseconds> write_late;
   std::size_t page_rows = 500;
   Milliseconds delay{1};
   int writes = 0;
@@ -97,7 +120,7 @@
 
   Common::Result<std::int64_t> Replace(std::int64_t version, const std::string& value)
   {
-    if (unavailable)
+    if (unavailable || refuses_versions)
       return Failure();
     Fleet::TableRow& row = rows[OriginArchive::VERSIONS_KEY];
     if (row.version != version)
@@ -256,6 +279,9 @@
   CPPUNIT_TEST(DaemonRepliesBeforeItHasReadTheVersions);
   CPPUNIT_TEST(VersionsBeforeALossOfTouchAreTakenForAll);
   CPPUNIT_TEST(UnreadableVersionsAreTakenForNone);
+  CPPUNIT_TEST(NewHolderTakesItsOldCopyOfTheRowForTheRow);
+  CPPUNIT_TEST(LateWriteOfTheVersionsGoesUnnoticed);
+  CPPUNIT_TEST(AbsentRowIsTakenForOneVersion);
   CPPUNIT_TEST(UnreadableStoreIsTakenForEmpty);
   CPPUNIT_TEST(ManyDaemonsWriteMoreThanTheirShare);
   CPPUNIT_TEST(RowsGrowWhileStreamsBeginDuringEachWrite);
@@ -449,6 +475,75 @@
     CPPUNIT_ASSERT(!daemon.dispatcher.Versions().IsComplete(Common::Now()));
   }
 
+  /// The holder before wrote the row after this daemon had read it.
+  void NewHolderTakesItsOldCopyOfTheRowForTheRow()
+  {
+    TestTable table;
+    TestDaemon before(table);
+    before.See(FIRST);
+    before.See(SECOND);
+    before.Tick(true);
+    before.Tick(true);
+    TestDaemon next(table, "run-2");
+    next.See(FIRST);
+    next.Tick(false);
+    table.PutVersions({{POOL, FIRST}});
+    next.See(SECOND);
+    for (int tick = 0; tick < 3; ++tick)
+      next.Tick(true);
+    TestDaemon after(table, "run-3");
+    after.See(FIRST);
+    after.Tick(false);
+    CPPUNIT_ASSERT(after.dispatcher.Versions().HasSeveralVersions(Common::Now()));
+  }
+
+  /// The store carries out a call without an answer after the row has been read again.
+  void LateWriteOfTheVersionsGoesUnnoticed()
+  {
+    TestTable table;
+    TestDaemon holder(table);
+    holder.See(FIRST);
+    holder.See(SECOND);
+    holder.Tick(true);
+    holder.Tick(true);
+    holder.dispatcher.Versions().Observe(Common::Now() + Gateway::StreamOrigins::RETENTION);
+    holder.See(FIRST);
+    table.write_late = Milliseconds(450);
+    holder.Tick(true);
+    table.write_late.reset();
+    RunFor(Milliseconds(350));
+    holder.Tick(true);
+    holder.Tick(true);
+    RunFor(Milliseconds(150));
+    holder.See(SECOND);
+    holder.Tick(true);
+    holder.Tick(true);
+    TestDaemon after(table, "run-2");
+    after.See(FIRST);
+    after.Tick(false);
+    CPPUNIT_ASSERT(after.dispatcher.Versions().HasSeveralVersions(Common::Now()));
+  }
+
+  /// The store never took the row. Of two versions one went, then all daemons were lost.
+  void AbsentRowIsTakenForOneVersion()
+  {
+    TestTable table;
+    {
+      TestDaemon before(table);
+      before.See(FIRST);
+      before.See(SECOND);
+      table.refuses_versions = true;
+      before.Tick(true);
+      before.Tick(true);
+    }
+    table.refuses_versions = false;
+    TestDaemon after(table, "run-2");
+    after.See(SECOND);
+    after.Tick(true);
+    after.Tick(true);
+    CPPUNIT_ASSERT(!after.dispatcher.Versions().IsComplete(Common::Now()));
+  }
+
   void UnreadableStoreIsTakenForEmpty()
   {
     TestTable table;
