--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -8,6 +8,8 @@
 
 #include <chrono>
 #include <cstdio>
+#include <functional>
+#include <memory>
 
 #include <malloc.h>
 
@@ -62,6 +64,8 @@
   CPPUNIT_TEST(StreamOfAVersionThatHasGoneWaits);
   CPPUNIT_TEST(VersionThatOnlyOneOtherDaemonKnowsIsMixedIn);
   CPPUNIT_TEST(VersionThatAppearsWhileNoneIsKnownIsMixedIn);
+  CPPUNIT_TEST(PoolThatTheRouteHadBeforeIsForgotten);
+  CPPUNIT_TEST(PoolBeforeTheSplitOfARouteIsForgotten);
   CPPUNIT_TEST_SUITE_END();
 
   void OriginIsForgottenWhileItsStreamRuns()
@@ -328,6 +332,54 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
   }
 
+  /// The route's requests went to a pool of version "a" until a moment ago.
+  void PoolThatTheRouteHadBeforeIsForgotten()
+  {
+    CheckTakeUpAfterARouteChange([](Configuration& configuration) {
+      for (Route& route : configuration.routes)
+        route.pools = {{PoolId("pool-2"), 1}};
+    });
+  }
+
+  /// So did those of its path, which a longer prefix matches now.
+  void PoolBeforeTheSplitOfARouteIsForgotten()
+  {
+    CheckTakeUpAfterARouteChange([](Configuration& configuration) {
+      Route& route = configuration.routes.emplace_back(
+          UnitTests::MakeRoute("/stream/part/", Repeatability::Streaming, 2, true));
+      route.pools = {{PoolId("pool-2"), 1}};
+    });
+  }
+
+  /// All versions that the pools have had are known, and no daemon knows the stream.
+  static void CheckTakeUpAfterARouteChange(const std::function<void(Configuration&)>& change)
+  {
+    for (const std::string resumes : {REFERENCE, ""})
+    {
+      TestServer old_server(Complete);
+      TestServer new_server(Complete);
+      RelayWorld world;
+      world.AddServer("i-2", new_server.Address(), {}, "b", "pool-2");
+      FollowUntil(world, old_server, Common::Now());
+      world.dispatcher.OnOriginQuery([&](StreamKey stream, const PoolId&) {
+        OriginEvidence nobody_knows;
+        nobody_knows.is_complete = true;
+        world.dispatcher.LearnNoOrigin(stream, nobody_knows);
+      });
+      auto configuration =
+          std::make_shared<Configuration>(*world.dispatcher.CurrentConfiguration());
+      ++configuration->version;
+      configuration->pools[PoolId("pool-2")] = Pool{PoolId("pool-2"), "/health", 100, std::nullopt};
+      change(*configuration);
+      world.dispatcher.SetConfiguration(configuration);
+      const auto caller = Resume(world, resumes, "/stream/part/");
+      RunFor(Milliseconds(100));
+      world.dispatcher.NoteEntriesProven(Common::Now());
+      RunFor(Milliseconds(500));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), new_server.requests.size());
+    }
+  }
+
   static void AddCurrent(RelayWorld& world, const std::string& instance, const TestServer& server,
                          const std::string& version)
   {
@@ -388,10 +440,12 @@
   }
 
   static std::unique_ptr<TestPeer> Resume(const RelayWorld& world,
-                                          const std::string& resumes = REFERENCE)
+                                          const std::string& resumes = REFERENCE,
+                                          const std::string& path = "/stream/")
   {
     auto caller = world.NewCaller();
-    caller->stream->Write("POST /stream/ HTTP/1.1\r\nHost: shop.example\r\nReq-Id: id-next\r\n"
+    caller->stream->Write("POST " + path +
+                          " HTTP/1.1\r\nHost: shop.example\r\nReq-Id: id-next\r\n"
                           "Last-Event-Id: 1\r\n" +
                           resumes + "\r\n");
     return caller;
--- a/Source/UnitTests/Support/RelayWorld.h
+++ b/Source/UnitTests/Support/RelayWorld.h
@@ -131,13 +131,14 @@
   }
 
   void AddServer(const std::string& instance, const Http::Endpoint& endpoint,
-                 const std::vector<ModelId>& on_disk = {}, const std::string& version = "")
+                 const std::vector<ModelId>& on_disk = {}, const std::string& version = "",
+                 const std::string& pool = "pool")
   {
     ServerEntry entry;
     entry.version = SoftwareVersion(version);
     entry.on_disk = on_disk;
     entry.instance = InstanceId(instance);
-    entry.pool = PoolId("pool");
+    entry.pool = PoolId(pool);
     entry.endpoint = endpoint;
     entry.data_centre = Common::DataCentreId("here");
     entry.slots = 10;
