Orders: a daemon that becomes the holder reads the row of versions again

What callers would see: after the loss of all VMs, a stream of unknown origin goes on at another software version.

Cause: a daemon kept what it had read of the row, once, and compared the versions it knew with that. Another holder may have written the row since: a version that this one believes to be in the store, and that is, say, rolled back later, is not there. Daemons that start read the row and take it for all there was.

One read more for each change of the holder.

--- a/Source/Core/Orders/OriginArchive.cpp
+++ b/Source/Core/Orders/OriginArchive.cpp
@@ -105,6 +105,9 @@
   if (!m_access.read)
     return;
   m_daemons = std::max<std::size_t>(daemons, 1);
+  // Another holder may have written the row meanwhile.
+  if (!std::exchange(m_is_holder, is_holder) && is_holder)
+    m_has_versions = false;
   Gateway::VersionHistory& history = m_dispatcher.Versions();
   // Before the row is read: what it holds counts only for entries that have been followed since.
   history.Observe(now);
--- a/Source/Core/Orders/OriginArchive.h
+++ b/Source/Core/Orders/OriginArchive.h
@@ -216,6 +216,7 @@
   Gateway::Dispatcher& m_dispatcher;
   OriginArchiveAccess m_access;
 
+  bool m_is_holder = false;    ///< At the last tick.
   bool m_has_versions = false; ///< The row has been read, or is known to be absent.
   std::int64_t m_versions_row = 0;
   std::vector<ArchivedVersion> m_versions; ///< As in the row.
