Orders: a late write of the row of versions fails

Cause: the store may carry out a call without an answer seconds later if its condition still holds. The holder read the row again after such a write, found what it knew and wrote nothing, so that the condition went on to hold: the row then lost a version that the holder believed to be there.

Why it works: after a write that failed, and after it has got the lease, the holder writes the row once even if nothing changed; the condition of any earlier write no longer holds then. One write more for each change of the holder.

--- a/Source/Core/Orders/OriginArchive.cpp
+++ b/Source/Core/Orders/OriginArchive.cpp
@@ -107,7 +107,10 @@
   m_daemons = std::max<std::size_t>(daemons, 1);
   // Another holder may have written the row meanwhile.
   if (!std::exchange(m_is_holder, is_holder) && is_holder)
+  {
     m_has_versions = false;
+    m_must_write_versions = true;
+  }
   Gateway::VersionHistory& history = m_dispatcher.Versions();
   // Before the row is read: what it holds counts only for entries that have been followed since.
   history.Observe(now);
@@ -117,7 +120,7 @@
   if (may_call && (lacks_history || (is_holder && !m_has_versions)))
     ReadVersions();
   else if (may_call && is_holder && history.IsCurrent(now))
-    if (const auto versions = RecentVersions(now); versions != m_versions)
+    if (const auto versions = RecentVersions(now); versions != m_versions || m_must_write_versions)
       WriteVersions(versions);
 
   const bool has_several = history.HasSeveralVersions(now);
@@ -193,11 +196,13 @@
                               {
                                 // Another holder has written the row, or the call may have.
                                 m_has_versions = false;
+                                m_must_write_versions = true;
                                 Fail("versions-write", row.Reason());
                                 return;
                               }
                               m_versions_row = *row;
                               m_versions = versions;
+                              m_must_write_versions = false;
                               ++m_counters.rows_written;
                               Common::LogEvent(Common::LogLevel::Info, "versions-archived",
                                                {{"row", *row}, {"versions", versions.size()}});
--- a/Source/Core/Orders/OriginArchive.h
+++ b/Source/Core/Orders/OriginArchive.h
@@ -220,8 +220,11 @@
   bool m_has_versions = false; ///< The row has been read, or is known to be absent.
   std::int64_t m_versions_row = 0;
   std::vector<ArchivedVersion> m_versions; ///< As in the row.
-  bool m_versions_restored = false;        ///< The row has been read at least once.
-  bool m_versions_unreadable = false;      ///< The latest read of the row failed.
+  /// An earlier write, of this daemon or of another one, may still be carried out. It fails once
+  /// the row has a later version.
+  bool m_must_write_versions = false;
+  bool m_versions_restored = false;   ///< The row has been read at least once.
+  bool m_versions_unreadable = false; ///< The latest read of the row failed.
   bool m_versions_call_pending = false;
   Common::TimePoint m_next_versions_call;
   Common::TimePoint m_next_versions_read;
