Gateway: a stream of unknown origin may have begun where its route led before

What callers would see: the operators move a route to a pool of another software version, or split it; a caller takes up a stream that began before and whose origin no daemon knows, or names no request, and it goes on at the other version.

Cause: the versions that may have begun the stream were those of the pools that the route has now.

Why it works: RouteHistory keeps the configurations of the last 90 s and tells all pools to which they sent requests for the host and path. More than one version among these: the stream is refused; replies of other daemons, which are for one pool, count only if there was one. Routes before this daemon's start, and configurations on their way to it, remain unknown (docs/design/stream-origins.md, What it does not cover).

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -95,6 +95,7 @@
   m_even_load.RetainPools(m_configuration->pools);
   m_late_replicas.Configure(*m_configuration);
   m_configured_at = Common::Now();
+  m_route_history.Note(m_configuration, m_configured_at);
   ScheduleDispatch();
 }
 
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -28,6 +28,7 @@
 #include "Gateway/Relay.h"
 #include "Gateway/ResponseMemory.h"
 #include "Gateway/RetryBudget.h"
+#include "Gateway/RouteHistory.h"
 #include "Gateway/ServerDirectory.h"
 #include "Gateway/ServerPaths.h"
 #include "Gateway/ServerSignals.h"
@@ -223,6 +224,7 @@
   StreamOrigins& Origins() { return m_origins; }
   VersionHistory& Versions() { return m_versions; }
   const VersionHistory& Versions() const { return m_versions; }
+  const RouteHistory& Routes() const { return m_route_history; }
   /// Sets the address of this daemon for messages and the hash of its data centre, which the
   /// origins of streams name.
   void SetLocalOrigin(const Http::Endpoint& daemon, std::uint32_t place);
@@ -459,6 +461,7 @@
   ServerPaths m_paths{m_servers};
   StreamOrigins m_origins;
   VersionHistory m_versions{m_servers};
+  RouteHistory m_route_history;
   StreamOrigin m_local_origin; ///< Without a version.
   std::function<void(StreamKey, const PoolId&)> m_on_origin_query;
   /// The requests that wait for the origin of a stream.
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -221,8 +221,10 @@
   /// True if no server that was listed when the request arrived is missing here. Otherwise the
   /// request is called back after the next proof. Without other daemons, nothing can be missing.
   bool KnowsServersAtArrival();
-  /// The versions that the pools of the route have had.
+  /// The versions that the pools have had in which the stream may have begun.
   std::set<SoftwareVersion> RecentVersions() const;
+  /// The pools in which the stream that the caller resumes may have begun.
+  std::set<PoolId> PoolsOfStream() const;
   void AwaitOriginUntilExpiry();
   void OnOriginWaitExpired();
   void RefuseUnknownOrigin();
--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -112,7 +112,7 @@
 {
   const VersionHistory& history = m_dispatcher.Versions();
   // Other daemons reply for one pool.
-  return (m_origin_evidence.has_history && m_route.pools.size() == 1 &&
+  return (m_origin_evidence.has_history && PoolsOfStream().size() == 1 &&
           history.Continues(m_arrived)) ||
          !m_dispatcher.MayLackVersions() || history.IsComplete(Common::Now());
 }
@@ -125,17 +125,24 @@
   return false;
 }
 
+std::set<PoolId> Relay::PoolsOfStream() const
+{
+  const std::string* host = m_request.head.Find("Host");
+  const std::string_view target = m_request.head.target;
+  return m_dispatcher.Routes().RecentPools(host == nullptr ? "" : *host,
+                                           target.substr(0, target.find('?')), Common::Now());
+}
+
 std::set<SoftwareVersion> Relay::RecentVersions() const
 {
   std::set<SoftwareVersion> versions;
-  for (const WeightedPool& entry : m_route.pools)
-    versions.merge(m_dispatcher.Versions().Recent(entry.pool, Common::Now()));
+  for (const PoolId& pool : PoolsOfStream())
+    versions.merge(m_dispatcher.Versions().Recent(pool, Common::Now()));
   return versions;
 }
 
 bool Relay::BindToOnlyVersion()
 {
-  // The stream may have begun in any pool of the route.
   const std::set<SoftwareVersion> known = RecentVersions();
   if (known.size() != 1)
     return false;
