UnitTests: a reply counts for a stream that is taken up again later

The replies of other daemons come with the time at which they were first asked, which nothing uses yet.

--- a/Source/Core/Gateway/StreamOrigins.h
+++ b/Source/Core/Gateway/StreamOrigins.h
@@ -51,6 +51,8 @@
 {
   int asked = 0;
   int replies = 0;
+  /// When they were first asked: also requests that came later wait for these replies.
+  std::optional<Common::TimePoint> asked_at;
   /// A daemon that replied knew all versions of the pool at that time, but for the newest entries.
   bool has_history = false;
   /// The versions that the stream's pool has had within the retention time of streams.
--- a/Source/Core/Orders/OriginExchange.cpp
+++ b/Source/Core/Orders/OriginExchange.cpp
@@ -295,6 +295,7 @@
   query.stream = stream;
   query.pool = pool;
   query.began_at = Common::Now();
+  query.evidence.asked_at = query.began_at;
   query.nonce = Common::SharedRandom()();
   m_streams_by_nonce[query.nonce] = stream;
   ++m_counters.queries;
--- a/Source/UnitTests/Gateway/StreamOriginsTest.cpp
+++ b/Source/UnitTests/Gateway/StreamOriginsTest.cpp
@@ -64,6 +64,7 @@
   CPPUNIT_TEST(StreamOfAVersionThatHasGoneWaits);
   CPPUNIT_TEST(VersionThatOnlyOneOtherDaemonKnowsIsMixedIn);
   CPPUNIT_TEST(VersionThatAppearsWhileNoneIsKnownIsMixedIn);
+  CPPUNIT_TEST(ReplyFromBeforeThisDaemonFollowedTheEntriesCounts);
   CPPUNIT_TEST(PoolThatTheRouteHadBeforeIsForgotten);
   CPPUNIT_TEST(PoolBeforeTheSplitOfARouteIsForgotten);
   CPPUNIT_TEST_SUITE_END();
@@ -332,6 +333,36 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t(0), server.requests.size());
   }
 
+  /// Another daemon knew all versions as the stream was taken up for the first time. This one has
+  /// followed the entries only since then, and the stream is taken up again.
+  void ReplyFromBeforeThisDaemonFollowedTheEntriesCounts()
+  {
+    for (const Milliseconds since_asked : {Milliseconds(0), Milliseconds(3000)})
+    {
+      TestServer server(Complete);
+      RelayWorld world;
+      AddCurrent(world, "i-1", server, "a");
+      const auto end = Common::Now();
+      for (auto now = end - Milliseconds(2500); now <= end; now += Milliseconds(500))
+      {
+        world.dispatcher.Servers().RecordProof(now);
+        world.dispatcher.Versions().Observe(now);
+      }
+      world.dispatcher.OnOriginQuery([&](StreamKey stream, const PoolId&) {
+        OriginEvidence evidence;
+        evidence.asked_at = Common::Now() - since_asked;
+        evidence.has_history = evidence.is_complete = true;
+        world.dispatcher.LearnNoOrigin(stream, evidence);
+      });
+      const auto caller = Resume(world);
+      RunFor(Milliseconds(50));
+      world.dispatcher.NoteEntriesProven(Common::Now());
+      RunFor(Milliseconds(300));
+      CPPUNIT_ASSERT_EQUAL(std::size_t(since_asked == Milliseconds(0) ? 1 : 0),
+                           server.requests.size());
+    }
+  }
+
   /// The route's requests went to a pool of version "a" until a moment ago.
   void PoolThatTheRouteHadBeforeIsForgotten()
   {
