Gateway: a reply about versions counts from when it was asked for

What callers would see: a caller takes up a stream at a daemon that has started a moment ago, and again some seconds later while the first query runs; the stream goes on at another version than the one that began it and has gone.

Cause: another daemon's versions, as of the first query, were joined with those that this daemon had followed since 1.5 s before the second request. Between the two, nobody had followed the entries for this stream.

Evidence: StreamOriginsTest::ReplyFromBeforeThisDaemonFollowedTheEntriesCounts fails on the parent and passes now.

Why it works: this daemon must have followed the entries since before the query began.

--- a/Source/Core/Gateway/RelayResumption.cpp
+++ b/Source/Core/Gateway/RelayResumption.cpp
@@ -113,7 +113,7 @@
   const VersionHistory& history = m_dispatcher.Versions();
   // Other daemons reply for one pool.
   return (m_origin_evidence.has_history && PoolsOfStream().size() == 1 &&
-          history.Continues(m_arrived)) ||
+          history.Continues(std::min(m_origin_evidence.asked_at.value_or(m_arrived), m_arrived))) ||
          !m_dispatcher.MayLackVersions() || history.IsComplete(Common::Now());
 }
 
