--- a/Tools/resumed-streams.sh
+++ b/Tools/resumed-streams.sh
@@ -8,7 +8,7 @@
 cd "$(dirname "$0")/.."
 CASES=(quiet origin-killed origin-stopped origin-frozen holder-frozen holder-killed store-silent rolling-restart rollout
   rollout-and-kills young-vm chains same-id-twice models models-and-kills
-  overlapping all-killed rollout-and-all-killed late-all late-frozen)
+  overlapping all-killed rollout-and-all-killed late-deaf late-frozen)
 LATE_CASES=(late-others late-store late-all late-deaf late-mute late-deaf-to-others late-mute-to-others late-frozen)
 SELECTED=("${CASES[@]}")
 [ $# -gt 0 ] && SELECTED=("$1")
