UnitTests: streams before a second version are archived only at a tick

Fails: 1 of 50 is archived where the daemon begins a stream after it has seen the second version and is lost before its next tick.

--- a/Source/UnitTests/Orders/OriginArchiveTest.cpp
+++ b/Source/UnitTests/Orders/OriginArchiveTest.cpp
@@ -11,6 +11,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Daemons/Codec.h"
 #include "UnitTests/Support/Loopback.h"
 #include "UnitTests/Support/OriginFleet.h"
 
@@ -248,6 +249,7 @@
   CPPUNIT_TEST(OriginsAreForgottenWithAllDaemons);
   CPPUNIT_TEST(OriginsOnFurtherPagesAreForgotten);
   CPPUNIT_TEST(StreamsBeforeTheSecondVersionAreForgotten);
+  CPPUNIT_TEST(StreamsBeforeTheSecondVersionAwaitATick);
   CPPUNIT_TEST(StreamsAreForgottenWhileTheStoreIsAway);
   CPPUNIT_TEST(StoreIsReadWhileThereIsOneVersion);
   CPPUNIT_TEST(StoreIsTakenForEmptyBeforeTheVersionsAreRead);
@@ -347,6 +349,31 @@
     }));
   }
 
+  /// The daemon is lost soon after it has seen the second version and begun one more stream.
+  void StreamsBeforeTheSecondVersionAwaitATick()
+  {
+    TestTable table;
+    TestDaemon before(table);
+    before.See(FIRST);
+    for (int stream = 0; stream < STREAMS - 1; ++stream)
+      before.Begin(stream, FIRST);
+    before.Tick(true);
+    before.See(SECOND);
+    before.Begin(STREAMS - 1, FIRST);
+    RunFor(Milliseconds(50));
+    TestDaemon after(table, "run-2");
+    after.See(FIRST);
+    after.See(SECOND);
+    CPPUNIT_ASSERT_EQUAL(STREAMS, after.CountRestored([](int) {
+      return FIRST;
+    }));
+    std::size_t archived = 0;
+    for (const auto& [key, row] : table.rows)
+      if (key != OriginArchive::VERSIONS_KEY)
+        archived += Daemons::Decode<ArchivedOrigins>(row.value)->origins.size();
+    CPPUNIT_ASSERT_EQUAL(static_cast<std::size_t>(STREAMS), archived);
+  }
+
   void StreamsAreForgottenWhileTheStoreIsAway()
   {
     TestTable table;
