Orders: the first stream after a second version archives those before it

Callers saw 503 "it is not known which software version began the stream" for streams whose servers were there: a data centre is cut off from the store while half of the servers are replaced, and all VMs lose power 0.4 s after the cut ends.

Cause: while a daemon knows one version it writes no streams to the store. It wrote those that began before the second version only at its next tick, though it wrote new ones at once.

Change: the first stream that is noted while several versions are known has all earlier ones written with it, in the same call to the store.

OriginArchiveTest::StreamsBeforeTheSecondVersionAwaitATick failed before (1 of 50 archived); the 16 tests of OriginArchiveTest pass. Not done: a daemon through which no stream begins still waits for its tick.

--- a/Source/Core/Orders/OriginArchive.cpp
+++ b/Source/Core/Orders/OriginArchive.cpp
@@ -56,6 +56,14 @@
   const auto entry = m_dispatcher.Origins().Find(stream, now);
   if (!entry || !m_dispatcher.Versions().HasSeveralVersions(now))
     return;
+  // The streams before it may have begun at either version too, and the daemon may not live until
+  // its next tick.
+  if (!std::exchange(m_had_several_versions, true))
+  {
+    NoteAllStreams(now);
+    if (entry->origin.daemon == m_settings.self)
+      return;
+  }
   BeginWindow(now);
   Window& window = m_windows[ShardOf(stream)];
   if (window.origins.size() == MAX_STREAMS_PER_ROW)
