--- a/Source/UnitTests/Decisions/BoundDemandPlanTest.cpp
+++ b/Source/UnitTests/Decisions/BoundDemandPlanTest.cpp
@@ -204,6 +204,7 @@
   CPPUNIT_TEST(ReplicaOfAlternatingDemandIsEvictedAsSurplus);
   CPPUNIT_TEST(ReplicaIsKeptForRequestsThatItCannotServe);
   CPPUNIT_TEST(FullServerOfTheGroupGetsNoSecondReplica);
+  CPPUNIT_TEST(FullServerOfTheGroupGetsNoSecondReplicaFromTheStore);
   CPPUNIT_TEST(AlternatingDemandsForOneModelEvictMoreThanTwoModels);
   CPPUNIT_TEST_SUITE_END();
 
@@ -366,6 +367,24 @@
     CPPUNIT_ASSERT(fleet.GroupOf(orders[0]) == A && orders[0].model == WANTED);
   }
 
+  /// Only the full server has the weights on its disk.
+  void FullServerOfTheGroupGetsNoSecondReplicaFromTheStore()
+  {
+    Fleet fleet;
+    fleet.AddServer(A, {WANTED}).replicas[0].in_flight = 8;
+    fleet.AddServer(A, {}, {});
+    for (int i = 0; i < 8; ++i)
+      fleet.AddServer(B, {WANTED}, {});
+    fleet.input.models[At(WANTED)].in_flight = 8;
+    BoundDemand& demand = fleet.Wait(WANTED, {A});
+    demand.in_flight = 8;
+    demand.arrivals_per_second = 1;
+    const auto orders = fleet.Plan();
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
+    CPPUNIT_ASSERT(fleet.GroupOf(orders[0]) == A && orders[0].model == WANTED);
+    CPPUNIT_ASSERT(orders[0].source == WeightSource::WeightStore);
+  }
+
   void AlternatingDemandsForOneModelEvictMoreThanTwoModels()
   {
     const auto [bound_evictions, bound_served] =
--- a/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
+++ b/Source/UnitTests/Decisions/ReplicaPlanTest.cpp
@@ -159,6 +159,10 @@
   CPPUNIT_TEST(LimitsLoadsFromWeightStore);
   CPPUNIT_TEST(WaitsForDiskWhileItSavesTime);
   CPPUNIT_TEST(LoadsSpareReplicaOnlyFromDisk);
+  CPPUNIT_TEST(FullReplicaWithTheOnlyDiskCopyStaysTheOnlyOne);
+  CPPUNIT_TEST(OverloadedModelWaitsForDiskOfAServerInUse);
+  CPPUNIT_TEST(OverloadedModelTakesTheLoadOfUnservedOne);
+  CPPUNIT_TEST(FullReplicasGetSeveralLoadsFromTheStore);
   CPPUNIT_TEST(UnusableServersGetNoOrders);
   CPPUNIT_TEST(IgnoresReplicasOnDrainingServers);
   CPPUNIT_TEST(IgnoresPendingLoadsOnDrainingServers);
@@ -334,6 +338,70 @@
     CPPUNIT_ASSERT(PlanReplicas(input).empty());
   }
 
+  /// Requests wait for model "a", whose only replica runs as many as it can, and no other server
+  /// has its weights.
+  static NamedInput InputWithFullReplica(int waiting)
+  {
+    NamedServer full = Server("full", {"a"});
+    full.replicas[0].in_flight = 8;
+    NamedServer empty = Server("empty", {});
+    empty.on_disk.clear();
+    NamedModel wanted = Model("a", waiting, 5);
+    wanted.in_flight = 8;
+    return Input({full, empty}, {wanted, Model("x")});
+  }
+
+  /// Guards against a model that keeps a single full replica while other servers hold no model.
+  void FullReplicaWithTheOnlyDiskCopyStaysTheOnlyOne()
+  {
+    const auto orders = PlanReplicas(InputWithFullReplica(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
+    CPPUNIT_ASSERT(orders[0].kind == PlannedOrder::Kind::Load);
+    CPPUNIT_ASSERT_EQUAL(std::string("empty"), orders[0].instance);
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), orders[0].model);
+    CPPUNIT_ASSERT(orders[0].source == WeightSource::WeightStore);
+    CPPUNIT_ASSERT(PlanReplicas(InputWithFullReplica(0)).empty());
+  }
+
+  /// The server with another copy on disk has no room, as its models are in use.
+  void OverloadedModelWaitsForDiskOfAServerInUse()
+  {
+    auto input = InputWithFullReplica(1);
+    NamedServer in_use = Server("in use", {"b", "d"});
+    in_use.replicas[0].in_flight = in_use.replicas[1].in_flight = 1;
+    input.servers.push_back(in_use);
+    for (const char* name : {"b", "d"})
+    {
+      input.models[name] = Model(name, 0, 5);
+      input.models[name].in_flight = 1;
+    }
+    const auto orders = PlanReplicas(input);
+    CPPUNIT_ASSERT(std::ranges::any_of(orders, [](const NamedOrder& order) {
+      return order.instance == "empty" && order.model == "a";
+    }));
+  }
+
+  void OverloadedModelTakesTheLoadOfUnservedOne()
+  {
+    auto input = InputWithFullReplica(100);
+    input.models["x"].waiting = 1;
+    const auto orders = PlanReplicas(input);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("x"), orders[0].model);
+  }
+
+  void FullReplicasGetSeveralLoadsFromTheStore()
+  {
+    auto input = InputWithFullReplica(100);
+    input.store_loads_allowed = 4;
+    input.servers.push_back(input.servers[1]);
+    input.servers.back().name = "empty too";
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), PlanReplicas(input).size());
+    input.servers[1].order_open = true;
+    input.servers[1].loading = "a";
+    CPPUNIT_ASSERT(PlanReplicas(input).empty());
+  }
+
   /// Guards against a model of 72,700 MB that was never loaded, although requests waited for it all
   /// day and the only server with its weights was repeatedly free for orders. An order evicted only
   /// one model. On a server of 200 GB with models of 65,100, 65,500, 34,300 and 34,300 MB
