Decisions: a model whose replicas are full is loaded from the weight store too

Cause: the demand was reported and planned, bound and unbound. But an additional replica came only from a disk or host memory. Two of the three servers with the busiest model left with the release at 33 s, no other one had its weights, and so the full one stayed the only one, beside five new servers that served 7 requests in 17 s. Nothing was logged, as only models that no server holds are logged as passed over.

Why it works: a model may be loaded from the weight store where no copy can be used, if more requests run and wait than its replicas can run and no load for it is under way. Models that no server holds still come first, servers with copies of those that wait are left to them, and an additional replica still evicts nothing in use and nothing of a comparable arrival rate. The rule is applied to each need, so to demand bound to versions or regions, and to base models for whose adapters requests wait.

The four tests pass, and PlanEquivalenceTest and the tests of orders that were run.

--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -300,6 +300,15 @@
            count.newest + LATE_REPLICA_SETTLING < m_input.now - waited;
   }
 
+  /// True if more requests run and wait than all replicas can run at once, and no further replica
+  /// is being loaded.
+  bool IsOverloaded(const Need& need) const
+  {
+    const ReplicaCount& count = CountOf(need);
+    return count.replicas > 0 && count.loading == 0 && need.demand->waiting > 0 &&
+           need.demand->in_flight + need.demand->waiting > count.replicas * m_input.batch;
+  }
+
   bool IsUnderReplicated(const Need& need) const
   {
     const ReplicaCount& count = CountOf(need);
@@ -309,14 +318,14 @@
   void PlaceModel(const Need& need)
   {
     // Additional replicas are loaded only from disk or host memory, not from the weight store,
-    // except beside replicas that serve no request in time.
+    // except beside replicas that serve no request in time or have no free slot.
     const bool unserved = IsUnserved(need);
     const bool store_allowed =
         (unserved || IsServedLate(need)) && m_store_loads_left > 0 && !ShouldWaitForDisk(need);
     auto best = store_allowed && TryTakeFullScan() ? BestAmongAllServers(need, unserved)
                                                    : BestAmongCopies(need, unserved);
     if (!best && !store_allowed && MayBypassDisk(need) && TryTakeFullScan())
-      best = BestWithoutDiskDemand(need);
+      best = BestWithoutDiskDemand(need, unserved);
     if (best)
       AddOrder(*best, need.model);
     else if (unserved && need.demand->waiting > 0)
@@ -325,14 +334,16 @@
 
   bool TryTakeFullScan() { return m_full_scans++ < MAX_FULL_SCANS; }
 
-  /// True if the demand has been unserved for longer than a load from disk saves. Each load from
-  /// the weight store blocks other orders of its server for its whole duration: ordering them
-  /// wherever there was room lowered the mean score by 0.05 over six days on which one model
-  /// starved.
+  /// True if the demand has been unserved for longer than a load from disk saves, or exceeds what
+  /// its replicas can run. Each load from the weight store blocks other orders of its server for
+  /// its whole duration: ordering them wherever there was room lowered the mean score by 0.05 over
+  /// six days on which one model starved.
   bool MayBypassDisk(const Need& need) const
   {
-    return IsUnserved(need) && m_store_loads_left > 0 &&
-           ExceedsDiskSaving(Model(need.model), need.demand->unserved_for);
+    if (m_store_loads_left <= 0)
+      return false;
+    return IsUnserved(need) ? ExceedsDiskSaving(Model(need.model), need.demand->unserved_for)
+                            : IsOverloaded(need);
   }
 
   /// Examines only the servers with a copy, to bound its cost.
@@ -383,12 +394,12 @@
 
   /// The best server for a load from the weight store among those that are not needed for loads
   /// from disk of other models with waiting requests.
-  std::optional<Candidate> BestWithoutDiskDemand(const Need& need)
+  std::optional<Candidate> BestWithoutDiskDemand(const Need& need, bool unserved)
   {
     std::optional<Candidate> best;
     for (std::size_t i = 0; i < m_input.servers.size(); ++i)
       if (!m_needed_for_disk_loads[i])
-        EvaluateCandidate(best, ServerIndex(i), WeightSource::WeightStore, need, true);
+        EvaluateCandidate(best, ServerIndex(i), WeightSource::WeightStore, need, unserved);
     return best;
   }
 
