--- a/Source/Core/Gateway/RouteHistory.cpp
+++ b/Source/Core/Gateway/RouteHistory.cpp
@@ -14,7 +14,7 @@
 void RouteHistory::Note(std::shared_ptr<const Configuration> configuration, TimePoint now)
 {
   if (m_current)
-    m_former.push_back({std::move(m_current), now});
+    m_former.push_back({Configuration{.routes = m_current->routes}, now});
   m_current = std::move(configuration);
   std::erase_if(m_former, [now](const Former& former) {
     return now - former.replaced_at >= StreamOrigins::RETENTION;
@@ -36,7 +36,7 @@
     add(*m_current);
   for (const Former& former : m_former)
     if (now - former.replaced_at < StreamOrigins::RETENTION)
-      add(*former.configuration);
+      add(former.routes);
   return pools;
 }
 } // namespace Gateway
--- a/Source/Core/Gateway/RouteHistory.h
+++ b/Source/Core/Gateway/RouteHistory.h
@@ -27,7 +27,7 @@
 private:
   struct Former
   {
-    std::shared_ptr<const Configuration> configuration;
+    Configuration routes; ///< Nothing but its routes.
     Common::TimePoint replaced_at;
   };
 
