--- a/Source/ScenarioRunner/Relay.cpp
+++ b/Source/ScenarioRunner/Relay.cpp
@@ -59,7 +59,7 @@
 
 Result<Done> Relay::Open()
 {
-  if (const auto opened = OpenTcp(); !opened)
+  if (auto opened = OpenTcp(); !opened)
     return opened;
   const auto address = ParseAddress(m_listen);
   m_udp = GRef<GSocket>(
