--- a/Source/Core/Decisions/ReplicaPlan.cpp
+++ b/Source/Core/Decisions/ReplicaPlan.cpp
@@ -335,8 +335,8 @@
   bool TryTakeFullScan() { return m_full_scans++ < MAX_FULL_SCANS; }
 
   /// True if the demand has been unserved for longer than a load from disk saves, or exceeds what
-  /// its replicas can run. Such loads are rare: each blocks other orders of its server for its whole
-  /// duration.
+  /// its replicas can run. Such loads are rare: each blocks other orders of its server for its
+  /// whole duration.
   bool MayBypassDisk(const Need& need) const
   {
     if (m_store_loads_left <= 0)
