Review: an entry without models empties a server in the plan

Tried: another writer leaves the entry of a live server without its list of models, and a model that no server holds is requested.

--- a/review/support-2/Lab.h
+++ b/review/support-2/Lab.h
@@ -874,6 +874,17 @@
     m_store->Put("servers", id, entry.dump());
   }
 
+  /// What another writer leaves under the id of this server: its entry, without `stage` and
+  /// `models`. The server's next heartbeat replaces it.
+  void WriteEntryWithoutModels()
+  {
+    Json entry = Json::parse(m_store->Get("servers", id));
+    entry.erase("stage");
+    entry.erase("models");
+    Note("another writer leaves servers/%s = %s", id.c_str(), entry.dump().c_str());
+    m_store->Put("servers", id, entry.dump());
+  }
+
 private:
   Json ModelsJson() const
   {
