Review: a stopping daemon cuts the streams of a leaving server that pauses

Tried: the entry of a server goes while it serves on, the daemon that forwards its streams gets SIGTERM, and the server pauses for 3.5 s.

--- a/review/support-2/Lab.h
+++ b/review/support-2/Lab.h
@@ -849,6 +849,13 @@
     }
     WriteEntry();
   }
+  /// Leaves as planned without saying so first: its entry goes, and it serves on.
+  void LeaveList()
+  {
+    m_stopped = true;
+    Note("the entry of %s goes; it serves on", id.c_str());
+    m_store->Remove("servers", id);
+  }
   /// Ends: connections are refused, and the entry lapses later.
   void Crash()
   {
