--- a/review/support-2/SlowReader.cpp
+++ b/review/support-2/SlowReader.cpp
@@ -9,16 +9,17 @@
 {
 using namespace Lab;
 
-constexpr int STREAMS = 6;
-constexpr int EVENTS = 150;
+constexpr int STREAMS = 12;
+constexpr int EVENTS = 190;
 constexpr double EVENT_S = 0.01;
-constexpr std::size_t EVENT_BYTES = 200;
+/// The events have 55 bytes, as those of the platform's streams.
+constexpr std::size_t PAYLOAD_BYTES = 39;
 constexpr double SIGTERM_AT_S = 0.5;
 /// The callers read nothing for this long, after the first bytes of the answer.
 constexpr double PAUSE_S = 4.5;
 constexpr double GRACE_S = 8;
 /// Small windows, as the platform's links have.
-constexpr int RECEIVE_BUFFER_BYTES = 4096;
+constexpr int RECEIVE_BUFFER_BYTES = 2048;
 
 Json Configuration()
 {
@@ -98,7 +99,7 @@
       {
         SleepFor(EVENT_S);
         const std::string text =
-            "id: " + std::to_string(event) + "\ndata: " + std::string(EVENT_BYTES, 'x') + "\n\n";
+            "id: " + std::to_string(event) + "\ndata: " + std::string(PAYLOAD_BYTES, 'x') + "\n\n";
         char size[16];
         std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
         if (!connection.Write(size + text + "\r\n"))
