--- a/review/support-2/Lab.h
+++ b/review/support-2/Lab.h
@@ -101,6 +101,33 @@
   return address;
 }
 
+/// The first of `FREE_PORTS` ports that no program of this machine uses.
+inline int FirstPort()
+{
+  constexpr int FREE_PORTS = 32;
+  constexpr int LOWEST = 20000;
+  constexpr int RANGE = 10000;
+  static const int s_first = [] {
+    const auto is_free = [](int port) {
+      const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+      const sockaddr_in address = SocketAddress("0.0.0.0", port);
+      const bool free = bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+      close(fd);
+      return free;
+    };
+    for (int attempt = 0;; ++attempt)
+    {
+      const int first = LOWEST + (static_cast<int>(getpid()) * FREE_PORTS + attempt * 97) % RANGE;
+      int free = 0;
+      while (free < FREE_PORTS && is_free(first + free))
+        ++free;
+      if (free == FREE_PORTS || attempt == 100)
+        return first;
+    }
+  }();
+  return s_first;
+}
+
 struct Header
 {
   std::string name;
@@ -552,6 +579,7 @@
     const std::string log = folder + "/" + name + "-" + ip + ".log";
     const std::string boot = "DRUMPOND_BOOT=" + path;
     const std::string source = "DRUMPOND_SOURCE_ADDRESS=" + ip;
+    const std::string metrics = "DRUMPOND_METRICS_PORT=" + std::to_string(FirstPort() + 4);
     const std::string search = std::string("PATH=") + std::getenv("PATH");
     pid = fork();
     if (pid != 0)
@@ -562,8 +590,9 @@
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     FILE* out = std::freopen(log.c_str(), "a", stdout);
     dup2(fileno(out), 2);
-    const char* environment[] = {boot.c_str(), source.c_str(), "GSETTINGS_BACKEND=memory",
-                                 search.c_str(), nullptr};
+    const char* environment[] = {boot.c_str(),    source.c_str(),
+                                 metrics.c_str(), "GSETTINGS_BACKEND=memory",
+                                 search.c_str(),  nullptr};
     execle("target/bin/drumpondd", "target/bin/drumpondd", static_cast<char*>(nullptr),
            environment);
     _exit(127);
@@ -699,16 +728,16 @@
   Store store;
   std::vector<std::unique_ptr<Daemon>> daemons;
   std::string folder;
-  static constexpr int STORE_PORT = 8142;
-  static constexpr int FRONT_PORT = 8149;
-  static constexpr int READY_PORT = 8141;
-  static constexpr int PEER_PORT = 7380;
+  const int store_port = FirstPort();
+  const int front_port = FirstPort() + 1;
+  const int ready_port = FirstPort() + 2;
+  const int peer_port = FirstPort() + 5;
 
   Deployment()
   {
     char path[] = "/tmp/review-XXXXXX";
     folder = mkdtemp(path);
-    if (!store.Listen(STORE_PORT))
+    if (!store.Listen(store_port))
       End(2, "the store cannot listen");
   }
 
@@ -719,9 +748,9 @@
     daemon.name = name;
     daemon.ip = Address(host);
     daemon.zone = zone;
-    daemon.front = FRONT_PORT;
-    daemon.ready = READY_PORT;
-    daemon.settings = SmallSettings(daemon, store, PEER_PORT);
+    daemon.front = front_port;
+    daemon.ready = ready_port;
+    daemon.settings = SmallSettings(daemon, store, peer_port);
     return daemon;
   }
 
@@ -798,7 +827,7 @@
 
   std::string id;
   std::string ip;
-  int port = 8185;
+  int port = FirstPort() + 3;
   std::string service;
   std::string zone = "hall-a";
   std::string version = "v1";
