--- a/review/support-2/LeavingServer.cpp
+++ b/review/support-2/LeavingServer.cpp
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 // LOST: a machine gets SIGTERM while it forwards streams of a server that leaves as planned and
-// pauses.
+// pauses in the newest of them.
 
 #include "Lab.h"
 
@@ -79,6 +79,7 @@
   std::vector<std::unique_ptr<Server>> servers;
   std::atomic<int> written{0};
   std::atomic<int> stopped{0};
+  std::atomic<int> arrived{0};
   for (int i = 0; i < 2; ++i)
   {
     servers.push_back(std::make_unique<Server>());
@@ -89,6 +90,8 @@
     server.runs_models = true;
     server.on_run = [&](const Message& request, Connection& connection) {
       const std::string id = request.Find("Attempt-Id");
+      // Only the newest request is preempted.
+      const bool is_newest = ++arrived == STREAMS;
       if (!connection.Write("HTTP/1.1 200 OK\r\nAttempt-Id: " + id + "\r\nServer-Stamp: stamp-" +
                             id +
                             "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
@@ -96,7 +99,7 @@
         return false;
       for (int event = 1; event <= EVENTS; ++event)
       {
-        SleepFor(event == PAUSE_AFTER + 1 ? PAUSE_S : EVENT_S);
+        SleepFor(is_newest && event == PAUSE_AFTER + 1 ? PAUSE_S : EVENT_S);
         const std::string text = "id: " + std::to_string(event) + "\ndata: piece\n\n";
         char size[16];
         std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
