Gateway: `resumable` makes streams repeatable, and nothing else

Cause: Route::IsRepeatable was "idempotent or resumable", whatever the kind. The flag has a meaning for streams only. attempt-failed showed may_have_run=true for each of these attempts, so that the reset was not taken for a request that had not been sent.

IsRepeatable decides by kind now, and Relay::MayTryAgain is the only place that asks it: after a failed attempt, a silent server, a broken path and a 5xx of the server. A configuration that says `resumable` elsewhere stays valid; the operator is told so by configuration-warning and /dump.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -87,6 +87,9 @@
                    {{"version", configuration->version},
                     {"before", m_configuration ? m_configuration->version : 0},
                     {"routes", configuration->routes.size()}});
+  for (const std::string& warning : configuration->Warnings())
+    Common::LogEvent(Common::LogLevel::Warning, "configuration-warning",
+                     {{"version", configuration->version}, {"warning", warning}});
   m_configuration = std::move(configuration);
   m_limits = m_configuration->limits;
   m_configuration_error.clear();
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -188,12 +188,14 @@
   for (const Common::DataCentreId& data_centre : m_dispatcher.Servers().Evacuated())
     evacuated.push_back(data_centre.Get());
   const auto& configuration = m_dispatcher.CurrentConfiguration();
+  const auto warnings = configuration ? configuration->Warnings() : std::vector<std::string>();
   return Common::DumpJson({{"ready", IsReady()},
                            {"crashes", std::move(crashes)},
                            {"stopping", m_stopping},
                            {"open_requests", m_dispatcher.OpenRequests()},
                            {"configuration_version", configuration ? configuration->version : -1},
                            {"configuration_refused", m_dispatcher.ConfigurationError()},
+                           {"configuration_warnings", warnings},
                            {"evacuated", std::move(evacuated)},
                            {"servers", std::move(servers)}});
 }
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -512,8 +512,7 @@
     AttemptFailed("the server is no longer listed and has sent nothing", true);
     return;
   }
-  const bool can_retry = m_route.IsRepeatable() && MayTryAgain(true) &&
-                         m_dispatcher.ChooseServer(*this) != nullptr &&
+  const bool can_retry = MayTryAgain(true) && m_dispatcher.ChooseServer(*this) != nullptr &&
                          m_dispatcher.Budget().Left(m_pool, now) >= 1;
   if (can_retry)
   {
@@ -545,8 +544,7 @@
     return;
   }
   const auto now = Common::Now();
-  const bool may_repeat =
-      m_route.IsRepeatable() && MayTryAgain(true) && m_dispatcher.Budget().Left(m_pool, now) >= 1;
+  const bool may_repeat = MayTryAgain(true) && m_dispatcher.Budget().Left(m_pool, now) >= 1;
   if (may_repeat && IsSilentOnDirectPath(now))
     AttemptFailed(WHY, true);
 }
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -293,7 +293,7 @@
     m_saved_body = std::move(m_body);
     m_body = {};
   }
-  if (is_first_failure && m_route.IsRepeatable())
+  if (is_first_failure && MayTryAgain(true))
     AttemptFailed("the server failed with status " + std::to_string(m_head.status), true);
   else
     ForwardSavedResponse();
--- a/Source/Core/Gateway/Types.cpp
+++ b/Source/Core/Gateway/Types.cpp
@@ -32,6 +32,20 @@
   return load_from_store;
 }
 
+bool Route::IsRepeatable() const
+{
+  switch (repeatability)
+  {
+  case Repeatability::Idempotent:
+    return true;
+  case Repeatability::Streaming:
+    return resumable;
+  case Repeatability::NonIdempotent:
+    break;
+  }
+  return false;
+}
+
 const ModelSpec* Pool::FindModel(const ModelId& model) const
 {
   if (!model_server)
@@ -52,4 +66,14 @@
   }
   return best;
 }
+
+std::vector<std::string> Configuration::Warnings() const
+{
+  std::vector<std::string> warnings;
+  for (const Route& route : routes)
+    if (route.resumable && route.repeatability != Repeatability::Streaming)
+      warnings.push_back("route " + route.name +
+                         ": resumable has no effect, since the route is no stream");
+  return warnings;
+}
 } // namespace Gateway
--- a/Source/Core/Gateway/Types.h
+++ b/Source/Core/Gateway/Types.h
@@ -125,14 +125,16 @@
   Common::Milliseconds gap_target{0};     ///< Maximum pause between a stream's events.
   int priority = 0;                       ///< 0 is the highest.
   int max_servers = 1;                    ///< Maximum backend servers tried per request.
-  bool resumable = false; ///< A stream may continue after its last event on another server.
+  /// A stream may continue after its last event on another server. Has no effect on other routes.
+  bool resumable = false;
   bool uses_model = false;
   bool open_to_all = false; ///< No API key is required.
   /// Regions in which requests may run; empty: in all.
   std::set<Common::RegionId> allowed_regions;
   std::vector<WeightedPool> pools;
 
-  bool IsRepeatable() const { return repeatability == Repeatability::Idempotent || resumable; }
+  /// True if a request that may have run may be sent again. Nothing else decides that.
+  bool IsRepeatable() const;
 };
 
 /// A model that the servers of a pool can load.
@@ -186,6 +188,8 @@
 
   /// Returns the route of `host` with the longest prefix of `path`, or nullptr.
   const Route* FindRoute(std::string_view host, std::string_view path) const;
+  /// What is valid but has no effect, in words for the operator.
+  std::vector<std::string> Warnings() const;
 };
 
 /// A model that a backend server holds in accelerator memory.
