Gateway: logs state how much of a request was unsent when its response ended

A response without a length that was reset in the middle of an upload, and one that its server ended in an orderly way, gave the same line: `request` with outcome=answered and body_end=connection. `request` and `attempt-failed` have request_unsent now. In the first case it is above 0; without an upload in progress it is 0.

--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -364,6 +364,7 @@
   m_events.DropPartial();
   m_connection_number = m_connection->Number();
   m_connection_requests = m_connection->Requests() + 1;
+  m_request_unsent = 0;
   m_is_probe = m_dispatcher.Parts().NoteSent(m_prompt_parts, m_server->Entry().version.Get(), now);
   m_dispatcher.Limited().NoteSend(*m_server, now);
   m_dispatcher.CountSend(*m_server, now);
@@ -412,6 +413,7 @@
                       {"attempt", m_arrivals},
                       {"connection", m_connection_number},
                       {"on_connection", m_connection_requests},
+                      {"request_unsent", m_request_unsent},
                       {"stream_begun", m_stream_begun},
                       {"budget", m_dispatcher.Budget().Left(m_pool, Common::Now())}});
   const bool had_server = m_server != nullptr;
@@ -603,6 +605,7 @@
        {"stream_begun", m_stream_begun},
        {"connection", m_connection_number},
        {"on_connection", m_connection_requests},
+       {"request_unsent", m_request_unsent},
        {"inside_event", m_events.IsInsideEvent()},
        {"arrivals", m_arrivals},
        {"entries_age_ms",
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -355,6 +355,8 @@
   /// this one.
   std::uint64_t m_connection_number = 0;
   int m_connection_requests = 0;
+  /// Bytes of the request that were not sent when the response of the last server ended.
+  std::size_t m_request_unsent = 0;
   /// The daemon through which `m_connection` was opened; unset if it is direct or was kept.
   std::optional<Http::Endpoint> m_helper;
   std::set<InstanceId> m_tried_servers;
--- a/Source/Core/Gateway/RelayResponses.cpp
+++ b/Source/Core/Gateway/RelayResponses.cpp
@@ -152,6 +152,8 @@
     return;
   }
   m_stall_timer.Stop();
+  if (m_connection)
+    m_request_unsent = m_connection->UnsentBytes();
   if (m_server && m_signals.accepted)
     m_dispatcher.Brittle().NoteServiceTime(
         m_pool, std::chrono::duration_cast<Milliseconds>(Common::Now() - m_sent_at));
@@ -365,6 +367,8 @@
   const auto guard = shared_from_this();
   const auto connection = std::exchange(m_connection, nullptr);
   const auto now = Common::Now();
+  if (connection)
+    m_request_unsent = connection->UnsentBytes();
   if (breakage == Http::ExchangeError::TunnelFailed)
   {
     if (m_helper)
--- a/Source/Core/Http/OriginConnection.h
+++ b/Source/Core/Http/OriginConnection.h
@@ -95,6 +95,8 @@
   int Requests() const { return m_requests; }
   /// True if at least one byte of a request has been sent over this connection.
   bool HasSent() const { return m_stream->HasSent() && m_tunnel != TunnelState::Opening; }
+  /// Bytes of the request that the kernel has not accepted, also after the end of the exchange.
+  std::size_t UnsentBytes() const { return m_stream->Unsent(); }
   /// True if the connection may carry another request at `now`.
   bool IsReusable(Common::TimePoint now) const;
   void SetReading(bool reading) { m_stream->SetReading(reading); }
