Http: a connection whose write failed ends as reset

Cause: the kernel reports a reset once, to the write or the read that comes first. TcpStream dropped the error of the write, and the next read found 0 bytes, like after an orderly close, which completes a body without a length.

TcpStream remembers that a write failed; an end of file after it is a reset. What was received before is still read, so an early response that is whole by its length is delivered.

--- a/Source/Core/Http/TcpStream.cpp
+++ b/Source/Core/Http/TcpStream.cpp
@@ -201,9 +201,12 @@
     const ssize_t count = send(m_fd, m_out.data() + m_out_begin, Unsent(), MSG_NOSIGNAL);
     if (count < 0 && errno == EINTR)
       continue;
-    // A failed connection is reported and handled as a readable or error event next.
     if (count <= 0)
+    {
+      // What was received before is still read; the end of the connection is an event of its own.
+      m_write_failed = m_write_failed || (errno != EAGAIN && errno != EWOULDBLOCK);
       return true;
+    }
     m_sent += static_cast<std::uint64_t>(count);
     m_out_begin += static_cast<std::size_t>(count);
   }
@@ -279,7 +282,7 @@
   if (count > 0)
     m_events->OnBytes(std::string_view(buffer.data(), static_cast<std::size_t>(count)));
   else if (count == 0)
-    Fail(StreamEnd::Closed);
+    Fail(m_write_failed ? StreamEnd::Reset : StreamEnd::Closed);
   else if (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR)
     Fail(StreamEnd::Reset);
 }
--- a/Source/Core/Http/TcpStream.h
+++ b/Source/Core/Http/TcpStream.h
@@ -32,8 +32,8 @@
 /// How a connection ended.
 enum class StreamEnd
 {
-  Closed,             ///< The peer closed the connection in an orderly way.
-  Reset,              ///< The connection was reset or failed.
+  Closed, ///< The peer closed the connection in an orderly way, and no write to it has failed.
+  Reset,  ///< The connection was reset or failed.
   SendDeadlinePassed, ///< The send deadline passed with output unsent, which was dropped.
 };
 
@@ -131,6 +131,9 @@
   std::string m_out;
   std::size_t m_out_begin = 0;
   std::uint64_t m_sent = 0;
+  /// The kernel reports a failed connection once. If a write has got the error, a read finds what
+  /// was received before, and then an end like that of an orderly close.
+  bool m_write_failed = false;
   Common::TimePoint m_send_deadline = NO_SEND_DEADLINE;
 };
 
--- a/Source/UnitTests/Gateway/BrokenOffResponsesTest.cpp
+++ b/Source/UnitTests/Gateway/BrokenOffResponsesTest.cpp
@@ -87,6 +87,7 @@
   CPPUNIT_TEST(UnframedEndOfAResumedStreamIsResumedForever);
   CPPUNIT_TEST(UnframedPlainResponseGetsALength);
   CPPUNIT_TEST(UnframedPlainResponseThatIsResetIsForwarded);
+  CPPUNIT_TEST(UnframedResponseResetDuringAnUploadLooksComplete);
   CPPUNIT_TEST(UnframedSuccessDoesNotUnblockItsRequest);
   CPPUNIT_TEST(UnframedStreamOfAnEndingProcessLooksComplete);
   CPPUNIT_TEST_SUITE_END();
@@ -334,6 +335,23 @@
     CPPUNIT_ASSERT(world.caller.received.find("\r\n\r\nbo") == std::string::npos);
   }
 
+  /// A response without a length is passed on as whole although its server reset the connection in
+  /// the middle of the upload.
+  void UnframedResponseResetDuringAnUploadLooksComplete()
+  {
+    TestServer server([](TestPeer& peer, const std::string& head) {
+      peer.stream->SetReading(false);
+      peer.stream->Write(UnframedHead(head, "text/plain") + "part");
+      ResetSoon(peer);
+    });
+    World world;
+    world.AddServer("i-1", server.Address());
+    world.Ask(ONCE_PATH, "id-1", "", std::string(4000000, 'x'));
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 "));
+    CPPUNIT_ASSERT(world.caller.received.starts_with("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(world.caller.received.find("part") == std::string::npos);
+  }
+
   /// The request was blocked while its server was responding, and the server has not crashed.
   void UnframedSuccessDoesNotUnblockItsRequest()
   {
--- a/Source/UnitTests/Http/OriginConnectionTest.cpp
+++ b/Source/UnitTests/Http/OriginConnectionTest.cpp
@@ -10,7 +10,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "UnitTests/Support/Loopback.h"
+#include "UnitTests/Support/CutResponses.h"
 
 namespace
 {
@@ -81,6 +81,8 @@
   CPPUNIT_TEST(ResponseMayTakeLongerThanConnectTimeout);
   CPPUNIT_TEST(ConnectionPausedAtTheEndOfAResponseIsNeverReadAgain);
   CPPUNIT_TEST(ConnectionWithALongIdleLimitIsReusable);
+  CPPUNIT_TEST(ResponseResetDuringAnUploadLooksComplete);
+  CPPUNIT_TEST(WholeResponseBeforeAResetIsLost);
   CPPUNIT_TEST_SUITE_END();
 
   void UnacceptedConnectionTimesOut()
@@ -148,6 +150,47 @@
     CPPUNIT_ASSERT(connection->IsReusable(Common::Now()));
     connection->Abandon();
   }
+
+  /// A server that responds in the middle of an upload, of which it reads nothing, and resets the
+  /// connection.
+  static UnitTests::TestServer RespondingEarly(const std::string& response)
+  {
+    return UnitTests::TestServer([response](UnitTests::TestPeer& peer, const std::string&) {
+      peer.stream->SetReading(false);
+      peer.stream->Write(response);
+      UnitTests::EndSoon(peer, UnitTests::Ending::Reset);
+    });
+  }
+
+  static void Upload(const UnitTests::TestServer& server, ExchangeRecorder& events)
+  {
+    const auto connection = Http::OriginConnection::Connect(server.Address());
+    connection->Send(UnitTests::LongUpload(""), &events);
+    CPPUNIT_ASSERT(UnitTests::RunUntil([&] {
+      return events.ended || events.error;
+    }));
+    CPPUNIT_ASSERT(!connection->IsReusable(Common::Now()));
+  }
+
+  /// The kernel reports a reset once: to the write of the upload, after which the read found an
+  /// orderly end.
+  void ResponseResetDuringAnUploadLooksComplete()
+  {
+    const auto server = RespondingEarly("HTTP/1.1 200 OK\r\n\r\npart");
+    ExchangeRecorder events;
+    Upload(server, events);
+    CPPUNIT_ASSERT(!events.ended);
+    CPPUNIT_ASSERT(*events.error == Http::ExchangeError::Reset);
+  }
+
+  /// A final response may come before the server has read the request, and is whole by its length.
+  void WholeResponseBeforeAResetIsLost()
+  {
+    const auto server = RespondingEarly("HTTP/1.1 413 Long\r\nContent-Length: 4\r\n\r\nlong");
+    ExchangeRecorder events;
+    Upload(server, events);
+    CPPUNIT_ASSERT(events.ended);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OriginConnectionTest);
--- a/Source/UnitTests/Tunnels/TunnelServerTest.cpp
+++ b/Source/UnitTests/Tunnels/TunnelServerTest.cpp
@@ -6,7 +6,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Http/OriginConnection.h"
-#include "UnitTests/Support/Loopback.h"
+#include "UnitTests/Support/CutResponses.h"
 
 namespace
 {
@@ -48,10 +48,10 @@
     CPPUNIT_ASSERT(static_cast<bool>(helper->Listen(Http::Endpoint{htonl(INADDR_LOOPBACK), 0})));
   }
 
-  void Request(const Tunnels::TunnelTarget& target = TARGET)
+  void Request(const Tunnels::TunnelTarget& target = TARGET, const std::string& request = REQUEST)
   {
     connection = OriginConnection::ConnectThrough(helper->Local(), Tunnels::EncodeOpen(target));
-    connection->Send(REQUEST, &recorder);
+    connection->Send(request, &recorder);
   }
 
   bool Ends()
@@ -77,6 +77,7 @@
   CPPUNIT_TEST(FailedHelperLooksLikeAFailedServer);
   CPPUNIT_TEST(AbandonedRequestStillRuns);
   CPPUNIT_TEST(ResetOfTheServerLooksLikeTheEndOfAResponse);
+  CPPUNIT_TEST(ResetDuringAnUploadLooksLikeTheEndOfAResponse);
   CPPUNIT_TEST(ExitOfTheHelperLooksLikeTheEndOfAResponse);
   CPPUNIT_TEST(BytesBeforeTheTunnelIsOpenAreAccepted);
   CPPUNIT_TEST(TunnelsOutliveTheirConnections);
@@ -185,6 +186,22 @@
     CPPUNIT_ASSERT(!world.recorder.complete);
   }
 
+  /// The helper's write of the upload took the error of the reset, after which its read found an
+  /// orderly end.
+  void ResetDuringAnUploadLooksLikeTheEndOfAResponse()
+  {
+    TestServer server([](TestPeer& peer, const std::string&) {
+      peer.stream->SetReading(false);
+      peer.stream->Write("HTTP/1.1 200 OK\r\n\r\npart");
+      UnitTests::EndSoon(peer, UnitTests::Ending::Reset);
+    });
+    World world(server.Address());
+    world.Request(TARGET, UnitTests::LongUpload(""));
+    CPPUNIT_ASSERT(world.Ends());
+    CPPUNIT_ASSERT(!world.recorder.complete);
+    CPPUNIT_ASSERT(world.recorder.error == ExchangeError::Reset);
+  }
+
   void ExitOfTheHelperLooksLikeTheEndOfAResponse()
   {
     TestServer server([](TestPeer& peer, const std::string&) {
