Http: each line of a message is checked before it is parsed

Cause: http-parser, as packaged, accepts all of these; a program with the library alone shows it.

MessageSyntax says what a well-formed line is. MessageParser asks it for the lines of heads, interim heads, trailers and chunks, of requests and responses, before http-parser gets them, and refuses transfer codings other than chunked and switches of protocols.

--- a/Source/Core/Http/MessageParser.cpp
+++ b/Source/Core/Http/MessageParser.cpp
@@ -5,9 +5,12 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include <strings.h>
 
+#include "Http/MessageSyntax.h"
+
 namespace Http
 {
 namespace
@@ -26,14 +29,16 @@
   return *static_cast<MessageParser*>(parser->data);
 }
 
-/// http-parser accepts whitespace in header names. If such a header were forwarded, the next server
-/// might read another name: "Key : x" is not the header "Key" here, but is where whitespace is
-/// stripped.
-bool HasWhitespaceInHeaderName(const MessageHead& head)
+constexpr int SWITCHING_PROTOCOLS = 101;
+constexpr std::string_view LINE_BREAK = "\r\n";
+
+/// A line without its line break, which may lack the CR.
+std::string_view Content(std::string_view line)
 {
-  return std::ranges::any_of(head.headers, [](const HeaderField& field) {
-    return field.name.find_first_of(" \t") != std::string::npos;
-  });
+  line.remove_suffix(1);
+  if (line.ends_with('\r'))
+    line.remove_suffix(1);
+  return line;
 }
 } // namespace
 
@@ -67,6 +72,9 @@
   http_parser_init(&m_parser, m_kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
   m_parser.data = this;
   m_head = {};
+  m_section = Section::StartLine;
+  m_line.clear();
+  m_chunk_left = 0;
   m_in_header_value = false;
   m_in_message = false;
   m_head_done = false;
@@ -87,6 +95,8 @@
     settings.on_header_value = HandleValue;
     settings.on_headers_complete = HandleHeadersComplete;
     settings.on_body = HandleBody;
+    settings.on_chunk_header = HandleChunkHeader;
+    settings.on_chunk_complete = HandleChunkComplete;
     settings.on_message_complete = HandleMessageComplete;
     return settings;
   }();
@@ -94,11 +104,111 @@
 }
 
 MessageParser::Status MessageParser::Feed(std::string_view bytes, std::size_t* consumed)
+{
+  *consumed = 0;
+  auto status = Status::NeedsMore;
+  while (!bytes.empty() && status == Status::NeedsMore)
+  {
+    std::size_t taken = 0;
+    if (m_section == Section::Body)
+      status = Execute(bytes, &taken);
+    else if (m_section == Section::ChunkData)
+      status = Execute(bytes.substr(0, m_chunk_left), &taken);
+    else
+      status = FeedLine(bytes, &taken);
+    *consumed += taken;
+    bytes.remove_prefix(taken);
+  }
+  return status;
+}
+
+MessageParser::Status MessageParser::Execute(std::string_view bytes, std::size_t* consumed)
 {
   *consumed = http_parser_execute(&m_parser, &Settings(), bytes.data(), bytes.size());
   return StatusAfterFeed();
 }
 
+MessageParser::Status MessageParser::FeedLine(std::string_view bytes, std::size_t* consumed)
+{
+  const auto line_feed = bytes.find('\n');
+  *consumed = line_feed == std::string_view::npos ? bytes.size() : line_feed + 1;
+  m_line.append(bytes.substr(0, *consumed));
+  if ((m_head_done ? 0 : m_header_bytes) + m_line.size() > m_header_limit)
+    return Status::HeaderTooLarge;
+  if (line_feed == std::string_view::npos)
+    return MayBecomeWellFormed() ? Status::NeedsMore : Status::Malformed;
+  if (!IsWellFormed(m_line))
+    return Status::Malformed;
+  const std::string line = std::exchange(m_line, {});
+  if (m_section == Section::StartLine && !Content(line).empty())
+    m_section = Section::Fields;
+  std::size_t executed = 0;
+  return Execute(line, &executed);
+}
+
+bool MessageParser::MayBecomeWellFormed() const
+{
+  if (m_section == Section::ChunkEnd)
+    return LINE_BREAK.starts_with(m_line);
+  return m_section != Section::StartLine || m_kind == Kind::Request || m_line == "\r" ||
+         MayBeginStatusLine(m_line);
+}
+
+bool MessageParser::IsWellFormed(std::string_view line) const
+{
+  const std::string_view content = Content(line);
+  switch (m_section)
+  {
+  case Section::StartLine:
+    // Empty lines before a message are ignored (RFC 9112, section 2.2).
+    return content.empty() ||
+           (m_kind == Kind::Request ? IsRequestLine(content) : IsStatusLine(content));
+  case Section::Fields:
+  case Section::Trailers:
+    return content.empty() || IsFieldLine(content);
+  case Section::ChunkSize:
+    return IsChunkSizeLine(content);
+  case Section::ChunkEnd:
+    return line == LINE_BREAK;
+  case Section::Body:
+  case Section::ChunkData:
+    break;
+  }
+  return true;
+}
+
+std::string_view MessageParser::MalformedPart() const
+{
+  switch (m_section)
+  {
+  case Section::StartLine:
+    return "start line";
+  case Section::Fields:
+    return "header";
+  case Section::ChunkSize:
+  case Section::ChunkData:
+  case Section::ChunkEnd:
+    return "chunk";
+  case Section::Trailers:
+    return "trailer";
+  case Section::Body:
+    break;
+  }
+  return "body";
+}
+
+bool MessageParser::HasWellFormedFraming() const
+{
+  constexpr std::string_view TRANSFER_ENCODING = "Transfer-Encoding";
+  const std::string* coding = m_head.Find(TRANSFER_ENCODING);
+  if (coding == nullptr)
+    return true;
+  // Other codings would have to be undone, and HTTP/1.0 has none.
+  return m_head.Count(TRANSFER_ENCODING) == 1 && m_parser.http_minor > 0 &&
+         EqualIgnoringCase(std::string_view(*coding).substr(0, coding->find_last_not_of(" \t") + 1),
+                           "chunked");
+}
+
 MessageParser::Status MessageParser::FeedEnd()
 {
   if (!m_in_message)
@@ -176,7 +286,10 @@
   MessageParser& self = Self(parser);
   MessageHead& head = self.m_head;
   self.m_head_done = true;
-  if (self.m_kind == Kind::Request && HasWhitespaceInHeaderName(head))
+  // No request asks for another protocol: Upgrade is a header of one connection.
+  const bool is_switching =
+      self.m_kind == Kind::Response && parser->status_code == SWITCHING_PROTOCOLS;
+  if (is_switching || !self.HasWellFormedFraming())
     return STOP_PARSING;
   if (self.m_kind == Kind::Request)
     head.method = http_method_str(static_cast<http_method>(parser->method));
@@ -201,13 +314,38 @@
   const bool bodyless = self.m_no_body || head.status == 204 || head.status == 304;
   head.ends_with_connection =
       self.m_kind == Kind::Response && !bodyless && !head.chunked && !has_length;
+  self.m_section = head.chunked ? Section::ChunkSize : Section::Body;
   self.m_sink->OnHead(head);
   return self.m_no_body ? SKIP_BODY : CONTINUE_PARSING;
 }
 
 int MessageParser::HandleBody(http_parser* parser, const char* at, std::size_t size)
 {
-  Self(parser).m_sink->OnBody(std::string_view(at, size));
+  MessageParser& self = Self(parser);
+  if (self.m_section == Section::ChunkData)
+  {
+    self.m_chunk_left -= size;
+    if (self.m_chunk_left == 0)
+      self.m_section = Section::ChunkEnd;
+  }
+  self.m_sink->OnBody(std::string_view(at, size));
+  return CONTINUE_PARSING;
+}
+
+int MessageParser::HandleChunkHeader(http_parser* parser)
+{
+  MessageParser& self = Self(parser);
+  self.m_chunk_left = parser->content_length;
+  self.m_section = self.m_chunk_left == 0 ? Section::Trailers : Section::ChunkData;
+  return CONTINUE_PARSING;
+}
+
+int MessageParser::HandleChunkComplete(http_parser* parser)
+{
+  MessageParser& self = Self(parser);
+  // Called after the last chunk's trailers too.
+  if (self.m_section == Section::ChunkEnd)
+    self.m_section = Section::ChunkSize;
   return CONTINUE_PARSING;
 }
 
@@ -218,6 +356,7 @@
   if (interim)
   {
     self.m_head = {};
+    self.m_section = Section::StartLine;
     self.m_in_header_value = false;
     self.m_head_done = false;
     return CONTINUE_PARSING;
--- a/Source/Core/Http/MessageParser.h
+++ b/Source/Core/Http/MessageParser.h
@@ -54,7 +54,9 @@
   virtual void OnMessageEnd() = 0;
 };
 
-/// Parses one HTTP/1.1 message at a time from a byte stream, based on http-parser.
+/// Parses one HTTP/1.1 message at a time from a byte stream, based on http-parser. Decides for all
+/// messages, of callers, servers and the store, whether they are well-formed and whole: each line
+/// of a head, of a trailer and between chunks is checked before http-parser gets it.
 class MessageParser
 {
 public:
@@ -86,9 +88,23 @@
   void Restart();
 
   /// True from the first byte of a message until its last one.
-  bool InMessage() const { return m_in_message; }
+  bool InMessage() const { return m_in_message || !m_line.empty(); }
+  /// The part of the message that is malformed, for logs.
+  std::string_view MalformedPart() const;
 
 private:
+  /// The part of a message to which the next byte belongs.
+  enum class Section
+  {
+    StartLine,
+    Fields,
+    Body, ///< Without chunks.
+    ChunkSize,
+    ChunkData,
+    ChunkEnd, ///< The line break after the data of a chunk.
+    Trailers,
+  };
+
   static int HandleBegin(http_parser* parser);
   static int HandleUrl(http_parser* parser, const char* at, std::size_t size);
   static int HandleStatus(http_parser* parser, const char* at, std::size_t size);
@@ -96,9 +112,21 @@
   static int HandleValue(http_parser* parser, const char* at, std::size_t size);
   static int HandleHeadersComplete(http_parser* parser);
   static int HandleBody(http_parser* parser, const char* at, std::size_t size);
+  static int HandleChunkHeader(http_parser* parser);
+  static int HandleChunkComplete(http_parser* parser);
   static int HandleMessageComplete(http_parser* parser);
   static const http_parser_settings& Settings();
 
+  /// Hands bytes of one section, or one whole line, to http-parser.
+  Status Execute(std::string_view bytes, std::size_t* consumed);
+  /// Takes bytes up to the next line break, and executes the line once it is whole.
+  Status FeedLine(std::string_view bytes, std::size_t* consumed);
+  /// Whether a line may stand in the current section; `line` includes its line break.
+  bool IsWellFormed(std::string_view line) const;
+  /// False if no end of `m_line` can make it well-formed: a server that sends no HTTP may send no
+  /// line break either.
+  bool MayBecomeWellFormed() const;
+  bool HasWellFormedFraming() const;
   Status StatusAfterFeed();
   bool CountHeaderBytes(std::size_t size);
 
@@ -106,6 +134,9 @@
   Kind m_kind;
   MessageSink* m_sink;
   MessageHead m_head;
+  Section m_section = Section::StartLine;
+  std::string m_line;             ///< The beginning of a line whose end has not been received.
+  std::uint64_t m_chunk_left = 0; ///< Bytes of the current chunk that have not been received.
   bool m_in_header_value = false;
   bool m_in_message = false;
   bool m_head_done = false;
--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -6,6 +6,8 @@
 #include <charconv>
 #include <utility>
 
+#include "Common/Log.h"
+
 namespace Http
 {
 namespace
@@ -193,6 +195,12 @@
       return;
     if (status != MessageParser::Status::MessageEnded)
     {
+      const bool is_too_large = status == MessageParser::Status::HeaderTooLarge;
+      Common::LogEvent(Common::LogLevel::Warning, "response-malformed",
+                       {{"connection", m_number},
+                        {"on_connection", m_requests},
+                        {"part", m_parser.MalformedPart()},
+                        {"too_large", is_too_large}});
       Break(ExchangeError::Malformed);
       return;
     }
