Gateway: a stopping process sends no order that may outlast it

A stopping process now sends a request that may run once only if its deadline comes before the process ends. Otherwise it is refused at once, as not run, with a Retry-After of 0.1 s and a close of the connection, so that it comes back at another VM. That is asked before each send, so that it holds for orders that waited or were rejected too.

--- a/Source/Core/Gateway/Dispatcher.cpp
+++ b/Source/Core/Gateway/Dispatcher.cpp
@@ -794,9 +794,14 @@
                      static_cast<double>(Common::Reactor::Get().TakeMaxTimerDelay().count()));
 }
 
-void Dispatcher::BeginStop()
+void Dispatcher::BeginStop(Common::TimePoint ends_at)
 {
   m_stopping = true;
+  m_stop_ends_at = ends_at;
+  const auto relays = m_relays;
+  for (const auto& [key, relay] : relays)
+    if (relay->IsWaiting())
+      relay->TryDispatch();
 }
 
 void Dispatcher::CloseIdleConnections()
--- a/Source/Core/Gateway/Dispatcher.h
+++ b/Source/Core/Gateway/Dispatcher.h
@@ -186,8 +186,11 @@
   std::vector<ArtifactDemand> TakeDemand();
 
   void AcceptConnection(int fd);
-  /// From now on responses carry `Connection: close`.
-  void BeginStop();
+  /// From now on responses carry `Connection: close`. Requests that are open at `ends_at` are ended
+  /// then, so that none is sent to a server that may run once and need not end before.
+  void BeginStop(Common::TimePoint ends_at);
+  /// When open requests are ended because the process stops; `TimePoint::max()` if it does not.
+  Common::TimePoint StopEndsAt() const { return m_stop_ends_at; }
   /// Closes connections that have no open request, and refuses new requests.
   void CloseIdleConnections();
   /// Ends all open requests with an error.
@@ -503,6 +506,7 @@
   Common::OwnedTimer m_dispatch_timer;
   Common::OwnedTimer m_allowance_timer;
   bool m_stopping = false;
+  Common::TimePoint m_stop_ends_at = Common::TimePoint::max();
   bool m_refuses_requests = false;
 };
 } // namespace Gateway
--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -268,7 +268,7 @@
   m_stopping = true;
   m_stop_began = Common::Now();
   Common::LogEvent(Common::LogLevel::Info, "stopping", {{"open", m_dispatcher.OpenRequests()}});
-  m_dispatcher.BeginStop();
+  m_dispatcher.BeginStop(m_stop_began + m_settings.stop_grace - STOP_MARGIN);
   if (m_on_stop)
     m_on_stop();
   ContinueStop();
@@ -284,7 +284,8 @@
   if (grace_over)
     m_dispatcher.CancelAll();
   // Callers may still be reading responses that are complete here.
-  const bool all_sent = m_dispatcher.OpenRequests() == 0 && !m_dispatcher.HasUnsentOutput();
+  const bool all_sent =
+      m_dispatcher.OpenRequests() == 0 && !m_dispatcher.HasUnsentOutput() && !m_tunnels.IsInUse();
   if (grace_over || (balancer_notified && all_sent))
   {
     m_stopped = true;
--- a/Source/Core/Gateway/Relay.cpp
+++ b/Source/Core/Gateway/Relay.cpp
@@ -44,6 +44,8 @@
 /// second), and of other refused requests.
 constexpr std::string_view RETRY_AFTER_LOAD_S = "0.5";
 constexpr std::string_view RETRY_AFTER_S = "0.1";
+/// A new connection goes to another daemon.
+constexpr Milliseconds RETRY_AFTER_STOP{100};
 
 std::optional<std::int64_t> ParseNumber(const std::string* text)
 {
@@ -220,6 +222,15 @@
   return true;
 }
 
+bool Relay::RefuseIfStopIsFirst()
+{
+  if (m_route.IsRepeatable() || MayHaveRun() || m_deadline <= m_dispatcher.StopEndsAt())
+    return false;
+  m_retry_after = RETRY_AFTER_STOP;
+  Refuse("this process stops before the request must have ended");
+  return true;
+}
+
 bool Relay::FailAfterCrashes()
 {
   if (!MustNotCrashMore() ||
@@ -307,7 +318,7 @@
   if (m_done || m_connection)
     return;
   const auto guard = shared_from_this();
-  if (RefuseIfBlocked() || FailAfterCrashes())
+  if (RefuseIfBlocked() || FailAfterCrashes() || RefuseIfStopIsFirst())
     return;
   const ServerPtr server =
       m_dispatcher.MustAwaitCrashCheck(*this) ? nullptr : m_dispatcher.ChooseServer(*this);
--- a/Source/Core/Gateway/Relay.h
+++ b/Source/Core/Gateway/Relay.h
@@ -201,6 +201,9 @@
   void ReturnAllowance();
   /// Ends the request and returns true if it is blocked.
   bool RefuseIfBlocked();
+  /// Ends the request and returns true if the process stops, and may end it while a server runs it:
+  /// it may run once only and need not end before.
+  bool RefuseIfStopIsFirst();
   /// Records that the current server writes on the prompt.
   void NoteWritten();
   /// Ends the request if too many servers have crashed under it in this attempt. Going on would let
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 using Common::Milliseconds;
+using UnitTests::HeaderOf;
 using UnitTests::RunUntil;
 using UnitTests::TestPeer;
 
@@ -92,11 +93,76 @@
   TestPeer caller;
 };
 
+/// An entry point to which requests come while it stops.
+class LateWorld
+{
+public:
+  /// `timeout` is that of all routes.
+  explicit LateWorld(Milliseconds timeout)
+  {
+    CPPUNIT_ASSERT(static_cast<bool>(entry_point.Start()));
+    const auto configuration = MakeConfiguration();
+    configuration->routes.push_back(
+        UnitTests::MakeRoute(UnitTests::PLAIN_PATH, Gateway::Repeatability::Idempotent, 1, false));
+    for (Gateway::Route& route : configuration->routes)
+      route.timeout = timeout;
+    entry_point.GetDispatcher().SetConfiguration(configuration);
+    caller.stream = Http::TcpStream::Connect(m_settings.callers, &caller);
+    UnitTests::RunFor(Milliseconds(20));
+  }
+
+  void AddServer()
+  {
+    Gateway::ServerEntry entry;
+    entry.instance = Gateway::InstanceId("i-1");
+    entry.pool = Gateway::PoolId("pool");
+    entry.endpoint = server.Address();
+    entry.data_centre = Common::DataCentreId("here");
+    entry.slots = 10;
+    entry_point.GetDispatcher().Servers().Put(entry);
+  }
+
+  void Ask(const std::string& path)
+  {
+    caller.stream->Write("POST " + path + " HTTP/1.1\r\nHost: shop.example\r\nReq-Id: id-" +
+                         std::to_string(++m_asked) + "\r\n\r\n");
+  }
+
+  bool CallerGot(const std::string& text)
+  {
+    return RunUntil([&] {
+      return caller.received.find(text) != std::string::npos;
+    });
+  }
+
+  Milliseconds delay{0}; ///< Until the server responds.
+
+  UnitTests::TestServer server{[this](TestPeer& peer, const std::string& head) {
+    // The test may end, and this peer with it, before the server responds.
+    Common::Reactor::Get().After(delay, [stream = std::weak_ptr(peer.stream), head] {
+      if (const auto open = stream.lock())
+        open->Write(UnitTests::Answer(head, "done"));
+    });
+  }};
+
+private:
+  Gateway::EntryPointSettings m_settings = MakeSettings();
+  int m_asked = 0;
+
+public:
+  Gateway::EntryPoint entry_point{m_settings};
+  TestPeer caller;
+};
+
 class PlannedStopTest : public CppUnit::TestFixture
 {
   CPPUNIT_TEST_SUITE(PlannedStopTest);
   CPPUNIT_TEST(ResponseOfASlowCallerIsCutOff);
   CPPUNIT_TEST(CallerThatReadsNothingDelaysTheStopBeyondTheGrace);
+  CPPUNIT_TEST(OrderThatMayOutlastTheGraceIsCutOff);
+  CPPUNIT_TEST(OrderThatWaitedIsSentTooLateInTheGrace);
+  CPPUNIT_TEST(OrderThatEndsWithinTheGraceIsRefused);
+  CPPUNIT_TEST(RepeatableRequestIsRefusedAtTheBeginningOfTheGrace);
   CPPUNIT_TEST_SUITE_END();
 
   /// The process ended as soon as no request was in progress at a server.
@@ -117,6 +183,51 @@
     World world;
     CPPUNIT_ASSERT(world.StopsWithin(GRACE));
   }
+
+  /// Its timeout is longer than the grace period. It ran, and its caller got a response without a
+  /// promise at the end of the grace period.
+  void OrderThatMayOutlastTheGraceIsCutOff()
+  {
+    LateWorld world(GRACE * 2);
+    world.AddServer();
+    world.entry_point.BeginStop();
+    world.Ask(UnitTests::ONCE_PATH);
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(!HeaderOf(world.caller.received, "Retry-After").empty());
+    CPPUNIT_ASSERT_EQUAL(std::string("close"), HeaderOf(world.caller.received, "Connection"));
+    CPPUNIT_ASSERT(world.server.requests.empty());
+  }
+
+  void OrderThatWaitedIsSentTooLateInTheGrace()
+  {
+    LateWorld world(GRACE * 2);
+    world.Ask(UnitTests::ONCE_PATH);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return world.entry_point.GetDispatcher().OpenRequests() == 1;
+    }));
+    world.entry_point.BeginStop();
+    world.AddServer();
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 503 "));
+    CPPUNIT_ASSERT(world.server.requests.empty());
+  }
+
+  void OrderThatEndsWithinTheGraceIsRefused()
+  {
+    LateWorld world(GRACE / 2);
+    world.AddServer();
+    world.entry_point.BeginStop();
+    world.Ask(UnitTests::ONCE_PATH);
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 200 "));
+  }
+
+  void RepeatableRequestIsRefusedAtTheBeginningOfTheGrace()
+  {
+    LateWorld world(GRACE * 2);
+    world.AddServer();
+    world.entry_point.BeginStop();
+    world.Ask(UnitTests::PLAIN_PATH);
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 200 "));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
--- a/Source/UnitTests/Gateway/RelayTest.cpp
+++ b/Source/UnitTests/Gateway/RelayTest.cpp
@@ -500,7 +500,7 @@
     });
     World world;
     world.AddServer("i-1", server.Address());
-    world.dispatcher.BeginStop();
+    world.dispatcher.BeginStop(Common::TimePoint::max());
     world.Ask(ONCE_PATH, "id-1");
     CPPUNIT_ASSERT(world.CallerGot("\r\n\r\nx"));
     CPPUNIT_ASSERT_EQUAL(std::string("close"), HeaderOf(world.caller.received, "Connection"));
