Http: a connection whose request has arrived is not closed as idle

Callers on kept connections got a reset in a planned stop, for a request that lay in the kernel's buffer when idle connections were closed. CloseIfIdle looked only at what had been read. It asks the kernel now; the request is read next and refused as not run.

PlannedStopTest::ArrivedRequestIsClosedUnread failed before.

--- a/Source/Core/Http/ServerConnection.cpp
+++ b/Source/Core/Http/ServerConnection.cpp
@@ -305,6 +305,9 @@
 {
   if (m_request_open || m_parser.InMessage() || !m_unread.empty() || m_stream->Unsent() > 0)
     return;
+  // A request that has arrived and is not read yet would end with a reset.
+  if (!m_stream->IsStillIdle())
+    return;
   const auto guard = shared_from_this();
   m_stream->Close();
   Finish();
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -163,6 +163,7 @@
   CPPUNIT_TEST(OrderThatWaitedIsSentTooLateInTheGrace);
   CPPUNIT_TEST(OrderThatEndsWithinTheGraceIsRefused);
   CPPUNIT_TEST(RepeatableRequestIsRefusedAtTheBeginningOfTheGrace);
+  CPPUNIT_TEST(ArrivedRequestIsClosedUnread);
   CPPUNIT_TEST_SUITE_END();
 
   /// The process ended as soon as no request was in progress at a server.
@@ -228,6 +229,20 @@
     world.Ask(UnitTests::PLAIN_PATH);
     CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 200 "));
   }
+
+  /// A request that lies in the kernel's buffer when its kept connection is to be closed got a
+  /// reset instead of a refusal.
+  void ArrivedRequestIsClosedUnread()
+  {
+    LateWorld world(GRACE / 2);
+    world.AddServer();
+    world.Ask(UnitTests::PLAIN_PATH);
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 200 "));
+    world.caller.received.clear();
+    world.Ask(UnitTests::PLAIN_PATH);
+    world.entry_point.GetDispatcher().CloseIdleConnections();
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 503 "));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
