--- a/Source/Core/Gateway/EntryPoint.cpp
+++ b/Source/Core/Gateway/EntryPoint.cpp
@@ -269,6 +269,7 @@
   m_stop_began = Common::Now();
   Common::LogEvent(Common::LogLevel::Info, "stopping", {{"open", m_dispatcher.OpenRequests()}});
   m_dispatcher.BeginStop(m_stop_began + m_settings.stop_grace - STOP_MARGIN);
+  m_tunnels.BeginStop();
   if (m_on_stop)
     m_on_stop();
   ContinueStop();
--- a/Source/Core/Tunnels/TunnelServer.cpp
+++ b/Source/Core/Tunnels/TunnelServer.cpp
@@ -3,6 +3,7 @@
 
 #include "Tunnels/TunnelServer.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -25,6 +26,9 @@
 constexpr Milliseconds CONNECT_TIMEOUT{400};
 /// A tunnel checks at this interval whether this process was suspended.
 constexpr Milliseconds TICK{250};
+/// A tunnel that has carried nothing for this long, and last carried bytes of the server, is idle.
+/// Longer than the pauses of a stream.
+constexpr Milliseconds IDLE_AFTER{1000};
 /// A tick that is late by more than this shows that the process was suspended. Bytes that arrived
 /// meanwhile are not passed on: a request among them states the time that its caller had left then.
 constexpr Milliseconds SUSPENDED_AFTER{1000};
@@ -44,6 +48,12 @@
     Tick();
   }
 
+  /// True if the server owes a response, or may be in the middle of one.
+  bool IsInUse() const
+  {
+    return m_awaits_server || (m_open && Common::Now() - m_carried_at < IDLE_AFTER);
+  }
+
   void Reject(TunnelStatus status)
   {
     m_daemon.stream->Write(Http::Encode(status));
@@ -92,6 +102,8 @@
       Reset();
       return;
     }
+    m_awaits_server = &from == &m_daemon;
+    m_carried_at = Common::Now();
     Side& to = Opposite(from);
     to.stream->Write(bytes);
     if (to.stream->Unsent() > 0)
@@ -138,6 +150,7 @@
   {
     m_timer.Stop();
     m_open = true;
+    m_carried_at = Common::Now();
     // If this process exits, the daemon must not take that for the end of a response.
     m_daemon.stream->SetResetOnClose(true);
     m_daemon.stream->Write(Http::Encode(TunnelStatus::Open));
@@ -198,6 +211,8 @@
   std::string m_received;
   TunnelTarget m_target; ///< Once it was received.
   bool m_open = false;
+  bool m_awaits_server = false;   ///< The last bytes came from the daemon.
+  Common::TimePoint m_carried_at; ///< When the last bytes came, once it is open.
   bool m_closes_when_flushed = false;
   Common::TimePoint m_ticked_at;
   Common::OwnedTimer m_timer;
@@ -221,16 +236,23 @@
 void TunnelServer::Accept(int fd)
 {
   ++m_requested;
-  const bool has_room = m_tunnels.size() < MAX_TUNNELS;
+  const bool is_accepted = !m_stopping && m_tunnels.size() < MAX_TUNNELS;
   auto tunnel = std::make_unique<Tunnel>(*this, fd);
   Tunnel* key = tunnel.get();
   m_tunnels.emplace(key, std::move(tunnel));
-  if (has_room)
+  if (is_accepted)
     return;
   ++m_rejected;
   key->Reject(TunnelStatus::Busy);
 }
 
+bool TunnelServer::IsInUse() const
+{
+  return std::ranges::any_of(m_tunnels, [](const auto& entry) {
+    return entry.second->IsInUse();
+  });
+}
+
 void TunnelServer::Remove(Tunnel* tunnel)
 {
   tunnel->m_removal.Start(Milliseconds(0), [this, tunnel] {
--- a/Source/Core/Tunnels/TunnelServer.h
+++ b/Source/Core/Tunnels/TunnelServer.h
@@ -36,8 +36,13 @@
 
   Common::Result<Common::Done> Listen(const Http::Endpoint& local);
   Http::Endpoint Local() const { return m_listener.Local(); }
+  /// Rejects new tunnels from now on, since this process will end while they are used.
+  void BeginStop() { m_stopping = true; }
+  /// True if a request may be in progress in a tunnel.
+  bool IsInUse() const;
   std::size_t OpenTunnels() const { return m_tunnels.size(); }
-  /// Tunnels that were requested since the start, and those that were rejected for lack of room.
+  /// Tunnels that were requested since the start, and those that were rejected for lack of room or
+  /// as the process stops.
   std::int64_t Requested() const { return m_requested; }
   std::int64_t Rejected() const { return m_rejected; }
 
@@ -52,6 +57,7 @@
   std::function<void(const TunnelTarget&)> m_on_connect_failure;
   Http::TcpListener m_listener;
   std::map<Tunnel*, std::unique_ptr<Tunnel>> m_tunnels;
+  bool m_stopping = false;
   std::int64_t m_requested = 0;
   std::int64_t m_rejected = 0;
 };
--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -10,6 +10,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "Tunnels/Messages.h"
 #include "UnitTests/Support/RelayWorld.h"
 
 namespace
@@ -93,6 +94,19 @@
   TestPeer caller;
 };
 
+/// Records how an exchange through a tunnel ended.
+class TunnelRecorder : public Http::ResponseHandler
+{
+public:
+  HeadAction OnResponseHead(Http::MessageHead&) override { return HeadAction::Accept; }
+  void OnResponseBody(std::string_view) override {}
+  void OnResponseEnd() override { ended = true; }
+  void OnExchangeFailed(Http::ExchangeError failure) override { error = failure; }
+
+  bool ended = false;
+  std::optional<Http::ExchangeError> error;
+};
+
 /// An entry point to which requests come while it stops.
 class LateWorld
 {
@@ -135,6 +149,15 @@
     });
   }
 
+  /// Sends a request as another daemon would, which has no path to the server of its own.
+  std::shared_ptr<Http::OriginConnection> SendThroughTunnel(TunnelRecorder& recorder) const
+  {
+    auto connection = Http::OriginConnection::ConnectThrough(*m_settings.tunnels,
+                                                             Tunnels::EncodeOpen({"i-1", 0}));
+    connection->Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n", &recorder);
+    return connection;
+  }
+
   Milliseconds delay{0}; ///< Until the server responds.
 
   UnitTests::TestServer server{[this](TestPeer& peer, const std::string& head) {
@@ -146,7 +169,11 @@
   }};
 
 private:
-  Gateway::EntryPointSettings m_settings = MakeSettings();
+  Gateway::EntryPointSettings m_settings = [] {
+    Gateway::EntryPointSettings settings = MakeSettings();
+    settings.tunnels = UnitTests::FreeEndpoint();
+    return settings;
+  }();
   int m_asked = 0;
 
 public:
@@ -164,6 +191,8 @@
   CPPUNIT_TEST(OrderThatEndsWithinTheGraceIsRefused);
   CPPUNIT_TEST(RepeatableRequestIsRefusedAtTheBeginningOfTheGrace);
   CPPUNIT_TEST(ArrivedRequestIsClosedUnread);
+  CPPUNIT_TEST(RequestOfAnotherDaemonIsCutOff);
+  CPPUNIT_TEST(TunnelIsOpenedInTheGrace);
   CPPUNIT_TEST_SUITE_END();
 
   /// The process ended as soon as no request was in progress at a server.
@@ -243,6 +272,40 @@
     world.entry_point.GetDispatcher().CloseIdleConnections();
     CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 503 "));
   }
+
+  /// The process ended while it carried a request of another daemon to a server.
+  void RequestOfAnotherDaemonIsCutOff()
+  {
+    LateWorld world(GRACE / 2);
+    world.AddServer();
+    world.delay = AFTER_HALF;
+    TunnelRecorder response;
+    const auto connection = world.SendThroughTunnel(response);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return !world.server.requests.empty();
+    }));
+    world.entry_point.BeginStop();
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return response.ended || response.error || world.entry_point.HasStopped();
+    }));
+    CPPUNIT_ASSERT(response.ended);
+  }
+
+  /// The request would have been cut at the end of the grace period, and another daemon could carry
+  /// it.
+  void TunnelIsOpenedInTheGrace()
+  {
+    LateWorld world(GRACE / 2);
+    world.AddServer();
+    world.entry_point.BeginStop();
+    TunnelRecorder response;
+    const auto connection = world.SendThroughTunnel(response);
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return response.ended || response.error;
+    }));
+    CPPUNIT_ASSERT(response.error == Http::ExchangeError::TunnelFailed);
+    CPPUNIT_ASSERT(world.server.requests.empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedStopTest);
