UnitTests: a delayed write does not keep the connection of a test that has ended

OriginConnectionTest::WholeResponseBeforeAResetIsLost ends before the server resets its connection. The timer kept the stream, but not the peer that gets its events, and the next test that ran the loop crashed (once, in OriginExchangeTest::OriginIsLostWithItsVm, in a run of all tests).

--- a/Source/UnitTests/Gateway/MalformedResponsesTest.cpp
+++ b/Source/UnitTests/Gateway/MalformedResponsesTest.cpp
@@ -7,6 +7,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "UnitTests/Support/CutResponses.h"
 #include "UnitTests/Support/RelayWorld.h"
 
 namespace
@@ -123,9 +124,7 @@
   void RepeatableRequestIsNotSentAgain()
   {
     TestServer odd([](TestPeer& peer, const std::string& head) {
-      Common::Reactor::Get().After(Milliseconds(10), [stream = peer.stream, head] {
-        stream->Write(WithLine(head, "X y: 1"));
-      });
+      UnitTests::WriteSoon(peer, WithLine(head, "X y: 1"));
     });
     TestServer sound([](TestPeer& peer, const std::string& head) {
       peer.stream->Write(Answer(head, "sound"));
--- a/Source/UnitTests/Gateway/ResumableRoutesTest.cpp
+++ b/Source/UnitTests/Gateway/ResumableRoutesTest.cpp
@@ -12,7 +12,6 @@
 
 namespace
 {
-using Common::Milliseconds;
 using Gateway::Repeatability;
 using UnitTests::Answer;
 using UnitTests::HeaderOf;
@@ -86,10 +85,8 @@
   void OrderRunsTwiceAfterItsServerFailed()
   {
     World world([](TestPeer& peer, const std::string& head) {
-      Common::Reactor::Get().After(Milliseconds(10), [stream = peer.stream, head] {
-        stream->Write("HTTP/1.1 500 Failed\r\nReq-Id: " + HeaderOf(head, "Req-Id") +
-                      "\r\nSigned: yes\r\nContent-Length: 0\r\n\r\n");
-      });
+      UnitTests::WriteSoon(peer, "HTTP/1.1 500 Failed\r\nReq-Id: " + HeaderOf(head, "Req-Id") +
+                                     "\r\nSigned: yes\r\nContent-Length: 0\r\n\r\n");
     });
     world.CheckRanOnce("500");
   }
@@ -97,9 +94,7 @@
   void OrderRunsTwiceAfterAMalformedResponse()
   {
     World world([](TestPeer& peer, const std::string&) {
-      Common::Reactor::Get().After(Milliseconds(10), [stream = peer.stream] {
-        stream->Write("no response\r\n\r\n");
-      });
+      UnitTests::WriteSoon(peer, "no response\r\n\r\n");
     });
     world.CheckRanOnce("502");
   }
--- a/Source/UnitTests/Support/CutResponses.h
+++ b/Source/UnitTests/Support/CutResponses.h
@@ -59,13 +59,25 @@
          std::string(BODY_BYTES, 'x');
 }
 
+inline void WriteSoon(TestPeer& peer, const std::string& bytes)
+{
+  Common::Reactor::Get().After(Common::Milliseconds(10),
+                               [weak = std::weak_ptr(peer.stream), bytes] {
+                                 if (const auto stream = weak.lock())
+                                   stream->Write(bytes);
+                               });
+}
+
 inline void EndSoon(TestPeer& peer, Ending ending)
 {
-  Common::Reactor::Get().After(Common::Milliseconds(10), [stream = peer.stream, ending] {
-    if (ending == Ending::Close)
-      stream->Close();
-    else
-      stream->Reset();
-  });
+  // The test may end before, and with it the peer, which gets the events of the stream.
+  Common::Reactor::Get().After(Common::Milliseconds(10),
+                               [weak = std::weak_ptr(peer.stream), ending] {
+                                 const auto stream = weak.lock();
+                                 if (stream && ending == Ending::Close)
+                                   stream->Close();
+                                 else if (stream)
+                                   stream->Reset();
+                               });
 }
 } // namespace UnitTests
