Http: a response that has no body is complete after its head

RFC 9112 (6.3): 1xx, 204 and 304 have none.

MessageParserTest::BodyOfAResponseThatHasNoneIsAwaited failed before.

--- a/Source/Core/Http/MessageParser.cpp
+++ b/Source/Core/Http/MessageParser.cpp
@@ -316,7 +316,7 @@
       self.m_kind == Kind::Response && !bodyless && !head.chunked && !has_length;
   self.m_section = head.chunked ? Section::ChunkSize : Section::Body;
   self.m_sink->OnHead(head);
-  return self.m_no_body ? SKIP_BODY : CONTINUE_PARSING;
+  return bodyless ? SKIP_BODY : CONTINUE_PARSING;
 }
 
 int MessageParser::HandleBody(http_parser* parser, const char* at, std::size_t size)
--- a/Source/UnitTests/Http/MessageParserTest.cpp
+++ b/Source/UnitTests/Http/MessageParserTest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(SwitchToAnotherProtocolIsAccepted);
   CPPUNIT_TEST(RequestTargetWithControlBytesIsAccepted);
   CPPUNIT_TEST(BytesWithoutHttpAndLineBreakAreAwaited);
+  CPPUNIT_TEST(BodyOfAResponseThatHasNoneIsAwaited);
   CPPUNIT_TEST_SUITE_END();
 
   using Status = MessageParser::Status;
@@ -357,6 +358,16 @@
     CPPUNIT_ASSERT(parser.Feed("\x01\x02garbage\r\n\r\n", &consumed) ==
                    MessageParser::Status::Malformed);
   }
+
+  /// The length in a 304 is that of the body it stands for; the caller waited until its deadline.
+  void BodyOfAResponseThatHasNoneIsAwaited()
+  {
+    for (const char* line : {"304 Not Modified", "204 No Content"})
+      for (const char* framing : {"Content-Length: 3", "Transfer-Encoding: chunked", "A: b"})
+        CPPUNIT_ASSERT_MESSAGE(framing, StatusOf(MessageParser::Kind::Response,
+                                                 "HTTP/1.1 " + std::string(line) + "\r\n" +
+                                                     framing + "\r\n\r\n") == Status::MessageEnded);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageParserTest);
