Http: responses to other requests are not read without end

A server that sends responses without the id of the request, or one of them without an end, was read at full speed until the deadline: skipped bytes were not counted. Memory was not held, but the one thread was, and with it the other callers of the daemon.

Beyond 8 MB before the response to the request the exchange fails as malformed, and response-malformed says why. EndlessResponsesTest: two new tests failed before.

--- a/Source/Core/Http/OriginConnection.cpp
+++ b/Source/Core/Http/OriginConnection.cpp
@@ -22,6 +22,9 @@
 /// Connecting takes one round trip, a few ms between data centres. If it takes this long, the peer
 /// is cut off or a packet was lost, which the kernel would retransmit only after a second.
 constexpr Common::Milliseconds CONNECT_TIMEOUT{400};
+/// How much a server may send before the response to the request, such as responses to others. As
+/// much as the longest response that a daemon keeps.
+constexpr std::size_t MAX_UNACCEPTED_BYTES = std::size_t{8} << 20U;
 /// A tunnel takes one connection to the helper and one from there to the server.
 constexpr Common::Milliseconds TUNNEL_TIMEOUT = CONNECT_TIMEOUT * 2;
 
@@ -86,6 +89,8 @@
   m_handler = handler;
   ++m_requests;
   m_skipping = false;
+  m_is_accepted = false;
+  m_unaccepted_bytes = 0;
   // Where a second copy of a response without a body would end is not known.
   m_is_last_exchange = m_is_last_exchange || no_body_expected;
   m_parser.ExpectNoBody(no_body_expected);
@@ -191,17 +196,17 @@
     std::size_t consumed = 0;
     const auto status = m_parser.Feed(bytes, &consumed);
     bytes.remove_prefix(std::min(consumed, bytes.size()));
+    m_unaccepted_bytes += m_is_accepted ? 0 : consumed;
+    if (m_unaccepted_bytes > MAX_UNACCEPTED_BYTES)
+    {
+      BreakMalformed("responses to other requests", true);
+      return;
+    }
     if (status == MessageParser::Status::NeedsMore)
       return;
     if (status != MessageParser::Status::MessageEnded)
     {
-      const bool is_too_large = status == MessageParser::Status::HeaderTooLarge;
-      Common::LogEvent(Common::LogLevel::Warning, "response-malformed",
-                       {{"connection", m_number},
-                        {"on_connection", m_requests},
-                        {"part", m_parser.MalformedPart()},
-                        {"too_large", is_too_large}});
-      Break(ExchangeError::Malformed);
+      BreakMalformed(m_parser.MalformedPart(), status == MessageParser::Status::HeaderTooLarge);
       return;
     }
     EndResponse(!bytes.empty());
@@ -271,6 +276,16 @@
     handler->OnExchangeFailed(error);
 }
 
+void OriginConnection::BreakMalformed(std::string_view part, bool is_too_large)
+{
+  Common::LogEvent(Common::LogLevel::Warning, "response-malformed",
+                   {{"connection", m_number},
+                    {"on_connection", m_requests},
+                    {"part", part},
+                    {"too_large", is_too_large}});
+  Break(ExchangeError::Malformed);
+}
+
 void OriginConnection::UpdateKeepAlive(const MessageHead& head)
 {
   m_keep_alive = head.keep_alive;
@@ -285,6 +300,7 @@
   if (m_handler == nullptr)
     return;
   m_skipping = m_handler->OnResponseHead(head) == ResponseHandler::HeadAction::Skip;
+  m_is_accepted = !m_skipping;
   m_is_last_exchange = m_is_last_exchange || m_skipping;
 }
 
--- a/Source/Core/Http/OriginConnection.h
+++ b/Source/Core/Http/OriginConnection.h
@@ -122,6 +122,7 @@
   /// Handles the helper's reply; returns the number of bytes that belong to it.
   std::size_t ReadTunnelStatus(std::string_view bytes);
   void Break(ExchangeError error);
+  void BreakMalformed(std::string_view part, bool is_too_large);
   void EndResponse(bool extra_bytes_follow);
   void UpdateKeepAlive(const MessageHead& head);
 
@@ -132,6 +133,9 @@
   MessageParser m_parser;
   ResponseHandler* m_handler = nullptr;
   bool m_skipping = false;
+  bool m_is_accepted = false; ///< The response that is received is that to the current request.
+  /// Bytes received in the current exchange before that response.
+  std::size_t m_unaccepted_bytes = 0;
   bool m_keep_alive = true;
   /// The connection is closed after this exchange: what the server sends next on it may not be the
   /// response to the next request.
--- a/Source/UnitTests/Gateway/EndlessResponsesTest.cpp
+++ b/Source/UnitTests/Gateway/EndlessResponsesTest.cpp
@@ -52,6 +52,8 @@
   CPPUNIT_TEST(EndlessBodyIsNotSentAgainToAnotherServer);
   CPPUNIT_TEST(EndlessEventIsKeptInMemory);
   CPPUNIT_TEST(EndlessInterimResponsesAreReadUntilTheDeadline);
+  CPPUNIT_TEST(EndlessResponseToAnotherRequestIsReadUntilTheDeadline);
+  CPPUNIT_TEST(EndlessResponsesToOtherRequestsAreReadUntilTheDeadline);
   CPPUNIT_TEST(ManyEndlessBodiesExhaustMemoryTogether);
   CPPUNIT_TEST(LongBodyIsTakenForAnEndlessOne);
   CPPUNIT_TEST_SUITE_END();
@@ -121,6 +123,38 @@
     CPPUNIT_ASSERT(sent < 20000000);
   }
 
+  /// Checks that the caller gets a response before its deadline when the server sends `beginning`
+  /// and then `piece` without end.
+  static void CheckGivenUp(const std::string& beginning, const std::string& piece)
+  {
+    TestServer endless([&](TestPeer& peer, const std::string&) {
+      peer.stream->Write(beginning);
+      SendWithoutEnd(peer.stream, piece);
+    });
+    UnitTests::RelayWorld world;
+    world.AddServer("i-1", endless.Address());
+    world.Ask(UnitTests::ONCE_PATH, "id-1");
+    CPPUNIT_ASSERT(world.CallerGot("HTTP/1.1 502 "));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return endless.peers.at(0)->ended;
+    }));
+  }
+
+  /// A response without the request's id is skipped, as the expected one may follow.
+  void EndlessResponseToAnotherRequestIsReadUntilTheDeadline()
+  {
+    CheckGivenUp("HTTP/1.1 200 OK\r\nSigned: yes\r\n\r\n", std::string(1U << 20U, 'x'));
+  }
+
+  void EndlessResponsesToOtherRequestsAreReadUntilTheDeadline()
+  {
+    std::string piece;
+    while (piece.size() < 1U << 20U)
+      piece +=
+          "HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Length: 1000\r\n\r\n" + std::string(1000, 'x');
+    CheckGivenUp("", piece);
+  }
+
   void ManyEndlessBodiesExhaustMemoryTogether()
   {
     ResponseMemory memory;
