Http: the client of our own interface reads responses like everything else

A call on our own interface whose response in chunks was cut where the size of a chunk is due got it as complete, and 600 as a status: libsoup reads more leniently than MessageParser, and drops malformed lines of a head.

Http::Client is a coroutine interface to OriginConnection now, so that one place decides whether a response is whole and well-formed. A slow reader makes the server wait. Names are not resolved: the table asks for IP:PORT.

--- a/Source/Core/BackendServers/HttpBackendClient.cpp
+++ b/Source/Core/BackendServers/HttpBackendClient.cpp
@@ -129,9 +129,6 @@
   Http::Request request = NewRequest("POST", address, "/v1/engine/orders");
   request.body = Common::DumpJson(ToJson(order));
   request.timeout = timeout;
-  // A load order is sent only once. On a reused connection that the server has just closed, it
-  // would fail with an unknown outcome although the server never received it.
-  request.fresh_connection = true;
   const auto response = co_await m_client.Send(std::move(request));
   if (!response)
     co_return response.Reason();
@@ -149,7 +146,6 @@
   request.headers["X-Request-Id"] = call.request.Get();
   request.body = std::move(call.body);
   request.timeout = call.timeout;
-  request.fresh_connection = !call.repeatable;
   return m_client.Open(std::move(request));
 }
 } // namespace BackendServers
--- a/Source/Core/BackendServers/HttpBackendClient.h
+++ b/Source/Core/BackendServers/HttpBackendClient.h
@@ -37,7 +37,6 @@
     Http::Headers headers;
     Common::RequestId request;
     Common::Milliseconds timeout{0};
-    bool repeatable = true;
   };
 
   /// Forwards the call and returns the response once its headers have arrived.
--- a/Source/Core/Callers/PlainServices.cpp
+++ b/Source/Core/Callers/PlainServices.cpp
@@ -190,7 +190,6 @@
   forward.body = call.body;
   forward.request = call.context.request;
   forward.timeout = call.context.TimeLeft();
-  forward.repeatable = call.repeatable;
   if (!call.key.empty())
     forward.headers["Idempotency-Key"] = call.key;
   auto opened = co_await m_api_context.environment.backend_client.Forward(std::move(forward));
--- a/Source/Core/Http/Client.cpp
+++ b/Source/Core/Http/Client.cpp
@@ -3,15 +3,15 @@
 
 #include "Http/Client.h"
 
-#include <list>
+#include <algorithm>
+#include <coroutine>
 #include <string_view>
-
-#include <libsoup/soup.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
+#include <utility>
 
 #include "Common/Loop.h"
-#include "Http/GioAwait.h"
+#include "Common/Reactor.h"
+#include "Http/Channel.h"
+#include "Http/OriginConnection.h"
 
 namespace Http
 {
@@ -19,250 +19,240 @@
 {
 using Common::Failure;
 using Common::FailureKind;
+using Common::Milliseconds;
 using Common::Result;
 using Common::Task;
 
-constexpr guint MAX_CONNECTIONS = 20000;
-constexpr guint IDLE_SECONDS = 30;
-/// Maximum size of one read, and the memory that each open stream holds for its buffer.
-constexpr gsize READ_BYTES = 8 * 1024;
-constexpr std::size_t MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+/// Reading pauses while so much of a body has not been read by the caller.
+constexpr std::size_t MAX_BUFFERED_BYTES = std::size_t{64} << 10U;
+constexpr std::size_t MAX_RESPONSE_BYTES = std::size_t{64} << 20U;
+/// The kernel drops unacknowledged bytes after this time, also if the socket has been closed or the
+/// process has exited, so that no part of an order arrives later than that.
+constexpr SocketOptions SOCKET_OPTIONS{.user_timeout = Milliseconds(10000)};
+
+/// The parts of a URL "http://IP:PORT/PATH".
+struct Target
+{
+  Endpoint peer;
+  std::string path; ///< With the query.
+};
+
+Result<Target> ParseUrl(std::string_view url)
+{
+  constexpr std::string_view SCHEME = "http://";
+  if (!url.starts_with(SCHEME))
+    return {FailureKind::InvalidInput, "not an http URL: " + std::string(url)};
+  url.remove_prefix(SCHEME.size());
+  const auto path_begin = std::min(url.find('/'), url.size());
+  const auto peer = Endpoint::Parse(url.substr(0, path_begin));
+  if (!peer)
+    return peer.Reason();
+  const auto path = url.substr(path_begin);
+  return Target{*peer, path.empty() ? "/" : std::string(path)};
+}
 
-Headers CopyHeaders(SoupMessageHeaders* source)
+CompleteRequest ToWire(const Request& request, const std::string& path)
+{
+  CompleteRequest wire{request.method, path, {}, request.body};
+  for (const auto& [name, value] : request.headers)
+    wire.headers.push_back({name, value});
+  if (!request.body.empty())
+    wire.headers.push_back({"Content-Type", request.content_type});
+  return wire;
+}
+
+Headers ByLowerCaseName(const std::vector<HeaderField>& fields)
 {
   Headers headers;
-  SoupMessageHeadersIter iter;
-  soup_message_headers_iter_init(&iter, source);
-  const char* name = nullptr;
-  const char* value = nullptr;
-  while (soup_message_headers_iter_next(&iter, &name, &value))
+  for (const HeaderField& field : fields)
   {
-    char* lower = g_ascii_strdown(name, -1);
-    headers[lower] = value;
-    g_free(lower);
+    std::string name = field.name;
+    std::ranges::transform(name, name.begin(), [](char c) {
+      return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    });
+    headers[name] = field.value;
   }
   return headers;
 }
+} // namespace
 
-/// Cancels an operation after a delay and records that the timer did so. All timers share one
-/// periodic tick: with a main-loop source for each read, the loop would check all of them in every
-/// iteration, which with a thousand open streams costs more than the reads.
-class CancellationTimer
+/// One request and its response, for a coroutine that waits for what comes next.
+class Client::Exchange : public ResponseHandler, public std::enable_shared_from_this<Exchange>
 {
 public:
-  CancellationTimer(GCancellable* cancellable, Common::Milliseconds delay)
-      : m_cancellable(cancellable), m_deadline(Common::Now() + delay)
+  ~Exchange() override
   {
-    m_position = s_timers.insert(s_timers.end(), this);
-    if (!std::exchange(s_ticking, true))
-      Common::CallAfter(TICK, Tick);
+    if (m_connection)
+      m_connection->Abandon();
   }
-  ~CancellationTimer() { s_timers.erase(m_position); }
-  CancellationTimer(const CancellationTimer&) = delete;
-  CancellationTimer& operator=(const CancellationTimer&) = delete;
 
-  bool Expired() const { return m_expired; }
+  void Begin(const Endpoint& peer, const CompleteRequest& request)
+  {
+    m_connection = OriginConnection::Connect(peer, SOCKET_OPTIONS);
+    if (m_connection)
+      m_connection->Send(SerializeRequest(request, peer), this, request.method == "HEAD");
+    else
+      m_failure = Failure{FailureKind::NotSent, "could not open a socket"};
+  }
 
-private:
-  static constexpr Common::Milliseconds TICK{20};
+  /// Fails the exchange if nothing ends it, or calls this again, for so long.
+  void Limit(Milliseconds timeout)
+  {
+    m_timer.Start(timeout, [this] {
+      Fail(HasSent() ? FailureKind::Timeout : FailureKind::NotSent, "no response in time");
+    });
+  }
+  void RemoveLimit() { m_timer.Stop(); }
 
-  static void Tick()
+  /// Suspends a coroutine until more of the response has come, or the exchange has failed.
+  auto Change()
   {
-    s_ticking = !s_timers.empty();
-    if (s_ticking)
-      Common::CallAfter(TICK, Tick);
-    const auto now = Common::Now();
-    std::vector<GRef<GCancellable>> due;
-    for (CancellationTimer* timer : s_timers)
+    struct Awaitable
     {
-      if (timer->m_expired || now < timer->m_deadline)
-        continue;
-      timer->m_expired = true;
-      due.push_back(GRef<GCancellable>::Share(timer->m_cancellable));
-    }
-    // Cancelling resumes coroutines, which destroy timers: it must not happen within the loop
-    // above.
-    for (const auto& cancellable : due)
-      g_cancellable_cancel(cancellable.Get());
-  }
+      bool await_ready() const noexcept { return false; }
+      void await_suspend(std::coroutine_handle<> handle) { exchange.m_waiter = handle; }
+      void await_resume() const noexcept {}
 
-  static inline std::list<CancellationTimer*> s_timers;
-  static inline bool s_ticking = false;
+      Exchange& exchange;
+    };
+    return Awaitable{*this};
+  }
 
-  GCancellable* m_cancellable;
-  Common::TimePoint m_deadline;
-  std::list<CancellationTimer*>::iterator m_position;
-  bool m_expired = false;
-};
+  const std::optional<MessageHead>& Head() const { return m_head; }
+  const std::optional<Failure>& Failed() const { return m_failure; }
+  bool IsComplete() const { return m_is_complete; }
 
-/// Records whether any byte of the request can have been sent. libsoup emits "starting" once it has
-/// a connection and begins to write.
-struct SendState
-{
-  bool started = false;
-};
+  std::string TakeBody()
+  {
+    if (m_connection)
+      m_connection->SetReading(true);
+    return std::exchange(m_body, {});
+  }
 
-/// TCP_USER_TIMEOUT for requests with `fresh_connection`: the kernel drops unacknowledged bytes
-/// after this time, also if the socket has been closed or the process has exited, so that no part
-/// of an order arrives later than that.
-constexpr int UNACKNOWLEDGED_LIMIT_MS = 10000;
+  void Fail(FailureKind kind, std::string_view why)
+  {
+    if (m_failure || m_is_complete)
+      return;
+    m_failure = Failure{kind, std::string(why)};
+    if (const auto connection = std::exchange(m_connection, nullptr))
+      connection->Abandon();
+    Wake();
+  }
 
-void OnNetworkEvent(SoupMessage*, GSocketClientEvent event, GIOStream* connection, gpointer)
-{
-  if (event != G_SOCKET_CLIENT_CONNECTED || !G_IS_SOCKET_CONNECTION(connection))
-    return;
-  GSocket* socket = g_socket_connection_get_socket(G_SOCKET_CONNECTION(connection));
-  g_socket_set_option(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS, nullptr);
-}
+  HeadAction OnResponseHead(MessageHead& head) override
+  {
+    m_head = head;
+    Wake();
+    return HeadAction::Accept;
+  }
 
-GRef<SoupMessage> NewMessage(const Request& request, SendState* state)
-{
-  GRef<SoupMessage> message(soup_message_new(request.method.c_str(), request.url.c_str()));
-  if (!message)
-    return message;
-  for (const auto& [name, value] : request.headers)
-    soup_message_headers_replace(soup_message_get_request_headers(message.Get()), name.c_str(),
-                                 value.c_str());
-  if (!request.body.empty())
+  void OnResponseBody(std::string_view bytes) override
   {
-    GBytes* bytes = g_bytes_new(request.body.data(), request.body.size());
-    soup_message_set_request_body_from_bytes(message.Get(), request.content_type.c_str(), bytes);
-    g_bytes_unref(bytes);
+    m_body.append(bytes);
+    if (m_body.size() >= MAX_BUFFERED_BYTES && m_connection)
+      m_connection->SetReading(false);
+    Wake();
   }
-  if (request.fresh_connection)
+
+  void OnResponseEnd() override
   {
-    soup_message_add_flags(message.Get(), SOUP_MESSAGE_NEW_CONNECTION);
-    g_signal_connect(message.Get(), "network-event", G_CALLBACK(OnNetworkEvent), nullptr);
+    m_is_complete = true;
+    Wake();
   }
-  soup_message_add_flags(message.Get(), SOUP_MESSAGE_NO_REDIRECT);
-  g_signal_connect(message.Get(), "starting", G_CALLBACK(+[](SoupMessage*, gpointer data) {
-                     static_cast<SendState*>(data)->started = true;
-                   }),
-                   state);
-  return message;
-}
 
-Failure SendFailure(const GError* error, bool started, bool expired)
-{
-  const std::string detail = error ? error->message : "no response";
-  if (!started)
-    return {FailureKind::NotSent, detail};
-  if (expired)
-    return {FailureKind::Timeout, "no response in time"};
-  return {FailureKind::OutcomeUnknown, detail};
-}
+  void OnExchangeFailed(ExchangeError) override
+  {
+    Fail(HasSent() ? FailureKind::OutcomeUnknown : FailureKind::NotSent,
+         "the exchange failed before the response was complete");
+  }
 
-/// libsoup takes a head that was cut off for a complete one, without the headers that are missing,
-/// so that a body without a length may be that of another response. HEAD, 204 and 304 have none.
-bool HasStatedEnd(SoupMessage* message)
-{
-  constexpr guint NO_CONTENT = 204;
-  constexpr guint NOT_MODIFIED = 304;
-  const guint status = soup_message_get_status(message);
-  if (status == NO_CONTENT || status == NOT_MODIFIED ||
-      std::string_view(soup_message_get_method(message)) == "HEAD")
-    return true;
-  const SoupEncoding encoding =
-      soup_message_headers_get_encoding(soup_message_get_response_headers(message));
-  return encoding == SOUP_ENCODING_CONTENT_LENGTH || encoding == SOUP_ENCODING_CHUNKED;
-}
+private:
+  bool HasSent() const { return m_connection && m_connection->HasSent(); }
 
-class SoupStream : public ResponseStream
-{
-public:
-  SoupStream(GRef<SoupMessage> message, GRef<GInputStream> stream)
-      : m_message(std::move(message)),
-        m_stream(std::move(stream)),
-        m_headers(CopyHeaders(soup_message_get_response_headers(m_message.Get())))
+  /// Resumes the coroutine from the main loop, since it may end the connection that calls this.
+  void Wake()
   {
+    if (!m_waiter || m_wake_timer.Running())
+      return;
+    m_wake_timer.Start(Milliseconds(0), [this] {
+      const auto guard = shared_from_this();
+      std::exchange(m_waiter, nullptr).resume();
+    });
   }
 
-  ~SoupStream() override
+  std::shared_ptr<OriginConnection> m_connection;
+  std::optional<MessageHead> m_head;
+  std::string m_body; ///< Received, but not read yet.
+  bool m_is_complete = false;
+  std::optional<Failure> m_failure;
+  std::coroutine_handle<> m_waiter;
+  Common::OwnedTimer m_timer;
+  Common::OwnedTimer m_wake_timer;
+};
+
+class Client::Stream : public ResponseStream
+{
+public:
+  explicit Stream(std::shared_ptr<Exchange> exchange)
+      : m_exchange(std::move(exchange)), m_headers(ByLowerCaseName(m_exchange->Head()->headers))
   {
-    // Cancelled, so that closing does not wait for the unread rest of the body: the connection is
-    // dropped with the stream.
-    g_cancellable_cancel(m_cancellable.Get());
-    g_input_stream_close_async(m_stream.Get(), G_PRIORITY_DEFAULT, m_cancellable.Get(), nullptr,
-                               nullptr);
   }
 
-  int Status() const override { return static_cast<int>(soup_message_get_status(m_message.Get())); }
+  int Status() const override { return m_exchange->Head()->status; }
   const Headers& GetHeaders() const override { return m_headers; }
 
-  Task<Result<std::string>> Read(Common::Milliseconds stall_timeout) override
+  Task<Result<std::string>> Read(Milliseconds stall_timeout) override
   {
-    // The owner must not destroy the stream while a read is pending.
-    const CancellationTimer timer(m_cancellable.Get(), stall_timeout);
-    if (m_buffer.empty())
-      m_buffer.resize(READ_BYTES);
-    GioAwait await;
-    g_input_stream_read_async(m_stream.Get(), m_buffer.data(), m_buffer.size(), G_PRIORITY_DEFAULT,
-                              m_cancellable.Get(), GioAwait::Ready, &await);
-    co_await await;
-    GError* error = nullptr;
-    const gssize size = g_input_stream_read_finish(m_stream.Get(), await.Get(), &error);
-    if (size < 0)
+    const auto exchange = m_exchange;
+    exchange->Limit(stall_timeout);
+    while (true)
     {
-      Failure failure = SendFailure(error, true, timer.Expired());
-      g_clear_error(&error);
-      co_return failure;
+      std::string bytes = exchange->TakeBody();
+      if (!bytes.empty())
+      {
+        exchange->RemoveLimit();
+        co_return bytes;
+      }
+      if (exchange->Failed())
+        co_return *exchange->Failed();
+      if (exchange->IsComplete())
+        break;
+      auto change = exchange->Change();
+      co_await change;
     }
-    if (size == 0 && !HasStatedEnd(m_message.Get()))
+    exchange->RemoveLimit();
+    // Such a body may have been cut off where its server crashed.
+    if (exchange->Head()->ends_with_connection)
       co_return Failure{FailureKind::OutcomeUnknown, "the response has no stated end"};
-    co_return std::string(m_buffer.data(), static_cast<std::size_t>(size));
+    co_return std::string();
   }
 
-  void Cancel() override { g_cancellable_cancel(m_cancellable.Get()); }
+  void Cancel() override { m_exchange->Fail(FailureKind::OutcomeUnknown, "cancelled"); }
 
 private:
-  GRef<SoupMessage> m_message;
-  GRef<GInputStream> m_stream;
-  GRef<GCancellable> m_cancellable{g_cancellable_new()};
+  std::shared_ptr<Exchange> m_exchange;
   Headers m_headers;
-  std::vector<char> m_buffer;
-};
-} // namespace
-
-struct Client::Impl
-{
-  GRef<SoupSession> session{soup_session_new_with_options(
-      "max-conns", MAX_CONNECTIONS, "max-conns-per-host", MAX_CONNECTIONS, "idle-timeout",
-      IDLE_SECONDS, "timeout", 0U, nullptr)};
 };
 
-Client::Client() : m_impl(std::make_shared<Impl>())
-{
-  // Backend servers and the platform are connected to directly, never through a proxy.
-  soup_session_set_proxy_resolver(m_impl->session.Get(), nullptr);
-}
-
-Client::~Client() = default;
-
 Task<Result<std::unique_ptr<ResponseStream>>> Client::Open(Request request)
 {
-  const auto impl = m_impl;
-  SendState state;
-  GRef<SoupMessage> message = NewMessage(request, &state);
-  if (!message)
-    co_return Failure{FailureKind::InvalidInput, "invalid URL: " + request.url};
-  const GRef<GCancellable> cancellable(g_cancellable_new());
-  const CancellationTimer timer(cancellable.Get(), request.timeout);
-  GioAwait await;
-  soup_session_send_async(impl->session.Get(), message.Get(), G_PRIORITY_DEFAULT, cancellable.Get(),
-                          GioAwait::Ready, &await);
-  co_await await;
-  g_signal_handlers_disconnect_by_data(message.Get(), &state);
-  GError* error = nullptr;
-  GRef<GInputStream> stream(soup_session_send_finish(impl->session.Get(), await.Get(), &error));
-  if (!stream)
+  const auto target = ParseUrl(request.url);
+  if (!target)
+    co_return target.Reason();
+  const CompleteRequest wire = ToWire(request, target->path);
+  const auto exchange = std::make_shared<Exchange>();
+  exchange->Begin(target->peer, wire);
+  exchange->Limit(request.timeout);
+  while (!exchange->Head() && !exchange->Failed())
   {
-    Failure failure = SendFailure(error, state.started, timer.Expired());
-    g_clear_error(&error);
-    co_return failure;
+    auto change = exchange->Change();
+    co_await change;
   }
-  std::unique_ptr<ResponseStream> opened =
-      std::make_unique<SoupStream>(std::move(message), std::move(stream));
-  co_return opened;
+  exchange->RemoveLimit();
+  if (!exchange->Head())
+    co_return *exchange->Failed();
+  std::unique_ptr<ResponseStream> stream = std::make_unique<Stream>(exchange);
+  co_return stream;
 }
 
 Task<Result<Response>> Client::Send(Request request)
--- a/Source/Core/Http/Client.h
+++ b/Source/Core/Http/Client.h
@@ -30,9 +30,6 @@
   /// body. The complete response has no time limit: a list whose transfer takes longer than the
   /// timeout could otherwise never be read.
   Common::Milliseconds timeout{10000};
-  /// Opens a new connection, since a reused one may just have been closed by the peer and a request
-  /// that is not repeatable could then not be retried.
-  bool fresh_connection = false;
 };
 
 struct Response
@@ -58,23 +55,20 @@
   virtual void Cancel() = 0;
 };
 
-/// An HTTP/1.1 client for backend servers and the platform, based on libsoup. Requests fail with
-/// NotSent where no byte can have reached the peer, else with OutcomeUnknown or Timeout.
+/// An HTTP/1.1 client for backend servers and the platform; URLs are http://IP:PORT/PATH. Each
+/// request has a connection of its own: nothing else ties a response to it, as a server may send
+/// one twice. Requests fail with NotSent where no byte can have reached the peer, else with
+/// OutcomeUnknown or Timeout.
 class Client
 {
 public:
-  Client();
-  ~Client();
-  Client(const Client&) = delete;
-  Client& operator=(const Client&) = delete;
-
   /// Sends a request and reads the complete response. Fails with Protocol beyond 64 MB.
   Common::Task<Common::Result<Response>> Send(Request request);
   /// Sends a request and returns the response as soon as its head has been received.
   Common::Task<Common::Result<std::unique_ptr<ResponseStream>>> Open(Request request);
 
 private:
-  struct Impl;
-  std::shared_ptr<Impl> m_impl;
+  class Exchange;
+  class Stream;
 };
 } // namespace Http
--- a/Source/UnitTests/Http/ClientTest.cpp
+++ b/Source/UnitTests/Http/ClientTest.cpp
@@ -49,6 +49,8 @@
   CPPUNIT_TEST(CutStreamIsComplete);
   CPPUNIT_TEST(CutChunksAreACompleteResponse);
   CPPUNIT_TEST(CutChunksAreACompleteStream);
+  CPPUNIT_TEST(MalformedResponseIsComplete);
+  CPPUNIT_TEST(SlowReaderHoldsTheWholeResponseInMemory);
   CPPUNIT_TEST_SUITE_END();
 
   static Http::Request RequestTo(const ThrottledServer& server)
@@ -99,7 +101,6 @@
     Http::Request request;
     request.method = "POST";
     request.body = "{}";
-    request.fresh_connection = true;
     request.url = "http://" + server.Address().ToString() + "/v1/engine/orders";
     request.timeout = Milliseconds(1000);
     return request;
@@ -137,6 +138,47 @@
   void CutChunksAreACompleteResponse() { CheckCutResponses(Framing::Chunks); }
   void CutChunksAreACompleteStream() { CheckCutStreams(Framing::Chunks); }
 
+  /// libsoup took any number for a status, and dropped malformed lines of a head.
+  void MalformedResponseIsComplete()
+  {
+    for (const char* beginning : {"HTTP/1.1 600 Odd\r\n", "HTTP/1.1 200 OK\r\nX y: 1\r\n",
+                                  "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n"})
+    {
+      TestServer server([&](TestPeer& peer, const std::string&) {
+        peer.stream->Write(beginning + std::string("Content-Length: 0\r\n\r\n"));
+      });
+      Http::Client client;
+      Outcome outcome;
+      Common::Spawn(Fetch(client, OnceTo(server), outcome));
+      CPPUNIT_ASSERT(RunUntil([&] {
+        return outcome.has_value();
+      }));
+      CPPUNIT_ASSERT_MESSAGE(beginning, !*outcome);
+      CPPUNIT_ASSERT(outcome->Reason().kind == Common::FailureKind::OutcomeUnknown);
+    }
+  }
+
+  /// A caller that reads nothing makes the server wait.
+  void SlowReaderHoldsTheWholeResponseInMemory()
+  {
+    const std::string response = FramedResponse(Framing::Length, "", std::string(32U << 20U, 'x'));
+    TestServer server([&](TestPeer& peer, const std::string&) {
+      peer.stream->Write(response);
+    });
+    Http::Client client;
+    std::optional<Common::Result<std::unique_ptr<Http::ResponseStream>>> opened;
+    const auto open = [](Http::Client& from, Http::Request request,
+                         auto& result) -> Common::Task<void> {
+      result.emplace(co_await from.Open(std::move(request)));
+    };
+    Common::Spawn(open(client, OnceTo(server), opened));
+    CPPUNIT_ASSERT(RunUntil([&] {
+      return opened.has_value();
+    }));
+    UnitTests::RunFor(Milliseconds(200));
+    CPPUNIT_ASSERT(server.peers.at(0)->stream->Unsent() > 0);
+  }
+
   void TimesOutWhenResponseStalls()
   {
     ThrottledServer server(std::string(800'000, 'x'));
