--- a/Source/StandIns/Soak/Main.cpp
+++ b/Source/StandIns/Soak/Main.cpp
@@ -150,6 +150,7 @@
   /// Servers send responses twice, and reject, fail and break off requests. Callers send rejected
   /// ones again under their id. All daemons are killed at the same moment, repeatedly.
   void SendSurplusResponses() { m_sends_surplus_responses = true; }
+  void SendMalformedResponses() { m_sends_malformed_responses = true; }
   /// One VM after the other is cut off from all servers for a while.
   void CutVmsFromServers() { m_cuts_vms = true; }
   /// The store comes back from an older copy, repeatedly. Callers use VMs that are cut off from the
@@ -261,6 +262,7 @@
     if (m_uses_versions)
       server->RunSoftware(version, "z1");
     server->SetSurplusResponses(m_sends_surplus_responses);
+    server->SetMalformedResponses(m_sends_malformed_responses);
     RequireStarted(static_cast<bool>(server->Listen()), "server");
     m_servers.push_back(std::move(server));
   }
@@ -940,6 +942,7 @@
       server->SetRateLimit(std::nullopt);
       server->SetRetryAfter(std::nullopt);
       server->SetSurplusResponses(false);
+      server->SetMalformedResponses(false);
     }
     for (DaemonProcess& daemon : m_daemons)
     {
@@ -993,6 +996,7 @@
   bool m_prompts_have_parts = false;
   bool m_cuts_vms = false;
   bool m_sends_surplus_responses = false;
+  bool m_sends_malformed_responses = false;
   bool m_restores_store = false;
   int m_crashing_request_count = 0;          ///< Number of different crashing requests.
   std::uint64_t m_requested_models = MODELS; ///< That requests use.
@@ -1023,6 +1027,7 @@
       "software-versions", "servers have two versions, and callers take up streams at other VMs")(
       "cut-vms", "VMs are cut off from all servers in turn")(
       "surplus-responses", "servers send responses twice, and reject, fail and break off requests")(
+      "malformed-responses", "a share of the servers' responses is not well-formed")(
       "restored-store", "the store comes back from an older copy, repeatedly");
   const auto parsed = options.parse(argc, argv);
   std::signal(SIGPIPE, SIG_IGN);
@@ -1054,6 +1059,8 @@
     run.CutVmsFromServers();
   if (parsed.count("surplus-responses") > 0)
     run.SendSurplusResponses();
+  if (parsed.count("malformed-responses") > 0)
+    run.SendMalformedResponses();
   if (parsed.count("restored-store") > 0)
     run.RestoreStore();
   return run.Run(Milliseconds(parsed["seconds"].as<int>() * 1000));
--- a/Source/StandIns/Soak/StandInServer.cpp
+++ b/Source/StandIns/Soak/StandInServer.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "Common/Random.h"
+#include "StandIns/Soak/MalformedResponses.h"
 
 namespace Soak
 {
@@ -33,6 +34,7 @@
 constexpr std::uint64_t FAILED_PERCENT = 8;
 constexpr std::uint64_t FAILED_RESUMABLE_PERCENT = 30;
 constexpr std::uint64_t PARTIAL_PERCENT = 3;
+constexpr std::uint64_t MALFORMED_PERCENT = 15;
 constexpr std::uint64_t BROKEN_STREAM_PERCENT = 40;
 constexpr std::uint64_t CRASH_OF_BROKEN_PERCENT = 3;
 
@@ -289,6 +291,17 @@
   return true;
 }
 
+bool StandInServer::RespondMalformedByChance(const Connection& connection, const std::string& id)
+{
+  if (!m_sends_malformed || !IsDrawn(MALFORMED_PERCENT))
+    return false;
+  m_responses.SendRaw(*connection, DrawMalformedResponse(IdOf(id)));
+  // Otherwise it sends nothing more.
+  if (IsDrawn(50))
+    connection->AbortResponse();
+  return true;
+}
+
 StandInServer::Break StandInServer::DrawBreak(const Http::ReceivedRequest& request) const
 {
   if (request.body.starts_with(BREAKING_BODY_PREFIX))
@@ -371,7 +384,7 @@
     return;
   }
   const bool is_resumable = request.head.target.starts_with("/stream/");
-  if (FailByChance(connection, id, is_resumable))
+  if (RespondMalformedByChance(connection, id) || FailByChance(connection, id, is_resumable))
     return;
   if (!model.empty() || is_resumable)
   {
--- a/Source/StandIns/Soak/StandInServer.h
+++ b/Source/StandIns/Soak/StandInServer.h
@@ -72,7 +72,7 @@
   bool TakesRequests() const
   {
     return IsReady() && m_fault == ServerFault::None && !m_rate_limit && !m_announces_drain &&
-           !m_misbehaves;
+           !m_misbehaves && !m_sends_malformed;
   }
   /// True after a crash, until the process is started again.
   bool IsDown() const { return !m_listener; }
@@ -96,6 +96,8 @@
   /// From now on, or no longer: sends a share of its responses twice, and rejects, fails and breaks
   /// off a share of its requests, whatever its other fault is.
   void SetSurplusResponses(bool active);
+  /// From now on, or no longer: a share of its responses is not well-formed.
+  void SetMalformedResponses(bool active) { m_sends_malformed = active; }
   int SurplusCopies() const { return m_responses.Copies(); }
   /// Announces in its responses from now on that it is draining, while its entry still says ready.
   void AnnounceDrain();
@@ -134,6 +136,8 @@
   bool RejectByChance(const Connection& connection, const std::string& id);
   /// Answers 500 to a share of the requests, or stops within the response. Returns true if it did.
   bool FailByChance(const Connection& connection, const std::string& id, bool is_resumable);
+  /// Answers a share of the requests with a malformed response. Returns true if it did.
+  bool RespondMalformedByChance(const Connection& connection, const std::string& id);
   /// Where the stream of the request is broken off.
   Break DrawBreak(const Http::ReceivedRequest& request) const;
   /// How the body of the next response states its end.
@@ -165,6 +169,7 @@
   std::map<Http::ServerConnection*, Connection> m_connections;
   StandIns::CutConnections m_cut;
   SurplusResponses m_responses;
+  bool m_sends_malformed = false;
   bool m_misbehaves = false; ///< Rejects, fails and breaks off a share of its requests.
   std::vector<std::string> m_models_on_disk;
   std::set<std::string> m_models;
--- a/Source/StandIns/Soak/SurplusResponses.cpp
+++ b/Source/StandIns/Soak/SurplusResponses.cpp
@@ -127,6 +127,13 @@
   WriteTo(found->second.fd, whole.substr(0, 1 + Common::SharedRandom()() % (whole.size() - 1)));
 }
 
+void SurplusResponses::SendRaw(const Http::ServerConnection& connection, std::string_view bytes)
+{
+  const auto found = m_peers.find(&connection);
+  if (found != m_peers.end() && connection.UnsentBytes() == 0)
+    WriteTo(found->second.fd, bytes);
+}
+
 void SurplusResponses::ResetAtEnd(const Http::ServerConnection& connection) const
 {
   const auto found = m_peers.find(&connection);
--- a/Source/StandIns/Soak/SurplusResponses.h
+++ b/Source/StandIns/Soak/SurplusResponses.h
@@ -46,6 +46,9 @@
   void SendPart(const Http::ServerConnection& connection, int status, const Headers& headers,
                 std::string_view body);
 
+  /// Sends bytes as they are.
+  void SendRaw(const Http::ServerConnection& connection, std::string_view bytes);
+
   /// The end of the connection becomes a reset.
   void ResetAtEnd(const Http::ServerConnection& connection) const;
 
--- a/Tools/soak.sh
+++ b/Tools/soak.sh
@@ -45,6 +45,8 @@
 # From this seed on, as from VERSIONS_FROM, the store also comes back from older copies, and callers use VMs that are cut
 # off from it.
 RESTORES_FROM=80000
+# From this seed on, as from SURPLUS_FROM, and some responses of servers are not well-formed.
+MALFORMED_FROM=110000
 # run_seed SEED: runs it on its own loopback addresses.
 run_seed() {
   local seed=$1
@@ -59,13 +61,14 @@
   [ "$seed" -ge "$VERSIONS_FROM" ] && [ "$seed" -lt "$CUTS_FROM" ] && seed_flags+=(--software-versions)
   [ "$seed" -ge "$CUTS_FROM" ] && [ "$seed" -lt "$SURPLUS_FROM" ] && seed_flags+=(--cut-vms)
   [ "$seed" -ge "$SURPLUS_FROM" ] && [ "$seed" -lt "$RESTORES_FROM" ] && seed_flags+=(--surplus-responses)
-  [ "$seed" -ge "$RESTORES_FROM" ] && seed_flags+=(--software-versions --restored-store)
+  [ "$seed" -ge "$MALFORMED_FROM" ] && seed_flags+=(--surplus-responses --malformed-responses)
+  [ "$seed" -ge "$RESTORES_FROM" ] && [ "$seed" -lt "$MALFORMED_FROM" ] && seed_flags+=(--software-versions --restored-store)
   build/bin/soak --seed "$seed" --seconds "$SECONDS_EACH" --net "127.$((50 + seed / 250 % 50)).$((seed % 250 + 1))" \
     --logs "build/soak/$seed" --binary build/soak/drumpondd "${seed_flags[@]}" >"build/soak/$seed.txt" 2>&1
   if [ $? -eq 0 ]; then echo "pass soak-$seed"; else echo "FAIL soak-$seed : $(grep BROKEN "build/soak/$seed.txt" | head -n 3 | tr '\n' ';')"; fi
 }
 export -f run_seed
-export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM LEAVING_FROM OVERLAPPING_FROM UNFRAMED_FROM PARTS_FROM VERSIONS_FROM CUTS_FROM SURPLUS_FROM RESTORES_FROM
+export SECONDS_EACH UNDER_ID_FROM CRASHERS_FROM LIMITS_FROM LEAVING_FROM OVERLAPPING_FROM UNFRAMED_FROM PARTS_FROM VERSIONS_FROM CUTS_FROM SURPLUS_FROM RESTORES_FROM MALFORMED_FROM
 RESULTS=$(echo "$SEEDS" | xargs -P "$AT_ONCE" -I{} bash -c 'run_seed {}')
 echo "$RESULTS"
 echo "$(grep -c '^pass' <<<"$RESULTS") passed, $(grep -c '^FAIL' <<<"$RESULTS") failed"
