--- a/Source/UnitTests/Http/ClientTest.cpp
+++ b/Source/UnitTests/Http/ClientTest.cpp
@@ -26,6 +26,13 @@
   outcome = co_await client.Send(std::move(request));
 }
 
+using Opened = std::optional<Common::Result<std::unique_ptr<Http::ResponseStream>>>;
+
+Common::Task<void> Open(Http::Client& client, Http::Request request, Opened& opened)
+{
+  opened.emplace(co_await client.Open(std::move(request)));
+}
+
 /// Whether the response was received up to its end.
 Common::Task<void> ReadStream(Http::Client& client, Http::Request request,
                               std::optional<bool>& complete)
@@ -166,12 +173,8 @@
       peer.stream->Write(response);
     });
     Http::Client client;
-    std::optional<Common::Result<std::unique_ptr<Http::ResponseStream>>> opened;
-    const auto open = [](Http::Client& from, Http::Request request,
-                         auto& result) -> Common::Task<void> {
-      result.emplace(co_await from.Open(std::move(request)));
-    };
-    Common::Spawn(open(client, OnceTo(server), opened));
+    Opened opened;
+    Common::Spawn(Open(client, OnceTo(server), opened));
     CPPUNIT_ASSERT(RunUntil([&] {
       return opened.has_value();
     }));
