--- a/Source/StandIns/Soak/MalformedResponses.cpp
+++ b/Source/StandIns/Soak/MalformedResponses.cpp
@@ -15,9 +15,9 @@
 using namespace std::string_view_literals;
 
 constexpr std::array STATUSES{"000", "0", "099", "20", "600", "999", "0200", "2 0", "abc", ""};
-constexpr std::array LINES{
-    "X y: 1"sv,    "X\ty: 1"sv, "X\0y: 1"sv, "X\x01y: 1"sv, "X\ry: 1"sv,
-    "X\x7fy: 1"sv, ": 1"sv,     " X: 1"sv,   "\tX: 1"sv,    "Transfer-Encoding: gzip, chunked"sv};
+constexpr std::array LINES{"X y: 1"sv,    "X\ty: 1"sv, "X\0y: 1"sv, "X\x01y: 1"sv, "X\ry: 1"sv,
+                           "X\x7fy: 1"sv, ": 1"sv,     " X: 1"sv,   "\tX: 1"sv};
+constexpr std::string_view OTHER_CODING = "Transfer-Encoding: gzip, chunked";
 
 template <typename Options>
 std::string Draw(const Options& options)
@@ -32,6 +32,7 @@
   {
     Status,
     Line,
+    Coding,
     Chunk,
     Trailer,
     KINDS,
@@ -46,6 +47,9 @@
     return "HTTP/1.1 " + Draw(STATUSES) + " OK" + headers + length + "\r\n" + body;
   case Line:
     return "HTTP/1.1 200 OK" + headers + Draw(LINES) + "\r\n" + length + "\r\n" + body;
+  case Coding:
+    return "HTTP/1.1 200 OK" + headers + std::string(OTHER_CODING) +
+           "\r\n\r\n3\r\nodd\r\n0\r\n\r\n";
   case Chunk:
     return chunked + "3\r\n" + body + "\r\n0\r\n\r\n";
   default:
