UnitTests: the tests of connections share one recorder of exchanges

Three tests had a class each that accepts every response and records how the exchange ended, one of them added with the tests of the planned stop. LongUpload had a parameter that was always empty. Assertions stay. The tests of OriginConnection, TunnelServer and PlannedStop pass.

--- a/Source/UnitTests/Gateway/PlannedStopTest.cpp
+++ b/Source/UnitTests/Gateway/PlannedStopTest.cpp
@@ -11,11 +11,13 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include "Tunnels/Messages.h"
+#include "UnitTests/Support/ExchangeRecorder.h"
 #include "UnitTests/Support/RelayWorld.h"
 
 namespace
 {
 using Common::Milliseconds;
+using UnitTests::ExchangeRecorder;
 using UnitTests::HeaderOf;
 using UnitTests::RunUntil;
 using UnitTests::TestPeer;
@@ -94,19 +96,6 @@
   TestPeer caller;
 };
 
-/// Records how an exchange through a tunnel ended.
-class TunnelRecorder : public Http::ResponseHandler
-{
-public:
-  HeadAction OnResponseHead(Http::MessageHead&) override { return HeadAction::Accept; }
-  void OnResponseBody(std::string_view) override {}
-  void OnResponseEnd() override { ended = true; }
-  void OnExchangeFailed(Http::ExchangeError failure) override { error = failure; }
-
-  bool ended = false;
-  std::optional<Http::ExchangeError> error;
-};
-
 /// An entry point to which requests come while it stops.
 class LateWorld
 {
@@ -150,7 +139,7 @@
   }
 
   /// Sends a request as another daemon would, which has no path to the server of its own.
-  std::shared_ptr<Http::OriginConnection> SendThroughTunnel(TunnelRecorder& recorder) const
+  std::shared_ptr<Http::OriginConnection> SendThroughTunnel(ExchangeRecorder& recorder) const
   {
     auto connection = Http::OriginConnection::ConnectThrough(*m_settings.tunnels,
                                                              Tunnels::EncodeOpen({"i-1", 0}));
@@ -279,7 +268,7 @@
     LateWorld world(GRACE / 2);
     world.AddServer();
     world.delay = AFTER_HALF;
-    TunnelRecorder response;
+    ExchangeRecorder response;
     const auto connection = world.SendThroughTunnel(response);
     CPPUNIT_ASSERT(RunUntil([&] {
       return !world.server.requests.empty();
@@ -298,7 +287,7 @@
     LateWorld world(GRACE / 2);
     world.AddServer();
     world.entry_point.BeginStop();
-    TunnelRecorder response;
+    ExchangeRecorder response;
     const auto connection = world.SendThroughTunnel(response);
     CPPUNIT_ASSERT(RunUntil([&] {
       return response.ended || response.error;
--- a/Source/UnitTests/Http/OriginConnectionTest.cpp
+++ b/Source/UnitTests/Http/OriginConnectionTest.cpp
@@ -11,23 +11,12 @@
 #include <unistd.h>
 
 #include "UnitTests/Support/CutResponses.h"
+#include "UnitTests/Support/ExchangeRecorder.h"
 
 namespace
 {
 using Common::Milliseconds;
-
-/// Records how an exchange ended.
-class ExchangeRecorder : public Http::ResponseHandler
-{
-public:
-  HeadAction OnResponseHead(Http::MessageHead&) override { return HeadAction::Accept; }
-  void OnResponseBody(std::string_view) override {}
-  void OnResponseEnd() override { ended = true; }
-  void OnExchangeFailed(Http::ExchangeError got) override { error = got; }
-
-  bool ended = false;
-  std::optional<Http::ExchangeError> error;
-};
+using UnitTests::ExchangeRecorder;
 
 /// Pauses reading with each piece of a response's body.
 class PausingRecorder : public ExchangeRecorder
@@ -165,11 +154,12 @@
   static void Upload(const UnitTests::TestServer& server, ExchangeRecorder& events)
   {
     const auto connection = Http::OriginConnection::Connect(server.Address());
-    connection->Send(UnitTests::LongUpload(""), &events);
+    connection->Send(UnitTests::LongUpload(), &events);
     CPPUNIT_ASSERT(UnitTests::RunUntil([&] {
       return events.ended || events.error;
     }));
     CPPUNIT_ASSERT(!connection->IsReusable(Common::Now()));
+    CPPUNIT_ASSERT(connection->UnsentBytes() > 0);
   }
 
   /// The kernel reports a reset once: to the write of the upload, after which the read found an
--- a/Source/UnitTests/Support/CutResponses.h
+++ b/Source/UnitTests/Support/CutResponses.h
@@ -49,14 +49,12 @@
   return head + text.substr(end);
 }
 
-/// A request with a body that the kernel's buffers of a connection do not hold. `headers` are whole
-/// lines.
-inline std::string LongUpload(const std::string& headers)
+/// A request with a body that the kernel's buffers of a connection do not hold.
+inline std::string LongUpload()
 {
   constexpr std::size_t BODY_BYTES = std::size_t{16} << 20U;
-  return "POST / HTTP/1.1\r\nHost: a\r\n" + headers +
-         "Content-Length: " + std::to_string(BODY_BYTES) + "\r\n\r\n" +
-         std::string(BODY_BYTES, 'x');
+  return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(BODY_BYTES) +
+         "\r\n\r\n" + std::string(BODY_BYTES, 'x');
 }
 
 inline void WriteSoon(TestPeer& peer, const std::string& bytes)
--- a/Source/UnitTests/Tunnels/TunnelServerTest.cpp
+++ b/Source/UnitTests/Tunnels/TunnelServerTest.cpp
@@ -7,12 +7,14 @@
 
 #include "Http/OriginConnection.h"
 #include "UnitTests/Support/CutResponses.h"
+#include "UnitTests/Support/ExchangeRecorder.h"
 
 namespace
 {
 using Common::Milliseconds;
 using Http::ExchangeError;
 using Http::OriginConnection;
+using UnitTests::ExchangeRecorder;
 using UnitTests::RunFor;
 using UnitTests::RunUntil;
 using UnitTests::TestPeer;
@@ -21,20 +23,6 @@
 const Tunnels::TunnelTarget TARGET{"i-1", 0};
 constexpr const char* REQUEST = "GET / HTTP/1.1\r\n\r\n";
 
-/// Records how an exchange ended.
-class Recorder : public Http::ResponseHandler
-{
-public:
-  HeadAction OnResponseHead(Http::MessageHead&) override { return HeadAction::Accept; }
-  void OnResponseBody(std::string_view bytes) override { body.append(bytes); }
-  void OnResponseEnd() override { complete = true; }
-  void OnExchangeFailed(ExchangeError failure) override { error = failure; }
-
-  std::string body;
-  bool complete = false;
-  std::optional<ExchangeError> error;
-};
-
 /// A helper that knows one server, and a connection through it.
 class World
 {
@@ -57,12 +45,12 @@
   bool Ends()
   {
     return RunUntil([this] {
-      return recorder.complete || recorder.error;
+      return recorder.ended || recorder.error;
     });
   }
 
   std::unique_ptr<Tunnels::TunnelServer> helper;
-  Recorder recorder;
+  ExchangeRecorder recorder;
   std::shared_ptr<OriginConnection> connection;
 };
 
@@ -146,7 +134,7 @@
 
   void FailedHelperLooksLikeAFailedServer()
   {
-    Recorder recorder;
+    ExchangeRecorder recorder;
     const auto connection =
         OriginConnection::ConnectThrough(UnitTests::FreeEndpoint(), Tunnels::EncodeOpen(TARGET));
     connection->Send(REQUEST, &recorder);
@@ -183,7 +171,7 @@
     World world(server.Address());
     world.Request();
     CPPUNIT_ASSERT(world.Ends());
-    CPPUNIT_ASSERT(!world.recorder.complete);
+    CPPUNIT_ASSERT(!world.recorder.ended);
   }
 
   /// The helper's write of the upload took the error of the reset, after which its read found an
@@ -196,9 +184,9 @@
       UnitTests::EndSoon(peer, UnitTests::Ending::Reset);
     });
     World world(server.Address());
-    world.Request(TARGET, UnitTests::LongUpload(""));
+    world.Request(TARGET, UnitTests::LongUpload());
     CPPUNIT_ASSERT(world.Ends());
-    CPPUNIT_ASSERT(!world.recorder.complete);
+    CPPUNIT_ASSERT(!world.recorder.ended);
     CPPUNIT_ASSERT(world.recorder.error == ExchangeError::Reset);
   }
 
@@ -214,7 +202,7 @@
     }));
     world.helper.reset();
     CPPUNIT_ASSERT(world.Ends());
-    CPPUNIT_ASSERT(!world.recorder.complete);
+    CPPUNIT_ASSERT(!world.recorder.ended);
     CPPUNIT_ASSERT(RunUntil([&] {
       return server.peers.at(0)->ended;
     }));
